Lay out the module, its tools, its seams and its style

Cause: the parts of the product are to be written side by side, so their seams must stand first. Conclusion: the seams compile; nothing is served yet.

--- /dev/null
+++ b/core/profile/profile.go
@@ -0,0 +1,218 @@
+// Package profile holds the named profiles that operators create and callers
+// pick: the class of a request, its latency target, its priority and whether it
+// is idempotent.
+//
+// # Usage
+//
+//	p, err := profile.New(profile.Spec{
+//		Name:       "weddingMorningCheck",
+//		Class:      "calendarCheck",
+//		Kind:       profile.KindService,
+//		Pool:       "calendar",
+//		Tier:       profile.TierUrgent,
+//		TargetMs:   800,
+//		Idempotent: true,
+//	})
+package profile
+
+import (
+	"fmt"
+	"time"
+)
+
+// Tier is a priority. A lower number is served first.
+type Tier int
+
+// The four service tiers, the most urgent first.
+const (
+	TierUrgent Tier = iota
+	TierInteractive
+	TierStandard
+	TierBulk
+)
+
+// TierCount is the number of service tiers.
+const TierCount = 4
+
+// Kind says what sort of endpoint serves a profile.
+type Kind string
+
+// The kinds of endpoint.
+const (
+	KindModel   Kind = "model"
+	KindService Kind = "service"
+)
+
+// Measure says which moment of an answer the latency target bounds.
+type Measure string
+
+// The moments that a target can bound.
+const (
+	MeasureFirstToken Measure = "firstToken"
+	MeasureCompletion Measure = "completion"
+)
+
+// Limits on the fields of a Spec.
+const (
+	MaxNameLength      = 64
+	MaxTargetMs        = 10 * 60 * 1000
+	MaxWaitLimitFactor = 10
+	DefaultValue       = 1.0
+	DefaultMinShare    = 0.05
+)
+
+// Spec is the text of a profile as operators write it and as it is stored in
+// the configuration stream. Times are in milliseconds.
+type Spec struct {
+	Name  string `json:"name"`
+	Class string `json:"class"`
+	Kind  Kind   `json:"kind"`
+	// Pool names the model or the plain service that serves the profile.
+	Pool     string  `json:"pool"`
+	Tier     Tier    `json:"tier"`
+	TargetMs int64   `json:"targetMs"`
+	Measure  Measure `json:"measure,omitempty"`
+	// WaitLimitMs is how long a request may wait to be started before it is
+	// refused. Zero stands for the target.
+	WaitLimitMs int64 `json:"waitLimitMs,omitempty"`
+	Idempotent  bool  `json:"idempotent"`
+	// Value weighs one completed request in goodput. Zero stands for one.
+	Value float64 `json:"value,omitempty"`
+	// MinShare is the share of the pool's service, from 0 to 1, that the class
+	// is sure of under any burst. Zero stands for DefaultMinShare.
+	MinShare float64 `json:"minShare,omitempty"`
+	// MaxTokens bounds an answer's length when the caller gives no bound.
+	MaxTokens int `json:"maxTokens,omitempty"`
+}
+
+// Profile is a checked, immutable profile.
+type Profile struct {
+	spec Spec
+}
+
+// FieldError says what is wrong with one field of a Spec.
+type FieldError struct {
+	Field   string
+	Value   any
+	Allowed string
+}
+
+// Error names the field, its value and what is allowed.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("profile field %s is %v; allowed: %s", e.Field, e.Value, e.Allowed)
+}
+
+// New checks spec and returns its profile. The error is a *FieldError.
+func New(spec Spec) (Profile, error) {
+	if err := check(spec); err != nil {
+		return Profile{}, err
+	}
+	return Profile{
+		spec: withDefaults(spec),
+	}, nil
+}
+
+func check(spec Spec) error {
+	switch {
+	case !validName(spec.Name):
+		return &FieldError{Field: "name", Value: spec.Name, Allowed: "1 to 64 letters, digits, '.', '_' or '-'"}
+	case !validName(spec.Class):
+		return &FieldError{Field: "class", Value: spec.Class, Allowed: "1 to 64 letters, digits, '.', '_' or '-'"}
+	case spec.Kind != KindModel && spec.Kind != KindService:
+		return &FieldError{Field: "kind", Value: spec.Kind, Allowed: "model or service"}
+	case !validName(spec.Pool):
+		return &FieldError{Field: "pool", Value: spec.Pool, Allowed: "1 to 64 letters, digits, '.', '_' or '-'"}
+	case spec.Tier < TierUrgent || spec.Tier > TierBulk:
+		return &FieldError{Field: "tier", Value: spec.Tier, Allowed: "0 (urgent) to 3 (bulk)"}
+	case spec.TargetMs < 1 || spec.TargetMs > MaxTargetMs:
+		return &FieldError{Field: "targetMs", Value: spec.TargetMs, Allowed: "1 to 600000"}
+	case spec.Measure != "" && spec.Measure != MeasureFirstToken && spec.Measure != MeasureCompletion:
+		return &FieldError{Field: "measure", Value: spec.Measure, Allowed: "firstToken or completion"}
+	case spec.WaitLimitMs < 0 || spec.WaitLimitMs > MaxWaitLimitFactor*MaxTargetMs:
+		return &FieldError{Field: "waitLimitMs", Value: spec.WaitLimitMs, Allowed: "0 to 6000000"}
+	case spec.Value < 0:
+		return &FieldError{Field: "value", Value: spec.Value, Allowed: "0 or more"}
+	case spec.MinShare < 0 || spec.MinShare > 1:
+		return &FieldError{Field: "minShare", Value: spec.MinShare, Allowed: "0 to 1"}
+	case spec.MaxTokens < 0:
+		return &FieldError{Field: "maxTokens", Value: spec.MaxTokens, Allowed: "0 or more"}
+	}
+	return nil
+}
+
+func withDefaults(spec Spec) Spec {
+	if spec.Measure == "" {
+		spec.Measure = MeasureCompletion
+		if spec.Kind == KindModel {
+			spec.Measure = MeasureFirstToken
+		}
+	}
+	if spec.WaitLimitMs == 0 {
+		spec.WaitLimitMs = spec.TargetMs
+	}
+	if spec.Value == 0 {
+		spec.Value = DefaultValue
+	}
+	if spec.MinShare == 0 {
+		spec.MinShare = DefaultMinShare
+	}
+	return spec
+}
+
+func validName(name string) bool {
+	if name == "" || len(name) > MaxNameLength {
+		return false
+	}
+	for _, char := range name {
+		switch {
+		case char >= 'a' && char <= 'z', char >= 'A' && char <= 'Z', char >= '0' && char <= '9':
+		case char == '.' || char == '_' || char == '-':
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// Spec returns the profile's text with defaults filled in.
+func (p Profile) Spec() Spec { return p.spec }
+
+// Name returns the name by which callers pick the profile.
+func (p Profile) Name() string { return p.spec.Name }
+
+// Class returns the class of request.
+func (p Profile) Class() string { return p.spec.Class }
+
+// Kind returns the sort of endpoint that serves the profile.
+func (p Profile) Kind() Kind { return p.spec.Kind }
+
+// Pool returns the model or plain service that serves the profile.
+func (p Profile) Pool() string { return p.spec.Pool }
+
+// Tier returns the priority.
+func (p Profile) Tier() Tier { return p.spec.Tier }
+
+// Measure returns the moment that the target bounds.
+func (p Profile) Measure() Measure { return p.spec.Measure }
+
+// Idempotent reports whether a request may be run more than once.
+func (p Profile) Idempotent() bool { return p.spec.Idempotent }
+
+// Value returns the weight of one completed request in goodput.
+func (p Profile) Value() float64 { return p.spec.Value }
+
+// MinShare returns the class's guaranteed share of the pool's service.
+func (p Profile) MinShare() float64 { return p.spec.MinShare }
+
+// MaxTokens returns the bound on an answer's length, or zero for none.
+func (p Profile) MaxTokens() int { return p.spec.MaxTokens }
+
+// Target returns the latency target.
+func (p Profile) Target() time.Duration {
+	return time.Duration(p.spec.TargetMs) * time.Millisecond
+}
+
+// WaitLimit returns how long a request may wait to be started.
+func (p Profile) WaitLimit() time.Duration {
+	return time.Duration(p.spec.WaitLimitMs) * time.Millisecond
+}
--- /dev/null
+++ b/io/logservice/client.go
@@ -0,0 +1,184 @@
+package logservice
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cactuswell/core/record"
+)
+
+// maxResponseBytes bounds what is read of one answer of the log.
+const maxResponseBytes = 64 << 20
+
+// Log is the platform's log as the rest of the system sees it.
+type Log interface {
+	// Append adds records to the end of stream and returns the offset of the
+	// first. A *RefusedError says that nothing was appended; after an
+	// *UnavailableError the records may have been appended.
+	Append(ctx context.Context, stream record.Stream, records [][]byte) (record.Offset, error)
+	// Read returns the records of stream from the given offset on. If there
+	// are none it waits for options.Wait. A *TruncatedError says that the log
+	// no longer keeps the offset.
+	Read(ctx context.Context, stream record.Stream, from record.Offset, options ReadOptions) (ReadResponse, error)
+}
+
+// ReadOptions bounds a read.
+type ReadOptions struct {
+	// Limit is the largest number of records wanted, or zero for the log's own.
+	Limit int
+	// Wait is how long the log may hold the answer back until there is a
+	// record.
+	Wait time.Duration
+}
+
+// UnavailableError says that the log gave no usable answer.
+type UnavailableError struct {
+	Cause error
+}
+
+// Error describes the cause.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("log service unavailable: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// RefusedError says that the log refused a call and did nothing.
+type RefusedError struct {
+	Status int
+	// RetryAfter is how long the log asked us to wait, or zero.
+	RetryAfter time.Duration
+}
+
+// Error names the status.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("log service refused the call with status %d", e.Status)
+}
+
+// StatusError is an unexpected HTTP status of the log.
+type StatusError struct {
+	Status int
+}
+
+// Error names the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("log service answered with status %d", e.Status)
+}
+
+// TruncatedError says that the log no longer keeps the offset asked for.
+type TruncatedError struct {
+	Oldest record.Offset
+}
+
+// Error names the oldest offset kept.
+func (e *TruncatedError) Error() string {
+	return fmt.Sprintf("log is truncated: oldest offset kept is %d", e.Oldest)
+}
+
+// Client is a Log that is reached over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the log at the base URL.
+func New(base string, httpClient *http.Client) *Client {
+	return &Client{
+		base: base,
+		http: httpClient,
+	}
+}
+
+// Append implements Log.
+func (c *Client) Append(ctx context.Context, stream record.Stream, records [][]byte) (record.Offset, error) {
+	body, err := json.Marshal(AppendRequest{
+		Records: records,
+	})
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.recordsURL(stream, nil), bytes.NewReader(body))
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	// A replayed append could take effect twice, so the transport must not
+	// repeat it on its own.
+	request.GetBody = nil
+	var response AppendResponse
+	if err := c.do(request, &response); err != nil {
+		return 0, err
+	}
+	return response.FirstOffset, nil
+}
+
+// Read implements Log.
+func (c *Client) Read(ctx context.Context, stream record.Stream, from record.Offset, options ReadOptions) (ReadResponse, error) {
+	query := url.Values{}
+	query.Set("from", strconv.FormatInt(int64(from), 10))
+	if options.Limit > 0 {
+		query.Set("limit", strconv.Itoa(options.Limit))
+	}
+	if options.Wait > 0 {
+		query.Set("waitMs", strconv.FormatInt(options.Wait.Milliseconds(), 10))
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.recordsURL(stream, query), nil)
+	if err != nil {
+		return ReadResponse{}, trace.Wrap(err)
+	}
+	var response ReadResponse
+	if err := c.do(request, &response); err != nil {
+		return ReadResponse{}, err
+	}
+	if from < response.OldestOffset {
+		return response, trace.Wrap(&TruncatedError{Oldest: response.OldestOffset})
+	}
+	return response, nil
+}
+
+func (c *Client) recordsURL(stream record.Stream, query url.Values) string {
+	address := c.base + "/v1/streams/" + url.PathEscape(string(stream)) + "/records"
+	if len(query) > 0 {
+		address += "?" + query.Encode()
+	}
+	return address
+}
+
+func (c *Client) do(request *http.Request, into any) error {
+	response, err := c.http.Do(request)
+	if err != nil {
+		return trace.Wrap(&UnavailableError{Cause: err})
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch {
+	case response.StatusCode == http.StatusTooManyRequests:
+		return trace.Wrap(&RefusedError{
+			Status:     response.StatusCode,
+			RetryAfter: retryAfter(response.Header),
+		})
+	case response.StatusCode != http.StatusOK:
+		return trace.Wrap(&UnavailableError{Cause: &StatusError{Status: response.StatusCode}})
+	}
+	decoder := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes))
+	if err := decoder.Decode(into); err != nil {
+		return trace.Wrap(&UnavailableError{Cause: err})
+	}
+	return nil
+}
+
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/io/service/wire.go
@@ -0,0 +1,20 @@
+// Package service speaks to plain services over HTTP.
+//
+// # Usage
+//
+//	client := service.New(httpClient)
+//	answer, err := client.Call(ctx, address, call)
+//
+// The protocol that a plain service offers:
+//
+//	POST   /v1/calls/{operation}   any JSON body -> any JSON body with a Content-Length
+//	DELETE /v1/attempts/{id}       -> engine.CancelResponse
+//	GET    /v1/load                -> engine.LoadReport
+//
+// The headers are those of package engine: each call carries an attempt id,
+// which the answer echoes. HeaderKey carries the caller's idempotency key where
+// there is one; services need not heed it.
+package service
+
+// HeaderKey carries the idempotency key to a service.
+const HeaderKey = "Idempotency-Key"
--- /dev/null
+++ b/main.go
@@ -0,0 +1,13 @@
+// Command cactuswell routes language-model traffic with service levels and
+// priorities.
+package main
+
+import (
+	"os"
+
+	"cactuswell/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/standin/logservice/handler.go
@@ -0,0 +1,94 @@
+package logservice
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"cactuswell/core/record"
+	"cactuswell/io/logservice"
+)
+
+// maxAppendBytes bounds the body of one append.
+const maxAppendBytes = 16 << 20
+
+// Handler serves the log's protocol, and the faults under /faults (GET and PUT
+// of a Faults document).
+func (s *Store) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/streams/{stream}/records", s.handleAppend).Methods(http.MethodPost)
+	router.HandleFunc("/v1/streams/{stream}/records", s.handleRead).Methods(http.MethodGet)
+	router.HandleFunc("/faults", s.handleGetFaults).Methods(http.MethodGet)
+	router.HandleFunc("/faults", s.handlePutFaults).Methods(http.MethodPut)
+	return router
+}
+
+func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request) {
+	var request logservice.AppendRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAppendBytes)).Decode(&request); err != nil {
+		http.Error(w, "malformed append", http.StatusBadRequest)
+		return
+	}
+	first, err := s.Append(r.Context(), record.Stream(mux.Vars(r)["stream"]), request.Records)
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	answer(w, logservice.AppendResponse{
+		FirstOffset: first,
+	})
+}
+
+func (s *Store) handleRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.FormValue("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "malformed offset", http.StatusBadRequest)
+		return
+	}
+	limit, _ := strconv.Atoi(r.FormValue("limit"))
+	waitMs, _ := strconv.ParseInt(r.FormValue("waitMs"), 10, 64)
+	response, err := s.Read(r.Context(), record.Stream(mux.Vars(r)["stream"]), record.Offset(from),
+		logservice.ReadOptions{
+			Limit: limit,
+			Wait:  time.Duration(waitMs) * time.Millisecond,
+		})
+	var truncated *logservice.TruncatedError
+	if err != nil && !errors.As(err, &truncated) {
+		answerError(w, err)
+		return
+	}
+	answer(w, response)
+}
+
+func (s *Store) handleGetFaults(w http.ResponseWriter, _ *http.Request) {
+	answer(w, s.Faults())
+}
+
+func (s *Store) handlePutFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, "malformed faults", http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(faults)
+	answer(w, faults)
+}
+
+func answer(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func answerError(w http.ResponseWriter, err error) {
+	var refused *logservice.RefusedError
+	if errors.As(err, &refused) {
+		w.Header().Set("Retry-After", strconv.Itoa(int(refused.RetryAfter/time.Second)))
+		http.Error(w, refused.Error(), refused.Status)
+		return
+	}
+	http.Error(w, err.Error(), http.StatusServiceUnavailable)
+}
