Decide on calls that must not run twice

Cause: a non-idempotent call retried at another host, or after a lost answer, must not run again, and hosts have no store of their own.

Change: core/claim holds the reduced claim stream, the state machine of a host's keyed calls, issued keys and their publication by a leaving host; io/claims runs it with three duties (decider, writer, follower) over the log.

A claim is won only at the host that wrote it, after that host has read the stream up to it and found every earlier claim of the key released by its own claimer. The rule reads no clock and no other host's view.

Measured: go test -race ./core/claim ./io/claims passes (8 tests in virtual time: replay at any host, unknown without an outcome, waiting retry, release, outage, expired ticket, call without a key, stopped host).

--- /dev/null
+++ b/core/claim/fifo.go
@@ -0,0 +1,36 @@
+package claim
+
+// fifo is a first-in-first-out queue that gives its memory back.
+type fifo[T any] struct {
+	items []T
+	head  int
+}
+
+func (f *fifo[T]) push(item T) {
+	f.items = append(f.items, item)
+}
+
+func (f *fifo[T]) peek() (T, bool) {
+	if f.head == len(f.items) {
+		var zero T
+		return zero, false
+	}
+	return f.items[f.head], true
+}
+
+func (f *fifo[T]) pop() (T, bool) {
+	item, ok := f.peek()
+	if !ok {
+		return item, false
+	}
+	var zero T
+	f.items[f.head] = zero
+	f.head++
+	if f.head > len(f.items)/2 {
+		f.items = append([]T(nil), f.items[f.head:]...)
+		f.head = 0
+	}
+	return item, true
+}
+
+func (f *fifo[T]) len() int { return len(f.items) - f.head }
--- /dev/null
+++ b/io/claims/claims_test.go
@@ -0,0 +1,158 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cactuswell/core/claim"
+	standin "cactuswell/standin/logservice"
+)
+
+var booked = claim.Outcome{
+	Status:      201,
+	ContentType: "application/json",
+	Body:        []byte(`{"hold":"4711"}`),
+}
+
+// mustRun returns the ticket of a call that may run.
+func mustRun(t *testing.T, decision Decision) *Ticket {
+	t.Helper()
+	run, ok := decision.(Run)
+	if !ok {
+		t.Fatalf("got %T %+v, want Run", decision, decision)
+	}
+	return run.Ticket
+}
+
+func check(t *testing.T, want, got any) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("mismatch (-want +got):\n%s", diff)
+	}
+}
+
+func TestOwnKeyRunsOnceAndIsReplayedAtAnyHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		defer fleet.stop()
+		first, second := fleet.start("host-1"), fleet.start("host-2")
+		ticket := mustRun(t, first.begin("hold-1", "a", time.Second))
+		check(t, nil, ticket.Started())
+		check(t, nil, ticket.Finish(booked))
+		check(t, Decision(Replay{Outcome: booked}), first.begin("hold-1", "a", time.Second))
+		time.Sleep(time.Second)
+		check(t, Decision(Replay{Outcome: booked}), second.begin("hold-1", "a", time.Second))
+		check(t, Decision(Mismatch{}), second.begin("hold-1", "b", time.Second))
+		first.crash()
+		third := fleet.start("host-3")
+		check(t, Decision(Replay{Outcome: booked}), third.begin("hold-1", "a", time.Second))
+	})
+}
+
+func TestClaimWithoutOutcomeIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		defer fleet.stop()
+		first, second := fleet.start("host-1"), fleet.start("host-2")
+		mustRun(t, first.begin("hold-1", "a", time.Second))
+		first.crash()
+		check(t, Decision(Unknown{Reason: claim.UnknownNoOutcome}), second.begin("hold-1", "a", time.Second))
+	})
+}
+
+func TestRetryWaitsForTheOutcomeOfARunningCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		defer fleet.stop()
+		first, second := fleet.start("host-1"), fleet.start("host-2")
+		ticket := mustRun(t, first.begin("hold-1", "a", time.Second))
+		check(t, nil, ticket.Started())
+		time.AfterFunc(3*time.Second, func() { _ = ticket.Finish(booked) })
+		check(t, Decision(Replay{Outcome: booked}), second.begin("hold-1", "a", 10*time.Second))
+	})
+}
+
+func TestAbandonedClaimIsReleasedForAnyHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		defer fleet.stop()
+		first, second := fleet.start("host-1"), fleet.start("host-2")
+		ticket := mustRun(t, first.begin("hold-1", "a", time.Second))
+		time.AfterFunc(time.Second, func() { _ = ticket.Abandon() })
+		check(t, Decision(Mismatch{}), second.begin("hold-1", "b", 10*time.Second))
+		mustRun(t, second.begin("hold-1", "a", 10*time.Second))
+		var used *TicketError
+		if !errors.As(ticket.Started(), &used) || used.Fault != TicketUsed {
+			t.Error("an abandoned ticket could be started")
+		}
+	})
+}
+
+func TestLogOutageRefusesAndALaterRetryRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		defer fleet.stop()
+		first, second := fleet.start("host-1"), fleet.start("host-2")
+		fleet.store.SetFaults(standin.Faults{
+			LostAnswers: 1,
+		})
+		time.AfterFunc(2*time.Millisecond, func() { fleet.store.SetFaults(standin.Faults{Down: true}) })
+		refused, ok := first.begin("hold-1", "a", time.Second).(Refused)
+		if !ok || refused.Reason != claim.RefuseLogUnavailable || !refused.KeyUnchecked {
+			t.Fatalf("got %+v", refused)
+		}
+		time.Sleep(time.Minute)
+		fleet.store.SetFaults(standin.Faults{})
+		mustRun(t, second.begin("hold-1", "a", 10*time.Second))
+	})
+}
+
+func TestTicketExpiresWhileTheHostIsPaused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		defer fleet.stop()
+		ticket := mustRun(t, fleet.start("host-1").begin("hold-1", "a", time.Second))
+		time.Sleep(fleet.settings.MaxGrantAge + time.Second)
+		var expired *TicketError
+		if !errors.As(ticket.Started(), &expired) || expired.Fault != TicketExpired {
+			t.Error("an expired ticket could be started")
+		}
+	})
+}
+
+func TestNoKeyNeedsNoLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		defer fleet.stop()
+		fleet.store.SetFaults(standin.Faults{Down: true})
+		ticket := mustRun(t, fleet.start("host-1").begin("", "a", time.Second))
+		check(t, nil, ticket.Started())
+		check(t, nil, ticket.NotStarted())
+		check(t, nil, ticket.Started())
+		ticket.Settle()
+		appends, _ := fleet.store.Counts()
+		check(t, uint64(0), appends)
+	})
+}
+
+func TestBeginAfterStopIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		host := fleet.start("host-1")
+		synctest.Wait()
+		host.crash()
+		refused, ok := host.begin("hold-1", "a", time.Second).(Refused)
+		if !ok || refused.Reason != claim.RefuseStopping {
+			t.Errorf("got %+v", refused)
+		}
+		if _, err := host.claims.Issue(context.Background(), testTeam); err == nil {
+			t.Error("a stopped host issued a key")
+		}
+		fleet.stop()
+	})
+}
--- /dev/null
+++ b/io/claims/dump.go
@@ -0,0 +1,61 @@
+package claims
+
+import (
+	"time"
+
+	"cactuswell/core/claim"
+	"cactuswell/core/record"
+)
+
+// Dump is the state of a host's claims, without keys, teams or answers.
+type Dump struct {
+	Issuer claim.Issuer `json:"issuer"`
+	// Position is the offset from which the claim stream is read next, and
+	// Floor the oldest one that is remembered.
+	Position record.Offset `json:"position"`
+	Floor    record.Offset `json:"floor"`
+	// Keys and IssuedKeys are the claimed and the issued keys remembered.
+	Keys       int `json:"keys"`
+	IssuedKeys int `json:"issuedKeys"`
+	// LeftRecords say which keys of hosts that left were not used.
+	LeftRecords int `json:"leftRecords"`
+	// Waiting calls have no decision yet; Open ones have none or hold a ticket.
+	Waiting   int   `json:"waiting"`
+	Open      int64 `json:"open"`
+	Unwritten int   `json:"unwritten"`
+	// Blind says that the stream holds a claim that this release cannot read.
+	Blind bool `json:"blind"`
+	// LastRead is when the log last answered a read, and LastReadError why it
+	// did not since.
+	LastRead      time.Time         `json:"lastRead"`
+	LastReadError string            `json:"lastReadError,omitempty"`
+	Counts        claim.Counts      `json:"counts"`
+	Table         claim.TableCounts `json:"table"`
+}
+
+// Dump returns the state as of the decider's last step. Its counters are those
+// of the decider's present life.
+func (c *Claims) Dump() Dump {
+	dump := *c.dump.Load()
+	dump.Open = c.open.Load()
+	return dump
+}
+
+func (d *decider) publish() {
+	table := d.machine.Table()
+	d.claims.dump.Store(&Dump{
+		Issuer:        d.machine.Issuer(),
+		Position:      d.machine.Position(),
+		Floor:         table.Floor(),
+		Keys:          table.Len(),
+		IssuedKeys:    d.machine.IssuedLen(),
+		LeftRecords:   table.LeftRecords(),
+		Waiting:       d.machine.Waiting(),
+		Unwritten:     d.machine.Unwritten(),
+		Blind:         table.Blind(),
+		LastRead:      d.lastRead,
+		LastReadError: d.lastError,
+		Counts:        d.machine.Counts(),
+		Table:         table.Counts(),
+	})
+}
