--- a/core/claim/machine.go
+++ b/core/claim/machine.go
@@ -26,6 +26,7 @@
 	deadlines deadlines
 	serial    uint64
 	leaving   bool
+	caughtUp  bool
 	counts    Counts
 	commands  []Command
 }
@@ -147,6 +148,9 @@
 // Position returns the offset from which the claim stream has to be read next.
 func (m *Machine) Position() record.Offset { return m.position }
 
+// CaughtUp reports whether the end of the claim stream was reached once.
+func (m *Machine) CaughtUp() bool { return m.caughtUp }
+
 // Unwritten returns the number of records that wait to be written.
 func (m *Machine) Unwritten() int { return m.outbox.len() }
 
@@ -234,6 +238,7 @@
 	}
 	m.mark(now)
 	if m.position >= event.Next {
+		m.caughtUp = true
 		m.outbox.caughtUp(event.Began)
 	}
 }
--- a/io/claims/dump.go
+++ b/io/claims/dump.go
@@ -14,6 +14,8 @@
 	// Floor the oldest one that is remembered.
 	Position record.Offset `json:"position"`
 	Floor    record.Offset `json:"floor"`
+	// CaughtUp says that the end of the claim stream was reached once.
+	CaughtUp bool `json:"caughtUp"`
 	// Keys and IssuedKeys are the claimed and the issued keys remembered.
 	Keys       int `json:"keys"`
 	IssuedKeys int `json:"issuedKeys"`
@@ -47,6 +49,7 @@
 		Issuer:        d.machine.Issuer(),
 		Position:      d.machine.Position(),
 		Floor:         table.Floor(),
+		CaughtUp:      d.machine.CaughtUp(),
 		Keys:          table.Len(),
 		IssuedKeys:    d.machine.IssuedLen(),
 		LeftRecords:   table.LeftRecords(),
--- a/io/claims/fleet_test.go
+++ b/io/claims/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,39 @@
 
 const testTeam = "front-desk"
 
+// bookings is a booking service that counts executions.
+type bookings struct {
+	mu        sync.Mutex
+	byKey     map[string]int
+	byRequest map[string]int
+}
+
+func newBookings() *bookings {
+	return &bookings{
+		byKey:     make(map[string]int),
+		byRequest: make(map[string]int),
+	}
+}
+
+func (b *bookings) run(key, request string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.byKey[key]++
+	b.byRequest[request]++
+}
+
+func (b *bookings) ofKey(key string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.byKey[key]
+}
+
+func (b *bookings) ofRequest(request string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.byRequest[request]
+}
+
 // testHost is one life of a host.
 type testHost struct {
 	claims *Claims
