Cross every step of a claim with every fault, and keep unsettled keys

Cause: the cross product of steps, faults, places and times of a retry found that a key whose run had no outcome was forgotten after the window, and run again by a retry then: first at executed/crash/otherHost/nextDay, and at every step where the claimer was still paused.

Change: a claim without an outcome is written again, staggered over the hosts, before the log forgets it, so that its key stays blocked; the number of such keys is bounded and counted. A key that is a UUID of version 7 and older than the window is refused as expired. A plain key that was settled longer than the window ago counts as new, as the documentation says.

--- a/core/claim/command.go
+++ b/core/claim/command.go
@@ -146,5 +146,8 @@
 	RefuseTooManyCalls   RefuseReason = "tooManyKeyedCalls"
 	RefuseNewerRecords   RefuseReason = "newerClaimRecords"
 	RefuseDutyRestarted  RefuseReason = "claimsDutyRestarted"
-	RefuseIssuer         RefuseReason = "issuerUnreachable"
+	// RefuseKeyExpired says that the key is a UUID of version 7 whose time is
+	// longer ago than the window.
+	RefuseKeyExpired RefuseReason = "keyExpired"
+	RefuseIssuer     RefuseReason = "issuerUnreachable"
 )
--- a/core/claim/decide.go
+++ b/core/claim/decide.go
@@ -79,6 +79,8 @@
 		m.evaluateBlocked(waiting, state)
 	case waiting.isIssued:
 		m.evaluateForeign(now, waiting)
+	case m.expiredKey(now, waiting.ref.Key):
+		m.decide(waiting, m.refusal(RefuseKeyExpired, true))
 	default:
 		m.propose(now, waiting)
 	}
--- a/core/claim/machine.go
+++ b/core/claim/machine.go
@@ -23,7 +23,8 @@
 	byKey     map[Ref][]CallID
 	pending   map[string]CallID
 	proposed  map[Ref]string
-	deadlines deadlines
+	deadlines alarms[CallID]
+	carries   alarms[carried]
 	serial    uint64
 	leaving   bool
 	caughtUp  bool
@@ -50,6 +51,9 @@
 	AppendsUncertain uint64 `json:"appendsUncertain"`
 	// OutcomesDropped were not written as too many records were waiting.
 	OutcomesDropped uint64 `json:"outcomesDropped"`
+	// Carried claims had no outcome and were written again before the log would
+	// forget them.
+	Carried uint64 `json:"carried"`
 	// Truncations counts reads that fell behind what the log keeps.
 	Truncations uint64 `json:"truncations"`
 	// Rewinds counts how often the log turned out to have lost records.
@@ -139,8 +143,10 @@
 // false when none is.
 func (m *Machine) NextWake() (time.Time, bool) {
 	wake, ok := m.outbox.readyAt()
-	if next, found := m.deadlines.next(); found && (!ok || next.at.Before(wake)) {
-		wake, ok = next.at, true
+	for _, next := range []func() (time.Time, bool){m.deadlines.next, m.carries.next} {
+		if at, found := next(); found && (!ok || at.Before(wake)) {
+			wake, ok = at, true
+		}
 	}
 	return wake, ok
 }
@@ -174,12 +180,12 @@
 }
 
 func (m *Machine) passTime(now time.Time) {
-	for next, ok := m.deadlines.next(); ok && !next.at.After(now); next, ok = m.deadlines.next() {
-		m.deadlines.pop()
-		if waiting, found := m.calls[next.call]; found {
+	for id, ok := m.deadlines.popDue(now); ok; id, ok = m.deadlines.popDue(now) {
+		if waiting, found := m.calls[id]; found {
 			m.giveUp(now, waiting, RefuseLogUnavailable)
 		}
 	}
+	m.carry(now)
 	m.issued.advance(now)
 	m.forgetOld(now)
 }
@@ -254,6 +260,7 @@
 			m.withdraw(now, waiting)
 		}
 	}
+	m.watch(now, change.Ref)
 	m.review(now, change.Ref)
 }
 
--- a/core/claim/outbox.go
+++ b/core/claim/outbox.go
@@ -68,6 +68,11 @@
 	return !item.appended
 }
 
+func (o *outbox) has(id string) bool {
+	_, ok := o.byID[id]
+	return ok
+}
+
 func (o *outbox) len() int { return len(o.byID) }
 
 // readyAt returns when the next append is due. It reports false if none is.
--- a/core/claim/table.go
+++ b/core/claim/table.go
@@ -27,6 +27,7 @@
 	left      *leftIssuers
 	bodies    fifo[Ref]
 	bodyBytes int
+	kept      int
 	maxKeys   int
 	maxBodies int
 	blind     bool
@@ -48,6 +49,9 @@
 	// Omitted counts releases and outcomes without a claim that were left out as
 	// the table was half full.
 	Omitted uint64 `json:"omitted"`
+	// NotKept counts how often an unsettled key could not be kept past the
+	// window, as too many were.
+	NotKept uint64 `json:"notKept"`
 	// BodiesDropped counts answer bodies dropped to keep within the bound.
 	BodiesDropped uint64 `json:"bodiesDropped"`
 }
@@ -59,6 +63,10 @@
 	released    []string
 	outcome     *Outcome
 	overflowed  bool
+	// watched says that the machine looks after the key while it is unsettled;
+	// kept says that it outlives the window meanwhile.
+	watched bool
+	kept    bool
 }
 
 type touch struct {
@@ -294,14 +302,14 @@
 // the end of the queue, which can only make it stay longer.
 func (t *Table) forgetOrRequeue(ref Ref, floor record.Offset) {
 	target := t.entries[ref]
-	if target.offset < floor {
+	if target.offset < floor && (!target.unsettled() || !t.keep(target)) {
 		t.forget(ref)
 		t.counts.Forgotten++
 		return
 	}
 	t.order.push(touch{
 		ref:    ref,
-		offset: target.offset,
+		offset: max(target.offset, floor),
 	})
 }
 
@@ -309,6 +317,20 @@
 // read again from its start, and what is known of the lost records stays.
 func (t *Table) Rewind() { t.floor = 0 }
 
+// keep lets an unsettled key outlive the window, if there is room for it.
+func (t *Table) keep(target *entry) bool {
+	if target.kept {
+		return true
+	}
+	if t.kept >= t.maxKeys/carriedShare {
+		t.counts.NotKept++
+		return false
+	}
+	target.kept = true
+	t.kept++
+	return true
+}
+
 // Floor returns the offset from which on the table has read every record.
 func (t *Table) Floor() record.Offset { return t.floor }
 
@@ -344,6 +366,9 @@
 }
 
 func (t *Table) forget(ref Ref) {
+	if t.entries[ref].kept {
+		t.kept--
+	}
 	t.dropBody(t.entries[ref])
 	delete(t.entries, ref)
 	t.perTeam[ref.Team]--
@@ -383,6 +408,11 @@
 	return len(e.held) > 0 || e.outcome != nil || e.overflowed
 }
 
+// unsettled reports whether the key is held and has no outcome.
+func (e *entry) unsettled() bool {
+	return e.outcome == nil && e.blocked()
+}
+
 func (e *entry) hold(id string) {
 	if len(e.held) == maxClaimsKept {
 		e.overflowed = true
