--- a/io/claims/claims_test.go
+++ b/io/claims/claims_test.go
@@ -156,3 +156,44 @@
 		fleet.stop()
 	})
 }
+
+func TestRestartedDeciderBeginsANewLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		defer fleet.stop()
+		host := fleet.start("host-1")
+		key := mustIssue(t, host)
+		ticket := mustRun(t, host.begin("hold-1", "a", time.Second))
+		check(t, nil, ticket.Started())
+		// An event without its waiter makes the duty panic.
+		host.claims.requests.TryPush(request{
+			event: claim.IssueRequested{},
+		})
+		time.Sleep(time.Second)
+		check(t, Decision(Unknown{Reason: claim.UnknownIssuerGone}), host.begin(key, "a", time.Second))
+		check(t, Decision(Unknown{Reason: claim.UnknownNoOutcome}), host.begin("hold-1", "a", time.Second))
+		check(t, nil, ticket.Finish(booked))
+		check(t, Decision(Replay{Outcome: booked}), host.begin("hold-1", "a", time.Second))
+		mustRun(t, host.begin(mustIssue(t, host), "a", time.Second))
+	})
+}
+
+func TestWholeFleetReplacedKeepsAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		defer fleet.stop()
+		first := fleet.start("host-1")
+		ticket := mustRun(t, first.begin("hold-1", "a", time.Second))
+		check(t, nil, ticket.Started())
+		check(t, nil, ticket.Finish(booked))
+		check(t, nil, first.claims.Leave(context.Background()))
+		for range 5 {
+			for _, host := range fleet.hosts {
+				host.crash()
+			}
+			time.Sleep(time.Hour)
+			host := fleet.start("host-1")
+			check(t, Decision(Replay{Outcome: booked}), host.begin("hold-1", "a", time.Second))
+		}
+	})
+}
