Write what was finished before a host leaves, and stop at gaps in the log

(2) A log that left out records would have been read past them, and they could be claims; with none returned, the follower asked again without a pause.

Change: the decider takes what was finished or abandoned before it takes a Leave. A read with a gap is a failed read, with its pause.

Two tests raced with the log and were replaced by as strict ones: the outage test switched the log off at the instant of the append and now cuts the host off in the append itself, so that it also counts the one append; the leave test asked a starting host that may or may not have read the stream, which is now a test of its own with a host that cannot read.

--- /dev/null
+++ b/core/claim/partition_test.go
@@ -0,0 +1,46 @@
+package claim
+
+import (
+	"fmt"
+	"testing"
+)
+
+func TestWritersMoveFewKeys(t *testing.T) {
+	var hosts []string
+	for i := range 2400 {
+		hosts = append(hosts, fmt.Sprintf("host-%d", i))
+	}
+	before := Writers(hosts, 24)
+	gone := before[5]
+	var rest []string
+	for _, host := range hosts {
+		if host != gone {
+			rest = append(rest, host)
+		}
+	}
+	after := Writers(rest, 24)
+	perWriter := make(map[string]int)
+	for i := range 24000 {
+		ref := Ref{
+			Team: "team",
+			Key:  fmt.Sprintf("key-%d", i),
+		}
+		old, _ := WriterOf(ref, before)
+		now, _ := WriterOf(ref, after)
+		perWriter[old]++
+		if old != gone && now != old && now != after[len(after)-1] {
+			t.Fatalf("key %d moved from %s to %s", i, old, now)
+		}
+	}
+	for writer, keys := range perWriter {
+		if keys < 500 || keys > 2000 {
+			t.Errorf("%s has %d keys of 24000, want about 1000", writer, keys)
+		}
+	}
+}
+
+func TestWriterOfNoWriters(t *testing.T) {
+	if _, ok := WriterOf(Ref{}, Writers(nil, 24)); ok {
+		t.Error("found a writer among none")
+	}
+}
--- a/io/claims/claims_test.go
+++ b/io/claims/claims_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +12,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"cactuswell/core/claim"
+	"cactuswell/core/record"
+	"cactuswell/io/logservice"
 	standin "cactuswell/standin/logservice"
 )
 
@@ -93,21 +97,52 @@
 	})
 }
 
+// cutLog takes the first append and then gives no answer.
+type cutLog struct {
+	logservice.Log
+	appends atomic.Int64
+	cut     atomic.Bool
+}
+
+func (l *cutLog) Append(ctx context.Context, stream record.Stream, records [][]byte) (record.Offset, error) {
+	if l.appends.Add(1) == 1 {
+		l.cut.Store(true)
+		_, _ = l.Log.Append(ctx, stream, records)
+	}
+	if l.cut.Load() {
+		return 0, &logservice.UnavailableError{Cause: lostError{}}
+	}
+	return l.Log.Append(ctx, stream, records)
+}
+
+func (l *cutLog) Read(
+	ctx context.Context, stream record.Stream, from record.Offset, options logservice.ReadOptions,
+) (logservice.ReadResponse, error) {
+	response, err := l.Log.Read(ctx, stream, from, options)
+	if l.cut.Load() {
+		return logservice.ReadResponse{}, &logservice.UnavailableError{Cause: lostError{}}
+	}
+	return response, err
+}
+
 func TestLogOutageRefusesAndALaterRetryRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newFleet(t)
 		defer fleet.stop()
-		first, second := fleet.start("host-1"), fleet.start("host-2")
-		fleet.store.SetFaults(standin.Faults{
-			LostAnswers: 1,
-		})
-		time.AfterFunc(2*time.Millisecond, func() { fleet.store.SetFaults(standin.Faults{Down: true}) })
+		// The claim gets into the log, which then goes down before it answers.
+		cut := &cutLog{
+			Log: fleet.store,
+		}
+		first := fleet.startOver("host-1", cut)
+		second := fleet.start("host-2")
 		refused, ok := first.begin("hold-1", "a", time.Second).(Refused)
 		if !ok || refused.Reason != claim.RefuseLogUnavailable || !refused.KeyUnchecked {
 			t.Fatalf("got %+v", refused)
 		}
 		time.Sleep(time.Minute)
-		fleet.store.SetFaults(standin.Faults{})
+		cut.cut.Store(false)
+		appends, _ := fleet.store.Counts()
+		check(t, uint64(1), appends)
 		mustRun(t, second.begin("hold-1", "a", 10*time.Second))
 	})
 }
@@ -197,3 +232,54 @@
 		}
 	})
 }
+
+// gapLog leaves the first record out of every answer.
+type gapLog struct {
+	logservice.Log
+}
+
+func (g gapLog) Read(
+	ctx context.Context, stream record.Stream, from record.Offset, options logservice.ReadOptions,
+) (logservice.ReadResponse, error) {
+	response, err := g.Log.Read(ctx, stream, from, options)
+	if len(response.Records) > 0 {
+		response.Records = response.Records[1:]
+	}
+	return response, err
+}
+
+func TestNothingIsDecidedBeyondAGapInTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		defer fleet.stop()
+		first := fleet.start("host-1")
+		mustRun(t, first.begin("hold-1", "a", time.Second))
+		second := fleet.startOver("host-2", gapLog{
+			Log: fleet.store,
+		})
+		refused, ok := second.begin("hold-1", "a", time.Second).(Refused)
+		if !ok || !refused.KeyUnchecked {
+			t.Errorf("got %+v", refused)
+		}
+		check(t, record.Offset(0), second.claims.Dump().Position)
+	})
+}
+
+// TestLeaveWritesWhatWasJustFinished guards the order of two rings: what was
+// finished before Leave was called is written before Leave returns.
+func TestLeaveWritesWhatWasJustFinished(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		defer fleet.stop()
+		reader := fleet.start("reader")
+		for i := range 100 {
+			host, key := fleet.start("host-1"), fmt.Sprintf("hold-%d", i)
+			ticket := mustRun(t, host.begin(key, "a", time.Second))
+			check(t, nil, ticket.Started())
+			check(t, nil, ticket.Finish(booked))
+			check(t, nil, host.claims.Leave(context.Background()))
+			host.crash()
+			check(t, Decision(Replay{Outcome: booked}), reader.begin(key, "a", time.Second))
+		}
+	})
+}
--- a/io/claims/decider.go
+++ b/io/claims/decider.go
@@ -118,6 +118,8 @@
 		if _, leave := next.event.(claim.LeaveRequested); leave {
 			delete(d.waiters, next.call)
 			d.leaving = append(d.leaving, next.waiter)
+			// What was finished or abandoned before comes first.
+			d.takeClosings()
 		}
 		d.step(next.event)
 	}
--- a/io/claims/issued_test.go
+++ b/io/claims/issued_test.go
@@ -158,15 +158,31 @@
 		check(t, Decision(Unknown{Reason: claim.UnknownIssuerGone}), second.begin(open, "a", time.Second))
 		mustRun(t, second.begin(unused, "a", time.Second))
 		third := fleet.start("host-3")
-		if _, ok := third.begin(unused, "a", time.Second).(Forward); !ok {
-			t.Error("a host that has not read the stream decided on a key of another host")
-		}
 		time.Sleep(time.Second)
 		check(t, true, third.claims.Dump().CaughtUp)
 		check(t, Decision(Unknown{Reason: claim.UnknownNoOutcome}), third.begin(unused, "a", time.Second))
 	})
 }
 
+func TestHostWithoutLogForwardsAnotherHostsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t)
+		defer fleet.stop()
+		first := fleet.start("host-1")
+		key := mustIssue(t, first)
+		check(t, nil, first.claims.Leave(context.Background()))
+		cut := &cutLog{
+			Log: fleet.store,
+		}
+		cut.cut.Store(true)
+		second := fleet.startOver("host-2", cut)
+		if _, ok := second.begin(key, "a", time.Second).(Forward); !ok {
+			t.Error("a host that has not read the stream decided on a key of another host")
+		}
+		check(t, false, second.claims.Dump().CaughtUp)
+	})
+}
+
 func TestIssuedKeyIsNeverRunAfterTheWindow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newFleet(t)
--- a/io/claims/log.go
+++ b/io/claims/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"cactuswell/core/claim"
@@ -115,12 +116,39 @@
 		// The decider ended this read, as it wants another one at once.
 	case err != nil:
 		answer.err = err
+	case hasGap(next.position, response):
+		answer.err = &GapError{Position: next.position}
 	default:
 		answer.event = recordsRead(began, response)
 	}
 	return answer
 }
 
+// hasGap reports whether the log left out records. They could be claims, so
+// nothing may be decided beyond them.
+func hasGap(position record.Offset, response logservice.ReadResponse) bool {
+	if len(response.Records) == 0 {
+		return response.NextOffset > position
+	}
+	for _, stored := range response.Records {
+		if stored.Offset != position {
+			return true
+		}
+		position++
+	}
+	return false
+}
+
+// GapError says that the log answered a read without some of the records.
+type GapError struct {
+	Position record.Offset
+}
+
+// Error names where the read began.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("log left out records after offset %d", e.Position)
+}
+
 func (f *follower) pause(next readRequest) {
 	if next.delay <= 0 {
 		return
