--- /dev/null
+++ b/host/attempt.go
@@ -0,0 +1,335 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cactuswell/core/dispatch"
+	"cactuswell/core/endpoint"
+	"cactuswell/core/profile"
+	"cactuswell/io/caller"
+	"cactuswell/io/engine"
+	"cactuswell/io/service"
+)
+
+const (
+	// cancelTimeout bounds the call that tells an endpoint that nobody waits.
+	cancelTimeout = 2 * time.Second
+	// maxHeldTokens bounds the tokens of an attempt that is not yet the
+	// caller's answer.
+	maxHeldTokens = 4096
+)
+
+// attempt is one try at a call at one endpoint. Its run method is the duty that
+// speaks to the endpoint; the pool's duty tells it what to do.
+type attempt struct {
+	id       dispatch.AttemptID
+	wireID   string
+	call     *call
+	pool     *pool
+	endpoint endpoint.Key
+	base     string
+	fresh    bool
+
+	ctx      context.Context
+	cancel   context.CancelFunc
+	notified atomic.Bool
+
+	mu       sync.Mutex
+	adopted  bool
+	from     int
+	canceled bool
+	resume   bool
+	cut      context.CancelFunc
+	received int
+	held     []string
+	ending   ending
+}
+
+// ending is what a whole answer ended with.
+type ending struct {
+	finishReason string
+	tokens       int
+	contentType  string
+	body         []byte
+}
+
+// EndpointGoneError says that an attempt's endpoint has no address any more.
+type EndpointGoneError struct {
+	Name string
+}
+
+// Error names the endpoint.
+func (e *EndpointGoneError) Error() string {
+	return fmt.Sprintf("endpoint %s is gone", e.Name)
+}
+
+// run speaks to the endpoint until the attempt has ended, and reports how.
+func (a *attempt) run() {
+	defer a.pool.attempts.Done()
+	defer a.cancel()
+	failure := a.perform()
+	if a.isCanceled() {
+		a.tellCanceled()
+		return
+	}
+	if failure == nil {
+		a.pool.post(dispatch.AttemptFinished{
+			Attempt: a.id,
+			Tokens:  a.end().tokens,
+		})
+		return
+	}
+	a.pool.post(dispatch.AttemptFailed{
+		Attempt: a.id,
+		Failure: failure,
+	})
+}
+
+// perform runs the attempt and returns nil for a whole answer. A panic counts
+// as a broken attempt.
+func (a *attempt) perform() (failure dispatch.Failure) {
+	defer func() {
+		if value := recover(); value != nil {
+			a.pool.counters.Add("attemptPanics", 1)
+			_ = a.pool.logger.Log("level", "error", "event", "attemptPanicked", "attempt", a.wireID,
+				"error", fmt.Sprint(value))
+			failure = dispatch.Broken{}
+		}
+	}()
+	if a.base == "" {
+		return dispatch.NotStarted{}
+	}
+	if a.call.ticket != nil && !a.call.ticket.Started() {
+		return dispatch.NotStarted{}
+	}
+	if a.call.submission.Profile.Kind() == profile.KindService {
+		return a.performCall()
+	}
+	return a.performChat()
+}
+
+func (a *attempt) performCall() dispatch.Failure {
+	answer, err := a.pool.clients.service.Call(a.ctx, service.Call{
+		Attempt:   a.wireID,
+		Base:      a.base,
+		Operation: a.call.submission.Operation,
+		Tier:      int(a.call.submission.Profile.Tier()),
+		Key:       a.call.submission.Key,
+		Body:      a.call.submission.Body,
+		Fresh:     a.fresh,
+	})
+	if err != nil {
+		return a.failureOf(err)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ending = ending{
+		contentType: answer.ContentType,
+		body:        answer.Body,
+	}
+	return nil
+}
+
+func (a *attempt) performChat() dispatch.Failure {
+	ctx := a.newConnection()
+	stream, err := a.pool.clients.engine.Start(ctx, engine.Call{
+		Attempt: a.wireID,
+		Base:    a.base,
+		Tier:    int(a.call.submission.Profile.Tier()),
+		Body:    a.call.submission.Body,
+		Fresh:   a.fresh,
+	})
+	for {
+		if err == nil {
+			a.pool.post(dispatch.AttemptAccepted{
+				Attempt: a.id,
+			})
+			err = a.receive(stream)
+			_ = stream.Close()
+		}
+		if err == nil {
+			return nil
+		}
+		if !a.wantsResume() {
+			return a.failureOf(err)
+		}
+		ctx = a.newConnection()
+		stream, err = a.pool.clients.engine.Resume(ctx, a.base, a.wireID, a.receivedTokens())
+	}
+}
+
+// newConnection returns the context of the next connection, which a resume
+// cuts off.
+func (a *attempt) newConnection() context.Context {
+	ctx, cut := context.WithCancel(a.ctx)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cut = cut
+	return ctx
+}
+
+// receive takes in the stream's tokens until the last. It returns nil when the
+// answer is whole.
+func (a *attempt) receive(stream *engine.Stream) error {
+	for {
+		token, err := stream.Next()
+		if err != nil {
+			return err
+		}
+		if token.Last {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.ending = ending{
+				finishReason: token.FinishReason,
+				tokens:       token.Index,
+			}
+			return nil
+		}
+		a.take(token)
+	}
+}
+
+// take hands one token to the caller, or holds it until the attempt is adopted.
+func (a *attempt) take(token engine.Token) {
+	a.mu.Lock()
+	a.received = token.Index + 1
+	switch {
+	case a.canceled:
+	case a.adopted && token.Index >= a.from:
+		a.deliver(token.Text)
+	case !a.adopted && len(a.held) < maxHeldTokens:
+		a.held = append(a.held, token.Text)
+	}
+	a.mu.Unlock()
+	a.notifyProgress()
+}
+
+// deliver must be called with the lock held. A caller who is so slow that the
+// answer's ring is full gets an explicit end instead of a gap.
+func (a *attempt) deliver(text string) {
+	if a.canceled || a.call.answer.Push(caller.TextPart{Text: text}) {
+		return
+	}
+	a.canceled = true
+	a.call.answer.End(caller.ProblemPart{
+		Problem: caller.SlowCaller(),
+	})
+	a.pool.counters.Add("slowCallersCut", 1)
+	a.pool.events.TryPush(dispatch.RequestCanceled{
+		Request: a.id.Request,
+	})
+}
+
+// notifyProgress tells the pool how far the attempt is, unless the last such
+// notice has not been read yet.
+func (a *attempt) notifyProgress() {
+	if a.notified.CompareAndSwap(false, true) {
+		a.pool.post(progressNotice{
+			attempt: a,
+		})
+	}
+}
+
+// adopt makes the attempt the caller's answer from token from on.
+func (a *attempt) adopt(from int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.adopted || a.canceled {
+		return
+	}
+	a.adopted = true
+	a.from = from
+	for index, text := range a.held {
+		if index >= from {
+			a.deliver(text)
+		}
+	}
+	a.held = nil
+}
+
+// resumeStream makes the attempt go on over a new connection.
+func (a *attempt) resumeStream() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.resume = true
+	if a.cut != nil {
+		a.cut()
+	}
+}
+
+func (a *attempt) wantsResume() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	wanted := a.resume && !a.canceled
+	a.resume = false
+	return wanted
+}
+
+// stop ends the attempt; nothing that still arrives reaches the caller.
+func (a *attempt) stop() {
+	a.mu.Lock()
+	a.canceled = true
+	a.mu.Unlock()
+	a.cancel()
+}
+
+func (a *attempt) isCanceled() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.canceled
+}
+
+func (a *attempt) receivedTokens() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.received
+}
+
+func (a *attempt) end() ending {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ending
+}
+
+// tellCanceled tells the endpoint that nobody waits. The endpoint stops of
+// itself later if the word does not reach it.
+func (a *attempt) tellCanceled() {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), cancelTimeout)
+	defer cancel()
+	if _, err := a.pool.clients.engine.Cancel(ctx, a.base, a.wireID); err != nil {
+		a.pool.counters.Add("cancelsFailed", 1)
+	}
+}
+
+// failureOf returns what an error of the endpoint's client means to the
+// decisions.
+func (a *attempt) failureOf(err error) dispatch.Failure {
+	var notStarted *engine.NotStartedError
+	var status *engine.StatusError
+	var mismatch *engine.MismatchError
+	var unknown *engine.UnknownAttemptError
+	_ = a.pool.logger.Log("level", "warn", "event", "attemptFailed", "attempt", a.wireID,
+		"endpoint", a.endpoint.Name, "error", err)
+	switch {
+	case errors.As(err, &notStarted):
+		return dispatch.NotStarted{
+			RetryAfter: notStarted.RetryAfter,
+		}
+	case errors.As(err, &unknown):
+		return dispatch.Forgotten{}
+	case errors.As(err, &mismatch):
+		a.pool.counters.Add("answersMismatched", 1)
+		return dispatch.Mismatched{}
+	case errors.As(err, &status):
+		return dispatch.Errored{
+			Status:    status.Status,
+			Permanent: status.Permanent(),
+		}
+	}
+	return dispatch.Broken{}
+}
--- /dev/null
+++ b/host/backend.go
@@ -0,0 +1,73 @@
+package host
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"cactuswell/core/dispatch"
+	"cactuswell/core/profile"
+	"cactuswell/io/caller"
+)
+
+// ringFullRetry is when a caller should come back after a full arrival ring.
+const ringFullRetry = time.Second
+
+// Profile returns the profile in force under a name.
+func (h *Host) Profile(name string) (profile.Profile, bool) {
+	p, _, ok := h.profiles.Profile(name)
+	return p, ok
+}
+
+// NewRequestID returns an id for a request that came without one.
+func (h *Host) NewRequestID() string {
+	return h.id() + "-r" + strconv.FormatUint(h.externalIDs.Add(1), 36)
+}
+
+// Ready reports whether the host wants new work, and why not.
+func (h *Host) Ready() (bool, string) {
+	if h.phase.Load() != phaseServing {
+		return false, "the host is stopping"
+	}
+	return h.profiles.Ready()
+}
+
+// Accepting reports whether the host can serve a request at all.
+func (h *Host) Accepting() (bool, string) {
+	if h.phase.Load() == phaseDraining {
+		return false, "the host is stopping"
+	}
+	return true, ""
+}
+
+// Submit takes a request and returns its answer.
+func (h *Host) Submit(ctx context.Context, submission caller.Submission) *caller.Answer {
+	h.counters.Add("requests", 1)
+	p := h.pool(submission.Profile.Pool())
+	c := p.newCall(submission, nil)
+	h.recent.remember(submission.RequestID, recentRequest{
+		pool:    p.name,
+		id:      c.id,
+		profile: submission.Profile.Name(),
+		team:    submission.Team,
+	})
+	if !p.submit(c) {
+		c.refuse(dispatch.RefuseQueueFull, dispatch.NotRun, ringFullRetry)
+		return c.answer
+	}
+	h.cancelWithCaller(ctx, p, c)
+	return c.answer
+}
+
+// cancelWithCaller gives the call up when its caller goes away. A call that must
+// not run twice is seen through, so that its outcome is known.
+func (h *Host) cancelWithCaller(ctx context.Context, p *pool, c *call) {
+	if c.once() {
+		return
+	}
+	context.AfterFunc(ctx, func() {
+		p.post(dispatch.RequestCanceled{
+			Request: c.id,
+		})
+	})
+}
--- /dev/null
+++ b/host/directory.go
@@ -0,0 +1,285 @@
+package host
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"cactuswell/core/dispatch"
+	"cactuswell/core/endpoint"
+	"cactuswell/core/profile"
+	"cactuswell/io/hostlist"
+	"cactuswell/metrics"
+	"cactuswell/set"
+	"cactuswell/timer"
+)
+
+const (
+	// listTimeout bounds one read of the host list.
+	listTimeout = 3 * time.Second
+	// maxLeaving bounds the incarnations remembered as leaving.
+	maxLeaving = 65536
+	// goneAfter is how long an endpoint that is no longer listed must be silent
+	// to be taken for gone.
+	goneAfter = 5 * time.Second
+	// plausibleLoss is the largest share of the endpoints, as a divisor, that
+	// one list may drop. A list that drops more is not believed.
+	plausibleLoss = 2
+)
+
+// directoryDependencies is what a directory is made from.
+type directoryDependencies struct {
+	lister   hostlist.Lister
+	interval time.Duration
+	timers   *timer.Service
+	logger   log.Logger
+	counters *metrics.Counters
+	// post hands an event to the pool of that name.
+	post func(pool string, event dispatch.Event)
+	// added is called with each new endpoint, removed is closed at its end.
+	added func(descriptor endpoint.Descriptor, removed <-chan struct{})
+	// leaving is called once for each incarnation that is found to leave.
+	leaving func(key endpoint.Key)
+}
+
+// directory knows the endpoints and which of them are leaving. Its run method is
+// the duty that reads the platform's host list; the list's absence leaves all
+// as it is.
+type directory struct {
+	directoryDependencies
+	mu       sync.Mutex
+	entries  map[string]*directoryEntry
+	left     map[endpoint.Key]struct{}
+	leftRing []endpoint.Key
+	listedAt time.Time
+}
+
+// directoryEntry is one endpoint.
+type directoryEntry struct {
+	descriptor endpoint.Descriptor
+	leaving    bool
+	heardAt    time.Time
+	report     endpoint.Report
+	removed    chan struct{}
+}
+
+func newDirectory(dependencies directoryDependencies) *directory {
+	return &directory{
+		directoryDependencies: dependencies,
+		entries:               make(map[string]*directoryEntry),
+		left:                  make(map[endpoint.Key]struct{}),
+	}
+}
+
+// run reads the host list until ctx ends.
+func (d *directory) run(ctx context.Context) error {
+	tick := d.timers.Every(d.interval)
+	defer tick.Stop()
+	for {
+		d.readList(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C():
+		}
+	}
+}
+
+func (d *directory) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	list, err := d.lister.Fetch(ctx)
+	if err != nil {
+		d.counters.Add("hostListFailures", 1)
+		return
+	}
+	d.applyList(list)
+}
+
+// applyList takes in a host list. An endpoint that is no longer listed takes no
+// new work, and is gone once it is silent too.
+func (d *directory) applyList(list hostlist.ListResponse) {
+	d.mu.Lock()
+	d.listedAt = d.timers.Now()
+	d.mu.Unlock()
+	listed := set.New[string]()
+	for _, entry := range list.Entries {
+		listed.Add(entry.Name)
+		descriptor := describe(entry)
+		d.add(descriptor)
+		if entry.State == hostlist.StateLeaving {
+			d.markLeaving(descriptor.Key)
+		}
+	}
+	d.dropUnlisted(listed)
+}
+
+func (d *directory) dropUnlisted(listed set.Set[string]) {
+	known := d.list()
+	var missing []directoryEntry
+	for _, entry := range known {
+		if !listed.Has(entry.descriptor.Key.Name) {
+			missing = append(missing, entry)
+		}
+	}
+	if len(missing) > 1 && len(missing)*plausibleLoss > len(known) {
+		d.counters.Add("hostListsNotBelieved", 1)
+		_ = d.logger.Log("level", "error", "event", "hostListNotBelieved", "known", len(known),
+			"missing", len(missing))
+		return
+	}
+	for _, entry := range missing {
+		d.markLeaving(entry.descriptor.Key)
+		if d.timers.Now().Sub(entry.heardAt) > goneAfter {
+			d.remove(entry.descriptor.Key.Name)
+		}
+	}
+}
+
+func describe(entry hostlist.Entry) endpoint.Descriptor {
+	kind := profile.KindModel
+	if entry.Kind == hostlist.KindService {
+		kind = profile.KindService
+	}
+	return endpoint.Descriptor{
+		Key: endpoint.Key{
+			Name:        entry.Name,
+			Incarnation: entry.Incarnation,
+		},
+		Address:       entry.Address,
+		Zone:          entry.Zone,
+		Kind:          kind,
+		Pool:          entry.Pool,
+		ChecksFencing: entry.ChecksFencing,
+	}
+}
+
+// add takes in an endpoint. A newer incarnation replaces an older one, and an
+// older one is ignored, since the host list lags.
+func (d *directory) add(descriptor endpoint.Descriptor) {
+	d.mu.Lock()
+	known, ok := d.entries[descriptor.Key.Name]
+	if ok && known.descriptor.Key.Incarnation >= descriptor.Key.Incarnation {
+		d.mu.Unlock()
+		return
+	}
+	entry := &directoryEntry{
+		descriptor: descriptor,
+		heardAt:    d.timers.Now(),
+		removed:    make(chan struct{}),
+	}
+	_, entry.leaving = d.left[descriptor.Key]
+	d.entries[descriptor.Key.Name] = entry
+	d.mu.Unlock()
+	if ok {
+		close(known.removed)
+		d.post(known.descriptor.Pool, dispatch.EndpointRemoved{
+			Key: known.descriptor.Key,
+		})
+	}
+	d.announce(entry)
+	d.added(descriptor, entry.removed)
+}
+
+func (d *directory) announce(entry *directoryEntry) {
+	d.post(entry.descriptor.Pool, dispatch.EndpointAdded{
+		Descriptor: entry.descriptor,
+	})
+	if entry.leaving {
+		d.post(entry.descriptor.Pool, dispatch.EndpointLeaving{
+			Key: entry.descriptor.Key,
+		})
+	}
+}
+
+func (d *directory) remove(name string) {
+	d.mu.Lock()
+	entry, ok := d.entries[name]
+	delete(d.entries, name)
+	d.mu.Unlock()
+	if !ok {
+		return
+	}
+	close(entry.removed)
+	d.post(entry.descriptor.Pool, dispatch.EndpointRemoved{
+		Key: entry.descriptor.Key,
+	})
+}
+
+// markLeaving notes, for ever, that an incarnation takes no new work.
+func (d *directory) markLeaving(key endpoint.Key) {
+	d.mu.Lock()
+	if _, known := d.left[key]; known {
+		d.mu.Unlock()
+		return
+	}
+	d.left[key] = struct{}{}
+	d.leftRing = append(d.leftRing, key)
+	if len(d.leftRing) > maxLeaving {
+		delete(d.left, d.leftRing[0])
+		d.leftRing = d.leftRing[1:]
+	}
+	entry, ok := d.entries[key.Name]
+	concerned := ok && entry.descriptor.Key == key
+	if concerned {
+		entry.leaving = true
+	}
+	d.mu.Unlock()
+	if concerned {
+		d.post(entry.descriptor.Pool, dispatch.EndpointLeaving{
+			Key: key,
+		})
+	}
+	d.counters.Add("endpointsLeaving", 1)
+	_ = d.logger.Log("level", "info", "event", "endpointLeaving", "endpoint", key.Name,
+		"incarnation", key.Incarnation)
+	d.leaving(key)
+}
+
+// heard takes in an endpoint's own account of its load.
+func (d *directory) heard(descriptor endpoint.Descriptor, report endpoint.Report) {
+	if report.Key.Incarnation > descriptor.Key.Incarnation {
+		replaced := descriptor
+		replaced.Key.Incarnation = report.Key.Incarnation
+		d.add(replaced)
+		return
+	}
+	d.mu.Lock()
+	if entry, ok := d.entries[descriptor.Key.Name]; ok {
+		entry.report = report
+		entry.heardAt = d.timers.Now()
+	}
+	d.mu.Unlock()
+	if report.Leaving {
+		d.markLeaving(descriptor.Key)
+	}
+	d.post(descriptor.Pool, dispatch.LoadReported{
+		Report: report,
+	})
+}
+
+// resend tells a pool that lost its state of its endpoints.
+func (d *directory) resend(pool string) {
+	for _, entry := range d.list() {
+		if entry.descriptor.Pool == pool {
+			d.announce(&entry)
+		}
+	}
+}
+
+// list returns the endpoints, sorted by name.
+func (d *directory) list() []directoryEntry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	entries := make([]directoryEntry, 0, len(d.entries))
+	for _, entry := range d.entries {
+		entries = append(entries, *entry)
+	}
+	sort.Slice(entries, func(i, j int) bool {
+		return entries[i].descriptor.Key.Name < entries[j].descriptor.Key.Name
+	})
+	return entries
+}
--- /dev/null
+++ b/host/pool.go
@@ -0,0 +1,350 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"cactuswell/core/dispatch"
+	"cactuswell/core/endpoint"
+	"cactuswell/core/profile"
+	"cactuswell/io/caller"
+	"cactuswell/io/engine"
+	"cactuswell/io/service"
+	"cactuswell/metrics"
+	"cactuswell/ring"
+	"cactuswell/timer"
+)
+
+const (
+	// arrivalCapacity bounds the calls of one tier that wait for the duty.
+	arrivalCapacity = 2048
+	// eventCapacity bounds the events that wait for the duty.
+	eventCapacity = 65536
+	// eventRetryDelay is how long an attempt waits before it tries again to
+	// report to a duty whose ring is full.
+	eventRetryDelay = 5 * time.Millisecond
+	// commandCapacity is the usual number of commands that follow from an event.
+	commandCapacity = 16
+)
+
+// clients speak to the endpoints. Watching is for what endpoints say of
+// themselves.
+type clients struct {
+	engine   *engine.Client
+	service  *service.Client
+	watching *engine.Client
+	close    func()
+}
+
+// poolDependencies is what a pool is made from.
+type poolDependencies struct {
+	name       string
+	hostID     string
+	dispatcher func() dispatch.Dispatcher
+	clients    clients
+	timers     *timer.Service
+	logger     log.Logger
+	counters   *metrics.Counters
+	ids        *atomic.Uint64
+	// rebuilt is called when the decisions were begun anew after a panic.
+	rebuilt func(p *pool)
+}
+
+// pool is the duty that owns the decisions for one model or plain service.
+type pool struct {
+	poolDependencies
+	arrivals [profile.TierCount]*ring.Ring[*call]
+	events   *ring.Ring[any]
+	signal   ring.Signal
+	attempts sync.WaitGroup
+
+	dispatcher dispatch.Dispatcher
+	calls      map[dispatch.RequestID]*call
+	addresses  map[endpoint.Key]string
+	commands   []dispatch.Command
+	open       atomic.Int64
+}
+
+// progressNotice says that an attempt received tokens.
+type progressNotice struct {
+	attempt *attempt
+}
+
+// inspection asks the duty to run a function between two events.
+type inspection struct {
+	look func(dispatch.Dispatcher)
+	done chan struct{}
+}
+
+func newPool(dependencies poolDependencies) *pool {
+	signal := ring.NewSignal()
+	p := &pool{
+		poolDependencies: dependencies,
+		events:           ring.NewSignaling[any](eventCapacity, signal),
+		signal:           signal,
+		calls:            make(map[dispatch.RequestID]*call),
+		addresses:        make(map[endpoint.Key]string),
+		commands:         make([]dispatch.Command, 0, commandCapacity),
+	}
+	for tier := range p.arrivals {
+		p.arrivals[tier] = ring.NewSignaling[*call](arrivalCapacity, signal)
+	}
+	p.dispatcher = dependencies.dispatcher()
+	return p
+}
+
+// submit hands a call to the duty. It reports false when the tier's ring is
+// full.
+func (p *pool) submit(c *call) bool {
+	p.open.Add(1)
+	if p.arrivals[c.submission.Profile.Tier()].TryPush(c) {
+		return true
+	}
+	p.open.Add(-1)
+	return false
+}
+
+// post hands an event to the duty. It waits while the ring is full, since the
+// events of attempts must not be lost; only attempts and slow duties call it.
+func (p *pool) post(event any) {
+	for !p.events.TryPush(event) {
+		p.counters.Add("eventRingFull", 1)
+		wait := p.timers.After(eventRetryDelay)
+		<-wait.C()
+	}
+}
+
+// look runs a function with the dispatcher, in the duty, and waits for its end.
+// It reports false if ctx ended first.
+func (p *pool) look(ctx context.Context, look func(dispatch.Dispatcher)) bool {
+	request := inspection{
+		look: look,
+		done: make(chan struct{}),
+	}
+	if !p.events.TryPush(request) {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-request.done:
+		return true
+	}
+}
+
+// run carries out the decisions until ctx ends.
+func (p *pool) run(ctx context.Context) error {
+	wake := p.timers.After(time.Hour)
+	defer wake.Stop()
+	for {
+		if at, ok := p.dispatcher.NextWake(); ok {
+			wake.Reset(at)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.signal:
+			p.drain(ctx)
+		case <-wake.C():
+			p.step(ctx, dispatch.TimePassed{})
+		}
+	}
+}
+
+// drain handles everything that waits, attempts' events before new calls and
+// urgent calls before others.
+func (p *pool) drain(ctx context.Context) {
+	for {
+		if event, ok := p.events.Pop(); ok {
+			p.handle(ctx, event)
+			continue
+		}
+		c, ok := p.nextArrival()
+		if !ok {
+			return
+		}
+		p.calls[c.id] = c
+		p.step(ctx, dispatch.RequestArrived{
+			Request: c.request(),
+		})
+	}
+}
+
+func (p *pool) nextArrival() (*call, bool) {
+	for _, arrivals := range p.arrivals {
+		if c, ok := arrivals.Pop(); ok {
+			return c, true
+		}
+	}
+	return nil, false
+}
+
+func (p *pool) handle(ctx context.Context, event any) {
+	switch event := event.(type) {
+	case progressNotice:
+		event.attempt.notified.Store(false)
+		p.step(ctx, dispatch.AttemptProgressed{
+			Attempt: event.attempt.id,
+			Tokens:  event.attempt.receivedTokens(),
+		})
+	case inspection:
+		event.look(p.dispatcher)
+		close(event.done)
+	case dispatch.EndpointAdded:
+		p.addresses[event.Descriptor.Key] = event.Descriptor.Address
+		p.step(ctx, event)
+	case dispatch.EndpointRemoved:
+		delete(p.addresses, event.Key)
+		p.step(ctx, event)
+	case dispatch.RequestCanceled:
+		p.step(ctx, event)
+		p.forget(event.Request)
+	case dispatch.Event:
+		p.step(ctx, event)
+	}
+}
+
+// step feeds one event to the decisions and carries out what follows from it.
+func (p *pool) step(ctx context.Context, event dispatch.Event) {
+	p.commands = p.dispatcher.Step(p.timers.Now(), event, p.commands[:0])
+	for _, command := range p.commands {
+		p.carryOut(ctx, command)
+	}
+}
+
+func (p *pool) carryOut(ctx context.Context, command dispatch.Command) {
+	switch command := command.(type) {
+	case dispatch.StartAttempt:
+		p.start(ctx, command)
+	case dispatch.ResumeAttempt:
+		p.withAttempt(command.Attempt, (*attempt).resumeStream)
+		p.counters.Add("resumes", 1)
+	case dispatch.AdoptAttempt:
+		p.withAttempt(command.Attempt, func(a *attempt) { a.adopt(command.From) })
+	case dispatch.CancelAttempt:
+		p.withAttempt(command.Attempt, (*attempt).stop)
+		p.counters.Add("attemptsCanceled", 1)
+	case dispatch.CompleteRequest:
+		p.finish(command)
+	case dispatch.RefuseRequest:
+		p.refuse(command)
+	}
+}
+
+func (p *pool) start(ctx context.Context, command dispatch.StartAttempt) {
+	c, ok := p.calls[command.Attempt.Request]
+	if !ok {
+		return
+	}
+	a := &attempt{
+		id:       command.Attempt,
+		wireID:   p.wireID(command.Attempt),
+		call:     c,
+		pool:     p,
+		endpoint: command.Endpoint,
+		base:     p.addresses[command.Endpoint],
+		fresh:    command.Fresh,
+	}
+	// An attempt outlives a restart of the duty, which cancels it by itself.
+	a.ctx, a.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	if c.attempts == nil {
+		c.attempts = make(map[uint32]*attempt, 1)
+	}
+	c.attempts[command.Attempt.Number] = a
+	p.counters.Add("attempts", 1)
+	p.attempts.Add(1)
+	go a.run()
+}
+
+func (p *pool) wireID(id dispatch.AttemptID) string {
+	return p.hostID + "-" + strconv.FormatUint(uint64(id.Request), 36) + "-" + strconv.FormatUint(uint64(id.Number), 10)
+}
+
+func (p *pool) withAttempt(id dispatch.AttemptID, act func(*attempt)) {
+	c, ok := p.calls[id.Request]
+	if !ok {
+		return
+	}
+	if a, ok := c.attempts[id.Number]; ok {
+		act(a)
+	}
+}
+
+func (p *pool) finish(command dispatch.CompleteRequest) {
+	c, ok := p.calls[command.Request]
+	if !ok {
+		return
+	}
+	a, ok := c.attempts[command.Attempt.Number]
+	if !ok {
+		return
+	}
+	c.complete(a)
+	p.counters.Add("requestsCompleted", 1)
+	p.forget(command.Request)
+}
+
+func (p *pool) refuse(command dispatch.RefuseRequest) {
+	c, ok := p.calls[command.Request]
+	if !ok {
+		return
+	}
+	c.refuse(command.Reason, command.Ran, command.RetryAfter)
+	p.counters.Add("refused."+string(command.Reason), 1)
+	_ = p.logger.Log("level", "info", "event", "requestRefused", "request", c.submission.RequestID,
+		"profile", c.submission.Profile.Name(), "reason", command.Reason, "ran", command.Ran)
+	p.forget(command.Request)
+}
+
+func (p *pool) forget(id dispatch.RequestID) {
+	if _, ok := p.calls[id]; !ok {
+		return
+	}
+	delete(p.calls, id)
+	p.open.Add(-1)
+}
+
+// restarted answers for the calls that were lost with the duty's state.
+func (p *pool) restarted() {
+	for id, c := range p.calls {
+		ran := dispatch.NotRun
+		for _, a := range c.attempts {
+			a.stop()
+			ran = dispatch.RanUnknown
+		}
+		c.refuse(dispatch.RefuseDutyRestarted, ran, time.Second)
+		p.forget(id)
+	}
+	p.dispatcher = p.poolDependencies.dispatcher()
+	p.addresses = make(map[endpoint.Key]string)
+	if p.rebuilt != nil {
+		p.rebuilt(p)
+	}
+}
+
+// openCalls returns how many calls have no final answer yet.
+func (p *pool) openCalls() int64 {
+	return p.open.Load()
+}
+
+// newCall returns a call for a submission.
+func (p *pool) newCall(submission caller.Submission, right ticket) *call {
+	return &call{
+		id:         dispatch.RequestID(p.ids.Add(1)),
+		submission: submission,
+		answer:     caller.NewAnswer(),
+		ticket:     right,
+		taken:      p.timers.Now(),
+	}
+}
+
+// String names the pool in logs.
+func (p *pool) String() string {
+	return fmt.Sprintf("pool %s", p.name)
+}
--- /dev/null
+++ b/io/caller/call.go
@@ -0,0 +1,57 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"cactuswell/core/profile"
+)
+
+func (s *Server) handleCall(w http.ResponseWriter, r *http.Request) {
+	submission, problem := s.intake(w, r)
+	if problem != nil {
+		s.refuse(w, submission, *problem)
+		return
+	}
+	if !json.Valid(submission.Body) {
+		s.refuse(w, submission, fault(http.StatusBadRequest, CodeMalformed, "the body is not JSON"))
+		return
+	}
+	submission.Profile, problem = s.profileOf(r.Header.Get(HeaderProfile), profile.KindService)
+	if problem != nil {
+		s.refuse(w, submission, *problem)
+		return
+	}
+	submission.Operation = mux.Vars(r)["operation"]
+	answer := s.backend.Submit(r.Context(), submission)
+	for {
+		part, err := answer.Next(r.Context())
+		if err != nil {
+			return
+		}
+		switch part := part.(type) {
+		case BodyPart:
+			writeBody(w, part)
+			return
+		case ProblemPart:
+			s.refuse(w, submission, part.Problem)
+			return
+		case TextPart, EndPart:
+		}
+	}
+}
+
+func writeBody(w http.ResponseWriter, part BodyPart) {
+	contentType := part.ContentType
+	if contentType == "" {
+		contentType = "application/json"
+	}
+	w.Header().Set("Content-Type", contentType)
+	if part.Replayed {
+		w.Header().Set(HeaderReplayed, "true")
+	}
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(part.Body)
+}
--- /dev/null
+++ b/io/engine/exchange.go
@@ -0,0 +1,111 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	// maxErrorBytes bounds what is read of an error answer.
+	maxErrorBytes = 64 * 1024
+	// maxAnswerBytes bounds the answers to control calls.
+	maxAnswerBytes = 4 << 20
+)
+
+// Exchange sends an attempt's request and checks the head of its answer: the
+// status, and that the answer belongs to the attempt. The errors are those of
+// this package.
+//
+// A failure before a connection was had is a *NotStartedError; from then on the
+// request may have reached the endpoint.
+func Exchange(client *http.Client, request *http.Request, attempt string) (*http.Response, error) {
+	var connected atomic.Bool
+	trc := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trc))
+	// The transport repeats a POST on its own if it can rewind the body and the
+	// request has an Idempotency-Key header. Without GetBody it cannot.
+	request.GetBody = nil
+	request.Header.Set(HeaderAttemptID, attempt)
+	response, err := client.Do(request)
+	if err != nil {
+		if !connected.Load() {
+			return nil, trace.Wrap(&NotStartedError{Cause: err})
+		}
+		return nil, trace.Wrap(&BrokenError{Cause: err})
+	}
+	if err := checkHead(response, attempt); err != nil {
+		_ = response.Body.Close()
+		return nil, trace.Wrap(err)
+	}
+	return response, nil
+}
+
+func checkHead(response *http.Response, attempt string) error {
+	if got := response.Header.Get(HeaderAttemptID); got != attempt {
+		return &MismatchError{Want: attempt, Got: got}
+	}
+	if response.StatusCode == http.StatusOK {
+		return nil
+	}
+	var body ErrorResponse
+	_ = json.NewDecoder(io.LimitReader(response.Body, maxErrorBytes)).Decode(&body)
+	status := &StatusError{Status: response.StatusCode, Code: body.Code}
+	if response.Header.Get(HeaderNotStarted) == "true" && !status.Permanent() {
+		return &NotStartedError{RetryAfter: retryAfter(response.Header), Cause: status}
+	}
+	return status
+}
+
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// CancelAttempt tells the endpoint at address that nobody waits for an attempt.
+func CancelAttempt(ctx context.Context, client *http.Client, base, attempt string) (CancelResponse, error) {
+	var response CancelResponse
+	err := callJSON(ctx, client, http.MethodDelete, base+"/v1/attempts/"+attempt, nil, &response)
+	return response, err
+}
+
+// FetchLoad reads an endpoint's load report.
+func FetchLoad(ctx context.Context, client *http.Client, base string) (LoadReport, error) {
+	var response LoadReport
+	err := callJSON(ctx, client, http.MethodGet, base+"/v1/load", nil, &response)
+	return response, err
+}
+
+// callJSON makes a control call whose answer is JSON.
+func callJSON(ctx context.Context, client *http.Client, method, address string, body io.Reader, into any) error {
+	request, err := http.NewRequestWithContext(ctx, method, address, body)
+	if err != nil {
+		return trace.Wrap(&NotStartedError{Cause: err})
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return trace.Wrap(&BrokenError{Cause: err})
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		var failure ErrorResponse
+		_ = json.NewDecoder(io.LimitReader(response.Body, maxErrorBytes)).Decode(&failure)
+		return trace.Wrap(&StatusError{Status: response.StatusCode, Code: failure.Code})
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(into); err != nil {
+		return trace.Wrap(&BrokenError{Cause: err})
+	}
+	return nil
+}
--- /dev/null
+++ b/io/engine/stream.go
@@ -0,0 +1,99 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/gravitational/trace"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// Token is one token of an answer, or its end.
+type Token struct {
+	// Index numbers the tokens from 0.
+	Index int
+	Text  string
+	// Last marks the end of the answer; it carries no text, and Index is the
+	// answer's length.
+	Last bool
+	// FinishReason is set with Last.
+	FinishReason string
+}
+
+// Stream is the answer to an attempt as it arrives. It is used by one goroutine.
+type Stream struct {
+	attempt string
+	body    io.ReadCloser
+	lines   *bufio.Scanner
+	next    int
+}
+
+func newStream(response *http.Response, attempt string, from int) *Stream {
+	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	return &Stream{
+		attempt: attempt,
+		body:    response.Body,
+		lines:   lines,
+		next:    from,
+	}
+}
+
+// Next returns the next token. Each token is checked to belong to the attempt
+// and to follow the one before; the errors are *BrokenError and *MismatchError.
+func (s *Stream) Next() (Token, error) {
+	for s.lines.Scan() {
+		data, ok := bytes.CutPrefix(s.lines.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		var chunk ChatChunk
+		if err := json.Unmarshal(data, &chunk); err != nil {
+			return Token{}, trace.Wrap(&BrokenError{Cause: &MalformedChunkError{Reason: err.Error()}})
+		}
+		return s.check(&chunk)
+	}
+	if err := s.lines.Err(); err != nil {
+		return Token{}, trace.Wrap(&BrokenError{Cause: err})
+	}
+	return Token{}, trace.Wrap(&BrokenError{Cause: &EarlyEndError{}})
+}
+
+func (s *Stream) check(chunk *ChatChunk) (Token, error) {
+	if chunk.ID != s.attempt {
+		return Token{}, trace.Wrap(&MismatchError{Want: s.attempt, Got: chunk.ID})
+	}
+	if chunk.TokenIndex != s.next {
+		return Token{}, trace.Wrap(&BrokenError{Cause: &SequenceError{Want: s.next, Got: chunk.TokenIndex}})
+	}
+	if len(chunk.Choices) == 0 {
+		return Token{}, trace.Wrap(&BrokenError{Cause: &MalformedChunkError{Reason: "no choice"}})
+	}
+	choice := chunk.Choices[0]
+	token := Token{
+		Index: chunk.TokenIndex,
+		Text:  choice.Delta.Content,
+	}
+	if choice.FinishReason != nil {
+		token.Last = true
+		token.FinishReason = *choice.FinishReason
+		return token, nil
+	}
+	s.next++
+	return token, nil
+}
+
+// Close ends the stream.
+func (s *Stream) Close() error {
+	err := s.body.Close()
+	if err != nil && !errors.Is(err, io.EOF) {
+		return trace.Wrap(&BrokenError{Cause: err})
+	}
+	return nil
+}
--- a/io/engine/wire.go
+++ b/io/engine/wire.go
@@ -25,6 +25,11 @@
 // nothing was run.
 package engine
 
+import (
+	"encoding/json"
+	"strings"
+)
+
 // The headers of the protocol.
 const (
 	// HeaderAttemptID names the attempt in requests and answers.
@@ -37,18 +42,14 @@
 	HeaderIncarnation = "X-Incarnation"
 )
 
-// ChatMessage is one message of a chat.
-type ChatMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-// ChatRequest is the body of a chat completion.
+// ChatRequest is the part of a chat completion's body that the system reads.
+// All other fields are passed on as they are. A message is kept as its JSON
+// text, since its content has several forms.
 type ChatRequest struct {
-	Model     string        `json:"model"`
-	Messages  []ChatMessage `json:"messages"`
-	Stream    bool          `json:"stream,omitempty"`
-	MaxTokens int           `json:"max_tokens,omitempty"`
+	Model     string            `json:"model"`
+	Messages  []json.RawMessage `json:"messages"`
+	Stream    bool              `json:"stream,omitempty"`
+	MaxTokens int               `json:"max_tokens,omitempty"`
 }
 
 // ChatChunk is one event of a streamed answer. ID is the attempt's id at an
@@ -158,3 +159,15 @@
 	Code string `json:"code"`
 	Text string `json:"text"`
 }
+
+// PromptText returns the text over which prefix blocks are hashed: the raw JSON
+// of the messages, in order. Engines name their cached prefixes by the hashes
+// of package prefix over the same text.
+func PromptText(messages []json.RawMessage) string {
+	var text strings.Builder
+	for _, message := range messages {
+		text.Write(message)
+		text.WriteByte('\n')
+	}
+	return text.String()
+}
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -34,15 +34,29 @@
 	head    int
 	length  int
 	dropped uint64
-	ready   chan struct{}
+	ready   Signal
 }
 
 // New returns an empty ring that holds at most capacity items. A capacity
 // below one is taken as one.
 func New[T any](capacity int) *Ring[T] {
+	return NewSignaling[T](capacity, NewSignal())
+}
+
+// Signal is what a ring's consumer waits on. Several rings with one consumer
+// may share one.
+type Signal chan struct{}
+
+// NewSignal returns a signal for several rings to share.
+func NewSignal() Signal {
+	return make(Signal, 1)
+}
+
+// NewSignaling is New with a signal that may be shared with other rings.
+func NewSignaling[T any](capacity int, signal Signal) *Ring[T] {
 	return &Ring[T]{
 		items: make([]T, max(capacity, 1)),
-		ready: make(chan struct{}, 1),
+		ready: signal,
 	}
 }
 
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,183 @@
+// Package settings holds the settings of an entry host. Each is a flag and an
+// environment variable; all are checked together at the start.
+//
+// # Usage
+//
+//	var s settings.Settings
+//	parser := flags.NewParser(&s, flags.Default)
+//	...
+//	if err := s.Check(); err != nil {
+//		// err is an *InvalidError that names every fault
+//	}
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+)
+
+// Settings are the settings of one entry host.
+type Settings struct {
+	Name   string `long:"name" env:"CACTUSWELL_NAME" description:"name of this host, unique in the fleet" required:"yes"`
+	Zone   string `long:"zone" env:"CACTUSWELL_ZONE" description:"availability zone of this host" required:"yes"`
+	Region string `long:"region" env:"CACTUSWELL_REGION" description:"region of this host" default:"default"`
+
+	CallerListen   string `long:"caller-listen" env:"CACTUSWELL_CALLER_LISTEN" description:"IP:port on which callers are served" default:"127.0.0.1:8080"`
+	PeerListen     string `long:"peer-listen" env:"CACTUSWELL_PEER_LISTEN" description:"IP:port on which other hosts are served" default:"127.0.0.1:8081"`
+	OperatorListen string `long:"operator-listen" env:"CACTUSWELL_OPERATOR_LISTEN" description:"IP:port on which operators are served" default:"127.0.0.1:8082"`
+
+	LogURL         string   `long:"log-url" env:"CACTUSWELL_LOG_URL" description:"base URL of the platform's log service" required:"yes"`
+	HostListURL    string   `long:"host-list-url" env:"CACTUSWELL_HOST_LIST_URL" description:"base URL of the platform's host list" required:"yes"`
+	WeightStoreURL string   `long:"weight-store-url" env:"CACTUSWELL_WEIGHT_STORE_URL" description:"base URL of the platform's weight store; empty for none"`
+	Peers          []string `long:"peer" env:"CACTUSWELL_PEERS" env-delim:"," description:"IP:port of another host's peer listener; may be given many times"`
+
+	BodyLimit                   int64         `long:"body-limit" env:"CACTUSWELL_BODY_LIMIT" description:"largest body of a request, in bytes" default:"1048576"`
+	BodyTime                    time.Duration `long:"body-time" env:"CACTUSWELL_BODY_TIME" description:"longest time for a body to arrive" default:"10s"`
+	BalancerLag                 time.Duration `long:"balancer-lag" env:"CACTUSWELL_BALANCER_LAG" description:"how long the balancer goes on sending requests to a host that is no longer ready" default:"5s"`
+	StopTimeout                 time.Duration `long:"stop-timeout" env:"CACTUSWELL_STOP_TIMEOUT" description:"longest wait for requests in flight at a stop" default:"10m"`
+	StaleBound                  time.Duration `long:"stale-bound" env:"CACTUSWELL_STALE_BOUND" description:"age of the last word from the log or a peer past which the host is not ready" default:"10m"`
+	LogRetention                time.Duration `long:"log-retention" env:"CACTUSWELL_LOG_RETENTION" description:"how long the log keeps records" default:"24h"`
+	ListInterval                time.Duration `long:"list-interval" env:"CACTUSWELL_LIST_INTERVAL" description:"time between two reads of the host list" default:"1s"`
+	ReportIntervaltime.Duration `long:"report-interval" env:"CACTUSWELL_REPORT_INTERVAL" description:"time between two reads of an endpoint's load" default:"500ms"`
+
+	TLSCert        string `long:"tls-cert" env:"CACTUSWELL_TLS_CERT" description:"file with this host's certificate chain, PEM"`
+	TLSKey         string `long:"tls-key" env:"CACTUSWELL_TLS_KEY" description:"file with the certificate's key, PEM"`
+	TLSCA          string `long:"tls-ca" env:"CACTUSWELL_TLS_CA" description:"file with the certificates that hosts and operators must be signed by, PEM"`
+	AllowPlaintext bool   `long:"allow-plaintext" env:"CACTUSWELL_ALLOW_PLAINTEXT" description:"listen beyond loopback without TLS"`
+}
+
+// Fault is one setting that is not allowed.
+type Fault struct {
+	Flag    string
+	Value   string
+	Allowed string
+}
+
+// InvalidError names every setting that is not allowed.
+type InvalidError struct {
+	Faults []Fault
+}
+
+// Error lists the faults, one a line.
+func (e *InvalidError) Error() string {
+	lines := make([]string, 0, len(e.Faults)+1)
+	lines = append(lines, "settings are not valid:")
+	for _, f := range e.Faults {
+		lines = append(lines, fmt.Sprintf("  --%s is %q; allowed: %s", f.Flag, f.Value, f.Allowed))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// TLS reports whether the host speaks TLS.
+func (s *Settings) TLS() bool {
+	return s.TLSCert != ""
+}
+
+// Check returns an *InvalidError that names every fault, or nil.
+func (s *Settings) Check() error {
+	c := &checker{}
+	c.name("name", s.Name)
+	c.name("zone", s.Zone)
+	c.name("region", s.Region)
+	c.listen("caller-listen", s.CallerListen, s)
+	c.listen("peer-listen", s.PeerListen, s)
+	c.listen("operator-listen", s.OperatorListen, s)
+	c.url("log-url", s.LogURL)
+	c.url("host-list-url", s.HostListURL)
+	if s.WeightStoreURL != "" {
+		c.url("weight-store-url", s.WeightStoreURL)
+	}
+	for _, peer := range s.Peers {
+		c.address("peer", peer)
+	}
+	c.between("body-limit", s.BodyLimit, 1024, 64<<20, "1024 to 67108864 bytes")
+	c.duration("body-time", s.BodyTime, time.Second, 5*time.Minute)
+	c.duration("balancer-lag", s.BalancerLag, 0, 5*time.Minute)
+	c.duration("stop-timeout", s.StopTimeout, time.Second, time.Hour)
+	c.duration("stale-bound", s.StaleBound, 10*time.Second, 24*time.Hour)
+	c.duration("log-retention", s.LogRetention, time.Second, 365*24*time.Hour)
+	c.duration("list-interval", s.ListInterval, 100*time.Millisecond, time.Minute)
+	c.duration("report-interval", s.ReportInterval, 50*time.Millisecond, time.Minute)
+	c.tls(s)
+	if len(c.faults) == 0 {
+		return nil
+	}
+	return &InvalidError{Faults: c.faults}
+}
+
+type checker struct {
+	faults []Fault
+}
+
+func (c *checker) add(flag, value, allowed string) {
+	c.faults = append(c.faults, Fault{
+		Flag:    flag,
+		Value:   value,
+		Allowed: allowed,
+	})
+}
+
+func (c *checker) name(flag, value string) {
+	valid := value != "" && len(value) <= 64
+	for _, char := range value {
+		if !strings.ContainsRune("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789.-_", char) {
+			valid = false
+		}
+	}
+	if !valid {
+		c.add(flag, value, "1 to 64 letters, digits, '.', '-' or '_'")
+	}
+}
+
+func (c *checker) address(flag, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.add(flag, value, "IP:port")
+	}
+}
+
+func (c *checker) listen(flag, value string, s *Settings) {
+	address, err := netip.ParseAddrPort(value)
+	switch {
+	case err != nil:
+		c.add(flag, value, "IP:port")
+	case !address.Addr().IsLoopback() && !s.TLS() && !s.AllowPlaintext:
+		c.add(flag, value, "a loopback address, unless --tls-cert or --allow-plaintext is set")
+	}
+}
+
+func (c *checker) url(flag, value string) {
+	parsed, err := url.Parse(value)
+	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" {
+		c.add(flag, value, "an http or https URL")
+	}
+}
+
+func (c *checker) between(flag string, value, least, most int64, allowed string) {
+	if value < least || value > most {
+		c.add(flag, fmt.Sprint(value), allowed)
+	}
+}
+
+func (c *checker) duration(flag string, value, least, most time.Duration) {
+	if value < least || value > most {
+		c.add(flag, value.String(), fmt.Sprintf("%v to %v", least, most))
+	}
+}
+
+func (c *checker) tls(s *Settings) {
+	if s.TLSCert == "" && s.TLSKey == "" && s.TLSCA == "" {
+		return
+	}
+	if s.TLSCert == "" {
+		c.add("tls-cert", "", "a file, since another TLS setting is given")
+	}
+	if s.TLSKey == "" {
+		c.add("tls-key", "", "a file, since another TLS setting is given")
+	}
+	if s.TLSCA == "" {
+		c.add("tls-ca", "", "a file, since another TLS setting is given")
+	}
+}
--- /dev/null
+++ b/standin/fault/fault.go
@@ -0,0 +1,93 @@
+// Package fault holds the ways in which a stand-in endpoint misbehaves, and the
+// HTTP handler by which they are switched while it runs.
+//
+// # Usage
+//
+//	switches := fault.New()
+//	router.Handle("/faults", switches)
+//	if switches.Current().Crashed {
+//		...
+//	}
+package fault
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// Faults are the ways in which an endpoint misbehaves. The zero value is an
+// endpoint without faults.
+type Faults struct {
+	// Crashed breaks every connection without an answer.
+	Crashed bool `json:"crashed"`
+	// Rejecting refuses all new work as not started.
+	Rejecting bool `json:"rejecting"`
+	// Failing answers all new work with an error at once.
+	Failing bool `json:"failing"`
+	// Slowdown multiplies all times, when above 1.
+	Slowdown float64 `json:"slowdown"`
+	// Silent keeps streams open but sends nothing more on them. New streams
+	// and resumed ones work.
+	Silent bool `json:"silent"`
+	// TruncateAfter breaks each stream after that many tokens, when above 0.
+	TruncateAfter int `json:"truncateAfter"`
+	// Crossed answers with another attempt's id.
+	Crossed bool `json:"crossed"`
+	// LostAnswers runs the work and then breaks the connection.
+	LostAnswers bool `json:"lostAnswers"`
+	// AnswerDelayMs holds back the start of every answer.
+	AnswerDelayMs int64 `json:"answerDelayMs"`
+	// ReportLagMs makes load reports that old.
+	ReportLagMs int64 `json:"reportLagMs"`
+	// Leaving makes load reports say that the endpoint is leaving.
+	Leaving bool `json:"leaving"`
+}
+
+// AnswerDelay returns how long the start of an answer is held back.
+func (f Faults) AnswerDelay() time.Duration {
+	return time.Duration(f.AnswerDelayMs) * time.Millisecond
+}
+
+// Stretch returns duration as the slowdown lengthens it.
+func (f Faults) Stretch(duration time.Duration) time.Duration {
+	if f.Slowdown <= 1 {
+		return duration
+	}
+	return time.Duration(float64(duration) * f.Slowdown)
+}
+
+// Switches holds the faults in force. It is safe for concurrent use.
+type Switches struct {
+	current atomic.Pointer[Faults]
+}
+
+// New returns switches with no fault on.
+func New() *Switches {
+	s := &Switches{}
+	s.Set(Faults{})
+	return s
+}
+
+// Current returns the faults in force.
+func (s *Switches) Current() Faults { return *s.current.Load() }
+
+// Set replaces the faults.
+func (s *Switches) Set(faults Faults) { s.current.Store(&faults) }
+
+// ServeHTTP answers GET with the faults and replaces them on PUT.
+func (s *Switches) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPut {
+		var faults Faults
+		decoder := json.NewDecoder(r.Body)
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&faults); err != nil {
+			http.Error(w, "malformed faults: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.Set(faults)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.Current())
+}
--- /dev/null
+++ b/standin/hostlist/hostlist.go
@@ -0,0 +1,178 @@
+// Package hostlist is a small stand-in for the platform's list of live and
+// leaving hosts.
+//
+// # Usage
+//
+//	list := hostlist.New()
+//	list.Put(entry)
+//	http.ListenAndServe(address, list.Handler())
+//
+// PUT /v1/hosts/{name} and DELETE /v1/hosts/{name} change the list.
+package hostlist
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"cactuswell/io/hostlist"
+)
+
+// Faults are the ways in which the list misbehaves.
+type Faults struct {
+	// Down makes every read fail.
+	Down bool `json:"down"`
+	// DelayMs holds back every answer.
+	DelayMs int64 `json:"delayMs"`
+	// LagMs is how old the list is that readers see.
+	LagMs int64 `json:"lagMs"`
+}
+
+// List is the stand-in. It is safe for concurrent use.
+type List struct {
+	mu       sync.Mutex
+	faults   Faults
+	revision uint64
+	entries  map[string]hostlist.Entry
+	history  []version
+}
+
+// version is the list as it was from one time on.
+type version struct {
+	at       time.Time
+	response hostlist.ListResponse
+}
+
+// maxHistory bounds the old lists kept to serve lagging readers.
+const maxHistory = 256
+
+// New returns an empty list without faults.
+func New() *List {
+	return &List{
+		entries: make(map[string]hostlist.Entry),
+	}
+}
+
+// Put adds an entry or replaces the one of the same name.
+func (l *List) Put(entry hostlist.Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries[entry.Name] = entry
+	l.remember()
+}
+
+// Remove takes an entry out of the list.
+func (l *List) Remove(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.entries, name)
+	l.remember()
+}
+
+// SetFaults replaces the faults.
+func (l *List) SetFaults(faults Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = faults
+}
+
+// remember must be called with the lock held.
+func (l *List) remember() {
+	l.revision++
+	response := hostlist.ListResponse{
+		Revision: l.revision,
+		Entries:  make([]hostlist.Entry, 0, len(l.entries)),
+	}
+	for _, entry := range l.entries {
+		response.Entries = append(response.Entries, entry)
+	}
+	sort.Slice(response.Entries, func(i, j int) bool {
+		return response.Entries[i].Name < response.Entries[j].Name
+	})
+	l.history = append(l.history, version{
+		at:       time.Now(),
+		response: response,
+	})
+	l.history = l.history[max(0, len(l.history)-maxHistory):]
+}
+
+// current returns the list as readers see it now, and the faults.
+func (l *List) current() (hostlist.ListResponse, Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var response hostlist.ListResponse
+	limit := time.Now().Add(-time.Duration(l.faults.LagMs) * time.Millisecond)
+	for i, candidate := range l.history {
+		if i == 0 || !candidate.at.After(limit) {
+			response = candidate.response
+		}
+	}
+	return response, l.faults
+}
+
+// Handler serves the list's protocol, changes to it, and its faults under
+// /faults.
+func (l *List) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/hosts", l.handleList).Methods(http.MethodGet)
+	router.HandleFunc("/v1/hosts/{name}", l.handlePut).Methods(http.MethodPut)
+	router.HandleFunc("/v1/hosts/{name}", l.handleDelete).Methods(http.MethodDelete)
+	router.HandleFunc("/faults", l.handleFaults).Methods(http.MethodGet, http.MethodPut)
+	return router
+}
+
+func (l *List) handleList(w http.ResponseWriter, r *http.Request) {
+	response, faults := l.current()
+	if faults.DelayMs > 0 {
+		timer := time.NewTimer(time.Duration(faults.DelayMs) * time.Millisecond)
+		defer timer.Stop()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-timer.C:
+		}
+	}
+	if faults.Down {
+		http.Error(w, "the host list is down", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, response)
+}
+
+func (l *List) handlePut(w http.ResponseWriter, r *http.Request) {
+	var entry hostlist.Entry
+	if err := json.NewDecoder(r.Body).Decode(&entry); err != nil {
+		http.Error(w, "malformed entry", http.StatusBadRequest)
+		return
+	}
+	entry.Name = mux.Vars(r)["name"]
+	l.Put(entry)
+	writeJSON(w, entry)
+}
+
+func (l *List) handleDelete(w http.ResponseWriter, r *http.Request) {
+	l.Remove(mux.Vars(r)["name"])
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (l *List) handleFaults(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPut {
+		var faults Faults
+		if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+			http.Error(w, "malformed faults", http.StatusBadRequest)
+			return
+		}
+		l.SetFaults(faults)
+	}
+	_, faults := l.current()
+	writeJSON(w, faults)
+}
+
+func writeJSON(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -58,8 +58,10 @@
 type Tree struct {
 	name     string
 	logger   log.Logger
-	duties   []Duty
+	group    sync.WaitGroup
 	mu       sync.Mutex
+	waiting  []Duty
+	ctx      context.Context
 	restarts map[string]int
 }
 
@@ -72,27 +74,46 @@
 	}
 }
 
-// Add puts a duty into the tree. It must be called before Run.
+// Add puts a duty into the tree. It is started at once if the tree runs, and
+// with the tree otherwise. A duty added after the tree has ended is not started.
 func (t *Tree) Add(duty Duty) {
-	t.duties = append(t.duties, duty)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ctx == nil {
+		t.waiting = append(t.waiting, duty)
+		return
+	}
+	t.start(duty)
 }
 
 // Run starts every duty and waits until all have ended, which they do when ctx
-// ends.
+// ends. It must be called once.
 func (t *Tree) Run(ctx context.Context) error {
-	var group sync.WaitGroup
-	for _, duty := range t.duties {
-		c := &child{
-			tree: t,
-			duty: duty,
-		}
-		group.Add(1)
-		go c.run(ctx, &group)
+	t.mu.Lock()
+	t.ctx = ctx
+	for _, duty := range t.waiting {
+		t.start(duty)
 	}
-	group.Wait()
+	t.waiting = nil
+	t.mu.Unlock()
+	<-ctx.Done()
+	t.group.Wait()
 	return nil
 }
 
+// start must be called with the lock held.
+func (t *Tree) start(duty Duty) {
+	if t.ctx.Err() != nil {
+		return
+	}
+	c := &child{
+		tree: t,
+		duty: duty,
+	}
+	t.group.Add(1)
+	go c.run(t.ctx)
+}
+
 // Restarts returns the number of restarts of each duty that had any.
 func (t *Tree) Restarts() map[string]int {
 	t.mu.Lock()
@@ -115,8 +136,8 @@
 	duty Duty
 }
 
-func (c *child) run(ctx context.Context, group *sync.WaitGroup) {
-	defer group.Done()
+func (c *child) run(ctx context.Context) {
+	defer c.tree.group.Done()
 	delay := firstRestartDelay
 	for ctx.Err() == nil {
 		started := time.Now()
