Add the router: windows, health, prefix index and choice of endpoints

Cause: dispatch needs an endpoint for each attempt, with bounds on how much this host sends to each, and endpoints that slow or fail must be found by their progress.

Change: core/routing.Router. Endpoints with room stand in sets that are updated by events, so that a decision draws a few candidates (prefix owners and random ones) and passes over no others.

--- /dev/null
+++ b/core/routing/judge.go
@@ -0,0 +1,215 @@
+package routing
+
+import (
+	"time"
+
+	"cactuswell/core/profile"
+)
+
+const (
+	// silenceGaps is how many mean token gaps a stream may stand still.
+	silenceGaps = 20
+	// errorRateToEject and errorSamplesToEject eject an endpoint that fails
+	// often but not always.
+	errorRateToEject    = 0.5
+	errorSamplesToEject = 8
+	// unreportedProbeFactor makes an endpoint without a report since its ejection
+	// wait longer for its probe.
+	unreportedProbeFactor = 4
+	// quietToForget is the time without progress after which the slowness of a
+	// suspect endpoint is forgotten, so that it gets another chance.
+	quietToForget = 5 * time.Second
+	// suspectHysteresis is the part of SuspectSlowness below which a suspect
+	// endpoint is healthy again.
+	suspectHysteresis = 0.75
+	// probeTokens times MinSamples tokens at a good rate pass a probe before its
+	// answer is whole.
+	probeTokens = 2
+)
+
+func (t *target) isOutside() bool {
+	return !t.leaving && (t.health.state == StateEjected || t.health.state == StateProbing)
+}
+
+func (t *target) awaitsProbe() bool {
+	return t.used && !t.leaving && t.health.state == StateProbing && t.health.probing == 0
+}
+
+func (t *target) isUsable() bool {
+	return t.used && !t.leaving && t.health.state != StateEjected
+}
+
+// state returns the endpoint's state with leaving before all others.
+func (t *target) state() State {
+	if t.leaving {
+		return StateLeaving
+	}
+	return t.health.state
+}
+
+// refresh puts a target into the sets of those with room, or takes it out.
+func (r *Router) refresh(t *target) {
+	r.open[openLower].set(t, r.hasRoom(t))
+	r.open[openUrgent].set(t, r.hasUrgentRoom(t))
+	r.open[openProbe].set(t, t.awaitsProbe())
+}
+
+// hasRoom says whether the endpoint has room for lower tiers: within this
+// host's own share always, beyond it only while the endpoint is not full.
+func (r *Router) hasRoom(t *target) bool {
+	if !r.takesWork(t) {
+		return false
+	}
+	own := t.load.own
+	if t.health.state == StateSuspect {
+		return own < minWindow
+	}
+	limit := t.window.slots()
+	if ramp := t.health.ramp(r.tickedAt, r.settings.Health); ramp < 1 {
+		limit = max(int(float64(limit)*ramp), minWindow)
+	}
+	if own >= limit {
+		return false
+	}
+	if own < t.window.guaranteed() {
+		return true
+	}
+	slots := t.slots(&r.settings)
+	return t.load.estimate() < slots-headroom(slots, &r.settings)
+}
+
+// hasUrgentRoom says whether the endpoint has room for the top tier, which
+// passes over lower work in the engine and so counts only its like.
+func (r *Router) hasUrgentRoom(t *target) bool {
+	if !r.takesWork(t) {
+		return false
+	}
+	slots := t.slots(&r.settings)
+	limit := max(t.window.slots(), t.window.guaranteed()) + headroom(slots, &r.settings)
+	return t.load.urgent < limit
+}
+
+func (r *Router) takesWork(t *target) bool {
+	if !t.used || t.leaving {
+		return false
+	}
+	return t.health.state == StateHealthy || t.health.state == StateSuspect
+}
+
+// judge moves the endpoint between healthy, suspect and ejected.
+func (r *Router) judge(now time.Time, t *target) {
+	h := &t.health
+	settings := &r.settings.Health
+	slowness := h.slowness(r.peers, *settings)
+	switch h.state {
+	case StateHealthy:
+		if slowness >= settings.SuspectSlowness || h.failures >= 2 {
+			h.state = StateSuspect
+			r.refresh(t)
+		}
+	case StateSuspect:
+		h.forgetAfter(now, quietToForget)
+		slowness = h.slowness(r.peers, *settings)
+		if slowness < settings.SuspectSlowness*suspectHysteresis && h.failures == 0 {
+			h.state = StateHealthy
+			r.refresh(t)
+		}
+	case StateProbing:
+		switch {
+		case slowness >= settings.EjectSlowness:
+			r.eject(now, t)
+		case h.gap.samples >= probeTokens*settings.MinSamples && slowness < settings.SuspectSlowness:
+			r.recover(now, t)
+		}
+		return
+	case StateEjected, StateLeaving:
+		return
+	}
+	if slowness >= settings.EjectSlowness {
+		r.eject(now, t)
+	}
+}
+
+func (r *Router) failed(now time.Time, t *target) {
+	h := &t.health
+	h.failed()
+	switch {
+	case h.state == StateProbing:
+		r.eject(now, t)
+	case h.state == StateEjected:
+	case h.failures >= r.settings.Health.FailuresToEject:
+		r.eject(now, t)
+	case h.errors.samples >= errorSamplesToEject && h.errorRate() >= errorRateToEject:
+		r.eject(now, t)
+	default:
+		r.judge(now, t)
+	}
+}
+
+// eject takes an endpoint out unless too many are out already. One that stays
+// because of that is suspect.
+func (r *Router) eject(now time.Time, t *target) {
+	if t.leaving {
+		return
+	}
+	if !t.isOutside() {
+		if float64(r.outside+1) > r.settings.Health.MaxEjected*float64(r.usedCount) {
+			t.health.state = StateSuspect
+			r.refresh(t)
+			return
+		}
+		r.outside++
+	}
+	r.ejections++
+	t.health.eject(now, r.settings.Health)
+	r.refresh(t)
+}
+
+// startProbe ends an ejection whose time has passed. An endpoint that has not
+// reported since is taken to be down and waits longer.
+func (r *Router) startProbe(now time.Time, t *target) {
+	h := &t.health
+	if h.state != StateEjected || t.leaving || now.Before(h.probeAt) {
+		return
+	}
+	heard := !t.load.reported || t.load.report.At.After(h.ejectedAt)
+	if !heard && now.Sub(h.ejectedAt) < unreportedProbeFactor*h.probeAt.Sub(h.ejectedAt) {
+		return
+	}
+	h.probe()
+}
+
+// pickProbe gives a probing endpoint its next attempt. Top-tier work is used
+// only when no lower work has come for some time.
+func (r *Router) pickProbe(now time.Time, ask *Ask) (Choice, bool) {
+	if len(ask.Avoid) > 0 {
+		return Choice{}, false
+	}
+	for _, t := range r.open[openProbe].targets {
+		if ask.Tier == profile.TierUrgent && now.Sub(t.health.probeAt) < r.settings.Health.ProbeUrgentAfter {
+			continue
+		}
+		choice := r.predict(ask, t)
+		choice.Candidates = 1
+		choice.Probe = true
+		return choice, true
+	}
+	return Choice{}, false
+}
+
+func (r *Router) probePassed(now time.Time, t *target) {
+	h := &t.health
+	h.probesPassed++
+	if h.probesPassed < r.settings.Health.ProbesToRecover {
+		return
+	}
+	r.recover(now, t)
+}
+
+// recover takes an endpoint back with the least window, which then grows.
+func (r *Router) recover(now time.Time, t *target) {
+	r.outside--
+	t.health.recover(now)
+	t.window.limit = minWindow
+	r.refresh(t)
+}
--- /dev/null
+++ b/core/routing/load.go
@@ -0,0 +1,79 @@
+package routing
+
+import (
+	"time"
+
+	"cactuswell/core/endpoint"
+)
+
+// loadHistory is how many changes of this host's own work are remembered for
+// each endpoint.
+const loadHistory = 128
+
+// load reconciles an endpoint's lagged report with this host's own work, so
+// that no attempt is counted twice: from the report's total it takes away what
+// this host had running at the report's time, and adds what it has running now.
+type load struct {
+	report   endpoint.Report
+	reported bool
+	others   int
+	own      int
+	urgent   int
+	history  [loadHistory]ownCount
+	changes  int
+}
+
+// ownCount is this host's own work at an endpoint from a time on.
+type ownCount struct {
+	at  time.Time
+	own int
+}
+
+func (l *load) change(now time.Time, delta int, urgent bool) {
+	l.own = max(l.own+delta, 0)
+	if urgent {
+		l.urgent = max(l.urgent+delta, 0)
+	}
+	l.history[l.changes%loadHistory] = ownCount{
+		at:  now,
+		own: l.own,
+	}
+	l.changes++
+}
+
+// accept takes a report unless it is older than the last one.
+func (l *load) accept(report endpoint.Report) bool {
+	if l.reported && report.At.Before(l.report.At) {
+		return false
+	}
+	l.report = report
+	l.reported = true
+	l.others = max(report.Running+report.Queued-l.ownAt(report.At), 0)
+	return true
+}
+
+// ownAt returns this host's own work at the given time. Before the oldest
+// remembered change it returns that change's count.
+func (l *load) ownAt(at time.Time) int {
+	oldest := max(l.changes-loadHistory, 0)
+	for i := l.changes - 1; i >= oldest; i-- {
+		entry := l.history[i%loadHistory]
+		if !entry.at.After(at) {
+			return entry.own
+		}
+	}
+	if oldest == 0 {
+		return 0
+	}
+	return l.history[oldest%loadHistory].own
+}
+
+// estimate returns the endpoint's running and queued attempts of all hosts.
+func (l *load) estimate() int {
+	return l.others + l.own
+}
+
+// fresh reports whether the last report is young enough to lend by.
+func (l *load) fresh(now time.Time, limit time.Duration) bool {
+	return l.reported && now.Sub(l.report.At) <= limit
+}
--- /dev/null
+++ b/core/routing/peers.go
@@ -0,0 +1,42 @@
+package routing
+
+import "slices"
+
+// medians are taken over the endpoints that this host uses.
+type medians struct {
+	// gap is the median time between tokens in seconds, or zero when too few
+	// endpoints have one.
+	gap float64
+	// ratio is the median first-token time in relation to the expected one, or
+	// zero.
+	ratio float64
+}
+
+// updateMedians compares the endpoints that have samples.
+func (r *Router) updateMedians() {
+	gaps := r.scratch[:0]
+	for _, t := range r.targets {
+		if t.health.gap.samples > 0 {
+			gaps = append(gaps, t.health.gap.value)
+		}
+	}
+	r.peers.gap = median(gaps, r.settings.Health.MinPeers)
+	ratios := gaps[:0]
+	for _, t := range r.targets {
+		if t.health.ratio.samples > 0 {
+			ratios = append(ratios, t.health.ratio.value)
+		}
+	}
+	r.peers.ratio = median(ratios, r.settings.Health.MinPeers)
+	r.scratch = ratios[:0]
+}
+
+// median sorts values and returns the lower median, or zero for fewer than
+// least values.
+func median(values []float64, least int) float64 {
+	if len(values) < max(least, 1) {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
--- /dev/null
+++ b/core/routing/router.go
@@ -0,0 +1,359 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cactuswell/core/endpoint"
+	"cactuswell/core/profile"
+)
+
+const (
+	// tickEvery is the time between two comparisons of the endpoints.
+	tickEvery = 100 * time.Millisecond
+	// maxLeaving bounds the leaving incarnations that are remembered.
+	maxLeaving = 4096
+	// congestedRatio is by how much the first-token time may exceed the expected
+	// one before the window shrinks.
+	congestedRatio = 8
+	// serviceTimeWeight is the weight of a new sample of attempt lengths.
+	serviceTimeWeight = 0.05
+)
+
+// Router chooses endpoints of one pool for one host.
+type Router struct {
+	settings Settings
+	random   *rand.Rand
+	targets  []*target
+	byKey    map[endpoint.Key]*target
+	byNumber map[uint32]*target
+	numbers  uint32
+	// leaving remembers the incarnations that take no new work, and
+	// leavingOrder bounds them.
+	leaving      map[endpoint.Key]struct{}
+	leavingOrder []endpoint.Key
+	hosts        int
+	staying      int
+	usedCount    int
+	open         [openSets]openSet
+	prefixes     prefixIndex
+	peers        medians
+	scratch      []float64
+	// serviceTime is the mean length of an attempt in seconds.
+	serviceTime average
+	tickedAt    time.Time
+	// outside counts the targets that are ejected or probing.
+	outside     int
+	decision    uint64
+	comparisons uint64
+	ejections   uint64
+}
+
+// New returns a Router without endpoints. It alone uses random from then on.
+func New(settings Settings, random *rand.Rand) *Router {
+	r := &Router{
+		settings: settings,
+		random:   random,
+		byKey:    make(map[endpoint.Key]*target),
+		byNumber: make(map[uint32]*target),
+		leaving:  make(map[endpoint.Key]struct{}),
+		hosts:    1,
+		prefixes: newPrefixIndex(settings.PrefixEntries),
+	}
+	for i := range r.open {
+		r.open[i].tier = i
+	}
+	return r
+}
+
+// AddEndpoint brings an endpoint. One that is known already is updated; one
+// whose incarnation is leaving stays leaving.
+func (r *Router) AddEndpoint(now time.Time, descriptor endpoint.Descriptor) {
+	if known := r.byKey[descriptor.Key]; known != nil {
+		known.descriptor = descriptor
+		return
+	}
+	r.numbers++
+	_, leaving := r.leaving[descriptor.Key]
+	t := &target{
+		descriptor: descriptor,
+		leaving:    leaving,
+		awaiting:   make([]awaited, 0, maxAwaiting),
+		cache: cacheState{
+			owner: blockOwner{
+				number: r.numbers,
+			},
+			confidence: 1,
+		},
+	}
+	hash := rendezvous(r.settings.Host, descriptor.Key.Name)
+	t.window.offset = float64(hash>>11) / (1 << 53)
+	for i := range t.places {
+		t.places[i] = notOpen
+	}
+	r.targets = append(r.targets, t)
+	r.byKey[descriptor.Key] = t
+	r.byNumber[r.numbers] = t
+	r.updateSubset()
+}
+
+// MarkLeaving stops new work to an endpoint. It holds for that incarnation,
+// also when the endpoint is removed and added again.
+func (r *Router) MarkLeaving(now time.Time, key endpoint.Key) {
+	r.rememberLeaving(key)
+	t := r.byKey[key]
+	if t == nil || t.leaving {
+		return
+	}
+	t.leaving = true
+	if t.isOutside() {
+		r.outside--
+	}
+	r.updateSubset()
+}
+
+func (r *Router) rememberLeaving(key endpoint.Key) {
+	if _, known := r.leaving[key]; known {
+		return
+	}
+	if len(r.leavingOrder) >= maxLeaving {
+		delete(r.leaving, r.leavingOrder[0])
+		r.leavingOrder = append(r.leavingOrder[:0], r.leavingOrder[1:]...)
+	}
+	r.leaving[key] = struct{}{}
+	r.leavingOrder = append(r.leavingOrder, key)
+}
+
+// RemoveEndpoint forgets an endpoint, except that its incarnation is leaving.
+func (r *Router) RemoveEndpoint(now time.Time, key endpoint.Key) {
+	t := r.byKey[key]
+	if t == nil {
+		return
+	}
+	if t.isOutside() {
+		r.outside--
+	}
+	for i := range r.open {
+		r.open[i].set(t, false)
+	}
+	delete(r.byKey, key)
+	delete(r.byNumber, t.cache.owner.number)
+	for i, other := range r.targets {
+		if other == t {
+			r.targets = append(r.targets[:i], r.targets[i+1:]...)
+			break
+		}
+	}
+	r.updateSubset()
+}
+
+// SetHosts says how many hosts share the endpoints.
+func (r *Router) SetHosts(now time.Time, hosts int) {
+	r.hosts = max(hosts, 1)
+	r.updateShares()
+}
+
+// ReportLoad takes an endpoint's account of its load. An older account than the
+// last one is ignored, except that leaving is sticky.
+func (r *Router) ReportLoad(now time.Time, report endpoint.Report) {
+	if report.Leaving {
+		r.MarkLeaving(now, report.Key)
+	}
+	t := r.byKey[report.Key]
+	if t == nil {
+		return
+	}
+	slots := t.slots(&r.settings)
+	if !t.load.accept(report) {
+		return
+	}
+	if t.slots(&r.settings) != slots {
+		r.updateShare(t)
+	}
+	r.lend(now, t)
+	r.refresh(t)
+}
+
+// lend moves the window by what the report says about idle and waiting work.
+func (r *Router) lend(now time.Time, t *target) {
+	if !t.load.fresh(now, r.settings.ReportFreshFor) {
+		return
+	}
+	slots := t.slots(&r.settings)
+	report := &t.load.report
+	queueAllowed := int(float64(slots) * r.settings.QueueShare)
+	if report.Queued > queueAllowed && t.window.limit > t.window.share {
+		t.window.congested(now, max(t.window.share/t.window.limit, 0.5), slots)
+		return
+	}
+	free := float64(slots - headroom(slots, &r.settings) - report.Running - report.Queued)
+	t.window.lend(free, r.users(), t.load.own, slots)
+}
+
+// ApplyCache takes an endpoint's prefix cache events.
+func (r *Router) ApplyCache(now time.Time, update endpoint.CacheUpdate) {
+	if t := r.byKey[update.Key]; t != nil {
+		r.prefixes.apply(&t.cache, update)
+	}
+}
+
+// Sent takes a window slot for an attempt.
+func (r *Router) Sent(now time.Time, work Work) {
+	t := r.byKey[work.Key]
+	if t == nil {
+		return
+	}
+	t.sent++
+	t.load.change(now, 1, work.Tier == profile.TierUrgent)
+	t.await(work.SentAt, r.idleFirstToken(t, &work))
+	if work.Probe {
+		t.health.probing++
+	}
+	r.refresh(t)
+}
+
+// idleFirstToken returns the first-token time of an idle endpoint.
+func (r *Router) idleFirstToken(t *target, work *Work) time.Duration {
+	if t.isService() {
+		return time.Second
+	}
+	uncached := max(work.PromptTokens-work.CachedTokens, 0)
+	return baseFirstToken + seconds(float64(uncached)/t.prefillRate(&r.settings))
+}
+
+// Progressed says that an attempt has tokens tokens in all. The first token
+// comes with tokens of one; sinceSent is the time since the attempt was sent and
+// sinceLast that since its token before.
+func (r *Router) Progressed(now time.Time, key endpoint.Key, tokens int, sinceSent, sinceLast time.Duration) {
+	t := r.byKey[key]
+	if t == nil {
+		return
+	}
+	if tokens > 1 {
+		t.health.progressed(now, sinceLast)
+		r.judge(now, t)
+		return
+	}
+	if expected, ok := t.settle(now.Add(-sinceSent)); ok {
+		r.answered(now, t, sinceSent, expected)
+	}
+}
+
+// answered takes a first token, or a plain service's answer.
+func (r *Router) answered(now time.Time, t *target, took, expected time.Duration) {
+	ratio := took.Seconds() / max(expected.Seconds(), 0.001)
+	t.health.firstToken(now, took, ratio)
+	slots := t.slots(&r.settings)
+	if r.peers.ratio > 0 && ratio > congestedRatio*r.peers.ratio {
+		if aimd, ok := r.settings.Adaptation.(AIMD); ok {
+			t.window.congested(now, aimd.Decrease, slots)
+		}
+	} else {
+		t.window.answered(now, r.settings.Adaptation, ratio, t.load.own, slots)
+	}
+	r.judge(now, t)
+	r.refresh(t)
+}
+
+// Ended frees the slot of an attempt that had tokens tokens in all.
+func (r *Router) Ended(now time.Time, work Work, outcome Outcome, tokens int) {
+	t := r.byKey[work.Key]
+	if t == nil {
+		return
+	}
+	t.load.change(now, -1, work.Tier == profile.TierUrgent)
+	if work.Probe {
+		t.health.probing = max(t.health.probing-1, 0)
+	}
+	expected, waiting := t.settle(work.SentAt)
+	took := now.Sub(work.SentAt)
+	switch outcome {
+	case OutcomeCompleted:
+		if t.isService() && waiting {
+			r.answered(now, t, took, expected)
+		}
+		r.completed(now, t, &work, took)
+	case OutcomeRejected:
+		t.window.congested(now, 0.5, t.slots(&r.settings))
+		r.failed(now, t)
+	case OutcomeFailed, OutcomeSilent:
+		t.window.congested(now, 0.5, t.slots(&r.settings))
+		r.failed(now, t)
+	case OutcomeCanceled:
+	}
+	r.refresh(t)
+}
+
+func (r *Router) completed(now time.Time, t *target, work *Work, took time.Duration) {
+	r.serviceTime.add(took.Seconds(), serviceTimeWeight)
+	t.health.succeeded()
+	for _, hash := range work.Prefix {
+		r.prefixes.store(hash, t.cache.owner)
+	}
+	if t.health.state == StateProbing {
+		r.probePassed(now, t)
+		return
+	}
+	r.judge(now, t)
+}
+
+// Tick compares the endpoints with their peers and starts the probes that are
+// due.
+func (r *Router) Tick(now time.Time) {
+	if now.Sub(r.tickedAt) < tickEvery {
+		return
+	}
+	r.tickedAt = now
+	r.updateMedians()
+	for _, t := range r.targets {
+		r.startProbe(now, t)
+		r.judge(now, t)
+		r.refresh(t)
+	}
+}
+
+// NextWake returns the time at which Tick is due. It reports false when there is
+// nothing to watch.
+func (r *Router) NextWake() (time.Time, bool) {
+	if len(r.targets) == 0 {
+		return time.Time{}, false
+	}
+	return r.tickedAt.Add(tickEvery), true
+}
+
+// Usable returns the number of endpoints that may get work.
+func (r *Router) Usable() int {
+	usable := 0
+	for _, t := range r.targets {
+		if t.isUsable() {
+			usable++
+		}
+	}
+	return usable
+}
+
+// Capacity returns this host's part of the usable endpoints' slots and of their
+// decode rate.
+func (r *Router) Capacity() (slots int, tokensPerSecond float64) {
+	total := 0.0
+	for _, t := range r.targets {
+		if t.isUsable() {
+			total += float64(t.slots(&r.settings)) / r.users()
+			tokensPerSecond += t.load.report.TokensPerSecond / r.users()
+		}
+	}
+	return int(total), tokensPerSecond
+}
+
+// SilenceBound returns the time without progress after which an attempt at the
+// endpoint is to be taken for silent.
+func (r *Router) SilenceBound(key endpoint.Key) time.Duration {
+	bounds := &r.settings.Health
+	t := r.byKey[key]
+	if t == nil {
+		return bounds.SilenceMax
+	}
+	gap := silenceGaps * t.health.gap.or(r.settings.DefaultGap.Seconds())
+	first := 3 * (t.health.first.or(0) + 4*t.health.deviation.or(0))
+	return min(max(seconds(max(gap, first)), bounds.SilenceMin), bounds.SilenceMax)
+}
--- /dev/null
+++ b/core/routing/score.go
@@ -0,0 +1,192 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"cactuswell/core/profile"
+)
+
+const (
+	// baseFirstToken is the first-token time of an idle endpoint for an empty
+	// prompt.
+	baseFirstToken = 20 * time.Millisecond
+	// suspectFactor multiplies a suspect endpoint's predicted times.
+	suspectFactor = 3
+	// ownersCompared bounds the prefix owners compared in one decision.
+	ownersCompared = 2
+	// overBatch is the part by which decoding slows from an empty to a full batch.
+	overBatch = 1.0
+)
+
+// comparison is the best choice found so far in one decision.
+type comparison struct {
+	best        *target
+	choice      Choice
+	score       float64
+	avoided     *target
+	avoidChoice Choice
+	avoidScore  float64
+	compared    int
+}
+
+// Pick chooses the endpoint for ask. It reports false when no endpoint has room
+// for the tier now.
+func (r *Router) Pick(now time.Time, ask *Ask) (Choice, bool) {
+	if choice, ok := r.pickProbe(now, ask); ok {
+		return choice, true
+	}
+	open := &r.open[openLower]
+	if ask.Tier == profile.TierUrgent {
+		open = &r.open[openUrgent]
+	}
+	if len(open.targets) == 0 {
+		return Choice{}, false
+	}
+	r.decision++
+	var c comparison
+	r.compareOwners(now, ask, open, &c)
+	r.compareRandom(now, ask, open, &c)
+	r.comparisons += uint64(c.compared)
+	if c.best == nil {
+		c.best = c.avoided
+		c.choice = c.avoidChoice
+	}
+	if c.best == nil {
+		return Choice{}, false
+	}
+	c.choice.Candidates = c.compared
+	return c.choice, true
+}
+
+func (r *Router) compareOwners(now time.Time, ask *Ask, open *openSet, c *comparison) {
+	if len(ask.Prefix) == 0 {
+		return
+	}
+	owners := r.prefixes.owners(ask.Prefix)
+	for _, owner := range owners[:ownersCompared] {
+		if owner.number == 0 {
+			return
+		}
+		t := r.byNumber[owner.number]
+		if t != nil && t.places[open.tier] != notOpen {
+			r.compare(now, ask, t, c)
+		}
+	}
+}
+
+func (r *Router) compareRandom(now time.Time, ask *Ask, open *openSet, c *comparison) {
+	count := len(open.targets)
+	if count <= r.settings.Candidates {
+		for _, t := range open.targets {
+			r.compare(now, ask, t, c)
+		}
+		return
+	}
+	for range r.settings.Candidates {
+		r.compare(now, ask, open.targets[r.random.IntN(count)], c)
+	}
+	start := r.random.IntN(count)
+	for i := 0; c.best == nil && i <= min(len(ask.Avoid), count-1); i++ {
+		r.compare(now, ask, open.targets[(start+i)%count], c)
+	}
+}
+
+func (r *Router) compare(now time.Time, ask *Ask, t *target, c *comparison) {
+	if t.mark == r.decision {
+		return
+	}
+	t.mark = r.decision
+	c.compared++
+	choice := r.predict(ask, t)
+	score := r.score(now, t, &choice)
+	if slices.Contains(ask.Avoid, t.descriptor.Key) {
+		if c.avoided == nil || score < c.avoidScore {
+			c.avoided = t
+			c.avoidChoice = choice
+			c.avoidScore = score
+		}
+		return
+	}
+	if c.best == nil || score < c.score {
+		c.best = t
+		c.choice = choice
+		c.score = score
+	}
+}
+
+// score weighs the predicted times with the doubt about the endpoint; lower is
+// better. Errors count as attempts that must be made again, so that an endpoint
+// that fails fast does not look fast.
+func (r *Router) score(now time.Time, t *target, choice *Choice) float64 {
+	rest := choice.Completion - choice.FirstToken
+	score := choice.FirstToken.Seconds() + r.settings.CompletionWeight*rest.Seconds()
+	if t.health.state == StateSuspect {
+		score *= suspectFactor
+	}
+	errorRate := t.health.errorRate()
+	score = (score + errorRate*r.serviceTime.or(r.settings.DefaultServiceTime.Seconds())) / (1 - errorRate)
+	return score / max(t.health.ramp(now, r.settings.Health), 0.1)
+}
+
+// predict returns the delays to expect at a target.
+func (r *Router) predict(ask *Ask, t *target) Choice {
+	slots := t.slots(&r.settings)
+	running := t.load.estimate()
+	slowness := t.health.slowness(r.peers, r.settings.Health)
+	fill := min(float64(running+1)/float64(max(slots, 1)), 1)
+	wait := r.queueWait(ask, t, running, slots) * slowness
+	first := r.distance(t).Seconds() + wait
+	choice := Choice{
+		Key: t.descriptor.Key,
+	}
+	if t.isService() {
+		first += t.health.first.or(r.settings.DefaultServiceTime.Seconds()) * (1 + fill)
+		choice.FirstToken = seconds(first)
+		choice.Completion = choice.FirstToken
+		return choice
+	}
+	choice.CachedTokens = r.cachedTokens(ask, t)
+	uncached := float64(max(ask.PromptTokens-choice.CachedTokens, 0))
+	first += baseFirstToken.Seconds() + uncached/t.prefillRate(&r.settings)*slowness*(1+fill)
+	gap := t.health.gap.or(max(r.peers.gap, r.settings.DefaultGap.Seconds()))
+	rest := float64(ask.OutputTokens) * gap * (1 + overBatch*fill)
+	choice.FirstToken = seconds(first)
+	choice.Completion = seconds(first + rest)
+	return choice
+}
+
+// queueWait predicts the wait in the endpoint's own queue in seconds. Top-tier
+// work waits only behind its like, for the next slot that comes free.
+func (r *Router) queueWait(ask *Ask, t *target, running, slots int) float64 {
+	ahead := running + 1 - slots
+	if ahead <= 0 {
+		return 0
+	}
+	if ask.Tier == profile.TierUrgent {
+		ahead = min(ahead, t.load.urgent+1)
+	}
+	each := r.serviceTime.or(r.settings.DefaultServiceTime.Seconds()) / float64(max(slots, 1))
+	return float64(ahead) * each
+}
+
+// distance returns the round trip to the target.
+func (r *Router) distance(t *target) time.Duration {
+	if t.descriptor.Zone == r.settings.Zone {
+		return r.settings.ZoneDelay / 2
+	}
+	return 2 * r.settings.ZoneDelay
+}
+
+func (r *Router) cachedTokens(ask *Ask, t *target) int {
+	if len(ask.Prefix) == 0 {
+		return 0
+	}
+	blocks := r.prefixes.blocks(ask.Prefix, t.cache.owner)
+	tokens := float64(blocks*r.settings.BlockTokens) * t.cache.confidence
+	return min(int(tokens), ask.PromptTokens)
+}
+
+func seconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Second))
+}
--- /dev/null
+++ b/core/routing/settings.go
@@ -0,0 +1,139 @@
+package routing
+
+import "time"
+
+// Settings holds what an operator or a bench may vary. DefaultSettings gives a
+// complete set.
+type Settings struct {
+	// Host names this host; the subset of endpoints that it uses follows from it.
+	Host string
+	// Zone is this host's availability zone.
+	Zone string
+	// ZoneDelay is the one-way delay between two zones.
+	ZoneDelay time.Duration
+	// Adaptation says how windows follow what is seen.
+	Adaptation Adaptation
+	// Candidates is how many endpoints are drawn at random for one decision.
+	Candidates int
+	// SubsetSize bounds the endpoints of the pool that this host uses.
+	SubsetSize int
+	// HeadroomShare is the part of an endpoint's slots, from 0 to 1, that lower
+	// tiers leave to the top tier. It is never less than one slot.
+	HeadroomShare float64
+	// QueueShare is the part of an endpoint's slots, from 0 to 1, that the hosts
+	// together may keep waiting in the endpoint's own queue.
+	QueueShare float64
+	// DefaultSlots is assumed of an endpoint that has not reported.
+	DefaultSlots int
+	// DefaultPrefillRate is assumed of an endpoint that has not reported, in
+	// tokens a second.
+	DefaultPrefillRate float64
+	// DefaultGap is the assumed time between two tokens.
+	DefaultGap time.Duration
+	// DefaultServiceTime is the assumed length of an attempt.
+	DefaultServiceTime time.Duration
+	// ReportFreshFor is the age up to which a report may lend idle slots.
+	ReportFreshFor time.Duration
+	// CompletionWeight weighs the time from the first token to the last against
+	// the time to the first token.
+	CompletionWeight float64
+	// PrefixEntries bounds the prefix index.
+	PrefixEntries int
+	// BlockTokens is the length of one block of a prompt.
+	BlockTokens int
+	// Health holds the bounds on an endpoint's health.
+	Health HealthSettings
+}
+
+// HealthSettings holds the bounds on an endpoint's health. Slowness is a ratio
+// to the median of the pool's peers.
+type HealthSettings struct {
+	SuspectSlowness float64
+	EjectSlowness   float64
+	// MinSamples is how many tokens or answers a comparison needs.
+	MinSamples int
+	// MinPeers is how many endpoints a median needs.
+	MinPeers int
+	// FailuresToEject is how many failures in a row eject an endpoint.
+	FailuresToEject int
+	// MaxEjected is the part of the endpoints, from 0 to 1, that may be ejected
+	// or probing at once.
+	MaxEjected float64
+	// EjectFor is the length of the first ejection. It doubles with each
+	// ejection in a row up to EjectForMax.
+	EjectFor    time.Duration
+	EjectForMax time.Duration
+	// ProbeUrgentAfter is how long a probing endpoint waits for lower-tier work
+	// before top-tier work may be its probe.
+	ProbeUrgentAfter time.Duration
+	// ProbesToRecover is how many probes in a row must succeed.
+	ProbesToRecover int
+	// RampFor is the time over which a recovered endpoint's window grows back.
+	RampFor time.Duration
+	// SilenceMin and SilenceMax bound SilenceBound.
+	SilenceMin time.Duration
+	SilenceMax time.Duration
+}
+
+// Adaptation says how windows follow what is seen. Its types are AIMD and
+// Gradient.
+type Adaptation interface {
+	isAdaptation()
+}
+
+// AIMD adds Increase slots for a window's worth of good answers, and multiplies
+// the window by Decrease on congestion.
+type AIMD struct {
+	Increase float64
+	Decrease float64
+}
+
+// Gradient multiplies the window by the ratio of the uncongested first-token
+// time to the present one, smoothed by Smoothing (0 to 1), and adds the square
+// root of the window as room to grow.
+type Gradient struct {
+	Smoothing float64
+}
+
+func (AIMD) isAdaptation()     {}
+func (Gradient) isAdaptation() {}
+
+// DefaultSettings returns the settings of the product for the given host.
+func DefaultSettings(host, zone string) Settings {
+	return Settings{
+		Host:      host,
+		Zone:      zone,
+		ZoneDelay: time.Millisecond,
+		Adaptation: AIMD{
+			Increase: 1,
+			Decrease: 0.7,
+		},
+		Candidates:         6,
+		SubsetSize:         64,
+		HeadroomShare:      0.1,
+		QueueShare:         0.1,
+		DefaultSlots:       16,
+		DefaultPrefillRate: 4000,
+		DefaultGap:         30 * time.Millisecond,
+		DefaultServiceTime: 2 * time.Second,
+		ReportFreshFor:     3 * time.Second,
+		CompletionWeight:   0.25,
+		PrefixEntries:      1 << 16,
+		BlockTokens:        64,
+		Health: HealthSettings{
+			SuspectSlowness:  2,
+			EjectSlowness:    3.5,
+			MinSamples:       8,
+			MinPeers:         3,
+			FailuresToEject:  3,
+			MaxEjected:       0.5,
+			EjectFor:         3 * time.Second,
+			EjectForMax:      30 * time.Second,
+			ProbeUrgentAfter: 2 * time.Second,
+			ProbesToRecover:  2,
+			RampFor:          10 * time.Second,
+			SilenceMin:       2 * time.Second,
+			SilenceMax:       20 * time.Second,
+		},
+	}
+}
--- /dev/null
+++ b/core/routing/target.go
@@ -0,0 +1,87 @@
+package routing
+
+import (
+	"time"
+
+	"cactuswell/core/endpoint"
+	"cactuswell/core/profile"
+)
+
+// maxAwaiting bounds the attempts whose first token is awaited at one endpoint.
+const maxAwaiting = 256
+
+// target is an endpoint as one host sees it.
+type target struct {
+	descriptor endpoint.Descriptor
+	load       load
+	window     window
+	health     health
+	cache      cacheState
+	// leaving holds for the endpoint's incarnation.
+	leaving bool
+	// used reports whether the endpoint is in this host's subset.
+	used   bool
+	places [openSets]int
+	// mark is the number of the last decision that compared the target.
+	mark     uint64
+	awaiting []awaited
+	sent     uint64
+}
+
+// awaited is an attempt without a first token.
+type awaited struct {
+	sentAt time.Time
+	// expected is the first-token time of an idle endpoint.
+	expected time.Duration
+}
+
+func (t *target) slots(settings *Settings) int {
+	if t.load.reported && t.load.report.Slots > 0 {
+		return t.load.report.Slots
+	}
+	return settings.DefaultSlots
+}
+
+func (t *target) prefillRate(settings *Settings) float64 {
+	if t.load.report.PrefillTokensPerSecond > 0 {
+		return t.load.report.PrefillTokensPerSecond
+	}
+	return settings.DefaultPrefillRate
+}
+
+func headroom(slots int, settings *Settings) int {
+	if slots <= 1 {
+		return 0
+	}
+	return max(int(float64(slots)*settings.HeadroomShare), 1)
+}
+
+// isService reports whether the endpoint is a plain service, whose answers come
+// in one piece.
+func (t *target) isService() bool {
+	return t.descriptor.Kind == profile.KindService
+}
+
+func (t *target) await(sentAt time.Time, expected time.Duration) {
+	if len(t.awaiting) >= maxAwaiting {
+		copy(t.awaiting, t.awaiting[1:])
+		t.awaiting = t.awaiting[:maxAwaiting-1]
+	}
+	t.awaiting = append(t.awaiting, awaited{
+		sentAt:   sentAt,
+		expected: expected,
+	})
+}
+
+// settle forgets the attempt sent at the given time and returns the expected
+// first-token time.
+func (t *target) settle(sentAt time.Time) (time.Duration, bool) {
+	for i := range t.awaiting {
+		if t.awaiting[i].sentAt.Equal(sentAt) {
+			expected := t.awaiting[i].expected
+			t.awaiting = append(t.awaiting[:i], t.awaiting[i+1:]...)
+			return expected, true
+		}
+	}
+	return 0, false
+}
