Add the reducer of the configuration stream

Cause: profiles, endpoint drains and placement need one order that every host agrees on, with racing operators told apart. Change: core/configuration reduces the stream in offset order. A change is accepted only from the current base revision. Conclusion: the reducer can be put behind the log.

--- /dev/null
+++ b/core/configuration/configuration_test.go
@@ -0,0 +1,280 @@
+package configuration_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cactuswell/core/configuration"
+	"cactuswell/core/endpoint"
+	"cactuswell/core/profile"
+	"cactuswell/core/record"
+)
+
+func spec(name string, targetMs int64) *profile.Spec {
+	return &profile.Spec{
+		Name:     name,
+		Class:    "briefing",
+		Kind:     profile.KindModel,
+		Pool:     "drafting",
+		Tier:     profile.TierStandard,
+		TargetMs: targetMs,
+	}
+}
+
+func profileChange(base uint64, asOf record.Offset, target int64) configuration.ProfileChange {
+	return configuration.ProfileChange{
+		Name:         "briefing",
+		BaseRevision: base,
+		Spec:         spec("briefing", target),
+		Author:       "aigerim",
+		AsOf:         asOf,
+	}
+}
+
+func deletion(base uint64, asOf record.Offset) configuration.ProfileChange {
+	return configuration.ProfileChange{
+		Name:         "briefing",
+		BaseRevision: base,
+		Deleted:      true,
+		Author:       "aigerim",
+		AsOf:         asOf,
+	}
+}
+
+func drain(incarnation uint64, drained bool, asOf record.Offset) configuration.EndpointChange {
+	return configuration.EndpointChange{
+		Name:        "engine-3",
+		Incarnation: incarnation,
+		Drained:     drained,
+		Author:      "aigerim",
+		AsOf:        asOf,
+	}
+}
+
+func encode(t testing.TB, id string, change configuration.Change) []byte {
+	t.Helper()
+	data, err := configuration.Encode(id, "host-1", 0, change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// raw returns a record without the checks of Encode.
+func raw(t testing.TB, version int, kind record.Kind, id, body string) []byte {
+	t.Helper()
+	data, err := json.Marshal(record.Envelope{
+		Version: version,
+		Kind:    kind,
+		ID:      id,
+		Body:    json.RawMessage(body),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func TestApplyVerdicts(t *testing.T) {
+	placement := configuration.PlacementChange{
+		Document: json.RawMessage(`{"models":[]}`),
+	}
+	for name, test := range map[string]struct {
+		records [][]byte
+		want    []configuration.Verdict
+	}{
+		"second change from the same base loses": {
+			records: [][]byte{
+				encode(t, "a", profileChange(0, 0, 1)),
+				encode(t, "b", profileChange(0, 0, 2)),
+				encode(t, "c", profileChange(1, 0, 3)),
+			},
+			want: []configuration.Verdict{"accepted", "conflict", "accepted"},
+		},
+		"repeated id has no effect": {
+			records: [][]byte{
+				encode(t, "a", drain(1, true, 0)),
+				encode(t, "b", drain(1, false, 0)),
+				encode(t, "a", drain(1, true, 0)),
+			},
+			want: []configuration.Verdict{"accepted", "accepted", "repeated"},
+		},
+		"re-creation needs the tombstone's revision": {
+			records: [][]byte{
+				encode(t, "a", profileChange(0, 0, 1)),
+				encode(t, "b", deletion(1, 1)),
+				encode(t, "c", profileChange(0, 2, 1)),
+				encode(t, "d", deletion(2, 2)),
+				encode(t, "e", profileChange(2, 2, 1)),
+			},
+			want: []configuration.Verdict{"accepted", "accepted", "conflict", "invalid", "accepted"},
+		},
+		"malformed and unknown records are skipped": {
+			records: [][]byte{
+				[]byte("no json"),
+				raw(t, 1, "unheardOf", "a", `{}`),
+				raw(t, 1, record.KindProfileChange, "b", `{"name":7}`),
+				raw(t, 1, record.KindProfileChange, "", `{}`),
+				encode(t, "c", profileChange(0, 0, 1)),
+			},
+			want: []configuration.Verdict{"malformed", "unknownKind", "malformed", "malformed", "accepted"},
+		},
+		"what is not allowed is invalid": {
+			records: [][]byte{
+				raw(t, 1, record.KindProfileChange, "a", `{"name":"briefing","spec":{"name":"briefing"}}`),
+				raw(t, 1, record.KindProfileChange, "b", `{"name":"briefing"}`),
+				encode(t, "c", profileChange(0, 9, 1)),
+				encode(t, "d", deletion(0, 0)),
+			},
+			want: []configuration.Verdict{"invalid", "invalid", "invalid", "invalid"},
+		},
+		"older incarnation cannot be drained after a newer one": {
+			records: [][]byte{
+				encode(t, "a", drain(7, true, 0)),
+				encode(t, "b", drain(6, true, 0)),
+				encode(t, "c", drain(8, true, 0)),
+			},
+			want: []configuration.Verdict{"accepted", "invalid", "accepted"},
+		},
+		"placement has a base revision of its own": {
+			records: [][]byte{
+				encode(t, "a", placement),
+				encode(t, "b", placement),
+			},
+			want: []configuration.Verdict{"accepted", "conflict"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := configuration.New()
+			var got []configuration.Verdict
+			for i, data := range test.records {
+				got = append(got, state.Apply(record.Offset(i), data).Verdict)
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestConflictNamesTheWinner(t *testing.T) {
+	state := configuration.New()
+	state.Apply(0, encode(t, "a", profileChange(0, 0, 700)))
+	outcome := state.Apply(1, encode(t, "b", profileChange(0, 0, 900)))
+	var conflict *configuration.ConflictError
+	if !errors.As(state.Err(outcome), &conflict) {
+		t.Fatalf("got %v", state.Err(outcome))
+	}
+	if conflict.Current.Spec.TargetMs != 700 || conflict.Current.Author != "aigerim" || conflict.Current.Revision != 1 {
+		t.Errorf("conflict does not name the winner: %+v", conflict.Current)
+	}
+}
+
+func TestApplyTakesOnlyTheNextOffset(t *testing.T) {
+	state := configuration.New()
+	data := encode(t, "a", profileChange(0, 0, 1))
+	if got := state.Apply(1, data).Verdict; got != configuration.VerdictGap {
+		t.Errorf("record after a gap: %s", got)
+	}
+	state.Apply(0, data)
+	if got := state.Apply(0, data).Verdict; got != configuration.VerdictOld {
+		t.Errorf("record of the past: %s", got)
+	}
+	if state.Next() != 1 {
+		t.Errorf("next offset is %d", state.Next())
+	}
+}
+
+func TestNewerVersionBlocksTheState(t *testing.T) {
+	state := configuration.New()
+	state.Apply(0, encode(t, "a", profileChange(0, 0, 1)))
+	got := state.Apply(1, raw(t, record.Version+1, record.KindProfileChange, "b", `{}`))
+	if got.Verdict != configuration.VerdictNewer || state.Next() != 1 {
+		t.Errorf("got %+v, next %d", got, state.Next())
+	}
+	if state.Blocked() == nil || state.Blocked().Offset != 1 {
+		t.Errorf("state does not say that it is behind: %v", state.Blocked())
+	}
+}
+
+// TestRepeatedDrainBeyondTheWindow checks the argument for the bounded memory
+// of ids: the repetition of a drain after its id is forgotten is stale.
+func TestRepeatedDrainBeyondTheWindow(t *testing.T) {
+	for _, distance := range []record.Offset{1, 2, configuration.Window - 1, configuration.Window, configuration.Window + 1} {
+		state := configuration.New()
+		state.Apply(0, encode(t, "drain", drain(1, true, 0)))
+		state.Apply(1, encode(t, "resume", drain(1, false, 1)))
+		for offset := record.Offset(2); offset < distance; offset++ {
+			state.Apply(offset, []byte("skipped"))
+		}
+		repeated := state.Apply(state.Next(), encode(t, "drain", drain(1, true, 0)))
+		if repeated.Verdict == configuration.VerdictAccepted {
+			t.Errorf("repetition %d records later was accepted", distance)
+		}
+		if state.Drained(endpoint.Key{Name: "engine-3", Incarnation: 1}) {
+			t.Errorf("repetition %d records later had an effect", distance)
+		}
+	}
+}
+
+func TestForgottenTombstoneIsNotRevived(t *testing.T) {
+	state := configuration.New()
+	state.Apply(0, encode(t, "create", profileChange(0, 0, 1)))
+	state.Apply(1, encode(t, "delete", deletion(1, 1)))
+	for i := range configuration.MaxTombstones {
+		name := fmt.Sprintf("other-%d", i)
+		offset := state.Next()
+		state.Apply(offset, encode(t, name, configuration.ProfileChange{
+			Name: name,
+			Spec: spec(name, 1),
+			AsOf: offset,
+		}))
+		state.Apply(offset+1, encode(t, name+"-delete", configuration.ProfileChange{
+			Name:         name,
+			BaseRevision: uint64(offset) + 1,
+			Deleted:      true,
+			AsOf:         offset,
+		}))
+	}
+	if _, known := state.Entry("briefing"); known {
+		t.Fatal("the oldest tombstone is still remembered")
+	}
+	got := state.Apply(state.Next(), encode(t, "late", profileChange(0, 0, 1)))
+	if got.Verdict != configuration.VerdictStale {
+		t.Errorf("creation from before the deletion: %s", got.Verdict)
+	}
+	got = state.Apply(state.Next(), encode(t, "new", profileChange(0, state.Next(), 1)))
+	if got.Verdict != configuration.VerdictAccepted {
+		t.Errorf("creation from after the deletion: %s", got.Verdict)
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	state := configuration.New()
+	for offset := record.Offset(0); offset < 4*configuration.Window; offset++ {
+		base := uint64(offset)
+		if offset%2 == 1 {
+			base = 0
+		}
+		if entry, ok := state.Entry("briefing"); ok && offset%2 == 0 {
+			base = entry.Revision
+		}
+		state.Apply(offset, encode(t, fmt.Sprintf("%060d", offset), profileChange(base, offset, 1)))
+	}
+	entry, _ := state.Entry("briefing")
+	if len(entry.Accepted) != 8 || len(entry.Rejected) != 4 {
+		t.Errorf("history holds %d and %d", len(entry.Accepted), len(entry.Rejected))
+	}
+	data, err := state.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if remembered := strings.Count(string(data), `"fingerprint"`); remembered != configuration.Window {
+		t.Errorf("remembers %d ids", remembered)
+	}
+}
