--- a/core/configuration/change.go
+++ b/core/configuration/change.go
@@ -26,9 +26,6 @@
 	subject() string
 	author() string
 	asOf() record.Offset
-	// withoutAsOf is the change as it is compared with a repetition, which may
-	// have been written at another offset.
-	withoutAsOf() Change
 	check() error
 }
 
@@ -101,7 +98,7 @@
 // Fingerprint returns a hash of what the change asks for, without the offset
 // at which it was written.
 func Fingerprint(change Change) uint64 {
-	body, err := json.Marshal(change.withoutAsOf())
+	body, err := json.Marshal(WithAsOf(change, 0))
 	if err != nil {
 		return 0
 	}
@@ -150,11 +147,6 @@
 func (c ProfileChange) author() string      { return c.Author }
 func (c ProfileChange) asOf() record.Offset { return c.AsOf }
 
-func (c ProfileChange) withoutAsOf() Change {
-	c.AsOf = 0
-	return c
-}
-
 func (c ProfileChange) check() error {
 	switch {
 	case c.Name == "" || len(c.Name) > profile.MaxNameLength:
@@ -177,11 +169,6 @@
 func (c EndpointChange) author() string      { return c.Author }
 func (c EndpointChange) asOf() record.Offset { return c.AsOf }
 
-func (c EndpointChange) withoutAsOf() Change {
-	c.AsOf = 0
-	return c
-}
-
 func (c EndpointChange) check() error {
 	if c.Name == "" || len(c.Name) > MaxEndpointLength {
 		return &InvalidError{Field: "name", Reason: "allowed: 1 to 128 bytes"}
@@ -194,11 +181,6 @@
 func (c PlacementChange) author() string      { return c.Author }
 func (c PlacementChange) asOf() record.Offset { return c.AsOf }
 
-func (c PlacementChange) withoutAsOf() Change {
-	c.AsOf = 0
-	return c
-}
-
 func (c PlacementChange) check() error {
 	switch {
 	case len(c.Document) > MaxDocumentBytes:
@@ -208,3 +190,19 @@
 	}
 	return nil
 }
+
+// WithAsOf returns the change as written in front of the given offset.
+func WithAsOf(change Change, asOf record.Offset) Change {
+	switch change := change.(type) {
+	case ProfileChange:
+		change.AsOf = asOf
+		return change
+	case EndpointChange:
+		change.AsOf = asOf
+		return change
+	case PlacementChange:
+		change.AsOf = asOf
+		return change
+	}
+	return change
+}
--- /dev/null
+++ b/io/configuration/publisher.go
@@ -0,0 +1,132 @@
+package configuration
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	core "cactuswell/core/configuration"
+	"cactuswell/core/record"
+)
+
+const streamName = record.StreamConfiguration
+
+const (
+	// appendTimeout bounds one append.
+	appendTimeout = 3 * time.Second
+	// reappendDelay is how long a record may stay unseen before it is appended
+	// again.
+	reappendDelay = 2 * time.Second
+)
+
+// UnknownError says that it could not be learnt in time whether a change was
+// accepted. Asking again under the same id is harmless.
+type UnknownError struct {
+	ID    string
+	Cause error
+}
+
+// Error names the id.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("outcome of change %s is unknown: %v", e.ID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// NotReadyError says that the host cannot publish yet, and that nothing was
+// appended.
+type NotReadyError struct {
+	Reason string
+}
+
+// Error names the reason.
+func (e *NotReadyError) Error() string {
+	return "configuration is not ready: " + e.Reason
+}
+
+// IDReusedError says that another change was made under the same id. The
+// change asked for was not made.
+type IDReusedError struct {
+	ID string
+}
+
+// Error names the id.
+func (e *IDReusedError) Error() string {
+	return fmt.Sprintf("change id %s was used for another change", e.ID)
+}
+
+// NewID returns an id for a change.
+func NewID() string {
+	return rand.Text()
+}
+
+// Change publishes a change under an id and returns its outcome once the record
+// was read back and reduced. The same id may be given again, with the same
+// change, to learn the outcome of an earlier call; a repeated record has no
+// effect.
+//
+// The error is a *core.ConflictError, *core.StaleError or *core.RejectedError
+// of a change without effect, an *UnknownError, a *NotReadyError, an
+// *IDReusedError, or one of core.Encode.
+func (c *Configuration) Change(ctx context.Context, id string, change core.Change) (core.Outcome, error) {
+	if outcome, ok := c.State().Outcome(id); ok {
+		return c.resolve(outcome, change)
+	}
+	if c.current.Load().reason == reasonStarting {
+		return core.Outcome{}, trace.Wrap(&NotReadyError{Reason: reasonStarting})
+	}
+	change = core.WithAsOf(change, c.Applied())
+	data, err := core.Encode(id, c.dependencies.Host, c.now().UnixMilli(), change)
+	if err != nil {
+		return core.Outcome{}, trace.Wrap(err)
+	}
+	var cause error
+	for ctx.Err() == nil {
+		if err := c.appendOnce(ctx, data); err != nil {
+			cause = err
+		}
+		if outcome, ok := c.await(ctx, id); ok {
+			return c.resolve(outcome, change)
+		}
+	}
+	return core.Outcome{}, trace.Wrap(&UnknownError{ID: id, Cause: errors.Join(ctx.Err(), cause)})
+}
+
+func (c *Configuration) appendOnce(ctx context.Context, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := c.dependencies.Log().Append(ctx, streamName, [][]byte{data})
+	return err
+}
+
+// await waits until the record with the id is reduced, or it is time to append
+// it again.
+func (c *Configuration) await(ctx context.Context, id string) (core.Outcome, bool) {
+	wake := c.dependencies.Timers.After(reappendDelay)
+	defer wake.Stop()
+	for {
+		current := c.current.Load()
+		if outcome, ok := current.state.Outcome(id); ok {
+			return outcome, true
+		}
+		select {
+		case <-ctx.Done():
+			return core.Outcome{}, false
+		case <-wake.C():
+			return core.Outcome{}, false
+		case <-current.changed:
+		}
+	}
+}
+
+func (c *Configuration) resolve(outcome core.Outcome, change core.Change) (core.Outcome, error) {
+	if outcome.Fingerprint != core.Fingerprint(change) {
+		return outcome, trace.Wrap(&IDReusedError{ID: outcome.ID})
+	}
+	return outcome, trace.Wrap(c.State().Err(outcome))
+}
