--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,255 @@
+// Package demo runs a whole deployment in one process: stand-ins for the
+// platform and the endpoints, and several entry hosts.
+//
+// # Usage
+//
+//	d, err := demo.New(deployment.Kelisim(), 3, logger)
+//	go d.Run(ctx, kill)
+//	addresses := d.CallerAddresses()
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/gravitational/trace"
+
+	"cactuswell/core/configuration"
+	"cactuswell/core/profile"
+	"cactuswell/deployment"
+	"cactuswell/host"
+	"cactuswell/io/hostlist"
+	"cactuswell/settings"
+	enginestandin "cactuswell/standin/engine"
+	hostliststandin "cactuswell/standin/hostlist"
+	logstandin "cactuswell/standin/logservice"
+	servicestandin "cactuswell/standin/service"
+	weightstandin "cactuswell/standin/weightstore"
+)
+
+const (
+	listenAddress = "127.0.0.1:0"
+	// publishTimeout bounds the publishing of the deployment's profiles.
+	publishTimeout = 30 * time.Second
+	// logSeed seeds the stand-in log's faults.
+	logSeed = 1
+)
+
+// Demo is a deployment in one process.
+type Demo struct {
+	deployment deployment.Deployment
+	servers    []*server
+	hosts      []*host.Host
+	engines    []*enginestandin.Engine
+	services   []*servicestandin.Service
+	list       *hostliststandin.List
+	log        *logstandin.Store
+}
+
+// server serves one stand-in.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func (s *server) run() {
+	_ = s.http.Serve(s.listener)
+}
+
+// New starts the stand-ins of a deployment and makes its hosts.
+func New(firm deployment.Deployment, hosts int, logger log.Logger) (*Demo, error) {
+	d := &Demo{
+		deployment: firm,
+		list:       hostliststandin.New(),
+		log:        logstandin.New(time.Now, logSeed),
+	}
+	if err := d.start(hosts, logger); err != nil {
+		d.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Demo) start(hosts int, logger log.Logger) error {
+	logAddress, err := d.serve(d.log.Handler())
+	if err != nil {
+		return err
+	}
+	listAddress, err := d.serve(d.list.Handler())
+	if err != nil {
+		return err
+	}
+	storeAddress, err := d.serve(weightstandin.New(weightstandin.Settings{}).Handler())
+	if err != nil {
+		return err
+	}
+	for _, endpoint := range d.deployment.Endpoints() {
+		if err := d.startEndpoint(endpoint); err != nil {
+			return err
+		}
+	}
+	var peers []string
+	for i := range hosts {
+		h, err := host.New(host.Dependencies{
+			Settings: d.hostSettings(i, logAddress, listAddress, storeAddress, peers),
+			Logger:   logger,
+		})
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		d.hosts = append(d.hosts, h)
+		peers = append(peers, h.PeerAddress())
+	}
+	return nil
+}
+
+func (d *Demo) hostSettings(index int, logAddress, listAddress, storeAddress string, peers []string) settings.Settings {
+	s := settings.Defaults()
+	s.Name = fmt.Sprintf("%s-host-%d", d.deployment.Name, index+1)
+	s.Zone = d.deployment.Zones[index%len(d.deployment.Zones)]
+	s.CallerListen = listenAddress
+	s.PeerListen = listenAddress
+	s.OperatorListen = listenAddress
+	s.LogURL = "http://" + logAddress
+	s.HostListURL = "http://" + listAddress
+	s.WeightStoreURL = "http://" + storeAddress
+	s.Peers = append([]string(nil), peers...)
+	s.BalancerLag = 0
+	return s
+}
+
+func (d *Demo) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", listenAddress)
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	s := &server{
+		http: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: time.Minute,
+		},
+		listener: listener,
+	}
+	d.servers = append(d.servers, s)
+	go s.run()
+	return listener.Addr().String(), nil
+}
+
+func (d *Demo) startEndpoint(endpoint deployment.Endpoint) error {
+	entry := hostlist.Entry{
+		Name:          endpoint.Name,
+		Incarnation:   1,
+		Zone:          endpoint.Zone,
+		Pool:          endpoint.Pool.Name,
+		State:         hostlist.StateLive,
+		ChecksFencing: endpoint.Pool.ChecksFencing,
+	}
+	var handler http.Handler
+	if endpoint.Pool.Kind == profile.KindModel {
+		entry.Kind = hostlist.KindEngine
+		e := enginestandin.New(enginestandin.Settings{
+			Name:          endpoint.Name,
+			Model:         endpoint.Pool.Name,
+			Slots:         endpoint.Pool.Slots,
+			TokenInterval: endpoint.Pool.TokenInterval,
+			AnswerTokens:  endpoint.Pool.AnswerTokens,
+			ChecksFencing: endpoint.Pool.ChecksFencing,
+		})
+		d.engines = append(d.engines, e)
+		handler = e.Handler()
+	} else {
+		entry.Kind = hostlist.KindService
+		s := servicestandin.New(servicestandin.Settings{
+			Name:     endpoint.Name,
+			Slots:    endpoint.Pool.Slots,
+			WorkTime: endpoint.Pool.TokenInterval,
+		})
+		d.services = append(d.services, s)
+		handler = s.Handler()
+	}
+	address, err := d.serve(handler)
+	if err != nil {
+		return err
+	}
+	entry.Address = address
+	d.list.Put(entry)
+	return nil
+}
+
+// Run serves until ctx ends, then stops the hosts in good order and ends the
+// stand-ins. The first end of kill stops all at once.
+func (d *Demo) Run(ctx, kill context.Context) error {
+	var group sync.WaitGroup
+	runners := make([]*runner, 0, len(d.hosts))
+	for _, h := range d.hosts {
+		r := &runner{
+			host: h,
+		}
+		runners = append(runners, r)
+		group.Add(1)
+		go r.run(ctx, kill, &group)
+	}
+	group.Wait()
+	d.close()
+	for _, r := range runners {
+		if r.err != nil {
+			return r.err
+		}
+	}
+	return nil
+}
+
+// runner runs one host.
+type runner struct {
+	host *host.Host
+	err  error
+}
+
+func (r *runner) run(ctx, kill context.Context, group *sync.WaitGroup) {
+	defer group.Done()
+	r.err = r.host.Run(ctx, kill)
+}
+
+// Publish makes the deployment's profiles known, through its first host, which
+// must be running.
+func (d *Demo) Publish(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	for _, spec := range d.deployment.Profiles {
+		change := configuration.ProfileChange{
+			Name:   spec.Name,
+			Spec:   &spec,
+			Author: "demo",
+		}
+		if err := d.hosts[0].PublishChange(ctx, change); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+func (d *Demo) close() {
+	for _, s := range d.servers {
+		_ = s.http.Close()
+	}
+}
+
+// Hosts returns the hosts.
+func (d *Demo) Hosts() []*host.Host { return d.hosts }
+
+// Engines returns the stand-in engines.
+func (d *Demo) Engines() []*enginestandin.Engine { return d.engines }
+
+// Services returns the stand-in plain services.
+func (d *Demo) Services() []*servicestandin.Service { return d.services }
+
+// Log returns the stand-in log.
+func (d *Demo) Log() *logstandin.Store { return d.log }
+
+// List returns the stand-in host list.
+func (d *Demo) List() *hostliststandin.List { return d.list }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -181,3 +181,22 @@
 		c.add("tls-ca", "", "a file, since another TLS setting is given")
 	}
 }
+
+// Defaults returns the settings that a host has when no flag is given, without
+// those that have no default.
+func Defaults() Settings {
+	return Settings{
+		Region:         "default",
+		CallerListen:   "127.0.0.1:8080",
+		PeerListen:     "127.0.0.1:8081",
+		OperatorListen: "127.0.0.1:8082",
+		BodyLimit:      1 << 20,
+		BodyTime:       10 * time.Second,
+		BalancerLag:    5 * time.Second,
+		StopTimeout:    10 * time.Minute,
+		StaleBound:     10 * time.Minute,
+		LogRetention:   24 * time.Hour,
+		ListInterval:   time.Second,
+		ReportInterval: 500 * time.Millisecond,
+	}
+}
