Keep a view of the fleet and the connections to peers

Cause: hosts had no way to know one another. Change: core/membership decides which hosts are live (monitor graph over several rings, fresh and indirect probes, suspicion, refutation, exchange of views by buckets) and spreads leaving endpoints and stream heads. io/node owns it: connect-go service, one HTTP/2 connection for each peer, announcements. Measured: go test -race -count=5 ./io/node passes with three hosts on loopback, by seeds with the log down and by announcements.

--- /dev/null
+++ b/core/membership/counters.go
@@ -0,0 +1,52 @@
+package membership
+
+// Counters count what happened to a view.
+type Counters struct {
+	ProbesSent         uint64 `json:"probesSent"`
+	ProbesFailed       uint64 `json:"probesFailed"`
+	FreshProbes        uint64 `json:"freshProbes"`
+	FreshAnswers       uint64 `json:"freshAnswers"`
+	IndirectProbes     uint64 `json:"indirectProbes"`
+	IndirectAnswers    uint64 `json:"indirectAnswers"`
+	SilentRounds       uint64 `json:"silentRounds"`
+	Suspicions         uint64 `json:"suspicions"`
+	Refutations        uint64 `json:"refutations"`
+	MembersJoined      uint64 `json:"membersJoined"`
+	MembersDead        uint64 `json:"membersDead"`
+	MembersLeft        uint64 `json:"membersLeft"`
+	MembersReplaced    uint64 `json:"membersReplaced"`
+	MembersRefused     uint64 `json:"membersRefused"`
+	Reprobes           uint64 `json:"reprobes"`
+	Exchanges          uint64 `json:"exchanges"`
+	ExchangesFailed    uint64 `json:"exchangesFailed"`
+	EagerRounds        uint64 `json:"eagerRounds"`
+	EagerDeferred      uint64 `json:"eagerDeferred"`
+	EndpointsHeard     uint64 `json:"endpointsHeard"`
+	EndpointsForgotten uint64 `json:"endpointsForgotten"`
+	NewsDropped        uint64 `json:"newsDropped"`
+	MalformedNews      uint64 `json:"malformedNews"`
+	Pauses             uint64 `json:"pauses"`
+}
+
+// Dump is the state of a view for operators.
+type Dump struct {
+	Self             StateDump   `json:"self"`
+	Joined           bool        `json:"joined"`
+	Superseded       bool        `json:"superseded"`
+	Hosts            int         `json:"hosts"`
+	Neighbors        []string    `json:"neighbors"`
+	Members          []StateDump `json:"members"`
+	LeavingEndpoints int         `json:"leavingEndpoints"`
+	QueuedNews       int         `json:"queuedNews"`
+	Counters         Counters    `json:"counters"`
+}
+
+// StateDump is a member's state for operators.
+type StateDump struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+	Version     uint32 `json:"version"`
+	Address     string `json:"address"`
+	Zone        string `json:"zone"`
+	Status      string `json:"status"`
+}
--- /dev/null
+++ b/core/membership/leave.go
@@ -0,0 +1,28 @@
+package membership
+
+// startLeave tells the neighbors that this host leaves. It answers probes until
+// its owner stops it.
+func (m *Machine) startLeave() {
+	if m.leaving {
+		return
+	}
+	m.leaving = true
+	m.leaveUntil = m.now.Add(m.settings.LeaveTimeout)
+	m.self.version++
+	m.table.setStatus(m.self, Left)
+	m.enqueueMember(m.self, true)
+	m.eagerTokens = max(m.eagerTokens, 1)
+}
+
+// advanceLeave ends the leave when the news was sent to enough hosts that
+// answered, or when its time is over.
+func (m *Machine) advanceLeave() {
+	if !m.leaving || m.leaveDone {
+		return
+	}
+	if m.leaveAnswers < len(m.slots) && m.leaveUntil.After(m.now) {
+		return
+	}
+	m.leaveDone = true
+	m.emit(LeaveDone{})
+}
--- /dev/null
+++ b/core/membership/probe.go
@@ -0,0 +1,442 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// probeKind says why a member is probed.
+type probeKind int
+
+const (
+	// neighborProbe is part of the monitor graph.
+	neighborProbe probeKind = iota
+	// watchProbe gives a suspected member the chance to refute at once.
+	watchProbe
+	// deadProbe looks whether a member believed dead is back.
+	deadProbe
+	// relayProbe is made for a peer.
+	relayProbe
+)
+
+// probeStage is how far a probe has come.
+type probeStage int
+
+const (
+	directStage probeStage = iota
+	freshStage
+	indirectStage
+)
+
+// probe is a probe under way.
+type probe struct {
+	kind     probeKind
+	stage    probeStage
+	target   Member
+	calls    []CallID
+	deadline time.Time
+	// refused is set when a helper answered that it had no answer either.
+	refused bool
+	helpers int
+	// contested is set if a peer believes the dead member live.
+	contested bool
+	reply     ReplyID
+}
+
+// slot is one neighbor of this host in the monitor graph.
+type slot struct {
+	target      *entry
+	at          time.Time
+	outstanding bool
+}
+
+// refreshSlots chooses the neighbors anew after the view has changed: on each
+// ring the next member that is not suspected. A suspected member is thus
+// replaced at once, as in the paper, and its monitor still watches it.
+func (m *Machine) refreshSlots() {
+	if !m.slotsStale {
+		return
+	}
+	m.slotsStale = false
+	old := m.slots
+	m.slots = nil
+	for ring := range m.settings.Neighbors {
+		if next := m.successor(ring); next != nil {
+			m.slots = append(m.slots, m.newSlot(next, old))
+		}
+	}
+}
+
+// successor returns the next member on a ring that is not a neighbor yet.
+func (m *Machine) successor(ring int) *entry {
+	var best *entry
+	var bestDistance uint64
+	for _, e := range m.table.order {
+		if e == m.self || e.status != Alive || m.isNeighbor(e) {
+			continue
+		}
+		distance := e.ranks[ring] - m.self.ranks[ring]
+		if best == nil || distance < bestDistance {
+			best = e
+			bestDistance = distance
+		}
+	}
+	return best
+}
+
+func (m *Machine) isNeighbor(e *entry) bool {
+	return slices.ContainsFunc(m.slots, func(s slot) bool {
+		return s.target == e
+	})
+}
+
+// newSlot keeps a neighbor's schedule, and gives a new one a time at random.
+func (m *Machine) newSlot(target *entry, old []slot) slot {
+	for _, s := range old {
+		if s.target == target {
+			return s
+		}
+	}
+	return slot{
+		target: target,
+		at:     m.now.Add(time.Duration(m.random.Float64() * float64(m.settings.ProbePeriod))),
+	}
+}
+
+func (m *Machine) startDueProbes() {
+	for i := range m.slots {
+		s := &m.slots[i]
+		if s.outstanding || s.at.After(m.now) {
+			continue
+		}
+		s.outstanding = true
+		s.at = m.now.Add(m.jitter(m.settings.ProbePeriod))
+		m.startProbe(&probe{
+			kind:   neighborProbe,
+			target: s.target.member,
+		})
+	}
+}
+
+// pushEagerly sends urgent news with an early round of probes.
+func (m *Machine) pushEagerly() {
+	if m.eagerAt.IsZero() || m.eagerAt.After(m.now) {
+		return
+	}
+	m.eagerAt = time.Time{}
+	elapsed := m.now.Sub(m.eagerRefillAt).Seconds()
+	m.eagerRefillAt = m.now
+	m.eagerTokens = min(m.settings.EagerBurst, m.eagerTokens+elapsed*m.settings.EagerPerSecond)
+	if m.eagerTokens < 1 {
+		m.counters.EagerDeferred++
+		return
+	}
+	m.eagerTokens--
+	m.counters.EagerRounds++
+	for i := range m.slots {
+		m.slots[i].at = m.now
+	}
+}
+
+func (m *Machine) watchSuspects() {
+	for _, e := range m.watched {
+		if e.watchAt.After(m.now) {
+			continue
+		}
+		e.watchAt = m.now.Add(m.jitter(m.settings.ProbePeriod))
+		m.startProbe(&probe{
+			kind:   watchProbe,
+			stage:  freshStage,
+			target: e.member,
+		})
+	}
+}
+
+// reprobe looks for members believed dead that are back, as after a partition.
+func (m *Machine) reprobe() {
+	if len(m.contested) > 0 && !m.contestedAt.After(m.now) {
+		m.contestedAt = m.now.Add(m.jitter(m.settings.ContestedPeriod))
+		e := m.contested[m.random.IntN(len(m.contested))]
+		m.forgetContest(e)
+		m.startDeadProbe(e, true)
+	}
+	if m.reprobeAt.After(m.now) {
+		return
+	}
+	m.reprobeAt = m.now.Add(m.jitter(m.settings.ReprobePeriod))
+	if e := m.randomDead(); e != nil {
+		m.startDeadProbe(e, false)
+	}
+}
+
+func (m *Machine) startDeadProbe(e *entry, contested bool) {
+	m.counters.Reprobes++
+	m.startProbe(&probe{
+		kind:      deadProbe,
+		stage:     freshStage,
+		target:    e.member,
+		contested: contested,
+	})
+}
+
+func (m *Machine) randomDead() *entry {
+	var dead []*entry
+	for _, e := range m.table.order {
+		if e.status == Dead && e.member.Address != "" {
+			dead = append(dead, e)
+		}
+	}
+	if len(dead) == 0 {
+		return nil
+	}
+	return dead[m.random.IntN(len(dead))]
+}
+
+func (m *Machine) startProbe(p *probe) {
+	m.probes = append(m.probes, p)
+	m.sendProbe(p)
+}
+
+func (m *Machine) sendProbe(p *probe) {
+	call := m.callID()
+	p.calls = []CallID{call}
+	p.deadline = m.now.Add(m.settings.ProbeTimeout)
+	m.counters.ProbesSent++
+	if p.stage == freshStage {
+		m.counters.FreshProbes++
+	}
+	m.emit(SendProbe{
+		Call:    call,
+		To:      p.target,
+		Timeout: m.settings.ProbeTimeout,
+		Fresh:   p.stage == freshStage,
+		Message: m.message(p.target.Name),
+	})
+}
+
+func (m *Machine) findProbe(call CallID) *probe {
+	for _, p := range m.probes {
+		if slices.Contains(p.calls, call) {
+			return p
+		}
+	}
+	return nil
+}
+
+func (m *Machine) endProbe(p *probe) {
+	m.probes = slices.DeleteFunc(m.probes, func(other *probe) bool {
+		return other == p
+	})
+	if p.kind != neighborProbe {
+		return
+	}
+	for i := range m.slots {
+		if m.slots[i].target.member.Name == p.target.Name {
+			m.slots[i].outstanding = false
+		}
+	}
+}
+
+func (m *Machine) expireProbes() {
+	for _, p := range slices.Clone(m.probes) {
+		if !p.deadline.After(m.now) {
+			m.failStage(p)
+		}
+	}
+}
+
+func (m *Machine) onProbeReceived(event ProbeReceived) {
+	m.hear(event.Message)
+	m.emit(AnswerProbe{
+		Reply:   event.Reply,
+		Message: m.message(event.Message.From),
+	})
+}
+
+func (m *Machine) onProbeAnswered(event ProbeAnswered) {
+	p := m.findProbe(event.Call)
+	m.hear(event.Message)
+	if p == nil {
+		return
+	}
+	if event.Message.From != p.target.Name || event.Message.Incarnation > p.target.Incarnation {
+		m.onReplaced(p)
+		return
+	}
+	if event.Message.Incarnation < p.target.Incarnation {
+		m.failStage(p)
+		return
+	}
+	if p.stage == freshStage {
+		m.counters.FreshAnswers++
+	}
+	m.succeed(p)
+	if m.leaving && p.kind == neighborProbe {
+		m.leaveAnswers++
+	}
+	m.compare(event.Message, p)
+}
+
+// onReplaced handles an answer from another process than the one probed: the
+// one probed does not listen at its address any more.
+func (m *Machine) onReplaced(p *probe) {
+	m.answerRelay(p, false)
+	m.endProbe(p)
+	e := m.table.get(p.target.Name)
+	if e != nil && e.member.Incarnation == p.target.Incarnation && e.status != Left {
+		m.setGone(e, Dead, GoneReplaced)
+		e.member.Address = ""
+		m.enqueueMember(e, true)
+	}
+	m.startExchange(p.target.Address, 0)
+}
+
+func (m *Machine) onProbeFailed(event ProbeFailed) {
+	if p := m.findProbe(event.Call); p != nil {
+		m.failStage(p)
+	}
+}
+
+func (m *Machine) succeed(p *probe) {
+	m.answerRelay(p, true)
+	m.endProbe(p)
+	if e := m.table.get(p.target.Name); e != nil {
+		e.silentRounds = 0
+	}
+}
+
+// failStage goes on to the next way to reach a silent member, or gives up.
+func (m *Machine) failStage(p *probe) {
+	m.counters.ProbesFailed++
+	switch {
+	case p.kind == watchProbe || p.kind == deadProbe:
+		m.endProbe(p)
+		m.concludeDeadProbe(p)
+	case p.stage == directStage:
+		p.stage = freshStage
+		m.sendProbe(p)
+	case p.kind == relayProbe:
+		m.answerRelay(p, false)
+		m.endProbe(p)
+	case p.stage == freshStage:
+		m.askHelpers(p)
+	default:
+		m.conclude(p)
+	}
+}
+
+// concludeDeadProbe tells anew that a member is dead, for those who believe it
+// live.
+func (m *Machine) concludeDeadProbe(p *probe) {
+	e := m.table.get(p.target.Name)
+	if p.contested && e != nil && e.status == Dead {
+		m.enqueueMember(e, false)
+	}
+}
+
+// askHelpers asks other members to probe a silent one.
+func (m *Machine) askHelpers(p *probe) {
+	p.stage = indirectStage
+	p.calls = nil
+	p.deadline = m.now.Add(m.settings.IndirectTimeout)
+	for _, helper := range m.chooseHelpers(p.target.Name) {
+		call := m.callID()
+		p.calls = append(p.calls, call)
+		m.counters.IndirectProbes++
+		m.emit(SendIndirectProbe{
+			Call:    call,
+			Helper:  helper,
+			Target:  p.target,
+			Timeout: m.settings.IndirectTimeout,
+		})
+	}
+	p.helpers = len(p.calls)
+	if p.helpers == 0 {
+		m.conclude(p)
+	}
+}
+
+func (m *Machine) chooseHelpers(target string) []Member {
+	var others []Member
+	for _, e := range m.table.order {
+		if e != m.self && e.status == Alive && e.member.Name != target {
+			others = append(others, e.member)
+		}
+	}
+	m.random.Shuffle(len(others), func(i, j int) {
+		others[i], others[j] = others[j], others[i]
+	})
+	return others[:min(len(others), m.settings.IndirectProbes)]
+}
+
+func (m *Machine) onIndirectProbeAnswered(event IndirectProbeAnswered) {
+	p := m.findProbe(event.Call)
+	if p == nil {
+		return
+	}
+	if event.Alive {
+		m.counters.IndirectAnswers++
+		m.succeed(p)
+		return
+	}
+	p.refused = true
+	m.dropHelper(p, event.Call)
+}
+
+func (m *Machine) onIndirectProbeFailed(event IndirectProbeFailed) {
+	if p := m.findProbe(event.Call); p != nil {
+		m.dropHelper(p, event.Call)
+	}
+}
+
+func (m *Machine) dropHelper(p *probe, call CallID) {
+	p.calls = slices.DeleteFunc(p.calls, func(other CallID) bool {
+		return other == call
+	})
+	if len(p.calls) == 0 {
+		m.conclude(p)
+	}
+}
+
+// conclude suspects a member that nobody reached. If no helper answered either,
+// the fault may be this host's own, so it tries again first.
+func (m *Machine) conclude(p *probe) {
+	m.endProbe(p)
+	e := m.table.get(p.target.Name)
+	if e == nil || e.status != Alive || e.member.Incarnation != p.target.Incarnation {
+		return
+	}
+	if !p.refused && p.helpers > 0 {
+		m.counters.SilentRounds++
+		e.silentRounds++
+		if e.silentRounds < m.settings.SilentRounds {
+			return
+		}
+	}
+	m.suspect(e, true)
+}
+
+func (m *Machine) onIndirectProbeReceived(event IndirectProbeReceived) {
+	m.startProbe(&probe{
+		kind:   relayProbe,
+		target: event.Target,
+		reply:  event.Reply,
+	})
+}
+
+func (m *Machine) answerRelay(p *probe, alive bool) {
+	if p.kind != relayProbe {
+		return
+	}
+	m.emit(AnswerIndirectProbe{
+		Reply: p.reply,
+		Alive: alive,
+	})
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/io/node/caller.go
@@ -0,0 +1,178 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+
+	"connectrpc.com/connect"
+
+	"cactuswell/core/membership"
+	"cactuswell/io/node/nodev1"
+	"cactuswell/io/node/nodev1/nodev1connect"
+	"cactuswell/ring"
+)
+
+const (
+	// callerCount is how many calls to peers are under way at once.
+	callerCount = 16
+	// callerBacklog is how many calls may wait for one caller.
+	callerBacklog = 8
+)
+
+// caller is a duty that makes the membership calls to peers, one at a time.
+type caller struct {
+	node  *Node
+	calls *ring.Ring[membership.Command]
+	busy  atomic.Bool
+}
+
+func newCaller(n *Node) *caller {
+	return &caller{
+		node:  n,
+		calls: ring.New[membership.Command](callerBacklog),
+	}
+}
+
+// load returns how many calls the caller has before it.
+func (c *caller) load() int {
+	load := c.calls.Len()
+	if c.busy.Load() {
+		load++
+	}
+	return load
+}
+
+func (c *caller) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.calls.Ready():
+			c.drain(ctx)
+		}
+	}
+}
+
+func (c *caller) drain(ctx context.Context) {
+	c.busy.Store(true)
+	defer c.busy.Store(false)
+	for command, ok := c.calls.Pop(); ok && ctx.Err() == nil; command, ok = c.calls.Pop() {
+		c.node.report(c.call(ctx, command))
+	}
+}
+
+// call makes one call and returns the event that follows from it.
+func (c *caller) call(ctx context.Context, command membership.Command) membership.Event {
+	switch command := command.(type) {
+	case membership.SendProbe:
+		return c.probe(ctx, command)
+	case membership.SendIndirectProbe:
+		return c.probeIndirectly(ctx, command)
+	case membership.SendExchange:
+		return c.exchange(ctx, command)
+	}
+	return membership.TimePassed{}
+}
+
+func (c *caller) probe(ctx context.Context, command membership.SendProbe) membership.Event {
+	failed := membership.ProbeFailed{Call: command.Call}
+	if command.Fresh {
+		c.node.transport.Redial(command.To.Address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, command.Timeout)
+	defer cancel()
+	response, err := c.client(command.To.Address).Probe(ctx, connect.NewRequest(&nodev1.ProbeRequest{
+		From:            command.Message.From,
+		FromIncarnation: command.Message.Incarnation,
+		To:              command.To.Name,
+		Digest:          command.Message.Digest,
+		News:            newsToWire(command.Message.News),
+	}))
+	if err != nil {
+		return failed
+	}
+	answer := response.Msg
+	message, err := messageFromWire(answer.GetName(), answer.GetIncarnation(), answer.GetDigest(), answer.GetNews())
+	if err != nil {
+		c.node.malformed.Add(1)
+		return failed
+	}
+	return membership.ProbeAnswered{
+		Call:    command.Call,
+		Message: message,
+	}
+}
+
+func (c *caller) probeIndirectly(ctx context.Context, command membership.SendIndirectProbe) membership.Event {
+	ctx, cancel := context.WithTimeout(ctx, command.Timeout)
+	defer cancel()
+	self := c.node.Self()
+	request := &nodev1.ProbeIndirectlyRequest{
+		From:              self.Name,
+		FromIncarnation:   self.Incarnation,
+		Target:            command.Target.Name,
+		TargetAddress:     command.Target.Address,
+		TargetIncarnation: command.Target.Incarnation,
+	}
+	response, err := c.client(command.Helper.Address).ProbeIndirectly(ctx, connect.NewRequest(request))
+	if err != nil {
+		return membership.IndirectProbeFailed{Call: command.Call}
+	}
+	return membership.IndirectProbeAnswered{
+		Call:  command.Call,
+		Alive: response.Msg.GetAlive(),
+	}
+}
+
+func (c *caller) exchange(ctx context.Context, command membership.SendExchange) membership.Event {
+	failed := membership.ExchangeFailed{Call: command.Call}
+	ctx, cancel := context.WithTimeout(ctx, command.Timeout)
+	defer cancel()
+	response, err := c.client(command.Address).Exchange(ctx, connect.NewRequest(&nodev1.ExchangeRequest{
+		From:            command.Message.From,
+		FromIncarnation: command.Message.Incarnation,
+		Digest:          command.Message.Digest,
+		News:            newsToWire(command.Message.News),
+		Self:            stateToWire(command.Self),
+		MemberBuckets:   command.Buckets.Members[:],
+		EndpointBuckets: command.Buckets.Endpoints[:],
+	}))
+	if err != nil {
+		return failed
+	}
+	event, err := exchangeAnswerFromWire(command.Call, response.Msg)
+	if err != nil {
+		c.node.malformed.Add(1)
+		return failed
+	}
+	return event
+}
+
+// exchangeAnswerFromWire returns a checked event; the error is a
+// *membership.MalformedNewsError.
+func exchangeAnswerFromWire(
+	call membership.CallID, answer *nodev1.ExchangeResponse,
+) (membership.ExchangeAnswered, error) {
+	message, err := messageFromWire(answer.GetName(), answer.GetIncarnation(), answer.GetDigest(), answer.GetNews())
+	if err != nil {
+		return membership.ExchangeAnswered{}, err
+	}
+	self := stateFromWire(answer.GetSelf())
+	if err := self.Validate(); err != nil {
+		return membership.ExchangeAnswered{}, err
+	}
+	return membership.ExchangeAnswered{
+		Call:    call,
+		Message: message,
+		Self:    self,
+		Whole: membership.WholeBuckets{
+			Members:   answer.GetWholeMemberBuckets(),
+			Endpoints: answer.GetWholeEndpointBuckets(),
+		},
+	}, nil
+}
+
+func (c *caller) client(address string) nodev1connect.MembershipServiceClient {
+	return nodev1connect.NewMembershipServiceClient(c.node.client, c.node.transport.BaseURL(address),
+		connect.WithReadMaxBytes(maxPeerMessageBytes))
+}
--- /dev/null
+++ b/io/node/node_test.go
@@ -0,0 +1,212 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"cactuswell/core/endpoint"
+	"cactuswell/core/membership"
+	"cactuswell/core/record"
+	"cactuswell/io/logservice"
+	standinlog "cactuswell/standin/logservice"
+	"cactuswell/supervisor"
+	"cactuswell/timer"
+)
+
+// testHost is a node with its duties and its peer listener, on loopback.
+type testHost struct {
+	node    *Node
+	server  *http.Server
+	cancel  context.CancelFunc
+	done    chan struct{}
+	changed chan struct{}
+	leaving chan endpoint.Key
+	heads   chan membership.HeadHeard
+}
+
+func fastSettings(seeds ...string) membership.Settings {
+	settings := membership.DefaultSettings()
+	settings.Seeds = seeds
+	settings.ProbePeriod = 50 * time.Millisecond
+	settings.SuspicionTimeout = 200 * time.Millisecond
+	settings.JoinPeriod = 20 * time.Millisecond
+	return settings
+}
+
+func startHost(t testing.TB, name string, store logservice.Log, settings membership.Settings) *testHost {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	timers := timer.New()
+	h := &testHost{
+		node: New(Dependencies{
+			Self: membership.Member{
+				Name:        name,
+				Incarnation: 1,
+				Address:     listener.Addr().String(),
+				Zone:        "zone-" + name,
+			},
+			Settings: settings,
+			Timers:   timers,
+			Log:      store,
+			Logger:   log.NewNopLogger(),
+			Seed:     7,
+		}),
+		done:    make(chan struct{}),
+		changed: make(chan struct{}, 64),
+		leaving: make(chan endpoint.Key, 64),
+		heads:   make(chan membership.HeadHeard, 1024),
+	}
+	h.subscribe()
+	mux := http.NewServeMux()
+	mux.Handle(h.node.Handler())
+	h.server = h.node.Server(mux)
+	go func() { _ = h.server.Serve(h.node.Listener(listener)) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	tree := supervisor.New(name, log.NewNopLogger())
+	tree.Add(supervisor.Duty{
+		Name: "timer",
+		Run:  timers.Run,
+	})
+	for _, duty := range h.node.Duties() {
+		tree.Add(duty)
+	}
+	go func() {
+		defer close(h.done)
+		_ = tree.Run(ctx)
+	}()
+	t.Cleanup(h.stop)
+	return h
+}
+
+func (h *testHost) subscribe() {
+	h.node.OnMembersChanged(func() {
+		select {
+		case h.changed <- struct{}{}:
+		default:
+		}
+	})
+	h.node.OnEndpointLeaving(func(key endpoint.Key) {
+		h.leaving <- key
+	})
+	h.node.OnHeadHeard(func(head membership.HeadHeard) {
+		select {
+		case h.heads <- head:
+		default:
+		}
+	})
+}
+
+// stop ends the host without a leave, as a crash does.
+func (h *testHost) stop() {
+	h.cancel()
+	<-h.done
+	_ = h.server.Close()
+	h.node.Transport().Close()
+}
+
+// waitHosts returns when the host's view has the wanted number of hosts.
+func (h *testHost) waitHosts(t *testing.T, want int) {
+	t.Helper()
+	for h.node.Hosts() != want {
+		<-h.changed
+	}
+}
+
+func emptyLog() *standinlog.Store {
+	return standinlog.New(time.Now, 1)
+}
+
+func TestHostsJoinBySeedsAndSpreadNews(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("hosts", func(t *testing.T) {
+		store := emptyLog()
+		store.SetFaults(standinlog.Faults{
+			Down: true,
+		})
+		a := startHost(t, "a", store, fastSettings())
+		b := startHost(t, "b", store, fastSettings(a.node.Self().Address))
+		c := startHost(t, "c", store, fastSettings(a.node.Self().Address))
+		hosts := []*testHost{a, b, c}
+		for _, h := range hosts {
+			h.waitHosts(t, 3)
+		}
+		if diff := cmp.Diff(a.node.Live(), c.node.Live()); diff != "" {
+			t.Errorf("views differ (-a +c):\n%s", diff)
+		}
+		key := endpoint.Key{
+			Name:        "engine-1",
+			Incarnation: 4,
+		}
+		b.node.AnnounceLeaving(key)
+		b.node.AnnounceLeaving(key)
+		for _, h := range hosts {
+			if got := <-h.leaving; got != key {
+				t.Errorf("%s heard %v", h.node.Self().Name, got)
+			}
+		}
+		c.node.SetHead(record.StreamConfiguration, 42)
+		for head := range a.heads {
+			if head.Name == "c" && head.NextOffset == 42 {
+				break
+			}
+		}
+	})
+}
+
+func TestHostsJoinByAnnouncementsAndLeave(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("hosts", func(t *testing.T) {
+		store := emptyLog()
+		a := startHost(t, "a", store, fastSettings())
+		b := startHost(t, "b", store, fastSettings())
+		c := startHost(t, "c", store, fastSettings())
+		for _, h := range []*testHost{a, b, c} {
+			h.waitHosts(t, 3)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if err := c.node.Leave(ctx); err != nil {
+			t.Fatal(err)
+		}
+		a.waitHosts(t, 2)
+		b.waitHosts(t, 2)
+		c.stop()
+		dump, err := a.node.Dump(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if dump.Membership.Counters.MembersLeft != 1 || dump.Membership.Counters.MembersDead != 0 {
+			t.Errorf("counters after a graceful leave: %+v", dump.Membership.Counters)
+		}
+		if dump.Counters.BytesSent == 0 || dump.Counters.BytesReceived == 0 {
+			t.Errorf("no bytes counted: %+v", dump.Counters)
+		}
+	})
+}
+
+func TestCrashedHostIsRemoved(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("hosts", func(t *testing.T) {
+		store := emptyLog()
+		a := startHost(t, "a", store, fastSettings())
+		b := startHost(t, "b", store, fastSettings(a.node.Self().Address))
+		c := startHost(t, "c", store, fastSettings(a.node.Self().Address))
+		for _, h := range []*testHost{a, b, c} {
+			h.waitHosts(t, 3)
+		}
+		c.stop()
+		a.waitHosts(t, 2)
+		b.waitHosts(t, 2)
+	})
+}
