Add the load tool and wire membership and configuration into the host

Cause: the path must be driven and its answers checked from outside. Change: a load tool that scripts arrivals from a seed, checks every answer and asks the stand-ins how often each booking was run; the host runs the membership and configuration duties.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -78,6 +78,7 @@
 	return []subcommand{
 		newCheckCommand(c),
 		newDemoCommand(c),
+		newLoadCommand(c),
 		newServeCommand(c),
 		newStandInCommand(c),
 		newVersionCommand(c),
--- /dev/null
+++ b/cmd/loadcmd.go
@@ -0,0 +1,114 @@
+package cmd
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"cactuswell/deployment"
+	"cactuswell/load"
+)
+
+// loadCommand drives callers against entry hosts.
+type loadCommand struct {
+	Hosts    []string      `long:"host" env:"CACTUSWELL_LOAD_HOSTS" env-delim:"," description:"IP:port of an entry host's caller listener; may be given many times" required:"yes"`
+	Services []string      `long:"service" env:"CACTUSWELL_LOAD_SERVICES" env-delim:"," description:"IP:port of a stand-in service to ask for executions"`
+	Engines  []string      `long:"engine" env:"CACTUSWELL_LOAD_ENGINES" env-delim:"," description:"IP:port of a stand-in engine to ask for generated tokens"`
+	Firm     string        `long:"firm" env:"CACTUSWELL_LOAD_FIRM" description:"deployment whose profiles and teams are used" choice:"kelisim" choice:"lindqvist" default:"kelisim"`
+	Streams  []string      `long:"stream" env:"CACTUSWELL_LOAD_STREAMS" env-delim:"," description:"profile=rate, with bursts as @start+length*factor, such as schedulingDraft=20@10s+5s*3; may be given many times" required:"yes"`
+	Duration time.Duration `long:"duration" env:"CACTUSWELL_LOAD_DURATION" description:"how long requests are started" default:"10s"`
+	Seed     uint64        `long:"seed" env:"CACTUSWELL_LOAD_SEED" description:"seed of the arrivals" default:"1"`
+	KeyShare float64       `long:"key-share" env:"CACTUSWELL_LOAD_KEY_SHARE" description:"part of the bookings, 0 to 1, that carry an idempotency key and are repeated" default:"0.5"`
+	JSON     bool          `long:"json" env:"CACTUSWELL_LOAD_JSON" description:"print the report as JSON"`
+
+	console *console
+}
+
+// BreachedError says that a run found breaches of promises.
+type BreachedError struct {
+	Breaches int
+}
+
+// Error names the number of breaches.
+func (e *BreachedError) Error() string {
+	return fmt.Sprintf("%d breaches of promises", e.Breaches)
+}
+
+func newLoadCommand(c *console) subcommand {
+	return subcommand{
+		name:  "load",
+		short: "Drive callers against entry hosts and report",
+		long: "Makes requests of the named profiles at the given rates, checks every answer, asks the stand-ins " +
+			"how often each booking was run, and prints attainment by class, goodput by value, wasted work, " +
+			"duplicates and refusals by kind. Exits with 1 if a promise was breached.",
+		command: &loadCommand{
+			console: c,
+		},
+	}
+}
+
+// Execute runs the command.
+func (l *loadCommand) Execute([]string) error {
+	firm, err := deployment.Named(l.Firm)
+	if err != nil {
+		return err
+	}
+	config := load.Config{
+		Hosts:    l.Hosts,
+		Services: l.Services,
+		Engines:  l.Engines,
+		Firm:     firm,
+		Duration: l.Duration,
+		Seed:     l.Seed,
+		KeyShare: l.KeyShare,
+	}
+	for _, text := range l.Streams {
+		stream, err := load.ParseStream(text)
+		if err != nil {
+			return err
+		}
+		config.Streams = append(config.Streams, stream)
+	}
+	driver, err := load.New(config)
+	if err != nil {
+		return err
+	}
+	if l.console.terminal() {
+		driver.Progress = l.progress
+	}
+	signals := newStopSignals()
+	defer signals.close()
+	report, err := driver.Run(signals.stop)
+	if err != nil {
+		return err
+	}
+	return l.print(report)
+}
+
+func (l *loadCommand) progress(done, all int) {
+	_, _ = fmt.Fprintf(l.console.errors, "\r%d of %d requests started", done, all)
+}
+
+func (l *loadCommand) print(report *load.Report) error {
+	write := report.WriteText
+	if l.JSON {
+		write = report.WriteJSON
+	}
+	if err := write(l.console.out); err != nil {
+		return err
+	}
+	if breaches := report.Breaches(); breaches > 0 {
+		return &BreachedError{Breaches: breaches}
+	}
+	return nil
+}
+
+// terminal reports whether the error output is a terminal.
+func (c *console) terminal() bool {
+	file, ok := c.errors.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := file.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- a/host/backend.go
+++ b/host/backend.go
@@ -5,9 +5,13 @@
 	"strconv"
 	"time"
 
+	"github.com/gravitational/trace"
+
+	core "cactuswell/core/configuration"
 	"cactuswell/core/dispatch"
 	"cactuswell/core/profile"
 	"cactuswell/io/caller"
+	"cactuswell/io/configuration"
 )
 
 // ringFullRetry is when a caller should come back after a full arrival ring.
@@ -15,7 +19,7 @@
 
 // Profile returns the profile in force under a name.
 func (h *Host) Profile(name string) (profile.Profile, bool) {
-	p, _, ok := h.profiles.Profile(name)
+	p, _, ok := h.configuration.Profile(name)
 	return p, ok
 }
 
@@ -29,7 +33,7 @@
 	if h.phase.Load() != phaseServing {
 		return false, "the host is stopping"
 	}
-	return h.profiles.Ready()
+	return h.configuration.Ready()
 }
 
 // Accepting reports whether the host can serve a request at all.
@@ -71,3 +75,14 @@
 		})
 	})
 }
+
+// IssueKey returns a new idempotency key for a team.
+func (h *Host) IssueKey(string) (string, error) {
+	return "", nil
+}
+
+// PublishChange publishes a change of the configuration through this host.
+func (h *Host) PublishChange(ctx context.Context, change core.Change) error {
+	_, err := h.configuration.Change(ctx, configuration.NewID(), change)
+	return trace.Wrap(err)
+}
--- a/host/host.go
+++ b/host/host.go
@@ -27,8 +27,9 @@
 
 	"cactuswell/core/dispatch"
 	"cactuswell/core/endpoint"
-	"cactuswell/core/profile"
 	"cactuswell/core/routing"
+	"cactuswell/io/configuration"
+	"cactuswell/io/node"
 	"cactuswell/metrics"
 	"cactuswell/settings"
 	"cactuswell/supervisor"
@@ -43,31 +44,29 @@
 
 // Host is one entry host.
 type Host struct {
-	settings       settings.Settings
-	logger         log.Logger
-	incarnation    uint64
-	timers         *timer.Service
-	counters       *metrics.Counters
-	tree           *supervisor.Tree
-	clients        clients
-	directory      *directory
-	profiles       profiles
-	requestIDs     atomic.Uint64
-	externalIDs    atomic.Uint64
-	callerListener net.Listener
-	recent         *recentRequests
-	phase          atomic.Int32
+	settings      settings.Settings
+	logger        log.Logger
+	incarnation   uint64
+	timers        *timer.Service
+	counters      *metrics.Counters
+	tree          *supervisor.Tree
+	clients       clients
+	node          *node.Node
+	configuration *configuration.Configuration
+	directory     *directory
+	recent        *recentRequests
+	requestIDs    atomic.Uint64
+	externalIDs   atomic.Uint64
+	phase         atomic.Int32
+
+	callerListener   net.Listener
+	peerListener     net.Listener
+	operatorListener net.Listener
 
 	mu    sync.Mutex
 	pools map[string]*pool
 }
 
-// profiles is where the host finds the profiles in force.
-type profiles interface {
-	Profile(name string) (profile.Profile, uint64, bool)
-	Ready() (bool, string)
-}
-
 // The phases of a host's life.
 const (
 	phaseServing int32 = iota
@@ -121,6 +120,9 @@
 		ids:        &h.requestIDs,
 		rebuilt:    func(p *pool) { h.directory.resend(p.name) },
 	})
+	p.events.TryPush(dispatch.HostsCounted{
+		Hosts: h.node.Hosts(),
+	})
 	h.pools[name] = p
 	h.tree.Add(supervisor.Duty{
 		Name:      "pool." + name,
@@ -134,11 +136,11 @@
 // host's name and life, so that hosts do not choose alike.
 func (h *Host) newDispatcher(pool string) dispatch.Dispatcher {
 	random := rand.New(rand.NewPCG(h.incarnation, hash(h.settings.Name+"/"+pool)))
-	router := routing.New(routing.Settings{
-		Host: h.settings.Name,
+	routerSettings := routing.DefaultSettings(h.settings.Name, h.settings.Zone)
+	return dispatch.New(dispatch.Settings{
+		Pool: pool,
 		Zone: h.settings.Zone,
-	}, random)
-	return dispatch.New(dispatch.Settings{}, router, random)
+	}, routing.New(routerSettings, random), random)
 }
 
 // id names this life of the host in the ids of attempts.
--- a/host/run.go
+++ b/host/run.go
@@ -10,10 +10,15 @@
 	"github.com/go-kit/log"
 	"github.com/gravitational/trace"
 
-	"cactuswell/core/endpoint"
+	"cactuswell/core/dispatch"
+	"cactuswell/core/membership"
 	"cactuswell/io/caller"
+	"cactuswell/io/configuration"
 	"cactuswell/io/hostlist"
+	"cactuswell/io/logservice"
+	"cactuswell/io/node"
 	"cactuswell/metrics"
+	"cactuswell/settings"
 	"cactuswell/supervisor"
 	"cactuswell/timer"
 )
@@ -29,6 +34,8 @@
 	openPoll = 20 * time.Millisecond
 	// closeTimeout bounds the closing of listeners whose requests are done.
 	closeTimeout = 5 * time.Second
+	// leaveTimeout bounds the spreading of the host's own leave.
+	leaveTimeout = 5 * time.Second
 )
 
 // CutShortError says that a stop ended before the requests in flight did.
@@ -42,7 +49,8 @@
 }
 
 // New returns a host. It listens at once, so that addresses chosen by the
-// operating system are known, and serves when Run is called.
+// operating system are known, and serves when Run is called. The error is a
+// *settings.InvalidError or comes from listening.
 func New(dependencies Dependencies) (*Host, error) {
 	if err := dependencies.Settings.Check(); err != nil {
 		return nil, trace.Wrap(err)
@@ -58,7 +66,12 @@
 		recent:      newRecentRequests(),
 		pools:       make(map[string]*pool),
 	}
+	if err := h.listen(); err != nil {
+		return nil, err
+	}
 	h.tree = supervisor.New("host", h.logger)
+	h.node = h.newNode()
+	h.configuration = h.newConfiguration()
 	h.directory = newDirectory(directoryDependencies{
 		lister:   hostlist.New(h.settings.HostListURL, &http.Client{Transport: newTransport(false)}),
 		interval: h.settings.ListInterval,
@@ -67,21 +80,84 @@
 		counters: h.counters,
 		post:     h.postToPool,
 		added:    h.watched,
-		leaving:  func(endpoint.Key) {},
+		leaving:  h.node.AnnounceLeaving,
 	})
-	return h, h.listen()
+	h.node.OnEndpointLeaving(h.directory.markLeaving)
+	h.node.OnMembersChanged(h.countHosts)
+	return h, nil
 }
 
 func (h *Host) listen() error {
-	var err error
-	if h.callerListener, err = net.Listen("tcp", h.settings.CallerListen); err != nil {
-		return trace.Wrap(err)
+	for _, l := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{listener: &h.callerListener, address: h.settings.CallerListen},
+		{listener: &h.peerListener, address: h.settings.PeerListen},
+		{listener: &h.operatorListener, address: h.settings.OperatorListen},
+	} {
+		var err error
+		if *l.listener, err = net.Listen("tcp", l.address); err != nil {
+			h.closeListeners()
+			return trace.Wrap(err)
+		}
 	}
 	return nil
 }
 
-// CallerAddress returns the address on which callers are served.
-func (h *Host) CallerAddress() string { return h.callerListener.Addr().String() }
+func (h *Host) closeListeners() {
+	for _, listener := range []net.Listener{h.callerListener, h.peerListener, h.operatorListener} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// newLog returns a client of the log on connections of its own.
+func (h *Host) newLog() logservice.Log {
+	return logservice.New(h.settings.LogURL, &http.Client{
+		Transport: newTransport(false),
+	})
+}
+
+func (h *Host) newNode() *node.Node {
+	membershipSettings := membership.DefaultSettings()
+	membershipSettings.Seeds = h.settings.Peers
+	return node.New(node.Dependencies{
+		Self: membership.Member{
+			Name:        h.settings.Name,
+			Incarnation: h.incarnation,
+			Address:     h.PeerAddress(),
+			Zone:        h.settings.Zone,
+		},
+		Settings: membershipSettings,
+		Timers:   h.timers,
+		Log:      h.newLog(),
+		Logger:   h.logger,
+		Seed:     h.incarnation ^ hash(h.settings.Name),
+	})
+}
+
+func (h *Host) newConfiguration() *configuration.Configuration {
+	return configuration.New(configuration.Dependencies{
+		Host:        h.settings.Name,
+		Zone:        h.settings.Zone,
+		Incarnation: h.incarnation,
+		Log:         h.newLog,
+		Timers:      h.timers,
+		Logger:      h.logger,
+	})
+}
+
+// countHosts tells the pools how many hosts share their endpoints.
+func (h *Host) countHosts() {
+	hosts := h.node.Hosts()
+	for _, p := range h.allPools() {
+		p.events.TryPush(dispatch.HostsCounted{
+			Hosts: hosts,
+		})
+	}
+}
 
 // Run serves until ctx ends and then stops in good order. A second end, of
 // kill, stops it at once; the error is then a *CutShortError.
@@ -92,20 +168,43 @@
 		BodyBytes: h.settings.BodyLimit,
 		BodyTime:  h.settings.BodyTime,
 	}).Handler())
-	h.tree.Add(supervisor.Duty{Name: "timer", Run: h.timers.Run})
-	h.tree.Add(supervisor.Duty{Name: "directory", Run: h.directory.run})
-	h.tree.Add(supervisor.Duty{Name: "callers", Run: serve(callers, h.callerListener)})
+	h.addDuties(callers)
 	done := make(chan struct{})
 	go h.runTree(serving, done)
-	_ = h.logger.Log("level", "info", "event", "serving", "callers", h.CallerAddress())
+	_ = h.logger.Log("level", "info", "event", "serving", "callers", h.CallerAddress(),
+		"peers", h.PeerAddress(), "operators", h.OperatorAddress())
 	<-ctx.Done()
 	err := h.stop(kill, callers)
 	cancel()
 	<-done
 	h.clients.close()
+	h.node.Transport().Close()
+	h.closeListeners()
 	return err
 }
 
+func (h *Host) addDuties(callers *http.Server) {
+	h.tree.Add(supervisor.Duty{Name: "timer", Run: h.timers.Run})
+	for _, duty := range h.node.Duties() {
+		h.tree.Add(duty)
+	}
+	for _, duty := range h.configuration.Duties() {
+		h.tree.Add(duty)
+	}
+	h.tree.Add(supervisor.Duty{Name: "directory", Run: h.directory.run})
+	h.tree.Add(supervisor.Duty{Name: "callers", Run: serve(callers, h.callerListener)})
+	peers := http.NewServeMux()
+	peers.Handle(h.node.Handler())
+	h.tree.Add(supervisor.Duty{
+		Name: "peers",
+		Run:  serve(h.node.Server(peers), h.node.Listener(h.peerListener)),
+	})
+	h.tree.Add(supervisor.Duty{
+		Name: "operators",
+		Run:  serve(h.newServer(h.operatorHandler()), h.operatorListener),
+	})
+}
+
 func (h *Host) runTree(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	_ = h.tree.Run(ctx)
@@ -133,52 +232,24 @@
 	}
 }
 
-// stop ends the host's work in good order.
-func (h *Host) stop(kill context.Context, callers *http.Server) error {
-	_ = h.logger.Log("level", "info", "event", "stopping", "balancerLag", h.settings.BalancerLag)
-	h.phase.Store(phaseLeaving)
-	h.pause(kill, h.settings.BalancerLag)
-	h.phase.Store(phaseDraining)
-	limit := h.timers.Now().Add(h.settings.StopTimeout)
-	for h.openCalls() > 0 && kill.Err() == nil && h.timers.Now().Before(limit) {
-		h.pause(kill, openPoll)
-	}
-	cut := h.openCalls()
-	h.shutdown(kill, callers)
-	if cut > 0 {
-		_ = h.logger.Log("level", "error", "event", "stoppedAtOnce", "requestsCut", cut)
-		return trace.Wrap(&CutShortError{Requests: cut})
-	}
-	_ = h.logger.Log("level", "info", "event", "stopped")
-	return nil
+// operatorHandler serves the operators.
+func (h *Host) operatorHandler() http.Handler {
+	routes := http.NewServeMux()
+	routes.Handle("/debug/vars", h.counters)
+	return routes
 }
 
-func (h *Host) shutdown(kill context.Context, callers *http.Server) {
-	if kill.Err() != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(kill, closeTimeout)
-	defer cancel()
-	_ = callers.Shutdown(ctx)
-}
+// Name returns the host's name.
+func (h *Host) Name() string { return h.settings.Name }
 
-// pause waits for duration or until kill ends.
-func (h *Host) pause(kill context.Context, duration time.Duration) {
-	wait := h.timers.After(duration)
-	defer wait.Stop()
-	select {
-	case <-kill.Done():
-	case <-wait.C():
-	}
-}
+// Settings returns the host's settings.
+func (h *Host) Settings() settings.Settings { return h.settings }
 
-// openCalls returns how many calls have no final answer yet.
-func (h *Host) openCalls() int64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	open := int64(0)
-	for _, p := range h.pools {
-		open += p.openCalls()
-	}
-	return open
-}
+// CallerAddress returns the address on which callers are served.
+func (h *Host) CallerAddress() string { return h.callerListener.Addr().String() }
+
+// PeerAddress returns the address on which other hosts are served.
+func (h *Host) PeerAddress() string { return h.peerListener.Addr().String() }
+
+// OperatorAddress returns the address on which operators are served.
+func (h *Host) OperatorAddress() string { return h.operatorListener.Addr().String() }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,14 +34,14 @@
 	WeightStoreURL string   `long:"weight-store-url" env:"CACTUSWELL_WEIGHT_STORE_URL" description:"base URL of the platform's weight store; empty for none"`
 	Peers          []string `long:"peer" env:"CACTUSWELL_PEERS" env-delim:"," description:"IP:port of another host's peer listener; may be given many times"`
 
-	BodyLimit                   int64         `long:"body-limit" env:"CACTUSWELL_BODY_LIMIT" description:"largest body of a request, in bytes" default:"1048576"`
-	BodyTime                    time.Duration `long:"body-time" env:"CACTUSWELL_BODY_TIME" description:"longest time for a body to arrive" default:"10s"`
-	BalancerLag                 time.Duration `long:"balancer-lag" env:"CACTUSWELL_BALANCER_LAG" description:"how long the balancer goes on sending requests to a host that is no longer ready" default:"5s"`
-	StopTimeout                 time.Duration `long:"stop-timeout" env:"CACTUSWELL_STOP_TIMEOUT" description:"longest wait for requests in flight at a stop" default:"10m"`
-	StaleBound                  time.Duration `long:"stale-bound" env:"CACTUSWELL_STALE_BOUND" description:"age of the last word from the log or a peer past which the host is not ready" default:"10m"`
-	LogRetention                time.Duration `long:"log-retention" env:"CACTUSWELL_LOG_RETENTION" description:"how long the log keeps records" default:"24h"`
-	ListInterval                time.Duration `long:"list-interval" env:"CACTUSWELL_LIST_INTERVAL" description:"time between two reads of the host list" default:"1s"`
-	ReportIntervaltime.Duration `long:"report-interval" env:"CACTUSWELL_REPORT_INTERVAL" description:"time between two reads of an endpoint's load" default:"500ms"`
+	BodyLimit      int64         `long:"body-limit" env:"CACTUSWELL_BODY_LIMIT" description:"largest body of a request, in bytes" default:"1048576"`
+	BodyTime       time.Duration `long:"body-time" env:"CACTUSWELL_BODY_TIME" description:"longest time for a body to arrive" default:"10s"`
+	BalancerLag    time.Duration `long:"balancer-lag" env:"CACTUSWELL_BALANCER_LAG" description:"how long the balancer goes on sending requests to a host that is no longer ready" default:"5s"`
+	StopTimeout    time.Duration `long:"stop-timeout" env:"CACTUSWELL_STOP_TIMEOUT" description:"longest wait for requests in flight at a stop" default:"10m"`
+	StaleBound     time.Duration `long:"stale-bound" env:"CACTUSWELL_STALE_BOUND" description:"age of the last word from the log or a peer past which the host is not ready" default:"10m"`
+	LogRetention   time.Duration `long:"log-retention" env:"CACTUSWELL_LOG_RETENTION" description:"how long the log keeps records" default:"24h"`
+	ListInterval   time.Duration `long:"list-interval" env:"CACTUSWELL_LIST_INTERVAL" description:"time between two reads of the host list" default:"1s"`
+	ReportInterval time.Duration `long:"report-interval" env:"CACTUSWELL_REPORT_INTERVAL" description:"time between two reads of an endpoint's load" default:"500ms"`
 
 	TLSCert        string `long:"tls-cert" env:"CACTUSWELL_TLS_CERT" description:"file with this host's certificate chain, PEM"`
 	TLSKey         string `long:"tls-key" env:"CACTUSWELL_TLS_KEY" description:"file with the certificate's key, PEM"`
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -18,10 +19,17 @@
 	otherAttemptID = "another-attempt"
 )
 
-// Handler serves the engine's protocol, and its faults under /faults.
+// Generated is the engine's account of its work.
+type Generated struct {
+	Tokens uint64 `json:"tokens"`
+}
+
+// Handler serves the engine's protocol, its faults under /faults, and the
+// tokens that it generated under /generated.
 func (e *Engine) Handler() http.Handler {
 	router := mux.NewRouter()
 	router.Handle("/faults", e.switches)
+	router.HandleFunc("/generated", e.handleGenerated).Methods(http.MethodGet)
 	router.HandleFunc("/v1/chat/completions", e.handleStart).Methods(http.MethodPost)
 	router.HandleFunc("/v1/attempts/{id}/stream", e.handleResume).Methods(http.MethodGet)
 	router.HandleFunc("/v1/attempts/{id}", e.handleCancel).Methods(http.MethodDelete)
@@ -35,7 +43,7 @@
 
 func (e *Engine) applyFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/faults" && e.switches.Current().Crashed {
+		if strings.HasPrefix(r.URL.Path, "/v1/") && e.switches.Current().Crashed {
 			panic(http.ErrAbortHandler)
 		}
 		w.Header().Set(engine.HeaderIncarnation, strconv.FormatUint(e.settings.Incarnation, 10))
@@ -163,6 +171,12 @@
 	_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
 }
 
+func (e *Engine) handleGenerated(w http.ResponseWriter, _ *http.Request) {
+	answer(w, "", Generated{
+		Tokens: e.Produced(),
+	})
+}
+
 func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
 	id := mux.Vars(r)["id"]
 	a, ok := e.lookup(id)
