Add the dispatcher, its queue and its retry budget

Cause: the decisions of one pool on one host had a seam and no code. Commands stay values. endpoint.Key gains JSON names.

--- /dev/null
+++ b/core/admission/queue.go
@@ -0,0 +1,282 @@
+// Package admission holds the requests of one pool that wait for an endpoint,
+// decides which is served next, and which is given up when there are too many.
+//
+// The next request is, in this order: one of a class that is owed a part of its
+// guaranteed share; otherwise one of the highest tier that has any. Within a
+// tier, classes share service by weight and the teams of a class share it
+// evenly, by start-time fair queueing (Goyal, Vin and Cheng, SIGCOMM 1996).
+// Within a team the earliest deadline comes first, and requests that can no
+// longer meet their target stand behind those that can.
+//
+// # Usage
+//
+//	queue := admission.New(settings)
+//	evicted, verdict := queue.Admit(&entry)
+//	entry, owed := queue.Next(now)
+//	if entry != nil && sent(entry) {
+//		queue.Take(entry)
+//	}
+//
+// A Queue reads no clock and is not safe for concurrent use. Every operation
+// takes logarithmic time and allocates nothing once its tables have grown.
+package admission
+
+import (
+	"time"
+
+	"cactuswell/core/heap"
+	"cactuswell/core/profile"
+)
+
+// Verdict says what became of an entry that asked to be admitted.
+type Verdict int
+
+// The verdicts.
+const (
+	// Admitted says that the entry is queued.
+	Admitted Verdict = iota
+	// QueueFull says that the pool's bound is reached.
+	QueueFull
+	// TeamFull says that the team's bound is reached.
+	TeamFull
+)
+
+// Queue holds the waiting requests of one pool.
+type Queue struct {
+	settings Settings
+	tiers    [profile.TierCount]*tier
+	// due holds the classes with entries by when they are owed service.
+	due heap.Heap[*class]
+	// service is the cost of all that was taken since the queue was made.
+	service  float64
+	sequence uint64
+	length   int
+	// counted is the number of entries that count against the bound.
+	counted    int
+	teamCounts map[string]int
+	freeTeams  []*team
+	// guaranteed is the sum of the guaranteed shares below the top tier.
+	guaranteed float64
+}
+
+// New returns an empty queue. Settings that are out of range are taken as the
+// defaults; see Settings.Check.
+func New(settings Settings) *Queue {
+	if settings.Check() != nil {
+		settings = Settings{}
+	}
+	queue := &Queue{
+		settings:   settings.WithDefaults(),
+		due:        heap.New(classDueEarlier, placeClassDue),
+		teamCounts: make(map[string]int),
+	}
+	for number := range queue.tiers {
+		queue.tiers[number] = newTier(profile.Tier(number))
+	}
+	return queue
+}
+
+// Admit queues entry if there is room for it, or makes room by evicting an
+// entry of a lower tier or, within the tier, of less value or of a team with a
+// longer queue. The evicted entry, or nil, has left the queue.
+func (q *Queue) Admit(entry *Entry) (*Entry, Verdict) {
+	class := q.class(entry)
+	if entry.Tier != profile.TierUrgent && q.teamCounts[entry.Team] >= q.settings.MaxTeamQueued {
+		return q.replaceOwn(class, entry)
+	}
+	if class.length < class.reserve || q.counted < q.settings.MaxQueued {
+		q.Add(entry)
+		return nil, Admitted
+	}
+	victim := q.Worst()
+	if victim == nil || !q.outranks(class, entry, victim) {
+		return nil, QueueFull
+	}
+	q.Remove(victim)
+	q.Add(entry)
+	return victim, Admitted
+}
+
+// Add queues entry whatever the bounds are. It is for requests that were
+// admitted before and come back.
+func (q *Queue) Add(entry *Entry) {
+	class := q.class(entry)
+	team := q.team(class, entry.Team)
+	entry.Cost = max(entry.Cost, minCost)
+	q.sequence++
+	entry.sequence = q.sequence
+	q.leaveIndexes(class, team)
+	counted := class.counted()
+	team.add(entry)
+	class.length++
+	class.cost += entry.Cost
+	class.tier.length++
+	class.tier.cost += entry.Cost
+	q.length++
+	q.counted += class.counted() - counted
+	q.teamCounts[entry.Team]++
+	q.enterIndexes(class, team, entry.Cost)
+}
+
+// Next returns the entry to serve next, or nil for an empty queue, and whether
+// it is served on its class's guaranteed share. The entry stays queued.
+func (q *Queue) Next(now time.Time) (*Entry, bool) {
+	if q.length == 0 {
+		return nil, false
+	}
+	if class := q.due.Top(); class.due <= q.service {
+		return class.active.Top().head(now), true
+	}
+	for _, tier := range q.tiers {
+		if tier.length > 0 {
+			return tier.active.Top().active.Top().head(now), false
+		}
+	}
+	return nil, false
+}
+
+// Take removes an entry that is being served and charges its class and team.
+func (q *Queue) Take(entry *Entry) {
+	team := entry.team
+	class := team.class
+	tier := class.tier
+	q.service += entry.Cost
+	tier.virtual = max(tier.virtual, class.tag)
+	class.virtual = max(class.virtual, team.tag)
+	class.tag += entry.Cost / class.weight
+	tier.lastTag = max(tier.lastTag, class.tag)
+	team.tag += entry.Cost
+	class.due = min(q.service, class.due) + entry.Cost/q.share(class)
+	q.Remove(entry)
+}
+
+// Correct adds delta, which may be negative, to what the class and team of an
+// entry that was taken were charged, once its real cost is known.
+func (q *Queue) Correct(entry *Entry, delta float64) {
+	class := q.tiers[entry.Tier].classes[entry.Class]
+	if class == nil {
+		return
+	}
+	q.service += delta
+	class.due += delta / q.share(class)
+	class.tag += delta / class.weight
+	class.tier.lastTag = max(class.tier.lastTag, class.tag)
+	if class.length > 0 {
+		q.due.Fix(class.dueIndex)
+		class.tier.active.Fix(class.activeIndex)
+	}
+	team := class.teams[entry.Team]
+	if team == nil {
+		return
+	}
+	team.tag += delta
+	if team.active != heap.NoIndex {
+		class.active.Fix(team.active)
+	}
+}
+
+// Remove takes entry out of the queue. An entry that is not queued is ignored.
+func (q *Queue) Remove(entry *Entry) {
+	team := entry.team
+	if team == nil {
+		return
+	}
+	class := team.class
+	q.leaveIndexes(class, team)
+	counted := class.counted()
+	team.remove(entry)
+	class.length--
+	class.cost -= entry.Cost
+	class.tier.length--
+	class.tier.cost -= entry.Cost
+	q.length--
+	q.counted += class.counted() - counted
+	q.forgetTeam(entry.Team)
+	q.enterIndexes(class, team, 0)
+	q.retire(class, team)
+}
+
+// Worst returns the entry to give up first: of the lowest tier that has more
+// than its reserve, the least valuable. It returns nil if there is none.
+func (q *Queue) Worst() *Entry {
+	for number := len(q.tiers) - 1; number >= 0; number-- {
+		if evict := &q.tiers[number].evict; evict.Len() > 0 {
+			return evict.Top().evict.Top().worth.Top()
+		}
+	}
+	return nil
+}
+
+// Len returns the number of queued entries.
+func (q *Queue) Len() int {
+	return q.length
+}
+
+// LenTier returns the number of queued entries of one tier.
+func (q *Queue) LenTier(number profile.Tier) int {
+	return q.tiers[number].length
+}
+
+// LenBelow returns the number of queued entries of lower priority than number.
+func (q *Queue) LenBelow(number profile.Tier) int {
+	length := 0
+	for _, tier := range q.tiers[number+1:] {
+		length += tier.length
+	}
+	return length
+}
+
+// Ahead estimates the service, in units of cost, that goes before entry if it
+// is queued now and nothing else arrives: the least of what its tier, its class
+// at its weight, its team at its part and its class on its guaranteed share
+// would have it wait for.
+func (q *Queue) Ahead(entry *Entry) float64 {
+	tier := q.tiers[entry.Tier]
+	higher := 0.0
+	for _, above := range q.tiers[:entry.Tier] {
+		higher += above.cost
+	}
+	class := tier.classes[entry.Class]
+	if class == nil || class.length == 0 {
+		return higher
+	}
+	weights := 0.0
+	for i := range tier.active.Len() {
+		weights += tier.active.At(i).weight
+	}
+	ahead := class.cost
+	if team := class.teams[entry.Team]; team != nil {
+		ahead = min(ahead, team.cost*float64(class.active.Len()))
+	} else {
+		ahead = 0
+	}
+	byWeight := higher + min(tier.cost, ahead*weights/class.weight)
+	return min(byWeight, ahead/q.share(class))
+}
+
+func (q *Queue) outranks(class *class, entry, victim *Entry) bool {
+	if victim.Tier != entry.Tier {
+		return victim.Tier > entry.Tier
+	}
+	if victim.Value != entry.Value {
+		return victim.Value < entry.Value
+	}
+	length := 0
+	if team := class.teams[entry.Team]; team != nil {
+		length = team.len()
+	}
+	return victim.team.len() > length+1
+}
+
+// replaceOwn admits entry of a team at its bound in place of a less valuable
+// one of the same team and class.
+func (q *Queue) replaceOwn(class *class, entry *Entry) (*Entry, Verdict) {
+	team := class.teams[entry.Team]
+	if team == nil || team.worth.Len() == 0 || team.worth.Top().Value >= entry.Value {
+		return nil, TeamFull
+	}
+	victim := team.worth.Top()
+	q.Remove(victim)
+	q.Add(entry)
+	return victim, Admitted
+}
--- /dev/null
+++ b/core/admission/team.go
@@ -0,0 +1,101 @@
+package admission
+
+import (
+	"time"
+
+	"cactuswell/core/heap"
+)
+
+// team holds the queued entries of one team in one class.
+type team struct {
+	name  string
+	class *class
+	// viable holds the entries that can still meet their target, late the
+	// others; both by deadline.
+	viable heap.Heap[*Entry]
+	late   heap.Heap[*Entry]
+	// worth holds the entries that may be evicted, the least valuable first.
+	worth heap.Heap[*Entry]
+	// tag is the start tag of the team's next service.
+	tag    float64
+	cost   float64
+	active int
+	evict  int
+	idle   bool
+}
+
+func newTeam() *team {
+	return &team{
+		viable: heap.New(earlier, placeReady),
+		late:   heap.New(earlier, placeReady),
+		worth:  heap.New(worthLess, placeWorth),
+		active: heap.NoIndex,
+		evict:  heap.NoIndex,
+	}
+}
+
+func (t *team) len() int {
+	return t.viable.Len() + t.late.Len()
+}
+
+func (t *team) add(entry *Entry) {
+	entry.team = t
+	entry.late = false
+	entry.worth = heap.NoIndex
+	t.viable.Push(entry)
+	t.cost += entry.Cost
+	if !entry.Pinned {
+		t.worth.Push(entry)
+	}
+}
+
+func (t *team) remove(entry *Entry) {
+	if entry.late {
+		t.late.Remove(entry.ready)
+	} else {
+		t.viable.Remove(entry.ready)
+	}
+	if entry.worth != heap.NoIndex {
+		t.worth.Remove(entry.worth)
+	}
+	t.cost -= entry.Cost
+	entry.team = nil
+}
+
+// head returns the entry to serve next. Each entry moves from viable to late at
+// most once, so the cost is logarithmic over an entry's life.
+func (t *team) head(now time.Time) *Entry {
+	for t.viable.Len() > 0 {
+		entry := t.viable.Top()
+		if !entry.LatestStart.Before(now) {
+			return entry
+		}
+		t.viable.Remove(entry.ready)
+		entry.late = true
+		t.late.Push(entry)
+	}
+	return t.late.Top()
+}
+
+// teamEarlier orders the teams of a class by start tag.
+func teamEarlier(a, b *team) bool {
+	if a.tag != b.tag {
+		return a.tag < b.tag
+	}
+	return a.name < b.name
+}
+
+// teamWorthLess orders the teams of a class by their least valuable entry, then
+// the longest queue first.
+func teamWorthLess(a, b *team) bool {
+	if a.worth.Top().Value != b.worth.Top().Value {
+		return a.worth.Top().Value < b.worth.Top().Value
+	}
+	if a.len() != b.len() {
+		return a.len() > b.len()
+	}
+	return a.name < b.name
+}
+
+func placeTeamActive(t *team, index int) { t.active = index }
+func placeTeamEvict(t *team, index int)  { t.evict = index }
--- /dev/null
+++ b/core/dispatch/arrive.go
@@ -0,0 +1,135 @@
+package dispatch
+
+import (
+	"time"
+
+	"cactuswell/core/admission"
+	"cactuswell/core/profile"
+)
+
+const (
+	// promptTokensPerCost is how many prompt tokens cost as much service as one
+	// token of an answer.
+	promptTokensPerCost = 16
+	// maxEarlyEvictions bounds the requests evicted for one arrival.
+	maxEarlyEvictions = 4
+)
+
+// arrive queues a new request or refuses it at once.
+func (p *Pool) arrive(spec Request) {
+	if p.requests[spec.ID] != nil {
+		return
+	}
+	p.counters.Arrived++
+	r := p.newRequest(spec)
+	p.prepare(r)
+	if p.draining {
+		p.refuse(r, RefuseStopping)
+		return
+	}
+	if !p.canMeet(r) {
+		p.refuse(r, RefuseCannotMeet)
+		return
+	}
+	evicted, verdict := p.queue.Admit(&r.entry)
+	if evicted != nil {
+		p.refuse(p.requests[RequestID(evicted.ID)], RefuseQueueFull)
+	}
+	switch verdict {
+	case admission.QueueFull:
+		p.refuse(r, RefuseQueueFull)
+	case admission.TeamFull:
+		p.refuse(r, RefuseTeamOverItsPart)
+	case admission.Admitted:
+		r.phase = phaseQueued
+		p.setTimer(r, r.startBy)
+		p.record(r, Decision{Kind: DecisionQueued})
+	}
+}
+
+// prepare fills in the times and the queue entry of a new request.
+func (p *Pool) prepare(r *request) {
+	spec := &r.spec
+	history := p.histories.of(spec.Profile.Class())
+	r.once = spec.Once || !spec.Profile.Idempotent()
+	r.arrived = p.now
+	r.target = p.now.Add(spec.Profile.Target())
+	r.startBy = p.now.Add(spec.Profile.WaitLimit())
+	r.endBy = r.startBy.Add(p.settings.RunLimit)
+	r.entry = admission.Entry{
+		ID:          uint64(spec.ID),
+		Tier:        spec.Profile.Tier(),
+		Class:       spec.Profile.Class(),
+		Team:        spec.Team,
+		Weight:      spec.Profile.Value(),
+		MinShare:    spec.Profile.MinShare(),
+		Value:       spec.Profile.Value(),
+		Cost:        p.cost(r, history),
+		Deadline:    r.target,
+		LatestStart: r.target.Add(-history.delay),
+	}
+}
+
+// cost returns the expected service of a request: tokens for a model, calls for
+// a plain service.
+func (p *Pool) cost(r *request, history *history) float64 {
+	if p.settings.Kind == profile.KindService {
+		return 1
+	}
+	return promptCost(r.spec.PromptTokens) + float64(p.outputTokens(r, history))
+}
+
+func promptCost(tokens int) float64 {
+	return float64(tokens) / promptTokensPerCost
+}
+
+func (p *Pool) outputTokens(r *request, history *history) int {
+	if p.settings.Kind == profile.KindService {
+		return 0
+	}
+	bound := r.spec.MaxTokens
+	if bound == 0 {
+		bound = r.spec.Profile.MaxTokens()
+	}
+	return history.expectedTokens(p.settings.OutputQuantile, bound)
+}
+
+// canMeet reports whether a new request is likely to be started within its wait
+// limit. To make that so it gives up less valuable requests of the same tier.
+// Requests of the top tier are not refused early.
+func (p *Pool) canMeet(r *request) bool {
+	if p.settings.NoEarlyRefusal || r.entry.Tier == profile.TierUrgent {
+		return true
+	}
+	for range maxEarlyEvictions {
+		if p.expectedWait(r) <= r.spec.Profile.WaitLimit() {
+			return true
+		}
+		victim := p.queue.Worst()
+		if victim == nil || victim.Tier != r.entry.Tier || victim.Value >= r.entry.Value {
+			return false
+		}
+		p.refuse(p.requests[RequestID(victim.ID)], RefuseCannotMeet)
+	}
+	return p.expectedWait(r) <= r.spec.Profile.WaitLimit()
+}
+
+// expectedWait estimates how long a request that is queued now would wait. It
+// is zero while the pool's rate is unknown.
+func (p *Pool) expectedWait(r *request) time.Duration {
+	rate := p.serviceRate()
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(p.queue.Ahead(&r.entry) / rate * float64(time.Second))
+}
+
+// serviceRate returns the cost that the pool serves in a second, at least.
+func (p *Pool) serviceRate() float64 {
+	rate := p.throughput.rate
+	if rate > 0 && p.settings.Kind == profile.KindModel {
+		_, tokensPerSecond := p.router.Capacity()
+		rate = max(rate, tokensPerSecond)
+	}
+	return rate
+}
--- /dev/null
+++ b/core/dispatch/pool_test.go
@@ -0,0 +1,58 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"cactuswell/core/dispatch"
+)
+
+func TestRequestIsStartedAdoptedAndCompleted(t *testing.T) {
+	d := newDriver(t, dispatch.Settings{}, 2, 1)
+	id, commands := d.arrive(urgent(t), "clerks")
+	start := only[dispatch.StartAttempt](t, commands)
+	if start.Endpoint != testKey(0) || start.Fresh {
+		t.Errorf("start is %+v", start)
+	}
+	if adopt := only[dispatch.AdoptAttempt](t, d.progress(id, 1, 1)); adopt.From != 0 {
+		t.Errorf("adopted from token %d", adopt.From)
+	}
+	none[dispatch.AdoptAttempt](t, d.progress(id, 1, 2))
+	commands = d.finish(id, 1, 3)
+	only[dispatch.CompleteRequest](t, commands)
+	if d.pool.Open() != 0 || d.router.ended != 1 {
+		t.Errorf("open %d, ended %d", d.pool.Open(), d.router.ended)
+	}
+}
+
+func TestRequestWaitsUntilAnEndpointHasRoom(t *testing.T) {
+	d := newDriver(t, dispatch.Settings{}, 2, 1)
+	first, _ := d.arrive(bulk(t), "clerks")
+	second, commands := d.arrive(bulk(t), "clerks")
+	none[dispatch.StartAttempt](t, commands)
+	start := only[dispatch.StartAttempt](t, d.finish(first, 1, 10))
+	if start.Attempt.Request != second {
+		t.Errorf("started %+v", start)
+	}
+}
+
+func TestWaitLimitIsAnHonestRefusal(t *testing.T) {
+	d := newDriver(t, dispatch.Settings{}, 1, 0)
+	d.arrive(bulk(t), "clerks")
+	none[dispatch.RefuseRequest](t, d.advance(29*time.Second))
+	refusal := only[dispatch.RefuseRequest](t, d.advance(time.Second))
+	if refusal.Ran != dispatch.NotRun || refusal.Reason != dispatch.RefuseNoEndpoint || refusal.RetryAfter <= 0 {
+		t.Errorf("refusal is %+v", refusal)
+	}
+}
+
+func TestDrainedPoolRefusesNewAndFinishesOldRequests(t *testing.T) {
+	d := newDriver(t, dispatch.Settings{}, 2, 1)
+	first, _ := d.arrive(bulk(t), "clerks")
+	d.step(dispatch.Drained{})
+	_, commands := d.arrive(bulk(t), "clerks")
+	if refusal := only[dispatch.RefuseRequest](t, commands); refusal.Reason != dispatch.RefuseStopping {
+		t.Errorf("refusal is %+v", refusal)
+	}
+	only[dispatch.CompleteRequest](t, d.finish(first, 1, 10))
+}
--- /dev/null
+++ b/core/dispatch/preempt.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"time"
+
+	"cactuswell/core/profile"
+	"cactuswell/core/routing"
+)
+
+const (
+	// preemptAfterShare is the part of its target that a request of the top
+	// tier waits before lower work is preempted for it.
+	preemptAfterShare = 4
+	// preemptPause is how long no preemption is tried after one that made no
+	// room.
+	preemptPause = time.Second
+	// maxPreemptLooks bounds the attempts looked at for one preemption.
+	maxPreemptLooks = 8
+)
+
+// preemptFor cancels a running attempt of the lowest tier to make room for a
+// queued request of the top tier that is about to miss its target. It reports
+// whether it did.
+func (p *Pool) preemptFor(r *request) bool {
+	if p.settings.NoPreemption || r.entry.Tier != profile.TierUrgent || p.now.Before(p.preemptAt) {
+		return false
+	}
+	if p.sinceArrival(r) < r.spec.Profile.Target()/preemptAfterShare || p.budget.Saved() < 1 {
+		return false
+	}
+	victim := p.preemptionVictim()
+	if victim == nil || !p.budget.Take() {
+		return false
+	}
+	p.preempt(victim)
+	return true
+}
+
+// preemptionVictim returns the attempt of the lowest tier that was started
+// last, which has the least to lose, or nil.
+func (p *Pool) preemptionVictim() *attempt {
+	for tier := profile.TierBulk; tier > profile.TierUrgent; tier-- {
+		a := p.preemptible[tier].last
+		for range maxPreemptLooks {
+			if a == nil {
+				break
+			}
+			if a.request.running == 1 && int(a.request.numbers) < p.settings.MaxAttempts && !p.leaving.has(a.work.Key) {
+				return a
+			}
+			a = a.previous
+		}
+	}
+	return nil
+}
+
+// preempt cancels an attempt and queues its request again. What its caller
+// already has is left out of the next attempt's answer.
+func (p *Pool) preempt(a *attempt) {
+	r := a.request
+	p.counters.Preemptions++
+	p.cancelAttempt(a, CancelPreempted, routing.OutcomeCanceled)
+	r.failure = RefuseWaitLimit
+	r.reserved = true
+	waitUntil := p.now.Add(r.spec.Profile.WaitLimit())
+	if r.delivered > 0 || waitUntil.After(r.endBy) {
+		waitUntil = r.endBy
+	}
+	p.requeue(r, waitUntil)
+}
+
+// judgePreemption pauses preemption if the last one made no room.
+func (p *Pool) judgePreemption(helped bool) {
+	if !helped {
+		p.preemptAt = p.now.Add(preemptPause)
+	}
+}
--- /dev/null
+++ b/core/dispatch/router_test.go
@@ -0,0 +1,144 @@
+package dispatch_test
+
+import (
+	"slices"
+	"time"
+
+	"cactuswell/core/endpoint"
+	"cactuswell/core/profile"
+	"cactuswell/core/routing"
+)
+
+const testSilenceBound = 2 * time.Second
+
+// fakeEndpoint is an endpoint with a fixed number of slots.
+type fakeEndpoint struct {
+	key     endpoint.Key
+	slots   int
+	running int
+	leaving bool
+}
+
+// fakeRouter picks the least loaded endpoint and keeps one slot of each for the
+// top tier.
+type fakeRouter struct {
+	endpoints []*fakeEndpoint
+	slots     int
+	expected  time.Duration
+	sent      int
+	ended     int
+	outcomes  []routing.Outcome
+}
+
+func newFakeRouter(slots int) *fakeRouter {
+	return &fakeRouter{
+		slots:    slots,
+		expected: 100 * time.Millisecond,
+	}
+}
+
+func (f *fakeRouter) find(key endpoint.Key) *fakeEndpoint {
+	for _, e := range f.endpoints {
+		if e.key == key {
+			return e
+		}
+	}
+	return nil
+}
+
+func (f *fakeRouter) AddEndpoint(_ time.Time, descriptor endpoint.Descriptor) {
+	if f.find(descriptor.Key) == nil {
+		f.endpoints = append(f.endpoints, &fakeEndpoint{
+			key:   descriptor.Key,
+			slots: f.slots,
+		})
+	}
+}
+
+func (f *fakeRouter) MarkLeaving(_ time.Time, key endpoint.Key) {
+	if e := f.find(key); e != nil {
+		e.leaving = true
+	}
+}
+
+func (f *fakeRouter) RemoveEndpoint(_ time.Time, key endpoint.Key) {
+	f.endpoints = slices.DeleteFunc(f.endpoints, func(e *fakeEndpoint) bool {
+		return e.key == key
+	})
+}
+
+func (f *fakeRouter) ReportLoad(time.Time, endpoint.Report) {}
+
+func (f *fakeRouter) ApplyCache(time.Time, endpoint.CacheUpdate) {}
+
+func (f *fakeRouter) SetHosts(time.Time, int) {}
+
+func (f *fakeRouter) Pick(_ time.Time, ask *routing.Ask) (routing.Choice, bool) {
+	var best *fakeEndpoint
+	for _, e := range f.endpoints {
+		room := e.slots - e.running
+		if ask.Tier != profile.TierUrgent {
+			room--
+		}
+		if e.leaving || room < 1 {
+			continue
+		}
+		if best == nil || f.better(e, best, ask) {
+			best = e
+		}
+	}
+	if best == nil {
+		return routing.Choice{}, false
+	}
+	return routing.Choice{
+		Key:        best.key,
+		FirstToken: f.expected,
+		Completion: f.expected,
+		Candidates: len(f.endpoints),
+	}, true
+}
+
+func (f *fakeRouter) better(a, b *fakeEndpoint, ask *routing.Ask) bool {
+	avoidA, avoidB := slices.Contains(ask.Avoid, a.key), slices.Contains(ask.Avoid, b.key)
+	if avoidA != avoidB {
+		return avoidB
+	}
+	return a.running < b.running
+}
+
+func (f *fakeRouter) Sent(_ time.Time, work routing.Work) {
+	f.sent++
+	f.find(work.Key).running++
+}
+
+func (f *fakeRouter) Progressed(time.Time, endpoint.Key, int, time.Duration, time.Duration) {}
+
+func (f *fakeRouter) Ended(_ time.Time, work routing.Work, outcome routing.Outcome, _ int) {
+	f.ended++
+	if len(f.outcomes) < 1000 {
+		f.outcomes = append(f.outcomes, outcome)
+	}
+	if e := f.find(work.Key); e != nil {
+		e.running--
+	}
+}
+
+func (f *fakeRouter) SilenceBound(endpoint.Key) time.Duration { return testSilenceBound }
+
+func (f *fakeRouter) Tick(time.Time) {}
+
+func (f *fakeRouter) NextWake() (time.Time, bool) { return time.Time{}, false }
+
+func (f *fakeRouter) Usable() int {
+	usable := 0
+	for _, e := range f.endpoints {
+		if !e.leaving {
+			usable++
+		}
+	}
+	return usable
+}
+
+func (f *fakeRouter) Capacity() (int, float64) {
+	return f.Usable() * f.slots, 0
+}
--- /dev/null
+++ b/core/dispatch/snapshot.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"maps"
+	"time"
+
+	"cactuswell/core/admission"
+	"cactuswell/core/endpoint"
+	"cactuswell/core/profile"
+)
+
+// maxSnapshotAttempts bounds the running attempts in a snapshot.
+const maxSnapshotAttempts = 256
+
+// Snapshot is the state of a pool for dumps. It holds no prompt and no answer.
+type Snapshot struct {
+	Pool     string       `json:"pool"`
+	Kind     profile.Kind `json:"kind"`
+	Draining bool         `json:"draining"`
+	// Queued, BackingOff and Running count requests, and attempts for the last.
+	Queued     int                   `json:"queued"`
+	BackingOff int                   `json:"backingOff"`
+	Running    int                   `json:"running"`
+	Queue      []admission.TeamQueue `json:"queue"`
+	// Attempts lists some of the running attempts.
+	Attempts []RunningAttempt `json:"attempts"`
+	Budget   BudgetSnapshot   `json:"budget"`
+	// ServiceRate is the cost served in a second while requests wait.
+	ServiceRate float64  `json:"serviceRate"`
+	Usable      int      `json:"usableEndpoints"`
+	Counters    Counters `json:"counters"`
+}
+
+// RunningAttempt describes a running attempt.
+type RunningAttempt struct {
+	Request    RequestID    `json:"request"`
+	Attempt    uint32       `json:"attempt"`
+	Endpoint   endpoint.Key `json:"endpoint"`
+	Tier       profile.Tier `json:"tier"`
+	Class      string       `json:"class"`
+	Tokens     int          `json:"tokens"`
+	SentAt     time.Time    `json:"sentAt"`
+	ProgressAt time.Time    `json:"progressAt"`
+	Hedge      bool         `json:"hedge"`
+}
+
+// BudgetSnapshot describes the retry budget.
+type BudgetSnapshot struct {
+	Saved  float64 `json:"saved"`
+	Firsts uint64  `json:"firsts"`
+	Taken  uint64  `json:"taken"`
+}
+
+// Snapshot returns the pool's state.
+func (p *Pool) Snapshot() Snapshot {
+	return Snapshot{
+		Pool:       p.settings.Pool,
+		Kind:       p.settings.Kind,
+		Draining:   p.draining,
+		Queued:     p.queue.Len(),
+		BackingOff: p.backingOff,
+		Running:    p.running,
+		Queue:      p.queue.Teams(),
+		Attempts:   p.attempts(),
+		Budget: BudgetSnapshot{
+			Saved:  p.budget.Saved(),
+			Firsts: p.budget.Firsts(),
+			Taken:  p.budget.Taken(),
+		},
+		ServiceRate: p.serviceRate(),
+		Usable:      p.router.Usable(),
+		Counters:    p.Counters(),
+	}
+}
+
+// Counters returns what the pool decided since it was made.
+func (p *Pool) Counters() Counters {
+	counters := p.counters
+	counters.Refused = maps.Clone(p.counters.Refused)
+	return counters
+}
+
+// Decisions returns the decisions on a request that are still kept, the oldest
+// first.
+func (p *Pool) Decisions(id RequestID) []Decision {
+	return p.journal.of(id)
+}
+
+// Queued returns the number of queued requests.
+func (p *Pool) Queued() int {
+	return p.queue.Len()
+}
+
+// Open returns the number of requests that have no final command yet. A host
+// that stops waits until it is zero.
+func (p *Pool) Open() int {
+	return len(p.requests)
+}
+
+func (p *Pool) attempts() []RunningAttempt {
+	attempts := make([]RunningAttempt, 0, min(p.running, maxSnapshotAttempts))
+	for i := range p.timers.Len() {
+		r := p.timers.At(i)
+		for _, a := range r.live[:r.running] {
+			if len(attempts) == maxSnapshotAttempts {
+				return attempts
+			}
+			attempts = append(attempts, a.describe())
+		}
+	}
+	return attempts
+}
+
+func (a *attempt) describe() RunningAttempt {
+	return RunningAttempt{
+		Request:    a.id.Request,
+		Attempt:    a.id.Number,
+		Endpoint:   a.work.Key,
+		Tier:       a.request.entry.Tier,
+		Class:      a.work.Class,
+		Tokens:     a.tokens,
+		SentAt:     a.work.SentAt,
+		ProgressAt: a.progressAt,
+		Hedge:      a.hedge,
+	}
+}
--- /dev/null
+++ b/core/dispatch/start.go
@@ -0,0 +1,277 @@
+package dispatch
+
+import (
+	"time"
+
+	"cactuswell/core/endpoint"
+	"cactuswell/core/heap"
+	"cactuswell/core/profile"
+	"cactuswell/core/routing"
+)
+
+// What an attempt was started for, as it stands in decisions.
+const (
+	startedFirst  = "firstAttempt"
+	startedRetry  = "retry"
+	startedHedge  = "hedge"
+	startedRepeat = "repeat"
+)
+
+// pump starts queued requests as long as an endpoint has room.
+func (p *Pool) pump() {
+	for p.queue.Len() > 0 {
+		entry, owed := p.queue.Next(p.now)
+		tier := entry.Tier
+		if owed {
+			tier = profile.TierUrgent
+		}
+		if tier >= p.blocked {
+			return
+		}
+		r := p.requests[RequestID(entry.ID)]
+		choice, ok := p.pick(r, tier)
+		if !ok && p.preemptFor(r) {
+			choice, ok = p.pick(r, tier)
+			p.judgePreemption(ok)
+		}
+		if !ok {
+			p.blocked = tier
+			p.blockedAt = p.now
+			return
+		}
+		p.throughput.observe(p.now, entry.Cost, p.queue.Len() > 1)
+		p.queue.Take(entry)
+		p.start(r, choice, tier, owed, p.startReason(r))
+	}
+	p.throughput.observe(p.now, 0, false)
+}
+
+func (p *Pool) startReason(r *request) string {
+	switch {
+	case r.numbers == 0:
+		return startedFirst
+	case r.retries == 0:
+		return startedRepeat
+	}
+	return startedRetry
+}
+
+// pick asks the router for an endpoint with the rights of the given tier.
+func (p *Pool) pick(r *request, tier profile.Tier) (routing.Choice, bool) {
+	history := p.histories.of(r.entry.Class)
+	p.ask = routing.Ask{
+		Tier:         tier,
+		Class:        r.entry.Class,
+		Zone:         p.settings.Zone,
+		PromptTokens: r.spec.PromptTokens,
+		OutputTokens: p.outputTokens(r, history),
+		Prefix:       r.spec.Prefix,
+		Avoid:        r.avoid[:r.avoided],
+		Deadline:     r.target,
+	}
+	choice, ok := p.router.Pick(p.now, &p.ask)
+	if ok && p.leaving.has(choice.Key) {
+		p.counters.LeavingPicks++
+		return routing.Choice{}, false
+	}
+	return choice, ok
+}
+
+// start sends an attempt to the chosen endpoint. The last Ask is the one that
+// the choice answers.
+func (p *Pool) start(r *request, choice routing.Choice, tier profile.Tier, owed bool, reason string) {
+	r.numbers++
+	r.reserved = false
+	r.phase = phaseRunning
+	a := p.newAttempt()
+	*a = attempt{
+		id: AttemptID{
+			Request: r.spec.ID,
+			Number:  r.numbers,
+		},
+		request: r,
+		work: routing.Work{
+			Key:          choice.Key,
+			Tier:         tier,
+			Class:        r.entry.Class,
+			PromptTokens: r.spec.PromptTokens,
+			CachedTokens: choice.CachedTokens,
+			OutputTokens: p.ask.OutputTokens,
+			Prefix:       r.spec.Prefix,
+			SentAt:       p.now,
+			Probe:        choice.Probe,
+		},
+		expected:   expectedDelay(r.spec.Profile.Measure(), choice),
+		firstToken: choice.FirstToken,
+		progressAt: p.now,
+		hedge:      reason == startedHedge,
+		owed:       owed,
+	}
+	r.addAttempt(a)
+	p.running++
+	if !r.once && !owed && r.entry.Tier != profile.TierUrgent {
+		p.preemptible[r.entry.Tier].push(a)
+	}
+	p.router.Sent(p.now, a.work)
+	p.countStart(reason, owed)
+	p.commands = append(p.commands, StartAttempt{
+		Attempt:  a.id,
+		Endpoint: choice.Key,
+		Tier:     tier,
+		Fresh:    r.once,
+		Choice:   choice,
+	})
+	p.record(r, Decision{
+		Kind:         DecisionStarted,
+		Attempt:      a.id.Number,
+		Endpoint:     choice.Key,
+		Reason:       reason,
+		FirstToken:   choice.FirstToken,
+		Completion:   choice.Completion,
+		CachedTokens: choice.CachedTokens,
+		Candidates:   choice.Candidates,
+		Probe:        choice.Probe,
+		Wait:         p.now.Sub(r.arrived),
+	})
+	p.armRunning(r)
+}
+
+func (p *Pool) countStart(reason string, owed bool) {
+	if owed {
+		p.counters.GuaranteedStarts++
+	}
+	switch reason {
+	case startedFirst:
+		p.budget.First()
+		p.counters.FirstAttempts++
+	case startedRetry:
+		p.counters.Retries++
+	case startedHedge:
+		p.counters.Hedges++
+	case startedRepeat:
+		p.counters.Repeats++
+	}
+}
+
+// end frees an attempt's slot. It says nothing to the endpoint.
+func (p *Pool) end(a *attempt, outcome routing.Outcome) {
+	r := a.request
+	p.router.Ended(p.now, a.work, outcome, a.tokens)
+	p.counters.Tokens += uint64(a.tokens)
+	if outcome != routing.OutcomeCompleted {
+		p.counters.WastedTokens += uint64(a.tokens)
+	}
+	p.settle(r, a)
+	r.removeAttempt(a)
+	p.preemptible[r.entry.Tier].remove(a)
+	p.running--
+	p.unblock()
+	a.request = nil
+	a.work.Prefix = nil
+	if len(p.freeAttempts) < maxFree {
+		p.freeAttempts = append(p.freeAttempts, a)
+	}
+}
+
+// settle corrects what the attempt's class and team were charged at its start
+// by what it really used.
+func (p *Pool) settle(r *request, a *attempt) {
+	if p.settings.Kind == profile.KindService || a.hedge {
+		return
+	}
+	used := promptCost(r.spec.PromptTokens) + float64(a.tokens)
+	p.queue.Correct(&r.entry, used-r.entry.Cost)
+}
+
+// cancelAttempt ends an attempt at its endpoint.
+func (p *Pool) cancelAttempt(a *attempt, reason CancelReason, outcome routing.Outcome) {
+	r := a.request
+	p.commands = append(p.commands, CancelAttempt{
+		Attempt:  a.id,
+		Endpoint: a.work.Key,
+		Reason:   reason,
+	})
+	p.record(r, Decision{
+		Kind:     DecisionCanceled,
+		Attempt:  a.id.Number,
+		Endpoint: a.work.Key,
+		Reason:   string(reason),
+		Tokens:   a.tokens,
+	})
+	r.mayHaveRun = true
+	p.end(a, outcome)
+}
+
+func (p *Pool) cancelAll(r *request, reason CancelReason) {
+	for r.running > 0 {
+		p.cancelAttempt(r.live[r.running-1], reason, routing.OutcomeCanceled)
+	}
+}
+
+// cancelOthers cancels the attempts that lost against a.
+func (p *Pool) cancelOthers(r *request, a *attempt) {
+	for i := r.running - 1; i >= 0; i-- {
+		if other := r.live[i]; other != a {
+			p.cancelAttempt(other, CancelHedgeLost, routing.OutcomeCanceled)
+		}
+	}
+}
+
+func (p *Pool) newRequest(spec Request) *request {
+	var r *request
+	if last := len(p.freeRequests) - 1; last >= 0 {
+		r = p.freeRequests[last]
+		p.freeRequests = p.freeRequests[:last]
+	} else {
+		r = &request{}
+	}
+	r.reset(spec)
+	p.requests[spec.ID] = r
+	return r
+}
+
+// forget drops a request that has its final command.
+func (p *Pool) forget(r *request) {
+	p.queue.Remove(&r.entry)
+	if r.timerIndex != heap.NoIndex {
+		p.timers.Remove(r.timerIndex)
+	}
+	if r.phase == phaseBackoff {
+		p.backingOff--
+	}
+	if r.reserved {
+		p.budget.GiveBack()
+	}
+	delete(p.requests, r.spec.ID)
+	r.reset(Request{})
+	if len(p.freeRequests) < maxFree {
+		p.freeRequests = append(p.freeRequests, r)
+	}
+}
+
+func (p *Pool) newAttempt() *attempt {
+	if last := len(p.freeAttempts) - 1; last >= 0 {
+		a := p.freeAttempts[last]
+		p.freeAttempts = p.freeAttempts[:last]
+		return a
+	}
+	return &attempt{}
+}
+
+// record keeps a decision on a request.
+func (p *Pool) record(r *request, decision Decision) {
+	decision.Request = r.spec.ID
+	decision.At = p.now
+	p.journal.add(decision)
+}
+
+func (p *Pool) markLeaving(key endpoint.Key) {
+	if p.leaving.add(key) {
+		p.router.MarkLeaving(p.now, key)
+	}
+}
+
+// sinceArrival is how long a request has been here.
+func (p *Pool) sinceArrival(r *request) time.Duration {
+	return p.now.Sub(r.arrived)
+}
--- a/core/endpoint/endpoint.go
+++ b/core/endpoint/endpoint.go
@@ -18,8 +18,8 @@
 // Key identifies one life of an endpoint. An endpoint replaced under its old
 // name or address has another incarnation.
 type Key struct {
-	Name        string
-	Incarnation uint64
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
 }
 
 // Descriptor says what an endpoint is and where it stands.
