--- a/host/attempt.go
+++ b/host/attempt.go
@@ -314,7 +314,7 @@
 	var mismatch *engine.MismatchError
 	var unknown *engine.UnknownAttemptError
 	_ = a.pool.logger.Log("level", "warn", "event", "attemptFailed", "attempt", a.wireID,
-		"endpoint", a.endpoint.Name, "error", err)
+		"endpoint", a.endpoint.Name, "error", err.Error())
 	switch {
 	case errors.As(err, &notStarted):
 		return dispatch.NotStarted{
--- a/host/backend.go
+++ b/host/backend.go
@@ -86,3 +86,35 @@
 	_, err := h.configuration.Change(ctx, configuration.NewID(), change)
 	return trace.Wrap(err)
 }
+
+// AwaitReady waits until the host wants new work. It fails only with ctx's
+// error.
+func (h *Host) AwaitReady(ctx context.Context) error {
+	for {
+		changed := h.configuration.Changed()
+		if ready, _ := h.Ready(); ready {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		case <-changed:
+		}
+	}
+}
+
+// AwaitProfile waits until a profile of that name is in force on this host. It
+// fails only with ctx's error.
+func (h *Host) AwaitProfile(ctx context.Context, name string) error {
+	for {
+		changed := h.configuration.Changed()
+		if _, ok := h.Profile(name); ok {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/host/dump.go
@@ -0,0 +1,180 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cactuswell/core/dispatch"
+	"cactuswell/core/endpoint"
+	"cactuswell/core/routing"
+	"cactuswell/io/node"
+)
+
+// dumpTimeout bounds the look into one pool.
+const dumpTimeout = 2 * time.Second
+
+// Dump is a host's state. It is bounded and holds no prompt and no answer.
+type Dump struct {
+	Name        string              `json:"name"`
+	Zone        string              `json:"zone"`
+	Region      string              `json:"region"`
+	Incarnation uint64              `json:"incarnation"`
+	At          time.Time           `json:"at"`
+	Phase       string              `json:"phase"`
+	Ready       bool                `json:"ready"`
+	Reason      string              `json:"reason,omitempty"`
+	Pools       map[string]PoolDump `json:"pools"`
+	Endpoints   []EndpointDump      `json:"endpoints"`
+	Node        node.Dump           `json:"node"`
+	Restarts    map[string]int      `json:"restarts"`
+	Counters    json.RawMessage     `json:"counters"`
+	// Missing names the parts that did not answer in time.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// PoolDump is the state of one pool.
+type PoolDump struct {
+	Dispatch dispatch.Snapshot `json:"dispatch"`
+	Routing  routing.Snapshot  `json:"routing"`
+	Open     int64             `json:"open"`
+}
+
+// EndpointDump is what is known of one endpoint.
+type EndpointDump struct {
+	endpoint.Key
+
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Pool    string `json:"pool"`
+	Leaving bool   `json:"leaving"`
+	// HeardAgeMs is the time since its last load report, in milliseconds.
+	HeardAgeMs int64 `json:"heardAgeMs"`
+	Running    int   `json:"running"`
+	Queued     int   `json:"queued"`
+}
+
+// Explanation is what is known of one request.
+type Explanation struct {
+	RequestID string              `json:"requestId"`
+	Host      string              `json:"host"`
+	Pool      string              `json:"pool"`
+	Profile   string              `json:"profile"`
+	Team      string              `json:"team"`
+	Decisions []dispatch.Decision `json:"decisions"`
+}
+
+// UnknownRequestError says that a request is not, or no longer, known.
+type UnknownRequestError struct {
+	RequestID string
+}
+
+// Error names the request.
+func (e *UnknownRequestError) Error() string {
+	return fmt.Sprintf("request %q is not known to this host, or no longer", e.RequestID)
+}
+
+// BusyError says that a duty did not answer in time.
+type BusyError struct {
+	Duty string
+}
+
+// Error names the duty.
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("%s did not answer in time", e.Duty)
+}
+
+// Dump returns the host's state. Parts that do not answer in time are named as
+// missing.
+func (h *Host) Dump(ctx context.Context) Dump {
+	ready, reason := h.Ready()
+	dump := Dump{
+		Name:        h.settings.Name,
+		Zone:        h.settings.Zone,
+		Region:      h.settings.Region,
+		Incarnation: h.incarnation,
+		At:          h.timers.Now(),
+		Phase:       phaseNames[h.phase.Load()],
+		Ready:       ready,
+		Reason:      reason,
+		Pools:       make(map[string]PoolDump),
+		Restarts:    h.tree.Restarts(),
+		Counters:    json.RawMessage(h.counters.String()),
+	}
+	for _, p := range h.allPools() {
+		pool, ok := h.dumpPool(ctx, p)
+		if !ok {
+			dump.Missing = append(dump.Missing, p.String())
+			continue
+		}
+		dump.Pools[p.name] = pool
+	}
+	var err error
+	if dump.Node, err = h.node.Dump(ctx); err != nil {
+		dump.Missing = append(dump.Missing, "node")
+	}
+	dump.Endpoints = h.dumpEndpoints()
+	return dump
+}
+
+func (h *Host) dumpPool(ctx context.Context, p *pool) (PoolDump, bool) {
+	ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
+	defer cancel()
+	found := make(chan PoolDump, 1)
+	ok := p.look(ctx, func(d *decisions) {
+		found <- PoolDump{
+			Dispatch: d.pool.Snapshot(),
+			Routing:  d.router.Snapshot(h.timers.Now()),
+			Open:     p.openCalls(),
+		}
+	})
+	if !ok {
+		return PoolDump{}, false
+	}
+	return <-found, true
+}
+
+func (h *Host) dumpEndpoints() []EndpointDump {
+	entries := h.directory.list()
+	endpoints := make([]EndpointDump, 0, len(entries))
+	for _, entry := range entries {
+		endpoints = append(endpoints, EndpointDump{
+			Key:        entry.descriptor.Key,
+			Address:    entry.descriptor.Address,
+			Zone:       entry.descriptor.Zone,
+			Pool:       entry.descriptor.Pool,
+			Leaving:    entry.leaving,
+			HeardAgeMs: h.timers.Now().Sub(entry.heardAt).Milliseconds(),
+			Running:    entry.report.Running,
+			Queued:     entry.report.Queued,
+		})
+	}
+	return endpoints
+}
+
+// Explain returns the decisions on a request. The error is an
+// *UnknownRequestError or a *BusyError.
+func (h *Host) Explain(ctx context.Context, requestID string) (Explanation, error) {
+	request, ok := h.recent.find(requestID)
+	if !ok {
+		return Explanation{}, trace.Wrap(&UnknownRequestError{RequestID: requestID})
+	}
+	ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
+	defer cancel()
+	found := make(chan []dispatch.Decision, 1)
+	p := h.pool(request.pool)
+	if !p.look(ctx, func(d *decisions) { found <- d.pool.Decisions(request.id) }) {
+		return Explanation{}, trace.Wrap(&BusyError{Duty: p.String()})
+	}
+	return Explanation{
+		RequestID: requestID,
+		Host:      h.settings.Name,
+		Pool:      request.pool,
+		Profile:   request.profile,
+		Team:      request.team,
+		Decisions: <-found,
+	}, nil
+}
--- a/host/host.go
+++ b/host/host.go
@@ -76,6 +76,13 @@
 	phaseDraining
 )
 
+// phaseNames are the phases as they stand in dumps.
+var phaseNames = map[int32]string{
+	phaseServing:  "serving",
+	phaseLeaving:  "leaving",
+	phaseDraining: "draining",
+}
+
 // watched starts the duties that read a new endpoint's account of itself.
 func (h *Host) watched(descriptor endpoint.Descriptor, removed <-chan struct{}) {
 	w := &watch{
@@ -110,15 +117,15 @@
 		return p
 	}
 	p := newPool(poolDependencies{
-		name:       name,
-		hostID:     h.id(),
-		dispatcher: func() dispatch.Dispatcher { return h.newDispatcher(name) },
-		clients:    h.clients,
-		timers:     h.timers,
-		logger:     log.With(h.logger, "pool", name),
-		counters:   h.counters,
-		ids:        &h.requestIDs,
-		rebuilt:    func(p *pool) { h.directory.resend(p.name) },
+		name:      name,
+		hostID:    h.id(),
+		decisions: func() decisions { return h.newDecisions(name) },
+		clients:   h.clients,
+		timers:    h.timers,
+		logger:    log.With(h.logger, "pool", name),
+		counters:  h.counters,
+		ids:       &h.requestIDs,
+		rebuilt:   func(p *pool) { h.directory.resend(p.name) },
 	})
 	p.events.TryPush(dispatch.HostsCounted{
 		Hosts: h.node.Hosts(),
@@ -132,15 +139,18 @@
 	return p
 }
 
-// newDispatcher returns the decisions for a pool. The seed comes from the
+// newDecisions returns the state machines for a pool. The seed comes from the
 // host's name and life, so that hosts do not choose alike.
-func (h *Host) newDispatcher(pool string) dispatch.Dispatcher {
-	random := rand.New(rand.NewPCG(h.incarnation, hash(h.settings.Name+"/"+pool)))
-	routerSettings := routing.DefaultSettings(h.settings.Name, h.settings.Zone)
-	return dispatch.New(dispatch.Settings{
-		Pool: pool,
-		Zone: h.settings.Zone,
-	}, routing.New(routerSettings, random), random)
+func (h *Host) newDecisions(name string) decisions {
+	random := rand.New(rand.NewPCG(h.incarnation, hash(h.settings.Name+"/"+name)))
+	router := routing.New(routing.DefaultSettings(h.settings.Name, h.settings.Zone), random)
+	return decisions{
+		router: router,
+		pool: dispatch.New(dispatch.Settings{
+			Pool: name,
+			Zone: h.settings.Zone,
+		}, router, random),
+	}
 }
 
 // id names this life of the host in the ids of attempts.
--- a/host/pool.go
+++ b/host/pool.go
@@ -13,6 +13,7 @@
 	"cactuswell/core/dispatch"
 	"cactuswell/core/endpoint"
 	"cactuswell/core/profile"
+	"cactuswell/core/routing"
 	"cactuswell/io/caller"
 	"cactuswell/io/engine"
 	"cactuswell/io/service"
@@ -44,14 +45,14 @@
 
 // poolDependencies is what a pool is made from.
 type poolDependencies struct {
-	name       string
-	hostID     string
-	dispatcher func() dispatch.Dispatcher
-	clients    clients
-	timers     *timer.Service
-	logger     log.Logger
-	counters   *metrics.Counters
-	ids        *atomic.Uint64
+	name      string
+	hostID    string
+	decisions func() decisions
+	clients   clients
+	timers    *timer.Service
+	logger    log.Logger
+	counters  *metrics.Counters
+	ids       *atomic.Uint64
 	// rebuilt is called when the decisions were begun anew after a panic.
 	rebuilt func(p *pool)
 }
@@ -64,11 +65,11 @@
 	signal   ring.Signal
 	attempts sync.WaitGroup
 
-	dispatcher dispatch.Dispatcher
-	calls      map[dispatch.RequestID]*call
-	addresses  map[endpoint.Key]string
-	commands   []dispatch.Command
-	open       atomic.Int64
+	decided   decisions
+	calls     map[dispatch.RequestID]*call
+	addresses map[endpoint.Key]string
+	commands  []dispatch.Command
+	open      atomic.Int64
 }
 
 // progressNotice says that an attempt received tokens.
@@ -78,10 +79,16 @@
 
 // inspection asks the duty to run a function between two events.
 type inspection struct {
-	look func(dispatch.Dispatcher)
+	look func(*decisions)
 	done chan struct{}
 }
 
+// decisions are the state machines of one pool.
+type decisions struct {
+	pool   *dispatch.Pool
+	router *routing.Router
+}
+
 func newPool(dependencies poolDependencies) *pool {
 	signal := ring.NewSignal()
 	p := &pool{
@@ -95,7 +102,7 @@
 	for tier := range p.arrivals {
 		p.arrivals[tier] = ring.NewSignaling[*call](arrivalCapacity, signal)
 	}
-	p.dispatcher = dependencies.dispatcher()
+	p.decided = dependencies.decisions()
 	return p
 }
 
@@ -120,9 +127,9 @@
 	}
 }
 
-// look runs a function with the dispatcher, in the duty, and waits for its end.
+// look runs a function with the decisions, in the duty, and waits for its end.
 // It reports false if ctx ended first.
-func (p *pool) look(ctx context.Context, look func(dispatch.Dispatcher)) bool {
+func (p *pool) look(ctx context.Context, look func(*decisions)) bool {
 	request := inspection{
 		look: look,
 		done: make(chan struct{}),
@@ -143,7 +150,7 @@
 	wake := p.timers.After(time.Hour)
 	defer wake.Stop()
 	for {
-		if at, ok := p.dispatcher.NextWake(); ok {
+		if at, ok := p.decided.pool.NextWake(); ok {
 			wake.Reset(at)
 		}
 		select {
@@ -194,7 +201,7 @@
 			Tokens:  event.attempt.receivedTokens(),
 		})
 	case inspection:
-		event.look(p.dispatcher)
+		event.look(&p.decided)
 		close(event.done)
 	case dispatch.EndpointAdded:
 		p.addresses[event.Descriptor.Key] = event.Descriptor.Address
@@ -212,7 +219,7 @@
 
 // step feeds one event to the decisions and carries out what follows from it.
 func (p *pool) step(ctx context.Context, event dispatch.Event) {
-	p.commands = p.dispatcher.Step(p.timers.Now(), event, p.commands[:0])
+	p.commands = p.decided.pool.Step(p.timers.Now(), event, p.commands[:0])
 	for _, command := range p.commands {
 		p.carryOut(ctx, command)
 	}
@@ -248,7 +255,7 @@
 		call:     c,
 		pool:     p,
 		endpoint: command.Endpoint,
-		base:     p.addresses[command.Endpoint],
+		base:     p.base(command.Endpoint),
 		fresh:    command.Fresh,
 	}
 	// An attempt outlives a restart of the duty, which cancels it by itself.
@@ -262,6 +269,15 @@
 	go a.run()
 }
 
+// base returns an endpoint's base URL, or nothing if it is gone.
+func (p *pool) base(key endpoint.Key) string {
+	address, ok := p.addresses[key]
+	if !ok {
+		return ""
+	}
+	return baseURL(address)
+}
+
 func (p *pool) wireID(id dispatch.AttemptID) string {
 	return p.hostID + "-" + strconv.FormatUint(uint64(id.Request), 36) + "-" + strconv.FormatUint(uint64(id.Number), 10)
 }
@@ -321,7 +337,7 @@
 		c.refuse(dispatch.RefuseDutyRestarted, ran, time.Second)
 		p.forget(id)
 	}
-	p.dispatcher = p.poolDependencies.dispatcher()
+	p.decided = p.decisions()
 	p.addresses = make(map[endpoint.Key]string)
 	if p.rebuilt != nil {
 		p.rebuilt(p)
--- a/host/stop.go
+++ b/host/stop.go
@@ -50,7 +50,7 @@
 	leaving, cancelLeave := context.WithTimeout(kill, leaveTimeout)
 	defer cancelLeave()
 	if err := h.node.Leave(leaving); err != nil {
-		_ = h.logger.Log("level", "warn", "event", "leaveNotAnnounced", "error", err)
+		_ = h.logger.Log("level", "warn", "event", "leaveNotAnnounced", "error", err.Error())
 	}
 }
 
--- a/load/request.go
+++ b/load/request.go
@@ -41,10 +41,9 @@
 	completed bool
 	wrong     bool
 	// problem is the code of a refusal, "connection" if there was no answer.
-	problem  string
-	ran      dispatch.Ran
-	repeats  int
-	executed int
+	problem string
+	ran     dispatch.Ran
+	repeats int
 }
 
 // problemBody is the form of a problem in an answer.
