Claim calls that must not run twice before they are sent

Cause: a non-idempotent call could run again at another host or after a retry. Change: the host asks the claims before it queues such a call, marks the ticket as started just before the first byte may leave, takes it back only on proof, records the outcome, forwards calls whose key another host issued, and publishes unused keys when it leaves. Measured: over real sockets, six calls with one key at three hosts (the caller's own key, and an issued one) run once and get the same answer; reuse of the key for another booking is refused and not run.

--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -173,6 +173,69 @@
 	}
 }
 
+// executions returns how often a booking was run by all services.
+func (f *fleet) executions(reference string) int {
+	total := 0
+	for _, service := range f.Services() {
+		total += service.Executions()[reference]
+	}
+	return total
+}
+
+func TestKeyedBookingRunsOnce(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	f := startFleet(t, deployment.Kelisim())
+	defer f.close()
+	for host := range hosts {
+		if err := f.Hosts()[host].AwaitProfile(context.Background(), "roomHold"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	book := func(host int, key, reference string) (int, string) {
+		return f.post(host, "/v1/services/roomHold", map[string]string{
+			caller.HeaderProfile: "roomHold",
+			caller.HeaderKey:     key,
+		}, `{"reference":"`+reference+`"}`)
+	}
+	_, issued := f.post(0, "/v1/idempotency-keys", nil, "")
+	var issue struct {
+		Key string `json:"idempotencyKey"`
+	}
+	if err := json.Unmarshal([]byte(issued), &issue); err != nil || issue.Key == "" {
+		t.Fatalf("issued key: %s", issued)
+	}
+	for _, test := range []struct {
+		name string
+		key  string
+	}{
+		{name: "the caller's own key", key: "hearing-17"},
+		{name: "a key issued by the first host", key: issue.Key},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			first := ""
+			for attempt := range 2 * hosts {
+				status, answer := book(attempt%hosts, test.key, test.name)
+				if status != http.StatusOK {
+					t.Fatalf("attempt %d: status %d, answer %s", attempt, status, answer)
+				}
+				if first == "" {
+					first = answer
+				}
+				if answer != first {
+					t.Errorf("attempt %d: answer %s, first %s", attempt, answer, first)
+				}
+			}
+			if got := f.executions(test.name); got != 1 {
+				t.Errorf("executions = %d, want 1", got)
+			}
+			status, answer := book(1, test.key, "another booking")
+			if status != http.StatusUnprocessableEntity || f.executions("another booking") != 0 {
+				t.Errorf("reused key: status %d, answer %s", status, answer)
+			}
+		})
+	}
+}
+
 func TestBadInputGetsTypedProblems(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	f := startFleet(t, deployment.Kelisim())
--- a/host/attempt.go
+++ b/host/attempt.go
@@ -104,9 +104,31 @@
 	if a.base == "" {
 		return dispatch.NotStarted{}
 	}
-	if a.call.ticket != nil && !a.call.ticket.Started() {
+	if !a.begin() {
 		return dispatch.NotStarted{}
 	}
+	failure = a.send()
+	a.takeBack(failure)
+	return failure
+}
+
+// begin marks the call as started, just before the first byte may leave. It
+// reports false when the call must not be sent any more.
+func (a *attempt) begin() bool {
+	if a.call.ticket == nil {
+		return true
+	}
+	return a.call.ticket.Started() == nil
+}
+
+// takeBack marks the call as not started after a failure that proves it.
+func (a *attempt) takeBack(failure dispatch.Failure) {
+	if _, ok := failure.(dispatch.NotStarted); ok && a.call.ticket != nil {
+		_ = a.call.ticket.NotStarted()
+	}
+}
+
+func (a *attempt) send() dispatch.Failure {
 	if a.call.submission.Profile.Kind() == profile.KindService {
 		return a.performCall()
 	}
--- a/host/backend.go
+++ b/host/backend.go
@@ -11,6 +11,7 @@
 	"cactuswell/core/dispatch"
 	"cactuswell/core/profile"
 	"cactuswell/io/caller"
+	"cactuswell/io/claims"
 	"cactuswell/io/configuration"
 )
 
@@ -47,8 +48,16 @@
 // Submit takes a request and returns its answer.
 func (h *Host) Submit(ctx context.Context, submission caller.Submission) *caller.Answer {
 	h.counters.Add("requests", 1)
+	if submission.Profile.Idempotent() {
+		return h.submit(ctx, submission, nil)
+	}
+	return h.submitOnce(ctx, submission)
+}
+
+// submit hands a request to its pool.
+func (h *Host) submit(ctx context.Context, submission caller.Submission, ticket *claims.Ticket) *caller.Answer {
 	p := h.pool(submission.Profile.Pool())
-	c := p.newCall(submission, nil)
+	c := p.newCall(submission, ticket)
 	h.recent.remember(submission.RequestID, recentRequest{
 		pool:    p.name,
 		id:      c.id,
@@ -76,11 +85,6 @@
 	})
 }
 
-// IssueKey returns a new idempotency key for a team.
-func (h *Host) IssueKey(string) (string, error) {
-	return "", nil
-}
-
 // PublishChange publishes a change of the configuration through this host.
 func (h *Host) PublishChange(ctx context.Context, change core.Change) error {
 	_, err := h.configuration.Change(ctx, configuration.NewID(), change)
--- a/host/call.go
+++ b/host/call.go
@@ -1,34 +1,24 @@
 package host
 
 import (
+	"net/http"
 	"time"
 
+	"cactuswell/core/claim"
 	"cactuswell/core/dispatch"
 	"cactuswell/io/caller"
+	"cactuswell/io/claims"
 )
 
-// ticket is the right to run a call that must not run twice. A call without
-// one may be run freely.
-type ticket interface {
-	// Started says that the first byte is about to leave the host. It reports
-	// false when the call must not be sent.
-	Started() bool
-	// Finish records the whole answer.
-	Finish(contentType string, body []byte)
-	// Abandon gives the right back; nothing was run.
-	Abandon()
-	// Unknown records that the call may have run.
-	Unknown()
-}
-
 // call is a submission on its way through a pool. The pool's duty owns it.
 type call struct {
 	id         dispatch.RequestID
 	submission caller.Submission
 	answer     *caller.Answer
-	ticket     ticket
-	taken      time.Time
-	attempts   map[uint32]*attempt
+	// ticket is the right to run a call that must not run twice, else nil.
+	ticket   *claims.Ticket
+	taken    time.Time
+	attempts map[uint32]*attempt
 }
 
 // once reports whether the call must not run twice.
@@ -49,35 +39,43 @@
 	}
 }
 
-// refuse ends the call without a whole answer.
+// refuse ends the call without a whole answer. A call whose ticket was started
+// and not taken back may have run, whatever was believed of it.
 func (c *call) refuse(reason dispatch.RefuseReason, ran dispatch.Ran, retryAfter time.Duration) {
 	if c.ticket != nil {
-		if ran == dispatch.NotRun {
-			c.ticket.Abandon()
-		} else {
-			c.ticket.Unknown()
+		if ran == dispatch.NotRun && isUsed(c.ticket.Abandon()) {
+			ran = dispatch.RanUnknown
 		}
+		c.ticket.Settle()
 	}
 	c.answer.End(caller.ProblemPart{
 		Problem: caller.Refusal(reason, ran, retryAfter),
 	})
 }
 
-// complete ends the call with the whole answer of an attempt.
-func (c *call) complete(a *attempt) {
+// complete ends the call with the whole answer of an attempt. It returns the
+// error of recording the answer for retries; the caller is answered in any case.
+func (c *call) complete(a *attempt) error {
 	end := a.end()
+	var err error
 	if c.ticket != nil {
-		c.ticket.Finish(end.contentType, end.body)
+		err = c.ticket.Finish(claim.Outcome{
+			Status:      http.StatusOK,
+			ContentType: end.contentType,
+			Body:        end.body,
+			BodyOmitted: end.body == nil,
+		})
 	}
 	if end.body != nil {
 		c.answer.End(caller.BodyPart{
 			ContentType: end.contentType,
 			Body:        end.body,
 		})
-		return
+		return err
 	}
 	c.answer.End(caller.EndPart{
 		FinishReason: end.finishReason,
 		Tokens:       end.tokens,
 	})
+	return err
 }
--- a/host/host.go
+++ b/host/host.go
@@ -28,6 +28,7 @@
 	"cactuswell/core/dispatch"
 	"cactuswell/core/endpoint"
 	"cactuswell/core/routing"
+	"cactuswell/io/claims"
 	"cactuswell/io/configuration"
 	"cactuswell/io/node"
 	"cactuswell/metrics"
@@ -53,6 +54,8 @@
 	clients       clients
 	node          *node.Node
 	configuration *configuration.Configuration
+	claims        *claims.Claims
+	forwarder     *claims.Forwarder
 	directory     *directory
 	recent        *recentRequests
 	requestIDs    atomic.Uint64
--- a/host/pool.go
+++ b/host/pool.go
@@ -15,6 +15,7 @@
 	"cactuswell/core/profile"
 	"cactuswell/core/routing"
 	"cactuswell/io/caller"
+	"cactuswell/io/claims"
 	"cactuswell/io/engine"
 	"cactuswell/io/service"
 	"cactuswell/metrics"
@@ -301,7 +302,11 @@
 	if !ok {
 		return
 	}
-	c.complete(a)
+	if err := c.complete(a); err != nil {
+		p.counters.Add("outcomesNotRecorded", 1)
+		_ = p.logger.Log("level", "error", "event", "outcomeNotRecorded", "request", c.submission.RequestID,
+			"error", err.Error())
+	}
 	p.counters.Add("requestsCompleted", 1)
 	p.forget(command.Request)
 }
@@ -350,12 +355,12 @@
 }
 
 // newCall returns a call for a submission.
-func (p *pool) newCall(submission caller.Submission, right ticket) *call {
+func (p *pool) newCall(submission caller.Submission, ticket *claims.Ticket) *call {
 	return &call{
 		id:         dispatch.RequestID(p.ids.Add(1)),
 		submission: submission,
 		answer:     caller.NewAnswer(),
-		ticket:     right,
+		ticket:     ticket,
 		taken:      p.timers.Now(),
 	}
 }
--- a/host/run.go
+++ b/host/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -10,9 +11,11 @@
 	"github.com/go-kit/log"
 	"github.com/gravitational/trace"
 
+	"cactuswell/core/claim"
 	"cactuswell/core/dispatch"
 	"cactuswell/core/membership"
 	"cactuswell/io/caller"
+	"cactuswell/io/claims"
 	"cactuswell/io/configuration"
 	"cactuswell/io/hostlist"
 	"cactuswell/io/logservice"
@@ -72,6 +75,10 @@
 	h.tree = supervisor.New("host", h.logger)
 	h.node = h.newNode()
 	h.configuration = h.newConfiguration()
+	if err := h.newClaims(); err != nil {
+		h.closeListeners()
+		return nil, err
+	}
 	h.directory = newDirectory(directoryDependencies{
 		lister:   hostlist.New(h.settings.HostListURL, &http.Client{Transport: newTransport(false)}),
 		interval: h.settings.ListInterval,
@@ -149,9 +156,25 @@
 	})
 }
 
+func (h *Host) newClaims() error {
+	var err error
+	h.claims, err = claims.New(claims.Dependencies{
+		Host:        h.settings.Name,
+		Incarnation: h.incarnation,
+		Entropy:     rand.Uint64,
+		Log:         h.newLog(),
+		Timers:      h.timers,
+		Logger:      h.logger,
+		Settings:    claim.DefaultSettings(),
+	})
+	h.forwarder = claims.NewForwarder(h.node.Transport().Client())
+	return trace.Wrap(err)
+}
+
 // countHosts tells the pools how many hosts share their endpoints.
 func (h *Host) countHosts() {
 	hosts := h.node.Hosts()
+	h.claims.SetHosts(hosts)
 	for _, p := range h.allPools() {
 		p.events.TryPush(dispatch.HostsCounted{
 			Hosts: hosts,
@@ -191,10 +214,14 @@
 	for _, duty := range h.configuration.Duties() {
 		h.tree.Add(duty)
 	}
+	for _, duty := range h.claims.Duties() {
+		h.tree.Add(duty)
+	}
 	h.tree.Add(supervisor.Duty{Name: "directory", Run: h.directory.run})
 	h.tree.Add(supervisor.Duty{Name: "callers", Run: serve(callers, h.callerListener)})
 	peers := http.NewServeMux()
 	peers.Handle(h.node.Handler())
+	peers.Handle(claims.NewHandler(h.claims, h))
 	h.tree.Add(supervisor.Duty{
 		Name: "peers",
 		Run:  serve(h.node.Server(peers), h.node.Listener(h.peerListener)),
--- a/io/caller/problem.go
+++ b/io/caller/problem.go
@@ -15,22 +15,21 @@
 
 // The codes of problems found before a request is taken.
 const (
-	CodeMalformed       Code = "malformedRequest"
-	CodeTooLarge        Code = "requestTooLarge"
-	CodeUnknownProfile  Code = "unknownProfile"
-	CodeMissingProfile  Code = "missingProfile"
-	CodeWrongKind       Code = "wrongKind"
-	CodeBadHeader       Code = "badHeader"
-	CodeNotFound        Code = "notFound"
-	CodeNotReady        Code = "hostNotReady"
-	CodeKeyReused       Code = "keyReusedWithOtherRequest"
-	CodeKeyUnknown      Code = "keyOutcomeUnknown"
-	CodeKeyInProgress   Code = "keyInProgress"
-	CodeClaimRefused    Code = "claimNotPossible"
-	CodeForwardFailed   Code = "forwardFailed"
-	CodeSlowCaller      Code = "callerTooSlow"
-	CodeRequestTooSlow  Code = "requestTooSlow"
-	CodeEndpointRefused Code = "endpointRejectedRequest"
+	CodeMalformed      Code = "malformedRequest"
+	CodeTooLarge       Code = "requestTooLarge"
+	CodeUnknownProfile Code = "unknownProfile"
+	CodeMissingProfile Code = "missingProfile"
+	CodeWrongKind      Code = "wrongKind"
+	CodeBadHeader      Code = "badHeader"
+	CodeNotFound       Code = "notFound"
+	CodeNotReady       Code = "hostNotReady"
+	CodeKeyReused      Code = "keyReusedWithOtherRequest"
+	CodeKeyInvalid     Code = "keyInvalid"
+	CodeKeyUnknown     Code = "keyOutcomeUnknown"
+	CodeAnswerNotKept  Code = "answerNotKept"
+	CodeClaimRefused   Code = "claimNotPossible"
+	CodeSlowCaller     Code = "callerTooSlow"
+	CodeRequestTooSlow Code = "requestTooSlow"
 )
 
 // Problem tells a caller why there is no whole answer, what to do, and whether
@@ -44,6 +43,11 @@
 	// Ran is "notRun", a promise, or "unknown".
 	Ran       dispatch.Ran `json:"ran"`
 	RequestID string       `json:"requestId,omitempty"`
+	// Reason says more about the code, where there is more.
+	Reason string `json:"reason,omitempty"`
+	// KeyUnchecked says that the idempotency key could not be looked up: this
+	// request was not run, but an earlier one with the key may have been.
+	KeyUnchecked bool `json:"keyUnchecked,omitempty"`
 	// RetryAfterMs is when to come back, in milliseconds, or zero.
 	RetryAfterMs int64 `json:"retryAfterMs,omitempty"`
 }
@@ -97,6 +101,57 @@
 	}
 }
 
+// ClaimRefused returns the problem of a call whose key could not be claimed.
+func ClaimRefused(reason string, unchecked bool, retryAfter time.Duration) Problem {
+	return Problem{
+		Status:       http.StatusServiceUnavailable,
+		Code:         CodeClaimRefused,
+		Message:      "the call could not be claimed, so it was not sent",
+		Action:       actionRetryOnce,
+		Ran:          dispatch.NotRun,
+		Reason:       reason,
+		KeyUnchecked: unchecked,
+		RetryAfterMs: retryAfter.Milliseconds(),
+	}
+}
+
+// KeyReused returns the problem of a key that stands for another request.
+func KeyReused() Problem {
+	return fault(http.StatusUnprocessableEntity, CodeKeyReused, "the idempotency key was first used for another request")
+}
+
+// KeyInvalid returns the problem of a key that cannot be used.
+func KeyInvalid(reason string) Problem {
+	problem := fault(http.StatusBadRequest, CodeKeyInvalid, "the idempotency key cannot be used")
+	problem.Reason = reason
+	return problem
+}
+
+// KeyUnknown returns the problem of a call that was granted before and whose
+// outcome is not known here. It is never run again.
+func KeyUnknown(reason string) Problem {
+	return Problem{
+		Status:  http.StatusConflict,
+		Code:    CodeKeyUnknown,
+		Message: "a call with this key was begun and its outcome is not known here; it is not run again",
+		Action:  actionAsk,
+		Ran:     dispatch.RanUnknown,
+		Reason:  reason,
+	}
+}
+
+// AnswerNotKept returns the problem of a call that was run before and whose
+// answer is not kept.
+func AnswerNotKept() Problem {
+	return Problem{
+		Status:  http.StatusConflict,
+		Code:    CodeAnswerNotKept,
+		Message: "the call with this key was run to its end; its answer is not kept",
+		Action:  actionAsk,
+		Ran:     dispatch.RanUnknown,
+	}
+}
+
 // fault returns the problem of a request that was not taken.
 func fault(status int, code Code, message string) Problem {
 	return Problem{
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -76,7 +76,7 @@
 	// they come. The caller's going away is told by ctx.
 	Submit(ctx context.Context, submission Submission) *Answer
 	// IssueKey returns a new idempotency key for a team.
-	IssueKey(team string) (string, error)
+	IssueKey(ctx context.Context, team string) (string, error)
 	// NewRequestID returns an id for a request that came without one.
 	NewRequestID() string
 	// Ready reports whether the host wants new work, and why not.
@@ -142,7 +142,7 @@
 		problem.write(w)
 		return
 	}
-	key, err := s.backend.IssueKey(team)
+	key, err := s.backend.IssueKey(r.Context(), team)
 	if err != nil {
 		refused := fault(http.StatusServiceUnavailable, CodeNotReady, err.Error())
 		refused.Action = actionRetry
