Spread the configuration among hosts by few readers, a tree and repair

Cause: at thousands of hosts not every one may long-poll the log, and a host must start, keep up and judge its own staleness with the log down.

PushRequest names its sender in place of a hop count, as a host hands on only what was new to it; HeadResponse carries the digest and the age of the log's confirmation.

--- a/core/configuration/snapshot.go
+++ b/core/configuration/snapshot.go
@@ -277,6 +277,18 @@
 	delete(r.partial, lowest)
 }
 
+// SnapshotSeen returns the offset of the snapshot that a record of the snapshot
+// stream carries the last chunk of, and the writer's wall clock. It reports
+// false for any other record.
+func SnapshotSeen(data []byte) (next record.Offset, writtenAtMs int64, ok bool) {
+	chunk, err := decodeChunk(data)
+	if err != nil || chunk.Index != chunk.Count-1 {
+		return 0, 0, false
+	}
+	envelope, err := record.Decode(data)
+	return chunk.Next, envelope.WrittenAtMs, err == nil
+}
+
 func decodeChunk(data []byte) (SnapshotChunk, error) {
 	envelope, err := record.Decode(data)
 	if err != nil {
--- /dev/null
+++ b/core/follow/log.go
@@ -0,0 +1,164 @@
+package follow
+
+import (
+	"bytes"
+	"time"
+
+	"cactuswell/core/record"
+)
+
+// shortestPoll separates long polls that are answered with nothing.
+const shortestPoll = PollWait / 4
+
+// readLog asks the log if this host is to follow it now.
+func (f *Follower) readLog(now time.Time) {
+	if f.log.busy || f.log.replaced || now.Before(f.log.retryAt) || !f.wantsLog(now) {
+		return
+	}
+	f.log.busy = true
+	f.log.askedAt = now
+	f.log.waits = f.log.caughtUp && f.IsReader()
+	if f.log.truncated {
+		f.emit(ReadSnapshots{})
+		return
+	}
+	wait := time.Duration(0)
+	if f.log.waits {
+		wait = PollWait
+	}
+	f.emit(ReadLog{
+		From: f.readFrom(),
+		Wait: wait,
+	})
+}
+
+// readFrom returns the next offset, or the one before it if the log's record
+// there is still to be compared with the one that was applied.
+func (f *Follower) readFrom() record.Offset {
+	if !f.log.verified && len(f.recent) > 0 {
+		return f.state.Next() - 1
+	}
+	return f.state.Next()
+}
+
+func (f *Follower) wantsLog(now time.Time) bool {
+	switch {
+	case f.IsReader(), f.log.wanted > f.state.Next():
+		return true
+	case !f.started && f.askedEnough():
+		return now.Sub(f.startedAt) >= min(time.Duration(f.zoneTree.self)*startStagger, maxStartStagger)
+	}
+	place := min(f.zoneTree.self, maxFallbackPlace)
+	patience := fallbackAfter + time.Duration(place)*fallbackStagger
+	return now.Sub(latest(f.confirmedAt, f.startedAt)) > patience
+}
+
+func (f *Follower) logAnswered(now time.Time, event LogAnswered) {
+	f.log.busy = false
+	if event.Next < f.state.Next() {
+		f.logWentBack(now, event.Next)
+		return
+	}
+	records := event.Records
+	if !f.log.verified && len(f.recent) > 0 && len(records) > 0 {
+		if !f.verify(records[0]) {
+			f.log.replaced = true
+			f.log.failed = true
+			f.alarm(AlarmLogReplaced, "", records[0].Offset)
+			return
+		}
+	}
+	before := f.state.Next()
+	if !f.apply(records) {
+		f.logFailed(now)
+		return
+	}
+	f.log.verified = true
+	f.log.reset = false
+	f.log.failed = false
+	f.log.delay = 0
+	f.log.caughtUp = f.state.Next() >= event.Next
+	switch {
+	case f.state.Blocked() != nil:
+		f.log.retryAt = now.Add(blockedRetryDelay)
+	case f.log.caughtUp:
+		f.log.wanted = 0
+		f.forgetHead()
+		f.caughtUpWith(now)
+		f.confirm(now)
+		if f.log.waits && len(records) == 0 && now.Sub(f.log.askedAt) < shortestPoll {
+			// The log does not hold back its answers.
+			f.log.retryAt = now.Add(shortestPoll)
+		}
+	case f.state.Next() == before:
+		f.logFailed(now)
+	}
+}
+
+// verify compares a record with the one that was applied at its offset.
+func (f *Follower) verify(stored Record) bool {
+	for _, applied := range f.recent {
+		if applied.Offset == stored.Offset {
+			return bytes.Equal(applied.Data, stored.Data)
+		}
+	}
+	return true
+}
+
+// logWentBack is a log whose head is behind what was applied. What it holds is
+// not taken, and says nothing about being up to date.
+func (f *Follower) logWentBack(now time.Time, next record.Offset) {
+	if !f.log.reset {
+		f.alarm(AlarmLogReset, "", next)
+	}
+	f.log.reset = true
+	f.logFailed(now)
+}
+
+func (f *Follower) logTruncated(now time.Time, event LogTruncated) {
+	f.log.busy = false
+	if event.Oldest <= f.state.Next() {
+		// Only the record to be compared is gone.
+		f.log.verified = true
+		return
+	}
+	f.log.truncated = true
+	f.log.caughtUp = false
+	f.log.wanted = max(f.log.wanted, event.Oldest)
+	f.log.retryAt = now
+	f.headHeard(now, "", event.Oldest)
+}
+
+func (f *Follower) snapshotsRead(now time.Time, event SnapshotsRead) {
+	f.log.busy = false
+	if event.State != nil {
+		f.adopt(event.State)
+	}
+	if f.state.Next() < f.log.wanted {
+		if !f.log.uncovered {
+			f.alarm(AlarmUncovered, "", f.log.wanted)
+		}
+		f.log.uncovered = true
+		f.logFailed(now)
+		return
+	}
+	f.log.truncated = false
+	f.log.uncovered = false
+	f.log.delay = 0
+	f.log.retryAt = now
+}
+
+func (f *Follower) logFailed(now time.Time) {
+	f.log.busy = false
+	f.log.failed = true
+	f.log.everFailed = true
+	f.log.caughtUp = false
+	f.log.verified = false
+	longest := maxOtherRetryDelay
+	if f.IsReader() {
+		longest = maxReaderRetryDelay
+	}
+	f.log.delay = min(max(2*f.log.delay, firstRetryDelay), longest)
+	jitter := time.Duration(f.random.Int64N(int64(f.log.delay/2) + 1))
+	f.log.retryAt = now.Add(f.log.delay/2 + jitter)
+}
--- /dev/null
+++ b/core/follow/peer.go
@@ -0,0 +1,205 @@
+package follow
+
+import (
+	"time"
+
+	"cactuswell/core/record"
+)
+
+// askPeer compares heads with a peer when it is time, and at once while peers
+// are still to be asked after the start.
+func (f *Follower) askPeer(now time.Time) {
+	if f.peer.busy || len(f.members) == 0 {
+		f.delayComparison(now)
+		return
+	}
+	if f.behind() && f.isLive(f.peer.headFrom) {
+		f.delayComparison(now)
+		f.fetchFrom(f.peer.headFrom)
+		return
+	}
+	if now.Before(f.peer.nextAt) && f.askedEnough() {
+		return
+	}
+	f.peer.busy = true
+	jitter := time.Duration(f.random.Int64N(int64(RepairInterval * 2 / 5)))
+	f.peer.nextAt = now.Add(RepairInterval*4/5 + jitter)
+	f.emit(AskHead{
+		Peer: f.choosePeer(),
+	})
+}
+
+// delayComparison puts off a comparison that is due.
+func (f *Follower) delayComparison(now time.Time) {
+	if !f.peer.nextAt.After(now) {
+		f.peer.nextAt = now.Add(RepairInterval)
+	}
+}
+
+// choosePeer takes in turn the parent in the tree, a random peer of the zone
+// and a random peer of any zone. After the start it takes peers that were not
+// asked yet.
+func (f *Follower) choosePeer() string {
+	if !f.askedEnough() {
+		return f.unaskedPeer()
+	}
+	f.peer.round++
+	switch f.peer.round % 3 {
+	case 0:
+		if parent, ok := f.zoneTree.parent(); ok {
+			return parent
+		}
+	case 1:
+		if name := f.zoneTree.names[f.random.IntN(len(f.zoneTree.names))]; name != f.settings.Self.Name {
+			return name
+		}
+	}
+	return f.members[f.random.IntN(len(f.members))].Name
+}
+
+func (f *Follower) unaskedPeer() string {
+	var unasked []string
+	for _, member := range f.members {
+		if !f.peer.asked[member.Name] {
+			unasked = append(unasked, member.Name)
+		}
+	}
+	return unasked[f.random.IntN(len(unasked))]
+}
+
+func (f *Follower) askedEnough() bool {
+	if len(f.peer.asked) >= peersAtStart {
+		return true
+	}
+	for _, member := range f.members {
+		if !f.peer.asked[member.Name] {
+			return false
+		}
+	}
+	return true
+}
+
+// fetchFrom asks for records, or for the whole state if this host has none.
+func (f *Follower) fetchFrom(peer string) {
+	f.peer.busy = true
+	if f.state.Next() == 0 {
+		f.emit(FetchState{Peer: peer})
+		return
+	}
+	f.emit(FetchRecords{
+		Peer: peer,
+		From: f.state.Next(),
+	})
+}
+
+func (f *Follower) behind() bool {
+	return f.peer.head > f.state.Next()
+}
+
+func (f *Follower) headHeard(now time.Time, peer string, next record.Offset) {
+	if next <= f.state.Next() || next <= f.peer.head || f.peer.divergent[peer] {
+		return
+	}
+	if !f.behind() {
+		f.peer.headSince = now
+	}
+	f.peer.head = next
+	f.peer.headFrom = peer
+}
+
+func (f *Follower) forgetHead() {
+	f.peer.head = 0
+	f.peer.headFrom = ""
+}
+
+func (f *Follower) headAnswered(now time.Time, event HeadAnswered) {
+	f.peerAnswered(event.Peer)
+	if event.Next == f.state.Next() && event.Digest != f.state.Digest() {
+		if !f.peer.divergent[event.Peer] {
+			f.alarm(AlarmDivergentPeer, event.Peer, event.Next)
+		}
+		f.peer.divergent[event.Peer] = true
+		return
+	}
+	delete(f.peer.divergent, event.Peer)
+	if event.Next > f.state.Next() {
+		f.headHeard(now, event.Peer, event.Next)
+		return
+	}
+	f.noNewerAt(now, event.Peer)
+	if event.Next == f.state.Next() {
+		f.confirm(event.ConfirmedAt)
+	}
+}
+
+// noNewerAt notes that a peer has nothing newer.
+func (f *Follower) noNewerAt(now time.Time, peer string) {
+	if f.peer.headFrom == peer {
+		f.forgetHead()
+	}
+	if !f.behind() {
+		f.caughtUpWith(now)
+	}
+}
+
+func (f *Follower) pushed(now time.Time, event Pushed) {
+	if f.apply(event.Records) {
+		return
+	}
+	last := event.Records[len(event.Records)-1]
+	f.headHeard(now, event.From, last.Offset+1)
+}
+
+func (f *Follower) fetched(now time.Time, event Fetched) {
+	f.peerAnswered(event.Peer)
+	before := f.state.Next()
+	if !f.apply(event.Records) || (len(event.Records) == 0 && event.Next > before) {
+		f.peer.busy = true
+		f.emit(FetchState{Peer: event.Peer})
+		return
+	}
+	f.fetchEnded(now, event.Peer, before, event.Next)
+}
+
+func (f *Follower) stateFetched(now time.Time, event StateFetched) {
+	f.peerAnswered(event.Peer)
+	before := f.state.Next()
+	f.adopt(event.State)
+	f.fetchEnded(now, event.Peer, before, event.State.Next())
+}
+
+// fetchEnded gives up on a peer that has not what it named, so that the next
+// comparison tries another one.
+func (f *Follower) fetchEnded(now time.Time, peer string, before, next record.Offset) {
+	switch {
+	case next <= f.state.Next():
+		f.noNewerAt(now, peer)
+	case f.state.Next() == before:
+		f.peer.headFrom = ""
+	}
+}
+
+func (f *Follower) peerAnswered(peer string) {
+	f.peer.busy = false
+	f.peer.answered = true
+	f.peer.failures = 0
+	f.noteAsked(peer)
+}
+
+func (f *Follower) peerFailed(now time.Time, event PeerFailed) {
+	f.peer.busy = false
+	f.peer.failures++
+	f.peer.nextAt = now.Add(min(time.Duration(f.peer.failures)*peerRetryStep, maxPeerRetryDelay))
+	f.noteAsked(event.Peer)
+	if f.peer.headFrom == event.Peer {
+		// The head stays known, so that the host goes on saying that it is
+		// behind; another peer is asked for it.
+		f.peer.headFrom = ""
+	}
+}
+
+func (f *Follower) noteAsked(peer string) {
+	if len(f.peer.asked) < peersAtStart {
+		f.peer.asked[peer] = true
+	}
+}
--- /dev/null
+++ b/core/follow/readiness.go
@@ -0,0 +1,63 @@
+package follow
+
+import "time"
+
+// Reason says why a host is not ready.
+type Reason string
+
+// The reasons. ReasonNone stands for a host that is ready.
+const (
+	ReasonNone Reason = ""
+	// ReasonStarting says that neither the log nor enough peers were heard.
+	ReasonStarting Reason = "starting: configuration was not compared with the log or with peers yet"
+	// ReasonEmpty says that no configuration record was ever read.
+	ReasonEmpty Reason = "no configuration record was ever read"
+	// ReasonNewer says that the stream goes on with a record of a newer format.
+	ReasonNewer Reason = "the stream goes on with a record of a newer format"
+	// ReasonBehind says that a newer record is known of and cannot be had.
+	ReasonBehind Reason = "behind a record that cannot be fetched"
+	// ReasonSilence says that neither the log nor a peer was heard.
+	ReasonSilence Reason = "heard from neither the log nor a peer"
+	// ReasonUnconfirmed says that the log was not heard for too long, not even
+	// through peers.
+	ReasonUnconfirmed Reason = "no word from the log, not even through peers"
+)
+
+// Ready returns ReasonNone if the host may serve by its state at the given
+// time, and otherwise the reason.
+func (f *Follower) Ready(now time.Time) Reason {
+	bound := f.settings.LagBound
+	switch {
+	case !f.started:
+		return ReasonStarting
+	case f.state.Next() == 0:
+		return ReasonEmpty
+	case f.state.Blocked() != nil && now.Sub(f.blockedAt) > bound:
+		return ReasonNewer
+	case f.behind() && now.Sub(f.peer.headSince) > bound:
+		return ReasonBehind
+	case f.hadPeers && now.Sub(f.contactAt) > bound:
+		return ReasonSilence
+	case now.Sub(latest(f.confirmedAt, f.startedAt)) > f.settings.ConfirmBound:
+		return ReasonUnconfirmed
+	}
+	return ReasonNone
+}
+
+// checkStarted ends the start once the state was compared with the log or,
+// while that is down, with peers.
+func (f *Follower) checkStarted(now time.Time) {
+	if f.started || f.behind() || !f.askedEnough() {
+		return
+	}
+	confirmed := !f.confirmedAt.IsZero() && now.Sub(f.confirmedAt) <= f.settings.LagBound
+	fromPeers := f.log.everFailed && f.peer.answered && f.state.Next() > 0
+	f.started = confirmed || fromPeers
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/io/configuration/configuration.go
+++ b/io/configuration/configuration.go
@@ -1,20 +1,25 @@
 // Package configuration keeps a host's copy of the configuration stream up to
-// date and publishes changes to it.
+// date, hands records on to other hosts, writes snapshots, and publishes
+// changes. What it does and when is decided by core/follow; what a record means
+// by core/configuration.
 //
 // # Usage
 //
 //	config := configuration.New(configuration.Dependencies{
-//		Host:   "host-1",
-//		Zone:   "alm-a",
-//		Log:    func() logservice.Log { return logservice.New(base, newClient()) },
-//		Dial:   configuration.Dialer(newClient),
-//		Peers:  peers,
-//		Timers: timers,
-//		Logger: logger,
+//		Host:      "host-1",
+//		Zone:      "alm-a",
+//		Log:       func() logservice.Log { return logservice.New(base, newClient()) },
+//		Dial:      configuration.Dialer("http", newClient),
+//		Peers:     peers,
+//		Timers:    timers,
+//		Logger:    logger,
+//		Random:    rand.New(rand.NewPCG(seed1, seed2)),
+//		Retention: 24 * time.Hour,
 //	})
 //	for _, duty := range config.Duties() {
 //		tree.Add(duty)
 //	}
+//	router.PathPrefix(config.Handler())
 //	current, revision, ok := config.Profile("weddingMorningCheck")
 //
 // The accessors read an immutable state without a lock and may be called from
@@ -22,6 +27,8 @@
 package configuration
 
 import (
+	"expvar"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -29,51 +36,88 @@
 
 	core "cactuswell/core/configuration"
 	"cactuswell/core/endpoint"
+	"cactuswell/core/follow"
 	"cactuswell/core/profile"
 	"cactuswell/core/record"
 	"cactuswell/io/logservice"
+	"cactuswell/ring"
 	"cactuswell/supervisor"
 	"cactuswell/timer"
 )
 
+// DefaultRetention is how long the platform's log is taken to keep records.
+const DefaultRetention = 24 * time.Hour
+
+const (
+	heardCapacity  = 1024
+	resultCapacity = 16
+	taskCapacity   = 4
+	pushCapacity   = 16
+	// pushLanes is how many peers a host pushes to at the same time: its
+	// children in the tree and the other reader.
+	pushLanes = follow.FanOut + 1
+)
+
 // Dependencies are what a Configuration is made of.
 type Dependencies struct {
-	// Host and Zone are this host's own.
+	// Host, Zone and Incarnation are this host's own.
 	Host        string
 	Zone        string
 	Incarnation uint64
 	// Log returns a client of the log on a connection of its own. It is called
 	// again after each failure, so that a silent connection is left behind.
-	Log    func() logservice.Log
+	Log func() logservice.Log
+	// Dial returns a connection of its own to a peer.
+	Dial   func(Peer) Conn
+	Peers  Peers
 	Timers *timer.Service
 	Logger log.Logger
+	// Random is used by one goroutine only.
+	Random *rand.Rand
+	// Retention is how long the log surely keeps records, or zero for
+	// DefaultRetention.
+	Retention time.Duration
+	// LagBound and ConfirmBound are as in follow.Settings.
+	LagBound     time.Duration
+	ConfirmBound time.Duration
 }
 
 // Configuration is a host's copy of the configuration stream.
 type Configuration struct {
 	dependencies Dependencies
 	current      atomic.Pointer[view]
-}
-
-// view is what readers see. It is never changed after it was published, but
-// for changed, which is closed once a newer view is there.
-type view struct {
-	state   *core.State
-	ready   bool
-	reason  string
-	changed chan struct{}
+	counts       *expvar.Map
+
+	// results carries the answers to the follower's commands, of which there
+	// are at most two at a time; heard carries what peers say unasked and may
+	// overflow, as heads are compared later.
+	results *ring.Ring[follow.Event]
+	heard   *ring.Ring[follow.Event]
+	logTask *ring.Ring[follow.Command]
+	repair  *ring.Ring[follow.Command]
+	pushes  []*ring.Ring[pushTask]
 }
 
 // New returns a configuration that knows nothing until its duties run.
 func New(dependencies Dependencies) *Configuration {
+	if dependencies.Retention == 0 {
+		dependencies.Retention = DefaultRetention
+	}
+	if dependencies.Peers == nil {
+		dependencies.Peers = Static(nil)
+	}
 	c := &Configuration{
 		dependencies: dependencies,
+		counts:       new(expvar.Map).Init(),
+		results:      ring.New[follow.Event](resultCapacity),
+		heard:        ring.New[follow.Event](heardCapacity),
+		logTask:      ring.New[follow.Command](taskCapacity),
+		repair:       ring.New[follow.Command](taskCapacity),
 	}
-	c.current.Store(&view{
-		state:   core.New(),
-		reason:  reasonStarting,
-		changed: make(chan struct{}),
-	})
+	for range pushLanes {
+		c.pushes = append(c.pushes, ring.New[pushTask](pushCapacity))
+	}
+	c.current.Store(newView(core.New()))
 	return c
 }
 
@@ -103,6 +147,11 @@
 	return c.State().Drained(key)
 }
 
+// Placement returns the wanted placement.
+func (c *Configuration) Placement() core.Placement {
+	return c.State().Placement()
+}
+
 // Applied returns the offset of the first record that is not applied yet.
 func (c *Configuration) Applied() record.Offset {
 	return c.State().Next()
@@ -116,8 +165,8 @@
 // Ready reports whether the host may serve by its configuration, and if not,
 // why.
 func (c *Configuration) Ready() (bool, string) {
-	current := c.current.Load()
-	return current.ready, current.reason
+	reason := c.current.Load().reason
+	return reason == follow.ReasonNone, string(reason)
 }
 
 // Changed returns a channel that is closed when the state or the readiness
@@ -126,27 +175,65 @@
 	return c.current.Load().changed
 }
 
+// HeadHeard takes a peer's next offset as it rides on probes.
+func (c *Configuration) HeadHeard(peer string, next record.Offset) {
+	if next <= c.Applied() {
+		return
+	}
+	c.heard.TryPush(follow.HeadHeard{
+		Peer: peer,
+		Next: next,
+	})
+}
+
+// Vars returns the counters, to be published with expvar.
+func (c *Configuration) Vars() *expvar.Map { return c.counts }
+
 // Duties returns what must run in the host's tree.
 func (c *Configuration) Duties() []supervisor.Duty {
-	r := &reader{
-		configuration: c,
-		state:         core.New(),
-	}
-	return []supervisor.Duty{
+	keeper := newKeeper(c)
+	reader := newLogReader(c)
+	repairer := newRepairer(c)
+	writer := newSnapshotter(c)
+	duties := []supervisor.Duty{
+		{
+			Name:      "configurationFollow",
+			Run:       keeper.run,
+			Restarted: keeper.rebuild,
+		},
+		{
+			Name:      "configurationLog",
+			Run:       reader.run,
+			Restarted: reader.answerLost,
+		},
+		{
+			Name:      "configurationRepair",
+			Run:       repairer.run,
+			Restarted: repairer.answerLost,
+		},
 		{
-			Name: "configurationReader",
-			Run:  r.run,
+			Name: "configurationSnapshot",
+			Run:  writer.run,
 		},
 	}
-}
-
-// publish replaces the view. Only one duty calls it.
-func (c *Configuration) publish(next *view) {
-	next.changed = make(chan struct{})
-	previous := c.current.Swap(next)
-	close(previous.changed)
+	for _, tasks := range c.pushes {
+		duties = append(duties, supervisor.Duty{
+			Name: "configurationPush",
+			Run:  newPusher(c, tasks).run,
+		})
+	}
+	return duties
 }
 
 func (c *Configuration) now() time.Time {
 	return c.dependencies.Timers.Now()
 }
+
+func (c *Configuration) peer(name string) (Peer, bool) {
+	for _, peer := range c.dependencies.Peers.Live() {
+		if peer.Name == name {
+			return peer, true
+		}
+	}
+	return Peer{}, false
+}
--- a/io/configuration/publisher.go
+++ b/io/configuration/publisher.go
@@ -10,11 +10,11 @@
 	"github.com/gravitational/trace"
 
 	core "cactuswell/core/configuration"
+	"cactuswell/core/follow"
 	"cactuswell/core/record"
+	"cactuswell/io/logservice"
 )
 
-const streamName = record.StreamConfiguration
-
 const (
 	// appendTimeout bounds one append.
 	appendTimeout = 3 * time.Second
@@ -77,8 +77,8 @@
 	if outcome, ok := c.State().Outcome(id); ok {
 		return c.resolve(outcome, change)
 	}
-	if c.current.Load().reason == reasonStarting {
-		return core.Outcome{}, trace.Wrap(&NotReadyError{Reason: reasonStarting})
+	if reason := c.current.Load().reason; reason == follow.ReasonStarting {
+		return core.Outcome{}, trace.Wrap(&NotReadyError{Reason: string(reason)})
 	}
 	change = core.WithAsOf(change, c.Applied())
 	data, err := core.Encode(id, c.dependencies.Host, c.now().UnixMilli(), change)
@@ -97,10 +97,22 @@
 	return core.Outcome{}, trace.Wrap(&UnknownError{ID: id, Cause: errors.Join(ctx.Err(), cause)})
 }
 
+// appendOnce appends the record and lets the follower look for it, also when
+// the answer was lost.
 func (c *Configuration) appendOnce(ctx context.Context, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	_, err := c.dependencies.Log().Append(ctx, streamName, [][]byte{data})
+	c.counts.Add("appends", 1)
+	offset, err := c.dependencies.Log().Append(ctx, record.StreamConfiguration, [][]byte{data})
+	var refused *logservice.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return err
+	case err != nil:
+		c.counts.Add("appendsUnanswered", 1)
+		offset = c.Applied()
+	}
+	c.heard.TryPush(follow.Appended{Offset: offset})
 	return err
 }
 
--- /dev/null
+++ b/io/configuration/repairer.go
@@ -0,0 +1,141 @@
+package configuration
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	core "cactuswell/core/configuration"
+	"cactuswell/core/follow"
+	"cactuswell/core/record"
+	"cactuswell/io/node/nodev1"
+)
+
+// peerTimeout is how long a peer may take for an answer. A connection that
+// takes longer is left behind.
+const peerTimeout = time.Second
+
+// repairer calls peers for the follower.
+type repairer struct {
+	configuration *Configuration
+	connections   *connections
+}
+
+func newRepairer(c *Configuration) *repairer {
+	return &repairer{
+		configuration: c,
+	}
+}
+
+func (r *repairer) run(ctx context.Context) error {
+	c := r.configuration
+	r.connections = newConnections(c.dependencies.Dial)
+	defer r.connections.closeAll()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.repair.Ready():
+			for command, ok := c.repair.Pop(); ok; command, ok = c.repair.Pop() {
+				c.results.TryPush(r.answer(ctx, command))
+			}
+		}
+	}
+}
+
+// answerLost tells the follower that the command that was being carried out has
+// no answer.
+func (r *repairer) answerLost() {
+	r.configuration.results.TryPush(follow.PeerFailed{})
+}
+
+func (r *repairer) answer(ctx context.Context, command follow.Command) follow.Event {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	switch command := command.(type) {
+	case follow.AskHead:
+		return r.call(command.Peer, func(conn Conn) (follow.Event, error) {
+			return r.askHead(ctx, conn, command.Peer)
+		})
+	case follow.FetchRecords:
+		return r.call(command.Peer, func(conn Conn) (follow.Event, error) {
+			return fetchRecords(ctx, conn, command)
+		})
+	case follow.FetchState:
+		return r.call(command.Peer, func(conn Conn) (follow.Event, error) {
+			return fetchState(ctx, conn, command.Peer)
+		})
+	}
+	return follow.PeerFailed{}
+}
+
+func (r *repairer) call(name string, do func(Conn) (follow.Event, error)) follow.Event {
+	failed := follow.PeerFailed{Peer: name}
+	peer, ok := r.configuration.peer(name)
+	if !ok {
+		return failed
+	}
+	event, err := do(r.connections.to(peer))
+	if err != nil {
+		r.configuration.counts.Add("peerCallsFailed", 1)
+		r.connections.drop(peer)
+		return failed
+	}
+	return event
+}
+
+func (r *repairer) askHead(ctx context.Context, conn Conn, peer string) (follow.Event, error) {
+	// The age is counted from before the call, so that the peer's word is never
+	// taken for newer than it is.
+	sent := r.configuration.now()
+	response, err := conn.Head(ctx, connect.NewRequest(&nodev1.HeadRequest{}))
+	if err != nil {
+		return nil, err
+	}
+	event := follow.HeadAnswered{
+		Peer:   peer,
+		Next:   record.Offset(response.Msg.GetNextOffset()),
+		Digest: response.Msg.GetDigest(),
+	}
+	if response.Msg.GetConfirmed() {
+		age := time.Duration(max(0, response.Msg.GetConfirmedAgeMs())) * time.Millisecond
+		event.ConfirmedAt = sent.Add(-age)
+	}
+	return event, nil
+}
+
+func fetchRecords(ctx context.Context, conn Conn, command follow.FetchRecords) (follow.Event, error) {
+	response, err := conn.Fetch(ctx, connect.NewRequest(&nodev1.FetchRequest{
+		Stream: string(record.StreamConfiguration),
+		From:   int64(command.From),
+		Limit:  pollLimit,
+	}))
+	if err != nil {
+		return nil, err
+	}
+	records, err := fromMessages(response.Msg.GetRecords())
+	if err != nil {
+		return nil, err
+	}
+	return follow.Fetched{
+		Peer:    command.Peer,
+		Records: records,
+		Next:    record.Offset(response.Msg.GetNextOffset()),
+	}, nil
+}
+
+func fetchState(ctx context.Context, conn Conn, peer string) (follow.Event, error) {
+	response, err := conn.FetchState(ctx, connect.NewRequest(&nodev1.FetchStateRequest{}))
+	if err != nil {
+		return nil, err
+	}
+	state, err := core.Restore(response.Msg.GetSnapshot())
+	if err != nil {
+		return nil, err
+	}
+	return follow.StateFetched{
+		Peer:  peer,
+		State: state,
+	}, nil
+}
