--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,159 @@
+// Package host assembles an entry host: the duties that serve callers, decide,
+// speak to endpoints and the platform, and keep in touch with the other hosts,
+// as one supervised tree.
+//
+// # Usage
+//
+//	h, err := host.New(host.Dependencies{
+//		Settings: settings,
+//		Logger:   logger,
+//	})
+//	err = h.Run(ctx)
+//
+// Run serves until its context ends and then stops in good order: the host is
+// no longer ready but still accepts for the balancer's lag, then takes no new
+// work, finishes every request in flight, and leaves.
+package host
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-kit/log"
+
+	"cactuswell/core/dispatch"
+	"cactuswell/core/endpoint"
+	"cactuswell/core/routing"
+	"cactuswell/io/configuration"
+	"cactuswell/io/node"
+	"cactuswell/metrics"
+	"cactuswell/settings"
+	"cactuswell/supervisor"
+	"cactuswell/timer"
+)
+
+// Dependencies is what a host is made from.
+type Dependencies struct {
+	Settings settings.Settings
+	Logger   log.Logger
+}
+
+// Host is one entry host.
+type Host struct {
+	settings      settings.Settings
+	logger        log.Logger
+	incarnation   uint64
+	timers        *timer.Service
+	counters      *metrics.Counters
+	tree          *supervisor.Tree
+	clients       clients
+	node          *node.Node
+	configuration *configuration.Configuration
+	directory     *directory
+	recent        *recentRequests
+	requestIDs    atomic.Uint64
+	externalIDs   atomic.Uint64
+	phase         atomic.Int32
+
+	callerListener   net.Listener
+	peerListener     net.Listener
+	operatorListener net.Listener
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// The phases of a host's life.
+const (
+	phaseServing int32 = iota
+	// phaseLeaving is not ready but still accepts, for the balancer's lag.
+	phaseLeaving
+	// phaseDraining takes nothing new and finishes what it has.
+	phaseDraining
+)
+
+// phaseNames are the phases as they stand in dumps.
+var phaseNames = map[int32]string{
+	phaseServing:  "serving",
+	phaseLeaving:  "leaving",
+	phaseDraining: "draining",
+}
+
+// watched starts the duties that read a new endpoint's account of itself.
+func (h *Host) watched(descriptor endpoint.Descriptor, removed <-chan struct{}) {
+	w := &watch{
+		descriptor: descriptor,
+		removed:    removed,
+		engine:     h.clients.watching,
+		timers:     h.timers,
+		interval:   h.settings.ReportInterval,
+		heard:      h.directory.heard,
+		post:       h.postToPool,
+	}
+	name := fmt.Sprintf("%s.%d", descriptor.Key.Name, descriptor.Key.Incarnation)
+	h.tree.Add(supervisor.Duty{
+		Name: "load." + name,
+		Run:  w.runLoad,
+	})
+	h.tree.Add(supervisor.Duty{
+		Name: "cache." + name,
+		Run:  w.runCache,
+	})
+}
+
+func (h *Host) postToPool(name string, event dispatch.Event) {
+	h.pool(name).post(event)
+}
+
+// pool returns the pool of that name and starts its duty at the first call.
+func (h *Host) pool(name string) *pool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p, ok := h.pools[name]; ok {
+		return p
+	}
+	p := newPool(poolDependencies{
+		name:      name,
+		hostID:    h.id(),
+		decisions: func() decisions { return h.newDecisions(name) },
+		clients:   h.clients,
+		timers:    h.timers,
+		logger:    log.With(h.logger, "pool", name),
+		counters:  h.counters,
+		ids:       &h.requestIDs,
+		rebuilt:   func(p *pool) { h.directory.resend(p.name) },
+	})
+	p.events.TryPush(dispatch.HostsCounted{
+		Hosts: h.node.Hosts(),
+	})
+	h.pools[name] = p
+	h.tree.Add(supervisor.Duty{
+		Name:      "pool." + name,
+		Run:       p.run,
+		Restarted: p.restarted,
+	})
+	return p
+}
+
+// newDecisions returns the state machines for a pool. The seed comes from the
+// host's name and life, so that hosts do not choose alike.
+func (h *Host) newDecisions(name string) decisions {
+	random := rand.New(rand.NewPCG(h.incarnation, hash(h.settings.Name+"/"+name)))
+	router := routing.New(routing.DefaultSettings(h.settings.Name, h.settings.Zone), random)
+	return decisions{
+		router: router,
+		pool: dispatch.New(dispatch.Settings{
+			Pool: name,
+			Zone: h.settings.Zone,
+		}, router, random),
+	}
+}
+
+// id names this life of the host in the ids of attempts.
+func (h *Host) id() string {
+	return h.settings.Name + "-" + strconv.FormatUint(h.incarnation, 36)
+}
