--- a/demo/demo.go
+++ b/demo/demo.go
@@ -220,9 +220,6 @@
 func (d *Demo) Publish(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
-	if err := d.hosts[0].AwaitReady(ctx); err != nil {
-		return trace.Wrap(err)
-	}
 	for _, spec := range d.deployment.Profiles {
 		change := configuration.ProfileChange{
 			Name:   spec.Name,
--- a/io/configuration/configuration.go
+++ b/io/configuration/configuration.go
@@ -9,7 +9,7 @@
 //		Host:      "host-1",
 //		Zone:      "alm-a",
 //		Log:       func() logservice.Log { return logservice.New(base, newClient()) },
-//		Dial:      configuration.Dialer("http", newClient),
+//		Dial:      configuration.Dialer(transport.BaseURL, transport.Client),
 //		Peers:     peers,
 //		Timers:    timers,
 //		Logger:    logger,
@@ -32,6 +32,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 
 	core "cactuswell/core/configuration"
@@ -72,7 +73,8 @@
 	Peers  Peers
 	Timers *timer.Service
 	Logger log.Logger
-	// Random is used by one goroutine only.
+	// Random is used by one goroutine only. Without it the incarnation is the
+	// seed.
 	Random *rand.Rand
 	// Retention is how long the log surely keeps records, or zero for
 	// DefaultRetention.
@@ -103,6 +105,9 @@
 	if dependencies.Retention == 0 {
 		dependencies.Retention = DefaultRetention
 	}
+	if dependencies.Random == nil {
+		dependencies.Random = rand.New(rand.NewPCG(dependencies.Incarnation, xxhash.Sum64String(dependencies.Host)))
+	}
 	if dependencies.Peers == nil {
 		dependencies.Peers = Static(nil)
 	}
--- a/io/configuration/peers.go
+++ b/io/configuration/peers.go
@@ -40,13 +40,14 @@
 }
 
 // Dialer returns a function that makes connections to peers, each with an HTTP
-// client of its own. The scheme is http or https.
-func Dialer(scheme string, newClient func() *http.Client) func(Peer) Conn {
+// client from newClient. A client that is shared must itself leave a silent
+// connection behind. BaseURL gives the URL of a peer's address.
+func Dialer(baseURL func(address string) string, newClient func() *http.Client) func(Peer) Conn {
 	return func(peer Peer) Conn {
 		client := newClient()
 		return &conn{
 			RecordsServiceClient: nodev1connect.NewRecordsServiceClient(
-				client, scheme+"://"+peer.Address, connect.WithReadMaxBytes(maxMessageBytes)),
+				client, baseURL(peer.Address), connect.WithReadMaxBytes(maxMessageBytes)),
 			client: client,
 		}
 	}
--- a/io/configuration/publisher.go
+++ b/io/configuration/publisher.go
@@ -66,7 +66,8 @@
 }
 
 // Change publishes a change under an id and returns its outcome once the record
-// was read back and reduced. The same id may be given again, with the same
+// was read back and reduced. A host that starts publishes once it is as far as
+// the stream. The same id may be given again, with the same
 // change, to learn the outcome of an earlier call; a repeated record has no
 // effect.
 //
@@ -77,8 +78,8 @@
 	if outcome, ok := c.State().Outcome(id); ok {
 		return c.resolve(outcome, change)
 	}
-	if reason := c.current.Load().reason; reason == follow.ReasonStarting {
-		return core.Outcome{}, trace.Wrap(&NotReadyError{Reason: string(reason)})
+	if err := c.awaitStart(ctx); err != nil {
+		return core.Outcome{}, trace.Wrap(err)
 	}
 	change = core.WithAsOf(change, c.Applied())
 	data, err := core.Encode(id, c.dependencies.Host, c.now().UnixMilli(), change)
@@ -97,6 +98,21 @@
 	return core.Outcome{}, trace.Wrap(&UnknownError{ID: id, Cause: errors.Join(ctx.Err(), cause)})
 }
 
+// awaitStart waits until the host knows the head of the stream.
+func (c *Configuration) awaitStart(ctx context.Context) error {
+	for {
+		current := c.current.Load()
+		if current.reason != follow.ReasonStarting {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &NotReadyError{Reason: string(current.reason)}
+		case <-current.changed:
+		}
+	}
+}
+
 // appendOnce appends the record and lets the follower look for it, also when
 // the answer was lost.
 func (c *Configuration) appendOnce(ctx context.Context, data []byte) error {
