Refuse records of a peer that followed another stream

Cause: after a log was replaced, a host could take records of the new stream from a peer onto its old state. Change: each record that peers exchange carries the digest of the state in front of it, and heads are compared at any offset that is still known. A host that starts among divergent peers is not ready. A host whose duty stands still is not ready. One request of a peer is bounded to 2 MiB. TestLogReplaced now starts a new host on the other log; it failed before this change. Conclusion: neither the log nor a peer can put another stream in the place of the one that was applied.

--- a/core/follow/event.go
+++ b/core/follow/event.go
@@ -16,6 +16,9 @@
 type Record struct {
 	Offset record.Offset
 	Data   []byte
+	// Before is the digest of the state in front of the record. The log does
+	// not give it.
+	Before uint64
 }
 
 // Member is a live host other than this one.
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -284,6 +284,11 @@
 	if f.peer.headFrom != "" && !f.isLive(f.peer.headFrom) {
 		f.forgetHead()
 	}
+	for peer := range f.peer.divergent {
+		if !f.isLive(peer) {
+			delete(f.peer.divergent, peer)
+		}
+	}
 }
 
 func (f *Follower) isLive(name string) bool {
@@ -295,11 +300,24 @@
 	return false
 }
 
+// applyOf reduces the records of a peer, unless it has reduced others before
+// them.
+func (f *Follower) applyOf(peer string, records []Record) bool {
+	for _, next := range records {
+		if next.Offset == f.state.Next() && next.Before != f.state.Digest() {
+			f.foundDivergent(peer, next.Offset)
+			return true
+		}
+	}
+	return f.apply(records)
+}
+
 // apply reduces the records that continue the state. It reports false if they
 // leave a gap.
 func (f *Follower) apply(records []Record) bool {
 	for _, next := range records {
 		wasBlocked := f.state.Blocked() != nil
+		next.Before = f.state.Digest()
 		switch f.state.Apply(next.Offset, next.Data).Verdict {
 		case configuration.VerdictOld:
 		case configuration.VerdictGap:
--- a/core/follow/peer.go
+++ b/core/follow/peer.go
@@ -114,14 +114,13 @@
 
 func (f *Follower) headAnswered(now time.Time, event HeadAnswered) {
 	f.peerAnswered(event.Peer)
-	if event.Next == f.state.Next() && event.Digest != f.state.Digest() {
-		if !f.peer.divergent[event.Peer] {
-			f.alarm(AlarmDivergentPeer, event.Peer, event.Next)
+	if digest, known := f.digestAt(event.Next); known {
+		if digest != event.Digest {
+			f.foundDivergent(event.Peer, event.Next)
+			return
 		}
-		f.peer.divergent[event.Peer] = true
-		return
+		delete(f.peer.divergent, event.Peer)
 	}
-	delete(f.peer.divergent, event.Peer)
 	if event.Next > f.state.Next() {
 		f.headHeard(now, event.Peer, event.Next)
 		return
@@ -132,6 +131,32 @@
 	}
 }
 
+// foundDivergent notes a peer that has followed another stream. Nothing is taken
+// from it until it agrees again.
+func (f *Follower) foundDivergent(peer string, next record.Offset) {
+	if !f.peer.divergent[peer] {
+		f.alarm(AlarmDivergentPeer, peer, next)
+	}
+	f.peer.divergent[peer] = true
+	if f.peer.headFrom == peer {
+		f.forgetHead()
+	}
+}
+
+// digestAt returns the digest of the state as it was in front of an offset, if
+// that is still known.
+func (f *Follower) digestAt(next record.Offset) (uint64, bool) {
+	if next == f.state.Next() {
+		return f.state.Digest(), true
+	}
+	for _, one := range f.recent {
+		if one.Offset == next {
+			return one.Before, true
+		}
+	}
+	return 0, false
+}
+
 // noNewerAt notes that a peer has nothing newer.
 func (f *Follower) noNewerAt(now time.Time, peer string) {
 	if f.peer.headFrom == peer {
@@ -143,7 +168,7 @@
 }
 
 func (f *Follower) pushed(now time.Time, event Pushed) {
-	if f.apply(event.Records) {
+	if f.peer.divergent[event.From] || f.applyOf(event.From, event.Records) {
 		return
 	}
 	last := event.Records[len(event.Records)-1]
@@ -153,7 +178,7 @@
 func (f *Follower) fetched(now time.Time, event Fetched) {
 	f.peerAnswered(event.Peer)
 	before := f.state.Next()
-	if !f.apply(event.Records) || (len(event.Records) == 0 && event.Next > before) {
+	if !f.applyOf(event.Peer, event.Records) || (len(event.Records) == 0 && event.Next > before) {
 		f.peer.busy = true
 		f.emit(FetchState{Peer: event.Peer})
 		return
@@ -172,6 +197,7 @@
 // comparison tries another one.
 func (f *Follower) fetchEnded(now time.Time, peer string, before, next record.Offset) {
 	switch {
+	case f.peer.divergent[peer]:
 	case next <= f.state.Next():
 		f.noNewerAt(now, peer)
 	case f.state.Next() == before:
--- a/core/follow/readiness.go
+++ b/core/follow/readiness.go
@@ -45,9 +45,10 @@
 }
 
 // checkStarted ends the start once the state was compared with the log or,
-// while that is down, with peers.
+// while that is down, with peers. A host that starts among peers that followed
+// another stream is not ready, as it can't know which is the right one.
 func (f *Follower) checkStarted(now time.Time) {
-	if f.started || f.behind() || !f.askedEnough() {
+	if f.started || f.behind() || !f.askedEnough() || len(f.peer.divergent) > 0 {
 		return
 	}
 	confirmed := !f.confirmedAt.IsZero() && now.Sub(f.confirmedAt) <= f.settings.LagBound
--- /dev/null
+++ b/io/configuration/bench_test.go
@@ -0,0 +1,149 @@
+package configuration_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	standin "cactuswell/standin/logservice"
+)
+
+// benchmarkChanges is how many changes one benchmark measures.
+const benchmarkChanges = 40
+
+// inVirtualTime runs body as a test in a bubble, which a benchmark cannot enter
+// itself.
+func inVirtualTime(b *testing.B, body func(*testing.T)) {
+	b.Helper()
+	matchAll := func(string, string) (bool, error) { return true, nil }
+	ok := testing.RunTests(matchAll, []testing.InternalTest{
+		{
+			Name: b.Name(),
+			F:    func(t *testing.T) { synctest.Test(t, body) },
+		},
+	})
+	if !ok {
+		b.Fatal("failed in virtual time")
+	}
+}
+
+// scene is a condition under which changes are measured.
+type scene struct {
+	name   string
+	faults standin.Faults
+	// restarting is how many hosts restart at each change. They go right
+	// before it and come back a second after its acceptance.
+	restarting int
+}
+
+// BenchmarkInForce measures the virtual time from a change's acceptance until
+// the last host has it in force, and the appends for each change.
+func BenchmarkInForce(b *testing.B) {
+	for _, condition := range []scene{
+		{name: "calm"},
+		{name: "restarts", restarting: 2},
+		{name: "logSlow", faults: standin.Faults{DelayMs: 500}},
+	} {
+		for _, hosts := range []int{3, 9, 30, 100} {
+			b.Run(fmt.Sprintf("%s/hosts=%d", condition.name, hosts), func(b *testing.B) {
+				for b.Loop() {
+					measureInForce(b, condition, hosts)
+				}
+			})
+		}
+	}
+}
+
+func measureInForce(b *testing.B, condition scene, hosts int) {
+	var delays []time.Duration
+	var appends, reads uint64
+	var elapsed time.Duration
+	inVirtualTime(b, func(t *testing.T) {
+		store := newStore(1)
+		runFleet(t, store, hosts, func(f *fleet) {
+			time.Sleep(5 * time.Second)
+			f.awaitInForce(time.Minute, f.mustChange(0, "first", 1).Offset)
+			store.SetFaults(condition.faults)
+			time.Sleep(5 * time.Second)
+			appendsBefore, readsBefore := store.Counts()
+			began := time.Now()
+			for round := range benchmarkChanges {
+				delays = append(delays, measureChange(f, condition, hosts, round))
+				time.Sleep(3*time.Second + time.Duration(round)*37*time.Millisecond)
+			}
+			elapsed = time.Since(began)
+			appendsAfter, readsAfter := store.Counts()
+			appends, reads = appendsAfter-appendsBefore, readsAfter-readsBefore
+		})
+	})
+	slices.Sort(delays)
+	milliseconds := func(d time.Duration) float64 { return float64(d.Milliseconds()) }
+	b.ReportMetric(milliseconds(delays[len(delays)/2]), "p50-ms")
+	b.ReportMetric(milliseconds(delays[len(delays)-1]), "worst-ms")
+	b.ReportMetric(float64(appends)/benchmarkChanges, "appends/change")
+	b.ReportMetric(float64(reads)/elapsed.Seconds(), "reads/s")
+	if worst := delays[len(delays)-1]; worst > appliedLimit && hosts <= 9 {
+		b.Errorf("in force after %v, the bound is %v", worst, appliedLimit)
+	}
+}
+
+func measureChange(f *fleet, condition scene, hosts, round int) time.Duration {
+	publisher := round % hosts
+	restarting := min(condition.restarting, hosts-1)
+	name := func(i int) string { return fmt.Sprintf("host-%d", (publisher+1+i)%hosts) }
+	for i := range restarting {
+		f.stop(name(i))
+	}
+	outcome := f.mustChange(publisher, fmt.Sprintf("round-%d", round), int64(round+1))
+	accepted := time.Now()
+	if restarting > 0 {
+		time.Sleep(time.Second)
+	}
+	for i := range restarting {
+		f.start(name(i))
+	}
+	f.awaitInForce(time.Minute, outcome.Offset)
+	return time.Since(accepted)
+}
+
+// BenchmarkHostStart measures the virtual time from a host's start until it is
+// ready, and its appends.
+func BenchmarkHostStart(b *testing.B) {
+	for _, logDown := range []bool{false, true} {
+		b.Run(fmt.Sprintf("logDown=%v", logDown), func(b *testing.B) {
+			for b.Loop() {
+				measureStart(b, logDown)
+			}
+		})
+	}
+}
+
+func measureStart(b *testing.B, logDown bool) {
+	const hosts = 9
+	var delays []time.Duration
+	var appends uint64
+	inVirtualTime(b, func(t *testing.T) {
+		store := newStore(1)
+		runFleet(t, store, hosts, func(f *fleet) {
+			time.Sleep(5 * time.Second)
+			f.awaitInForce(time.Minute, f.mustChange(0, "first", 1).Offset)
+			store.SetFaults(standin.Faults{Down: logDown})
+			before, _ := store.Counts()
+			for i := range hosts {
+				time.Sleep(10 * time.Second)
+				f.restart(i, 2*time.Second)
+				began := time.Now()
+				f.awaitReady(time.Minute)
+				delays = append(delays, time.Since(began))
+			}
+			after, _ := store.Counts()
+			appends = after - before
+		})
+	})
+	slices.Sort(delays)
+	b.ReportMetric(float64(delays[len(delays)/2].Milliseconds()), "p50-ms")
+	b.ReportMetric(float64(delays[len(delays)-1].Milliseconds()), "worst-ms")
+	b.ReportMetric(float64(appends)/hosts, "appends/start")
+}
--- a/io/configuration/configuration.go
+++ b/io/configuration/configuration.go
@@ -50,15 +50,21 @@
 const DefaultRetention = 24 * time.Hour
 
 const (
-	heardCapacity  = 1024
+	heardCapacity  = 128
 	resultCapacity = 16
 	taskCapacity   = 4
 	pushCapacity   = 16
+	// stallBound is how long the duty that follows the stream may stand still
+	// before the host is not ready. It wakes each follow.RepairInterval.
+	stallBound = 10 * time.Second
 	// pushLanes is how many peers a host pushes to at the same time: its
 	// children in the tree and the other reader.
 	pushLanes = follow.FanOut + 1
 )
 
+// reasonStalled says that the host was paused or its duty fails again and again.
+const reasonStalled = "the duty that follows the configuration stands still"
+
 // Dependencies are what a Configuration is made of.
 type Dependencies struct {
 	// Host, Zone and Incarnation are this host's own.
@@ -88,7 +94,11 @@
 type Configuration struct {
 	dependencies Dependencies
 	current      atomic.Pointer[view]
-	counts       *expvar.Map
+	// steppedAt is when the follower took an event last, in nanoseconds since
+	// started.
+	steppedAt atomic.Int64
+	started   time.Time
+	counts    *expvar.Map
 
 	// results carries the answers to the follower's commands, of which there
 	// are at most two at a time; heard carries what peers say unasked and may
@@ -113,6 +123,7 @@
 	}
 	c := &Configuration{
 		dependencies: dependencies,
+		started:      dependencies.Timers.Now(),
 		counts:       new(expvar.Map).Init(),
 		results:      ring.New[follow.Event](resultCapacity),
 		heard:        ring.New[follow.Event](heardCapacity),
@@ -171,6 +182,10 @@
 // why.
 func (c *Configuration) Ready() (bool, string) {
 	reason := c.current.Load().reason
+	stalled := c.now().Sub(c.started) - time.Duration(c.steppedAt.Load())
+	if reason == follow.ReasonNone && stalled > stallBound {
+		return false, reasonStalled
+	}
 	return reason == follow.ReasonNone, string(reason)
 }
 
--- a/io/configuration/dump.go
+++ b/io/configuration/dump.go
@@ -28,11 +28,12 @@
 // Dump returns the host's view of its configuration.
 func (c *Configuration) Dump() Dump {
 	current := c.current.Load()
+	ready, reason := c.Ready()
 	dump := Dump{
 		NextOffset:     current.state.Next(),
 		Digest:         current.state.Digest(),
-		Ready:          current.reason == follow.ReasonNone,
-		Reason:         string(current.reason),
+		Ready:          ready,
+		Reason:         reason,
 		Reader:         current.reader,
 		ConfirmedAgeMs: -1,
 		LivePeers:      len(c.dependencies.Peers.Live()),
--- a/io/configuration/faults_test.go
+++ b/io/configuration/faults_test.go
@@ -359,6 +359,13 @@
 			f.swapLog(other)
 			time.Sleep(10 * time.Second)
 			f.checkInForce(outcome, "log replaced")
+			fresh := f.start("host-2")
+			time.Sleep(time.Minute)
+			if ready, _ := fresh.config.Ready(); ready || fresh.config.Dump().Alarms[follow.AlarmDivergentPeer] == 0 {
+				t.Errorf("a new host takes the other log for the right one: %+v", fresh.config.Dump())
+			}
+			f.stop("host-2")
+			f.checkInForce(outcome, "log replaced and a new host met")
 			for _, m := range f.running() {
 				if m.config.Dump().Alarms[follow.AlarmLogReplaced] != 1 {
 					t.Errorf("%s gave the alarms %v", m.name, m.config.Dump().Alarms)
--- a/io/configuration/keeper.go
+++ b/io/configuration/keeper.go
@@ -43,7 +43,7 @@
 
 func (k *keeper) run(ctx context.Context) error {
 	c := k.configuration
-	k.wake = c.dependencies.Timers.At(c.now())
+	k.wake = c.dependencies.Timers.After(follow.RepairInterval)
 	defer k.wake.Stop()
 	k.lookAtPeers()
 	k.step(follow.Started{})
@@ -86,6 +86,7 @@
 func (k *keeper) step(event follow.Event) {
 	k.commands = k.follower.Step(k.configuration.now(), event, k.commands[:0])
 	k.publish()
+	k.configuration.steppedAt.Store(int64(k.configuration.now().Sub(k.configuration.started)))
 	for _, command := range k.commands {
 		k.carryOut(command)
 	}
--- a/io/configuration/messages.go
+++ b/io/configuration/messages.go
@@ -23,8 +23,9 @@
 	messages := make([]*nodev1.StreamRecord, 0, len(records))
 	for _, one := range records {
 		messages = append(messages, &nodev1.StreamRecord{
-			Offset: int64(one.Offset),
-			Data:   one.Data,
+			Offset:       int64(one.Offset),
+			Data:         one.Data,
+			DigestBefore: one.Before,
 		})
 	}
 	return messages
@@ -47,6 +48,7 @@
 		records = append(records, follow.Record{
 			Offset: offset,
 			Data:   message.GetData(),
+			Before: message.GetDigestBefore(),
 		})
 	}
 	return records, nil
--- a/io/configuration/peers.go
+++ b/io/configuration/peers.go
@@ -12,6 +12,9 @@
 // maxMessageBytes bounds one message between hosts.
 const maxMessageBytes = core.MaxSnapshotBytes + 64*1024
 
+// maxRequestBytes bounds one request of a peer. The largest one is a push.
+const maxRequestBytes = 2 << 20
+
 // Peer is another host.
 type Peer struct {
 	Name string
--- a/io/configuration/server.go
+++ b/io/configuration/server.go
@@ -27,7 +27,7 @@
 // Handler returns the path prefix and the handler of the RecordsService, for
 // the listener that peers speak to.
 func (c *Configuration) Handler() (string, http.Handler) {
-	return nodev1connect.NewRecordsServiceHandler(NewServer(c), connect.WithReadMaxBytes(maxMessageBytes))
+	return nodev1connect.NewRecordsServiceHandler(NewServer(c), connect.WithReadMaxBytes(maxRequestBytes))
 }
 
 // Push takes records that a peer hands down. A push that finds no room is
--- a/standin/logservice/store.go
+++ b/standin/logservice/store.go
@@ -148,7 +148,7 @@
 	defer deadline.Stop()
 	for {
 		response, changed, err := s.readOnce(name, from, options.Limit)
-		if err != nil || len(response.Records) > 0 {
+		if err != nil || len(response.Records) > 0 || options.Wait <= 0 {
 			return response, err
 		}
 		select {
