--- /dev/null
+++ b/experiment/deployment.go
@@ -0,0 +1,267 @@
+package experiment
+
+import (
+	"time"
+
+	"cactuswell/core/profile"
+)
+
+// Deployment is one installation: its places, endpoints and classes.
+type Deployment struct {
+	Name  string
+	Zones []string
+	// ZoneDelay is the one-way delay between hosts and endpoints.
+	ZoneDelay time.Duration
+	// ClientDelay is the one-way delay between callers and hosts.
+	ClientDelay time.Duration
+	Hosts       int
+	Teams       int
+	Engines     EngineSettings
+	Services    ServiceSettings
+	Classes     []Class
+}
+
+// EngineSettings describes the model engines, which are alike.
+type EngineSettings struct {
+	Count int
+	Pool  string
+	// Slots is how many sequences one engine runs at once.
+	Slots int
+	// TokenTime is the time for one token of a sequence that runs alone.
+	TokenTime time.Duration
+	// BatchSlowdown is the part by which TokenTime grows up to a full batch.
+	BatchSlowdown float64
+	// PrefillTokensPerSecond is the rate at which one prompt is read.
+	PrefillTokensPerSecond float64
+	// CacheBlocks bounds the prefix cache.
+	CacheBlocks int
+	// ReportEvery and ReportLag shape the load reports and cache events.
+	ReportEvery time.Duration
+	ReportLag   time.Duration
+	// CacheLoss is the share of cache event batches that get lost.
+	CacheLoss float64
+}
+
+// ServiceSettings describes the plain services, which are alike.
+type ServiceSettings struct {
+	Count       int
+	Pool        string
+	Slots       int
+	ReportEvery time.Duration
+	ReportLag   time.Duration
+}
+
+// Class is one class of request.
+type Class struct {
+	Spec profile.Spec
+	// PerSecond is the arrival rate in calm.
+	PerSecond float64
+	// PromptTokens and OutputTokens are means.
+	PromptTokens int
+	OutputTokens int
+	// SharedTokens is the part of the prompt that the requests of one matter
+	// share, and Matters is the number of matters of each team.
+	SharedTokens int
+	Matters      int
+	// ServiceTime is the mean time of a plain service's call.
+	ServiceTime time.Duration
+	// Patience is how long the caller waits for the whole answer.
+	Patience time.Duration
+}
+
+// Deployments returns the two deployments.
+func Deployments() []Deployment {
+	return []Deployment{Kelisim(), Lindqvist()}
+}
+
+// Kelisim returns the deployment that books mediation rooms.
+func Kelisim() Deployment {
+	return Deployment{
+		Name:        "kelisim",
+		Zones:       []string{"alm-a", "alm-b", "shy-a", "shy-b"},
+		ZoneDelay:   time.Millisecond,
+		ClientDelay: time.Millisecond,
+		Hosts:       9,
+		Teams:       10,
+		Engines:     engines(12, "drafting"),
+		Services:    services(4, "booking"),
+		Classes: []Class{
+			{
+				Spec:         modelSpec("briefing", "drafting", profile.TierBulk, 10*time.Second, 40*time.Second, 5, 0.2),
+				PerSecond:    2,
+				PromptTokens: 6000,
+				OutputTokens: 400,
+				SharedTokens: 4000,
+				Matters:      6,
+				Patience:     120 * time.Second,
+			},
+			{
+				Spec:         modelSpec("hearingSummary", "drafting", profile.TierStandard, 5*time.Second, 20*time.Second, 2, 0.15),
+				PerSecond:    3.5,
+				PromptTokens: 3000,
+				OutputTokens: 250,
+				SharedTokens: 1500,
+				Matters:      6,
+				Patience:     60 * time.Second,
+			},
+			{
+				Spec:         modelSpec("schedulingDraft", "drafting", profile.TierInteractive, time.Second, 3*time.Second, 1, 0.15),
+				PerSecond:    10,
+				PromptTokens: 500,
+				OutputTokens: 80,
+				SharedTokens: 256,
+				Matters:      2,
+				Patience:     15 * time.Second,
+			},
+			{
+				Spec:        serviceSpec("roomSearch", "booking", profile.TierInteractive, time.Second, true, 0.5, 0.15),
+				PerSecond:   25,
+				ServiceTime: 200 * time.Millisecond,
+				Patience:    10 * time.Second,
+			},
+			{
+				Spec:        serviceSpec("roomHold", "booking", profile.TierUrgent, 2*time.Second, false, 10, 0.3),
+				PerSecond:   10,
+				ServiceTime: 200 * time.Millisecond,
+				Patience:    20 * time.Second,
+			},
+		},
+	}
+}
+
+// Lindqvist returns the deployment that serves brides and artists.
+func Lindqvist() Deployment {
+	return Deployment{
+		Name:        "lindqvist",
+		Zones:       []string{"svea-a", "svea-b", "svea-c"},
+		ZoneDelay:   500 * time.Microsecond,
+		ClientDelay: 3 * time.Millisecond,
+		Hosts:       9,
+		Teams:       10,
+		Engines:     engines(18, "advice"),
+		Services:    services(3, "calendar"),
+		Classes: []Class{
+			{
+				Spec:         modelSpec("consultation", "advice", profile.TierBulk, 10*time.Second, 40*time.Second, 4, 0.25),
+				PerSecond:    4,
+				PromptTokens: 5000,
+				OutputTokens: 500,
+				SharedTokens: 3000,
+				Matters:      8,
+				Patience:     120 * time.Second,
+			},
+			{
+				Spec:         modelSpec("stylistReply", "advice", profile.TierInteractive, 1500*time.Millisecond, 5*time.Second, 2, 0.2),
+				PerSecond:    12,
+				PromptTokens: 1200,
+				OutputTokens: 120,
+				SharedTokens: 600,
+				Matters:      4,
+				Patience:     30 * time.Second,
+			},
+			{
+				Spec:         modelSpec("weddingMorningAnswer", "advice", profile.TierUrgent, time.Second, 3*time.Second, 10, 0.1),
+				PerSecond:    6,
+				PromptTokens: 400,
+				OutputTokens: 40,
+				SharedTokens: 256,
+				Matters:      1,
+				Patience:     10 * time.Second,
+			},
+			{
+				Spec:        serviceSpec("trialBooking", "calendar", profile.TierStandard, 3*time.Second, false, 6, 0.2),
+				PerSecond:   15,
+				ServiceTime: 200 * time.Millisecond,
+				Patience:    20 * time.Second,
+			},
+			{
+				Spec:        serviceSpec("weddingMorningCheck", "calendar", profile.TierUrgent, time.Second, true, 10, 0.3),
+				PerSecond:   12,
+				ServiceTime: 150 * time.Millisecond,
+				Patience:    10 * time.Second,
+			},
+		},
+	}
+}
+
+func engines(count int, pool string) EngineSettings {
+	return EngineSettings{
+		Count:                  count,
+		Pool:                   pool,
+		Slots:                  16,
+		TokenTime:              20 * time.Millisecond,
+		BatchSlowdown:          1,
+		PrefillTokensPerSecond: 8000,
+		CacheBlocks:            2048,
+		ReportEvery:            time.Second,
+		ReportLag:              500 * time.Millisecond,
+		CacheLoss:              0.1,
+	}
+}
+
+func services(count int, pool string) ServiceSettings {
+	return ServiceSettings{
+		Count:       count,
+		Pool:        pool,
+		Slots:       4,
+		ReportEvery: time.Second,
+		ReportLag:   500 * time.Millisecond,
+	}
+}
+
+func modelSpec(name, pool string, tier profile.Tier, target, wait time.Duration, value, share float64) profile.Spec {
+	return profile.Spec{
+		Name:        name,
+		Class:       name,
+		Kind:        profile.KindModel,
+		Pool:        pool,
+		Tier:        tier,
+		TargetMs:    target.Milliseconds(),
+		Measure:     profile.MeasureFirstToken,
+		WaitLimitMs: wait.Milliseconds(),
+		Idempotent:  true,
+		Value:       value,
+		MinShare:    share,
+	}
+}
+
+func serviceSpec(name, pool string, tier profile.Tier, target time.Duration, idempotent bool, value, share float64) profile.Spec {
+	return profile.Spec{
+		Name:        name,
+		Class:       name,
+		Kind:        profile.KindService,
+		Pool:        pool,
+		Tier:        tier,
+		TargetMs:    target.Milliseconds(),
+		Measure:     profile.MeasureCompletion,
+		WaitLimitMs: (2 * target).Milliseconds(),
+		Idempotent:  idempotent,
+		Value:       value,
+		MinShare:    share,
+	}
+}
+
+// slotTime returns the mean time that a request of the class holds a slot of a
+// fully used endpoint.
+func (d *Deployment) slotTime(class *Class) time.Duration {
+	if class.Spec.Kind == profile.KindService {
+		return class.ServiceTime
+	}
+	prefill := float64(class.PromptTokens) / d.Engines.PrefillTokensPerSecond
+	token := float64(d.Engines.TokenTime) * (1 + d.Engines.BatchSlowdown)
+	return time.Duration(prefill*float64(time.Second) + token*float64(class.OutputTokens))
+}
+
+// slots returns the slots of the class's pool with all endpoints alive.
+func (d *Deployment) slots(class *Class) int {
+	if class.Spec.Kind == profile.KindService {
+		return d.Services.Count * d.Services.Slots
+	}
+	return d.Engines.Count * d.Engines.Slots
+}
+
+// capacity returns how many requests of the class alone the pool can serve a
+// second with all endpoints alive.
+func (d *Deployment) capacity(class *Class) float64 {
+	return float64(d.slots(class)) / d.slotTime(class).Seconds()
+}
