--- a/experiment/host.go
+++ b/experiment/host.go
@@ -18,6 +18,7 @@
 	zone       string
 	lost       bool
 	pools      map[string]*pool
+	poolNames  []string
 	requests   map[dispatch.RequestID]*request
 	attempts   map[dispatch.AttemptID]*attempt
 	nextID     dispatch.RequestID
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cactuswell/core/dispatch"
+	"cactuswell/core/profile"
 	"cactuswell/core/routing"
 )
 
@@ -21,7 +22,10 @@
 	Zone      string
 	ZoneDelay time.Duration
 	Random    *rand.Rand
-	ejected   *[]*routing.Router
+	Pool      string
+	Kind      profile.Kind
+	// routers takes the product's routers, for their counts.
+	routers *[]*routing.Router
 }
 
 // The names of the policies.
@@ -34,7 +38,7 @@
 
 // Policies returns the product and the baselines.
 func Policies() []Policy {
-	return Baselines()
+	return append([]Policy{Product()}, Baselines()...)
 }
 
 // Baselines returns the policies that the product is measured against.
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -105,25 +105,25 @@
 			requests:   make(map[dispatch.RequestID]*request),
 			attempts:   make(map[dispatch.AttemptID]*attempt),
 		}
-		for _, name := range []string{s.deployment.Engines.Pool, s.deployment.Services.Pool} {
-			random := rand.New(rand.NewPCG(seed+uint64(i)+1, uint64(len(h.pools))))
-			h.pools[name] = &pool{
-				dispatcher: s.policy.New(s.member(h, random)),
-			}
-		}
+		s.addPool(h, s.deployment.Engines.Pool, profile.KindModel, seed)
+		s.addPool(h, s.deployment.Services.Pool, profile.KindService, seed)
 		s.hosts = append(s.hosts, h)
 	}
 }
 
-// member describes a host to a policy.
-func (s *simulation) member(h *host, random *rand.Rand) Member {
-	return Member{
-		Host:      fmt.Sprintf("host-%d", h.number),
-		Zone:      h.zone,
-		ZoneDelay: s.deployment.ZoneDelay,
-		Random:    random,
-		ejected:   &s.meter.routers,
+func (s *simulation) addPool(h *host, name string, kind profile.Kind, seed uint64) {
+	h.pools[name] = &pool{
+		dispatcher: s.policy.New(Member{
+			Host:      fmt.Sprintf("host-%d", h.number),
+			Zone:      h.zone,
+			ZoneDelay: s.deployment.ZoneDelay,
+			Pool:      name,
+			Kind:      kind,
+			Random:    rand.New(rand.NewPCG(seed+uint64(h.number)+1, uint64(len(h.pools)))),
+			routers:   &s.meter.routers,
+		}),
 	}
+	h.poolNames = append(h.poolNames, name)
 }
 
 func (s *simulation) at(at time.Time, run func()) { s.events.add(at, run) }
@@ -154,7 +154,7 @@
 // introduce tells every host of the others and of the endpoints.
 func (s *simulation) introduce() {
 	for _, h := range s.hosts {
-		for name := range h.pools {
+		for _, name := range h.poolNames {
 			h.step(name, dispatch.HostsCounted{Hosts: len(s.hosts)})
 		}
 		for _, e := range s.engines {
