Predict the top tier's wait by the part of the work that is urgent

Cause: an urgent attempt was taken to wait behind this host's own urgent work only, so that hosts piled urgent work on the same engines. Change: of the work ahead the part counts that is urgent among this host's running work.

--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -43,10 +43,13 @@
 	serviceTime average
 	tickedAt    time.Time
 	// outside counts the targets that are ejected or probing.
-	outside     int
-	decision    uint64
-	comparisons uint64
-	ejections   uint64
+	outside int
+	// running and runningUrgent count this host's attempts at all endpoints.
+	running       int
+	runningUrgent int
+	decision      uint64
+	comparisons   uint64
+	ejections     uint64
 }
 
 // New returns a Router without endpoints. It alone uses random from then on.
@@ -136,6 +139,8 @@
 	for i := range r.open {
 		r.open[i].set(t, false)
 	}
+	r.running -= t.load.own
+	r.runningUrgent -= t.load.urgent
 	delete(r.byKey, key)
 	delete(r.byNumber, t.cache.owner.number)
 	for i, other := range r.targets {
@@ -204,7 +209,7 @@
 		return
 	}
 	t.sent++
-	t.load.change(now, 1, work.Tier == profile.TierUrgent)
+	r.count(now, t, 1, work.Tier == profile.TierUrgent)
 	t.await(work.SentAt, r.idleFirstToken(t, &work))
 	if work.Probe {
 		t.health.probing++
@@ -212,6 +217,15 @@
 	r.refresh(t)
 }
 
+// count adds delta to the attempts that run at an endpoint.
+func (r *Router) count(now time.Time, t *target, delta int, urgent bool) {
+	t.load.change(now, delta, urgent)
+	r.running += delta
+	if urgent {
+		r.runningUrgent += delta
+	}
+}
+
 // idleFirstToken returns the first-token time of an idle endpoint.
 func (r *Router) idleFirstToken(t *target, work *Work) time.Duration {
 	if t.isService() {
@@ -261,7 +275,7 @@
 	if t == nil {
 		return
 	}
-	t.load.change(now, -1, work.Tier == profile.TierUrgent)
+	r.count(now, t, -1, work.Tier == profile.TierUrgent)
 	if work.Probe {
 		t.health.probing = max(t.health.probing-1, 0)
 	}
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -157,17 +157,27 @@
 }
 
 // queueWait predicts the wait in the endpoint's own queue in seconds. Top-tier
-// work waits only behind its like, for the next slot that comes free.
+// work waits only behind its like.
 func (r *Router) queueWait(ask *Ask, t *target, running, slots int) float64 {
 	ahead := running + 1 - slots
 	if ahead <= 0 {
 		return 0
 	}
+	waiting := float64(ahead)
 	if ask.Tier == profile.TierUrgent {
-		ahead = min(ahead, t.load.urgent+1)
+		waiting *= r.urgentPart()
 	}
 	each := r.serviceTime.or(r.settings.DefaultServiceTime.Seconds()) / float64(max(slots, 1))
-	return float64(ahead) * each
+	return waiting * each
+}
+
+// urgentPart returns the part of this host's running work that is of the top
+// tier; the other hosts' work is taken to be alike.
+func (r *Router) urgentPart() float64 {
+	if r.running == 0 {
+		return 1
+	}
+	return float64(r.runningUrgent) / float64(r.running)
 }
 
 // distance returns the round trip to the target.
