Count other hosts' work by one's own where reports are old

Cause: hosts with the same old reports sent to the same endpoints. Change: what a report counted fades over a mean service time; beside the rest each other host is taken to have sent as much as this one.

--- a/core/routing/judge.go
+++ b/core/routing/judge.go
@@ -189,7 +189,7 @@
 		if ask.Tier == profile.TierUrgent && now.Sub(t.health.probeAt) < r.settings.Health.ProbeUrgentAfter {
 			continue
 		}
-		choice := r.predict(ask, t)
+		choice := r.predict(now, ask, t)
 		choice.Candidates = 1
 		choice.Probe = true
 		return choice, true
--- a/core/routing/load.go
+++ b/core/routing/load.go
@@ -17,10 +17,12 @@
 	report   endpoint.Report
 	reported bool
 	others   int
-	own      int
-	urgent   int
-	history  [loadHistory]ownCount
-	changes  int
+	// ownThen is this host's own work at the report's time.
+	ownThen int
+	own     int
+	urgent  int
+	history [loadHistory]ownCount
+	changes int
 }
 
 // ownCount is this host's own work at an endpoint from a time on.
@@ -48,7 +50,8 @@
 	}
 	l.report = report
 	l.reported = true
-	l.others = max(report.Running+report.Queued-l.ownAt(report.At), 0)
+	l.ownThen = l.ownAt(report.At)
+	l.others = max(report.Running+report.Queued-l.ownThen, 0)
 	return true
 }
 
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -98,7 +98,7 @@
 	}
 	t.mark = r.decision
 	c.compared++
-	choice := r.predict(ask, t)
+	choice := r.predict(now, ask, t)
 	score := r.score(now, t, &choice)
 	if slices.Contains(ask.Avoid, t.descriptor.Key) {
 		if c.avoided == nil || score < c.avoidScore {
@@ -130,12 +130,12 @@
 }
 
 // predict returns the delays to expect at a target.
-func (r *Router) predict(ask *Ask, t *target) Choice {
+func (r *Router) predict(now time.Time, ask *Ask, t *target) Choice {
 	slots := t.slots(&r.settings)
-	running := t.load.estimate()
+	running := float64(t.load.own) + r.othersNow(now, t)
 	slowness := t.health.slowness(r.peers, r.settings.Health)
-	fill := min(float64(running+1)/float64(max(slots, 1)), 1)
-	wait := r.queueWait(ask, t, running, slots) * slowness
+	fill := min((running+1)/float64(max(slots, 1)), 1)
+	wait := r.queueWait(ask, running, slots) * slowness
 	first := r.distance(t).Seconds() + wait
 	choice := Choice{
 		Key: t.descriptor.Key,
@@ -156,14 +156,12 @@
 	return choice
 }
 
-// queueWait predicts the wait in the endpoint's own queue in seconds. Top-tier
-// work waits only behind its like.
-func (r *Router) queueWait(ask *Ask, t *target, running, slots int) float64 {
-	ahead := running + 1 - slots
-	if ahead <= 0 {
-		return 0
-	}
-	waiting := float64(ahead)
+// queueWait predicts the wait in the endpoint's own queue in seconds. Even below
+// a full batch there is some, as arrivals are random. Top-tier work waits only
+// behind its like.
+func (r *Router) queueWait(ask *Ask, running float64, slots int) float64 {
+	fill := (running + 1) / float64(max(slots, 1))
+	waiting := max(running+1-float64(slots), 0) + min(fill*fill, 1)
 	if ask.Tier == profile.TierUrgent {
 		waiting *= r.urgentPart()
 	}
@@ -171,6 +169,22 @@
 	return waiting * each
 }
 
+// othersNow estimates the other hosts' work at a target. What the report counted
+// ends as the report ages; beside what is left of it, each other host is taken to
+// have sent as much as this one, since they share callers and endpoints alike.
+// Own work is known at once, so that hosts with the same old reports don't all
+// send to the same endpoint.
+func (r *Router) othersNow(now time.Time, t *target) float64 {
+	left := 0.0
+	if t.load.reported {
+		serviceTime := r.serviceTime.or(r.settings.DefaultServiceTime.Seconds())
+		age := now.Sub(t.load.report.At).Seconds()
+		left = max(1-age/serviceTime, 0)
+	}
+	since := max(float64(t.load.own)-left*float64(t.load.ownThen), 0)
+	return left*float64(t.load.others) + since*(r.users()-1)
+}
+
 // urgentPart returns the part of this host's running work that is of the top
 // tier; the other hosts' work is taken to be alike.
 func (r *Router) urgentPart() float64 {
