--- a/host/backend.go
+++ b/host/backend.go
@@ -5,9 +5,14 @@
 	"strconv"
 	"time"
 
+	"github.com/gravitational/trace"
+
+	core "cactuswell/core/configuration"
 	"cactuswell/core/dispatch"
 	"cactuswell/core/profile"
 	"cactuswell/io/caller"
+	"cactuswell/io/claims"
+	"cactuswell/io/configuration"
 )
 
 // ringFullRetry is when a caller should come back after a full arrival ring.
@@ -15,7 +20,7 @@
 
 // Profile returns the profile in force under a name.
 func (h *Host) Profile(name string) (profile.Profile, bool) {
-	p, _, ok := h.profiles.Profile(name)
+	p, _, ok := h.configuration.Profile(name)
 	return p, ok
 }
 
@@ -29,7 +34,7 @@
 	if h.phase.Load() != phaseServing {
 		return false, "the host is stopping"
 	}
-	return h.profiles.Ready()
+	return h.configuration.Ready()
 }
 
 // Accepting reports whether the host can serve a request at all.
@@ -43,8 +48,16 @@
 // Submit takes a request and returns its answer.
 func (h *Host) Submit(ctx context.Context, submission caller.Submission) *caller.Answer {
 	h.counters.Add("requests", 1)
+	if submission.Profile.Idempotent() {
+		return h.submit(ctx, submission, nil)
+	}
+	return h.submitOnce(ctx, submission)
+}
+
+// submit hands a request to its pool.
+func (h *Host) submit(ctx context.Context, submission caller.Submission, ticket *claims.Ticket) *caller.Answer {
 	p := h.pool(submission.Profile.Pool())
-	c := p.newCall(submission, nil)
+	c := p.newCall(submission, ticket)
 	h.recent.remember(submission.RequestID, recentRequest{
 		pool:    p.name,
 		id:      c.id,
@@ -71,3 +84,41 @@
 		})
 	})
 }
+
+// PublishChange publishes a change of the configuration through this host.
+func (h *Host) PublishChange(ctx context.Context, change core.Change) error {
+	_, err := h.configuration.Change(ctx, configuration.NewID(), change)
+	return trace.Wrap(err)
+}
+
+// AwaitReady waits until the host wants new work. It fails only with ctx's
+// error.
+func (h *Host) AwaitReady(ctx context.Context) error {
+	for {
+		changed := h.configuration.Changed()
+		if ready, _ := h.Ready(); ready {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		case <-changed:
+		}
+	}
+}
+
+// AwaitProfile waits until a profile of that name is in force on this host. It
+// fails only with ctx's error.
+func (h *Host) AwaitProfile(ctx context.Context, name string) error {
+	for {
+		changed := h.configuration.Changed()
+		if _, ok := h.Profile(name); ok {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		case <-changed:
+		}
+	}
+}
--- a/host/host.go
+++ b/host/host.go
@@ -27,8 +27,10 @@
 
 	"cactuswell/core/dispatch"
 	"cactuswell/core/endpoint"
-	"cactuswell/core/profile"
 	"cactuswell/core/routing"
+	"cactuswell/io/claims"
+	"cactuswell/io/configuration"
+	"cactuswell/io/node"
 	"cactuswell/metrics"
 	"cactuswell/settings"
 	"cactuswell/supervisor"
@@ -43,31 +45,31 @@
 
 // Host is one entry host.
 type Host struct {
-	settings       settings.Settings
-	logger         log.Logger
-	incarnation    uint64
-	timers         *timer.Service
-	counters       *metrics.Counters
-	tree           *supervisor.Tree
-	clients        clients
-	directory      *directory
-	profiles       profiles
-	requestIDs     atomic.Uint64
-	externalIDs    atomic.Uint64
-	callerListener net.Listener
-	recent         *recentRequests
-	phase          atomic.Int32
+	settings      settings.Settings
+	logger        log.Logger
+	incarnation   uint64
+	timers        *timer.Service
+	counters      *metrics.Counters
+	tree          *supervisor.Tree
+	clients       clients
+	node          *node.Node
+	configuration *configuration.Configuration
+	claims        *claims.Claims
+	forwarder     *claims.Forwarder
+	directory     *directory
+	recent        *recentRequests
+	requestIDs    atomic.Uint64
+	externalIDs   atomic.Uint64
+	phase         atomic.Int32
+
+	callerListener   net.Listener
+	peerListener     net.Listener
+	operatorListener net.Listener
 
 	mu    sync.Mutex
 	pools map[string]*pool
 }
 
-// profiles is where the host finds the profiles in force.
-type profiles interface {
-	Profile(name string) (profile.Profile, uint64, bool)
-	Ready() (bool, string)
-}
-
 // The phases of a host's life.
 const (
 	phaseServing int32 = iota
@@ -77,6 +79,13 @@
 	phaseDraining
 )
 
+// phaseNames are the phases as they stand in dumps.
+var phaseNames = map[int32]string{
+	phaseServing:  "serving",
+	phaseLeaving:  "leaving",
+	phaseDraining: "draining",
+}
+
 // watched starts the duties that read a new endpoint's account of itself.
 func (h *Host) watched(descriptor endpoint.Descriptor, removed <-chan struct{}) {
 	w := &watch{
@@ -111,15 +120,18 @@
 		return p
 	}
 	p := newPool(poolDependencies{
-		name:       name,
-		hostID:     h.id(),
-		dispatcher: func() dispatch.Dispatcher { return h.newDispatcher(name) },
-		clients:    h.clients,
-		timers:     h.timers,
-		logger:     log.With(h.logger, "pool", name),
-		counters:   h.counters,
-		ids:        &h.requestIDs,
-		rebuilt:    func(p *pool) { h.directory.resend(p.name) },
+		name:      name,
+		hostID:    h.id(),
+		decisions: func() decisions { return h.newDecisions(name) },
+		clients:   h.clients,
+		timers:    h.timers,
+		logger:    log.With(h.logger, "pool", name),
+		counters:  h.counters,
+		ids:       &h.requestIDs,
+		rebuilt:   func(p *pool) { h.directory.resend(p.name) },
+	})
+	p.events.TryPush(dispatch.HostsCounted{
+		Hosts: h.node.Hosts(),
 	})
 	h.pools[name] = p
 	h.tree.Add(supervisor.Duty{
@@ -130,15 +142,18 @@
 	return p
 }
 
-// newDispatcher returns the decisions for a pool. The seed comes from the
+// newDecisions returns the state machines for a pool. The seed comes from the
 // host's name and life, so that hosts do not choose alike.
-func (h *Host) newDispatcher(pool string) dispatch.Dispatcher {
-	random := rand.New(rand.NewPCG(h.incarnation, hash(h.settings.Name+"/"+pool)))
-	router := routing.New(routing.Settings{
-		Host: h.settings.Name,
-		Zone: h.settings.Zone,
-	}, random)
-	return dispatch.New(dispatch.Settings{}, router, random)
+func (h *Host) newDecisions(name string) decisions {
+	random := rand.New(rand.NewPCG(h.incarnation, hash(h.settings.Name+"/"+name)))
+	router := routing.New(routing.DefaultSettings(h.settings.Name, h.settings.Zone), random)
+	return decisions{
+		router: router,
+		pool: dispatch.New(dispatch.Settings{
+			Pool: name,
+			Zone: h.settings.Zone,
+		}, router, random),
+	}
 }
 
 // id names this life of the host in the ids of attempts.
--- a/host/pool.go
+++ b/host/pool.go
@@ -13,7 +13,9 @@
 	"cactuswell/core/dispatch"
 	"cactuswell/core/endpoint"
 	"cactuswell/core/profile"
+	"cactuswell/core/routing"
 	"cactuswell/io/caller"
+	"cactuswell/io/claims"
 	"cactuswell/io/engine"
 	"cactuswell/io/service"
 	"cactuswell/metrics"
@@ -44,14 +46,14 @@
 
 // poolDependencies is what a pool is made from.
 type poolDependencies struct {
-	name       string
-	hostID     string
-	dispatcher func() dispatch.Dispatcher
-	clients    clients
-	timers     *timer.Service
-	logger     log.Logger
-	counters   *metrics.Counters
-	ids        *atomic.Uint64
+	name      string
+	hostID    string
+	decisions func() decisions
+	clients   clients
+	timers    *timer.Service
+	logger    log.Logger
+	counters  *metrics.Counters
+	ids       *atomic.Uint64
 	// rebuilt is called when the decisions were begun anew after a panic.
 	rebuilt func(p *pool)
 }
@@ -64,11 +66,11 @@
 	signal   ring.Signal
 	attempts sync.WaitGroup
 
-	dispatcher dispatch.Dispatcher
-	calls      map[dispatch.RequestID]*call
-	addresses  map[endpoint.Key]string
-	commands   []dispatch.Command
-	open       atomic.Int64
+	decided   decisions
+	calls     map[dispatch.RequestID]*call
+	addresses map[endpoint.Key]string
+	commands  []dispatch.Command
+	open      atomic.Int64
 }
 
 // progressNotice says that an attempt received tokens.
@@ -78,10 +80,16 @@
 
 // inspection asks the duty to run a function between two events.
 type inspection struct {
-	look func(dispatch.Dispatcher)
+	look func(*decisions)
 	done chan struct{}
 }
 
+// decisions are the state machines of one pool.
+type decisions struct {
+	pool   *dispatch.Pool
+	router *routing.Router
+}
+
 func newPool(dependencies poolDependencies) *pool {
 	signal := ring.NewSignal()
 	p := &pool{
@@ -95,7 +103,7 @@
 	for tier := range p.arrivals {
 		p.arrivals[tier] = ring.NewSignaling[*call](arrivalCapacity, signal)
 	}
-	p.dispatcher = dependencies.dispatcher()
+	p.decided = dependencies.decisions()
 	return p
 }
 
@@ -120,9 +128,9 @@
 	}
 }
 
-// look runs a function with the dispatcher, in the duty, and waits for its end.
+// look runs a function with the decisions, in the duty, and waits for its end.
 // It reports false if ctx ended first.
-func (p *pool) look(ctx context.Context, look func(dispatch.Dispatcher)) bool {
+func (p *pool) look(ctx context.Context, look func(*decisions)) bool {
 	request := inspection{
 		look: look,
 		done: make(chan struct{}),
@@ -143,7 +151,7 @@
 	wake := p.timers.After(time.Hour)
 	defer wake.Stop()
 	for {
-		if at, ok := p.dispatcher.NextWake(); ok {
+		if at, ok := p.decided.pool.NextWake(); ok {
 			wake.Reset(at)
 		}
 		select {
@@ -194,7 +202,7 @@
 			Tokens:  event.attempt.receivedTokens(),
 		})
 	case inspection:
-		event.look(p.dispatcher)
+		event.look(&p.decided)
 		close(event.done)
 	case dispatch.EndpointAdded:
 		p.addresses[event.Descriptor.Key] = event.Descriptor.Address
@@ -212,7 +220,7 @@
 
 // step feeds one event to the decisions and carries out what follows from it.
 func (p *pool) step(ctx context.Context, event dispatch.Event) {
-	p.commands = p.dispatcher.Step(p.timers.Now(), event, p.commands[:0])
+	p.commands = p.decided.pool.Step(p.timers.Now(), event, p.commands[:0])
 	for _, command := range p.commands {
 		p.carryOut(ctx, command)
 	}
@@ -248,7 +256,7 @@
 		call:     c,
 		pool:     p,
 		endpoint: command.Endpoint,
-		base:     p.addresses[command.Endpoint],
+		base:     p.base(command.Endpoint),
 		fresh:    command.Fresh,
 	}
 	// An attempt outlives a restart of the duty, which cancels it by itself.
@@ -262,6 +270,15 @@
 	go a.run()
 }
 
+// base returns an endpoint's base URL, or nothing if it is gone.
+func (p *pool) base(key endpoint.Key) string {
+	address, ok := p.addresses[key]
+	if !ok {
+		return ""
+	}
+	return baseURL(address)
+}
+
 func (p *pool) wireID(id dispatch.AttemptID) string {
 	return p.hostID + "-" + strconv.FormatUint(uint64(id.Request), 36) + "-" + strconv.FormatUint(uint64(id.Number), 10)
 }
@@ -285,7 +302,11 @@
 	if !ok {
 		return
 	}
-	c.complete(a)
+	if err := c.complete(a); err != nil {
+		p.counters.Add("outcomesNotRecorded", 1)
+		_ = p.logger.Log("level", "error", "event", "outcomeNotRecorded", "request", c.submission.RequestID,
+			"error", err.Error())
+	}
 	p.counters.Add("requestsCompleted", 1)
 	p.forget(command.Request)
 }
@@ -321,7 +342,7 @@
 		c.refuse(dispatch.RefuseDutyRestarted, ran, time.Second)
 		p.forget(id)
 	}
-	p.dispatcher = p.poolDependencies.dispatcher()
+	p.decided = p.decisions()
 	p.addresses = make(map[endpoint.Key]string)
 	if p.rebuilt != nil {
 		p.rebuilt(p)
@@ -334,12 +355,12 @@
 }
 
 // newCall returns a call for a submission.
-func (p *pool) newCall(submission caller.Submission, right ticket) *call {
+func (p *pool) newCall(submission caller.Submission, ticket *claims.Ticket) *call {
 	return &call{
 		id:         dispatch.RequestID(p.ids.Add(1)),
 		submission: submission,
 		answer:     caller.NewAnswer(),
-		ticket:     right,
+		ticket:     ticket,
 		taken:      p.timers.Now(),
 	}
 }
