Give each tier the room that lower work holds at an endpoint

Cause: work of higher tiers waited on the host for a slot of its own window, though the engine would have served it before the lower work there. Change: a tier's room counts its own work and that of higher tiers.

--- a/core/routing/judge.go
+++ b/core/routing/judge.go
@@ -49,44 +49,38 @@
 
 // refresh puts a target into the sets of those with room, or takes it out.
 func (r *Router) refresh(t *target) {
-	r.open[openLower].set(t, r.hasRoom(t))
-	r.open[openUrgent].set(t, r.hasUrgentRoom(t))
+	for tier := range profile.Tier(profile.TierCount) {
+		r.open[tier].set(t, r.hasRoom(t, tier))
+	}
 	r.open[openProbe].set(t, t.awaitsProbe())
 }
 
-// hasRoom says whether the endpoint has room for lower tiers: within this
-// host's own share always, beyond it only while the endpoint is not full.
-func (r *Router) hasRoom(t *target) bool {
+// hasRoom says whether the endpoint has room for a tier. Work of lower tiers does
+// not count, since the endpoint puts it behind. Within this host's own share
+// there is room always, beyond it only while the endpoint is not full. The top
+// tier may use the headroom too.
+func (r *Router) hasRoom(t *target, tier profile.Tier) bool {
 	if !r.takesWork(t) {
 		return false
 	}
-	own := t.load.own
-	if t.health.state == StateSuspect {
-		return own < minWindow
+	if t.health.state == StateSuspect && t.load.own >= minWindow {
+		return false
 	}
+	slots := t.slots(&r.settings)
+	spare := headroom(slots, &r.settings)
 	limit := t.window.slots()
 	if ramp := t.health.ramp(r.tickedAt, r.settings.Health); ramp < 1 {
 		limit = max(int(float64(limit)*ramp), minWindow)
 	}
-	if own >= limit {
-		return false
-	}
-	if own < t.window.guaranteed() {
-		return true
+	if tier == profile.TierUrgent {
+		limit += spare
+		spare = 0
 	}
-	slots := t.slots(&r.settings)
-	return t.load.estimate() < slots-headroom(slots, &r.settings)
-}
-
-// hasUrgentRoom says whether the endpoint has room for the top tier, which
-// passes over lower work in the engine and so counts only its like.
-func (r *Router) hasUrgentRoom(t *target) bool {
-	if !r.takesWork(t) {
+	own := t.load.ownAbove(tier)
+	if own >= limit {
 		return false
 	}
-	slots := t.slots(&r.settings)
-	limit := max(t.window.slots(), t.window.guaranteed()) + headroom(slots, &r.settings)
-	return t.load.urgent < limit
+	return own < t.window.guaranteed() || t.load.estimate() < slots-spare || tier == profile.TierUrgent
 }
 
 func (r *Router) takesWork(t *target) bool {
--- a/core/routing/load.go
+++ b/core/routing/load.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cactuswell/core/endpoint"
+	"cactuswell/core/profile"
 )
 
 // loadHistory is how many changes of this host's own work are remembered for
@@ -20,7 +21,8 @@
 	// ownThen is this host's own work at the report's time.
 	ownThen int
 	own     int
-	urgent  int
+	// atTier counts own work by the tier that it was sent with.
+	atTier  [profile.TierCount]int
 	history [loadHistory]ownCount
 	changes int
 }
@@ -31,11 +33,9 @@
 	own int
 }
 
-func (l *load) change(now time.Time, delta int, urgent bool) {
+func (l *load) change(now time.Time, delta int, tier profile.Tier) {
 	l.own = max(l.own+delta, 0)
-	if urgent {
-		l.urgent = max(l.urgent+delta, 0)
-	}
+	l.atTier[tier] = max(l.atTier[tier]+delta, 0)
 	l.history[l.changes%loadHistory] = ownCount{
 		at:  now,
 		own: l.own,
@@ -80,3 +80,13 @@
 func (l *load) fresh(now time.Time, limit time.Duration) bool {
 	return l.reported && now.Sub(l.report.At) <= limit
 }
+
+// ownAbove returns this host's own work of the given tier and the more urgent
+// ones.
+func (l *load) ownAbove(tier profile.Tier) int {
+	count := 0
+	for _, own := range l.atTier[:tier+1] {
+		count += own
+	}
+	return count
+}
--- a/core/routing/openset.go
+++ b/core/routing/openset.go
@@ -1,6 +1,8 @@
 package routing
 
-// openSet holds the targets that have room, so that a decision draws from them
+import "cactuswell/core/profile"
+
+// openSet holds the targets that have room for one tier, so that a decision draws from them
 // without passing over the others. Adding and removing take constant time.
 type openSet struct {
 	targets []*target
@@ -8,13 +10,11 @@
 	tier int
 }
 
-// The sets of a router.
+// The sets of a router are those of the tiers, and one of the probing targets
+// that await their next probe.
 const (
-	openLower = iota
-	openUrgent
-	// openProbe holds the probing targets that await their next probe.
-	openProbe
-	openSets
+	openProbe = profile.TierCount
+	openSets  = profile.TierCount + 1
 )
 
 // notOpen is the place of a target outside a set.
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -44,12 +44,11 @@
 	tickedAt    time.Time
 	// outside counts the targets that are ejected or probing.
 	outside int
-	// running and runningUrgent count this host's attempts at all endpoints.
-	running       int
-	runningUrgent int
-	decision      uint64
-	comparisons   uint64
-	ejections     uint64
+	// running counts this host's attempts at all endpoints by tier.
+	running     [profile.TierCount]int
+	decision    uint64
+	comparisons uint64
+	ejections   uint64
 }
 
 // New returns a Router without endpoints. It alone uses random from then on.
@@ -139,8 +138,9 @@
 	for i := range r.open {
 		r.open[i].set(t, false)
 	}
-	r.running -= t.load.own
-	r.runningUrgent -= t.load.urgent
+	for tier, own := range t.load.atTier {
+		r.running[tier] -= own
+	}
 	delete(r.byKey, key)
 	delete(r.byNumber, t.cache.owner.number)
 	for i, other := range r.targets {
@@ -209,7 +209,7 @@
 		return
 	}
 	t.sent++
-	r.count(now, t, 1, work.Tier == profile.TierUrgent)
+	r.count(now, t, 1, work.Tier)
 	t.await(work.SentAt, r.idleFirstToken(t, &work))
 	if work.Probe {
 		t.health.probing++
@@ -218,12 +218,9 @@
 }
 
 // count adds delta to the attempts that run at an endpoint.
-func (r *Router) count(now time.Time, t *target, delta int, urgent bool) {
-	t.load.change(now, delta, urgent)
-	r.running += delta
-	if urgent {
-		r.runningUrgent += delta
-	}
+func (r *Router) count(now time.Time, t *target, delta int, tier profile.Tier) {
+	t.load.change(now, delta, tier)
+	r.running[tier] += delta
 }
 
 // idleFirstToken returns the first-token time of an idle endpoint.
@@ -275,7 +272,7 @@
 	if t == nil {
 		return
 	}
-	r.count(now, t, -1, work.Tier == profile.TierUrgent)
+	r.count(now, t, -1, work.Tier)
 	if work.Probe {
 		t.health.probing = max(t.health.probing-1, 0)
 	}
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -36,10 +36,7 @@
 	if choice, ok := r.pickProbe(now, ask); ok {
 		return choice, true
 	}
-	open := &r.open[openLower]
-	if ask.Tier == profile.TierUrgent {
-		open = &r.open[openUrgent]
-	}
+	open := &r.open[ask.Tier]
 	if len(open.targets) == 0 {
 		return Choice{}, false
 	}
@@ -157,14 +154,12 @@
 }
 
 // queueWait predicts the wait in the endpoint's own queue in seconds. Even below
-// a full batch there is some, as arrivals are random. Top-tier work waits only
-// behind its like.
+// a full batch there is some, as arrivals are random. Work waits only behind
+// its own tier and the more urgent ones.
 func (r *Router) queueWait(ask *Ask, running float64, slots int) float64 {
 	fill := (running + 1) / float64(max(slots, 1))
 	waiting := max(running+1-float64(slots), 0) + min(fill*fill, 1)
-	if ask.Tier == profile.TierUrgent {
-		waiting *= r.urgentPart()
-	}
+	waiting *= r.partAbove(ask.Tier)
 	each := r.serviceTime.or(r.settings.DefaultServiceTime.Seconds()) / float64(max(slots, 1))
 	return waiting * each
 }
@@ -185,13 +180,20 @@
 	return left*float64(t.load.others) + since*(r.users()-1)
 }
 
-// urgentPart returns the part of this host's running work that is of the top
-// tier; the other hosts' work is taken to be alike.
-func (r *Router) urgentPart() float64 {
-	if r.running == 0 {
+// partAbove returns the part of this host's running work that is of the given
+// tier or a more urgent one; the other hosts' work is taken to be alike.
+func (r *Router) partAbove(tier profile.Tier) float64 {
+	above, all := 0, 0
+	for i, running := range r.running {
+		all += running
+		if i <= int(tier) {
+			above += running
+		}
+	}
+	if all == 0 {
 		return 1
 	}
-	return float64(r.runningUrgent) / float64(r.running)
+	return float64(above) / float64(all)
 }
 
 // distance returns the round trip to the target.
