Predict waits by attempts without a first token; rate goodput in bursts

Cause: engines' queues were judged by totals from old reports; goodput of bursts counted late answers from queues served after the burst, which rewards whoever refuses least. Change: the wait follows this host's own attempts that await a first token; in bursts goodput counts what was completed before their end, for every policy.

--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -210,7 +210,11 @@
 	}
 	t.sent++
 	r.count(now, t, 1, work.Tier)
-	t.await(work.SentAt, r.idleFirstToken(t, &work))
+	t.await(awaited{
+		sentAt:   work.SentAt,
+		expected: r.idleFirstToken(t, &work),
+		tier:     work.Tier,
+	})
 	if work.Probe {
 		t.health.probing++
 	}
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -132,7 +132,7 @@
 	running := float64(t.load.own) + r.othersNow(now, t)
 	slowness := t.health.slowness(r.peers, r.settings.Health)
 	fill := min((running+1)/float64(max(slots, 1)), 1)
-	wait := r.queueWait(ask, running, slots) * slowness
+	wait := r.queueWait(ask, t, running, slots) * slowness
 	first := r.distance(t).Seconds() + wait
 	choice := Choice{
 		Key: t.descriptor.Key,
@@ -154,12 +154,16 @@
 }
 
 // queueWait predicts the wait in the endpoint's own queue in seconds. Even below
-// a full batch there is some, as arrivals are random. Work waits only behind
-// its own tier and the more urgent ones.
-func (r *Router) queueWait(ask *Ask, running float64, slots int) float64 {
+// a full batch there is some, as arrivals are random. Work waits only behind its
+// own tier and the more urgent ones.
+func (r *Router) queueWait(ask *Ask, t *target, running float64, slots int) float64 {
 	fill := (running + 1) / float64(max(slots, 1))
-	waiting := max(running+1-float64(slots), 0) + min(fill*fill, 1)
-	waiting *= r.partAbove(ask.Tier)
+	waiting := min(fill*fill, 1)
+	if t.isService() {
+		waiting = (waiting + max(running+1-float64(slots), 0)) * r.partAbove(ask.Tier)
+	} else {
+		waiting += float64(t.awaitingAbove(ask.Tier)) * r.users()
+	}
 	each := r.serviceTime.or(r.settings.DefaultServiceTime.Seconds()) / float64(max(slots, 1))
 	return waiting * each
 }
--- a/core/routing/target.go
+++ b/core/routing/target.go
@@ -25,7 +25,9 @@
 	// mark is the number of the last decision that compared the target.
 	mark     uint64
 	awaiting []awaited
-	sent     uint64
+	// awaitingAt counts the awaited first tokens by tier.
+	awaitingAt [profile.TierCount]int
+	sent       uint64
 }
 
 // awaited is an attempt without a first token.
@@ -33,6 +35,7 @@
 	sentAt time.Time
 	// expected is the first-token time of an idle endpoint.
 	expected time.Duration
+	tier     profile.Tier
 }
 
 func (t *target) slots(settings *Settings) int {
@@ -62,15 +65,17 @@
 	return t.descriptor.Kind == profile.KindService
 }
 
-func (t *target) await(sentAt time.Time, expected time.Duration) {
+func (t *target) await(entry awaited) {
 	if len(t.awaiting) >= maxAwaiting {
-		copy(t.awaiting, t.awaiting[1:])
-		t.awaiting = t.awaiting[:maxAwaiting-1]
+		t.forget(0)
 	}
-	t.awaiting = append(t.awaiting, awaited{
-		sentAt:   sentAt,
-		expected: expected,
-	})
+	t.awaiting = append(t.awaiting, entry)
+	t.awaitingAt[entry.tier]++
+}
+
+func (t *target) forget(i int) {
+	t.awaitingAt[t.awaiting[i].tier]--
+	t.awaiting = append(t.awaiting[:i], t.awaiting[i+1:]...)
 }
 
 // settle forgets the attempt sent at the given time and returns the expected
@@ -79,9 +84,19 @@
 	for i := range t.awaiting {
 		if t.awaiting[i].sentAt.Equal(sentAt) {
 			expected := t.awaiting[i].expected
-			t.awaiting = append(t.awaiting[:i], t.awaiting[i+1:]...)
+			t.forget(i)
 			return expected, true
 		}
 	}
 	return 0, false
 }
+
+// awaitingAbove returns how many of this host's attempts of the given tier and
+// the more urgent ones have no first token yet.
+func (t *target) awaitingAbove(tier profile.Tier) int {
+	count := 0
+	for _, awaiting := range t.awaitingAt[:tier+1] {
+		count += awaiting
+	}
+	return count
+}
--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -62,6 +62,7 @@
 	// closed means that the host takes no more messages of the attempt.
 	closed    bool
 	startedAt time.Time
+	begunAt   time.Time
 }
 
 func (a *attempt) key() attemptKey {
@@ -108,6 +109,7 @@
 
 func (e *engine) begin(a *attempt) {
 	a.ran = true
+	a.begunAt = e.simulation.now
 	a.request.runs++
 	if e.isService() {
 		e.simulation.after(e.slowed(a.request.arrival.serviceTime), func() { e.finish(a) })
--- a/experiment/meter.go
+++ b/experiment/meter.go
@@ -96,8 +96,10 @@
 	for _, r := range m.requests {
 		attempts += r.attempts
 		first += min(r.attempts, 1)
-		if r.completed {
+		if r.completed && s.countsForGoodput(r) {
 			value += s.profiles[r.arrival.class].Value()
+		}
+		if r.completed {
 			if r.arrival.class.Spec.Kind == profile.KindModel {
 				useful += r.arrival.outputTokens
 			}
@@ -109,7 +111,7 @@
 			f.Breaches.DuplicateRuns += max(r.runs-1, 0)
 		}
 	}
-	f.GoodputPerSecond = value / horizon.Seconds()
+	f.GoodputPerSecond = value / s.goodputTime().Seconds()
 	f.WasteShare = 1 - share(useful, m.generated)
 	f.ExtraPerFirst = share(attempts-first, first)
 	f.WorstCompletionShare = 1
@@ -125,6 +127,20 @@
 	return f
 }
 
+// goodputTime returns the time over which goodput is a rate. In a burst it ends
+// with the burst: answers given later, from queues that are then served by idle
+// endpoints, say nothing of the rate under load.
+func (s *simulation) goodputTime() time.Duration {
+	if s.scenario.sustainedBurst() {
+		return faultEnd
+	}
+	return horizon
+}
+
+func (s *simulation) countsForGoodput(r *request) bool {
+	return !s.scenario.sustainedBurst() || r.endedAt.Sub(s.startedAt) < faultEnd
+}
+
 // share returns part of whole, or one when there is no whole.
 func share(part, whole int) float64 {
 	if whole == 0 {
