Eject only by progress that can't have another cause

Cause: first-token times hold the wait in an engine's queue, so that bursts ejected engines that were well; stragglers were probed by every host too often. Change: models are ejected by token gaps only, with 5 samples; first-token times and reported rates make suspect; an ejection for slowness lasts 10 s and goes on while running attempts or reports show it.

--- a/core/routing/health.go
+++ b/core/routing/health.go
@@ -11,9 +11,11 @@
 	answerWeight = 0.25
 	// errorWeight is the weight of a new sample of the share of errors.
 	errorWeight = 0.1
-	// firstTokenTolerance is by how much more a first-token time may exceed its
-	// peers' than a token gap, since it holds the wait in the engine's queue.
-	firstTokenTolerance = 2
+	// firstTokenTolerance is by how much more a model's first-token time may
+	// exceed its peers' than a token gap, since it holds the wait in the engine's
+	// queue; serviceTolerance is that of a plain service's answer.
+	firstTokenTolerance = 4
+	serviceTolerance    = 2
 	// maxErrorRate keeps the penalty for errors finite.
 	maxErrorRate = 0.95
 )
@@ -68,16 +70,22 @@
 	h.errors.add(1, errorWeight)
 }
 
-// slowness compares the endpoint with its peers. One means like the median.
-func (h *health) slowness(peers medians, settings HealthSettings) float64 {
-	slowness := 1.0
-	if h.gap.samples >= settings.MinSamples && peers.gap > 0 {
-		slowness = max(slowness, h.gap.value/peers.gap)
+// gapSlowness compares the endpoint's token gaps with its peers'. One means like
+// the median or faster.
+func (h *health) gapSlowness(peers medians, settings HealthSettings) float64 {
+	if h.gap.samples < settings.MinSamples || peers.gap <= 0 {
+		return 1
 	}
-	if h.ratio.samples >= settings.MinSamples/2 && peers.ratio > 0 {
-		slowness = max(slowness, h.ratio.value/peers.ratio/firstTokenTolerance)
+	return max(h.gap.value/peers.gap, 1)
+}
+
+// answerSlowness compares the first-token times, or a plain service's answers,
+// beyond what is tolerated.
+func (h *health) answerSlowness(peers medians, settings HealthSettings, tolerance float64) float64 {
+	if h.ratio.samples < settings.MinSamples || peers.ratio <= 0 {
+		return 1
 	}
-	return slowness
+	return max(h.ratio.value/peers.ratio/tolerance, 1)
 }
 
 // errorRate returns the recent share of failures, at most maxErrorRate.
@@ -93,10 +101,10 @@
 	return min(float64(now.Sub(h.recoveredAt))/float64(settings.RampFor), 1)
 }
 
-// eject takes the endpoint out for a time that doubles with each ejection.
-func (h *health) eject(now time.Time, settings HealthSettings) {
-	length := settings.EjectFor << min(h.ejections, 16)
-	length = min(length, settings.EjectForMax)
+// eject takes the endpoint out for a time that doubles with each ejection, up to
+// longest.
+func (h *health) eject(now time.Time, length, longest time.Duration) {
+	length = min(length<<min(h.ejections, 8), longest)
 	h.ejections++
 	h.state = StateEjected
 	h.ejectedAt = now
--- a/core/routing/load.go
+++ b/core/routing/load.go
@@ -90,3 +90,12 @@
 	}
 	return count
 }
+
+// reportedGap returns the time between the tokens of one sequence in seconds, by
+// the report, or zero.
+func (l *load) reportedGap() float64 {
+	if l.report.Running == 0 || l.report.TokensPerSecond <= 0 {
+		return 0
+	}
+	return float64(l.report.Running) / l.report.TokensPerSecond
+}
--- a/core/routing/peers.go
+++ b/core/routing/peers.go
@@ -10,6 +10,9 @@
 	// ratio is the median first-token time in relation to the expected one, or
 	// zero.
 	ratio float64
+	// reportedGap is the median time between the tokens of one sequence by the
+	// endpoints' reports, in seconds, or zero.
+	reportedGap float64
 }
 
 // updateMedians compares the endpoints that have samples.
@@ -28,7 +31,14 @@
 		}
 	}
 	r.peers.ratio = median(ratios, r.settings.Health.MinPeers)
-	r.scratch = ratios[:0]
+	reported := ratios[:0]
+	for _, t := range r.targets {
+		if gap := t.load.reportedGap(); gap > 0 {
+			reported = append(reported, gap)
+		}
+	}
+	r.peers.reportedGap = median(reported, r.settings.Health.MinPeers)
+	r.scratch = reported[:0]
 }
 
 // median sorts values and returns the lower median, or zero for fewer than
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -130,7 +130,7 @@
 func (r *Router) predict(now time.Time, ask *Ask, t *target) Choice {
 	slots := t.slots(&r.settings)
 	running := float64(t.load.own) + r.othersNow(now, t)
-	slowness := t.health.slowness(r.peers, r.settings.Health)
+	slowness := r.slowness(t)
 	fill := min((running+1)/float64(max(slots, 1)), 1)
 	wait := r.queueWait(ask, t, running, slots) * slowness
 	first := r.distance(t).Seconds() + wait
--- a/core/routing/settings.go
+++ b/core/routing/settings.go
@@ -59,10 +59,11 @@
 	// MaxEjected is the part of the endpoints, from 0 to 1, that may be ejected
 	// or probing at once.
 	MaxEjected float64
-	// EjectFor is the length of the first ejection. It doubles with each
-	// ejection in a row up to EjectForMax.
-	EjectFor    time.Duration
-	EjectForMax time.Duration
+	// EjectFor is the length of the first ejection for failures, and EjectSlowFor
+	// that for slowness. It doubles with each ejection up to EjectForMax.
+	EjectFor     time.Duration
+	EjectSlowFor time.Duration
+	EjectForMax  time.Duration
 	// ProbeUrgentAfter is how long a probing endpoint waits for lower-tier work
 	// before top-tier work may be its probe.
 	ProbeUrgentAfter time.Duration
@@ -123,12 +124,13 @@
 		Health: HealthSettings{
 			SuspectSlowness:  2,
 			EjectSlowness:    3.5,
-			MinSamples:       8,
+			MinSamples:       5,
 			MinPeers:         3,
 			FailuresToEject:  3,
 			MaxEjected:       0.5,
 			EjectFor:         3 * time.Second,
-			EjectForMax:      30 * time.Second,
+			EjectSlowFor:     10 * time.Second,
+			EjectForMax:      60 * time.Second,
 			ProbeUrgentAfter: 2 * time.Second,
 			ProbesToRecover:  2,
 			RampFor:          10 * time.Second,
--- a/core/routing/snapshot.go
+++ b/core/routing/snapshot.go
@@ -69,7 +69,7 @@
 		Share:           t.window.share,
 		Window:          t.window.limit,
 		Slots:           t.slots(&r.settings),
-		Slowness:        t.health.slowness(r.peers, r.settings.Health),
+		Slowness:        r.slowness(t),
 		ErrorRate:       t.health.errorRate(),
 		Ejections:       t.health.ejections,
 		Sent:            t.sent,
