Count service in slot time and guarantee shares by the slots held

Change: service is the time for which a slot is held, known exactly; a class that holds fewer slots than the whole slots of its share is served at once, the fraction by a clock of service; the top tier goes before that while it holds less than 0.7 of the slots; only work beyond its class's guarantee is preempted, never calls of plain services; requests that missed their target are served the latest deadline first; the latest start leaves room for the delay's deviation. Top-tier attainment under a burst of its own is left: its first tokens are late at the engines, not in the queue.

--- a/core/admission/class.go
+++ b/core/admission/class.go
@@ -19,10 +19,11 @@
 	// tag is the start tag of the class's next service within its tier.
 	tag    float64
 	weight float64
-	// minShare is the guaranteed share; due is the pool's service at which the
-	// class is owed its next part.
+	// minShare is the guaranteed share; due is the queue's service at which
+	// the class is owed its next part; running is the number of slots that it holds.
 	minShare float64
 	due      float64
+	running  int
 	reserve  int
 	length   int
 	cost     float64
@@ -30,6 +31,7 @@
 	activeIndex int
 	evictIndex  int
 	dueIndex    int
+	belowIndex  int
 }
 
 func newClass(name string, tier *tier) *class {
@@ -42,6 +44,7 @@
 		activeIndex: heap.NoIndex,
 		evictIndex:  heap.NoIndex,
 		dueIndex:    heap.NoIndex,
+		belowIndex:  heap.NoIndex,
 	}
 }
 
@@ -73,6 +76,15 @@
 	return a.name < b.name
 }
 
+// classBelowEarlier orders classes that hold fewer slots than they are sure of:
+// by tier, then by when they are owed service.
+func classBelowEarlier(a, b *class) bool {
+	if a.tier.number != b.tier.number {
+		return a.tier.number < b.tier.number
+	}
+	return classDueEarlier(a, b)
+}
+
 func classWorthLess(a, b *class) bool {
 	mine, other := a.evict.Top().worth.Top().Value, b.evict.Top().worth.Top().Value
 	if mine != other {
@@ -86,4 +98,5 @@
 
 func placeClassActive(c *class, index int) { c.activeIndex = index }
 func placeClassEvict(c *class, index int)  { c.evictIndex = index }
+func placeClassBelow(c *class, index int)  { c.belowIndex = index }
 func placeClassDue(c *class, index int)    { c.dueIndex = index }
--- a/core/admission/entry.go
+++ b/core/admission/entry.go
@@ -22,8 +22,7 @@
 	MinShare float64
 	// Value weighs the request when something must be given up.
 	Value float64
-	// Cost is the expected service, in tokens for a model and in calls for a
-	// plain service.
+	// Cost is the expected service: the seconds for which a slot is held.
 	Cost float64
 	// Deadline is when the target is missed.
 	Deadline time.Time
@@ -63,5 +62,11 @@
 	return earlier(b, a)
 }
 
+// later orders the entries that can no longer meet their target: the latest
+// deadline first, which is missed by the least.
+func later(a, b *Entry) bool {
+	return earlier(b, a)
+}
+
 func placeReady(e *Entry, index int) { e.ready = index }
 func placeWorth(e *Entry, index int) { e.worth = index }
--- a/core/admission/index.go
+++ b/core/admission/index.go
@@ -22,9 +22,35 @@
 	if class.activeIndex != heap.NoIndex {
 		class.tier.active.Remove(class.activeIndex)
 	}
+	q.leaveGuarantee(class)
+}
+
+// leaveGuarantee takes a class out of the heaps of those that may be owed
+// service.
+func (q *Queue) leaveGuarantee(class *class) {
 	if class.dueIndex != heap.NoIndex {
 		q.due.Remove(class.dueIndex)
 	}
+	if class.belowIndex != heap.NoIndex {
+		q.below.Remove(class.belowIndex)
+	}
+}
+
+// enterGuarantee puts a class with entries into the heap that fits the slots
+// that it holds: below the whole slots of its share, it is owed service at once;
+// within the slot that is only partly its own, when its part is due; above that,
+// it is owed nothing.
+func (q *Queue) enterGuarantee(class *class) {
+	if class.length == 0 {
+		return
+	}
+	sure := q.share(class) * float64(q.usedSlots)
+	switch {
+	case float64(class.running+1) <= sure:
+		q.below.Push(class)
+	case q.usedSlots == 0 || float64(class.running) < sure:
+		q.due.Push(class)
+	}
 }
 
 // enterIndexes puts a class and a team back into the heaps where their content
@@ -47,7 +73,7 @@
 		class.due = max(class.due, q.service+cost/q.share(class))
 	}
 	class.tier.active.Push(class)
-	q.due.Push(class)
+	q.enterGuarantee(class)
 }
 
 func (q *Queue) activateTeam(class *class, team *team) {
@@ -98,7 +124,7 @@
 		tier.virtual = tier.lastTag
 		tier.cost = 0
 	}
-	if len(tier.classes) > MaxIdleClasses {
+	if len(tier.classes) > MaxIdleClasses && class.running == 0 {
 		delete(tier.classes, class.name)
 		q.guarantee(class, 0)
 	}
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -14,7 +14,7 @@
 //	evicted, verdict := queue.Admit(&entry)
 //	entry, owed := queue.Next(now)
 //	if entry != nil && sent(entry) {
-//		queue.Take(entry)
+//		queue.Take(now, entry)
 //	}
 //
 // A Queue reads no clock and is not safe for concurrent use. Every operation
@@ -22,6 +22,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"cactuswell/core/heap"
@@ -45,10 +46,20 @@
 type Queue struct {
 	settings Settings
 	tiers    [profile.TierCount]*tier
-	// due holds the classes with entries by when they are owed service.
-	due heap.Heap[*class]
-	// service is the cost of all that was taken since the queue was made.
+	// sureSlots is the number of slots that are this queue's part of the pool's;
+	// usedSlots that of those in use if it is larger. Both are zero while they are
+	// unknown.
+	sureSlots int
+	usedSlots int
+	// below holds the classes with entries that are owed service at once, due
+	// those that are by when they are.
+	below heap.Heap[*class]
+	due   heap.Heap[*class]
+	// service is the slot time used since the queue was made, in seconds, up to
+	// servedAt; running is the number of slots held.
 	service  float64
+	servedAt time.Time
+	running  int
 	sequence uint64
 	length   int
 	// counted is the number of entries that count against the bound.
@@ -67,6 +78,7 @@
 	}
 	queue := &Queue{
 		settings:   settings.WithDefaults(),
+		below:      heap.New(classBelowEarlier, placeClassBelow),
 		due:        heap.New(classDueEarlier, placeClassDue),
 		teamCounts: make(map[string]int),
 	}
@@ -124,7 +136,8 @@
 	if q.length == 0 {
 		return nil, false
 	}
-	if class := q.due.Top(); class.due <= q.service {
+	q.advance(now)
+	if class := q.owed(); class != nil {
 		return class.active.Top().head(now), true
 	}
 	for _, tier := range q.tiers {
@@ -135,34 +148,56 @@
 	return nil, false
 }
 
+// owed returns the class to serve on its guaranteed share, or nil. The top tier
+// goes before all of them while it holds less than its own part.
+func (q *Queue) owed() *class {
+	top := q.tiers[profile.TierUrgent]
+	if top.length > 0 && float64(top.running+1) <= q.settings.TopShare*float64(q.usedSlots) {
+		return nil
+	}
+	if q.below.Len() > 0 {
+		return q.below.Top()
+	}
+	if q.due.Len() > 0 && q.due.Top().due <= q.service {
+		return q.due.Top()
+	}
+	return nil
+}
+
 // Take removes an entry that is being served and charges its class and team.
-func (q *Queue) Take(entry *Entry) {
+// Release must follow once the entry holds its slot no more.
+func (q *Queue) Take(now time.Time, entry *Entry) {
+	q.advance(now)
 	team := entry.team
 	class := team.class
 	tier := class.tier
-	q.service += entry.Cost
 	tier.virtual = max(tier.virtual, class.tag)
 	class.virtual = max(class.virtual, team.tag)
 	class.tag += entry.Cost / class.weight
 	tier.lastTag = max(tier.lastTag, class.tag)
 	team.tag += entry.Cost
 	class.due = min(q.service, class.due) + entry.Cost/q.share(class)
+	q.running++
+	class.running++
+	tier.running++
 	q.Remove(entry)
 }
 
-// Correct adds delta, which may be negative, to what the class and team of an
-// entry that was taken were charged, once its real cost is known.
-func (q *Queue) Correct(entry *Entry, delta float64) {
+// Release says that an entry that was taken holds its slot no more, and what its
+// service has really cost.
+func (q *Queue) Release(now time.Time, entry *Entry, cost float64) {
+	q.advance(now)
+	delta := cost - entry.Cost
 	class := q.tiers[entry.Tier].classes[entry.Class]
-	if class == nil {
-		return
-	}
-	q.service += delta
+	q.running--
+	class.running--
+	class.tier.running--
 	class.due += delta / q.share(class)
 	class.tag += delta / class.weight
 	class.tier.lastTag = max(class.tier.lastTag, class.tag)
 	if class.length > 0 {
-		q.due.Fix(class.dueIndex)
+		q.leaveGuarantee(class)
+		q.enterGuarantee(class)
 		class.tier.active.Fix(class.activeIndex)
 	}
 	team := class.teams[entry.Team]
@@ -196,6 +231,44 @@
 	q.retire(class, team)
 }
 
+// advance counts the slot time used since the last call.
+func (q *Queue) advance(now time.Time) {
+	if q.running > 0 && now.After(q.servedAt) {
+		q.service += float64(q.running) * now.Sub(q.servedAt).Seconds()
+	}
+	q.servedAt = now
+}
+
+// Running returns the number of slots held.
+func (q *Queue) Running() int {
+	return q.running
+}
+
+// SetSlots says how many slots are this queue's part of the pool's, with zero for
+// unknown, and how many are in use.
+func (q *Queue) SetSlots(sure, used int) {
+	used = max(sure, used)
+	q.sureSlots = sure
+	if used == q.usedSlots {
+		return
+	}
+	q.usedSlots = used
+	for _, tier := range q.tiers {
+		for i := range tier.active.Len() {
+			class := tier.active.At(i)
+			q.leaveGuarantee(class)
+			q.enterGuarantee(class)
+		}
+	}
+}
+
+// BeyondGuarantee reports whether the class of an entry holds more slots than
+// its guaranteed share of the queue's part of the pool, whatever else is in use.
+func (q *Queue) BeyondGuarantee(entry *Entry) bool {
+	class := q.tiers[entry.Tier].classes[entry.Class]
+	return class != nil && float64(class.running) > math.Ceil(q.share(class)*float64(q.sureSlots))
+}
+
 // Worst returns the entry to give up first: of the lowest tier that has more
 // than its reserve, the least valuable. It returns nil if there is none.
 func (q *Queue) Worst() *Entry {
@@ -238,7 +311,7 @@
 	}
 	class := tier.classes[entry.Class]
 	if class == nil || class.length == 0 {
-		return higher
+		return min(higher, entry.Cost/max(entry.MinShare, minWeight))
 	}
 	weights := 0.0
 	for i := range tier.active.Len() {
@@ -251,7 +324,7 @@
 		ahead = 0
 	}
 	byWeight := higher + min(tier.cost, ahead*weights/class.weight)
-	return min(byWeight, ahead/q.share(class))
+	return min(byWeight, (ahead+entry.Cost)/q.share(class))
 }
 
 func (q *Queue) outranks(class *class, entry, victim *Entry) bool {
--- a/core/admission/settings.go
+++ b/core/admission/settings.go
@@ -13,7 +13,10 @@
 	DefaultClassReserve = 16
 	// DefaultMaxGuaranteed bounds the sum of the guaranteed shares of all
 	// classes below the top tier.
-	DefaultMaxGuaranteed = 0.5
+	DefaultMaxGuaranteed = 0.9
+	// DefaultTopShare is the part of the slots up to which the top tier goes
+	// before the guaranteed shares of the others.
+	DefaultTopShare = 0.7
 	// MaxIdleTeams bounds the idle teams that a class remembers.
 	MaxIdleTeams = 64
 	// MaxIdleClasses bounds the classes that a tier remembers while idle.
@@ -26,6 +29,7 @@
 	MaxTeamQueued int
 	ClassReserve  int
 	MaxGuaranteed float64
+	TopShare      float64
 }
 
 // SettingError says what is wrong with one of the settings.
@@ -51,6 +55,8 @@
 		return &SettingError{Field: "classReserve", Value: s.ClassReserve, Allowed: "0 or more"}
 	case s.MaxGuaranteed < 0 || s.MaxGuaranteed >= 1:
 		return &SettingError{Field: "maxGuaranteed", Value: s.MaxGuaranteed, Allowed: "0 to less than 1"}
+	case s.TopShare < 0 || s.TopShare > 1:
+		return &SettingError{Field: "topShare", Value: s.TopShare, Allowed: "0 to 1"}
 	}
 	return nil
 }
@@ -69,5 +75,8 @@
 	if s.MaxGuaranteed == 0 {
 		s.MaxGuaranteed = DefaultMaxGuaranteed
 	}
+	if s.TopShare == 0 {
+		s.TopShare = DefaultTopShare
+	}
 	return s
 }
--- a/core/admission/team.go
+++ b/core/admission/team.go
@@ -10,8 +10,8 @@
 type team struct {
 	name  string
 	class *class
-	// viable holds the entries that can still meet their target, late the
-	// others; both by deadline.
+	// viable holds the entries that can still meet their target, the earliest
+	// deadline first; late the others, the latest deadline first.
 	viable heap.Heap[*Entry]
 	late   heap.Heap[*Entry]
 	// worth holds the entries that may be evicted, the least valuable first.
@@ -27,7 +27,7 @@
 func newTeam() *team {
 	return &team{
 		viable: heap.New(earlier, placeReady),
-		late:   heap.New(earlier, placeReady),
+		late:   heap.New(later, placeReady),
 		worth:  heap.New(worthLess, placeWorth),
 		active: heap.NoIndex,
 		evict:  heap.NoIndex,
--- a/core/admission/teamqueue.go
+++ b/core/admission/teamqueue.go
@@ -19,7 +19,7 @@
 	// target, as far as the queue has looked.
 	Viable int `json:"viable"`
 	Late   int `json:"late"`
-	// Cost is the expected service of all of them.
+	// Cost is the expected slot time of all of them, in seconds.
 	Cost float64 `json:"cost"`
 }
 
--- a/core/admission/tier.go
+++ b/core/admission/tier.go
@@ -16,6 +16,8 @@
 	virtual float64
 	lastTag float64
 	length  int
+	// running is the number of slots that the tier holds.
+	running int
 	cost    float64
 }
 
--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -38,7 +38,7 @@
 	a.unanswered = 0
 	a.gaveUp = false
 	if first && r.spec.Profile.Measure() == profile.MeasureFirstToken {
-		p.histories.of(r.entry.Class).observeDelay(p.now.Sub(a.work.SentAt))
+		p.histories.of(r.entry.Class).delay.add(p.now.Sub(a.work.SentAt))
 	}
 	p.adopt(r, a)
 	r.delivered = max(r.delivered, tokens)
@@ -83,8 +83,9 @@
 	}
 	history := p.histories.of(r.entry.Class)
 	history.lengths.add(tokens)
+	history.slot.add(p.now.Sub(a.work.SentAt))
 	if r.spec.Profile.Measure() == profile.MeasureCompletion {
-		history.observeDelay(p.now.Sub(a.work.SentAt))
+		history.delay.add(p.now.Sub(a.work.SentAt))
 	}
 	p.adopt(r, a)
 	p.commands = append(p.commands, CompleteRequest{
--- a/core/dispatch/arrive.go
+++ b/core/dispatch/arrive.go
@@ -7,13 +7,8 @@
 	"cactuswell/core/profile"
 )
 
-const (
-	// promptTokensPerCost is how many prompt tokens cost as much service as one
-	// token of an answer.
-	promptTokensPerCost = 16
-	// maxEarlyEvictions bounds the requests evicted for one arrival.
-	maxEarlyEvictions = 4
-)
+// maxEarlyEvictions bounds the requests evicted for one arrival.
+const maxEarlyEvictions = 4
 
 // arrive queues a new request or refuses it at once.
 func (p *Pool) arrive(spec Request) {
@@ -64,34 +59,17 @@
 		Weight:      spec.Profile.Value(),
 		MinShare:    spec.Profile.MinShare(),
 		Value:       spec.Profile.Value(),
-		Cost:        p.cost(r, history),
+		Cost:        history.slotTime(r.maxTokens()).Seconds(),
 		Deadline:    r.target,
-		LatestStart: r.target.Add(-history.delay),
-	}
-}
-
-// cost returns the expected service of a request: tokens for a model, calls for
-// a plain service.
-func (p *Pool) cost(r *request, history *history) float64 {
-	if p.settings.Kind == profile.KindService {
-		return 1
+		LatestStart: r.target.Add(-history.delay.high()),
 	}
-	return promptCost(r.spec.PromptTokens) + float64(p.outputTokens(r, history))
-}
-
-func promptCost(tokens int) float64 {
-	return float64(tokens) / promptTokensPerCost
 }
 
 func (p *Pool) outputTokens(r *request, history *history) int {
 	if p.settings.Kind == profile.KindService {
 		return 0
 	}
-	bound := r.spec.MaxTokens
-	if bound == 0 {
-		bound = r.spec.Profile.MaxTokens()
-	}
-	return history.expectedTokens(p.settings.OutputQuantile, bound)
+	return history.expectedTokens(p.settings.OutputQuantile, r.maxTokens())
 }
 
 // canMeet reports whether a new request is likely to be started within its wait
@@ -115,21 +93,17 @@
 }
 
 // expectedWait estimates how long a request that is queued now would wait. It
-// is zero while the pool's rate is unknown.
+// is zero while that is unknown.
 func (p *Pool) expectedWait(r *request) time.Duration {
 	rate := p.serviceRate()
-	if rate <= 0 {
+	if rate <= 0 || p.histories.of(r.entry.Class).slot.mean == 0 {
 		return 0
 	}
 	return time.Duration(p.queue.Ahead(&r.entry) / rate * float64(time.Second))
 }
 
-// serviceRate returns the cost that the pool serves in a second, at least.
+// serviceRate returns the slot time that the pool gives in a second: the slots in
+// use, or this host's share of all if that is more.
 func (p *Pool) serviceRate() float64 {
-	rate := p.throughput.rate
-	if rate > 0 && p.settings.Kind == profile.KindModel {
-		_, tokensPerSecond := p.router.Capacity()
-		rate = max(rate, tokensPerSecond)
-	}
-	return rate
+	return float64(max(p.queue.Running(), p.slots))
 }
--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -24,8 +24,6 @@
 	resumes    int
 	unanswered int
 	hedge      bool
-	// owed marks an attempt that was started on its class's guaranteed share.
-	owed bool
 	// lookAt puts off the next look at a silent attempt, unless it is zero.
 	lookAt time.Time
 	// gaveUp marks a silent attempt of which nothing more can be tried.
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -15,6 +15,8 @@
 	// retryPumpAfter is how long a queue that found no endpoint waits before it
 	// asks the router again, if no event comes first.
 	retryPumpAfter = 100 * time.Millisecond
+	// refreshSlotsAfter is how old the known number of slots may grow.
+	refreshSlotsAfter = 100 * time.Millisecond
 	// maxFree bounds the records kept for reuse.
 	maxFree = 4096
 )
@@ -34,12 +36,13 @@
 	leaving     leavingKeys
 	journal     journal
 	counters    Counters
-	throughput  throughput
 	ask         routing.Ask
 	// blocked is the highest tier known to find no endpoint with room, or
 	// profile.TierCount.
 	blocked    profile.Tier
 	blockedAt  time.Time
+	slotsAt    time.Time
+	slots      int
 	preemptAt  time.Time
 	backingOff int
 	running    int
@@ -152,6 +155,7 @@
 }
 
 func (p *Pool) tick() {
+	p.refreshSlots()
 	if at, ok := p.router.NextWake(); ok && !at.After(p.now) {
 		p.router.Tick(p.now)
 		p.unblock()
@@ -161,6 +165,16 @@
 	}
 }
 
+// refreshSlots asks the router now and then for this host's share of the slots.
+func (p *Pool) refreshSlots() {
+	if p.now.Before(p.slotsAt.Add(refreshSlotsAfter)) {
+		return
+	}
+	p.slotsAt = p.now
+	p.slots, _ = p.router.Capacity()
+	p.queue.SetSlots(p.slots, p.running)
+}
+
 // unblock says that an endpoint may have room again.
 func (p *Pool) unblock() {
 	p.blocked = profile.TierCount
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -20,9 +20,13 @@
 
 // preemptFor cancels a running attempt of the lowest tier to make room for a
 // queued request of the top tier that is about to miss its target. It reports
-// whether it did.
+// whether it did. A call of a plain service is never preempted: it is short, and
+// the service goes on with it.
 func (p *Pool) preemptFor(r *request) bool {
-	if p.settings.NoPreemption || r.entry.Tier != profile.TierUrgent || p.now.Before(p.preemptAt) {
+	if p.settings.NoPreemption || p.settings.Kind != profile.KindModel {
+		return false
+	}
+	if r.entry.Tier != profile.TierUrgent || p.now.Before(p.preemptAt) {
 		return false
 	}
 	if p.sinceArrival(r) < r.spec.Profile.Target()/preemptAfterShare || p.budget.Saved() < 1 {
@@ -45,7 +49,7 @@
 			if a == nil {
 				break
 			}
-			if a.request.running == 1 && int(a.request.numbers) < p.settings.MaxAttempts && !p.leaving.has(a.work.Key) {
+			if p.mayPreempt(a) {
 				return a
 			}
 			a = a.previous
@@ -54,6 +58,14 @@
 	return nil
 }
 
+// mayPreempt reports whether canceling an attempt is allowed and could make room.
+func (p *Pool) mayPreempt(a *attempt) bool {
+	return a.request.running == 1 &&
+		int(a.request.numbers) < p.settings.MaxAttempts &&
+		!p.leaving.has(a.work.Key) &&
+		p.queue.BeyondGuarantee(&a.request.entry)
+}
+
 // preempt cancels an attempt and queues its request again. What its caller
 // already has is left out of the next attempt's answer.
 func (p *Pool) preempt(a *attempt) {
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -122,6 +122,14 @@
 	return r.startBy
 }
 
+// maxTokens returns the bound on the answer's length, or zero for none.
+func (r *request) maxTokens() int {
+	if r.spec.MaxTokens > 0 {
+		return r.spec.MaxTokens
+	}
+	return r.spec.Profile.MaxTokens()
+}
+
 func requestEarlier(a, b *request) bool {
 	if !a.timerAt.Equal(b.timerAt) {
 		return a.timerAt.Before(b.timerAt)
--- a/core/dispatch/snapshot.go
+++ b/core/dispatch/snapshot.go
@@ -25,7 +25,7 @@
 	// Attempts lists some of the running attempts.
 	Attempts []RunningAttempt `json:"attempts"`
 	Budget   BudgetSnapshot   `json:"budget"`
-	// ServiceRate is the cost served in a second while requests wait.
+	// ServiceRate is the slot time given in a second, in seconds.
 	ServiceRate float64  `json:"serviceRate"`
 	Usable      int      `json:"usableEndpoints"`
 	Counters    Counters `json:"counters"`
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -39,11 +39,9 @@
 			p.blockedAt = p.now
 			return
 		}
-		p.throughput.observe(p.now, entry.Cost, p.queue.Len() > 1)
-		p.queue.Take(entry)
+		p.queue.Take(p.now, entry)
 		p.start(r, choice, tier, owed, p.startReason(r))
 	}
-	p.throughput.observe(p.now, 0, false)
 }
 
 func (p *Pool) startReason(r *request) string {
@@ -105,11 +103,10 @@
 		firstToken: choice.FirstToken,
 		progressAt: p.now,
 		hedge:      reason == startedHedge,
-		owed:       owed,
 	}
 	r.addAttempt(a)
 	p.running++
-	if !r.once && !owed && r.entry.Tier != profile.TierUrgent {
+	if !r.once && r.entry.Tier != profile.TierUrgent && p.settings.Kind == profile.KindModel {
 		p.preemptible[r.entry.Tier].push(a)
 	}
 	p.router.Sent(p.now, a.work)
@@ -161,7 +158,7 @@
 	if outcome != routing.OutcomeCompleted {
 		p.counters.WastedTokens += uint64(a.tokens)
 	}
-	p.settle(r, a)
+	p.settle(r, a, outcome)
 	r.removeAttempt(a)
 	p.preemptible[r.entry.Tier].remove(a)
 	p.running--
@@ -173,14 +170,17 @@
 	}
 }
 
-// settle corrects what the attempt's class and team were charged at its start
-// by what it really used.
-func (p *Pool) settle(r *request, a *attempt) {
-	if p.settings.Kind == profile.KindService || a.hedge {
+// settle tells the queue for how long an attempt held its slot. Its class and
+// team don't pay for an endpoint that was slow to fail.
+func (p *Pool) settle(r *request, a *attempt, outcome routing.Outcome) {
+	if a.hedge {
 		return
 	}
-	used := promptCost(r.spec.PromptTokens) + float64(a.tokens)
-	p.queue.Correct(&r.entry, used-r.entry.Cost)
+	used := p.now.Sub(a.work.SentAt).Seconds()
+	if outcome == routing.OutcomeFailed || outcome == routing.OutcomeSilent {
+		used = min(used, r.entry.Cost)
+	}
+	p.queue.Release(p.now, &r.entry, used)
 }
 
 // cancelAttempt ends an attempt at its endpoint.
--- a/core/dispatch/watch.go
+++ b/core/dispatch/watch.go
@@ -61,15 +61,25 @@
 	if p.router.Usable() == 0 {
 		return false
 	}
-	return p.queue.LenBelow(profile.TierUrgent) > 0 || p.preemptibleCount() > 0
+	return p.queue.LenBelow(profile.TierUrgent) > 0 || p.runsBeyondGuarantee()
 }
 
-func (p *Pool) preemptibleCount() int {
-	count := 0
-	for i := range p.preemptible {
-		count += p.preemptible[i].length
+// runsBeyondGuarantee reports whether one of the latest attempts of a lower tier
+// that may be interrupted holds a slot beyond its class's guaranteed share.
+func (p *Pool) runsBeyondGuarantee() bool {
+	for tier := range p.preemptible {
+		a := p.preemptible[tier].last
+		for range maxPreemptLooks {
+			if a == nil {
+				break
+			}
+			if p.queue.BeyondGuarantee(&a.request.entry) {
+				return true
+			}
+			a = a.previous
+		}
 	}
-	return count
+	return false
 }
 
 // armRunning sets the timer of a running request to the next moment at which
