Bound lower work over all endpoints together

Cause: top-tier work beyond a window was made up for only at the same endpoint, so that engines stayed over-full; work of lower tiers stood in engines' queues. Change: tiers below the top count all own work at the endpoint, and all of the host's work against the sum of its windows.

--- a/core/routing/judge.go
+++ b/core/routing/judge.go
@@ -55,6 +55,26 @@
 		r.open[tier].set(t, r.hasRoom(t, tier))
 	}
 	r.open[openProbe].set(t, t.awaitsProbe())
+	granted := 0.0
+	if r.takesWork(t) {
+		granted = t.window.limit
+	}
+	r.granted += granted - t.granted
+	t.granted = granted
+}
+
+// hasShare says whether this host may send more work of a tier to all endpoints
+// together. Top-tier work that went beyond a window is made up for by the next
+// lower work, wherever it ends.
+func (r *Router) hasShare(tier profile.Tier) bool {
+	if tier == profile.TierUrgent {
+		return true
+	}
+	running := 0
+	for _, count := range r.running {
+		running += count
+	}
+	return float64(running) < r.granted
 }
 
 // hasRoom says whether the endpoint has room for a tier. Work of lower tiers does
@@ -78,7 +98,10 @@
 		limit += spare
 		spare = 0
 	}
-	own := t.load.ownAbove(tier)
+	own := t.load.own
+	if tier == profile.TierUrgent {
+		own = t.load.ownAbove(tier)
+	}
 	if own >= limit {
 		return false
 	}
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -45,7 +45,9 @@
 	// outside counts the targets that are ejected or probing.
 	outside int
 	// running counts this host's attempts at all endpoints by tier.
-	running     [profile.TierCount]int
+	running [profile.TierCount]int
+	// granted is the sum of the windows of the endpoints that take work.
+	granted     float64
 	decision    uint64
 	comparisons uint64
 	ejections   uint64
@@ -138,6 +140,7 @@
 	for i := range r.open {
 		r.open[i].set(t, false)
 	}
+	r.granted -= t.granted
 	for tier, own := range t.load.atTier {
 		r.running[tier] -= own
 	}
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -37,7 +37,7 @@
 		return choice, true
 	}
 	open := &r.open[ask.Tier]
-	if len(open.targets) == 0 {
+	if len(open.targets) == 0 || !r.hasShare(ask.Tier) {
 		return Choice{}, false
 	}
 	r.decision++
--- a/core/routing/target.go
+++ b/core/routing/target.go
@@ -22,6 +22,8 @@
 	// used reports whether the endpoint is in this host's subset.
 	used   bool
 	places [openSets]int
+	// granted is the target's part of Router.granted.
+	granted float64
 	// mark is the number of the last decision that compared the target.
 	mark     uint64
 	awaiting []awaited
