Let windows follow the engines' fill, and keep a fifth as headroom

Cause: shares were rounded by a hash for good, so that some engines were over-full and top-tier work waited in their queues. Change: each fresh report moves the window by 0.3 of this host's part of the free slots; HeadroomShare is 0.2.

--- a/core/routing/judge.go
+++ b/core/routing/judge.go
@@ -89,7 +89,7 @@
 		return false
 	}
 	slots := t.slots(&r.settings)
-	spare := headroom(slots, &r.settings)
+	spare := r.headroom(slots)
 	limit := t.window.slots()
 	if ramp := t.health.ramp(r.tickedAt, r.settings.Health); ramp < 1 {
 		limit = max(int(float64(limit)*ramp), minWindow)
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -189,13 +189,9 @@
 	}
 	slots := t.slots(&r.settings)
 	report := &t.load.report
-	queueAllowed := int(float64(slots) * r.settings.QueueShare)
-	if report.Queued > queueAllowed && t.window.limit > t.window.share {
-		t.window.congested(now, max(t.window.share/t.window.limit, 0.5), slots)
-		return
-	}
-	free := float64(slots - headroom(slots, &r.settings) - report.Running - report.Queued)
-	t.window.lend(free, r.users(), t.load.own, slots)
+	aim := slots - r.headroom(slots)
+	free := float64(aim - report.Running - report.Queued)
+	t.window.correct(free/r.users(), t.load.own, slots)
 }
 
 // ApplyCache takes an endpoint's prefix cache events.
--- a/core/routing/settings.go
+++ b/core/routing/settings.go
@@ -111,7 +111,7 @@
 		},
 		Candidates:         6,
 		SubsetSize:         64,
-		HeadroomShare:      0.1,
+		HeadroomShare:      0.2,
 		QueueShare:         0,
 		DefaultSlots:       16,
 		DefaultPrefillRate: 4000,
--- a/core/routing/subset.go
+++ b/core/routing/subset.go
@@ -62,6 +62,6 @@
 
 func (r *Router) updateShare(t *target) {
 	slots := t.slots(&r.settings)
-	room := float64(slots-headroom(slots, &r.settings)) + float64(slots)*r.settings.QueueShare
+	room := float64(slots-r.headroom(slots)) + float64(slots)*r.settings.QueueShare
 	t.window.setShare(room/r.users(), slots)
 }
--- a/core/routing/target.go
+++ b/core/routing/target.go
@@ -54,11 +54,13 @@
 	return settings.DefaultPrefillRate
 }
 
-func headroom(slots int, settings *Settings) int {
+// headroom returns the slots that lower tiers leave to the top tier at an
+// endpoint.
+func (r *Router) headroom(slots int) int {
 	if slots <= 1 {
 		return 0
 	}
-	return max(int(float64(slots)*settings.HeadroomShare), 1)
+	return max(int(float64(slots)*r.settings.HeadroomShare), 1)
 }
 
 // isService reports whether the endpoint is a plain service, whose answers come
--- a/core/routing/window.go
+++ b/core/routing/window.go
@@ -11,6 +11,10 @@
 	// decreaseEvery is the least time between two decreases of one window, so
 	// that one congested moment counts once.
 	decreaseEvery = 300 * time.Millisecond
+	// correctionGain is the part of the free slots that one report moves a window.
+	correctionGain = 0.3
+	// leastShare is the part of its share that no report takes from a window.
+	leastShare = 0.5
 	// idleDecay is the weight by which an unused lent part goes back on each
 	// report.
 	idleDecay = 0.2
@@ -94,16 +98,17 @@
 	w.clamp(slots)
 }
 
-// lend follows a fresh report: free slots are lent to a host that uses its
-// window, and an unused lent part goes back.
-func (w *window) lend(free, hosts float64, used int, slots int) {
+// correct moves the window towards its part of the free slots of a fresh report,
+// which is negative when the endpoint is over-full. A host that doesn't use its
+// window gives the lent part back instead. The gain is low because the other
+// hosts do the same on the same report.
+func (w *window) correct(free float64, used int, slots int) {
 	switch {
-	case free > 0 && float64(used+1) >= w.limit:
-		w.limit += max(free/hosts, 1)
-	case w.limit > w.share && float64(used) < w.limit/2:
-		w.limit += (w.share - w.limit) * idleDecay
-	case w.limit < w.share && free > 0:
+	case free < 0, float64(used+1) >= w.limit, w.limit < w.share:
+		w.limit += correctionGain * free
+	case float64(used) < w.limit/2:
 		w.limit += (w.share - w.limit) * idleDecay
 	}
+	w.limit = max(w.limit, leastShare*w.share)
 	w.clamp(slots)
 }
