Estimate a request's wait without what stands behind it

Cause: the early refusal counted requests that had missed their target as ahead of a new one of the same team, though they are served after it, and gave up a less valuable request of the same tier only if no lower tier had any. Change: only viable requests of the team count; the victim is the least valuable of the tier. Held top-tier requests are looked at every 250 ms, not 100 ms.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -272,14 +272,23 @@
 // Worst returns the entry to give up first: of the lowest tier that has more
 // than its reserve, the least valuable. It returns nil if there is none.
 func (q *Queue) Worst() *Entry {
-	for number := len(q.tiers) - 1; number >= 0; number-- {
-		if evict := &q.tiers[number].evict; evict.Len() > 0 {
-			return evict.Top().evict.Top().worth.Top()
+	for number := profile.TierBulk; number >= profile.TierUrgent; number-- {
+		if worst := q.WorstOf(number); worst != nil {
+			return worst
 		}
 	}
 	return nil
 }
 
+// WorstOf returns the entry of one tier to give up first, or nil.
+func (q *Queue) WorstOf(number profile.Tier) *Entry {
+	evict := &q.tiers[number].evict
+	if evict.Len() == 0 {
+		return nil
+	}
+	return evict.Top().evict.Top().worth.Top()
+}
+
 // Len returns the number of queued entries.
 func (q *Queue) Len() int {
 	return q.length
@@ -302,8 +311,9 @@
 // Ahead estimates the service, in units of cost, that goes before entry if it
 // is queued now and nothing else arrives: the least of what its tier, its class
 // at its weight, its team at its part and its class on its guaranteed share
-// would have it wait for.
-func (q *Queue) Ahead(entry *Entry) float64 {
+// would have it wait for. Requests of its team that can no longer meet their
+// target are not ahead of it.
+func (q *Queue) Ahead(now time.Time, entry *Entry) float64 {
 	tier := q.tiers[entry.Tier]
 	higher := 0.0
 	for _, above := range q.tiers[:entry.Tier] {
@@ -317,11 +327,10 @@
 	for i := range tier.active.Len() {
 		weights += tier.active.At(i).weight
 	}
-	ahead := class.cost
+	ahead := 0.0
 	if team := class.teams[entry.Team]; team != nil {
-		ahead = min(ahead, team.cost*float64(class.active.Len()))
-	} else {
-		ahead = 0
+		team.sort(now)
+		ahead = min(class.cost, team.viableCost*float64(class.active.Len()))
 	}
 	byWeight := higher + min(tier.cost, ahead*weights/class.weight)
 	return min(byWeight, (ahead+entry.Cost)/q.share(class))
--- a/core/admission/team.go
+++ b/core/admission/team.go
@@ -17,11 +17,14 @@
 	// worth holds the entries that may be evicted, the least valuable first.
 	worth heap.Heap[*Entry]
 	// tag is the start tag of the team's next service.
-	tag    float64
-	cost   float64
-	active int
-	evict  int
-	idle   bool
+	tag float64
+	// cost is the cost of all entries, viableCost that of the viable ones as far
+	// as the queue has looked.
+	cost       float64
+	viableCost float64
+	active     int
+	evict      int
+	idle       bool
 }
 
 func newTeam() *team {
@@ -44,6 +47,7 @@
 	entry.worth = heap.NoIndex
 	t.viable.Push(entry)
 	t.cost += entry.Cost
+	t.viableCost += entry.Cost
 	if !entry.Pinned {
 		t.worth.Push(entry)
 	}
@@ -54,6 +58,7 @@
 		t.late.Remove(entry.ready)
 	} else {
 		t.viable.Remove(entry.ready)
+		t.viableCost -= entry.Cost
 	}
 	if entry.worth != heap.NoIndex {
 		t.worth.Remove(entry.worth)
@@ -65,16 +70,25 @@
 // head returns the entry to serve next. Each entry moves from viable to late at
 // most once, so the cost is logarithmic over an entry's life.
 func (t *team) head(now time.Time) *Entry {
+	t.sort(now)
+	if t.viable.Len() > 0 {
+		return t.viable.Top()
+	}
+	return t.late.Top()
+}
+
+// sort moves the entries that can no longer meet their target to the late ones.
+func (t *team) sort(now time.Time) {
 	for t.viable.Len() > 0 {
 		entry := t.viable.Top()
 		if !entry.LatestStart.Before(now) {
-			return entry
+			return
 		}
 		t.viable.Remove(entry.ready)
+		t.viableCost -= entry.Cost
 		entry.late = true
 		t.late.Push(entry)
 	}
-	return t.late.Top()
 }
 
 // teamEarlier orders the teams of a class by start tag.
--- a/core/dispatch/arrive.go
+++ b/core/dispatch/arrive.go
@@ -83,8 +83,8 @@
 		if p.expectedWait(r) <= r.spec.Profile.WaitLimit() {
 			return true
 		}
-		victim := p.queue.Worst()
-		if victim == nil || victim.Tier != r.entry.Tier || victim.Value >= r.entry.Value {
+		victim := p.queue.WorstOf(r.entry.Tier)
+		if victim == nil || victim.Value >= r.entry.Value {
 			return false
 		}
 		p.refuse(p.requests[RequestID(victim.ID)], RefuseCannotMeet)
@@ -99,7 +99,7 @@
 	if rate <= 0 || p.histories.of(r.entry.Class).slot.mean == 0 {
 		return 0
 	}
-	return time.Duration(p.queue.Ahead(&r.entry) / rate * float64(time.Second))
+	return time.Duration(p.queue.Ahead(p.now, &r.entry) / rate * float64(time.Second))
 }
 
 // serviceRate returns the slot time that the pool gives in a second: the slots in
--- a/core/dispatch/watch.go
+++ b/core/dispatch/watch.go
@@ -15,7 +15,7 @@
 	// is hedged.
 	hedgeFactor = 2
 	// holdCheck is how often a held request of the top tier is looked at.
-	holdCheck = 100 * time.Millisecond
+	holdCheck = 250 * time.Millisecond
 	// budgetCheck is how often a silent attempt is looked at that can't be
 	// given up for want of budget.
 	budgetCheck = 100 * time.Millisecond
