Follow first-token times only where reports are missing

Cause: every good first token widened a window, also while the reports showed an over-full engine. Change: with fresh reports the window follows them alone; AIMD or the gradient works on endpoints whose reports are missing or old.

--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -257,18 +257,25 @@
 func (r *Router) answered(now time.Time, t *target, took, expected time.Duration) {
 	ratio := took.Seconds() / max(expected.Seconds(), 0.001)
 	t.health.firstToken(now, took, ratio)
-	slots := t.slots(&r.settings)
-	if r.peers.ratio > 0 && ratio > congestedRatio*r.peers.ratio {
-		if aimd, ok := r.settings.Adaptation.(AIMD); ok {
-			t.window.congested(now, aimd.Decrease, slots)
-		}
-	} else {
-		t.window.answered(now, r.settings.Adaptation, ratio, t.load.own, slots)
+	if !t.load.fresh(now, r.settings.ReportFreshFor) {
+		r.adapt(now, t, ratio)
 	}
 	r.judge(now, t)
 	r.refresh(t)
 }
 
+// adapt moves the window of an endpoint whose reports are missing or too old, by
+// its first-token times.
+func (r *Router) adapt(now time.Time, t *target, ratio float64) {
+	slots := t.slots(&r.settings)
+	aimd, ok := r.settings.Adaptation.(AIMD)
+	if ok && r.peers.ratio > 0 && ratio > congestedRatio*r.peers.ratio {
+		t.window.congested(now, aimd.Decrease, slots)
+		return
+	}
+	t.window.answered(r.settings.Adaptation, ratio, t.load.own, slots)
+}
+
 // Ended frees the slot of an attempt that had tokens tokens in all.
 func (r *Router) Ended(now time.Time, work Work, outcome Outcome, tokens int) {
 	t := r.byKey[work.Key]
