--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -62,7 +62,6 @@
 	// closed means that the host takes no more messages of the attempt.
 	closed    bool
 	startedAt time.Time
-	begunAt   time.Time
 }
 
 func (a *attempt) key() attemptKey {
@@ -109,7 +108,6 @@
 
 func (e *engine) begin(a *attempt) {
 	a.ran = true
-	a.begunAt = e.simulation.now
 	a.request.runs++
 	if e.isService() {
 		e.simulation.after(e.slowed(a.request.arrival.serviceTime), func() { e.finish(a) })
@@ -118,6 +116,8 @@
 	a.prefill = true
 	e.prefilling++
 	cached := e.cache.use(a.request.arrival.prefix)
+	e.simulation.meter.promptTokens += a.request.arrival.promptTokens
+	e.simulation.meter.cachedTokens += min(cached*blockTokens, a.request.arrival.promptTokens)
 	uncached := max(a.request.arrival.promptTokens-cached*blockTokens, 1)
 	rate := e.simulation.deployment.Engines.PrefillTokensPerSecond / float64(e.prefilling)
 	e.simulation.after(e.slowed(time.Duration(float64(uncached)/rate*float64(time.Second))), func() {
--- a/experiment/meter.go
+++ b/experiment/meter.go
@@ -13,6 +13,8 @@
 	simulation   *simulation
 	requests     []*request
 	generated    int
+	promptTokens int
+	cachedTokens int
 	resumes      int
 	largestQueue int
 	breaches     Breaches
@@ -113,6 +115,7 @@
 	}
 	f.GoodputPerSecond = value / s.goodputTime().Seconds()
 	f.WasteShare = 1 - share(useful, m.generated)
+	f.CachedShare = share(m.cachedTokens, m.promptTokens)
 	f.ExtraPerFirst = share(attempts-first, first)
 	f.WorstCompletionShare = 1
 	for i := range s.deployment.Classes {
--- a/experiment/results.go
+++ b/experiment/results.go
@@ -28,6 +28,8 @@
 	// WasteShare is the share of the generated tokens that no completed answer
 	// contains.
 	WasteShare float64 `json:"wasteShare"`
+	// CachedShare is the share of the prompt tokens that engines found cached.
+	CachedShare float64 `json:"cachedShare"`
 	// WorstCompletionShare is the least of the classes' completion shares.
 	WorstCompletionShare float64 `json:"worstCompletionShare"`
 	// ExtraPerFirst is the number of retries and hedges for each first attempt.
