Weigh cached prefixes by true token times and know them earlier

Cause: gaps between progress stood for single tokens, so that the rest of an answer drowned what a cached prefix saves; own prefixes were known only once the whole answer was there. Change: the time for a token comes from whole answers; an attempt's prefix is remembered with its first token.

--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -41,7 +41,10 @@
 	scratch      []float64
 	// serviceTime is the mean length of an attempt in seconds.
 	serviceTime average
-	tickedAt    time.Time
+	// tokenTime is the mean time for one token after the first, in seconds. Token
+	// gaps can't give it, as progress may come for several tokens at once.
+	tokenTime average
+	tickedAt  time.Time
 	// outside counts the targets that are ejected or probing.
 	outside int
 	// running counts this host's attempts at all endpoints by tier.
@@ -213,6 +216,7 @@
 		sentAt:   work.SentAt,
 		expected: r.idleFirstToken(t, &work),
 		tier:     work.Tier,
+		prefix:   work.Prefix,
 	})
 	if work.Probe {
 		t.health.probing++
@@ -248,8 +252,9 @@
 		r.judge(now, t)
 		return
 	}
-	if expected, ok := t.settle(now.Add(-sinceSent)); ok {
-		r.answered(now, t, sinceSent, expected)
+	if entry, ok := t.settle(now.Add(-sinceSent)); ok {
+		r.storePrefix(t, entry.prefix)
+		r.answered(now, t, sinceSent, entry.expected)
 	}
 }
 
@@ -286,14 +291,14 @@
 	if work.Probe {
 		t.health.probing = max(t.health.probing-1, 0)
 	}
-	expected, waiting := t.settle(work.SentAt)
+	entry, waiting := t.settle(work.SentAt)
 	took := now.Sub(work.SentAt)
 	switch outcome {
 	case OutcomeCompleted:
 		if t.isService() && waiting {
-			r.answered(now, t, took, expected)
+			r.answered(now, t, took, entry.expected)
 		}
-		r.completed(now, t, &work, took)
+		r.completed(now, t, &work, took, tokens, waiting)
 	case OutcomeRejected:
 		t.window.congested(now, 0.5, t.slots(&r.settings))
 		r.failed(now, t)
@@ -305,11 +310,21 @@
 	r.refresh(t)
 }
 
-func (r *Router) completed(now time.Time, t *target, work *Work, took time.Duration) {
+// storePrefix remembers what the endpoint now has cached, before its late cache
+// events say so.
+func (r *Router) storePrefix(t *target, prefix []uint64) {
+	for _, hash := range prefix {
+		r.prefixes.store(hash, t.cache.owner)
+	}
+}
+
+func (r *Router) completed(now time.Time, t *target, work *Work, took time.Duration, tokens int, waiting bool) {
 	r.serviceTime.add(took.Seconds(), serviceTimeWeight)
 	t.health.succeeded()
-	for _, hash := range work.Prefix {
-		r.prefixes.store(hash, t.cache.owner)
+	if waiting {
+		r.storePrefix(t, work.Prefix)
+	} else if tokens > 1 {
+		r.tokenTime.add((took.Seconds()-t.health.first.value)/float64(tokens), serviceTimeWeight)
 	}
 	if t.health.state == StateProbing {
 		r.probePassed(now, t)
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -146,8 +146,8 @@
 	choice.CachedTokens = r.cachedTokens(ask, t)
 	uncached := float64(max(ask.PromptTokens-choice.CachedTokens, 0))
 	first += baseFirstToken.Seconds() + uncached/t.prefillRate(&r.settings)*slowness*(1+fill)
-	gap := t.health.gap.or(max(r.peers.gap, r.settings.DefaultGap.Seconds()))
-	rest := float64(ask.OutputTokens) * gap * (1 + overBatch*fill)
+	token := r.tokenTime.or(r.settings.DefaultGap.Seconds()) * slowness
+	rest := float64(ask.OutputTokens) * token * (1 + overBatch*fill) / (1 + overBatch/2)
 	choice.FirstToken = seconds(first)
 	choice.Completion = seconds(first + rest)
 	return choice
--- a/core/routing/target.go
+++ b/core/routing/target.go
@@ -38,6 +38,8 @@
 	// expected is the first-token time of an idle endpoint.
 	expected time.Duration
 	tier     profile.Tier
+	// prefix is in the endpoint's cache once the first token is there.
+	prefix []uint64
 }
 
 func (t *target) slots(settings *Settings) int {
@@ -82,17 +84,17 @@
 	t.awaiting = append(t.awaiting[:i], t.awaiting[i+1:]...)
 }
 
-// settle forgets the attempt sent at the given time and returns the expected
-// first-token time.
-func (t *target) settle(sentAt time.Time) (time.Duration, bool) {
+// settle forgets the attempt sent at the given time and returns what was known
+// of it.
+func (t *target) settle(sentAt time.Time) (awaited, bool) {
 	for i := range t.awaiting {
 		if t.awaiting[i].sentAt.Equal(sentAt) {
-			expected := t.awaiting[i].expected
+			entry := t.awaiting[i]
 			t.forget(i)
-			return expected, true
+			return entry, true
 		}
 	}
-	return 0, false
+	return awaited{}, false
 }
 
 // awaitingAbove returns how many of this host's attempts of the given tier and
