--- a/core/routing/load.go
+++ b/core/routing/load.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cactuswell/core/endpoint"
+	"cactuswell/core/profile"
 )
 
 // loadHistory is how many changes of this host's own work are remembered for
@@ -17,10 +18,13 @@
 	report   endpoint.Report
 	reported bool
 	others   int
-	own      int
-	urgent   int
-	history  [loadHistory]ownCount
-	changes  int
+	// ownThen is this host's own work at the report's time.
+	ownThen int
+	own     int
+	// atTier counts own work by the tier that it was sent with.
+	atTier  [profile.TierCount]int
+	history [loadHistory]ownCount
+	changes int
 }
 
 // ownCount is this host's own work at an endpoint from a time on.
@@ -29,11 +33,9 @@
 	own int
 }
 
-func (l *load) change(now time.Time, delta int, urgent bool) {
+func (l *load) change(now time.Time, delta int, tier profile.Tier) {
 	l.own = max(l.own+delta, 0)
-	if urgent {
-		l.urgent = max(l.urgent+delta, 0)
-	}
+	l.atTier[tier] = max(l.atTier[tier]+delta, 0)
 	l.history[l.changes%loadHistory] = ownCount{
 		at:  now,
 		own: l.own,
@@ -48,7 +50,8 @@
 	}
 	l.report = report
 	l.reported = true
-	l.others = max(report.Running+report.Queued-l.ownAt(report.At), 0)
+	l.ownThen = l.ownAt(report.At)
+	l.others = max(report.Running+report.Queued-l.ownThen, 0)
 	return true
 }
 
@@ -77,3 +80,22 @@
 func (l *load) fresh(now time.Time, limit time.Duration) bool {
 	return l.reported && now.Sub(l.report.At) <= limit
 }
+
+// ownAbove returns this host's own work of the given tier and the more urgent
+// ones.
+func (l *load) ownAbove(tier profile.Tier) int {
+	count := 0
+	for _, own := range l.atTier[:tier+1] {
+		count += own
+	}
+	return count
+}
+
+// reportedGap returns the time between the tokens of one sequence in seconds, by
+// the report, or zero.
+func (l *load) reportedGap() float64 {
+	if l.report.Running == 0 || l.report.TokensPerSecond <= 0 {
+		return 0
+	}
+	return float64(l.report.Running) / l.report.TokensPerSecond
+}
