Give up the requests that are served last before a new one

Cause: with late requests served from the newest, the oldest late ones of a team waited for a start that would not come and were refused only at their wait limit, and the early refusal hardly refused anything; a request whose caller has part of the answer could stand behind viable ones. Change: the late requests of a team are a list; a new request that would wait beyond its limit takes the place of the oldest late one of its team, which is refused at once; the same at a team's bound. Requests with a partly given answer stay with the viable ones.

--- a/core/admission/entry.go
+++ b/core/admission/entry.go
@@ -29,8 +29,8 @@
 	// LatestStart is the last moment at which a start could still meet the
 	// target.
 	LatestStart time.Time
-	// Pinned marks a request that is never evicted, because part of its answer
-	// has reached the caller.
+	// Pinned marks a request that is never evicted and never put behind others
+	// for being late, because part of its answer has reached the caller.
 	Pinned bool
 
 	team     *team
@@ -38,6 +38,8 @@
 	late     bool
 	ready    int
 	worth    int
+	older    *Entry
+	newer    *Entry
 }
 
 // Queued reports whether the entry stands in a queue.
@@ -62,11 +64,5 @@
 	return earlier(b, a)
 }
 
-// later orders the entries that can no longer meet their target: the latest
-// deadline first, which is missed by the least.
-func later(a, b *Entry) bool {
-	return earlier(b, a)
-}
-
 func placeReady(e *Entry, index int) { e.ready = index }
 func placeWorth(e *Entry, index int) { e.worth = index }
--- a/core/admission/index.go
+++ b/core/admission/index.go
@@ -135,7 +135,6 @@
 	team.idle = false
 	team.tag = 0
 	team.cost = 0
-	team.viableCost = 0
 	if len(q.freeTeams) < MaxIdleTeams {
 		q.freeTeams = append(q.freeTeams, team)
 	}
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -289,6 +289,21 @@
 	return evict.Top().evict.Top().worth.Top()
 }
 
+// OldestLate returns the entry of the same class and team that is served last
+// because it has long missed its target, or nil.
+func (q *Queue) OldestLate(now time.Time, entry *Entry) *Entry {
+	class := q.tiers[entry.Tier].classes[entry.Class]
+	if class == nil {
+		return nil
+	}
+	team := class.teams[entry.Team]
+	if team == nil {
+		return nil
+	}
+	team.sort(now)
+	return team.late.oldest
+}
+
 // Len returns the number of queued entries.
 func (q *Queue) Len() int {
 	return q.length
@@ -311,9 +326,8 @@
 // Ahead estimates the service, in units of cost, that goes before entry if it
 // is queued now and nothing else arrives: the least of what its tier, its class
 // at its weight, its team at its part and its class on its guaranteed share
-// would have it wait for. Requests of its team that can no longer meet their
-// target are not ahead of it.
-func (q *Queue) Ahead(now time.Time, entry *Entry) float64 {
+// would have it wait for.
+func (q *Queue) Ahead(entry *Entry) float64 {
 	tier := q.tiers[entry.Tier]
 	higher := 0.0
 	for _, above := range q.tiers[:entry.Tier] {
@@ -329,8 +343,7 @@
 	}
 	ahead := 0.0
 	if team := class.teams[entry.Team]; team != nil {
-		team.sort(now)
-		ahead = min(class.cost, team.viableCost*float64(class.active.Len()))
+		ahead = min(class.cost, team.cost*float64(class.active.Len()))
 	}
 	byWeight := higher + min(tier.cost, ahead*weights/class.weight)
 	return min(byWeight, (ahead+entry.Cost)/q.share(class))
@@ -350,14 +363,20 @@
 	return victim.team.len() > length+1
 }
 
-// replaceOwn admits entry of a team at its bound in place of a less valuable
-// one of the same team and class.
+// replaceOwn admits entry of a team at its bound in place of one of the same team
+// and class that is less valuable, or that is served last.
 func (q *Queue) replaceOwn(class *class, entry *Entry) (*Entry, Verdict) {
 	team := class.teams[entry.Team]
-	if team == nil || team.worth.Len() == 0 || team.worth.Top().Value >= entry.Value {
+	if team == nil {
+		return nil, TeamFull
+	}
+	victim := team.late.oldest
+	if team.worth.Len() > 0 && team.worth.Top().Value < entry.Value {
+		victim = team.worth.Top()
+	}
+	if victim == nil || victim.Value > entry.Value {
 		return nil, TeamFull
 	}
-	victim := team.worth.Top()
 	q.Remove(victim)
 	q.Add(entry)
 	return victim, Admitted
--- a/core/admission/team.go
+++ b/core/admission/team.go
@@ -10,27 +10,23 @@
 type team struct {
 	name  string
 	class *class
-	// viable holds the entries that can still meet their target, the earliest
-	// deadline first; late the others, the latest deadline first.
+	// viable holds the entries that can still meet their target, as far as the
+	// queue has looked, the earliest deadline first; late holds the others.
 	viable heap.Heap[*Entry]
-	late   heap.Heap[*Entry]
+	late   lateList
 	// worth holds the entries that may be evicted, the least valuable first.
 	worth heap.Heap[*Entry]
 	// tag is the start tag of the team's next service.
-	tag float64
-	// cost is the cost of all entries, viableCost that of the viable ones as far
-	// as the queue has looked.
-	cost       float64
-	viableCost float64
-	active     int
-	evict      int
-	idle       bool
+	tag    float64
+	cost   float64
+	active int
+	evict  int
+	idle   bool
 }
 
 func newTeam() *team {
 	return &team{
 		viable: heap.New(earlier, placeReady),
-		late:   heap.New(later, placeReady),
 		worth:  heap.New(worthLess, placeWorth),
 		active: heap.NoIndex,
 		evict:  heap.NoIndex,
@@ -38,7 +34,7 @@
 }
 
 func (t *team) len() int {
-	return t.viable.Len() + t.late.Len()
+	return t.viable.Len() + t.late.length
 }
 
 func (t *team) add(entry *Entry) {
@@ -47,7 +43,6 @@
 	entry.worth = heap.NoIndex
 	t.viable.Push(entry)
 	t.cost += entry.Cost
-	t.viableCost += entry.Cost
 	if !entry.Pinned {
 		t.worth.Push(entry)
 	}
@@ -55,10 +50,9 @@
 
 func (t *team) remove(entry *Entry) {
 	if entry.late {
-		t.late.Remove(entry.ready)
+		t.late.remove(entry)
 	} else {
 		t.viable.Remove(entry.ready)
-		t.viableCost -= entry.Cost
 	}
 	if entry.worth != heap.NoIndex {
 		t.worth.Remove(entry.worth)
@@ -74,20 +68,19 @@
 	if t.viable.Len() > 0 {
 		return t.viable.Top()
 	}
-	return t.late.Top()
+	return t.late.newest
 }
 
 // sort moves the entries that can no longer meet their target to the late ones.
 func (t *team) sort(now time.Time) {
 	for t.viable.Len() > 0 {
 		entry := t.viable.Top()
-		if !entry.LatestStart.Before(now) {
+		if entry.Pinned || !entry.LatestStart.Before(now) {
 			return
 		}
 		t.viable.Remove(entry.ready)
-		t.viableCost -= entry.Cost
 		entry.late = true
-		t.late.Push(entry)
+		t.late.add(entry)
 	}
 }
 
--- a/core/admission/teamqueue.go
+++ b/core/admission/teamqueue.go
@@ -48,7 +48,7 @@
 			Class:  c.name,
 			Team:   team.name,
 			Viable: team.viable.Len(),
-			Late:   team.late.Len(),
+			Late:   team.late.length,
 			Cost:   team.cost,
 		})
 	}
--- a/core/dispatch/admission_test.go
+++ b/core/dispatch/admission_test.go
@@ -125,6 +125,30 @@
 	t.Errorf("the small team's request was not among the first two: %+v", commands)
 }
 
+func TestOldestLateRequestIsGivenUpBeforeANewOne(t *testing.T) {
+	d := newDriver(t, dispatch.Settings{Kind: profile.KindService}, 2, 1)
+	p := testProfile(t, profile.Spec{
+		Class: "lookup", Kind: profile.KindService, Tier: profile.TierStandard,
+		TargetMs: 1000, WaitLimitMs: 4000, Idempotent: true,
+	})
+	running, _ := d.arrive(p, "clerks")
+	d.now = d.now.Add(time.Second)
+	d.finish(running, 1, 0)
+	for range 10 {
+		d.arrive(p, "clerks")
+	}
+	oldest := running + 2
+	d.now = d.now.Add(3 * time.Second)
+	newest, commands := d.arrive(p, "clerks")
+	refusal := only[dispatch.RefuseRequest](t, commands)
+	if refusal.Request != oldest || refusal.Reason != dispatch.RefuseCannotMeet || refusal.Ran != dispatch.NotRun {
+		t.Errorf("refusal is %+v; want that of %d", refusal, oldest)
+	}
+	if start := only[dispatch.StartAttempt](t, d.finish(running+1, 1, 0)); start.Attempt.Request != newest {
+		t.Errorf("start is %+v; want %d", start, newest)
+	}
+}
+
 func TestWaitThatCannotBeMetIsRefusedOnArrival(t *testing.T) {
 	d := newDriver(t, dispatch.Settings{Kind: profile.KindService}, 2, 1)
 	p := testProfile(t, profile.Spec{Class: "lookup", Kind: profile.KindService, Tier: profile.TierStandard, TargetMs: 2000, Idempotent: true})
--- a/core/dispatch/arrive.go
+++ b/core/dispatch/arrive.go
@@ -73,8 +73,9 @@
 }
 
 // canMeet reports whether a new request is likely to be started within its wait
-// limit. To make that so it gives up less valuable requests of the same tier.
-// Requests of the top tier are not refused early.
+// limit. Before it is given up, those are that would be served later: the oldest
+// of its team that have missed their target, and less valuable requests of its
+// tier. Requests of the top tier are not refused early.
 func (p *Pool) canMeet(r *request) bool {
 	if p.settings.NoEarlyRefusal || r.entry.Tier == profile.TierUrgent {
 		return true
@@ -83,8 +84,8 @@
 		if p.expectedWait(r) <= r.spec.Profile.WaitLimit() {
 			return true
 		}
-		victim := p.queue.WorstOf(r.entry.Tier)
-		if victim == nil || victim.Value >= r.entry.Value {
+		victim := p.earlyVictim(r)
+		if victim == nil {
 			return false
 		}
 		p.refuse(p.requests[RequestID(victim.ID)], RefuseCannotMeet)
@@ -92,6 +93,16 @@
 	return p.expectedWait(r) <= r.spec.Profile.WaitLimit()
 }
 
+func (p *Pool) earlyVictim(r *request) *admission.Entry {
+	if late := p.queue.OldestLate(p.now, &r.entry); late != nil && late.Value <= r.entry.Value {
+		return late
+	}
+	if worst := p.queue.WorstOf(r.entry.Tier); worst != nil && worst.Value < r.entry.Value {
+		return worst
+	}
+	return nil
+}
+
 // expectedWait estimates how long a request that is queued now would wait. It
 // is zero while that is unknown.
 func (p *Pool) expectedWait(r *request) time.Duration {
@@ -99,7 +110,7 @@
 	if rate <= 0 || p.histories.of(r.entry.Class).slot.mean == 0 {
 		return 0
 	}
-	return time.Duration(p.queue.Ahead(p.now, &r.entry) / rate * float64(time.Second))
+	return time.Duration(p.queue.Ahead(&r.entry) / rate * float64(time.Second))
 }
 
 // serviceRate returns the slot time that the pool gives in a second: the slots in
