Give operators a command line and every listener TLS

Cause: operators could not list, change or explain anything from outside, and nothing was encrypted. Change: commands profile, endpoint, dump, explain, doctor and experiment; the operators' service on its own listener; reversible drains; TLS from files on every listener, mutual towards peers and operators; the configuration is spread among peers.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -78,7 +78,13 @@
 	return []subcommand{
 		newCheckCommand(c),
 		newDemoCommand(c),
+		newDoctorCommand(c),
+		newDumpCommand(c),
+		newEndpointCommand(c),
+		newExperimentCommand(c),
+		newExplainCommand(c),
 		newLoadCommand(c),
+		newProfileCommand(c),
 		newServeCommand(c),
 		newStandInCommand(c),
 		newVersionCommand(c),
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -118,6 +118,13 @@
 	Key endpoint.Key
 }
 
+// EndpointDrained says that an operator drains an endpoint, or takes the drain
+// back. An endpoint that is leaving stays leaving.
+type EndpointDrained struct {
+	Key     endpoint.Key
+	Drained bool
+}
+
 // EndpointRemoved says that an endpoint is gone.
 type EndpointRemoved struct {
 	Key endpoint.Key
@@ -153,6 +160,7 @@
 func (AttemptFailed) isEvent()     {}
 func (EndpointAdded) isEvent()     {}
 func (EndpointLeaving) isEvent()   {}
+func (EndpointDrained) isEvent()   {}
 func (EndpointRemoved) isEvent()   {}
 func (LoadReported) isEvent()      {}
 func (CacheChanged) isEvent()      {}
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -135,6 +135,9 @@
 		p.unblock()
 	case EndpointLeaving:
 		p.markLeaving(event.Key)
+	case EndpointDrained:
+		p.router.SetDrained(p.now, event.Key, event.Drained)
+		p.unblock()
 	case EndpointRemoved:
 		p.router.RemoveEndpoint(p.now, event.Key)
 	case LoadReported:
--- a/core/dispatch/router.go
+++ b/core/dispatch/router.go
@@ -14,6 +14,9 @@
 	AddEndpoint(now time.Time, descriptor endpoint.Descriptor)
 	// MarkLeaving says that an endpoint takes no new work.
 	MarkLeaving(now time.Time, key endpoint.Key)
+	// SetDrained says that an operator drains an endpoint that is known, or
+	// takes the drain back.
+	SetDrained(now time.Time, key endpoint.Key, drained bool)
 	// RemoveEndpoint says that an endpoint is gone.
 	RemoveEndpoint(now time.Time, key endpoint.Key)
 	// ReportLoad brings an endpoint's account of its load.
--- a/core/dispatch/router_test.go
+++ b/core/dispatch/router_test.go
@@ -63,6 +63,12 @@
 	}
 }
 
+func (f *fakeRouter) SetDrained(_ time.Time, key endpoint.Key, drained bool) {
+	if e := f.find(key); e != nil {
+		e.leaving = drained
+	}
+}
+
 func (f *fakeRouter) RemoveEndpoint(_ time.Time, key endpoint.Key) {
 	f.endpoints = slices.DeleteFunc(f.endpoints, func(e *fakeEndpoint) bool {
 		return e.key == key
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -119,6 +119,26 @@
 	r.updateSubset()
 }
 
+// SetDrained stops new work to an endpoint that is known, or lets it have work
+// again. An endpoint that is leaving stays leaving.
+func (r *Router) SetDrained(now time.Time, key endpoint.Key, drained bool) {
+	t := r.byKey[key]
+	if t == nil || t.leaving == drained {
+		return
+	}
+	if _, sticky := r.leaving[key]; sticky {
+		return
+	}
+	if t.isOutside() {
+		r.outside--
+	}
+	t.leaving = drained
+	if t.isOutside() {
+		r.outside++
+	}
+	r.updateSubset()
+}
+
 func (r *Router) rememberLeaving(key endpoint.Key) {
 	if _, known := r.leaving[key]; known {
 		return
--- a/host/directory.go
+++ b/host/directory.go
@@ -61,6 +61,7 @@
 type directoryEntry struct {
 	descriptor endpoint.Descriptor
 	leaving    bool
+	drained    bool
 	heardAt    time.Time
 	report     endpoint.Report
 	removed    chan struct{}
@@ -188,6 +189,12 @@
 	d.post(entry.descriptor.Pool, dispatch.EndpointAdded{
 		Descriptor: entry.descriptor,
 	})
+	if entry.drained {
+		d.post(entry.descriptor.Pool, dispatch.EndpointDrained{
+			Key:     entry.descriptor.Key,
+			Drained: true,
+		})
+	}
 	if entry.leaving {
 		d.post(entry.descriptor.Pool, dispatch.EndpointLeaving{
 			Key: entry.descriptor.Key,
@@ -239,6 +246,32 @@
 	d.leaving(key)
 }
 
+// applyDrains tells the pools which endpoints operators drain at present.
+func (d *directory) applyDrains(drained func(endpoint.Key) bool) {
+	for _, entry := range d.list() {
+		wanted := drained(entry.descriptor.Key)
+		if !d.setDrained(entry.descriptor.Key, wanted) {
+			continue
+		}
+		d.post(entry.descriptor.Pool, dispatch.EndpointDrained{
+			Key:     entry.descriptor.Key,
+			Drained: wanted,
+		})
+	}
+}
+
+// setDrained notes a drain and reports whether it is news.
+func (d *directory) setDrained(key endpoint.Key, drained bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	entry, ok := d.entries[key.Name]
+	if !ok || entry.descriptor.Key != key || entry.drained == drained {
+		return false
+	}
+	entry.drained = drained
+	return true
+}
+
 // heard takes in an endpoint's own account of its load.
 func (d *directory) heard(descriptor endpoint.Descriptor, report endpoint.Report) {
 	if report.Key.Incarnation > descriptor.Key.Incarnation {
--- a/host/dump.go
+++ b/host/dump.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -11,7 +12,10 @@
 	"cactuswell/core/dispatch"
 	"cactuswell/core/endpoint"
 	"cactuswell/core/routing"
+	"cactuswell/io/claims"
+	"cactuswell/io/configuration"
 	"cactuswell/io/node"
+	"cactuswell/io/operator"
 )
 
 // dumpTimeout bounds the look into one pool.
@@ -19,19 +23,21 @@
 
 // Dump is a host's state. It is bounded and holds no prompt and no answer.
 type Dump struct {
-	Name        string              `json:"name"`
-	Zone        string              `json:"zone"`
-	Region      string              `json:"region"`
-	Incarnation uint64              `json:"incarnation"`
-	At          time.Time           `json:"at"`
-	Phase       string              `json:"phase"`
-	Ready       bool                `json:"ready"`
-	Reason      string              `json:"reason,omitempty"`
-	Pools       map[string]PoolDump `json:"pools"`
-	Endpoints   []EndpointDump      `json:"endpoints"`
-	Node        node.Dump           `json:"node"`
-	Restarts    map[string]int      `json:"restarts"`
-	Counters    json.RawMessage     `json:"counters"`
+	Name          string              `json:"name"`
+	Zone          string              `json:"zone"`
+	Region        string              `json:"region"`
+	Incarnation   uint64              `json:"incarnation"`
+	At            time.Time           `json:"at"`
+	Phase         string              `json:"phase"`
+	Ready         bool                `json:"ready"`
+	Reason        string              `json:"reason,omitempty"`
+	Pools         map[string]PoolDump `json:"pools"`
+	Endpoints     []EndpointDump      `json:"endpoints"`
+	Node          node.Dump           `json:"node"`
+	Configuration configuration.Dump  `json:"configuration"`
+	Claims        claims.Dump         `json:"claims"`
+	Restarts      map[string]int      `json:"restarts"`
+	Counters      json.RawMessage     `json:"counters"`
 	// Missing names the parts that did not answer in time.
 	Missing []string `json:"missing,omitempty"`
 }
@@ -92,17 +98,19 @@
 func (h *Host) Dump(ctx context.Context) Dump {
 	ready, reason := h.Ready()
 	dump := Dump{
-		Name:        h.settings.Name,
-		Zone:        h.settings.Zone,
-		Region:      h.settings.Region,
-		Incarnation: h.incarnation,
-		At:          h.timers.Now(),
-		Phase:       phaseNames[h.phase.Load()],
-		Ready:       ready,
-		Reason:      reason,
-		Pools:       make(map[string]PoolDump),
-		Restarts:    h.tree.Restarts(),
-		Counters:    json.RawMessage(h.counters.String()),
+		Name:          h.settings.Name,
+		Zone:          h.settings.Zone,
+		Region:        h.settings.Region,
+		Incarnation:   h.incarnation,
+		At:            h.timers.Now(),
+		Phase:         phaseNames[h.phase.Load()],
+		Ready:         ready,
+		Reason:        reason,
+		Pools:         make(map[string]PoolDump),
+		Configuration: h.configuration.Dump(),
+		Claims:        h.claims.Dump(),
+		Restarts:      h.tree.Restarts(),
+		Counters:      json.RawMessage(h.counters.String()),
 	}
 	for _, p := range h.allPools() {
 		pool, ok := h.dumpPool(ctx, p)
@@ -120,6 +128,71 @@
 	return dump
 }
 
+// dumpJSON returns the host's state as JSON.
+func (h *Host) dumpJSON(ctx context.Context) ([]byte, error) {
+	data, err := json.MarshalIndent(h.Dump(ctx), "", "  ")
+	return data, trace.Wrap(err)
+}
+
+// explainJSON returns the decisions on a request as JSON, and whether it is
+// known.
+func (h *Host) explainJSON(ctx context.Context, requestID string) ([]byte, bool, error) {
+	explanation, err := h.Explain(ctx, requestID)
+	var unknown *UnknownRequestError
+	if errors.As(err, &unknown) {
+		return nil, false, nil
+	}
+	if err != nil {
+		return nil, false, err
+	}
+	data, err := json.MarshalIndent(explanation, "", "  ")
+	return data, true, trace.Wrap(err)
+}
+
+// operatorEndpoints returns the endpoints as operators see them.
+func (h *Host) operatorEndpoints(ctx context.Context) ([]operator.Endpoint, error) {
+	health := h.endpointHealth(ctx)
+	var endpoints []operator.Endpoint
+	for _, entry := range h.directory.list() {
+		endpoints = append(endpoints, operator.Endpoint{
+			Name:        entry.descriptor.Key.Name,
+			Incarnation: entry.descriptor.Key.Incarnation,
+			Address:     entry.descriptor.Address,
+			Zone:        entry.descriptor.Zone,
+			Pool:        entry.descriptor.Pool,
+			Kind:        string(entry.descriptor.Kind),
+			Health:      healthOf(&entry, health),
+			Running:     entry.report.Running,
+		})
+	}
+	return endpoints, nil
+}
+
+// endpointHealth returns the state of each endpoint as the pools see it.
+func (h *Host) endpointHealth(ctx context.Context) map[endpoint.Key]string {
+	health := make(map[endpoint.Key]string)
+	for _, p := range h.allPools() {
+		pool, ok := h.dumpPool(ctx, p)
+		if !ok {
+			continue
+		}
+		for _, one := range pool.Routing.Endpoints {
+			health[endpoint.Key{
+				Name:        one.Name,
+				Incarnation: one.Incarnation,
+			}] = one.State
+		}
+	}
+	return health
+}
+
+func healthOf(entry *directoryEntry, health map[endpoint.Key]string) string {
+	if entry.drained && !entry.leaving {
+		return "drained"
+	}
+	return health[entry.descriptor.Key]
+}
+
 func (h *Host) dumpPool(ctx context.Context, p *pool) (PoolDump, bool) {
 	ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
 	defer cancel()
--- a/host/host.go
+++ b/host/host.go
@@ -16,6 +16,7 @@
 package host
 
 import (
+	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -25,6 +26,7 @@
 
 	"github.com/go-kit/log"
 
+	"cactuswell/certificate"
 	"cactuswell/core/dispatch"
 	"cactuswell/core/endpoint"
 	"cactuswell/core/routing"
@@ -45,13 +47,17 @@
 
 // Host is one entry host.
 type Host struct {
-	settings      settings.Settings
-	logger        log.Logger
-	incarnation   uint64
-	timers        *timer.Service
-	counters      *metrics.Counters
-	tree          *supervisor.Tree
-	clients       clients
+	settings    settings.Settings
+	logger      log.Logger
+	incarnation uint64
+	timers      *timer.Service
+	counters    *metrics.Counters
+	tree        *supervisor.Tree
+	clients     clients
+	// certificates is nil, and so are the TLS configurations, without TLS.
+	certificates  *certificate.Store
+	tlsPublic     *tls.Config
+	tlsMutual     *tls.Config
 	node          *node.Node
 	configuration *configuration.Configuration
 	claims        *claims.Claims
@@ -94,6 +100,7 @@
 		engine:     h.clients.watching,
 		timers:     h.timers,
 		interval:   h.settings.ReportInterval,
+		baseURL:    h.baseURL,
 		heard:      h.directory.heard,
 		post:       h.postToPool,
 	}
@@ -124,6 +131,7 @@
 		hostID:    h.id(),
 		decisions: func() decisions { return h.newDecisions(name) },
 		clients:   h.clients,
+		baseURL:   h.baseURL,
 		timers:    h.timers,
 		logger:    log.With(h.logger, "pool", name),
 		counters:  h.counters,
@@ -156,6 +164,14 @@
 	}
 }
 
+// baseURL returns the base URL of an endpoint's address.
+func (h *Host) baseURL(address string) string {
+	if h.settings.EndpointTLS {
+		return "https://" + address
+	}
+	return "http://" + address
+}
+
 // id names this life of the host in the ids of attempts.
 func (h *Host) id() string {
 	return h.settings.Name + "-" + strconv.FormatUint(h.incarnation, 36)
--- a/host/pool.go
+++ b/host/pool.go
@@ -50,6 +50,7 @@
 	hostID    string
 	decisions func() decisions
 	clients   clients
+	baseURL   func(address string) string
 	timers    *timer.Service
 	logger    log.Logger
 	counters  *metrics.Counters
@@ -276,7 +277,7 @@
 	if !ok {
 		return ""
 	}
-	return baseURL(address)
+	return p.baseURL(address)
 }
 
 func (p *pool) wireID(id dispatch.AttemptID) string {
--- a/host/run.go
+++ b/host/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -11,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/gravitational/trace"
 
+	"cactuswell/certificate"
 	"cactuswell/core/claim"
 	"cactuswell/core/dispatch"
 	"cactuswell/core/membership"
@@ -20,6 +22,7 @@
 	"cactuswell/io/hostlist"
 	"cactuswell/io/logservice"
 	"cactuswell/io/node"
+	"cactuswell/io/operator"
 	"cactuswell/metrics"
 	"cactuswell/settings"
 	"cactuswell/supervisor"
@@ -65,10 +68,13 @@
 		incarnation: uint64(timers.Now().UnixMilli()),
 		timers:      timers,
 		counters:    metrics.New(),
-		clients:     newClients(),
 		recent:      newRecentRequests(),
 		pools:       make(map[string]*pool),
 	}
+	if err := h.loadCertificates(); err != nil {
+		return nil, err
+	}
+	h.clients = newClients(h.certificates)
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
@@ -80,7 +86,7 @@
 		return nil, err
 	}
 	h.directory = newDirectory(directoryDependencies{
-		lister:   hostlist.New(h.settings.HostListURL, &http.Client{Transport: newTransport(false)}),
+		lister:   hostlist.New(h.settings.HostListURL, &http.Client{Transport: newTransport(false, h.certificates)}),
 		interval: h.settings.ListInterval,
 		timers:   timers,
 		logger:   h.logger,
@@ -91,9 +97,29 @@
 	})
 	h.node.OnEndpointLeaving(h.directory.markLeaving)
 	h.node.OnMembersChanged(h.countHosts)
+	h.node.OnHeadHeard(h.headHeard)
 	return h, nil
 }
 
+// loadCertificates reads the files that the settings name, if they name any.
+func (h *Host) loadCertificates() error {
+	if !h.settings.TLS() {
+		return nil
+	}
+	store, err := certificate.New(certificate.Files{
+		Cert: h.settings.TLSCert,
+		Key:  h.settings.TLSKey,
+		CA:   h.settings.TLSCA,
+	}, h.timers, h.logger)
+	if err != nil {
+		return err
+	}
+	h.certificates = store
+	h.tlsPublic = store.Public()
+	h.tlsMutual = store.Mutual()
+	return nil
+}
+
 func (h *Host) listen() error {
 	for _, l := range []struct {
 		listener *net.Listener
@@ -123,7 +149,7 @@
 // newLog returns a client of the log on connections of its own.
 func (h *Host) newLog() logservice.Log {
 	return logservice.New(h.settings.LogURL, &http.Client{
-		Transport: newTransport(false),
+		Transport: newTransport(false, h.certificates),
 	})
 }
 
@@ -142,6 +168,7 @@
 		Log:      h.newLog(),
 		Logger:   h.logger,
 		Seed:     h.incarnation ^ hash(h.settings.Name),
+		TLS:      h.tlsMutual,
 	})
 }
 
@@ -151,8 +178,14 @@
 		Zone:        h.settings.Zone,
 		Incarnation: h.incarnation,
 		Log:         h.newLog,
-		Timers:      h.timers,
-		Logger:      h.logger,
+		Dial:        configuration.Dialer(h.node.Transport().BaseURL, h.node.Transport().Client),
+		Peers: livePeers{
+			node: h.node,
+		},
+		Timers:    h.timers,
+		Logger:    h.logger,
+		Retention: h.settings.LogRetention,
+		LagBound:  h.settings.StaleBound,
 	})
 }
 
@@ -190,7 +223,7 @@
 	callers := h.newServer(caller.New(h, caller.Limits{
 		BodyBytes: h.settings.BodyLimit,
 		BodyTime:  h.settings.BodyTime,
-	}).Handler())
+	}).Handler(), h.tlsPublic)
 	h.addDuties(callers)
 	done := make(chan struct{})
 	go h.runTree(serving, done)
@@ -208,6 +241,9 @@
 
 func (h *Host) addDuties(callers *http.Server) {
 	h.tree.Add(supervisor.Duty{Name: "timer", Run: h.timers.Run})
+	if h.certificates != nil {
+		h.tree.Add(supervisor.Duty{Name: "certificates", Run: h.certificates.Run})
+	}
 	for _, duty := range h.node.Duties() {
 		h.tree.Add(duty)
 	}
@@ -218,17 +254,29 @@
 		h.tree.Add(duty)
 	}
 	h.tree.Add(supervisor.Duty{Name: "directory", Run: h.directory.run})
+	drains := &drainWatch{
+		configuration: h.configuration,
+		directory:     h.directory,
+		timers:        h.timers,
+	}
+	heads := &headWatch{
+		configuration: h.configuration,
+		node:          h.node,
+	}
+	h.tree.Add(supervisor.Duty{Name: "drains", Run: drains.run})
+	h.tree.Add(supervisor.Duty{Name: "heads", Run: heads.run})
 	h.tree.Add(supervisor.Duty{Name: "callers", Run: serve(callers, h.callerListener)})
 	peers := http.NewServeMux()
 	peers.Handle(h.node.Handler())
 	peers.Handle(claims.NewHandler(h.claims, h))
+	peers.Handle(h.configuration.Handler())
 	h.tree.Add(supervisor.Duty{
 		Name: "peers",
 		Run:  serve(h.node.Server(peers), h.node.Listener(h.peerListener)),
 	})
 	h.tree.Add(supervisor.Duty{
 		Name: "operators",
-		Run:  serve(h.newServer(h.operatorHandler()), h.operatorListener),
+		Run:  serve(h.newServer(h.operatorHandler(), h.tlsMutual), h.operatorListener),
 	})
 }
 
@@ -237,9 +285,10 @@
 	_ = h.tree.Run(ctx)
 }
 
-func (h *Host) newServer(handler http.Handler) *http.Server {
+func (h *Host) newServer(handler http.Handler, tlsConfig *tls.Config) *http.Server {
 	return &http.Server{
 		Handler:           handler,
+		TLSConfig:         tlsConfig,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       callerIdleTimeout,
@@ -251,7 +300,7 @@
 	return func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := serveListener(server, listener); !errors.Is(err, http.ErrServerClosed) {
 			return trace.Wrap(err)
 		}
 		<-ctx.Done()
@@ -259,9 +308,22 @@
 	}
 }
 
+func serveListener(server *http.Server, listener net.Listener) error {
+	if server.TLSConfig == nil {
+		return server.Serve(listener)
+	}
+	return server.ServeTLS(listener, "", "")
+}
+
 // operatorHandler serves the operators.
 func (h *Host) operatorHandler() http.Handler {
 	routes := http.NewServeMux()
+	routes.Handle(operator.New(operator.Dependencies{
+		Configuration: h.configuration,
+		Dump:          h.dumpJSON,
+		Explain:       h.explainJSON,
+		Endpoints:     h.operatorEndpoints,
+	}).Handler())
 	routes.Handle("/debug/vars", h.counters)
 	return routes
 }
--- a/host/transport.go
+++ b/host/transport.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cactuswell/certificate"
 	"cactuswell/io/engine"
 	"cactuswell/io/service"
 )
@@ -24,15 +25,15 @@
 
 // newClients returns the clients of endpoints. Watching an endpoint uses other
 // connections than the requests do.
-func newClients() clients {
+func newClients(certificates *certificate.Store) clients {
 	pooled := &http.Client{
-		Transport: newTransport(false),
+		Transport: newTransport(false, certificates),
 	}
 	fresh := &http.Client{
-		Transport: newTransport(true),
+		Transport: newTransport(true, certificates),
 	}
 	watching := &http.Client{
-		Transport: newTransport(false),
+		Transport: newTransport(false, certificates),
 	}
 	return clients{
 		engine:   engine.New(pooled, fresh),
@@ -46,19 +47,23 @@
 }
 
 // newTransport returns a transport that follows no proxy settings. A fresh one
-// makes a new connection for each request.
-func newTransport(fresh bool) *http.Transport {
+// makes a new connection for each request. The certificates may be nil.
+func newTransport(fresh bool, certificates *certificate.Store) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout:   dialTimeout,
 		KeepAlive: keepAlivePeriod,
 	}
-	return &http.Transport{
+	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableKeepAlives:   fresh,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idlePerEndpoint,
 		IdleConnTimeout:     idleTimeout,
 	}
+	if certificates != nil {
+		transport.DialTLSContext = certificates.DialTLS
+	}
+	return transport
 }
 
 func hash(text string) uint64 {
--- a/host/watch.go
+++ b/host/watch.go
@@ -31,6 +31,7 @@
 	interval   time.Duration
 	heard      func(endpoint.Descriptor, endpoint.Report)
 	post       func(pool string, event dispatch.Event)
+	baseURL    func(address string) string
 }
 
 // runLoad reads the endpoint's load until it is removed or ctx ends.
@@ -52,7 +53,7 @@
 func (w *watch) readLoad(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	report, err := w.engine.Load(ctx, baseURL(w.descriptor.Address))
+	report, err := w.engine.Load(ctx, w.baseURL(w.descriptor.Address))
 	if err != nil {
 		return
 	}
@@ -94,7 +95,7 @@
 func (w *watch) readCache(ctx context.Context, after uint64) uint64 {
 	ctx, cancel := context.WithTimeout(ctx, cacheWait+reportTimeout)
 	defer cancel()
-	response, err := w.engine.CacheEvents(ctx, baseURL(w.descriptor.Address), after, cacheWait)
+	response, err := w.engine.CacheEvents(ctx, w.baseURL(w.descriptor.Address), after, cacheWait)
 	if err != nil || len(response.Events) == 0 || response.Incarnation != w.descriptor.Key.Incarnation {
 		return after
 	}
@@ -114,7 +115,3 @@
 	})
 	return response.Events[len(response.Events)-1].Sequence
 }
-
-func baseURL(address string) string {
-	return "http://" + address
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -46,6 +46,7 @@
 	TLSCert        string `long:"tls-cert" env:"CACTUSWELL_TLS_CERT" description:"file with this host's certificate chain, PEM"`
 	TLSKey         string `long:"tls-key" env:"CACTUSWELL_TLS_KEY" description:"file with the certificate's key, PEM"`
 	TLSCA          string `long:"tls-ca" env:"CACTUSWELL_TLS_CA" description:"file with the certificates that hosts and operators must be signed by, PEM"`
+	EndpointTLS    bool   `long:"endpoint-tls" env:"CACTUSWELL_ENDPOINT_TLS" description:"speak TLS to the endpoints; needs --tls-cert"`
 	AllowPlaintext bool   `long:"allow-plaintext" env:"CACTUSWELL_ALLOW_PLAINTEXT" description:"listen beyond loopback without TLS"`
 }
 
@@ -168,6 +169,9 @@
 }
 
 func (c *checker) tls(s *Settings) {
+	if s.EndpointTLS && !s.TLS() {
+		c.add("endpoint-tls", "true", "false, unless --tls-cert is set")
+	}
 	if s.TLSCert == "" && s.TLSKey == "" && s.TLSCA == "" {
 		return
 	}
