Run the whole fleet as processes through a course of faults

Cause: the promises must be checked on real processes under kills, pauses and outages. Change: package fleet (for tests only) starts stand-ins, hosts and the load tool, carries out scripted faults, and counts checks and breaches of the eight promises; the load tool behaves as behind a balancer.

--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,317 @@
+// Package fleet runs a whole deployment as plain processes on loopback: the
+// stand-ins, the entry hosts and the load tool, through a scripted course of
+// faults, and counts checks and breaches of the promises. It is for tests and
+// trials and is not linked into the product.
+//
+// # Usage
+//
+//	run, err := fleet.New(fleet.Config{
+//		Program: "/path/to/cactuswell",
+//		Firm:    deployment.Kelisim(),
+//		Hosts:   9,
+//	})
+//	defer run.Close()
+//	report, err := run.Execute(ctx, fleet.LongCourse())
+//	report.WriteText(os.Stdout)
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cactuswell/core/profile"
+	"cactuswell/deployment"
+	"cactuswell/io/hostlist"
+	"cactuswell/io/operator"
+	"cactuswell/load"
+	"cactuswell/standin/fault"
+	"cactuswell/standin/logservice"
+)
+
+const (
+	// balancerLag is the hosts' setting; the load tool's balancer is faster.
+	balancerLag = 1 * time.Second
+	// callTimeout bounds a call to a stand-in.
+	callTimeout = 10 * time.Second
+	// readyTimeout bounds the wait for all hosts to have the profiles.
+	readyTimeout = 60 * time.Second
+	// publishTimeout bounds the publishing of one profile.
+	publishTimeout = 30 * time.Second
+)
+
+// Config says what to run.
+type Config struct {
+	// Program is the path of the built program.
+	Program string
+	Firm    deployment.Deployment
+	Hosts   int
+	// Speed divides the run times of the stand-ins, for a short run.
+	Speed int
+	// Log, if set, is told what happens.
+	Log func(format string, values ...any)
+}
+
+// Run is a running fleet.
+type Run struct {
+	config    Config
+	platform  map[string]*process
+	endpoints map[string]*process
+	hosts     []*host
+	http      *http.Client
+	promises  *promises
+}
+
+// host is one place of an entry host, whose process may be replaced.
+type host struct {
+	name      string
+	arguments []string
+	process   *process
+	// killed are the times at which the process was ended without a stop.
+	killed []time.Time
+}
+
+// StatusError is an unexpected answer of a stand-in or host.
+type StatusError struct {
+	What   string
+	Status int
+}
+
+// Error names the call and the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s answered with status %d", e.What, e.Status)
+}
+
+// New starts the processes and publishes the deployment's profiles.
+func New(config Config) (*Run, error) {
+	if config.Speed == 0 {
+		config.Speed = 1
+	}
+	if config.Log == nil {
+		config.Log = func(string, ...any) {}
+	}
+	r := &Run{
+		config:    config,
+		platform:  make(map[string]*process),
+		endpoints: make(map[string]*process),
+		http: &http.Client{
+			Timeout: callTimeout,
+		},
+		promises: newPromises(),
+	}
+	if err := r.startAll(); err != nil {
+		r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Run) startAll() error {
+	for _, part := range []string{"log", "host-list", "weight-store"} {
+		p, err := start(part, r.config.Program, "standin", part)
+		if err != nil {
+			return err
+		}
+		r.platform[part] = p
+	}
+	for _, endpoint := range r.config.Firm.Endpoints() {
+		if err := r.startEndpoint(endpoint); err != nil {
+			return err
+		}
+	}
+	for i := range r.config.Hosts {
+		if err := r.startHost(i); err != nil {
+			return err
+		}
+	}
+	return r.publishProfiles()
+}
+
+func (r *Run) startEndpoint(endpoint deployment.Endpoint) error {
+	interval := (endpoint.Pool.TokenInterval / time.Duration(r.config.Speed)).String()
+	slots := fmt.Sprint(endpoint.Pool.Slots)
+	entry := hostlist.Entry{
+		Name:          endpoint.Name,
+		Incarnation:   1,
+		Zone:          endpoint.Zone,
+		Kind:          hostlist.KindService,
+		Pool:          endpoint.Pool.Name,
+		State:         hostlist.StateLive,
+		ChecksFencing: endpoint.Pool.ChecksFencing,
+	}
+	arguments := []string{"standin", "service", "--name", endpoint.Name, "--slots", slots, "--work-time", interval}
+	if endpoint.Pool.Kind == profile.KindModel {
+		entry.Kind = hostlist.KindEngine
+		arguments = []string{
+			"standin", "engine", "--name", endpoint.Name, "--model", endpoint.Pool.Name, "--slots", slots,
+			"--token-interval", interval, "--answer-tokens", fmt.Sprint(endpoint.Pool.AnswerTokens),
+		}
+	}
+	p, err := start(endpoint.Name, r.config.Program, arguments...)
+	if err != nil {
+		return err
+	}
+	r.endpoints[endpoint.Name] = p
+	entry.Address = p.addresses["listen"]
+	return r.put("http://"+r.platform["host-list"].addresses["listen"]+"/v1/hosts/"+entry.Name, entry)
+}
+
+func (r *Run) startHost(index int) error {
+	h := &host{
+		name: fmt.Sprintf("host-%d", index+1),
+	}
+	h.arguments = []string{
+		"serve", "--name", h.name, "--zone", r.config.Firm.Zones[index%len(r.config.Firm.Zones)],
+		"--log-url", "http://" + r.platform["log"].addresses["listen"],
+		"--host-list-url", "http://" + r.platform["host-list"].addresses["listen"],
+		"--weight-store-url", "http://" + r.platform["weight-store"].addresses["listen"],
+		"--balancer-lag", balancerLag.String(),
+	}
+	for _, other := range r.hosts {
+		h.arguments = append(h.arguments, "--peer", other.process.addresses["peers"])
+	}
+	p, err := start(h.name, r.config.Program, append(h.arguments, "--caller-listen", "127.0.0.1:0",
+		"--peer-listen", "127.0.0.1:0", "--operator-listen", "127.0.0.1:0")...)
+	if err != nil {
+		return err
+	}
+	h.process = p
+	// A replacement comes up under the same addresses.
+	for _, kind := range []string{"caller", "peer", "operator"} {
+		h.arguments = append(h.arguments, "--"+kind+"-listen", p.addresses[kind+"s"])
+	}
+	r.hosts = append(r.hosts, h)
+	return nil
+}
+
+// restart starts a new process in a host's place.
+func (r *Run) restart(h *host) error {
+	p, err := start(h.name, r.config.Program, h.arguments...)
+	if err != nil {
+		return err
+	}
+	h.process = p
+	return nil
+}
+
+func (r *Run) publishProfiles() error {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	for _, spec := range r.config.Firm.Profiles {
+		accepted, err := r.setProfile(ctx, 0, spec, 0)
+		if err != nil {
+			return err
+		}
+		if err := r.operator(0).AwaitInForce(ctx, accepted.Offset); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// setProfile publishes a profile through a host. A host that is not ready yet is
+// asked again.
+func (r *Run) setProfile(ctx context.Context, host int, spec profile.Spec, base uint64) (operator.Accepted, error) {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	return r.operator(host).SetProfile(ctx, spec, base, "fleet")
+}
+
+func (r *Run) operator(host int) *operator.Client {
+	return operator.NewClient("http://"+r.hosts[host].process.addresses["operators"], r.http)
+}
+
+// put sends a JSON document.
+func (r *Run) put(address string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	request, err := http.NewRequest(http.MethodPut, address, bytes.NewReader(data))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	response, err := r.http.Do(request)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return trace.Wrap(&StatusError{What: address, Status: response.StatusCode})
+	}
+	return nil
+}
+
+func (r *Run) setEndpointFaults(name string, faults fault.Faults) error {
+	return r.put("http://"+r.endpoints[name].addresses["listen"]+"/faults", faults)
+}
+
+func (r *Run) setLogFaults(faults logservice.Faults) error {
+	return r.put("http://"+r.platform["log"].addresses["listen"]+"/faults", faults)
+}
+
+// attempts asks an engine how many attempts it began.
+func (r *Run) attempts(name string) (uint64, error) {
+	response, err := r.http.Get("http://" + r.endpoints[name].addresses["listen"] + "/generated")
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var generated struct {
+		Attempts uint64 `json:"attempts"`
+	}
+	err = json.NewDecoder(response.Body).Decode(&generated)
+	return generated.Attempts, trace.Wrap(err)
+}
+
+// loadConfig returns what the load tool is to drive.
+func (r *Run) loadConfig(course Course) load.Config {
+	config := load.Config{
+		Firm:     r.config.Firm,
+		Streams:  course.Streams,
+		Duration: course.Duration,
+		Seed:     course.Seed,
+		KeyShare: course.KeyShare,
+	}
+	for _, h := range r.hosts {
+		config.Hosts = append(config.Hosts, h.process.addresses["callers"])
+	}
+	for _, endpoint := range r.config.Firm.Endpoints() {
+		address := r.endpoints[endpoint.Name].addresses["listen"]
+		if endpoint.Pool.Kind == profile.KindModel {
+			config.Engines = append(config.Engines, address)
+		} else {
+			config.Services = append(config.Services, address)
+		}
+	}
+	return config
+}
+
+// Close ends every process.
+func (r *Run) Close() {
+	for _, h := range r.hosts {
+		h.process.kill()
+	}
+	for _, p := range r.endpoints {
+		p.kill()
+	}
+	for _, p := range r.platform {
+		p.kill()
+	}
+	r.http.CloseIdleConnections()
+}
+
+// Output returns the last output of the hosts, for a look at what went wrong.
+func (r *Run) Output() string {
+	var text strings.Builder
+	for _, h := range r.hosts {
+		fmt.Fprintf(&text, "== %s\n%s\n", h.name, h.process.output())
+	}
+	return text.String()
+}
--- a/load/driver.go
+++ b/load/driver.go
@@ -26,6 +26,8 @@
 	report *Report
 	mu     sync.Mutex
 	open   chan struct{}
+	// balancer chooses the hosts.
+	balancer *balancer
 	// Progress, if set, is told now and then how many requests have ended.
 	Progress func(done, all int)
 }
@@ -46,7 +48,8 @@
 				DisableCompression:  true,
 			},
 		},
-		open: make(chan struct{}, config.MaxOpen),
+		open:     make(chan struct{}, config.MaxOpen),
+		balancer: newBalancer(config.Hosts),
 	}, nil
 }
 
@@ -57,6 +60,11 @@
 	defer d.http.CloseIdleConnections()
 	list := arrivals(&d.config)
 	d.report = newReport(&d.config)
+	watching, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	for host := range d.config.Hosts {
+		go d.balancer.run(watching, host)
+	}
 	var group sync.WaitGroup
 	started := time.Now()
 	for i, a := range list {
--- a/load/report.go
+++ b/load/report.go
@@ -43,6 +43,10 @@
 	WrongAnswers int `json:"wrongAnswers"`
 	// Duplicates counts bookings that were run more than once.
 	Duplicates int `json:"duplicates"`
+	// Bookings counts the non-idempotent calls that were checked, and ToldNotRun
+	// those of all calls to services that were told as not run.
+	Bookings   int `json:"bookings"`
+	ToldNotRun int `json:"toldNotRun"`
 	// FalseNotRun counts requests that were run though the caller was told
 	// that they were not.
 	FalseNotRun int `json:"falseNotRun"`
@@ -52,12 +56,26 @@
 	Untyped  int      `json:"untyped"`
 	Examples []string `json:"examples,omitempty"`
 
+	// Refusals lists the requests that got no whole answer.
+	Refusals []Refusal `json:"-"`
+
 	byClass    map[string]*ClassReport
 	results    []result
 	executions map[string]int
 	asked      bool
 }
 
+// Refusal is a request that got no whole answer.
+type Refusal struct {
+	Class string
+	Tier  profile.Tier
+	// Host served the last attempt.
+	Host string
+	Code string
+	Ran  dispatch.Ran
+	At   time.Time
+}
+
 // ClassReport is what came of one class.
 type ClassReport struct {
 	Class     string         `json:"class"`
@@ -120,6 +138,16 @@
 	if one.met() {
 		c.Met++
 	}
+	if !one.completed {
+		r.Refusals = append(r.Refusals, Refusal{
+			Class: one.arrival.spec.Class,
+			Tier:  one.arrival.spec.Tier,
+			Host:  one.host,
+			Code:  one.problem,
+			Ran:   one.ran,
+			At:    one.endedAt,
+		})
+	}
 	r.results = append(r.results, one)
 }
 
@@ -166,6 +194,12 @@
 		return
 	}
 	runs := r.executions[one.arrival.reference]
+	if !one.arrival.spec.Idempotent {
+		r.Bookings++
+	}
+	if one.ran == dispatch.NotRun && one.repeats == 0 {
+		r.ToldNotRun++
+	}
 	if !one.arrival.spec.Idempotent && runs > 1 {
 		r.Duplicates++
 		r.example("%s was run %d times", one, runs)
--- a/load/request.go
+++ b/load/request.go
@@ -44,6 +44,9 @@
 	problem string
 	ran     dispatch.Ran
 	repeats int
+	// host served the last attempt, and endedAt is when the request ended.
+	host    string
+	endedAt time.Time
 }
 
 // problemBody is the form of a problem in an answer.
@@ -68,7 +71,8 @@
 			break
 		}
 	}
-	r.total = time.Since(started)
+	r.endedAt = time.Now()
+	r.total = r.endedAt.Sub(started)
 	return r
 }
 
@@ -86,14 +90,32 @@
 func (d *Driver) attempt(ctx context.Context, r *result, started time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	host := d.config.Hosts[(r.arrival.host+r.repeats)%len(d.config.Hosts)]
 	r.problem = ""
 	r.ran = ""
 	if r.arrival.spec.Kind == profile.KindService {
-		d.call(ctx, r, host)
+		d.call(ctx, r)
 		return
 	}
-	d.chat(ctx, r, host, started)
+	d.chat(ctx, r, started)
+}
+
+// send sends a request to a ready host. One that no connection could be had for
+// goes to the next host.
+func (d *Driver) send(ctx context.Context, r *result, path string, body any) (*http.Response, error) {
+	var err error
+	for try := range d.config.Hosts {
+		r.host = d.balancer.pick(r.arrival.host + r.repeats + try)
+		var request *http.Request
+		if request, err = d.newRequest(ctx, r, "http://"+r.host+path, body); err != nil {
+			return nil, err
+		}
+		var response *http.Response
+		response, err = d.http.Do(request)
+		if err == nil || !neverSent(err) {
+			return response, err
+		}
+	}
+	return nil, err
 }
 
 func (d *Driver) newRequest(ctx context.Context, r *result, address string, body any) (*http.Request, error) {
@@ -120,14 +142,8 @@
 	Reference string `json:"reference"`
 }
 
-func (d *Driver) call(ctx context.Context, r *result, host string) {
-	address := "http://" + host + "/v1/services/" + r.arrival.spec.Class
-	request, err := d.newRequest(ctx, r, address, bookingBody{Reference: r.arrival.reference})
-	if err != nil {
-		r.problem = "request"
-		return
-	}
-	response, err := d.http.Do(request)
+func (d *Driver) call(ctx context.Context, r *result) {
+	response, err := d.send(ctx, r, "/v1/services/"+r.arrival.spec.Class, bookingBody{Reference: r.arrival.reference})
 	if err != nil {
 		r.noAnswer()
 		return
@@ -195,19 +211,14 @@
 	return messages
 }
 
-func (d *Driver) chat(ctx context.Context, r *result, host string, started time.Time) {
+func (d *Driver) chat(ctx context.Context, r *result, started time.Time) {
 	messages := prompt(r.arrival)
-	request, err := d.newRequest(ctx, r, "http://"+host+"/v1/chat/completions", chatBody{
+	response, err := d.send(ctx, r, "/v1/chat/completions", chatBody{
 		Model:     r.arrival.spec.Name,
 		Messages:  messages,
 		Stream:    true,
 		MaxTokens: r.arrival.maxTokens,
 	})
-	if err != nil {
-		r.problem = "request"
-		return
-	}
-	response, err := d.http.Do(request)
 	if err != nil {
 		r.noAnswer()
 		return
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -142,6 +142,13 @@
 	return e.produced
 }
 
+// Attempts returns how many attempts were begun.
+func (e *Engine) Attempts() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrivals
+}
+
 // Answer returns the tokens that an engine answers a prompt with, given its
 // usual answer length, and whether the bound of maxTokens cut the answer off.
 // The first token is the prompt's checksum.
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -22,6 +22,8 @@
 // Generated is the engine's account of its work.
 type Generated struct {
 	Tokens uint64 `json:"tokens"`
+	// Attempts counts the attempts that were begun.
+	Attempts uint64 `json:"attempts"`
 }
 
 // Handler serves the engine's protocol, its faults under /faults, and the
@@ -173,7 +175,8 @@
 
 func (e *Engine) handleGenerated(w http.ResponseWriter, _ *http.Request) {
 	answer(w, "", Generated{
-		Tokens: e.Produced(),
+		Tokens:   e.Produced(),
+		Attempts: e.Attempts(),
 	})
 }
 
