Stop sending at the first failure and to endpoints that fell silent

Cause: after a crash each host spent three attempts on each dead endpoint, and with them the retry budget. Change: a failure makes suspect and pauses new work for 1 s, a second one in a row ejects; an endpoint whose reports stopped, unlike most, is suspect.

--- a/core/routing/health.go
+++ b/core/routing/health.go
@@ -16,6 +16,8 @@
 	// queue; serviceTolerance is that of a plain service's answer.
 	firstTokenTolerance = 4
 	serviceTolerance    = 2
+	// failurePause is how long an endpoint gets no new work after a failure.
+	failurePause = time.Second
 	// maxErrorRate keeps the penalty for errors finite.
 	maxErrorRate = 0.95
 )
@@ -41,6 +43,8 @@
 	probesPassed int
 	recoveredAt  time.Time
 	progressAt   time.Time
+	// pausedUntil keeps new work away for a moment after a failure.
+	pausedUntil time.Time
 }
 
 func (h *health) progressed(now time.Time, gap time.Duration) {
@@ -65,8 +69,9 @@
 	h.errors.add(0, errorWeight)
 }
 
-func (h *health) failed() {
+func (h *health) failed(now time.Time) {
 	h.failures++
+	h.pausedUntil = now.Add(failurePause)
 	h.errors.add(1, errorWeight)
 }
 
--- a/core/routing/judge.go
+++ b/core/routing/judge.go
@@ -112,6 +112,9 @@
 	if !t.used || t.leaving {
 		return false
 	}
+	if r.tickedAt.Before(t.health.pausedUntil) {
+		return false
+	}
 	return t.health.state == StateHealthy || t.health.state == StateSuspect
 }
 
@@ -153,14 +156,14 @@
 	certain := r.certainSlowness(t)
 	switch h.state {
 	case StateHealthy:
-		if slowness >= settings.SuspectSlowness || h.failures >= 2 {
+		if slowness >= settings.SuspectSlowness || h.failures > 0 || t.load.overdue {
 			h.state = StateSuspect
 			r.refresh(t)
 		}
 	case StateSuspect:
 		h.forgetAfter(now, quietToForget)
 		slowness = r.slowness(t)
-		if slowness < settings.SuspectSlowness*suspectHysteresis && h.failures == 0 {
+		if slowness < settings.SuspectSlowness*suspectHysteresis && h.failures == 0 && !t.load.overdue {
 			h.state = StateHealthy
 			r.refresh(t)
 		}
@@ -182,7 +185,7 @@
 
 func (r *Router) failed(now time.Time, t *target) {
 	h := &t.health
-	h.failed()
+	h.failed(now)
 	switch {
 	case h.state == StateProbing:
 		r.eject(now, t)
--- a/core/routing/load.go
+++ b/core/routing/load.go
@@ -11,13 +11,28 @@
 // each endpoint.
 const loadHistory = 128
 
+const (
+	// intervalWeight is the weight of a new sample of the time between reports.
+	intervalWeight = 0.1
+	// missedReports is how many usual intervals without a report are too many.
+	missedReports = 3.5
+	// intervalsNeeded is how many intervals make one usual.
+	intervalsNeeded = 3
+)
+
 // load reconciles an endpoint's lagged report with this host's own work, so
 // that no attempt is counted twice: from the report's total it takes away what
 // this host had running at the report's time, and adds what it has running now.
 type load struct {
 	report   endpoint.Report
 	reported bool
-	others   int
+	// heardAt is when the last report arrived, and interval the usual time in
+	// seconds between two.
+	heardAt  time.Time
+	interval average
+	// overdue says that reports stopped, unlike those of most endpoints.
+	overdue bool
+	others  int
 	// ownThen is this host's own work at the report's time.
 	ownThen int
 	own     int
@@ -44,7 +59,11 @@
 }
 
 // accept takes a report unless it is older than the last one.
-func (l *load) accept(report endpoint.Report) bool {
+func (l *load) accept(now time.Time, report endpoint.Report) bool {
+	if !l.heardAt.IsZero() {
+		l.interval.add(now.Sub(l.heardAt).Seconds(), intervalWeight)
+	}
+	l.heardAt = now
 	if l.reported && report.At.Before(l.report.At) {
 		return false
 	}
@@ -99,3 +118,11 @@
 	}
 	return float64(l.report.Running) / l.report.TokensPerSecond
 }
+
+// late reports whether no report has come for longer than usual.
+func (l *load) late(now time.Time) bool {
+	if l.interval.samples < intervalsNeeded {
+		return false
+	}
+	return now.Sub(l.heardAt).Seconds() > missedReports*l.interval.value
+}
--- a/core/routing/peers.go
+++ b/core/routing/peers.go
@@ -1,6 +1,9 @@
 package routing
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // medians are taken over the endpoints that this host uses.
 type medians struct {
@@ -50,3 +53,21 @@
 	slices.Sort(values)
 	return values[(len(values)-1)/2]
 }
+
+// updateOverdue marks the endpoints whose reports stopped. When those of most
+// stopped, the fault lies on the way and says nothing of any endpoint.
+func (r *Router) updateOverdue(now time.Time) {
+	late := 0
+	for _, t := range r.targets {
+		t.load.overdue = t.load.late(now)
+		if t.load.overdue {
+			late++
+		}
+	}
+	if 2*late <= len(r.targets) {
+		return
+	}
+	for _, t := range r.targets {
+		t.load.overdue = false
+	}
+}
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -175,7 +175,7 @@
 		return
 	}
 	slots := t.slots(&r.settings)
-	if !t.load.accept(report) {
+	if !t.load.accept(now, report) {
 		return
 	}
 	if t.slots(&r.settings) != slots {
@@ -341,6 +341,7 @@
 	}
 	r.tickedAt = now
 	r.updateMedians()
+	r.updateOverdue(now)
 	for _, t := range r.targets {
 		r.startProbe(now, t)
 		r.judge(now, t)
--- a/core/routing/settings.go
+++ b/core/routing/settings.go
@@ -126,7 +126,7 @@
 			EjectSlowness:    3.5,
 			MinSamples:       5,
 			MinPeers:         3,
-			FailuresToEject:  3,
+			FailuresToEject:  2,
 			MaxEjected:       0.5,
 			EjectFor:         3 * time.Second,
 			EjectSlowFor:     10 * time.Second,
