Keep the whole headroom only in pools with top-tier work

Cause: pools without top-tier work kept a fifth of their slots free, which they lacked after a crash. Change: such pools keep one slot an endpoint; work that is owed its class's share, which dispatch sends with the top tier's rights, is marked Owed and does not count as top-tier work. Endpoints whose reports stopped are not probed for a minute.

--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -59,6 +59,7 @@
 	history := p.histories.of(r.entry.Class)
 	p.ask = routing.Ask{
 		Tier:         tier,
+		Owed:         tier != r.entry.Tier,
 		Class:        r.entry.Class,
 		Zone:         p.settings.Zone,
 		PromptTokens: r.spec.PromptTokens,
--- a/core/routing/judge.go
+++ b/core/routing/judge.go
@@ -230,6 +230,9 @@
 	if h.state != StateEjected || t.leaving || now.Before(h.probeAt) {
 		return
 	}
+	if t.load.overdue && now.Sub(h.ejectedAt) < r.settings.Health.EjectForMax {
+		return
+	}
 	heard := !t.load.reported || t.load.report.At.After(h.ejectedAt)
 	if !heard && now.Sub(h.ejectedAt) < unreportedProbeFactor*h.probeAt.Sub(h.ejectedAt) {
 		return
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -16,6 +16,8 @@
 	// congestedRatio is by how much the first-token time may exceed the expected
 	// one before the window shrinks.
 	congestedRatio = 8
+	// reserveFor is how long the whole headroom is kept after top-tier work.
+	reserveFor = 60 * time.Second
 	// serviceTimeWeight is the weight of a new sample of attempt lengths.
 	serviceTimeWeight = 0.05
 )
@@ -39,6 +41,9 @@
 	prefixes     prefixIndex
 	peers        medians
 	scratch      []float64
+	// reserving says that there was top-tier work of late, last at topTierAt.
+	reserving bool
+	topTierAt time.Time
 	// serviceTime is the mean length of an attempt in seconds.
 	serviceTime average
 	// tokenTime is the mean time for one token after the first, in seconds. Token
@@ -340,6 +345,10 @@
 		return
 	}
 	r.tickedAt = now
+	if r.reserving && now.Sub(r.topTierAt) > reserveFor {
+		r.reserving = false
+		r.updateShares()
+	}
 	r.updateMedians()
 	r.updateOverdue(now)
 	for _, t := range r.targets {
@@ -349,6 +358,15 @@
 	}
 }
 
+// sawTopTier begins to keep the whole headroom.
+func (r *Router) sawTopTier(now time.Time) {
+	r.topTierAt = now
+	if !r.reserving {
+		r.reserving = true
+		r.updateShares()
+	}
+}
+
 // NextWake returns the time at which Tick is due. It reports false when there is
 // nothing to watch.
 func (r *Router) NextWake() (time.Time, bool) {
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -33,6 +33,9 @@
 // Pick chooses the endpoint for ask. It reports false when no endpoint has room
 // for the tier now.
 func (r *Router) Pick(now time.Time, ask *Ask) (Choice, bool) {
+	if ask.Tier == profile.TierUrgent && !ask.Owed {
+		r.sawTopTier(now)
+	}
 	if choice, ok := r.pickProbe(now, ask); ok {
 		return choice, true
 	}
--- a/core/routing/target.go
+++ b/core/routing/target.go
@@ -57,11 +57,15 @@
 }
 
 // headroom returns the slots that lower tiers leave to the top tier at an
-// endpoint.
+// endpoint: their share while there is top-tier work in the pool, and otherwise
+// one, in which the first of it finds room.
 func (r *Router) headroom(slots int) int {
 	if slots <= 1 {
 		return 0
 	}
+	if !r.reserving {
+		return 1
+	}
 	return max(int(float64(slots)*r.settings.HeadroomShare), 1)
 }
 
--- a/core/routing/types.go
+++ b/core/routing/types.go
@@ -25,7 +25,10 @@
 
 // Ask describes the work that needs an endpoint.
 type Ask struct {
-	Tier         profile.Tier
+	Tier profile.Tier
+	// Owed marks work of a lower tier that is asked for with the rights of Tier,
+	// on its class's guaranteed share.
+	Owed         bool
 	Class        string
 	Zone         string
 	PromptTokens int
