Allow one more at an endpoint within the sum of the windows

Cause: under load one endpoint at a time had room, so that there was no choice between them. Change: a window may be exceeded by one while the host's sum holds.

--- a/core/routing/judge.go
+++ b/core/routing/judge.go
@@ -19,6 +19,9 @@
 	// quietToForget is the time without progress after which the slowness of a
 	// suspect endpoint is forgotten, so that it gets another chance.
 	quietToForget = 5 * time.Second
+	// spareChoice is by how much one endpoint's window may be exceeded while the
+	// sum of all windows is kept, so that there is a choice of endpoints.
+	spareChoice = 1
 	// recentProgress is the age up to which progress tells of the present.
 	recentProgress = 3 * time.Second
 	// suspectHysteresis is the part of SuspectSlowness below which a suspect
@@ -90,7 +93,7 @@
 	}
 	slots := t.slots(&r.settings)
 	spare := r.headroom(slots)
-	limit := t.window.slots()
+	limit := t.window.slots() + spareChoice
 	if ramp := t.health.ramp(r.tickedAt, r.settings.Health); ramp < 1 {
 		limit = max(int(float64(limit)*ramp), minWindow)
 	}
