--- a/core/routing/judge.go
+++ b/core/routing/judge.go
@@ -19,6 +19,9 @@
 	// quietToForget is the time without progress after which the slowness of a
 	// suspect endpoint is forgotten, so that it gets another chance.
 	quietToForget = 5 * time.Second
+	// spareChoice is by how much one endpoint's window may be exceeded while the
+	// sum of all windows is kept, so that there is a choice of endpoints.
+	spareChoice = 1
 	// recentProgress is the age up to which progress tells of the present.
 	recentProgress = 3 * time.Second
 	// suspectHysteresis is the part of SuspectSlowness below which a suspect
@@ -90,7 +93,7 @@
 	}
 	slots := t.slots(&r.settings)
 	spare := r.headroom(slots)
-	limit := t.window.slots()
+	limit := t.window.slots() + spareChoice
 	if ramp := t.health.ramp(r.tickedAt, r.settings.Health); ramp < 1 {
 		limit = max(int(float64(limit)*ramp), minWindow)
 	}
@@ -112,6 +115,9 @@
 	if !t.used || t.leaving {
 		return false
 	}
+	if r.tickedAt.Before(t.health.pausedUntil) {
+		return false
+	}
 	return t.health.state == StateHealthy || t.health.state == StateSuspect
 }
 
@@ -153,14 +159,14 @@
 	certain := r.certainSlowness(t)
 	switch h.state {
 	case StateHealthy:
-		if slowness >= settings.SuspectSlowness || h.failures >= 2 {
+		if slowness >= settings.SuspectSlowness || h.failures > 0 || t.load.overdue {
 			h.state = StateSuspect
 			r.refresh(t)
 		}
 	case StateSuspect:
 		h.forgetAfter(now, quietToForget)
 		slowness = r.slowness(t)
-		if slowness < settings.SuspectSlowness*suspectHysteresis && h.failures == 0 {
+		if slowness < settings.SuspectSlowness*suspectHysteresis && h.failures == 0 && !t.load.overdue {
 			h.state = StateHealthy
 			r.refresh(t)
 		}
@@ -182,7 +188,7 @@
 
 func (r *Router) failed(now time.Time, t *target) {
 	h := &t.health
-	h.failed()
+	h.failed(now)
 	switch {
 	case h.state == StateProbing:
 		r.eject(now, t)
@@ -227,6 +233,9 @@
 	if h.state != StateEjected || t.leaving || now.Before(h.probeAt) {
 		return
 	}
+	if t.load.overdue && now.Sub(h.ejectedAt) < r.settings.Health.EjectForMax {
+		return
+	}
 	heard := !t.load.reported || t.load.report.At.After(h.ejectedAt)
 	if !heard && now.Sub(h.ejectedAt) < unreportedProbeFactor*h.probeAt.Sub(h.ejectedAt) {
 		return
