Append a change again only after the stream was read without it

Cause: a change that was slow to be read back was appended again after 2 s although its append had been answered. Change: a record is appended again only when its append had no answer and the stream was read to its end since without the record. Conclusion: one append for each change unless an append is truly unanswered.

--- a/io/configuration/bench_test.go
+++ b/io/configuration/bench_test.go
@@ -38,6 +38,9 @@
 	restarting int
 	// silent makes every open connection silent right before each change.
 	silent bool
+	// allRead gives each host a zone of its own, so that every one long-polls
+	// the log: the alternative that the design weighs.
+	allRead bool
 }
 
 // BenchmarkInForce measures the virtual time from a change's acceptance until
@@ -49,6 +52,7 @@
 		{name: "restarts", restarting: 2},
 		{name: "logSlow", faults: standin.Faults{DelayMs: 500}},
 		{name: "silent", silent: true},
+		{name: "allRead", allRead: true},
 	} {
 		for _, hosts := range []int{3, 9, 30, 100} {
 			b.Run(fmt.Sprintf("%s/hosts=%d", condition.name, hosts), func(b *testing.B) {
@@ -79,14 +83,22 @@
 	var delays, acceptances []time.Duration
 	var appends, reads uint64
 	var elapsed time.Duration
+	var calls, busiest int
 	inVirtualTime(b, func(t *testing.T) {
 		store := newStore(1)
-		runFleet(t, store, hosts, func(f *fleet) {
+		runFleet(t, store, 0, func(f *fleet) {
+			if condition.allRead {
+				f.zones = hosts
+			}
+			for i := range hosts {
+				f.start(fmt.Sprintf("host-%d", i))
+			}
 			time.Sleep(5 * time.Second)
 			f.awaitInForce(time.Minute, f.mustChange(0, "first", 1).Offset)
 			store.SetFaults(condition.faults)
 			time.Sleep(5 * time.Second)
 			appendsBefore, readsBefore := store.Counts()
+			callsBefore, busiestBefore := f.served()
 			began := time.Now()
 			for round := range benchmarkChanges {
 				accepted, inForce := measureChange(f, condition, hosts, round)
@@ -97,12 +109,17 @@
 			elapsed = time.Since(began)
 			appendsAfter, readsAfter := store.Counts()
 			appends, reads = appendsAfter-appendsBefore, readsAfter-readsBefore
+			calls, busiest = f.served()
+			calls -= callsBefore
+			busiest -= busiestBefore
 		})
 	})
 	reportTimes(b, delays, "")
 	reportTimes(b, acceptances, "accepted-")
 	b.ReportMetric(float64(appends)/benchmarkChanges, "appends/change")
 	b.ReportMetric(float64(reads)/elapsed.Seconds(), "reads/s")
+	b.ReportMetric(float64(calls)/elapsed.Seconds()/float64(hosts), "calls/host/s")
+	b.ReportMetric(float64(busiest)/elapsed.Seconds(), "busiest-calls/s")
 	if worst := slices.Max(delays); worst > appliedLimit {
 		b.Errorf("in force after %v, the bound is %v", worst, appliedLimit)
 	}
@@ -177,3 +194,36 @@
 	reportTimes(b, delays, "")
 	b.ReportMetric(float64(appends)/hosts, "appends/start")
 }
+
+// BenchmarkSnapshots counts the appends that snapshots take in a fleet without
+// changes, for each period of the log's retention.
+func BenchmarkSnapshots(b *testing.B) {
+	const (
+		retention = time.Hour
+		periods   = 6
+	)
+	for _, hosts := range []int{3, 9} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			for b.Loop() {
+				var appends uint64
+				inVirtualTime(b, func(t *testing.T) {
+					store := newStore(1)
+					store.SetFaults(standin.Faults{RetentionMs: retention.Milliseconds()})
+					runFleet(t, store, 0, func(f *fleet) {
+						f.settings.Retention = retention
+						for i := range hosts {
+							f.start(fmt.Sprintf("host-%d", i))
+						}
+						time.Sleep(5 * time.Second)
+						f.mustChange(0, "first", 1)
+						before, _ := store.Counts()
+						time.Sleep(periods * retention)
+						after, _ := store.Counts()
+						appends = after - before
+					})
+				})
+				b.ReportMetric(float64(appends)/periods, "appends/retention")
+			}
+		})
+	}
+}
--- a/io/configuration/fleet_test.go
+++ b/io/configuration/fleet_test.go
@@ -55,6 +55,8 @@
 	cancel    context.CancelFunc
 	done      chan struct{}
 	stoppedAt time.Time
+	// served counts the peers' calls that it answered, in all its lives.
+	served int
 	// cutOff makes all its calls and all calls to it silent.
 	cutOff bool
 }
@@ -118,6 +120,9 @@
 	var ctx context.Context
 	ctx, m.cancel = context.WithCancel(f.ctx)
 	f.mu.Lock()
+	if previous, ok := f.members[name]; ok {
+		m.served = previous.served
+	}
 	f.members[name] = m
 	f.seen = nil
 	f.mu.Unlock()
@@ -139,6 +144,18 @@
 	<-m.done
 }
 
+// served returns how many calls of peers all hosts and the busiest one have
+// answered.
+func (f *fleet) served() (all, most int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		all += m.served
+		most = max(most, m.served)
+	}
+	return all, most
+}
+
 func (f *fleet) host(number int) *configuration.Configuration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -357,6 +374,7 @@
 	f.mu.Lock()
 	target = f.members[l.target]
 	gone := !target.stoppedAt.IsZero()
+	target.served++
 	f.mu.Unlock()
 	if gone {
 		return nil, connect.NewError(connect.CodeUnavailable, nil)
--- a/io/configuration/publisher.go
+++ b/io/configuration/publisher.go
@@ -18,8 +18,8 @@
 const (
 	// appendTimeout bounds one append.
 	appendTimeout = 3 * time.Second
-	// reappendDelay is how long a record may stay unseen before it is appended
-	// again.
+	// reappendDelay is how long a record whose append had no answer may stay
+	// unseen before it is appended again.
 	reappendDelay = 2 * time.Second
 )
 
@@ -86,14 +86,12 @@
 	if err != nil {
 		return core.Outcome{}, trace.Wrap(err)
 	}
-	var cause error
+	cause := c.appendOnce(ctx, data)
 	for ctx.Err() == nil {
-		if err := c.appendOnce(ctx, data); err != nil {
-			cause = err
-		}
-		if outcome, ok := c.await(ctx, id); ok {
+		if outcome, ok := c.await(ctx, id, cause == nil); ok {
 			return c.resolve(outcome, change)
 		}
+		cause = c.appendOnce(ctx, data)
 	}
 	return core.Outcome{}, trace.Wrap(&UnknownError{ID: id, Cause: errors.Join(ctx.Err(), cause)})
 }
@@ -132,10 +130,12 @@
 	return err
 }
 
-// await waits until the record with the id is reduced, or it is time to append
-// it again.
-func (c *Configuration) await(ctx context.Context, id string) (core.Outcome, bool) {
-	wake := c.dependencies.Timers.After(reappendDelay)
+// await waits until the record with the id is reduced. It reports false when ctx
+// ends, or when the append had no answer and the stream was read to its end
+// since without the record, so that it is to be appended again.
+func (c *Configuration) await(ctx context.Context, id string, answered bool) (core.Outcome, bool) {
+	began := c.now()
+	wake := c.dependencies.Timers.Every(reappendDelay)
 	defer wake.Stop()
 	for {
 		current := c.current.Load()
@@ -146,7 +146,9 @@
 		case <-ctx.Done():
 			return core.Outcome{}, false
 		case <-wake.C():
-			return core.Outcome{}, false
+			if !answered && c.current.Load().confirmedAt.After(began) {
+				return core.Outcome{}, false
+			}
 		case <-current.changed:
 		}
 	}
