--- a/core/admission/entry.go
+++ b/core/admission/entry.go
@@ -22,16 +22,15 @@
 	MinShare float64
 	// Value weighs the request when something must be given up.
 	Value float64
-	// Cost is the expected service, in tokens for a model and in calls for a
-	// plain service.
+	// Cost is the expected service: the seconds for which a slot is held.
 	Cost float64
 	// Deadline is when the target is missed.
 	Deadline time.Time
 	// LatestStart is the last moment at which a start could still meet the
 	// target.
 	LatestStart time.Time
-	// Pinned marks a request that is never evicted, because part of its answer
-	// has reached the caller.
+	// Pinned marks a request that is never evicted and never put behind others
+	// for being late, because part of its answer has reached the caller.
 	Pinned bool
 
 	team     *team
@@ -39,6 +38,8 @@
 	late     bool
 	ready    int
 	worth    int
+	older    *Entry
+	newer    *Entry
 }
 
 // Queued reports whether the entry stands in a queue.
--- a/core/admission/team.go
+++ b/core/admission/team.go
@@ -10,10 +10,10 @@
 type team struct {
 	name  string
 	class *class
-	// viable holds the entries that can still meet their target, late the
-	// others; both by deadline.
+	// viable holds the entries that can still meet their target, as far as the
+	// queue has looked, the earliest deadline first; late holds the others.
 	viable heap.Heap[*Entry]
-	late   heap.Heap[*Entry]
+	late   lateList
 	// worth holds the entries that may be evicted, the least valuable first.
 	worth heap.Heap[*Entry]
 	// tag is the start tag of the team's next service.
@@ -27,7 +27,6 @@
 func newTeam() *team {
 	return &team{
 		viable: heap.New(earlier, placeReady),
-		late:   heap.New(earlier, placeReady),
 		worth:  heap.New(worthLess, placeWorth),
 		active: heap.NoIndex,
 		evict:  heap.NoIndex,
@@ -35,7 +34,7 @@
 }
 
 func (t *team) len() int {
-	return t.viable.Len() + t.late.Len()
+	return t.viable.Len() + t.late.length
 }
 
 func (t *team) add(entry *Entry) {
@@ -51,7 +50,7 @@
 
 func (t *team) remove(entry *Entry) {
 	if entry.late {
-		t.late.Remove(entry.ready)
+		t.late.remove(entry)
 	} else {
 		t.viable.Remove(entry.ready)
 	}
@@ -65,16 +64,24 @@
 // head returns the entry to serve next. Each entry moves from viable to late at
 // most once, so the cost is logarithmic over an entry's life.
 func (t *team) head(now time.Time) *Entry {
+	t.sort(now)
+	if t.viable.Len() > 0 {
+		return t.viable.Top()
+	}
+	return t.late.newest
+}
+
+// sort moves the entries that can no longer meet their target to the late ones.
+func (t *team) sort(now time.Time) {
 	for t.viable.Len() > 0 {
 		entry := t.viable.Top()
-		if !entry.LatestStart.Before(now) {
-			return entry
+		if entry.Pinned || !entry.LatestStart.Before(now) {
+			return
 		}
 		t.viable.Remove(entry.ready)
 		entry.late = true
-		t.late.Push(entry)
+		t.late.add(entry)
 	}
-	return t.late.Top()
 }
 
 // teamEarlier orders the teams of a class by start tag.
--- a/core/admission/teamqueue.go
+++ b/core/admission/teamqueue.go
@@ -19,7 +19,7 @@
 	// target, as far as the queue has looked.
 	Viable int `json:"viable"`
 	Late   int `json:"late"`
-	// Cost is the expected service of all of them.
+	// Cost is the expected slot time of all of them, in seconds.
 	Cost float64 `json:"cost"`
 }
 
@@ -48,7 +48,7 @@
 			Class:  c.name,
 			Team:   team.name,
 			Viable: team.viable.Len(),
-			Late:   team.late.Len(),
+			Late:   team.late.length,
 			Cost:   team.cost,
 		})
 	}
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -36,11 +36,8 @@
 	if choice, ok := r.pickProbe(now, ask); ok {
 		return choice, true
 	}
-	open := &r.open[openLower]
-	if ask.Tier == profile.TierUrgent {
-		open = &r.open[openUrgent]
-	}
-	if len(open.targets) == 0 {
+	open := &r.open[ask.Tier]
+	if len(open.targets) == 0 || !r.hasShare(ask.Tier) {
 		return Choice{}, false
 	}
 	r.decision++
@@ -98,7 +95,7 @@
 	}
 	t.mark = r.decision
 	c.compared++
-	choice := r.predict(ask, t)
+	choice := r.predict(now, ask, t)
 	score := r.score(now, t, &choice)
 	if slices.Contains(ask.Avoid, t.descriptor.Key) {
 		if c.avoided == nil || score < c.avoidScore {
@@ -130,11 +127,11 @@
 }
 
 // predict returns the delays to expect at a target.
-func (r *Router) predict(ask *Ask, t *target) Choice {
+func (r *Router) predict(now time.Time, ask *Ask, t *target) Choice {
 	slots := t.slots(&r.settings)
-	running := t.load.estimate()
-	slowness := t.health.slowness(r.peers, r.settings.Health)
-	fill := min(float64(running+1)/float64(max(slots, 1)), 1)
+	running := float64(t.load.own) + r.othersNow(now, t)
+	slowness := r.slowness(t)
+	fill := min((running+1)/float64(max(slots, 1)), 1)
 	wait := r.queueWait(ask, t, running, slots) * slowness
 	first := r.distance(t).Seconds() + wait
 	choice := Choice{
@@ -149,25 +146,58 @@
 	choice.CachedTokens = r.cachedTokens(ask, t)
 	uncached := float64(max(ask.PromptTokens-choice.CachedTokens, 0))
 	first += baseFirstToken.Seconds() + uncached/t.prefillRate(&r.settings)*slowness*(1+fill)
-	gap := t.health.gap.or(max(r.peers.gap, r.settings.DefaultGap.Seconds()))
-	rest := float64(ask.OutputTokens) * gap * (1 + overBatch*fill)
+	token := r.tokenTime.or(r.settings.DefaultGap.Seconds()) * slowness
+	rest := float64(ask.OutputTokens) * token * (1 + overBatch*fill) / (1 + overBatch/2)
 	choice.FirstToken = seconds(first)
 	choice.Completion = seconds(first + rest)
 	return choice
 }
 
-// queueWait predicts the wait in the endpoint's own queue in seconds. Top-tier
-// work waits only behind its like, for the next slot that comes free.
-func (r *Router) queueWait(ask *Ask, t *target, running, slots int) float64 {
-	ahead := running + 1 - slots
-	if ahead <= 0 {
-		return 0
-	}
-	if ask.Tier == profile.TierUrgent {
-		ahead = min(ahead, t.load.urgent+1)
+// queueWait predicts the wait in the endpoint's own queue in seconds. Even below
+// a full batch there is some, as arrivals are random. Work waits only behind its
+// own tier and the more urgent ones.
+func (r *Router) queueWait(ask *Ask, t *target, running float64, slots int) float64 {
+	fill := (running + 1) / float64(max(slots, 1))
+	waiting := min(fill*fill, 1)
+	if t.isService() {
+		waiting = (waiting + max(running+1-float64(slots), 0)) * r.partAbove(ask.Tier)
+	} else {
+		waiting += float64(t.awaitingAbove(ask.Tier)) * r.users()
 	}
 	each := r.serviceTime.or(r.settings.DefaultServiceTime.Seconds()) / float64(max(slots, 1))
-	return float64(ahead) * each
+	return waiting * each
+}
+
+// othersNow estimates the other hosts' work at a target. What the report counted
+// ends as the report ages; beside what is left of it, each other host is taken to
+// have sent as much as this one, since they share callers and endpoints alike.
+// Own work is known at once, so that hosts with the same old reports don't all
+// send to the same endpoint.
+func (r *Router) othersNow(now time.Time, t *target) float64 {
+	left := 0.0
+	if t.load.reported {
+		serviceTime := r.serviceTime.or(r.settings.DefaultServiceTime.Seconds())
+		age := now.Sub(t.load.report.At).Seconds()
+		left = max(1-age/serviceTime, 0)
+	}
+	since := max(float64(t.load.own)-left*float64(t.load.ownThen), 0)
+	return left*float64(t.load.others) + since*(r.users()-1)
+}
+
+// partAbove returns the part of this host's running work that is of the given
+// tier or a more urgent one; the other hosts' work is taken to be alike.
+func (r *Router) partAbove(tier profile.Tier) float64 {
+	above, all := 0, 0
+	for i, running := range r.running {
+		all += running
+		if i <= int(tier) {
+			above += running
+		}
+	}
+	if all == 0 {
+		return 1
+	}
+	return float64(above) / float64(all)
 }
 
 // distance returns the round trip to the target.
