Enter virtual time in one place of the configuration's tests

Cause: each test repeated the same two nested calls. Change: runFleet enters the bubble itself. Conclusion: no test changed what it checks.

--- a/io/configuration/bench_test.go
+++ b/io/configuration/bench_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	standin "cactuswell/standin/logservice"
@@ -13,15 +12,14 @@
 // benchmarkChanges is how many changes one benchmark measures.
 const benchmarkChanges = 40
 
-// inVirtualTime runs body as a test in a bubble, which a benchmark cannot enter
-// itself.
+// inVirtualTime runs body as a test, which can enter virtual time.
 func inVirtualTime(b *testing.B, body func(*testing.T)) {
 	b.Helper()
 	matchAll := func(string, string) (bool, error) { return true, nil }
 	ok := testing.RunTests(matchAll, []testing.InternalTest{
 		{
 			Name: b.Name(),
-			F:    func(t *testing.T) { synctest.Test(t, body) },
+			F:    body,
 		},
 	})
 	if !ok {
@@ -86,7 +84,7 @@
 	var calls, busiest int
 	inVirtualTime(b, func(t *testing.T) {
 		store := newStore(1)
-		runFleet(t, store, 0, func(f *fleet) {
+		runFleet(t, store, 0, func(_ *testing.T, f *fleet) {
 			if condition.allRead {
 				f.zones = hosts
 			}
@@ -175,7 +173,7 @@
 	var appends uint64
 	inVirtualTime(b, func(t *testing.T) {
 		store := newStore(1)
-		runFleet(t, store, hosts, func(f *fleet) {
+		runFleet(t, store, hosts, func(_ *testing.T, f *fleet) {
 			time.Sleep(5 * time.Second)
 			f.awaitInForce(time.Minute, f.mustChange(0, "first", 1).Offset)
 			store.SetFaults(standin.Faults{Down: logDown})
@@ -209,7 +207,7 @@
 				inVirtualTime(b, func(t *testing.T) {
 					store := newStore(1)
 					store.SetFaults(standin.Faults{RetentionMs: retention.Milliseconds()})
-					runFleet(t, store, 0, func(f *fleet) {
+					runFleet(t, store, 0, func(_ *testing.T, f *fleet) {
 						f.settings.Retention = retention
 						for i := range hosts {
 							f.start(fmt.Sprintf("host-%d", i))
--- a/io/configuration/fleet_test.go
+++ b/io/configuration/fleet_test.go
@@ -7,6 +7,7 @@
 	"sort"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"connectrpc.com/connect"
@@ -62,25 +63,27 @@
 }
 
 // runFleet runs a test with count hosts in virtual time.
-func runFleet(t testing.TB, store logservice.Log, count int, test func(*fleet)) {
-	ctx, cancel := context.WithCancel(context.Background())
-	f := &fleet{
-		t:       t,
-		ctx:     ctx,
-		store:   store,
-		zones:   3,
-		members: make(map[string]*member),
-	}
-	defer func() {
-		cancel()
-		for _, m := range f.members {
-			<-m.done
+func runFleet(t *testing.T, store logservice.Log, count int, test func(*testing.T, *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f := &fleet{
+			t:       t,
+			ctx:     ctx,
+			store:   store,
+			zones:   3,
+			members: make(map[string]*member),
 		}
-	}()
-	for i := range count {
-		f.start(fmt.Sprintf("host-%d", i))
-	}
-	test(f)
+		defer func() {
+			cancel()
+			for _, m := range f.members {
+				<-m.done
+			}
+		}()
+		for i := range count {
+			f.start(fmt.Sprintf("host-%d", i))
+		}
+		test(t, f)
+	})
 }
 
 func (f *fleet) start(name string) *member {
--- a/io/configuration/linearizability_test.go
+++ b/io/configuration/linearizability_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -84,34 +83,32 @@
 func TestChangesAreLinearizable(t *testing.T) {
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				store := newStore(seed)
-				collected := &history{}
-				runFleet(t, store, 3, func(f *fleet) {
-					time.Sleep(5 * time.Second)
-					store.SetFaults(standin.Faults{
-						LostAnswers:   0.3,
-						FailedAppends: 0.2,
-						DelayMs:       int64(5 * seed),
-					})
-					ctx, cancel := context.WithTimeout(f.ctx, time.Hour)
-					defer cancel()
-					var group sync.WaitGroup
-					for number := range 5 {
-						group.Add(1)
-						c := &changer{
-							t:       t,
-							fleet:   f,
-							history: collected,
-							number:  number,
-							changes: 30,
-						}
-						go c.run(ctx, &group)
-					}
-					group.Wait()
+			store := newStore(seed)
+			collected := &history{}
+			runFleet(t, store, 3, func(t *testing.T, f *fleet) {
+				time.Sleep(5 * time.Second)
+				store.SetFaults(standin.Faults{
+					LostAnswers:   0.3,
+					FailedAppends: 0.2,
+					DelayMs:       int64(5 * seed),
 				})
-				checkHistory(t, collected.operations)
+				ctx, cancel := context.WithTimeout(f.ctx, time.Hour)
+				defer cancel()
+				var group sync.WaitGroup
+				for number := range 5 {
+					group.Add(1)
+					c := &changer{
+						t:       t,
+						fleet:   f,
+						history: collected,
+						number:  number,
+						changes: 30,
+					}
+					go c.run(ctx, &group)
+				}
+				group.Wait()
 			})
+			checkHistory(t, collected.operations)
 		})
 	}
 }
