Close the log's idle connections when its client is left

Cause: a client of the log is made for each append and after each failed read, and its connections stayed open for their idle time. Change: logservice.Client has CloseIdleConnections, which io/configuration calls on every client that it leaves. Conclusion: an ill log leaves no pile of idle connections behind.

--- a/io/configuration/fleet_test.go
+++ b/io/configuration/fleet_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,6 +43,8 @@
 	members  map[string]*member
 	silenced time.Time
 	started  int
+	// openLogs counts the clients of the log that were made and not left.
+	openLogs atomic.Int64
 	// seen holds the hosts in all views until seenUntil, sorted by name.
 	seen      []configuration.Peer
 	seenUntil time.Time
@@ -78,6 +81,9 @@
 			for _, m := range f.members {
 				<-m.done
 			}
+			if open := f.openLogs.Load(); open != 0 {
+				t.Errorf("%d clients of the log were not left", open)
+			}
 		}()
 		for i := range count {
 			f.start(fmt.Sprintf("host-%d", i))
@@ -104,7 +110,10 @@
 	dependencies := f.settings
 	dependencies.Host = name
 	dependencies.Zone = m.zone
-	dependencies.Log = func() logservice.Log { return &logLink{member: m, dialled: time.Now()} }
+	dependencies.Log = func() logservice.Log {
+		f.openLogs.Add(1)
+		return &logLink{member: m, dialled: time.Now()}
+	}
 	dependencies.Dial = func(peer configuration.Peer) configuration.Conn {
 		return &peerLink{member: m, target: peer.Name, dialled: time.Now()}
 	}
@@ -321,6 +330,8 @@
 	dialled time.Time
 }
 
+func (l *logLink) CloseIdleConnections() { l.member.fleet.openLogs.Add(-1) }
+
 func (l *logLink) pass(ctx context.Context) error {
 	err := l.member.link(ctx, l.dialled, func() bool { return false })
 	if err != nil {
--- a/io/configuration/logreader.go
+++ b/io/configuration/logreader.go
@@ -33,6 +33,7 @@
 func (r *logReader) run(ctx context.Context) error {
 	c := r.configuration
 	r.redial()
+	defer func() { leave(r.log) }()
 	for {
 		select {
 		case <-ctx.Done():
@@ -53,6 +54,7 @@
 
 func (r *logReader) redial() {
 	r.configuration.counts.Add("logDials", 1)
+	leave(r.log)
 	r.log = r.configuration.dependencies.Log()
 }
 
@@ -96,6 +98,14 @@
 	return follow.LogFailed{}
 }
 
+// leave closes the idle connections of a client of the log that is used no
+// longer.
+func leave(log logservice.Log) {
+	if closer, ok := log.(interface{ CloseIdleConnections() }); ok {
+		closer.CloseIdleConnections()
+	}
+}
+
 func readLog(
 	ctx context.Context, log logservice.Log, stream record.Stream, from record.Offset, wait time.Duration,
 ) (logservice.ReadResponse, error) {
--- a/io/configuration/publisher.go
+++ b/io/configuration/publisher.go
@@ -117,7 +117,9 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	c.counts.Add("appends", 1)
-	offset, err := c.dependencies.Log().Append(ctx, record.StreamConfiguration, [][]byte{data})
+	log := c.dependencies.Log()
+	defer leave(log)
+	offset, err := log.Append(ctx, record.StreamConfiguration, [][]byte{data})
 	var refused *logservice.RefusedError
 	switch {
 	case errors.As(err, &refused):
--- a/io/configuration/snapshotter.go
+++ b/io/configuration/snapshotter.go
@@ -30,6 +30,7 @@
 func (s *snapshotter) run(ctx context.Context) error {
 	c := s.configuration
 	s.log = c.dependencies.Log()
+	defer func() { leave(s.log) }()
 	tick := c.dependencies.Timers.Every(s.decision.CheckInterval())
 	defer tick.Stop()
 	for {
@@ -39,6 +40,7 @@
 		case <-tick.C():
 			if err := s.check(ctx); err != nil {
 				c.counts.Add("snapshotChecksFailed", 1)
+				leave(s.log)
 				s.log = c.dependencies.Log()
 			}
 		}
--- a/io/logservice/client.go
+++ b/io/logservice/client.go
@@ -99,6 +99,11 @@
 	}
 }
 
+// CloseIdleConnections closes the connections that no call uses.
+func (c *Client) CloseIdleConnections() {
+	c.http.CloseIdleConnections()
+}
+
 // Append implements Log.
 func (c *Client) Append(ctx context.Context, stream record.Stream, records [][]byte) (record.Offset, error) {
 	body, err := json.Marshal(AppendRequest{
