Bound the news and run the membership scenarios in virtual time

Change: token buckets for news and early rounds, one of their own for leaving endpoints; urgent news first; credit for news that did not arrive; two refusals before a suspicion; a virtual network that drives many machines (weighed).

--- a/core/membership/exchange.go
+++ b/core/membership/exchange.go
@@ -13,6 +13,10 @@
 // maxExchangeRounds bounds the exchanges with one peer in a row.
 const maxExchangeRounds = 24
 
+// calmStreak times the number of neighbors is after how many answers in a row
+// with an equal view the calm news still queued is taken to be known to all.
+const calmStreak = 2
+
 // candidate is an address that may lead to a member.
 type candidate struct {
 	name        string
@@ -60,8 +64,17 @@
 func (m *Machine) compare(message Message, p *probe) {
 	if message.Digest == m.digest() {
 		m.differsSince = time.Time{}
+		if m.equalDigest != message.Digest {
+			m.equalDigest = message.Digest
+			m.equalStreak = 0
+		}
+		m.equalStreak++
+		if m.equalStreak >= calmStreak*m.settings.Neighbors {
+			m.queue.dropCalm()
+		}
 		return
 	}
+	m.equalStreak = 0
 	if p.kind == deadProbe {
 		m.startExchange(p.target.Address, 0)
 		return
@@ -131,8 +144,14 @@
 }
 
 func (m *Machine) failExchange(call CallID) {
-	if m.endExchange(call) != nil {
-		m.counters.ExchangesFailed++
+	x := m.endExchange(call)
+	if x == nil {
+		return
+	}
+	m.counters.ExchangesFailed++
+	m.lastExchangeAt = time.Time{}
+	if x.filling && x.round > 0 && x.round < maxExchangeRounds {
+		m.startExchange(m.nextAddress(x), x.round+1)
 	}
 }
 
@@ -211,13 +230,25 @@
 	if x == nil {
 		return
 	}
+	if !m.joined {
+		m.enqueueMember(m.self, false)
+	}
 	m.joined = true
 	m.joinDelay = m.settings.JoinPeriod
 	m.offerMissing(event)
 	after := m.digest()
 	if after != event.Message.Digest && after != before && x.round < maxExchangeRounds {
-		m.startExchange(x.address, x.round+1)
+		m.startExchange(m.nextAddress(x), x.round+1)
+	}
+}
+
+// nextAddress returns whom to ask for the rest of a view. A host that starts
+// asks a random member, as the seeds would otherwise serve whole views to all.
+func (m *Machine) nextAddress(x *exchange) string {
+	if others := m.chooseHelpers(""); x.filling && len(others) > 0 {
+		return others[0].Address
 	}
+	return x.address
 }
 
 func (m *Machine) endFilling() {
--- a/core/membership/leave.go
+++ b/core/membership/leave.go
@@ -11,7 +11,7 @@
 	m.self.version++
 	m.table.setStatus(m.self, Left)
 	m.enqueueMember(m.self, true)
-	m.eagerTokens = max(m.eagerTokens, 1)
+	m.eager.tokens = max(m.eager.tokens, 1)
 }
 
 // advanceLeave ends the leave when the news was sent to enough hosts that
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -63,10 +63,15 @@
 	contested     []*entry
 	contestedAt   time.Time
 	eagerAt       time.Time
-	eagerTokens   float64
-	eagerRefillAt time.Time
+	eager         *tokenBucket
+	eagerEndpoint *tokenBucket
+	newsBytes     *tokenBucket
+	// endpointWaits is set while news of an endpoint waits for an early round.
+	endpointWaits bool
 
-	queue     *newsQueue
+	queue *newsQueue
+	// lastSent is the news in the message built last.
+	lastSent  []newsItem
 	endpoints *endpointTable
 	heads     []StreamHead
 
@@ -77,6 +82,8 @@
 	exchanges      []*exchange
 	lastExchangeAt time.Time
 	filling        bool
+	equalStreak    int
+	equalDigest    uint64
 	differsSince   time.Time
 
 	leaving    bool
@@ -90,14 +97,16 @@
 // used by this machine alone.
 func New(settings Settings, self Member, random *rand.Rand) *Machine {
 	m := &Machine{
-		settings:    settings,
-		random:      random,
-		table:       newTable(settings.Neighbors),
-		queue:       newNewsQueue(settings.MaxQueuedNews),
-		endpoints:   newEndpointTable(settings.MaxEndpoints),
-		joinDelay:   settings.JoinPeriod,
-		eagerTokens: settings.EagerBurst,
-		slotsStale:  true,
+		settings:      settings,
+		random:        random,
+		table:         newTable(settings.Neighbors),
+		queue:         newNewsQueue(settings.MaxQueuedNews),
+		endpoints:     newEndpointTable(settings.MaxEndpoints),
+		joinDelay:     settings.JoinPeriod,
+		eager:         newTokenBucket(settings.EagerPerSecond, settings.EagerBurst),
+		eagerEndpoint: newTokenBucket(settings.EagerEndpointPerSecond, settings.EagerBurst),
+		newsBytes:     newTokenBucket(settings.NewsBytesPerSecond, settings.NewsBurst),
+		slotsStale:    true,
 	}
 	m.self = m.table.add(self.Name)
 	m.self.member = self
@@ -247,7 +256,6 @@
 
 func (m *Machine) start() {
 	m.started = true
-	m.eagerRefillAt = m.now
 	m.joinAt = m.now
 	m.reprobeAt = m.now.Add(m.jitter(m.settings.ReprobePeriod))
 }
@@ -304,8 +312,10 @@
 	}
 	next.add(m.eagerAt)
 	next.add(m.reprobeAt)
-	next.add(m.joinAt)
-	if m.leaving && !m.leaveDone {
+	switch {
+	case !m.leaving:
+		next.add(m.joinAt)
+	case !m.leaveDone:
 		next.add(m.leaveUntil)
 	}
 	return next.at, !next.at.IsZero()
--- a/core/membership/news.go
+++ b/core/membership/news.go
@@ -101,7 +101,9 @@
 }
 
 type newsItem struct {
-	key       newsKey
+	key newsKey
+	// urgent news goes first, and early.
+	urgent    bool
 	transmits int
 	sequence  uint64
 }
@@ -121,10 +123,11 @@
 }
 
 // put queues news about key, or starts its count anew.
-func (q *newsQueue) put(key newsKey) {
+func (q *newsQueue) put(key newsKey, urgent bool) {
 	q.sequence++
 	for _, item := range q.items {
 		if item.key == key {
+			item.urgent = item.urgent || urgent
 			item.transmits = 0
 			item.sequence = q.sequence
 			return
@@ -135,14 +138,13 @@
 	}
 	q.items = append(q.items, &newsItem{
 		key:      key,
+		urgent:   urgent,
 		sequence: q.sequence,
 	})
 }
 
 func (q *newsQueue) dropMostSent() {
-	most := slices.MaxFunc(q.items, func(a, b *newsItem) int {
-		return cmp.Or(cmp.Compare(a.transmits, b.transmits), cmp.Compare(b.sequence, a.sequence))
-	})
+	most := slices.MaxFunc(q.items, compareItems)
 	q.drop(most)
 	q.dropped++
 }
@@ -153,11 +155,42 @@
 	})
 }
 
-// sort puts the news that was sent least often first, and the newest among
-// these.
+// sort puts urgent news first, then what was sent least often, and the newest
+// among these.
 func (q *newsQueue) sort() {
-	slices.SortFunc(q.items, func(a, b *newsItem) int {
-		return cmp.Or(cmp.Compare(a.transmits, b.transmits), cmp.Compare(b.sequence, a.sequence))
+	slices.SortFunc(q.items, compareItems)
+}
+
+func compareItems(a, b *newsItem) int {
+	if a.urgent != b.urgent {
+		if a.urgent {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.transmits, b.transmits), cmp.Compare(b.sequence, a.sequence))
+}
+
+// credit takes back one transmission of the news about key, as it did not
+// arrive.
+func (q *newsQueue) credit(sent newsItem) {
+	for _, item := range q.items {
+		if item.key == sent.key {
+			item.transmits = max(0, item.transmits-1)
+			return
+		}
+	}
+	if len(q.items) >= q.limit {
+		return
+	}
+	sent.transmits--
+	q.items = append(q.items, &sent)
+}
+
+// dropCalm forgets the news that is not urgent.
+func (q *newsQueue) dropCalm() {
+	q.items = slices.DeleteFunc(q.items, func(item *newsItem) bool {
+		return !item.urgent
 	})
 }
 
@@ -171,7 +204,7 @@
 	m.queue.put(newsKey{
 		kind: memberNews,
 		name: e.member.Name,
-	})
+	}, urgent)
 	if urgent {
 		m.hurry()
 	}
@@ -181,14 +214,16 @@
 	m.queue.put(newsKey{
 		kind: endpointNews,
 		name: name,
-	})
+	}, true)
+	m.endpointWaits = true
 	m.hurry()
 }
 
 // hurry plans an early round of probes for urgent news.
 func (m *Machine) hurry() {
-	if m.eagerAt.IsZero() {
-		m.eagerAt = m.now.Add(m.settings.EagerDelay)
+	at := m.now.Add(m.settings.EagerDelay)
+	if m.eagerAt.IsZero() || m.endpointWaits && m.eagerAt.After(at) {
+		m.eagerAt = at
 	}
 }
 
@@ -211,6 +246,8 @@
 	news := News{
 		Heads: slices.Clone(m.heads),
 	}
+	calmBytes := m.newsAllowance()
+	urgentBytes := max(calmBytes, m.settings.UrgentBytes)
 	bytes := 0
 	if e := m.table.get(to); e != nil && (e.status == Suspect || e.status == Dead) {
 		state := wireState(e)
@@ -218,18 +255,31 @@
 		bytes += stateBytes(state)
 	}
 	m.queue.sort()
+	m.lastSent = nil
 	for _, item := range m.queue.items {
-		size, ok := m.appendItem(&news, item.key, to, m.settings.NewsBytes-bytes)
+		allowed := calmBytes
+		if item.urgent {
+			allowed = urgentBytes
+		}
+		size, ok := m.appendItem(&news, item.key, to, allowed-bytes)
 		if ok {
 			item.transmits++
 			bytes += size
+			m.lastSent = append(m.lastSent, *item)
 		}
 	}
+	m.newsBytes.take(m.now, float64(bytes))
 	m.queue.dropSent(m.transmitLimit())
 	m.counters.NewsDropped = m.queue.dropped
 	return news
 }
 
+// newsAllowance returns how many bytes of news the next message may carry;
+// urgent news may have UrgentBytes in any case.
+func (m *Machine) newsAllowance() int {
+	return min(m.settings.NewsBytes, int(m.newsBytes.level(m.now)))
+}
+
 // appendItem adds one piece of news and returns how many bytes it took. It
 // reports false if there is no room for it. What the receiver must know anyway,
 // and what is not known here any more, counts as sent.
--- a/core/membership/probe.go
+++ b/core/membership/probe.go
@@ -35,16 +35,19 @@
 	target   Member
 	calls    []CallID
 	deadline time.Time
-	// refused is set when a helper answered that it had no answer either.
-	refused bool
-	helpers int
+	// refusals counts the helpers that had no answer either.
+	refusals int
+	helpers  int
 	// contested is set if a peer believes the dead member live.
 	contested bool
 	reply     ReplyID
+	// sent is the news on the call under way.
+	sent []newsItem
 }
 
 // slot is one neighbor of this host in the monitor graph.
 type slot struct {
+	ring        int
 	target      *entry
 	at          time.Time
 	outstanding bool
@@ -62,7 +65,7 @@
 	m.slots = nil
 	for ring := range m.settings.Neighbors {
 		if next := m.successor(ring); next != nil {
-			m.slots = append(m.slots, m.newSlot(next, old))
+			m.slots = append(m.slots, m.newSlot(ring, next, old))
 		}
 	}
 }
@@ -75,7 +78,7 @@
 		if e == m.self || e.status != Alive || m.isNeighbor(e) {
 			continue
 		}
-		distance := e.ranks[ring] - m.self.ranks[ring]
+		distance := m.distance(e, ring)
 		if best == nil || distance < bestDistance {
 			best = e
 			bestDistance = distance
@@ -84,6 +87,30 @@
 	return best
 }
 
+// noticeAlive plans a new choice of neighbors if the member may be one.
+func (m *Machine) noticeAlive(e *entry) {
+	if len(m.slots) < m.settings.Neighbors {
+		m.slotsStale = true
+	}
+	for _, s := range m.slots {
+		if m.distance(e, s.ring) < m.distance(s.target, s.ring) {
+			m.slotsStale = true
+		}
+	}
+}
+
+// noticeLost plans a new choice of neighbors if the member is one.
+func (m *Machine) noticeLost(e *entry) {
+	if m.isNeighbor(e) {
+		m.slotsStale = true
+	}
+}
+
+// distance returns how far a member follows this host on a ring.
+func (m *Machine) distance(e *entry, ring int) uint64 {
+	return e.ranks[ring] - m.self.ranks[ring]
+}
+
 func (m *Machine) isNeighbor(e *entry) bool {
 	return slices.ContainsFunc(m.slots, func(s slot) bool {
 		return s.target == e
@@ -91,13 +118,15 @@
 }
 
 // newSlot keeps a neighbor's schedule, and gives a new one a time at random.
-func (m *Machine) newSlot(target *entry, old []slot) slot {
+func (m *Machine) newSlot(ring int, target *entry, old []slot) slot {
 	for _, s := range old {
 		if s.target == target {
+			s.ring = ring
 			return s
 		}
 	}
 	return slot{
+		ring:   ring,
 		target: target,
 		at:     m.now.Add(time.Duration(m.random.Float64() * float64(m.settings.ProbePeriod))),
 	}
@@ -123,16 +152,19 @@
 	if m.eagerAt.IsZero() || m.eagerAt.After(m.now) {
 		return
 	}
-	m.eagerAt = time.Time{}
-	elapsed := m.now.Sub(m.eagerRefillAt).Seconds()
-	m.eagerRefillAt = m.now
-	m.eagerTokens = min(m.settings.EagerBurst, m.eagerTokens+elapsed*m.settings.EagerPerSecond)
-	if m.eagerTokens < 1 {
+	bucket := m.eager
+	if m.endpointWaits && bucket.level(m.now) < 1 {
+		bucket = m.eagerEndpoint
+	}
+	if bucket.level(m.now) < 1 {
 		m.counters.EagerDeferred++
+		m.eagerAt = bucket.nextWhole(m.now)
 		return
 	}
-	m.eagerTokens--
+	bucket.take(m.now, 1)
 	m.counters.EagerRounds++
+	m.eagerAt = time.Time{}
+	m.endpointWaits = false
 	for i := range m.slots {
 		m.slots[i].at = m.now
 	}
@@ -205,12 +237,14 @@
 	if p.stage == freshStage {
 		m.counters.FreshProbes++
 	}
+	message := m.message(p.target.Name)
+	p.sent = m.lastSent
 	m.emit(SendProbe{
 		Call:    call,
 		To:      p.target,
 		Timeout: m.settings.ProbeTimeout,
 		Fresh:   p.stage == freshStage,
-		Message: m.message(p.target.Name),
+		Message: message,
 	})
 }
 
@@ -308,6 +342,10 @@
 // failStage goes on to the next way to reach a silent member, or gives up.
 func (m *Machine) failStage(p *probe) {
 	m.counters.ProbesFailed++
+	for _, item := range p.sent {
+		m.queue.credit(item)
+	}
+	p.sent = nil
 	switch {
 	case p.kind == watchProbe || p.kind == deadProbe:
 		m.endProbe(p)
@@ -379,7 +417,7 @@
 		m.succeed(p)
 		return
 	}
-	p.refused = true
+	p.refusals++
 	m.dropHelper(p, event.Call)
 }
 
@@ -398,7 +436,7 @@
 	}
 }
 
-// conclude suspects a member that nobody reached. If no helper answered either,
+// conclude suspects a member that nobody reached. If too few helpers answered,
 // the fault may be this host's own, so it tries again first.
 func (m *Machine) conclude(p *probe) {
 	m.endProbe(p)
@@ -406,16 +444,25 @@
 	if e == nil || e.status != Alive || e.member.Incarnation != p.target.Incarnation {
 		return
 	}
-	if !p.refused && p.helpers > 0 {
+	if p.refusals < min(m.settings.Refusals, p.helpers) {
 		m.counters.SilentRounds++
 		e.silentRounds++
 		if e.silentRounds < m.settings.SilentRounds {
+			m.probeSoon(e)
 			return
 		}
 	}
 	m.suspect(e, true)
 }
 
+func (m *Machine) probeSoon(e *entry) {
+	for i := range m.slots {
+		if m.slots[i].target == e {
+			m.slots[i].at = m.now
+		}
+	}
+}
+
 func (m *Machine) onIndirectProbeReceived(event IndirectProbeReceived) {
 	m.startProbe(&probe{
 		kind:   relayProbe,
--- a/core/membership/settings.go
+++ b/core/membership/settings.go
@@ -17,8 +17,11 @@
 	IndirectProbes int
 	// IndirectTimeout bounds the answers of those members.
 	IndirectTimeout time.Duration
+	// Refusals is how many of those members must have had no answer either
+	// before the silent one is suspected, as far as there are so many.
+	Refusals int
 	// SilentRounds is how often a member is probed in vain before it is
-	// suspected, if none of the members that were asked answered either.
+	// suspected even though fewer of the members that were asked answered.
 	SilentRounds int
 	// SuspicionTimeout is the time that a suspected member has to refute.
 	SuspicionTimeout time.Duration
@@ -34,6 +37,9 @@
 	// early round over all neighbors.
 	EagerPerSecond float64
 	EagerBurst     float64
+	// EagerEndpointPerSecond is a bound of its own for news of endpoints, so
+	// that other news cannot hold it up.
+	EagerEndpointPerSecond float64
 	// JoinPeriod is the time between two attempts to join, while alone.
 	JoinPeriod time.Duration
 	// MaxJoinPeriod bounds the growth of JoinPeriod.
@@ -52,6 +58,13 @@
 	PauseBound time.Duration
 	// NewsBytes bounds the news on one probe or answer.
 	NewsBytes int
+	// UrgentBytes is the room for urgent news on each probe or answer even when
+	// the bound over time is reached.
+	UrgentBytes int
+	// NewsBytesPerSecond and NewsBurst (in bytes) bound the news that a host
+	// sends over time.
+	NewsBytesPerSecond float64
+	NewsBurst          float64
 	// ExchangeBytes bounds the news in one exchange.
 	ExchangeBytes int
 	// TransmitFactor times the logarithm (base 2) of the number of hosts is how
@@ -72,32 +85,37 @@
 // DefaultSettings returns the settings of a host in production, without seeds.
 func DefaultSettings() Settings {
 	return Settings{
-		Neighbors:        3,
-		ProbePeriod:      2500 * time.Millisecond,
-		ProbeTimeout:     500 * time.Millisecond,
-		IndirectProbes:   3,
-		IndirectTimeout:  1200 * time.Millisecond,
-		SilentRounds:     3,
-		SuspicionTimeout: 4 * time.Second,
-		ReprobePeriod:    20 * time.Second,
-		ContestedPeriod:  500 * time.Millisecond,
-		EagerDelay:       50 * time.Millisecond,
-		EagerPerSecond:   0.2,
-		EagerBurst:       4,
-		JoinPeriod:       time.Second,
-		MaxJoinPeriod:    10 * time.Second,
-		ExchangePeriod:   10 * time.Second,
-		ExchangeTimeout:  2 * time.Second,
-		DiffersBound:     4 * time.Second,
-		LeaveTimeout:     2 * time.Second,
-		PauseBound:       time.Second,
-		NewsBytes:        600,
-		ExchangeBytes:    8 * 1024,
-		TransmitFactor:   1,
-		MaxMembers:       8192,
-		MaxRemembered:    4096,
-		MaxEndpoints:     4096,
-		MaxQueuedNews:    1024,
-		MaxCandidates:    1024,
+		Neighbors:              3,
+		ProbePeriod:            2 * time.Second,
+		ProbeTimeout:           500 * time.Millisecond,
+		IndirectProbes:         3,
+		IndirectTimeout:        1200 * time.Millisecond,
+		Refusals:               2,
+		SilentRounds:           3,
+		SuspicionTimeout:       4 * time.Second,
+		ReprobePeriod:          20 * time.Second,
+		ContestedPeriod:        500 * time.Millisecond,
+		EagerDelay:             50 * time.Millisecond,
+		EagerPerSecond:         0.3,
+		EagerEndpointPerSecond: 0.2,
+		EagerBurst:             4,
+		JoinPeriod:             time.Second,
+		MaxJoinPeriod:          10 * time.Second,
+		ExchangePeriod:         10 * time.Second,
+		ExchangeTimeout:        2 * time.Second,
+		DiffersBound:           4 * time.Second,
+		LeaveTimeout:           2 * time.Second,
+		PauseBound:             time.Second,
+		NewsBytes:              1200,
+		UrgentBytes:            120,
+		NewsBytesPerSecond:     350,
+		NewsBurst:              256 * 1024,
+		ExchangeBytes:          8 * 1024,
+		TransmitFactor:         1,
+		MaxMembers:             8192,
+		MaxRemembered:          4096,
+		MaxEndpoints:           4096,
+		MaxQueuedNews:          1024,
+		MaxCandidates:          1024,
 	}
 }
--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -77,7 +77,7 @@
 	e.version = state.Version
 	e.silentRounds = 0
 	m.table.setStatus(e, Alive)
-	m.slotsStale = true
+	m.noticeAlive(e)
 	m.counters.MembersJoined++
 	m.emit(MemberJoined{Member: e.member})
 	if !m.filling {
@@ -140,7 +140,7 @@
 	if e.status == Suspect {
 		m.endSuspicion(e)
 		m.table.setStatus(e, Alive)
-		m.slotsStale = true
+		m.noticeAlive(e)
 	}
 	m.enqueueMember(e, true)
 }
@@ -206,7 +206,7 @@
 		e.watchAt = m.now.Add(m.settings.ProbePeriod)
 		m.watched = append(m.watched, e)
 	}
-	m.slotsStale = true
+	m.noticeLost(e)
 	m.counters.Suspicions++
 	m.emit(MemberSuspected{Member: e.member})
 	m.enqueueMember(e, true)
@@ -237,7 +237,7 @@
 			Reason: reason,
 		})
 		m.countGone(reason)
-		m.slotsStale = true
+		m.noticeLost(e)
 	}
 	m.remember(e, status)
 }
--- /dev/null
+++ b/core/membership/weighed/chosen.go
@@ -0,0 +1,303 @@
+package weighed
+
+import (
+	"fmt"
+	"time"
+
+	"cactuswell/core/endpoint"
+	"cactuswell/core/membership"
+)
+
+// The sizes of a call and its answer over HTTP/2 without their content, with the
+// TCP and IP headers of two packets in each direction.
+const (
+	callBytes   = 160
+	answerBytes = 140
+)
+
+// hostEpoch is the incarnation of a host's first life.
+const hostEpoch = 1_760_000_000_000
+
+// Chosen is a host of the scheme that the product uses.
+type Chosen struct {
+	environment Environment
+	machine     *membership.Machine
+	commands    []membership.Command
+	nextReply   membership.ReplyID
+	replies     map[membership.ReplyID]call
+	names       map[string]bool
+	gone        map[string]membership.GoneReason
+
+	// Heard holds the leaving endpoints heard of, and how often.
+	Heard map[endpoint.Key]int
+	// Heads holds the latest stream head heard from each host.
+	Heads map[string]membership.HeadHeard
+	// Suspected counts the suspicions.
+	Suspected int
+	// LeaveDone is set when the host's leave is over.
+	LeaveDone bool
+	// Superseded is set when the host has been told to stop.
+	Superseded bool
+	// Spins counts the steps after which the machine wanted to be woken at
+	// once, which would make its owner spin.
+	Spins int
+}
+
+// call names a call at the host that made it.
+type call struct {
+	from int
+	id   membership.CallID
+}
+
+// callMessage and answerMessage carry the machine's calls.
+type callMessage struct {
+	id    membership.CallID
+	fresh bool
+	event membership.Event
+}
+
+type answerMessage struct {
+	event membership.Event
+}
+
+// NewChosen returns a host of the product's scheme with its default settings.
+func NewChosen(environment Environment) Scheme {
+	return NewChosenWith(membership.DefaultSettings())(environment)
+}
+
+// NewChosenWith returns a constructor for hosts with the given settings.
+func NewChosenWith(settings membership.Settings) func(Environment) Scheme {
+	return func(environment Environment) Scheme {
+		own := settings
+		own.Seeds = nil
+		for _, seed := range environment.Seeds {
+			own.Seeds = append(own.Seeds, addressOf(seed))
+		}
+		c := &Chosen{
+			environment: environment,
+			machine:     membership.New(own, ChosenMember(environment.Index, environment), environment.Random),
+			replies:     make(map[membership.ReplyID]call),
+			names:       make(map[string]bool),
+			gone:        make(map[string]membership.GoneReason),
+			Heard:       make(map[endpoint.Key]int),
+			Heads:       make(map[string]membership.HeadHeard),
+		}
+		return c
+	}
+}
+
+// ChosenMember returns the member that stands for a host.
+func ChosenMember(index int, environment Environment) membership.Member {
+	return membership.Member{
+		Name:        nameOf(index),
+		Incarnation: hostEpoch + environment.Incarnation,
+		Address:     addressOf(index),
+		Zone:        fmt.Sprintf("zone-%d", index%max(1, environment.Zones)),
+	}
+}
+
+func nameOf(index int) string {
+	return fmt.Sprintf("host-%04d", index)
+}
+
+// addressOf is as long as an address of production.
+func addressOf(index int) string {
+	return fmt.Sprintf("10.10.%d.%d:7100", index/200, index%200)
+}
+
+func indexOfAddress(address string) int {
+	var high, low int
+	_, _ = fmt.Sscanf(address, "10.10.%d.%d:7100", &high, &low)
+	return high*200 + low
+}
+
+// Start implements Scheme.
+func (c *Chosen) Start(now time.Time) {
+	c.Step(now, membership.Started{})
+}
+
+// Wake implements Scheme.
+func (c *Chosen) Wake(now time.Time) {
+	c.Step(now, membership.TimePassed{})
+}
+
+// NextWake implements Scheme.
+func (c *Chosen) NextWake() (time.Time, bool) {
+	return c.machine.NextWake()
+}
+
+// Live implements Scheme.
+func (c *Chosen) Live(host int) bool {
+	return c.names[nameOf(host)]
+}
+
+// Machine returns the host's state machine.
+func (c *Chosen) Machine() *membership.Machine {
+	return c.machine
+}
+
+// GoneReason returns why a host was last removed, or zero.
+func (c *Chosen) GoneReason(host int) membership.GoneReason {
+	return c.gone[nameOf(host)]
+}
+
+// Step feeds the machine one event and carries out what follows.
+func (c *Chosen) Step(now time.Time, event membership.Event) {
+	c.commands = c.machine.Step(now, event, c.commands[:0])
+	for _, command := range c.commands {
+		c.carryOut(command)
+	}
+	if wake, ok := c.machine.NextWake(); ok && !wake.After(now) {
+		c.Spins++
+	}
+}
+
+// Receive implements Scheme.
+func (c *Chosen) Receive(now time.Time, from int, payload any) {
+	switch payload := payload.(type) {
+	case callMessage:
+		c.nextReply++
+		c.replies[c.nextReply] = call{
+			from: from,
+			id:   payload.id,
+		}
+		c.Step(now, withReply(payload.event, c.nextReply))
+	case answerMessage:
+		c.Step(now, payload.event)
+	}
+}
+
+func withReply(event membership.Event, reply membership.ReplyID) membership.Event {
+	switch event := event.(type) {
+	case membership.ProbeReceived:
+		event.Reply = reply
+		return event
+	case membership.IndirectProbeReceived:
+		event.Reply = reply
+		return event
+	case membership.ExchangeReceived:
+		event.Reply = reply
+		return event
+	}
+	return event
+}
+
+func (c *Chosen) carryOut(command membership.Command) {
+	switch command := command.(type) {
+	case membership.SendProbe:
+		c.call(command.To.Address, command.Call, command.Fresh, messageBytes(command.Message),
+			membership.ProbeReceived{Message: command.Message})
+	case membership.SendIndirectProbe:
+		c.call(command.Helper.Address, command.Call, false, 60,
+			membership.IndirectProbeReceived{Target: command.Target})
+	case membership.SendExchange:
+		c.call(command.Address, command.Call, false, messageBytes(command.Message)+64*8+40,
+			membership.ExchangeReceived{
+				Message: command.Message,
+				Self:    command.Self,
+				Buckets: command.Buckets,
+			})
+	case membership.AnswerProbe, membership.AnswerIndirectProbe, membership.AnswerExchange:
+		c.answer(command)
+	default:
+		c.note(command)
+	}
+}
+
+func (c *Chosen) call(address string, id membership.CallID, fresh bool, bytes int, event membership.Event) {
+	to := indexOfAddress(address)
+	h, ok := c.environment.Sender.(*host)
+	if ok && h.fleet.connectionSilent(h.index, to, fresh) {
+		return
+	}
+	c.environment.Sender.Send(to, callBytes+bytes, callMessage{
+		id:    id,
+		fresh: fresh,
+		event: event,
+	})
+}
+
+func (f *Fleet) connectionSilent(from, to int, fresh bool) bool {
+	pair := [2]int{from, to}
+	if fresh {
+		delete(f.silent, pair)
+	}
+	_, silent := f.silent[pair]
+	return silent
+}
+
+func (c *Chosen) answer(command membership.Command) {
+	switch command := command.(type) {
+	case membership.AnswerProbe:
+		to := c.reply(command.Reply)
+		c.environment.Sender.Send(to.from, answerBytes+messageBytes(command.Message), answerMessage{
+			event: membership.ProbeAnswered{
+				Call:    to.id,
+				Message: command.Message,
+			},
+		})
+	case membership.AnswerIndirectProbe:
+		to := c.reply(command.Reply)
+		c.environment.Sender.Send(to.from, answerBytes+2, answerMessage{
+			event: membership.IndirectProbeAnswered{
+				Call:  to.id,
+				Alive: command.Alive,
+			},
+		})
+	case membership.AnswerExchange:
+		to := c.reply(command.Reply)
+		c.environment.Sender.Send(to.from, answerBytes+messageBytes(command.Message)+60, answerMessage{
+			event: membership.ExchangeAnswered{
+				Call:    to.id,
+				Message: command.Message,
+				Self:    command.Self,
+				Whole:   command.Whole,
+			},
+		})
+	}
+}
+
+func (c *Chosen) reply(id membership.ReplyID) call {
+	to := c.replies[id]
+	delete(c.replies, id)
+	return to
+}
+
+func (c *Chosen) note(command membership.Command) {
+	switch command := command.(type) {
+	case membership.MemberJoined:
+		c.names[command.Member.Name] = true
+	case membership.MemberSuspected:
+		c.Suspected++
+	case membership.MemberGone:
+		delete(c.names, command.Member.Name)
+		c.gone[command.Member.Name] = command.Reason
+	case membership.EndpointHeard:
+		c.Heard[command.Key]++
+	case membership.HeadHeard:
+		c.Heads[command.Name] = command
+	case membership.LeaveDone:
+		c.LeaveDone = true
+	case membership.Superseded:
+		c.Superseded = true
+	}
+}
+
+// messageBytes returns about what a message takes on the wire.
+func messageBytes(message membership.Message) int {
+	const identity = 2 + 8 + 9
+	size := identity + len(message.From)
+	for _, state := range message.News.Members {
+		size += 16 + len(state.Name)
+		if state.Address != "" {
+			size += 4 + len(state.Address) + len(state.Zone)
+		}
+	}
+	for _, key := range message.News.LeavingEndpoints {
+		size += 11 + len(key.Name)
+	}
+	for _, head := range message.News.Heads {
+		size += 8 + len(head.Stream)
+	}
+	return size
+}
