--- a/cmd/profilecmd.go
+++ b/cmd/profilecmd.go
@@ -100,7 +100,7 @@
 	}
 	ctx, cancel := p.context()
 	defer cancel()
-	current, err := getProfile(ctx, client, p.Positional.Name)
+	current, err := liveProfile(ctx, client, p.Positional.Name)
 	if err != nil {
 		return err
 	}
@@ -108,6 +108,20 @@
 	return nil
 }
 
+// liveProfile returns a profile that is not deleted.
+func liveProfile(ctx context.Context, client *operator.Client, name string) (*operatorv1.Profile, error) {
+	current, err := getProfile(ctx, client, name)
+	if err != nil {
+		return nil, err
+	}
+	if current.GetDeleted() {
+		return nil, trace.Wrap(&operator.NotFoundError{What: "profile", Name: name})
+	}
+	return current, nil
+}
+
+// getProfile returns a profile, which may be deleted and then tells only its
+// revision.
 func getProfile(ctx context.Context, client *operator.Client, name string) (*operatorv1.Profile, error) {
 	response, err := client.Service().GetProfile(ctx, connect.NewRequest(&operatorv1.GetProfileRequest{
 		Name: name,
@@ -222,7 +236,7 @@
 	}
 	ctx, cancel := p.context()
 	defer cancel()
-	if _, err := getProfile(ctx, client, p.Positional.Name); err != nil {
+	if _, err := liveProfile(ctx, client, p.Positional.Name); err != nil {
 		return err
 	}
 	base, err := baseRevision(ctx, client, p.Base, p.Positional.Name)
