--- a/host/attempt.go
+++ b/host/attempt.go
@@ -43,6 +43,8 @@
 	adopted  bool
 	from     int
 	canceled bool
+	// idle says that no goroutine speaks to the endpoint.
+	idle     bool
 	resume   bool
 	cut      context.CancelFunc
 	received int
@@ -71,28 +73,46 @@
 // run speaks to the endpoint until the attempt has ended, and reports how.
 func (a *attempt) run() {
 	defer a.pool.attempts.Done()
-	defer a.cancel()
-	failure := a.perform()
-	if a.isCanceled() {
+	a.report(a.guard(a.perform))
+}
+
+// runResumed goes on with the rest of a stream after its connection broke.
+func (a *attempt) runResumed() {
+	defer a.pool.attempts.Done()
+	a.report(a.guard(a.performResume))
+}
+
+// report tells the pool how the attempt ended. A broken one may be resumed.
+func (a *attempt) report(failure dispatch.Failure) {
+	switch {
+	case a.endRun():
+		a.cancel()
 		a.tellCanceled()
-		return
-	}
-	if failure == nil {
+	case failure == nil:
+		a.cancel()
 		a.pool.post(dispatch.AttemptFinished{
 			Attempt: a.id,
 			Tokens:  a.end().tokens,
 		})
-		return
+	default:
+		a.pool.post(dispatch.AttemptFailed{
+			Attempt: a.id,
+			Failure: failure,
+		})
 	}
-	a.pool.post(dispatch.AttemptFailed{
-		Attempt: a.id,
-		Failure: failure,
-	})
 }
 
-// perform runs the attempt and returns nil for a whole answer. A panic counts
-// as a broken attempt.
-func (a *attempt) perform() (failure dispatch.Failure) {
+// endRun notes that nothing speaks to the endpoint any more, and reports whether
+// the attempt was canceled.
+func (a *attempt) endRun() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.idle = true
+	return a.canceled
+}
+
+// guard runs perform and takes a panic for a broken attempt.
+func (a *attempt) guard(perform func() dispatch.Failure) (failure dispatch.Failure) {
 	defer func() {
 		if value := recover(); value != nil {
 			a.pool.counters.Add("attemptPanics", 1)
@@ -101,13 +121,18 @@
 			failure = dispatch.Broken{}
 		}
 	}()
+	return perform()
+}
+
+// perform runs the attempt and returns nil for a whole answer.
+func (a *attempt) perform() dispatch.Failure {
 	if a.base == "" {
 		return dispatch.NotStarted{}
 	}
 	if !a.begin() {
 		return dispatch.NotStarted{}
 	}
-	failure = a.send()
+	failure := a.send()
 	a.takeBack(failure)
 	return failure
 }
@@ -158,14 +183,24 @@
 }
 
 func (a *attempt) performChat() dispatch.Failure {
-	ctx := a.newConnection()
-	stream, err := a.pool.clients.engine.Start(ctx, engine.Call{
+	stream, err := a.pool.clients.engine.Start(a.newConnection(), engine.Call{
 		Attempt: a.wireID,
 		Base:    a.base,
 		Tier:    int(a.call.submission.Profile.Tier()),
 		Body:    a.call.submission.Body,
 		Fresh:   a.fresh,
 	})
+	return a.follow(stream, err)
+}
+
+// performResume asks for the rest of the stream over a new connection.
+func (a *attempt) performResume() dispatch.Failure {
+	stream, err := a.pool.clients.engine.Resume(a.newConnection(), a.base, a.wireID, a.receivedTokens())
+	return a.follow(stream, err)
+}
+
+// follow takes in a stream, and the streams that resume it, to the end.
+func (a *attempt) follow(stream *engine.Stream, err error) dispatch.Failure {
 	for {
 		if err == nil {
 			a.pool.post(dispatch.AttemptAccepted{
@@ -180,8 +215,7 @@
 		if !a.wantsResume() {
 			return a.failureOf(err)
 		}
-		ctx = a.newConnection()
-		stream, err = a.pool.clients.engine.Resume(ctx, a.base, a.wireID, a.receivedTokens())
+		stream, err = a.pool.clients.engine.Resume(a.newConnection(), a.base, a.wireID, a.receivedTokens())
 	}
 }
 
@@ -278,9 +312,17 @@
 func (a *attempt) resumeStream() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.resume = true
-	if a.cut != nil {
-		a.cut()
+	switch {
+	case a.canceled:
+	case a.idle:
+		a.idle = false
+		a.pool.attempts.Add(1)
+		go a.runResumed()
+	default:
+		a.resume = true
+		if a.cut != nil {
+			a.cut()
+		}
 	}
 }
 
@@ -295,15 +337,21 @@
 // stop ends the attempt; nothing that still arrives reaches the caller.
 func (a *attempt) stop() {
 	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.idle && !a.canceled {
+		a.idle = false
+		a.pool.attempts.Add(1)
+		go a.runCancel()
+	}
 	a.canceled = true
-	a.mu.Unlock()
 	a.cancel()
 }
 
-func (a *attempt) isCanceled() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.canceled
+// runCancel tells the endpoint that nobody waits for an attempt whose connection
+// broke before.
+func (a *attempt) runCancel() {
+	defer a.pool.attempts.Done()
+	a.tellCanceled()
 }
 
 func (a *attempt) receivedTokens() int {
