--- a/core/routing/peers.go
+++ b/core/routing/peers.go
@@ -1,6 +1,9 @@
 package routing
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // medians are taken over the endpoints that this host uses.
 type medians struct {
@@ -10,6 +13,9 @@
 	// ratio is the median first-token time in relation to the expected one, or
 	// zero.
 	ratio float64
+	// reportedGap is the median time between the tokens of one sequence by the
+	// endpoints' reports, in seconds, or zero.
+	reportedGap float64
 }
 
 // updateMedians compares the endpoints that have samples.
@@ -28,7 +34,14 @@
 		}
 	}
 	r.peers.ratio = median(ratios, r.settings.Health.MinPeers)
-	r.scratch = ratios[:0]
+	reported := ratios[:0]
+	for _, t := range r.targets {
+		if gap := t.load.reportedGap(); gap > 0 {
+			reported = append(reported, gap)
+		}
+	}
+	r.peers.reportedGap = median(reported, r.settings.Health.MinPeers)
+	r.scratch = reported[:0]
 }
 
 // median sorts values and returns the lower median, or zero for fewer than
@@ -40,3 +53,21 @@
 	slices.Sort(values)
 	return values[(len(values)-1)/2]
 }
+
+// updateOverdue marks the endpoints whose reports stopped. When those of most
+// stopped, the fault lies on the way and says nothing of any endpoint.
+func (r *Router) updateOverdue(now time.Time) {
+	late := 0
+	for _, t := range r.targets {
+		t.load.overdue = t.load.late(now)
+		if t.load.overdue {
+			late++
+		}
+	}
+	if 2*late <= len(r.targets) {
+		return
+	}
+	for _, t := range r.targets {
+		t.load.overdue = false
+	}
+}
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -16,6 +16,8 @@
 	// congestedRatio is by how much the first-token time may exceed the expected
 	// one before the window shrinks.
 	congestedRatio = 8
+	// reserveFor is how long the whole headroom is kept after top-tier work.
+	reserveFor = 60 * time.Second
 	// serviceTimeWeight is the weight of a new sample of attempt lengths.
 	serviceTimeWeight = 0.05
 )
@@ -39,11 +41,21 @@
 	prefixes     prefixIndex
 	peers        medians
 	scratch      []float64
+	// reserving says that there was top-tier work of late, last at topTierAt.
+	reserving bool
+	topTierAt time.Time
 	// serviceTime is the mean length of an attempt in seconds.
 	serviceTime average
-	tickedAt    time.Time
+	// tokenTime is the mean time for one token after the first, in seconds. Token
+	// gaps can't give it, as progress may come for several tokens at once.
+	tokenTime average
+	tickedAt  time.Time
 	// outside counts the targets that are ejected or probing.
-	outside     int
+	outside int
+	// running counts this host's attempts at all endpoints by tier.
+	running [profile.TierCount]int
+	// granted is the sum of the windows of the endpoints that take work.
+	granted     float64
 	decision    uint64
 	comparisons uint64
 	ejections   uint64
@@ -112,6 +124,26 @@
 	r.updateSubset()
 }
 
+// SetDrained stops new work to an endpoint that is known, or lets it have work
+// again. An endpoint that is leaving stays leaving.
+func (r *Router) SetDrained(now time.Time, key endpoint.Key, drained bool) {
+	t := r.byKey[key]
+	if t == nil || t.leaving == drained {
+		return
+	}
+	if _, sticky := r.leaving[key]; sticky {
+		return
+	}
+	if t.isOutside() {
+		r.outside--
+	}
+	t.leaving = drained
+	if t.isOutside() {
+		r.outside++
+	}
+	r.updateSubset()
+}
+
 func (r *Router) rememberLeaving(key endpoint.Key) {
 	if _, known := r.leaving[key]; known {
 		return
@@ -136,6 +168,10 @@
 	for i := range r.open {
 		r.open[i].set(t, false)
 	}
+	r.granted -= t.granted
+	for tier, own := range t.load.atTier {
+		r.running[tier] -= own
+	}
 	delete(r.byKey, key)
 	delete(r.byNumber, t.cache.owner.number)
 	for i, other := range r.targets {
@@ -164,7 +200,7 @@
 		return
 	}
 	slots := t.slots(&r.settings)
-	if !t.load.accept(report) {
+	if !t.load.accept(now, report) {
 		return
 	}
 	if t.slots(&r.settings) != slots {
@@ -181,13 +217,9 @@
 	}
 	slots := t.slots(&r.settings)
 	report := &t.load.report
-	queueAllowed := int(float64(slots) * r.settings.QueueShare)
-	if report.Queued > queueAllowed && t.window.limit > t.window.share {
-		t.window.congested(now, max(t.window.share/t.window.limit, 0.5), slots)
-		return
-	}
-	free := float64(slots - headroom(slots, &r.settings) - report.Running - report.Queued)
-	t.window.lend(free, r.users(), t.load.own, slots)
+	aim := slots - r.headroom(slots)
+	free := float64(aim - report.Running - report.Queued)
+	t.window.correct(free/r.users(), t.load.own, slots)
 }
 
 // ApplyCache takes an endpoint's prefix cache events.
@@ -204,14 +236,25 @@
 		return
 	}
 	t.sent++
-	t.load.change(now, 1, work.Tier == profile.TierUrgent)
-	t.await(work.SentAt, r.idleFirstToken(t, &work))
+	r.count(now, t, 1, work.Tier)
+	t.await(awaited{
+		sentAt:   work.SentAt,
+		expected: r.idleFirstToken(t, &work),
+		tier:     work.Tier,
+		prefix:   work.Prefix,
+	})
 	if work.Probe {
 		t.health.probing++
 	}
 	r.refresh(t)
 }
 
+// count adds delta to the attempts that run at an endpoint.
+func (r *Router) count(now time.Time, t *target, delta int, tier profile.Tier) {
+	t.load.change(now, delta, tier)
+	r.running[tier] += delta
+}
+
 // idleFirstToken returns the first-token time of an idle endpoint.
 func (r *Router) idleFirstToken(t *target, work *Work) time.Duration {
 	if t.isService() {
@@ -234,8 +277,9 @@
 		r.judge(now, t)
 		return
 	}
-	if expected, ok := t.settle(now.Add(-sinceSent)); ok {
-		r.answered(now, t, sinceSent, expected)
+	if entry, ok := t.settle(now.Add(-sinceSent)); ok {
+		r.storePrefix(t, entry.prefix)
+		r.answered(now, t, sinceSent, entry.expected)
 	}
 }
 
@@ -243,36 +287,43 @@
 func (r *Router) answered(now time.Time, t *target, took, expected time.Duration) {
 	ratio := took.Seconds() / max(expected.Seconds(), 0.001)
 	t.health.firstToken(now, took, ratio)
-	slots := t.slots(&r.settings)
-	if r.peers.ratio > 0 && ratio > congestedRatio*r.peers.ratio {
-		if aimd, ok := r.settings.Adaptation.(AIMD); ok {
-			t.window.congested(now, aimd.Decrease, slots)
-		}
-	} else {
-		t.window.answered(now, r.settings.Adaptation, ratio, t.load.own, slots)
+	if !t.load.fresh(now, r.settings.ReportFreshFor) {
+		r.adapt(now, t, ratio)
 	}
 	r.judge(now, t)
 	r.refresh(t)
 }
 
+// adapt moves the window of an endpoint whose reports are missing or too old, by
+// its first-token times.
+func (r *Router) adapt(now time.Time, t *target, ratio float64) {
+	slots := t.slots(&r.settings)
+	aimd, ok := r.settings.Adaptation.(AIMD)
+	if ok && r.peers.ratio > 0 && ratio > congestedRatio*r.peers.ratio {
+		t.window.congested(now, aimd.Decrease, slots)
+		return
+	}
+	t.window.answered(r.settings.Adaptation, ratio, t.load.own, slots)
+}
+
 // Ended frees the slot of an attempt that had tokens tokens in all.
 func (r *Router) Ended(now time.Time, work Work, outcome Outcome, tokens int) {
 	t := r.byKey[work.Key]
 	if t == nil {
 		return
 	}
-	t.load.change(now, -1, work.Tier == profile.TierUrgent)
+	r.count(now, t, -1, work.Tier)
 	if work.Probe {
 		t.health.probing = max(t.health.probing-1, 0)
 	}
-	expected, waiting := t.settle(work.SentAt)
+	entry, waiting := t.settle(work.SentAt)
 	took := now.Sub(work.SentAt)
 	switch outcome {
 	case OutcomeCompleted:
 		if t.isService() && waiting {
-			r.answered(now, t, took, expected)
+			r.answered(now, t, took, entry.expected)
 		}
-		r.completed(now, t, &work, took)
+		r.completed(now, t, &work, took, tokens, waiting)
 	case OutcomeRejected:
 		t.window.congested(now, 0.5, t.slots(&r.settings))
 		r.failed(now, t)
@@ -284,11 +335,21 @@
 	r.refresh(t)
 }
 
-func (r *Router) completed(now time.Time, t *target, work *Work, took time.Duration) {
+// storePrefix remembers what the endpoint now has cached, before its late cache
+// events say so.
+func (r *Router) storePrefix(t *target, prefix []uint64) {
+	for _, hash := range prefix {
+		r.prefixes.store(hash, t.cache.owner)
+	}
+}
+
+func (r *Router) completed(now time.Time, t *target, work *Work, took time.Duration, tokens int, waiting bool) {
 	r.serviceTime.add(took.Seconds(), serviceTimeWeight)
 	t.health.succeeded()
-	for _, hash := range work.Prefix {
-		r.prefixes.store(hash, t.cache.owner)
+	if waiting {
+		r.storePrefix(t, work.Prefix)
+	} else if tokens > 1 {
+		r.tokenTime.add((took.Seconds()-t.health.first.value)/float64(tokens), serviceTimeWeight)
 	}
 	if t.health.state == StateProbing {
 		r.probePassed(now, t)
@@ -304,7 +365,12 @@
 		return
 	}
 	r.tickedAt = now
+	if r.reserving && now.Sub(r.topTierAt) > reserveFor {
+		r.reserving = false
+		r.updateShares()
+	}
 	r.updateMedians()
+	r.updateOverdue(now)
 	for _, t := range r.targets {
 		r.startProbe(now, t)
 		r.judge(now, t)
@@ -312,6 +378,15 @@
 	}
 }
 
+// sawTopTier begins to keep the whole headroom.
+func (r *Router) sawTopTier(now time.Time) {
+	r.topTierAt = now
+	if !r.reserving {
+		r.reserving = true
+		r.updateShares()
+	}
+}
+
 // NextWake returns the time at which Tick is due. It reports false when there is
 // nothing to watch.
 func (r *Router) NextWake() (time.Time, bool) {
