Ask a drained endpoint for no rest of a stream either

Cause: an operator's drain reached only the router, so silent streams were still resumed at the drained endpoint. Change: the dispatcher keeps drained endpoints beside the leaving ones; the random events drain endpoints and take drains back. The tests' router keeps both apart. Conclusion: drained and leaving endpoints are alike for everything but the way back.

--- a/core/dispatch/failure.go
+++ b/core/dispatch/failure.go
@@ -154,7 +154,7 @@
 	return p.settings.Kind == profile.KindModel &&
 		a.unanswered == 0 &&
 		a.resumes < maxResumes &&
-		!p.leaving.has(a.work.Key)
+		!p.closed.has(a.work.Key)
 }
 
 func (p *Pool) resume(a *attempt) {
--- a/core/dispatch/model_test.go
+++ b/core/dispatch/model_test.go
@@ -42,6 +42,7 @@
 	driver   *driver
 	requests map[dispatch.RequestID]*modelRequest
 	leaving  map[endpoint.Key]bool
+	drained  map[endpoint.Key]bool
 	canceled dispatch.RequestID
 	// waitedBefore counts the lower work that waited before this step. What comes
 	// out of a delay within the step may do so after a refusal.
@@ -63,6 +64,10 @@
 		m.canceled = event.Request
 	case dispatch.EndpointLeaving:
 		m.leaving[event.Key] = true
+	case dispatch.EndpointDrained:
+		m.drained[event.Key] = event.Drained
+	case dispatch.EndpointRemoved:
+		m.drained[event.Key] = false
 	case dispatch.LoadReported:
 		m.leaving[event.Report.Key] = m.leaving[event.Report.Key] || event.Report.Leaving
 	}
@@ -131,7 +136,7 @@
 
 func (m *model) started(command dispatch.StartAttempt) {
 	r := m.open(command.Attempt.Request, command)
-	if m.leaving[command.Endpoint] {
+	if m.leaving[command.Endpoint] || m.drained[command.Endpoint] {
 		m.t.Fatalf("leaving endpoint was given new work: %+v", command)
 	}
 	if int(command.Attempt.Number) != len(r.attempts)+1 {
@@ -159,7 +164,7 @@
 		m.broken.alive = true
 	}
 	_, a := m.attempt(command.Attempt, command)
-	if m.leaving[command.Endpoint] {
+	if m.leaving[command.Endpoint] || m.drained[command.Endpoint] {
 		m.t.Fatalf("leaving endpoint was asked to resume: %+v", command)
 	}
 	if a.key != command.Endpoint || a.tokens != command.From {
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -33,7 +33,7 @@
 	// preemptible holds the running attempts that may be preempted, by tier.
 	preemptible [profile.TierCount]attemptList
 	histories   histories
-	leaving     leavingKeys
+	closed      closedKeys
 	journal     journal
 	counters    Counters
 	ask         routing.Ask
@@ -71,7 +71,7 @@
 		requests:  make(map[RequestID]*request),
 		timers:    heap.New(requestEarlier, placeRequest),
 		histories: newHistories(),
-		leaving:   newLeavingKeys(),
+		closed:    newClosedKeys(),
 		journal:   newJournal(settings.JournalSize),
 		counters: Counters{
 			Refused: make(map[RefuseReason]uint64),
@@ -129,16 +129,18 @@
 		p.failed(event.Attempt, event.Failure)
 	case EndpointAdded:
 		p.router.AddEndpoint(p.now, event.Descriptor)
-		if p.leaving.has(event.Descriptor.Key) {
+		if p.closed.leaving.has(event.Descriptor.Key) {
 			p.router.MarkLeaving(p.now, event.Descriptor.Key)
 		}
 		p.unblock()
 	case EndpointLeaving:
 		p.markLeaving(event.Key)
 	case EndpointDrained:
+		p.closed.setDrained(event.Key, event.Drained)
 		p.router.SetDrained(p.now, event.Key, event.Drained)
 		p.unblock()
 	case EndpointRemoved:
+		p.closed.setDrained(event.Key, false)
 		p.router.RemoveEndpoint(p.now, event.Key)
 	case LoadReported:
 		p.router.ReportLoad(p.now, event.Report)
--- a/core/dispatch/property_test.go
+++ b/core/dispatch/property_test.go
@@ -76,6 +76,7 @@
 			},
 			requests: make(map[dispatch.RequestID]*modelRequest),
 			leaving:  make(map[endpoint.Key]bool),
+			drained:  make(map[endpoint.Key]bool),
 		},
 		profiles: profiles,
 	}
@@ -97,6 +98,7 @@
 		"cancel":   r.cancel,
 		"advance":  r.advance,
 		"leave":    r.leave,
+		"drain":    r.drainEndpoint,
 		"replace":  r.replace,
 	}
 }
@@ -264,6 +266,14 @@
 	r.model.step(dispatch.EndpointLeaving{Key: key})
 }
 
+// drainEndpoint drains an endpoint or takes the drain back.
+func (r *randomRun) drainEndpoint(t *rapid.T) {
+	r.model.step(dispatch.EndpointDrained{
+		Key:     testKey(rapid.IntRange(0, r.nextKey-1).Draw(t, "endpoint")),
+		Drained: rapid.Bool().Draw(t, "drained"),
+	})
+}
+
 // replace removes an endpoint, so that what runs there breaks, and brings a new
 // one.
 func (r *randomRun) replace(t *rapid.T) {
--- a/core/dispatch/router_test.go
+++ b/core/dispatch/router_test.go
@@ -17,6 +17,7 @@
 	slots   int
 	running int
 	leaving bool
+	drained bool
 }
 
 // fakeRouter picks the least loaded endpoint and keeps one slot of each for the
@@ -65,7 +66,7 @@
 
 func (f *fakeRouter) SetDrained(_ time.Time, key endpoint.Key, drained bool) {
 	if e := f.find(key); e != nil {
-		e.leaving = drained
+		e.drained = drained
 	}
 }
 
@@ -88,7 +89,7 @@
 		if ask.Tier != profile.TierUrgent {
 			room--
 		}
-		if e.leaving || room < 1 {
+		if e.leaving || e.drained || room < 1 {
 			continue
 		}
 		if best == nil || f.better(e, best, ask) {
@@ -140,7 +141,7 @@
 func (f *fakeRouter) Usable() int {
 	usable := 0
 	for _, e := range f.endpoints {
-		if !e.leaving {
+		if !e.leaving && !e.drained {
 			usable++
 		}
 	}
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -69,7 +69,7 @@
 		Deadline:     r.target,
 	}
 	choice, ok := p.router.Pick(p.now, &p.ask)
-	if ok && p.leaving.has(choice.Key) {
+	if ok && p.closed.has(choice.Key) {
 		p.counters.LeavingPicks++
 		return routing.Choice{}, false
 	}
@@ -268,7 +268,7 @@
 }
 
 func (p *Pool) markLeaving(key endpoint.Key) {
-	if p.leaving.add(key) {
+	if p.closed.leaving.add(key) {
 		p.router.MarkLeaving(p.now, key)
 	}
 }
