Measure the dispatcher's turn with the product's router

Cause: the benchmark of the dispatcher ran with the tests' router, so nothing bounded a whole decision with 500 endpoints and 10,000 queued requests. Change: benchmark and allocation test use routing.Router with 50 and 500 endpoints; the test also bounds the endpoints compared for one choice.

--- a/core/dispatch/benchmark_test.go
+++ b/core/dispatch/benchmark_test.go
@@ -1,20 +1,29 @@
 package dispatch_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"cactuswell/core/admission"
 	"cactuswell/core/dispatch"
+	"cactuswell/core/endpoint"
 	"cactuswell/core/profile"
+	"cactuswell/core/routing"
 )
 
-// crowd is a pool whose endpoints are full and whose queue holds many requests.
+// crowd is a pool with the product's router, whose endpoints are full and whose
+// queue holds many requests.
 type crowd struct {
-	driver   *driver
+	pool     *dispatch.Pool
+	now      time.Time
+	nextID   dispatch.RequestID
 	commands []dispatch.Command
 	running  []dispatch.AttemptID
 	next     int
+	// candidates is the largest number of endpoints compared for one choice.
+	candidates int
 }
 
 func newCrowd(t testing.TB, queued, endpoints int) *crowd {
@@ -26,27 +35,37 @@
 			MaxTeamQueued: 2 * queued,
 		},
 	}
+	random := rand.New(rand.NewPCG(1, 2))
 	c := &crowd{
-		driver: newDriver(t, settings, 4, endpoints),
+		pool: dispatch.New(settings, routing.New(routing.DefaultSettings("host-1", "alm-a"), random), random),
+		now:  testStart,
+	}
+	for i := range endpoints {
+		c.step(dispatch.EndpointAdded{
+			Descriptor: endpoint.Descriptor{
+				Key:  testKey(i),
+				Zone: "alm-a",
+				Kind: profile.KindModel,
+			},
+		})
 	}
-	c.driver.router.quiet = true
 	classes := []profile.Profile{
 		testProfile(t, profile.Spec{Class: "roomHold", Tier: profile.TierUrgent, TargetMs: 600000, Idempotent: true, Value: 10}),
 		testProfile(t, profile.Spec{Class: "draft", Tier: profile.TierInteractive, TargetMs: 600000, Idempotent: true}),
 		testProfile(t, profile.Spec{Class: "briefing", Tier: profile.TierBulk, TargetMs: 600000, Idempotent: true}),
 	}
 	teams := []string{"clerks", "counsel", "mediators", "court"}
-	for i := range queued + 4*endpoints {
+	for i := 0; c.pool.Queued() < queued; i++ {
 		c.arrive(classes[i%len(classes)], teams[i%len(teams)])
 	}
 	return c
 }
 
 func (c *crowd) arrive(p profile.Profile, team string) {
-	c.driver.nextID++
+	c.nextID++
 	c.step(dispatch.RequestArrived{
 		Request: dispatch.Request{
-			ID:           c.driver.nextID,
+			ID:           c.nextID,
 			Team:         team,
 			Profile:      p,
 			PromptTokens: 100,
@@ -55,9 +74,10 @@
 }
 
 func (c *crowd) step(event dispatch.Event) {
-	c.commands = c.driver.pool.Step(c.driver.now, event, c.commands[:0])
+	c.commands = c.pool.Step(c.now, event, c.commands[:0])
 	for _, command := range c.commands {
 		if start, ok := command.(dispatch.StartAttempt); ok {
+			c.candidates = max(c.candidates, start.Choice.Candidates)
 			c.running = append(c.running, start.Attempt)
 		}
 	}
@@ -66,7 +86,7 @@
 // turn finishes the oldest attempt, so that a queued request is started, and
 // brings a new request in its place.
 func (c *crowd) turn(p profile.Profile) {
-	c.driver.now = c.driver.now.Add(time.Microsecond)
+	c.now = c.now.Add(time.Microsecond)
 	oldest := c.running[c.next]
 	c.next++
 	if c.next > 4096 {
@@ -86,36 +106,37 @@
 
 func BenchmarkStep(b *testing.B) {
 	p := testProfile(b, profile.Spec{Class: "draft", Tier: profile.TierInteractive, TargetMs: 600000, Idempotent: true})
-	for _, queued := range []int{100, 1000, 10_000} {
-		b.Run(name(queued), func(b *testing.B) {
-			c := newCrowd(b, queued, 50)
-			b.ReportAllocs()
-			b.ResetTimer()
-			for range b.N {
-				c.turn(p)
-			}
-		})
-	}
-}
-
-func name(queued int) string {
-	switch queued {
-	case 100:
-		return "queued100"
-	case 1000:
-		return "queued1000"
+	for _, endpoints := range []int{50, 500} {
+		for _, queued := range []int{100, 10_000} {
+			b.Run(fmt.Sprintf("endpoints%d/queued%d", endpoints, queued), func(b *testing.B) {
+				c := newCrowd(b, queued, endpoints)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for range b.N {
+					c.turn(p)
+				}
+			})
+		}
 	}
-	return "queued10000"
 }
 
+// TestSteadyStepAllocatesOnlyItsCommands bounds the cost of a decision by what
+// doesn't depend on the machine: allocations, and endpoints compared.
 func TestSteadyStepAllocatesOnlyItsCommands(t *testing.T) {
 	p := testProfile(t, profile.Spec{Class: "draft", Tier: profile.TierInteractive, TargetMs: 600000, Idempotent: true})
-	c := newCrowd(t, 10_000, 50)
-	for range 20_000 {
-		c.turn(p)
+	candidates := make(map[int]int)
+	for _, endpoints := range []int{50, 500} {
+		c := newCrowd(t, 10_000, endpoints)
+		for range 20_000 {
+			c.turn(p)
+		}
+		allocations := testing.AllocsPerRun(5000, func() { c.turn(p) })
+		if allocations > turnBoxes {
+			t.Errorf("%v allocations with %d endpoints; want at most %d", allocations, endpoints, turnBoxes)
+		}
+		candidates[endpoints] = c.candidates
 	}
-	allocations := testing.AllocsPerRun(5000, func() { c.turn(p) })
-	if allocations > turnBoxes {
-		t.Errorf("%v allocations for each finish, dispatch and arrival; want at most %d", allocations, turnBoxes)
+	if candidates[500] > candidates[50] {
+		t.Errorf("endpoints compared grow from %d to %d", candidates[50], candidates[500])
 	}
 }
--- a/core/dispatch/router_test.go
+++ b/core/dispatch/router_test.go
@@ -28,9 +28,6 @@
 	expected  time.Duration
 	sent      int
 	ended     int
-	outcomes  []routing.Outcome
-	// quiet keeps no outcomes.
-	quiet bool
 }
 
 func newFakeRouter(slots int) *fakeRouter {
@@ -122,11 +119,8 @@
 
 func (f *fakeRouter) Progressed(time.Time, endpoint.Key, int, time.Duration, time.Duration) {}
 
-func (f *fakeRouter) Ended(_ time.Time, work routing.Work, outcome routing.Outcome, _ int) {
+func (f *fakeRouter) Ended(_ time.Time, work routing.Work, _ routing.Outcome, _ int) {
 	f.ended++
-	if !f.quiet {
-		f.outcomes = append(f.outcomes, outcome)
-	}
 	if e := f.find(work.Key); e != nil {
 		e.running--
 	}
