Split the start, the cancellation and the records of attempts

Cause: start.go held four jobs in 280 lines. Measured: the tests of core/dispatch pass. Conclusion: none.

--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -1,10 +1,6 @@
 package dispatch
 
 import (
-	"time"
-
-	"cactuswell/core/endpoint"
-	"cactuswell/core/heap"
 	"cactuswell/core/profile"
 	"cactuswell/core/routing"
 )
@@ -184,96 +180,3 @@
 	}
 	p.queue.Release(p.now, &r.entry, used)
 }
-
-// cancelAttempt ends an attempt at its endpoint.
-func (p *Pool) cancelAttempt(a *attempt, reason CancelReason, outcome routing.Outcome) {
-	r := a.request
-	p.commands = append(p.commands, CancelAttempt{
-		Attempt:  a.id,
-		Endpoint: a.work.Key,
-		Reason:   reason,
-	})
-	p.record(r, Decision{
-		Kind:     DecisionCanceled,
-		Attempt:  a.id.Number,
-		Endpoint: a.work.Key,
-		Reason:   string(reason),
-		Tokens:   a.tokens,
-	})
-	r.mayHaveRun = true
-	p.end(a, outcome)
-}
-
-func (p *Pool) cancelAll(r *request, reason CancelReason) {
-	for r.running > 0 {
-		p.cancelAttempt(r.live[r.running-1], reason, routing.OutcomeCanceled)
-	}
-}
-
-// cancelOthers cancels the attempts that lost against a.
-func (p *Pool) cancelOthers(r *request, a *attempt) {
-	for i := r.running - 1; i >= 0; i-- {
-		if other := r.live[i]; other != a {
-			p.cancelAttempt(other, CancelHedgeLost, routing.OutcomeCanceled)
-		}
-	}
-}
-
-func (p *Pool) newRequest(spec Request) *request {
-	var r *request
-	if last := len(p.freeRequests) - 1; last >= 0 {
-		r = p.freeRequests[last]
-		p.freeRequests = p.freeRequests[:last]
-	} else {
-		r = &request{}
-	}
-	r.reset(spec)
-	p.requests[spec.ID] = r
-	return r
-}
-
-// forget drops a request that has its final command.
-func (p *Pool) forget(r *request) {
-	p.queue.Remove(&r.entry)
-	if r.timerIndex != heap.NoIndex {
-		p.timers.Remove(r.timerIndex)
-	}
-	if r.phase == phaseBackoff {
-		p.backingOff--
-	}
-	if r.reserved {
-		p.budget.GiveBack()
-	}
-	delete(p.requests, r.spec.ID)
-	r.reset(Request{})
-	if len(p.freeRequests) < maxFree {
-		p.freeRequests = append(p.freeRequests, r)
-	}
-}
-
-func (p *Pool) newAttempt() *attempt {
-	if last := len(p.freeAttempts) - 1; last >= 0 {
-		a := p.freeAttempts[last]
-		p.freeAttempts = p.freeAttempts[:last]
-		return a
-	}
-	return &attempt{}
-}
-
-// record keeps a decision on a request.
-func (p *Pool) record(r *request, decision Decision) {
-	decision.Request = r.spec.ID
-	decision.At = p.now
-	p.journal.add(decision)
-}
-
-func (p *Pool) markLeaving(key endpoint.Key) {
-	if p.closed.leaving.add(key) {
-		p.router.MarkLeaving(p.now, key)
-	}
-}
-
-// sinceArrival is how long a request has been here.
-func (p *Pool) sinceArrival(r *request) time.Duration {
-	return p.now.Sub(r.arrived)
-}
