Bound the wait for the rest of a broken stream

Cause: a stream that broke with part of its answer delivered waited for the retry budget up to the run limit of ten minutes, while its caller saw nothing. Change: such a request is given up one wait limit after its last attempt failed; the fault tests warm the pool up, as a pool without first attempts has no retries, and try single faulty engines before faults of all. Conclusion: callers get an explicit end in bounded time.

--- a/core/dispatch/failure.go
+++ b/core/dispatch/failure.go
@@ -83,6 +83,7 @@
 		return
 	}
 	r.failure = reason
+	r.brokenAt = p.now
 	if int(r.numbers) >= p.settings.MaxAttempts || p.backingOff >= p.settings.Queue.MaxQueued {
 		p.refuseFailed(r, reason)
 		return
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -36,11 +36,13 @@
 	// is over; endBy when the request is given up whatever it does.
 	target  time.Time
 	startBy time.Time
-	endBy   time.Time
-	live    [maxLive]*attempt
-	running int
-	numbers uint32
-	retries int
+	// brokenAt is when the last attempt failed with no other one running.
+	brokenAt time.Time
+	endBy    time.Time
+	live     [maxLive]*attempt
+	running  int
+	numbers  uint32
+	retries  int
 	// mayHaveRun says that an attempt that ended may have run.
 	mayHaveRun bool
 	// reserved says that the retry budget holds an attempt for the request.
@@ -111,10 +113,15 @@
 }
 
 // retryBy returns the time after which no further attempt is begun. A caller
-// that has part of an answer waits longer than one that has none.
+// that has part of an answer waits for its rest as long as it would have waited
+// for a start.
 func (r *request) retryBy() time.Time {
 	if r.delivered > 0 {
-		return r.endBy
+		rest := r.brokenAt.Add(r.spec.Profile.WaitLimit())
+		if r.brokenAt.IsZero() || rest.After(r.endBy) {
+			return r.endBy
+		}
+		return rest
 	}
 	if r.target.After(r.startBy) {
 		return r.target
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -117,6 +117,9 @@
 		if err := json.Unmarshal([]byte("{"+data), &chunk); err != nil {
 			t.Fatal(err)
 		}
+		if len(chunk.Choices) == 0 {
+			return false
+		}
 		if chunk.Choices[0].FinishReason == nil {
 			tokens++
 			text.WriteString(chunk.Choices[0].Delta.Content)
--- a/demo/fault_test.go
+++ b/demo/fault_test.go
@@ -14,6 +14,9 @@
 	"cactuswell/standin/fault"
 )
 
+// warmUpRequests are enough first attempts for the retries of the chat faults.
+const warmUpRequests = 100
+
 // small returns Kelisim with two endpoints a pool, so that faults can hit all.
 func small() deployment.Deployment {
 	firm := deployment.Kelisim()
@@ -99,6 +102,14 @@
 	defer goleak.VerifyNone(t)
 	f := startFleet(t, small())
 	defer f.close()
+	// Retries are at most a tenth of the first attempts, so a pool that has
+	// served nothing yet has none.
+	for range warmUpRequests {
+		body := chatText("schedulingDraft", true, 2)
+		if status, answer := f.post(0, "/v1/chat/completions", nil, body); status != http.StatusOK {
+			t.Fatalf("warm-up: status %d, answer %s", status, answer)
+		}
+	}
 	for _, test := range []struct {
 		name   string
 		faults fault.Faults
@@ -106,13 +117,13 @@
 		first bool
 		whole bool
 	}{
+		{name: "one crashed", faults: fault.Faults{Crashed: true}, first: true, whole: true},
+		{name: "one rejecting", faults: fault.Faults{Rejecting: true}, first: true, whole: true},
+		{name: "streams silent", faults: fault.Faults{Silent: true}, whole: true},
 		{name: "answers crossed", faults: fault.Faults{Crossed: true}},
 		{name: "streams truncated", faults: fault.Faults{TruncateAfter: 3}},
 		{name: "all crashed", faults: fault.Faults{Crashed: true}},
 		{name: "all failing", faults: fault.Faults{Failing: true}},
-		{name: "one crashed", faults: fault.Faults{Crashed: true}, first: true, whole: true},
-		{name: "one rejecting", faults: fault.Faults{Rejecting: true}, first: true, whole: true},
-		{name: "streams silent", faults: fault.Faults{Silent: true}, whole: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f.setFaults(fault.Faults{})
