--- a/io/configuration/publisher.go
+++ b/io/configuration/publisher.go
@@ -10,16 +10,16 @@
 	"github.com/gravitational/trace"
 
 	core "cactuswell/core/configuration"
+	"cactuswell/core/follow"
 	"cactuswell/core/record"
+	"cactuswell/io/logservice"
 )
 
-const streamName = record.StreamConfiguration
-
 const (
 	// appendTimeout bounds one append.
 	appendTimeout = 3 * time.Second
-	// reappendDelay is how long a record may stay unseen before it is appended
-	// again.
+	// reappendDelay is how long a record whose append had no answer may stay
+	// unseen before it is appended again.
 	reappendDelay = 2 * time.Second
 )
 
@@ -66,7 +66,8 @@
 }
 
 // Change publishes a change under an id and returns its outcome once the record
-// was read back and reduced. The same id may be given again, with the same
+// was read back and reduced. A host that starts publishes once it is as far as
+// the stream. The same id may be given again, with the same
 // change, to learn the outcome of an earlier call; a repeated record has no
 // effect.
 //
@@ -77,37 +78,66 @@
 	if outcome, ok := c.State().Outcome(id); ok {
 		return c.resolve(outcome, change)
 	}
-	if c.current.Load().reason == reasonStarting {
-		return core.Outcome{}, trace.Wrap(&NotReadyError{Reason: reasonStarting})
+	if err := c.awaitStart(ctx); err != nil {
+		return core.Outcome{}, trace.Wrap(err)
 	}
 	change = core.WithAsOf(change, c.Applied())
 	data, err := core.Encode(id, c.dependencies.Host, c.now().UnixMilli(), change)
 	if err != nil {
 		return core.Outcome{}, trace.Wrap(err)
 	}
-	var cause error
+	cause := c.appendOnce(ctx, data)
 	for ctx.Err() == nil {
-		if err := c.appendOnce(ctx, data); err != nil {
-			cause = err
-		}
-		if outcome, ok := c.await(ctx, id); ok {
+		if outcome, ok := c.await(ctx, id, cause == nil); ok {
 			return c.resolve(outcome, change)
 		}
+		cause = c.appendOnce(ctx, data)
 	}
 	return core.Outcome{}, trace.Wrap(&UnknownError{ID: id, Cause: errors.Join(ctx.Err(), cause)})
 }
 
+// awaitStart waits until the host knows the head of the stream.
+func (c *Configuration) awaitStart(ctx context.Context) error {
+	for {
+		current := c.current.Load()
+		if current.reason != follow.ReasonStarting {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &NotReadyError{Reason: string(current.reason)}
+		case <-current.changed:
+		}
+	}
+}
+
+// appendOnce appends the record and lets the follower look for it, also when
+// the answer was lost.
 func (c *Configuration) appendOnce(ctx context.Context, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	_, err := c.dependencies.Log().Append(ctx, streamName, [][]byte{data})
+	c.counts.Add("appends", 1)
+	log := c.dependencies.Log()
+	defer leave(log)
+	offset, err := log.Append(ctx, record.StreamConfiguration, [][]byte{data})
+	var refused *logservice.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return err
+	case err != nil:
+		c.counts.Add("appendsUnanswered", 1)
+		offset = c.Applied()
+	}
+	c.heard.TryPush(follow.Appended{Offset: offset})
 	return err
 }
 
-// await waits until the record with the id is reduced, or it is time to append
-// it again.
-func (c *Configuration) await(ctx context.Context, id string) (core.Outcome, bool) {
-	wake := c.dependencies.Timers.After(reappendDelay)
+// await waits until the record with the id is reduced. It reports false when ctx
+// ends, or when the append had no answer and the stream was read to its end
+// since without the record, so that it is to be appended again.
+func (c *Configuration) await(ctx context.Context, id string, answered bool) (core.Outcome, bool) {
+	began := c.now()
+	wake := c.dependencies.Timers.Every(reappendDelay)
 	defer wake.Stop()
 	for {
 		current := c.current.Load()
@@ -118,7 +148,9 @@
 		case <-ctx.Done():
 			return core.Outcome{}, false
 		case <-wake.C():
-			return core.Outcome{}, false
+			if !answered && c.current.Load().confirmedAt.After(began) {
+				return core.Outcome{}, false
+			}
 		case <-current.changed:
 		}
 	}
