Correct windows more gently

Cause: nine hosts that each move by 0.3 of their part on the same old report swing around the aim. Change: the gain is 0.15.

--- a/core/routing/window.go
+++ b/core/routing/window.go
@@ -12,7 +12,7 @@
 	// that one congested moment counts once.
 	decreaseEvery = 300 * time.Millisecond
 	// correctionGain is the part of the free slots that one report moves a window.
-	correctionGain = 0.3
+	correctionGain = 0.15
 	// leastShare is the part of its share that no report takes from a window.
 	leastShare = 0.5
 	// idleDecay is the weight by which an unused lent part goes back on each
