--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -408,7 +409,7 @@
 }
 
 // Capacity returns this host's part of the usable endpoints' slots and of their
-// decode rate.
+// decode rate, rounded to whole slots.
 func (r *Router) Capacity() (slots int, tokensPerSecond float64) {
 	total := 0.0
 	for _, t := range r.targets {
@@ -417,7 +418,7 @@
 			tokensPerSecond += t.load.report.TokensPerSecond / r.users()
 		}
 	}
-	return int(total), tokensPerSecond
+	return int(math.Round(total)), tokensPerSecond
 }
 
 // SilenceBound returns the time without progress after which an attempt at the
