Check that the configuration's duties recover from panics

Cause: no test went through the restart of a duty. Change: TestDutiesRecoverFromPanics. Conclusion: after panics in the duties that follow, read, repair and push, a change is in force within the bound again.

--- a/io/configuration/faults_test.go
+++ b/io/configuration/faults_test.go
@@ -411,6 +411,25 @@
 	})
 }
 
+// TestDutiesRecoverFromPanics has the duties of two hosts panic again and again.
+func TestDutiesRecoverFromPanics(t *testing.T) {
+	runFleet(t, newStore(1), 6, func(t *testing.T, f *fleet) {
+		time.Sleep(5 * time.Second)
+		for round := range 6 {
+			f.members["host-1"].panics.Store(int32(1 + round))
+			f.members["host-4"].panics.Store(int32(1 + round))
+			f.silence()
+			time.Sleep(time.Minute)
+			if f.members["host-1"].panics.Load() >= 0 || f.members["host-4"].panics.Load() >= 0 {
+				t.Error("no duty has panicked")
+			}
+			outcome := f.mustChange(1, fmt.Sprint(round), int64(500+round))
+			f.awaitInForce(appliedLimit, outcome.Offset)
+			f.awaitReady(appliedLimit)
+		}
+	})
+}
+
 func TestChangeIDs(t *testing.T) {
 	runFleet(t, newStore(1), 2, func(t *testing.T, f *fleet) {
 		time.Sleep(5 * time.Second)
--- a/io/configuration/fleet_test.go
+++ b/io/configuration/fleet_test.go
@@ -60,6 +60,8 @@
 	cancel    context.CancelFunc
 	done      chan struct{}
 	stoppedAt time.Time
+	// panics is how many looks at the live peers and dials are to panic.
+	panics atomic.Int32
 	// served counts the peers' calls that it answered, in all its lives.
 	served int
 	// cutOff makes all its calls and all calls to it silent.
@@ -112,6 +114,7 @@
 	dependencies.Host = name
 	dependencies.Zone = m.zone
 	dependencies.Log = func() logservice.Log {
+		m.panicIfAsked()
 		f.openLogs.Add(1)
 		return &logLink{member: m, dialled: time.Now()}
 	}
@@ -276,8 +279,15 @@
 	return outcome
 }
 
+func (m *member) panicIfAsked() {
+	if m.panics.Add(-1) >= 0 {
+		panic("asked to")
+	}
+}
+
 // Live implements configuration.Peers.
 func (m *member) Live() []configuration.Peer {
+	m.panicIfAsked()
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
 	if m.fleet.seen == nil || !time.Now().Before(m.fleet.seenUntil) {
