Weigh four membership schemes by the same courses of events

Cause: the choice of scheme had no figures, and random courses of faults found two more faults: an exchange was never made on a fresh connection, and one neighbor with an equal view kept a host from comparing views with another.

--- a/core/membership/command.go
+++ b/core/membership/command.go
@@ -38,6 +38,8 @@
 	Call    CallID
 	Address string
 	Timeout time.Duration
+	// Fresh asks for a new connection, as the old one may be silent.
+	Fresh   bool
 	Message Message
 	Self    State
 	Buckets Buckets
--- a/core/membership/counters.go
+++ b/core/membership/counters.go
@@ -38,6 +38,7 @@
 	Members          []StateDump `json:"members"`
 	LeavingEndpoints int         `json:"leavingEndpoints"`
 	QueuedNews       int         `json:"queuedNews"`
+	Candidates       int         `json:"candidates"`
 	Counters         Counters    `json:"counters"`
 }
 
--- a/core/membership/exchange.go
+++ b/core/membership/exchange.go
@@ -59,37 +59,41 @@
 	return buckets
 }
 
-// compare starts an exchange if this view has differed from those of its peers
-// for some time.
+// compare starts an exchange with a peer if the views have differed for some
+// time.
 func (m *Machine) compare(message Message, p *probe) {
+	s := m.slotOf(p.target.Name)
 	if message.Digest == m.digest() {
-		m.differsSince = time.Time{}
-		if m.equalDigest != message.Digest {
-			m.equalDigest = message.Digest
-			m.equalStreak = 0
-		}
-		m.equalStreak++
-		if m.equalStreak >= calmStreak*m.settings.Neighbors {
-			m.queue.dropCalm()
+		m.noticeEqual(message.Digest)
+		if s != nil {
+			s.differsSince = time.Time{}
 		}
 		return
 	}
 	m.equalStreak = 0
-	if p.kind == deadProbe {
+	switch {
+	case p.kind == deadProbe:
+		m.startExchange(p.target.Address, 0)
+	case s == nil:
+	case s.differsSince.IsZero():
+		s.differsSince = m.now
+	case m.now.Sub(s.differsSince) >= m.settings.DiffersBound &&
+		m.now.Sub(m.lastExchangeAt) >= m.settings.ExchangePeriod:
 		m.startExchange(p.target.Address, 0)
-		return
-	}
-	if m.differsSince.IsZero() {
-		m.differsSince = m.now
-		return
 	}
-	if m.now.Sub(m.differsSince) < m.settings.DiffersBound {
-		return
+}
+
+// noticeEqual forgets calm news after enough answers in a row with one and the
+// same view.
+func (m *Machine) noticeEqual(digest uint64) {
+	if m.equalDigest != digest {
+		m.equalDigest = digest
+		m.equalStreak = 0
 	}
-	if m.now.Sub(m.lastExchangeAt) < m.settings.ExchangePeriod {
-		return
+	m.equalStreak++
+	if m.equalStreak >= calmStreak*m.settings.Neighbors {
+		m.queue.dropCalm()
 	}
-	m.startExchange(p.target.Address, 0)
 }
 
 func (m *Machine) startExchange(address string, round int) {
@@ -113,6 +117,7 @@
 		Call:    x.call,
 		Address: address,
 		Timeout: m.settings.ExchangeTimeout,
+		Fresh:   m.exchangeFailed,
 		Message: m.message(""),
 		Self:    m.self.state(),
 		Buckets: m.buckets(),
@@ -150,6 +155,7 @@
 	}
 	m.counters.ExchangesFailed++
 	m.lastExchangeAt = time.Time{}
+	m.exchangeFailed = true
 	if x.filling && x.round > 0 && x.round < maxExchangeRounds {
 		m.startExchange(m.nextAddress(x), x.round+1)
 	}
@@ -230,6 +236,7 @@
 	if x == nil {
 		return
 	}
+	m.exchangeFailed = false
 	if !m.joined {
 		m.enqueueMember(m.self, false)
 	}
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -82,9 +82,9 @@
 	exchanges      []*exchange
 	lastExchangeAt time.Time
 	filling        bool
+	exchangeFailed bool
 	equalStreak    int
 	equalDigest    uint64
-	differsSince   time.Time
 
 	leaving    bool
 	leaveUntil time.Time
@@ -185,6 +185,7 @@
 		Hosts:            m.table.liveCount,
 		LeavingEndpoints: len(m.endpoints.order),
 		QueuedNews:       len(m.queue.items),
+		Candidates:       len(m.candidates),
 		Counters:         m.counters,
 	}
 	for _, s := range m.slots {
@@ -215,7 +216,9 @@
 	for _, e := range m.suspects {
 		e.suspectUntil = e.suspectUntil.Add(late)
 	}
-	m.differsSince = m.wakeDue
+	for i := range m.slots {
+		m.slots[i].differsSince = m.wakeDue
+	}
 }
 
 func (m *Machine) handle(event Event) {
--- a/core/membership/probe.go
+++ b/core/membership/probe.go
@@ -51,6 +51,9 @@
 	target      *entry
 	at          time.Time
 	outstanding bool
+	// differsSince is since when the neighbor's view has differed from this
+	// host's, or zero.
+	differsSince time.Time
 }
 
 // refreshSlots chooses the neighbors anew after the view has changed: on each
@@ -264,11 +267,19 @@
 	if p.kind != neighborProbe {
 		return
 	}
+	if s := m.slotOf(p.target.Name); s != nil {
+		s.outstanding = false
+	}
+}
+
+// slotOf returns the slot of a neighbor, or nil.
+func (m *Machine) slotOf(name string) *slot {
 	for i := range m.slots {
-		if m.slots[i].target.member.Name == p.target.Name {
-			m.slots[i].outstanding = false
+		if m.slots[i].target.member.Name == name {
+			return &m.slots[i]
 		}
 	}
+	return nil
 }
 
 func (m *Machine) expireProbes() {
@@ -456,10 +467,8 @@
 }
 
 func (m *Machine) probeSoon(e *entry) {
-	for i := range m.slots {
-		if m.slots[i].target == e {
-			m.slots[i].at = m.now
-		}
+	if s := m.slotOf(e.member.Name); s != nil {
+		s.at = m.now
 	}
 }
 
--- a/core/membership/weighed/chosen.go
+++ b/core/membership/weighed/chosen.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"cactuswell/core/endpoint"
@@ -25,7 +26,7 @@
 	commands    []membership.Command
 	nextReply   membership.ReplyID
 	replies     map[membership.ReplyID]call
-	names       map[string]bool
+	live        []bool
 	gone        map[string]membership.GoneReason
 
 	// Heard holds the leaving endpoints heard of, and how often.
@@ -77,7 +78,7 @@
 			environment: environment,
 			machine:     membership.New(own, ChosenMember(environment.Index, environment), environment.Random),
 			replies:     make(map[membership.ReplyID]call),
-			names:       make(map[string]bool),
+			live:        make([]bool, environment.Hosts),
 			gone:        make(map[string]membership.GoneReason),
 			Heard:       make(map[endpoint.Key]int),
 			Heads:       make(map[string]membership.HeadHeard),
@@ -100,15 +101,21 @@
 	return fmt.Sprintf("host-%04d", index)
 }
 
-// addressOf is as long as an address of production.
+func indexOf(name string) int {
+	index, _ := strconv.Atoi(name[len("host-"):])
+	return index
+}
+
+// addressOf is as long as an address of production; its port is the index.
 func addressOf(index int) string {
-	return fmt.Sprintf("10.10.%d.%d:7100", index/200, index%200)
+	return addressPrefix + strconv.Itoa(10000+index)
 }
 
+const addressPrefix = "10.10.100.1:"
+
 func indexOfAddress(address string) int {
-	var high, low int
-	_, _ = fmt.Sscanf(address, "10.10.%d.%d:7100", &high, &low)
-	return high*200 + low
+	port, _ := strconv.Atoi(address[len(addressPrefix):])
+	return port - 10000
 }
 
 // Start implements Scheme.
@@ -128,7 +135,13 @@
 
 // Live implements Scheme.
 func (c *Chosen) Live(host int) bool {
-	return c.names[nameOf(host)]
+	return c.live[host]
+}
+
+// Removals implements Scheme.
+func (c *Chosen) Removals() int {
+	counters := c.machine.Counters()
+	return int(counters.MembersDead + counters.MembersReplaced)
 }
 
 // Machine returns the host's state machine.
@@ -191,7 +204,7 @@
 		c.call(command.Helper.Address, command.Call, false, 60,
 			membership.IndirectProbeReceived{Target: command.Target})
 	case membership.SendExchange:
-		c.call(command.Address, command.Call, false, messageBytes(command.Message)+64*8+40,
+		c.call(command.Address, command.Call, command.Fresh, messageBytes(command.Message)+64*8+40,
 			membership.ExchangeReceived{
 				Message: command.Message,
 				Self:    command.Self,
@@ -266,11 +279,11 @@
 func (c *Chosen) note(command membership.Command) {
 	switch command := command.(type) {
 	case membership.MemberJoined:
-		c.names[command.Member.Name] = true
+		c.live[indexOfAddress(command.Member.Address)] = true
 	case membership.MemberSuspected:
 		c.Suspected++
 	case membership.MemberGone:
-		delete(c.names, command.Member.Name)
+		c.live[indexOf(command.Member.Name)] = false
 		c.gone[command.Member.Name] = command.Reason
 	case membership.EndpointHeard:
 		c.Heard[command.Key]++
--- a/core/membership/weighed/fleet.go
+++ b/core/membership/weighed/fleet.go
@@ -53,8 +53,19 @@
 	NextWake() (time.Time, bool)
 	// Live reports whether the host believes another one live.
 	Live(host int) bool
+	// Removals counts how often the host removed another one from its view.
+	Removals() int
 }
 
+// reliable marks the messages of a channel that loses nothing and keeps their
+// order: a loss only delays them.
+type reliable interface {
+	reliable()
+}
+
+// resendDelay is by how much a loss delays a reliable message.
+const resendDelay = 500 * time.Millisecond
+
 // Sender sends messages for one host.
 type Sender interface {
 	// Send sends a payload that takes the given number of bytes.
@@ -91,6 +102,7 @@
 	hosts    []*host
 	cut      func(from, to int) bool
 	silent   map[[2]int]struct{}
+	arrivals map[[2]int]time.Time
 }
 
 type host struct {
@@ -107,11 +119,12 @@
 // New starts a fleet whose hosts all join through the first ones.
 func New(network Network, newPart func(Environment) Scheme) *Fleet {
 	f := &Fleet{
-		network: network,
-		newPart: newPart,
-		random:  rand.New(rand.NewPCG(network.Seed, 0)),
-		now:     time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC),
-		silent:  make(map[[2]int]struct{}),
+		network:  network,
+		newPart:  newPart,
+		random:   rand.New(rand.NewPCG(network.Seed, 0)),
+		now:      time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC),
+		silent:   make(map[[2]int]struct{}),
+		arrivals: make(map[[2]int]time.Time),
 	}
 	for i := range network.Hosts {
 		f.hosts = append(f.hosts, &host{
@@ -263,6 +276,15 @@
 	return count
 }
 
+// Removals counts how often any host removed another one from its view.
+func (f *Fleet) Removals() int {
+	count := 0
+	for _, h := range f.hosts {
+		count += h.part.Removals()
+	}
+	return count
+}
+
 // Traffic returns what all hosts together sent and received.
 func (f *Fleet) Traffic() Traffic {
 	var sum Traffic
@@ -303,9 +325,14 @@
 	h.traffic.Messages++
 	h.traffic.Bytes += uint64(bytes)
 	delay := time.Duration(float64(f.network.Delay) * (0.5 + f.random.Float64()))
-	if f.random.Float64() < f.network.Loss || f.cut != nil && f.cut(h.index, to) || !target.up {
+	_, isReliable := payload.(reliable)
+	lost := f.random.Float64() < f.network.Loss
+	if lost && !isReliable || f.cut != nil && f.cut(h.index, to) || !target.up {
 		return
 	}
+	if isReliable {
+		delay = f.orderedDelay(h.index, to, delay, lost)
+	}
 	target.traffic.Bytes += uint64(bytes)
 	f.push(&event{
 		at:          f.now.Add(delay),
@@ -316,6 +343,21 @@
 	})
 }
 
+// orderedDelay returns the delay of a reliable message, which arrives after
+// those sent before it.
+func (f *Fleet) orderedDelay(from, to int, delay time.Duration, lost bool) time.Duration {
+	if lost {
+		delay += resendDelay
+	}
+	pair := [2]int{from, to}
+	at := f.now.Add(delay)
+	if last := f.arrivals[pair]; at.Before(last) {
+		at = last
+	}
+	f.arrivals[pair] = at
+	return at.Sub(f.now)
+}
+
 // take handles one event, or puts it off until the host runs again.
 func (h *host) take(e *event) {
 	if !h.up || e.incarnation != h.incarnation {
--- a/io/node/caller.go
+++ b/io/node/caller.go
@@ -126,6 +126,9 @@
 
 func (c *caller) exchange(ctx context.Context, command membership.SendExchange) membership.Event {
 	failed := membership.ExchangeFailed{Call: command.Call}
+	if command.Fresh {
+		c.node.transport.Redial(command.Address)
+	}
 	ctx, cancel := context.WithTimeout(ctx, command.Timeout)
 	defer cancel()
 	response, err := c.client(command.Address).Exchange(ctx, connect.NewRequest(&nodev1.ExchangeRequest{
