--- a/io/configuration/fleet_test.go
+++ b/io/configuration/fleet_test.go
@@ -6,7 +6,9 @@
 	"math/rand/v2"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"connectrpc.com/connect"
@@ -41,6 +43,8 @@
 	members  map[string]*member
 	silenced time.Time
 	started  int
+	// openLogs counts the clients of the log that were made and not left.
+	openLogs atomic.Int64
 	// seen holds the hosts in all views until seenUntil, sorted by name.
 	seen      []configuration.Peer
 	seenUntil time.Time
@@ -55,30 +59,37 @@
 	cancel    context.CancelFunc
 	done      chan struct{}
 	stoppedAt time.Time
+	// served counts the peers' calls that it answered, in all its lives.
+	served int
 	// cutOff makes all its calls and all calls to it silent.
 	cutOff bool
 }
 
 // runFleet runs a test with count hosts in virtual time.
-func runFleet(t testing.TB, store logservice.Log, count int, test func(*fleet)) {
-	ctx, cancel := context.WithCancel(context.Background())
-	f := &fleet{
-		t:       t,
-		ctx:     ctx,
-		store:   store,
-		zones:   3,
-		members: make(map[string]*member),
-	}
-	defer func() {
-		cancel()
-		for _, m := range f.members {
-			<-m.done
+func runFleet(t *testing.T, store logservice.Log, count int, test func(*testing.T, *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f := &fleet{
+			t:       t,
+			ctx:     ctx,
+			store:   store,
+			zones:   3,
+			members: make(map[string]*member),
 		}
-	}()
-	for i := range count {
-		f.start(fmt.Sprintf("host-%d", i))
-	}
-	test(f)
+		defer func() {
+			cancel()
+			for _, m := range f.members {
+				<-m.done
+			}
+			if open := f.openLogs.Load(); open != 0 {
+				t.Errorf("%d clients of the log were not left", open)
+			}
+		}()
+		for i := range count {
+			f.start(fmt.Sprintf("host-%d", i))
+		}
+		test(t, f)
+	})
 }
 
 func (f *fleet) start(name string) *member {
@@ -99,7 +110,10 @@
 	dependencies := f.settings
 	dependencies.Host = name
 	dependencies.Zone = m.zone
-	dependencies.Log = func() logservice.Log { return &logLink{member: m, dialled: time.Now()} }
+	dependencies.Log = func() logservice.Log {
+		f.openLogs.Add(1)
+		return &logLink{member: m, dialled: time.Now()}
+	}
 	dependencies.Dial = func(peer configuration.Peer) configuration.Conn {
 		return &peerLink{member: m, target: peer.Name, dialled: time.Now()}
 	}
@@ -118,6 +132,9 @@
 	var ctx context.Context
 	ctx, m.cancel = context.WithCancel(f.ctx)
 	f.mu.Lock()
+	if previous, ok := f.members[name]; ok {
+		m.served = previous.served
+	}
 	f.members[name] = m
 	f.seen = nil
 	f.mu.Unlock()
@@ -139,6 +156,18 @@
 	<-m.done
 }
 
+// served returns how many calls of peers all hosts and the busiest one have
+// answered.
+func (f *fleet) served() (all, most int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		all += m.served
+		most = max(most, m.served)
+	}
+	return all, most
+}
+
 func (f *fleet) host(number int) *configuration.Configuration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -301,6 +330,8 @@
 	dialled time.Time
 }
 
+func (l *logLink) CloseIdleConnections() { l.member.fleet.openLogs.Add(-1) }
+
 func (l *logLink) pass(ctx context.Context) error {
 	err := l.member.link(ctx, l.dialled, func() bool { return false })
 	if err != nil {
@@ -357,6 +388,7 @@
 	f.mu.Lock()
 	target = f.members[l.target]
 	gone := !target.stoppedAt.IsZero()
+	target.served++
 	f.mu.Unlock()
 	if gone {
 		return nil, connect.NewError(connect.CodeUnavailable, nil)
