--- a/core/membership/counters.go
+++ b/core/membership/counters.go
@@ -24,7 +24,6 @@
 	EndpointsHeard     uint64 `json:"endpointsHeard"`
 	EndpointsForgotten uint64 `json:"endpointsForgotten"`
 	NewsDropped        uint64 `json:"newsDropped"`
-	MalformedNews      uint64 `json:"malformedNews"`
 	Pauses             uint64 `json:"pauses"`
 }
 
--- a/core/membership/news.go
+++ b/core/membership/news.go
@@ -13,6 +13,10 @@
 	maxHeads = 4
 	// maxNameBytes bounds names, zones, addresses and streams in news.
 	maxNameBytes = 128
+	// maxIncarnation and maxVersion bound what a peer may claim, so that this
+	// host can always raise its own above it.
+	maxIncarnation = 1 << 62
+	maxVersion     = 1 << 30
 	// maxNewsItems bounds the items of one message.
 	maxNewsItems = 2048
 	// minStateBytes is about what a member's state takes on the wire without
@@ -35,7 +39,7 @@
 // Validate checks a message that came from a peer. The error is a
 // *MalformedNewsError.
 func (m Message) Validate() error {
-	if m.From == "" || len(m.From) > maxNameBytes || m.Incarnation == 0 {
+	if m.From == "" || len(m.From) > maxNameBytes || m.Incarnation == 0 || m.Incarnation > maxIncarnation {
 		return &MalformedNewsError{Reason: "bad sender"}
 	}
 	return m.News.Validate()
@@ -76,7 +80,7 @@
 		return &MalformedNewsError{Reason: "bad member name"}
 	case len(s.Address) > maxNameBytes || len(s.Zone) > maxNameBytes:
 		return &MalformedNewsError{Reason: "address or zone too long"}
-	case s.Incarnation == 0 || s.Incarnation == math.MaxUint64 || s.Version == math.MaxUint32:
+	case s.Incarnation == 0 || s.Incarnation > maxIncarnation || s.Version > maxVersion:
 		return &MalformedNewsError{Reason: "bad incarnation or version"}
 	case s.Status < Alive || s.Status > Left:
 		return &MalformedNewsError{Reason: fmt.Sprintf("unknown status %d", s.Status)}
--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -171,7 +171,7 @@
 	case state.Status == Alive:
 		m.self.version = max(m.self.version, state.Version)
 	case state.Version >= m.self.version:
-		m.self.version = state.Version + 1
+		m.self.version = min(state.Version+1, maxVersion)
 		m.counters.Refutations++
 		m.enqueueMember(m.self, true)
 	}
@@ -189,7 +189,7 @@
 		return
 	}
 	m.table.setStatus(m.self, 0)
-	m.self.member.Incarnation = state.Incarnation + 1
+	m.self.member.Incarnation = min(state.Incarnation+1, maxIncarnation)
 	m.table.setStatus(m.self, Alive)
 	m.emit(IncarnationRaised{Incarnation: m.self.member.Incarnation})
 	m.enqueueMember(m.self, true)
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"testing"
@@ -11,6 +12,8 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
 
+	"cactuswell/certificate"
+	"cactuswell/certificate/certificatetest"
 	"cactuswell/core/endpoint"
 	"cactuswell/core/membership"
 	"cactuswell/core/record"
@@ -35,31 +38,58 @@
 	settings := membership.DefaultSettings()
 	settings.Seeds = seeds
 	settings.ProbePeriod = 50 * time.Millisecond
-	settings.SuspicionTimeout = 200 * time.Millisecond
+	settings.SuspicionTimeout = time.Hour
 	settings.JoinPeriod = 20 * time.Millisecond
 	return settings
 }
 
 func startHost(t testing.TB, name string, store logservice.Log, settings membership.Settings) *testHost {
+	t.Helper()
+	listener := listenLoopback(t)
+	return startHostAt(t, listener, hostOptions{
+		name:     name,
+		address:  listener.Addr().String(),
+		store:    store,
+		settings: settings,
+	})
+}
+
+func listenLoopback(t testing.TB) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return listener
+}
+
+// hostOptions are what differs between test hosts.
+type hostOptions struct {
+	name string
+	// address is the one that peers are told.
+	address  string
+	store    logservice.Log
+	settings membership.Settings
+	tls      *tls.Config
+}
+
+func startHostAt(t testing.TB, listener net.Listener, options hostOptions) *testHost {
+	t.Helper()
 	timers := timer.New()
 	h := &testHost{
 		node: New(Dependencies{
 			Self: membership.Member{
-				Name:        name,
+				Name:        options.name,
 				Incarnation: 1,
-				Address:     listener.Addr().String(),
-				Zone:        "zone-" + name,
+				Address:     options.address,
+				Zone:        "zone-" + options.name,
 			},
-			Settings: settings,
+			Settings: options.settings,
 			Timers:   timers,
-			Log:      store,
+			Log:      options.store,
 			Logger:   log.NewNopLogger(),
 			Seed:     7,
+			TLS:      options.tls,
 		}),
 		done:    make(chan struct{}),
 		changed: make(chan struct{}, 64),
@@ -70,10 +100,10 @@
 	mux := http.NewServeMux()
 	mux.Handle(h.node.Handler())
 	h.server = h.node.Server(mux)
-	go func() { _ = h.server.Serve(h.node.Listener(listener)) }()
+	go h.serve(h.node.Listener(listener))
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	tree := supervisor.New(name, log.NewNopLogger())
+	tree := supervisor.New(options.name, log.NewNopLogger())
 	tree.Add(supervisor.Duty{
 		Name: "timer",
 		Run:  timers.Run,
@@ -89,6 +119,14 @@
 	return h
 }
 
+func (h *testHost) serve(listener net.Listener) {
+	if h.server.TLSConfig != nil {
+		_ = h.server.ServeTLS(listener, "", "")
+		return
+	}
+	_ = h.server.Serve(listener)
+}
+
 func (h *testHost) subscribe() {
 	h.node.OnMembersChanged(func() {
 		select {
@@ -199,9 +237,12 @@
 	defer goleak.VerifyNone(t)
 	t.Run("hosts", func(t *testing.T) {
 		store := emptyLog()
-		a := startHost(t, "a", store, fastSettings())
-		b := startHost(t, "b", store, fastSettings(a.node.Self().Address))
-		c := startHost(t, "c", store, fastSettings(a.node.Self().Address))
+		settings := fastSettings()
+		settings.SuspicionTimeout = 200 * time.Millisecond
+		a := startHost(t, "a", store, settings)
+		settings.Seeds = []string{a.node.Self().Address}
+		b := startHost(t, "b", store, settings)
+		c := startHost(t, "c", store, settings)
 		for _, h := range []*testHost{a, b, c} {
 			h.waitHosts(t, 3)
 		}
@@ -210,3 +251,64 @@
 		b.waitHosts(t, 2)
 	})
 }
+
+func TestHostsJoinOverTLS(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("hosts", func(t *testing.T) {
+		authority := certificatetest.New(t)
+		store := emptyLog()
+		var hosts []*testHost
+		settings := fastSettings()
+		for _, name := range []string{"a", "b"} {
+			certificates, err := certificate.New(authority.Issue(t, name), timer.New(), log.NewNopLogger())
+			if err != nil {
+				t.Fatal(err)
+			}
+			listener := listenLoopback(t)
+			hosts = append(hosts, startHostAt(t, listener, hostOptions{
+				name:     name,
+				address:  listener.Addr().String(),
+				store:    store,
+				settings: settings,
+				tls:      certificates.Mutual(),
+			}))
+			settings.Seeds = []string{listener.Addr().String()}
+		}
+		for _, h := range hosts {
+			h.waitHosts(t, 2)
+		}
+	})
+}
+
+// TestSilentConnectionIsRedialed lets the open connections to a host go silent
+// while new ones work.
+func TestSilentConnectionIsRedialed(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("hosts", func(t *testing.T) {
+		store := emptyLog()
+		settings := fastSettings()
+		a := startHost(t, "a", store, settings)
+		listener := listenLoopback(t)
+		between := newSilencer(t, listener.Addr().String())
+		settings.Seeds = []string{a.node.Self().Address}
+		b := startHostAt(t, listener, hostOptions{
+			name:     "b",
+			address:  between.address(),
+			store:    store,
+			settings: settings,
+		})
+		a.waitHosts(t, 2)
+		b.node.SetHead(record.StreamConfiguration, 1)
+		for between.open() == 0 {
+			<-a.heads
+		}
+		dials := a.node.Counters().Dials
+		between.silence()
+		for a.node.Counters().PeersRetired == 0 || a.node.Counters().Dials <= dials {
+			<-a.heads
+		}
+		if a.node.Hosts() != 2 {
+			t.Errorf("%d hosts after the connection went silent", a.node.Hosts())
+		}
+	})
+}
