--- /dev/null
+++ b/host/counters.go
@@ -0,0 +1,22 @@
+package host
+
+import "runtime"
+
+// publishCounters adds the variables that are read at each look.
+func (h *Host) publishCounters() {
+	h.counters.Func("goroutines", func() any { return runtime.NumGoroutine() })
+	h.counters.Func("mallocs", func() any { return memory().Mallocs })
+	h.counters.Func("heapBytes", func() any { return memory().HeapAlloc })
+	h.counters.Func("node", func() any { return h.node.Counters() })
+	h.counters.Func("configuration", func() any { return h.configuration.Dump().Records })
+	h.counters.Func("claims", func() any { return h.claims.Dump().Counts })
+	h.counters.Func("hosts", func() any { return h.node.Hosts() })
+	h.counters.Func("openRequests", func() any { return h.openCalls() })
+	h.counters.Func("dutyRestarts", func() any { return h.tree.Restarts() })
+}
+
+func memory() runtime.MemStats {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats
+}
--- a/host/run.go
+++ b/host/run.go
@@ -95,6 +95,7 @@
 		added:    h.watched,
 		leaving:  h.node.AnnounceLeaving,
 	})
+	h.publishCounters()
 	h.node.OnEndpointLeaving(h.directory.markLeaving)
 	h.node.OnMembersChanged(h.countHosts)
 	h.node.OnHeadHeard(h.headHeard)
@@ -182,10 +183,10 @@
 		Peers: livePeers{
 			node: h.node,
 		},
-		Timers:    h.timers,
-		Logger:    h.logger,
-		Retention: h.settings.LogRetention,
-		LagBound:  h.settings.StaleBound,
+		Timers:       h.timers,
+		Logger:       h.logger,
+		Retention:    h.settings.LogRetention,
+		ConfirmBound: h.settings.StaleBound,
 	})
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,7 +38,7 @@
 	BodyTime       time.Duration `long:"body-time" env:"CACTUSWELL_BODY_TIME" description:"longest time for a body to arrive" default:"10s"`
 	BalancerLag    time.Duration `long:"balancer-lag" env:"CACTUSWELL_BALANCER_LAG" description:"how long the balancer goes on sending requests to a host that is no longer ready" default:"5s"`
 	StopTimeout    time.Duration `long:"stop-timeout" env:"CACTUSWELL_STOP_TIMEOUT" description:"longest wait for requests in flight at a stop" default:"10m"`
-	StaleBound     time.Duration `long:"stale-bound" env:"CACTUSWELL_STALE_BOUND" description:"age of the last word from the log or a peer past which the host is not ready" default:"10m"`
+	StaleBound     time.Duration `long:"stale-bound" env:"CACTUSWELL_STALE_BOUND" description:"how long hosts that agree among themselves stay ready without word from the log" default:"1h"`
 	LogRetention   time.Duration `long:"log-retention" env:"CACTUSWELL_LOG_RETENTION" description:"how long the log keeps records" default:"24h"`
 	ListInterval   time.Duration `long:"list-interval" env:"CACTUSWELL_LIST_INTERVAL" description:"time between two reads of the host list" default:"1s"`
 	ReportInterval time.Duration `long:"report-interval" env:"CACTUSWELL_REPORT_INTERVAL" description:"time between two reads of an endpoint's load" default:"500ms"`
@@ -198,7 +198,7 @@
 		BodyTime:       10 * time.Second,
 		BalancerLag:    5 * time.Second,
 		StopTimeout:    10 * time.Minute,
-		StaleBound:     10 * time.Minute,
+		StaleBound:     time.Hour,
 		LogRetention:   24 * time.Hour,
 		ListInterval:   time.Second,
 		ReportInterval: 500 * time.Millisecond,
