Serve the stand-ins' faults and read JSON answers in one place each

Cause: the same handlers and clients stood in five packages. Change: standin/reply answers and serves fault documents; io/httpjson makes the control calls of host list, weight store and engine clients.

--- a/io/engine/exchange.go
+++ b/io/engine/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"cactuswell/io/httpjson"
 )
 
 const (
@@ -90,21 +93,14 @@
 
 // callJSON makes a control call whose answer is JSON.
 func callJSON(ctx context.Context, client *http.Client, method, address string, body io.Reader, into any) error {
-	request, err := http.NewRequestWithContext(ctx, method, address, body)
-	if err != nil {
-		return trace.Wrap(&NotStartedError{Cause: err})
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return trace.Wrap(&BrokenError{Cause: err})
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
+	err := httpjson.Call(ctx, client, method, address, body, maxAnswerBytes, into)
+	var status *httpjson.StatusError
+	if errors.As(err, &status) {
 		var failure ErrorResponse
-		_ = json.NewDecoder(io.LimitReader(response.Body, maxErrorBytes)).Decode(&failure)
-		return trace.Wrap(&StatusError{Status: response.StatusCode, Code: failure.Code})
+		_ = json.Unmarshal(status.Body, &failure)
+		return trace.Wrap(&StatusError{Status: status.Status, Code: failure.Code})
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(into); err != nil {
+	if err != nil {
 		return trace.Wrap(&BrokenError{Cause: err})
 	}
 	return nil
--- a/io/hostlist/client.go
+++ b/io/hostlist/client.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 
 	"github.com/gravitational/trace"
+
+	"cactuswell/io/httpjson"
 )
 
 // maxListBytes bounds the list.
@@ -21,13 +21,12 @@
 
 // UnavailableError says that the host list gave no usable answer.
 type UnavailableError struct {
-	Status int
-	Cause  error
+	Cause error
 }
 
 // Error describes the cause.
 func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("host list unavailable: status %d: %v", e.Status, e.Cause)
+	return fmt.Sprintf("host list unavailable: %v", e.Cause)
 }
 
 // Unwrap returns the cause.
@@ -49,20 +48,8 @@
 
 // Fetch implements Lister.
 func (c *Client) Fetch(ctx context.Context) (ListResponse, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/hosts", nil)
-	if err != nil {
-		return ListResponse{}, trace.Wrap(&UnavailableError{Cause: err})
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return ListResponse{}, trace.Wrap(&UnavailableError{Cause: err})
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return ListResponse{}, trace.Wrap(&UnavailableError{Status: response.StatusCode})
-	}
 	var list ListResponse
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
+	if err := httpjson.Get(ctx, c.http, c.base+"/v1/hosts", maxListBytes, &list); err != nil {
 		return ListResponse{}, trace.Wrap(&UnavailableError{Cause: err})
 	}
 	return list, nil
--- a/io/weightstore/client.go
+++ b/io/weightstore/client.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 
 	"github.com/gravitational/trace"
+
+	"cactuswell/io/httpjson"
 )
 
 // maxAnswerBytes bounds the store's answers.
@@ -24,13 +24,12 @@
 
 // UnavailableError says that the weight store gave no usable answer.
 type UnavailableError struct {
-	Status int
-	Cause  error
+	Cause error
 }
 
 // Error describes the cause.
 func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("weight store unavailable: status %d: %v", e.Status, e.Cause)
+	return fmt.Sprintf("weight store unavailable: %v", e.Cause)
 }
 
 // Unwrap returns the cause.
@@ -65,19 +64,7 @@
 }
 
 func (c *Client) get(ctx context.Context, path string, into any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
-	if err != nil {
-		return trace.Wrap(&UnavailableError{Cause: err})
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return trace.Wrap(&UnavailableError{Cause: err})
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return trace.Wrap(&UnavailableError{Status: response.StatusCode})
-	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(into); err != nil {
+	if err := httpjson.Get(ctx, c.http, c.base+path, maxAnswerBytes, into); err != nil {
 		return trace.Wrap(&UnavailableError{Cause: err})
 	}
 	return nil
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 
 	"cactuswell/io/engine"
+	"cactuswell/standin/reply"
 )
 
 const (
@@ -30,7 +31,7 @@
 // tokens that it generated under /generated.
 func (e *Engine) Handler() http.Handler {
 	router := mux.NewRouter()
-	router.Handle("/faults", e.switches)
+	router.Handle("/faults", reply.Document(e.switches.Current, e.switches.Set))
 	router.HandleFunc("/generated", e.handleGenerated).Methods(http.MethodGet)
 	router.HandleFunc("/v1/chat/completions", e.handleStart).Methods(http.MethodPost)
 	router.HandleFunc("/v1/attempts/{id}/stream", e.handleResume).Methods(http.MethodGet)
@@ -237,6 +238,5 @@
 	if id != "" {
 		w.Header().Set(engine.HeaderAttemptID, id)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body)
+	reply.JSON(w, body)
 }
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -1,18 +1,16 @@
-// Package fault holds the ways in which a stand-in endpoint misbehaves, and the
-// HTTP handler by which they are switched while it runs.
+// Package fault holds the ways in which a stand-in endpoint misbehaves, and
+// switches them while it runs.
 //
 // # Usage
 //
 //	switches := fault.New()
-//	router.Handle("/faults", switches)
+//	router.Handle("/faults", reply.Document(switches.Current, switches.Set))
 //	if switches.Current().Crashed {
 //		...
 //	}
 package fault
 
 import (
-	"encoding/json"
-	"net/http"
 	"sync/atomic"
 	"time"
 )
@@ -75,19 +73,3 @@
 
 // Set replaces the faults.
 func (s *Switches) Set(faults Faults) { s.current.Store(&faults) }
-
-// ServeHTTP answers GET with the faults and replaces them on PUT.
-func (s *Switches) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodPut {
-		var faults Faults
-		decoder := json.NewDecoder(r.Body)
-		decoder.DisallowUnknownFields()
-		if err := decoder.Decode(&faults); err != nil {
-			http.Error(w, "malformed faults: "+err.Error(), http.StatusBadRequest)
-			return
-		}
-		s.Set(faults)
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(s.Current())
-}
--- a/standin/hostlist/hostlist.go
+++ b/standin/hostlist/hostlist.go
@@ -20,6 +20,7 @@
 	"github.com/gorilla/mux"
 
 	"cactuswell/io/hostlist"
+	"cactuswell/standin/reply"
 )
 
 // Faults are the ways in which the list misbehaves.
@@ -80,6 +81,13 @@
 	l.faults = faults
 }
 
+// Faults returns the faults in force.
+func (l *List) Faults() Faults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults
+}
+
 // remember must be called with the lock held.
 func (l *List) remember() {
 	l.revision++
@@ -121,7 +129,7 @@
 	router.HandleFunc("/v1/hosts", l.handleList).Methods(http.MethodGet)
 	router.HandleFunc("/v1/hosts/{name}", l.handlePut).Methods(http.MethodPut)
 	router.HandleFunc("/v1/hosts/{name}", l.handleDelete).Methods(http.MethodDelete)
-	router.HandleFunc("/faults", l.handleFaults).Methods(http.MethodGet, http.MethodPut)
+	router.Handle("/faults", reply.Document(l.Faults, l.SetFaults))
 	return router
 }
 
@@ -140,7 +148,7 @@
 		http.Error(w, "the host list is down", http.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(w, response)
+	reply.JSON(w, response)
 }
 
 func (l *List) handlePut(w http.ResponseWriter, r *http.Request) {
@@ -151,28 +159,10 @@
 	}
 	entry.Name = mux.Vars(r)["name"]
 	l.Put(entry)
-	writeJSON(w, entry)
+	reply.JSON(w, entry)
 }
 
 func (l *List) handleDelete(w http.ResponseWriter, r *http.Request) {
 	l.Remove(mux.Vars(r)["name"])
 	w.WriteHeader(http.StatusNoContent)
 }
-
-func (l *List) handleFaults(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodPut {
-		var faults Faults
-		if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-			http.Error(w, "malformed faults", http.StatusBadRequest)
-			return
-		}
-		l.SetFaults(faults)
-	}
-	_, faults := l.current()
-	writeJSON(w, faults)
-}
-
-func writeJSON(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body)
-}
--- a/standin/logservice/handler.go
+++ b/standin/logservice/handler.go
@@ -11,6 +11,7 @@
 
 	"cactuswell/core/record"
 	"cactuswell/io/logservice"
+	"cactuswell/standin/reply"
 )
 
 // maxAppendBytes bounds the body of one append.
@@ -22,8 +23,7 @@
 	router := mux.NewRouter()
 	router.HandleFunc("/v1/streams/{stream}/records", s.handleAppend).Methods(http.MethodPost)
 	router.HandleFunc("/v1/streams/{stream}/records", s.handleRead).Methods(http.MethodGet)
-	router.HandleFunc("/faults", s.handleGetFaults).Methods(http.MethodGet)
-	router.HandleFunc("/faults", s.handlePutFaults).Methods(http.MethodPut)
+	router.Handle("/faults", reply.Document(s.Faults, s.SetFaults))
 	return router
 }
 
@@ -38,7 +38,7 @@
 		answerError(w, err)
 		return
 	}
-	answer(w, logservice.AppendResponse{
+	reply.JSON(w, logservice.AppendResponse{
 		FirstOffset: first,
 	})
 }
@@ -61,26 +61,7 @@
 		answerError(w, err)
 		return
 	}
-	answer(w, response)
-}
-
-func (s *Store) handleGetFaults(w http.ResponseWriter, _ *http.Request) {
-	answer(w, s.Faults())
-}
-
-func (s *Store) handlePutFaults(w http.ResponseWriter, r *http.Request) {
-	var faults Faults
-	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-		http.Error(w, "malformed faults", http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(faults)
-	answer(w, faults)
-}
-
-func answer(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body)
+	reply.JSON(w, response)
 }
 
 func answerError(w http.ResponseWriter, err error) {
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -24,6 +24,7 @@
 
 	"cactuswell/io/engine"
 	"cactuswell/standin/fault"
+	"cactuswell/standin/reply"
 )
 
 const (
@@ -105,7 +106,7 @@
 // counts under /executions.
 func (s *Service) Handler() http.Handler {
 	router := mux.NewRouter()
-	router.Handle("/faults", s.switches)
+	router.Handle("/faults", reply.Document(s.switches.Current, s.switches.Set))
 	router.HandleFunc("/executions", s.handleExecutions).Methods(http.MethodGet)
 	router.HandleFunc("/v1/calls/{operation}", s.handleCall).Methods(http.MethodPost)
 	router.HandleFunc("/v1/attempts/{id}", s.handleCancel).Methods(http.MethodDelete)
@@ -202,13 +203,13 @@
 
 func (s *Service) handleCancel(w http.ResponseWriter, _ *http.Request) {
 	// A call that runs cannot be taken back.
-	writeJSON(w, engine.CancelResponse{
+	reply.JSON(w, engine.CancelResponse{
 		Started: true,
 	})
 }
 
 func (s *Service) handleExecutions(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.Executions())
+	reply.JSON(w, s.Executions())
 }
 
 func (s *Service) handleLoad(w http.ResponseWriter, _ *http.Request) {
@@ -220,7 +221,7 @@
 	waiting := s.waiting
 	s.mu.Unlock()
 	running := len(s.slots)
-	writeJSON(w, engine.LoadReport{
+	reply.JSON(w, engine.LoadReport{
 		Name:            s.settings.Name,
 		Incarnation:     s.settings.Incarnation,
 		AgeMs:           faults.ReportLagMs,
@@ -244,8 +245,3 @@
 		Text: "the service refused the call: " + code,
 	})
 }
-
-func writeJSON(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body)
-}
--- a/standin/weightstore/weightstore.go
+++ b/standin/weightstore/weightstore.go
@@ -10,7 +10,6 @@
 package weightstore
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,6 +19,7 @@
 	"golang.org/x/time/rate"
 
 	"cactuswell/io/weightstore"
+	"cactuswell/standin/reply"
 )
 
 // Settings say how large and how fast the store is.
@@ -67,7 +67,8 @@
 	s.faults = faults
 }
 
-func (s *Store) currentFaults() Faults {
+// Faults returns the faults in force.
+func (s *Store) Faults() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.faults
@@ -76,7 +77,7 @@
 // Handler serves the store's protocol, and its faults under /faults.
 func (s *Store) Handler() http.Handler {
 	router := mux.NewRouter()
-	router.HandleFunc("/faults", s.handleFaults).Methods(http.MethodGet, http.MethodPut)
+	router.Handle("/faults", reply.Document(s.Faults, s.SetFaults))
 	router.HandleFunc("/v1/limits", s.handleLimits).Methods(http.MethodGet)
 	router.HandleFunc("/v1/weights/{model}/{version}", s.handleDescribe).Methods(http.MethodGet)
 	router.HandleFunc("/v1/weights/{model}/{version}/reads", s.handleRead).Methods(http.MethodPost)
@@ -86,7 +87,7 @@
 
 func (s *Store) applyFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		faults := s.currentFaults()
+		faults := s.Faults()
 		if r.URL.Path == "/faults" {
 			next.ServeHTTP(w, r)
 			return
@@ -107,13 +108,13 @@
 }
 
 func (s *Store) handleLimits(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, weightstore.LimitsResponse{
+	reply.JSON(w, weightstore.LimitsResponse{
 		BytesPerSecond: s.settings.BytesPerSecond,
 	})
 }
 
 func (s *Store) handleDescribe(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, weightstore.DescribeResponse{
+	reply.JSON(w, weightstore.DescribeResponse{
 		Model:   mux.Vars(r)["model"],
 		Version: mux.Vars(r)["version"],
 		Bytes:   s.settings.WeightBytes,
@@ -129,20 +130,3 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
-
-func (s *Store) handleFaults(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodPut {
-		var faults Faults
-		if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-			http.Error(w, "malformed faults", http.StatusBadRequest)
-			return
-		}
-		s.SetFaults(faults)
-	}
-	writeJSON(w, s.currentFaults())
-}
-
-func writeJSON(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body)
-}
