--- a/host/run.go
+++ b/host/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	stdlog "log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -266,18 +267,18 @@
 	}
 	h.tree.Add(supervisor.Duty{Name: "drains", Run: drains.run})
 	h.tree.Add(supervisor.Duty{Name: "heads", Run: heads.run})
-	h.tree.Add(supervisor.Duty{Name: "callers", Run: serve(callers, h.callerListener)})
+	h.tree.Add(supervisor.Duty{Name: "callers", Run: h.serve(callers, h.callerListener)})
 	peers := http.NewServeMux()
 	peers.Handle(h.node.Handler())
 	peers.Handle(claims.NewHandler(h.claims, h))
 	peers.Handle(h.configuration.Handler())
 	h.tree.Add(supervisor.Duty{
 		Name: "peers",
-		Run:  serve(h.node.Server(peers), h.node.Listener(h.peerListener)),
+		Run:  h.serve(h.node.Server(peers), h.node.Listener(h.peerListener)),
 	})
 	h.tree.Add(supervisor.Duty{
 		Name: "operators",
-		Run:  serve(h.newServer(h.operatorHandler(), h.tlsMutual), h.operatorListener),
+		Run:  h.serve(h.newServer(h.operatorHandler(), h.tlsMutual), h.operatorListener),
 	})
 }
 
@@ -296,8 +297,11 @@
 	}
 }
 
-// serve returns a duty that serves a listener until ctx ends.
-func serve(server *http.Server, listener net.Listener) func(context.Context) error {
+// serve returns a duty that serves a listener until ctx ends. The server's own
+// messages go to the host's log.
+func (h *Host) serve(server *http.Server, listener net.Listener) func(context.Context) error {
+	messages := log.With(h.logger, "level", "warn", "event", "serverMessage", "address", listener.Addr().String())
+	server.ErrorLog = stdlog.New(log.NewStdlibAdapter(messages), "", 0)
 	return func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
