--- a/core/routing/judge.go
+++ b/core/routing/judge.go
@@ -73,11 +73,16 @@
 	if tier == profile.TierUrgent {
 		return true
 	}
+	return float64(r.ownRunning()) < r.granted
+}
+
+// ownRunning returns this host's attempts at all endpoints.
+func (r *Router) ownRunning() int {
 	running := 0
 	for _, count := range r.running {
 		running += count
 	}
-	return float64(running) < r.granted
+	return running
 }
 
 // hasRoom says whether the endpoint has room for a tier. Work of lower tiers does
@@ -279,7 +284,9 @@
 
 // recover takes an endpoint back with the least window, which then grows.
 func (r *Router) recover(now time.Time, t *target) {
-	r.outside--
+	if t.isOutside() {
+		r.outside--
+	}
 	t.health.recover(now)
 	t.window.limit = minWindow
 	r.refresh(t)
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -91,6 +91,7 @@
 	t := &target{
 		descriptor: descriptor,
 		leaving:    leaving,
+		addedAt:    now,
 		awaiting:   make([]awaited, 0, maxAwaiting),
 		cache: cacheState{
 			owner: blockOwner{
@@ -118,10 +119,10 @@
 	if t == nil || t.leaving {
 		return
 	}
-	t.leaving = true
 	if t.isOutside() {
 		r.outside--
 	}
+	t.leaving = true
 	r.updateSubset()
 }
 
@@ -252,6 +253,9 @@
 
 // count adds delta to the attempts that run at an endpoint.
 func (r *Router) count(now time.Time, t *target, delta int, tier profile.Tier) {
+	if t.load.atTier[tier]+delta < 0 {
+		return
+	}
 	t.load.change(now, delta, tier)
 	r.running[tier] += delta
 }
@@ -307,10 +311,11 @@
 	t.window.answered(r.settings.Adaptation, ratio, t.load.own, slots)
 }
 
-// Ended frees the slot of an attempt that had tokens tokens in all.
+// Ended frees the slot of an attempt that had tokens tokens in all. An attempt
+// sent before the endpoint was removed and added again is not counted.
 func (r *Router) Ended(now time.Time, work Work, outcome Outcome, tokens int) {
 	t := r.byKey[work.Key]
-	if t == nil {
+	if t == nil || work.SentAt.Before(t.addedAt) {
 		return
 	}
 	r.count(now, t, -1, work.Tier)
--- a/core/routing/router_test.go
+++ b/core/routing/router_test.go
@@ -232,6 +232,53 @@
 	}
 }
 
+// TestOldAttemptOfReaddedEndpointIsNotCounted failed in
+// TestRandomEventsKeepTheRules with -rapid.seed=2078144483235633823.
+func TestOldAttemptOfReaddedEndpointIsNotCounted(t *testing.T) {
+	router := newRouter(1, nil)
+	ask := standardAsk()
+	choice, _ := router.Pick(start, ask)
+	work := workAt(start, choice, ask)
+	router.Sent(start, work)
+	router.RemoveEndpoint(start, key(0))
+	later := start.Add(time.Second)
+	router.AddEndpoint(later, endpoint.Descriptor{
+		Key: key(0),
+	})
+	router.Ended(later, work, routing.OutcomeCompleted, 5)
+	if got := router.Snapshot(later).Running; got != 0 {
+		t.Errorf("%d attempts running, want 0", got)
+	}
+}
+
+// TestLeavingEndpointIsNotCountedAsEjected failed in
+// TestRandomEventsKeepTheRules with -rapid.seed=12350754285005232880.
+func TestLeavingEndpointIsNotCountedAsEjected(t *testing.T) {
+	router := newRouter(4, nil)
+	ask := standardAsk()
+	now := start
+	for attempts := 0; router.Snapshot(now).Out == 0; attempts++ {
+		if attempts > 20 {
+			t.Fatal("no endpoint was ejected for its failures")
+		}
+		now = now.Add(1100 * time.Millisecond)
+		router.Tick(now)
+		choice, ok := router.Pick(now, ask)
+		if !ok {
+			continue
+		}
+		work := workAt(now, choice, ask)
+		router.Sent(now, work)
+		router.Ended(now, work, routing.OutcomeFailed, 0)
+	}
+	for i := range 4 {
+		router.MarkLeaving(now, key(i))
+	}
+	if got := router.Snapshot(now).Out; got != 0 {
+		t.Errorf("%d endpoints counted as ejected after all left, want 0", got)
+	}
+}
+
 func TestCacheGapLowersConfidence(t *testing.T) {
 	router := newRouter(2, nil)
 	ask := standardAsk()
--- a/core/routing/snapshot.go
+++ b/core/routing/snapshot.go
@@ -4,8 +4,12 @@
 
 // Snapshot is a Router's state for dumps.
 type Snapshot struct {
-	Hosts       int                `json:"hosts"`
-	Usable      int                `json:"usable"`
+	Hosts  int `json:"hosts"`
+	Usable int `json:"usable"`
+	// Out is the number of endpoints that are ejected or probing.
+	Out int `json:"out"`
+	// Running is the number of this host's attempts at all endpoints.
+	Running     int                `json:"running"`
 	Decisions   uint64             `json:"decisions"`
 	Comparisons uint64             `json:"comparisons"`
 	Ejections   uint64             `json:"ejections"`
@@ -41,6 +45,8 @@
 	snapshot := Snapshot{
 		Hosts:       r.hosts,
 		Usable:      r.Usable(),
+		Out:         r.outside,
+		Running:     r.ownRunning(),
 		Decisions:   r.decision,
 		Comparisons: r.comparisons,
 		Ejections:   r.ejections,
--- a/core/routing/target.go
+++ b/core/routing/target.go
@@ -13,6 +13,7 @@
 // target is an endpoint as one host sees it.
 type target struct {
 	descriptor endpoint.Descriptor
+	addedAt    time.Time
 	load       load
 	window     window
 	health     health
