--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -6,6 +6,7 @@
 	"cactuswell/core/admission"
 	"cactuswell/core/endpoint"
 	"cactuswell/core/heap"
+	"cactuswell/core/profile"
 )
 
 // phase says what a request waits for.
@@ -114,11 +115,12 @@
 
 // retryBy returns the time after which no further attempt is begun. A caller
 // that has part of an answer waits for its rest as long as it would have waited
-// for a start.
+// for a start, and in the top tier until its time limit, since the retry budget
+// may have been used up by lower work.
 func (r *request) retryBy() time.Time {
 	if r.delivered > 0 {
 		rest := r.brokenAt.Add(r.spec.Profile.WaitLimit())
-		if r.brokenAt.IsZero() || rest.After(r.endBy) {
+		if r.brokenAt.IsZero() || r.entry.Tier == profile.TierUrgent || rest.After(r.endBy) {
 			return r.endBy
 		}
 		return rest
--- a/host/directory_test.go
+++ b/host/directory_test.go
@@ -21,7 +21,7 @@
 }
 
 func (r *recorder) post(pool string, event dispatch.Event) {
-	text := ""
+	var text string
 	switch event := event.(type) {
 	case dispatch.EndpointAdded:
 		text = fmt.Sprintf("added %s/%d", event.Descriptor.Key.Name, event.Descriptor.Key.Incarnation)
