--- a/core/membership/news.go
+++ b/core/membership/news.go
@@ -265,6 +265,9 @@
 		if item.urgent {
 			allowed = urgentBytes
 		}
+		if item.urgent && len(m.lastSent) == 0 {
+			allowed = m.settings.NewsBytes
+		}
 		size, ok := m.appendItem(&news, item.key, to, allowed-bytes)
 		if ok {
 			item.transmits++
@@ -279,7 +282,7 @@
 }
 
 // newsAllowance returns how many bytes of news the next message may carry;
-// urgent news may have UrgentBytes in any case.
+// urgent news may have UrgentBytes in any case, and one piece whatever its size.
 func (m *Machine) newsAllowance() int {
 	return min(m.settings.NewsBytes, int(m.newsBytes.level(m.now)))
 }
