--- a/core/dispatch/failure.go
+++ b/core/dispatch/failure.go
@@ -83,6 +83,7 @@
 		return
 	}
 	r.failure = reason
+	r.brokenAt = p.now
 	if int(r.numbers) >= p.settings.MaxAttempts || p.backingOff >= p.settings.Queue.MaxQueued {
 		p.refuseFailed(r, reason)
 		return
@@ -154,7 +155,7 @@
 	return p.settings.Kind == profile.KindModel &&
 		a.unanswered == 0 &&
 		a.resumes < maxResumes &&
-		!p.leaving.has(a.work.Key)
+		!p.closed.has(a.work.Key)
 }
 
 func (p *Pool) resume(a *attempt) {
--- a/core/dispatch/router_test.go
+++ b/core/dispatch/router_test.go
@@ -17,6 +17,7 @@
 	slots   int
 	running int
 	leaving bool
+	drained bool
 }
 
 // fakeRouter picks the least loaded endpoint and keeps one slot of each for the
@@ -27,9 +28,6 @@
 	expected  time.Duration
 	sent      int
 	ended     int
-	outcomes  []routing.Outcome
-	// quiet keeps no outcomes.
-	quiet bool
 }
 
 func newFakeRouter(slots int) *fakeRouter {
@@ -65,7 +63,7 @@
 
 func (f *fakeRouter) SetDrained(_ time.Time, key endpoint.Key, drained bool) {
 	if e := f.find(key); e != nil {
-		e.leaving = drained
+		e.drained = drained
 	}
 }
 
@@ -88,7 +86,7 @@
 		if ask.Tier != profile.TierUrgent {
 			room--
 		}
-		if e.leaving || room < 1 {
+		if e.leaving || e.drained || room < 1 {
 			continue
 		}
 		if best == nil || f.better(e, best, ask) {
@@ -121,11 +119,8 @@
 
 func (f *fakeRouter) Progressed(time.Time, endpoint.Key, int, time.Duration, time.Duration) {}
 
-func (f *fakeRouter) Ended(_ time.Time, work routing.Work, outcome routing.Outcome, _ int) {
+func (f *fakeRouter) Ended(_ time.Time, work routing.Work, _ routing.Outcome, _ int) {
 	f.ended++
-	if !f.quiet {
-		f.outcomes = append(f.outcomes, outcome)
-	}
 	if e := f.find(work.Key); e != nil {
 		e.running--
 	}
@@ -140,7 +135,7 @@
 func (f *fakeRouter) Usable() int {
 	usable := 0
 	for _, e := range f.endpoints {
-		if !e.leaving {
+		if !e.leaving && !e.drained {
 			usable++
 		}
 	}
