--- /dev/null
+++ b/host/call.go
@@ -0,0 +1,81 @@
+package host
+
+import (
+	"net/http"
+	"time"
+
+	"cactuswell/core/claim"
+	"cactuswell/core/dispatch"
+	"cactuswell/io/caller"
+	"cactuswell/io/claims"
+)
+
+// call is a submission on its way through a pool. The pool's duty owns it.
+type call struct {
+	id         dispatch.RequestID
+	submission caller.Submission
+	answer     *caller.Answer
+	// ticket is the right to run a call that must not run twice, else nil.
+	ticket   *claims.Ticket
+	taken    time.Time
+	attempts map[uint32]*attempt
+}
+
+// once reports whether the call must not run twice.
+func (c *call) once() bool {
+	return !c.submission.Profile.Idempotent()
+}
+
+// request returns the call as the decisions see it.
+func (c *call) request() dispatch.Request {
+	return dispatch.Request{
+		ID:           c.id,
+		Team:         c.submission.Team,
+		Profile:      c.submission.Profile,
+		PromptTokens: c.submission.PromptTokens,
+		MaxTokens:    c.submission.MaxTokens,
+		Prefix:       c.submission.Prefix,
+		Once:         c.once(),
+	}
+}
+
+// refuse ends the call without a whole answer. A call whose ticket was started
+// and not taken back may have run, whatever was believed of it.
+func (c *call) refuse(reason dispatch.RefuseReason, ran dispatch.Ran, retryAfter time.Duration) {
+	if c.ticket != nil {
+		if ran == dispatch.NotRun && isUsed(c.ticket.Abandon()) {
+			ran = dispatch.RanUnknown
+		}
+		c.ticket.Settle()
+	}
+	c.answer.End(caller.ProblemPart{
+		Problem: caller.Refusal(reason, ran, retryAfter),
+	})
+}
+
+// complete ends the call with the whole answer of an attempt. It returns the
+// error of recording the answer for retries; the caller is answered in any case.
+func (c *call) complete(a *attempt) error {
+	end := a.end()
+	var err error
+	if c.ticket != nil {
+		err = c.ticket.Finish(claim.Outcome{
+			Status:      http.StatusOK,
+			ContentType: end.contentType,
+			Body:        end.body,
+			BodyOmitted: end.body == nil,
+		})
+	}
+	if end.body != nil {
+		c.answer.End(caller.BodyPart{
+			ContentType: end.contentType,
+			Body:        end.body,
+		})
+		return err
+	}
+	c.answer.End(caller.EndPart{
+		FinishReason: end.finishReason,
+		Tokens:       end.tokens,
+	})
+	return err
+}
--- /dev/null
+++ b/host/run.go
@@ -0,0 +1,354 @@
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	stdlog "log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/gravitational/trace"
+
+	"cactuswell/certificate"
+	"cactuswell/core/claim"
+	"cactuswell/core/dispatch"
+	"cactuswell/core/membership"
+	"cactuswell/io/caller"
+	"cactuswell/io/claims"
+	"cactuswell/io/configuration"
+	"cactuswell/io/hostlist"
+	"cactuswell/io/logservice"
+	"cactuswell/io/node"
+	"cactuswell/io/operator"
+	"cactuswell/metrics"
+	"cactuswell/settings"
+	"cactuswell/supervisor"
+	"cactuswell/timer"
+)
+
+const (
+	// headerTimeout bounds the arrival of a request's head.
+	headerTimeout = 5 * time.Second
+	// maxHeaderBytes bounds a request's head.
+	maxHeaderBytes = 32 * 1024
+	// callerIdleTimeout is how long an idle caller's connection is kept.
+	callerIdleTimeout = 2 * time.Minute
+	// openPoll is the time between two looks at the requests in flight.
+	openPoll = 20 * time.Millisecond
+	// closeTimeout bounds the closing of listeners whose requests are done.
+	closeTimeout = 5 * time.Second
+	// leaveTimeout bounds the spreading of the host's own leave.
+	leaveTimeout = 5 * time.Second
+)
+
+// CutShortError says that a stop ended before the requests in flight did.
+type CutShortError struct {
+	Requests int64
+}
+
+// Error names the number of requests.
+func (e *CutShortError) Error() string {
+	return "requests were cut short at the stop"
+}
+
+// New returns a host. It listens at once, so that addresses chosen by the
+// operating system are known, and serves when Run is called. The error is a
+// *settings.InvalidError or comes from listening.
+func New(dependencies Dependencies) (*Host, error) {
+	if err := dependencies.Settings.Check(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	timers := timer.New()
+	h := &Host{
+		settings:    dependencies.Settings,
+		logger:      log.With(dependencies.Logger, "host", dependencies.Settings.Name),
+		incarnation: uint64(timers.Now().UnixMilli()),
+		timers:      timers,
+		counters:    metrics.New(),
+		recent:      newRecentRequests(),
+		pools:       make(map[string]*pool),
+	}
+	if err := h.loadCertificates(); err != nil {
+		return nil, err
+	}
+	h.clients = newClients(h.certificates)
+	if err := h.listen(); err != nil {
+		return nil, err
+	}
+	h.tree = supervisor.New("host", h.logger)
+	h.node = h.newNode()
+	h.configuration = h.newConfiguration()
+	if err := h.newClaims(); err != nil {
+		h.closeListeners()
+		return nil, err
+	}
+	h.directory = newDirectory(directoryDependencies{
+		lister:   hostlist.New(h.settings.HostListURL, &http.Client{Transport: newTransport(false, h.certificates)}),
+		host:     h.settings.Name,
+		interval: h.settings.ListInterval,
+
+		reportInterval: h.settings.ReportInterval,
+		maxReads:       h.settings.ReportReads,
+
+		timers:   timers,
+		logger:   h.logger,
+		counters: h.counters,
+		post:     h.postToPool,
+		added:    h.watched,
+		leaving:  h.node.AnnounceLeaving,
+	})
+	h.publishCounters()
+	h.node.OnEndpointLeaving(h.directory.markLeaving)
+	h.node.OnMembersChanged(h.countHosts)
+	h.node.OnHeadHeard(h.headHeard)
+	return h, nil
+}
+
+// loadCertificates reads the files that the settings name, if they name any.
+func (h *Host) loadCertificates() error {
+	if !h.settings.TLS() {
+		return nil
+	}
+	store, err := certificate.New(certificate.Files{
+		Cert: h.settings.TLSCert,
+		Key:  h.settings.TLSKey,
+		CA:   h.settings.TLSCA,
+	}, h.timers, h.logger)
+	if err != nil {
+		return err
+	}
+	h.certificates = store
+	h.tlsPublic = store.Public()
+	h.tlsMutual = store.Mutual()
+	return nil
+}
+
+func (h *Host) listen() error {
+	for _, l := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{listener: &h.callerListener, address: h.settings.CallerListen},
+		{listener: &h.peerListener, address: h.settings.PeerListen},
+		{listener: &h.operatorListener, address: h.settings.OperatorListen},
+	} {
+		var err error
+		if *l.listener, err = net.Listen("tcp", l.address); err != nil {
+			h.closeListeners()
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+func (h *Host) closeListeners() {
+	for _, listener := range []net.Listener{h.callerListener, h.peerListener, h.operatorListener} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// newLog returns a client of the log on connections of its own.
+func (h *Host) newLog() logservice.Log {
+	return logservice.New(h.settings.LogURL, &http.Client{
+		Transport: newTransport(false, h.certificates),
+	})
+}
+
+func (h *Host) newNode() *node.Node {
+	membershipSettings := membership.DefaultSettings()
+	membershipSettings.Seeds = h.settings.Peers
+	return node.New(node.Dependencies{
+		Self: membership.Member{
+			Name:        h.settings.Name,
+			Incarnation: h.incarnation,
+			Address:     h.PeerAddress(),
+			Zone:        h.settings.Zone,
+		},
+		Settings: membershipSettings,
+		Timers:   h.timers,
+		Log:      h.newLog(),
+		Logger:   h.logger,
+		Seed:     h.incarnation ^ hash(h.settings.Name),
+		TLS:      h.tlsMutual,
+	})
+}
+
+func (h *Host) newConfiguration() *configuration.Configuration {
+	return configuration.New(configuration.Dependencies{
+		Host:        h.settings.Name,
+		Zone:        h.settings.Zone,
+		Incarnation: h.incarnation,
+		Log:         h.newLog,
+		Dial:        configuration.Dialer(h.node.Transport().BaseURL, h.node.Transport().Client),
+		Peers: livePeers{
+			node: h.node,
+		},
+		Timers:       h.timers,
+		Logger:       h.logger,
+		Retention:    h.settings.LogRetention,
+		ConfirmBound: h.settings.StaleBound,
+	})
+}
+
+func (h *Host) newClaims() error {
+	var err error
+	h.claims, err = claims.New(claims.Dependencies{
+		Host:        h.settings.Name,
+		Incarnation: h.incarnation,
+		Entropy:     rand.Uint64,
+		Log:         h.newLog(),
+		Timers:      h.timers,
+		Logger:      h.logger,
+		Settings:    claim.DefaultSettings(),
+	})
+	h.forwarder = claims.NewForwarder(h.node.Transport().Client())
+	return trace.Wrap(err)
+}
+
+// countHosts tells the pools how many hosts share their endpoints.
+func (h *Host) countHosts() {
+	hosts := h.node.Hosts()
+	h.claims.SetHosts(hosts)
+	for _, p := range h.allPools() {
+		p.events.TryPush(dispatch.HostsCounted{
+			Hosts: hosts,
+		})
+	}
+}
+
+// Run serves until ctx ends and then stops in good order. A second end, of
+// kill, stops it at once; the error is then a *CutShortError.
+func (h *Host) Run(ctx, kill context.Context) error {
+	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	callers := h.newServer(caller.New(h, caller.Limits{
+		BodyBytes: h.settings.BodyLimit,
+		BodyTime:  h.settings.BodyTime,
+	}).Handler(), h.tlsPublic)
+	h.addDuties(callers)
+	done := make(chan struct{})
+	go h.runTree(serving, done)
+	_ = h.logger.Log("level", "info", "event", "serving", "callers", h.CallerAddress(),
+		"peers", h.PeerAddress(), "operators", h.OperatorAddress())
+	<-ctx.Done()
+	err := h.stop(kill, callers)
+	cancel()
+	<-done
+	h.clients.close()
+	h.node.Transport().Close()
+	h.closeListeners()
+	return err
+}
+
+func (h *Host) addDuties(callers *http.Server) {
+	h.tree.Add(supervisor.Duty{Name: "timer", Run: h.timers.Run})
+	if h.certificates != nil {
+		h.tree.Add(supervisor.Duty{Name: "certificates", Run: h.certificates.Run})
+	}
+	for _, duty := range h.node.Duties() {
+		h.tree.Add(duty)
+	}
+	for _, duty := range h.configuration.Duties() {
+		h.tree.Add(duty)
+	}
+	for _, duty := range h.claims.Duties() {
+		h.tree.Add(duty)
+	}
+	h.tree.Add(supervisor.Duty{Name: "directory", Run: h.directory.run})
+	drains := &drainWatch{
+		configuration: h.configuration,
+		directory:     h.directory,
+		timers:        h.timers,
+	}
+	heads := &headWatch{
+		configuration: h.configuration,
+		node:          h.node,
+	}
+	h.tree.Add(supervisor.Duty{Name: "drains", Run: drains.run})
+	h.tree.Add(supervisor.Duty{Name: "heads", Run: heads.run})
+	h.tree.Add(supervisor.Duty{Name: "callers", Run: h.serve(callers, h.callerListener)})
+	peers := http.NewServeMux()
+	peers.Handle(h.node.Handler())
+	peers.Handle(claims.NewHandler(h.claims, h))
+	peers.Handle(h.configuration.Handler())
+	h.tree.Add(supervisor.Duty{
+		Name: "peers",
+		Run:  h.serve(h.node.Server(peers), h.node.Listener(h.peerListener)),
+	})
+	h.tree.Add(supervisor.Duty{
+		Name: "operators",
+		Run:  h.serve(h.newServer(h.operatorHandler(), h.tlsMutual), h.operatorListener),
+	})
+}
+
+func (h *Host) runTree(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	_ = h.tree.Run(ctx)
+}
+
+func (h *Host) newServer(handler http.Handler, tlsConfig *tls.Config) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		TLSConfig:         tlsConfig,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		IdleTimeout:       callerIdleTimeout,
+	}
+}
+
+// serve returns a duty that serves a listener until ctx ends. The server's own
+// messages go to the host's log.
+func (h *Host) serve(server *http.Server, listener net.Listener) func(context.Context) error {
+	messages := log.With(h.logger, "level", "warn", "event", "serverMessage", "address", listener.Addr().String())
+	server.ErrorLog = stdlog.New(log.NewStdlibAdapter(messages), "", 0)
+	return func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		if err := serveListener(server, listener); !errors.Is(err, http.ErrServerClosed) {
+			return trace.Wrap(err)
+		}
+		<-ctx.Done()
+		return nil
+	}
+}
+
+func serveListener(server *http.Server, listener net.Listener) error {
+	if server.TLSConfig == nil {
+		return server.Serve(listener)
+	}
+	return server.ServeTLS(listener, "", "")
+}
+
+// operatorHandler serves the operators.
+func (h *Host) operatorHandler() http.Handler {
+	routes := http.NewServeMux()
+	routes.Handle(operator.New(operator.Dependencies{
+		Configuration: h.configuration,
+		Dump:          h.dumpJSON,
+		Explain:       h.explainJSON,
+		Endpoints:     h.operatorEndpoints,
+	}).Handler())
+	routes.Handle("/debug/vars", h.counters)
+	return routes
+}
+
+// Name returns the host's name.
+func (h *Host) Name() string { return h.settings.Name }
+
+// Settings returns the host's settings.
+func (h *Host) Settings() settings.Settings { return h.settings }
+
+// CallerAddress returns the address on which callers are served.
+func (h *Host) CallerAddress() string { return h.callerListener.Addr().String() }
+
+// PeerAddress returns the address on which other hosts are served.
+func (h *Host) PeerAddress() string { return h.peerListener.Addr().String() }
+
+// OperatorAddress returns the address on which operators are served.
+func (h *Host) OperatorAddress() string { return h.operatorListener.Addr().String() }
