Stop a host in good order when a newer process has its name

Cause: the membership tells that a newer process runs under this host's name, but nothing reacted. Conclusion: two processes of one name do not serve side by side for long.

--- a/host/host.go
+++ b/host/host.go
@@ -67,6 +67,9 @@
 	requestIDs    atomic.Uint64
 	externalIDs   atomic.Uint64
 	phase         atomic.Int32
+	// superseded is closed when a newer process runs under this host's name.
+	superseded chan struct{}
+	supersede  sync.Once
 
 	callerListener   net.Listener
 	peerListener     net.Listener
--- a/host/restart_test.go
+++ b/host/restart_test.go
@@ -30,6 +30,8 @@
 
 	t      *testing.T
 	client *http.Client
+	// ended is closed when Run has returned.
+	ended chan struct{}
 }
 
 func startWorld(t *testing.T) *world {
@@ -65,6 +67,12 @@
 	s.LogURL = logServer.URL
 	s.HostListURL = listServer.URL
 	s.BalancerLag = 0
+	return runWorld(t, s)
+}
+
+// runWorld runs a host with the settings.
+func runWorld(t *testing.T, s settings.Settings) *world {
+	t.Helper()
 	h, err := New(Dependencies{
 		Settings: s,
 		Logger:   log.NewNopLogger(),
@@ -76,21 +84,38 @@
 		Host:   h,
 		t:      t,
 		client: &http.Client{Transport: &http.Transport{}},
+		ended:  make(chan struct{}),
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- h.Run(ctx, context.Background()) }()
+	go func() {
+		defer close(w.ended)
+		if err := h.Run(ctx, context.Background()); err != nil {
+			t.Errorf("stop: %v", err)
+		}
+	}()
 	t.Cleanup(func() {
 		w.client.CloseIdleConnections()
 		stop()
-		if err := <-done; err != nil {
-			t.Errorf("stop: %v", err)
-		}
+		<-w.ended
 	})
-	w.publish()
 	return w
 }
 
+// TestSupersededHostStops starts a second process under the name of the first.
+func TestSupersededHostStops(t *testing.T) {
+	first := startWorld(t)
+	first.publish()
+	s := first.settings
+	s.Peers = []string{first.PeerAddress()}
+	second := runWorld(t, s)
+	<-first.ended
+	if ready, _ := second.Ready(); !ready {
+		if err := second.AwaitReady(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 func (w *world) publish() {
 	w.t.Helper()
 	ctx := context.Background()
@@ -138,6 +163,7 @@
 	before := goleak.IgnoreCurrent()
 	t.Cleanup(func() { goleak.VerifyNone(t, before) })
 	w := startWorld(t)
+	w.publish()
 	response := w.ask("200")
 	if response.StatusCode != http.StatusOK {
 		t.Fatalf("status %d", response.StatusCode)
@@ -164,6 +190,7 @@
 // TestDumpShape compares the fields of a dump with the golden file.
 func TestDumpShape(t *testing.T) {
 	w := startWorld(t)
+	w.publish()
 	_ = read(t, w.ask("2"))
 	data, err := w.dumpJSON(context.Background())
 	if err != nil {
--- a/host/run.go
+++ b/host/run.go
@@ -71,6 +71,7 @@
 		counters:    metrics.New(),
 		recent:      newRecentRequests(),
 		pools:       make(map[string]*pool),
+		superseded:  make(chan struct{}),
 	}
 	if err := h.loadCertificates(); err != nil {
 		return nil, err
@@ -104,6 +105,7 @@
 	h.publishCounters()
 	h.node.OnEndpointLeaving(h.directory.markLeaving)
 	h.node.OnMembersChanged(h.countHosts)
+	h.node.OnMembersChanged(h.noticeSuperseded)
 	h.node.OnHeadHeard(h.headHeard)
 	return h, nil
 }
@@ -222,7 +224,16 @@
 	}
 }
 
-// Run serves until ctx ends and then stops in good order. A second end, of
+// noticeSuperseded makes the host stop in good order when a newer process runs
+// under its name.
+func (h *Host) noticeSuperseded() {
+	if h.node.Superseded() {
+		h.supersede.Do(func() { close(h.superseded) })
+	}
+}
+
+// Run serves until ctx ends, or a newer process runs under the host's name, and
+// then stops in good order. A second end, of
 // kill, stops it at once; the error is then a *CutShortError.
 func (h *Host) Run(ctx, kill context.Context) error {
 	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -236,7 +247,10 @@
 	go h.runTree(serving, done)
 	_ = h.logger.Log("level", "info", "event", "serving", "callers", h.CallerAddress(),
 		"peers", h.PeerAddress(), "operators", h.OperatorAddress())
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-h.superseded:
+	}
 	err := h.stop(kill, callers)
 	cancel()
 	<-done
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -39,6 +39,11 @@
 	c.variables.Set(name, expvar.Func(read))
 }
 
+// Var adds a variable that another part keeps.
+func (c *Counters) Var(name string, variable expvar.Var) {
+	c.variables.Set(name, variable)
+}
+
 // String returns the variables as JSON.
 func (c *Counters) String() string {
 	return c.variables.String()
