--- a/io/claims/claims_bench_test.go
+++ b/io/claims/claims_bench_test.go
@@ -20,7 +20,14 @@
 	callers int
 }
 
-const loadPeriod = 10 * time.Second
+const (
+	loadPeriod = 10 * time.Second
+	// logRate is the log's limit in appends a second.
+	logRate = 300
+	// claimBound is the latency target of a room hold, of which a claim is only
+	// a part.
+	claimBound = time.Second
+)
 
 // BenchmarkClaims measures claims over a log of 300 appends a second whose
 // answers take 5 ms, in virtual time.
@@ -61,13 +68,22 @@
 		fleet.settings.MaxTeamKeys = fleet.settings.MaxKeys
 		fleet.store.SetFaults(standin.Faults{
 			DelayMs:          5,
-			AppendsPerSecond: 300,
+			AppendsPerSecond: logRate,
 		})
 		latencies, refused = runLoad(fleet, l)
 		appends, _ = fleet.store.Counts()
 	})
 	slices.Sort(latencies)
 	claims := float64(len(latencies))
+	if refused > 0 {
+		b.Errorf("%d claims were refused though the log was up", refused)
+	}
+	if rate := float64(appends) / loadPeriod.Seconds(); rate > logRate {
+		b.Errorf("%.0f appends a second, the log takes %d", rate, logRate)
+	}
+	if worst := latencies[len(latencies)-1]; worst > claimBound {
+		b.Errorf("a claim took %v, a room hold has %v in all", worst, claimBound)
+	}
 	b.ReportMetric(claims/loadPeriod.Seconds(), "claims/s")
 	b.ReportMetric(float64(appends)/claims, "appends/claim")
 	b.ReportMetric(float64(latencies[len(latencies)/2])/1e6, "p50-ms")
