--- a/core/lease/instant.go
+++ b/core/lease/instant.go
@@ -10,14 +10,14 @@
 	Wall      time.Time
 }
 
-// atMost returns the longer of the times that the two clocks measured since
+// AtMost returns the longer of the times that the two clocks measured since
 // earlier.
-func (i Instant) atMost(earlier Instant) time.Duration {
+func (i Instant) AtMost(earlier Instant) time.Duration {
 	return max(i.Monotonic-earlier.Monotonic, i.Wall.Sub(earlier.Wall))
 }
 
-// atLeast returns the shorter of the times that the two clocks measured since
+// AtLeast returns the shorter of the times that the two clocks measured since
 // earlier.
-func (i Instant) atLeast(earlier Instant) time.Duration {
+func (i Instant) AtLeast(earlier Instant) time.Duration {
 	return min(i.Monotonic-earlier.Monotonic, i.Wall.Sub(earlier.Wall))
 }
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -88,13 +88,23 @@
 	if offset < m.next {
 		return nil
 	}
-	m.next = offset + 1
 	claim, id, err := decode(data)
 	if err != nil {
+		m.next = offset + 1
 		return err
 	}
+	m.Take(offset, claim, id, now)
+	return nil
+}
+
+// Take takes the claim of the record at offset, as Apply does.
+func (m *Machine) Take(offset record.Offset, claim Claim, id string, now Instant) {
+	if offset < m.next {
+		return
+	}
+	m.next = offset + 1
 	if claim.Pool != m.pool {
-		return nil
+		return
 	}
 	accepted := m.last < claim.AsOf && claim.AsOf <= offset
 	m.last = offset
@@ -103,7 +113,6 @@
 	if accepted {
 		m.accept(offset, claim, id, now)
 	}
-	return nil
 }
 
 func (m *Machine) accept(offset record.Offset, claim Claim, id string, now Instant) {
@@ -133,14 +142,14 @@
 // Next returns the claim to append now and its record's id, if there is one.
 // The caller appends it at once; whether it was accepted is read from the log.
 func (m *Machine) Next(now Instant) (Claim, string, bool) {
-	if m.pending != "" && now.atLeast(m.sentAt) < m.settings.RenewEvery {
+	if m.pending != "" && now.AtLeast(m.sentAt) < m.settings.RenewEvery {
 		return Claim{}, "", false
 	}
 	valid := m.Valid(now)
 	switch {
-	case valid && now.atMost(m.heldFrom) < m.settings.RenewEvery:
+	case valid && now.AtMost(m.heldFrom) < m.settings.RenewEvery:
 		return Claim{}, "", false
-	case !valid && now.atLeast(m.lastAt) < m.lastTime+m.settings.Margin:
+	case !valid && now.AtLeast(m.lastAt) < m.lastTime+m.settings.Margin:
 		return Claim{}, "", false
 	}
 	m.attempts++
@@ -158,7 +167,7 @@
 
 // Valid reports whether this host holds the lease at now.
 func (m *Machine) Valid(now Instant) bool {
-	if m.held && now.atMost(m.heldFrom) >= m.settings.Duration-m.settings.Margin {
+	if m.held && now.AtMost(m.heldFrom) >= m.settings.Duration-m.settings.Margin {
 		// A lapse is never undone by a clock that is set back.
 		m.held = false
 	}
@@ -172,7 +181,7 @@
 	if !m.Valid(now) {
 		return 0, &LapsedError{Pool: m.pool}
 	}
-	if left := m.waitOut - now.atLeast(m.heldSince); left > 0 && !checksFencing {
+	if left := m.waitOut - now.AtLeast(m.heldSince); left > 0 && !checksFencing {
 		return 0, &WaitingError{Pool: m.pool, Left: left}
 	}
 	return m.term, nil
