io/placement: keep the lease, observe the engines and send the orders

The plans had no duty. One lease covers all pools, as they share the weight store's rate. A drain and a taking in are changes of the configuration by the author placement, since an engine that is told to drain reports that it leaves and the hosts take that as final.

Without a document nothing is read or appended.

--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -82,7 +82,11 @@
 			return
 		}
 	}
-	if len(p.plan.Reasons) == 0 {
+	switch {
+	case len(p.plan.Reasons) > 0:
+	case p.plan.Live < p.plan.Target:
+		p.because("", fmt.Sprintf("%d copies are wanted, and no engine is free to be one", p.plan.Target))
+	default:
 		p.because("", "all is as wanted")
 	}
 }
--- /dev/null
+++ b/io/placement/observer.go
@@ -0,0 +1,141 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	core "cactuswell/core/configuration"
+	"cactuswell/core/endpoint"
+	"cactuswell/core/placement"
+)
+
+// maxReads bounds the engines that are read at a time.
+const maxReads = 64
+
+// observation is one look at the engines of a pool.
+type observation struct {
+	engines []placement.Engine
+	bases   map[endpoint.Key]string
+	busy    int
+	slots   int
+}
+
+// observe reads the engines of a pool.
+func (p *Placement) observe(ctx context.Context, pool string) observation {
+	var known []Endpoint
+	for _, one := range p.dependencies.Endpoints() {
+		if one.Descriptor.Pool == pool {
+			known = append(known, one)
+		}
+	}
+	seen := observation{
+		engines: make([]placement.Engine, len(known)),
+		bases:   make(map[endpoint.Key]string),
+	}
+	drains := make(map[endpoint.Key]core.Drain)
+	for _, drain := range p.dependencies.Configuration.State().Drains() {
+		drains[endpoint.Key{Name: drain.Name, Incarnation: drain.Incarnation}] = drain
+	}
+	reportedAt := make([]time.Time, len(known))
+	var group sync.WaitGroup
+	places := make(chan struct{}, maxReads)
+	for i, one := range known {
+		seen.bases[one.Descriptor.Key] = one.BaseURL
+		places <- struct{}{}
+		group.Go(func() {
+			seen.engines[i], reportedAt[i] = p.readEngine(ctx, one)
+			<-places
+		})
+	}
+	group.Wait()
+	for i := range seen.engines {
+		e := &seen.engines[i]
+		p.applyDrain(ctx, e, drains, reportedAt[i])
+		if e.Live() {
+			seen.busy += e.Busy
+			seen.slots = max(seen.slots, e.Slots)
+		}
+	}
+	return seen
+}
+
+// readEngine reads one engine and returns when its load report was true.
+func (p *Placement) readEngine(ctx context.Context, one Endpoint) (placement.Engine, time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, p.dependencies.Settings.CallTimeout)
+	defer cancel()
+	e := placement.Engine{
+		Key:           one.Descriptor.Key,
+		Zone:          one.Descriptor.Zone,
+		ChecksFencing: one.Descriptor.ChecksFencing,
+		Leaving:       one.Leaving,
+	}
+	asked := p.dependencies.Timers.Now()
+	state, err := p.dependencies.Engines.State(ctx, one.BaseURL)
+	if err != nil || state.Incarnation != e.Key.Incarnation {
+		return e, time.Time{}
+	}
+	report, err := p.dependencies.Engines.Load(ctx, one.BaseURL)
+	if err != nil || report.Incarnation != e.Key.Incarnation {
+		return e, time.Time{}
+	}
+	e.Reachable = true
+	e.Leaving = e.Leaving || report.Leaving
+	e.Version = state.Version
+	e.Loading = state.Loading
+	e.Adapters = state.Adapters
+	e.Role = state.Role
+	e.Busy = report.Running + report.Queued
+	// The report does not tell the tiers apart.
+	e.TopTier = e.Busy
+	e.Slots = report.Slots
+	return e, asked.Add(-time.Duration(report.AgeMs) * time.Millisecond)
+}
+
+// applyDrain notes whose drain an engine is under and whether it has settled.
+func (p *Placement) applyDrain(
+	ctx context.Context, e *placement.Engine, drains map[endpoint.Key]core.Drain, reportedAt time.Time,
+) {
+	drain, drained := drains[e.Key]
+	switch {
+	case !drained:
+		p.setInForce(e.Key, time.Time{})
+		return
+	case drain.Author != Author:
+		e.Leaving = true
+		return
+	}
+	e.Drained = true
+	since := p.drainInForce(ctx, e.Key, drain)
+	e.Settled = !since.IsZero() && !reportedAt.Before(since.Add(p.dependencies.Settings.Settle))
+}
+
+// drainInForce returns since when a drain is known to be in force on every live
+// host, or zero.
+func (p *Placement) drainInForce(ctx context.Context, key endpoint.Key, drain core.Drain) time.Time {
+	p.mu.Lock()
+	since := p.inForce[key]
+	p.mu.Unlock()
+	if !since.IsZero() {
+		return since
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.dependencies.Settings.CallTimeout)
+	defer cancel()
+	result := p.dependencies.Configuration.InForce(ctx, drain.Offset)
+	if len(result.Lagging) > 0 {
+		return time.Time{}
+	}
+	since = p.dependencies.Timers.Now()
+	p.setInForce(key, since)
+	return since
+}
+
+func (p *Placement) setInForce(key endpoint.Key, since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if since.IsZero() {
+		delete(p.inForce, key)
+		return
+	}
+	p.inForce[key] = since
+}
--- /dev/null
+++ b/io/placement/placement.go
@@ -0,0 +1,173 @@
+// Package placement is the duty that keeps the lease of placement, observes the
+// engines and sends them the orders that package core/placement plans.
+//
+// # Usage
+//
+//	p := placement.New(placement.Dependencies{...})
+//	for _, duty := range p.Duties() {
+//		tree.Add(duty)
+//	}
+//
+// One lease covers all pools, since they share the weight store's rate. Without
+// a wanted document the duties read nothing and append nothing.
+//
+// A drain and a taking in are changes of the configuration by the author
+// Author, so that every host stops and starts to send work to the engine. An
+// endpoint that any other author drained counts as handed over.
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	core "cactuswell/core/configuration"
+	"cactuswell/core/endpoint"
+	"cactuswell/core/lease"
+	"cactuswell/core/placement"
+	"cactuswell/core/record"
+	"cactuswell/io/configuration"
+	"cactuswell/io/engine"
+	"cactuswell/io/logservice"
+	"cactuswell/io/weightstore"
+	"cactuswell/supervisor"
+	"cactuswell/timer"
+)
+
+const (
+	// Author is the author of the drains that placement makes.
+	Author = "placement"
+	// leaseName names the one lease of the fleet.
+	leaseName = "placement"
+	// maxRecent bounds the orders that are remembered.
+	maxRecent = 64
+)
+
+// Configuration is the part of the configuration that placement uses.
+type Configuration interface {
+	State() *core.State
+	Change(ctx context.Context, id string, change core.Change) (core.Outcome, error)
+	InForce(ctx context.Context, offset record.Offset) configuration.InForce
+}
+
+// Engines are the calls to engines. *engine.Client implements it.
+type Engines interface {
+	State(ctx context.Context, base string) (engine.StateResponse, error)
+	Load(ctx context.Context, base string) (engine.LoadReport, error)
+	Order(ctx context.Context, base string, order engine.OrderRequest) (engine.OrderResponse, error)
+}
+
+// Endpoint is one endpoint that the host knows.
+type Endpoint struct {
+	Descriptor endpoint.Descriptor
+	BaseURL    string
+	Leaving    bool
+}
+
+// Dependencies are what a Placement is made of.
+type Dependencies struct {
+	Host          string
+	Incarnation   uint64
+	Log           logservice.Log
+	Configuration Configuration
+	Engines       Engines
+	// Endpoints returns the model engines that the host knows.
+	Endpoints func() []Endpoint
+	// Store is the weight store, or nil if there is none.
+	Store    weightstore.Store
+	Timers   *timer.Service
+	Logger   log.Logger
+	Settings Settings
+}
+
+// Placement is the duty of one host. It is safe for concurrent use.
+type Placement struct {
+	dependencies Dependencies
+	start        time.Time
+
+	mu sync.Mutex
+	// machine and orders are nil until there is a wanted document.
+	machine *lease.Machine
+	orders  *placement.Orders
+	recent  []OrderReport
+	plans   []placement.Plan
+	// held is why the last planned order was not sent, or is empty.
+	held string
+
+	// The rest belongs to the reconcile duty.
+	term    record.Offset
+	loads   *placement.Loads
+	demands map[string]*placement.Demand
+	// inForce is since when an engine's drain is in force on every host.
+	inForce map[endpoint.Key]time.Time
+}
+
+// New returns a placement that has read nothing.
+func New(dependencies Dependencies) *Placement {
+	return &Placement{
+		dependencies: dependencies,
+		start:        dependencies.Timers.Now(),
+		term:         -1,
+		demands:      make(map[string]*placement.Demand),
+		inForce:      make(map[endpoint.Key]time.Time),
+	}
+}
+
+// Duties returns the duties to supervise.
+func (p *Placement) Duties() []supervisor.Duty {
+	return []supervisor.Duty{
+		{
+			Name: "placement.lease",
+			Run:  p.runLease,
+		},
+		{
+			Name: "placement.reconcile",
+			Run:  p.runReconcile,
+		},
+	}
+}
+
+func (p *Placement) runLease(ctx context.Context) error {
+	return p.every(ctx, p.keepLease)
+}
+
+func (p *Placement) runReconcile(ctx context.Context) error {
+	return p.every(ctx, p.reconcile)
+}
+
+func (p *Placement) every(ctx context.Context, do func(context.Context)) error {
+	tick := p.dependencies.Timers.Every(p.dependencies.Settings.Interval)
+	defer tick.Stop()
+	for {
+		do(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C():
+		}
+	}
+}
+
+// instant returns the present on both clocks.
+func (p *Placement) instant() lease.Instant {
+	now := p.dependencies.Timers.Now()
+	return lease.Instant{
+		Monotonic: now.Sub(p.start),
+		Wall:      now.Round(0),
+	}
+}
+
+// wanted returns the wanted document. It is empty without one.
+func (p *Placement) wanted() (placement.Wanted, error) {
+	published := p.dependencies.Configuration.State().Placement()
+	if published.Revision == 0 {
+		return placement.Wanted{}, nil
+	}
+	return placement.Parse([]byte(published.Document))
+}
+
+func (p *Placement) logFailure(event string, err error) {
+	_ = p.dependencies.Logger.Log("level", "error", "event", event, "error", err)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,6 +19,12 @@
 	"time"
 )
 
+// The values of Settings.Placement.
+const (
+	PlacementOn  = "on"
+	PlacementOff = "off"
+)
+
 // Settings are the settings of one entry host.
 type Settings struct {
 	Name   string `long:"name" env:"CACTUSWELL_NAME" description:"name of this host, unique in the fleet" required:"yes"`
@@ -32,6 +38,7 @@
 	LogURL         string   `long:"log-url" env:"CACTUSWELL_LOG_URL" description:"base URL of the platform's log service" required:"yes"`
 	HostListURL    string   `long:"host-list-url" env:"CACTUSWELL_HOST_LIST_URL" description:"base URL of the platform's host list" required:"yes"`
 	WeightStoreURL string   `long:"weight-store-url" env:"CACTUSWELL_WEIGHT_STORE_URL" description:"base URL of the platform's weight store; empty for none"`
+	Placement      string   `long:"placement" env:"CACTUSWELL_PLACEMENT" description:"whether this host takes part in placing models: on or off" default:"on"`
 	Peers          []string `long:"peer" env:"CACTUSWELL_PEERS" env-delim:"," description:"IP:port of another host's peer listener; may be given many times"`
 
 	BodyLimit      int64         `long:"body-limit" env:"CACTUSWELL_BODY_LIMIT" description:"largest body of a request, in bytes" default:"1048576"`
@@ -91,6 +98,9 @@
 	if s.WeightStoreURL != "" {
 		c.url("weight-store-url", s.WeightStoreURL)
 	}
+	if s.Placement != PlacementOn && s.Placement != PlacementOff {
+		c.add("placement", s.Placement, "on or off")
+	}
 	for _, peer := range s.Peers {
 		c.address("peer", peer)
 	}
@@ -191,6 +201,7 @@
 func Defaults() Settings {
 	return Settings{
 		Region:         "default",
+		Placement:      PlacementOn,
 		CallerListen:   "127.0.0.1:8080",
 		PeerListen:     "127.0.0.1:8081",
 		OperatorListen: "127.0.0.1:8082",
