placement show, plan and set, and the duty in the host

Operators could publish no wanted placement and see nothing of it. The operator service has ShowPlacement, PlanPlacement (a dry run with its reasons) and ChangePlacement, which checks the document and names the field at fault; the command line has placement show, plan and set.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -84,6 +84,7 @@
 		newExperimentCommand(c),
 		newExplainCommand(c),
 		newLoadCommand(c),
+		newPlacementCommand(c),
 		newProfileCommand(c),
 		newServeCommand(c),
 		newStandInCommand(c),
--- a/host/host.go
+++ b/host/host.go
@@ -33,6 +33,7 @@
 	"cactuswell/io/claims"
 	"cactuswell/io/configuration"
 	"cactuswell/io/node"
+	"cactuswell/io/placement"
 	"cactuswell/metrics"
 	"cactuswell/settings"
 	"cactuswell/supervisor"
@@ -63,6 +64,7 @@
 	claims        *claims.Claims
 	forwarder     *claims.Forwarder
 	directory     *directory
+	placement     *placement.Placement
 	recent        *recentRequests
 	requestIDs    atomic.Uint64
 	externalIDs   atomic.Uint64
--- a/host/run.go
+++ b/host/run.go
@@ -95,6 +95,7 @@
 		added:    h.watched,
 		leaving:  h.node.AnnounceLeaving,
 	})
+	h.placement = h.newPlacement()
 	h.node.OnEndpointLeaving(h.directory.markLeaving)
 	h.node.OnMembersChanged(h.countHosts)
 	h.node.OnHeadHeard(h.headHeard)
@@ -254,6 +255,11 @@
 		h.tree.Add(duty)
 	}
 	h.tree.Add(supervisor.Duty{Name: "directory", Run: h.directory.run})
+	if h.settings.Placement == settings.PlacementOn {
+		for _, duty := range h.placement.Duties() {
+			h.tree.Add(duty)
+		}
+	}
 	drains := &drainWatch{
 		configuration: h.configuration,
 		directory:     h.directory,
@@ -323,6 +329,7 @@
 		Dump:          h.dumpJSON,
 		Explain:       h.explainJSON,
 		Endpoints:     h.operatorEndpoints,
+		Placement:     h.placement,
 	}).Handler())
 	routes.Handle("/debug/vars", h.counters)
 	return routes
