--- a/io/configuration/fleet_test.go
+++ b/io/configuration/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -59,6 +60,8 @@
 	cancel    context.CancelFunc
 	done      chan struct{}
 	stoppedAt time.Time
+	// panics is how many looks at the live peers and dials are to panic.
+	panics atomic.Int32
 	// served counts the peers' calls that it answered, in all its lives.
 	served int
 	// cutOff makes all its calls and all calls to it silent.
@@ -111,6 +114,7 @@
 	dependencies.Host = name
 	dependencies.Zone = m.zone
 	dependencies.Log = func() logservice.Log {
+		m.panicIfAsked()
 		f.openLogs.Add(1)
 		return &logLink{member: m, dialled: time.Now()}
 	}
@@ -243,19 +247,20 @@
 func (f *fleet) await(limit time.Duration, what string, holds func(*member) bool) time.Duration {
 	f.t.Helper()
 	began := time.Now()
+	missing := f.running()
 	for {
-		var missing []string
-		for _, m := range f.running() {
-			if !holds(m) {
-				_, reason := m.config.Ready()
-				missing = append(missing, fmt.Sprintf("%s (applied %d, %s)", m.name, m.config.Applied(), reason))
-			}
+		missing = slices.DeleteFunc(missing, holds)
+		if len(missing) == 0 {
+			// All hosts must hold it at the same time.
+			missing = slices.DeleteFunc(f.running(), holds)
 		}
 		if len(missing) == 0 {
 			return time.Since(began)
 		}
 		if time.Since(began) > limit {
-			f.t.Fatalf("not %s within %v: %v", what, limit, missing)
+			_, reason := missing[0].config.Ready()
+			f.t.Fatalf("%d hosts not %s within %v, among them %s (applied %d, %s)",
+				len(missing), what, limit, missing[0].name, missing[0].config.Applied(), reason)
 		}
 		time.Sleep(time.Millisecond)
 	}
@@ -274,8 +279,15 @@
 	return outcome
 }
 
+func (m *member) panicIfAsked() {
+	if m.panics.Add(-1) >= 0 {
+		panic("asked to")
+	}
+}
+
 // Live implements configuration.Peers.
 func (m *member) Live() []configuration.Peer {
+	m.panicIfAsked()
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
 	if m.fleet.seen == nil || !time.Now().Before(m.fleet.seenUntil) {
