--- a/io/placement/fleet_test.go
+++ b/io/placement/fleet_test.go
@@ -236,7 +236,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.storeDown {
-		return weightstore.LimitsResponse{}, &weightstore.UnavailableError{Status: 429}
+		return weightstore.LimitsResponse{}, &weightstore.UnavailableError{Cause: context.DeadlineExceeded}
 	}
 	return weightstore.LimitsResponse{BytesPerSecond: f.rate}, nil
 }
--- a/io/placement/keeper.go
+++ b/io/placement/keeper.go
@@ -13,36 +13,43 @@
 // readLimit bounds the lease records of one read.
 const readLimit = 1000
 
-// keepLease reads the stream of leases and claims or renews the lease. It does
-// nothing without a wanted document.
-func (p *Placement) keepLease(ctx context.Context) {
+// keepLease reads the stream of leases, claims or renews the lease, and reports
+// whether this host has it. It does nothing without a wanted document.
+func (p *Placement) keepLease(ctx context.Context) bool {
 	wanted, err := p.wanted()
 	if err != nil || len(wanted.Models) == 0 {
-		return
+		return false
 	}
 	p.prepareMachine()
-	if !p.readLeases(ctx) {
-		return
+	if p.readLeases(ctx) && p.claim(ctx) {
+		p.readLeases(ctx)
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.machine.Valid(p.instant())
+}
+
+// claim appends the claim that is due and reports whether there was one.
+func (p *Placement) claim(ctx context.Context) bool {
 	p.mu.Lock()
 	now := p.instant()
 	claim, id, ok := p.machine.Next(now)
 	p.mu.Unlock()
 	if !ok {
-		return
+		return false
 	}
 	data, err := claim.Encode(id, now.Wall)
 	if err != nil {
 		p.logFailure("leaseEncode", err)
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.dependencies.Settings.CallTimeout)
-	_, err = p.dependencies.Log.Append(ctx, record.StreamLeases, [][]byte{data})
-	cancel()
-	if err != nil {
+	defer cancel()
+	if _, err := p.dependencies.Log.Append(ctx, record.StreamLeases, [][]byte{data}); err != nil {
 		// Whether the claim was accepted is read from the log.
 		p.logFailure("leaseAppend", err)
 	}
+	return true
 }
 
 func (p *Placement) prepareMachine() {
--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -21,6 +21,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 
 	core "cactuswell/core/configuration"
@@ -129,24 +130,37 @@
 	}
 }
 
+// runLease keeps the lease. Hosts that do not have it look rarely, each at its
+// own phase, so that a large fleet neither burdens the log nor claims at once.
 func (p *Placement) runLease(ctx context.Context) error {
-	return p.every(ctx, p.keepLease)
+	standby := p.dependencies.Settings.Standby
+	wait := time.Duration(xxhash.Sum64String(p.dependencies.Host) % uint64(standby))
+	for p.pause(ctx, wait) {
+		wait = standby
+		if p.keepLease(ctx) {
+			wait = p.dependencies.Settings.Interval
+		}
+	}
+	return nil
 }
 
+// runReconcile plans and makes moves while this host has the lease.
 func (p *Placement) runReconcile(ctx context.Context) error {
-	return p.every(ctx, p.reconcile)
+	for p.pause(ctx, p.dependencies.Settings.Interval) {
+		p.reconcile(ctx)
+	}
+	return nil
 }
 
-func (p *Placement) every(ctx context.Context, do func(context.Context)) error {
-	tick := p.dependencies.Timers.Every(p.dependencies.Settings.Interval)
-	defer tick.Stop()
-	for {
-		do(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C():
-		}
+// pause reports whether ctx goes on after the wait.
+func (p *Placement) pause(ctx context.Context, wait time.Duration) bool {
+	after := p.dependencies.Timers.After(wait)
+	defer after.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-after.C():
+		return true
 	}
 }
 
--- a/io/placement/settings.go
+++ b/io/placement/settings.go
@@ -14,6 +14,9 @@
 	// Interval is the time between two looks at the engines, and at the
 	// stream of leases.
 	Interval time.Duration
+	// Standby is the time between two looks at the stream of leases of a host
+	// that does not have the lease.
+	Standby time.Duration
 	// CallTimeout bounds one read of an engine, the log or the weight store.
 	CallTimeout time.Duration
 	// Settle is how long after a drain is in force on every host a load
@@ -27,6 +30,7 @@
 		Lease:       lease.DefaultSettings(),
 		Demand:      placement.DefaultDemandSettings(),
 		Interval:    500 * time.Millisecond,
+		Standby:     5 * time.Second,
 		CallTimeout: 2 * time.Second,
 		Settle:      time.Second,
 	}
