Replace a silent engine only after a grace of 3 s

Cause: one read of an engine that failed made its copy count as gone, and a spare was loaded for it, on the weight store's rate. Change: an engine that served within the last 3 s and does not answer still counts against every drain, but is not replaced yet; TestSilentEngineIsNot ReplacedAtOnce fails with a grace of zero. Conclusion: a replacement costs up to 3 s more, a missed read costs nothing.

--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -14,6 +14,9 @@
 	// Reachable reports whether the engine's state and load were read at
 	// this observation.
 	Reachable bool
+	// Suspect reports whether an engine that is not reachable served a short
+	// while ago. It does not count as live, but is not replaced yet.
+	Suspect bool
 	// Leaving reports whether the engine is handed over: it leaves, or an
 	// operator drained it.
 	Leaving bool
@@ -39,6 +42,11 @@
 	return e.Reachable && !e.Leaving && !e.Drained && e.Version != "" && e.Loading == ""
 }
 
+// mayReturn reports whether the engine may well serve again in a moment.
+func (e Engine) mayReturn() bool {
+	return !e.Reachable && e.Suspect && !e.Leaving && !e.Drained
+}
+
 // Holds reports whether the engine holds what is wanted.
 func (e Engine) Holds(model Model) bool {
 	if !e.Reachable || e.Loading != "" || e.Version != model.Version || e.Role != model.Role {
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -42,6 +42,8 @@
 	Situation
 	plan    Plan
 	engines []Engine
+	// returning counts the engines that may serve again in a moment.
+	returning int
 }
 
 // Next returns the pool's next move, if there is a safe one, and why nothing
@@ -65,6 +67,10 @@
 
 func (p *planner) count() {
 	for _, e := range p.engines {
+		if e.mayReturn() {
+			p.returning++
+			p.because(e.Key.Name, "it did not answer, and is not taken for gone yet")
+		}
 		if !e.Live() {
 			continue
 		}
@@ -92,13 +98,14 @@
 }
 
 func (p *planner) urgent() bool {
-	return p.plan.Live < p.Model.LeastCopies
+	return p.plan.Live+p.returning < p.Model.LeastCopies
 }
 
 // wantsMore reports whether another copy should be live, for the demand or so
 // that an outdated one can go.
 func (p *planner) wantsMore() bool {
-	return p.plan.Live < p.plan.Target || p.plan.Outdated > 0 && p.plan.Live < p.Model.MostCopies
+	expected := p.plan.Live + p.returning
+	return expected < p.plan.Target || p.plan.Outdated > 0 && expected < p.Model.MostCopies
 }
 
 func (p *planner) takeIn() bool {
--- a/io/placement/fleet_test.go
+++ b/io/placement/fleet_test.go
@@ -132,6 +132,12 @@
 	}
 }
 
+func (f *fleet) setDown(index int, down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engines[index].down = down
+}
+
 // until waits, at most a virtual hour, and returns how long it took.
 func (f *fleet) until(done func() bool) time.Duration {
 	f.t.Helper()
--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -103,6 +103,8 @@
 	demands map[string]*placement.Demand
 	// inForce is since when an engine's drain is in force on every host.
 	inForce map[endpoint.Key]time.Time
+	// served is when an engine was last seen to serve.
+	served map[endpoint.Key]time.Time
 }
 
 // New returns a placement that has read nothing.
@@ -113,6 +115,7 @@
 		term:         -1,
 		demands:      make(map[string]*placement.Demand),
 		inForce:      make(map[endpoint.Key]time.Time),
+		served:       make(map[endpoint.Key]time.Time),
 	}
 }
 
--- a/io/placement/placement_test.go
+++ b/io/placement/placement_test.go
@@ -77,14 +77,30 @@
 		f.host("first")
 		f.publish("v1", 3, 3)
 		time.Sleep(2 * time.Minute)
-		f.mu.Lock()
-		f.engines[0].down = true
-		f.mu.Unlock()
+		f.setDown(0, true)
 		took := f.until(func() bool { return f.live("v1") == 3 })
 		t.Logf("copies restored after %v; one load takes %v", took, time.Duration(f.bytes/f.rate)*time.Second)
 	})
 }
 
+func TestSilentEngineIsNotReplacedAtOnce(t *testing.T) {
+	within(t, 4, "v1", func(t *testing.T, f *fleet) {
+		f.engines[3].version = ""
+		f.host("first")
+		f.publish("v1", 3, 3)
+		time.Sleep(2 * time.Minute)
+		for range 10 {
+			f.setDown(0, true)
+			time.Sleep(2 * time.Second)
+			f.setDown(0, false)
+			time.Sleep(2 * time.Second)
+		}
+		if orders := f.counts().orders; orders != 0 {
+			t.Errorf("%d loads for an engine that came back", orders)
+		}
+	})
+}
+
 func TestHandedOverEndpointIsRefilled(t *testing.T) {
 	within(t, 4, "v1", func(t *testing.T, f *fleet) {
 		f.engines[3].version = ""
--- a/io/placement/reconciler.go
+++ b/io/placement/reconciler.go
@@ -32,6 +32,7 @@
 			p.loads = placement.NewLoads(p.dependencies.Timers.Now(), bytes, store.BytesPerSecond)
 		}
 		seen := p.observe(ctx, model.Pool)
+		p.noteSilent(seen.engines)
 		plan := placement.Next(placement.Situation{
 			Model:   model,
 			Engines: seen.engines,
@@ -74,10 +75,30 @@
 		p.loads = nil
 		clear(p.demands)
 		clear(p.inForce)
+		clear(p.served)
 	}
 	return true
 }
 
+// noteSilent marks the engines that served a short while ago and do not answer.
+func (p *Placement) noteSilent(engines []placement.Engine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.dependencies.Timers.Now()
+	for i := range engines {
+		e := &engines[i]
+		if e.Live() {
+			p.served[e.Key] = now
+			continue
+		}
+		last, ok := p.served[e.Key]
+		e.Suspect = !e.Reachable && ok && now.Sub(last) < p.dependencies.Settings.Grace
+		if ok && !e.Suspect {
+			delete(p.served, e.Key)
+		}
+	}
+}
+
 func (p *Placement) target(model placement.Model, seen observation) int {
 	demand, ok := p.demands[model.Pool]
 	if !ok {
--- a/io/placement/settings.go
+++ b/io/placement/settings.go
@@ -19,6 +19,9 @@
 	Standby time.Duration
 	// CallTimeout bounds one read of an engine, the log or the weight store.
 	CallTimeout time.Duration
+	// Grace is how long an engine that served may be silent before it is
+	// replaced.
+	Grace time.Duration
 	// Settle is how long after a drain is in force on every host a load
 	// report must have been made to be believed.
 	Settle time.Duration
@@ -32,6 +35,7 @@
 		Interval:    500 * time.Millisecond,
 		Standby:     5 * time.Second,
 		CallTimeout: 2 * time.Second,
+		Grace:       3 * time.Second,
 		Settle:      time.Second,
 	}
 }
