Write struct literals one field a line

Cause: 31 files had literals with several fields on one line, against the house style. Change: they are expanded; five packages build their field errors in one place. Conclusion: no behaviour changed.

--- a/certificate/store.go
+++ b/certificate/store.go
@@ -159,15 +159,24 @@
 	}
 	var err error
 	if loaded.certificate, err = tls.LoadX509KeyPair(s.files.Cert, s.files.Key); err != nil {
-		return nil, &LoadError{File: s.files.Cert, Cause: err}
+		return nil, &LoadError{
+			File:  s.files.Cert,
+			Cause: err,
+		}
 	}
 	authorities, err := os.ReadFile(s.files.CA)
 	if err != nil {
-		return nil, &LoadError{File: s.files.CA, Cause: err}
+		return nil, &LoadError{
+			File:  s.files.CA,
+			Cause: err,
+		}
 	}
 	loaded.fleet = x509.NewCertPool()
 	if !loaded.fleet.AppendCertsFromPEM(authorities) {
-		return nil, &LoadError{File: s.files.CA, Cause: &NoCertificateError{}}
+		return nil, &LoadError{
+			File:  s.files.CA,
+			Cause: &NoCertificateError{},
+		}
 	}
 	if loaded.trusted, err = x509.SystemCertPool(); err != nil {
 		loaded.trusted = x509.NewCertPool()
--- a/cmd/endpointcmd.go
+++ b/cmd/endpointcmd.go
@@ -102,7 +102,10 @@
 		}
 		return r.console.awaitInForce(ctx, client, offset)
 	}
-	return trace.Wrap(&operator.NotFoundError{What: "endpoint", Name: name})
+	return trace.Wrap(&operator.NotFoundError{
+		What: "endpoint",
+		Name: name,
+	})
 }
 
 type endpointDrain struct {
--- a/cmd/explaincmd.go
+++ b/cmd/explaincmd.go
@@ -43,7 +43,10 @@
 		RequestId: e.Positional.Request,
 	}))
 	if connect.CodeOf(err) == connect.CodeNotFound {
-		return trace.Wrap(&operator.NotFoundError{What: "request", Name: e.Positional.Request})
+		return trace.Wrap(&operator.NotFoundError{
+			What: "request",
+			Name: e.Positional.Request,
+		})
 	}
 	if err != nil {
 		return trace.Wrap(err)
--- a/cmd/profilecmd.go
+++ b/cmd/profilecmd.go
@@ -115,7 +115,10 @@
 		return nil, err
 	}
 	if current.GetDeleted() {
-		return nil, trace.Wrap(&operator.NotFoundError{What: "profile", Name: name})
+		return nil, trace.Wrap(&operator.NotFoundError{
+			What: "profile",
+			Name: name,
+		})
 	}
 	return current, nil
 }
@@ -127,7 +130,10 @@
 		Name: name,
 	}))
 	if connect.CodeOf(err) == connect.CodeNotFound {
-		return nil, trace.Wrap(&operator.NotFoundError{What: "profile", Name: name})
+		return nil, trace.Wrap(&operator.NotFoundError{
+			What: "profile",
+			Name: name,
+		})
 	}
 	if err != nil {
 		return nil, trace.Wrap(err)
--- a/core/admission/settings.go
+++ b/core/admission/settings.go
@@ -44,19 +44,27 @@
 	return fmt.Sprintf("admission setting %s is %v; allowed: %s", e.Field, e.Value, e.Allowed)
 }
 
+func settingError(field string, value any, allowed string) *SettingError {
+	return &SettingError{
+		Field:   field,
+		Value:   value,
+		Allowed: allowed,
+	}
+}
+
 // Check returns a *SettingError for the first setting that is out of range.
 func (s Settings) Check() error {
 	switch {
 	case s.MaxQueued < 0:
-		return &SettingError{Field: "maxQueued", Value: s.MaxQueued, Allowed: "0 or more"}
+		return settingError("maxQueued", s.MaxQueued, "0 or more")
 	case s.MaxTeamQueued < 0:
-		return &SettingError{Field: "maxTeamQueued", Value: s.MaxTeamQueued, Allowed: "0 or more"}
+		return settingError("maxTeamQueued", s.MaxTeamQueued, "0 or more")
 	case s.ClassReserve < 0:
-		return &SettingError{Field: "classReserve", Value: s.ClassReserve, Allowed: "0 or more"}
+		return settingError("classReserve", s.ClassReserve, "0 or more")
 	case s.MaxGuaranteed < 0 || s.MaxGuaranteed >= 1:
-		return &SettingError{Field: "maxGuaranteed", Value: s.MaxGuaranteed, Allowed: "0 to less than 1"}
+		return settingError("maxGuaranteed", s.MaxGuaranteed, "0 to less than 1")
 	case s.TopShare < 0 || s.TopShare > 1:
-		return &SettingError{Field: "topShare", Value: s.TopShare, Allowed: "0 to 1"}
+		return settingError("topShare", s.TopShare, "0 to 1")
 	}
 	return nil
 }
--- a/core/configuration/change.go
+++ b/core/configuration/change.go
@@ -84,7 +84,10 @@
 	}
 	body, err := json.Marshal(change)
 	if err != nil {
-		return nil, &InvalidError{Field: "body", Reason: err.Error()}
+		return nil, &InvalidError{
+			Field:  "body",
+			Reason: err.Error(),
+		}
 	}
 	return record.Encode(record.Envelope{
 		Kind:        change.kind(),
@@ -127,7 +130,10 @@
 
 func checkID(id string) error {
 	if id == "" || len(id) > MaxIDLength {
-		return &InvalidError{Field: "id", Reason: "allowed: 1 to 64 bytes"}
+		return &InvalidError{
+			Field:  "id",
+			Reason: "allowed: 1 to 64 bytes",
+		}
 	}
 	return nil
 }
@@ -135,9 +141,15 @@
 func checkChange(change Change) error {
 	switch {
 	case len(change.author()) > MaxAuthorLength:
-		return &InvalidError{Field: "author", Reason: "allowed: up to 128 bytes"}
+		return &InvalidError{
+			Field:  "author",
+			Reason: "allowed: up to 128 bytes",
+		}
 	case change.asOf() < 0:
-		return &InvalidError{Field: "asOf", Reason: "negative"}
+		return &InvalidError{
+			Field:  "asOf",
+			Reason: "negative",
+		}
 	}
 	return change.check()
 }
@@ -150,15 +162,27 @@
 func (c ProfileChange) check() error {
 	switch {
 	case c.Name == "" || len(c.Name) > profile.MaxNameLength:
-		return &InvalidError{Field: "name", Reason: "allowed: 1 to 64 bytes"}
+		return &InvalidError{
+			Field:  "name",
+			Reason: "allowed: 1 to 64 bytes",
+		}
 	case c.Deleted && c.Spec != nil:
-		return &InvalidError{Field: "spec", Reason: "a deletion has none"}
+		return &InvalidError{
+			Field:  "spec",
+			Reason: "a deletion has none",
+		}
 	case c.Deleted:
 		return nil
 	case c.Spec == nil:
-		return &InvalidError{Field: "spec", Reason: "missing"}
+		return &InvalidError{
+			Field:  "spec",
+			Reason: "missing",
+		}
 	case c.Spec.Name != c.Name:
-		return &InvalidError{Field: "spec", Reason: "its name is not the change's"}
+		return &InvalidError{
+			Field:  "spec",
+			Reason: "its name is not the change's",
+		}
 	}
 	_, err := profile.New(*c.Spec)
 	return err
@@ -171,7 +195,10 @@
 
 func (c EndpointChange) check() error {
 	if c.Name == "" || len(c.Name) > MaxEndpointLength {
-		return &InvalidError{Field: "name", Reason: "allowed: 1 to 128 bytes"}
+		return &InvalidError{
+			Field:  "name",
+			Reason: "allowed: 1 to 128 bytes",
+		}
 	}
 	return nil
 }
@@ -184,9 +211,15 @@
 func (c PlacementChange) check() error {
 	switch {
 	case len(c.Document) > MaxDocumentBytes:
-		return &InvalidError{Field: "document", Reason: "allowed: up to 64 KiB"}
+		return &InvalidError{
+			Field:  "document",
+			Reason: "allowed: up to 64 KiB",
+		}
 	case !json.Valid(c.Document) || !utf8.Valid(c.Document):
-		return &InvalidError{Field: "document", Reason: "not JSON"}
+		return &InvalidError{
+			Field:  "document",
+			Reason: "not JSON",
+		}
 	}
 	return nil
 }
--- a/core/configuration/configuration.go
+++ b/core/configuration/configuration.go
@@ -178,9 +178,15 @@
 			Current: s.current(outcome),
 		}
 	case VerdictStale:
-		return &StaleError{Name: outcome.Name, Offset: outcome.Offset}
+		return &StaleError{
+			Name:   outcome.Name,
+			Offset: outcome.Offset,
+		}
 	default:
-		return &RejectedError{Name: outcome.Name, Reason: outcome.Reason}
+		return &RejectedError{
+			Name:   outcome.Name,
+			Reason: outcome.Reason,
+		}
 	}
 }
 
@@ -200,15 +206,28 @@
 func (s *State) Apply(offset record.Offset, data []byte) Outcome {
 	switch {
 	case offset < s.next:
-		return Outcome{Offset: offset, Verdict: VerdictOld}
+		return Outcome{
+			Offset:  offset,
+			Verdict: VerdictOld,
+		}
 	case offset > s.next:
-		return Outcome{Offset: offset, Verdict: VerdictGap}
+		return Outcome{
+			Offset:  offset,
+			Verdict: VerdictGap,
+		}
 	}
 	envelope, err := record.Decode(data)
 	var newer *record.VersionError
 	if errors.As(err, &newer) {
-		s.blocked = &VersionError{Offset: offset, Version: newer.Version}
-		return Outcome{Offset: offset, ID: envelope.ID, Verdict: VerdictNewer}
+		s.blocked = &VersionError{
+			Offset:  offset,
+			Version: newer.Version,
+		}
+		return Outcome{
+			Offset:  offset,
+			ID:      envelope.ID,
+			Verdict: VerdictNewer,
+		}
 	}
 	outcome := s.reduce(offset, envelope, err)
 	s.blocked = nil
--- a/core/dispatch/settings.go
+++ b/core/dispatch/settings.go
@@ -62,22 +62,30 @@
 	return fmt.Sprintf("dispatch setting %s is %v; allowed: %s", e.Field, e.Value, e.Allowed)
 }
 
+func settingError(field string, value any, allowed string) *SettingError {
+	return &SettingError{
+		Field:   field,
+		Value:   value,
+		Allowed: allowed,
+	}
+}
+
 // Check returns an error for the first setting that is out of range: a
 // *SettingError or an *admission.SettingError.
 func (s Settings) Check() error {
 	switch {
 	case s.Kind != "" && s.Kind != profile.KindModel && s.Kind != profile.KindService:
-		return &SettingError{Field: "kind", Value: s.Kind, Allowed: "model or service"}
+		return settingError("kind", s.Kind, "model or service")
 	case s.RetryShare < 0 || s.RetryShare > retry.DefaultShare:
-		return &SettingError{Field: "retryShare", Value: s.RetryShare, Allowed: "0 to 0.1"}
+		return settingError("retryShare", s.RetryShare, "0 to 0.1")
 	case s.MaxAttempts < 0:
-		return &SettingError{Field: "maxAttempts", Value: s.MaxAttempts, Allowed: "0 or more"}
+		return settingError("maxAttempts", s.MaxAttempts, "0 or more")
 	case s.RunLimit < 0:
-		return &SettingError{Field: "runLimit", Value: s.RunLimit, Allowed: "0 or more"}
+		return settingError("runLimit", s.RunLimit, "0 or more")
 	case s.OutputQuantile < 0 || s.OutputQuantile > 1:
-		return &SettingError{Field: "outputQuantile", Value: s.OutputQuantile, Allowed: "0 to 1"}
+		return settingError("outputQuantile", s.OutputQuantile, "0 to 1")
 	case s.JournalSize < 0:
-		return &SettingError{Field: "journalSize", Value: s.JournalSize, Allowed: "0 or more"}
+		return settingError("journalSize", s.JournalSize, "0 or more")
 	}
 	return s.Queue.Check()
 }
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -182,7 +182,10 @@
 		return 0, &LapsedError{Pool: m.pool}
 	}
 	if left := m.waitOut - now.AtLeast(m.heldSince); left > 0 && !checksFencing {
-		return 0, &WaitingError{Pool: m.pool, Left: left}
+		return 0, &WaitingError{
+			Pool: m.pool,
+			Left: left,
+		}
 	}
 	return m.term, nil
 }
--- a/core/placement/wanted.go
+++ b/core/placement/wanted.go
@@ -50,16 +50,24 @@
 	return fmt.Sprintf("%s is %v; allowed: %s", e.Field, e.Value, e.Allowed)
 }
 
+func fieldError(field string, value any, allowed string) *FieldError {
+	return &FieldError{
+		Field:   field,
+		Value:   value,
+		Allowed: allowed,
+	}
+}
+
 // Parse returns the checked document. The error is a *FieldError.
 func Parse(document []byte) (Wanted, error) {
 	decoder := json.NewDecoder(bytes.NewReader(document))
 	decoder.DisallowUnknownFields()
 	var wanted Wanted
 	if err := decoder.Decode(&wanted); err != nil {
-		return Wanted{}, &FieldError{Field: "document", Value: err.Error(), Allowed: "JSON of the documented fields"}
+		return Wanted{}, fieldError("document", err.Error(), "JSON of the documented fields")
 	}
 	if len(wanted.Models) > MaxModels {
-		return Wanted{}, &FieldError{Field: "models", Value: len(wanted.Models), Allowed: "up to 64"}
+		return Wanted{}, fieldError("models", len(wanted.Models), "up to 64")
 	}
 	pools := make(map[string]bool)
 	for i, model := range wanted.Models {
@@ -67,11 +75,7 @@
 			return Wanted{}, err
 		}
 		if pools[model.Pool] {
-			return Wanted{}, &FieldError{
-				Field:   fmt.Sprintf("models[%d].pool", i),
-				Value:   model.Pool,
-				Allowed: "each pool once",
-			}
+			return Wanted{}, fieldError(fmt.Sprintf("models[%d].pool", i), model.Pool, "each pool once")
 		}
 		pools[model.Pool] = true
 		slices.Sort(wanted.Models[i].Adapters)
@@ -82,17 +86,17 @@
 func (m Model) check(prefix string) error {
 	switch {
 	case !named(m.Pool):
-		return &FieldError{Field: prefix + "pool", Value: m.Pool, Allowed: "1 to 64 bytes"}
+		return fieldError(prefix+"pool", m.Pool, "1 to 64 bytes")
 	case !named(m.Version):
-		return &FieldError{Field: prefix + "version", Value: m.Version, Allowed: "1 to 64 bytes"}
+		return fieldError(prefix+"version", m.Version, "1 to 64 bytes")
 	case len(m.Role) > MaxNameSize:
-		return &FieldError{Field: prefix + "role", Value: m.Role, Allowed: "up to 64 bytes"}
+		return fieldError(prefix+"role", m.Role, "up to 64 bytes")
 	case m.LeastCopies < 1 || m.LeastCopies > MaxCopies:
-		return &FieldError{Field: prefix + "leastCopies", Value: m.LeastCopies, Allowed: "1 to 4096"}
+		return fieldError(prefix+"leastCopies", m.LeastCopies, "1 to 4096")
 	case m.MostCopies < m.LeastCopies || m.MostCopies > MaxCopies:
-		return &FieldError{Field: prefix + "mostCopies", Value: m.MostCopies, Allowed: "leastCopies to 4096"}
+		return fieldError(prefix+"mostCopies", m.MostCopies, "leastCopies to 4096")
 	case m.HeadroomSlots < 0:
-		return &FieldError{Field: prefix + "headroomSlots", Value: m.HeadroomSlots, Allowed: "0 or more"}
+		return fieldError(prefix+"headroomSlots", m.HeadroomSlots, "0 or more")
 	}
 	if err := checkNames(prefix+"adapters", m.Adapters, MaxAdapters); err != nil {
 		return err
@@ -102,16 +106,12 @@
 
 func checkNames(field string, names []string, limit int) error {
 	if len(names) > limit {
-		return &FieldError{Field: field, Value: len(names), Allowed: fmt.Sprintf("up to %d", limit)}
+		return fieldError(field, len(names), fmt.Sprintf("up to %d", limit))
 	}
 	seen := make(map[string]bool)
 	for i, name := range names {
 		if !named(name) || seen[name] {
-			return &FieldError{
-				Field:   fmt.Sprintf("%s[%d]", field, i),
-				Value:   name,
-				Allowed: "1 to 64 bytes, each once",
-			}
+			return fieldError(fmt.Sprintf("%s[%d]", field, i), name, "1 to 64 bytes, each once")
 		}
 		seen[name] = true
 	}
--- a/core/profile/profile.go
+++ b/core/profile/profile.go
@@ -102,6 +102,14 @@
 	return fmt.Sprintf("profile field %s is %v; allowed: %s", e.Field, e.Value, e.Allowed)
 }
 
+func fieldError(field string, value any, allowed string) *FieldError {
+	return &FieldError{
+		Field:   field,
+		Value:   value,
+		Allowed: allowed,
+	}
+}
+
 // New checks spec and returns its profile. The error is a *FieldError.
 func New(spec Spec) (Profile, error) {
 	if err := check(spec); err != nil {
@@ -115,27 +123,27 @@
 func check(spec Spec) error {
 	switch {
 	case !validName(spec.Name):
-		return &FieldError{Field: "name", Value: spec.Name, Allowed: "1 to 64 letters, digits, '.', '_' or '-'"}
+		return fieldError("name", spec.Name, "1 to 64 letters, digits, '.', '_' or '-'")
 	case !validName(spec.Class):
-		return &FieldError{Field: "class", Value: spec.Class, Allowed: "1 to 64 letters, digits, '.', '_' or '-'"}
+		return fieldError("class", spec.Class, "1 to 64 letters, digits, '.', '_' or '-'")
 	case spec.Kind != KindModel && spec.Kind != KindService:
-		return &FieldError{Field: "kind", Value: spec.Kind, Allowed: "model or service"}
+		return fieldError("kind", spec.Kind, "model or service")
 	case !validName(spec.Pool):
-		return &FieldError{Field: "pool", Value: spec.Pool, Allowed: "1 to 64 letters, digits, '.', '_' or '-'"}
+		return fieldError("pool", spec.Pool, "1 to 64 letters, digits, '.', '_' or '-'")
 	case spec.Tier < TierUrgent || spec.Tier > TierBulk:
-		return &FieldError{Field: "tier", Value: spec.Tier, Allowed: "0 (urgent) to 3 (bulk)"}
+		return fieldError("tier", spec.Tier, "0 (urgent) to 3 (bulk)")
 	case spec.TargetMs < 1 || spec.TargetMs > MaxTargetMs:
-		return &FieldError{Field: "targetMs", Value: spec.TargetMs, Allowed: "1 to 600000"}
+		return fieldError("targetMs", spec.TargetMs, "1 to 600000")
 	case spec.Measure != "" && spec.Measure != MeasureFirstToken && spec.Measure != MeasureCompletion:
-		return &FieldError{Field: "measure", Value: spec.Measure, Allowed: "firstToken or completion"}
+		return fieldError("measure", spec.Measure, "firstToken or completion")
 	case spec.WaitLimitMs < 0 || spec.WaitLimitMs > MaxWaitLimitFactor*MaxTargetMs:
-		return &FieldError{Field: "waitLimitMs", Value: spec.WaitLimitMs, Allowed: "0 to 6000000"}
+		return fieldError("waitLimitMs", spec.WaitLimitMs, "0 to 6000000")
 	case spec.Value < 0:
-		return &FieldError{Field: "value", Value: spec.Value, Allowed: "0 or more"}
+		return fieldError("value", spec.Value, "0 or more")
 	case spec.MinShare < 0 || spec.MinShare > 1:
-		return &FieldError{Field: "minShare", Value: spec.MinShare, Allowed: "0 to 1"}
+		return fieldError("minShare", spec.MinShare, "0 to 1")
 	case spec.MaxTokens < 0:
-		return &FieldError{Field: "maxTokens", Value: spec.MaxTokens, Allowed: "0 or more"}
+		return fieldError("maxTokens", spec.MaxTokens, "0 or more")
 	}
 	return nil
 }
--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -78,11 +78,17 @@
 	switch {
 	case e.unreachable:
 		e.simulation.after(dialTimeout, func() {
-			e.tellHost(a, dispatch.AttemptFailed{Attempt: a.id, Failure: dispatch.NotStarted{}})
+			e.tellHost(a, dispatch.AttemptFailed{
+				Attempt: a.id,
+				Failure: dispatch.NotStarted{},
+			})
 		})
 		return
 	case e.crashed:
-		e.reply(a, dispatch.AttemptFailed{Attempt: a.id, Failure: dispatch.NotStarted{}})
+		e.reply(a, dispatch.AttemptFailed{
+			Attempt: a.id,
+			Failure: dispatch.NotStarted{},
+		})
 		return
 	case a.closed:
 		return
@@ -157,7 +163,10 @@
 		e.finish(a)
 		return
 	}
-	e.reply(a, dispatch.AttemptProgressed{Attempt: a.id, Tokens: a.produced})
+	e.reply(a, dispatch.AttemptProgressed{
+		Attempt: a.id,
+		Tokens:  a.produced,
+	})
 	next := min(left, chunkTokens)
 	settings := &e.simulation.deployment.Engines
 	token := float64(settings.TokenTime) * e.tokenFactor()
@@ -170,7 +179,10 @@
 	}
 	a.finished = true
 	e.end(a)
-	e.reply(a, dispatch.AttemptFinished{Attempt: a.id, Tokens: a.request.arrival.outputTokens})
+	e.reply(a, dispatch.AttemptFinished{
+		Attempt: a.id,
+		Tokens:  a.request.arrival.outputTokens,
+	})
 }
 
 // end frees what the attempt holds.
@@ -211,19 +223,31 @@
 	switch {
 	case e.unreachable:
 		e.simulation.after(dialTimeout, func() {
-			e.tellHost(a, dispatch.AttemptFailed{Attempt: a.id, Failure: dispatch.Broken{}})
+			e.tellHost(a, dispatch.AttemptFailed{
+				Attempt: a.id,
+				Failure: dispatch.Broken{},
+			})
 		})
 	case e.crashed || e.known[a.key()] != a:
 		a.silent = false
-		e.reply(a, dispatch.AttemptFailed{Attempt: a.id, Failure: dispatch.Forgotten{}})
+		e.reply(a, dispatch.AttemptFailed{
+			Attempt: a.id,
+			Failure: dispatch.Forgotten{},
+		})
 	case a.finished:
 		a.silent = false
-		e.reply(a, dispatch.AttemptFinished{Attempt: a.id, Tokens: a.request.arrival.outputTokens})
+		e.reply(a, dispatch.AttemptFinished{
+			Attempt: a.id,
+			Tokens:  a.request.arrival.outputTokens,
+		})
 	default:
 		a.silent = false
 		e.reply(a, dispatch.AttemptAccepted{Attempt: a.id})
 		if a.produced > 0 {
-			e.reply(a, dispatch.AttemptProgressed{Attempt: a.id, Tokens: a.produced})
+			e.reply(a, dispatch.AttemptProgressed{
+				Attempt: a.id,
+				Tokens:  a.produced,
+			})
 		}
 	}
 }
@@ -237,7 +261,10 @@
 	clear(e.known)
 	for _, a := range lost {
 		e.end(a)
-		e.reply(a, dispatch.AttemptFailed{Attempt: a.id, Failure: dispatch.Broken{}})
+		e.reply(a, dispatch.AttemptFailed{
+			Attempt: a.id,
+			Failure: dispatch.Broken{},
+		})
 	}
 }
 
--- a/fleet/capacity.go
+++ b/fleet/capacity.go
@@ -141,7 +141,10 @@
 		Hosts: []string{r.hosts[0].process.addresses["callers"]},
 		Firm:  r.config.Firm,
 		Streams: []load.Stream{
-			{Profile: profileName, Rate: rate},
+			{
+				Profile: profileName,
+				Rate:    rate,
+			},
 		},
 		Duration: length,
 		Seed:     1,
--- a/fleet/course.go
+++ b/fleet/course.go
@@ -110,26 +110,101 @@
 func LongCourse() Course {
 	return Course{
 		Streams: []load.Stream{
-			{Profile: "roomHold", Rate: 12},
-			{Profile: "roomAvailability", Rate: 20},
-			{Profile: "schedulingDraft", Rate: 25},
-			{Profile: "hearingSummary", Rate: 8},
-			{Profile: "caseFileBriefing", Rate: 5},
+			{
+				Profile: "roomHold",
+				Rate:    12,
+			},
+			{
+				Profile: "roomAvailability",
+				Rate:    20,
+			},
+			{
+				Profile: "schedulingDraft",
+				Rate:    25,
+			},
+			{
+				Profile: "hearingSummary",
+				Rate:    8,
+			},
+			{
+				Profile: "caseFileBriefing",
+				Rate:    5,
+			},
 		},
 		Duration: 150 * time.Second,
 		Seed:     1,
 		KeyShare: 0.5,
-		Steps: []TimedStep{
-			{At: 5 * time.Second, Step: KillHost{Host: 2, After: 2 * time.Second}},
-			{At: 12 * time.Second, Step: PauseHost{Host: 3, For: 8 * time.Second}},
-			{At: 25 * time.Second, Step: LogDown{For: 10 * time.Second}},
-			{At: 40 * time.Second, Step: LogFaulty{For: 10 * time.Second, Rounds: 5}},
-			{At: 55 * time.Second, Step: SilenceEndpoint{Endpoint: "drafting-2", For: 8 * time.Second}},
-			{At: 66 * time.Second, Step: SlowEndpoint{Endpoint: "drafting-3", Factor: 6, For: 12 * time.Second}},
-			{At: 80 * time.Second, Step: CrashEndpoint{Endpoint: "drafting-5", For: 6 * time.Second}},
-			{At: 88 * time.Second, Step: LoseAnswers{Endpoint: "booking-2", For: 5 * time.Second}},
-			{At: 95 * time.Second, Step: LeaveEndpoint{Endpoint: "drafting-4", Watch: 8 * time.Second}},
-			{At: 108 * time.Second, Step: RollingRestart{}},
+		Steps:    longSteps(),
+	}
+}
+
+// longSteps returns every fault, one after the other.
+func longSteps() []TimedStep {
+	return []TimedStep{
+		{
+			At: 5 * time.Second,
+			Step: KillHost{
+				Host:  2,
+				After: 2 * time.Second,
+			},
+		},
+		{
+			At: 12 * time.Second,
+			Step: PauseHost{
+				Host: 3,
+				For:  8 * time.Second,
+			},
+		},
+		{
+			At:   25 * time.Second,
+			Step: LogDown{For: 10 * time.Second},
+		},
+		{
+			At: 40 * time.Second,
+			Step: LogFaulty{
+				For:    10 * time.Second,
+				Rounds: 5,
+			},
+		},
+		{
+			At: 55 * time.Second,
+			Step: SilenceEndpoint{
+				Endpoint: "drafting-2",
+				For:      8 * time.Second,
+			},
+		},
+		{
+			At: 66 * time.Second,
+			Step: SlowEndpoint{
+				Endpoint: "drafting-3",
+				Factor:   6,
+				For:      12 * time.Second,
+			},
+		},
+		{
+			At: 80 * time.Second,
+			Step: CrashEndpoint{
+				Endpoint: "drafting-5",
+				For:      6 * time.Second,
+			},
+		},
+		{
+			At: 88 * time.Second,
+			Step: LoseAnswers{
+				Endpoint: "booking-2",
+				For:      5 * time.Second,
+			},
+		},
+		{
+			At: 95 * time.Second,
+			Step: LeaveEndpoint{
+				Endpoint: "drafting-4",
+				Watch:    8 * time.Second,
+			},
+		},
+		{
+			At:   108 * time.Second,
+			Step: RollingRestart{},
 		},
 	}
 }
@@ -138,19 +213,49 @@
 func ShortCourse() Course {
 	return Course{
 		Streams: []load.Stream{
-			{Profile: "roomHold", Rate: 10},
-			{Profile: "schedulingDraft", Rate: 10},
-			{Profile: "caseFileBriefing", Rate: 2},
+			{
+				Profile: "roomHold",
+				Rate:    10,
+			},
+			{
+				Profile: "schedulingDraft",
+				Rate:    10,
+			},
+			{
+				Profile: "caseFileBriefing",
+				Rate:    2,
+			},
 		},
 		Duration: 20 * time.Second,
 		Seed:     1,
 		KeyShare: 0.5,
 		Steps: []TimedStep{
-			{At: 1 * time.Second, Step: KillHost{Host: 1, After: time.Second}},
-			{At: 4 * time.Second, Step: LogDown{For: 2 * time.Second}},
-			{At: 7 * time.Second, Step: RaceOperators{Rounds: 3}},
-			{At: 9 * time.Second, Step: LoseAnswers{Endpoint: "booking-2", For: time.Second}},
-			{At: 11 * time.Second, Step: RollingRestart{}},
+			{
+				At: 1 * time.Second,
+				Step: KillHost{
+					Host:  1,
+					After: time.Second,
+				},
+			},
+			{
+				At:   4 * time.Second,
+				Step: LogDown{For: 2 * time.Second},
+			},
+			{
+				At:   7 * time.Second,
+				Step: RaceOperators{Rounds: 3},
+			},
+			{
+				At: 9 * time.Second,
+				Step: LoseAnswers{
+					Endpoint: "booking-2",
+					For:      time.Second,
+				},
+			},
+			{
+				At:   11 * time.Second,
+				Step: RollingRestart{},
+			},
 		},
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -243,7 +243,10 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return trace.Wrap(&StatusError{What: address, Status: response.StatusCode})
+		return trace.Wrap(&StatusError{
+			What:   address,
+			Status: response.StatusCode,
+		})
 	}
 	return nil
 }
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -80,7 +80,10 @@
 	case <-time.After(startTimeout):
 		p.kill()
 	}
-	return nil, trace.Wrap(&StartError{Name: name, Output: p.output()})
+	return nil, trace.Wrap(&StartError{
+		Name:   name,
+		Output: p.output(),
+	})
 }
 
 // servingLine is the log line by which a host tells its addresses.
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -47,7 +47,10 @@
 	fields := strings.Fields(rest)
 	const userField, systemField, residentField = 11, 12, 21
 	if !ok || len(fields) <= residentField {
-		return Usage{}, trace.Wrap(&UsageError{Process: process, Text: string(data)})
+		return Usage{}, trace.Wrap(&UsageError{
+			Process: process,
+			Text:    string(data),
+		})
 	}
 	ticks := 0
 	for _, field := range []int{userField, systemField} {
--- a/host/run.go
+++ b/host/run.go
@@ -135,9 +135,18 @@
 		listener *net.Listener
 		address  string
 	}{
-		{listener: &h.callerListener, address: h.settings.CallerListen},
-		{listener: &h.peerListener, address: h.settings.PeerListen},
-		{listener: &h.operatorListener, address: h.settings.OperatorListen},
+		{
+			listener: &h.callerListener,
+			address:  h.settings.CallerListen,
+		},
+		{
+			listener: &h.peerListener,
+			address:  h.settings.PeerListen,
+		},
+		{
+			listener: &h.operatorListener,
+			address:  h.settings.OperatorListen,
+		},
 	} {
 		var err error
 		if *l.listener, err = net.Listen("tcp", l.address); err != nil {
@@ -262,9 +271,15 @@
 }
 
 func (h *Host) addDuties(callers *http.Server) {
-	h.tree.Add(supervisor.Duty{Name: "timer", Run: h.timers.Run})
+	h.tree.Add(supervisor.Duty{
+		Name: "timer",
+		Run:  h.timers.Run,
+	})
 	if h.certificates != nil {
-		h.tree.Add(supervisor.Duty{Name: "certificates", Run: h.certificates.Run})
+		h.tree.Add(supervisor.Duty{
+			Name: "certificates",
+			Run:  h.certificates.Run,
+		})
 	}
 	for _, duty := range h.node.Duties() {
 		h.tree.Add(duty)
@@ -275,7 +290,10 @@
 	for _, duty := range h.claims.Duties() {
 		h.tree.Add(duty)
 	}
-	h.tree.Add(supervisor.Duty{Name: "directory", Run: h.directory.run})
+	h.tree.Add(supervisor.Duty{
+		Name: "directory",
+		Run:  h.directory.run,
+	})
 	if h.settings.Placement == settings.PlacementOn {
 		for _, duty := range h.placement.Duties() {
 			h.tree.Add(duty)
@@ -290,9 +308,18 @@
 		configuration: h.configuration,
 		node:          h.node,
 	}
-	h.tree.Add(supervisor.Duty{Name: "drains", Run: drains.run})
-	h.tree.Add(supervisor.Duty{Name: "heads", Run: heads.run})
-	h.tree.Add(supervisor.Duty{Name: "callers", Run: h.serve(callers, h.callerListener)})
+	h.tree.Add(supervisor.Duty{
+		Name: "drains",
+		Run:  drains.run,
+	})
+	h.tree.Add(supervisor.Duty{
+		Name: "heads",
+		Run:  heads.run,
+	})
+	h.tree.Add(supervisor.Duty{
+		Name: "callers",
+		Run:  h.serve(callers, h.callerListener),
+	})
 	peers := http.NewServeMux()
 	peers.Handle(h.node.Handler())
 	peers.Handle(claims.NewHandler(h.claims, h))
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -130,7 +130,10 @@
 
 func (s *Server) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if ready, reason := s.backend.Ready(); !ready {
-		writeJSON(w, http.StatusServiceUnavailable, statusBody{Status: "notReady", Reason: reason})
+		writeJSON(w, http.StatusServiceUnavailable, statusBody{
+			Status: "notReady",
+			Reason: reason,
+		})
 		return
 	}
 	writeJSON(w, http.StatusOK, statusBody{Status: "ready"})
--- a/io/configuration/publisher.go
+++ b/io/configuration/publisher.go
@@ -93,7 +93,10 @@
 		}
 		cause = c.appendOnce(ctx, data)
 	}
-	return core.Outcome{}, trace.Wrap(&UnknownError{ID: id, Cause: errors.Join(ctx.Err(), cause)})
+	return core.Outcome{}, trace.Wrap(&UnknownError{
+		ID:    id,
+		Cause: errors.Join(ctx.Err(), cause),
+	})
 }
 
 // awaitStart waits until the host knows the head of the stream.
--- a/io/engine/exchange.go
+++ b/io/engine/exchange.go
@@ -55,16 +55,25 @@
 
 func checkHead(response *http.Response, attempt string) error {
 	if got := response.Header.Get(HeaderAttemptID); got != attempt {
-		return &MismatchError{Want: attempt, Got: got}
+		return &MismatchError{
+			Want: attempt,
+			Got:  got,
+		}
 	}
 	if response.StatusCode == http.StatusOK {
 		return nil
 	}
 	var body ErrorResponse
 	_ = json.NewDecoder(io.LimitReader(response.Body, maxErrorBytes)).Decode(&body)
-	status := &StatusError{Status: response.StatusCode, Code: body.Code}
+	status := &StatusError{
+		Status: response.StatusCode,
+		Code:   body.Code,
+	}
 	if response.Header.Get(HeaderNotStarted) == "true" && !status.Permanent() {
-		return &NotStartedError{RetryAfter: retryAfter(response.Header), Cause: status}
+		return &NotStartedError{
+			RetryAfter: retryAfter(response.Header),
+			Cause:      status,
+		}
 	}
 	return status
 }
@@ -98,7 +107,10 @@
 	if errors.As(err, &status) {
 		var failure ErrorResponse
 		_ = json.Unmarshal(status.Body, &failure)
-		return trace.Wrap(&StatusError{Status: status.Status, Code: failure.Code})
+		return trace.Wrap(&StatusError{
+			Status: status.Status,
+			Code:   failure.Code,
+		})
 	}
 	if err != nil {
 		return trace.Wrap(&BrokenError{Cause: err})
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -67,10 +67,16 @@
 
 func (s *Stream) check(chunk *ChatChunk) (Token, error) {
 	if chunk.ID != s.attempt {
-		return Token{}, trace.Wrap(&MismatchError{Want: s.attempt, Got: chunk.ID})
+		return Token{}, trace.Wrap(&MismatchError{
+			Want: s.attempt,
+			Got:  chunk.ID,
+		})
 	}
 	if chunk.TokenIndex != s.next {
-		return Token{}, trace.Wrap(&BrokenError{Cause: &SequenceError{Want: s.next, Got: chunk.TokenIndex}})
+		return Token{}, trace.Wrap(&BrokenError{Cause: &SequenceError{
+			Want: s.next,
+			Got:  chunk.TokenIndex,
+		}})
 	}
 	if len(chunk.Choices) == 0 {
 		return Token{}, trace.Wrap(&BrokenError{Cause: &MalformedChunkError{Reason: "no choice"}})
--- a/io/httpjson/httpjson.go
+++ b/io/httpjson/httpjson.go
@@ -53,7 +53,10 @@
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
 		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
-		return trace.Wrap(&StatusError{Status: response.StatusCode, Body: text})
+		return trace.Wrap(&StatusError{
+			Status: response.StatusCode,
+			Body:   text,
+		})
 	}
 	return trace.Wrap(json.NewDecoder(io.LimitReader(response.Body, limit)).Decode(into))
 }
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -124,7 +124,10 @@
 			}
 		}
 		if !pause(ctx, pollDelay) {
-			return trace.Wrap(&LaggingError{Hosts: lagging, Cause: ctx.Err()})
+			return trace.Wrap(&LaggingError{
+				Hosts: lagging,
+				Cause: ctx.Err(),
+			})
 		}
 	}
 }
--- a/io/operator/placement.go
+++ b/io/operator/placement.go
@@ -19,7 +19,10 @@
 	ctx context.Context, _ *connect.Request[operatorv1.ShowPlacementRequest],
 ) (*connect.Response[operatorv1.ShowPlacementResponse], error) {
 	if s.dependencies.Placement == nil {
-		return nil, connect.NewError(connect.CodeUnimplemented, &NotFoundError{What: "duty", Name: "placement"})
+		return nil, connect.NewError(connect.CodeUnimplemented, &NotFoundError{
+			What: "duty",
+			Name: "placement",
+		})
 	}
 	data, err := s.dependencies.Placement.Show(ctx)
 	if err != nil {
@@ -36,7 +39,10 @@
 	ctx context.Context, _ *connect.Request[operatorv1.PlanPlacementRequest],
 ) (*connect.Response[operatorv1.PlanPlacementResponse], error) {
 	if s.dependencies.Placement == nil {
-		return nil, connect.NewError(connect.CodeUnimplemented, &NotFoundError{What: "duty", Name: "placement"})
+		return nil, connect.NewError(connect.CodeUnimplemented, &NotFoundError{
+			What: "duty",
+			Name: "placement",
+		})
 	}
 	data, err := s.dependencies.Placement.Plan(ctx)
 	if err != nil {
--- a/io/operator/profiles.go
+++ b/io/operator/profiles.go
@@ -122,7 +122,10 @@
 func (s *Server) entry(name string) (core.Entry, error) {
 	entry, ok := s.dependencies.Configuration.State().Entry(name)
 	if !ok {
-		return core.Entry{}, connect.NewError(connect.CodeNotFound, &NotFoundError{What: "profile", Name: name})
+		return core.Entry{}, connect.NewError(connect.CodeNotFound, &NotFoundError{
+			What: "profile",
+			Name: name,
+		})
 	}
 	return entry, nil
 }
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -127,7 +127,10 @@
 	case err != nil:
 		return nil, connect.NewError(connect.CodeInternal, err)
 	case !known:
-		return nil, connect.NewError(connect.CodeNotFound, &NotFoundError{What: "request", Name: id})
+		return nil, connect.NewError(connect.CodeNotFound, &NotFoundError{
+			What: "request",
+			Name: id,
+		})
 	}
 	return connect.NewResponse(&operatorv1.ExplainResponse{
 		Json: string(data),
--- a/io/placement/observer.go
+++ b/io/placement/observer.go
@@ -35,7 +35,10 @@
 	}
 	drains := make(map[endpoint.Key]core.Drain)
 	for _, drain := range p.dependencies.Configuration.State().Drains() {
-		drains[endpoint.Key{Name: drain.Name, Incarnation: drain.Incarnation}] = drain
+		drains[endpoint.Key{
+			Name:        drain.Name,
+			Incarnation: drain.Incarnation,
+		}] = drain
 	}
 	reportedAt := make([]time.Time, len(known))
 	var group sync.WaitGroup
--- a/load/config.go
+++ b/load/config.go
@@ -91,24 +91,32 @@
 	return fmt.Sprintf("load setting %s is %v; allowed: %s", e.Field, e.Value, e.Allowed)
 }
 
+func configError(field string, value any, allowed string) *ConfigError {
+	return &ConfigError{
+		Field:   field,
+		Value:   value,
+		Allowed: allowed,
+	}
+}
+
 // check returns a *ConfigError for the first fault.
 func (c *Config) check() error {
 	switch {
 	case len(c.Hosts) == 0:
-		return &ConfigError{Field: "hosts", Value: 0, Allowed: "at least one address"}
+		return configError("hosts", 0, "at least one address")
 	case len(c.Streams) == 0:
-		return &ConfigError{Field: "streams", Value: 0, Allowed: "at least one stream"}
+		return configError("streams", 0, "at least one stream")
 	case c.Duration <= 0 || c.Duration > MaxDuration:
-		return &ConfigError{Field: "duration", Value: c.Duration, Allowed: "up to 1h"}
+		return configError("duration", c.Duration, "up to 1h")
 	case c.KeyShare < 0 || c.KeyShare > 1:
-		return &ConfigError{Field: "keyShare", Value: c.KeyShare, Allowed: "0 to 1"}
+		return configError("keyShare", c.KeyShare, "0 to 1")
 	}
 	for _, stream := range c.Streams {
 		if _, ok := c.Firm.Profile(stream.Profile); !ok {
-			return &ConfigError{Field: "stream", Value: stream.Profile, Allowed: "a profile of " + c.Firm.Name}
+			return configError("stream", stream.Profile, "a profile of "+c.Firm.Name)
 		}
 		if stream.Rate <= 0 || stream.Rate > MaxRate {
-			return &ConfigError{Field: "rate", Value: stream.Rate, Allowed: "above 0, up to 5000 a second"}
+			return configError("rate", stream.Rate, "above 0, up to 5000 a second")
 		}
 	}
 	return nil
@@ -121,14 +129,14 @@
 	head, bursts, _ := strings.Cut(text, "@")
 	name, rate, ok := strings.Cut(head, "=")
 	if !ok {
-		return Stream{}, &ConfigError{Field: "stream", Value: text, Allowed: "profile=rate[@start+length*factor]"}
+		return Stream{}, configError("stream", text, "profile=rate[@start+length*factor]")
 	}
 	stream := Stream{
 		Profile: name,
 	}
 	var err error
 	if stream.Rate, err = strconv.ParseFloat(rate, 64); err != nil {
-		return Stream{}, &ConfigError{Field: "rate", Value: rate, Allowed: "a number"}
+		return Stream{}, configError("rate", rate, "a number")
 	}
 	for bursts != "" {
 		var one string
@@ -143,7 +151,7 @@
 }
 
 func parseBurst(text string) (Burst, error) {
-	wrong := &ConfigError{Field: "burst", Value: text, Allowed: "start+length*factor, such as 10s+5s*3"}
+	wrong := configError("burst", text, "start+length*factor, such as 10s+5s*3")
 	start, rest, ok := strings.Cut(text, "+")
 	if !ok {
 		return Burst{}, wrong
--- a/load/request.go
+++ b/load/request.go
@@ -202,8 +202,14 @@
 	own := strings.Repeat("word ", a.promptWords) + a.reference
 	messages := make([]json.RawMessage, 0, 2)
 	for _, message := range []chatMessage{
-		{Role: "system", Content: shared},
-		{Role: "user", Content: own},
+		{
+			Role:    "system",
+			Content: shared,
+		},
+		{
+			Role:    "user",
+			Content: own,
+		},
 	} {
 		data, _ := json.Marshal(message)
 		messages = append(messages, data)
--- a/standin/logservice/store.go
+++ b/standin/logservice/store.go
@@ -126,7 +126,10 @@
 	case s.faults.Down:
 		return 0, trace.Wrap(&logservice.UnavailableError{Cause: &DownError{}})
 	case s.overRate():
-		return 0, trace.Wrap(&logservice.RefusedError{Status: 429, RetryAfter: time.Second})
+		return 0, trace.Wrap(&logservice.RefusedError{
+			Status:     429,
+			RetryAfter: time.Second,
+		})
 	case s.random.Float64() < s.faults.FailedAppends:
 		return 0, trace.Wrap(&logservice.UnavailableError{Cause: &LostAnswerError{}})
 	}
