Measure the mean memory of hosts and the cost of load reports

Cause: the largest host's memory at 90 hosts (113 MB) includes the one host that asked all others, and the reads' own cost was not known. Change: the mean is measured besides, and a run with 1, 16 and 32 reads a second.

--- a/fleet/capacity.go
+++ b/fleet/capacity.go
@@ -28,8 +28,10 @@
 	Hosts int
 	// CPUShare is the share of a core, the mean over the hosts.
 	CPUShare float64
-	// Resident is the largest memory of a host, in bytes.
-	Resident uint64
+	// Resident is the mean memory of a host in bytes, and MaxResident the
+	// largest one's.
+	Resident    float64
+	MaxResident uint64
 	// PeerBytes is what a host sends and receives to and from peers a second,
 	// the mean over the hosts.
 	PeerBytes float64
@@ -64,7 +66,8 @@
 		elapsed := after[i].At.Sub(before[i].At).Seconds()
 		sample.CPUShare += (after[i].CPU - before[i].CPU).Seconds() / elapsed / float64(len(after))
 		sample.PeerBytes += float64(bytesAfter[i]-bytesBefore[i]) / elapsed / float64(len(after))
-		sample.Resident = max(sample.Resident, after[i].Resident)
+		sample.Resident += float64(after[i].Resident) / float64(len(after))
+		sample.MaxResident = max(sample.MaxResident, after[i].Resident)
 	}
 	return sample, nil
 }
--- a/fleet/capacity_test.go
+++ b/fleet/capacity_test.go
@@ -69,3 +69,28 @@
 		t.Logf("%s at %v/s: %+v", point.profile, point.rate, sample)
 	}
 }
+
+// TestReportCost measures what reading the endpoints' load costs a host.
+func TestReportCost(t *testing.T) {
+	if os.Getenv(capacityVariable) == "" {
+		t.Skip("set " + capacityVariable + " for the measurement")
+	}
+	program := build(t)
+	for _, reads := range []string{"1", "16", "32"} {
+		f, err := fleet.New(fleet.Config{
+			Program:       program,
+			Firm:          deployment.Kelisim(),
+			Hosts:         3,
+			HostArguments: []string{"--report-reads", reads},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		sample, err := f.MeasureControl(context.Background(), 30*time.Second)
+		f.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%s reads a second at most: %+v", reads, sample)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,6 +54,8 @@
 	Hosts   int
 	// Speed divides the run times of the stand-ins, for a short run.
 	Speed int
+	// HostArguments are given to every host besides its own.
+	HostArguments []string
 	// Log, if set, is told what happens.
 	Log func(format string, values ...any)
 }
@@ -173,6 +175,7 @@
 		"--weight-store-url", "http://" + r.platform["weight-store"].addresses["listen"],
 		"--balancer-lag", balancerLag.String(),
 	}
+	h.arguments = append(h.arguments, r.config.HostArguments...)
 	for _, other := range r.hosts {
 		h.arguments = append(h.arguments, "--peer", other.process.addresses["peers"])
 	}
