Repeat no token to a caller when its attempt is replaced

Cause: an attempt hands tokens to the caller at once, and the decisions hear of them by an event. When an adopted attempt was canceled (preempted or silent) with such an event unread, the event counted as late, and the next attempt was adopted from the older count: the caller got the tokens between twice. Change: the call counts the tokens its caller was given, and an attempt is adopted from that count at least. An answer shorter than that count ends as cut short, as it does for the count that the decisions know.

--- a/host/attempt.go
+++ b/host/attempt.go
@@ -257,7 +257,7 @@
 	switch {
 	case a.canceled:
 	case a.adopted && token.Index >= a.from:
-		a.deliver(token.Text)
+		a.deliver(token.Index, token.Text)
 	case !a.adopted && len(a.held) < maxHeldTokens:
 		a.held = append(a.held, token.Text)
 	}
@@ -267,8 +267,12 @@
 
 // deliver must be called with the lock held. A caller who is so slow that the
 // answer's ring is full gets an explicit end instead of a gap.
-func (a *attempt) deliver(text string) {
-	if a.canceled || a.call.answer.Push(caller.TextPart{Text: text}) {
+func (a *attempt) deliver(index int, text string) {
+	if a.canceled {
+		return
+	}
+	if a.call.answer.Push(caller.TextPart{Text: text}) {
+		a.call.delivered.Store(int64(index) + 1)
 		return
 	}
 	a.canceled = true
@@ -291,7 +295,8 @@
 	}
 }
 
-// adopt makes the attempt the caller's answer from token from on.
+// adopt makes the attempt the caller's answer from token from on, without the
+// tokens that an earlier attempt delivered after its last progress was read.
 func (a *attempt) adopt(from int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -299,10 +304,10 @@
 		return
 	}
 	a.adopted = true
-	a.from = from
+	a.from = max(from, int(a.call.delivered.Load()))
 	for index, text := range a.held {
-		if index >= from {
-			a.deliver(text)
+		if index >= a.from {
+			a.deliver(index, text)
 		}
 	}
 	a.held = nil
--- a/host/call.go
+++ b/host/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"cactuswell/core/claim"
@@ -19,6 +20,9 @@
 	ticket   *claims.Ticket
 	taken    time.Time
 	attempts map[uint32]*attempt
+	// delivered is the number of tokens that the caller was given. It may be
+	// ahead of what the decisions know, which hear of progress by events.
+	delivered atomic.Int64
 }
 
 // once reports whether the call must not run twice.
@@ -53,6 +57,13 @@
 	})
 }
 
+// outgrows reports whether the caller already has more tokens, of an earlier
+// attempt, than a's whole answer.
+func (c *call) outgrows(a *attempt) bool {
+	end := a.end()
+	return end.body == nil && int64(end.tokens) < c.delivered.Load()
+}
+
 // complete ends the call with the whole answer of an attempt. It returns the
 // error of recording the answer for retries; the caller is answered in any case.
 func (c *call) complete(a *attempt) error {
--- a/host/pool.go
+++ b/host/pool.go
@@ -303,6 +303,14 @@
 	if !ok {
 		return
 	}
+	if c.outgrows(a) {
+		p.refuse(dispatch.RefuseRequest{
+			Request: command.Request,
+			Reason:  dispatch.RefuseStreamCutShort,
+			Ran:     dispatch.RanUnknown,
+		})
+		return
+	}
 	if err := c.complete(a); err != nil {
 		p.counters.Add("outcomesNotRecorded", 1)
 		_ = p.logger.Log("level", "error", "event", "outcomeNotRecorded", "request", c.submission.RequestID,
--- /dev/null
+++ b/host/pool_test.go
@@ -0,0 +1,151 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/go-kit/log"
+
+	"cactuswell/core/dispatch"
+	"cactuswell/core/profile"
+	"cactuswell/core/routing"
+	"cactuswell/io/caller"
+	"cactuswell/io/engine"
+	"cactuswell/metrics"
+	"cactuswell/timer"
+)
+
+// newTestPool returns a pool whose duty does not run; the test drains it.
+func newTestPool(t *testing.T) *pool {
+	t.Helper()
+	return newPool(poolDependencies{
+		name:   "drafting",
+		hostID: "host-1-1",
+		decisions: func() decisions {
+			random := rand.New(rand.NewPCG(1, 2))
+			router := routing.New(routing.DefaultSettings("host-1", "alm-a"), random)
+			return decisions{
+				router: router,
+				pool: dispatch.New(dispatch.Settings{
+					Pool: "drafting",
+					Zone: "alm-a",
+				}, router, random),
+			}
+		},
+		baseURL:  func(address string) string { return "http://" + address },
+		timers:   timer.New(),
+		logger:   log.NewNopLogger(),
+		counters: metrics.New(),
+		ids:      &atomic.Uint64{},
+	})
+}
+
+func testSubmission(t *testing.T) caller.Submission {
+	t.Helper()
+	p, err := profile.New(profile.Spec{
+		Name:       "draft",
+		Class:      "draft",
+		Kind:       profile.KindModel,
+		Pool:       "drafting",
+		Tier:       profile.TierInteractive,
+		TargetMs:   5000,
+		Idempotent: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return caller.Submission{
+		RequestID: "request-1",
+		Team:      "default",
+		Profile:   p,
+	}
+}
+
+func newTestAttempt(p *pool, c *call, number uint32) *attempt {
+	a := &attempt{
+		id: dispatch.AttemptID{
+			Request: c.id,
+			Number:  number,
+		},
+		call: c,
+		pool: p,
+	}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	return a
+}
+
+func takeTokens(a *attempt, from, to int) {
+	for index := from; index < to; index++ {
+		a.take(engine.Token{
+			Index: index,
+			Text:  strconv.Itoa(index) + " ",
+		})
+	}
+}
+
+func textOf(answer *caller.Answer) string {
+	var text strings.Builder
+	for part, ok := answer.TryNext(); ok; part, ok = answer.TryNext() {
+		if part, ok := part.(caller.TextPart); ok {
+			text.WriteString(part.Text)
+		}
+	}
+	return text.String()
+}
+
+// TestNextAttemptRepeatsNoToken cancels an adopted attempt while its latest
+// tokens have reached the caller but not yet the decisions. The next attempt is
+// adopted from the token that the decisions know of.
+func TestNextAttemptRepeatsNoToken(t *testing.T) {
+	p := newTestPool(t)
+	c := p.newCall(testSubmission(t), nil)
+	first := newTestAttempt(p, c, 1)
+	first.adopt(0)
+	takeTokens(first, 0, 8)
+	first.stop()
+	second := newTestAttempt(p, c, 2)
+	takeTokens(second, 0, 6)
+	second.adopt(5)
+	takeTokens(second, 6, 10)
+	second.stop()
+	if got, want := textOf(c.answer), "0 1 2 3 4 5 6 7 8 9 "; got != want {
+		t.Errorf("the caller got %q, want %q", got, want)
+	}
+}
+
+// TestShorterAnswerIsNotWhole ends a call with an answer that is shorter than
+// what its caller already has of an earlier attempt.
+func TestShorterAnswerIsNotWhole(t *testing.T) {
+	p := newTestPool(t)
+	c := p.newCall(testSubmission(t), nil)
+	p.calls[c.id] = c
+	p.open.Add(1)
+	first := newTestAttempt(p, c, 1)
+	first.adopt(0)
+	takeTokens(first, 0, 8)
+	first.stop()
+	_ = textOf(c.answer)
+	second := newTestAttempt(p, c, 2)
+	second.ending = ending{
+		finishReason: "stop",
+		tokens:       6,
+	}
+	second.adopt(5)
+	c.attempts = map[uint32]*attempt{2: second}
+	p.finish(dispatch.CompleteRequest{
+		Request: c.id,
+		Attempt: second.id,
+	})
+	part, ok := c.answer.TryNext()
+	problem, isProblem := part.(caller.ProblemPart)
+	if !ok || !isProblem || problem.Problem.Code != caller.Code(dispatch.RefuseStreamCutShort) {
+		t.Errorf("the answer ends with %+v, want the problem %q", part, dispatch.RefuseStreamCutShort)
+	}
+	if open := p.openCalls(); open != 0 {
+		t.Errorf("open calls = %d, want 0", open)
+	}
+}
