Give up a call whose caller goes away before it arrives

Cause: a pool's duty reads events before new calls. The event that a caller went away, posted while the call waited in its tier's ring, was read first and found no call; the call then ran with nobody to hear it, and held a slot. Change: the call notes that its caller is gone before the event is posted, and the duty drops such a call at its arrival (counter callersGoneBeforeArrival). Calls that must not run twice are seen through as before. Measured: TestCancelOvertakesArrival failed before with 1 open and 1 queued call and passes now, 20 of 20 runs with -race; go test -race ./host passes. Conclusion: a caller that goes away is noticed in either order.

--- a/host/backend.go
+++ b/host/backend.go
@@ -79,6 +79,7 @@
 		return
 	}
 	context.AfterFunc(ctx, func() {
+		c.gone.Store(true)
 		p.post(dispatch.RequestCanceled{
 			Request: c.id,
 		})
--- a/host/call.go
+++ b/host/call.go
@@ -23,6 +23,9 @@
 	// delivered is the number of tokens that the caller was given. It may be
 	// ahead of what the decisions know, which hear of progress by events.
 	delivered atomic.Int64
+	// gone says that the caller went away. It is set before the event that says
+	// so is posted, as that event may overtake the call's arrival.
+	gone atomic.Bool
 }
 
 // once reports whether the call must not run twice.
--- a/host/pool.go
+++ b/host/pool.go
@@ -178,11 +178,21 @@
 		if !ok {
 			return
 		}
-		p.calls[c.id] = c
-		p.step(ctx, dispatch.RequestArrived{
-			Request: c.request(),
-		})
+		p.arrive(ctx, c)
+	}
+}
+
+// arrive hands a new call to the decisions, unless its caller has gone away.
+func (p *pool) arrive(ctx context.Context, c *call) {
+	if c.gone.Load() {
+		p.open.Add(-1)
+		p.counters.Add("callersGoneBeforeArrival", 1)
+		return
 	}
+	p.calls[c.id] = c
+	p.step(ctx, dispatch.RequestArrived{
+		Request: c.request(),
+	})
 }
 
 func (p *pool) nextArrival() (*call, bool) {
--- a/host/pool_test.go
+++ b/host/pool_test.go
@@ -149,3 +149,27 @@
 		t.Errorf("open calls = %d, want 0", open)
 	}
 }
+
+// TestCancelOvertakesArrival cancels a call that still waits in its tier's ring.
+// The duty reads events before arrivals.
+func TestCancelOvertakesArrival(t *testing.T) {
+	p := newTestPool(t)
+	h := &Host{}
+	c := p.newCall(testSubmission(t), nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	if !p.submit(c) {
+		t.Fatal("the call was not taken")
+	}
+	cancel()
+	h.cancelWithCaller(ctx, p, c)
+	for p.events.Len() == 0 {
+		<-p.signal
+	}
+	p.drain(context.Background())
+	if open := p.openCalls(); open != 0 {
+		t.Errorf("open calls = %d, want 0", open)
+	}
+	if snapshot := p.decided.pool.Snapshot(); snapshot.Queued != 0 {
+		t.Errorf("queued = %d, want 0", snapshot.Queued)
+	}
+}
