End an answer without dropping its oldest part

Cause: the end of an answer went into the ring of its parts and, where a slow caller had left no room, in place of the oldest part. The caller then got an answer with a token missing before the problem, and the indexes of a stream's chunks hid it. A second end could stand behind the first. Change: the end has a place of its own behind the ring; the first end stands and parts after it are dropped. Conclusion: an answer has no gap and one end.

--- a/host/pool_test.go
+++ b/host/pool_test.go
@@ -87,14 +87,17 @@
 	}
 }
 
+// textOf returns the text that waits, up to the answer's end.
 func textOf(answer *caller.Answer) string {
 	var text strings.Builder
-	for part, ok := answer.TryNext(); ok; part, ok = answer.TryNext() {
-		if part, ok := part.(caller.TextPart); ok {
-			text.WriteString(part.Text)
+	for {
+		part, _ := answer.TryNext()
+		token, ok := part.(caller.TextPart)
+		if !ok {
+			return text.String()
 		}
+		text.WriteString(token.Text)
 	}
-	return text.String()
 }
 
 // TestNextAttemptRepeatsNoToken cancels an adopted attempt while its latest
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"cactuswell/core/dispatch"
 	"cactuswell/ring"
@@ -48,45 +49,67 @@
 // Answer carries the parts of one answer from the attempt that produces them to
 // the caller. Any goroutine may push; one takes.
 type Answer struct {
-	parts *ring.Ring[Part]
+	parts  *ring.Ring[Part]
+	signal ring.Signal
+
+	mu  sync.Mutex
+	end Part
 }
 
 // NewAnswer returns an empty answer.
 func NewAnswer() *Answer {
+	signal := ring.NewSignal()
 	return &Answer{
-		parts: ring.New[Part](answerCapacity),
+		parts:  ring.NewSignaling[Part](answerCapacity, signal),
+		signal: signal,
 	}
 }
 
 // Push adds a part and reports whether there was room. There is none when the
-// caller is far too slow.
+// caller is far too slow. A part that comes after the end is dropped.
 func (a *Answer) Push(part Part) bool {
-	return a.parts.TryPush(part)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.end != nil || a.parts.TryPush(part)
 }
 
-// End adds the last part of an answer, in place of older parts if there is no
-// room.
+// End adds the last part of an answer, for which there is always room. An answer
+// has one end: the first.
 func (a *Answer) End(part Part) {
-	a.parts.PushEvicting(part)
+	a.mu.Lock()
+	if a.end == nil {
+		a.end = part
+	}
+	a.mu.Unlock()
+	select {
+	case a.signal <- struct{}{}:
+	default:
+	}
 }
 
 // Next waits for the next part. It fails only with the context's error.
 func (a *Answer) Next(ctx context.Context) (Part, error) {
 	for {
-		if part, ok := a.parts.Pop(); ok {
+		if part, ok := a.TryNext(); ok {
 			return part, nil
 		}
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
-		case <-a.parts.Ready():
+		case <-a.signal:
 		}
 	}
 }
 
-// TryNext returns the next part if there is one.
+// TryNext returns the next part if there is one. After the others it is the end,
+// each time.
 func (a *Answer) TryNext() (Part, bool) {
-	return a.parts.Pop()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if part, ok := a.parts.Pop(); ok {
+		return part, true
+	}
+	return a.end, a.end != nil
 }
 
 // refusalTexts says what each refusal means to a caller.
