End the answers that a stop can't wait for with a problem

Cause: when the longest wait of a stop was over, the host closed the callers' connections. The callers got no final answer, their calls' claims were not settled before the claims were left, and a call that another host had passed on waited without end. Change: the calls that are left are ended in their pool's duty, before the listener is shut down: streamCutShort, or outcomeUnknown for a call that must not run twice, or hostStopping for one that no attempt was made at (counter requestsCutShort). Run's error is as before, and so is a kill, which cuts connections at once. The claims of a cut call have no test of their own here. Conclusion: a stop that runs out of time says so to each caller.

--- a/host/call.go
+++ b/host/call.go
@@ -60,6 +60,18 @@
 	})
 }
 
+// cutShort ends the call because the host can wait no longer.
+func (c *call) cutShort() {
+	switch {
+	case len(c.attempts) == 0:
+		c.refuse(dispatch.RefuseStopping, dispatch.NotRun, time.Second)
+	case c.once():
+		c.refuse(dispatch.RefuseOutcomeUnknown, dispatch.RanUnknown, 0)
+	default:
+		c.refuse(dispatch.RefuseStreamCutShort, dispatch.RanUnknown, 0)
+	}
+}
+
 // outgrows reports whether the caller already has more tokens, of an earlier
 // attempt, than a's whole answer.
 func (c *call) outgrows(a *attempt) bool {
--- a/host/pool.go
+++ b/host/pool.go
@@ -368,6 +368,17 @@
 	}
 }
 
+// cutShort ends every call that has arrived. It runs in the duty.
+func (p *pool) cutShort(ctx context.Context) {
+	for id, c := range p.calls {
+		c.cutShort()
+		p.counters.Add("requestsCutShort", 1)
+		p.handle(ctx, dispatch.RequestCanceled{
+			Request: id,
+		})
+	}
+}
+
 // openCalls returns how many calls have no final answer yet.
 func (p *pool) openCalls() int64 {
 	return p.open.Load()
--- a/host/restart_test.go
+++ b/host/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -34,6 +35,8 @@
 	client *http.Client
 	// ended is closed when Run has returned.
 	ended chan struct{}
+	// cut is the number of requests that the stop is expected to cut short.
+	cut int64
 }
 
 func startWorld(t *testing.T) *world {
@@ -91,9 +94,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	go func() {
 		defer close(w.ended)
-		if err := h.Run(ctx, context.Background()); err != nil {
-			t.Errorf("stop: %v", err)
-		}
+		w.checkStop(h.Run(ctx, context.Background()))
 	}()
 	t.Cleanup(func() {
 		w.client.CloseIdleConnections()
@@ -103,6 +104,35 @@
 	return w
 }
 
+func (w *world) checkStop(err error) {
+	var short *CutShortError
+	switch {
+	case w.cut == 0 && err != nil:
+		w.t.Errorf("stop: %v", err)
+	case w.cut > 0 && (!errors.As(err, &short) || short.Requests != w.cut):
+		w.t.Errorf("stop: %v, want %d requests cut short", err, w.cut)
+	}
+}
+
+// TestStopTimeoutEndsAnswers stops a host whose stop may not wait for a stream.
+// The stream ends with an explicit problem.
+func TestStopTimeoutEndsAnswers(t *testing.T) {
+	w := startWorld(t)
+	w.publish()
+	response := w.ask("400")
+	w.cut = 1
+	w.settings.StopTimeout = 0
+	w.supersede.Do(func() { close(w.superseded) })
+	answer := read(t, response)
+	if !strings.Contains(answer, `"code":"streamCutShort"`) || !strings.Contains(answer, `"ran":"unknown"`) {
+		t.Errorf("stream ended with %s", answer)
+	}
+	<-w.ended
+	if open := w.openCalls(); open != 0 {
+		t.Errorf("open calls = %d, want 0", open)
+	}
+}
+
 // TestSupersededHostStops starts a second process under the name of the first.
 func TestSupersededHostStops(t *testing.T) {
 	first := startWorld(t)
--- a/host/stop.go
+++ b/host/stop.go
@@ -20,6 +20,7 @@
 		p.events.TryPush(dispatch.Drained{})
 	}
 	cut := h.awaitOpenCalls(kill)
+	h.cutShort(kill)
 	h.leave(kill, callers)
 	if cut > 0 {
 		_ = h.logger.Log("level", "error", "event", "stoppedAtOnce", "requestsCut", cut)
@@ -39,6 +40,19 @@
 	return h.openCalls()
 }
 
+// cutShort ends the calls that are left with an explicit problem, and settles
+// their claims. It does nothing if kill ended, which stops the host at once.
+func (h *Host) cutShort(kill context.Context) {
+	if h.openCalls() == 0 || kill.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(kill, closeTimeout)
+	defer cancel()
+	for _, p := range h.allPools() {
+		p.look(ctx, func(*decisions) { p.cutShort(ctx) })
+	}
+}
+
 // leave tells the fleet, and lets the callers' last answers go out.
 func (h *Host) leave(kill context.Context, callers *http.Server) {
 	if kill.Err() != nil {
