--- a/host/restart_test.go
+++ b/host/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -16,7 +17,9 @@
 	"go.uber.org/goleak"
 
 	"cactuswell/core/configuration"
+	"cactuswell/core/dispatch"
 	"cactuswell/core/profile"
+	"cactuswell/io/caller"
 	"cactuswell/io/hostlist"
 	"cactuswell/settings"
 	"cactuswell/standin/engine"
@@ -32,6 +35,8 @@
 	client *http.Client
 	// ended is closed when Run has returned.
 	ended chan struct{}
+	// cut is the number of requests that the stop is expected to cut short.
+	cut int64
 }
 
 func startWorld(t *testing.T) *world {
@@ -89,9 +94,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	go func() {
 		defer close(w.ended)
-		if err := h.Run(ctx, context.Background()); err != nil {
-			t.Errorf("stop: %v", err)
-		}
+		w.checkStop(h.Run(ctx, context.Background()))
 	}()
 	t.Cleanup(func() {
 		w.client.CloseIdleConnections()
@@ -101,6 +104,35 @@
 	return w
 }
 
+func (w *world) checkStop(err error) {
+	var short *CutShortError
+	switch {
+	case w.cut == 0 && err != nil:
+		w.t.Errorf("stop: %v", err)
+	case w.cut > 0 && (!errors.As(err, &short) || short.Requests != w.cut):
+		w.t.Errorf("stop: %v, want %d requests cut short", err, w.cut)
+	}
+}
+
+// TestStopTimeoutEndsAnswers stops a host whose stop may not wait for a stream.
+// The stream ends with an explicit problem.
+func TestStopTimeoutEndsAnswers(t *testing.T) {
+	w := startWorld(t)
+	w.publish()
+	response := w.ask("400")
+	w.cut = 1
+	w.settings.StopTimeout = 0
+	w.supersede.Do(func() { close(w.superseded) })
+	answer := read(t, response)
+	if !strings.Contains(answer, `"code":"streamCutShort"`) || !strings.Contains(answer, `"ran":"unknown"`) {
+		t.Errorf("stream ended with %s", answer)
+	}
+	<-w.ended
+	if open := w.openCalls(); open != 0 {
+		t.Errorf("open calls = %d, want 0", open)
+	}
+}
+
 // TestSupersededHostStops starts a second process under the name of the first.
 func TestSupersededHostStops(t *testing.T) {
 	first := startWorld(t)
@@ -239,3 +271,62 @@
 		}
 	}
 }
+
+// lateSubmission is for a pool that the host does not have yet.
+func lateSubmission(t *testing.T) caller.Submission {
+	t.Helper()
+	submission := testSubmission(t)
+	p, err := profile.New(profile.Spec{
+		Name:       "late",
+		Class:      "late",
+		Kind:       profile.KindModel,
+		Pool:       "late",
+		Tier:       profile.TierInteractive,
+		TargetMs:   5000,
+		Idempotent: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	submission.Profile = p
+	return submission
+}
+
+func (w *world) refusedWith(submission caller.Submission) caller.Code {
+	w.t.Helper()
+	part, err := w.submit(context.Background(), submission, nil).Next(context.Background())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	problem, ok := part.(caller.ProblemPart)
+	if !ok {
+		w.t.Fatalf("the answer begins with %+v, want a problem", part)
+	}
+	return problem.Problem.Code
+}
+
+// TestDrainingReachesLatePool hands a call to a new pool of a host that drains.
+// Its body may have been read since before.
+func TestDrainingReachesLatePool(t *testing.T) {
+	w := startWorld(t)
+	w.phase.Store(phaseDraining)
+	if got := w.refusedWith(lateSubmission(t)); got != caller.Code(dispatch.RefuseStopping) {
+		t.Errorf("refused with %q, want %q", got, dispatch.RefuseStopping)
+	}
+}
+
+// TestRestartedPoolDrains restarts a pool's duty while the host drains. The duty
+// reads the events that make it restart before the call.
+func TestRestartedPoolDrains(t *testing.T) {
+	w := startWorld(t)
+	p := w.pool("drafting")
+	w.phase.Store(phaseDraining)
+	p.events.TryPush(dispatch.Drained{})
+	p.events.TryPush(inspection{
+		look: func(*decisions) { panic("provoked") },
+		done: make(chan struct{}),
+	})
+	if got := w.refusedWith(testSubmission(t)); got != caller.Code(dispatch.RefuseStopping) {
+		t.Errorf("refused with %q, want %q", got, dispatch.RefuseStopping)
+	}
+}
