Keep an operator's drain against placement's changes

Cause: a change of an endpoint has no base revision. An operator's drain that took its place in the log just before a drain or resume by placement of the same endpoint was replaced or taken back by it, and the operator had to repeat it.

Change: the reducer refuses, as invalid, a change by the author placement of an incarnation that another author drained. Placement already takes a refused order for settled, and sees the endpoint as handed over in its next round. The author's name moves to core/configuration as AuthorPlacement.

A log written by an earlier build that holds such an overwrite reduces differently from now on.

Conclusion: the drain stands in either order. The check needs only the state that every host reduces.

--- a/core/configuration/change.go
+++ b/core/configuration/change.go
@@ -19,6 +19,10 @@
 	MaxEndpointLength = 128
 )
 
+// AuthorPlacement is the author of the drains and resumes that placement makes.
+// No operator may use it.
+const AuthorPlacement = "placement"
+
 // Change is one of ProfileChange, EndpointChange and PlacementChange.
 type Change interface {
 	kind() record.Kind
--- a/core/configuration/configuration.go
+++ b/core/configuration/configuration.go
@@ -28,6 +28,13 @@
 // placement changes are further protected by their base revision, which the
 // first occurrence has used up.
 //
+// # Drains and placement
+//
+// A change of an endpoint has no base revision, so that an operator's drain
+// always takes effect. A change by AuthorPlacement is invalid if another author
+// drained the same incarnation: placement may have planned it before it read
+// that drain.
+//
 // # Records of other releases
 //
 // A record that is malformed or of an unknown kind is counted and skipped. A
@@ -58,7 +65,7 @@
 	MaxProfiles = 512
 	// MaxTombstones bounds the deleted profiles that are remembered.
 	MaxTombstones = 256
-	// MaxDrains bounds the endpoints that are drained by operators.
+	// MaxDrains bounds the endpoints that are drained.
 	MaxDrains = 1024
 )
 
@@ -145,13 +152,14 @@
 	})
 }
 
-// Drained reports whether an operator drained the endpoint's incarnation.
+// Drained reports whether an operator or placement drained the endpoint's
+// incarnation.
 func (s *State) Drained(key endpoint.Key) bool {
 	drain, ok := s.drains[key.Name]
 	return ok && drain.Incarnation == key.Incarnation
 }
 
-// Drains returns the endpoints drained by operators, sorted by name.
+// Drains returns the endpoints that are drained, sorted by name.
 func (s *State) Drains() []Drain {
 	return slices.SortedFunc(maps.Values(s.drains), func(a, b Drain) int {
 		return cmp.Compare(a.Name, b.Name)
@@ -363,6 +371,9 @@
 	case change.Incarnation < current.Incarnation:
 		outcome.Verdict = VerdictInvalid
 		outcome.Reason = "a newer incarnation was drained"
+	case drained && current.protects(change):
+		outcome.Verdict = VerdictInvalid
+		outcome.Reason = "another author than placement drained it"
 	case change.Drained && !drained && len(s.drains) >= MaxDrains:
 		outcome.Verdict = VerdictInvalid
 		outcome.Reason = "too many drained endpoints"
--- a/core/configuration/entry.go
+++ b/core/configuration/entry.go
@@ -53,7 +53,8 @@
 	Document string `json:"document"`
 }
 
-// Drain says that an operator drained one incarnation of an endpoint.
+// Drain says that an operator or placement drained one incarnation of an
+// endpoint.
 type Drain struct {
 	Name        string        `json:"name"`
 	Incarnation uint64        `json:"incarnation"`
@@ -61,6 +62,13 @@
 	Offset      record.Offset `json:"offset"`
 }
 
+// protects reports whether the drain holds against the change: placement never
+// replaces or takes back another author's drain of the same incarnation.
+func (d Drain) protects(change EndpointChange) bool {
+	return change.Author == AuthorPlacement && d.Author != AuthorPlacement &&
+		change.Incarnation == d.Incarnation
+}
+
 func appendBounded(history []Past, past Past, limit int) []Past {
 	start := max(0, len(history)+1-limit)
 	kept := make([]Past, 0, limit)
--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -13,7 +13,8 @@
 //
 // A drain and a taking in are changes of the configuration by the author
 // Author, so that every host stops and starts to send work to the engine. An
-// endpoint that any other author drained counts as handed over.
+// endpoint that any other author drained counts as handed over, and the
+// configuration refuses a change of it by Author.
 package placement
 
 import (
@@ -39,7 +40,7 @@
 
 const (
 	// Author is the author of the drains that placement makes.
-	Author = "placement"
+	Author = core.AuthorPlacement
 	// leaseName names the one lease of the fleet.
 	leaseName = "placement"
 	// maxRecent bounds the orders that are remembered.
