Run the cases of the claims cross product beside each other

Cause: the package took a minute under the race detector, of which nearly all went to TestCrossProduct, whose cases ran one after the other on one core.

Change: each case calls t.Parallel. Each already has a fleet, a log and a virtual clock of its own, so no schedule changes; the number run at a time is the test command's own bound.

--- a/io/claims/crossproduct_test.go
+++ b/io/claims/crossproduct_test.go
@@ -117,10 +117,12 @@
 }
 
 // TestCrossProduct crosses every step of a claim with every fault and with a
-// retry at every place and time.
+// retry at every place and time. The cases run beside each other, as each has a
+// fleet and a virtual clock of its own.
 func TestCrossProduct(t *testing.T) {
 	for _, c := range crossProduct() {
 		t.Run(c.name(), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				newCross(t, c).run()
 			})
