Say what the fields of the lease machine mean, and mend usage texts

Cause: the lease machine kept four moments whose names and absent comments did not tell them apart. The usage of io/claims left out the error of New, that of io/configuration called a router with two arguments where it takes one, and some comments were broken in mid-sentence.

Change: comments on each field, and the names lastDuration, validFrom and termSince for lastTime, heldFrom and heldSince. Usage and comments mended. No behaviour changes.

Conclusion: reading only.

--- a/core/claim/event.go
+++ b/core/claim/event.go
@@ -57,7 +57,7 @@
 }
 
 // RecordsRead brings the answer to a read of the claim stream from
-// Position.
+// Machine.Position on.
 type RecordsRead struct {
 	// Began is when the read was sent.
 	Began   time.Time
@@ -66,8 +66,8 @@
 	Next record.Offset
 }
 
-// ReadTruncated says that the log no longer keeps the records from Position on;
-// the oldest it keeps is Oldest.
+// ReadTruncated says that the log no longer keeps the records from
+// Machine.Position on; the oldest it keeps is Oldest.
 type ReadTruncated struct {
 	Oldest record.Offset
 }
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -40,19 +40,27 @@
 	incarnation uint64
 	// next is the offset in front of which all records were applied.
 	next record.Offset
-	// last is the offset of the pool's latest record, or -1.
-	last     record.Offset
-	lastAt   Instant
-	lastTime time.Duration
-	current  Claim
-	term     record.Offset
-	// pending is this host's latest claim.
-	pending   string
-	sentAt    Instant
-	attempts  uint64
+	// last is the offset of the pool's latest record, or -1. It was read at
+	// lastAt and may hold for lastDuration.
+	last         record.Offset
+	lastAt       Instant
+	lastDuration time.Duration
+	// current is the latest accepted claim, and term the fencing number: the
+	// offset at which its holder's present term began.
+	current Claim
+	term    record.Offset
+	// pending is the id of this host's latest claim, sent at sentAt, or empty
+	// once that was accepted.
+	pending  string
+	sentAt   Instant
+	attempts uint64
+	// held says that this host has the lease, unless it lapsed since. The lease
+	// counts from validFrom, when the latest accepted claim was sent.
 	held      bool
-	heldSince Instant
-	heldFrom  Instant
+	validFrom Instant
+	// termSince is when this host read that its term began. For waitOut from
+	// then on, orders of earlier holders may take effect.
+	termSince Instant
 	waitOut   time.Duration
 }
 
@@ -60,13 +68,13 @@
 // only when a whole lease has passed since now.
 func New(settings Settings, pool, holder string, incarnation uint64, now Instant) *Machine {
 	return &Machine{
-		settings:    settings,
-		pool:        pool,
-		holder:      holder,
-		incarnation: incarnation,
-		last:        -1,
-		lastAt:      now,
-		lastTime:    settings.Duration,
+		settings:     settings,
+		pool:         pool,
+		holder:       holder,
+		incarnation:  incarnation,
+		last:         -1,
+		lastAt:       now,
+		lastDuration: settings.Duration,
 	}
 }
 
@@ -109,7 +117,7 @@
 	accepted := m.last < claim.AsOf && claim.AsOf <= offset
 	m.last = offset
 	m.lastAt = now
-	m.lastTime = max(claim.duration(), m.settings.Duration)
+	m.lastDuration = max(claim.duration(), m.settings.Duration)
 	if accepted {
 		m.accept(offset, claim, id, now)
 	}
@@ -128,14 +136,14 @@
 		m.held = false
 		return
 	}
-	m.heldFrom = m.sentAt
+	m.validFrom = m.sentAt
 	m.pending = ""
 	if renewed && m.held {
 		return
 	}
 	m.held = true
 	m.term = offset
-	m.heldSince = now
+	m.termSince = now
 	m.waitOut = max(earlier.duration(), m.settings.Duration) + m.settings.LongestOrder + m.settings.Margin
 }
 
@@ -147,9 +155,9 @@
 	}
 	valid := m.Valid(now)
 	switch {
-	case valid && now.AtMost(m.heldFrom) < m.settings.RenewEvery:
+	case valid && now.AtMost(m.validFrom) < m.settings.RenewEvery:
 		return Claim{}, "", false
-	case !valid && now.AtLeast(m.lastAt) < m.lastTime+m.settings.Margin:
+	case !valid && now.AtLeast(m.lastAt) < m.lastDuration+m.settings.Margin:
 		return Claim{}, "", false
 	}
 	m.attempts++
@@ -167,7 +175,7 @@
 
 // Valid reports whether this host holds the lease at now.
 func (m *Machine) Valid(now Instant) bool {
-	if m.held && now.AtMost(m.heldFrom) >= m.settings.Duration-m.settings.Margin {
+	if m.held && now.AtMost(m.validFrom) >= m.settings.Duration-m.settings.Margin {
 		// A lapse is never undone by a clock that is set back.
 		m.held = false
 	}
@@ -181,7 +189,7 @@
 	if !m.Valid(now) {
 		return 0, &LapsedError{Pool: m.pool}
 	}
-	if left := m.waitOut - now.AtLeast(m.heldSince); left > 0 && !checksFencing {
+	if left := m.waitOut - now.AtLeast(m.termSince); left > 0 && !checksFencing {
 		return 0, &WaitingError{
 			Pool: m.pool,
 			Left: left,
--- a/core/placement/orders.go
+++ b/core/placement/orders.go
@@ -53,8 +53,9 @@
 }
 
 // Prepare returns the order for a move. The caller then reads the endpoint's
-// state and gives the order up if it is not the one of the plan. Drains and takings in are records that
-// carry no number, so they wait like orders to an endpoint that does not check.
+// state and gives the order up if it is not the one of the plan. Drains and
+// takings in are records that carry no fencing number, so they wait like orders
+// to an endpoint that does not check.
 // The error is a *lease.LapsedError, a *lease.WaitingError or an
 // *OutstandingError.
 func (o *Orders) Prepare(now lease.Instant, move Move, checksFencing bool) (Order, error) {
--- a/io/claims/claims.go
+++ b/io/claims/claims.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	keyed := claims.New(claims.Dependencies{
+//	keyed, err := claims.New(claims.Dependencies{
 //		Host:        "host-1",
 //		Incarnation: incarnation,
 //		Entropy:     rand.Uint64,
--- a/io/configuration/configuration.go
+++ b/io/configuration/configuration.go
@@ -19,7 +19,8 @@
 //	for _, duty := range config.Duties() {
 //		tree.Add(duty)
 //	}
-//	router.PathPrefix(config.Handler())
+//	path, handler := config.Handler()
+//	router.PathPrefix(path).Handler(handler)
 //	current, revision, ok := config.Profile("weddingMorningCheck")
 //
 // The accessors read an immutable state without a lock and may be called from
@@ -158,7 +159,8 @@
 	return profiles
 }
 
-// Drained reports whether an operator drained the endpoint's incarnation.
+// Drained reports whether an operator or placement drained the endpoint's
+// incarnation.
 func (c *Configuration) Drained(key endpoint.Key) bool {
 	return c.State().Drained(key)
 }
--- a/io/configuration/publisher.go
+++ b/io/configuration/publisher.go
@@ -67,9 +67,8 @@
 
 // Change publishes a change under an id and returns its outcome once the record
 // was read back and reduced. A host that starts publishes once it is as far as
-// the stream. The same id may be given again, with the same
-// change, to learn the outcome of an earlier call; a repeated record has no
-// effect.
+// the stream. The same id may be given again, with the same change, to learn the
+// outcome of an earlier call; a repeated record has no effect.
 //
 // The error is a *core.ConflictError, *core.StaleError or *core.RejectedError
 // of a change without effect, an *UnknownError, a *NotReadyError, an
--- a/io/configuration/pusher.go
+++ b/io/configuration/pusher.go
@@ -17,8 +17,8 @@
 	request *nodev1.PushRequest
 }
 
-// pusher hands records down to one peer at a time. After a push
-// that failed the peer compares heads.
+// pusher hands records down to one peer at a time. A push that failed is not
+// repeated: the peer finds the records when it compares heads.
 type pusher struct {
 	configuration *Configuration
 	tasks         *ring.Ring[pushTask]
