Tell one drain of an engine from the next when it comes into force

Cause: placement remembered by engine since when its drain was in force on every host, and forgot it only when it saw the engine undrained. A look at the engines that began before a resume and a second drain could end after them, and a host that is asked for a plan from time to time saw neither. The second drain then counted as in force by the first one's word, and a load could be planned while a host still routed to the engine.

Change: what is remembered names the offset of its drain and holds for that one only. The fields that Plan shares with the reconcile duty now stand with the others under the lock, where they were used already.

Conclusion: a load waits for the drain that it relies on.

--- a/io/placement/fleet_test.go
+++ b/io/placement/fleet_test.go
@@ -39,7 +39,9 @@
 	bytes     int64
 	// stoppedLoads makes loads never end.
 	stoppedLoads bool
-	counted      counts
+	// lagging makes a host lag behind every drain.
+	lagging bool
+	counted counts
 }
 
 // counts are what happened so far.
@@ -138,6 +140,26 @@
 	f.engines[index].down = down
 }
 
+func (f *fleet) setLagging(lagging bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lagging = lagging
+}
+
+// change drains or resumes the first engine as placement does.
+func (f *fleet) change(drained bool) {
+	f.t.Helper()
+	_, err := f.Change(f.ctx, configuration.NewID(), core.EndpointChange{
+		Name:        f.engines[0].key.Name,
+		Incarnation: f.engines[0].key.Incarnation,
+		Drained:     drained,
+		Author:      core.AuthorPlacement,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 // until waits, at most a virtual hour, and returns how long it took.
 func (f *fleet) until(done func() bool) time.Duration {
 	f.t.Helper()
@@ -235,6 +257,11 @@
 }
 
 func (f *fleet) InForce(context.Context, record.Offset) configuration.InForce {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lagging {
+		return configuration.InForce{Lagging: []string{"host"}}
+	}
 	return configuration.InForce{Applied: []string{"host"}}
 }
 
--- a/io/placement/observer.go
+++ b/io/placement/observer.go
@@ -8,6 +8,7 @@
 	core "cactuswell/core/configuration"
 	"cactuswell/core/endpoint"
 	"cactuswell/core/placement"
+	"cactuswell/core/record"
 )
 
 // maxReads bounds the engines that are read at a time.
@@ -102,25 +103,33 @@
 	drain, drained := drains[e.Key]
 	switch {
 	case !drained:
-		p.setInForce(e.Key, time.Time{})
+		p.forgetInForce(e.Key)
 		return
 	case drain.Author != Author:
 		e.Leaving = true
 		return
 	}
 	e.Drained = true
-	since := p.drainInForce(ctx, e.Key, drain)
+	since := p.inForceSince(ctx, e.Key, drain)
 	e.Settled = !since.IsZero() && !reportedAt.Before(since.Add(p.dependencies.Settings.Settle))
 }
 
-// drainInForce returns since when a drain is known to be in force on every live
+// drainInForce says since when one drain is known to be in force on every live
+// host.
+type drainInForce struct {
+	// offset is the drain's own, as an engine may be drained more than once.
+	offset record.Offset
+	since  time.Time
+}
+
+// inForceSince returns since when a drain is known to be in force on every live
 // host, or zero.
-func (p *Placement) drainInForce(ctx context.Context, key endpoint.Key, drain core.Drain) time.Time {
+func (p *Placement) inForceSince(ctx context.Context, key endpoint.Key, drain core.Drain) time.Time {
 	p.mu.Lock()
-	since := p.inForce[key]
+	known, ok := p.inForce[key]
 	p.mu.Unlock()
-	if !since.IsZero() {
-		return since
+	if ok && known.offset == drain.Offset {
+		return known.since
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.dependencies.Settings.CallTimeout)
 	defer cancel()
@@ -128,17 +137,18 @@
 	if len(result.Lagging) > 0 {
 		return time.Time{}
 	}
-	since = p.dependencies.Timers.Now()
-	p.setInForce(key, since)
-	return since
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.dependencies.Timers.Now()
+	p.inForce[key] = drainInForce{
+		offset: drain.Offset,
+		since:  now,
+	}
+	return now
 }
 
-func (p *Placement) setInForce(key endpoint.Key, since time.Time) {
+func (p *Placement) forgetInForce(key endpoint.Key) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if since.IsZero() {
-		delete(p.inForce, key)
-		return
-	}
-	p.inForce[key] = since
+	delete(p.inForce, key)
 }
--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -97,15 +97,16 @@
 	plans   []placement.Plan
 	// held is why the last planned order was not sent, or is empty.
 	held string
+	// inForce holds the latest drain of an engine that is in force on every
+	// host.
+	inForce map[endpoint.Key]drainInForce
+	// served is when an engine was last seen to serve.
+	served map[endpoint.Key]time.Time
 
-	// The rest belongs to the reconcile duty.
+	// The rest belongs to the reconcile duty, which alone uses it.
 	term    record.Offset
 	loads   *placement.Loads
 	demands map[string]*placement.Demand
-	// inForce is since when an engine's drain is in force on every host.
-	inForce map[endpoint.Key]time.Time
-	// served is when an engine was last seen to serve.
-	served map[endpoint.Key]time.Time
 }
 
 // New returns a placement that has read nothing.
@@ -115,7 +116,7 @@
 		start:        dependencies.Timers.Now(),
 		term:         -1,
 		demands:      make(map[string]*placement.Demand),
-		inForce:      make(map[endpoint.Key]time.Time),
+		inForce:      make(map[endpoint.Key]drainInForce),
 		served:       make(map[endpoint.Key]time.Time),
 	}
 }
--- a/io/placement/placement_test.go
+++ b/io/placement/placement_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	core "cactuswell/core/configuration"
+	moves "cactuswell/core/placement"
 	"cactuswell/io/configuration"
 	"cactuswell/io/placement"
 	"cactuswell/standin/logservice"
@@ -124,6 +125,50 @@
 	})
 }
 
+// plan returns the plan of the only pool.
+func plan(t *testing.T, p *placement.Placement) moves.Plan {
+	t.Helper()
+	data, err := p.Plan(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var plans []moves.Plan
+	if err := json.Unmarshal(data, &plans); err != nil {
+		t.Fatal(err)
+	}
+	return plans[0]
+}
+
+// TestSecondDrainIsNotInForceByTheFirst covers a host that looks at an engine
+// under one drain and next under another one.
+func TestSecondDrainIsNotInForceByTheFirst(t *testing.T) {
+	within(t, 4, "v1", func(t *testing.T, f *fleet) {
+		p, stop := f.host("first")
+		stop()
+		f.publish("v2", 3, 4)
+		f.change(true)
+		time.Sleep(5 * time.Second)
+		plan(t, p)
+		time.Sleep(5 * time.Second)
+		if first := plan(t, p); first.Move == nil || first.Move.Action != moves.ActionLoad {
+			t.Fatalf("the drain in force allows no load: %+v", first)
+		}
+		f.change(false)
+		f.setLagging(true)
+		f.change(true)
+		time.Sleep(10 * time.Second)
+		if second := plan(t, p); second.Move != nil && second.Move.Action == moves.ActionLoad {
+			t.Errorf("a load is planned under a drain that a host lacks: %+v", second)
+		}
+		f.setLagging(false)
+		plan(t, p)
+		time.Sleep(5 * time.Second)
+		if last := plan(t, p); last.Move == nil || last.Move.Action != moves.ActionLoad {
+			t.Errorf("the second drain in force allows no load: %+v", last)
+		}
+	})
+}
+
 func TestLogOutageStopsOrders(t *testing.T) {
 	within(t, 6, "v1", func(t *testing.T, f *fleet) {
 		p, _ := f.host("first")
