Read the engines of a pool by a survey with a run method

Cause: observe chose the endpoints, started a closure for each, joined drains and summed the work, in one function of 41 lines. The field held said why an order was held back, while Held of the report says that the host has the lease.

Change: survey takes the endpoints and reads them by goroutines that are its method run, as io/configuration does for heads; the drains have a function of their own. The field is heldBack. No behaviour changes: still at most maxReads engines at a time, in the order of the host list.

Measured: go test -race of io/placement passes; the linter has 0 issues.

Conclusion: reading only.

--- a/io/placement/observer.go
+++ b/io/placement/observer.go
@@ -24,38 +24,22 @@
 
 // observe reads the engines of a pool.
 func (p *Placement) observe(ctx context.Context, pool string) observation {
-	var known []Endpoint
-	for _, one := range p.dependencies.Endpoints() {
-		if one.Descriptor.Pool == pool {
-			known = append(known, one)
-		}
+	survey := p.newSurvey(pool)
+	drains := p.drains()
+	var group sync.WaitGroup
+	for range min(maxReads, len(survey.known)) {
+		group.Add(1)
+		go survey.run(ctx, &group)
 	}
+	group.Wait()
 	seen := observation{
-		engines: make([]placement.Engine, len(known)),
+		engines: survey.engines,
 		bases:   make(map[endpoint.Key]string),
 	}
-	drains := make(map[endpoint.Key]core.Drain)
-	for _, drain := range p.dependencies.Configuration.State().Drains() {
-		drains[endpoint.Key{
-			Name:        drain.Name,
-			Incarnation: drain.Incarnation,
-		}] = drain
-	}
-	reportedAt := make([]time.Time, len(known))
-	var group sync.WaitGroup
-	places := make(chan struct{}, maxReads)
-	for i, one := range known {
-		seen.bases[one.Descriptor.Key] = one.BaseURL
-		places <- struct{}{}
-		group.Go(func() {
-			seen.engines[i], reportedAt[i] = p.readEngine(ctx, one)
-			<-places
-		})
-	}
-	group.Wait()
 	for i := range seen.engines {
 		e := &seen.engines[i]
-		p.applyDrain(ctx, e, drains, reportedAt[i])
+		seen.bases[e.Key] = survey.known[i].BaseURL
+		p.applyDrain(ctx, e, drains, survey.reportedAt[i])
 		if e.Live() {
 			seen.busy += e.Busy
 			seen.slots = max(seen.slots, e.Slots)
@@ -64,6 +48,18 @@
 	return seen
 }
 
+// drains returns the drains in the configuration by what they drain.
+func (p *Placement) drains() map[endpoint.Key]core.Drain {
+	drains := make(map[endpoint.Key]core.Drain)
+	for _, drain := range p.dependencies.Configuration.State().Drains() {
+		drains[endpoint.Key{
+			Name:        drain.Name,
+			Incarnation: drain.Incarnation,
+		}] = drain
+	}
+	return drains
+}
+
 // readEngine reads one engine and returns when its load report was true.
 func (p *Placement) readEngine(ctx context.Context, one Endpoint) (placement.Engine, time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, p.dependencies.Settings.CallTimeout)
--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -95,8 +95,8 @@
 	orders  *placement.Orders
 	recent  []OrderReport
 	plans   []placement.Plan
-	// held is why the last planned order was not sent, or is empty.
-	held string
+	// heldBack is why the last planned order was not sent, or is empty.
+	heldBack string
 	// inForce holds the latest drain of an engine that is in force on every
 	// host.
 	inForce map[endpoint.Key]drainInForce
--- a/io/placement/reconciler.go
+++ b/io/placement/reconciler.go
@@ -23,7 +23,7 @@
 		return
 	}
 	p.mu.Lock()
-	p.held = ""
+	p.heldBack = ""
 	p.mu.Unlock()
 	var plans []placement.Plan
 	for _, model := range wanted.Models {
@@ -165,7 +165,7 @@
 	order, err := p.orders.Prepare(p.instant(), r.move, target.ChecksFencing)
 	p.mu.Unlock()
 	if err != nil {
-		p.heldBack(err)
+		p.noteHeldBack(err)
 		return
 	}
 	if !p.unchanged(ctx, target, r.seen) {
@@ -177,7 +177,7 @@
 	err = p.orders.Send(p.instant(), order)
 	p.mu.Unlock()
 	if err != nil {
-		p.heldBack(err)
+		p.noteHeldBack(err)
 		return
 	}
 	err = p.send(ctx, r, order)
@@ -189,11 +189,11 @@
 	p.report(r.move, order.ID, err)
 }
 
-// heldBack notes why an order was not sent.
-func (p *Placement) heldBack(err error) {
+// noteHeldBack notes why an order was not sent.
+func (p *Placement) noteHeldBack(err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.held = err.Error()
+	p.heldBack = err.Error()
 }
 
 func (p *Placement) send(ctx context.Context, r round, order placement.Order) error {
--- a/io/placement/show.go
+++ b/io/placement/show.go
@@ -57,7 +57,7 @@
 		report.Holder, report.Fencing = p.machine.Holder()
 		report.Held = p.machine.Valid(p.instant())
 	}
-	report.HeldBack = p.held
+	report.HeldBack = p.heldBack
 	report.Plans = p.plans
 	report.Orders = append(report.Orders, p.recent...)
 	p.mu.Unlock()
