Ask for the placement duty at one place

Cause: ShowPlacement and PlanPlacement both held the answer of a host without the duty.

Change: Server.placement gives the duty or that answer.

Conclusion: reading only.

--- a/io/operator/placement.go
+++ b/io/operator/placement.go
@@ -18,13 +18,11 @@
 func (s *Server) ShowPlacement(
 	ctx context.Context, _ *connect.Request[operatorv1.ShowPlacementRequest],
 ) (*connect.Response[operatorv1.ShowPlacementResponse], error) {
-	if s.dependencies.Placement == nil {
-		return nil, connect.NewError(connect.CodeUnimplemented, &NotFoundError{
-			What: "duty",
-			Name: "placement",
-		})
+	duty, err := s.placement()
+	if err != nil {
+		return nil, err
 	}
-	data, err := s.dependencies.Placement.Show(ctx)
+	data, err := duty.Show(ctx)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
@@ -38,13 +36,11 @@
 func (s *Server) PlanPlacement(
 	ctx context.Context, _ *connect.Request[operatorv1.PlanPlacementRequest],
 ) (*connect.Response[operatorv1.PlanPlacementResponse], error) {
-	if s.dependencies.Placement == nil {
-		return nil, connect.NewError(connect.CodeUnimplemented, &NotFoundError{
-			What: "duty",
-			Name: "placement",
-		})
+	duty, err := s.placement()
+	if err != nil {
+		return nil, err
 	}
-	data, err := s.dependencies.Placement.Plan(ctx)
+	data, err := duty.Plan(ctx)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
@@ -53,6 +49,18 @@
 	}), nil
 }
 
+// placement returns the duty, or an error that the caller is told if the host
+// has none.
+func (s *Server) placement() (Placement, error) {
+	if s.dependencies.Placement == nil {
+		return nil, connect.NewError(connect.CodeUnimplemented, &NotFoundError{
+			What: "duty",
+			Name: "placement",
+		})
+	}
+	return s.dependencies.Placement, nil
+}
+
 // ChangePlacement checks the wanted placement, publishes it and returns once it
 // was read back.
 func (s *Server) ChangePlacement(
