Bound the kept answer bodies of claims at one place

Cause: the table of claimed keys and the issued keys each had the same code that drops the oldest answer bodies, and each looked into the slice of a fifo for its last item. ValidHost only called validHost.

Change: the type bodies bounds them for both; fifo has last; ValidHost stands alone. No behaviour changes: the counts, the order and the bounds are as they were.

Conclusion: reading only.

--- a/core/claim/fifo.go
+++ b/core/claim/fifo.go
@@ -18,6 +18,15 @@
 	return f.items[f.head], true
 }
 
+// last returns the item that was pushed last.
+func (f *fifo[T]) last() (T, bool) {
+	if f.head == len(f.items) {
+		var zero T
+		return zero, false
+	}
+	return f.items[len(f.items)-1], true
+}
+
 func (f *fifo[T]) pop() (T, bool) {
 	item, ok := f.peek()
 	if !ok {
--- a/core/claim/issued.go
+++ b/core/claim/issued.go
@@ -12,16 +12,14 @@
 
 // issuedKeys remembers which of the keys that this life issued were used.
 type issuedKeys struct {
-	issuer    Issuer
-	next      uint64
-	low       uint64
-	used      map[uint64]*usedKey
-	perTeam   map[string]int
-	marks     fifo[issuedMark]
-	window    time.Duration
-	bodies    fifo[uint64]
-	bodyBytes int
-	maxBodies int
+	issuer  Issuer
+	next    uint64
+	low     uint64
+	used    map[uint64]*usedKey
+	perTeam map[string]int
+	marks   fifo[issuedMark]
+	window  time.Duration
+	bodies  bodies[uint64]
 }
 
 type usedKey struct {
@@ -37,11 +35,13 @@
 
 func newIssuedKeys(issuer Issuer, settings Settings) *issuedKeys {
 	return &issuedKeys{
-		issuer:    issuer,
-		used:      make(map[uint64]*usedKey),
-		perTeam:   make(map[string]int),
-		window:    settings.Window,
-		maxBodies: settings.MaxBodies,
+		issuer:  issuer,
+		used:    make(map[uint64]*usedKey),
+		perTeam: make(map[string]int),
+		window:  settings.Window,
+		bodies: bodies[uint64]{
+			maxBytes: settings.MaxBodies,
+		},
 	}
 }
 
@@ -77,40 +77,20 @@
 	}
 	bounded := outcome.bounded()
 	target.outcome = &bounded
-	i.keepBody(sequence, len(bounded.Body))
+	i.bodies.keep(sequence, len(bounded.Body), i.evictBody)
 	return true
 }
 
-func (i *issuedKeys) keepBody(sequence uint64, bytes int) {
-	if bytes == 0 {
-		return
-	}
-	i.bodies.push(sequence)
-	i.bodyBytes += bytes
-	for i.bodyBytes > i.maxBodies || i.bodies.len() > maxBodiesKept {
-		oldest, ok := i.bodies.pop()
-		if !ok {
-			return
-		}
-		if target, ok := i.used[oldest]; ok {
-			i.dropBody(target)
-		}
+func (i *issuedKeys) evictBody(sequence uint64) {
+	if target, ok := i.used[sequence]; ok {
+		i.bodies.drop(target.outcome)
 	}
 }
 
-func (i *issuedKeys) dropBody(target *usedKey) {
-	if target.outcome == nil || len(target.outcome.Body) == 0 {
-		return
-	}
-	i.bodyBytes -= len(target.outcome.Body)
-	target.outcome.Body = nil
-	target.outcome.BodyOmitted = true
-}
-
 // advance forgets the keys that were issued longer than the window ago. They
 // are never run from then on.
 func (i *issuedKeys) advance(now time.Time) {
-	if last, ok := i.lastMark(); !ok || now.Sub(last.at) >= i.window/issuedMarks {
+	if last, ok := i.marks.last(); !ok || now.Sub(last.at) >= i.window/issuedMarks {
 		i.marks.push(issuedMark{
 			at:   now,
 			next: i.next,
@@ -132,15 +112,8 @@
 	}
 }
 
-func (i *issuedKeys) lastMark() (issuedMark, bool) {
-	if i.marks.len() == 0 {
-		return issuedMark{}, false
-	}
-	return i.marks.items[len(i.marks.items)-1], true
-}
-
 func (i *issuedKeys) drop(sequence uint64, target *usedKey) {
-	i.dropBody(target)
+	i.bodies.drop(target.outcome)
 	delete(i.used, sequence)
 	i.perTeam[target.team]--
 	if i.perTeam[target.team] == 0 {
--- a/core/claim/key.go
+++ b/core/claim/key.go
@@ -80,7 +80,7 @@
 		return IssuedKey{}, malformed
 	}
 	fields := strings.Split(rest, keySeparator)
-	if len(fields) != 5 || !validHost(fields[0]) {
+	if len(fields) != 5 || !ValidHost(fields[0]) {
 		return IssuedKey{}, malformed
 	}
 	incarnation, incarnationErr := strconv.ParseUint(fields[1], 16, 64)
@@ -106,9 +106,7 @@
 }
 
 // ValidHost reports whether a host's name can stand in an issued key.
-func ValidHost(host string) bool { return validHost(host) }
-
-func validHost(host string) bool {
+func ValidHost(host string) bool {
 	if host == "" || len(host) > maxHostBytes || strings.Contains(host, keySeparator) {
 		return false
 	}
--- a/core/claim/machine.go
+++ b/core/claim/machine.go
@@ -203,11 +203,8 @@
 }
 
 func (m *Machine) mark(now time.Time) {
-	if m.marks.len() > 0 {
-		last := m.marks.items[len(m.marks.items)-1]
-		if now.Sub(last.at) < m.settings.Window/issuedMarks {
-			return
-		}
+	if last, ok := m.marks.last(); ok && now.Sub(last.at) < m.settings.Window/issuedMarks {
+		return
 	}
 	m.marks.push(positionMark{
 		at:       now,
--- a/core/claim/table.go
+++ b/core/claim/table.go
@@ -14,25 +14,21 @@
 	// maxReleasesKept bounds the released claims that are remembered for one
 	// key. A released claim that was forgotten and turns up late blocks its key.
 	maxReleasesKept = 16
-	// maxBodiesKept bounds the number of answer bodies that are kept.
-	maxBodiesKept = 65536
 )
 
 // Table is the reduced claim stream: who holds each key and how it ended. It
 // is not safe for concurrent use.
 type Table struct {
-	entries   map[Ref]*entry
-	perTeam   map[string]int
-	order     fifo[touch]
-	left      *leftIssuers
-	bodies    fifo[Ref]
-	bodyBytes int
-	kept      int
-	maxKeys   int
-	maxBodies int
-	blind     bool
-	floor     record.Offset
-	counts    TableCounts
+	entries map[Ref]*entry
+	perTeam map[string]int
+	order   fifo[touch]
+	left    *leftIssuers
+	bodies  bodies[Ref]
+	kept    int
+	maxKeys int
+	blind   bool
+	floor   record.Offset
+	counts  TableCounts
 }
 
 // TableCounts counts what the table met.
@@ -99,11 +95,13 @@
 // kept only up to half of maxKeys.
 func NewTable(maxKeys, maxBodies int) *Table {
 	return &Table{
-		entries:   make(map[Ref]*entry),
-		perTeam:   make(map[string]int),
-		left:      newLeftIssuers(),
-		maxKeys:   maxKeys,
-		maxBodies: maxBodies,
+		entries: make(map[Ref]*entry),
+		perTeam: make(map[string]int),
+		left:    newLeftIssuers(),
+		maxKeys: maxKeys,
+		bodies: bodies[Ref]{
+			maxBytes: maxBodies,
+		},
 	}
 }
 
@@ -267,7 +265,7 @@
 	}
 	bounded := outcome.bounded()
 	target.outcome = &bounded
-	t.keepBody(ref, len(bounded.Body))
+	t.bodies.keep(ref, len(bounded.Body), t.evictBody)
 }
 
 // Lookup returns what is known of a key.
@@ -369,7 +367,7 @@
 	if t.entries[ref].kept {
 		t.kept--
 	}
-	t.dropBody(t.entries[ref])
+	t.bodies.drop(t.entries[ref].outcome)
 	delete(t.entries, ref)
 	t.perTeam[ref.Team]--
 	if t.perTeam[ref.Team] == 0 {
@@ -377,31 +375,11 @@
 	}
 }
 
-func (t *Table) keepBody(ref Ref, bytes int) {
-	if bytes == 0 {
-		return
-	}
-	t.bodies.push(ref)
-	t.bodyBytes += bytes
-	for t.bodyBytes > t.maxBodies || t.bodies.len() > maxBodiesKept {
-		oldest, ok := t.bodies.pop()
-		if !ok {
-			return
-		}
-		if target, ok := t.entries[oldest]; ok {
-			t.dropBody(target)
-			t.counts.BodiesDropped++
-		}
-	}
-}
-
-func (t *Table) dropBody(target *entry) {
-	if target.outcome == nil || len(target.outcome.Body) == 0 {
-		return
+func (t *Table) evictBody(ref Ref) {
+	if target, ok := t.entries[ref]; ok {
+		t.bodies.drop(target.outcome)
+		t.counts.BodiesDropped++
 	}
-	t.bodyBytes -= len(target.outcome.Body)
-	target.outcome.Body = nil
-	target.outcome.BodyOmitted = true
 }
 
 func (e *entry) blocked() bool {
