--- a/io/logservice/client.go
+++ b/io/logservice/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -19,72 +18,6 @@
 // maxResponseBytes bounds what is read of one answer of the log.
 const maxResponseBytes = 64 << 20
 
-// Log is the platform's log as the rest of the system sees it.
-type Log interface {
-	// Append adds records to the end of stream and returns the offset of the
-	// first. A *RefusedError says that nothing was appended; after an
-	// *UnavailableError the records may have been appended.
-	Append(ctx context.Context, stream record.Stream, records [][]byte) (record.Offset, error)
-	// Read returns the records of stream from the given offset on. If there
-	// are none it waits for options.Wait. A *TruncatedError says that the log
-	// no longer keeps the offset.
-	Read(ctx context.Context, stream record.Stream, from record.Offset, options ReadOptions) (ReadResponse, error)
-}
-
-// ReadOptions bounds a read.
-type ReadOptions struct {
-	// Limit is the largest number of records wanted, or zero for the log's own.
-	Limit int
-	// Wait is how long the log may hold the answer back until there is a
-	// record.
-	Wait time.Duration
-}
-
-// UnavailableError says that the log gave no usable answer.
-type UnavailableError struct {
-	Cause error
-}
-
-// Error describes the cause.
-func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("log service unavailable: %v", e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *UnavailableError) Unwrap() error { return e.Cause }
-
-// RefusedError says that the log refused a call and did nothing.
-type RefusedError struct {
-	Status int
-	// RetryAfter is how long the log asked us to wait, or zero.
-	RetryAfter time.Duration
-}
-
-// Error names the status.
-func (e *RefusedError) Error() string {
-	return fmt.Sprintf("log service refused the call with status %d", e.Status)
-}
-
-// StatusError is an unexpected HTTP status of the log.
-type StatusError struct {
-	Status int
-}
-
-// Error names the status.
-func (e *StatusError) Error() string {
-	return fmt.Sprintf("log service answered with status %d", e.Status)
-}
-
-// TruncatedError says that the log no longer keeps the offset asked for.
-type TruncatedError struct {
-	Oldest record.Offset
-}
-
-// Error names the oldest offset kept.
-func (e *TruncatedError) Error() string {
-	return fmt.Sprintf("log is truncated: oldest offset kept is %d", e.Oldest)
-}
-
 // Client is a Log that is reached over HTTP.
 type Client struct {
 	base string
