Put what the follower knows of the log and of peers beside its use

Cause: logState and peerState stood in follow.go, far from log.go and peer.go, which alone use most of their fields.

Change: moved only.

Conclusion: reading only.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -116,54 +116,6 @@
 	out       []Command
 }
 
-// logState is what the follower knows of the log.
-type logState struct {
-	// busy tells that a ReadLog or ReadSnapshots is unanswered.
-	busy    bool
-	askedAt time.Time
-	// waits tells that the log may hold back the answer that is awaited.
-	waits   bool
-	retryAt time.Time
-	delay   time.Duration
-	// failed tells that the latest read had no usable answer.
-	failed bool
-	// everFailed tells that some read since the start failed.
-	everFailed bool
-	// verified tells that the log's last record before the state's next one
-	// was compared since the latest trouble.
-	verified bool
-	// reset and replaced tell that the alarm was given.
-	reset    bool
-	replaced bool
-	// truncated tells that the log's oldest record is beyond the state, and
-	// uncovered that no snapshot helps.
-	truncated bool
-	uncovered bool
-	caughtUp  bool
-	// wanted is an offset that the log is known to hold.
-	wanted record.Offset
-}
-
-// peerState is what the follower knows of its peers.
-type peerState struct {
-	// busy tells that a call to a peer is unanswered.
-	busy bool
-	// nextAt is when heads are compared next.
-	nextAt   time.Time
-	failures int
-	round    int
-	// asked holds the peers that answered or failed since the start.
-	asked map[string]bool
-	// answered tells that some peer gave its head since the start.
-	answered bool
-	// head is the highest offset heard of, with the peer that named it and the
-	// time since which the follower is behind it.
-	head      record.Offset
-	headFrom  string
-	headSince time.Time
-	divergent map[string]bool
-}
-
 // New returns a follower that does nothing until Started. It goes on from the
 // given state, which it takes over.
 func New(settings Settings, state *configuration.State, random *rand.Rand) *Follower {
--- a/core/follow/log.go
+++ b/core/follow/log.go
@@ -10,6 +10,34 @@
 // shortestPoll separates long polls that are answered with nothing.
 const shortestPoll = PollWait / 4
 
+// logState is what the follower knows of the log.
+type logState struct {
+	// busy tells that a ReadLog or ReadSnapshots is unanswered.
+	busy    bool
+	askedAt time.Time
+	// waits tells that the log may hold back the answer that is awaited.
+	waits   bool
+	retryAt time.Time
+	delay   time.Duration
+	// failed tells that the latest read had no usable answer.
+	failed bool
+	// everFailed tells that some read since the start failed.
+	everFailed bool
+	// verified tells that the log's last record before the state's next one
+	// was compared since the latest trouble.
+	verified bool
+	// reset and replaced tell that the alarm was given.
+	reset    bool
+	replaced bool
+	// truncated tells that the log's oldest record is beyond the state, and
+	// uncovered that no snapshot helps.
+	truncated bool
+	uncovered bool
+	caughtUp  bool
+	// wanted is an offset that the log is known to hold.
+	wanted record.Offset
+}
+
 // readLog asks the log if this host is to follow it now.
 func (f *Follower) readLog(now time.Time) {
 	if f.log.busy || f.log.replaced || now.Before(f.log.retryAt) || !f.wantsLog(now) {
--- a/core/follow/peer.go
+++ b/core/follow/peer.go
@@ -6,6 +6,26 @@
 	"cactuswell/core/record"
 )
 
+// peerState is what the follower knows of its peers.
+type peerState struct {
+	// busy tells that a call to a peer is unanswered.
+	busy bool
+	// nextAt is when heads are compared next.
+	nextAt   time.Time
+	failures int
+	round    int
+	// asked holds the peers that answered or failed since the start.
+	asked map[string]bool
+	// answered tells that some peer gave its head since the start.
+	answered bool
+	// head is the highest offset heard of, with the peer that named it and the
+	// time since which the follower is behind it.
+	head      record.Offset
+	headFrom  string
+	headSince time.Time
+	divergent map[string]bool
+}
+
 // askPeer compares heads with a peer when it is time, and at once while peers
 // are still to be asked after the start.
 func (f *Follower) askPeer(now time.Time) {
