Give the counts of the configuration reducer a file of their own

Cause: configuration.go held the counters and their counting among the reducer.

Conclusion: reading only.

--- a/core/configuration/configuration.go
+++ b/core/configuration/configuration.go
@@ -69,17 +69,6 @@
 	MaxDrains = 1024
 )
 
-// Counts counts the records that were reduced, by verdict.
-type Counts struct {
-	Accepted    uint64 `json:"accepted"`
-	Conflict    uint64 `json:"conflict"`
-	Stale       uint64 `json:"stale"`
-	Invalid     uint64 `json:"invalid"`
-	Repeated    uint64 `json:"repeated"`
-	Malformed   uint64 `json:"malformed"`
-	UnknownKind uint64 `json:"unknownKind"`
-}
-
 // State is the reduced configuration in front of its next offset.
 type State struct {
 	next      record.Offset
@@ -239,7 +228,7 @@
 	}
 	outcome := s.reduce(offset, envelope, err)
 	s.blocked = nil
-	s.count(outcome.Verdict)
+	s.counts.add(outcome.Verdict)
 	s.digest = chain(s.digest, data)
 	s.next = offset + 1
 	s.forgetOutcomes()
@@ -448,25 +437,6 @@
 	s.outcomes = s.outcomes[expired:]
 }
 
-func (s *State) count(verdict Verdict) {
-	switch verdict {
-	case VerdictAccepted:
-		s.counts.Accepted++
-	case VerdictConflict:
-		s.counts.Conflict++
-	case VerdictStale:
-		s.counts.Stale++
-	case VerdictInvalid:
-		s.counts.Invalid++
-	case VerdictRepeated:
-		s.counts.Repeated++
-	case VerdictMalformed:
-		s.counts.Malformed++
-	case VerdictUnknownKind:
-		s.counts.UnknownKind++
-	}
-}
-
 func chain(digest uint64, data []byte) uint64 {
 	var previous [8]byte
 	for i := range previous {
