--- a/core/configuration/configuration.go
+++ b/core/configuration/configuration.go
@@ -28,6 +28,13 @@
 // placement changes are further protected by their base revision, which the
 // first occurrence has used up.
 //
+// # Drains and placement
+//
+// A change of an endpoint has no base revision, so that an operator's drain
+// always takes effect. A change by AuthorPlacement is invalid if another author
+// drained the same incarnation: placement may have planned it before it read
+// that drain.
+//
 // # Records of other releases
 //
 // A record that is malformed or of an unknown kind is counted and skipped. A
@@ -58,21 +65,10 @@
 	MaxProfiles = 512
 	// MaxTombstones bounds the deleted profiles that are remembered.
 	MaxTombstones = 256
-	// MaxDrains bounds the endpoints that are drained by operators.
+	// MaxDrains bounds the endpoints that are drained.
 	MaxDrains = 1024
 )
 
-// Counts counts the records that were reduced, by verdict.
-type Counts struct {
-	Accepted    uint64 `json:"accepted"`
-	Conflict    uint64 `json:"conflict"`
-	Stale       uint64 `json:"stale"`
-	Invalid     uint64 `json:"invalid"`
-	Repeated    uint64 `json:"repeated"`
-	Malformed   uint64 `json:"malformed"`
-	UnknownKind uint64 `json:"unknownKind"`
-}
-
 // State is the reduced configuration in front of its next offset.
 type State struct {
 	next      record.Offset
@@ -145,13 +141,14 @@
 	})
 }
 
-// Drained reports whether an operator drained the endpoint's incarnation.
+// Drained reports whether an operator or placement drained the endpoint's
+// incarnation.
 func (s *State) Drained(key endpoint.Key) bool {
 	drain, ok := s.drains[key.Name]
 	return ok && drain.Incarnation == key.Incarnation
 }
 
-// Drains returns the endpoints drained by operators, sorted by name.
+// Drains returns the endpoints that are drained, sorted by name.
 func (s *State) Drains() []Drain {
 	return slices.SortedFunc(maps.Values(s.drains), func(a, b Drain) int {
 		return cmp.Compare(a.Name, b.Name)
@@ -231,7 +228,7 @@
 	}
 	outcome := s.reduce(offset, envelope, err)
 	s.blocked = nil
-	s.count(outcome.Verdict)
+	s.counts.add(outcome.Verdict)
 	s.digest = chain(s.digest, data)
 	s.next = offset + 1
 	s.forgetOutcomes()
@@ -363,6 +360,9 @@
 	case change.Incarnation < current.Incarnation:
 		outcome.Verdict = VerdictInvalid
 		outcome.Reason = "a newer incarnation was drained"
+	case drained && current.protects(change):
+		outcome.Verdict = VerdictInvalid
+		outcome.Reason = "another author than placement drained it"
 	case change.Drained && !drained && len(s.drains) >= MaxDrains:
 		outcome.Verdict = VerdictInvalid
 		outcome.Reason = "too many drained endpoints"
@@ -437,25 +437,6 @@
 	s.outcomes = s.outcomes[expired:]
 }
 
-func (s *State) count(verdict Verdict) {
-	switch verdict {
-	case VerdictAccepted:
-		s.counts.Accepted++
-	case VerdictConflict:
-		s.counts.Conflict++
-	case VerdictStale:
-		s.counts.Stale++
-	case VerdictInvalid:
-		s.counts.Invalid++
-	case VerdictRepeated:
-		s.counts.Repeated++
-	case VerdictMalformed:
-		s.counts.Malformed++
-	case VerdictUnknownKind:
-		s.counts.UnknownKind++
-	}
-}
-
 func chain(digest uint64, data []byte) uint64 {
 	var previous [8]byte
 	for i := range previous {
--- a/io/placement/observer.go
+++ b/io/placement/observer.go
@@ -8,6 +8,7 @@
 	core "cactuswell/core/configuration"
 	"cactuswell/core/endpoint"
 	"cactuswell/core/placement"
+	"cactuswell/core/record"
 )
 
 // maxReads bounds the engines that are read at a time.
@@ -23,38 +24,22 @@
 
 // observe reads the engines of a pool.
 func (p *Placement) observe(ctx context.Context, pool string) observation {
-	var known []Endpoint
-	for _, one := range p.dependencies.Endpoints() {
-		if one.Descriptor.Pool == pool {
-			known = append(known, one)
-		}
+	survey := p.newSurvey(pool)
+	drains := p.drains()
+	var group sync.WaitGroup
+	for range min(maxReads, len(survey.known)) {
+		group.Add(1)
+		go survey.run(ctx, &group)
 	}
+	group.Wait()
 	seen := observation{
-		engines: make([]placement.Engine, len(known)),
+		engines: survey.engines,
 		bases:   make(map[endpoint.Key]string),
 	}
-	drains := make(map[endpoint.Key]core.Drain)
-	for _, drain := range p.dependencies.Configuration.State().Drains() {
-		drains[endpoint.Key{
-			Name:        drain.Name,
-			Incarnation: drain.Incarnation,
-		}] = drain
-	}
-	reportedAt := make([]time.Time, len(known))
-	var group sync.WaitGroup
-	places := make(chan struct{}, maxReads)
-	for i, one := range known {
-		seen.bases[one.Descriptor.Key] = one.BaseURL
-		places <- struct{}{}
-		group.Go(func() {
-			seen.engines[i], reportedAt[i] = p.readEngine(ctx, one)
-			<-places
-		})
-	}
-	group.Wait()
 	for i := range seen.engines {
 		e := &seen.engines[i]
-		p.applyDrain(ctx, e, drains, reportedAt[i])
+		seen.bases[e.Key] = survey.known[i].BaseURL
+		p.applyDrain(ctx, e, drains, survey.reportedAt[i])
 		if e.Live() {
 			seen.busy += e.Busy
 			seen.slots = max(seen.slots, e.Slots)
@@ -63,6 +48,18 @@
 	return seen
 }
 
+// drains returns the drains in the configuration by what they drain.
+func (p *Placement) drains() map[endpoint.Key]core.Drain {
+	drains := make(map[endpoint.Key]core.Drain)
+	for _, drain := range p.dependencies.Configuration.State().Drains() {
+		drains[endpoint.Key{
+			Name:        drain.Name,
+			Incarnation: drain.Incarnation,
+		}] = drain
+	}
+	return drains
+}
+
 // readEngine reads one engine and returns when its load report was true.
 func (p *Placement) readEngine(ctx context.Context, one Endpoint) (placement.Engine, time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, p.dependencies.Settings.CallTimeout)
@@ -102,25 +99,33 @@
 	drain, drained := drains[e.Key]
 	switch {
 	case !drained:
-		p.setInForce(e.Key, time.Time{})
+		p.forgetInForce(e.Key)
 		return
 	case drain.Author != Author:
 		e.Leaving = true
 		return
 	}
 	e.Drained = true
-	since := p.drainInForce(ctx, e.Key, drain)
+	since := p.inForceSince(ctx, e.Key, drain)
 	e.Settled = !since.IsZero() && !reportedAt.Before(since.Add(p.dependencies.Settings.Settle))
 }
 
-// drainInForce returns since when a drain is known to be in force on every live
+// drainInForce says since when one drain is known to be in force on every live
+// host.
+type drainInForce struct {
+	// offset is the drain's own, as an engine may be drained more than once.
+	offset record.Offset
+	since  time.Time
+}
+
+// inForceSince returns since when a drain is known to be in force on every live
 // host, or zero.
-func (p *Placement) drainInForce(ctx context.Context, key endpoint.Key, drain core.Drain) time.Time {
+func (p *Placement) inForceSince(ctx context.Context, key endpoint.Key, drain core.Drain) time.Time {
 	p.mu.Lock()
-	since := p.inForce[key]
+	known, ok := p.inForce[key]
 	p.mu.Unlock()
-	if !since.IsZero() {
-		return since
+	if ok && known.offset == drain.Offset {
+		return known.since
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.dependencies.Settings.CallTimeout)
 	defer cancel()
@@ -128,17 +133,18 @@
 	if len(result.Lagging) > 0 {
 		return time.Time{}
 	}
-	since = p.dependencies.Timers.Now()
-	p.setInForce(key, since)
-	return since
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.dependencies.Timers.Now()
+	p.inForce[key] = drainInForce{
+		offset: drain.Offset,
+		since:  now,
+	}
+	return now
 }
 
-func (p *Placement) setInForce(key endpoint.Key, since time.Time) {
+func (p *Placement) forgetInForce(key endpoint.Key) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if since.IsZero() {
-		delete(p.inForce, key)
-		return
-	}
-	p.inForce[key] = since
+	delete(p.inForce, key)
 }
--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -13,7 +13,8 @@
 //
 // A drain and a taking in are changes of the configuration by the author
 // Author, so that every host stops and starts to send work to the engine. An
-// endpoint that any other author drained counts as handed over.
+// endpoint that any other author drained counts as handed over, and the
+// configuration refuses a change of it by Author.
 package placement
 
 import (
@@ -39,7 +40,7 @@
 
 const (
 	// Author is the author of the drains that placement makes.
-	Author = "placement"
+	Author = core.AuthorPlacement
 	// leaseName names the one lease of the fleet.
 	leaseName = "placement"
 	// maxRecent bounds the orders that are remembered.
@@ -94,17 +95,18 @@
 	orders  *placement.Orders
 	recent  []OrderReport
 	plans   []placement.Plan
-	// held is why the last planned order was not sent, or is empty.
-	held string
+	// heldBack is why the last planned order was not sent, or is empty.
+	heldBack string
+	// inForce holds the latest drain of an engine that is in force on every
+	// host.
+	inForce map[endpoint.Key]drainInForce
+	// served is when an engine was last seen to serve.
+	served map[endpoint.Key]time.Time
 
-	// The rest belongs to the reconcile duty.
+	// The rest belongs to the reconcile duty, which alone uses it.
 	term    record.Offset
 	loads   *placement.Loads
 	demands map[string]*placement.Demand
-	// inForce is since when an engine's drain is in force on every host.
-	inForce map[endpoint.Key]time.Time
-	// served is when an engine was last seen to serve.
-	served map[endpoint.Key]time.Time
 }
 
 // New returns a placement that has read nothing.
@@ -114,7 +116,7 @@
 		start:        dependencies.Timers.Now(),
 		term:         -1,
 		demands:      make(map[string]*placement.Demand),
-		inForce:      make(map[endpoint.Key]time.Time),
+		inForce:      make(map[endpoint.Key]drainInForce),
 		served:       make(map[endpoint.Key]time.Time),
 	}
 }
