Forget idle classes beyond their bound after their requests have run

Cause: a class beyond MaxIdleClasses was forgotten only when its last entry left the queue while it held no slot. An entry that is taken always holds one then, so a class whose requests run was remembered for ever, and its guaranteed share went on scaling down those of the others.

Change: Release also forgets the class if it is idle and its tier has too many.

Conclusion: the bound holds. Nothing changes with up to 256 classes in a tier.

--- a/core/admission/index.go
+++ b/core/admission/index.go
@@ -124,10 +124,17 @@
 		tier.virtual = tier.lastTag
 		tier.cost = 0
 	}
-	if len(tier.classes) > MaxIdleClasses && class.running == 0 {
-		delete(tier.classes, class.name)
-		q.guarantee(class, 0)
+	q.forgetClass(class)
+}
+
+// forgetClass drops an idle class, with its guaranteed share, if its tier
+// remembers too many.
+func (q *Queue) forgetClass(class *class) {
+	if class.length > 0 || class.running > 0 || len(class.tier.classes) <= MaxIdleClasses {
+		return
 	}
+	delete(class.tier.classes, class.name)
+	q.guarantee(class, 0)
 }
 
 func (q *Queue) freeTeam(class *class, team *team) {
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -218,6 +218,7 @@
 		q.enterGuarantee(class)
 		class.tier.active.Fix(class.activeIndex)
 	}
+	q.forgetClass(class)
 	team := class.teams[entry.Team]
 	if team == nil {
 		return
--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -170,6 +170,24 @@
 // TestPartlyAnsweredRequestsLieOutsideTheBound is the failure that random events
 // found with seed 101: a top-tier request was refused for the places of requests
 // that can't be evicted.
+func TestIdleClassesAreBoundedOnceTheirRequestsHaveRun(t *testing.T) {
+	queue := New(Settings{})
+	now := testStart
+	for id := range uint64(2 * MaxIdleClasses) {
+		entry := testEntry(id, profile.TierBulk, fmt.Sprintf("class-%d", id), "clerks")
+		queue.Add(entry)
+		queue.Take(now, entry)
+		now = now.Add(time.Second)
+		queue.Release(now, entry, 1)
+	}
+	if known := len(queue.tiers[profile.TierBulk].classes); known > MaxIdleClasses {
+		t.Errorf("%d idle classes remembered, at most %d wanted", known, MaxIdleClasses)
+	}
+	if want := MaxIdleClasses * 0.05; math.Abs(queue.guaranteed-want) > 1e-6 {
+		t.Errorf("shares of %.2f guaranteed, %.2f wanted", queue.guaranteed, want)
+	}
+}
+
 func TestPartlyAnsweredRequestsLieOutsideTheBound(t *testing.T) {
 	queue := New(Settings{MaxQueued: 2, ClassReserve: 1})
 	for id := uint64(1); id <= 3; id++ {
