Load a version for a set time in the stand-in engine

While a version is loaded the state shows it as loading, new attempts are refused as not started (503 loading), and queued ones wait.

--- a/cmd/standincmd.go
+++ b/cmd/standincmd.go
@@ -81,6 +81,7 @@
 	Slots         int           `long:"slots" env:"CACTUSWELL_STANDIN_SLOTS" description:"sequences run at once" default:"8"`
 	TokenInterval time.Duration `long:"token-interval" env:"CACTUSWELL_STANDIN_TOKEN_INTERVAL" description:"time between two tokens" default:"10ms"`
 	AnswerTokens  int           `long:"answer-tokens" env:"CACTUSWELL_STANDIN_ANSWER_TOKENS" description:"usual length of an answer" default:"24"`
+	LoadTime      time.Duration `long:"load-time" env:"CACTUSWELL_STANDIN_LOAD_TIME" description:"how long an ordered version is loaded" default:"0s"`
 	ChecksFencing bool          `long:"checks-fencing" env:"CACTUSWELL_STANDIN_CHECKS_FENCING" description:"refuse orders with an old fencing number"`
 }
 
@@ -94,6 +95,7 @@
 		Slots:         s.Slots,
 		TokenInterval: s.TokenInterval,
 		AnswerTokens:  s.AnswerTokens,
+		LoadTime:      s.LoadTime,
 		ChecksFencing: s.ChecksFencing,
 	}).Handler())
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -19,6 +19,7 @@
 	"container/heap"
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -54,6 +55,8 @@
 	AnswerTokens int
 	// CacheBlocks bounds the prefix cache.
 	CacheBlocks int
+	// LoadTime is how long an ordered version is loaded. Zero loads it at once.
+	LoadTime time.Duration
 	// ChecksFencing makes the engine refuse orders with an old number.
 	ChecksFencing bool
 }
@@ -187,8 +190,9 @@
 	return true
 }
 
-// submit enters an attempt, or reports false if its id is already in use.
-func (e *Engine) submit(id, prompt string, priority, maxTokens int) (*attempt, bool) {
+// submit enters an attempt, or refuses it while a version is loaded or if its
+// id is already in use.
+func (e *Engine) submit(id, prompt string, priority, maxTokens int) (*attempt, *refusal) {
 	tokens, limited := Answer(prompt, e.settings.AnswerTokens, maxTokens)
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &attempt{
@@ -207,14 +211,25 @@
 	defer e.mu.Unlock()
 	if _, known := e.attempts[id]; known {
 		cancel()
-		return nil, false
+		return nil, &refusal{
+			status: http.StatusConflict,
+			code:   "attemptKnown",
+		}
+	}
+	if e.state.loading != nil {
+		cancel()
+		return nil, &refusal{
+			status:     http.StatusServiceUnavailable,
+			code:       "loading",
+			notStarted: true,
+		}
 	}
 	e.arrivals++
 	a.order = e.arrivals
 	e.attempts[id] = a
 	heap.Push(&e.waiting, a)
 	e.startWaiting()
-	return a, true
+	return a, nil
 }
 
 func (e *Engine) lookup(id string) (*attempt, bool) {
@@ -226,7 +241,7 @@
 
 // startWaiting must be called with the lock held.
 func (e *Engine) startWaiting() {
-	for e.running < e.settings.Slots && len(e.waiting) > 0 {
+	for e.state.loading == nil && e.running < e.settings.Slots && len(e.waiting) > 0 {
 		a := heap.Pop(&e.waiting).(*attempt)
 		e.running++
 		e.runs[a.id]++
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -20,6 +20,13 @@
 	otherAttemptID = "another-attempt"
 )
 
+// refusal says why a call was not taken.
+type refusal struct {
+	status     int
+	code       string
+	notStarted bool
+}
+
 // Generated is the engine's account of its work.
 type Generated struct {
 	Tokens uint64 `json:"tokens"`
@@ -71,9 +78,9 @@
 		return
 	}
 	priority, _ := strconv.Atoi(r.Header.Get(engine.HeaderPriority))
-	a, ok := e.submit(id, engine.PromptText(request.Messages), priority, request.MaxTokens)
-	if !ok {
-		e.refuse(w, id, http.StatusConflict, "attemptKnown", false)
+	a, refused := e.submit(id, engine.PromptText(request.Messages), priority, request.MaxTokens)
+	if refused != nil {
+		e.refuse(w, id, refused.status, refused.code, refused.notStarted)
 		return
 	}
 	if !a.sleep(faults.AnswerDelay()) {
