Use a stream's chunks again for each token

Cause: a streamed token cost 28.1 allocations from end to end, some of them for frames that differ in two fields only. Change: the engine's stream and the callers' event writer keep their frame and encoder. Times were not comparable on the busy machine.

--- a/io/caller/chat.go
+++ b/io/caller/chat.go
@@ -148,12 +148,7 @@
 // streamChat answers with server-sent events. The status is decided by the
 // first part, so that a refusal has a status of its own.
 func (s *Server) streamChat(w http.ResponseWriter, r *http.Request, submission Submission, answer *Answer) {
-	events := &eventWriter{
-		w:          w,
-		controller: http.NewResponseController(w),
-		submission: submission,
-		created:    time.Now().Unix(),
-	}
+	events := newEventWriter(w, submission)
 	for {
 		part, err := answer.Next(r.Context())
 		if err != nil {
@@ -183,10 +178,29 @@
 	w          http.ResponseWriter
 	controller *http.ResponseController
 	submission Submission
-	created    int64
 	begun      bool
 	tokens     int
 	buffer     bytes.Buffer
+	encoder    *json.Encoder
+	// frame and choices are used again for each event.
+	frame   engine.ChatChunk
+	choices [1]engine.ChunkChoice
+}
+
+func newEventWriter(w http.ResponseWriter, submission Submission) *eventWriter {
+	e := &eventWriter{
+		w:          w,
+		controller: http.NewResponseController(w),
+		submission: submission,
+		frame: engine.ChatChunk{
+			ID:      submission.RequestID,
+			Object:  "chat.completion.chunk",
+			Created: time.Now().Unix(),
+			Model:   submission.Profile.Name(),
+		},
+	}
+	e.encoder = json.NewEncoder(&e.buffer)
+	return e
 }
 
 // write adds the events for a part and reports whether it was the last.
@@ -224,26 +238,20 @@
 }
 
 func (e *eventWriter) chunk(text string, reason *string) {
-	e.event(engine.ChatChunk{
-		ID:      e.submission.RequestID,
-		Object:  "chat.completion.chunk",
-		Created: e.created,
-		Model:   e.submission.Profile.Name(),
-		Choices: []engine.ChunkChoice{
-			{
-				Delta: engine.ChunkDelta{
-					Content: text,
-				},
-				FinishReason: reason,
-			},
+	e.choices[0] = engine.ChunkChoice{
+		Delta: engine.ChunkDelta{
+			Content: text,
 		},
-		TokenIndex: e.tokens,
-	})
+		FinishReason: reason,
+	}
+	e.frame.Choices = e.choices[:]
+	e.frame.TokenIndex = e.tokens
+	e.event(&e.frame)
 }
 
 func (e *eventWriter) event(body any) {
 	e.buffer.WriteString("data: ")
-	_ = json.NewEncoder(&e.buffer).Encode(body)
+	_ = e.encoder.Encode(body)
 	e.buffer.WriteByte('\n')
 }
 
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -32,6 +32,9 @@
 	body    io.ReadCloser
 	lines   *bufio.Scanner
 	next    int
+	// chunk and choices are used again for each event.
+	chunk   ChatChunk
+	choices [1]ChunkChoice
 }
 
 func newStream(response *http.Response, attempt string, from int) *Stream {
@@ -53,11 +56,14 @@
 		if !ok {
 			continue
 		}
-		var chunk ChatChunk
-		if err := json.Unmarshal(data, &chunk); err != nil {
+		s.choices[0] = ChunkChoice{}
+		s.chunk = ChatChunk{
+			Choices: s.choices[:0],
+		}
+		if err := json.Unmarshal(data, &s.chunk); err != nil {
 			return Token{}, trace.Wrap(&BrokenError{Cause: &MalformedChunkError{Reason: err.Error()}})
 		}
-		return s.check(&chunk)
+		return s.check(&s.chunk)
 	}
 	if err := s.lines.Err(); err != nil {
 		return Token{}, trace.Wrap(&BrokenError{Cause: err})
