Split the claim package's files by their main types

Cause: claim.go held the package comment, a reference, the fingerprint and the outcome; command.go held commands, decisions and the grant.

Change: decision.go, grant.go, fingerprint.go and outcome.go hold what was moved to them; alarms is dueQueue. No behaviour changes.

Conclusion: reading only.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -37,13 +37,7 @@
 // refuse more. See docs/design/claims.md.
 package claim
 
-import (
-	"crypto/sha256"
-	"encoding/binary"
-	"encoding/hex"
-	"fmt"
-	"time"
-)
+import "time"
 
 const (
 	// Window is how long a key is remembered at least, provided that the log
@@ -63,69 +57,3 @@
 	Team string
 	Key  string
 }
-
-// fingerprintBytes is the length of a fingerprint.
-const fingerprintBytes = 16
-
-// Fingerprint identifies the request that a key was first used for.
-type Fingerprint [fingerprintBytes]byte
-
-// NewFingerprint returns the fingerprint of a request.
-func NewFingerprint(profile, path string, body []byte) Fingerprint {
-	digest := sha256.New()
-	for _, part := range [][]byte{[]byte(profile), []byte(path), body} {
-		var length [8]byte
-		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
-		_, _ = digest.Write(length[:])
-		_, _ = digest.Write(part)
-	}
-	var fingerprint Fingerprint
-	copy(fingerprint[:], digest.Sum(nil))
-	return fingerprint
-}
-
-// MarshalText returns the fingerprint in hexadecimal digits.
-func (f Fingerprint) MarshalText() ([]byte, error) {
-	return []byte(hex.EncodeToString(f[:])), nil
-}
-
-// UnmarshalText reads a fingerprint from hexadecimal digits.
-func (f *Fingerprint) UnmarshalText(text []byte) error {
-	if len(text) != hex.EncodedLen(fingerprintBytes) {
-		return &FingerprintError{Length: len(text)}
-	}
-	_, err := hex.Decode(f[:], text)
-	return err
-}
-
-// FingerprintError says that a fingerprint has the wrong length.
-type FingerprintError struct {
-	Length int
-}
-
-// Error names the length.
-func (e *FingerprintError) Error() string {
-	return fmt.Sprintf("fingerprint of %d digits", e.Length)
-}
-
-// Outcome is how a keyed call ended, as every retry of the key is told.
-type Outcome struct {
-	// Unknown says that the call was started and its end is not known.
-	Unknown bool `json:"unknown,omitempty"`
-	// Status is the HTTP status of the answer.
-	Status      int    `json:"status,omitempty"`
-	ContentType string `json:"contentType,omitempty"`
-	Body        []byte `json:"body,omitempty"`
-	// BodyOmitted says that the answer had a body that was too large to keep or
-	// is no longer kept.
-	BodyOmitted bool `json:"bodyOmitted,omitempty"`
-}
-
-// bounded returns the outcome without a body that is too large to keep.
-func (o Outcome) bounded() Outcome {
-	if len(o.Body) > MaxBodyBytes {
-		o.Body = nil
-		o.BodyOmitted = true
-	}
-	return o
-}
--- a/core/claim/machine.go
+++ b/core/claim/machine.go
@@ -23,8 +23,8 @@
 	byKey     map[Ref][]CallID
 	pending   map[string]CallID
 	proposed  map[Ref]string
-	deadlines alarms[CallID]
-	carries   alarms[carried]
+	deadlines dueQueue[CallID]
+	carries   dueQueue[carried]
 	serial    uint64
 	leaving   bool
 	caughtUp  bool
