Say so when no host told where a change is in force

Cause: a wait for a change at a host that never answered ended with "change is not in force on : ...", which names no host.

Change: the error says that no host told where the change is in force.

Conclusion: an operator can tell a silent host from a lagging one.

--- a/io/operator/errors.go
+++ b/io/operator/errors.go
@@ -56,7 +56,8 @@
 		e.Name, e.Revision, e.Author, e.Spec)
 }
 
-// LaggingError names the live hosts that have not applied a change.
+// LaggingError names the live hosts that have not applied a change. Hosts is
+// empty if no answer said which these are.
 type LaggingError struct {
 	Hosts []string
 	Cause error
@@ -64,6 +65,9 @@
 
 // Error names the hosts.
 func (e *LaggingError) Error() string {
+	if len(e.Hosts) == 0 {
+		return fmt.Sprintf("no host told where the change is in force: %v", e.Cause)
+	}
 	return fmt.Sprintf("change is not in force on %s: %v", strings.Join(e.Hosts, ", "), e.Cause)
 }
 
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -191,6 +191,25 @@
 	})
 }
 
+// TestSilentHostIsNotALaggingOne waits for a change at a host that never says
+// which hosts lag.
+func TestSilentHostIsNotALaggingOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		silent := direct{handler: http.NotFoundHandler()}
+		err := operator.NewClient("http://host-1", &http.Client{Transport: silent}).AwaitInForce(ctx, 1)
+		var lagging *operator.LaggingError
+		if !errors.As(err, &lagging) || !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("got %v", err)
+		}
+		want := "no host told where the change is in force: context deadline exceeded"
+		if lagging.Error() != want {
+			t.Errorf("got %q, want %q", lagging.Error(), want)
+		}
+	})
+}
+
 func TestEndpoints(t *testing.T) {
 	run(t, func(ctx context.Context, b *bench) {
 		if _, err := b.client.ChangeEndpoint(ctx, "engine-3", 4, true, "aigerim"); err != nil {
