--- a/host/call.go
+++ b/host/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"cactuswell/core/claim"
@@ -19,6 +20,12 @@
 	ticket   *claims.Ticket
 	taken    time.Time
 	attempts map[uint32]*attempt
+	// delivered is the number of tokens that the caller was given. It may be
+	// ahead of what the decisions know, which hear of progress by events.
+	delivered atomic.Int64
+	// gone says that the caller went away. It is set before the event that says
+	// so is posted, as that event may overtake the call's arrival.
+	gone atomic.Bool
 }
 
 // once reports whether the call must not run twice.
@@ -53,6 +60,25 @@
 	})
 }
 
+// cutShort ends the call because the host can wait no longer.
+func (c *call) cutShort() {
+	switch {
+	case len(c.attempts) == 0:
+		c.refuse(dispatch.RefuseStopping, dispatch.NotRun, time.Second)
+	case c.once():
+		c.refuse(dispatch.RefuseOutcomeUnknown, dispatch.RanUnknown, 0)
+	default:
+		c.refuse(dispatch.RefuseStreamCutShort, dispatch.RanUnknown, 0)
+	}
+}
+
+// outgrows reports whether the caller already has more tokens, of an earlier
+// attempt, than a's whole answer.
+func (c *call) outgrows(a *attempt) bool {
+	end := a.end()
+	return end.body == nil && int64(end.tokens) < c.delivered.Load()
+}
+
 // complete ends the call with the whole answer of an attempt. It returns the
 // error of recording the answer for retries; the caller is answered in any case.
 func (c *call) complete(a *attempt) error {
--- a/host/pool.go
+++ b/host/pool.go
@@ -178,13 +178,23 @@
 		if !ok {
 			return
 		}
-		p.calls[c.id] = c
-		p.step(ctx, dispatch.RequestArrived{
-			Request: c.request(),
-		})
+		p.arrive(ctx, c)
 	}
 }
 
+// arrive hands a new call to the decisions, unless its caller has gone away.
+func (p *pool) arrive(ctx context.Context, c *call) {
+	if c.gone.Load() {
+		p.open.Add(-1)
+		p.counters.Add("callersGoneBeforeArrival", 1)
+		return
+	}
+	p.calls[c.id] = c
+	p.step(ctx, dispatch.RequestArrived{
+		Request: c.request(),
+	})
+}
+
 func (p *pool) nextArrival() (*call, bool) {
 	for _, arrivals := range p.arrivals {
 		if c, ok := arrivals.Pop(); ok {
@@ -303,6 +313,14 @@
 	if !ok {
 		return
 	}
+	if c.outgrows(a) {
+		p.refuse(dispatch.RefuseRequest{
+			Request: command.Request,
+			Reason:  dispatch.RefuseStreamCutShort,
+			Ran:     dispatch.RanUnknown,
+		})
+		return
+	}
 	if err := c.complete(a); err != nil {
 		p.counters.Add("outcomesNotRecorded", 1)
 		_ = p.logger.Log("level", "error", "event", "outcomeNotRecorded", "request", c.submission.RequestID,
@@ -350,6 +368,17 @@
 	}
 }
 
+// cutShort ends every call that has arrived. It runs in the duty.
+func (p *pool) cutShort(ctx context.Context) {
+	for id, c := range p.calls {
+		c.cutShort()
+		p.counters.Add("requestsCutShort", 1)
+		p.handle(ctx, dispatch.RequestCanceled{
+			Request: id,
+		})
+	}
+}
+
 // openCalls returns how many calls have no final answer yet.
 func (p *pool) openCalls() int64 {
 	return p.open.Load()
