Reconcile one pool in a function of its own

Change: reconcilePool plans and moves one pool; the author is configuration.AuthorPlacement throughout. No behaviour changes.

Conclusion: reading only.

--- a/io/placement/observer.go
+++ b/io/placement/observer.go
@@ -101,7 +101,7 @@
 	case !drained:
 		p.forgetInForce(e.Key)
 		return
-	case drain.Author != Author:
+	case drain.Author != core.AuthorPlacement:
 		e.Leaving = true
 		return
 	}
--- a/io/placement/placement.go
+++ b/io/placement/placement.go
@@ -12,9 +12,9 @@
 // a wanted document the duties read nothing and append nothing.
 //
 // A drain and a taking in are changes of the configuration by the author
-// Author, so that every host stops and starts to send work to the engine. An
-// endpoint that any other author drained counts as handed over, and the
-// configuration refuses a change of it by Author.
+// core/configuration.AuthorPlacement, so that every host stops and starts to
+// send work to the engine. An endpoint that any other author drained counts as
+// handed over, and the configuration refuses a change of it by this author.
 package placement
 
 import (
@@ -39,8 +39,6 @@
 )
 
 const (
-	// Author is the author of the drains that placement makes.
-	Author = core.AuthorPlacement
 	// leaseName names the one lease of the fleet.
 	leaseName = "placement"
 	// maxRecent bounds the orders that are remembered.
--- a/io/placement/reconciler.go
+++ b/io/placement/reconciler.go
@@ -27,36 +27,41 @@
 	p.mu.Unlock()
 	var plans []placement.Plan
 	for _, model := range wanted.Models {
-		store, bytes := p.readStore(ctx, model)
-		if p.loads == nil {
-			p.loads = placement.NewLoads(p.dependencies.Timers.Now(), bytes, store.BytesPerSecond)
-		}
-		seen := p.observe(ctx, model.Pool)
-		p.noteSilent(seen.engines)
-		plan := placement.Next(placement.Situation{
-			Model:   model,
-			Engines: seen.engines,
-			Target:  p.target(model, seen),
-			Store:   store,
-			Loads:   p.loads,
-			Now:     p.dependencies.Timers.Now(),
-		})
-		plans = append(plans, plan)
-		if plan.Move != nil {
-			p.carryOut(ctx, round{
-				model: model,
-				seen:  seen,
-				move:  *plan.Move,
-				rate:  store.BytesPerSecond,
-				bytes: bytes,
-			})
-		}
+		plans = append(plans, p.reconcilePool(ctx, model))
 	}
 	p.mu.Lock()
 	p.plans = plans
 	p.mu.Unlock()
 }
 
+// reconcilePool plans the next move of one pool, makes it and returns the plan.
+func (p *Placement) reconcilePool(ctx context.Context, model placement.Model) placement.Plan {
+	store, bytes := p.readStore(ctx, model)
+	if p.loads == nil {
+		p.loads = placement.NewLoads(p.dependencies.Timers.Now(), bytes, store.BytesPerSecond)
+	}
+	seen := p.observe(ctx, model.Pool)
+	p.noteSilent(seen.engines)
+	plan := placement.Next(placement.Situation{
+		Model:   model,
+		Engines: seen.engines,
+		Target:  p.target(model, seen),
+		Store:   store,
+		Loads:   p.loads,
+		Now:     p.dependencies.Timers.Now(),
+	})
+	if plan.Move != nil {
+		p.carryOut(ctx, round{
+			model: model,
+			seen:  seen,
+			move:  *plan.Move,
+			rate:  store.BytesPerSecond,
+			bytes: bytes,
+		})
+	}
+	return plan
+}
+
 // beginRound reports whether this host has the lease, and forgets what it knew
 // under an earlier one.
 func (p *Placement) beginRound() bool {
@@ -233,7 +238,7 @@
 		Name:        move.Endpoint.Name,
 		Incarnation: move.Endpoint.Incarnation,
 		Drained:     move.Action == placement.ActionDrain,
-		Author:      Author,
+		Author:      core.AuthorPlacement,
 	})
 	return err
 }
