End a pool's attempts and waiting posts with its duty

Cause: the attempts of a pool don't follow its duty's context, and nothing canceled them when the duty ended for good: after a kill they read their streams to the end. Nothing waited for them either, so that a stop could return before endpoints were told that nobody waits. A post to a full ring waited without end for a duty and a timer service that had ended. Change: a duty that ends stops the attempts that it knows and releases the posts that wait; Run waits for the attempts, unless it was killed. Measured: TestEndOfDutyEndsAttempts failed before, TestPostEndsWithDuty failed before with a deadlock of the bubble; both pass now, 5 of 5 runs with -race, and go test -race ./host passes. Open: a duty whose context ends during the pause before its restart does not release posts to a full ring.

--- a/host/pool.go
+++ b/host/pool.go
@@ -66,6 +66,8 @@
 	events   *ring.Ring[any]
 	signal   ring.Signal
 	attempts sync.WaitGroup
+	// ended is closed when the duty has ended for good and reads no more events.
+	ended chan struct{}
 
 	decided   decisions
 	calls     map[dispatch.RequestID]*call
@@ -97,6 +99,7 @@
 		poolDependencies: dependencies,
 		events:           ring.NewSignaling[any](eventCapacity, signal),
 		signal:           signal,
+		ended:            make(chan struct{}),
 		calls:            make(map[dispatch.RequestID]*call),
 		addresses:        make(map[endpoint.Key]string),
 		commands:         make([]dispatch.Command, 0, commandCapacity),
@@ -121,11 +124,17 @@
 
 // post hands an event to the duty. It waits while the ring is full, since the
 // events of attempts must not be lost; only attempts and slow duties call it.
+// After the end of the duty, it drops an event that finds no room.
 func (p *pool) post(event any) {
 	for !p.events.TryPush(event) {
 		p.counters.Add("eventRingFull", 1)
 		wait := p.timers.After(eventRetryDelay)
-		<-wait.C()
+		select {
+		case <-wait.C():
+		case <-p.ended:
+			wait.Stop()
+			return
+		}
 	}
 }
 
@@ -147,7 +156,7 @@
 	}
 }
 
-// run carries out the decisions until ctx ends.
+// run carries out the decisions until ctx ends. It is not run again after that.
 func (p *pool) run(ctx context.Context) error {
 	wake := p.timers.After(time.Hour)
 	defer wake.Stop()
@@ -157,6 +166,8 @@
 		}
 		select {
 		case <-ctx.Done():
+			close(p.ended)
+			p.stopAttempts()
 			return nil
 		case <-p.signal:
 			p.drain(ctx)
@@ -166,6 +177,15 @@
 	}
 }
 
+// stopAttempts ends the attempts that would outlive the duty's last run.
+func (p *pool) stopAttempts() {
+	for _, c := range p.calls {
+		for _, a := range c.attempts {
+			a.stop()
+		}
+	}
+}
+
 // drain handles everything that waits, attempts' events before new calls and
 // urgent calls before others.
 func (p *pool) drain(ctx context.Context) {
--- a/host/pool_test.go
+++ b/host/pool_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"github.com/go-kit/log"
 
@@ -153,6 +154,48 @@
 	}
 }
 
+// TestEndOfDutyEndsAttempts ends a pool's duty while an attempt runs, as a stop
+// at once does.
+func TestEndOfDutyEndsAttempts(t *testing.T) {
+	p := newTestPool(t)
+	c := p.newCall(testSubmission(t), nil)
+	p.calls[c.id] = c
+	a := newTestAttempt(p, c, 1)
+	c.attempts = map[uint32]*attempt{1: a}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := p.run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if a.ctx.Err() == nil {
+		t.Error("the attempt goes on after the end of its pool's duty")
+	}
+}
+
+// TestPostEndsWithDuty posts to a full ring that the duty will not read any more.
+func TestPostEndsWithDuty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPool(t)
+		for p.events.TryPush(dispatch.TimePassed{}) {
+			continue
+		}
+		posted := make(chan struct{})
+		go func() {
+			defer close(posted)
+			p.post(dispatch.TimePassed{})
+		}()
+		synctest.Wait()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		// Without a signal, run sees nothing but the end of its context.
+		p.signal = nil
+		if err := p.run(ctx); err != nil {
+			t.Fatal(err)
+		}
+		<-posted
+	})
+}
+
 // TestCancelOvertakesArrival cancels a call that still waits in its tier's ring.
 // The duty reads events before arrivals.
 func TestCancelOvertakesArrival(t *testing.T) {
--- a/host/run.go
+++ b/host/run.go
@@ -264,6 +264,7 @@
 	err := h.stop(kill, callers)
 	cancel()
 	<-done
+	h.awaitAttempts(kill)
 	h.clients.close()
 	h.node.Transport().Close()
 	h.closeListeners()
--- a/host/stop.go
+++ b/host/stop.go
@@ -53,6 +53,17 @@
 	}
 }
 
+// awaitAttempts waits for the attempts, all of which have ended or were told to.
+// They take cancelTimeout at most to tell their endpoints. A kill isn't held up.
+func (h *Host) awaitAttempts(kill context.Context) {
+	if kill.Err() != nil {
+		return
+	}
+	for _, p := range h.allPools() {
+		p.attempts.Wait()
+	}
+}
+
 // leave tells the fleet, and lets the callers' last answers go out.
 func (h *Host) leave(kill context.Context, callers *http.Server) {
 	if kill.Err() != nil {
