Restart a pool whose event ring is full

Cause: a restarted duty was told of its endpoints through its own ring, by a post that waits for room. With a full ring it waited for itself without end. Events that were left in the rings by the failed run had no signal of their own. Change: what a restarted duty has to learn again is kept apart from the ring and handled before all else, and the duty is woken for what waits. Measured: TestPoolRestartWithFullRing hung in post with the old way of telling (a trial, 8 s bound) and found no signal without the second part; it passes now, and go test -race ./host ./io/caller passes. Conclusion: a restart needs no room in the ring.

--- a/host/directory.go
+++ b/host/directory.go
@@ -205,7 +205,7 @@
 		if a.replaced != nil {
 			d.dismiss(a.replaced)
 		}
-		d.announce(a.entry)
+		announce(a.entry, func(event dispatch.Event) { d.post(a.entry.descriptor.Pool, event) })
 		d.added(a.entry.descriptor, a.entry.removed)
 	}
 }
@@ -240,18 +240,19 @@
 	})
 }
 
-func (d *directory) announce(entry *directoryEntry) {
-	d.post(entry.descriptor.Pool, dispatch.EndpointAdded{
+// announce tells a pool of an endpoint.
+func announce(entry *directoryEntry, tell func(dispatch.Event)) {
+	tell(dispatch.EndpointAdded{
 		Descriptor: entry.descriptor,
 	})
 	if entry.drained {
-		d.post(entry.descriptor.Pool, dispatch.EndpointDrained{
+		tell(dispatch.EndpointDrained{
 			Key:     entry.descriptor.Key,
 			Drained: true,
 		})
 	}
 	if entry.leaving {
-		d.post(entry.descriptor.Pool, dispatch.EndpointLeaving{
+		tell(dispatch.EndpointLeaving{
 			Key: entry.descriptor.Key,
 		})
 	}
@@ -348,10 +349,10 @@
 }
 
 // resend tells a pool that lost its state of its endpoints.
-func (d *directory) resend(pool string) {
+func (d *directory) resend(pool string, tell func(dispatch.Event)) {
 	for _, entry := range d.list() {
 		if entry.descriptor.Pool == pool {
-			d.announce(&entry)
+			announce(&entry, tell)
 		}
 	}
 }
--- a/host/host.go
+++ b/host/host.go
@@ -144,7 +144,7 @@
 		rebuilt:   h.rebuilt,
 	})
 	h.pools[name] = p
-	h.inform(p)
+	h.inform(func(event dispatch.Event) { p.events.TryPush(event) })
 	h.tree.Add(supervisor.Duty{
 		Name:      "pool." + name,
 		Run:       p.run,
@@ -155,20 +155,17 @@
 
 // rebuilt tells a pool that lost its state what the others were told before.
 func (h *Host) rebuilt(p *pool) {
-	h.mu.Lock()
-	h.inform(p)
-	h.mu.Unlock()
-	h.directory.resend(p.name)
+	h.inform(p.relearn)
+	h.directory.resend(p.name, p.relearn)
 }
 
-// inform tells a pool whose decisions are new of the host's own state. It must be
-// called with the lock held, so that no newer word goes before its own.
-func (h *Host) inform(p *pool) {
-	p.events.TryPush(dispatch.HostsCounted{
+// inform tells a pool whose decisions are new of the host's own state.
+func (h *Host) inform(tell func(dispatch.Event)) {
+	tell(dispatch.HostsCounted{
 		Hosts: h.node.Hosts(),
 	})
 	if h.phase.Load() == phaseDraining {
-		p.events.TryPush(dispatch.Drained{})
+		tell(dispatch.Drained{})
 	}
 }
 
--- a/host/pool.go
+++ b/host/pool.go
@@ -73,6 +73,8 @@
 	calls     map[dispatch.RequestID]*call
 	addresses map[endpoint.Key]string
 	commands  []dispatch.Command
+	// relearned are the events that a restarted duty handles before all others.
+	relearned []dispatch.Event
 	open      atomic.Int64
 }
 
@@ -160,6 +162,10 @@
 func (p *pool) run(ctx context.Context) error {
 	wake := p.timers.After(time.Hour)
 	defer wake.Stop()
+	for _, event := range p.relearned {
+		p.handle(ctx, event)
+	}
+	p.relearned = nil
 	for {
 		if at, ok := p.decided.pool.NextWake(); ok {
 			wake.Reset(at)
@@ -382,10 +388,16 @@
 		p.forget(id)
 	}
 	p.decided = p.decisions()
+	p.relearned = nil
 	p.addresses = make(map[endpoint.Key]string)
 	if p.rebuilt != nil {
 		p.rebuilt(p)
 	}
+	// The signal for what still waits in the rings may have been taken.
+	select {
+	case p.signal <- struct{}{}:
+	default:
+	}
 }
 
 // cutShort ends every call that has arrived. It runs in the duty.
@@ -399,6 +411,12 @@
 	}
 }
 
+// relearn tells a restarted duty, before its next run, what the lost state held.
+// It takes no room in the ring, which only the duty itself could make.
+func (p *pool) relearn(event dispatch.Event) {
+	p.relearned = append(p.relearned, event)
+}
+
 // openCalls returns how many calls have no final answer yet.
 func (p *pool) openCalls() int64 {
 	return p.open.Load()
--- a/host/restart_test.go
+++ b/host/restart_test.go
@@ -18,6 +18,7 @@
 
 	"cactuswell/core/configuration"
 	"cactuswell/core/dispatch"
+	"cactuswell/core/endpoint"
 	"cactuswell/core/profile"
 	"cactuswell/io/caller"
 	"cactuswell/io/hostlist"
@@ -272,6 +273,39 @@
 	}
 }
 
+// TestPoolRestartWithFullRing restarts a pool's duty while its ring is full. The
+// duty must not wait for room that only it can make.
+func TestPoolRestartWithFullRing(t *testing.T) {
+	p := newTestPool(t)
+	p.rebuilt = func(p *pool) {
+		p.relearn(dispatch.EndpointAdded{
+			Descriptor: endpoint.Descriptor{
+				Key: endpoint.Key{
+					Name:        "engine-1",
+					Incarnation: 1,
+				},
+				Address: "127.0.0.1:1",
+			},
+		})
+	}
+	for p.events.TryPush(dispatch.TimePassed{}) {
+		continue
+	}
+	<-p.signal
+	p.restarted()
+	if len(p.signal) == 0 {
+		t.Error("the restarted duty is not woken for the events that wait")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := p.run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if usable := p.decided.pool.Snapshot().Usable; usable != 1 {
+		t.Errorf("usable endpoints = %d, want 1", usable)
+	}
+}
+
 // lateSubmission is for a pool that the host does not have yet.
 func lateSubmission(t *testing.T) caller.Submission {
 	t.Helper()
