Bring the usage of host, engine and service up to date

Cause: the package comments showed constructors and calls of an earlier form, and Run's comment named one cause of its error of two. Change: comments only. Conclusion: the usage sections match the code.

--- a/host/host.go
+++ b/host/host.go
@@ -8,7 +8,7 @@
 //		Settings: settings,
 //		Logger:   logger,
 //	})
-//	err = h.Run(ctx)
+//	err = h.Run(ctx, kill)
 //
 // Run serves until its context ends and then stops in good order: the host is
 // no longer ready but still accepts for the balancer's lag, then takes no new
--- a/host/run.go
+++ b/host/run.go
@@ -243,8 +243,8 @@
 }
 
 // Run serves until ctx ends, or a newer process runs under the host's name, and
-// then stops in good order. A second end, of
-// kill, stops it at once; the error is then a *CutShortError.
+// then stops in good order. The end of kill stops it at once. The error is a
+// *CutShortError if requests were still in flight.
 func (h *Host) Run(ctx, kill context.Context) error {
 	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
--- a/io/engine/wire.go
+++ b/io/engine/wire.go
@@ -2,10 +2,11 @@
 //
 // # Usage
 //
-//	client := engine.New(httpClient)
-//	stream, err := client.Start(ctx, address, call)
+//	client := engine.New(pooled, fresh)
+//	stream, err := client.Start(ctx, call)
+//	defer stream.Close()
 //	for {
-//		chunk, err := stream.Next()
+//		token, err := stream.Next()
 //		...
 //	}
 //
--- a/io/service/wire.go
+++ b/io/service/wire.go
@@ -2,8 +2,8 @@
 //
 // # Usage
 //
-//	client := service.New(httpClient)
-//	answer, err := client.Call(ctx, address, call)
+//	client := service.New(pooled, fresh)
+//	answer, err := client.Call(ctx, call)
 //
 // The protocol that a plain service offers:
 //
