--- a/host/pool.go
+++ b/host/pool.go
@@ -66,11 +66,15 @@
 	events   *ring.Ring[any]
 	signal   ring.Signal
 	attempts sync.WaitGroup
+	// ended is closed when the duty has ended for good and reads no more events.
+	ended chan struct{}
 
 	decided   decisions
 	calls     map[dispatch.RequestID]*call
 	addresses map[endpoint.Key]string
 	commands  []dispatch.Command
+	// relearned are the events that a restarted duty handles before all others.
+	relearned []dispatch.Event
 	open      atomic.Int64
 }
 
@@ -97,6 +101,7 @@
 		poolDependencies: dependencies,
 		events:           ring.NewSignaling[any](eventCapacity, signal),
 		signal:           signal,
+		ended:            make(chan struct{}),
 		calls:            make(map[dispatch.RequestID]*call),
 		addresses:        make(map[endpoint.Key]string),
 		commands:         make([]dispatch.Command, 0, commandCapacity),
@@ -121,11 +126,17 @@
 
 // post hands an event to the duty. It waits while the ring is full, since the
 // events of attempts must not be lost; only attempts and slow duties call it.
+// After the end of the duty, it drops an event that finds no room.
 func (p *pool) post(event any) {
 	for !p.events.TryPush(event) {
 		p.counters.Add("eventRingFull", 1)
 		wait := p.timers.After(eventRetryDelay)
-		<-wait.C()
+		select {
+		case <-wait.C():
+		case <-p.ended:
+			wait.Stop()
+			return
+		}
 	}
 }
 
@@ -147,16 +158,22 @@
 	}
 }
 
-// run carries out the decisions until ctx ends.
+// run carries out the decisions until ctx ends. It is not run again after that.
 func (p *pool) run(ctx context.Context) error {
 	wake := p.timers.After(time.Hour)
 	defer wake.Stop()
+	for _, event := range p.relearned {
+		p.handle(ctx, event)
+	}
+	p.relearned = nil
 	for {
 		if at, ok := p.decided.pool.NextWake(); ok {
 			wake.Reset(at)
 		}
 		select {
 		case <-ctx.Done():
+			close(p.ended)
+			p.stopAttempts()
 			return nil
 		case <-p.signal:
 			p.drain(ctx)
@@ -166,6 +183,15 @@
 	}
 }
 
+// stopAttempts ends the attempts that would outlive the duty's last run.
+func (p *pool) stopAttempts() {
+	for _, c := range p.calls {
+		for _, a := range c.attempts {
+			a.stop()
+		}
+	}
+}
+
 // drain handles everything that waits, attempts' events before new calls and
 // urgent calls before others.
 func (p *pool) drain(ctx context.Context) {
@@ -362,10 +388,16 @@
 		p.forget(id)
 	}
 	p.decided = p.decisions()
+	p.relearned = nil
 	p.addresses = make(map[endpoint.Key]string)
 	if p.rebuilt != nil {
 		p.rebuilt(p)
 	}
+	// The signal for what still waits in the rings may have been taken.
+	select {
+	case p.signal <- struct{}{}:
+	default:
+	}
 }
 
 // cutShort ends every call that has arrived. It runs in the duty.
@@ -379,6 +411,12 @@
 	}
 }
 
+// relearn tells a restarted duty, before its next run, what the lost state held.
+// It takes no room in the ring, which only the duty itself could make.
+func (p *pool) relearn(event dispatch.Event) {
+	p.relearned = append(p.relearned, event)
+}
+
 // openCalls returns how many calls have no final answer yet.
 func (p *pool) openCalls() int64 {
 	return p.open.Load()
