Drop counts in the stand-in engine that nobody reads

Cause: the engine counted runs by attempt and effects of orders, which nothing read; two fields of the weight store's faults had no comment.

Conclusion: no behaviour changes.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -70,7 +70,6 @@
 	waiting  waitingHeap
 	running  int
 	arrivals uint64
-	runs     map[string]int
 	cache    *cache
 	state    modelState
 	reports  []report
@@ -124,7 +123,6 @@
 		settings: settings,
 		switches: fault.New(),
 		attempts: make(map[string]*attempt),
-		runs:     make(map[string]int),
 		cache:    newCache(settings.CacheBlocks),
 		state: modelState{
 			version: settings.Version,
@@ -244,7 +242,6 @@
 	for e.state.loading == nil && e.running < e.settings.Slots && len(e.waiting) > 0 {
 		a := heap.Pop(&e.waiting).(*attempt)
 		e.running++
-		e.runs[a.id]++
 		a.started = true
 		go a.run()
 	}
@@ -342,7 +339,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.attempts, a.id)
-	delete(e.runs, a.id)
 }
 
 // waitingHeap orders waiting attempts by priority, then by arrival.
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -19,8 +19,6 @@
 	drained   bool
 	fencing   uint64
 	lastOrder string
-	// effects counts the orders that changed something.
-	effects int
 }
 
 func (e *Engine) draining() bool {
@@ -118,7 +116,6 @@
 	e.state.role = order.Role
 	e.state.drained = order.Drained
 	e.state.lastOrder = order.ID
-	e.state.effects++
 }
 
 // stateResponse must be called with the lock held.
--- a/standin/weightstore/weightstore.go
+++ b/standin/weightstore/weightstore.go
@@ -32,7 +32,9 @@
 
 // Faults are the ways in which the store misbehaves.
 type Faults struct {
-	Down    bool  `json:"down"`
+	// Down makes every call fail.
+	Down bool `json:"down"`
+	// DelayMs holds back every answer.
 	DelayMs int64 `json:"delayMs"`
 }
 
