Give the check and the queue of membership news files of their own

Cause: news.go held the check of a peer's news, the queue, and the machine's part, 361 lines in all.

Conclusion: no behaviour changes.

--- a/core/membership/news.go
+++ b/core/membership/news.go
@@ -1,8 +1,6 @@
 package membership
 
 import (
-	"cmp"
-	"fmt"
 	"math"
 	"slices"
 
@@ -10,15 +8,6 @@
 )
 
 const (
-	maxHeads = 4
-	// maxNameBytes bounds names, zones, addresses and streams in news.
-	maxNameBytes = 128
-	// maxIncarnation and maxVersion bound what a peer may claim, so that this
-	// host can always raise its own above it.
-	maxIncarnation = 1 << 62
-	maxVersion     = 1 << 30
-	// maxNewsItems bounds the items of one message.
-	maxNewsItems = 2048
 	// minStateBytes is about what a member's state takes on the wire without
 	// its texts.
 	minStateBytes = 18
@@ -26,184 +15,6 @@
 	minKeyBytes = 12
 )
 
-// MalformedNewsError says that a message from a peer cannot be used.
-type MalformedNewsError struct {
-	Reason string
-}
-
-// Error names the reason.
-func (e *MalformedNewsError) Error() string {
-	return "malformed membership news: " + e.Reason
-}
-
-// Validate checks a message that came from a peer. The error is a
-// *MalformedNewsError.
-func (m Message) Validate() error {
-	if m.From == "" || len(m.From) > maxNameBytes || m.Incarnation == 0 || m.Incarnation > maxIncarnation {
-		return &MalformedNewsError{Reason: "bad sender"}
-	}
-	return m.News.Validate()
-}
-
-// Validate checks news that came from a peer. The error is a
-// *MalformedNewsError.
-func (n News) Validate() error {
-	if len(n.Members)+len(n.LeavingEndpoints) > maxNewsItems {
-		return &MalformedNewsError{Reason: "too many items"}
-	}
-	if len(n.Heads) > maxHeads {
-		return &MalformedNewsError{Reason: "too many stream heads"}
-	}
-	for _, state := range n.Members {
-		if err := state.Validate(); err != nil {
-			return err
-		}
-	}
-	for _, key := range n.LeavingEndpoints {
-		if key.Name == "" || len(key.Name) > maxNameBytes {
-			return &MalformedNewsError{Reason: "bad endpoint name"}
-		}
-	}
-	for _, head := range n.Heads {
-		if head.Stream == "" || len(head.Stream) > maxNameBytes || head.NextOffset < 0 {
-			return &MalformedNewsError{Reason: "bad stream head"}
-		}
-	}
-	return nil
-}
-
-// Validate checks a state that came from a peer. The error is a
-// *MalformedNewsError.
-func (s State) Validate() error {
-	switch {
-	case s.Name == "" || len(s.Name) > maxNameBytes:
-		return &MalformedNewsError{Reason: "bad member name"}
-	case len(s.Address) > maxNameBytes || len(s.Zone) > maxNameBytes:
-		return &MalformedNewsError{Reason: "address or zone too long"}
-	case s.Incarnation == 0 || s.Incarnation > maxIncarnation || s.Version > maxVersion:
-		return &MalformedNewsError{Reason: "bad incarnation or version"}
-	case s.Status < Alive || s.Status > Left:
-		return &MalformedNewsError{Reason: fmt.Sprintf("unknown status %d", s.Status)}
-	case s.Status == Alive && s.Address == "":
-		return &MalformedNewsError{Reason: "live member without address"}
-	}
-	return nil
-}
-
-type newsKind int
-
-const (
-	memberNews newsKind = iota
-	endpointNews
-)
-
-// newsKey names what a piece of news is about; its content is read when it is
-// sent, so that the latest is told.
-type newsKey struct {
-	kind newsKind
-	name string
-}
-
-type newsItem struct {
-	key newsKey
-	// urgent news goes first, and early.
-	urgent    bool
-	transmits int
-	sequence  uint64
-}
-
-// newsQueue holds the news that this host passes on.
-type newsQueue struct {
-	limit    int
-	items    []*newsItem
-	sequence uint64
-	dropped  uint64
-}
-
-func newNewsQueue(limit int) *newsQueue {
-	return &newsQueue{
-		limit: limit,
-	}
-}
-
-// put queues news about key, or starts its count anew.
-func (q *newsQueue) put(key newsKey, urgent bool) {
-	q.sequence++
-	for _, item := range q.items {
-		if item.key == key {
-			item.urgent = item.urgent || urgent
-			item.transmits = 0
-			item.sequence = q.sequence
-			return
-		}
-	}
-	if len(q.items) >= q.limit {
-		q.dropMostSent()
-	}
-	q.items = append(q.items, &newsItem{
-		key:      key,
-		urgent:   urgent,
-		sequence: q.sequence,
-	})
-}
-
-func (q *newsQueue) dropMostSent() {
-	most := slices.MaxFunc(q.items, compareItems)
-	q.drop(most)
-	q.dropped++
-}
-
-func (q *newsQueue) drop(gone *newsItem) {
-	q.items = slices.DeleteFunc(q.items, func(item *newsItem) bool {
-		return item == gone
-	})
-}
-
-// sort puts urgent news first, then what was sent least often, and the newest
-// among these.
-func (q *newsQueue) sort() {
-	slices.SortFunc(q.items, compareItems)
-}
-
-func compareItems(a, b *newsItem) int {
-	if a.urgent != b.urgent {
-		if a.urgent {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(a.transmits, b.transmits), cmp.Compare(b.sequence, a.sequence))
-}
-
-// credit takes back one transmission of the news about key, as it did not
-// arrive.
-func (q *newsQueue) credit(sent newsItem) {
-	for _, item := range q.items {
-		if item.key == sent.key {
-			item.transmits = max(0, item.transmits-1)
-			return
-		}
-	}
-	if len(q.items) >= q.limit {
-		return
-	}
-	sent.transmits--
-	q.items = append(q.items, &sent)
-}
-
-// dropCalm forgets the news that is not urgent.
-func (q *newsQueue) dropCalm() {
-	q.items = slices.DeleteFunc(q.items, func(item *newsItem) bool {
-		return !item.urgent
-	})
-}
-
-func (q *newsQueue) dropSent(limit int) {
-	q.items = slices.DeleteFunc(q.items, func(item *newsItem) bool {
-		return item.transmits >= limit
-	})
-}
-
 func (m *Machine) enqueueMember(e *entry, urgent bool) {
 	m.queue.put(newsKey{
 		kind: memberNews,
