Describe the queue's settings and drop an unused count

Cause: the fields of admission.Settings had no comments, and Queue.LenTier had no caller.

Change: comments with units; LenTier is gone.

Conclusion: no change of behaviour.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -331,11 +331,6 @@
 	return q.length
 }
 
-// LenTier returns the number of queued entries of one tier.
-func (q *Queue) LenTier(number profile.Tier) int {
-	return q.tiers[number].length
-}
-
 // LenBelow returns the number of queued entries of lower priority than number.
 func (q *Queue) LenBelow(number profile.Tier) int {
 	length := 0
--- a/core/admission/settings.go
+++ b/core/admission/settings.go
@@ -25,11 +25,19 @@
 
 // Settings bounds a queue. Zero fields stand for the defaults.
 type Settings struct {
-	MaxQueued     int
+	// MaxQueued bounds the queue, in requests.
+	MaxQueued int
+	// MaxTeamQueued bounds one team's part of the queue, in requests.
 	MaxTeamQueued int
-	ClassReserve  int
+	// ClassReserve is how many requests of each class are queued outside
+	// MaxQueued.
+	ClassReserve int
+	// MaxGuaranteed bounds the sum of the guaranteed shares below the top tier,
+	// from 0 to less than 1.
 	MaxGuaranteed float64
-	TopShare      float64
+	// TopShare is the part of the slots, from 0 to 1, up to which the top tier
+	// goes before the guaranteed shares of the others.
+	TopShare float64
 }
 
 // SettingError says what is wrong with one of the settings.
