Split the two long functions of the dispatcher

Change: handleEndpoint takes the events of endpoints, describeAttempt makes the record of an attempt; the comments are added.

Conclusion: no change of behaviour.

--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -19,6 +19,7 @@
 	return nil
 }
 
+// accepted counts the acceptance of an attempt that has ended as a late event.
 func (p *Pool) accepted(id AttemptID) {
 	p.find(id)
 }
--- a/core/dispatch/arrive.go
+++ b/core/dispatch/arrive.go
@@ -38,7 +38,9 @@
 	case admission.Admitted:
 		r.phase = phaseQueued
 		p.setTimer(r, r.startBy)
-		p.record(r, Decision{Kind: DecisionQueued})
+		p.record(r, Decision{
+			Kind: DecisionQueued,
+		})
 	}
 }
 
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -16,7 +16,7 @@
 //
 // A dispatcher is a state machine: typed events go in with their time and typed
 // commands come out. It reads no clock, opens no socket and starts no
-// goroutine, so the same code runs in production, in tests and under a bench.
+// goroutine, so the same code runs in production, in tests and in experiments.
 // It is not safe for concurrent use.
 package dispatch
 
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -127,6 +127,17 @@
 		p.finished(event.Attempt, event.Tokens)
 	case AttemptFailed:
 		p.failed(event.Attempt, event.Failure)
+	case Drained:
+		p.draining = true
+	case TimePassed:
+	default:
+		p.handleEndpoint(event)
+	}
+}
+
+// handleEndpoint handles the events of endpoints and of the host list.
+func (p *Pool) handleEndpoint(event Event) {
+	switch event := event.(type) {
 	case EndpointAdded:
 		p.router.AddEndpoint(p.now, event.Descriptor)
 		if p.closed.leaving.has(event.Descriptor.Key) {
@@ -153,9 +164,6 @@
 	case HostsCounted:
 		p.router.SetHosts(p.now, event.Hosts)
 		p.unblock()
-	case Drained:
-		p.draining = true
-	case TimePassed:
 	}
 }
 
--- a/core/dispatch/settings.go
+++ b/core/dispatch/settings.go
@@ -39,11 +39,16 @@
 	Backoff retry.Backoff
 	// RetryShare is the number of retries, hedges and repetitions after a
 	// preemption for each first attempt, at most retry.DefaultShare.
-	RetryShare     float64
-	MaxAttempts    int
-	RunLimit       time.Duration
+	RetryShare float64
+	// MaxAttempts bounds the attempts at one request.
+	MaxAttempts int
+	// RunLimit bounds the time that a request may take after its wait limit.
+	RunLimit time.Duration
+	// OutputQuantile, from 0 to 1, is the quantile of a class's answer lengths
+	// that stands for the length of its next answer.
 	OutputQuantile float64
-	JournalSize    int
+	// JournalSize is the number of decisions kept for explanation.
+	JournalSize int
 	// NoHedges, NoPreemption and NoEarlyRefusal turn off a part of the policy.
 	NoHedges       bool
 	NoPreemption   bool
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -78,29 +78,7 @@
 	r.numbers++
 	r.reserved = false
 	r.phase = phaseRunning
-	a := p.newAttempt()
-	*a = attempt{
-		id: AttemptID{
-			Request: r.spec.ID,
-			Number:  r.numbers,
-		},
-		request: r,
-		work: routing.Work{
-			Key:          choice.Key,
-			Tier:         tier,
-			Class:        r.entry.Class,
-			PromptTokens: r.spec.PromptTokens,
-			CachedTokens: choice.CachedTokens,
-			OutputTokens: p.ask.OutputTokens,
-			Prefix:       r.spec.Prefix,
-			SentAt:       p.now,
-			Probe:        choice.Probe,
-		},
-		expected:   expectedDelay(r.spec.Profile.Measure(), choice),
-		firstToken: choice.FirstToken,
-		progressAt: p.now,
-		hedge:      reason == startedHedge,
-	}
+	a := p.describeAttempt(r, choice, tier, reason)
 	r.addAttempt(a)
 	p.running++
 	if !r.once && r.entry.Tier != profile.TierUrgent && p.settings.Kind == profile.KindModel {
@@ -130,6 +108,34 @@
 	p.armRunning(r)
 }
 
+// describeAttempt returns the record of an attempt that starts now.
+func (p *Pool) describeAttempt(r *request, choice routing.Choice, tier profile.Tier, reason string) *attempt {
+	a := p.newAttempt()
+	*a = attempt{
+		id: AttemptID{
+			Request: r.spec.ID,
+			Number:  r.numbers,
+		},
+		request: r,
+		work: routing.Work{
+			Key:          choice.Key,
+			Tier:         tier,
+			Class:        r.entry.Class,
+			PromptTokens: r.spec.PromptTokens,
+			CachedTokens: choice.CachedTokens,
+			OutputTokens: p.ask.OutputTokens,
+			Prefix:       r.spec.Prefix,
+			SentAt:       p.now,
+			Probe:        choice.Probe,
+		},
+		expected:   expectedDelay(r.spec.Profile.Measure(), choice),
+		firstToken: choice.FirstToken,
+		progressAt: p.now,
+		hedge:      reason == startedHedge,
+	}
+	return a
+}
+
 func (p *Pool) countStart(reason string, owed bool) {
 	if owed {
 		p.counters.GuaranteedStarts++
--- a/core/routing/settings.go
+++ b/core/routing/settings.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Settings holds what an operator or a bench may vary. DefaultSettings gives a
+// Settings holds what an operator or an experiment may vary. DefaultSettings gives a
 // complete set.
 type Settings struct {
 	// Host names this host; the subset of endpoints that it uses follows from it.
