Write the experiment's events one field a line

Cause: events stood as literals on one line, and the loss of a zone was told to the models through a loop over one engine.

Change: one field a line; the first engine of each kind tells of the hosts.

--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -94,7 +94,9 @@
 		return
 	}
 	e.known[a.key()] = a
-	e.reply(a, dispatch.AttemptAccepted{Attempt: a.id})
+	e.reply(a, dispatch.AttemptAccepted{
+		Attempt: a.id,
+	})
 	e.waiting = append(e.waiting, a)
 	slices.SortStableFunc(e.waiting, func(a, b *attempt) int {
 		return int(a.tier) - int(b.tier)
@@ -242,7 +244,9 @@
 		})
 	default:
 		a.silent = false
-		e.reply(a, dispatch.AttemptAccepted{Attempt: a.id})
+		e.reply(a, dispatch.AttemptAccepted{
+			Attempt: a.id,
+		})
 		if a.produced > 0 {
 			e.reply(a, dispatch.AttemptProgressed{
 				Attempt: a.id,
@@ -311,7 +315,9 @@
 		for _, h := range s.hosts {
 			h.step(e.descriptor.Pool, event)
 			if !lost && len(update.Changes) > 0 {
-				h.step(e.descriptor.Pool, dispatch.CacheChanged{Update: update})
+				h.step(e.descriptor.Pool, dispatch.CacheChanged{
+					Update: update,
+				})
 			}
 		}
 	})
--- a/experiment/fault.go
+++ b/experiment/fault.go
@@ -75,7 +75,9 @@
 		for i, h := range s.hosts {
 			delay := leaveNewsWithin * time.Duration(i) / time.Duration(len(s.hosts))
 			s.after(delay, func() {
-				h.step(e.descriptor.Pool, dispatch.EndpointLeaving{Key: e.descriptor.Key})
+				h.step(e.descriptor.Pool, dispatch.EndpointLeaving{
+					Key: e.descriptor.Key,
+				})
 			})
 		}
 	}
@@ -114,14 +116,19 @@
 	for _, e := range s.engines {
 		if e.descriptor.Zone == zone {
 			e.unreachable = true
-			s.after(zoneNewsAfter, func() { s.tellAll(e, dispatch.EndpointRemoved{Key: e.descriptor.Key}) })
+			s.after(zoneNewsAfter, func() {
+				s.tellAll(e, dispatch.EndpointRemoved{
+					Key: e.descriptor.Key,
+				})
+			})
 		}
 	}
 	s.after(hostNewsAfter, func() {
-		for _, e := range s.engines[:1] {
-			s.tellAll(e, dispatch.HostsCounted{Hosts: live})
+		news := dispatch.HostsCounted{
+			Hosts: live,
 		}
-		s.tellAll(s.enginesOf(profile.KindService)[0], dispatch.HostsCounted{Hosts: live})
+		s.tellAll(s.enginesOf(profile.KindModel)[0], news)
+		s.tellAll(s.enginesOf(profile.KindService)[0], news)
 	})
 }
 
--- a/experiment/host.go
+++ b/experiment/host.go
@@ -112,7 +112,9 @@
 	r.canceled = true
 	h.leaveQueue(r)
 	h.end(h.pools[r.arrival.class.Spec.Pool], r)
-	h.step(r.arrival.class.Spec.Pool, dispatch.RequestCanceled{Request: r.id})
+	h.step(r.arrival.class.Spec.Pool, dispatch.RequestCanceled{
+		Request: r.id,
+	})
 }
 
 func (h *host) addWaiting(p *pool, change int) {
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -155,10 +155,14 @@
 func (s *simulation) introduce() {
 	for _, h := range s.hosts {
 		for _, name := range h.poolNames {
-			h.step(name, dispatch.HostsCounted{Hosts: len(s.hosts)})
+			h.step(name, dispatch.HostsCounted{
+				Hosts: len(s.hosts),
+			})
 		}
 		for _, e := range s.engines {
-			h.step(e.descriptor.Pool, dispatch.EndpointAdded{Descriptor: e.descriptor})
+			h.step(e.descriptor.Pool, dispatch.EndpointAdded{
+				Descriptor: e.descriptor,
+			})
 		}
 	}
 }
