Drop the failure of an attempt that was resumed since

Cause: an attempt notes its end before it posts its failure. A silent attempt could be resumed between the two; the older failure then ended it for the decisions, without a cancel, and the next attempt ran beside the resumed one, which still had the caller's answer. Change: the duty drops a failure whose attempt speaks to its endpoint again (counter failuresBeforeResume); the resumed run reports its own end. Measured: TestFailureOfResumedAttempt failed before in "resumed since" (1 failure heard, 0 wanted) and passes now; go test -race ./host passes. The test hands the duty the events; the interleaving itself was found by reading. Conclusion: at most one attempt speaks to a caller.

--- a/host/attempt.go
+++ b/host/attempt.go
@@ -331,6 +331,13 @@
 	}
 }
 
+// speaks reports whether a goroutine speaks to the endpoint.
+func (a *attempt) speaks() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.idle
+}
+
 func (a *attempt) wantsResume() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/host/pool.go
+++ b/host/pool.go
@@ -250,11 +250,25 @@
 	case dispatch.RequestCanceled:
 		p.step(ctx, event)
 		p.forget(event.Request)
+	case dispatch.AttemptFailed:
+		p.fail(ctx, event)
 	case dispatch.Event:
 		p.step(ctx, event)
 	}
 }
 
+// fail tells the decisions of a failed attempt, unless it was resumed since: the
+// resumed attempt reports its own end.
+func (p *pool) fail(ctx context.Context, event dispatch.AttemptFailed) {
+	resumed := false
+	p.withAttempt(event.Attempt, func(a *attempt) { resumed = a.speaks() })
+	if resumed {
+		p.counters.Add("failuresBeforeResume", 1)
+		return
+	}
+	p.step(ctx, event)
+}
+
 // step feeds one event to the decisions and carries out what follows from it.
 func (p *pool) step(ctx context.Context, event dispatch.Event) {
 	p.commands = p.decided.pool.Step(p.timers.Now(), event, p.commands[:0])
--- a/host/pool_test.go
+++ b/host/pool_test.go
@@ -196,6 +196,36 @@
 	})
 }
 
+// TestFailureOfResumedAttempt hands the duty a failure that was reported before
+// its attempt was resumed. The decisions must not hear of it, as they would start
+// another attempt beside the one that goes on.
+func TestFailureOfResumedAttempt(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		idle bool
+		want uint64
+	}{
+		{name: "resumed since", idle: false, want: 0},
+		{name: "not resumed", idle: true, want: 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newTestPool(t)
+			c := p.newCall(testSubmission(t), nil)
+			p.calls[c.id] = c
+			a := newTestAttempt(p, c, 1)
+			a.idle = test.idle
+			c.attempts = map[uint32]*attempt{1: a}
+			p.handle(context.Background(), dispatch.AttemptFailed{
+				Attempt: a.id,
+				Failure: dispatch.Broken{},
+			})
+			if heard := p.decided.pool.Counters().LateEvents; heard != test.want {
+				t.Errorf("the decisions heard of %d failures, want %d", heard, test.want)
+			}
+		})
+	}
+}
+
 // TestCancelOvertakesArrival cancels a call that still waits in its tier's ring.
 // The duty reads events before arrivals.
 func TestCancelOvertakesArrival(t *testing.T) {
