Run the pools of plain services as such

Cause: every pool was made as a model's, so a service call had the run limit of ten minutes instead of 30 s and could count as resumable or preemptible; and the endpoints' clients followed redirects, which could send a call to a second endpoint. Change: a pool has the kind of its endpoints and profiles; no redirects are followed. Conclusion: found by reading; tests did not see it, as the demo's services answer within every limit.

--- a/host/backend.go
+++ b/host/backend.go
@@ -56,10 +56,11 @@
 
 // submit hands a request to its pool.
 func (h *Host) submit(ctx context.Context, submission caller.Submission, ticket *claims.Ticket) *caller.Answer {
-	p := h.pool(submission.Profile.Pool())
+	p := h.pool(submission.Profile.Pool(), submission.Profile.Kind())
 	c := p.newCall(submission, ticket)
 	h.recent.remember(submission.RequestID, recentRequest{
 		pool:    p.name,
+		kind:    submission.Profile.Kind(),
 		id:      c.id,
 		profile: submission.Profile.Name(),
 		team:    submission.Team,
--- a/host/dump.go
+++ b/host/dump.go
@@ -238,7 +238,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
 	defer cancel()
 	found := make(chan []dispatch.Decision, 1)
-	p := h.pool(request.pool)
+	p := h.pool(request.pool, request.kind)
 	if !p.look(ctx, func(d *decisions) { found <- d.pool.Decisions(request.id) }) {
 		return Explanation{}, trace.Wrap(&BusyError{Duty: p.String()})
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -29,6 +29,7 @@
 	"cactuswell/certificate"
 	"cactuswell/core/dispatch"
 	"cactuswell/core/endpoint"
+	"cactuswell/core/profile"
 	"cactuswell/core/routing"
 	"cactuswell/io/claims"
 	"cactuswell/io/configuration"
@@ -120,12 +121,19 @@
 	})
 }
 
+// postToPool hands an event to a pool. The first event of each pool adds an
+// endpoint, whose kind is the pool's.
 func (h *Host) postToPool(name string, event dispatch.Event) {
-	h.pool(name).post(event)
+	kind := profile.KindModel
+	if added, ok := event.(dispatch.EndpointAdded); ok {
+		kind = added.Descriptor.Kind
+	}
+	h.pool(name, kind).post(event)
 }
 
-// pool returns the pool of that name and starts its duty at the first call.
-func (h *Host) pool(name string) *pool {
+// pool returns the pool of that name. At the first call it makes one of the
+// given kind and starts its duty.
+func (h *Host) pool(name string, kind profile.Kind) *pool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if p, ok := h.pools[name]; ok {
@@ -134,7 +142,7 @@
 	p := newPool(poolDependencies{
 		name:      name,
 		hostID:    h.id(),
-		decisions: func() decisions { return h.newDecisions(name) },
+		decisions: func() decisions { return h.newDecisions(name, kind) },
 		clients:   h.clients,
 		baseURL:   h.baseURL,
 		timers:    h.timers,
@@ -171,13 +179,14 @@
 
 // newDecisions returns the state machines for a pool. The seed comes from the
 // host's name and life, so that hosts do not choose alike.
-func (h *Host) newDecisions(name string) decisions {
+func (h *Host) newDecisions(name string, kind profile.Kind) decisions {
 	random := rand.New(rand.NewPCG(h.incarnation, hash(h.settings.Name+"/"+name)))
 	router := routing.New(routing.DefaultSettings(h.settings.Name, h.settings.Zone), random)
 	return decisions{
 		router: router,
 		pool: dispatch.New(dispatch.Settings{
 			Pool: name,
+			Kind: kind,
 			Zone: h.settings.Zone,
 		}, router, random),
 	}
--- a/host/recent.go
+++ b/host/recent.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"cactuswell/core/dispatch"
+	"cactuswell/core/profile"
 )
 
 // maxRecent bounds the requests that can still be explained.
@@ -12,6 +13,7 @@
 // recentRequest says where the decisions on a request are recorded.
 type recentRequest struct {
 	pool    string
+	kind    profile.Kind
 	id      dispatch.RequestID
 	profile string
 	team    string
--- a/host/restart_test.go
+++ b/host/restart_test.go
@@ -201,7 +201,7 @@
 	if response.StatusCode != http.StatusOK {
 		t.Fatalf("status %d", response.StatusCode)
 	}
-	w.pool("drafting").events.TryPush(inspection{
+	w.pool("drafting", profile.KindModel).events.TryPush(inspection{
 		look: func(*decisions) { panic("provoked") },
 		done: make(chan struct{}),
 	})
@@ -353,7 +353,7 @@
 // reads the events that make it restart before the call.
 func TestRestartedPoolDrains(t *testing.T) {
 	w := startWorld(t)
-	p := w.pool("drafting")
+	p := w.pool("drafting", profile.KindModel)
 	w.phase.Store(phaseDraining)
 	p.events.TryPush(dispatch.Drained{})
 	p.events.TryPush(inspection{
--- a/host/transport.go
+++ b/host/transport.go
@@ -26,15 +26,9 @@
 // newClients returns the clients of endpoints. Watching an endpoint uses other
 // connections than the requests do.
 func newClients(certificates *certificate.Store) clients {
-	pooled := &http.Client{
-		Transport: newTransport(false, certificates),
-	}
-	fresh := &http.Client{
-		Transport: newTransport(true, certificates),
-	}
-	watching := &http.Client{
-		Transport: newTransport(false, certificates),
-	}
+	pooled := newClient(false, certificates)
+	fresh := newClient(true, certificates)
+	watching := newClient(false, certificates)
 	return clients{
 		engine:   engine.New(pooled, fresh),
 		service:  service.New(pooled, fresh),
@@ -46,6 +40,17 @@
 	}
 }
 
+// newClient returns a client that follows no redirects, since a redirect could
+// send a call to a second endpoint.
+func newClient(fresh bool, certificates *certificate.Store) *http.Client {
+	return &http.Client{
+		Transport: newTransport(fresh, certificates),
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
 // newTransport returns a transport that follows no proxy settings. A fresh one
 // makes a new connection for each request. The certificates may be nil.
 func newTransport(fresh bool, certificates *certificate.Store) *http.Transport {
