--- a/experiment/meter.go
+++ b/experiment/meter.go
@@ -93,10 +93,27 @@
 		Refusals:     m.refusals,
 		Breaches:     m.breaches,
 	}
+	s.sumRequests(&f)
+	f.CachedShare = share(m.cachedTokens, m.promptTokens)
+	f.WorstCompletionShare = 1
+	for i := range s.deployment.Classes {
+		class := s.classFigures(&s.deployment.Classes[i])
+		f.Classes = append(f.Classes, class)
+		f.WorstCompletionShare = min(f.WorstCompletionShare, class.CompletionShare)
+	}
+	for _, router := range m.routers {
+		f.Ejections += int(router.Ejections())
+	}
+	f.StragglerShare = s.stragglerShare()
+	return f
+}
+
+// sumRequests fills in the figures that are sums over all requests.
+func (s *simulation) sumRequests(f *Figures) {
 	attempts, first, useful := 0, 0, 0
 	overload := s.scenario.overload(&s.deployment)
 	value := 0.0
-	for _, r := range m.requests {
+	for _, r := range s.meter.requests {
 		attempts += r.attempts
 		first += min(r.attempts, 1)
 		if r.completed && (!overload || r.endedAt.Sub(s.startedAt) < faultEnd) {
@@ -115,20 +132,8 @@
 		}
 	}
 	f.GoodputPerSecond = value / s.goodputTime().Seconds()
-	f.WasteShare = 1 - share(useful, m.generated)
-	f.CachedShare = share(m.cachedTokens, m.promptTokens)
+	f.WasteShare = 1 - share(useful, s.meter.generated)
 	f.ExtraPerFirst = share(attempts-first, first)
-	f.WorstCompletionShare = 1
-	for i := range s.deployment.Classes {
-		class := s.classFigures(&s.deployment.Classes[i])
-		f.Classes = append(f.Classes, class)
-		f.WorstCompletionShare = min(f.WorstCompletionShare, class.CompletionShare)
-	}
-	for _, router := range m.routers {
-		f.Ejections += int(router.Ejections())
-	}
-	f.StragglerShare = s.stragglerShare()
-	return f
 }
 
 // goodputTime returns the time over which goodput is a rate. Under overload it
