Tell the decisions of progress at most each 50 ms

Cause: each token woke its pool's duty; and when several tokens came in one notice, the time since the last notice was taken for the time of one token, so a busy host would have seen all endpoints as slow. TestMergedProgressTellsTheTimeOfOneToken: 20 ms for five tokens in 100 ms, before 100 ms.

--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -33,7 +33,9 @@
 	}
 	r := a.request
 	first := a.tokens == 0
-	p.router.Progressed(p.now, a.work.Key, tokens, p.now.Sub(a.work.SentAt), p.now.Sub(a.progressAt))
+	// One event may stand for several tokens.
+	sinceLast := p.now.Sub(a.progressAt) / time.Duration(tokens-a.tokens)
+	p.router.Progressed(p.now, a.work.Key, tokens, p.now.Sub(a.work.SentAt), sinceLast)
 	a.tokens = tokens
 	a.progressAt = p.now
 	a.unanswered = 0
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -87,8 +87,8 @@
 	Attempt AttemptID
 }
 
-// AttemptProgressed says that the attempt has produced Tokens tokens in all.
-// For a plain service it is not sent.
+// AttemptProgressed says that the attempt has produced Tokens tokens in all. One
+// event may stand for several tokens. For a plain service it is not sent.
 type AttemptProgressed struct {
 	Attempt AttemptID
 	Tokens  int
--- a/core/dispatch/pool_test.go
+++ b/core/dispatch/pool_test.go
@@ -56,3 +56,17 @@
 	}
 	only[dispatch.CompleteRequest](t, d.finish(first, 1, 10))
 }
+
+// TestMergedProgressTellsTheTimeOfOneToken checks that several tokens in one
+// event don't make their endpoint look slow.
+func TestMergedProgressTellsTheTimeOfOneToken(t *testing.T) {
+	d := newDriver(t, dispatch.Settings{}, 4, 2)
+	id, _ := d.arrive(bulk(t), "clerks")
+	d.advance(100 * time.Millisecond)
+	d.progress(id, 1, 1)
+	d.advance(100 * time.Millisecond)
+	d.progress(id, 1, 6)
+	if d.router.sinceLast != 20*time.Millisecond {
+		t.Errorf("time of a token = %v, want 20ms", d.router.sinceLast)
+	}
+}
--- a/core/dispatch/router.go
+++ b/core/dispatch/router.go
@@ -31,7 +31,7 @@
 	// Sent says that work was sent to its endpoint, and takes a slot there.
 	Sent(now time.Time, work routing.Work)
 	// Progressed says that an attempt has produced tokens in all, with the time
-	// since it was sent and since its last progress.
+	// since it was sent and the mean time of a token since its last progress.
 	Progressed(now time.Time, key endpoint.Key, tokens int, sinceSent, sinceLast time.Duration)
 	// Ended says that sent work ended after so many tokens, and frees its slot.
 	Ended(now time.Time, work routing.Work, outcome routing.Outcome, tokens int)
--- a/core/dispatch/router_test.go
+++ b/core/dispatch/router_test.go
@@ -28,6 +28,8 @@
 	expected  time.Duration
 	sent      int
 	ended     int
+	// sinceLast is the token time of the last progress.
+	sinceLast time.Duration
 }
 
 func newFakeRouter(slots int) *fakeRouter {
@@ -117,7 +119,9 @@
 	f.find(work.Key).running++
 }
 
-func (f *fakeRouter) Progressed(time.Time, endpoint.Key, int, time.Duration, time.Duration) {}
+func (f *fakeRouter) Progressed(_ time.Time, _ endpoint.Key, _ int, _, sinceLast time.Duration) {
+	f.sinceLast = sinceLast
+}
 
 func (f *fakeRouter) Ended(_ time.Time, work routing.Work, _ routing.Outcome, _ int) {
 	f.ended++
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -8,6 +8,9 @@
 	"path/filepath"
 	"testing"
 
+	// The program that the tests build is not seen by the test cache. This import
+	// makes a change of the program a change of the tests.
+	_ "cactuswell/cmd"
 	"cactuswell/deployment"
 	"cactuswell/fleet"
 )
--- a/host/attempt.go
+++ b/host/attempt.go
@@ -19,6 +19,9 @@
 const (
 	// cancelTimeout bounds the call that tells an endpoint that nobody waits.
 	cancelTimeout = 2 * time.Second
+	// progressInterval is the least time between two notices of an attempt's
+	// progress. It is far below the least time that is taken for silence.
+	progressInterval = 50 * time.Millisecond
 	// maxHeldTokens bounds the tokens of an attempt that is not yet the
 	// caller's answer.
 	maxHeldTokens = 4096
@@ -38,6 +41,9 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	notified atomic.Bool
+	// noticedAt is when the pool was last told of progress. Only the goroutine
+	// that receives tokens uses it.
+	noticedAt time.Time
 
 	mu       sync.Mutex
 	adopted  bool
@@ -285,10 +291,16 @@
 	})
 }
 
-// notifyProgress tells the pool how far the attempt is, unless the last such
-// notice has not been read yet.
+// notifyProgress tells the pool how far the attempt is, unless it was told within
+// the progress interval or the last notice has not been read yet. The first token
+// is always told at once.
 func (a *attempt) notifyProgress() {
+	now := a.pool.timers.Now()
+	if now.Sub(a.noticedAt) < progressInterval {
+		return
+	}
 	if a.notified.CompareAndSwap(false, true) {
+		a.noticedAt = now
 		a.pool.post(progressNotice{
 			attempt: a,
 		})
