Judge silence by events and slowness by tokens

Besides, a first event of several tokens was not taken for the first token. Change: the router hears how many tokens are news, and keeps the time between events apart from the time of a token; the first event always tells the first token. Conclusion: slowness is right when notices are merged, and silence is not taken too early.

--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -33,9 +33,7 @@
 	}
 	r := a.request
 	first := a.tokens == 0
-	// One event may stand for several tokens.
-	sinceLast := p.now.Sub(a.progressAt) / time.Duration(tokens-a.tokens)
-	p.router.Progressed(p.now, a.work.Key, tokens, p.now.Sub(a.work.SentAt), sinceLast)
+	p.reportProgress(a, tokens)
 	a.tokens = tokens
 	a.progressAt = p.now
 	a.unanswered = 0
@@ -50,6 +48,17 @@
 	}
 }
 
+// reportProgress tells the router of an attempt's progress. One event may stand
+// for several tokens; the first one is the first token in any case.
+func (p *Pool) reportProgress(a *attempt, tokens int) {
+	sinceSent := p.now.Sub(a.work.SentAt)
+	if a.tokens == 0 {
+		p.router.Progressed(p.now, a.work.Key, 1, tokens, sinceSent, sinceSent)
+		return
+	}
+	p.router.Progressed(p.now, a.work.Key, tokens, tokens-a.tokens, sinceSent, p.now.Sub(a.progressAt))
+}
+
 // adopt makes an attempt the one that the caller hears and cancels the others.
 func (p *Pool) adopt(r *request, a *attempt) {
 	if r.adopted == a.id.Number {
--- a/core/dispatch/pool_test.go
+++ b/core/dispatch/pool_test.go
@@ -66,7 +66,18 @@
 	d.progress(id, 1, 1)
 	d.advance(100 * time.Millisecond)
 	d.progress(id, 1, 6)
-	if d.router.sinceLast != 20*time.Millisecond {
-		t.Errorf("time of a token = %v, want 20ms", d.router.sinceLast)
+	if d.router.tokenTime != 20*time.Millisecond {
+		t.Errorf("time of a token = %v, want 20ms", d.router.tokenTime)
+	}
+}
+
+// TestMergedProgressTellsTheFirstToken checks that the first event of an attempt
+// tells its first token, also if it stands for several.
+func TestMergedProgressTellsTheFirstToken(t *testing.T) {
+	d := newDriver(t, dispatch.Settings{}, 4, 2)
+	id, _ := d.arrive(bulk(t), "clerks")
+	d.progress(id, 1, 3)
+	if d.router.firstTokens != 1 {
+		t.Errorf("first tokens told = %d, want 1", d.router.firstTokens)
 	}
 }
--- a/core/dispatch/router.go
+++ b/core/dispatch/router.go
@@ -31,8 +31,8 @@
 	// Sent says that work was sent to its endpoint, and takes a slot there.
 	Sent(now time.Time, work routing.Work)
 	// Progressed says that an attempt has produced tokens in all, with the time
-	// since it was sent and the mean time of a token since its last progress.
-	Progressed(now time.Time, key endpoint.Key, tokens int, sinceSent, sinceLast time.Duration)
+	// since it was sent and since its last progress, since when fresh tokens came.
+	Progressed(now time.Time, key endpoint.Key, tokens, fresh int, sinceSent, sinceLast time.Duration)
 	// Ended says that sent work ended after so many tokens, and frees its slot.
 	Ended(now time.Time, work routing.Work, outcome routing.Outcome, tokens int)
 	// SilenceBound returns how long a stream from the endpoint may make no
--- a/core/dispatch/router_test.go
+++ b/core/dispatch/router_test.go
@@ -28,8 +28,10 @@
 	expected  time.Duration
 	sent      int
 	ended     int
-	// sinceLast is the token time of the last progress.
-	sinceLast time.Duration
+	// tokenTime is the time of one token at the last progress.
+	tokenTime time.Duration
+	// firstTokens counts the attempts whose first token was told.
+	firstTokens int
 }
 
 func newFakeRouter(slots int) *fakeRouter {
@@ -119,8 +121,11 @@
 	f.find(work.Key).running++
 }
 
-func (f *fakeRouter) Progressed(_ time.Time, _ endpoint.Key, _ int, _, sinceLast time.Duration) {
-	f.sinceLast = sinceLast
+func (f *fakeRouter) Progressed(_ time.Time, _ endpoint.Key, tokens, fresh int, _, sinceLast time.Duration) {
+	if tokens == 1 {
+		f.firstTokens++
+	}
+	f.tokenTime = sinceLast / time.Duration(fresh)
 }
 
 func (f *fakeRouter) Ended(_ time.Time, work routing.Work, _ routing.Outcome, _ int) {
--- a/core/routing/health.go
+++ b/core/routing/health.go
@@ -27,6 +27,9 @@
 	state State
 	// gap is the time between tokens in seconds.
 	gap average
+	// interval is the time between events of progress in seconds, each of which
+	// may stand for several tokens.
+	interval average
 	// ratio is the first-token time in relation to the expected one.
 	ratio average
 	// first is the first-token time, or a plain answer's time, in seconds.
@@ -47,8 +50,11 @@
 	pausedUntil time.Time
 }
 
-func (h *health) progressed(now time.Time, gap time.Duration) {
-	h.gap.add(gap.Seconds(), progressWeight)
+// progressed takes in fresh tokens that came in one event, interval after the
+// event before.
+func (h *health) progressed(now time.Time, interval time.Duration, fresh int) {
+	h.interval.add(interval.Seconds(), progressWeight)
+	h.gap.add(interval.Seconds()/float64(max(fresh, 1)), progressWeight)
 	h.progressAt = now
 }
 
@@ -121,6 +127,7 @@
 func (h *health) probe() {
 	h.state = StateProbing
 	h.gap = average{}
+	h.interval = average{}
 	h.ratio = average{}
 	h.errors = average{}
 	h.failures = 0
@@ -139,6 +146,7 @@
 		return
 	}
 	h.gap = average{}
+	h.interval = average{}
 	h.ratio = average{}
 	h.failures = 0
 }
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -271,14 +271,16 @@
 
 // Progressed says that an attempt has tokens tokens in all. The first token
 // comes with tokens of one; sinceSent is the time since the attempt was sent and
-// sinceLast that since its token before.
-func (r *Router) Progressed(now time.Time, key endpoint.Key, tokens int, sinceSent, sinceLast time.Duration) {
+// sinceLast that since its last progress, of which fresh tokens are news.
+func (r *Router) Progressed(
+	now time.Time, key endpoint.Key, tokens, fresh int, sinceSent, sinceLast time.Duration,
+) {
 	t := r.byKey[key]
 	if t == nil {
 		return
 	}
 	if tokens > 1 {
-		t.health.progressed(now, sinceLast)
+		t.health.progressed(now, sinceLast, fresh)
 		r.judge(now, t)
 		return
 	}
@@ -434,7 +436,7 @@
 	if t == nil {
 		return bounds.SilenceMax
 	}
-	gap := silenceGaps * t.health.gap.or(r.settings.DefaultGap.Seconds())
+	gap := silenceGaps * t.health.interval.or(r.settings.DefaultGap.Seconds())
 	first := 3 * (t.health.first.or(0) + 4*t.health.deviation.or(0))
 	return min(max(seconds(max(gap, first)), bounds.SilenceMin), bounds.SilenceMax)
 }
--- a/core/routing/router_test.go
+++ b/core/routing/router_test.go
@@ -165,7 +165,7 @@
 			router.Ended(now.Add(time.Millisecond), work, routing.OutcomeFailed, 0)
 			continue
 		}
-		router.Progressed(now.Add(10*time.Millisecond), choice.Key, 1, 10*time.Millisecond, 0)
+		router.Progressed(now.Add(10*time.Millisecond), choice.Key, 1, 1, 10*time.Millisecond, 0)
 		router.Ended(now.Add(15*time.Millisecond), work, routing.OutcomeCompleted, 5)
 	}
 	if counts[key(2)] > 25 {
@@ -199,7 +199,7 @@
 		for i := range count {
 			step := gap(i)
 			if now.Sub(start)%step == 0 {
-				router.Progressed(now, key(i), 5, time.Second, step)
+				router.Progressed(now, key(i), 5, 1, time.Second, step)
 			}
 		}
 		router.Tick(now)
