--- a/fleet/course.go
+++ b/fleet/course.go
@@ -83,6 +83,13 @@
 	For      time.Duration
 }
 
+// RejectPool makes all endpoints of a pool refuse work as not started for a
+// while.
+type RejectPool struct {
+	Pool string
+	For  time.Duration
+}
+
 // LeaveEndpoint makes an endpoint say that it is leaving, and watches that it
 // gets no new work after the bound.
 type LeaveEndpoint struct {
@@ -103,6 +110,7 @@
 func (SlowEndpoint) isStep()    {}
 func (CrashEndpoint) isStep()   {}
 func (LoseAnswers) isStep()     {}
+func (RejectPool) isStep()      {}
 func (LeaveEndpoint) isStep()   {}
 func (RollingRestart) isStep()  {}
 
@@ -131,7 +139,7 @@
 				Rate:    5,
 			},
 		},
-		Duration: 150 * time.Second,
+		Duration: 160 * time.Second,
 		Seed:     1,
 		KeyShare: 0.5,
 		Steps:    longSteps(),
@@ -203,7 +211,14 @@
 			},
 		},
 		{
-			At:   108 * time.Second,
+			At: 107 * time.Second,
+			Step: RejectPool{
+				Pool: "booking",
+				For:  7 * time.Second,
+			},
+		},
+		{
+			At:   116 * time.Second,
 			Step: RollingRestart{},
 		},
 	}
@@ -226,7 +241,7 @@
 				Rate:    2,
 			},
 		},
-		Duration: 20 * time.Second,
+		Duration: 32 * time.Second,
 		Seed:     1,
 		KeyShare: 0.5,
 		Steps: []TimedStep{
@@ -253,7 +268,21 @@
 				},
 			},
 			{
-				At:   11 * time.Second,
+				At: 11 * time.Second,
+				Step: RejectPool{
+					Pool: "booking",
+					For:  6 * time.Second,
+				},
+			},
+			{
+				At: 18 * time.Second,
+				Step: LeaveEndpoint{
+					Endpoint: "drafting-4",
+					Watch:    2 * time.Second,
+				},
+			},
+			{
+				At:   24 * time.Second,
 				Step: RollingRestart{},
 			},
 		},
--- a/fleet/execute.go
+++ b/fleet/execute.go
@@ -112,6 +112,8 @@
 		return r.endpointFaults(ctx, step.Endpoint, fault.Faults{Crashed: true}, step.For)
 	case LoseAnswers:
 		return r.endpointFaults(ctx, step.Endpoint, fault.Faults{LostAnswers: true}, step.For)
+	case RejectPool:
+		return r.rejectPool(ctx, step)
 	case LeaveEndpoint:
 		return r.leaveEndpoint(ctx, step)
 	case RollingRestart:
@@ -146,6 +148,22 @@
 	return r.setEndpointFaults(name, fault.Faults{})
 }
 
+func (r *Run) rejectPool(ctx context.Context, step RejectPool) error {
+	var errs []error
+	for _, endpoint := range r.config.Firm.Endpoints() {
+		if endpoint.Pool.Name == step.Pool {
+			errs = append(errs, r.setEndpointFaults(endpoint.Name, fault.Faults{Rejecting: true}))
+		}
+	}
+	pause(ctx, step.For)
+	for _, endpoint := range r.config.Firm.Endpoints() {
+		if endpoint.Pool.Name == step.Pool {
+			errs = append(errs, r.setEndpointFaults(endpoint.Name, fault.Faults{}))
+		}
+	}
+	return trace.NewAggregate(errs...)
+}
+
 // leaveEndpoint checks that the endpoint gets no new attempt after the bound.
 func (r *Run) leaveEndpoint(ctx context.Context, step LeaveEndpoint) error {
 	if err := r.setEndpointFaults(step.Endpoint, fault.Faults{Leaving: true}); err != nil {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -47,6 +47,9 @@
 		t.Fatal(err)
 	}
 	t.Logf("\n%s", text.String())
+	for _, promise := range report.Unchecked() {
+		t.Errorf("not checked: %s", promise)
+	}
 	if report.Breaches() > 0 {
 		t.Errorf("%d breaches\n%s", report.Breaches(), f.Output())
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -197,14 +197,14 @@
 	if !one.arrival.spec.Idempotent {
 		r.Bookings++
 	}
-	if one.ran == dispatch.NotRun && one.repeats == 0 {
+	if one.ran == dispatch.NotRun && !one.maybeRan {
 		r.ToldNotRun++
 	}
 	if !one.arrival.spec.Idempotent && runs > 1 {
 		r.Duplicates++
 		r.example("%s was run %d times", one, runs)
 	}
-	if one.ran == dispatch.NotRun && one.repeats == 0 && runs > 0 {
+	if one.ran == dispatch.NotRun && !one.maybeRan && runs > 0 {
 		r.FalseNotRun++
 		r.example("%s was run though told not run (%s)", one, one.problem)
 	}
--- a/load/request.go
+++ b/load/request.go
@@ -44,6 +44,8 @@
 	problem string
 	ran     dispatch.Ran
 	repeats int
+	// maybeRan says that some attempt was told as unknown.
+	maybeRan bool
 	// host served the last attempt, and endedAt is when the request ended.
 	host    string
 	endedAt time.Time
@@ -63,6 +65,7 @@
 	}
 	for {
 		d.attempt(ctx, &r, started)
+		r.maybeRan = r.maybeRan || r.ran == dispatch.RanUnknown
 		if r.completed || a.key == "" || r.repeats == maxRepeats || r.wrong {
 			break
 		}
