Keep the bookings of two load runs apart

Cause: references and keys followed from the seed alone, so a second run against the same services counted the first one's executions as duplicates; tokens generated before the run counted as its waste; an empty variable was taken for an address. Change: each run of the command has an id in its references and keys; tokens are counted from the start of the run; empty addresses are left out. Conclusion: runs can be repeated.

--- a/cmd/loadcmd.go
+++ b/cmd/loadcmd.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"slices"
+	"strconv"
 	"time"
 
 	"cactuswell/deployment"
@@ -55,8 +57,9 @@
 	}
 	config := load.Config{
 		Hosts:    l.Hosts,
-		Services: l.Services,
-		Engines:  l.Engines,
+		Services: given(l.Services),
+		Engines:  given(l.Engines),
+		Run:      strconv.FormatInt(time.Now().UnixMilli(), 36) + "-",
 		Firm:     firm,
 		Duration: l.Duration,
 		Seed:     l.Seed,
@@ -85,6 +88,12 @@
 	return l.print(report)
 }
 
+// given returns the values that are not empty; an empty environment variable
+// gives one that is.
+func given(values []string) []string {
+	return slices.DeleteFunc(values, func(value string) bool { return value == "" })
+}
+
 func (l *loadCommand) progress(done, all int) {
 	_, _ = fmt.Fprintf(l.console.errors, "\r%d of %d requests started", done, all)
 }
--- a/load/config.go
+++ b/load/config.go
@@ -56,6 +56,9 @@
 	Duration time.Duration
 	// Seed fixes the arrivals.
 	Seed uint64
+	// Run distinguishes the references and keys of this run from those of other
+	// runs with the same seed against the same services.
+	Run string
 	// KeyShare is the part of the bookings, from 0 to 1, that carry a key of
 	// the caller's own and are repeated at another host until the outcome is
 	// known.
--- a/load/driver.go
+++ b/load/driver.go
@@ -60,6 +60,10 @@
 	defer d.http.CloseIdleConnections()
 	list := arrivals(&d.config)
 	d.report = newReport(&d.config)
+	before, err := d.countTokens(ctx)
+	if err != nil {
+		return nil, err
+	}
 	watching, stopWatching := context.WithCancel(ctx)
 	defer stopWatching()
 	for host := range d.config.Hosts {
@@ -83,9 +87,11 @@
 	if err := d.countExecutions(ctx); err != nil {
 		return nil, err
 	}
-	if err := d.countTokens(ctx); err != nil {
+	after, err := d.countTokens(ctx)
+	if err != nil {
 		return nil, err
 	}
+	d.report.TokensGenerated = after - before
 	d.report.finish()
 	return d.report, nil
 }
@@ -113,16 +119,17 @@
 	return nil
 }
 
-// countTokens asks the engines how many tokens they generated.
-func (d *Driver) countTokens(ctx context.Context) error {
+// countTokens asks the engines how many tokens they have generated so far.
+func (d *Driver) countTokens(ctx context.Context) (uint64, error) {
+	total := uint64(0)
 	for _, address := range d.config.Engines {
 		var g engine.Generated
 		if err := d.ask(ctx, "http://"+address+"/generated", &g); err != nil {
-			return err
+			return 0, err
 		}
-		d.report.TokensGenerated += g.Tokens
+		total += g.Tokens
 	}
-	return nil
+	return total, nil
 }
 
 func (d *Driver) ask(ctx context.Context, address string, into any) error {
