--- a/demo/fault_test.go
+++ b/demo/fault_test.go
@@ -120,6 +120,7 @@
 		{name: "one crashed", faults: fault.Faults{Crashed: true}, first: true, whole: true},
 		{name: "one rejecting", faults: fault.Faults{Rejecting: true}, first: true, whole: true},
 		{name: "streams silent", faults: fault.Faults{Silent: true}, whole: true},
+		{name: "answers late", faults: fault.Faults{AnswerDelayMs: 300}, whole: true},
 		{name: "answers crossed", faults: fault.Faults{Crossed: true}},
 		{name: "streams truncated", faults: fault.Faults{TruncateAfter: 3}},
 		{name: "all crashed", faults: fault.Faults{Crashed: true}},
--- a/host/restart_test.go
+++ b/host/restart_test.go
@@ -36,11 +36,30 @@
 	client *http.Client
 	// ended is closed when Run has returned.
 	ended chan struct{}
+	// stop asks the host to stop.
+	stop context.CancelFunc
 	// cut is the number of requests that the stop is expected to cut short.
 	cut int64
 }
 
 func startWorld(t *testing.T) *world {
+	t.Helper()
+	return runWorld(t, worldSettings(t, newPlainServer))
+}
+
+// newServer makes a server of a test.
+type newServer func(t *testing.T, handler http.Handler) *httptest.Server
+
+func newPlainServer(t *testing.T, handler http.Handler) *httptest.Server {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// worldSettings starts the stand-ins and returns the settings of a host before
+// them.
+func worldSettings(t *testing.T, serve newServer) settings.Settings {
 	t.Helper()
 	e := engine.New(engine.Settings{
 		Name:          "engine-1",
@@ -48,22 +67,19 @@
 		TokenInterval: 20 * time.Millisecond,
 		AnswerTokens:  400,
 	})
-	engineServer := httptest.NewServer(e.Handler())
-	t.Cleanup(engineServer.Close)
+	engineServer := serve(t, e.Handler())
 	list := hostliststandin.New()
 	list.Put(hostlist.Entry{
 		Name:        "engine-1",
 		Incarnation: 1,
-		Address:     strings.TrimPrefix(engineServer.URL, "http://"),
+		Address:     engineServer.Listener.Addr().String(),
 		Zone:        "alm-a",
 		Kind:        hostlist.KindEngine,
 		Pool:        "drafting",
 		State:       hostlist.StateLive,
 	})
-	listServer := httptest.NewServer(list.Handler())
-	t.Cleanup(listServer.Close)
-	logServer := httptest.NewServer(logservice.New(time.Now, 1).Handler())
-	t.Cleanup(logServer.Close)
+	listServer := serve(t, list.Handler())
+	logServer := serve(t, logservice.New(time.Now, 1).Handler())
 	s := settings.Defaults()
 	s.Name = "host-1"
 	s.Zone = "alm-a"
@@ -73,15 +89,20 @@
 	s.LogURL = logServer.URL
 	s.HostListURL = listServer.URL
 	s.BalancerLag = 0
-	return runWorld(t, s)
+	return s
 }
 
 // runWorld runs a host with the settings.
 func runWorld(t *testing.T, s settings.Settings) *world {
+	t.Helper()
+	return runLoggingWorld(t, s, log.NewNopLogger())
+}
+
+func runLoggingWorld(t *testing.T, s settings.Settings, logger log.Logger) *world {
 	t.Helper()
 	h, err := New(Dependencies{
 		Settings: s,
-		Logger:   log.NewNopLogger(),
+		Logger:   logger,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -93,6 +114,7 @@
 		ended:  make(chan struct{}),
 	}
 	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
 	go func() {
 		defer close(w.ended)
 		w.checkStop(h.Run(ctx, context.Background()))
