Tell of a demo's cut requests by the exit code

Cause: the demo exited with 0 though a second signal had cut a request. Change: it returns its hosts' errors. Measured: by hand, a stream running and two SIGTERMs: the line stoppedAtOnce with requestsCut 1 both times, exit 0 before and 1 after. Conclusion: as serve does.

--- a/cmd/democmd.go
+++ b/cmd/democmd.go
@@ -41,6 +41,7 @@
 	signals := newStopSignals()
 	defer signals.close()
 	var group sync.WaitGroup
+	var runners []*demoRunner
 	for _, firm := range []deployment.Deployment{deployment.Kelisim(), deployment.Lindqvist()} {
 		running, err := demo.New(firm, d.Hosts, logger)
 		if err != nil {
@@ -51,6 +52,7 @@
 		r := &demoRunner{
 			demo: running,
 		}
+		runners = append(runners, r)
 		group.Add(1)
 		go r.run(signals.stop, signals.kill, &group)
 		if err := running.Publish(signals.stop); err != nil {
@@ -62,6 +64,11 @@
 	}
 	d.console.printf("\nInterrupt to stop.\n")
 	group.Wait()
+	for _, r := range runners {
+		if r.err != nil {
+			return r.err
+		}
+	}
 	return nil
 }
 
