--- a/core/routing/router_test.go
+++ b/core/routing/router_test.go
@@ -336,7 +336,7 @@
 }
 
 func BenchmarkPick(b *testing.B) {
-	for _, count := range []int{50, 500} {
+	for _, count := range []int{50, 150, 500} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			router := newRouter(count, nil)
 			ask := standardAsk()
--- a/io/claims/claims_bench_test.go
+++ b/io/claims/claims_bench_test.go
@@ -137,17 +137,24 @@
 
 // BenchmarkRememberedKey measures the memory of one settled key with its answer.
 func BenchmarkRememberedKey(b *testing.B) {
-	const keys = 50000
-	for b.Loop() {
-		before := heapBytes()
-		settler := newKeySettler(keys)
-		for key := range keys {
-			settler.settle(b, key)
-		}
-		b.ReportMetric(float64(heapBytes()-before)/keys, "B/key")
-		b.ReportMetric(float64(settler.machine.Table().Len()), "keys")
-		runtime.KeepAlive(settler)
+	for _, keys := range []int{5000, 50000, 200000} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			for b.Loop() {
+				measureKeys(b, keys)
+			}
+		})
+	}
+}
+
+func measureKeys(b *testing.B, keys int) {
+	before := heapBytes()
+	settler := newKeySettler(keys)
+	for key := range keys {
+		settler.settle(b, key)
 	}
+	b.ReportMetric(float64(heapBytes()-before)/float64(keys), "B/key")
+	b.ReportMetric(float64(settler.machine.Table().Len()), "keys")
+	runtime.KeepAlive(settler)
 }
 
 func heapBytes() uint64 {
