Let doctor tell which load reports are stale

Cause: doctor told what can be reached, not what is stale. Change: it reads each endpoint's load report and warns when it is more than 10 s old or can't be had. Measured: the script sees a report of 30 s as stale and no word on a fresh one.

--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -16,6 +16,7 @@
 	"cactuswell/demo"
 	"cactuswell/deployment"
 	"cactuswell/io/hostlist"
+	"cactuswell/standin/fault"
 )
 
 func TestMain(m *testing.M) {
@@ -47,6 +48,11 @@
 			t.Fatal(err)
 		}
 	}
+	for _, service := range d.Services() {
+		if service.Name() == "booking-4" {
+			service.Faults().Set(fault.Faults{ReportLagMs: 30000})
+		}
+	}
 	first := d.Hosts()[0]
 	ask(t, first.CallerAddress())
 	services := serviceAddresses(t, first.Settings().HostListURL)
--- a/cmd/doctorcmd.go
+++ b/cmd/doctorcmd.go
@@ -15,6 +15,7 @@
 
 	"cactuswell/certificate"
 	"cactuswell/core/record"
+	"cactuswell/io/engine"
 	"cactuswell/io/hostlist"
 	"cactuswell/io/logservice"
 	"cactuswell/io/weightstore"
@@ -28,6 +29,8 @@
 	// maxClockError is the largest difference from the log's clock that is
 	// taken for sane.
 	maxClockError = 5 * time.Second
+	// maxReportAge is the age from which a load report is called stale.
+	maxReportAge = 10 * time.Second
 	// expirySoon is how near the end of a certificate is worth a warning.
 	expirySoon = 14 * 24 * time.Hour
 )
@@ -160,6 +163,24 @@
 	d.add("host list", resultOK, "revision %d with %d endpoints", list.Revision, len(list.Entries))
 	for _, entry := range list.Entries {
 		d.checkAddress("endpoint "+entry.Name, entry.Address, "%s in %s, %s", entry.Pool, entry.Zone, entry.State)
+		d.checkReport(ctx, client, entry)
+	}
+}
+
+// checkReport tells of a load report that is stale or can't be had.
+func (d *doctorCommand) checkReport(ctx context.Context, client *http.Client, entry hostlist.Entry) {
+	scheme := "http://"
+	if d.EndpointTLS {
+		scheme = "https://"
+	}
+	name := "load report of " + entry.Name
+	report, err := engine.FetchLoad(ctx, client, scheme+entry.Address)
+	if err != nil {
+		d.add(name, resultWarning, "%s", trace.UserMessage(err))
+		return
+	}
+	if age := time.Duration(report.AgeMs) * time.Millisecond; age > maxReportAge {
+		d.add(name, resultWarning, "stale: %v old", age)
 	}
 }
 
