End the watch over a caller with its call

Cause: the watch began after the call was handed over and never ended, so that the end of every answered request started a goroutine and posted a needless event to its pool; two waits for the configuration were the same loop, and a call kept a time that nothing read. Change: the watch begins before the hand-over and the answer's end ends it; one loop waits for the configuration; the unread time is gone. Measured: TestEndedCallIsNotWatched finds no event after the answer's end; the host's tests pass under the race detector. Conclusion: one event less for each request on the hot path.

--- a/host/backend.go
+++ b/host/backend.go
@@ -65,21 +65,21 @@
 		profile: submission.Profile.Name(),
 		team:    submission.Team,
 	})
+	h.cancelWithCaller(ctx, p, c)
 	if !p.submit(c) {
 		c.refuse(dispatch.RefuseQueueFull, dispatch.NotRun, ringFullRetry)
-		return c.answer
 	}
-	h.cancelWithCaller(ctx, p, c)
 	return c.answer
 }
 
 // cancelWithCaller gives the call up when its caller goes away. A call that must
-// not run twice is seen through, so that its outcome is known.
+// not run twice is seen through, so that its outcome is known. The call's end ends
+// the watch, since the context of each request ends with its answer.
 func (h *Host) cancelWithCaller(ctx context.Context, p *pool, c *call) {
 	if c.once() {
 		return
 	}
-	context.AfterFunc(ctx, func() {
+	c.unwatch = context.AfterFunc(ctx, func() {
 		c.gone.Store(true)
 		p.post(dispatch.RequestCanceled{
 			Request: c.id,
@@ -96,25 +96,26 @@
 // AwaitReady waits until the host wants new work. It fails only with ctx's
 // error.
 func (h *Host) AwaitReady(ctx context.Context) error {
-	for {
-		changed := h.configuration.Changed()
-		if ready, _ := h.Ready(); ready {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return trace.Wrap(ctx.Err())
-		case <-changed:
-		}
-	}
+	return h.await(ctx, func() bool {
+		ready, _ := h.Ready()
+		return ready
+	})
 }
 
 // AwaitProfile waits until a profile of that name is in force on this host. It
 // fails only with ctx's error.
 func (h *Host) AwaitProfile(ctx context.Context, name string) error {
+	return h.await(ctx, func() bool {
+		_, ok := h.Profile(name)
+		return ok
+	})
+}
+
+// await waits until the configuration fulfils a condition.
+func (h *Host) await(ctx context.Context, fulfilled func() bool) error {
 	for {
 		changed := h.configuration.Changed()
-		if _, ok := h.Profile(name); ok {
+		if fulfilled() {
 			return nil
 		}
 		select {
--- a/host/call.go
+++ b/host/call.go
@@ -18,7 +18,6 @@
 	answer     *caller.Answer
 	// ticket is the right to run a call that must not run twice, else nil.
 	ticket   *claims.Ticket
-	taken    time.Time
 	attempts map[uint32]*attempt
 	// delivered is the number of tokens that the caller was given. It may be
 	// ahead of what the decisions know, which hear of progress by events.
@@ -26,6 +25,9 @@
 	// gone says that the caller went away. It is set before the event that says
 	// so is posted, as that event may overtake the call's arrival.
 	gone atomic.Bool
+	// unwatch ends the watch over the caller. It is set before the call is
+	// submitted, and is nil for a call that is seen through.
+	unwatch func() bool
 }
 
 // once reports whether the call must not run twice.
@@ -55,11 +57,20 @@
 		}
 		c.ticket.Settle()
 	}
-	c.answer.End(caller.ProblemPart{
+	c.end(caller.ProblemPart{
 		Problem: caller.Refusal(reason, ran, retryAfter),
 	})
 }
 
+// end gives the caller the last part of the answer. From then on the end of its
+// request says nothing.
+func (c *call) end(part caller.Part) {
+	if c.unwatch != nil {
+		c.unwatch()
+	}
+	c.answer.End(part)
+}
+
 // cutShort ends the call because the host can wait no longer.
 func (c *call) cutShort() {
 	switch {
@@ -93,13 +104,13 @@
 		})
 	}
 	if end.body != nil {
-		c.answer.End(caller.BodyPart{
+		c.end(caller.BodyPart{
 			ContentType: end.contentType,
 			Body:        end.body,
 		})
 		return err
 	}
-	c.answer.End(caller.EndPart{
+	c.end(caller.EndPart{
 		FinishReason: end.finishReason,
 		Tokens:       end.tokens,
 	})
--- a/host/pool.go
+++ b/host/pool.go
@@ -443,7 +443,6 @@
 		submission: submission,
 		answer:     caller.NewAnswer(),
 		ticket:     ticket,
-		taken:      p.timers.Now(),
 	}
 }
 
--- a/host/pool_test.go
+++ b/host/pool_test.go
@@ -249,3 +249,20 @@
 		t.Errorf("queued = %d, want 0", snapshot.Queued)
 	}
 }
+
+// TestEndedCallIsNotWatched ends a call and then its caller's context, as the
+// server does after each answer. The pool must not hear of it.
+func TestEndedCallIsNotWatched(t *testing.T) {
+	p := newTestPool(t)
+	c := p.newCall(testSubmission(t), nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	(&Host{}).cancelWithCaller(ctx, p, c)
+	c.end(caller.EndPart{FinishReason: "stop"})
+	cancel()
+	if c.unwatch() {
+		t.Error("the caller was still watched after the answer's end")
+	}
+	if c.gone.Load() || p.events.Len() != 0 {
+		t.Errorf("gone = %v with %d events, want false with none", c.gone.Load(), p.events.Len())
+	}
+}
