Read Retry-After in one place

Cause: the clients of the engines and of the log had the same function. Change: httpjson.RetryAfter serves both. Measured: builds, linter clean. Conclusion: no behaviour changed.

--- a/io/engine/exchange.go
+++ b/io/engine/exchange.go
@@ -7,9 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
 	"sync/atomic"
-	"time"
 
 	"github.com/gravitational/trace"
 
@@ -71,21 +69,13 @@
 	}
 	if response.Header.Get(HeaderNotStarted) == "true" && !status.Permanent() {
 		return &NotStartedError{
-			RetryAfter: retryAfter(response.Header),
+			RetryAfter: httpjson.RetryAfter(response.Header),
 			Cause:      status,
 		}
 	}
 	return status
 }
 
-func retryAfter(header http.Header) time.Duration {
-	seconds, err := strconv.Atoi(header.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return time.Duration(seconds) * time.Second
-}
-
 // CancelAttempt tells the endpoint at address that nobody waits for an attempt.
 func CancelAttempt(ctx context.Context, client *http.Client, base, attempt string) (CancelResponse, error) {
 	var response CancelResponse
--- a/io/httpjson/httpjson.go
+++ b/io/httpjson/httpjson.go
@@ -14,6 +14,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/gravitational/trace"
 )
@@ -60,3 +62,12 @@
 	}
 	return trace.Wrap(json.NewDecoder(io.LimitReader(response.Body, limit)).Decode(into))
 }
+
+// RetryAfter returns how long an answer asks its caller to stay away, or zero.
+func RetryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- a/io/logservice/client.go
+++ b/io/logservice/client.go
@@ -8,11 +8,11 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"time"
 
 	"github.com/gravitational/trace"
 
 	"cactuswell/core/record"
+	"cactuswell/io/httpjson"
 )
 
 // maxResponseBytes bounds what is read of one answer of the log.
@@ -101,7 +101,7 @@
 	case response.StatusCode == http.StatusTooManyRequests:
 		return trace.Wrap(&RefusedError{
 			Status:     response.StatusCode,
-			RetryAfter: retryAfter(response.Header),
+			RetryAfter: httpjson.RetryAfter(response.Header),
 		})
 	case response.StatusCode != http.StatusOK:
 		return trace.Wrap(&UnavailableError{Cause: &StatusError{Status: response.StatusCode}})
@@ -112,11 +112,3 @@
 	}
 	return nil
 }
-
-func retryAfter(header http.Header) time.Duration {
-	seconds, err := strconv.Atoi(header.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return time.Duration(seconds) * time.Second
-}
