--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -83,6 +83,7 @@
 		newEndpointCommand(c),
 		newExperimentCommand(c),
 		newExplainCommand(c),
+		newGatewayCommand(c),
 		newLoadCommand(c),
 		newPlacementCommand(c),
 		newProfileCommand(c),
--- /dev/null
+++ b/core/batching/batching.go
@@ -0,0 +1,85 @@
+// Package batching describes how a model engine with continuous batching spends
+// its time, and predicts from that when a request gets its first token and how
+// long the pauses between tokens are.
+//
+// # Usage
+//
+//	model := batching.Default()
+//	work := model.Prefill(cached, uncached)
+//	pause := model.Pause(running, context, stride, chunked)
+//
+// One step of an engine gives a token to each running request. A prompt is read
+// in chunks, one chunk a step, so that a step which reads is longer, and every
+// running request waits for it. The prediction, the placement and the fake
+// engines of experiments share this one description.
+package batching
+
+import "time"
+
+// Model holds the times of one kind of engine at its nominal speed.
+type Model struct {
+	// Step is the length of a step that serves one request and reads nothing.
+	Step time.Duration
+	// StepPerRequest is added for each running request.
+	StepPerRequest time.Duration
+	// StepPerThousand is added for each thousand tokens that the running
+	// requests hold in memory.
+	StepPerThousand time.Duration
+	// ReadPerThousand is the time to read a thousand tokens of a prompt.
+	ReadPerThousand time.Duration
+	// AttendPerMillion is the time for a million pairs of a token that is read
+	// and a token before it.
+	AttendPerMillion time.Duration
+	// First is the time from a request's arrival to its first step.
+	First time.Duration
+	// Chunk is the number of tokens read in one step at most.
+	Chunk int
+	// Stride is the number of tokens in one event of a stream.
+	Stride int
+}
+
+// Default returns the times of a 70-billion-parameter model on eight
+// accelerators, as published for the engines in use. Observed times correct it
+// by a factor for each endpoint.
+func Default() Model {
+	return Model{
+		Step:             5180 * time.Microsecond,
+		StepPerRequest:   37 * time.Microsecond,
+		StepPerThousand:  5 * time.Microsecond,
+		ReadPerThousand:  20160 * time.Microsecond,
+		AttendPerMillion: 368 * time.Microsecond,
+		First:            16 * time.Millisecond,
+		Chunk:            2048,
+		Stride:           3,
+	}
+}
+
+// Prefill returns the engine time to read uncached tokens after cached ones.
+func (m Model) Prefill(cached, uncached int) time.Duration {
+	read := time.Duration(uncached) * m.ReadPerThousand / 1000
+	pairs := float64(uncached) * (float64(cached) + float64(uncached)/2) / 1e6
+	return read + time.Duration(pairs*float64(m.AttendPerMillion))
+}
+
+// StepTime returns the length of a step that reads nothing.
+func (m Model) StepTime(running, context int) time.Duration {
+	return m.Step + time.Duration(running)*m.StepPerRequest + time.Duration(context)*m.StepPerThousand/1000
+}
+
+// Pause returns the longest time between two events of a stream while prompts
+// of the given size are being read beside it. Behind is the number of tokens
+// before the part that is read.
+func (m Model) Pause(running, context, behind, reading int) time.Duration {
+	step := m.StepTime(running, context)
+	steps := (reading + m.Chunk - 1) / max(m.Chunk, 1)
+	if steps == 0 {
+		return time.Duration(m.Stride) * step
+	}
+	longest := m.Prefill(behind+max(reading-m.Chunk, 0), min(reading, m.Chunk))
+	return time.Duration(m.Stride)*step + time.Duration(min(steps, m.Stride))*longest
+}
+
+// Decode returns the time to produce tokens in a batch of the given size.
+func (m Model) Decode(running, context, tokens int) time.Duration {
+	return time.Duration(tokens) * m.StepTime(running, context)
+}
--- /dev/null
+++ b/core/retry/window.go
@@ -0,0 +1,75 @@
+package retry
+
+import "time"
+
+// windowBuckets is the number of parts of a window; the oldest part leaves at
+// once.
+const windowBuckets = 20
+
+// Window is a host's share of a fleet's retry budget: in any span of its length
+// it allows as many repeats as Ratio times the first attempts made in it, and
+// the host's share of a fixed slack. It needs no agreement between hosts, as
+// each spends against its own first attempts. It is not safe for concurrent use.
+type Window struct {
+	length  time.Duration
+	ratio   float64
+	slack   float64
+	firsts  [windowBuckets]int
+	repeats [windowBuckets]int
+	bucket  int64
+	began   time.Time
+}
+
+// NewWindow returns a budget over windows of the given length. Slack is this
+// host's share, in attempts; see SetSlack.
+func NewWindow(length time.Duration, ratio, slack float64) *Window {
+	return &Window{
+		length: length,
+		ratio:  ratio,
+		slack:  slack,
+	}
+}
+
+// SetSlack changes the host's share of the slack, in attempts.
+func (w *Window) SetSlack(slack float64) { w.slack = slack }
+
+// First counts a first attempt.
+func (w *Window) First(now time.Time) {
+	w.advance(now)
+	w.firsts[w.bucket%windowBuckets]++
+}
+
+// Left returns how many repeats the window still allows.
+func (w *Window) Left(now time.Time) float64 {
+	w.advance(now)
+	firsts, repeats := 0, 0
+	for i := range windowBuckets {
+		firsts += w.firsts[i]
+		repeats += w.repeats[i]
+	}
+	return w.ratio*float64(firsts) + w.slack - float64(repeats)
+}
+
+// Repeat counts a repeat.
+func (w *Window) Repeat(now time.Time) {
+	w.advance(now)
+	w.repeats[w.bucket%windowBuckets]++
+}
+
+func (w *Window) advance(now time.Time) {
+	if w.began.IsZero() {
+		w.began = now
+	}
+	bucket := int64(now.Sub(w.began) / (w.length / windowBuckets))
+	if bucket-w.bucket >= windowBuckets {
+		clear(w.firsts[:])
+		clear(w.repeats[:])
+		w.bucket = bucket
+		return
+	}
+	for w.bucket < bucket {
+		w.bucket++
+		w.firsts[w.bucket%windowBuckets] = 0
+		w.repeats[w.bucket%windowBuckets] = 0
+	}
+}
--- /dev/null
+++ b/core/scheduling/call.go
@@ -0,0 +1,85 @@
+package scheduling
+
+import (
+	"time"
+
+	"cactuswell/core/route"
+)
+
+// CallID numbers the calls of one host's life.
+type CallID uint64
+
+// Part is a part of a prompt. Prompts that begin with the same parts share what
+// an engine has read of them.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Call is a caller's request as the decisions see it.
+type Call struct {
+	ID CallID
+	// RequestID is the caller's name for it, for explanation.
+	RequestID string
+	Route     *route.Route
+	Service   string
+	Team      string
+	// Priority is the rank in force: the team's, or else the route's.
+	Priority int
+	// Deadline is when the caller gives up, or the route's timeout is over.
+	Deadline time.Time
+	// PromptTokens and OutputTokens size a generation: the prompt, and the
+	// expected answer. They are zero for plain services.
+	PromptTokens int
+	OutputTokens int
+	Prompt       []Part
+}
+
+// Key names one incarnation of an endpoint.
+type Key struct {
+	ID   string
+	Born int64
+}
+
+// call is a call that has no final command yet.
+type call struct {
+	spec    Call
+	pool    *pool
+	arrived time.Time
+	// chain holds a hash for each leading run of the prompt's parts.
+	chain []uint64
+	// state
+	queued   bool
+	holdTill time.Time
+	target   *target
+	sentAt   time.Time
+	began    bool
+	// work is the engine time expected to read the prompt at the target.
+	work      time.Duration
+	predicted time.Duration
+	cached    int
+	// ran counts the attempts that may have run; sends counts all.
+	ran   int
+	sends int
+	// avoid holds the endpoints that failed the call.
+	avoid []Key
+	tight bool
+	long  bool
+}
+
+// repeatsLeft reports whether another attempt that may run is allowed.
+func (c *call) repeatsLeft() bool {
+	if c.ran == 0 {
+		return true
+	}
+	return c.spec.Route.Repeatable() && c.ran < c.spec.Route.MaxAttempts
+}
+
+func (c *call) avoids(key Key) bool {
+	for _, avoided := range c.avoid {
+		if avoided == key {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/scheduling/event.go
@@ -0,0 +1,160 @@
+package scheduling
+
+import (
+	"time"
+
+	"cactuswell/core/directory"
+	"cactuswell/core/route"
+)
+
+// Event is something that happened. The types of this file are all there are.
+type Event interface {
+	isEvent()
+}
+
+// CallArrived brings a new call.
+type CallArrived struct {
+	Call Call
+}
+
+// CallLeft says that the caller no longer waits.
+type CallLeft struct {
+	Call CallID
+}
+
+// AnswerBegan says that the endpoint gave its first event, or the header of its
+// answer.
+type AnswerBegan struct {
+	Call CallID
+	// Load is what the endpoint said of itself, if it did.
+	Load Load
+}
+
+// AttemptEnded says how the attempt under way came to its end.
+type AttemptEnded struct {
+	Call    CallID
+	Outcome Outcome
+	Load    Load
+	// Events is the number of events of a stream, and Lasted the time from the
+	// first to the last of them.
+	Events int
+	Lasted time.Duration
+}
+
+// EndpointChanged brings a change of the directory.
+type EndpointChanged struct {
+	Change directory.Change
+}
+
+// ConfigurationChanged brings a new configuration.
+type ConfigurationChanged struct {
+	Table *route.Table
+}
+
+// PeerReported brings another host's account of its work.
+type PeerReported struct {
+	Peer string
+	Work []PeerWork
+	// Placed names prompts that the peer sent to endpoints of late.
+	Placed []Placement
+}
+
+// PeerGone says that another host is not heard any more.
+type PeerGone struct {
+	Peer string
+}
+
+// TimePassed says only that time has passed.
+type TimePassed struct{}
+
+func (CallArrived) isEvent()          {}
+func (CallLeft) isEvent()             {}
+func (AnswerBegan) isEvent()          {}
+func (AttemptEnded) isEvent()         {}
+func (EndpointChanged) isEvent()      {}
+func (ConfigurationChanged) isEvent() {}
+func (PeerReported) isEvent()         {}
+func (PeerGone) isEvent()             {}
+func (TimePassed) isEvent()           {}
+
+// Load is an endpoint's own account of its work.
+type Load struct {
+	Known   bool
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// PeerWork is the work of one host at one endpoint.
+type PeerWork struct {
+	Key Key
+	// Reading is the engine time needed for prompts that have no first event.
+	Reading time.Duration
+	Running int
+	// Tight counts the running streams whose pauses must be short.
+	Tight int
+	// Ejected says that the host has taken the endpoint out of use.
+	Ejected bool
+}
+
+// Placement says that an endpoint has read a prompt's leading parts.
+type Placement struct {
+	Key   Key
+	Chain uint64
+}
+
+// Outcome is the end of an attempt. The types of this file are all there are.
+type Outcome interface {
+	isOutcome()
+}
+
+// Completed is a whole answer, delivered.
+type Completed struct{}
+
+// Unreachable says that no connection could be made: nothing was sent.
+type Unreachable struct{}
+
+// Declined says that the endpoint answered that it did not run the call.
+type Declined struct {
+	// RetryAfter is how long the endpoint asked us to stay away, or zero.
+	RetryAfter time.Duration
+}
+
+// Misdirected says that another endpoint has taken over the address.
+type Misdirected struct{}
+
+// Failed is an answer of the endpoint that says that the call failed.
+type Failed struct {
+	Status int
+}
+
+// Broken is a lost connection, a spoiled answer, or none: the call may have
+// run.
+type Broken struct {
+	// Delivered says that the caller has part of the answer, which only a
+	// resumed stream can go on from.
+	Delivered bool
+	// Spoiled says that bytes arrived that were no proper answer.
+	Spoiled bool
+}
+
+// Silent says that the endpoint was given up as it made no progress.
+type Silent struct {
+	Delivered bool
+}
+
+// TimedOut says that the call's time was over.
+type TimedOut struct{}
+
+// Abandoned says that the caller went away.
+type Abandoned struct{}
+
+func (Completed) isOutcome()   {}
+func (Unreachable) isOutcome() {}
+func (Declined) isOutcome()    {}
+func (Misdirected) isOutcome() {}
+func (Failed) isOutcome()      {}
+func (Broken) isOutcome()      {}
+func (Silent) isOutcome()      {}
+func (TimedOut) isOutcome()    {}
+func (Abandoned) isOutcome()   {}
--- /dev/null
+++ b/core/scheduling/scheduler.go
@@ -0,0 +1,310 @@
+// Package scheduling decides what happens to the opaque calls of one host:
+// which endpoint runs each, which wait, which are refused and when their callers
+// should come back, and which are sent again.
+//
+// # Usage
+//
+//	s := scheduling.New(settings, random)
+//	commands = s.Step(now, event, commands[:0])
+//	for _, command := range commands {
+//		switch command := command.(type) {
+//		case scheduling.Send:
+//			...
+//		}
+//	}
+//	wake, ok := s.NextWake()
+//
+// A Scheduler is a state machine: typed events go in with their time and typed
+// commands come out. It reads no clock, opens no socket and starts no goroutine.
+// It is not safe for concurrent use.
+package scheduling
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cactuswell/core/batching"
+	"cactuswell/core/directory"
+	"cactuswell/core/retry"
+	"cactuswell/core/route"
+)
+
+// Settings says how a scheduler works.
+type Settings struct {
+	// Zone is the host's availability zone.
+	Zone string
+	// ZoneDelay is the one-way delay between two zones.
+	ZoneDelay time.Duration
+	// Engine is the model of the engines.
+	Engine batching.Model
+	// BudgetWindow, BudgetRatio and BudgetSlack are the fleet's retry budget for
+	// each service: in any window, at most ratio times the calls, and the slack.
+	BudgetWindow time.Duration
+	BudgetRatio  float64
+	BudgetSlack  float64
+}
+
+// budgetSafety is the part of the fleet's retry budget that hosts use, since
+// their views of each other lag.
+const budgetSafety = 0.8
+
+// Scheduler decides for all services of one host.
+type Scheduler struct {
+	settings Settings
+	random   *rand.Rand
+	table    *route.Table
+	pools    map[string]*pool
+	byKey    map[Key]*target
+	calls    map[CallID]*call
+	peers    map[string]bool
+	placed   []Placement
+
+	now      time.Time
+	commands []Command
+}
+
+// pool is a service with its endpoints.
+type pool struct {
+	name    string
+	engine  *route.Engine
+	targets []*target
+	// waiting are the calls held at this host, the most urgent first, and of
+	// these the oldest.
+	waiting []*call
+	budget  *retry.Window
+	// answer is the smoothed time to an answer of a plain service, in seconds.
+	answer float64
+	// output is the smoothed number of tokens of an answer, in parts of the
+	// caller's bound.
+	answered int
+}
+
+// New returns a scheduler that knows no service and no endpoint.
+func New(settings Settings, random *rand.Rand) *Scheduler {
+	return &Scheduler{
+		settings: settings,
+		random:   random,
+		pools:    make(map[string]*pool),
+		byKey:    make(map[Key]*target),
+		calls:    make(map[CallID]*call),
+		peers:    make(map[string]bool),
+	}
+}
+
+// Step takes one event that happened at now, appends the commands that follow
+// from it, and returns the extended slice. Times never go backwards.
+func (s *Scheduler) Step(now time.Time, event Event, commands []Command) []Command {
+	s.now = now
+	s.commands = commands
+	s.handle(event)
+	commands = s.commands
+	s.commands = nil
+	return commands
+}
+
+func (s *Scheduler) handle(event Event) {
+	switch event := event.(type) {
+	case CallArrived:
+		s.arrive(event.Call)
+	case CallLeft:
+		s.leave(event.Call)
+	case AnswerBegan:
+		s.began(event)
+	case AttemptEnded:
+		s.ended(event)
+	case EndpointChanged:
+		s.changeEndpoint(event.Change)
+	case ConfigurationChanged:
+		s.configure(event.Table)
+	case PeerReported:
+		s.peerReported(event)
+	case PeerGone:
+		s.peerGone(event.Peer)
+	case TimePassed:
+		for _, p := range s.pools {
+			s.pump(p)
+		}
+	}
+}
+
+// NextWake returns when a TimePassed event is due. It reports false when none is.
+func (s *Scheduler) NextWake() (time.Time, bool) {
+	var at time.Time
+	for _, p := range s.pools {
+		for _, c := range p.waiting {
+			if at.IsZero() || c.holdTill.Before(at) {
+				at = c.holdTill
+			}
+		}
+		if len(p.waiting) > 0 {
+			if again := s.now.Add(pumpAgainAfter); again.Before(at) {
+				at = again
+			}
+		}
+	}
+	return at, !at.IsZero()
+}
+
+// configure takes the services of a configuration.
+func (s *Scheduler) configure(table *route.Table) {
+	s.table = table
+	for name, service := range table.Services() {
+		p := s.pool(name)
+		p.engine = service.Engine
+	}
+}
+
+func (s *Scheduler) pool(name string) *pool {
+	p, ok := s.pools[name]
+	if !ok {
+		p = &pool{
+			name:   name,
+			budget: retry.NewWindow(s.settings.BudgetWindow, s.settings.BudgetRatio*budgetSafety, 0),
+			answer: initialAnswer.Seconds(),
+		}
+		p.budget.SetSlack(s.slackShare())
+		s.pools[name] = p
+	}
+	return p
+}
+
+// slackShare is this host's part of the retry budget's slack.
+func (s *Scheduler) slackShare() float64 {
+	return s.settings.BudgetSlack * budgetSafety / float64(max(len(s.peers)+1, minBudgetHosts))
+}
+
+// minBudgetHosts is the least number of hosts that the slack is divided by, for
+// a host that does not know the others yet.
+const minBudgetHosts = 4
+
+func (s *Scheduler) changeEndpoint(change directory.Change) {
+	switch change := change.(type) {
+	case directory.Appeared:
+		t := newTarget(change.Entry)
+		s.byKey[t.key] = t
+		p := s.pool(change.Entry.Service)
+		p.targets = append(p.targets, t)
+		s.pump(p)
+	case directory.Updated:
+		if t := s.byKey[keyOf(change.Entry)]; t != nil {
+			t.entry = change.Entry
+		}
+	case directory.Left:
+		if t := s.byKey[keyOf(change.Entry)]; t != nil {
+			t.leaving = true
+		}
+	case directory.Removed:
+		s.removeTarget(keyOf(change.Entry))
+	}
+}
+
+func keyOf(entry directory.Entry) Key {
+	return Key{
+		ID:   entry.ID,
+		Born: entry.Born,
+	}
+}
+
+func (s *Scheduler) removeTarget(key Key) {
+	t := s.byKey[key]
+	if t == nil {
+		return
+	}
+	delete(s.byKey, key)
+	p := s.pool(t.entry.Service)
+	for i, other := range p.targets {
+		if other == t {
+			p.targets = append(p.targets[:i], p.targets[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *Scheduler) peerReported(event PeerReported) {
+	if !s.peers[event.Peer] {
+		s.peers[event.Peer] = true
+		s.shareBudget()
+	}
+	listed := make(map[Key]bool, len(event.Work))
+	for _, work := range event.Work {
+		listed[work.Key] = true
+		if t := s.byKey[work.Key]; t != nil {
+			t.peers[event.Peer] = work
+		}
+	}
+	for key, t := range s.byKey {
+		if _, ok := t.peers[event.Peer]; ok && !listed[key] {
+			delete(t.peers, event.Peer)
+		}
+	}
+	for _, placement := range event.Placed {
+		if t := s.byKey[placement.Key]; t != nil {
+			t.cache.add(placement.Chain, peerPartTokens, s.cacheCapacity(t))
+		}
+	}
+	for _, p := range s.pools {
+		s.pump(p)
+	}
+}
+
+// peerPartTokens is the size assumed of a part that another host sent.
+const peerPartTokens = 4000
+
+func (s *Scheduler) peerGone(peer string) {
+	delete(s.peers, peer)
+	for _, t := range s.byKey {
+		delete(t.peers, peer)
+	}
+	s.shareBudget()
+}
+
+func (s *Scheduler) shareBudget() {
+	for _, p := range s.pools {
+		p.budget.SetSlack(s.slackShare())
+	}
+}
+
+func (s *Scheduler) cacheCapacity(t *target) int {
+	p := s.pool(t.entry.Service)
+	if p.engine == nil {
+		return 0
+	}
+	return int(cacheShare * float64(p.engine.MemoryTokens))
+}
+
+// Work returns this host's work at each endpoint where it has some, and the
+// prompts placed since the last call, for other hosts.
+func (s *Scheduler) Work(now time.Time) ([]PeerWork, []Placement) {
+	work := make([]PeerWork, 0, len(s.byKey))
+	for key, t := range s.byKey {
+		if t.running == 0 && !t.health.out(now) {
+			continue
+		}
+		work = append(work, PeerWork{
+			Key:     key,
+			Reading: t.ownReading(now),
+			Running: t.running,
+			Tight:   t.tight,
+			Ejected: t.health.out(now),
+		})
+	}
+	placed := s.placed
+	s.placed = nil
+	return work, placed
+}
+
+// Hosts returns the number of hosts that this one knows to serve, itself
+// included.
+func (s *Scheduler) Hosts() int { return len(s.peers) + 1 }
+
+// Waiting returns the number of calls held at this host.
+func (s *Scheduler) Waiting() int {
+	waiting := 0
+	for _, p := range s.pools {
+		waiting += len(p.waiting)
+	}
+	return waiting
+}
+
+// Open returns the number of calls that have no final command yet.
+func (s *Scheduler) Open() int { return len(s.calls) }
--- /dev/null
+++ b/gateway/decisions.go
@@ -0,0 +1,265 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"cactuswell/core/directory"
+	"cactuswell/core/route"
+	"cactuswell/core/scheduling"
+	"cactuswell/ring"
+	"cactuswell/timer"
+	"cactuswell/trail"
+)
+
+const (
+	// eventCapacity bounds the events that wait for the duty.
+	eventCapacity = 16384
+	// postRetry is how long a call waits before it tries again to report to a
+	// duty whose ring is full.
+	postRetry = 5 * time.Millisecond
+)
+
+// decisions is the duty that owns the state machines of a host.
+type decisions struct {
+	timers    *timer.Service
+	trail     *trail.Trail
+	events    *ring.Ring[any]
+	ids       atomic.Uint64
+	scheduler *scheduling.Scheduler
+	directory *directory.Directory
+	replies   map[scheduling.CallID]chan<- scheduling.Command
+	names     map[scheduling.CallID]string
+	table     *route.Table
+	commands  []scheduling.Command
+	changes   []directory.Change
+	draw      *rand.Rand
+	endpoints atomic.Int64
+	waiting   atomic.Int64
+	hosts     atomic.Int64
+}
+
+// submission brings a call.
+type submission struct {
+	call    scheduling.Call
+	replies chan<- scheduling.Command
+}
+
+// entriesListed, entryObserved and entryLapsed bring the endpoints' entries;
+// entriesLost and entriesBack tell of their source.
+type (
+	entriesListed struct {
+		entries []directory.Entry
+		ids     map[string]bool
+	}
+	entryObserved struct{ entry directory.Entry }
+	entryLapsed   struct{ id string }
+	entriesLost   struct{}
+	entriesBack   struct{}
+)
+
+// inspection asks the duty to run a function between two events.
+type inspection struct {
+	look func()
+	done chan struct{}
+}
+
+func newDecisions(settings scheduling.Settings, timers *timer.Service, lines *trail.Trail) *decisions {
+	return &decisions{
+		timers:    timers,
+		trail:     lines,
+		events:    ring.New[any](eventCapacity),
+		scheduler: scheduling.New(settings, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		directory: directory.New(directory.Settings{}),
+		replies:   make(map[scheduling.CallID]chan<- scheduling.Command),
+		names:     make(map[scheduling.CallID]string),
+	}
+}
+
+// Submit implements opaque.Decider.
+func (d *decisions) Submit(call scheduling.Call, replies chan<- scheduling.Command) bool {
+	return d.events.TryPush(submission{
+		call:    call,
+		replies: replies,
+	})
+}
+
+// Post implements opaque.Decider. It waits while the ring is full, since what
+// happened to a call must not be lost.
+func (d *decisions) Post(event scheduling.Event) {
+	d.post(event)
+}
+
+func (d *decisions) post(event any) {
+	for !d.events.TryPush(event) {
+		wait := d.timers.After(postRetry)
+		<-wait.C()
+	}
+}
+
+// NextID implements opaque.Decider.
+func (d *decisions) NextID() scheduling.CallID {
+	return scheduling.CallID(d.ids.Add(1))
+}
+
+// Draw implements opaque.Decider.
+func (d *decisions) Draw() float64 { return rand.Float64() }
+
+// run handles events until ctx ends.
+func (d *decisions) run(ctx context.Context) error {
+	wake := d.timers.After(time.Hour)
+	defer wake.Stop()
+	for {
+		if at, ok := d.nextWake(); ok {
+			wake.Reset(at)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.events.Ready():
+			for event, ok := d.events.Pop(); ok; event, ok = d.events.Pop() {
+				d.handle(event)
+			}
+		case <-wake.C():
+			d.changes = d.directory.Tick(d.timers.Now(), d.changes[:0])
+			d.applyChanges()
+			d.step(scheduling.TimePassed{})
+		}
+		d.endpoints.Store(int64(len(d.directory.Entries())))
+		d.waiting.Store(int64(d.scheduler.Waiting()))
+		d.hosts.Store(int64(d.scheduler.Hosts()))
+	}
+}
+
+func (d *decisions) nextWake() (time.Time, bool) {
+	at, ok := d.scheduler.NextWake()
+	other, has := d.directory.NextWake()
+	if has && (!ok || other.Before(at)) {
+		return other, true
+	}
+	return at, ok
+}
+
+func (d *decisions) handle(event any) {
+	now := d.timers.Now()
+	d.changes = d.changes[:0]
+	switch event := event.(type) {
+	case submission:
+		d.replies[event.call.ID] = event.replies
+		d.names[event.call.ID] = event.call.RequestID
+		d.step(scheduling.CallArrived{Call: event.call})
+	case scheduling.CallLeft:
+		d.step(event)
+		d.forget(event.Call)
+	case scheduling.AttemptEnded:
+		d.attemptEnded(event)
+	case scheduling.Event:
+		d.step(event)
+	case entriesListed:
+		for _, entry := range event.entries {
+			d.changes = d.directory.Observe(now, entry, d.changes)
+		}
+		d.changes = d.directory.Listed(now, event.ids, d.changes)
+	case entryObserved:
+		d.changes = d.directory.Observe(now, event.entry, d.changes)
+	case entryLapsed:
+		d.changes = d.directory.Lapse(now, event.id, d.changes)
+	case entriesLost:
+		d.directory.SourceLost()
+	case entriesBack:
+		d.directory.SourceBack(now)
+	case inspection:
+		event.look()
+		close(event.done)
+	}
+	d.applyChanges()
+}
+
+// attemptEnded tells the directory of an endpoint whose address is another's.
+func (d *decisions) attemptEnded(event scheduling.AttemptEnded) {
+	_, completed := event.Outcome.(scheduling.Completed)
+	_, abandoned := event.Outcome.(scheduling.Abandoned)
+	d.step(event)
+	if completed || abandoned {
+		d.forget(event.Call)
+	}
+}
+
+func (d *decisions) forget(id scheduling.CallID) {
+	delete(d.replies, id)
+	delete(d.names, id)
+}
+
+// applyChanges tells the scheduler and the log what became of the endpoints.
+func (d *decisions) applyChanges() {
+	for _, change := range d.changes {
+		d.tellChange(change)
+		d.step(scheduling.EndpointChanged{Change: change})
+	}
+	d.changes = d.changes[:0]
+}
+
+func (d *decisions) tellChange(change directory.Change) {
+	switch change := change.(type) {
+	case directory.Appeared:
+		d.tellEndpoint("endpointAppeared", change.Entry, "")
+	case directory.Updated:
+		d.tellEndpoint("endpointUpdated", change.Entry, "")
+	case directory.Left:
+		d.tellEndpoint("endpointLeaving", change.Entry, change.Reason)
+	case directory.Removed:
+		d.tellEndpoint("endpointGone", change.Entry, change.Reason)
+	}
+}
+
+func (d *decisions) tellEndpoint(event string, entry directory.Entry, reason string) {
+	d.trail.Notice(event).Text("endpoint", entry.ID).Int("born", entry.Born).Text("service", entry.Service).
+		Text("address", entry.Address).Text("zone", entry.Zone).Int("slots", int64(entry.Slots)).
+		Text("reason", reason).End()
+}
+
+// step feeds one event to the scheduler and hands out what follows from it.
+func (d *decisions) step(event scheduling.Event) {
+	d.commands = d.scheduler.Step(d.timers.Now(), event, d.commands[:0])
+	for _, command := range d.commands {
+		switch command := command.(type) {
+		case scheduling.Send:
+			d.reply(command.Call, command, false)
+		case scheduling.Refuse:
+			d.reply(command.Call, command, true)
+		case scheduling.Deliver:
+			d.reply(command.Call, command, true)
+		case scheduling.EndpointJudged:
+			d.tellJudgement(command)
+		}
+	}
+}
+
+// reply hands a command to its call. The call takes each before the next can
+// follow, so that there is always room; a call that has ended takes none.
+func (d *decisions) reply(id scheduling.CallID, command scheduling.Command, last bool) {
+	replies, ok := d.replies[id]
+	if !ok {
+		return
+	}
+	select {
+	case replies <- command:
+	default:
+		d.trail.Failure("replyLost").Text("request", d.names[id]).End()
+	}
+	if last {
+		d.forget(id)
+	}
+}
+
+func (d *decisions) tellJudgement(judged scheduling.EndpointJudged) {
+	event := "endpointTakenBack"
+	if judged.Ejected {
+		event = "endpointEjected"
+	}
+	d.trail.Notice(event).Text("endpoint", judged.Key.ID).Int("born", judged.Key.Born).
+		Text("service", judged.Service).Text("reason", string(judged.Reason)).
+		Int("failures", int64(judged.Failures)).Millis("for", judged.For).End()
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,359 @@
+// Package gateway is a host that serves the routes of a configuration kept in a
+// store: it follows the configuration and the endpoints, takes calls, has them
+// decided, and carries the decisions out.
+//
+// # Usage
+//
+//	g, err := gateway.New(gateway.Dependencies{
+//		Settings: settings,
+//		Log:      store,
+//		Topics:   topics,
+//		Decoder:  decoder,
+//		Dialect:  dialect,
+//		Output:   os.Stdout,
+//	})
+//	err = g.Run(stop, kill)
+//
+// A host keeps nothing beyond its process: the configuration and the endpoints
+// are read anew from the store at each start, and nothing else lasts.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/gravitational/trace"
+
+	"cactuswell/core/batching"
+	"cactuswell/core/scheduling"
+	"cactuswell/io/keyedlog"
+	"cactuswell/io/opaque"
+	"cactuswell/io/upstream"
+	"cactuswell/settings"
+	"cactuswell/supervisor"
+	"cactuswell/timer"
+	"cactuswell/trail"
+)
+
+const (
+	// configurationWait is the length of a long poll for the configuration. A
+	// connection that fell silent shows within it and the store's answer time.
+	configurationWait = 4 * time.Second
+	// endpointWait and endpointPace are those for the endpoints' entries. A
+	// leaving endpoint must get no calls two seconds after it said so.
+	endpointWait = 4 * time.Second
+	endpointPace = 700 * time.Millisecond
+	// memoryShare is the part of a host's memory that the runtime may use before
+	// it collects garbage without pause.
+	memoryShare = 0.75
+	// bodyShare is the part of a host's memory that bodies of calls may take.
+	bodyShare = 0.15
+	// gcPercent is the growth of the heap from one collection to the next.
+	gcPercent = 75
+	// sweepEvery is the time between two looks for idle connections to close.
+	sweepEvery = 2 * time.Second
+	// zoneDelay is the usual one-way delay between two zones of a region.
+	zoneDelay = 700 * time.Microsecond
+	// headerTime bounds the arrival of a caller's header.
+	headerTime = 10 * time.Second
+	// maxHeader bounds a caller's header, in bytes.
+	maxHeader = 64 << 10
+)
+
+// Topics names the topics of the store.
+type Topics struct {
+	// Configuration is the topic that holds the configuration under
+	// ConfigurationKey.
+	Configuration    string
+	ConfigurationKey string
+	// Endpoints is the topic that holds the endpoints' entries by their ids.
+	Endpoints string
+}
+
+// Dependencies is what a gateway is made from.
+type Dependencies struct {
+	Settings settings.Gateway
+	Log      keyedlog.Log
+	Topics   Topics
+	Decoder  Decoder
+	Dialect  opaque.Dialect
+	// Output takes the log lines.
+	Output io.Writer
+}
+
+// Gateway is a running host.
+type Gateway struct {
+	Dependencies
+	trail          *trail.Trail
+	timers         *timer.Service
+	tree           *supervisor.Tree
+	meter          *meter
+	decided        *decisions
+	pool           *upstream.Pool
+	configuration  *configurationFeed
+	endpoints      *endpointFeed
+	server         *opaque.Server
+	callers        *http.Server
+	operators      *http.Server
+	callerListener net.Listener
+	readyListener  net.Listener
+	leaving        chan struct{}
+}
+
+// New opens the host's listeners. The error is a *settings.InvalidError or that
+// of a listener.
+func New(dependencies Dependencies) (*Gateway, error) {
+	if err := dependencies.Settings.Check(); err != nil {
+		return nil, err
+	}
+	g := &Gateway{
+		Dependencies: dependencies,
+		trail:        trail.New(dependencies.Output, dependencies.Settings.Name),
+		timers:       timer.New(),
+		meter:        newMeter(),
+		pool:         upstream.New(),
+		leaving:      make(chan struct{}),
+	}
+	g.tree = supervisor.New("gateway", log.NewNopLogger())
+	g.limitMemory()
+	var err error
+	if g.callerListener, err = net.Listen("tcp", g.Settings.CallerListen); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if g.readyListener, err = net.Listen("tcp", g.Settings.ReadyListen); err != nil {
+		return nil, trace.Wrap(errors.Join(err, g.callerListener.Close()))
+	}
+	g.build()
+	return g, nil
+}
+
+// limitMemory keeps the process under the memory that the platform gives it.
+func (g *Gateway) limitMemory() {
+	debug.SetMemoryLimit(int64(memoryShare * float64(g.Settings.MemoryMB) * (1 << 20)))
+	debug.SetGCPercent(gcPercent)
+}
+
+func (g *Gateway) build() {
+	g.decided = newDecisions(scheduling.Settings{
+		Zone:         g.Settings.Zone,
+		ZoneDelay:    zoneDelay,
+		Engine:       batching.Default(),
+		BudgetWindow: g.Settings.BudgetWindow,
+		BudgetRatio:  g.Settings.BudgetRatio,
+		BudgetSlack:  g.Settings.BudgetSlack,
+	}, g.timers, g.trail)
+	g.configuration = &configurationFeed{
+		key:     g.Topics.ConfigurationKey,
+		decoder: g.Decoder,
+		trail:   g.trail,
+		decided: g.decided,
+	}
+	g.endpoints = &endpointFeed{
+		decoder:    g.Decoder,
+		trail:      g.trail,
+		decided:    g.decided,
+		unreadable: make(map[string]bool),
+	}
+	g.server = opaque.New(opaque.Dependencies{
+		Tables:     g.configuration.table.Load,
+		Decider:    g.decided,
+		Dialect:    g.Dialect,
+		Pool:       g.pool,
+		Trail:      g.trail,
+		Meter:      g.meter,
+		BodyMemory: int64(bodyShare * float64(g.Settings.MemoryMB) * (1 << 20)),
+	})
+	g.callers = &http.Server{
+		Handler:           g.server,
+		ReadHeaderTimeout: headerTime,
+		MaxHeaderBytes:    maxHeader,
+		IdleTimeout:       g.Settings.IdleTimeout,
+		ErrorLog:          newServerLog(g.trail),
+	}
+	g.operators = &http.Server{
+		Handler:           g.operatorHandler(),
+		ReadHeaderTimeout: headerTime,
+		ErrorLog:          newServerLog(g.trail),
+	}
+	g.addGauges()
+}
+
+// operatorHandler serves readiness and metrics.
+func (g *Gateway) operatorHandler() http.Handler {
+	routes := http.NewServeMux()
+	routes.HandleFunc(g.Settings.ReadyPath, g.serveReady)
+	routes.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		g.meter.write(w)
+	})
+	return routes
+}
+
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	ready, reason := g.ready()
+	if !ready {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// ready reports whether the host wants new connections, and why not.
+func (g *Gateway) ready() (bool, string) {
+	select {
+	case <-g.leaving:
+		return false, "stopping"
+	default:
+	}
+	switch {
+	case g.configuration.table.Load() == nil:
+		return false, "no configuration yet"
+	case !g.endpoints.listed.Load():
+		return false, "no endpoints yet"
+	}
+	return true, ""
+}
+
+func (g *Gateway) addGauges() {
+	g.meter.gauge("cactuswell_open_calls", func() float64 { return float64(g.server.Open()) })
+	g.meter.gauge("cactuswell_waiting_calls", func() float64 { return float64(g.decided.waiting.Load()) })
+	g.meter.gauge("cactuswell_endpoints", func() float64 { return float64(g.decided.endpoints.Load()) })
+	g.meter.gauge("cactuswell_hosts", func() float64 { return float64(g.decided.hosts.Load()) })
+	g.meter.gauge("cactuswell_endpoint_connections", func() float64 { return float64(g.pool.Open()) })
+	g.meter.gauge("cactuswell_endpoint_dials_total", func() float64 { return float64(g.pool.Dials()) })
+	g.meter.gauge("cactuswell_log_lines_dropped_total", func() float64 { return float64(g.trail.Dropped()) })
+	g.meter.gauge("cactuswell_log_lines_total", func() float64 { return float64(g.trail.Lines()) })
+	g.meter.gauge("cactuswell_configuration_version", func() float64 {
+		if table := g.configuration.table.Load(); table != nil {
+			return float64(table.Version())
+		}
+		return 0
+	})
+	g.meter.gauge("cactuswell_configuration_age_seconds", func() float64 {
+		return float64(time.Now().UnixNano()-g.configuration.takenAt.Load()) / 1e9
+	})
+	g.meter.gauge("cactuswell_memory_bytes", func() float64 {
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return float64(stats.Sys)
+	})
+}
+
+// Run serves until stop ends and then stops in good order. The end of kill stops
+// it at once.
+func (g *Gateway) Run(stop, kill context.Context) error {
+	serving, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.addDuties()
+	done := make(chan struct{})
+	go g.runTree(serving, done)
+	g.trail.Notice("started").Text("zone", g.Settings.Zone).Text("callers", g.Settings.CallerListen).
+		Text("store", g.Settings.StoreAddress).Int("memoryMB", int64(g.Settings.MemoryMB)).
+		Int("processors", int64(runtime.GOMAXPROCS(0))).Float("budgetRatio", g.Settings.BudgetRatio).
+		Float("budgetSlack", g.Settings.BudgetSlack).Millis("budgetWindow", g.Settings.BudgetWindow).
+		Millis("stopTimeout", g.Settings.StopTimeout).Millis("balancerLag", g.Settings.BalancerLag).End()
+	<-stop.Done()
+	g.stop(kill)
+	cancel()
+	<-done
+	return nil
+}
+
+func (g *Gateway) runTree(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	// The tree ends with its context and returns no other error.
+	_ = g.tree.Run(ctx)
+}
+
+func (g *Gateway) addDuties() {
+	calls := func(took time.Duration, err error) {
+		g.meter.observe("cactuswell_store_call_seconds{", took)
+		g.meter.add("cactuswell_store_calls_total", 1)
+		if err != nil {
+			g.meter.add("cactuswell_store_failures_total", 1)
+		}
+	}
+	configuration := keyedlog.New(keyedlog.Dependencies{
+		Log:      g.Log,
+		Topic:    g.Topics.Configuration,
+		Listener: g.configuration,
+		Timers:   g.timers,
+		Wait:     configurationWait,
+		Calls:    calls,
+	})
+	endpoints := keyedlog.New(keyedlog.Dependencies{
+		Log:      g.Log,
+		Topic:    g.Topics.Endpoints,
+		Listener: g.endpoints,
+		Timers:   g.timers,
+		Wait:     endpointWait,
+		Pace:     endpointPace,
+		Calls:    calls,
+	})
+	duties := map[string]func(context.Context) error{
+		"timer":         g.timers.Run,
+		"trail":         g.trail.Run,
+		"decisions":     g.decided.run,
+		"configuration": configuration.Run,
+		"endpoints":     endpoints.Run,
+		"sweep":         g.sweep,
+		"callers":       g.serve(g.callers, g.callerListener),
+		"operators":     g.serve(g.operators, g.readyListener),
+	}
+	for name, run := range duties {
+		g.tree.Add(supervisor.Duty{
+			Name: name,
+			Run:  run,
+		})
+	}
+}
+
+// sweep closes the idle connections that nobody will use.
+func (g *Gateway) sweep(ctx context.Context) error {
+	tick := g.timers.Every(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C():
+			keep := make(map[string]bool)
+			g.look(func() {
+				for _, entry := range g.decided.directory.Entries() {
+					keep[entry.Address] = true
+				}
+			})
+			g.pool.Sweep(now, keep)
+		}
+	}
+}
+
+// look runs a function in the duty that decides, and waits for its end.
+func (g *Gateway) look(look func()) {
+	request := inspection{
+		look: look,
+		done: make(chan struct{}),
+	}
+	g.decided.post(request)
+	<-request.done
+}
+
+// serve returns a duty that serves a listener until its server is closed.
+func (g *Gateway) serve(server *http.Server, listener net.Listener) func(context.Context) error {
+	return func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return trace.Wrap(err)
+		}
+		<-ctx.Done()
+		return nil
+	}
+}
--- /dev/null
+++ b/gateway/meter.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cactuswell/io/opaque"
+)
+
+const (
+	// histogramTop is the longest time that histograms tell apart, in
+	// microseconds.
+	histogramTop = int64(60 * time.Second / time.Microsecond)
+	// histogramDigits is the number of significant digits.
+	histogramDigits = 2
+)
+
+var quantiles = []float64{50, 90, 99}
+
+// meter holds the counters and histograms of a host.
+type meter struct {
+	mu         sync.Mutex
+	counters   map[string]int64
+	histograms map[string]*hdrhistogram.Histogram
+	gauges     map[string]func() float64
+}
+
+var _ opaque.Meter = (*meter)(nil)
+
+func newMeter() *meter {
+	return &meter{
+		counters:   make(map[string]int64),
+		histograms: make(map[string]*hdrhistogram.Histogram),
+		gauges:     make(map[string]func() float64),
+	}
+}
+
+// gauge adds a value that is read at each look.
+func (m *meter) gauge(name string, read func() float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gauges[name] = read
+}
+
+func (m *meter) add(name string, delta int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counters[name] += delta
+}
+
+func (m *meter) observe(name string, value time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.record(name, value)
+}
+
+// record puts a time into a histogram. Times over its top count as the top.
+func (m *meter) record(name string, value time.Duration) {
+	histogram, ok := m.histograms[name]
+	if !ok {
+		histogram = hdrhistogram.New(1, histogramTop, histogramDigits)
+		m.histograms[name] = histogram
+	}
+	_ = histogram.RecordValue(min(max(value.Microseconds(), 1), histogramTop))
+}
+
+// Ended implements opaque.Meter.
+func (m *meter) Ended(end opaque.End) {
+	kind := "none"
+	if end.Route != nil {
+		kind = end.Route.Kind.String()
+	}
+	labels := fmt.Sprintf(`{kind=%q,priority="%d"`, kind, end.Priority)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counters[fmt.Sprintf(`cactuswell_calls_total%s,result=%q,reason=%q}`, labels, end.Result, end.Reason)]++
+	m.counters["cactuswell_attempts_total"] += int64(end.Attempts)
+	if end.Result != opaque.ResultServed {
+		return
+	}
+	m.record("cactuswell_call_seconds"+labels, end.Total)
+	m.record("cactuswell_first_seconds"+labels, end.First)
+	m.record("cactuswell_queued_seconds"+labels, end.Queued)
+	if end.Gap > 0 {
+		m.record("cactuswell_gap_seconds"+labels, end.Gap)
+	}
+}
+
+// write writes all values as text, a line each, sorted by name.
+func (m *meter) write(w io.Writer) {
+	m.mu.Lock()
+	lines := make([]string, 0, len(m.counters)+len(m.gauges)+3*len(m.histograms))
+	for name, value := range m.counters {
+		lines = append(lines, fmt.Sprintf("%s %d", name, value))
+	}
+	for name, read := range m.gauges {
+		lines = append(lines, fmt.Sprintf("%s %g", name, read()))
+	}
+	for name, histogram := range m.histograms {
+		for _, quantile := range quantiles {
+			value := float64(histogram.ValueAtQuantile(quantile)) / 1e6
+			lines = append(lines, fmt.Sprintf(`%s,quantile="%g"} %g`, name, quantile/100, value))
+		}
+	}
+	m.mu.Unlock()
+	sort.Strings(lines)
+	for _, line := range lines {
+		// A collector that is gone needs no answer.
+		_, _ = fmt.Fprintln(w, line)
+	}
+}
--- /dev/null
+++ b/io/opaque/attempt.go
@@ -0,0 +1,367 @@
+package opaque
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"cactuswell/core/route"
+	"cactuswell/core/scheduling"
+	"cactuswell/io/tcp"
+	"cactuswell/io/upstream"
+)
+
+const (
+	// onceIdle is the longest time that a connection may have been idle to carry
+	// a call which must not run twice: an endpoint rarely falls silent in it.
+	onceIdle = 250 * time.Millisecond
+	// repeatableIdle is the same for calls that may be sent again.
+	repeatableIdle = 3 * time.Second
+	// maxBuffered is the largest answer that is read whole before it is passed
+	// on, so that a broken one can be had anew from another endpoint.
+	maxBuffered = 256 << 10
+)
+
+// keptAnswer is a whole answer that says that the call failed.
+type keptAnswer struct {
+	response *http.Response
+	body     []byte
+}
+
+// UnsignedError is an answer without the mark of an endpoint.
+type UnsignedError struct {
+	Status int
+}
+
+// Error names the status.
+func (e *UnsignedError) Error() string {
+	return fmt.Sprintf("the answer with status %d bears no mark of an endpoint", e.Status)
+}
+
+// trial is one attempt at a call.
+type trial struct {
+	exchange *exchange
+	conn     *upstream.Conn
+	response *http.Response
+	answer   Answer
+	sent     time.Time
+	// limit is when the endpoint counts as silent, or zero.
+	limit time.Time
+	err   error
+}
+
+// attempt sends the call to an endpoint and reports whether the call has its
+// end.
+func (x *exchange) attempt(send scheduling.Send) bool {
+	x.sending = send
+	x.attempts++
+	if x.attempts == 1 {
+		x.queued = time.Since(x.arrived)
+	}
+	x.line("callSent").Text("endpoint", send.Key.ID).Int("born", send.Key.Born).Int("attempt", int64(x.attempts)).
+		Millis("predictedFirst", send.Choice.First).Millis("reading", send.Choice.Reading).
+		Int("cached", int64(send.Choice.Cached)).Int("running", int64(send.Choice.Running)).
+		Int("compared", int64(send.Choice.Compared)).Millis("loadAge", send.Choice.LoadAge).
+		Millis("waited", send.Choice.Waited).Millis("timeLeft", time.Until(x.deadline)).
+		Bool("repeat", send.Repeat).End()
+	t := &trial{
+		exchange: x,
+		sent:     time.Now(),
+	}
+	outcome := t.run()
+	x.tellOutcome(t, outcome)
+	event := scheduling.AttemptEnded{
+		Call:    x.id,
+		Outcome: outcome,
+		Load:    t.answer.Load,
+		Events:  x.stream.attemptEvents,
+		Lasted:  x.stream.attemptLasted,
+	}
+	x.server.Decider.Post(event)
+	switch outcome.(type) {
+	case scheduling.Completed:
+		x.end(ResultServed, "", t.response.StatusCode)
+		return true
+	case scheduling.Abandoned:
+		x.end(ResultLeft, "", 0)
+		return true
+	}
+	return false
+}
+
+// tellOutcome logs how an attempt ended.
+func (x *exchange) tellOutcome(t *trial, outcome scheduling.Outcome) {
+	if _, ok := outcome.(scheduling.Completed); ok {
+		return
+	}
+	status := 0
+	if t.response != nil {
+		status = t.response.StatusCode
+	}
+	reused := t.conn != nil && t.conn.Reused()
+	x.server.Trail.Failure("attemptEnded").Text("request", x.caller.ID).Text("endpoint", x.sending.Key.ID).
+		Int("attempt", int64(x.attempts)).Text("outcome", fmt.Sprintf("%T", outcome)[len("scheduling."):]).
+		Int("status", int64(status)).Bool("notRun", t.answer.NotRun).Bool("reusedConnection", reused).
+		Int("events", int64(x.stream.attemptEvents)).Millis("after", time.Since(t.sent)).Err(t.err).End()
+}
+
+// run carries the attempt out.
+func (t *trial) run() scheduling.Outcome {
+	x := t.exchange
+	x.stream.begin()
+	x.kept = nil
+	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
+	defer cancel()
+	idle := onceIdle
+	if x.route.Repeatable() {
+		idle = repeatableIdle
+	}
+	conn, err := x.server.Pool.Get(ctx, x.sending.Address, idle)
+	if err != nil {
+		t.err = err
+		if x.request.Context().Err() != nil {
+			return scheduling.Abandoned{}
+		}
+		return scheduling.Unreachable{}
+	}
+	t.conn = conn
+	stop := context.AfterFunc(x.request.Context(), conn.Abort)
+	defer stop()
+	outcome := t.exchangeWith(conn)
+	if outcome == nil {
+		outcome = scheduling.Completed{}
+	}
+	return t.settle(outcome)
+}
+
+// settle decides whether the connection can be kept, and puts the caller's own
+// leaving before what followed from it.
+func (t *trial) settle(outcome scheduling.Outcome) scheduling.Outcome {
+	if t.exchange.request.Context().Err() != nil {
+		if _, ok := outcome.(scheduling.Completed); !ok {
+			t.conn.Discard()
+			return scheduling.Abandoned{}
+		}
+	}
+	switch outcome.(type) {
+	case scheduling.Completed, scheduling.Declined, scheduling.Misdirected, scheduling.Failed:
+		t.conn.Finish(t.response)
+	default:
+		t.conn.Discard()
+	}
+	return outcome
+}
+
+// exchangeWith sends the call over a connection and passes the answer on. It
+// returns nil for a whole answer.
+func (t *trial) exchangeWith(conn *upstream.Conn) scheduling.Outcome {
+	x := t.exchange
+	if err := conn.Write(t.upstreamRequest(), x.deadline); err != nil {
+		t.err = err
+		var failed *upstream.SendError
+		if errors.As(err, &failed) && !failed.Partial {
+			return scheduling.Unreachable{}
+		}
+		return scheduling.Broken{Delivered: x.committed}
+	}
+	t.arm(x.sending.FirstLimit)
+	response, err := conn.Read(x.request.Method, t.owns)
+	if err != nil {
+		return t.readFailed(err)
+	}
+	t.response = response
+	t.answer = x.server.Dialect.Answer(response)
+	return t.receive()
+}
+
+// upstreamRequest returns what goes to the endpoint.
+func (t *trial) upstreamRequest() *upstream.Request {
+	x := t.exchange
+	header := x.header.Clone()
+	x.server.Dialect.SetAttempt(header, Attempt{
+		Endpoint:     x.sending.Key.ID,
+		TimeLeft:     time.Until(x.deadline),
+		Team:         x.team,
+		Priority:     x.sending.Priority,
+		Generation:   x.caller.PromptTokens > 0,
+		LastEvent:    x.stream.last,
+		HasLastEvent: x.stream.hasLast,
+	})
+	return &upstream.Request{
+		Method:  x.request.Method,
+		Target:  x.request.RequestURI,
+		Host:    x.request.Host,
+		Header:  header,
+		Body:    x.body,
+		HasBody: x.request.ContentLength != 0 || x.request.Header.Get("Content-Length") != "",
+	}
+}
+
+// owns reports whether an answer belongs to the call. An answer that names no
+// request can only be trusted on a connection that carried no other.
+func (t *trial) owns(response *http.Response) bool {
+	id := t.exchange.server.Dialect.Answer(response).ID
+	return id == t.exchange.caller.ID || id == "" && !t.conn.Reused()
+}
+
+// arm bounds the wait for the endpoint's next bytes.
+func (t *trial) arm(limit time.Duration) {
+	x := t.exchange
+	t.limit = time.Time{}
+	at := x.deadline
+	if limit > 0 && time.Now().Add(limit).Before(at) {
+		t.limit = time.Now().Add(limit)
+		at = t.limit
+	}
+	t.conn.SetReadDeadline(at)
+}
+
+// readFailed returns the outcome of an answer that could not be read.
+func (t *trial) readFailed(err error) scheduling.Outcome {
+	t.err = err
+	x := t.exchange
+	var stray *upstream.StrayAnswerError
+	switch {
+	case tcp.IsTimeout(err) && !time.Now().Before(x.deadline):
+		return scheduling.TimedOut{}
+	case tcp.IsTimeout(err) && !t.limit.IsZero():
+		return scheduling.Silent{Delivered: x.committed}
+	case tcp.IsTimeout(err), tcp.IsEnd(err):
+		return scheduling.Broken{Delivered: x.committed}
+	case errors.As(err, &stray):
+		return scheduling.Broken{
+			Delivered: x.committed,
+			Spoiled:   true,
+		}
+	}
+	return scheduling.Broken{
+		Delivered: x.committed,
+		Spoiled:   true,
+	}
+}
+
+// receive handles an answer whose header has arrived.
+func (t *trial) receive() scheduling.Outcome {
+	status := t.response.StatusCode
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		return t.drained(scheduling.Misdirected{})
+	case t.answer.NotRun:
+		return t.drained(scheduling.Declined{RetryAfter: t.answer.RetryAfter})
+	case status >= 200 && status < 300 && !t.answer.Signed:
+		t.err = &UnsignedError{Status: status}
+		return scheduling.Broken{
+			Delivered: t.exchange.committed,
+			Spoiled:   true,
+		}
+	case status >= 200 && status < 300 && t.exchange.route.Kind == route.Stream:
+		return t.receiveStream()
+	case status >= 200 && status < 300:
+		return t.receiveWhole()
+	}
+	return t.receiveFailure(status)
+}
+
+// drained reads a short answer to its end, so that the connection can be kept.
+func (t *trial) drained(outcome scheduling.Outcome) scheduling.Outcome {
+	n, err := io.Copy(io.Discard, io.LimitReader(t.response.Body, maxBuffered))
+	if err != nil || n == maxBuffered {
+		t.response.Close = true
+	}
+	return outcome
+}
+
+// receiveFailure keeps an answer that says that the call failed.
+func (t *trial) receiveFailure(status int) scheduling.Outcome {
+	body, err := io.ReadAll(io.LimitReader(t.response.Body, maxBuffered))
+	if err != nil || len(body) == maxBuffered {
+		if err == nil {
+			err = io.ErrShortBuffer
+		}
+		return t.readFailed(err)
+	}
+	t.exchange.kept = &keptAnswer{
+		response: t.response,
+		body:     body,
+	}
+	return scheduling.Failed{Status: status}
+}
+
+// receiveWhole passes on an answer in one piece; one that is too large for that
+// goes out as it comes.
+func (t *trial) receiveWhole() scheduling.Outcome {
+	x := t.exchange
+	t.arm(0)
+	body, err := io.ReadAll(io.LimitReader(t.response.Body, maxBuffered))
+	if err != nil {
+		return t.readFailed(err)
+	}
+	x.firstAt = time.Now()
+	x.commit(t.response, len(body) < maxBuffered, len(body))
+	if _, err := x.writer.Write(body); err != nil {
+		t.err = err
+		return scheduling.Abandoned{}
+	}
+	if len(body) < maxBuffered {
+		return nil
+	}
+	if _, err := io.Copy(x.writer, t.response.Body); err != nil {
+		return t.readFailed(err)
+	}
+	return nil
+}
+
+// promises reports whether a status tells the caller that the call was not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// deliverKept gives the caller the failed answer of the last endpoint. A status
+// that would promise what the endpoint did not becomes a plain failure.
+func (x *exchange) deliverKept() {
+	if x.kept == nil || x.committed || promises(x.kept.response.StatusCode) {
+		x.refuse(scheduling.Refuse{
+			Reason: scheduling.ReasonErrors,
+			Ran:    true,
+		})
+		return
+	}
+	status := x.kept.response.StatusCode
+	x.end(ResultFailed, string(scheduling.ReasonErrors), status)
+	x.commit(x.kept.response, true, len(x.kept.body))
+	// A caller that is gone needs no answer.
+	_, _ = x.writer.Write(x.kept.body)
+}
+
+// commit sends the header of an endpoint's answer to the caller. Whole says that
+// the body's length is known.
+func (x *exchange) commit(response *http.Response, whole bool, length int) {
+	header := x.writer.Header()
+	for name, values := range endToEnd(response.Header) {
+		header[name] = values
+	}
+	if header.Get("Content-Type") == "" {
+		// An explicit nil keeps the server from guessing a type.
+		header["Content-Type"] = nil
+	}
+	switch {
+	case whole && bodyAllowed(response.StatusCode):
+		header.Set("Content-Length", fmt.Sprint(length))
+	case response.ContentLength >= 0 && x.route.Kind != route.Stream:
+		header.Set("Content-Length", fmt.Sprint(response.ContentLength))
+	}
+	x.setConnection(header)
+	x.writer.WriteHeader(response.StatusCode)
+	x.committed = true
+}
+
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -181,6 +181,12 @@
 	}
 }
 
+func (c *checker) share(flag string, value, most float64) {
+	if !(value >= 0 && value <= most) {
+		c.add(flag, fmt.Sprint(value), fmt.Sprintf("0 to %v", most))
+	}
+}
+
 func (c *checker) tls(s *Settings) {
 	if s.EndpointTLS && !s.TLS() {
 		c.add("endpoint-tls", "true", "false, unless --tls-cert is set")
