--- a/cmd/gatewaycmd.go
+++ b/cmd/gatewaycmd.go
@@ -43,9 +43,11 @@
 
 // Execute runs the command.
 func (g *gatewayCommand) Execute([]string) error {
+	store := platform.NewStore(g.StoreAddress)
 	host, err := gateway.New(gateway.Dependencies{
 		Settings: g.Gateway,
-		Log:      platform.NewStore(g.StoreAddress),
+		Log:      store,
+		Roster:   store,
 		Topics: gateway.Topics{
 			Configuration:    platform.ConfigurationTopic,
 			ConfigurationKey: platform.ConfigurationKey,
--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -41,6 +41,9 @@
 	Born int64
 }
 
+// Hash returns the short name by which hosts tell each other of an endpoint.
+func (k Key) Hash() uint64 { return mix(uint64(k.Born), k.ID) }
+
 // call is a call that has no final command yet.
 type call struct {
 	spec    Call
--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -54,6 +54,8 @@
 // PeerReported brings another host's account of its work.
 type PeerReported struct {
 	Peer string
+	// Full says that Work is all the work of the peer, not what changed only.
+	Full bool
 	Work []PeerWork
 	// Placed names prompts that the peer sent to endpoints of late.
 	Placed []Placement
@@ -87,7 +89,8 @@
 
 // PeerWork is the work of one host at one endpoint.
 type PeerWork struct {
-	Key Key
+	// Endpoint is the hash of the endpoint's key.
+	Endpoint uint64
 	// Reading is the engine time needed for prompts that have no first event.
 	Reading time.Duration
 	Running int
@@ -97,10 +100,14 @@
 	Ejected bool
 }
 
-// Placement says that an endpoint has read a prompt's leading parts.
+// Placement says that an endpoint was given a prompt to read.
 type Placement struct {
-	Key   Key
-	Chain uint64
+	// Endpoint is the hash of the endpoint's key.
+	Endpoint uint64
+	// Chain is the hash of the leading parts, and Tokens the size of the last of
+	// them.
+	Chain  uint64
+	Tokens int
 }
 
 // Outcome is the end of an attempt. The types of this file are all there are.
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -52,6 +52,7 @@
 	}
 	c.began = true
 	c.target.removePending(c)
+	s.touch(c.target)
 	s.pump(c.pool)
 }
 
@@ -66,6 +67,7 @@
 		t.tight--
 	}
 	t.removePending(c)
+	s.touch(t)
 	c.target = nil
 	return t
 }
--- a/core/scheduling/place.go
+++ b/core/scheduling/place.go
@@ -337,6 +337,7 @@
 	if c.tight {
 		t.tight++
 	}
+	s.touch(t)
 	if c.pool.engine != nil {
 		t.pending = append(t.pending, c)
 		s.remember(c, t)
@@ -364,8 +365,9 @@
 		t.cache.add(chain, c.spec.Prompt[i].Tokens, capacity)
 		if !known && i < len(c.chain)-1 && len(s.placed) < maxPlaced {
 			s.placed = append(s.placed, Placement{
-				Key:   t.key,
-				Chain: chain,
+				Endpoint: t.hash,
+				Chain:    chain,
+				Tokens:   c.spec.Prompt[i].Tokens,
 			})
 		}
 	}
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -55,6 +55,8 @@
 	table    *route.Table
 	pools    map[string]*pool
 	byKey    map[Key]*target
+	byHash   map[uint64]*target
+	dirty    bool
 	calls    map[CallID]*call
 	peers    map[string]bool
 	placed   []Placement
@@ -86,6 +88,7 @@
 		random:   random,
 		pools:    make(map[string]*pool),
 		byKey:    make(map[Key]*target),
+		byHash:   make(map[uint64]*target),
 		calls:    make(map[CallID]*call),
 		peers:    make(map[string]bool),
 	}
@@ -182,6 +185,7 @@
 	case directory.Appeared:
 		t := newTarget(change.Entry)
 		s.byKey[t.key] = t
+		s.byHash[t.hash] = t
 		p := s.pool(change.Entry.Service)
 		p.targets = append(p.targets, t)
 		s.pump(p)
@@ -211,6 +215,7 @@
 		return
 	}
 	delete(s.byKey, key)
+	delete(s.byHash, t.hash)
 	p := s.pool(t.entry.Service)
 	for i, other := range p.targets {
 		if other == t {
@@ -225,21 +230,26 @@
 		s.peers[event.Peer] = true
 		s.shareBudget()
 	}
-	listed := make(map[Key]bool, len(event.Work))
+	listed := make(map[uint64]bool, len(event.Work))
 	for _, work := range event.Work {
-		listed[work.Key] = true
-		if t := s.byKey[work.Key]; t != nil {
-			t.peers[event.Peer] = work
+		listed[work.Endpoint] = true
+		if t := s.byHash[work.Endpoint]; t != nil {
+			t.peers[event.Peer] = peerWork{
+				PeerWork: work,
+				at:       s.now,
+			}
 		}
 	}
-	for key, t := range s.byKey {
-		if _, ok := t.peers[event.Peer]; ok && !listed[key] {
-			delete(t.peers, event.Peer)
+	if event.Full {
+		for hash, t := range s.byHash {
+			if !listed[hash] {
+				delete(t.peers, event.Peer)
+			}
 		}
 	}
 	for _, placement := range event.Placed {
-		if t := s.byKey[placement.Key]; t != nil {
-			t.cache.add(placement.Chain, peerPartTokens, s.cacheCapacity(t))
+		if t := s.byHash[placement.Endpoint]; t != nil {
+			t.cache.add(placement.Chain, placement.Tokens, s.cacheCapacity(t))
 		}
 	}
 	for _, p := range s.pools {
@@ -247,9 +257,6 @@
 	}
 }
 
-// peerPartTokens is the size assumed of a part that another host sent.
-const peerPartTokens = 4000
-
 func (s *Scheduler) peerGone(peer string) {
 	delete(s.peers, peer)
 	for _, t := range s.byKey {
@@ -272,27 +279,39 @@
 	return int(cacheShare * float64(p.engine.MemoryTokens))
 }
 
-// Work returns this host's work at each endpoint where it has some, and the
-// prompts placed since the last call, for other hosts.
-func (s *Scheduler) Work(now time.Time) ([]PeerWork, []Placement) {
+// Dirty reports whether this host's work changed since Work was called.
+func (s *Scheduler) Dirty() bool { return s.dirty }
+
+// Work returns this host's work for other hosts: all of it, or that at endpoints
+// where it changed since the last call. It also returns the prompts placed since
+// then.
+func (s *Scheduler) Work(now time.Time, full bool) ([]PeerWork, []Placement) {
 	work := make([]PeerWork, 0, len(s.byKey))
-	for key, t := range s.byKey {
-		if t.running == 0 && !t.health.out(now) {
+	for _, t := range s.byKey {
+		if !t.dirty && (!full || t.running == 0) {
 			continue
 		}
+		t.dirty = false
 		work = append(work, PeerWork{
-			Key:     key,
-			Reading: t.ownReading(now),
-			Running: t.running,
-			Tight:   t.tight,
-			Ejected: t.health.out(now),
+			Endpoint: t.hash,
+			Reading:  t.ownReading(now),
+			Running:  t.running,
+			Tight:    t.tight,
+			Ejected:  t.health.out(now),
 		})
 	}
+	s.dirty = false
 	placed := s.placed
 	s.placed = nil
 	return work, placed
 }
 
+// touch notes that the work at an endpoint changed.
+func (s *Scheduler) touch(t *target) {
+	t.dirty = true
+	s.dirty = true
+}
+
 // Hosts returns the number of hosts that this one knows to serve, itself
 // included.
 func (s *Scheduler) Hosts() int { return len(s.peers) + 1 }
--- a/core/scheduling/target.go
+++ b/core/scheduling/target.go
@@ -26,6 +26,7 @@
 type target struct {
 	entry directory.Entry
 	key   Key
+	hash  uint64
 	// leaving endpoints get no new calls.
 	leaving bool
 	// pending are the own calls sent and not begun, oldest first; running counts
@@ -34,7 +35,7 @@
 	running int
 	tight   int
 	// peers is the work of other hosts.
-	peers   map[string]PeerWork
+	peers   map[string]peerWork
 	load    Load
 	loadAt  time.Time
 	ownThen int
@@ -44,17 +45,24 @@
 	cache    cacheIndex
 	// fullTill is until when the endpoint asked not to be sent calls.
 	fullTill time.Time
+	// dirty says that the work changed since other hosts were told.
+	dirty bool
+}
+
+// peerWork is the work of another host, as told at a time.
+type peerWork struct {
+	PeerWork
+	at time.Time
 }
 
 func newTarget(entry directory.Entry) *target {
+	key := keyOf(entry)
 	return &target{
-		entry: entry,
-		key: Key{
-			ID:   entry.ID,
-			Born: entry.Born,
-		},
+		entry:    entry,
+		key:      key,
+		hash:     key.Hash(),
 		leaving:  entry.Leaving,
-		peers:    make(map[string]PeerWork),
+		peers:    make(map[string]peerWork),
 		slowness: 1,
 		cache:    newCacheIndex(),
 	}
@@ -64,7 +72,7 @@
 func (t *target) reading(now time.Time) time.Duration {
 	own := t.ownReading(now)
 	for _, work := range t.peers {
-		own += work.Reading
+		own += max(work.Reading-now.Sub(work.at), 0)
 	}
 	return own
 }
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -20,6 +20,11 @@
 	// postRetry is how long a call waits before it tries again to report to a
 	// duty whose ring is full.
 	postRetry = 5 * time.Millisecond
+	// shareEvery is the least time between two messages to other hosts on work
+	// that changed: short against the time in which an engine reads a prompt.
+	shareEvery = 25 * time.Millisecond
+	// heartbeatEvery is the time between two messages with all work.
+	heartbeatEvery = 500 * time.Millisecond
 )
 
 // decisions is the duty that owns the state machines of a host.
@@ -39,8 +44,15 @@
 	endpoints atomic.Int64
 	waiting   atomic.Int64
 	hosts     atomic.Int64
+	// share tells other hosts of this one's work; it is nil if there are none.
+	share       func(full bool, work []scheduling.PeerWork, placed []scheduling.Placement)
+	shareAt     time.Time
+	heartbeatAt time.Time
 }
 
+// heartbeatDue asks for a message to other hosts at once.
+type heartbeatDue struct{}
+
 // submission brings a call.
 type submission struct {
 	call    scheduling.Call
@@ -127,21 +139,53 @@
 			d.applyChanges()
 			d.step(scheduling.TimePassed{})
 		}
+		d.tellOthers()
 		d.endpoints.Store(int64(len(d.directory.Entries())))
 		d.waiting.Store(int64(d.scheduler.Waiting()))
 		d.hosts.Store(int64(d.scheduler.Hosts()))
 	}
 }
 
+// tellOthers tells other hosts of this one's work, if that is due.
+func (d *decisions) tellOthers() {
+	now := d.timers.Now()
+	if d.share == nil {
+		return
+	}
+	full := !now.Before(d.heartbeatAt)
+	if !full && (!d.scheduler.Dirty() || now.Before(d.shareAt)) {
+		return
+	}
+	work, placed := d.scheduler.Work(now, full)
+	d.share(full, work, placed)
+	d.shareAt = now.Add(shareEvery)
+	if full {
+		d.heartbeatAt = now.Add(heartbeatEvery)
+	}
+}
+
 func (d *decisions) nextWake() (time.Time, bool) {
 	at, ok := d.scheduler.NextWake()
-	other, has := d.directory.NextWake()
-	if has && (!ok || other.Before(at)) {
-		return other, true
+	if other, has := d.directory.NextWake(); has {
+		at, ok = earlier(at, ok, other)
+	}
+	if d.share == nil {
+		return at, ok
+	}
+	at, ok = earlier(at, ok, d.heartbeatAt)
+	if d.scheduler.Dirty() {
+		at, ok = earlier(at, ok, d.shareAt)
 	}
 	return at, ok
 }
 
+func earlier(at time.Time, ok bool, other time.Time) (time.Time, bool) {
+	if !ok || other.Before(at) {
+		return other, true
+	}
+	return at, true
+}
+
 func (d *decisions) handle(event any) {
 	now := d.timers.Now()
 	d.changes = d.changes[:0]
@@ -170,6 +214,8 @@
 		d.directory.SourceLost()
 	case entriesBack:
 		d.directory.SourceBack(now)
+	case heartbeatDue:
+		d.heartbeatAt = now
 	case inspection:
 		event.look()
 		close(event.done)
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,8 +27,32 @@
 	decoder Decoder
 	trail   *trail.Trail
 	decided *decisions
-	table   atomic.Pointer[route.Table]
-	takenAt atomic.Int64
+	inForce atomic.Pointer[inForce]
+	lost    atomic.Bool
+	taking  sync.Mutex
+}
+
+// inForce is a configuration with its source.
+type inForce struct {
+	table   *route.Table
+	raw     []byte
+	takenAt time.Time
+}
+
+// current returns the configuration in force, or nil.
+func (f *configurationFeed) current() *route.Table {
+	if known := f.inForce.Load(); known != nil {
+		return known.table
+	}
+	return nil
+}
+
+// version returns the version in force, or a negative number.
+func (f *configurationFeed) version() int64 {
+	if table := f.current(); table != nil {
+		return table.Version()
+	}
+	return -1
 }
 
 var _ keyedlog.Listener = (*configurationFeed)(nil)
@@ -38,42 +64,50 @@
 func (f *configurationFeed) Appended(records []keyedlog.Record) {
 	for _, record := range records {
 		if record.Key == f.key && !record.Dropped {
-			f.take(record)
+			f.take(record.Value, fmt.Sprintf("offset %d", record.Offset))
 		}
 	}
 }
 
 // take puts a configuration in force if it is newer than the one in force. One
-// that cannot be used leaves that as it is.
-func (f *configurationFeed) take(record keyedlog.Record) {
-	spec, err := f.decoder.Configuration(record.Value)
+// that cannot be used leaves that as it is. The store and other hosts bring
+// configurations at the same time.
+func (f *configurationFeed) take(value []byte, source string) {
+	f.taking.Lock()
+	defer f.taking.Unlock()
+	spec, err := f.decoder.Configuration(value)
 	if err != nil {
-		f.trail.Failure("configurationRefused").Int("offset", record.Offset).Err(err).End()
+		f.trail.Failure("configurationRefused").Text("source", source).Err(err).End()
 		return
 	}
-	known := f.table.Load()
-	if known != nil && spec.Version <= known.Version() {
+	if spec.Version <= f.version() {
 		return
 	}
 	table, err := route.New(spec)
 	if err != nil {
-		f.trail.Failure("configurationRefused").Int("version", spec.Version).Int("offset", record.Offset).Err(err).End()
+		f.trail.Failure("configurationRefused").Int("version", spec.Version).Text("source", source).Err(err).End()
 		return
 	}
-	f.table.Store(table)
-	f.takenAt.Store(time.Now().UnixNano())
+	before := f.version()
+	f.inForce.Store(&inForce{
+		table:   table,
+		raw:     value,
+		takenAt: time.Now(),
+	})
 	f.decided.post(scheduling.ConfigurationChanged{Table: table})
-	f.trail.Notice("configurationTaken").Int("version", table.Version()).Int("offset", record.Offset).
-		Int("routes", int64(table.Routes())).Int("teams", int64(table.Teams())).End()
+	f.trail.Notice("configurationTaken").Int("version", table.Version()).Int("before", before).
+		Text("source", source).Int("routes", int64(table.Routes())).Int("teams", int64(table.Teams())).End()
 }
 
 // Lost implements keyedlog.Listener.
 func (f *configurationFeed) Lost(err error) {
+	f.lost.Store(true)
 	f.trail.Failure("storeLost").Text("topic", "configuration").Err(err).End()
 }
 
 // Back implements keyedlog.Listener.
 func (f *configurationFeed) Back(away time.Duration) {
+	f.lost.Store(false)
 	f.trail.Failure("storeBack").Text("topic", "configuration").Millis("away", away).End()
 }
 
@@ -83,6 +117,7 @@
 	trail   *trail.Trail
 	decided *decisions
 	listed  atomic.Bool
+	lost    atomic.Bool
 	// unreadable are the ids whose entry could not be read, each told once.
 	unreadable map[string]bool
 }
@@ -137,12 +172,14 @@
 
 // Lost implements keyedlog.Listener.
 func (f *endpointFeed) Lost(err error) {
+	f.lost.Store(true)
 	f.trail.Failure("storeLost").Text("topic", "endpoints").Err(err).End()
 	f.decided.post(entriesLost{})
 }
 
 // Back implements keyedlog.Listener.
 func (f *endpointFeed) Back(away time.Duration) {
+	f.lost.Store(false)
 	f.trail.Failure("storeBack").Text("topic", "endpoints").Millis("away", away).End()
 	f.decided.post(entriesBack{})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,7 @@
 	"cactuswell/core/scheduling"
 	"cactuswell/io/keyedlog"
 	"cactuswell/io/opaque"
+	"cactuswell/io/peer"
 	"cactuswell/io/upstream"
 	"cactuswell/settings"
 	"cactuswell/supervisor"
@@ -81,9 +82,11 @@
 type Dependencies struct {
 	Settings settings.Gateway
 	Log      keyedlog.Log
-	Topics   Topics
-	Decoder  Decoder
-	Dialect  opaque.Dialect
+	// Roster is where the hosts enter themselves.
+	Roster  Roster
+	Topics  Topics
+	Decoder Decoder
+	Dialect opaque.Dialect
 	// Output takes the log lines.
 	Output io.Writer
 }
@@ -104,6 +107,10 @@
 	operators      *http.Server
 	callerListener net.Listener
 	readyListener  net.Listener
+	mesh           *peer.Mesh
+	peers          *http.Server
+	peerListener   net.Listener
+	born           int64
 	leaving        chan struct{}
 }
 
@@ -119,6 +126,7 @@
 		timers:       timer.New(),
 		meter:        newMeter(),
 		pool:         upstream.New(),
+		born:         time.Now().UnixMilli(),
 		leaving:      make(chan struct{}),
 	}
 	g.tree = supervisor.New("gateway", log.NewNopLogger())
@@ -131,6 +139,12 @@
 		return nil, trace.Wrap(errors.Join(err, g.callerListener.Close()))
 	}
 	g.build()
+	if g.Settings.PeerListen == "" {
+		return g, nil
+	}
+	if err := g.buildMesh(); err != nil {
+		return nil, trace.Wrap(errors.Join(err, g.callerListener.Close(), g.readyListener.Close()))
+	}
 	return g, nil
 }
 
@@ -162,7 +176,7 @@
 		unreadable: make(map[string]bool),
 	}
 	g.server = opaque.New(opaque.Dependencies{
-		Tables:     g.configuration.table.Load,
+		Tables:     g.configuration.current,
 		Decider:    g.decided,
 		Dialect:    g.Dialect,
 		Pool:       g.pool,
@@ -185,6 +199,58 @@
 	g.addGauges()
 }
 
+// buildMesh opens the sockets for other hosts.
+func (g *Gateway) buildMesh() error {
+	var err error
+	if g.peerListener, err = net.Listen("tcp", g.Settings.PeerListen); err != nil {
+		return err
+	}
+	g.mesh, err = peer.New(peer.Dependencies{
+		Host:    g.Settings.Name,
+		Born:    g.born,
+		Address: g.Settings.PeerListen,
+		Listener: &peerListener{
+			decided: g.decided,
+			trail:   g.trail,
+		},
+		Timers: g.timers,
+	})
+	if err != nil {
+		return errors.Join(err, g.peerListener.Close())
+	}
+	for _, address := range g.Settings.Peers {
+		g.mesh.Add(address)
+	}
+	g.decided.share = g.share
+	g.peers = &http.Server{
+		Handler:           g.peerHandler(),
+		ReadHeaderTimeout: headerTime,
+		ErrorLog:          newServerLog(g.trail),
+	}
+	return nil
+}
+
+// share tells the other hosts of this one's work.
+func (g *Gateway) share(full bool, work []scheduling.PeerWork, placed []scheduling.Placement) {
+	g.mesh.Send(peer.Message{
+		Version:   g.configuration.version(),
+		StoreLost: g.endpoints.lost.Load(),
+		Leaving:   g.isLeaving(),
+		Full:      full,
+		Work:      work,
+		Placed:    placed,
+	})
+}
+
+func (g *Gateway) isLeaving() bool {
+	select {
+	case <-g.leaving:
+		return true
+	default:
+		return false
+	}
+}
+
 // operatorHandler serves readiness and metrics.
 func (g *Gateway) operatorHandler() http.Handler {
 	routes := http.NewServeMux()
@@ -207,13 +273,10 @@
 
 // ready reports whether the host wants new connections, and why not.
 func (g *Gateway) ready() (bool, string) {
-	select {
-	case <-g.leaving:
-		return false, "stopping"
-	default:
-	}
 	switch {
-	case g.configuration.table.Load() == nil:
+	case g.isLeaving():
+		return false, "stopping"
+	case g.configuration.current() == nil:
 		return false, "no configuration yet"
 	case !g.endpoints.listed.Load():
 		return false, "no endpoints yet"
@@ -231,13 +294,13 @@
 	g.meter.gauge("cactuswell_log_lines_dropped_total", func() float64 { return float64(g.trail.Dropped()) })
 	g.meter.gauge("cactuswell_log_lines_total", func() float64 { return float64(g.trail.Lines()) })
 	g.meter.gauge("cactuswell_configuration_version", func() float64 {
-		if table := g.configuration.table.Load(); table != nil {
-			return float64(table.Version())
-		}
-		return 0
+		return float64(g.configuration.version())
 	})
 	g.meter.gauge("cactuswell_configuration_age_seconds", func() float64 {
-		return float64(time.Now().UnixNano()-g.configuration.takenAt.Load()) / 1e9
+		if known := g.configuration.inForce.Load(); known != nil {
+			return time.Since(known.takenAt).Seconds()
+		}
+		return -1
 	})
 	g.meter.gauge("cactuswell_memory_bytes", func() float64 {
 		var stats runtime.MemStats
@@ -307,6 +370,12 @@
 		"callers":       g.serve(g.callers, g.callerListener),
 		"operators":     g.serve(g.operators, g.readyListener),
 	}
+	if g.mesh != nil {
+		duties["mesh"] = g.mesh.Run
+		duties["peers"] = g.serve(g.peers, g.peerListener)
+		duties["relay"] = newRelay(g).run
+		duties["roster"] = g.enroll
+	}
 	for name, run := range duties {
 		g.tree.Add(supervisor.Duty{
 			Name: name,
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,301 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"cactuswell/core/directory"
+	"cactuswell/core/scheduling"
+	"cactuswell/io/keyedlog"
+	"cactuswell/io/peer"
+	"cactuswell/io/tcp"
+	"cactuswell/timer"
+	"cactuswell/trail"
+)
+
+const (
+	// The paths on which hosts ask each other.
+	configurationPath = "/v1/configuration"
+	endpointsPath     = "/v1/endpoints"
+
+	// relayEvery is the time between two looks for a newer configuration.
+	relayEvery = 100 * time.Millisecond
+	// relayAfter is how long another host may have a newer configuration before
+	// it is asked: the store's own answer comes sooner.
+	relayAfter = 200 * time.Millisecond
+	// relayEndpointsEvery is the time between two reads of another host's
+	// endpoints while the store does not answer this one.
+	relayEndpointsEvery = 700 * time.Millisecond
+	// relayTimeout bounds a call to another host.
+	relayTimeout = time.Second
+	// maxRelayed bounds what another host may answer, in bytes.
+	maxRelayed = 8 << 20
+)
+
+// RelayError is an unexpected answer of another host.
+type RelayError struct {
+	Address string
+	Status  int
+}
+
+// Error names the host and the status.
+func (e *RelayError) Error() string {
+	return fmt.Sprintf("host %s answered with status %d", e.Address, e.Status)
+}
+
+// relay reads from other hosts what the store does not tell this one.
+type relay struct {
+	mesh          *peer.Mesh
+	timers        *timer.Service
+	trail         *trail.Trail
+	decided       *decisions
+	configuration *configurationFeed
+	endpoints     *endpointFeed
+	client        *http.Client
+
+	behindSince time.Time
+	endpointsAt time.Time
+}
+
+func newRelay(g *Gateway) *relay {
+	dialer := tcp.NewDialer(tcp.Settings{
+		DialTimeout: relayTimeout / 2,
+		PeerTimeout: relayTimeout,
+		KeepAlive:   time.Second,
+	})
+	return &relay{
+		mesh:          g.mesh,
+		timers:        g.timers,
+		trail:         g.trail,
+		decided:       g.decided,
+		configuration: g.configuration,
+		endpoints:     g.endpoints,
+		client: &http.Client{
+			Timeout: relayTimeout,
+			Transport: &http.Transport{
+				DialContext: dialer.DialContext,
+			},
+		},
+	}
+}
+
+// run looks for what other hosts know better until ctx ends.
+func (r *relay) run(ctx context.Context) error {
+	tick := r.timers.Every(relayEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C():
+			r.readConfiguration(ctx, now)
+			r.readEndpoints(ctx, now)
+		}
+	}
+}
+
+// readConfiguration asks a host that has had a newer configuration for a while.
+func (r *relay) readConfiguration(ctx context.Context, now time.Time) {
+	address := r.mesh.Newer(r.configuration.version())
+	if address == "" {
+		r.behindSince = time.Time{}
+		return
+	}
+	if r.behindSince.IsZero() {
+		r.behindSince = now
+	}
+	if now.Sub(r.behindSince) < relayAfter {
+		return
+	}
+	value, err := r.get(ctx, address, configurationPath)
+	if err != nil {
+		r.trail.Failure("relayFailed").Text("what", "configuration").Text("from", address).Err(err).End()
+		return
+	}
+	r.configuration.take(value, "host "+address)
+}
+
+// readEndpoints takes the endpoints that another host knows, while the store
+// does not answer this one.
+func (r *relay) readEndpoints(ctx context.Context, now time.Time) {
+	if !r.endpoints.lost.Load() && r.endpoints.listed.Load() || now.Sub(r.endpointsAt) < relayEndpointsEvery {
+		return
+	}
+	address := r.mesh.Connected()
+	if address == "" {
+		return
+	}
+	r.endpointsAt = now
+	value, err := r.get(ctx, address, endpointsPath)
+	if err == nil {
+		err = r.takeEndpoints(value)
+	}
+	if err != nil {
+		r.trail.Failure("relayFailed").Text("what", "endpoints").Text("from", address).Err(err).End()
+	}
+}
+
+func (r *relay) takeEndpoints(value []byte) error {
+	var entries []directory.Entry
+	if err := json.Unmarshal(value, &entries); err != nil {
+		return err
+	}
+	if len(entries) == 0 {
+		return nil
+	}
+	for _, entry := range entries {
+		r.decided.post(entryObserved{entry: entry})
+	}
+	r.endpoints.listed.Store(true)
+	return nil
+}
+
+func (r *relay) get(ctx context.Context, address, path string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, &RelayError{
+			Address: address,
+			Status:  response.StatusCode,
+		}
+	}
+	return io.ReadAll(io.LimitReader(response.Body, maxRelayed))
+}
+
+// peerHandler serves what other hosts ask for.
+func (g *Gateway) peerHandler() http.Handler {
+	routes := http.NewServeMux()
+	routes.HandleFunc("GET "+configurationPath, func(w http.ResponseWriter, _ *http.Request) {
+		inForce := g.configuration.inForce.Load()
+		if inForce == nil {
+			http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+			return
+		}
+		// A host that is gone needs no answer.
+		_, _ = w.Write(inForce.raw)
+	})
+	routes.HandleFunc("GET "+endpointsPath, func(w http.ResponseWriter, _ *http.Request) {
+		var entries []directory.Entry
+		g.look(func() { entries = g.decided.directory.Entries() })
+		_ = json.NewEncoder(w).Encode(entries)
+	})
+	return routes
+}
+
+// peerListener tells the decisions of other hosts.
+type peerListener struct {
+	decided *decisions
+	trail   *trail.Trail
+	known   map[string]bool
+}
+
+var _ peer.Listener = (*peerListener)(nil)
+
+// Heard implements peer.Listener. A message that finds no room is dropped, as the
+// next one replaces it.
+func (l *peerListener) Heard(message peer.Message) {
+	if message.Leaving {
+		l.decided.events.TryPush(scheduling.PeerGone{Peer: message.Host})
+		return
+	}
+	l.decided.events.TryPush(scheduling.PeerReported{
+		Peer:   message.Host,
+		Full:   message.Full,
+		Work:   message.Work,
+		Placed: message.Placed,
+	})
+}
+
+// Silent implements peer.Listener.
+func (l *peerListener) Silent(host string) {
+	l.trail.Failure("hostSilent").Text("peer", host).End()
+	l.decided.events.TryPush(scheduling.PeerGone{Peer: host})
+}
+
+// Roster is where the hosts of a fleet enter themselves.
+type Roster interface {
+	keyedlog.Log
+	// Put sets the value of a key.
+	Put(ctx context.Context, topic, key string, value []byte) error
+}
+
+const (
+	// rosterTopic is the topic of the hosts' own in the store.
+	rosterTopic = "keyed.cactuswellHosts"
+	// rosterTimeout bounds a call for the roster, and rosterRetry is the time
+	// between two tries.
+	rosterTimeout = 1500 * time.Millisecond
+	rosterRetry   = 700 * time.Millisecond
+)
+
+// rosterEntry is how to reach a host.
+type rosterEntry struct {
+	Address string `json:"address"`
+	Born    int64  `json:"born"`
+}
+
+// enroll enters the host in the roster and then reads the others, until both
+// have succeeded once: of two hosts that start together, at least one sees the
+// other, and the other then hears it.
+func (g *Gateway) enroll(ctx context.Context) error {
+	entered := false
+	for ctx.Err() == nil {
+		err := g.enrollOnce(ctx, &entered)
+		if err == nil {
+			return nil
+		}
+		wake := g.timers.After(rosterRetry)
+		select {
+		case <-ctx.Done():
+		case <-wake.C():
+		}
+		wake.Stop()
+	}
+	return nil
+}
+
+func (g *Gateway) enrollOnce(ctx context.Context, entered *bool) error {
+	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
+	defer cancel()
+	if !*entered {
+		value, err := json.Marshal(rosterEntry{
+			Address: g.Settings.PeerListen,
+			Born:    g.born,
+		})
+		if err != nil {
+			return err
+		}
+		if err := g.Roster.Put(ctx, rosterTopic, g.Settings.Name, value); err != nil {
+			g.trail.Failure("rosterFailed").Err(err).End()
+			return err
+		}
+		*entered = true
+	}
+	listing, err := g.Roster.Newest(ctx, rosterTopic, "")
+	if err != nil {
+		g.trail.Failure("rosterFailed").Err(err).End()
+		return err
+	}
+	for _, record := range listing.Records {
+		var entry rosterEntry
+		if err := json.Unmarshal(record.Value, &entry); err != nil {
+			g.trail.Failure("rosterEntryUnreadable").Text("peer", record.Key).Err(err).End()
+			continue
+		}
+		g.mesh.Add(entry.Address)
+	}
+	g.decided.post(heartbeatDue{})
+	g.trail.Notice("rosterRead").Int("hosts", int64(len(listing.Records))).End()
+	return nil
+}
