--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -61,13 +61,14 @@
 	work      time.Duration
 	predicted time.Duration
 	cached    int
+	// held is the number of the prompt's leading tokens that some endpoint holds.
+	held int
 	// ran counts the attempts that may have run; sends counts all.
 	ran   int
 	sends int
 	// avoid holds the endpoints that failed the call.
 	avoid []Key
 	tight bool
-	long  bool
 }
 
 // repeatsLeft reports whether another attempt that may run is allowed.
--- a/core/scheduling/place.go
+++ b/core/scheduling/place.go
@@ -16,30 +16,38 @@
 	// pumpAgainAfter is how long held calls wait before the endpoints are looked
 	// at again, if no event comes first.
 	pumpAgainAfter = 25 * time.Millisecond
-	// homeDoubt is the part of a prompt that an endpoint which should hold it is
-	// taken not to hold, if no host has told of it.
-	homeDoubt = 0.5
-	// homes is the number of endpoints that a subject's prompts go to first.
-	homes = 2
-	// othersCost weighs the engine time that a prompt takes from other requests
-	// against the delay of its own first event.
-	othersCost = 0.6
+	// homes is the number of endpoints that a subject's prompts go to first, and
+	// homeBonus what such an endpoint is preferred by, if no host has told of the
+	// subject. Hosts that start anew find what is in memory there.
+	homes     = 2
+	homeBonus = 0.05
+	// onTimeMargin is the part of the latency target at which a prediction counts
+	// as late with even odds, and onTimeDoubt the spread around it.
+	onTimeMargin = 0.8
+	onTimeDoubt  = 0.12
+	// delayWeight weighs the delay itself against a missed target.
+	delayWeight = 0.15
+	// rereadCost is the cost, in missed targets, of a second of engine time spent
+	// on reading what another engine has in memory.
+	rereadCost = 2.0
+	// rereadWindow is for how long after its last use a part counts as held.
+	rereadWindow = 12 * time.Second
 	// longPrompt is the number of tokens to read from which a prompt disturbs
-	// streams with short pauses: more than one event's steps.
-	longPrompt = 6000
-	// tightGap is the pause up to which a stream counts as tight.
+	// streams with short pauses: more than one chunk.
+	longPrompt = 2048
+	// tightGap is the pause up to which a stream counts as tight: the time of an
+	// event whose every step reads a chunk, with some room.
 	tightGap = 250 * time.Millisecond
-	// disturbCost is the delay that equals the disturbance of a tight stream.
-	disturbCost = 15 * time.Millisecond
-	// disturbedCost is the delay that equals to start a tight stream beside a
-	// prompt that is being read.
-	disturbedCost = 60 * time.Millisecond
-	// orderCost spreads tight streams and long prompts towards opposite ends of
-	// an order of the endpoints that all hosts share.
-	orderCost = 30 * time.Millisecond
-	// errorCost is the delay that equals a certain failure of an endpoint's
-	// answer, in parts of the latency target.
-	errorCost = 2.0
+	// strayCost is the cost, in missed targets, of a call in the lane that is not
+	// its own.
+	strayCost = 0.3
+	// disturbCost is the cost of a long prompt for each tight stream beside it.
+	disturbCost = 0.1
+	// errorCost is the cost, in missed targets, of a certain failure of an
+	// endpoint's answer.
+	errorCost = 1.5
+	// trialCost is that of an endpoint that was out of use until now.
+	trialCost = 0.4
 )
 
 // arrive takes a new call: load of every kind.
@@ -145,6 +153,9 @@
 func (s *Scheduler) pick(c *call) (*target, Choice) {
 	var best candidate
 	compared := 0
+	if c.pool.engine != nil {
+		c.held = s.heldTokens(c)
+	}
 	for pass := 0; pass < 2 && best.target == nil; pass++ {
 		for _, t := range c.pool.targets {
 			if !s.open(c, t, pass > 0) {
@@ -199,7 +210,7 @@
 	return slots
 }
 
-// weigh returns what a call costs at an endpoint, in seconds of delay.
+// weigh returns what a call costs at an endpoint, in missed latency targets.
 func (s *Scheduler) weigh(c *call, t *target) candidate {
 	next := candidate{
 		target: t,
@@ -211,48 +222,56 @@
 		queue := float64(busy) / float64(max(t.entry.Slots, 1))
 		answer := c.pool.answer * t.slowness * (1 + queue*queue)
 		next.choice.First = distance + time.Duration(answer*float64(time.Second))
-		next.cost = next.choice.First.Seconds()
 	} else {
 		s.weighEngine(c, t, &next, distance)
 	}
-	next.cost += t.health.errors * errorCost * c.spec.Route.Target.Seconds()
+	next.cost += s.delayCost(c, next.choice.First)
+	next.cost += t.health.errors * errorCost
 	if t.health.ejectFor > 0 {
-		next.cost += firstEjection.Seconds()
+		next.cost += trialCost
 	}
 	// Ties are broken at random, so that hosts with the same view part.
-	next.cost *= 1 + 0.02*s.random.Float64()
+	next.cost += 0.01 * s.random.Float64()
 	return next
 }
 
+// delayCost returns the odds to miss the latency target, and a little for the
+// delay itself.
+func (s *Scheduler) delayCost(c *call, first time.Duration) float64 {
+	target := c.spec.Route.Target - s.now.Sub(c.arrived)
+	if target <= 0 {
+		return 1 + delayWeight*first.Seconds()/c.spec.Route.Target.Seconds()
+	}
+	part := first.Seconds() / target.Seconds()
+	return 1/(1+math.Exp((onTimeMargin-part)/onTimeDoubt)) + delayWeight*part
+}
+
 func (s *Scheduler) weighEngine(c *call, t *target, next *candidate, distance time.Duration) {
 	model := s.settings.Engine
 	cached := s.cachedTokens(c, t)
 	uncached := max(c.spec.PromptTokens-cached, 1)
 	work := time.Duration(float64(model.Prefill(cached, uncached)) * t.slowness)
 	reading := t.reading(s.now)
-	first := model.First + reading + work + distance
 	next.work = work
 	next.choice.Cached = cached
 	next.choice.Reading = reading
-	next.choice.First = first
-	cost := first.Seconds() + othersCost*work.Seconds()
-	order := s.order(t)
-	if c.tight {
-		cost += orderCost.Seconds() * order
-		if reading > time.Duration(longPrompt)*model.ReadPerThousand/1000 {
-			cost += disturbedCost.Seconds()
+	next.choice.First = model.First + reading + work + distance
+	if c.held > cached {
+		reread := model.Prefill(cached, c.held-cached)
+		next.cost += rereadCost * reread.Seconds()
+	} else if c.held == 0 && s.homeRank(c, t) < homes {
+		next.cost -= homeBonus
+	}
+	lane := c.pool.lanes.isTight(t)
+	switch {
+	case c.tight && !lane && c.pool.lanes.tight > 0:
+		next.cost += strayCost
+	case !c.tight && uncached > longPrompt:
+		if lane {
+			next.cost += strayCost
 		}
-		// A slow engine cannot keep short pauses.
-		cost += 0.2 * max(t.slowness-1, 0)
-	} else if uncached > longPrompt {
-		cost += orderCost.Seconds()*(1-order) + disturbCost.Seconds()*float64(t.tightStreams())
+		next.cost += disturbCost * float64(t.tightStreams())
 	}
-	next.cost = cost
-}
-
-// order places an endpoint between 0 and 1, alike on all hosts.
-func (s *Scheduler) order(t *target) float64 {
-	return float64(mix(0, t.entry.ID)>>11) / float64(1<<53)
 }
 
 // distance returns the round trip to an endpoint.
@@ -265,27 +284,39 @@
 
 // cachedTokens returns how much of a prompt an endpoint is believed to hold.
 func (s *Scheduler) cachedTokens(c *call, t *target) int {
-	tokens, best := 0, 0
+	tokens, held := 0, 0
 	for i, chain := range c.chain {
 		tokens += c.spec.Prompt[i].Tokens
 		if t.cache.has(chain) {
-			best = tokens
+			held = tokens
 		}
 	}
-	if best > 0 || len(c.chain) < 2 {
-		return min(best, c.spec.PromptTokens)
-	}
-	// No host has told of the prompt's subject: its first home may hold it.
-	if s.homeRank(c, t) < homes {
-		shared := tokens - c.spec.Prompt[len(c.spec.Prompt)-1].Tokens
-		return int(float64(min(shared, c.spec.PromptTokens)) * (1 - homeDoubt))
+	return min(held, c.spec.PromptTokens)
+}
+
+// heldTokens returns how much of a prompt's shared parts some endpoint in use
+// holds that was given a prompt with them of late.
+func (s *Scheduler) heldTokens(c *call) int {
+	since := s.now.Add(-rereadWindow)
+	tokens, held := 0, 0
+	for i := 0; i < len(c.chain)-1; i++ {
+		tokens += c.spec.Prompt[i].Tokens
+		for _, t := range c.pool.targets {
+			if !t.leaving && !t.health.out(s.now) && t.cache.usedSince(c.chain[i], since) {
+				held = tokens
+				break
+			}
+		}
 	}
-	return 0
+	return held
 }
 
 // homeRank returns the endpoint's place in the order in which hosts look for
 // room for the subject of a call, by rendezvous hashing.
 func (s *Scheduler) homeRank(c *call, t *target) int {
+	if len(c.chain) < 2 {
+		return homes
+	}
 	subject := c.chain[len(c.chain)-2]
 	own := mix(subject, t.entry.ID)
 	rank := 0
@@ -339,6 +370,7 @@
 	}
 	s.touch(t)
 	if c.pool.engine != nil {
+		c.pool.lanes.note(s.now, c.tight, c.work)
 		t.pending = append(t.pending, c)
 		s.remember(c, t)
 	}
@@ -361,8 +393,8 @@
 func (s *Scheduler) remember(c *call, t *target) {
 	capacity := s.cacheCapacity(t)
 	for i, chain := range c.chain {
-		known := t.cache.has(chain)
-		t.cache.add(chain, c.spec.Prompt[i].Tokens, capacity)
+		known := t.cache.usedSince(chain, s.now.Add(-rereadWindow/4))
+		t.cache.add(s.now, chain, c.spec.Prompt[i].Tokens, capacity)
 		if !known && i < len(c.chain)-1 && len(s.placed) < maxPlaced {
 			s.placed = append(s.placed, Placement{
 				Endpoint: t.hash,
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -76,9 +76,8 @@
 	budget  *retry.Window
 	// answer is the smoothed time to an answer of a plain service, in seconds.
 	answer float64
-	// output is the smoothed number of tokens of an answer, in parts of the
-	// caller's bound.
-	answered int
+	// lanes says which engines are for streams with short pauses.
+	lanes lanes
 }
 
 // New returns a scheduler that knows no service and no endpoint.
@@ -188,6 +187,7 @@
 		s.byHash[t.hash] = t
 		p := s.pool(change.Entry.Service)
 		p.targets = append(p.targets, t)
+		p.lanes.arrange(p.targets)
 		s.pump(p)
 	case directory.Updated:
 		if t := s.byKey[keyOf(change.Entry)]; t != nil {
@@ -196,6 +196,8 @@
 	case directory.Left:
 		if t := s.byKey[keyOf(change.Entry)]; t != nil {
 			t.leaving = true
+			p := s.pool(change.Entry.Service)
+			p.lanes.arrange(p.targets)
 		}
 	case directory.Removed:
 		s.removeTarget(keyOf(change.Entry))
@@ -220,6 +222,7 @@
 	for i, other := range p.targets {
 		if other == t {
 			p.targets = append(p.targets[:i], p.targets[i+1:]...)
+			p.lanes.arrange(p.targets)
 			return
 		}
 	}
@@ -249,7 +252,7 @@
 	}
 	for _, placement := range event.Placed {
 		if t := s.byHash[placement.Endpoint]; t != nil {
-			t.cache.add(placement.Chain, placement.Tokens, s.cacheCapacity(t))
+			t.cache.add(s.now, placement.Chain, placement.Tokens, s.cacheCapacity(t))
 		}
 	}
 	for _, p := range s.pools {
--- a/core/scheduling/target.go
+++ b/core/scheduling/target.go
@@ -47,6 +47,8 @@
 	fullTill time.Time
 	// dirty says that the work changed since other hosts were told.
 	dirty bool
+	// laneRank is the place in the order of lanes.
+	laneRank int
 }
 
 // peerWork is the work of another host, as told at a time.
@@ -154,6 +156,8 @@
 type cacheItem struct {
 	chain  uint64
 	tokens int
+	// usedAt is when a prompt with it was last given to the endpoint.
+	usedAt time.Time
 }
 
 func newCacheIndex() cacheIndex {
@@ -168,19 +172,27 @@
 	return ok
 }
 
+// usedSince reports whether a run was given to the endpoint since then.
+func (x *cacheIndex) usedSince(chain uint64, since time.Time) bool {
+	element, ok := x.byHash[chain]
+	return ok && element.Value.(*cacheItem).usedAt.After(since)
+}
+
 // add remembers a run that ends with a part of the given size.
-func (x *cacheIndex) add(chain uint64, tokens, capacity int) {
+func (x *cacheIndex) add(now time.Time, chain uint64, tokens, capacity int) {
 	if element, ok := x.byHash[chain]; ok {
+		element.Value.(*cacheItem).usedAt = now
 		x.order.MoveToBack(element)
 		return
 	}
-	x.byHash[chain] = x.order.PushBack(cacheItem{
+	x.byHash[chain] = x.order.PushBack(&cacheItem{
 		chain:  chain,
 		tokens: tokens,
+		usedAt: now,
 	})
 	x.tokens += tokens
 	for x.tokens > capacity && x.order.Len() > 1 {
-		oldest := x.order.Remove(x.order.Front()).(cacheItem)
+		oldest := x.order.Remove(x.order.Front()).(*cacheItem)
 		delete(x.byHash, oldest.chain)
 		x.tokens -= oldest.tokens
 	}
