--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -33,6 +33,8 @@
 	in     io.Reader
 	out    io.Writer
 	errors io.Writer
+	// args is the command line.
+	args []string
 }
 
 // logger returns a logger that writes JSON lines to the error output.
@@ -61,6 +63,7 @@
 		in:     in,
 		out:    out,
 		errors: errorsTo,
+		args:   args,
 	}
 	parser := flags.NewNamedParser("cactuswell", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "cactuswell routes language-model traffic with service levels and priorities."
--- a/cmd/gatewaycmd.go
+++ b/cmd/gatewaycmd.go
@@ -1,6 +1,11 @@
 package cmd
 
 import (
+	"os"
+
+	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
+
 	"cactuswell/core/directory"
 	"cactuswell/core/route"
 	"cactuswell/gateway"
@@ -41,11 +46,39 @@
 	return platform.DecodeEndpoint(id, value)
 }
 
+// load reads the settings: those of the environment file go before the
+// environment, and flags before both.
+func (g *gatewayCommand) load() (settings.Gateway, error) {
+	if g.EnvironmentFile != "" {
+		variables, err := settings.ReadEnvironment(g.EnvironmentFile)
+		if err != nil {
+			return settings.Gateway{}, trace.Wrap(err)
+		}
+		for name, value := range variables {
+			if err := os.Setenv(name, value); err != nil {
+				return settings.Gateway{}, trace.Wrap(err)
+			}
+		}
+	}
+	var fresh settings.Gateway
+	parser := flags.NewParser(&fresh, flags.IgnoreUnknown)
+	if _, err := parser.ParseArgs(g.console.args); err != nil {
+		return settings.Gateway{}, trace.Wrap(err)
+	}
+	return fresh, nil
+}
+
 // Execute runs the command.
 func (g *gatewayCommand) Execute([]string) error {
-	store := platform.NewStore(g.StoreAddress)
+	loaded, err := g.load()
+	if err != nil {
+		return err
+	}
+	signals := newStopSignals()
+	defer signals.close()
+	store := platform.NewStore(loaded.StoreAddress)
 	host, err := gateway.New(gateway.Dependencies{
-		Settings: g.Gateway,
+		Settings: loaded,
 		Log:      store,
 		Roster:   store,
 		Topics: gateway.Topics{
@@ -56,11 +89,11 @@
 		Decoder: storedValues{},
 		Dialect: platform.Dialect{},
 		Output:  g.console.out,
+		Source:  g.load,
+		Reload:  signals.reload,
 	})
 	if err != nil {
 		return err
 	}
-	signals := newStopSignals()
-	defer signals.close()
 	return host.Run(signals.stop, signals.kill)
 }
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -33,6 +33,17 @@
 // SetSlack changes the host's share of the slack, in attempts.
 func (w *Window) SetSlack(slack float64) { w.slack = slack }
 
+// SetBounds changes the length of the windows and the ratio. What was counted in
+// windows of another length is counted anew from now on.
+func (w *Window) SetBounds(length time.Duration, ratio float64) {
+	w.ratio = ratio
+	if length == w.length {
+		return
+	}
+	slack := w.slack
+	*w = *NewWindow(length, ratio, slack)
+}
+
 // First counts a first attempt.
 func (w *Window) First(now time.Time) {
 	w.advance(now)
--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -51,6 +51,13 @@
 	Table *route.Table
 }
 
+// BudgetChanged brings new bounds of the fleet's retry budget; see Settings.
+type BudgetChanged struct {
+	Window time.Duration
+	Ratio  float64
+	Slack  float64
+}
+
 // PeerReported brings another host's account of its work.
 type PeerReported struct {
 	Peer string
@@ -75,6 +82,7 @@
 func (AttemptEnded) isEvent()         {}
 func (EndpointChanged) isEvent()      {}
 func (ConfigurationChanged) isEvent() {}
+func (BudgetChanged) isEvent()        {}
 func (PeerReported) isEvent()         {}
 func (PeerGone) isEvent()             {}
 func (TimePassed) isEvent()           {}
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -118,6 +118,8 @@
 		s.changeEndpoint(event.Change)
 	case ConfigurationChanged:
 		s.configure(event.Table)
+	case BudgetChanged:
+		s.changeBudget(event)
 	case PeerReported:
 		s.peerReported(event)
 	case PeerGone:
@@ -170,6 +172,16 @@
 	return p
 }
 
+func (s *Scheduler) changeBudget(event BudgetChanged) {
+	s.settings.BudgetWindow = event.Window
+	s.settings.BudgetRatio = event.Ratio
+	s.settings.BudgetSlack = event.Slack
+	for _, p := range s.pools {
+		p.budget.SetBounds(event.Window, event.Ratio*budgetSafety)
+	}
+	s.shareBudget()
+}
+
 // slackShare is this host's part of the retry budget's slack.
 func (s *Scheduler) slackShare() float64 {
 	return s.settings.BudgetSlack * budgetSafety / float64(max(len(s.peers)+1, minBudgetHosts))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -89,6 +90,9 @@
 	Dialect opaque.Dialect
 	// Output takes the log lines.
 	Output io.Writer
+	// Source reads the settings anew; Reload says when it is worth a look.
+	Source Source
+	Reload <-chan struct{}
 }
 
 // Gateway is a running host.
@@ -111,7 +115,10 @@
 	peers          *http.Server
 	peerListener   net.Listener
 	born           int64
-	leaving        chan struct{}
+	// current are the settings in force.
+	current     atomic.Pointer[settings.Gateway]
+	reloadFault string
+	leaving     chan struct{}
 }
 
 // New opens the host's listeners. The error is a *settings.InvalidError or that
@@ -129,6 +136,7 @@
 		born:         time.Now().UnixMilli(),
 		leaving:      make(chan struct{}),
 	}
+	g.current.Store(&g.Settings)
 	g.tree = supervisor.New("gateway", log.NewNopLogger())
 	g.limitMemory()
 	var err error
@@ -367,6 +375,7 @@
 		"configuration": configuration.Run,
 		"endpoints":     endpoints.Run,
 		"sweep":         g.sweep,
+		"reload":        g.reload,
 		"callers":       g.serve(g.callers, g.callerListener),
 		"operators":     g.serve(g.operators, g.readyListener),
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -17,13 +17,14 @@
 // long as the stop timeout allows.
 func (g *Gateway) stop(kill context.Context) {
 	began := g.timers.Now()
+	inForce := g.current.Load()
 	close(g.leaving)
 	g.server.Leave()
 	g.trail.Notice("stopping").Int("openCalls", g.server.Open()).End()
-	g.pause(kill, began.Add(g.Settings.BalancerLag))
+	g.pause(kill, began.Add(inForce.BalancerLag))
 	g.callers.SetKeepAlivesEnabled(false)
 	_ = g.callerListener.Close()
-	for g.server.Open() > 0 && g.timers.Now().Before(began.Add(g.Settings.StopTimeout)) && kill.Err() == nil {
+	for g.server.Open() > 0 && g.timers.Now().Before(began.Add(inForce.StopTimeout)) && kill.Err() == nil {
 		g.pause(kill, g.timers.Now().Add(stopLook))
 	}
 	left := g.server.Open()
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -5,15 +5,17 @@
 // Gateway are the settings of a host that serves routes of a configuration kept
 // in a store.
 type Gateway struct {
-	Name string `long:"name" env:"CACTUSWELL_NAME" description:"name of this host, unique in the fleet" required:"yes"`
-	Zone string `long:"zone" env:"CACTUSWELL_ZONE" description:"availability zone of this host" required:"yes"`
+	EnvironmentFile string `long:"environment-file" env:"CACTUSWELL_ENVIRONMENT_FILE" description:"file of lines NAME=value that go before the environment and are read again when they change"`
 
-	CallerListen string   `long:"caller-listen" env:"CACTUSWELL_CALLER_LISTEN" description:"IP:port on which callers are served" required:"yes"`
-	ReadyListen  string   `long:"ready-listen" env:"CACTUSWELL_READY_LISTEN" description:"IP:port on which readiness and metrics are served" required:"yes"`
+	Name string `long:"name" env:"CACTUSWELL_NAME" description:"name of this host, unique in the fleet"`
+	Zone string `long:"zone" env:"CACTUSWELL_ZONE" description:"availability zone of this host"`
+
+	CallerListen string   `long:"caller-listen" env:"CACTUSWELL_CALLER_LISTEN" description:"IP:port on which callers are served"`
+	ReadyListen  string   `long:"ready-listen" env:"CACTUSWELL_READY_LISTEN" description:"IP:port on which readiness and metrics are served"`
 	ReadyPath    string   `long:"ready-path" env:"CACTUSWELL_READY_PATH" description:"path of the readiness check" default:"/ready"`
 	PeerListen   string   `long:"peer-listen" env:"CACTUSWELL_PEER_LISTEN" description:"IP:port on which other hosts are served, over TCP and UDP; empty for none"`
 	Peers        []string `long:"peer" env:"CACTUSWELL_PEERS" env-delim:"," description:"IP:port of another host's peer listener; may be given many times"`
-	StoreAddress string   `long:"store-address" env:"CACTUSWELL_STORE_ADDRESS" description:"IP:port of the platform's metadata store" required:"yes"`
+	StoreAddress string   `long:"store-address" env:"CACTUSWELL_STORE_ADDRESS" description:"IP:port of the platform's metadata store"`
 
 	MemoryMB    int           `long:"memory-mb" env:"CACTUSWELL_MEMORY_MB" description:"memory that this process may use, in MB" default:"128"`
 	BalancerLag time.Duration `long:"balancer-lag" env:"CACTUSWELL_BALANCER_LAG" description:"how long the balancer goes on sending connections to a host that is no longer ready" default:"3s"`
