--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -88,7 +88,6 @@
 		newExplainCommand(c),
 		newGatewayCommand(c),
 		newLoadCommand(c),
-		newPlacementCommand(c),
 		newProfileCommand(c),
 		newServeCommand(c),
 		newStandInCommand(c),
--- a/cmd/doctorcmd.go
+++ b/cmd/doctorcmd.go
@@ -18,7 +18,6 @@
 	"cactuswell/io/engine"
 	"cactuswell/io/hostlist"
 	"cactuswell/io/logservice"
-	"cactuswell/io/weightstore"
 	"cactuswell/settings"
 	"cactuswell/timer"
 )
@@ -72,7 +71,7 @@
 		name:  "doctor",
 		short: "Check what a host with these settings needs",
 		long: "Checks, from where it is run and with the settings that serve would be given: the settings " +
-			"themselves, the log, the host list, the weight store, the peers, the endpoints, the clock and the " +
+			"themselves, the log, the host list, the peers, the endpoints, the clock and the " +
 			"certificates. Exits with 1 if a check failed.",
 		command: &doctorCommand{
 			console: c,
@@ -93,7 +92,6 @@
 	d.checkLog(ctx, client)
 	d.checkClock(ctx, client)
 	d.checkHostList(ctx, client)
-	d.checkWeightStore(ctx, client)
 	d.checkPeers()
 	d.checkCertificates()
 	return d.print()
@@ -184,19 +182,6 @@
 	}
 }
 
-func (d *doctorCommand) checkWeightStore(ctx context.Context, client *http.Client) {
-	if d.WeightStoreURL == "" {
-		d.add("weight store", resultWarning, "no weight store is set")
-		return
-	}
-	limits, err := weightstore.New(d.WeightStoreURL, client).Limits(ctx)
-	if err != nil {
-		d.add("weight store", resultFailed, "%s", trace.UserMessage(err))
-		return
-	}
-	d.add("weight store", resultOK, "%d bytes a second", limits.BytesPerSecond)
-}
-
 func (d *doctorCommand) checkPeers() {
 	if len(d.Peers) == 0 {
 		d.add("peers", resultWarning, "no peer is set; the host finds others through the log only")
--- a/core/configuration/change.go
+++ b/core/configuration/change.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -19,11 +18,7 @@
 	MaxEndpointLength = 128
 )
 
-// AuthorPlacement is the author of the drains and resumes that placement makes.
-// No operator may use it.
-const AuthorPlacement = "placement"
-
-// Change is one of ProfileChange, EndpointChange and PlacementChange.
+// Change is one of ProfileChange and EndpointChange.
 type Change interface {
 	kind() record.Kind
 	// subject names what is changed.
@@ -57,14 +52,6 @@
 	AsOf    record.Offset `json:"asOf"`
 }
 
-// PlacementChange replaces the wanted placement.
-type PlacementChange struct {
-	BaseRevision uint64          `json:"baseRevision"`
-	Document     json.RawMessage `json:"document"`
-	Author       string          `json:"author"`
-	AsOf         record.Offset   `json:"asOf"`
-}
-
 // InvalidError says what is wrong with one field of a change.
 type InvalidError struct {
 	Field  string
@@ -124,10 +111,6 @@
 		var change EndpointChange
 		err := json.Unmarshal(envelope.Body, &change)
 		return change, err
-	case record.KindPlacement:
-		var change PlacementChange
-		err := json.Unmarshal(envelope.Body, &change)
-		return change, err
 	}
 	return nil, nil
 }
@@ -207,27 +190,6 @@
 	return nil
 }
 
-func (c PlacementChange) kind() record.Kind   { return record.KindPlacement }
-func (c PlacementChange) subject() string     { return "placement" }
-func (c PlacementChange) author() string      { return c.Author }
-func (c PlacementChange) asOf() record.Offset { return c.AsOf }
-
-func (c PlacementChange) check() error {
-	switch {
-	case len(c.Document) > MaxDocumentBytes:
-		return &InvalidError{
-			Field:  "document",
-			Reason: "allowed: up to 64 KiB",
-		}
-	case !json.Valid(c.Document) || !utf8.Valid(c.Document):
-		return &InvalidError{
-			Field:  "document",
-			Reason: "not JSON",
-		}
-	}
-	return nil
-}
-
 // WithAsOf returns the change as written in front of the given offset.
 func WithAsOf(change Change, asOf record.Offset) Change {
 	switch change := change.(type) {
@@ -237,9 +199,6 @@
 	case EndpointChange:
 		change.AsOf = asOf
 		return change
-	case PlacementChange:
-		change.AsOf = asOf
-		return change
 	}
 	return change
 }
--- a/core/configuration/configuration.go
+++ b/core/configuration/configuration.go
@@ -1,5 +1,5 @@
 // Package configuration reduces the configuration stream of the log, in offset
-// order, to the profiles, endpoint drains and wanted placement in force.
+// order, to the profiles and endpoint drains in force.
 //
 // A change carries the revision that it was made from and is accepted only if
 // that revision is still current; of two racing changes the one with the lower
@@ -24,16 +24,14 @@
 // offset as of which it was written, and is refused as stale when its place in
 // the stream is more than Window records after that. So a repetition of a
 // record is either within Window records of the first one, and its id is
-// remembered, or it is stale; it never has a second effect. Profile and
-// placement changes are further protected by their base revision, which the
-// first occurrence has used up.
+// remembered, or it is stale; it never has a second effect. Profile
+// changes are further protected by their base revision, which the first
+// occurrence has used up.
 //
-// # Drains and placement
+// # Drains
 //
 // A change of an endpoint has no base revision, so that an operator's drain
-// always takes effect. A change by AuthorPlacement is invalid if another author
-// drained the same incarnation: placement may have planned it before it read
-// that drain.
+// always takes effect.
 //
 // # Records of other releases
 //
@@ -71,11 +69,10 @@
 
 // State is the reduced configuration in front of its next offset.
 type State struct {
-	next      record.Offset
-	digest    uint64
-	entries   map[string]Entry
-	drains    map[string]Drain
-	placement Placement
+	next    record.Offset
+	digest  uint64
+	entries map[string]Entry
+	drains  map[string]Drain
 	// prunedAt is the highest revision of a tombstone that was forgotten.
 	prunedAt uint64
 	// outcomes holds the remembered outcomes in offset order; byID indexes
@@ -98,16 +95,15 @@
 // Clone returns a copy that shares nothing that Apply changes.
 func (s *State) Clone() *State {
 	return &State{
-		next:      s.next,
-		digest:    s.digest,
-		entries:   maps.Clone(s.entries),
-		drains:    maps.Clone(s.drains),
-		placement: s.placement,
-		prunedAt:  s.prunedAt,
-		outcomes:  slices.Clone(s.outcomes),
-		byID:      maps.Clone(s.byID),
-		counts:    s.counts,
-		blocked:   s.blocked,
+		next:     s.next,
+		digest:   s.digest,
+		entries:  maps.Clone(s.entries),
+		drains:   maps.Clone(s.drains),
+		prunedAt: s.prunedAt,
+		outcomes: slices.Clone(s.outcomes),
+		byID:     maps.Clone(s.byID),
+		counts:   s.counts,
+		blocked:  s.blocked,
 	}
 }
 
@@ -124,10 +120,6 @@
 // Blocked returns the newer record that the state stays in front of, or nil.
 func (s *State) Blocked() *VersionError { return s.blocked }
 
-// Placement returns the wanted placement. Its revision is zero if there is
-// none.
-func (s *State) Placement() Placement { return s.placement }
-
 // Entry returns the entry of a profile, which may be a tombstone.
 func (s *State) Entry(name string) (Entry, bool) {
 	entry, ok := s.entries[name]
@@ -141,7 +133,7 @@
 	})
 }
 
-// Drained reports whether an operator or placement drained the endpoint's
+// Drained reports whether an operator drained the endpoint's
 // incarnation.
 func (s *State) Drained(key endpoint.Key) bool {
 	drain, ok := s.drains[key.Name]
@@ -188,13 +180,6 @@
 }
 
 func (s *State) current(outcome Outcome) Entry {
-	if outcome.Kind == record.KindPlacement {
-		return Entry{
-			Name:     outcome.Name,
-			Revision: s.placement.Revision,
-			Author:   s.placement.Author,
-		}
-	}
 	return s.entries[outcome.Name]
 }
 
@@ -290,8 +275,6 @@
 		s.decideProfile(outcome, change)
 	case EndpointChange:
 		s.decideEndpoint(outcome, change)
-	case PlacementChange:
-		s.decidePlacement(outcome, change)
 	}
 }
 
@@ -360,9 +343,6 @@
 	case change.Incarnation < current.Incarnation:
 		outcome.Verdict = VerdictInvalid
 		outcome.Reason = "a newer incarnation was drained"
-	case drained && current.protects(change):
-		outcome.Verdict = VerdictInvalid
-		outcome.Reason = "another author than placement drained it"
 	case change.Drained && !drained && len(s.drains) >= MaxDrains:
 		outcome.Verdict = VerdictInvalid
 		outcome.Reason = "too many drained endpoints"
@@ -381,21 +361,6 @@
 	}
 }
 
-func (s *State) decidePlacement(outcome *Outcome, change PlacementChange) {
-	outcome.Base = change.BaseRevision
-	if change.BaseRevision != s.placement.Revision {
-		outcome.Verdict = VerdictConflict
-		return
-	}
-	outcome.Verdict = VerdictAccepted
-	outcome.Revision = uint64(outcome.Offset) + 1
-	s.placement = Placement{
-		Revision: outcome.Revision,
-		Author:   change.Author,
-		Document: string(change.Document),
-	}
-}
-
 func (s *State) live() int {
 	count := 0
 	for _, entry := range s.entries {
--- a/core/configuration/entry.go
+++ b/core/configuration/entry.go
@@ -46,14 +46,7 @@
 	return e.profile, !e.Deleted && e.Revision != 0
 }
 
-// Placement is the wanted placement.
-type Placement struct {
-	Revision uint64 `json:"revision"`
-	Author   string `json:"author"`
-	Document string `json:"document"`
-}
-
-// Drain says that an operator or placement drained one incarnation of an
+// Drain says that an operator drained one incarnation of an
 // endpoint.
 type Drain struct {
 	Name        string        `json:"name"`
@@ -62,13 +55,6 @@
 	Offset      record.Offset `json:"offset"`
 }
 
-// protects reports whether the drain holds against the change: placement never
-// replaces or takes back another author's drain of the same incarnation.
-func (d Drain) protects(change EndpointChange) bool {
-	return change.Author == AuthorPlacement && d.Author != AuthorPlacement &&
-		change.Incarnation == d.Incarnation
-}
-
 func appendBounded(history []Past, past Past, limit int) []Past {
 	start := max(0, len(history)+1-limit)
 	kept := make([]Past, 0, limit)
--- a/core/configuration/snapshot.go
+++ b/core/configuration/snapshot.go
@@ -25,30 +25,28 @@
 }
 
 type snapshot struct {
-	Version   int           `json:"version"`
-	Next      record.Offset `json:"next"`
-	Digest    uint64        `json:"digest"`
-	Entries   []Entry       `json:"entries"`
-	Drains    []Drain       `json:"drains"`
-	Placement Placement     `json:"placement"`
-	PrunedAt  uint64        `json:"prunedAt"`
-	Outcomes  []Outcome     `json:"outcomes"`
-	Counts    Counts        `json:"counts"`
+	Version  int           `json:"version"`
+	Next     record.Offset `json:"next"`
+	Digest   uint64        `json:"digest"`
+	Entries  []Entry       `json:"entries"`
+	Drains   []Drain       `json:"drains"`
+	PrunedAt uint64        `json:"prunedAt"`
+	Outcomes []Outcome     `json:"outcomes"`
+	Counts   Counts        `json:"counts"`
 }
 
 // Snapshot returns the state's encoding. It has the same bytes at every host
 // that reduced the same records.
 func (s *State) Snapshot() ([]byte, error) {
 	data, err := json.Marshal(snapshot{
-		Version:   snapshotVersion,
-		Next:      s.next,
-		Digest:    s.digest,
-		Entries:   s.Entries(),
-		Drains:    s.Drains(),
-		Placement: s.placement,
-		PrunedAt:  s.prunedAt,
-		Outcomes:  append([]Outcome{}, s.outcomes...),
-		Counts:    s.counts,
+		Version:  snapshotVersion,
+		Next:     s.next,
+		Digest:   s.digest,
+		Entries:  s.Entries(),
+		Drains:   s.Drains(),
+		PrunedAt: s.prunedAt,
+		Outcomes: append([]Outcome{}, s.outcomes...),
+		Counts:   s.counts,
 	})
 	if err != nil {
 		return nil, &SnapshotError{Reason: err.Error()}
@@ -77,7 +75,6 @@
 	state := New()
 	state.next = decoded.Next
 	state.digest = decoded.Digest
-	state.placement = decoded.Placement
 	state.prunedAt = decoded.PrunedAt
 	state.counts = decoded.Counts
 	if err := state.restoreEntries(decoded.Entries); err != nil {
--- a/core/membership/weighed/fleet.go
+++ b/core/membership/weighed/fleet.go
@@ -1,6 +1,6 @@
-// Package weighed runs membership schemes side by side in virtual time: the
-// one that the product uses and the ones that it was weighed against. Only
-// tests and benchmarks import it.
+// Package weighed runs a membership scheme in virtual time. The schemes that the
+// product's was weighed against are gone; docs/measurements-membership.md keeps
+// their figures. Only tests and benchmarks import it.
 //
 // # Usage
 //
@@ -9,7 +9,7 @@
 //		Zones: 3,
 //		Delay: time.Millisecond,
 //		Seed:  1,
-//	}, weighed.NewSWIM)
+//	}, weighed.NewChosen)
 //	fleet.Run(30 * time.Second)
 //	fleet.Crash(7)
 //	fleet.Run(30 * time.Second)
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -29,8 +29,8 @@
 
 // The streams that the system reads and writes.
 const (
-	// StreamConfiguration holds profile changes, endpoint drains and wanted
-	// placement, as operators publish them.
+	// StreamConfiguration holds profile changes and endpoint drains, as
+	// operators publish them.
 	StreamConfiguration Stream = "configuration"
 	// StreamClaims holds claims of idempotency keys and their outcomes.
 	StreamClaims Stream = "claims"
@@ -38,8 +38,6 @@
 	StreamSnapshots Stream = "snapshots"
 	// StreamHosts holds the hosts' announcements.
 	StreamHosts Stream = "hosts"
-	// StreamLeases holds the leases of placement holders.
-	StreamLeases Stream = "leases"
 )
 
 // Kind says what a record's body is.
@@ -49,7 +47,6 @@
 const (
 	KindProfileChange  Kind = "profileChange"
 	KindEndpointChange Kind = "endpointChange"
-	KindPlacement      Kind = "placement"
 	KindSnapshot       Kind = "snapshot"
 	KindClaim          Kind = "claim"
 	KindClaimRelease   Kind = "claimRelease"
@@ -57,7 +54,6 @@
 	KindKeysUsed       Kind = "keysUsed"
 	KindHostStarted    Kind = "hostStarted"
 	KindHostLeft       Kind = "hostLeft"
-	KindLease          Kind = "lease"
 )
 
 const (
--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -68,6 +68,8 @@
 	sends int
 	// avoid holds the endpoints that failed the call.
 	avoid []Key
+	// cause is why the last attempt failed.
+	cause Reason
 	tight bool
 }
 
--- a/core/scheduling/command.go
+++ b/core/scheduling/command.go
@@ -48,6 +48,8 @@
 type Refuse struct {
 	Call   CallID
 	Reason Reason
+	// Cause is why the last attempt failed, or empty.
+	Cause Reason
 	// Ran says that the call may have run.
 	Ran bool
 	// RetryAfter tells the caller when to come back, or is zero.
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -207,6 +207,7 @@
 // tryElsewhere sends a call again that was not run.
 func (s *Scheduler) tryElsewhere(c *call, t *target, reason Reason) {
 	c.avoid = append(c.avoid, t.key)
+	c.cause = reason
 	if len(c.avoid) > maxUnreachable || reason == ReasonDeclined && c.pool.budget.Left(s.now) < 1 {
 		s.refuse(c, reason)
 		return
@@ -220,19 +221,11 @@
 
 // tryAgain sends a call again that may have run, if that is allowed. Answered
 // says that the endpoint gave an answer which the caller can have instead.
-func (s *Scheduler) tryAgain(c *call, t *target, reason Reason, answered bool) {
+func (s *Scheduler) tryAgain(c *call, t *target, cause Reason, answered bool) {
 	c.avoid = append(c.avoid, t.key)
-	switch {
-	case !c.repeatsLeft():
-		reason = ReasonAttemptsSpent
-		if !c.spec.Route.Repeatable() {
-			reason = ReasonOutcome
-		}
-	case c.pool.budget.Left(s.now) < 1:
-		reason = ReasonBudgetSpent
-	case !s.now.Before(c.spec.Deadline):
-		reason = ReasonTimedOut
-	default:
+	c.cause = cause
+	reason := s.lastAttempt(c)
+	if reason == "" {
 		if next, choice := s.pick(c); next != nil {
 			s.send(c, next, choice)
 			return
@@ -249,12 +242,28 @@
 	s.refuse(c, reason)
 }
 
+// lastAttempt returns why a call that may have run is not sent again, or nothing.
+func (s *Scheduler) lastAttempt(c *call) Reason {
+	switch {
+	case !c.spec.Route.Repeatable():
+		return ReasonOutcome
+	case !c.repeatsLeft():
+		return ReasonAttemptsSpent
+	case c.pool.budget.Left(s.now) < 1:
+		return ReasonBudgetSpent
+	case !s.now.Before(c.spec.Deadline):
+		return ReasonTimedOut
+	}
+	return ""
+}
+
 // refuse ends a call without an answer.
 func (s *Scheduler) refuse(c *call, reason Reason) {
 	s.forget(c)
 	s.commands = append(s.commands, Refuse{
 		Call:       c.spec.ID,
 		Reason:     reason,
+		Cause:      c.cause,
 		Ran:        c.ran > 0,
 		RetryAfter: s.retryAfter(c),
 		Known:      len(c.pool.targets),
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -29,7 +29,6 @@
 	hostliststandin "cactuswell/standin/hostlist"
 	logstandin "cactuswell/standin/logservice"
 	servicestandin "cactuswell/standin/service"
-	weightstandin "cactuswell/standin/weightstore"
 )
 
 const (
@@ -84,10 +83,6 @@
 	if err != nil {
 		return err
 	}
-	storeAddress, err := d.serve(weightstandin.New(weightstandin.Settings{}).Handler())
-	if err != nil {
-		return err
-	}
 	for _, endpoint := range d.deployment.Endpoints() {
 		if err := d.startEndpoint(endpoint); err != nil {
 			return err
@@ -96,7 +91,7 @@
 	var peers []string
 	for i := range hosts {
 		h, err := host.New(host.Dependencies{
-			Settings: d.hostSettings(i, logAddress, listAddress, storeAddress, peers),
+			Settings: d.hostSettings(i, logAddress, listAddress, peers),
 			Logger:   logger,
 		})
 		if err != nil {
@@ -108,7 +103,7 @@
 	return nil
 }
 
-func (d *Demo) hostSettings(index int, logAddress, listAddress, storeAddress string, peers []string) settings.Settings {
+func (d *Demo) hostSettings(index int, logAddress, listAddress string, peers []string) settings.Settings {
 	s := settings.Defaults()
 	s.Name = fmt.Sprintf("%s-host-%d", d.deployment.Name, index+1)
 	s.Zone = d.deployment.Zones[index%len(d.deployment.Zones)]
@@ -117,7 +112,6 @@
 	s.OperatorListen = listenAddress
 	s.LogURL = "http://" + logAddress
 	s.HostListURL = "http://" + listAddress
-	s.WeightStoreURL = "http://" + storeAddress
 	s.Peers = append([]string(nil), peers...)
 	s.BalancerLag = 0
 	return s
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -115,7 +115,7 @@
 }
 
 func (r *Run) startAll() error {
-	for _, part := range []string{"log", "host-list", "weight-store"} {
+	for _, part := range []string{"log", "host-list"} {
 		p, err := start(part, r.config.Program, "standin", part)
 		if err != nil {
 			return err
@@ -172,7 +172,6 @@
 		"serve", "--name", h.name, "--zone", r.config.Firm.Zones[index%len(r.config.Firm.Zones)],
 		"--log-url", "http://" + r.platform["log"].addresses["listen"],
 		"--host-list-url", "http://" + r.platform["host-list"].addresses["listen"],
-		"--weight-store-url", "http://" + r.platform["weight-store"].addresses["listen"],
 		"--balancer-lag", balancerLag.String(),
 	}
 	h.arguments = append(h.arguments, r.config.HostArguments...)
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"cactuswell/core/directory"
-	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 	"cactuswell/ring"
 	"cactuswell/timer"
@@ -37,10 +36,8 @@
 	directory *directory.Directory
 	replies   map[scheduling.CallID]chan<- scheduling.Command
 	names     map[scheduling.CallID]string
-	table     *route.Table
 	commands  []scheduling.Command
 	changes   []directory.Change
-	draw      *rand.Rand
 	endpoints atomic.Int64
 	waiting   atomic.Int64
 	hosts     atomic.Int64
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -197,7 +197,6 @@
 type peerListener struct {
 	decided *decisions
 	trail   *trail.Trail
-	known   map[string]bool
 }
 
 var _ peer.Listener = (*peerListener)(nil)
--- a/host/host.go
+++ b/host/host.go
@@ -34,7 +34,6 @@
 	"cactuswell/io/claims"
 	"cactuswell/io/configuration"
 	"cactuswell/io/node"
-	"cactuswell/io/placement"
 	"cactuswell/metrics"
 	"cactuswell/settings"
 	"cactuswell/supervisor"
@@ -65,7 +64,6 @@
 	claims        *claims.Claims
 	forwarder     *claims.Forwarder
 	directory     *directory
-	placement     *placement.Placement
 	recent        *recentRequests
 	requestIDs    atomic.Uint64
 	externalIDs   atomic.Uint64
--- a/host/run.go
+++ b/host/run.go
@@ -102,7 +102,6 @@
 		added:    h.watched,
 		leaving:  h.node.AnnounceLeaving,
 	})
-	h.placement = h.newPlacement()
 	h.publishCounters()
 	h.node.OnEndpointLeaving(h.directory.markLeaving)
 	h.node.OnMembersChanged(h.countHosts)
@@ -295,11 +294,6 @@
 		Name: "directory",
 		Run:  h.directory.run,
 	})
-	if h.settings.Placement == settings.PlacementOn {
-		for _, duty := range h.placement.Duties() {
-			h.tree.Add(duty)
-		}
-	}
 	drains := &drainWatch{
 		configuration: h.configuration,
 		directory:     h.directory,
@@ -381,7 +375,6 @@
 		Dump:          h.dumpJSON,
 		Explain:       h.explainJSON,
 		Endpoints:     h.operatorEndpoints,
-		Placement:     h.placement,
 	}).Handler())
 	routes.Handle("/debug/vars", h.counters)
 	return routes
--- a/io/configuration/configuration.go
+++ b/io/configuration/configuration.go
@@ -159,17 +159,12 @@
 	return profiles
 }
 
-// Drained reports whether an operator or placement drained the endpoint's
+// Drained reports whether an operator drained the endpoint's
 // incarnation.
 func (c *Configuration) Drained(key endpoint.Key) bool {
 	return c.State().Drained(key)
 }
 
-// Placement returns the wanted placement.
-func (c *Configuration) Placement() core.Placement {
-	return c.State().Placement()
-}
-
 // Applied returns the offset of the first record that is not applied yet.
 func (c *Configuration) Applied() record.Offset {
 	return c.State().Next()
--- a/io/configuration/dump.go
+++ b/io/configuration/dump.go
@@ -22,7 +22,6 @@
 	Alarms         map[follow.AlarmKind]uint64 `json:"alarms,omitempty"`
 	Profiles       []configuration.Entry       `json:"profiles"`
 	Drains         []configuration.Drain       `json:"drains,omitempty"`
-	Placement      configuration.Placement     `json:"placement"`
 }
 
 // Dump returns the host's view of its configuration.
@@ -41,7 +40,6 @@
 		Alarms:         current.alarms,
 		Profiles:       current.state.Entries(),
 		Drains:         current.state.Drains(),
-		Placement:      current.state.Placement(),
 	}
 	if !current.confirmedAt.IsZero() {
 		dump.ConfirmedAgeMs = c.now().Sub(current.confirmedAt).Milliseconds()
--- a/io/keyedlog/keyedlog.go
+++ b/io/keyedlog/keyedlog.go
@@ -128,7 +128,7 @@
 		began := time.Now()
 		news, err := f.step(ctx)
 		if ctx.Err() != nil {
-			return nil
+			break
 		}
 		if err != nil {
 			f.fail(err)
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -296,7 +296,7 @@
 		result = ResultCut
 	}
 	x.server.Trail.Failure("callRefused").Text("request", x.caller.ID).Text("reason", string(refusal.Reason)).
-		Bool("mayHaveRun", refusal.Ran).Int("attempts", int64(x.attempts)).Millis("retryAfter", refusal.RetryAfter).
+		Text("cause", string(refusal.Cause)).Bool("mayHaveRun", refusal.Ran).Int("attempts", int64(x.attempts)).Millis("retryAfter", refusal.RetryAfter).
 		Int("endpoints", int64(refusal.Known)).Int("usable", int64(refusal.Usable)).
 		Int("waiting", int64(refusal.Waiting)).Int("version", x.version()).
 		Millis("after", time.Since(x.arrived)).Text("result", result).End()
--- a/io/opaque/stream.go
+++ b/io/opaque/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -86,11 +87,11 @@
 	for {
 		var err error
 		event, err = readEvent(reader, event[:0])
-		if err == io.EOF && len(event) == 0 {
+		if errors.Is(err, io.EOF) && len(event) == 0 {
 			return t.endStream(controller)
 		}
 		if err != nil {
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
 			return t.readFailed(err)
@@ -154,7 +155,7 @@
 	for {
 		line, err := reader.ReadSlice('\n')
 		event = append(event, line...)
-		if err == bufio.ErrBufferFull {
+		if errors.Is(err, bufio.ErrBufferFull) {
 			err = nil
 		} else if err == nil && (len(line) == 1 || len(line) == 2 && line[0] == '\r') {
 			return event, nil
--- a/io/operator/operatorv1/operatorv1connect/operator.connect.go
+++ b/io/operator/operatorv1/operatorv1connect/operator.connect.go
@@ -56,15 +56,6 @@
 	OperatorServiceDumpProcedure = "/cactuswell.operator.v1.OperatorService/Dump"
 	// OperatorServiceExplainProcedure is the fully-qualified name of the OperatorService's Explain RPC.
 	OperatorServiceExplainProcedure = "/cactuswell.operator.v1.OperatorService/Explain"
-	// OperatorServiceShowPlacementProcedure is the fully-qualified name of the OperatorService's
-	// ShowPlacement RPC.
-	OperatorServiceShowPlacementProcedure = "/cactuswell.operator.v1.OperatorService/ShowPlacement"
-	// OperatorServicePlanPlacementProcedure is the fully-qualified name of the OperatorService's
-	// PlanPlacement RPC.
-	OperatorServicePlanPlacementProcedure = "/cactuswell.operator.v1.OperatorService/PlanPlacement"
-	// OperatorServiceChangePlacementProcedure is the fully-qualified name of the OperatorService's
-	// ChangePlacement RPC.
-	OperatorServiceChangePlacementProcedure = "/cactuswell.operator.v1.OperatorService/ChangePlacement"
 )
 
 // OperatorServiceClient is a client for the cactuswell.operator.v1.OperatorService service.
@@ -84,14 +75,6 @@
 	Dump(context.Context, *connect.Request[operatorv1.DumpRequest]) (*connect.Response[operatorv1.DumpResponse], error)
 	// Explain returns what is known of one request.
 	Explain(context.Context, *connect.Request[operatorv1.ExplainRequest]) (*connect.Response[operatorv1.ExplainResponse], error)
-	// ShowPlacement returns the wanted placement, its holder and its orders as
-	// JSON.
-	ShowPlacement(context.Context, *connect.Request[operatorv1.ShowPlacementRequest]) (*connect.Response[operatorv1.ShowPlacementResponse], error)
-	// PlanPlacement returns what would be done next and why, as JSON.
-	PlanPlacement(context.Context, *connect.Request[operatorv1.PlanPlacementRequest]) (*connect.Response[operatorv1.PlanPlacementResponse], error)
-	// ChangePlacement publishes the wanted placement and returns once it was read
-	// back.
-	ChangePlacement(context.Context, *connect.Request[operatorv1.ChangePlacementRequest]) (*connect.Response[operatorv1.ChangePlacementResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the cactuswell.operator.v1.OperatorService
@@ -159,41 +142,20 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Explain")),
 			connect.WithClientOptions(opts...),
 		),
-		showPlacement: connect.NewClient[operatorv1.ShowPlacementRequest, operatorv1.ShowPlacementResponse](
-			httpClient,
-			baseURL+OperatorServiceShowPlacementProcedure,
-			connect.WithSchema(operatorServiceMethods.ByName("ShowPlacement")),
-			connect.WithClientOptions(opts...),
-		),
-		planPlacement: connect.NewClient[operatorv1.PlanPlacementRequest, operatorv1.PlanPlacementResponse](
-			httpClient,
-			baseURL+OperatorServicePlanPlacementProcedure,
-			connect.WithSchema(operatorServiceMethods.ByName("PlanPlacement")),
-			connect.WithClientOptions(opts...),
-		),
-		changePlacement: connect.NewClient[operatorv1.ChangePlacementRequest, operatorv1.ChangePlacementResponse](
-			httpClient,
-			baseURL+OperatorServiceChangePlacementProcedure,
-			connect.WithSchema(operatorServiceMethods.ByName("ChangePlacement")),
-			connect.WithClientOptions(opts...),
-		),
 	}
 }
 
 // operatorServiceClient implements OperatorServiceClient.
 type operatorServiceClient struct {
-	listProfiles    *connect.Client[operatorv1.ListProfilesRequest, operatorv1.ListProfilesResponse]
-	getProfile      *connect.Client[operatorv1.GetProfileRequest, operatorv1.GetProfileResponse]
-	changeProfile   *connect.Client[operatorv1.ChangeProfileRequest, operatorv1.ChangeProfileResponse]
-	history         *connect.Client[operatorv1.HistoryRequest, operatorv1.HistoryResponse]
-	inForce         *connect.Client[operatorv1.InForceRequest, operatorv1.InForceResponse]
-	listEndpoints   *connect.Client[operatorv1.ListEndpointsRequest, operatorv1.ListEndpointsResponse]
-	changeEndpoint  *connect.Client[operatorv1.ChangeEndpointRequest, operatorv1.ChangeEndpointResponse]
-	dump            *connect.Client[operatorv1.DumpRequest, operatorv1.DumpResponse]
-	explain         *connect.Client[operatorv1.ExplainRequest, operatorv1.ExplainResponse]
-	showPlacement   *connect.Client[operatorv1.ShowPlacementRequest, operatorv1.ShowPlacementResponse]
-	planPlacement   *connect.Client[operatorv1.PlanPlacementRequest, operatorv1.PlanPlacementResponse]
-	changePlacement *connect.Client[operatorv1.ChangePlacementRequest, operatorv1.ChangePlacementResponse]
+	listProfiles   *connect.Client[operatorv1.ListProfilesRequest, operatorv1.ListProfilesResponse]
+	getProfile     *connect.Client[operatorv1.GetProfileRequest, operatorv1.GetProfileResponse]
+	changeProfile  *connect.Client[operatorv1.ChangeProfileRequest, operatorv1.ChangeProfileResponse]
+	history        *connect.Client[operatorv1.HistoryRequest, operatorv1.HistoryResponse]
+	inForce        *connect.Client[operatorv1.InForceRequest, operatorv1.InForceResponse]
+	listEndpoints  *connect.Client[operatorv1.ListEndpointsRequest, operatorv1.ListEndpointsResponse]
+	changeEndpoint *connect.Client[operatorv1.ChangeEndpointRequest, operatorv1.ChangeEndpointResponse]
+	dump           *connect.Client[operatorv1.DumpRequest, operatorv1.DumpResponse]
+	explain        *connect.Client[operatorv1.ExplainRequest, operatorv1.ExplainResponse]
 }
 
 // ListProfiles calls cactuswell.operator.v1.OperatorService.ListProfiles.
@@ -241,21 +203,6 @@
 	return c.explain.CallUnary(ctx, req)
 }
 
-// ShowPlacement calls cactuswell.operator.v1.OperatorService.ShowPlacement.
-func (c *operatorServiceClient) ShowPlacement(ctx context.Context, req *connect.Request[operatorv1.ShowPlacementRequest]) (*connect.Response[operatorv1.ShowPlacementResponse], error) {
-	return c.showPlacement.CallUnary(ctx, req)
-}
-
-// PlanPlacement calls cactuswell.operator.v1.OperatorService.PlanPlacement.
-func (c *operatorServiceClient) PlanPlacement(ctx context.Context, req *connect.Request[operatorv1.PlanPlacementRequest]) (*connect.Response[operatorv1.PlanPlacementResponse], error) {
-	return c.planPlacement.CallUnary(ctx, req)
-}
-
-// ChangePlacement calls cactuswell.operator.v1.OperatorService.ChangePlacement.
-func (c *operatorServiceClient) ChangePlacement(ctx context.Context, req *connect.Request[operatorv1.ChangePlacementRequest]) (*connect.Response[operatorv1.ChangePlacementResponse], error) {
-	return c.changePlacement.CallUnary(ctx, req)
-}
-
 // OperatorServiceHandler is an implementation of the cactuswell.operator.v1.OperatorService
 // service.
 type OperatorServiceHandler interface {
@@ -274,14 +221,6 @@
 	Dump(context.Context, *connect.Request[operatorv1.DumpRequest]) (*connect.Response[operatorv1.DumpResponse], error)
 	// Explain returns what is known of one request.
 	Explain(context.Context, *connect.Request[operatorv1.ExplainRequest]) (*connect.Response[operatorv1.ExplainResponse], error)
-	// ShowPlacement returns the wanted placement, its holder and its orders as
-	// JSON.
-	ShowPlacement(context.Context, *connect.Request[operatorv1.ShowPlacementRequest]) (*connect.Response[operatorv1.ShowPlacementResponse], error)
-	// PlanPlacement returns what would be done next and why, as JSON.
-	PlanPlacement(context.Context, *connect.Request[operatorv1.PlanPlacementRequest]) (*connect.Response[operatorv1.PlanPlacementResponse], error)
-	// ChangePlacement publishes the wanted placement and returns once it was read
-	// back.
-	ChangePlacement(context.Context, *connect.Request[operatorv1.ChangePlacementRequest]) (*connect.Response[operatorv1.ChangePlacementResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -345,24 +284,6 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Explain")),
 		connect.WithHandlerOptions(opts...),
 	)
-	operatorServiceShowPlacementHandler := connect.NewUnaryHandler(
-		OperatorServiceShowPlacementProcedure,
-		svc.ShowPlacement,
-		connect.WithSchema(operatorServiceMethods.ByName("ShowPlacement")),
-		connect.WithHandlerOptions(opts...),
-	)
-	operatorServicePlanPlacementHandler := connect.NewUnaryHandler(
-		OperatorServicePlanPlacementProcedure,
-		svc.PlanPlacement,
-		connect.WithSchema(operatorServiceMethods.ByName("PlanPlacement")),
-		connect.WithHandlerOptions(opts...),
-	)
-	operatorServiceChangePlacementHandler := connect.NewUnaryHandler(
-		OperatorServiceChangePlacementProcedure,
-		svc.ChangePlacement,
-		connect.WithSchema(operatorServiceMethods.ByName("ChangePlacement")),
-		connect.WithHandlerOptions(opts...),
-	)
 	return "/cactuswell.operator.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServiceListProfilesProcedure:
@@ -383,12 +304,6 @@
 			operatorServiceDumpHandler.ServeHTTP(w, r)
 		case OperatorServiceExplainProcedure:
 			operatorServiceExplainHandler.ServeHTTP(w, r)
-		case OperatorServiceShowPlacementProcedure:
-			operatorServiceShowPlacementHandler.ServeHTTP(w, r)
-		case OperatorServicePlanPlacementProcedure:
-			operatorServicePlanPlacementHandler.ServeHTTP(w, r)
-		case OperatorServiceChangePlacementProcedure:
-			operatorServiceChangePlacementHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -433,15 +348,3 @@
 func (UnimplementedOperatorServiceHandler) Explain(context.Context, *connect.Request[operatorv1.ExplainRequest]) (*connect.Response[operatorv1.ExplainResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuswell.operator.v1.OperatorService.Explain is not implemented"))
 }
-
-func (UnimplementedOperatorServiceHandler) ShowPlacement(context.Context, *connect.Request[operatorv1.ShowPlacementRequest]) (*connect.Response[operatorv1.ShowPlacementResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuswell.operator.v1.OperatorService.ShowPlacement is not implemented"))
-}
-
-func (UnimplementedOperatorServiceHandler) PlanPlacement(context.Context, *connect.Request[operatorv1.PlanPlacementRequest]) (*connect.Response[operatorv1.PlanPlacementResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuswell.operator.v1.OperatorService.PlanPlacement is not implemented"))
-}
-
-func (UnimplementedOperatorServiceHandler) ChangePlacement(context.Context, *connect.Request[operatorv1.ChangePlacementRequest]) (*connect.Response[operatorv1.ChangePlacementResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuswell.operator.v1.OperatorService.ChangePlacement is not implemented"))
-}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -52,15 +52,6 @@
 	Explain func(ctx context.Context, requestID string) ([]byte, bool, error)
 	// Endpoints returns the endpoints that the host knows.
 	Endpoints func(ctx context.Context) ([]Endpoint, error)
-	// Placement answers for the placement of models, or is nil.
-	Placement Placement
-}
-
-// Placement is what operators ask of the placement of models.
-type Placement interface {
-	// Show returns the state as JSON, Plan the next moves and their reasons.
-	Show(ctx context.Context) ([]byte, error)
-	Plan(ctx context.Context) ([]byte, error)
 }
 
 // Endpoint is one endpoint as operators see it.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,12 +19,6 @@
 	"time"
 )
 
-// The values of Settings.Placement.
-const (
-	PlacementOn  = "on"
-	PlacementOff = "off"
-)
-
 // Settings are the settings of one entry host.
 type Settings struct {
 	Name   string `long:"name" env:"CACTUSWELL_NAME" description:"name of this host, unique in the fleet" required:"yes"`
@@ -35,11 +29,9 @@
 	PeerListen     string `long:"peer-listen" env:"CACTUSWELL_PEER_LISTEN" description:"IP:port on which other hosts are served" default:"127.0.0.1:8081"`
 	OperatorListen string `long:"operator-listen" env:"CACTUSWELL_OPERATOR_LISTEN" description:"IP:port on which operators are served" default:"127.0.0.1:8082"`
 
-	LogURL         string   `long:"log-url" env:"CACTUSWELL_LOG_URL" description:"base URL of the platform's log service" required:"yes"`
-	HostListURL    string   `long:"host-list-url" env:"CACTUSWELL_HOST_LIST_URL" description:"base URL of the platform's host list" required:"yes"`
-	WeightStoreURL string   `long:"weight-store-url" env:"CACTUSWELL_WEIGHT_STORE_URL" description:"base URL of the platform's weight store; empty for none"`
-	Placement      string   `long:"placement" env:"CACTUSWELL_PLACEMENT" description:"whether this host takes part in placing models: on or off" default:"on"`
-	Peers          []string `long:"peer" env:"CACTUSWELL_PEERS" env-delim:"," description:"IP:port of another host's peer listener; may be given many times"`
+	LogURL      string   `long:"log-url" env:"CACTUSWELL_LOG_URL" description:"base URL of the platform's log service" required:"yes"`
+	HostListURL string   `long:"host-list-url" env:"CACTUSWELL_HOST_LIST_URL" description:"base URL of the platform's host list" required:"yes"`
+	Peers       []string `long:"peer" env:"CACTUSWELL_PEERS" env-delim:"," description:"IP:port of another host's peer listener; may be given many times"`
 
 	BodyLimit      int64         `long:"body-limit" env:"CACTUSWELL_BODY_LIMIT" description:"largest body of a request, in bytes" default:"1048576"`
 	BodyTime       time.Duration `long:"body-time" env:"CACTUSWELL_BODY_TIME" description:"longest time for a body to arrive" default:"10s"`
@@ -97,12 +89,6 @@
 	c.listen("operator-listen", s.OperatorListen, s)
 	c.url("log-url", s.LogURL)
 	c.url("host-list-url", s.HostListURL)
-	if s.WeightStoreURL != "" {
-		c.url("weight-store-url", s.WeightStoreURL)
-	}
-	if s.Placement != PlacementOn && s.Placement != PlacementOff {
-		c.add("placement", s.Placement, "on or off")
-	}
 	for _, peer := range s.Peers {
 		c.address("peer", peer)
 	}
@@ -210,7 +196,6 @@
 func Defaults() Settings {
 	return Settings{
 		Region:         "default",
-		Placement:      PlacementOn,
 		CallerListen:   "127.0.0.1:8080",
 		PeerListen:     "127.0.0.1:8081",
 		OperatorListen: "127.0.0.1:8082",
