--- a/core/scheduling/place.go
+++ b/core/scheduling/place.go
@@ -59,7 +59,7 @@
 		pool:    p,
 		arrived: s.now,
 		chain:   chainOf(spec.Prompt),
-		tight:   spec.Route.Kind == route.Stream && spec.Route.Gap > 0 && spec.Route.Gap <= tightGap,
+		tight:   isTight(spec.Route),
 	}
 	c.holdTill = s.holdTill(c)
 	s.calls[spec.ID] = c
@@ -181,6 +181,11 @@
 	return best.target, best.choice
 }
 
+// isTight reports whether a route's streams must have short pauses.
+func isTight(r *route.Route) bool {
+	return r.Kind == route.Stream && r.Gap > 0 && r.Gap <= tightGap
+}
+
 // open reports whether an endpoint may get a call. Endpoints that failed the
 // call, and those whose time out of use is over only in part, are left for the
 // second pass.
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -21,6 +21,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cactuswell/core/batching"
@@ -54,12 +55,16 @@
 	random   *rand.Rand
 	table    *route.Table
 	pools    map[string]*pool
-	byKey    map[Key]*target
-	byHash   map[uint64]*target
-	dirty    bool
-	calls    map[CallID]*call
-	peers    map[string]bool
-	placed   []Placement
+	// inOrder are the pools, and targets all their endpoints, in the order in
+	// which they became known, so that the same events lead to the same commands.
+	inOrder []*pool
+	targets []*target
+	byKey   map[Key]*target
+	byHash  map[uint64]*target
+	dirty   bool
+	calls   map[CallID]*call
+	peers   map[string]bool
+	placed  []Placement
 
 	now      time.Time
 	commands []Command
@@ -125,7 +130,7 @@
 	case PeerGone:
 		s.peerGone(event.Peer)
 	case TimePassed:
-		for _, p := range s.pools {
+		for _, p := range s.inOrder {
 			s.pump(p)
 		}
 	}
@@ -134,7 +139,7 @@
 // NextWake returns when a TimePassed event is due. It reports false when none is.
 func (s *Scheduler) NextWake() (time.Time, bool) {
 	var at time.Time
-	for _, p := range s.pools {
+	for _, p := range s.inOrder {
 		for _, c := range p.waiting {
 			if at.IsZero() || c.holdTill.Before(at) {
 				at = c.holdTill
@@ -168,6 +173,7 @@
 		}
 		p.budget.SetSlack(s.slackShare())
 		s.pools[name] = p
+		s.inOrder = append(s.inOrder, p)
 	}
 	return p
 }
@@ -176,7 +182,7 @@
 	s.settings.BudgetWindow = event.Window
 	s.settings.BudgetRatio = event.Ratio
 	s.settings.BudgetSlack = event.Slack
-	for _, p := range s.pools {
+	for _, p := range s.inOrder {
 		p.budget.SetBounds(event.Window, event.Ratio*budgetSafety)
 	}
 	s.shareBudget()
@@ -197,6 +203,7 @@
 		t := newTarget(change.Entry)
 		s.byKey[t.key] = t
 		s.byHash[t.hash] = t
+		s.targets = append(s.targets, t)
 		p := s.pool(change.Entry.Service)
 		p.targets = append(p.targets, t)
 		p.lanes.arrange(p.targets)
@@ -230,14 +237,10 @@
 	}
 	delete(s.byKey, key)
 	delete(s.byHash, t.hash)
+	s.targets = slices.DeleteFunc(s.targets, func(other *target) bool { return other == t })
 	p := s.pool(t.entry.Service)
-	for i, other := range p.targets {
-		if other == t {
-			p.targets = append(p.targets[:i], p.targets[i+1:]...)
-			p.lanes.arrange(p.targets)
-			return
-		}
-	}
+	p.targets = slices.DeleteFunc(p.targets, func(other *target) bool { return other == t })
+	p.lanes.arrange(p.targets)
 }
 
 func (s *Scheduler) peerReported(event PeerReported) {
@@ -256,8 +259,8 @@
 		}
 	}
 	if event.Full {
-		for hash, t := range s.byHash {
-			if !listed[hash] {
+		for _, t := range s.targets {
+			if !listed[t.hash] {
 				delete(t.peers, event.Peer)
 			}
 		}
@@ -267,21 +270,21 @@
 			t.cache.add(s.now, placement.Chain, placement.Tokens, s.cacheCapacity(t))
 		}
 	}
-	for _, p := range s.pools {
+	for _, p := range s.inOrder {
 		s.pump(p)
 	}
 }
 
 func (s *Scheduler) peerGone(peer string) {
 	delete(s.peers, peer)
-	for _, t := range s.byKey {
+	for _, t := range s.targets {
 		delete(t.peers, peer)
 	}
 	s.shareBudget()
 }
 
 func (s *Scheduler) shareBudget() {
-	for _, p := range s.pools {
+	for _, p := range s.inOrder {
 		p.budget.SetSlack(s.slackShare())
 	}
 }
@@ -301,8 +304,8 @@
 // where it changed since the last call. It also returns the prompts placed since
 // then.
 func (s *Scheduler) Work(now time.Time, full bool) ([]PeerWork, []Placement) {
-	work := make([]PeerWork, 0, len(s.byKey))
-	for _, t := range s.byKey {
+	work := make([]PeerWork, 0, len(s.targets))
+	for _, t := range s.targets {
 		if !t.dirty && (!full || t.running == 0) {
 			continue
 		}
@@ -334,7 +337,7 @@
 // Waiting returns the number of calls held at this host.
 func (s *Scheduler) Waiting() int {
 	waiting := 0
-	for _, p := range s.pools {
+	for _, p := range s.inOrder {
 		waiting += len(p.waiting)
 	}
 	return waiting
--- a/io/keyedlog/keyedlog.go
+++ b/io/keyedlog/keyedlog.go
@@ -125,22 +125,26 @@
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		began := time.Now()
-		news, err := f.step(ctx)
-		if ctx.Err() != nil {
-			break
-		}
-		if err != nil {
-			f.fail(err)
-			f.sleep(ctx, f.retryDelay())
-			continue
-		}
+		f.once(ctx)
+	}
+	return nil
+}
+
+// once makes one call, tells of it, and waits as long as it is due.
+func (f *Follower) once(ctx context.Context) {
+	began := time.Now()
+	news, err := f.step(ctx)
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
+		f.fail(err)
+		f.sleep(ctx, f.retryDelay())
+	default:
 		f.succeed()
 		if news {
 			f.sleep(ctx, f.Pace-time.Since(began))
 		}
 	}
-	return nil
 }
 
 // step lists or reads once, and reports whether it brought records.
--- /dev/null
+++ b/simulation/deployments.go
@@ -0,0 +1,140 @@
+package simulation
+
+import (
+	"time"
+
+	"cactuswell/core/batching"
+	"cactuswell/core/route"
+)
+
+// Kelisim returns the mediation rooms' deployment at its usual load.
+func Kelisim() Config {
+	model := batching.Default()
+	return Config{
+		Seed:         1,
+		Length:       30 * time.Second,
+		Hosts:        6,
+		Zones:        4,
+		Engines:      12,
+		Slots:        64,
+		MemoryTokens: 568_234,
+		Speeds:       []float64{1, 1, 1.3},
+		Model:        model,
+		Servers:      4,
+		ServerSlots:  6,
+		Classes: []Class{
+			{
+				Name:         "caseBrief",
+				Rate:         14.6,
+				Kind:         route.Stream,
+				Target:       2 * time.Second,
+				Gap:          800 * time.Millisecond,
+				Deadline:     12 * time.Second,
+				Priority:     2,
+				Attempts:     1,
+				Subjects:     103,
+				SharedTokens: 13_300,
+				OwnTokens:    3720,
+				OwnSpread:    1.1,
+				Events:       40,
+				Worth:        1.6,
+				LateWorth:    0.48,
+			},
+			{
+				Name:         "hearingSummary",
+				Rate:         6.33,
+				Kind:         route.Stream,
+				Target:       600 * time.Millisecond,
+				Gap:          300 * time.Millisecond,
+				Deadline:     6 * time.Second,
+				Priority:     1,
+				Attempts:     2,
+				Resumable:    true,
+				Subjects:     29,
+				SharedTokens: 6300,
+				OwnTokens:    2890,
+				OwnSpread:    1,
+				Events:       17,
+				Worth:        2.5,
+				LateWorth:    0.76,
+			},
+			{
+				Name:         "slotDraft",
+				Rate:         19.2,
+				Kind:         route.Stream,
+				Target:       400 * time.Millisecond,
+				Gap:          200 * time.Millisecond,
+				Deadline:     15 * time.Second,
+				Attempts:     1,
+				Subjects:     91,
+				SharedTokens: 350,
+				OwnTokens:    1110,
+				OwnSpread:    0.6,
+				Events:       57,
+				Worth:        1.5,
+				LateWorth:    0.13,
+			},
+			plainClass("roomHold", 10.1, route.Once, 30*time.Millisecond, 150*time.Millisecond, 2500*time.Millisecond),
+			plainClass("roomLookup", 6.38, route.Safe, 30*time.Millisecond, 150*time.Millisecond, 2500*time.Millisecond),
+		},
+	}
+}
+
+func plainClass(name string, rate float64, kind route.Kind, work, target, deadline time.Duration) Class {
+	attempts := 1
+	if kind == route.Safe {
+		attempts = 2
+	}
+	return Class{
+		Name:      name,
+		Rate:      rate,
+		Kind:      kind,
+		Target:    target,
+		Deadline:  deadline,
+		Priority:  2,
+		Attempts:  attempts,
+		Work:      work,
+		Worth:     1,
+		LateWorth: 0.3,
+	}
+}
+
+// Lindqvist returns the bridal firm's deployment at its usual load.
+func Lindqvist() Config {
+	config := Kelisim()
+	config.Hosts = 9
+	config.Zones = 3
+	config.Engines = 18
+	config.MemoryTokens = 418_045
+	config.Model.Stride = 4
+	config.Servers = 3
+	rename := []string{"lookbook", "stylistReply", "quickAsk"}
+	rates := []float64{19.9, 8.64, 26.3}
+	subjects := []int{141, 91, 279}
+	events := []int{30, 13, 43}
+	for i := range rename {
+		config.Classes[i].Name = rename[i]
+		config.Classes[i].Rate = rates[i]
+		config.Classes[i].Subjects = subjects[i]
+		config.Classes[i].Events = events[i]
+	}
+	config.Classes[3] = plainClass("bookTrial", 13.8, route.Once, 15*time.Millisecond, 100*time.Millisecond, 600*time.Millisecond)
+	config.Classes[4] = plainClass("checkCalendar", 6.4, route.Safe, 15*time.Millisecond, 100*time.Millisecond, 600*time.Millisecond)
+	return config
+}
+
+// Scaled returns a deployment with that many times the hosts, endpoints, rates
+// and subjects.
+func Scaled(config Config, times int) Config {
+	config.Hosts *= times
+	config.Engines *= times
+	config.Servers *= times
+	classes := make([]Class, len(config.Classes))
+	copy(classes, config.Classes)
+	for i := range classes {
+		classes[i].Rate *= float64(times)
+		classes[i].Subjects *= times
+	}
+	config.Classes = classes
+	return config
+}
--- /dev/null
+++ b/simulation/simulation.go
@@ -0,0 +1,386 @@
+// Package simulation plays load against the decisions of a whole fleet in
+// virtual time: hosts with their schedulers, engines that batch requests by the
+// same model that the hosts predict with, plain services, and callers that leave
+// when they have waited too long.
+//
+// # Usage
+//
+//	config := simulation.Kelisim()
+//	config.Bursts = append(config.Bursts, simulation.Burst{
+//		Class:  "caseBrief",
+//		From:   5 * time.Second,
+//		For:    9 * time.Second,
+//		Factor: 2.3,
+//	})
+//	result := simulation.Run(config)
+//	onTime := result.Class("slotDraft").OnTimeShare()
+//
+// A run takes its randomness from the seed of its configuration only, so that
+// the same configuration gives the same result. It opens no socket and reads no
+// clock.
+package simulation
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"cactuswell/core/batching"
+	"cactuswell/core/directory"
+	"cactuswell/core/route"
+	"cactuswell/core/scheduling"
+)
+
+// epoch is the time at which each run begins.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const (
+	modelService = "models"
+	plainService = "booking"
+	// shareDelay is the least time between two messages of a host to the others,
+	// and fullEvery that between two with all work.
+	shareDelay = 25 * time.Millisecond
+	fullEvery  = 500 * time.Millisecond
+	// darkTimeout is when a host finds that an endpoint which fell silent is gone.
+	darkTimeout = 1200 * time.Millisecond
+	// minPatience is the least time for which callers wait for an event; they
+	// also wait four latency targets and eight pauses.
+	minPatience   = 2 * time.Second
+	patienceAims  = 4
+	patienceGaps  = 8
+	drainTime     = 20 * time.Second
+	placedPerHost = 64
+)
+
+// Class is a class of calls.
+type Class struct {
+	Name string
+	// Rate is the number of calls a second from all callers.
+	Rate   float64
+	Kind   route.Kind
+	Target time.Duration
+	// Gap is the longest pause of a stream that is on time.
+	Gap      time.Duration
+	Deadline time.Duration
+	Priority int
+	Attempts int
+	// Resumable says that a stream may go on at another engine.
+	Resumable bool
+	// Subjects is the number of shared prompt parts, of SharedTokens each;
+	// OwnTokens is the mean size of the rest, and OwnSpread the sigma of its
+	// logarithm.
+	Subjects     int
+	SharedTokens int
+	OwnTokens    int
+	OwnSpread    float64
+	// Events is the mean number of events of an answer.
+	Events int
+	// Work is the mean time that a plain service needs.
+	Work time.Duration
+	// Worth and LateWorth are what an answer in time and a later one are worth.
+	Worth     float64
+	LateWorth float64
+}
+
+// Burst multiplies the rate of a class.
+type Burst struct {
+	Class  string
+	From   time.Duration
+	For    time.Duration
+	Factor float64
+	// Subject makes that share of the calls be about one subject.
+	Subject float64
+}
+
+// Fault befalls engines, the first ones of the fleet.
+type Fault struct {
+	Engines int
+	From    time.Duration
+	For     time.Duration
+	// Slow multiplies the engine's times; zero takes it down.
+	Slow float64
+	// Dark engines that are down answer nothing at all.
+	Dark bool
+}
+
+// Config is a fleet with its load.
+type Config struct {
+	Seed    uint64
+	Length  time.Duration
+	Hosts   int
+	Zones   int
+	Engines int
+	Slots   int
+	// MemoryTokens is the memory of an engine.
+	MemoryTokens int
+	// Speeds are the factors on the engines' times, in turn.
+	Speeds []float64
+	Model  batching.Model
+	// Servers and ServerSlots describe the plain service.
+	Servers     int
+	ServerSlots int
+	Classes     []Class
+	Bursts      []Burst
+	Faults      []Fault
+	// MessageLoss is the share of messages between hosts that is lost.
+	MessageLoss float64
+	// Silent hosts tell each other nothing.
+	Silent bool
+	// Restart restarts one host at that time, which then knows nothing.
+	Restart time.Duration
+	// Settings adjusts the schedulers' settings.
+	Settings func(*scheduling.Settings)
+}
+
+// Run plays a configuration to its end.
+func Run(config Config) Result {
+	f := newFleet(config)
+	f.start()
+	for len(f.queue) > 0 {
+		next := heap.Pop(&f.queue).(*moment)
+		f.now = next.at
+		if f.now.Sub(epoch) > config.Length+drainTime {
+			break
+		}
+		next.act()
+	}
+	return f.result()
+}
+
+// moment is something that happens at a time.
+type moment struct {
+	at     time.Time
+	number int
+	act    func()
+}
+
+type moments []*moment
+
+func (m moments) Len() int { return len(m) }
+func (m moments) Less(i, j int) bool {
+	if !m[i].at.Equal(m[j].at) {
+		return m[i].at.Before(m[j].at)
+	}
+	return m[i].number < m[j].number
+}
+func (m moments) Swap(i, j int) { m[i], m[j] = m[j], m[i] }
+func (m *moments) Push(x any)   { *m = append(*m, x.(*moment)) }
+func (m *moments) Pop() any {
+	old := *m
+	last := old[len(old)-1]
+	*m = old[:len(old)-1]
+	return last
+}
+
+// fleet is a run under way.
+type fleet struct {
+	config Config
+	now    time.Time
+	queue  moments
+	number int
+	// random is for what happens between hosts; each class has its own for its
+	// arrivals, so that runs with other policies meet the same load.
+	random  *rand.Rand
+	table   *route.Table
+	hosts   []*host
+	engines []*engine
+	servers []*server
+	byKey   map[scheduling.Key]endpoint
+	classes []*classState
+	ids     uint64
+	usedAt  map[uint64]time.Time
+	reread  int
+	read    int
+}
+
+// classState is a class with its counts.
+type classState struct {
+	Class
+	route  *route.Route
+	counts ClassResult
+	random *rand.Rand
+}
+
+// endpoint is an engine or a server of the plain service.
+type endpoint interface {
+	take(a *attempt)
+	abandon(a *attempt)
+	reachable() bool
+	dark() bool
+	zone() int
+}
+
+func newFleet(config Config) *fleet {
+	f := &fleet{
+		config: config,
+		now:    epoch,
+		random: rand.New(rand.NewPCG(config.Seed, 7)),
+		byKey:  make(map[scheduling.Key]endpoint),
+		usedAt: make(map[uint64]time.Time),
+	}
+	spec := route.Spec{
+		Version: 1,
+		Services: []route.Service{
+			{
+				Name: modelService,
+				Engine: &route.Engine{
+					Slots:        config.Slots,
+					MemoryTokens: config.MemoryTokens,
+					Stride:       config.Model.Stride,
+				},
+			},
+			{Name: plainService},
+		},
+	}
+	for _, class := range config.Classes {
+		service := modelService
+		if class.Kind != route.Stream {
+			service = plainService
+		}
+		spec.Routes = append(spec.Routes, route.Route{
+			Name:        class.Name,
+			Host:        "simulated",
+			Prefix:      "/" + class.Name + "/",
+			Kind:        class.Kind,
+			Resumable:   class.Resumable,
+			Timeout:     class.Deadline,
+			Target:      class.Target,
+			Gap:         class.Gap,
+			Priority:    class.Priority,
+			MaxAttempts: class.Attempts,
+			Targets: []route.Target{{
+				Service: service,
+				Weight:  1,
+			}},
+		})
+	}
+	table, err := route.New(spec)
+	if err != nil {
+		// The configuration is part of the program.
+		panic(err)
+	}
+	f.table = table
+	for i, class := range config.Classes {
+		found, _ := table.Lookup("simulated", "/"+class.Name+"/")
+		f.classes = append(f.classes, &classState{
+			Class:  config.Classes[i],
+			route:  found,
+			random: rand.New(rand.NewPCG(config.Seed, uint64(100+i))),
+		})
+	}
+	return f
+}
+
+// at plans something for a time.
+func (f *fleet) at(when time.Time, act func()) {
+	f.number++
+	heap.Push(&f.queue, &moment{
+		at:     when,
+		number: f.number,
+		act:    act,
+	})
+}
+
+func (f *fleet) after(delay time.Duration, act func()) {
+	f.at(f.now.Add(delay), act)
+}
+
+// start makes the endpoints and hosts, and plans the load and the faults.
+func (f *fleet) start() {
+	for i := range f.config.Engines {
+		f.addEngine(i)
+	}
+	for i := range f.config.Servers {
+		f.addServer(i)
+	}
+	for i := range f.config.Hosts {
+		h := newHost(f, i)
+		f.hosts = append(f.hosts, h)
+		f.after(time.Duration(i)*time.Millisecond, h.share)
+	}
+	if f.config.Restart > 0 {
+		f.after(f.config.Restart, f.hosts[0].restart)
+	}
+	for _, fault := range f.config.Faults {
+		f.planFault(fault)
+	}
+	for i := range f.classes {
+		f.planArrival(f.classes[i])
+	}
+}
+
+func (f *fleet) planFault(fault Fault) {
+	f.after(fault.From, func() {
+		for _, e := range f.engines[:fault.Engines] {
+			e.befall(fault)
+		}
+	})
+	f.after(fault.From+fault.For, func() {
+		for _, e := range f.engines[:fault.Engines] {
+			e.recover()
+		}
+	})
+}
+
+// planArrival plans the next call of a class.
+func (f *fleet) planArrival(class *classState) {
+	rate := class.Rate
+	hot := 0.0
+	since := f.now.Sub(epoch)
+	for _, burst := range f.config.Bursts {
+		if burst.Class == class.Name && since >= burst.From && since < burst.From+burst.For {
+			rate *= max(burst.Factor, 1)
+			hot = max(hot, burst.Subject)
+		}
+	}
+	f.after(time.Duration(class.random.ExpFloat64()/rate*float64(time.Second)), func() {
+		if f.now.Sub(epoch) >= f.config.Length {
+			return
+		}
+		f.arrive(class, hot)
+		f.planArrival(class)
+	})
+}
+
+// arrive begins a call at a host that is drawn at random.
+func (f *fleet) arrive(class *classState, hot float64) {
+	c := &caller{
+		fleet:   f,
+		class:   class,
+		arrived: f.now,
+		till:    f.now.Add(class.Deadline),
+		tries:   2,
+		random:  rand.New(rand.NewPCG(class.random.Uint64(), 5)),
+	}
+	class.counts.Offered++
+	if class.Kind == route.Stream {
+		subject := uint64(c.random.IntN(class.Subjects))
+		if c.random.Float64() < hot {
+			subject = 0
+		}
+		own := float64(class.OwnTokens) * math.Exp(class.OwnSpread*c.random.NormFloat64()-class.OwnSpread*class.OwnSpread/2)
+		f.ids++
+		c.prompt = []scheduling.Part{
+			{
+				ID:     subject<<8 | uint64(len(class.Name)),
+				Tokens: class.SharedTokens,
+			},
+			{
+				ID:     1<<40 + f.ids,
+				Tokens: max(int(own), 16),
+			},
+		}
+		c.events = max(1, int(c.random.ExpFloat64()*float64(class.Events)))
+	}
+	c.work = time.Duration(float64(class.Work) * math.Exp(0.5*c.random.NormFloat64()-0.125))
+	c.try()
+}
+
+func (f *fleet) addEntry(entry directory.Entry, e endpoint) {
+	key := scheduling.Key{
+		ID:   entry.ID,
+		Born: entry.Born,
+	}
+	f.byKey[key] = e
+}
