--- a/core/scheduling/lanes.go
+++ b/core/scheduling/lanes.go
@@ -10,13 +10,6 @@
 	// laneMemory is the time over which the demand of the lanes is smoothed: long
 	// against single calls, short against a burst.
 	laneMemory = 8 * time.Second
-	// tightLoad and longLoad are the parts of their engines' time that reading
-	// prompts may take in each lane: a tight stream waits for each prompt that is
-	// read beside it, so that its lane is kept emptier.
-	tightLoad = 0.35
-	longLoad  = 0.6
-	// maxTightShare bounds the part of the engines that serve tight streams only.
-	maxTightShare = 0.5
 	// laneStep is by how many engines the demand must differ from the lane's size
 	// before that changes.
 	laneStep = 0.7
@@ -32,6 +25,7 @@
 // All hosts order the engines alike, so that their lanes agree but for the size,
 // which each takes from the calls that it sees.
 type lanes struct {
+	weights  Weights
 	tight    int
 	usable   int
 	tightUse demand
@@ -72,19 +66,19 @@
 
 // resize fits the number of engines for tight streams to the demand.
 func (l *lanes) resize(forced bool) {
-	if l.usable < minLaneTargets {
+	if l.usable < minLaneTargets || l.weights.MaxTightShare == 0 {
 		l.tight = 0
 		return
 	}
-	tight := l.tightUse.rate / tightLoad
-	long := l.longUse.rate / longLoad
+	tight := l.tightUse.rate / l.weights.TightLoad
+	long := l.longUse.rate / l.weights.LongLoad
 	if tight == 0 {
 		if forced {
 			l.tight = 0
 		}
 		return
 	}
-	wanted := float64(l.usable) * min(tight/(tight+long), maxTightShare)
+	wanted := float64(l.usable) * min(tight/(tight+long), l.weights.MaxTightShare)
 	if forced || math.Abs(wanted-float64(l.tight)) > laneStep {
 		l.tight = max(int(math.Round(wanted)), 1)
 	}
--- a/core/scheduling/place.go
+++ b/core/scheduling/place.go
@@ -16,20 +16,9 @@
 	// pumpAgainAfter is how long held calls wait before the endpoints are looked
 	// at again, if no event comes first.
 	pumpAgainAfter = 25 * time.Millisecond
-	// homes is the number of endpoints that a subject's prompts go to first, and
-	// homeBonus what such an endpoint is preferred by, if no host has told of the
-	// subject. Hosts that start anew find what is in memory there.
-	homes     = 2
-	homeBonus = 0.05
-	// onTimeMargin is the part of the latency target at which a prediction counts
-	// as late with even odds, and onTimeDoubt the spread around it.
-	onTimeMargin = 0.8
-	onTimeDoubt  = 0.12
-	// delayWeight weighs the delay itself against a missed target.
-	delayWeight = 0.15
-	// rereadCost is the cost, in missed targets, of a second of engine time spent
-	// on reading what another engine has in memory.
-	rereadCost = 2.0
+	// homes is the number of endpoints that are preferred for a subject of which
+	// no host has told. Hosts that start anew find what is in memory there.
+	homes = 2
 	// rereadWindow is for how long after its last use a part counts as held.
 	rereadWindow = 12 * time.Second
 	// longPrompt is the number of tokens to read from which a prompt disturbs
@@ -38,16 +27,6 @@
 	// tightGap is the pause up to which a stream counts as tight: the time of an
 	// event whose every step reads a chunk, with some room.
 	tightGap = 250 * time.Millisecond
-	// strayCost is the cost, in missed targets, of a call in the lane that is not
-	// its own.
-	strayCost = 0.3
-	// disturbCost is the cost of a long prompt for each tight stream beside it.
-	disturbCost = 0.1
-	// errorCost is the cost, in missed targets, of a certain failure of an
-	// endpoint's answer.
-	errorCost = 1.5
-	// trialCost is that of an endpoint that was out of use until now.
-	trialCost = 0.4
 )
 
 // arrive takes a new call: load of every kind.
@@ -231,9 +210,9 @@
 		s.weighEngine(c, t, &next, distance)
 	}
 	next.cost += s.delayCost(c, next.choice.First)
-	next.cost += t.health.errors * errorCost
+	next.cost += t.health.errors * s.settings.Weights.ErrorCost
 	if t.health.ejectFor > 0 {
-		next.cost += trialCost
+		next.cost += s.settings.Weights.TrialCost
 	}
 	// Ties are broken at random, so that hosts with the same view part.
 	next.cost += 0.01 * s.random.Float64()
@@ -245,10 +224,10 @@
 func (s *Scheduler) delayCost(c *call, first time.Duration) float64 {
 	target := c.spec.Route.Target - s.now.Sub(c.arrived)
 	if target <= 0 {
-		return 1 + delayWeight*first.Seconds()/c.spec.Route.Target.Seconds()
+		return 1 + s.settings.Weights.DelayWeight*first.Seconds()/c.spec.Route.Target.Seconds()
 	}
 	part := first.Seconds() / target.Seconds()
-	return 1/(1+math.Exp((onTimeMargin-part)/onTimeDoubt)) + delayWeight*part
+	return 1/(1+math.Exp((s.settings.Weights.OnTimeMargin-part)/s.settings.Weights.OnTimeDoubt)) + s.settings.Weights.DelayWeight*part
 }
 
 func (s *Scheduler) weighEngine(c *call, t *target, next *candidate, distance time.Duration) {
@@ -263,19 +242,19 @@
 	next.choice.First = model.First + reading + work + distance
 	if c.held > cached {
 		reread := model.Prefill(cached, c.held-cached)
-		next.cost += rereadCost * reread.Seconds()
+		next.cost += s.settings.Weights.RereadCost * reread.Seconds()
 	} else if c.held == 0 && s.homeRank(c, t) < homes {
-		next.cost -= homeBonus
+		next.cost -= s.settings.Weights.HomeBonus
 	}
 	lane := c.pool.lanes.isTight(t)
 	switch {
 	case c.tight && !lane && c.pool.lanes.tight > 0:
-		next.cost += strayCost
+		next.cost += s.settings.Weights.StrayCost
 	case !c.tight && uncached > longPrompt:
 		if lane {
-			next.cost += strayCost
+			next.cost += s.settings.Weights.StrayCost
 		}
-		next.cost += disturbCost * float64(t.tightStreams())
+		next.cost += s.settings.Weights.DisturbCost * float64(t.tightStreams())
 	}
 }
 
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -43,6 +43,8 @@
 	BudgetWindow time.Duration
 	BudgetRatio  float64
 	BudgetSlack  float64
+	// Weights are what the choice of an endpoint weighs.
+	Weights Weights
 }
 
 // budgetSafety is the part of the fleet's retry budget that hosts use, since
@@ -170,6 +172,7 @@
 			name:   name,
 			budget: retry.NewWindow(s.settings.BudgetWindow, s.settings.BudgetRatio*budgetSafety, 0),
 			answer: initialAnswer.Seconds(),
+			lanes:  lanes{weights: s.settings.Weights},
 		}
 		p.budget.SetSlack(s.slackShare())
 		s.pools[name] = p
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -170,6 +170,7 @@
 		BudgetWindow: g.Settings.BudgetWindow,
 		BudgetRatio:  g.Settings.BudgetRatio,
 		BudgetSlack:  g.Settings.BudgetSlack,
+		Weights:      scheduling.DefaultWeights(),
 	}, g.timers, g.trail)
 	g.configuration = &configurationFeed{
 		key:     g.Topics.ConfigurationKey,
--- a/simulation/host.go
+++ b/simulation/host.go
@@ -50,6 +50,7 @@
 		BudgetWindow: 10 * time.Second,
 		BudgetRatio:  0.2,
 		BudgetSlack:  50,
+		Weights:      scheduling.DefaultWeights(),
 	}
 	if h.fleet.config.Settings != nil {
 		h.fleet.config.Settings(&settings)
