--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -35,10 +35,9 @@
 	Call    CallID
 	Outcome Outcome
 	Load    Load
-	// Events is the number of events of a stream, and Lasted the time from the
-	// first to the last of them.
-	Events int
-	Lasted time.Duration
+	// Pace is the usual pause between two events of a stream while nothing holds
+	// it up, or zero if it is not known.
+	Pace time.Duration
 }
 
 // EndpointChanged brings a change of the directory.
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -22,8 +22,6 @@
 	// minRetryAfter and maxRetryAfter bound the time told to refused callers.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
-	// minPaceEvents is the number of events from which a stream's pace counts.
-	minPaceEvents = 4
 )
 
 // setLimits bounds the silence of an endpoint where a call can go on elsewhere.
@@ -162,12 +160,11 @@
 		c.pool.answer += 0.02 * (took - c.pool.answer)
 		return
 	}
-	if event.Events < minPaceEvents {
+	if event.Pace == 0 {
 		return
 	}
-	pace := event.Lasted / time.Duration(event.Events-1)
 	expected := time.Duration(s.settings.Engine.Stride) * s.settings.Engine.StepTime(t.busy(s.now), 0)
-	t.observe(float64(pace) / float64(expected))
+	t.observe(float64(event.Pace) / float64(expected))
 }
 
 // countBreak notes a lost connection, a spoiled answer or a silence.
--- a/core/scheduling/weights.go
+++ b/core/scheduling/weights.go
@@ -45,7 +45,7 @@
 		DisturbCost:   0.1,
 		ErrorCost:     1.5,
 		TrialCost:     0.4,
-		TightLoad:     0.25,
+		TightLoad:     0.2,
 		LongLoad:      0.6,
 		MaxTightShare: 0.5,
 	}
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -77,8 +77,7 @@
 		Call:    x.id,
 		Outcome: outcome,
 		Load:    t.answer.Load,
-		Events:  x.stream.attemptEvents,
-		Lasted:  x.stream.attemptLasted,
+		Pace:    x.stream.usualPause(),
 	}
 	x.server.Decider.Post(event)
 	switch outcome.(type) {
--- a/io/opaque/stream.go
+++ b/io/opaque/stream.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"cactuswell/core/pace"
 	"cactuswell/core/scheduling"
 )
 
@@ -28,16 +29,20 @@
 	events  int
 	lastAt  time.Time
 	gap     time.Duration
-	// attemptEvents and attemptLasted count for the attempt under way.
+	// attemptEvents and pace are those of the attempt under way.
 	attemptEvents int
-	attemptFirst  time.Time
-	attemptLasted time.Duration
+	pace          pace.Pace
 }
 
 func (s *stream) begin() {
 	s.attemptEvents = 0
-	s.attemptFirst = time.Time{}
-	s.attemptLasted = 0
+	s.pace = pace.Pace{}
+}
+
+// usualPause returns the pace of the attempt under way, or zero.
+func (s *stream) usualPause() time.Duration {
+	usual, _ := s.pace.Quick()
+	return usual
 }
 
 // pass notes an event that went to the caller.
@@ -49,13 +54,12 @@
 	if s.events > 0 {
 		s.gap = max(s.gap, now.Sub(s.lastAt))
 	}
+	if s.attemptEvents > 0 {
+		s.pace.Pause(now.Sub(s.lastAt))
+	}
 	s.lastAt = now
 	s.events++
-	if s.attemptEvents == 0 {
-		s.attemptFirst = now
-	}
 	s.attemptEvents++
-	s.attemptLasted = now.Sub(s.attemptFirst)
 }
 
 // OrderError is an event whose id does not follow the one before it.
--- a/simulation/host.go
+++ b/simulation/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cactuswell/core/directory"
+	"cactuswell/core/pace"
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 )
@@ -332,6 +333,7 @@
 	justRead   bool
 	tokens     int
 	eventsSent int
+	pace       pace.Pace
 	over       bool
 }
 
@@ -388,6 +390,9 @@
 	} else {
 		c.gap = max(c.gap, now.Sub(c.lastAt))
 	}
+	if !first {
+		a.pace.Pause(now.Sub(c.lastAt))
+	}
 	c.lastAt = now
 	if first && a.current() {
 		a.host.step(scheduling.AnswerBegan{Call: c.id})
@@ -422,10 +427,10 @@
 	if _, ok := outcome.(scheduling.Completed); ok {
 		delete(a.host.calls, c.id)
 	}
+	usual, _ := a.pace.Quick()
 	a.host.step(scheduling.AttemptEnded{
 		Call:    c.id,
 		Outcome: outcome,
-		Events:  a.eventsSent,
-		Lasted:  c.lastAt.Sub(c.firstAt),
+		Pace:    usual,
 	})
 }
--- /dev/null
+++ b/simulation/load_test.go
@@ -0,0 +1,207 @@
+package simulation_test
+
+import (
+	"testing"
+	"time"
+
+	"cactuswell/core/scheduling"
+	"cactuswell/simulation"
+)
+
+// briefingBursts is the load of a heavy day: briefings come in bursts, and drafts
+// in one between them.
+func briefingBursts(config simulation.Config) simulation.Config {
+	brief, draft := config.Classes[0].Name, config.Classes[2].Name
+	config.Bursts = []simulation.Burst{
+		{Class: brief, From: 500 * time.Millisecond, For: 9 * time.Second, Factor: 2.3},
+		{Class: draft, From: 11 * time.Second, For: 5 * time.Second, Factor: 2},
+		{Class: brief, From: 17 * time.Second, For: 5 * time.Second, Factor: 2.2},
+	}
+	return config
+}
+
+func withWeights(config simulation.Config, change func(*scheduling.Weights)) simulation.Config {
+	config.Settings = func(settings *scheduling.Settings) { change(&settings.Weights) }
+	return config
+}
+
+// atLeast checks a share against a floor.
+func atLeast(t *testing.T, what string, got, floor float64) {
+	t.Helper()
+	if got < floor {
+		t.Errorf("%s is %.3f, at least %.3f is wanted", what, got, floor)
+	}
+}
+
+func deployments() map[string]simulation.Config {
+	return map[string]simulation.Config{
+		"kelisim":   simulation.Kelisim(),
+		"lindqvist": simulation.Lindqvist(),
+	}
+}
+
+// The targets on every load: what callers get is worth at least 0.8 of all, and
+// no class is served in time more than 0.15 less often than the mean.
+const (
+	worthTarget = 0.8
+	classWithin = 0.15
+)
+
+// checkTargets checks them.
+func checkTargets(t *testing.T, config simulation.Config, result simulation.Result) {
+	t.Helper()
+	atLeast(t, "worth", result.WorthShare(), worthTarget)
+	mean := 0.0
+	for _, class := range config.Classes {
+		mean += result.Class(class.Name).OnTimeShare() / float64(len(config.Classes))
+	}
+	for _, class := range config.Classes {
+		atLeast(t, class.Name+" in time", result.Class(class.Name).OnTimeShare(), mean-classWithin)
+	}
+}
+
+// TestCalmDay: on a calm day all classes are served alike.
+func TestCalmDay(t *testing.T) {
+	for name, config := range deployments() {
+		t.Run(name, func(t *testing.T) { checkTargets(t, config, simulation.Run(config)) })
+	}
+}
+
+// TestHeavyDay: the same holds while bursts come.
+func TestHeavyDay(t *testing.T) {
+	for name, config := range deployments() {
+		t.Run(name, func(t *testing.T) {
+			config = briefingBursts(config)
+			checkTargets(t, config, simulation.Run(config))
+		})
+	}
+}
+
+// TestLanesKeepDraftsInTime: short drafts keep their pauses beside bursts of long
+// briefings, which they don't when all engines do everything.
+func TestLanesKeepDraftsInTime(t *testing.T) {
+	for name, config := range deployments() {
+		t.Run(name, func(t *testing.T) {
+			draft := config.Classes[2].Name
+			with := simulation.Run(briefingBursts(config)).Class(draft).OnTimeShare()
+			without := simulation.Run(withWeights(briefingBursts(config), func(weights *scheduling.Weights) {
+				weights.MaxTightShare = 0
+			})).Class(draft).OnTimeShare()
+			atLeast(t, "drafts in time", with, 0.9)
+			if with <= without {
+				t.Errorf("drafts in time with lanes %.3f, without %.3f", with, without)
+			}
+		})
+	}
+}
+
+// TestHostsThatTellEachOtherServeMore: hosts that know of each other's work read
+// less twice and serve more in time.
+func TestHostsThatTellEachOtherServeMore(t *testing.T) {
+	for name, config := range deployments() {
+		t.Run(name, func(t *testing.T) {
+			telling := simulation.Run(briefingBursts(config))
+			config.Silent = true
+			silent := simulation.Run(briefingBursts(config))
+			if telling.WorthShare() <= silent.WorthShare() {
+				t.Errorf("worth with messages %.3f, without %.3f", telling.WorthShare(), silent.WorthShare())
+			}
+			if telling.RereadTokens*2 > silent.RereadTokens {
+				t.Errorf("read again with messages %d, without %d", telling.RereadTokens, silent.RereadTokens)
+			}
+		})
+	}
+}
+
+// TestLostMessagesDoLittleHarm: messages hold states, so that a tenth of them may
+// be lost.
+func TestLostMessagesDoLittleHarm(t *testing.T) {
+	config := briefingBursts(simulation.Kelisim())
+	whole := simulation.Run(config)
+	config.MessageLoss = 0.1
+	lossy := simulation.Run(config)
+	atLeast(t, "worth with losses", lossy.WorthShare(), whole.WorthShare()-0.03)
+}
+
+// TestSlowEnginesAreLeft: engines that turn five times slower lose their work to
+// the others.
+func TestSlowEnginesAreLeft(t *testing.T) {
+	for name, config := range deployments() {
+		t.Run(name, func(t *testing.T) {
+			config.Faults = []simulation.Fault{{
+				Engines: 2,
+				From:    8 * time.Second,
+				For:     10 * time.Second,
+				Slow:    5,
+			}}
+			checkTargets(t, config, simulation.Run(config))
+		})
+	}
+}
+
+// TestCrashedEnginesCostWhatTheyRan: of the calls after a crash, dark or not, few
+// are lost beside those that the engines were running.
+func TestCrashedEnginesCostWhatTheyRan(t *testing.T) {
+	for name, dark := range map[string]bool{"refusing": false, "dark": true} {
+		t.Run(name, func(t *testing.T) {
+			config := simulation.Kelisim()
+			config.Faults = []simulation.Fault{{
+				Engines: 3,
+				From:    10 * time.Second,
+				For:     4 * time.Second,
+				Dark:    dark,
+			}}
+			result := simulation.Run(config)
+			for _, class := range config.Classes {
+				atLeast(t, class.Name+" served", result.Class(class.Name).ServedShare(), 0.93)
+			}
+		})
+	}
+}
+
+// TestHotSubjectSpreads: a third of the briefings about one subject don't wait
+// for one engine.
+func TestHotSubjectSpreads(t *testing.T) {
+	config := simulation.Kelisim()
+	config.Bursts = []simulation.Burst{{
+		Class:   config.Classes[0].Name,
+		From:    5 * time.Second,
+		For:     10 * time.Second,
+		Factor:  1.5,
+		Subject: 0.35,
+	}}
+	result := simulation.Run(config)
+	atLeast(t, "briefings in time", result.Class(config.Classes[0].Name).OnTimeShare(), 0.95)
+}
+
+// TestRestartedHostFindsHomes: a host that lost all that it knew does no lasting
+// harm to what is read twice.
+func TestRestartedHostFindsHomes(t *testing.T) {
+	config := simulation.Kelisim()
+	before := simulation.Run(config)
+	config.Restart = 10 * time.Second
+	after := simulation.Run(config)
+	atLeast(t, "worth with a restart", after.WorthShare(), before.WorthShare()-0.03)
+}
+
+// TestNoHerd: hosts that read the same reports don't all pick the same engine,
+// and more hosts for the same load for each engine serve about as much.
+func TestNoHerd(t *testing.T) {
+	few := simulation.Run(simulation.Kelisim())
+	config := simulation.Scaled(simulation.Kelisim(), 3)
+	config.Length = 15 * time.Second
+	many := simulation.Run(config)
+	if many.Busiest > 1.6 {
+		t.Errorf("the busiest engine has %.2f times the mean work", many.Busiest)
+	}
+	atLeast(t, "worth with three times the hosts", many.WorthShare(), few.WorthShare()-0.03)
+}
+
+// TestSameSeedSameResult: a run can be played again.
+func TestSameSeedSameResult(t *testing.T) {
+	config := briefingBursts(simulation.Kelisim())
+	first, second := simulation.Run(config), simulation.Run(config)
+	if first.Worth != second.Worth || first.ReadTokens != second.ReadTokens || first.RereadTokens != second.RereadTokens {
+		t.Errorf("worth %v and %v, read %d and %d", first.Worth, second.Worth, first.ReadTokens, second.ReadTokens)
+	}
+}
