--- a/cmd/gatewaycmd.go
+++ b/cmd/gatewaycmd.go
@@ -9,6 +9,7 @@
 	"cactuswell/core/directory"
 	"cactuswell/core/route"
 	"cactuswell/gateway"
+	"cactuswell/io/opaque"
 	"cactuswell/platform"
 	"cactuswell/settings"
 )
@@ -87,7 +88,7 @@
 			Endpoints:        platform.EndpointTopic,
 		},
 		Decoder: storedValues{},
-		Dialect: platform.Dialect{},
+		Dialect: opaque.NewHeaders(platform.HeaderNames()),
 		Output:  g.console.out,
 		Source:  g.load,
 		Reload:  signals.reload,
--- /dev/null
+++ b/cmd/gatewaycmd_test.go
@@ -0,0 +1,118 @@
+package cmd_test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cactuswell/cmd"
+	"cactuswell/platform"
+	"cactuswell/platform/platformtest"
+	"cactuswell/standin/keyedlog"
+)
+
+// output collects what a command prints, and tells of each new text.
+type output struct {
+	mu      sync.Mutex
+	text    bytes.Buffer
+	printed chan struct{}
+}
+
+func newOutput() *output {
+	return &output{printed: make(chan struct{}, 1)}
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	select {
+	case o.printed <- struct{}{}:
+	default:
+	}
+	return o.text.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
+// await waits until the output holds a text.
+func (o *output) await(t *testing.T, text string) {
+	t.Helper()
+	limit := time.After(20 * time.Second)
+	for !strings.Contains(o.String(), text) {
+		select {
+		case <-o.printed:
+		case <-limit:
+			t.Fatalf("no %s in\n%s", text, o.String())
+		}
+	}
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// TestGatewayReadsItsSettingsAnew runs a gateway through a hangup, a change of
+// its settings without a signal, and the signal to stop.
+func TestGatewayReadsItsSettingsAnew(t *testing.T) {
+	log := keyedlog.New()
+	log.Append(platform.ConfigurationTopic, platform.ConfigurationKey, []byte(`{"version":1}`))
+	store := httptest.NewServer(platformtest.NewStore(log))
+	t.Cleanup(store.Close)
+	file := filepath.Join(t.TempDir(), "environment")
+	write := func(ratio string) {
+		t.Helper()
+		text := fmt.Sprintf("# settings\nCACTUSWELL_NAME=host-1\nCACTUSWELL_ZONE=z0\nCACTUSWELL_CALLER_LISTEN=%s\n"+
+			"CACTUSWELL_READY_LISTEN=%s\nCACTUSWELL_STORE_ADDRESS=%s\nCACTUSWELL_BALANCER_LAG=0s\nCACTUSWELL_BUDGET_RATIO=%s\n",
+			freePort(t), freePort(t), store.Listener.Addr(), ratio)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("0.1")
+	for _, name := range []string{"NAME", "ZONE", "CALLER_LISTEN", "READY_LISTEN", "STORE_ADDRESS", "BALANCER_LAG", "BUDGET_RATIO"} {
+		// Setenv restores what the gateway sets from its file.
+		t.Setenv("CACTUSWELL_"+name, "")
+		if err := os.Unsetenv("CACTUSWELL_" + name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	out, errors := newOutput(), newOutput()
+	code := make(chan int, 1)
+	go func() {
+		code <- cmd.Main([]string{"gateway", "--environment-file", file}, strings.NewReader(""), out, errors)
+	}()
+	out.await(t, `"event":"configurationTaken"`)
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	out.await(t, `"event":"reloadAsked"`)
+	write("0.15")
+	out.await(t, `"event":"reloaded"`)
+	write("lots")
+	out.await(t, `"event":"reloadRefused"`)
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-code; got != cmd.ExitOK {
+		t.Errorf("exit code %d\n%s", got, errors.String())
+	}
+	out.await(t, `"event":"stopped"`)
+}
--- /dev/null
+++ b/gateway/calls_test.go
@@ -0,0 +1,244 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	standin "cactuswell/standin/opaque"
+)
+
+func TestCallsPassUnchanged(t *testing.T) {
+	f := newFixture(t, 2)
+	large := strings.Repeat("0123456789", 15_000)
+	for name, test := range map[string]struct {
+		method string
+		path   string
+		body   string
+		want   string
+	}{
+		"without a body":     {method: http.MethodGet, path: "/lookup/rooms?day=%20x&b", want: string(standin.Body(nil))},
+		"with a body":        {method: http.MethodPost, path: "/hold/1", body: "a=1", want: string(standin.Body([]byte("a=1")))},
+		"with a large body":  {method: http.MethodPost, path: "/hold/2", body: large, want: string(standin.Body([]byte(large)))},
+		"a stream of events": {method: http.MethodPost, path: "/draft/stream", body: "x", want: wholeStream()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var body []byte
+			if test.body != "" {
+				body = []byte(test.body)
+			}
+			got := f.do(f.request(test.method, test.path, body))
+			if got.status != http.StatusOK || got.broken || got.body != test.want {
+				t.Errorf("got status %d, broken %v, %d bytes of body", got.status, got.broken, len(got.body))
+			}
+			run := f.runs()[len(f.runs())-1]
+			for _, other := range f.runs() {
+				if other.Target == test.path {
+					run = other
+				}
+			}
+			if run.Target != test.path || run.Method != test.method || string(run.Body) != test.body {
+				t.Errorf("ran %s %s with %d bytes", run.Method, run.Target, len(run.Body))
+			}
+		})
+	}
+}
+
+func TestHeadersOfAnAttempt(t *testing.T) {
+	f := newFixture(t, 1)
+	request := f.request(http.MethodPost, "/draft/stream", []byte("x"))
+	request.Header.Set("Cactuswell-Team", "forged")
+	request.Header.Set("Cactuswell-Endpoint", "forged")
+	request.Header.Set("Cactuswell-Priority", "0")
+	request.Header.Set("Connection", "X-Request-Id, Cactuswell-Tokens, X-Own")
+	request.Header.Set("X-Own", "hop")
+	request.Header.Set("X-Other", "kept")
+	if got := f.do(request); got.status != http.StatusOK {
+		t.Fatalf("status %d", got.status)
+	}
+	run := f.runs()[0]
+	for name, want := range map[string]string{
+		"X-Request-Id":        "request--draft-stream",
+		"Cactuswell-Tokens":   "100,50",
+		"Cactuswell-Prompt":   "a:60,b:40",
+		"Cactuswell-Team":     "clerks",
+		"Cactuswell-Endpoint": "models-0",
+		"Cactuswell-Priority": "0",
+		"X-Other":             "kept",
+		"X-Own":               "",
+		"Authorization":       "",
+	} {
+		if got := run.Header.Get(name); got != want {
+			t.Errorf("%s is %q, want %q", name, got, want)
+		}
+	}
+	var left int
+	if _, err := fmt.Sscan(run.Header.Get("Cactuswell-Time-Left-Ms"), &left); err != nil || left > 4000 || left < 1000 {
+		t.Errorf("time left is %q", run.Header.Get("Cactuswell-Time-Left-Ms"))
+	}
+}
+
+// TestMisbehaviour checks what callers get when the first endpoint that a call
+// reaches misbehaves.
+func TestMisbehaviour(t *testing.T) {
+	const served = http.StatusOK
+	for name, test := range map[string]struct {
+		path      string
+		behaviour standin.Behaviour
+		status    int
+		// runs is the number of endpoints that may have run it.
+		runs int
+		// broken says that the answer breaks off.
+		broken bool
+	}{
+		"a lookup that failed is repeated":             {path: "/lookup/x", behaviour: standin.Fails{Status: 500}, status: served, runs: 2},
+		"a lookup with a cut answer is repeated":       {path: "/lookup/x", behaviour: standin.Cut{Bytes: 3}, status: served, runs: 2},
+		"a lookup without an answer is repeated":       {path: "/lookup/x", behaviour: standin.Reset{}, status: served, runs: 2},
+		"a lookup with somebody else's answer":         {path: "/lookup/x", behaviour: standin.Crossed{}, status: served, runs: 2},
+		"a lookup with an answer without mark":         {path: "/lookup/x", behaviour: standin.Unsigned{}, status: served, runs: 2},
+		"a lookup with bytes that are no answer":       {path: "/lookup/x", behaviour: standin.Garbage{}, status: served, runs: 2},
+		"a lookup at a silent endpoint is repeated":    {path: "/lookup/x", behaviour: standin.Silent{}, status: served, runs: 2},
+		"a lookup with an answer without length":       {path: "/lookup/x", behaviour: standin.Unframed{}, status: served, runs: 1},
+		"a lookup with a second answer":                {path: "/lookup/x", behaviour: standin.Extra{}, status: served, runs: 1},
+		"a hold that was declined goes elsewhere":      {path: "/hold/x", behaviour: standin.Declines{}, status: served, runs: 1},
+		"a hold at another's address goes elsewhere":   {path: "/hold/x", behaviour: standin.Misdirects{}, status: served, runs: 1},
+		"a hold that failed is told as it is":          {path: "/hold/x", behaviour: standin.Fails{Status: 500}, status: 500, runs: 1},
+		"a hold with a cut answer has no known end":    {path: "/hold/x", behaviour: standin.Cut{Bytes: 3}, status: 502, runs: 1},
+		"a hold without an answer has no known end":    {path: "/hold/x", behaviour: standin.Reset{}, status: 502, runs: 1},
+		"a hold with somebody else's answer":           {path: "/hold/x", behaviour: standin.Crossed{}, status: 502, runs: 1},
+		"a hold that ran and is said not to":           {path: "/hold/x", behaviour: standin.Promises{Status: 503}, status: 502, runs: 1},
+		"a hold that ran and is said to be too much":   {path: "/hold/x", behaviour: standin.Promises{Status: 429}, status: 502, runs: 1},
+		"a hold at a silent endpoint ends in time":     {path: "/quick/x", behaviour: standin.Silent{}, status: 504, runs: 1},
+		"a draft that breaks off looks broken":         {path: "/draft/stream", behaviour: standin.Cut{Bytes: 60}, status: served, runs: 1, broken: true},
+		"a draft that never began has no known end":    {path: "/draft/stream", behaviour: standin.Cut{Bytes: 4}, status: 502, runs: 1},
+		"a draft that skips an event looks broken":     {path: "/draft/stream", behaviour: standin.Skips{Event: 2}, status: served, runs: 1, broken: true},
+		"a summary that breaks off goes on elsewhere":  {path: "/summary/stream", behaviour: standin.Cut{Bytes: 60}, status: served, runs: 2},
+		"a summary that skips an event goes on":        {path: "/summary/stream", behaviour: standin.Skips{Event: 2}, status: served, runs: 2},
+		"a summary at a silent engine begins anew":     {path: "/summary/stream", behaviour: standin.Silent{}, status: served, runs: 2},
+		"a summary that was declined begins elsewhere": {path: "/summary/stream", behaviour: standin.Declines{}, status: served, runs: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 3)
+			f.behave(firstThen(test.behaviour))
+			got := f.post(test.path, "body")
+			if got.status != test.status || got.broken != test.broken {
+				t.Errorf("status %d, broken %v; want %d, %v", got.status, got.broken, test.status, test.broken)
+			}
+			if runs := len(f.runs()); runs != test.runs {
+				t.Errorf("%d endpoints ran it, want %d", runs, test.runs)
+			}
+			if test.status != served || test.broken {
+				return
+			}
+			want := string(standin.Body([]byte("body")))
+			if strings.HasSuffix(test.path, "stream") {
+				want = wholeStream()
+			}
+			if got.body != want {
+				t.Errorf("body is %q, want %q", got.body, want)
+			}
+		})
+	}
+}
+
+// TestNextCallAfterMisbehaviour checks that nothing odd on a connection reaches
+// the caller after it.
+func TestNextCallAfterMisbehaviour(t *testing.T) {
+	for name, behaviour := range map[string]standin.Behaviour{
+		"a second answer":               standin.Extra{},
+		"an answer before the body":     standin.Early{},
+		"an answer without a length":    standin.Unframed{},
+		"an answer to another request":  standin.Crossed{},
+		"a cut answer":                  standin.Cut{Bytes: 2},
+		"bytes that are no answer":      standin.Garbage{},
+		"an answer that it did not run": standin.Declines{},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 1)
+			f.behave(firstThen(behaviour))
+			large := strings.Repeat("x", 60_000)
+			f.post("/hold/first", large)
+			got := f.post("/hold/second", "second")
+			if got.status != http.StatusOK || got.body != string(standin.Body([]byte("second"))) {
+				t.Errorf("the next call got %d %q", got.status, got.body)
+			}
+		})
+	}
+}
+
+func TestDenials(t *testing.T) {
+	f := newFixture(t, 1)
+	for name, test := range map[string]struct {
+		change func(*http.Request)
+		status int
+	}{
+		"no such route":      {change: func(r *http.Request) { r.URL.Path = "/other/" }, status: http.StatusNotFound},
+		"no such host":       {change: func(r *http.Request) { r.Host = "other.example" }, status: http.StatusNotFound},
+		"unknown key":        {change: func(r *http.Request) { r.Header.Set("Authorization", "Bearer other") }, status: http.StatusUnauthorized},
+		"key without Bearer": {change: func(r *http.Request) { r.Header.Set("Authorization", "secret") }, status: http.StatusUnauthorized},
+		"no key":             {change: func(r *http.Request) { r.Header.Del("Authorization") }, status: http.StatusUnauthorized},
+		"no name":            {change: func(r *http.Request) { r.Header.Del("X-Request-Id") }, status: http.StatusBadRequest},
+		"body over the limit": {change: func(r *http.Request) {
+			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 300_000)))
+			r.ContentLength = 300_000
+		}, status: http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			request := f.request(http.MethodPost, "/hold/x", []byte("x"))
+			test.change(request)
+			if got := f.do(request); got.status != test.status {
+				t.Errorf("status %d, want %d", got.status, test.status)
+			}
+		})
+	}
+	if runs := f.runs(); len(runs) != 0 {
+		t.Errorf("%d calls ran", len(runs))
+	}
+}
+
+// TestCallerLeaves checks that an endpoint learns of it at once.
+func TestCallerLeaves(t *testing.T) {
+	for name, path := range map[string]string{"a lookup": "/lookup/x", "a hold": "/hold/x", "a stream": "/draft/stream"} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.behave(func(*http.Request) standin.Behaviour { return standin.Silent{} })
+			conn, _ := f.raw("POST " + path + " HTTP/1.1\r\nHost: firm.example\r\nX-Request-Id: leaving\r\n" +
+				"Authorization: Bearer secret\r\nContent-Length: 1\r\n\r\nx")
+			for len(f.runs()) == 0 {
+				// The run is noted before the endpoint falls silent.
+				yield()
+			}
+			_ = conn.Close()
+			for _, endpoint := range f.endpoints {
+				if len(endpoint.Runs()) > 0 && <-endpoint.Left() != "leaving" {
+					t.Error("another call was left")
+				}
+			}
+		})
+	}
+}
+
+// TestSmuggledRequest checks that a body that looks like a request stays a body.
+func TestSmuggledRequest(t *testing.T) {
+	f := newFixture(t, 1)
+	inner := "POST /hold/smuggled HTTP/1.1\r\nHost: firm.example\r\nX-Request-Id: inner\r\nAuthorization: Bearer secret\r\nContent-Length: 0\r\n\r\n"
+	_, reader := f.raw("POST /hold/outer HTTP/1.1\r\nHost: firm.example\r\nX-Request-Id: outer\r\nAuthorization: Bearer secret\r\n" +
+		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(inner), inner))
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil || string(body) != string(standin.Body([]byte(inner))) {
+		t.Errorf("body %q, error %v", body, err)
+	}
+	for _, run := range f.runs() {
+		if run.ID != "outer" {
+			t.Errorf("%s ran", run.ID)
+		}
+	}
+}
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -30,6 +30,8 @@
 	inForce atomic.Pointer[inForce]
 	lost    atomic.Bool
 	taking  sync.Mutex
+	// known is closed when there is a configuration.
+	known chan struct{}
 }
 
 // inForce is a configuration with its source.
@@ -95,6 +97,9 @@
 		takenAt: time.Now(),
 	})
 	f.decided.post(scheduling.ConfigurationChanged{Table: table})
+	if before < 0 {
+		close(f.known)
+	}
 	f.trail.Notice("configurationTaken").Int("version", table.Version()).Int("before", before).
 		Text("source", source).Int("routes", int64(table.Routes())).Int("teams", int64(table.Teams())).End()
 }
@@ -116,8 +121,10 @@
 	decoder Decoder
 	trail   *trail.Trail
 	decided *decisions
-	listed  atomic.Bool
 	lost    atomic.Bool
+	// known is closed when the endpoints are known.
+	known     chan struct{}
+	knownOnce sync.Once
 	// unreadable are the ids whose entry could not be read, each told once.
 	unreadable map[string]bool
 }
@@ -137,7 +144,11 @@
 		}
 	}
 	f.decided.post(listing)
-	f.listed.Store(true)
+	f.setKnown()
+}
+
+func (f *endpointFeed) setKnown() {
+	f.knownOnce.Do(func() { close(f.known) })
 }
 
 // Appended implements keyedlog.Listener.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -129,13 +129,13 @@
 	}
 	g := &Gateway{
 		Dependencies: dependencies,
-		trail:        trail.New(dependencies.Output, dependencies.Settings.Name),
 		timers:       timer.New(),
 		meter:        newMeter(),
 		pool:         upstream.New(),
 		born:         time.Now().UnixMilli(),
 		leaving:      make(chan struct{}),
 	}
+	g.trail = trail.New(dependencies.Output, dependencies.Settings.Name, g.timers)
 	g.current.Store(&g.Settings)
 	g.tree = supervisor.New("gateway", log.NewNopLogger())
 	g.limitMemory()
@@ -177,12 +177,14 @@
 		decoder: g.Decoder,
 		trail:   g.trail,
 		decided: g.decided,
+		known:   make(chan struct{}),
 	}
 	g.endpoints = &endpointFeed{
 		decoder:    g.Decoder,
 		trail:      g.trail,
 		decided:    g.decided,
 		unreadable: make(map[string]bool),
+		known:      make(chan struct{}),
 	}
 	g.server = opaque.New(opaque.Dependencies{
 		Tables:     g.configuration.current,
@@ -217,7 +219,7 @@
 	g.mesh, err = peer.New(peer.Dependencies{
 		Host:    g.Settings.Name,
 		Born:    g.born,
-		Address: g.Settings.PeerListen,
+		Address: g.PeerAddress(),
 		Listener: &peerListener{
 			decided: g.decided,
 			trail:   g.trail,
@@ -239,6 +241,28 @@
 	return nil
 }
 
+// CallerAddress returns the address on which callers are served.
+func (g *Gateway) CallerAddress() string { return g.callerListener.Addr().String() }
+
+// ReadyAddress returns the address on which readiness and metrics are served.
+func (g *Gateway) ReadyAddress() string { return g.readyListener.Addr().String() }
+
+// PeerAddress returns the address on which other hosts are served.
+func (g *Gateway) PeerAddress() string { return g.peerListener.Addr().String() }
+
+// AwaitReady waits until the host wants connections. It fails only with ctx's
+// error.
+func (g *Gateway) AwaitReady(ctx context.Context) error {
+	for _, known := range []<-chan struct{}{g.configuration.known, g.endpoints.known} {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-known:
+		}
+	}
+	return nil
+}
+
 // share tells the other hosts of this one's work.
 func (g *Gateway) share(full bool, work []scheduling.PeerWork, placed []scheduling.Placement) {
 	g.mesh.Send(peer.Message{
@@ -252,8 +276,12 @@
 }
 
 func (g *Gateway) isLeaving() bool {
+	return isClosed(g.leaving)
+}
+
+func isClosed(done <-chan struct{}) bool {
 	select {
-	case <-g.leaving:
+	case <-done:
 		return true
 	default:
 		return false
@@ -287,7 +315,7 @@
 		return false, "stopping"
 	case g.configuration.current() == nil:
 		return false, "no configuration yet"
-	case !g.endpoints.listed.Load():
+	case !isClosed(g.endpoints.known):
 		return false, "no endpoints yet"
 	}
 	return true, ""
--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,347 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cactuswell/core/directory"
+	"cactuswell/core/route"
+	"cactuswell/gateway"
+	"cactuswell/io/opaque"
+	"cactuswell/settings"
+	"cactuswell/standin/keyedlog"
+	standin "cactuswell/standin/opaque"
+)
+
+const (
+	configurationTopic = "configuration"
+	configurationKey   = "newest"
+	endpointTopic      = "endpoints"
+	service            = "booking"
+	models             = "models"
+	streamEvents       = 6
+)
+
+// plainValues reads values as JSON of the product's own types.
+type plainValues struct{}
+
+func (plainValues) Configuration(value []byte) (route.Spec, error) {
+	var spec route.Spec
+	err := json.Unmarshal(value, &spec)
+	return spec, err
+}
+
+func (plainValues) Endpoint(id string, value []byte) (directory.Entry, error) {
+	var entry directory.Entry
+	err := json.Unmarshal(value, &entry)
+	entry.ID = id
+	return entry, err
+}
+
+// lockedBuffer collects the log lines.
+type lockedBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.String()
+}
+
+// fixture is a host between callers and endpoints of the test.
+type fixture struct {
+	t         *testing.T
+	log       *keyedlog.Log
+	spec      route.Spec
+	endpoints []*standin.Endpoint
+	gateway   *gateway.Gateway
+	lines     *lockedBuffer
+	stop      context.CancelFunc
+	done      chan error
+}
+
+// testSpec is the configuration of the tests.
+func testSpec() route.Spec {
+	booking := []route.Target{{Service: service, Weight: 1}}
+	generation := []route.Target{{Service: models, Weight: 1}}
+	return route.Spec{
+		Version: 1,
+		Services: []route.Service{
+			{Name: service},
+			{
+				Name: models,
+				Engine: &route.Engine{
+					Slots:        8,
+					MemoryTokens: 100_000,
+					Stride:       1,
+				},
+			},
+		},
+		Routes: []route.Route{
+			{Name: "lookup", Host: "firm.example", Prefix: "/lookup/", Kind: route.Safe, MaxAttempts: 2, Timeout: 5 * time.Second, Target: time.Second, Targets: booking},
+			{Name: "hold", Host: "firm.example", Prefix: "/hold/", Kind: route.Once, MaxAttempts: 1, Timeout: 5 * time.Second, Target: time.Second, Targets: booking},
+			{Name: "quick", Host: "firm.example", Prefix: "/quick/", Kind: route.Once, MaxAttempts: 1, Timeout: 300 * time.Millisecond, Target: 100 * time.Millisecond, Targets: booking},
+			{Name: "draft", Host: "firm.example", Prefix: "/draft/", Kind: route.Stream, MaxAttempts: 1, Timeout: 5 * time.Second, Target: time.Second, Targets: generation},
+			{Name: "summary", Host: "firm.example", Prefix: "/summary/", Kind: route.Stream, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second, Target: time.Second, Gap: time.Second, Targets: generation},
+		},
+		Teams:  []route.Team{{Name: "clerks", Keys: []string{"secret"}}},
+		Limits: route.Limits{BodyBytes: 200_000},
+	}
+}
+
+// newFixture starts a host with that many endpoints of each service.
+func newFixture(t *testing.T, endpoints int) *fixture {
+	t.Helper()
+	f := &fixture{
+		t:    t,
+		log:  keyedlog.New(),
+		spec: testSpec(),
+	}
+	f.publish()
+	for i := range endpoints {
+		f.addEndpoint(service, i)
+		f.addEndpoint(models, i)
+	}
+	f.start()
+	return f
+}
+
+func (f *fixture) publish() {
+	value, err := json.Marshal(f.spec)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.log.Append(configurationTopic, configurationKey, value)
+}
+
+func (f *fixture) addEndpoint(of string, i int) *standin.Endpoint {
+	f.t.Helper()
+	id := fmt.Sprintf("%s-%d", of, i)
+	endpoint, err := standin.New(standin.Settings{
+		ID:     id,
+		Names:  opaque.OwnNames(),
+		Events: streamEvents,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(endpoint.Close)
+	f.endpoints = append(f.endpoints, endpoint)
+	f.enter(id, of, endpoint.Address(), false)
+	return endpoint
+}
+
+// enter puts an endpoint's entry into the log.
+func (f *fixture) enter(id, of, address string, leaving bool) {
+	value, err := json.Marshal(directory.Entry{
+		Born:    1,
+		Service: of,
+		Address: address,
+		Zone:    "z0",
+		Slots:   4,
+		Leaving: leaving,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.log.Append(endpointTopic, id, value)
+}
+
+func testSettings(name string) settings.Gateway {
+	return settings.Gateway{
+		Name:         name,
+		Zone:         "z0",
+		CallerListen: "127.0.0.1:0",
+		ReadyListen:  "127.0.0.1:0",
+		PeerListen:   "127.0.0.1:0",
+		ReadyPath:    "/ready",
+		StoreAddress: "127.0.0.1:1",
+		MemoryMB:     128,
+		StopTimeout:  2 * time.Second,
+		IdleTimeout:  time.Minute,
+		BudgetWindow: 10 * time.Second,
+		BudgetRatio:  0.2,
+		BudgetSlack:  40,
+	}
+}
+
+// start runs a host and waits until it is ready.
+func (f *fixture) start() {
+	f.t.Helper()
+	f.lines = &lockedBuffer{}
+	current := testSettings("host-1")
+	g, err := gateway.New(gateway.Dependencies{
+		Settings: current,
+		Log:      f.log,
+		Roster:   f.log,
+		Topics: gateway.Topics{
+			Configuration:    configurationTopic,
+			ConfigurationKey: configurationKey,
+			Endpoints:        endpointTopic,
+		},
+		Decoder: plainValues{},
+		Dialect: opaque.NewHeaders(opaque.OwnNames()),
+		Output:  f.lines,
+		Source:  func() (settings.Gateway, error) { return current, nil },
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.gateway = g
+	stop, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	f.done = make(chan error, 1)
+	go func() { f.done <- g.Run(stop, context.Background()) }()
+	f.t.Cleanup(f.end)
+	ctx, cancelWait := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancelWait()
+	if err := g.AwaitReady(ctx); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// end stops the host. It may be called again.
+func (f *fixture) end() {
+	f.stop()
+	if f.done == nil {
+		return
+	}
+	if err := <-f.done; err != nil {
+		f.t.Error(err)
+	}
+	f.done = nil
+}
+
+// behave sets how all endpoints answer.
+func (f *fixture) behave(behave func(*http.Request) standin.Behaviour) {
+	for _, endpoint := range f.endpoints {
+		endpoint.Behave(behave)
+	}
+}
+
+// firstThen behaves in one way at the first call, and well at all others.
+func firstThen(first standin.Behaviour) func(*http.Request) standin.Behaviour {
+	var mu sync.Mutex
+	calls := 0
+	return func(*http.Request) standin.Behaviour {
+		mu.Lock()
+		defer mu.Unlock()
+		calls++
+		if calls == 1 {
+			return first
+		}
+		return standin.Whole{}
+	}
+}
+
+// runs returns the calls that ran at all endpoints.
+func (f *fixture) runs() []standin.Run {
+	var runs []standin.Run
+	for _, endpoint := range f.endpoints {
+		runs = append(runs, endpoint.Runs()...)
+	}
+	return runs
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// broken says that the answer did not come to its end.
+	broken bool
+	// last says that the connection takes no further request.
+	last bool
+}
+
+// request returns a caller's request.
+func (f *fixture) request(method, path string, body []byte) *http.Request {
+	f.t.Helper()
+	var reader io.Reader
+	if body != nil {
+		reader = bytes.NewReader(body)
+	}
+	request, err := http.NewRequest(method, "http://"+f.gateway.CallerAddress()+path, reader)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Host = "firm.example"
+	request.Header.Set("X-Request-Id", "request-"+strings.ReplaceAll(path, "/", "-"))
+	request.Header.Set("Authorization", "Bearer secret")
+	request.Header.Set("Cactuswell-Time-Left-Ms", "4000")
+	if strings.HasSuffix(path, "stream") {
+		request.Header.Set("Cactuswell-Tokens", "100,50")
+		request.Header.Set("Cactuswell-Prompt", "a:60,b:40")
+	}
+	return request
+}
+
+// do sends a request and reads what comes.
+func (f *fixture) do(request *http.Request) reply {
+	f.t.Helper()
+	client := &http.Client{
+		Transport: &http.Transport{DisableCompression: true},
+		Timeout:   10 * time.Second,
+	}
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
+	if err != nil {
+		return reply{broken: true}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return reply{
+		status: response.StatusCode,
+		header: response.Header,
+		body:   string(body),
+		last:   response.Close,
+		broken: err != nil,
+	}
+}
+
+func (f *fixture) get(path string) reply { return f.do(f.request(http.MethodGet, path, nil)) }
+
+func (f *fixture) post(path string, body string) reply {
+	return f.do(f.request(http.MethodPost, path, []byte(body)))
+}
+
+// raw sends bytes over a connection of its own and returns the connection.
+func (f *fixture) raw(text string) (net.Conn, *bufio.Reader) {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.gateway.CallerAddress())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = conn.Close() })
+	if _, err := io.WriteString(conn, text); err != nil {
+		f.t.Fatal(err)
+	}
+	return conn, bufio.NewReader(conn)
+}
+
+// wholeStream is the body of a whole stream.
+func wholeStream() string {
+	var body strings.Builder
+	for id := range streamEvents {
+		body.WriteString(standin.Event(id))
+	}
+	return body.String()
+}
--- /dev/null
+++ b/gateway/life_test.go
@@ -0,0 +1,247 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cactuswell/core/route"
+	"cactuswell/gateway"
+	"cactuswell/io/opaque"
+	"cactuswell/settings"
+	standin "cactuswell/standin/opaque"
+)
+
+// eventually waits until a condition holds, for some seconds at most.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within 10 s: %s", what)
+		}
+		yield()
+	}
+}
+
+func TestConfigurationComesIntoForce(t *testing.T) {
+	f := newFixture(t, 1)
+	if got := f.get("/new/x"); got.status != http.StatusNotFound {
+		t.Fatalf("status %d before the change", got.status)
+	}
+	added := f.spec.Routes[0]
+	added.Name, added.Prefix = "new", "/new/"
+	f.spec.Routes = append(f.spec.Routes, added)
+	f.spec.Version = 5
+	f.publish()
+	eventually(t, "the new route is served", func() bool { return f.get("/new/x").status == http.StatusOK })
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	f := newFixture(t, 1)
+	f.spec.Version = 7
+	f.spec.Teams = append(f.spec.Teams, route.Team{Name: "brides", Keys: []string{"second"}})
+	f.publish()
+	usable := func() bool {
+		request := f.request(http.MethodGet, "/lookup/x", nil)
+		request.Header.Set("Authorization", "Bearer second")
+		return f.do(request).status == http.StatusOK
+	}
+	eventually(t, "the new key is known", usable)
+	f.spec.Version = 6
+	f.spec.Teams = f.spec.Teams[:1]
+	f.publish()
+	f.log.Append(configurationTopic, configurationKey, []byte("no configuration at all"))
+	eventually(t, "the unreadable one is told of", func() bool {
+		return strings.Contains(f.lines.String(), `"event":"configurationRefused"`)
+	})
+	if !usable() {
+		t.Error("an older configuration came into force")
+	}
+}
+
+func TestUnreadableEntriesNameNoEndpoint(t *testing.T) {
+	f := newFixture(t, 1)
+	f.log.Append(endpointTopic, "broken", []byte(`{"Service": 7}`))
+	f.log.Append(endpointTopic, "booking-0", []byte(`not an entry`))
+	eventually(t, "the entries are told of", func() bool {
+		return strings.Count(f.lines.String(), `"event":"entryUnreadable"`) == 2
+	})
+	if got := f.get("/lookup/x"); got.status != http.StatusOK {
+		t.Errorf("status %d: what was known is lost", got.status)
+	}
+}
+
+func TestLeavingEndpointGetsNoMoreCalls(t *testing.T) {
+	f := newFixture(t, 2)
+	f.enter("booking-0", service, f.endpoints[0].Address(), true)
+	eventually(t, "the endpoint is known to leave", func() bool {
+		return strings.Contains(f.lines.String(), `"event":"endpointLeaving"`)
+	})
+	for range 6 {
+		f.get("/lookup/x")
+	}
+	if runs := f.endpoints[0].Runs(); len(runs) != 0 {
+		t.Errorf("%d calls reached it", len(runs))
+	}
+}
+
+// TestServesOnWhileTheLogIsDown checks that what was known stays in use.
+func TestServesOnWhileTheLogIsDown(t *testing.T) {
+	f := newFixture(t, 1)
+	f.log.SetDown(true)
+	eventually(t, "the outage is told", func() bool {
+		return strings.Contains(f.lines.String(), `"event":"storeLost"`)
+	})
+	if got := f.get("/lookup/x"); got.status != http.StatusOK {
+		t.Errorf("status %d during the outage", got.status)
+	}
+	f.log.SetDown(false)
+	eventually(t, "the return is told", func() bool {
+		return strings.Contains(f.lines.String(), `"event":"storeBack"`)
+	})
+}
+
+// TestStopFinishesCalls checks that a host that stops is no longer ready, serves
+// what it has, and tells callers to take another connection.
+func TestStopFinishesCalls(t *testing.T) {
+	f := newFixture(t, 1)
+	f.behave(func(*http.Request) standin.Behaviour { return standin.Silent{} })
+	answered := make(chan reply, 1)
+	go func() { answered <- f.post("/quick/x", "x") }()
+	eventually(t, "the call runs", func() bool { return len(f.runs()) == 1 })
+	f.stop()
+	got := <-answered
+	if got.broken || got.status != http.StatusGatewayTimeout {
+		t.Errorf("the open call got %d, broken %v", got.status, got.broken)
+	}
+	if !got.last {
+		t.Error("the caller may use the connection again")
+	}
+	f.end()
+	if !strings.Contains(f.lines.String(), `"event":"stopped"`) {
+		t.Error("the stop is not told")
+	}
+}
+
+func TestReadiness(t *testing.T) {
+	f := newFixture(t, 1)
+	ask := func() int {
+		response, err := http.Get("http://" + f.gateway.ReadyAddress() + "/ready")
+		if err != nil {
+			return 0
+		}
+		defer func() { _ = response.Body.Close() }()
+		return response.StatusCode
+	}
+	if status := ask(); status != http.StatusOK {
+		t.Errorf("status %d while serving", status)
+	}
+	f.behave(func(*http.Request) standin.Behaviour { return standin.Silent{} })
+	go f.post("/hold/x", "x")
+	eventually(t, "a call is open", func() bool { return len(f.runs()) == 1 })
+	f.stop()
+	eventually(t, "the host is no longer ready", func() bool { return ask() == http.StatusServiceUnavailable })
+}
+
+func TestMetrics(t *testing.T) {
+	f := newFixture(t, 1)
+	f.get("/lookup/x")
+	response, err := http.Get("http://" + f.gateway.ReadyAddress() + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range []string{
+		`cactuswell_calls_total{kind="safe",priority="0",result="served",reason=""} 1`,
+		`cactuswell_configuration_version 1`,
+		`cactuswell_endpoints 2`,
+		`cactuswell_call_seconds{kind="safe",priority="0",quantile="0.5"}`,
+	} {
+		if !strings.Contains(string(text), line) {
+			t.Errorf("no line %s in\n%s", line, text)
+		}
+	}
+}
+
+// TestHostPassesTheConfigurationOn checks that a host which the log turns away
+// learns of a change from another.
+func TestHostPassesTheConfigurationOn(t *testing.T) {
+	f := newFixture(t, 1)
+	cut := newCutLog(f.log)
+	current := testSettings("host-2")
+	second, err := gateway.New(gateway.Dependencies{
+		Settings: current,
+		Log:      cut,
+		Roster:   cut,
+		Topics: gateway.Topics{
+			Configuration:    configurationTopic,
+			ConfigurationKey: configurationKey,
+			Endpoints:        endpointTopic,
+		},
+		Decoder: plainValues{},
+		Dialect: opaque.NewHeaders(opaque.OwnNames()),
+		Output:  io.Discard,
+		Source:  func() (settings.Gateway, error) { return current, nil },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	stop, end := context.WithCancel(ctx)
+	done := make(chan error, 1)
+	go func() { done <- second.Run(stop, ctx) }()
+	if err := second.AwaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	cut.away.Store(true)
+	added := f.spec.Routes[0]
+	added.Name, added.Prefix = "new", "/new/"
+	f.spec.Routes = append(f.spec.Routes, added)
+	f.spec.Version = 5
+	f.publish()
+	eventually(t, "the host that is turned away serves the new route", func() bool {
+		request := f.request(http.MethodGet, "/new/x", nil)
+		request.URL.Host = second.CallerAddress()
+		return f.do(request).status == http.StatusOK
+	})
+	end()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestLinesAreJSON checks that each line of the log can be read, and that the way
+// of a call is told.
+func TestLinesAreJSON(t *testing.T) {
+	f := newFixture(t, 2)
+	f.behave(firstThen(standin.Fails{Status: 500}))
+	f.get("/lookup/x")
+	f.end()
+	var events []string
+	for _, line := range strings.Split(strings.TrimSpace(f.lines.String()), "\n") {
+		var decoded map[string]any
+		if err := json.Unmarshal([]byte(line), &decoded); err != nil {
+			t.Fatalf("line %q: %v", line, err)
+		}
+		if decoded["request"] == "request--lookup-x" {
+			events = append(events, decoded["event"].(string))
+		}
+		if strings.Contains(line, "secret") {
+			t.Errorf("a key is in %s", line)
+		}
+	}
+	want := "callTaken callSent attemptEnded callSent callEnded"
+	if got := strings.Join(events, " "); got != want {
+		t.Errorf("the call is told by %s, want %s", got, want)
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -122,7 +122,7 @@
 // readEndpoints takes the endpoints that another host knows, while the store
 // does not answer this one.
 func (r *relay) readEndpoints(ctx context.Context, now time.Time) {
-	if !r.endpoints.lost.Load() && r.endpoints.listed.Load() || now.Sub(r.endpointsAt) < relayEndpointsEvery {
+	if !r.endpoints.lost.Load() && isClosed(r.endpoints.known) || now.Sub(r.endpointsAt) < relayEndpointsEvery {
 		return
 	}
 	address := r.mesh.Connected()
@@ -150,7 +150,7 @@
 	for _, entry := range entries {
 		r.decided.post(entryObserved{entry: entry})
 	}
-	r.endpoints.listed.Store(true)
+	r.endpoints.setKnown()
 	return nil
 }
 
@@ -269,7 +269,7 @@
 	defer cancel()
 	if !*entered {
 		value, err := json.Marshal(rosterEntry{
-			Address: g.Settings.PeerListen,
+			Address: g.PeerAddress(),
 			Born:    g.born,
 		})
 		if err != nil {
--- /dev/null
+++ b/io/peer/message_test.go
@@ -0,0 +1,80 @@
+package peer_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"cactuswell/core/scheduling"
+	"cactuswell/io/peer"
+)
+
+func drawMessage(t *rapid.T) peer.Message {
+	m := peer.Message{
+		Host:      rapid.StringN(1, 20, 60).Draw(t, "host"),
+		Address:   rapid.StringN(0, 20, 60).Draw(t, "address"),
+		Born:      rapid.Int64().Draw(t, "born"),
+		Version:   rapid.Int64().Draw(t, "version"),
+		StoreLost: rapid.Bool().Draw(t, "storeLost"),
+		Leaving:   rapid.Bool().Draw(t, "leaving"),
+		Full:      rapid.Bool().Draw(t, "full"),
+	}
+	for range rapid.IntRange(0, 20).Draw(t, "work") {
+		m.Work = append(m.Work, scheduling.PeerWork{
+			Endpoint: rapid.Uint64().Draw(t, "endpoint"),
+			Reading:  time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "reading")) * time.Millisecond,
+			Running:  rapid.IntRange(0, 1<<20).Draw(t, "running"),
+			Tight:    rapid.IntRange(0, 1<<20).Draw(t, "tight"),
+			Ejected:  rapid.Bool().Draw(t, "ejected"),
+		})
+	}
+	for range rapid.IntRange(0, 20).Draw(t, "placed") {
+		m.Placed = append(m.Placed, scheduling.Placement{
+			Endpoint: rapid.Uint64().Draw(t, "endpoint"),
+			Chain:    rapid.Uint64().Draw(t, "chain"),
+			Tokens:   rapid.IntRange(0, 1<<20).Draw(t, "tokens"),
+		})
+	}
+	return m
+}
+
+func TestMessageSurvivesItsBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sent := drawMessage(t)
+		got, err := peer.Decode(sent.Append(nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(sent, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestCutMessageIsRefused(t *testing.T) {
+	whole := (&peer.Message{
+		Host: "host-1",
+		Work: []scheduling.PeerWork{{Endpoint: 7, Running: 3}},
+	}).Append(nil)
+	for length := range whole {
+		_, err := peer.Decode(whole[:length])
+		var malformed *peer.MalformedError
+		if !errors.As(err, &malformed) {
+			t.Errorf("%d bytes of %d gave %v", length, len(whole), err)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add((&peer.Message{Host: "h", Placed: []scheduling.Placement{{Endpoint: 1}}}).Append(nil))
+	f.Add([]byte{1, 0, 200})
+	f.Fuzz(func(t *testing.T, bytes []byte) {
+		m, err := peer.Decode(bytes)
+		if err == nil && m.Host == "" {
+			t.Error("a message without a sender")
+		}
+	})
+}
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -129,6 +129,10 @@
 		if own(response) {
 			return response, nil
 		}
+		if !c.used {
+			// No earlier request could have a late answer here.
+			break
+		}
 		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBody))
 		if err != nil || n == maxStrayBody || response.Close {
 			break
--- a/simulation/host.go
+++ b/simulation/host.go
@@ -27,7 +27,6 @@
 	life      int
 	scheduler *scheduling.Scheduler
 	calls     map[scheduling.CallID]*caller
-	commands  []scheduling.Command
 	wakeAt    time.Time
 	fullAt    time.Time
 }
@@ -175,7 +174,6 @@
 	firstAt time.Time
 	lastAt  time.Time
 	gap     time.Duration
-	have    int
 }
 
 // try sends the request to a host.
--- /dev/null
+++ b/standin/opaque/endpoint.go
@@ -0,0 +1,352 @@
+// Package opaque is a stand-in for an endpoint that runs opaque calls over
+// HTTP/1.1, and can be told to misbehave at any of them.
+//
+// # Usage
+//
+//	endpoint, err := opaque.New(opaque.Settings{
+//		ID:    "endpoint-1",
+//		Names: names,
+//	})
+//	defer endpoint.Close()
+//	endpoint.Behave(func(request *http.Request) opaque.Behaviour {
+//		return opaque.Cut{Bytes: 10}
+//	})
+//	runs := endpoint.Runs()
+//
+// It writes its answers byte by byte itself, as a server library would not let
+// it break the protocol.
+package opaque
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+
+	product "cactuswell/io/opaque"
+)
+
+// Behaviour is how the endpoint answers one call. The types of this file are all
+// there are.
+type Behaviour interface {
+	isBehaviour()
+}
+
+// Whole answers with the whole body, or the whole stream for a path that ends
+// with "stream".
+type Whole struct{}
+
+// Fails answers with a status of its own.
+type Fails struct{ Status int }
+
+// Declines says that it did not run the call.
+type Declines struct{}
+
+// Misdirects says that the address is another endpoint's.
+type Misdirects struct{}
+
+// Cut closes the connection after that many bytes of the answer's body.
+type Cut struct{ Bytes int }
+
+// Reset closes the connection without an answer.
+type Reset struct{}
+
+// Silent reads the call, runs it and says nothing until the connection ends.
+type Silent struct{}
+
+// Extra gives a second answer, of an earlier call, right behind the first.
+type Extra struct{}
+
+// Crossed answers in the name of another request.
+type Crossed struct{}
+
+// Unsigned answers without its mark.
+type Unsigned struct{}
+
+// Unframed answers without a length and ends with its connection.
+type Unframed struct{}
+
+// Early answers before it has read the body.
+type Early struct{}
+
+// Garbage sends bytes that are no answer.
+type Garbage struct{}
+
+// Skips leaves an event out of a stream.
+type Skips struct{ Event int }
+
+// Promises answers with a status that promises that the call was not run,
+// though it was.
+type Promises struct{ Status int }
+
+func (Whole) isBehaviour()      {}
+func (Fails) isBehaviour()      {}
+func (Declines) isBehaviour()   {}
+func (Misdirects) isBehaviour() {}
+func (Cut) isBehaviour()        {}
+func (Reset) isBehaviour()      {}
+func (Silent) isBehaviour()     {}
+func (Extra) isBehaviour()      {}
+func (Crossed) isBehaviour()    {}
+func (Unsigned) isBehaviour()   {}
+func (Unframed) isBehaviour()   {}
+func (Early) isBehaviour()      {}
+func (Garbage) isBehaviour()    {}
+func (Skips) isBehaviour()      {}
+func (Promises) isBehaviour()   {}
+
+// Settings say who the endpoint is.
+type Settings struct {
+	ID    string
+	Names product.Names
+	// Events is the number of events of a stream.
+	Events int
+}
+
+// Run is a call that the endpoint ran.
+type Run struct {
+	ID     string
+	Target string
+	Method string
+	Header http.Header
+	Body   []byte
+}
+
+// Endpoint is a running stand-in. It is safe for concurrent use.
+type Endpoint struct {
+	settings Settings
+	listener net.Listener
+	served   sync.WaitGroup
+
+	mu     sync.Mutex
+	behave func(*http.Request) Behaviour
+	runs   []Run
+	conns  map[net.Conn]bool
+	left   chan string
+}
+
+// New starts an endpoint on a loopback address.
+func New(settings Settings) (*Endpoint, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &Endpoint{
+		settings: settings,
+		listener: listener,
+		behave:   func(*http.Request) Behaviour { return Whole{} },
+		conns:    make(map[net.Conn]bool),
+		left:     make(chan string, 64),
+	}
+	e.served.Add(1)
+	go e.run()
+	return e, nil
+}
+
+// Address returns the IP and port.
+func (e *Endpoint) Address() string { return e.listener.Addr().String() }
+
+// Behave sets how calls are answered from now on.
+func (e *Endpoint) Behave(behave func(*http.Request) Behaviour) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.behave = behave
+}
+
+// Runs returns the calls that were run.
+func (e *Endpoint) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Run(nil), e.runs...)
+}
+
+// Left tells of each silent call whose connection was closed.
+func (e *Endpoint) Left() <-chan string { return e.left }
+
+// Close stops the endpoint and its connections.
+func (e *Endpoint) Close() {
+	_ = e.listener.Close()
+	e.mu.Lock()
+	for conn := range e.conns {
+		_ = conn.Close()
+	}
+	e.mu.Unlock()
+	e.served.Wait()
+}
+
+func (e *Endpoint) run() {
+	defer e.served.Done()
+	for {
+		conn, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.conns[conn] = true
+		e.mu.Unlock()
+		e.served.Add(1)
+		go e.runConn(conn)
+	}
+}
+
+func (e *Endpoint) runConn(conn net.Conn) {
+	defer e.served.Done()
+	defer func() {
+		_ = conn.Close()
+		e.mu.Lock()
+		delete(e.conns, conn)
+		e.mu.Unlock()
+	}()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !e.answer(conn, request) {
+			return
+		}
+	}
+}
+
+// errEnd ends a connection on purpose.
+var errEnd = errors.New("end of the connection")
+
+// answer serves one call and reports whether the connection goes on.
+func (e *Endpoint) answer(conn net.Conn, request *http.Request) bool {
+	e.mu.Lock()
+	behaviour := e.behave(request)
+	e.mu.Unlock()
+	if _, early := behaviour.(Early); early {
+		e.note(request, nil)
+		_, err := conn.Write(e.whole(request, nil, true))
+		return err == nil && drain(request)
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return false
+	}
+	return e.behaveAs(conn, request, body, behaviour) == nil
+}
+
+func drain(request *http.Request) bool {
+	_, err := io.Copy(io.Discard, request.Body)
+	return err == nil
+}
+
+func (e *Endpoint) note(request *http.Request, body []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs = append(e.runs, Run{
+		ID:     request.Header.Get(e.settings.Names.Request),
+		Target: request.RequestURI,
+		Method: request.Method,
+		Header: request.Header.Clone(),
+		Body:   body,
+	})
+}
+
+// behaveAs writes the answer. An error ends the connection.
+func (e *Endpoint) behaveAs(conn net.Conn, request *http.Request, body []byte, behaviour Behaviour) error {
+	id := request.Header.Get(e.settings.Names.Request)
+	switch behaviour.(type) {
+	case Declines:
+		return e.write(conn, e.plain(http.StatusServiceUnavailable, id, e.settings.Names.NotRun+": 1\r\n", "busy"))
+	case Misdirects:
+		return e.write(conn, e.plain(http.StatusMisdirectedRequest, id, "", "not here"))
+	}
+	e.note(request, body)
+	switch b := behaviour.(type) {
+	case Fails:
+		return e.write(conn, e.plain(b.Status, id, e.mark(), "failed"))
+	case Promises:
+		return e.write(conn, e.plain(b.Status, id, e.mark(), "promised"))
+	case Reset:
+		return errEnd
+	case Silent:
+		_, _ = conn.Read(make([]byte, 1))
+		e.left <- id
+		return errEnd
+	case Garbage:
+		return errors.Join(e.write(conn, []byte("no answer at all\r\n\r\n")), errEnd)
+	case Crossed:
+		return e.write(conn, e.plain(http.StatusOK, "another-request", e.mark(), "somebody else's"))
+	case Unsigned:
+		return e.write(conn, e.plain(http.StatusOK, id, "", "unsigned"))
+	case Cut:
+		whole := e.whole(request, body, true)
+		head := bytes.Index(whole, []byte("\r\n\r\n")) + 4
+		return errors.Join(e.write(conn, whole[:min(head+b.Bytes, len(whole))]), errEnd)
+	case Unframed:
+		return errors.Join(e.write(conn, e.whole(request, body, false)), errEnd)
+	case Extra:
+		answers := append(e.whole(request, body, true), e.plain(http.StatusOK, "earlier-request", e.mark(), "late")...)
+		return e.write(conn, answers)
+	case Skips:
+		return e.write(conn, e.stream(request, b.Event))
+	}
+	return e.write(conn, e.whole(request, body, true))
+}
+
+func (e *Endpoint) write(conn net.Conn, answer []byte) error {
+	_, err := conn.Write(answer)
+	return err
+}
+
+func (e *Endpoint) mark() string { return e.settings.Names.Mark + ": " + e.settings.ID + "\r\n" }
+
+func (e *Endpoint) plain(status int, id, header, body string) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), e.settings.Names.Request, id, header, len(body), body)
+}
+
+// Body returns the body of a whole answer to a call with the given body.
+func Body(body []byte) []byte {
+	return append([]byte("answer to "), body...)
+}
+
+// Event returns an event of a stream.
+func Event(id int) string { return fmt.Sprintf("id: %d\ndata: word %d\n\n", id, id) }
+
+// whole returns a whole answer, with a length or without.
+func (e *Endpoint) whole(request *http.Request, body []byte, framed bool) []byte {
+	if isStream(request) {
+		return e.stream(request, -1)
+	}
+	id := request.Header.Get(e.settings.Names.Request)
+	answer := Body(body)
+	if framed {
+		return e.plain(http.StatusOK, id, e.mark(), string(answer))
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\n%s", e.settings.Names.Request, id, e.mark(), answer)
+}
+
+func isStream(request *http.Request) bool {
+	return bytes.HasSuffix([]byte(request.URL.Path), []byte("stream"))
+}
+
+// stream returns a whole stream in chunks, from behind the event that the caller
+// has, without the event to be skipped.
+func (e *Endpoint) stream(request *http.Request, skip int) []byte {
+	from := 0
+	if last := request.Header.Get(e.settings.Names.LastEvent); last != "" {
+		if _, err := fmt.Sscan(last, &from); err == nil {
+			from++
+		}
+	}
+	var answer bytes.Buffer
+	fmt.Fprintf(&answer, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		e.settings.Names.Request, request.Header.Get(e.settings.Names.Request), e.mark())
+	for id := from; id < e.settings.Events; id++ {
+		if id != skip {
+			event := Event(id)
+			fmt.Fprintf(&answer, "%x\r\n%s\r\n", len(event), event)
+		}
+	}
+	answer.WriteString("0\r\n\r\n")
+	return answer.Bytes()
+}
--- a/trail/trail.go
+++ b/trail/trail.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	lines := trail.New(os.Stdout, "host-1")
+//	lines := trail.New(os.Stdout, "host-1", timers)
 //	tree.Add(supervisor.Duty{Name: "trail", Run: lines.Run})
 //	lines.Event("callSent").Text("request", id).Millis("first", delay).End()
 //
@@ -20,6 +20,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"cactuswell/timer"
 )
 
 const (
@@ -47,8 +49,9 @@
 
 // Trail is the log of one process. It is safe for concurrent use.
 type Trail struct {
-	host string
-	out  io.Writer
+	host   string
+	out    io.Writer
+	timers *timer.Service
 
 	mu      sync.Mutex
 	buffer  []byte
@@ -60,10 +63,11 @@
 }
 
 // New returns a trail that writes to out once Run is called.
-func New(out io.Writer, host string) *Trail {
+func New(out io.Writer, host string, timers *timer.Service) *Trail {
 	t := &Trail{
-		host: host,
-		out:  out,
+		host:   host,
+		out:    out,
+		timers: timers,
 	}
 	t.pool.New = func() any { return &Line{trail: t} }
 	return t
@@ -196,14 +200,14 @@
 
 // Run writes the lines until ctx ends, and then what is left.
 func (t *Trail) Run(ctx context.Context) error {
-	tick := time.NewTicker(flushEvery)
+	tick := t.timers.Every(flushEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			t.flush()
 			return nil
-		case <-tick.C:
+		case <-tick.C():
 			t.flush()
 		}
 	}
--- /dev/null
+++ b/trail/trail_test.go
@@ -0,0 +1,113 @@
+package trail_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cactuswell/timer"
+	"cactuswell/trail"
+)
+
+// blocked is a reader that takes nothing until it is released.
+type blocked struct {
+	release chan struct{}
+	bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return b.Buffer.Write(p)
+}
+
+// start runs a trail and returns a function that ends it.
+func start(t *testing.T, out io.Writer) (*trail.Trail, func()) {
+	t.Helper()
+	timers := timer.New()
+	lines := trail.New(out, "host-1", timers)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 2)
+	go func() { done <- timers.Run(ctx) }()
+	go func() { done <- lines.Run(ctx) }()
+	return lines, func() {
+		cancel()
+		for range 2 {
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		}
+	}
+}
+
+func TestLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		lines, end := start(t, &out)
+		lines.Event("callSent").Text("request", "a\"b\\c\n\xff").Int("attempt", 2).Bool("repeat", true).
+			Float("share", 0.25).Millis("first", 1500*time.Microsecond).Err(errors.New("x")).Err(nil).End()
+		time.Sleep(time.Second)
+		end()
+		want := `{"time":"2000-01-01T00:00:00.000Z","level":"info","event":"callSent","host":"host-1",` +
+			`"request":"a\"b\\c\u000a\u00ff","attempt":2,"repeat":true,"share":0.250,"firstMs":1.5,"error":"x"}` + "\n"
+		if out.String() != want {
+			t.Errorf("line is %s", out.String())
+		}
+		if !json.Valid(out.Bytes()) {
+			t.Error("the line is no JSON")
+		}
+	})
+}
+
+// TestReaderThatIsGone checks that a reader which takes nothing holds nobody up,
+// that failures are kept longest, and that what was dropped is told.
+func TestReaderThatIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blocked{release: make(chan struct{})}
+		lines, end := start(t, out)
+		began := time.Now()
+		text := strings.Repeat("x", 1000)
+		lines.Event("first").End()
+		time.Sleep(time.Second)
+		for range 2000 {
+			lines.Event("callSent").Text("text", text).End()
+		}
+		lines.Failure("callRefused").Text("request", "r1").End()
+		if took := time.Since(began); took != time.Second {
+			t.Errorf("writing lines took %v", took-time.Second)
+		}
+		if !lines.Pressed() || lines.Dropped() == 0 {
+			t.Errorf("pressed %v, dropped %d", lines.Pressed(), lines.Dropped())
+		}
+		close(out.release)
+		time.Sleep(time.Second)
+		end()
+		for _, want := range []string{`"event":"callRefused"`, `"event":"linesDropped"`} {
+			if !strings.Contains(out.String(), want) {
+				t.Errorf("no line with %s", want)
+			}
+		}
+	})
+}
+
+func TestLeftOutLine(t *testing.T) {
+	var out bytes.Buffer
+	lines := trail.New(&out, "host-1", timer.New())
+	lines.Leave().Text("request", "r1").End()
+	if lines.Lines() != 0 {
+		t.Error("the line was taken")
+	}
+}
+
+func BenchmarkLine(b *testing.B) {
+	lines := trail.New(&bytes.Buffer{}, "host-1", timer.New())
+	for b.Loop() {
+		lines.Event("callSent").Text("request", "9c41d07be2a35f68").Text("endpoint", "i-7f3a91c2").
+			Int("attempt", 1).Millis("first", 35*time.Millisecond).Int("running", 7).End()
+	}
+}
