--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -57,9 +57,14 @@
 	Slack  float64
 }
 
-// PeerReported brings another host's account of its work.
+// PeerReported brings another host's account of its work, or that of a zone's
+// hosts together.
 type PeerReported struct {
 	Peer string
+	// Hosts is the number of hosts that the account is of; zero stands for one.
+	Hosts int
+	// Own says that this host's own work, as it told it last, is part of it.
+	Own bool
 	// Full says that Work is all the work of the peer, not what changed only.
 	Full bool
 	Work []PeerWork
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -65,8 +65,9 @@
 	byHash  map[uint64]*target
 	dirty   bool
 	calls   map[CallID]*call
-	peers   map[string]bool
-	placed  []Placement
+	// peers holds the number of hosts that each account is of.
+	peers  map[string]int
+	placed []Placement
 
 	now      time.Time
 	commands []Command
@@ -96,7 +97,7 @@
 		byKey:    make(map[Key]*target),
 		byHash:   make(map[uint64]*target),
 		calls:    make(map[CallID]*call),
-		peers:    make(map[string]bool),
+		peers:    make(map[string]int),
 	}
 }
 
@@ -193,7 +194,7 @@
 
 // slackShare is this host's part of the retry budget's slack.
 func (s *Scheduler) slackShare() float64 {
-	return s.settings.BudgetSlack * budgetSafety / float64(max(len(s.peers)+1, minBudgetHosts))
+	return s.settings.BudgetSlack * budgetSafety / float64(max(s.Hosts(), minBudgetHosts))
 }
 
 // minBudgetHosts is the least number of hosts that the slack is divided by, for
@@ -247,8 +248,12 @@
 }
 
 func (s *Scheduler) peerReported(event PeerReported) {
-	if !s.peers[event.Peer] {
-		s.peers[event.Peer] = true
+	hosts := max(event.Hosts, 1)
+	if event.Own {
+		hosts--
+	}
+	if known, ok := s.peers[event.Peer]; !ok || known != hosts {
+		s.peers[event.Peer] = hosts
 		s.shareBudget()
 	}
 	listed := make(map[uint64]bool, len(event.Work))
@@ -258,6 +263,7 @@
 			t.peers[event.Peer] = peerWork{
 				PeerWork: work,
 				at:       s.now,
+				own:      event.Own,
 			}
 		}
 	}
@@ -313,13 +319,17 @@
 			continue
 		}
 		t.dirty = false
-		work = append(work, PeerWork{
-			Endpoint: t.hash,
-			Reading:  t.ownReading(now),
-			Running:  t.running,
-			Tight:    t.tight,
-			Ejected:  t.health.out(now),
-		})
+		t.told = peerWork{
+			PeerWork: PeerWork{
+				Endpoint: t.hash,
+				Reading:  t.ownReading(now),
+				Running:  t.running,
+				Tight:    t.tight,
+				Ejected:  t.health.out(now),
+			},
+			at: now,
+		}
+		work = append(work, t.told.PeerWork)
 	}
 	s.dirty = false
 	placed := s.placed
@@ -335,7 +345,13 @@
 
 // Hosts returns the number of hosts that this one knows to serve, itself
 // included.
-func (s *Scheduler) Hosts() int { return len(s.peers) + 1 }
+func (s *Scheduler) Hosts() int {
+	hosts := 1
+	for _, of := range s.peers {
+		hosts += of
+	}
+	return hosts
+}
 
 // Waiting returns the number of calls held at this host.
 func (s *Scheduler) Waiting() int {
--- a/core/scheduling/target.go
+++ b/core/scheduling/target.go
@@ -47,6 +47,8 @@
 	fullTill time.Time
 	// dirty says that the work changed since other hosts were told.
 	dirty bool
+	// told is the work that other hosts were told last.
+	told peerWork
 	// laneRank is the place in the order of lanes.
 	laneRank int
 }
@@ -55,6 +57,13 @@
 type peerWork struct {
 	PeerWork
 	at time.Time
+	// own says that this host's own work is part of it.
+	own bool
+}
+
+// readingNow returns what is left to read of what was told.
+func (w *peerWork) readingNow(now time.Time) time.Duration {
+	return max(w.Reading-now.Sub(w.at), 0)
 }
 
 func newTarget(entry directory.Entry) *target {
@@ -74,7 +83,11 @@
 func (t *target) reading(now time.Time) time.Duration {
 	own := t.ownReading(now)
 	for _, work := range t.peers {
-		own += max(work.Reading-now.Sub(work.at), 0)
+		others := work.readingNow(now)
+		if work.own {
+			others = max(others-t.told.readingNow(now), 0)
+		}
+		own += others
 	}
 	return own
 }
@@ -104,6 +117,9 @@
 	others := 0
 	for _, work := range t.peers {
 		others += work.Running
+		if work.own {
+			others -= min(t.told.Running, work.Running)
+		}
 	}
 	if t.load.Known && now.Sub(t.loadAt) < freshLoad {
 		others = max(others, t.load.Running+t.load.Waiting-t.ownThen)
@@ -116,6 +132,9 @@
 	tight := t.tight
 	for _, work := range t.peers {
 		tight += work.Tight
+		if work.own {
+			tight -= min(t.told.Tight, work.Tight)
+		}
 	}
 	return tight
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -218,11 +218,13 @@
 	}
 	g.mesh, err = peer.New(peer.Dependencies{
 		Host:    g.Settings.Name,
+		Zone:    g.Settings.Zone,
 		Born:    g.born,
 		Address: g.PeerAddress(),
 		Listener: &peerListener{
 			decided: g.decided,
 			trail:   g.trail,
+			zone:    g.Settings.Zone,
 		},
 		Timers: g.timers,
 	})
@@ -230,7 +232,7 @@
 		return errors.Join(err, g.peerListener.Close())
 	}
 	for _, address := range g.Settings.Peers {
-		g.mesh.Add(address)
+		g.mesh.Add(address, "")
 	}
 	g.decided.share = g.share
 	g.peers = &http.Server{
--- a/gateway/life_test.go
+++ b/gateway/life_test.go
@@ -178,6 +178,9 @@
 	f := newFixture(t, 1)
 	cut := newCutLog(f.log)
 	current := testSettings("host-2")
+	// A host that is turned away before it has read the roster knows the others
+	// from its settings.
+	current.Peers = []string{f.gateway.PeerAddress()}
 	second, err := gateway.New(gateway.Dependencies{
 		Settings: current,
 		Log:      cut,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -197,6 +197,7 @@
 type peerListener struct {
 	decided *decisions
 	trail   *trail.Trail
+	zone    string
 }
 
 var _ peer.Listener = (*peerListener)(nil)
@@ -208,8 +209,14 @@
 		l.decided.events.TryPush(scheduling.PeerGone{Peer: message.Host})
 		return
 	}
+	source := message.Host
+	if message.Aggregate {
+		source = peer.ZoneSource(message.Zone)
+	}
 	l.decided.events.TryPush(scheduling.PeerReported{
-		Peer:   message.Host,
+		Peer:   source,
+		Hosts:  message.Hosts,
+		Own:    message.Aggregate && message.Zone == l.zone,
 		Full:   message.Full,
 		Work:   message.Work,
 		Placed: message.Placed,
@@ -222,6 +229,11 @@
 	l.decided.events.TryPush(scheduling.PeerGone{Peer: host})
 }
 
+// Replaced implements peer.Listener.
+func (l *peerListener) Replaced(source string) {
+	l.decided.events.TryPush(scheduling.PeerGone{Peer: source})
+}
+
 // Roster is where the hosts of a fleet enter themselves.
 type Roster interface {
 	keyedlog.Log
@@ -241,6 +253,7 @@
 // rosterEntry is how to reach a host.
 type rosterEntry struct {
 	Address string `json:"address"`
+	Zone    string `json:"zone"`
 	Born    int64  `json:"born"`
 }
 
@@ -270,6 +283,7 @@
 	if !*entered {
 		value, err := json.Marshal(rosterEntry{
 			Address: g.PeerAddress(),
+			Zone:    g.Settings.Zone,
 			Born:    g.born,
 		})
 		if err != nil {
@@ -292,7 +306,7 @@
 			g.trail.Failure("rosterEntryUnreadable").Text("peer", record.Key).Err(err).End()
 			continue
 		}
-		g.mesh.Add(entry.Address)
+		g.mesh.Add(entry.Address, entry.Zone)
 	}
 	g.decided.post(heartbeatDue{})
 	g.trail.Notice("rosterRead").Int("hosts", int64(len(listing.Records))).End()
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -7,6 +7,7 @@
 //
 //	mesh, err := peer.New(peer.Dependencies{
 //		Host:     "host-1",
+//		Zone:     "alm-a",
 //		Address:  "10.1.0.40:7340",
 //		Listener: listener,
 //		...
@@ -19,16 +20,26 @@
 // datagrams that hold states, not changes of counts, so that a lost one is made
 // good by the next. Nothing that must be right rests on them: they inform guesses
 // of load, and which host to ask for a newer configuration.
+//
+// In a small fleet each host tells each other. In a larger one, each tells the
+// relay of its availability zone, which sums up and tells the hosts of its zone
+// and the relays of the others. The relay is the live host that comes first in an
+// order by hash, so that hosts agree on it without an election; while they don't,
+// guesses are worse.
 package peer
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"hash/fnv"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
+	"cactuswell/core/aggregate"
 	"cactuswell/ring"
 	"cactuswell/timer"
 )
@@ -37,32 +48,45 @@
 	// silentAfter is when a host that is not heard counts as gone: three
 	// heartbeats and some delay.
 	silentAfter = 1700 * time.Millisecond
+	// heartbeatEvery is the time between two messages of a host with all its work.
+	heartbeatEvery = 500 * time.Millisecond
+	// missedRounds is the number of rounds of greetings after which a host of a
+	// large fleet counts as gone.
+	missedRounds = 3
 	// forgetAfter is when a host that was never heard, or not for long, is no
 	// longer told anything.
 	forgetAfter = 30 * time.Second
 	// checkEvery is the time between two looks for silent hosts.
 	checkEvery = 250 * time.Millisecond
+	// relayEvery is the least time between two messages of a relay.
+	relayEvery = 25 * time.Millisecond
 	// maxDatagram bounds a datagram, in bytes.
 	maxDatagram = 16 << 10
-	// outgoing bounds the messages that wait to be sent; the oldest of too many
-	// are dropped, as the next one replaces them.
+	// outgoing bounds the messages that wait to be sent; of too many, the newest
+	// are dropped until there is room, as later ones replace them.
 	outgoing = 64
-	// fanOut bounds the hosts that are told of each change. In a larger fleet a
-	// host sees a part of the others, and takes the rest to be alike.
-	fanOut = 16
+	// smallFleet is the number of other hosts up to which each is told directly.
+	smallFleet = 16
+	// greeted is the number of hosts of a large fleet that a heartbeat also goes
+	// to, in turn, so that all hear of each other.
+	greeted = 8
 )
 
 // Listener learns of other hosts. Its methods must not block.
 type Listener interface {
-	// Heard brings a message of another host.
+	// Heard brings a message of another host, or of a zone's relay.
 	Heard(message Message)
 	// Silent says that a host is not heard any more.
 	Silent(host string)
+	// Replaced says that the host's work is told by its zone's relay from now on,
+	// or that of a zone by its hosts.
+	Replaced(source string)
 }
 
 // Dependencies is what a mesh is made from.
 type Dependencies struct {
 	Host string
+	Zone string
 	Born int64
 	// Address is the IP and port of this host for others.
 	Address  string
@@ -78,12 +102,23 @@
 
 	mu    sync.Mutex
 	hosts map[string]*known
+	// large says that relays are in use, zone is what this host would tell as a
+	// relay, and relayAt and fullAt when it did so last.
+	large   bool
+	zone    *aggregate.Zone
+	relayAt time.Time
+	fullAt  time.Time
+	greetAt int
+	newest  Message
 }
 
 // known is another host.
 type known struct {
 	host    string
-	address netip.AddrPort
+	zone    string
+	address string
+	to      net.Addr
+	order   uint64
 	born    int64
 	heardAt time.Time
 	addedAt time.Time
@@ -104,29 +139,54 @@
 		conn:         conn,
 		out:          ring.New[Message](outgoing),
 		hosts:        make(map[string]*known),
+		zone:         aggregate.New(),
 	}, nil
 }
 
-// Add makes a host known by its address, before it is heard.
-func (m *Mesh) Add(address string) {
-	parsed, err := netip.ParseAddrPort(address)
-	if err != nil || address == m.Address {
-		return
-	}
+// Add makes a host known by its address and zone, before it is heard. The zone
+// may be empty if it is not known.
+func (m *Mesh) Add(address, zone string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if _, ok := m.hosts[address]; ok {
-		return
+	if address != m.Address {
+		m.add(address, zone)
+	}
+}
+
+// add returns the host at an address, or nil if that is no address.
+func (m *Mesh) add(address, zone string) *known {
+	k, ok := m.hosts[address]
+	if !ok {
+		parsed, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil
+		}
+		k = &known{
+			address: address,
+			to:      net.UDPAddrFromAddrPort(parsed),
+			order:   orderOf(address),
+			addedAt: m.Timers.Now(),
+		}
+		m.hosts[address] = k
 	}
-	m.hosts[address] = &known{
-		address: parsed,
-		addedAt: m.Timers.Now(),
+	if zone != "" {
+		k.zone = zone
 	}
+	return k
+}
+
+// orderOf places a host in the order in which hosts become relays.
+func orderOf(address string) uint64 {
+	h := fnv.New64a()
+	// A hash never fails to take bytes.
+	_, _ = h.Write([]byte(address))
+	return h.Sum64()
 }
 
 // Send tells the other hosts. It never blocks.
 func (m *Mesh) Send(message Message) {
 	message.Host = m.Host
+	message.Zone = m.Zone
 	message.Born = m.Born
 	message.Address = m.Address
 	m.out.TryPush(message)
@@ -164,46 +224,174 @@
 	stop := context.AfterFunc(ctx, func() { _ = m.conn.Close() })
 	defer stop()
 	go m.runReceive()
-	tick := m.Timers.Every(checkEvery)
-	defer tick.Stop()
+	check := m.Timers.Every(checkEvery)
+	defer check.Stop()
+	relay := m.Timers.After(relayEvery)
+	defer relay.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-m.out.Ready():
 			for message, ok := m.out.Pop(); ok; message, ok = m.out.Pop() {
-				m.send(&message)
+				m.tell(&message)
 			}
-		case now := <-tick.C():
+		case now := <-check.C():
 			m.check(now)
+		case now := <-relay.C():
+			m.relay(now)
+		}
+		if m.relayDue() {
+			relay.Reset(m.Timers.Now().Add(relayEvery))
 		}
 	}
 }
 
-// send writes a message to the hosts that are known. A datagram that cannot be
-// sent is like one that is lost.
-func (m *Mesh) send(message *Message) {
+// tell sends a message of this host on its way.
+func (m *Mesh) tell(message *Message) {
+	now := m.Timers.Now()
+	m.mu.Lock()
+	m.newest = *message
+	m.newest.Work, m.newest.Placed = nil, nil
+	var to []net.Addr
+	if !m.large {
+		for _, k := range m.hosts {
+			to = append(to, k.to)
+		}
+		m.mu.Unlock()
+		m.write(message, to)
+		return
+	}
+	relay := m.relayOf(m.Zone, now)
+	if relay == nil {
+		m.zone.Report(now, m.Host, message.Full, message.Work, message.Placed)
+	} else {
+		to = append(to, relay.to)
+	}
+	greetings := m.greetings(message.Full)
+	greeting := m.newest
+	m.mu.Unlock()
+	m.write(message, to)
+	m.write(&greeting, greetings)
+}
+
+// greetings returns the hosts that hear of this one in turn.
+func (m *Mesh) greetings(due bool) []net.Addr {
+	if !due || len(m.hosts) == 0 {
+		return nil
+	}
+	all := make([]*known, 0, len(m.hosts))
+	for _, k := range m.hosts {
+		all = append(all, k)
+	}
+	slices.SortFunc(all, func(a, b *known) int { return cmp.Compare(a.order, b.order) })
+	to := make([]net.Addr, 0, greeted)
+	for range min(greeted, len(all)) {
+		to = append(to, all[m.greetAt%len(all)].to)
+		m.greetAt++
+	}
+	return to
+}
+
+// write sends a message. A datagram that cannot be sent is like one that is
+// lost.
+func (m *Mesh) write(message *Message, to []net.Addr) {
+	if len(to) == 0 {
+		return
+	}
 	bytes := message.Append(make([]byte, 0, 512))
 	if len(bytes) > maxDatagram {
 		return
 	}
-	for _, address := range m.audience() {
-		_, _ = m.conn.WriteTo(bytes, net.UDPAddrFromAddrPort(address))
+	m.writeBytes(bytes, to)
+}
+
+func (m *Mesh) writeBytes(bytes []byte, to []net.Addr) {
+	for _, address := range to {
+		_, _ = m.conn.WriteTo(bytes, address)
 	}
 }
 
-// audience returns the hosts to be told.
-func (m *Mesh) audience() []netip.AddrPort {
+// relayOf returns the relay of a zone, or nil if this host is it. Hosts that were
+// not heard yet may be relays for a while.
+func (m *Mesh) relayOf(zone string, now time.Time) *known {
+	var relay *known
+	for _, k := range m.hosts {
+		fresh := k.heardAt.IsZero() && now.Sub(k.addedAt) < silentAfter
+		if k.zone == zone && (k.alive || fresh) && (relay == nil || k.order < relay.order) {
+			relay = k
+		}
+	}
+	if zone == m.Zone && (relay == nil || orderOf(m.Address) < relay.order) {
+		return nil
+	}
+	return relay
+}
+
+// relayDue reports whether this host is a relay with something to tell.
+func (m *Mesh) relayDue() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	addresses := make([]netip.AddrPort, 0, len(m.hosts))
+	return m.large && m.relayOf(m.Zone, m.Timers.Now()) == nil
+}
+
+// relay tells the zone's hosts and the other relays of the zone's work.
+func (m *Mesh) relay(now time.Time) {
+	m.mu.Lock()
+	if !m.large || m.relayOf(m.Zone, now) != nil {
+		m.mu.Unlock()
+		return
+	}
+	full := now.Sub(m.fullAt) >= heartbeatEvery
+	if !full && (!m.zone.Dirty() || now.Sub(m.relayAt) < relayEvery) {
+		m.mu.Unlock()
+		return
+	}
+	m.relayAt = now
+	if full {
+		m.fullAt = now
+		m.zone.Expire(now, silentAfter)
+	}
+	message := m.newest
+	message.Host = m.Host
+	message.Zone = m.Zone
+	message.Born = m.Born
+	message.Address = m.Address
+	message.Aggregate = true
+	message.Full = full
+	message.Hosts = m.zone.Hosts()
+	message.Work, message.Placed = m.zone.Take(now, full)
+	to := append(m.zoneHosts(), m.otherRelays(now)...)
+	m.mu.Unlock()
+	m.write(&message, to)
+	m.Listener.Heard(message)
+}
+
+// zoneHosts returns the other hosts of this host's zone.
+func (m *Mesh) zoneHosts() []net.Addr {
+	var to []net.Addr
 	for _, k := range m.hosts {
-		if len(addresses) == fanOut {
-			break
+		if k.zone == m.Zone {
+			to = append(to, k.to)
 		}
-		addresses = append(addresses, k.address)
 	}
-	return addresses
+	return to
+}
+
+// otherRelays returns the relays of the other zones.
+func (m *Mesh) otherRelays(now time.Time) []net.Addr {
+	zones := make(map[string]bool)
+	var to []net.Addr
+	for _, k := range m.hosts {
+		if k.zone == "" || k.zone == m.Zone || zones[k.zone] {
+			continue
+		}
+		zones[k.zone] = true
+		if relay := m.relayOf(k.zone, now); relay != nil {
+			to = append(to, relay.to)
+		}
+	}
+	return to
 }
 
 // runReceive reads datagrams until the socket is closed.
@@ -221,31 +409,45 @@
 		if err != nil || message.Host == m.Host {
 			continue
 		}
-		if m.hear(&message) {
-			m.Listener.Heard(message)
-		}
+		m.receive(&message, buffer[:n])
 	}
 }
 
-// hear notes the sender. It reports false for a message of an earlier
-// incarnation.
-func (m *Mesh) hear(message *Message) bool {
-	address, err := netip.ParseAddrPort(message.Address)
-	if err != nil {
-		return false
-	}
+// receive notes the sender and hands the message to whom it concerns.
+func (m *Mesh) receive(message *Message, bytes []byte) {
 	now := m.Timers.Now()
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	k, ok := m.hosts[message.Address]
-	if !ok {
-		k = &known{
-			address: address,
-			addedAt: now,
+	if !m.hear(message, now) {
+		m.mu.Unlock()
+		return
+	}
+	if !m.large {
+		m.mu.Unlock()
+		if !message.Aggregate {
+			m.Listener.Heard(*message)
 		}
-		m.hosts[message.Address] = k
+		return
 	}
-	if message.Born < k.born {
+	isRelay := m.relayOf(m.Zone, now) == nil
+	var forward []net.Addr
+	switch {
+	case message.Aggregate && message.Zone != m.Zone && isRelay:
+		forward = m.zoneHosts()
+	case !message.Aggregate && message.Zone == m.Zone && isRelay && !message.Leaving:
+		m.zone.Report(now, message.Host, message.Full, message.Work, message.Placed)
+	}
+	m.mu.Unlock()
+	m.writeBytes(bytes, forward)
+	if message.Aggregate {
+		m.Listener.Heard(*message)
+	}
+}
+
+// hear notes the sender. It reports false for a message of an earlier
+// incarnation.
+func (m *Mesh) hear(message *Message, now time.Time) bool {
+	k := m.add(message.Address, message.Zone)
+	if k == nil || message.Born < k.born {
 		return false
 	}
 	k.host = message.Host
@@ -257,12 +459,17 @@
 	return true
 }
 
-// check finds the hosts that have fallen silent.
+// check finds the hosts that have fallen silent, and whether relays are needed.
 func (m *Mesh) check(now time.Time) {
-	var silent []string
+	var silent, replaced []string
 	m.mu.Lock()
+	round := time.Duration(len(m.hosts)/greeted+1) * heartbeatEvery
 	for address, k := range m.hosts {
-		if k.alive && now.Sub(k.heardAt) > silentAfter {
+		longest := silentAfter
+		if m.large && m.relayOf(k.zone, now) != k {
+			longest = max(longest, missedRounds*round)
+		}
+		if k.alive && now.Sub(k.heardAt) > longest {
 			k.alive = false
 			silent = append(silent, k.host)
 		}
@@ -270,8 +477,31 @@
 			delete(m.hosts, address)
 		}
 	}
+	if large := len(m.hosts) > smallFleet; large != m.large {
+		m.large = large
+		replaced = m.sources(!large)
+	}
 	m.mu.Unlock()
 	for _, host := range silent {
 		m.Listener.Silent(host)
 	}
+	for _, source := range replaced {
+		m.Listener.Replaced(source)
+	}
 }
+
+// sources returns those whose accounts no longer come: the zones, or the hosts.
+func (m *Mesh) sources(zones bool) []string {
+	var sources []string
+	for _, k := range m.hosts {
+		if zones {
+			sources = append(sources, ZoneSource(k.zone))
+			continue
+		}
+		sources = append(sources, k.host)
+	}
+	return append(sources, ZoneSource(m.Zone))
+}
+
+// ZoneSource returns the name under which a zone's work is known.
+func ZoneSource(zone string) string { return "zone " + zone }
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -24,6 +24,7 @@
 }
 
 func (e ear) Silent(host string) { e.silent <- host }
+func (e ear) Replaced(string)    {}
 
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress(t *testing.T) string {
@@ -46,6 +47,7 @@
 	address := freeAddress(t)
 	mesh, err := peer.New(peer.Dependencies{
 		Host:     name,
+		Zone:     "z0",
 		Born:     born,
 		Address:  address,
 		Listener: e,
@@ -73,7 +75,7 @@
 	first, firstEar, firstAddress := startMesh(t, "first", 1)
 	second, secondEar, _ := startMesh(t, "second", 1)
 	// Only the second knows the first; the first learns of it by being told.
-	second.Add(firstAddress)
+	second.Add(firstAddress, "z0")
 	second.Send(peer.Message{Version: 4})
 	if got := <-firstEar.heard; got.Host != "second" || got.Version != 4 {
 		t.Errorf("heard %+v", got)
@@ -93,7 +95,7 @@
 func TestSilentHostIsTold(t *testing.T) {
 	_, e, address := startMesh(t, "first", 1)
 	second, _, _ := startMesh(t, "second", 1)
-	second.Add(address)
+	second.Add(address, "z0")
 	second.Send(peer.Message{})
 	<-e.heard
 	select {
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -10,7 +10,7 @@
 
 const (
 	// formatVersion begins each datagram; others are dropped.
-	formatVersion = 1
+	formatVersion = 2
 	// maxText bounds the names in a datagram.
 	maxText = 255
 	// maxItems bounds the lists in a datagram, which stays below the usual size
@@ -23,6 +23,7 @@
 	flagFull = 1 << iota
 	flagStoreLost
 	flagLeaving
+	flagAggregate
 )
 
 // Message is what a host tells the others of itself.
@@ -31,8 +32,13 @@
 	// millisecond of its start.
 	Host string
 	Born int64
-	// Address is the IP and port on which the sender serves other hosts.
+	// Address is the IP and port on which the sender serves other hosts, and Zone
+	// its availability zone.
 	Address string
+	Zone    string
+	// Aggregate says that Work is that of Hosts hosts of the zone together.
+	Aggregate bool
+	Hosts     int
 	// Version is that of the configuration which the sender has in force.
 	Version int64
 	// StoreLost says that the store does not answer the sender.
@@ -68,9 +74,14 @@
 	if m.Leaving {
 		flags |= flagLeaving
 	}
+	if m.Aggregate {
+		flags |= flagAggregate
+	}
 	to = append(to, flags)
 	to = appendText(to, m.Host)
 	to = appendText(to, m.Address)
+	to = appendText(to, m.Zone)
+	to = binary.AppendUvarint(to, uint64(max(m.Hosts, 0)))
 	to = binary.AppendVarint(to, m.Born)
 	to = binary.AppendVarint(to, m.Version)
 	work := m.Work[:min(len(m.Work), maxItems)]
@@ -113,8 +124,11 @@
 		Full:      flags&flagFull != 0,
 		StoreLost: flags&flagStoreLost != 0,
 		Leaving:   flags&flagLeaving != 0,
+		Aggregate: flags&flagAggregate != 0,
 		Host:      d.text(),
 		Address:   d.text(),
+		Zone:      d.text(),
+		Hosts:     int(d.bounded()),
 		Born:      d.varint(),
 		Version:   d.varint(),
 	}
--- a/io/peer/message_test.go
+++ b/io/peer/message_test.go
@@ -16,6 +16,9 @@
 	m := peer.Message{
 		Host:      rapid.StringN(1, 20, 60).Draw(t, "host"),
 		Address:   rapid.StringN(0, 20, 60).Draw(t, "address"),
+		Zone:      rapid.StringN(0, 20, 60).Draw(t, "zone"),
+		Aggregate: rapid.Bool().Draw(t, "aggregate"),
+		Hosts:     rapid.IntRange(0, 1<<20).Draw(t, "hosts"),
 		Born:      rapid.Int64().Draw(t, "born"),
 		Version:   rapid.Int64().Draw(t, "version"),
 		StoreLost: rapid.Bool().Draw(t, "storeLost"),
--- a/simulation/host.go
+++ b/simulation/host.go
@@ -138,6 +138,14 @@
 		h.fullAt = f.now.Add(fullEvery)
 	}
 	work, placed := h.scheduler.Work(f.now, full)
+	if f.config.Relayed {
+		if f.random.Float64() >= f.config.MessageLoss {
+			f.after(inZone, func() {
+				f.relays[h.index%f.config.Zones].Report(f.now, h.name, full, work, placed)
+			})
+		}
+		return
+	}
 	for _, other := range f.hosts {
 		if other == h || f.random.Float64() < f.config.MessageLoss {
 			continue
@@ -153,6 +161,37 @@
 	}
 }
 
+// relay tells all hosts of a zone's work, as often as relays do.
+func (f *fleet) relay(zone int) {
+	f.after(shareDelay, func() { f.relay(zone) })
+	sums := f.relays[zone]
+	full := f.now.Sub(epoch)%fullEvery < shareDelay
+	if !f.config.Relayed || !full && !sums.Dirty() {
+		return
+	}
+	work, placed := sums.Take(f.now, full)
+	for _, h := range f.hosts {
+		if f.random.Float64() < f.config.MessageLoss {
+			continue
+		}
+		own := h.index%f.config.Zones == zone
+		delay := inZone
+		if !own {
+			delay += acrossZones
+		}
+		f.after(delay, func() {
+			h.step(scheduling.PeerReported{
+				Peer:   fmt.Sprintf("zone-%d", zone),
+				Hosts:  sums.Hosts(),
+				Own:    own,
+				Full:   full,
+				Work:   work,
+				Placed: placed,
+			})
+		})
+	}
+}
+
 // caller is a caller with one request, which it may try again once.
 type caller struct {
 	fleet   *fleet
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -26,6 +26,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cactuswell/core/aggregate"
 	"cactuswell/core/batching"
 	"cactuswell/core/directory"
 	"cactuswell/core/route"
@@ -127,6 +128,8 @@
 	MessageLoss float64
 	// Silent hosts tell each other nothing.
 	Silent bool
+	// Relayed hosts tell their zone's relay, which sums up and tells all hosts.
+	Relayed bool
 	// Restart restarts one host at that time, which then knows nothing.
 	Restart time.Duration
 	// Settings adjusts the schedulers' settings.
@@ -189,6 +192,7 @@
 	byKey   map[scheduling.Key]endpoint
 	classes []*classState
 	ids     uint64
+	relays  []*aggregate.Zone
 	usedAt  map[uint64]time.Time
 	reread  int
 	read    int
@@ -294,6 +298,10 @@
 	for i := range f.config.Servers {
 		f.addServer(i)
 	}
+	for i := range f.config.Zones {
+		f.relays = append(f.relays, aggregate.New())
+		f.after(time.Duration(i)*time.Millisecond, func() { f.relay(i) })
+	}
 	for i := range f.config.Hosts {
 		h := newHost(f, i)
 		f.hosts = append(f.hosts, h)
