--- a/core/scheduling/weights.go
+++ b/core/scheduling/weights.go
@@ -39,7 +39,7 @@
 		OnTimeMargin:  0.8,
 		OnTimeDoubt:   0.2,
 		DelayWeight:   0.15,
-		RereadCost:    2.5,
+		RereadCost:    3,
 		HomeBonus:     0.2,
 		StrayCost:     0.3,
 		DisturbCost:   0.1,
