--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -229,6 +229,11 @@
 	l.decided.events.TryPush(scheduling.PeerGone{Peer: host})
 }
 
+// Restarted implements peer.Listener.
+func (l *peerListener) Restarted(host string, silentFor time.Duration) {
+	l.trail.Notice("hostRestarted").Text("peer", host).Millis("silentFor", silentFor).End()
+}
+
 // Replaced implements peer.Listener.
 func (l *peerListener) Replaced(source string) {
 	l.decided.events.TryPush(scheduling.PeerGone{Peer: source})
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -286,6 +286,8 @@
 	status := http.StatusServiceUnavailable
 	result := ResultRefused
 	if refusal.Ran {
+		// Who may have been served is not told to come back.
+		refusal.RetryAfter = 0
 		result = ResultFailed
 		status = http.StatusBadGateway
 		if refusal.Reason == scheduling.ReasonTimedOut {
@@ -306,11 +308,7 @@
 		// cannot look complete.
 		panic(http.ErrAbortHandler)
 	}
-	retryAfter := refusal.RetryAfter
-	if refusal.Ran {
-		retryAfter = 0
-	}
-	x.answerOwn(status, string(refusal.Reason), retryAfter)
+	x.answerOwn(status, string(refusal.Reason), refusal.RetryAfter)
 }
 
 // answerOwn gives an answer of this host's own.
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -78,6 +78,9 @@
 	Heard(message Message)
 	// Silent says that a host is not heard any more.
 	Silent(host string)
+	// Restarted says that a host runs as a new process, and how long the one before
+	// was not heard.
+	Restarted(host string, silentFor time.Duration)
 	// Replaced says that the host's work is told by its zone's relay from now on,
 	// or that of a zone by its hosts.
 	Replaced(source string)
@@ -221,13 +224,17 @@
 
 // Run exchanges messages until ctx ends.
 func (m *Mesh) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = m.conn.Close() })
-	defer stop()
-	go m.runReceive()
+	received := make(chan struct{})
+	go m.runReceive(received)
+	defer func() {
+		_ = m.conn.Close()
+		<-received
+	}()
 	check := m.Timers.Every(checkEvery)
 	defer check.Stop()
 	relay := m.Timers.After(relayEvery)
 	defer relay.Stop()
+	armed := true
 	for {
 		select {
 		case <-ctx.Done():
@@ -239,9 +246,12 @@
 		case now := <-check.C():
 			m.check(now)
 		case now := <-relay.C():
+			armed = false
 			m.relay(now)
 		}
-		if m.relayDue() {
+		// A timer that is armed stays: messages would put it off for ever.
+		if !armed && m.relayDue() {
+			armed = true
 			relay.Reset(m.Timers.Now().Add(relayEvery))
 		}
 	}
@@ -269,7 +279,9 @@
 		to = append(to, relay.to)
 	}
 	greetings := m.greetings(message.Full)
+	// A greeting tells of no work, so that it must not count as all of it.
 	greeting := m.newest
+	greeting.Full = false
 	m.mu.Unlock()
 	m.write(message, to)
 	m.write(&greeting, greetings)
@@ -395,7 +407,8 @@
 }
 
 // runReceive reads datagrams until the socket is closed.
-func (m *Mesh) runReceive() {
+func (m *Mesh) runReceive(done chan<- struct{}) {
+	defer close(done)
 	buffer := make([]byte, maxDatagram)
 	for {
 		n, _, err := m.conn.ReadFrom(buffer)
@@ -417,10 +430,14 @@
 func (m *Mesh) receive(message *Message, bytes []byte) {
 	now := m.Timers.Now()
 	m.mu.Lock()
-	if !m.hear(message, now) {
+	before, ok := m.hear(message, now)
+	if !ok {
 		m.mu.Unlock()
 		return
 	}
+	if before.born != 0 && before.born != message.Born {
+		defer m.Listener.Restarted(message.Host, now.Sub(before.heardAt))
+	}
 	if !m.large {
 		m.mu.Unlock()
 		if !message.Aggregate {
@@ -443,20 +460,21 @@
 	}
 }
 
-// hear notes the sender. It reports false for a message of an earlier
-// incarnation.
-func (m *Mesh) hear(message *Message, now time.Time) bool {
+// hear notes the sender and returns what was known of it. It reports false for a
+// message of an earlier incarnation.
+func (m *Mesh) hear(message *Message, now time.Time) (known, bool) {
 	k := m.add(message.Address, message.Zone)
 	if k == nil || message.Born < k.born {
-		return false
+		return known{}, false
 	}
+	before := *k
 	k.host = message.Host
 	k.born = message.Born
 	k.heardAt = now
 	k.alive = !message.Leaving
 	k.version = message.Version
 	k.storeLost = message.StoreLost
-	return true
+	return before, true
 }
 
 // check finds the hosts that have fallen silent, and whether relays are needed.
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
+	"cactuswell/core/scheduling"
 	"cactuswell/io/peer"
 	"cactuswell/timer"
 )
@@ -25,6 +28,9 @@
 
 func (e ear) Silent(host string) { e.silent <- host }
 func (e ear) Replaced(string)    {}
+func (e ear) Restarted(host string, _ time.Duration) {
+	e.silent <- "restarted " + host
+}
 
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress(t *testing.T) string {
@@ -38,16 +44,23 @@
 }
 
 func startMesh(t *testing.T, name string, born int64) (*peer.Mesh, ear, string) {
+	t.Helper()
+	address := freeAddress(t)
+	mesh, e, _ := startMeshAt(t, name, "z0", address, born)
+	return mesh, e, address
+}
+
+// startMeshAt returns a mesh, what it hears, and a function that ends it.
+func startMeshAt(t *testing.T, name, zone, address string, born int64) (*peer.Mesh, ear, func()) {
 	t.Helper()
 	e := ear{
 		heard:  make(chan peer.Message, 100),
 		silent: make(chan string, 10),
 	}
 	timers := timer.New()
-	address := freeAddress(t)
 	mesh, err := peer.New(peer.Dependencies{
 		Host:     name,
-		Zone:     "z0",
+		Zone:     zone,
 		Born:     born,
 		Address:  address,
 		Listener: e,
@@ -60,7 +73,7 @@
 	done := make(chan error, 2)
 	go func() { done <- timers.Run(ctx) }()
 	go func() { done <- mesh.Run(ctx) }()
-	t.Cleanup(func() {
+	end := sync.OnceFunc(func() {
 		cancel()
 		for range 2 {
 			if err := <-done; err != nil {
@@ -68,7 +81,8 @@
 			}
 		}
 	})
-	return mesh, e, address
+	t.Cleanup(end)
+	return mesh, e, end
 }
 
 func TestHostsFindEachOther(t *testing.T) {
@@ -107,3 +121,55 @@
 		t.Error("a silent host is not told")
 	}
 }
+
+func TestRestartedHostIsTold(t *testing.T) {
+	_, e, address := startMesh(t, "first", 1)
+	own := freeAddress(t)
+	for born := range int64(2) {
+		second, _, end := startMeshAt(t, "second", "z0", own, born+1)
+		second.Add(address, "z0")
+		second.Send(peer.Message{})
+		<-e.heard
+		end()
+	}
+	if got := <-e.silent; got != "restarted second" {
+		t.Errorf("told %q", got)
+	}
+}
+
+// TestLargeFleetHearsOfAllThroughRelays checks that a host of a large fleet hears
+// the sum of each zone.
+func TestLargeFleetHearsOfAllThroughRelays(t *testing.T) {
+	const hosts = 20
+	meshes := make([]*peer.Mesh, hosts)
+	ears := make([]ear, hosts)
+	addresses := make([]string, hosts)
+	zone := func(i int) string { return []string{"z0", "z1"}[i%2] }
+	for i := range hosts {
+		addresses[i] = freeAddress(t)
+		meshes[i], ears[i], _ = startMeshAt(t, fmt.Sprintf("host-%d", i), zone(i), addresses[i], 1)
+	}
+	for i := range hosts {
+		for j := range hosts {
+			meshes[i].Add(addresses[j], zone(j))
+		}
+	}
+	limit := time.After(20 * time.Second)
+	sums := make(map[string]int)
+	for sums["z0"] != hosts/2 || sums["z1"] != hosts/2 {
+		for _, mesh := range meshes {
+			mesh.Send(peer.Message{
+				Full: true,
+				Work: []scheduling.PeerWork{{Endpoint: 7, Running: 1}},
+			})
+		}
+		select {
+		case message := <-ears[3].heard:
+			if message.Aggregate && len(message.Work) == 1 {
+				sums[message.Zone] = message.Work[0].Running
+			}
+		case <-limit:
+			t.Fatalf("the sums are %v", sums)
+		}
+	}
+}
