--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -133,6 +133,10 @@
 // Unreachable says that no connection could be made: nothing was sent.
 type Unreachable struct{}
 
+// Expired says that the call's time was over before it was sent. It tells nothing
+// of the endpoint.
+type Expired struct{}
+
 // Declined says that the endpoint answered that it did not run the call.
 type Declined struct {
 	// RetryAfter is how long the endpoint asked us to stay away, or zero.
@@ -170,6 +174,7 @@
 
 func (Completed) isOutcome()   {}
 func (Unreachable) isOutcome() {}
+func (Expired) isOutcome()     {}
 func (Declined) isOutcome()    {}
 func (Misdirected) isOutcome() {}
 func (Failed) isOutcome()      {}
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -109,6 +109,9 @@
 	case Unreachable:
 		s.judge(t, ReasonUnreachable)
 		s.tryElsewhere(c, t, ReasonUnreachable)
+	case Expired:
+		t.health.trial = false
+		s.refuse(c, ReasonTimedOut)
 	case Declined:
 		t.health.trial = false
 		t.fullTill = s.now.Add(max(outcome.RetryAfter, declinedFor))
@@ -205,6 +208,10 @@
 func (s *Scheduler) tryElsewhere(c *call, t *target, reason Reason) {
 	c.avoid = append(c.avoid, t.key)
 	c.cause = reason
+	if !s.now.Before(c.spec.Deadline) {
+		s.refuse(c, ReasonTimedOut)
+		return
+	}
 	if len(c.avoid) > maxUnreachable || reason == ReasonDeclined && c.pool.budget.Left(s.now) < 1 {
 		s.refuse(c, reason)
 		return
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -398,3 +398,32 @@
 		}
 	})
 }
+
+// TestCallWhoseTimeIsOverHarmsNoEndpoint covers a call that ran out of time while
+// a connection was being made: it was tried at one endpoint after the other, and
+// each was taken out of use for it.
+func TestCallWhoseTimeIsOverHarmsNoEndpoint(t *testing.T) {
+	for name, outcome := range map[string]scheduling.Outcome{
+		"before it was sent":  scheduling.Expired{},
+		"after a failed dial": scheduling.Unreachable{},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 4)
+			id, commands := b.call("hold")
+			b.sent(commands)
+			b.now = b.now.Add(11 * time.Second)
+			commands = b.end(id, outcome)
+			if refusal := b.refused(commands); refusal.Ran || refusal.Reason != scheduling.ReasonTimedOut {
+				t.Errorf("refusal is %+v", refusal)
+			}
+			for _, command := range commands {
+				if _, ok := command.(scheduling.Send); ok {
+					t.Error("it was sent again")
+				}
+				if _, ok := command.(scheduling.EndpointJudged); ok && name == "before it was sent" {
+					t.Error("an endpoint was ejected")
+				}
+			}
+		})
+	}
+}
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -124,7 +124,7 @@
 		if x.request.Context().Err() != nil {
 			return scheduling.Abandoned{}
 		}
-		return scheduling.Unreachable{}
+		return x.notSent()
 	}
 	t.conn = conn
 	stop := context.AfterFunc(x.request.Context(), conn.Abort)
@@ -136,6 +136,15 @@
 	return t.settle(outcome)
 }
 
+// notSent returns the outcome of an attempt of which nothing was sent: the
+// endpoint is to blame only if there was time.
+func (x *exchange) notSent() scheduling.Outcome {
+	if !time.Now().Before(x.deadline) {
+		return scheduling.Expired{}
+	}
+	return scheduling.Unreachable{}
+}
+
 // settle decides whether the connection can be kept, and puts the caller's own
 // leaving before what followed from it.
 func (t *trial) settle(outcome scheduling.Outcome) scheduling.Outcome {
@@ -162,7 +171,7 @@
 		t.err = err
 		var failed *upstream.SendError
 		if errors.As(err, &failed) && !failed.Partial {
-			return scheduling.Unreachable{}
+			return x.notSent()
 		}
 		return scheduling.Broken{Delivered: x.committed}
 	}
