--- /dev/null
+++ b/gateway/lines_test.go
@@ -0,0 +1,96 @@
+package gateway_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	standin "cactuswell/standin/opaque"
+)
+
+// TestLineShapes compares the fields of every kind of line with those that
+// docs/OPERATIONS.md describes.
+func TestLineShapes(t *testing.T) {
+	f := newFixture(t, 2)
+	f.behave(firstThen(standin.Fails{Status: 500}))
+	f.get("/lookup/x")
+	f.behave(func(*http.Request) standin.Behaviour { return standin.Reset{} })
+	f.post("/hold/x", "x")
+	f.post("/hold/y", "x")
+	f.behave(func(*http.Request) standin.Behaviour { return standin.Cut{Bytes: 60} })
+	f.post("/draft/stream", "x")
+	f.get("/other/x")
+	f.enter("booking-0", service, f.endpoints[0].Address(), true)
+	f.log.Append(endpointTopic, "booking-0", nil)
+	f.log.Append(endpointTopic, "booking-9", []byte("broken"))
+	f.log.Append(configurationTopic, configurationKey, []byte("broken"))
+	eventually(t, "the entries are told of", func() bool {
+		return strings.Contains(f.lines.String(), "entryUnreadable")
+	})
+	f.log.SetDown(true)
+	eventually(t, "the outage is told of", func() bool { return strings.Contains(f.lines.String(), "storeLost") })
+	f.log.SetDown(false)
+	eventually(t, "the return is told of", func() bool { return strings.Contains(f.lines.String(), "storeBack") })
+	f.end()
+
+	shapes := make(map[string]string)
+	for _, line := range strings.Split(strings.TrimSpace(f.lines.String()), "\n") {
+		event, fields := shapeOf(t, line)
+		known, ok := shapes[event]
+		if ok && len(known) > len(fields) {
+			continue
+		}
+		shapes[event] = fields
+	}
+	var text bytes.Buffer
+	events := make([]string, 0, len(shapes))
+	for event := range shapes {
+		events = append(events, event)
+	}
+	slices.Sort(events)
+	for _, event := range events {
+		fmt.Fprintf(&text, "%s: %s\n", event, shapes[event])
+	}
+	goldie.New(t).Assert(t, "lines", text.Bytes())
+}
+
+// shapeOf returns a line's event and the names of its fields in their order.
+func shapeOf(t *testing.T, line string) (event, fields string) {
+	t.Helper()
+	decoder := json.NewDecoder(strings.NewReader(line))
+	var names []string
+	for depth := 0; ; {
+		token, err := decoder.Token()
+		if err != nil {
+			break
+		}
+		if delim, ok := token.(json.Delim); ok {
+			depth += map[json.Delim]int{'{': 1, '}': -1}[delim]
+			continue
+		}
+		name := token.(string)
+		value, err := decoder.Token()
+		if err != nil {
+			t.Fatalf("line %q: %v", line, err)
+		}
+		switch name {
+		case "event":
+			event = value.(string)
+		case "time":
+			if _, err := time.Parse(time.RFC3339Nano, value.(string)); err != nil {
+				t.Error(err)
+			}
+		case "level", "host":
+		default:
+			names = append(names, name)
+		}
+	}
+	return event, strings.Join(names, " ")
+}
