--- a/cmd/gatewaycmd.go
+++ b/cmd/gatewaycmd.go
@@ -17,6 +17,7 @@
 // gatewayCommand runs one host that serves routes kept in a store.
 type gatewayCommand struct {
 	settings.Gateway
+	CheckOnly bool `long:"check" description:"check the settings, as flags, environment variables and environment file give them, and end"`
 
 	console *console
 }
@@ -75,6 +76,13 @@
 	if err != nil {
 		return err
 	}
+	if g.CheckOnly {
+		if err := loaded.Check(); err != nil {
+			return err
+		}
+		g.console.printf("settings are valid\n")
+		return nil
+	}
 	signals := newStopSignals()
 	defer signals.close()
 	store := platform.NewStore(loaded.StoreAddress)
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -166,7 +166,7 @@
 	if event.Pace == 0 {
 		return
 	}
-	expected := time.Duration(s.settings.Engine.Stride) * s.settings.Engine.StepTime(t.busy(s.now), 0)
+	expected := time.Duration(s.stride(c.pool)) * s.settings.Engine.StepTime(t.busy(s.now), 0)
 	t.observe(float64(event.Pace) / float64(expected))
 }
 
--- a/core/scheduling/place.go
+++ b/core/scheduling/place.go
@@ -258,6 +258,14 @@
 	}
 }
 
+// stride returns the number of tokens in an event of a pool's streams.
+func (s *Scheduler) stride(p *pool) int {
+	if p.engine.Stride > 0 {
+		return p.engine.Stride
+	}
+	return s.settings.Engine.Stride
+}
+
 // distance returns the round trip to an endpoint.
 func (s *Scheduler) distance(t *target) time.Duration {
 	if t.entry.Zone == s.settings.Zone {
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -399,6 +399,45 @@
 	})
 }
 
+// TestSpeedFollowsTheServicesEvents covers events of other than the model's usual
+// number of tokens: an engine at its nominal speed must not look slow.
+func TestSpeedFollowsTheServicesEvents(t *testing.T) {
+	b := newBench(t, 1)
+	spec := route.Spec{
+		Version: 2,
+		Services: []route.Service{
+			{Name: booking},
+			{Name: models, Engine: &route.Engine{Slots: 8, MemoryTokens: 500_000, Stride: 6}},
+		},
+	}
+	table, err := route.New(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.step(scheduling.ConfigurationChanged{Table: table})
+	predicted := func() time.Duration {
+		id, commands := b.call("brief")
+		first := b.sent(commands).Choice.First
+		b.end(id, scheduling.Completed{})
+		return first
+	}
+	// The first one fills the engine's memory.
+	predicted()
+	before := predicted()
+	for range 20 {
+		id, commands := b.call("draft")
+		b.sent(commands)
+		b.step(scheduling.AttemptEnded{
+			Call:    id,
+			Outcome: scheduling.Completed{},
+			Pace:    6 * batching.Default().StepTime(1, 0),
+		})
+	}
+	if after := predicted(); after > before+before/10 {
+		t.Errorf("first event predicted after %v at first, %v after streams at the nominal speed", before, after)
+	}
+}
+
 // TestCallWhoseTimeIsOverHarmsNoEndpoint covers a call that ran out of time while
 // a connection was being made: it was tried at one endpoint after the other, and
 // each was taken out of use for it.
