--- a/gateway/calls_test.go
+++ b/gateway/calls_test.go
@@ -170,6 +170,27 @@
 	}
 }
 
+// TestChunkedBodies checks that bodies without a length pass, and that the memory
+// that they take is given back.
+func TestChunkedBodies(t *testing.T) {
+	f := newFixture(t, 1)
+	for i := range 40 {
+		request := f.request(http.MethodPost, fmt.Sprintf("/hold/%d", i), []byte("a body in chunks"))
+		request.ContentLength = -1
+		if got := f.do(request); got.status != http.StatusOK || got.body != string(standin.Body([]byte("a body in chunks"))) {
+			t.Fatalf("call %d got %d %q", i, got.status, got.body)
+		}
+	}
+}
+
+func TestHead(t *testing.T) {
+	f := newFixture(t, 1)
+	got := f.do(f.request(http.MethodHead, "/lookup/x", nil))
+	if got.status != http.StatusOK || got.header.Get("Content-Length") != fmt.Sprint(len(standin.Body(nil))) {
+		t.Errorf("status %d, length %s", got.status, got.header.Get("Content-Length"))
+	}
+}
+
 func TestDenials(t *testing.T) {
 	f := newFixture(t, 1)
 	for name, test := range map[string]struct {
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -360,7 +360,8 @@
 		header["Content-Type"] = nil
 	}
 	switch {
-	case whole && bodyAllowed(response.StatusCode):
+	case !bodyAllowed(response.StatusCode):
+	case whole && x.request.Method != http.MethodHead:
 		header.Set("Content-Length", fmt.Sprint(length))
 	case response.ContentLength >= 0 && x.route.Kind != route.Stream:
 		header.Set("Content-Length", fmt.Sprint(response.ContentLength))
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -25,6 +25,9 @@
 	busyRetry = time.Second
 	// leavingRetry is when to come back, to another host, from one that stops.
 	leavingRetry = 50 * time.Millisecond
+	// unknownShare is the part of the limit that a body of unknown length counts
+	// for while it is read; few are near the limit.
+	unknownShare = 16
 	// defaultBodyLimit bounds a body if the configuration does not.
 	defaultBodyLimit = 4 << 20
 )
@@ -202,7 +205,7 @@
 	}
 	x.held = r.ContentLength
 	if x.held < 0 {
-		x.held = limit / 16
+		x.held = limit / unknownShare
 	}
 	if x.server.bodyMemory.Add(x.held) > x.server.BodyMemory {
 		x.refuse(scheduling.Refuse{
@@ -223,6 +226,9 @@
 		return x.bodyFailed(err)
 	}
 	x.body = body
+	// A body whose length was not known took a guess until now.
+	x.server.bodyMemory.Add(int64(len(body)) - x.held)
+	x.held = int64(len(body))
 	return true
 }
 
--- a/standin/opaque/endpoint.go
+++ b/standin/opaque/endpoint.go
@@ -289,6 +289,9 @@
 	case Skips:
 		return e.write(conn, e.stream(request, b.Event))
 	}
+	if request.Method == http.MethodHead {
+		return e.write(conn, withoutBody(e.whole(request, body, true)))
+	}
 	return e.write(conn, e.whole(request, body, true))
 }
 
@@ -297,6 +300,12 @@
 	return err
 }
 
+// withoutBody returns the header of an answer, which is all that a HEAD gets.
+func withoutBody(answer []byte) []byte {
+	head, _, _ := bytes.Cut(answer, []byte("\r\n\r\n"))
+	return append(head, "\r\n\r\n"...)
+}
+
 func (e *Endpoint) mark() string { return e.settings.Names.Mark + ": " + e.settings.ID + "\r\n" }
 
 func (e *Endpoint) plain(status int, id, header, body string) []byte {
