--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -83,12 +83,11 @@
 
 // The reasons of changes.
 const (
-	ReasonSaidSo      = "endpointSaidSo"
-	ReasonLapsed      = "entryLapsed"
-	ReasonNotBack     = "notBackAfterOutage"
-	ReasonReplaced    = "newIncarnation"
-	ReasonNotListed   = "notInListing"
-	ReasonAddressMove = "addressTaken"
+	ReasonSaidSo    = "endpointSaidSo"
+	ReasonLapsed    = "entryLapsed"
+	ReasonNotBack   = "notBackAfterOutage"
+	ReasonReplaced  = "newIncarnation"
+	ReasonNotListed = "notInListing"
 )
 
 type record struct {
@@ -224,20 +223,6 @@
 	return changes
 }
 
-// MarkLeaving says that an incarnation was found to be leaving, or no longer to
-// be the one at its address.
-func (d *Directory) MarkLeaving(id string, born int64, reason string, changes []Change) []Change {
-	known, ok := d.records[id]
-	if !ok || known.entry.Born != born || known.entry.Leaving {
-		return changes
-	}
-	known.entry.Leaving = true
-	return append(changes, Left{
-		Entry:  known.entry,
-		Reason: reason,
-	})
-}
-
 // Tick drops the entries that did not come back in time.
 func (d *Directory) Tick(now time.Time, changes []Change) []Change {
 	for id, r := range d.records {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -115,11 +115,6 @@
 // Service is a group of endpoints that answer alike.
 type Service struct {
 	Name string
-	// HealthPath is the path of the health check.
-	HealthPath string
-	// MaxConnections is the number of connections that an endpoint accepts from
-	// all hosts together, or zero if it is not known.
-	MaxConnections int
 	// Engine is set for services of model engines.
 	Engine *Engine
 }
@@ -138,10 +133,6 @@
 	// HeaderBytes and BodyBytes bound a request, or are zero for no bound.
 	HeaderBytes int
 	BodyBytes   int64
-	// HeaderTime is the longest time for a header to arrive, or zero.
-	HeaderTime time.Duration
-	// IdleTime is the longest time that a connection may be idle, or zero.
-	IdleTime time.Duration
 }
 
 // Spec is a whole configuration as its source gives it.
--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -28,10 +28,9 @@
 	Priority int
 	// Deadline is when the caller gives up, or the route's timeout is over.
 	Deadline time.Time
-	// PromptTokens and OutputTokens size a generation: the prompt, and the
-	// expected answer. They are zero for plain services.
+	// PromptTokens is the size of a generation's prompt, and zero for plain
+	// services.
 	PromptTokens int
-	OutputTokens int
 	Prompt       []Part
 }
 
--- a/core/scheduling/command.go
+++ b/core/scheduling/command.go
@@ -89,7 +89,6 @@
 const (
 	ReasonNoEndpoint    Reason = "noEndpoint"
 	ReasonAllFull       Reason = "allFull"
-	ReasonTooLate       Reason = "tooLate"
 	ReasonTimedOut      Reason = "timedOut"
 	ReasonOutcome       Reason = "outcomeUnknown"
 	ReasonBudgetSpent   Reason = "retryBudgetSpent"
--- a/core/scheduling/place.go
+++ b/core/scheduling/place.go
@@ -211,6 +211,9 @@
 	}
 	next.cost += s.delayCost(c, next.choice.First)
 	next.cost += t.health.errors * s.settings.Weights.ErrorCost
+	if s.now.Before(t.coldTill) {
+		next.cost += s.settings.Weights.ColdCost
+	}
 	if t.health.ejectFor > 0 {
 		next.cost += s.settings.Weights.TrialCost
 	}
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -204,7 +204,7 @@
 func (s *Scheduler) changeEndpoint(change directory.Change) {
 	switch change := change.(type) {
 	case directory.Appeared:
-		t := newTarget(change.Entry)
+		t := newTarget(s.now, change.Entry)
 		s.byKey[t.key] = t
 		s.byHash[t.hash] = t
 		s.targets = append(s.targets, t)
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -280,6 +280,22 @@
 	}
 }
 
+func TestColdEndpointIsSparedAtFirst(t *testing.T) {
+	b := newBench(t, 1)
+	cold := entry(booking, 1)
+	cold.ColdFor = 2 * time.Second
+	b.step(scheduling.EndpointChanged{Change: directory.Appeared{Entry: cold}})
+	_, commands := b.call("hold")
+	if send := b.sent(commands); send.Key.ID == cold.ID {
+		t.Error("a cold endpoint was preferred to a warm one without work")
+	}
+	b.now = b.now.Add(3 * time.Second)
+	_, commands = b.call("hold")
+	if send := b.sent(commands); send.Key.ID != cold.ID {
+		t.Error("an endpoint that is warm by now was not preferred to a busy one")
+	}
+}
+
 func TestOtherHostsWorkIsSeen(t *testing.T) {
 	b := newBench(t, 2)
 	busy := scheduling.Key{ID: "booking-0", Born: 1}
--- a/core/scheduling/target.go
+++ b/core/scheduling/target.go
@@ -45,6 +45,8 @@
 	cache    cacheIndex
 	// fullTill is until when the endpoint asked not to be sent calls.
 	fullTill time.Time
+	// coldTill is until when the endpoint is slow after its start.
+	coldTill time.Time
 	// dirty says that the work changed since other hosts were told.
 	dirty bool
 	// told is the work that other hosts were told last.
@@ -66,13 +68,14 @@
 	return max(w.Reading-now.Sub(w.at), 0)
 }
 
-func newTarget(entry directory.Entry) *target {
+func newTarget(now time.Time, entry directory.Entry) *target {
 	key := keyOf(entry)
 	return &target{
 		entry:    entry,
 		key:      key,
 		hash:     key.Hash(),
 		leaving:  entry.Leaving,
+		coldTill: now.Add(entry.ColdFor),
 		peers:    make(map[string]peerWork),
 		slowness: 1,
 		cache:    newCacheIndex(),
--- a/core/scheduling/weights.go
+++ b/core/scheduling/weights.go
@@ -22,6 +22,8 @@
 	DisturbCost float64
 	// ErrorCost is the cost of a certain failure of an endpoint's answer.
 	ErrorCost float64
+	// ColdCost is that of an endpoint that is slow after its start.
+	ColdCost float64
 	// TrialCost is that of an endpoint that was out of use until now.
 	TrialCost float64
 	// TightLoad and LongLoad are the parts of their engines' time that reading
@@ -44,6 +46,7 @@
 		StrayCost:     0.3,
 		DisturbCost:   0.1,
 		ErrorCost:     1.5,
+		ColdCost:      0.2,
 		TrialCost:     0.4,
 		TightLoad:     0.2,
 		LongLoad:      0.6,
--- a/gateway/calls_test.go
+++ b/gateway/calls_test.go
@@ -197,12 +197,13 @@
 		change func(*http.Request)
 		status int
 	}{
-		"no such route":      {change: func(r *http.Request) { r.URL.Path = "/other/" }, status: http.StatusNotFound},
-		"no such host":       {change: func(r *http.Request) { r.Host = "other.example" }, status: http.StatusNotFound},
-		"unknown key":        {change: func(r *http.Request) { r.Header.Set("Authorization", "Bearer other") }, status: http.StatusUnauthorized},
-		"key without Bearer": {change: func(r *http.Request) { r.Header.Set("Authorization", "secret") }, status: http.StatusUnauthorized},
-		"no key":             {change: func(r *http.Request) { r.Header.Del("Authorization") }, status: http.StatusUnauthorized},
-		"no name":            {change: func(r *http.Request) { r.Header.Del("X-Request-Id") }, status: http.StatusBadRequest},
+		"no such route":         {change: func(r *http.Request) { r.URL.Path = "/other/" }, status: http.StatusNotFound},
+		"no such host":          {change: func(r *http.Request) { r.Host = "other.example" }, status: http.StatusNotFound},
+		"unknown key":           {change: func(r *http.Request) { r.Header.Set("Authorization", "Bearer other") }, status: http.StatusUnauthorized},
+		"key without Bearer":    {change: func(r *http.Request) { r.Header.Set("Authorization", "secret") }, status: http.StatusUnauthorized},
+		"no key":                {change: func(r *http.Request) { r.Header.Del("Authorization") }, status: http.StatusUnauthorized},
+		"no name":               {change: func(r *http.Request) { r.Header.Del("X-Request-Id") }, status: http.StatusBadRequest},
+		"header over the limit": {change: func(r *http.Request) { r.Header.Set("X-Long", strings.Repeat("x", 4000)) }, status: http.StatusRequestHeaderFieldsTooLarge},
 		"body over the limit": {change: func(r *http.Request) {
 			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 300_000)))
 			r.ContentLength = 300_000
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -102,8 +102,11 @@
 			{Name: "draft", Host: "firm.example", Prefix: "/draft/", Kind: route.Stream, MaxAttempts: 1, Timeout: 5 * time.Second, Target: time.Second, Targets: generation},
 			{Name: "summary", Host: "firm.example", Prefix: "/summary/", Kind: route.Stream, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second, Target: time.Second, Gap: time.Second, Targets: generation},
 		},
-		Teams:  []route.Team{{Name: "clerks", Keys: []string{"secret"}}},
-		Limits: route.Limits{BodyBytes: 200_000},
+		Teams: []route.Team{{Name: "clerks", Keys: []string{"secret"}}},
+		Limits: route.Limits{
+			HeaderBytes: 4000,
+			BodyBytes:   200_000,
+		},
 	}
 }
 
--- a/io/opaque/dialect.go
+++ b/io/opaque/dialect.go
@@ -30,9 +30,8 @@
 	TimeLeft time.Duration
 	// Key is the API key, or empty.
 	Key string
-	// PromptTokens and OutputTokens size a generation.
+	// PromptTokens is the size of a generation's prompt, and Prompt its parts.
 	PromptTokens int
-	OutputTokens int
 	Prompt       []scheduling.Part
 	// LastEvent is the id of the last event that the caller has of the stream,
 	// if HasLastEvent is set.
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -92,6 +92,7 @@
 	ReasonNoKey           scheduling.Reason = "unknownKey"
 	ReasonMalformed       scheduling.Reason = "malformed"
 	ReasonBodyTooLarge    scheduling.Reason = "bodyTooLarge"
+	ReasonHeaderTooLarge  scheduling.Reason = "headerTooLarge"
 )
 
 // obey carries out what is decided until the call has its end.
@@ -154,6 +155,9 @@
 		})
 		return false
 	}
+	if limit := x.table.Limits().HeaderBytes; limit > 0 && headerBytes(x.request.Header) > limit {
+		return x.deny(http.StatusRequestHeaderFieldsTooLarge, ReasonHeaderTooLarge, nil)
+	}
 	path, _, _ := strings.Cut(x.request.RequestURI, "?")
 	found, ok := x.table.Lookup(x.request.Host, path)
 	if !ok {
@@ -266,7 +270,6 @@
 		Priority:     x.priority,
 		Deadline:     x.deadline,
 		PromptTokens: x.caller.PromptTokens,
-		OutputTokens: x.caller.OutputTokens,
 		Prompt:       x.caller.Prompt,
 	}
 }
--- a/io/opaque/header.go
+++ b/io/opaque/header.go
@@ -40,3 +40,17 @@
 	x.server.Dialect.Forward(header, x.request.Header)
 	return header
 }
+
+// lineOverhead is the length of a header line beside its name and value.
+const lineOverhead = len(": \r\n")
+
+// headerBytes returns the length of a header without its first line.
+func headerBytes(header http.Header) int {
+	total := 0
+	for name, values := range header {
+		for _, value := range values {
+			total += len(name) + len(value) + lineOverhead
+		}
+	}
+	return total
+}
--- a/io/opaque/headers.go
+++ b/io/opaque/headers.go
@@ -102,9 +102,8 @@
 	if key, ok := strings.CutPrefix(header.Get(h.names.Key), keyPrefix); ok {
 		caller.Key = key
 	}
-	prompt, output, _ := strings.Cut(header.Get(h.names.Tokens), ",")
+	prompt, _, _ := strings.Cut(header.Get(h.names.Tokens), ",")
 	caller.PromptTokens = count(prompt)
-	caller.OutputTokens = count(output)
 	caller.Prompt = parts(header.Get(h.names.Prompt))
 	if last, err := strconv.ParseInt(header.Get(h.names.LastEvent), 10, 64); err == nil {
 		caller.LastEvent = last
--- a/simulation/host.go
+++ b/simulation/host.go
@@ -236,7 +236,6 @@
 				Priority:     c.class.Priority,
 				Deadline:     c.till,
 				PromptTokens: c.promptTokens(),
-				OutputTokens: c.events * f.config.Model.Stride,
 				Prompt:       c.prompt,
 			},
 		})
