--- a/cmd/gatewaycmd_test.go
+++ b/cmd/gatewaycmd_test.go
@@ -1,11 +1,15 @@
 package cmd_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -116,3 +120,81 @@
 	}
 	out.await(t, `"event":"stopped"`)
 }
+
+// TestGatewayOutlivesItsLogReader runs a gateway as a process, ends the reader of
+// its standard output, and checks that it serves on and stops in good order.
+func TestGatewayOutlivesItsLogReader(t *testing.T) {
+	log := keyedlog.New()
+	log.Append(platform.ConfigurationTopic, platform.ConfigurationKey, []byte(`{"version":1}`))
+	store := httptest.NewServer(platformtest.NewStore(log))
+	t.Cleanup(store.Close)
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ready := freePort(t)
+	process := &exec.Cmd{
+		Path: program,
+		Args: []string{"cactuswell", "gateway", "--name", "host-1", "--zone", "z0", "--caller-listen", freePort(t),
+			"--ready-listen", ready, "--store-address", store.Listener.Addr().String(), "--balancer-lag", "0s"},
+		Stdout: writer,
+	}
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- process.Wait() }()
+	t.Cleanup(func() { _ = process.Process.Kill() })
+	if err := writer.Close(); err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewScanner(reader)
+	for lines.Scan() && !strings.Contains(lines.Text(), `"event":"configurationTaken"`) {
+		continue
+	}
+	if err := reader.Close(); err != nil {
+		t.Fatal(err)
+	}
+	// Each change is told by a line, which finds no reader.
+	for version := 2; version < 6; version++ {
+		log.Append(platform.ConfigurationTopic, platform.ConfigurationKey, fmt.Appendf(nil, `{"version":%d}`, version))
+		awaitVersion(t, ready, version, ended)
+	}
+	if err := process.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("the process ended with %v", err)
+	}
+}
+
+// awaitVersion waits until a host's metrics tell of a version, with some time for
+// the lines that tell of it to be written.
+func awaitVersion(t *testing.T, address string, version int, ended <-chan error) {
+	t.Helper()
+	limit := time.After(20 * time.Second)
+	tick := time.NewTicker(150 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case err := <-ended:
+			t.Fatalf("the process ended with %v", err)
+		case <-limit:
+			t.Fatalf("version %d is not in force", version)
+		case <-tick.C:
+		}
+		response, err := http.Get("http://" + address + "/metrics")
+		if err != nil {
+			continue
+		}
+		text, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err == nil && strings.Contains(string(text), fmt.Sprintf("cactuswell_configuration_version %d\n", version)) {
+			return
+		}
+	}
+}
--- a/cmd/signals.go
+++ b/cmd/signals.go
@@ -27,6 +27,8 @@
 	}
 	s.stop, s.endStop = context.WithCancel(context.Background())
 	s.kill, s.endKill = context.WithCancel(context.Background())
+	// A reader of the output that is gone must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	signal.Notify(s.signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	go s.run()
 	return s
