--- a/cmd/gatewaycmd_test.go
+++ b/cmd/gatewaycmd_test.go
@@ -121,9 +121,16 @@
 	out.await(t, `"event":"stopped"`)
 }
 
-// TestGatewayOutlivesItsLogReader runs a gateway as a process, ends the reader of
-// its standard output, and checks that it serves on and stops in good order.
+// TestGatewayOutlivesItsLogReader runs a gateway as a process whose standard
+// output loses its reader, or has one that reads no more, and checks that it
+// serves on and stops in good order.
 func TestGatewayOutlivesItsLogReader(t *testing.T) {
+	t.Run("gone", func(t *testing.T) { checkWithoutReader(t, true) })
+	t.Run("stuck", func(t *testing.T) { checkWithoutReader(t, false) })
+}
+
+func checkWithoutReader(t *testing.T, gone bool) {
+	t.Helper()
 	log := keyedlog.New()
 	log.Append(platform.ConfigurationTopic, platform.ConfigurationKey, []byte(`{"version":1}`))
 	store := httptest.NewServer(platformtest.NewStore(log))
@@ -156,19 +163,32 @@
 	for lines.Scan() && !strings.Contains(lines.Text(), `"event":"configurationTaken"`) {
 		continue
 	}
-	if err := reader.Close(); err != nil {
-		t.Fatal(err)
+	if gone {
+		if err := reader.Close(); err != nil {
+			t.Fatal(err)
+		}
 	}
-	// Each change is told by a line, which finds no reader.
-	for version := 2; version < 6; version++ {
-		log.Append(platform.ConfigurationTopic, platform.ConfigurationKey, fmt.Appendf(nil, `{"version":%d}`, version))
-		awaitVersion(t, ready, version, ended)
+	t.Cleanup(func() { _ = reader.Close() })
+	// Each change is told by a line, which finds no reader; together they are more
+	// than a pipe holds.
+	last := 2
+	for _, steps := range []int{1, 1, 3000} {
+		for range steps {
+			last++
+			log.Append(platform.ConfigurationTopic, platform.ConfigurationKey, fmt.Appendf(nil, `{"version":%d}`, last))
+		}
+		awaitVersion(t, ready, last, ended)
 	}
 	if err := process.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
-	if err := <-ended; err != nil {
-		t.Errorf("the process ended with %v", err)
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("the process ended with %v", err)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("the process does not stop")
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,9 @@
 	sweepEvery = 2 * time.Second
 	// zoneDelay is the usual one-way delay between two zones of a region.
 	zoneDelay = 700 * time.Microsecond
+	// endTimeout bounds the wait for the duties at the end, which write the last
+	// lines: short against what is left until the platform kills the process.
+	endTimeout = 250 * time.Millisecond
 	// headerTime bounds the arrival of a caller's header.
 	headerTime = 10 * time.Second
 	// maxHeader bounds a caller's header, in bytes.
@@ -364,7 +367,13 @@
 	<-stop.Done()
 	g.stop(kill)
 	cancel()
-	<-done
+	// A reader of the lines that takes none must not keep the process.
+	limited, release := context.WithTimeout(kill, endTimeout)
+	defer release()
+	select {
+	case <-done:
+	case <-limited.Done():
+	}
 	return nil
 }
 
