--- a/core/scheduling/command.go
+++ b/core/scheduling/command.go
@@ -95,6 +95,7 @@
 	ReasonAttemptsSpent Reason = "attemptsSpent"
 	ReasonUnreachable   Reason = "unreachable"
 	ReasonDeclined      Reason = "declined"
+	ReasonMisdirected   Reason = "misdirected"
 	ReasonErrors        Reason = "errors"
 	ReasonSilent        Reason = "silent"
 	ReasonSpoiled       Reason = "spoiledAnswers"
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -51,6 +51,9 @@
 	c.began = true
 	c.target.removePending(c)
 	s.touch(c.target)
+	if c.target.health.trial {
+		s.recover(c.target)
+	}
 	s.pump(c.pool)
 }
 
@@ -117,8 +120,8 @@
 		t.fullTill = s.now.Add(max(outcome.RetryAfter, declinedFor))
 		s.tryElsewhere(c, t, ReasonDeclined)
 	case Misdirected:
-		t.leaving = true
-		s.tryElsewhere(c, t, ReasonDeclined)
+		s.judge(t, ReasonMisdirected)
+		s.tryElsewhere(c, t, ReasonMisdirected)
 	case Failed:
 		c.ran++
 		t.health.fail()
@@ -137,7 +140,9 @@
 		s.tryAgain(c, t, ReasonSilent, false)
 	case TimedOut:
 		c.ran++
-		if !c.began {
+		if c.began {
+			t.health.trial = false
+		} else {
 			s.countBreak(t, ReasonSilent)
 		}
 		s.refuse(c, ReasonTimedOut)
@@ -149,13 +154,7 @@
 }
 
 func (s *Scheduler) completed(c *call, t *target, event AttemptEnded) {
-	if t.health.succeed() {
-		s.commands = append(s.commands, EndpointJudged{
-			Key:     t.key,
-			Service: c.pool.name,
-			Reason:  ReasonRecovered,
-		})
-	}
+	s.recover(t)
 	s.forget(c)
 	if c.pool.engine == nil {
 		took := s.now.Sub(c.sentAt).Seconds()
@@ -170,6 +169,18 @@
 	t.observe(float64(event.Pace) / float64(expected))
 }
 
+// recover takes an endpoint that answers back into use.
+func (s *Scheduler) recover(t *target) {
+	if !t.health.succeed() {
+		return
+	}
+	s.commands = append(s.commands, EndpointJudged{
+		Key:     t.key,
+		Service: t.entry.Service,
+		Reason:  ReasonRecovered,
+	})
+}
+
 // countBreak notes a lost connection, a spoiled answer or a silence.
 func (s *Scheduler) countBreak(t *target, reason Reason) {
 	t.health.breaks++
@@ -179,10 +190,11 @@
 }
 
 // judge takes an endpoint out of use. Only so many of a service's endpoints may
-// be out of use for other reasons than that they cannot be reached.
+// be out of use for other reasons than that they are not where their entries
+// say.
 func (s *Scheduler) judge(t *target, reason Reason) {
 	p := s.pool(t.entry.Service)
-	if reason != ReasonUnreachable {
+	if reason != ReasonUnreachable && reason != ReasonMisdirected {
 		out := 0
 		for _, other := range p.targets {
 			if other != t && other.health.ejectFor > 0 {
@@ -212,7 +224,7 @@
 		s.refuse(c, ReasonTimedOut)
 		return
 	}
-	if len(c.avoid) > maxUnreachable || reason == ReasonDeclined && c.pool.budget.Left(s.now) < 1 {
+	if len(c.avoid) > maxUnreachable || reason != ReasonUnreachable && c.pool.budget.Left(s.now) < 1 {
 		s.refuse(c, reason)
 		return
 	}
--- a/core/scheduling/place.go
+++ b/core/scheduling/place.go
@@ -29,7 +29,7 @@
 	tightGap = 250 * time.Millisecond
 )
 
-// arrive takes a new call: load of every kind.
+// arrive takes a new call and decides on it at once.
 func (s *Scheduler) arrive(spec Call) {
 	p := s.pool(spec.Service)
 	p.budget.First(s.now)
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -482,3 +482,41 @@
 		})
 	}
 }
+
+// TestTrialHasAnEnd covers every end of the call by which an endpoint is tried
+// again: whatever it is, the endpoint gets calls again at some time.
+func TestTrialHasAnEnd(t *testing.T) {
+	for name, outcome := range map[string]scheduling.Outcome{
+		"completed":   scheduling.Completed{},
+		"unreachable": scheduling.Unreachable{},
+		"expired":     scheduling.Expired{},
+		"declined":    scheduling.Declined{},
+		"misdirected": scheduling.Misdirected{},
+		"failed":      scheduling.Failed{Status: 500},
+		"broken":      scheduling.Broken{},
+		"silent":      scheduling.Silent{},
+		"timed out":   scheduling.TimedOut{},
+		"abandoned":   scheduling.Abandoned{},
+	} {
+		for _, began := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/began=%v", name, began), func(t *testing.T) {
+				b := newBench(t, 1)
+				id, commands := b.call("brief")
+				b.sent(commands)
+				b.end(id, scheduling.Unreachable{})
+				b.step(scheduling.CallLeft{Call: id})
+				b.now = b.now.Add(time.Second)
+				id, commands = b.call("brief")
+				b.sent(commands)
+				if began {
+					b.step(scheduling.AnswerBegan{Call: id})
+				}
+				b.end(id, outcome)
+				b.step(scheduling.CallLeft{Call: id})
+				b.now = b.now.Add(10 * time.Second)
+				_, commands = b.call("brief")
+				b.sent(commands)
+			})
+		}
+	}
+}
