--- a/core/batching/batching.go
+++ b/core/batching/batching.go
@@ -61,6 +61,13 @@
 	return read + time.Duration(pairs*float64(m.AttendPerMillion))
 }
 
+// Reading returns the time from the first to the last step that reads a prompt:
+// that of reading, and that of the steps themselves, one for each chunk.
+func (m Model) Reading(cached, uncached int) time.Duration {
+	chunks := (uncached + m.Chunk - 1) / max(m.Chunk, 1)
+	return m.Prefill(cached, uncached) + time.Duration(chunks)*m.Step
+}
+
 // StepTime returns the length of a step that reads nothing.
 func (m Model) StepTime(running, context int) time.Duration {
 	return m.Step + time.Duration(running)*m.StepPerRequest + time.Duration(context)*m.StepPerThousand/1000
--- a/core/batching/batching_test.go
+++ b/core/batching/batching_test.go
@@ -30,6 +30,15 @@
 	}
 }
 
+func TestReadingCountsTheStepsOfItsChunks(t *testing.T) {
+	model := batching.Default()
+	const tokens = 17_020
+	steps := (tokens + model.Chunk - 1) / model.Chunk
+	if got, want := model.Reading(0, tokens), model.Prefill(0, tokens)+time.Duration(steps)*model.Step; got != want {
+		t.Errorf("reading takes %v, want %v", got, want)
+	}
+}
+
 func TestPauseGrowsWithWhatIsRead(t *testing.T) {
 	model := batching.Default()
 	alone := model.Pause(8, 40_000, 0, 0)
--- a/core/scheduling/place.go
+++ b/core/scheduling/place.go
@@ -237,14 +237,15 @@
 	model := s.settings.Engine
 	cached := s.cachedTokens(c, t)
 	uncached := max(c.spec.PromptTokens-cached, 1)
-	work := time.Duration(float64(model.Prefill(cached, uncached)) * t.slowness)
+	work := time.Duration(float64(model.Reading(cached, uncached)) * t.slowness)
 	reading := t.reading(s.now)
 	next.work = work
 	next.choice.Cached = cached
 	next.choice.Reading = reading
-	next.choice.First = model.First + reading + work + distance
+	// A request joins the batch when the step under way is over.
+	next.choice.First = model.First + model.Step + reading + work + distance
 	if c.held > cached {
-		reread := model.Prefill(cached, c.held-cached)
+		reread := model.Reading(cached, c.held-cached)
 		next.cost += s.settings.Weights.RereadCost * reread.Seconds()
 	} else if c.held == 0 && s.homeRank(c, t) < homes {
 		next.cost -= s.settings.Weights.HomeBonus
