--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactuswell/core/directory"
+	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 	"cactuswell/ring"
 	"cactuswell/timer"
@@ -30,6 +31,8 @@
 type decisions struct {
 	timers    *timer.Service
 	trail     *trail.Trail
+	settings  scheduling.Settings
+	table     *route.Table
 	events    *ring.Ring[any]
 	ids       atomic.Uint64
 	scheduler *scheduling.Scheduler
@@ -76,17 +79,54 @@
 }
 
 func newDecisions(settings scheduling.Settings, timers *timer.Service, lines *trail.Trail) *decisions {
-	return &decisions{
+	d := &decisions{
 		timers:    timers,
 		trail:     lines,
 		events:    ring.New[any](eventCapacity),
-		scheduler: scheduling.New(settings, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		settings:  settings,
 		directory: directory.New(directory.Settings{}),
-		replies:   make(map[scheduling.CallID]chan<- scheduling.Command),
-		names:     make(map[scheduling.CallID]string),
 	}
+	d.begin()
+	return d
 }
 
+// begin gives the duty a scheduler that knows nothing.
+func (d *decisions) begin() {
+	d.scheduler = scheduling.New(d.settings, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	d.replies = make(map[scheduling.CallID]chan<- scheduling.Command)
+	d.names = make(map[scheduling.CallID]string)
+}
+
+// restarted follows a failure of the duty: the calls that it knew are answered,
+// and the scheduler begins anew with the configuration and the endpoints.
+func (d *decisions) restarted() {
+	for id, replies := range d.replies {
+		d.trail.Failure("callLost").Text("request", d.names[id]).End()
+		select {
+		case replies <- scheduling.Refuse{
+			Call:   id,
+			Reason: ReasonDutyRestarted,
+			Ran:    true,
+		}:
+		default:
+			// The call has an order to carry out, and then its time limit.
+		}
+	}
+	d.begin()
+	if d.table != nil {
+		d.step(scheduling.ConfigurationChanged{Table: d.table})
+	}
+	for _, entry := range d.directory.Entries() {
+		d.step(scheduling.EndpointChanged{Change: directory.Appeared{Entry: entry}})
+	}
+	// The signal for what still waits may have been taken.
+	d.post(heartbeatDue{})
+}
+
+// ReasonDutyRestarted is the reason of calls that were lost with the state of the
+// duty that decides.
+const ReasonDutyRestarted scheduling.Reason = "hostDutyRestarted"
+
 // Submit implements opaque.Decider.
 func (d *decisions) Submit(call scheduling.Call, replies chan<- scheduling.Command) bool {
 	return d.events.TryPush(submission{
@@ -196,6 +236,9 @@
 		d.forget(event.Call)
 	case scheduling.AttemptEnded:
 		d.attemptEnded(event)
+	case scheduling.ConfigurationChanged:
+		d.table = event.Table
+		d.step(event)
 	case scheduling.Event:
 		d.step(event)
 	case entriesListed:
@@ -214,8 +257,8 @@
 	case heartbeatDue:
 		d.heartbeatAt = now
 	case inspection:
+		defer close(event.done)
 		event.look()
-		close(event.done)
 	}
 	d.applyChanges()
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,7 +29,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-kit/log"
 	"github.com/gravitational/trace"
 
 	"cactuswell/core/batching"
@@ -66,6 +65,8 @@
 	// endTimeout bounds the wait for the duties at the end, which write the last
 	// lines: short against what is left until the platform kills the process.
 	endTimeout = 250 * time.Millisecond
+	// decisionsDuty is the duty that owns the state machines.
+	decisionsDuty = "decisions"
 	// headerTime bounds the arrival of a caller's header.
 	headerTime = 10 * time.Second
 	// maxHeader bounds a caller's header, in bytes.
@@ -140,7 +141,7 @@
 	}
 	g.trail = trail.New(dependencies.Output, dependencies.Settings.Name, g.timers)
 	g.current.Store(&g.Settings)
-	g.tree = supervisor.New("gateway", log.NewNopLogger())
+	g.tree = supervisor.New("gateway", dutyLog{trail: g.trail})
 	g.limitMemory()
 	var err error
 	if g.callerListener, err = net.Listen("tcp", g.Settings.CallerListen); err != nil {
@@ -411,7 +412,7 @@
 	duties := map[string]func(context.Context) error{
 		"timer":         g.timers.Run,
 		"trail":         g.trail.Run,
-		"decisions":     g.decided.run,
+		decisionsDuty:   g.decided.run,
 		"configuration": configuration.Run,
 		"endpoints":     endpoints.Run,
 		"sweep":         g.sweep,
@@ -426,10 +427,14 @@
 		duties["roster"] = g.enroll
 	}
 	for name, run := range duties {
-		g.tree.Add(supervisor.Duty{
+		duty := supervisor.Duty{
 			Name: name,
 			Run:  run,
-		})
+		}
+		if name == decisionsDuty {
+			duty.Restarted = g.decided.restarted
+		}
+		g.tree.Add(duty)
 	}
 }
 
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -1,6 +1,7 @@
 package opaque
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -25,6 +26,9 @@
 	busyRetry = time.Second
 	// leavingRetry is when to come back, to another host, from one that stops.
 	leavingRetry = 50 * time.Millisecond
+	// decisionSlack is how long after its deadline a call waits for a decision,
+	// which comes before it unless the duty that decides has failed.
+	decisionSlack = 200 * time.Millisecond
 	// unknownShare is the part of the limit that a body of unknown length counts
 	// for while it is read; few are near the limit.
 	unknownShare = 16
@@ -97,9 +101,18 @@
 
 // obey carries out what is decided until the call has its end.
 func (x *exchange) obey(replies <-chan scheduling.Command) {
+	limited, cancel := context.WithDeadline(x.request.Context(), x.deadline.Add(decisionSlack))
+	defer cancel()
 	for {
 		select {
-		case <-x.request.Context().Done():
+		case <-limited.Done():
+			if x.request.Context().Err() == nil {
+				x.refuse(scheduling.Refuse{
+					Reason: scheduling.ReasonTimedOut,
+					Ran:    x.attempts > 0,
+				})
+				return
+			}
 			x.server.Decider.Post(scheduling.CallLeft{Call: x.id})
 			x.end(ResultLeft, "", 0)
 			return
--- a/simulation/load_test.go
+++ b/simulation/load_test.go
@@ -205,3 +205,22 @@
 		t.Errorf("worth %v and %v, read %d and %d", first.Worth, second.Worth, first.ReadTokens, second.ReadTokens)
 	}
 }
+
+// TestRelaysServeNearlyAsWell: hosts of a large fleet that hear of each other
+// through one relay a zone serve nearly as well as if each told each other, and
+// far better than if they told nothing.
+func TestRelaysServeNearlyAsWell(t *testing.T) {
+	config := simulation.Scaled(simulation.Kelisim(), 3)
+	config.Length = 12 * time.Second
+	config = briefingBursts(config)
+	direct := simulation.Run(config)
+	config.Relayed = true
+	relayed := simulation.Run(config)
+	config.Silent = true
+	silent := simulation.Run(config)
+	atLeast(t, "worth with relays", relayed.WorthShare(), direct.WorthShare()-0.03)
+	if relayed.WorthShare() <= silent.WorthShare() || relayed.RereadTokens >= silent.RereadTokens {
+		t.Errorf("worth with relays %.3f, silent %.3f; read again %d, %d", relayed.WorthShare(), silent.WorthShare(),
+			relayed.RereadTokens, silent.RereadTokens)
+	}
+}
