--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -473,7 +473,9 @@
 	return func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		// A stop closes the callers' listener before the server.
+		err := server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return trace.Wrap(err)
 		}
 		<-ctx.Done()
--- a/gateway/lines_test.go
+++ b/gateway/lines_test.go
@@ -40,6 +40,9 @@
 	eventually(t, "the return is told of", func() bool { return strings.Contains(f.lines.String(), "storeBack") })
 	f.end()
 
+	if strings.Contains(f.lines.String(), "dutyRestarted") {
+		t.Errorf("a duty failed:\n%s", f.lines)
+	}
 	shapes := make(map[string]string)
 	for _, line := range strings.Split(strings.TrimSpace(f.lines.String()), "\n") {
 		event, fields := shapeOf(t, line)
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -41,8 +41,8 @@
 	return fmt.Sprintf("the answer with status %d bears no mark of an endpoint", e.Status)
 }
 
-// trial is one attempt at a call.
-type trial struct {
+// attempt is one attempt at a call.
+type attempt struct {
 	exchange *exchange
 	conn     *upstream.Conn
 	response *http.Response
@@ -53,21 +53,16 @@
 	err   error
 }
 
-// attempt sends the call to an endpoint and reports whether the call has its
+// send sends the call to an endpoint and reports whether the call has its
 // end.
-func (x *exchange) attempt(send scheduling.Send) bool {
-	x.sending = send
+func (x *exchange) send(order scheduling.Send) bool {
+	x.sending = order
 	x.attempts++
 	if x.attempts == 1 {
 		x.queued = time.Since(x.arrived)
 	}
-	x.line("callSent").Text("endpoint", send.Key.ID).Int("born", send.Key.Born).Int("attempt", int64(x.attempts)).
-		Millis("predictedFirst", send.Choice.First).Millis("reading", send.Choice.Reading).
-		Int("cached", int64(send.Choice.Cached)).Int("running", int64(send.Choice.Running)).
-		Int("compared", int64(send.Choice.Compared)).Millis("loadAge", send.Choice.LoadAge).
-		Millis("waited", send.Choice.Waited).Millis("timeLeft", time.Until(x.deadline)).
-		Bool("repeat", send.Repeat).End()
-	t := &trial{
+	x.tellChoice(order.Choice)
+	t := &attempt{
 		exchange: x,
 		sent:     time.Now(),
 	}
@@ -91,8 +86,19 @@
 	return false
 }
 
+// tellChoice logs where the call goes, and why there.
+func (x *exchange) tellChoice(choice scheduling.Choice) {
+	line := x.line("callSent").Text("endpoint", x.sending.Key.ID).Int("born", x.sending.Key.Born).
+		Int("attempt", int64(x.attempts)).Millis("predictedFirst", choice.First).Millis("reading", choice.Reading).
+		Int("cached", int64(choice.Cached)).Int("running", int64(choice.Running)).Int("compared", int64(choice.Compared))
+	if choice.LoadAge >= 0 {
+		line = line.Millis("loadAge", choice.LoadAge)
+	}
+	line.Millis("waited", choice.Waited).Millis("timeLeft", time.Until(x.deadline)).Bool("repeat", x.sending.Repeat).End()
+}
+
 // tellOutcome logs how an attempt ended.
-func (x *exchange) tellOutcome(t *trial, outcome scheduling.Outcome) {
+func (x *exchange) tellOutcome(t *attempt, outcome scheduling.Outcome) {
 	if _, ok := outcome.(scheduling.Completed); ok {
 		return
 	}
@@ -108,7 +114,7 @@
 }
 
 // run carries the attempt out.
-func (t *trial) run() scheduling.Outcome {
+func (t *attempt) run() scheduling.Outcome {
 	x := t.exchange
 	x.stream.begin()
 	x.kept = nil
@@ -147,7 +153,7 @@
 
 // settle decides whether the connection can be kept, and puts the caller's own
 // leaving before what followed from it.
-func (t *trial) settle(outcome scheduling.Outcome) scheduling.Outcome {
+func (t *attempt) settle(outcome scheduling.Outcome) scheduling.Outcome {
 	if t.exchange.request.Context().Err() != nil {
 		if _, ok := outcome.(scheduling.Completed); !ok {
 			t.conn.Discard()
@@ -165,7 +171,7 @@
 
 // exchangeWith sends the call over a connection and passes the answer on. It
 // returns nil for a whole answer.
-func (t *trial) exchangeWith(conn *upstream.Conn) scheduling.Outcome {
+func (t *attempt) exchangeWith(conn *upstream.Conn) scheduling.Outcome {
 	x := t.exchange
 	if err := conn.Write(t.upstreamRequest(), x.deadline); err != nil {
 		t.err = err
@@ -186,7 +192,7 @@
 }
 
 // upstreamRequest returns what goes to the endpoint.
-func (t *trial) upstreamRequest() *upstream.Request {
+func (t *attempt) upstreamRequest() *upstream.Request {
 	x := t.exchange
 	header := x.header.Clone()
 	x.server.Dialect.SetAttempt(header, Attempt{
@@ -210,13 +216,13 @@
 
 // owns reports whether an answer belongs to the call. An answer that names no
 // request can only be trusted on a connection that carried no other.
-func (t *trial) owns(response *http.Response) bool {
+func (t *attempt) owns(response *http.Response) bool {
 	id := t.exchange.server.Dialect.Answer(response).ID
 	return id == t.exchange.caller.ID || id == "" && !t.conn.Reused()
 }
 
 // arm bounds the wait for the endpoint's next bytes.
-func (t *trial) arm(limit time.Duration) {
+func (t *attempt) arm(limit time.Duration) {
 	x := t.exchange
 	t.limit = time.Time{}
 	at := x.deadline
@@ -228,7 +234,7 @@
 }
 
 // readFailed returns the outcome of an answer that could not be read.
-func (t *trial) readFailed(err error) scheduling.Outcome {
+func (t *attempt) readFailed(err error) scheduling.Outcome {
 	t.err = err
 	x := t.exchange
 	var stray *upstream.StrayAnswerError
@@ -252,7 +258,7 @@
 }
 
 // receive handles an answer whose header has arrived.
-func (t *trial) receive() scheduling.Outcome {
+func (t *attempt) receive() scheduling.Outcome {
 	status := t.response.StatusCode
 	switch {
 	case status == http.StatusMisdirectedRequest:
@@ -274,7 +280,7 @@
 }
 
 // drained reads a short answer to its end, so that the connection can be kept.
-func (t *trial) drained(outcome scheduling.Outcome) scheduling.Outcome {
+func (t *attempt) drained(outcome scheduling.Outcome) scheduling.Outcome {
 	n, err := io.Copy(io.Discard, io.LimitReader(t.response.Body, maxBuffered))
 	if err != nil || n == maxBuffered {
 		t.response.Close = true
@@ -283,7 +289,7 @@
 }
 
 // receiveFailure keeps an answer that says that the call failed.
-func (t *trial) receiveFailure(status int) scheduling.Outcome {
+func (t *attempt) receiveFailure(status int) scheduling.Outcome {
 	body, err := io.ReadAll(io.LimitReader(t.response.Body, maxBuffered))
 	if err != nil || len(body) == maxBuffered {
 		if err == nil {
@@ -300,7 +306,7 @@
 
 // receiveWhole passes on an answer in one piece; one that is too large for that
 // goes out as it comes.
-func (t *trial) receiveWhole() scheduling.Outcome {
+func (t *attempt) receiveWhole() scheduling.Outcome {
 	x := t.exchange
 	t.arm(0)
 	body, err := io.ReadAll(io.LimitReader(t.response.Body, maxBuffered))
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -135,7 +135,7 @@
 func (x *exchange) carryOut(command scheduling.Command) bool {
 	switch command := command.(type) {
 	case scheduling.Send:
-		return x.attempt(command)
+		return x.send(command)
 	case scheduling.Deliver:
 		x.deliverKept()
 		return true
--- a/io/opaque/stream.go
+++ b/io/opaque/stream.go
@@ -82,7 +82,7 @@
 }
 
 // receiveStream passes events on as they come, whole ones only.
-func (t *trial) receiveStream() scheduling.Outcome {
+func (t *attempt) receiveStream() scheduling.Outcome {
 	x := t.exchange
 	reader := bufio.NewReaderSize(t.response.Body, eventBuffer)
 	controller := http.NewResponseController(x.writer)
@@ -122,7 +122,7 @@
 }
 
 // endStream handles the proper end of the endpoint's stream.
-func (t *trial) endStream(controller *http.ResponseController) scheduling.Outcome {
+func (t *attempt) endStream(controller *http.ResponseController) scheduling.Outcome {
 	x := t.exchange
 	if !x.committed {
 		x.commit(t.response, false, 0)
