--- a/cmd/gatewaycmd.go
+++ b/cmd/gatewaycmd.go
@@ -70,6 +70,14 @@
 	return fresh, nil
 }
 
+// headers returns the names in which calls say what they are.
+func headers(names string) opaque.Headers {
+	if names == settings.HeaderNamesPlatform {
+		return opaque.NewHeaders(platform.HeaderNames())
+	}
+	return opaque.NewHeaders(opaque.OwnNames())
+}
+
 // Execute runs the command.
 func (g *gatewayCommand) Execute([]string) error {
 	loaded, err := g.load()
@@ -96,7 +104,7 @@
 			Endpoints:        platform.EndpointTopic,
 		},
 		Decoder: storedValues{},
-		Dialect: opaque.NewHeaders(platform.HeaderNames()),
+		Dialect: headers(loaded.HeaderNames),
 		Output:  g.console.out,
 		Source:  g.load,
 		Reload:  signals.reload,
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -176,6 +176,7 @@
 		ReadyListen:  "127.0.0.1:0",
 		PeerListen:   "127.0.0.1:0",
 		ReadyPath:    "/ready",
+		HeaderNames:  settings.HeaderNamesOwn,
 		StoreAddress: "127.0.0.1:1",
 		MemoryMB:     128,
 		StopTimeout:  2 * time.Second,
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -15,6 +15,7 @@
 	ReadyPath    string   `long:"ready-path" env:"CACTUSWELL_READY_PATH" description:"path of the readiness check" default:"/ready"`
 	PeerListen   string   `long:"peer-listen" env:"CACTUSWELL_PEER_LISTEN" description:"IP:port on which other hosts are served, over TCP and UDP; empty for none"`
 	Peers        []string `long:"peer" env:"CACTUSWELL_PEERS" env-delim:"," description:"IP:port of another host's peer listener; may be given many times"`
+	HeaderNames  string   `long:"header-names" env:"CACTUSWELL_HEADER_NAMES" description:"names of the headers in which calls say what they are: own or platform" default:"own"`
 	StoreAddress string   `long:"store-address" env:"CACTUSWELL_STORE_ADDRESS" description:"IP:port of the platform's metadata store"`
 
 	MemoryMB    int           `long:"memory-mb" env:"CACTUSWELL_MEMORY_MB" description:"memory that this process may use, in MB" default:"128"`
@@ -27,6 +28,12 @@
 	BudgetSlack  float64       `long:"budget-slack" env:"CACTUSWELL_BUDGET_SLACK" description:"repeats that the fleet's retry budget allows in a window besides" default:"20"`
 }
 
+// The values of Gateway.HeaderNames.
+const (
+	HeaderNamesOwn      = "own"
+	HeaderNamesPlatform = "platform"
+)
+
 // The bounds on settings of a gateway.
 const (
 	minMemoryMB = 32
@@ -44,6 +51,9 @@
 	if g.PeerListen != "" {
 		c.address("peer-listen", g.PeerListen)
 	}
+	if g.HeaderNames != HeaderNamesOwn && g.HeaderNames != HeaderNamesPlatform {
+		c.add("header-names", g.HeaderNames, "own or platform")
+	}
 	for _, peer := range g.Peers {
 		c.address("peer", peer)
 	}
