--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -59,7 +59,6 @@
 	// work is the engine time expected to read the prompt at the target.
 	work      time.Duration
 	predicted time.Duration
-	cached    int
 	// held is the number of the prompt's leading tokens that some endpoint holds.
 	held int
 	// ran counts the attempts that may have run; sends counts all.
--- a/core/scheduling/place.go
+++ b/core/scheduling/place.go
@@ -324,10 +324,12 @@
 	return rank
 }
 
+// mix returns a hash of an id under a seed. Its last steps are the finalizer of
+// MurmurHash3, which spreads ids that differ in few bits.
 func mix(seed uint64, id string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(id))
-	x := h.Sum64() ^ (seed * 0x9e3779b97f4a7c15)
+	x := h.Sum64() ^ seed*goldenRatio
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
@@ -336,12 +338,16 @@
 	return x
 }
 
+// goldenRatio is 2^64 divided by the golden ratio, the usual multiplier of
+// Fibonacci hashing.
+const goldenRatio = 0x9e3779b97f4a7c15
+
 // chainOf returns a hash for each leading run of parts.
 func chainOf(parts []Part) []uint64 {
 	chain := make([]uint64, len(parts))
 	hash := uint64(math.MaxUint64)
 	for i, part := range parts {
-		hash = (hash ^ part.ID) * 0x9e3779b97f4a7c15
+		hash = (hash ^ part.ID) * goldenRatio
 		hash ^= hash >> 29
 		chain[i] = hash
 	}
@@ -359,7 +365,6 @@
 	c.sentAt = s.now
 	c.began = false
 	c.predicted = choice.First
-	c.cached = choice.Cached
 	t.running++
 	if c.tight {
 		t.tight++
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -175,7 +175,7 @@
 			answer: initialAnswer.Seconds(),
 			lanes:  lanes{weights: s.settings.Weights},
 		}
-		p.budget.SetSlack(s.slackShare())
+		p.budget.SetSlack(s.SlackShare())
 		s.pools[name] = p
 		s.inOrder = append(s.inOrder, p)
 	}
@@ -192,8 +192,8 @@
 	s.shareBudget()
 }
 
-// slackShare is this host's part of the retry budget's slack.
-func (s *Scheduler) slackShare() float64 {
+// SlackShare returns this host's part of the retry budget's slack.
+func (s *Scheduler) SlackShare() float64 {
 	return s.settings.BudgetSlack * budgetSafety / float64(max(s.Hosts(), minBudgetHosts))
 }
 
@@ -294,7 +294,7 @@
 
 func (s *Scheduler) shareBudget() {
 	for _, p := range s.inOrder {
-		p.budget.SetSlack(s.slackShare())
+		p.budget.SetSlack(s.SlackShare())
 	}
 }
 
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -87,6 +87,7 @@
 		directory: directory.New(directory.Settings{}),
 	}
 	d.begin()
+	d.hosts.Store(int64(d.scheduler.Hosts()))
 	return d
 }
 
@@ -119,8 +120,6 @@
 	for _, entry := range d.directory.Entries() {
 		d.step(scheduling.EndpointChanged{Change: directory.Appeared{Entry: entry}})
 	}
-	// The signal for what still waits may have been taken.
-	d.post(heartbeatDue{})
 }
 
 // ReasonDutyRestarted is the reason of calls that were lost with the state of the
@@ -160,6 +159,8 @@
 func (d *decisions) run(ctx context.Context) error {
 	wake := d.timers.After(time.Hour)
 	defer wake.Stop()
+	// After a failure, events may wait whose signal was taken.
+	d.drain()
 	for {
 		if at, ok := d.nextWake(); ok {
 			wake.Reset(at)
@@ -168,9 +169,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-d.events.Ready():
-			for event, ok := d.events.Pop(); ok; event, ok = d.events.Pop() {
-				d.handle(event)
-			}
+			d.drain()
 		case <-wake.C():
 			d.changes = d.directory.Tick(d.timers.Now(), d.changes[:0])
 			d.applyChanges()
@@ -179,7 +178,25 @@
 		d.tellOthers()
 		d.endpoints.Store(int64(len(d.directory.Entries())))
 		d.waiting.Store(int64(d.scheduler.Waiting()))
-		d.hosts.Store(int64(d.scheduler.Hosts()))
+		d.tellBudget()
+	}
+}
+
+// tellBudget tells when the number of hosts that share the retry budget changed.
+func (d *decisions) tellBudget() {
+	hosts := int64(d.scheduler.Hosts())
+	before := d.hosts.Swap(hosts)
+	if before == hosts {
+		return
+	}
+	d.trail.Notice("budgetShared").Int("hosts", hosts).Int("before", before).
+		Float("slack", d.scheduler.SlackShare()).End()
+}
+
+// drain handles all events that wait.
+func (d *decisions) drain() {
+	for event, ok := d.events.Pop(); ok; event, ok = d.events.Pop() {
+		d.handle(event)
 	}
 }
 
@@ -263,7 +280,7 @@
 	d.applyChanges()
 }
 
-// attemptEnded tells the directory of an endpoint whose address is another's.
+// attemptEnded forgets a call whose attempt was its end.
 func (d *decisions) attemptEnded(event scheduling.AttemptEnded) {
 	_, completed := event.Outcome.(scheduling.Completed)
 	_, abandoned := event.Outcome.(scheduling.Abandoned)
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -24,8 +24,6 @@
 	noConfigurationRetry = 500 * time.Millisecond
 	// busyRetry is when to come back to a host whose memory is full of calls.
 	busyRetry = time.Second
-	// leavingRetry is when to come back, to another host, from one that stops.
-	leavingRetry = 50 * time.Millisecond
 	// decisionSlack is how long after its deadline a call waits for a decision,
 	// which comes before it unless the duty that decides has failed.
 	decisionSlack = 200 * time.Millisecond
@@ -161,13 +159,6 @@
 		})
 		return false
 	}
-	if x.server.refusing.Load() {
-		x.refuse(scheduling.Refuse{
-			Reason:     ReasonStopping,
-			RetryAfter: leavingRetry,
-		})
-		return false
-	}
 	if limit := x.table.Limits().HeaderBytes; limit > 0 && headerBytes(x.request.Header) > limit {
 		return x.deny(http.StatusRequestHeaderFieldsTooLarge, ReasonHeaderTooLarge, nil)
 	}
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -97,7 +97,6 @@
 type Server struct {
 	Dependencies
 	leaving    atomic.Bool
-	refusing   atomic.Bool
 	open       atomic.Int64
 	bodyMemory atomic.Int64
 	cut        chan struct{}
@@ -114,9 +113,6 @@
 // Leave makes every answer from now on the last one on its connection.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
-// RefuseNew makes the server refuse the calls that arrive from now on.
-func (s *Server) RefuseNew() { s.refusing.Store(true) }
-
 // Cut ends the calls that are still open. It may be called once.
 func (s *Server) Cut() { close(s.cut) }
 
