--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,6 +112,7 @@
 	endpoints      *endpointFeed
 	server         *opaque.Server
 	callers        *http.Server
+	newConns       *newConns
 	operators      *http.Server
 	callerListener net.Listener
 	readyListener  net.Listener
@@ -199,8 +200,10 @@
 		Meter:      g.meter,
 		BodyMemory: int64(bodyShare * float64(g.Settings.MemoryMB) * (1 << 20)),
 	})
+	g.newConns = newNewConns()
 	g.callers = &http.Server{
 		Handler:           g.server,
+		ConnState:         g.newConns.note,
 		ReadHeaderTimeout: headerTime,
 		MaxHeaderBytes:    maxHeader,
 		IdleTimeout:       g.Settings.IdleTimeout,
--- a/gateway/life_test.go
+++ b/gateway/life_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -248,3 +249,35 @@
 		t.Errorf("the call is told by %s, want %s", got, want)
 	}
 }
+
+// TestStopServesConnectionsItTook covers a connection that was taken before the
+// stop and whose request comes after it: a host that ended as soon as no call was
+// open closed it without an answer.
+func TestStopServesConnectionsItTook(t *testing.T) {
+	f := newFixture(t, 1)
+	conn, reader := f.raw("")
+	// Connections are taken in their order, so that the one before is taken when
+	// this call is answered.
+	if got := f.get("/lookup/x"); got.status != http.StatusOK {
+		t.Fatalf("status %d", got.status)
+	}
+	f.stop()
+	eventually(t, "the listener is closed", func() bool {
+		other, err := net.Dial("tcp", f.gateway.CallerAddress())
+		if err != nil {
+			return true
+		}
+		_ = other.Close()
+		return false
+	})
+	if _, err := io.WriteString(conn, "GET /lookup/late HTTP/1.1\r\nHost: firm.example\r\nX-Request-Id: late\r\nAuthorization: Bearer secret\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if response.StatusCode != http.StatusOK || !response.Close {
+		t.Errorf("status %d, last on its connection: %v", response.StatusCode, response.Close)
+	}
+}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -9,7 +9,8 @@
 	"cactuswell/trail"
 )
 
-// stopLook is the time between two looks for the end of the last call.
+// stopLook is the time between two looks for the end of the last call, and that
+// which calls that are cut have to tell their callers.
 const stopLook = 50 * time.Millisecond
 
 // stop ends the host in good order. It is no longer ready at once, but takes new
@@ -22,9 +23,12 @@
 	g.server.Leave()
 	g.trail.Notice("stopping").Int("openCalls", g.server.Open()).End()
 	g.pause(kill, began.Add(inForce.BalancerLag))
+	// The server's own Shutdown would close connections whose first request comes
+	// after its beginning without an answer.
 	g.callers.SetKeepAlivesEnabled(false)
-	_ = g.callerListener.Close()
-	for g.server.Open() > 0 && g.timers.Now().Before(began.Add(inForce.StopTimeout)) && kill.Err() == nil {
+	err := g.callerListener.Close()
+	till := began.Add(inForce.StopTimeout)
+	for ok := true; ok; ok = g.busy() && g.timers.Now().Before(till) && kill.Err() == nil {
 		g.pause(kill, g.timers.Now().Add(stopLook))
 	}
 	left := g.server.Open()
@@ -32,7 +36,12 @@
 		g.server.Cut()
 		g.pause(kill, g.timers.Now().Add(stopLook))
 	}
-	g.trail.Notice("stopped").Int("callsCut", left).Millis("after", g.timers.Now().Sub(began)).End()
+	g.trail.Notice("stopped").Int("callsCut", left).Millis("after", g.timers.Now().Sub(began)).Err(err).End()
+}
+
+// busy reports whether calls are open, or may come on connections that were taken.
+func (g *Gateway) busy() bool {
+	return g.server.Open() > 0 || g.newConns.awaited(g.timers.Now()) > 0
 }
 
 // pause waits until the given time, or for the end of kill.
