--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -1,7 +1,6 @@
 package scheduling
 
 import (
-	"slices"
 	"time"
 
 	"cactuswell/core/route"
@@ -86,7 +85,12 @@
 	}
 	if c.queued {
 		p := c.pool
-		p.waiting = slices.DeleteFunc(p.waiting, func(waiting *call) bool { return waiting == c })
+		for i, waiting := range p.waiting {
+			if waiting == c {
+				p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
+				break
+			}
+		}
 	}
 	if t := s.detach(c); t != nil {
 		t.health.trial = false
@@ -208,7 +212,7 @@
 		Ejected:  true,
 		Failures: t.health.breaks,
 		Reason:   reason,
-		For:      t.health.eject(s.now),
+		For:      t.health.eject(s.now, reason),
 	})
 }
 
@@ -259,7 +263,7 @@
 	switch {
 	case !c.spec.Route.Repeatable():
 		return ReasonOutcome
-	case c.ran >= c.spec.Route.MaxAttempts:
+	case !c.repeatsLeft():
 		return ReasonAttemptsSpent
 	case c.pool.budget.Left(s.now) < 1:
 		return ReasonBudgetSpent
--- a/core/scheduling/target.go
+++ b/core/scheduling/target.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"slices"
 	"time"
 
 	"cactuswell/core/directory"
@@ -28,8 +27,6 @@
 	entry directory.Entry
 	key   Key
 	hash  uint64
-	// idHash is the hash of the id, by which hosts order the endpoints alike.
-	idHash uint64
 	// leaving endpoints get no new calls.
 	leaving bool
 	// pending are the own calls sent and not begun, oldest first; running counts
@@ -77,7 +74,6 @@
 		entry:    entry,
 		key:      key,
 		hash:     key.Hash(),
-		idHash:   hashID(entry.ID),
 		leaving:  entry.Leaving,
 		coldTill: now.Add(entry.ColdFor),
 		peers:    make(map[string]peerWork),
@@ -163,7 +159,12 @@
 }
 
 func (t *target) removePending(c *call) {
-	t.pending = slices.DeleteFunc(t.pending, func(pending *call) bool { return pending == c })
+	for i, pending := range t.pending {
+		if pending == c {
+			t.pending = append(t.pending[:i], t.pending[i+1:]...)
+			return
+		}
+	}
 }
 
 // cacheIndex is what an engine's memory is believed to hold: the hashes of
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -21,6 +21,7 @@
 package simulation
 
 import (
+	"container/heap"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -28,7 +29,6 @@
 	"cactuswell/core/aggregate"
 	"cactuswell/core/batching"
 	"cactuswell/core/directory"
-	"cactuswell/core/heap"
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 )
@@ -140,9 +140,8 @@
 func Run(config Config) Result {
 	f := newFleet(config)
 	f.start()
-	for f.queue.Len() > 0 {
-		next := f.queue.Top()
-		f.queue.Remove(0)
+	for len(f.queue) > 0 {
+		next := heap.Pop(&f.queue).(*moment)
 		f.now = next.at
 		if f.now.Sub(epoch) > config.Length+drainTime {
 			break
@@ -159,19 +158,29 @@
 	act    func()
 }
 
-// sooner orders moments by their time, and those of the same time as planned.
-func sooner(a, b *moment) bool {
-	if !a.at.Equal(b.at) {
-		return a.at.Before(b.at)
+type moments []*moment
+
+func (m moments) Len() int { return len(m) }
+func (m moments) Less(i, j int) bool {
+	if !m[i].at.Equal(m[j].at) {
+		return m[i].at.Before(m[j].at)
 	}
-	return a.number < b.number
+	return m[i].number < m[j].number
+}
+func (m moments) Swap(i, j int) { m[i], m[j] = m[j], m[i] }
+func (m *moments) Push(x any)   { *m = append(*m, x.(*moment)) }
+func (m *moments) Pop() any {
+	old := *m
+	last := old[len(old)-1]
+	*m = old[:len(old)-1]
+	return last
 }
 
 // fleet is a run under way.
 type fleet struct {
 	config Config
 	now    time.Time
-	queue  heap.Heap[*moment]
+	queue  moments
 	number int
 	// random is for what happens between hosts; each class has its own for its
 	// arrivals, so that runs with other policies meet the same load.
@@ -210,7 +219,6 @@
 	f := &fleet{
 		config: config,
 		now:    epoch,
-		queue:  heap.New(sooner, func(*moment, int) {}),
 		random: rand.New(rand.NewPCG(config.Seed, 7)),
 		byKey:  make(map[scheduling.Key]endpoint),
 		usedAt: make(map[uint64]time.Time),
@@ -271,7 +279,7 @@
 // at plans something for a time.
 func (f *fleet) at(when time.Time, act func()) {
 	f.number++
-	f.queue.Push(&moment{
+	heap.Push(&f.queue, &moment{
 		at:     when,
 		number: f.number,
 		act:    act,
