Close only connections from which no request was read at a stop

Cause: at the end of the balancer's lag (3 s after the signal) a host that stops closed its idle connections by http.Server.SetKeepAlivesEnabled. That takes a connection for idle until the header of its next request was parsed.

Change: the host follows the callers' connections itself. It closes one only if nothing was read from it since the last answer, under the lock under which bytes are handed to the server; bytes that come after the close are dropped. Streams that come after the listener is closed and may outlast the host are refused with a time to come back, so that another host serves them.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,7 +112,7 @@
 	endpoints      *endpointFeed
 	server         *opaque.Server
 	callers        *http.Server
-	newConns       *newConns
+	callerConns    *callerConns
 	operators      *http.Server
 	callerListener net.Listener
 	readyListener  net.Listener
@@ -200,10 +200,10 @@
 		Meter:      g.meter,
 		BodyMemory: int64(bodyShare * float64(g.Settings.MemoryMB) * (1 << 20)),
 	})
-	g.newConns = newNewConns()
+	g.callerConns = newCallerConns()
 	g.callers = &http.Server{
 		Handler:           g.server,
-		ConnState:         g.newConns.note,
+		ConnState:         g.callerConns.note,
 		ReadHeaderTimeout: headerTime,
 		MaxHeaderBytes:    maxHeader,
 		IdleTimeout:       g.Settings.IdleTimeout,
@@ -421,7 +421,7 @@
 		"endpoints":     endpoints.Run,
 		"sweep":         g.sweep,
 		"reload":        g.reload,
-		"callers":       g.serve(g.callers, g.callerListener),
+		"callers":       g.serve(g.callers, g.callerConns.listen(g.callerListener)),
 		"operators":     g.serve(g.operators, g.readyListener),
 	}
 	if g.mesh != nil {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -76,6 +76,8 @@
 	lines     *lockedBuffer
 	stop      context.CancelFunc
 	done      chan error
+	// wrap is put around the callers' listener, if it is set.
+	wrap func(net.Listener) net.Listener
 }
 
 // testSpec is the configuration of the tests.
@@ -112,11 +114,18 @@
 
 // newFixture starts a host with that many endpoints of each service.
 func newFixture(t *testing.T, endpoints int) *fixture {
+	t.Helper()
+	return newWrappedFixture(t, endpoints, nil)
+}
+
+// newWrappedFixture is newFixture with something around the callers' listener.
+func newWrappedFixture(t *testing.T, endpoints int, wrap func(net.Listener) net.Listener) *fixture {
 	t.Helper()
 	f := &fixture{
 		t:    t,
 		log:  keyedlog.New(),
 		spec: testSpec(),
+		wrap: wrap,
 	}
 	f.publish()
 	for i := range endpoints {
@@ -210,6 +219,9 @@
 		f.t.Fatal(err)
 	}
 	f.gateway = g
+	if f.wrap != nil {
+		g.WrapCallers(f.wrap)
+	}
 	stop, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
 	f.done = make(chan error, 1)
@@ -349,3 +361,16 @@
 	}
 	return body.String()
 }
+
+// awaitClosedListener waits until a host that stops takes no new connections.
+func (f *fixture) awaitClosedListener() {
+	f.t.Helper()
+	eventually(f.t, "the listener is closed", func() bool {
+		conn, err := net.Dial("tcp", f.gateway.CallerAddress())
+		if err != nil {
+			return true
+		}
+		_ = conn.Close()
+		return false
+	})
+}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -23,12 +23,12 @@
 	g.server.Leave()
 	g.trail.Notice("stopping").Int("openCalls", g.server.Open()).End()
 	g.pause(kill, began.Add(inForce.BalancerLag))
-	// The server's own Shutdown would close connections whose first request comes
-	// after its beginning without an answer.
-	g.callers.SetKeepAlivesEnabled(false)
-	err := g.callerListener.Close()
+	// The server's own Shutdown and SetKeepAlivesEnabled would close connections
+	// that have brought a request which is not begun.
 	till := began.Add(inForce.StopTimeout)
-	for ok := true; ok; ok = g.busy() && g.timers.Now().Before(till) && kill.Err() == nil {
+	g.server.EndBy(till)
+	err := g.callerListener.Close()
+	for g.callerConns.closeIdle(g.timers.Now()) > 0 && g.timers.Now().Before(till) && kill.Err() == nil {
 		g.pause(kill, g.timers.Now().Add(stopLook))
 	}
 	left := g.server.Open()
@@ -39,11 +39,6 @@
 	g.trail.Notice("stopped").Int("callsCut", left).Millis("after", g.timers.Now().Sub(began)).Err(err).End()
 }
 
-// busy reports whether calls are open, or may come on connections that were taken.
-func (g *Gateway) busy() bool {
-	return g.server.Open() > 0 || g.newConns.awaited(g.timers.Now()) > 0
-}
-
 // pause waits until the given time, or for the end of kill.
 func (g *Gateway) pause(kill context.Context, till time.Time) {
 	wake := g.timers.At(till)
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -24,6 +24,9 @@
 	noConfigurationRetry = 500 * time.Millisecond
 	// busyRetry is when to come back to a host whose memory is full of calls.
 	busyRetry = time.Second
+	// stoppingRetry is when to come back from a host that stops, to another one:
+	// about the time of a new connection.
+	stoppingRetry = 10 * time.Millisecond
 	// decisionSlack is how long after its deadline a call waits for a decision,
 	// which comes before it unless the duty that decides has failed.
 	decisionSlack = 200 * time.Millisecond
@@ -178,6 +181,13 @@
 			x.deadline = x.arrived.Add(limit)
 		}
 	}
+	if found.Kind == route.Stream && x.server.outlives(x.deadline) {
+		x.refuse(scheduling.Refuse{
+			Reason:     ReasonStopping,
+			RetryAfter: stoppingRetry,
+		})
+		return false
+	}
 	return x.readBody()
 }
 
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -97,6 +97,7 @@
 type Server struct {
 	Dependencies
 	leaving    atomic.Bool
+	endsBy     atomic.Pointer[time.Time]
 	open       atomic.Int64
 	bodyMemory atomic.Int64
 	cut        chan struct{}
@@ -113,6 +114,17 @@
 // Leave makes every answer from now on the last one on its connection.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
+// EndBy refuses from now on the streams that may last longer than until then: a
+// caller is better served by another host than by a stream that is cut.
+func (s *Server) EndBy(till time.Time) { s.endsBy.Store(&till) }
+
+// outlives reports whether a stream with that deadline may last longer than the
+// server.
+func (s *Server) outlives(deadline time.Time) bool {
+	till := s.endsBy.Load()
+	return till != nil && deadline.After(*till)
+}
+
 // Cut ends the calls that are still open. It may be called once.
 func (s *Server) Cut() { close(s.cut) }
 
