--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -249,6 +249,9 @@
 	return at, !at.IsZero()
 }
 
+// Len returns the number of known entries.
+func (d *Directory) Len() int { return len(d.records) }
+
 // Entries returns a copy of all known entries.
 func (d *Directory) Entries() []Entry {
 	entries := make([]Entry, 0, len(d.records))
--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -41,7 +41,7 @@
 }
 
 // Hash returns the short name by which hosts tell each other of an endpoint.
-func (k Key) Hash() uint64 { return mix(uint64(k.Born), k.ID) }
+func (k Key) Hash() uint64 { return mix(uint64(k.Born), hashID(k.ID)) }
 
 // call is a call that has no final command yet.
 type call struct {
@@ -61,6 +61,9 @@
 	predicted time.Duration
 	// held is the number of the prompt's leading tokens that some endpoint holds.
 	held int
+	// homes are the endpoints that are preferred for the call's subject, if no host
+	// has told of it.
+	homes [homes]*target
 	// ran counts the attempts that may have run; sends counts all.
 	ran   int
 	sends int
@@ -70,20 +73,3 @@
 	cause Reason
 	tight bool
 }
-
-// repeatsLeft reports whether another attempt that may run is allowed.
-func (c *call) repeatsLeft() bool {
-	if c.ran == 0 {
-		return true
-	}
-	return c.spec.Route.Repeatable() && c.ran < c.spec.Route.MaxAttempts
-}
-
-func (c *call) avoids(key Key) bool {
-	for _, avoided := range c.avoid {
-		if avoided == key {
-			return true
-		}
-	}
-	return false
-}
--- a/core/scheduling/health.go
+++ b/core/scheduling/health.go
@@ -22,7 +22,6 @@
 type health struct {
 	ejectedTill time.Time
 	ejectFor    time.Duration
-	reason      Reason
 	// trial says that a call is under way to see if the endpoint is well again.
 	trial  bool
 	breaks int
@@ -49,10 +48,9 @@
 }
 
 // eject takes the endpoint out of use for a growing time.
-func (h *health) eject(now time.Time, reason Reason) time.Duration {
+func (h *health) eject(now time.Time) time.Duration {
 	h.trial = false
 	h.breaks = 0
-	h.reason = reason
 	h.ejectFor = min(max(2*h.ejectFor, firstEjection), longestEjection)
 	h.ejectedTill = now.Add(h.ejectFor)
 	return h.ejectFor
--- a/core/scheduling/lanes.go
+++ b/core/scheduling/lanes.go
@@ -43,7 +43,7 @@
 		}
 	}
 	sort.Slice(ordered, func(i, j int) bool {
-		return mix(0, ordered[i].entry.ID) < mix(0, ordered[j].entry.ID)
+		return mix(0, ordered[i].idHash) < mix(0, ordered[j].idHash)
 	})
 	for i, t := range ordered {
 		t.laneRank = i
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"slices"
 	"time"
 
 	"cactuswell/core/route"
@@ -85,12 +86,7 @@
 	}
 	if c.queued {
 		p := c.pool
-		for i, waiting := range p.waiting {
-			if waiting == c {
-				p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
-				break
-			}
-		}
+		p.waiting = slices.DeleteFunc(p.waiting, func(waiting *call) bool { return waiting == c })
 	}
 	if t := s.detach(c); t != nil {
 		t.health.trial = false
@@ -212,7 +208,7 @@
 		Ejected:  true,
 		Failures: t.health.breaks,
 		Reason:   reason,
-		For:      t.health.eject(s.now, reason),
+		For:      t.health.eject(s.now),
 	})
 }
 
@@ -263,7 +259,7 @@
 	switch {
 	case !c.spec.Route.Repeatable():
 		return ReasonOutcome
-	case !c.repeatsLeft():
+	case c.ran >= c.spec.Route.MaxAttempts:
 		return ReasonAttemptsSpent
 	case c.pool.budget.Left(s.now) < 1:
 		return ReasonBudgetSpent
--- a/core/scheduling/place.go
+++ b/core/scheduling/place.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -37,7 +38,7 @@
 		spec:    spec,
 		pool:    p,
 		arrived: s.now,
-		chain:   chainOf(spec.Prompt),
+		chain:   Chain(spec.Prompt),
 		tight:   isTight(spec.Route),
 	}
 	c.holdTill = s.holdTill(c)
@@ -134,6 +135,7 @@
 	compared := 0
 	if c.pool.engine != nil {
 		c.held = s.heldTokens(c)
+		c.homes = s.homesOf(c)
 	}
 	for pass := 0; pass < 2 && best.target == nil; pass++ {
 		for _, t := range c.pool.targets {
@@ -178,7 +180,7 @@
 	if second {
 		return true
 	}
-	return !c.avoids(t.key) && !s.now.Before(t.fullTill)
+	return !slices.Contains(c.avoid, t.key) && !s.now.Before(t.fullTill)
 }
 
 // slots returns the number of calls that an endpoint may hold.
@@ -247,7 +249,7 @@
 	if c.held > cached {
 		reread := model.Reading(cached, c.held-cached)
 		next.cost += s.settings.Weights.RereadCost * reread.Seconds()
-	} else if c.held == 0 && s.homeRank(c, t) < homes {
+	} else if slices.Contains(c.homes[:], t) {
 		next.cost -= s.settings.Weights.HomeBonus
 	}
 	lane := c.pool.lanes.isTight(t)
@@ -307,29 +309,42 @@
 	return held
 }
 
-// homeRank returns the endpoint's place in the order in which hosts look for
-// room for the subject of a call, by rendezvous hashing.
-func (s *Scheduler) homeRank(c *call, t *target) int {
-	if len(c.chain) < 2 {
-		return homes
+// homesOf returns the endpoints at which hosts look first for the subject of a
+// call that no host told of, by rendezvous hashing.
+func (s *Scheduler) homesOf(c *call) [homes]*target {
+	var first [homes]*target
+	if c.held > 0 || len(c.chain) < 2 {
+		return first
 	}
 	subject := c.chain[len(c.chain)-2]
-	own := mix(subject, t.entry.ID)
-	rank := 0
-	for _, other := range c.pool.targets {
-		if other != t && !other.leaving && mix(subject, other.entry.ID) > own {
-			rank++
+	for _, t := range c.pool.targets {
+		if t.leaving {
+			continue
+		}
+		for i, home := range first {
+			if home == nil || mix(subject, t.idHash) > mix(subject, home.idHash) {
+				first[i], t = t, home
+			}
+			if t == nil {
+				break
+			}
 		}
 	}
-	return rank
+	return first
 }
 
-// mix returns a hash of an id under a seed. Its last steps are the finalizer of
-// MurmurHash3, which spreads ids that differ in few bits.
-func mix(seed uint64, id string) uint64 {
+// hashID returns the hash of an endpoint's id.
+func hashID(id string) uint64 {
 	h := fnv.New64a()
+	// A hash never fails to take bytes.
 	_, _ = h.Write([]byte(id))
-	x := h.Sum64() ^ seed*goldenRatio
+	return h.Sum64()
+}
+
+// mix returns the hash of an id under a seed. Its steps are the finalizer of
+// MurmurHash3, which spreads ids that differ in few bits.
+func mix(seed, idHash uint64) uint64 {
+	x := idHash ^ seed*goldenRatio
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
@@ -342,8 +357,8 @@
 // Fibonacci hashing.
 const goldenRatio = 0x9e3779b97f4a7c15
 
-// chainOf returns a hash for each leading run of parts.
-func chainOf(parts []Part) []uint64 {
+// Chain returns a hash for each leading run of a prompt's parts.
+func Chain(parts []Part) []uint64 {
 	chain := make([]uint64, len(parts))
 	hash := uint64(math.MaxUint64)
 	for i, part := range parts {
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -55,7 +55,6 @@
 type Scheduler struct {
 	settings Settings
 	random   *rand.Rand
-	table    *route.Table
 	pools    map[string]*pool
 	// inOrder are the pools, and targets all their endpoints, in the order in
 	// which they became known, so that the same events lead to the same commands.
@@ -159,7 +158,6 @@
 
 // configure takes the services of a configuration.
 func (s *Scheduler) configure(table *route.Table) {
-	s.table = table
 	for name, service := range table.Services() {
 		p := s.pool(name)
 		p.engine = service.Engine
--- a/core/scheduling/target.go
+++ b/core/scheduling/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 
 	"cactuswell/core/directory"
@@ -27,6 +28,8 @@
 	entry directory.Entry
 	key   Key
 	hash  uint64
+	// idHash is the hash of the id, by which hosts order the endpoints alike.
+	idHash uint64
 	// leaving endpoints get no new calls.
 	leaving bool
 	// pending are the own calls sent and not begun, oldest first; running counts
@@ -74,6 +77,7 @@
 		entry:    entry,
 		key:      key,
 		hash:     key.Hash(),
+		idHash:   hashID(entry.ID),
 		leaving:  entry.Leaving,
 		coldTill: now.Add(entry.ColdFor),
 		peers:    make(map[string]peerWork),
@@ -159,12 +163,7 @@
 }
 
 func (t *target) removePending(c *call) {
-	for i, pending := range t.pending {
-		if pending == c {
-			t.pending = append(t.pending[:i], t.pending[i+1:]...)
-			return
-		}
-	}
+	t.pending = slices.DeleteFunc(t.pending, func(pending *call) bool { return pending == c })
 }
 
 // cacheIndex is what an engine's memory is believed to hold: the hashes of
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -9,6 +9,7 @@
 	"cactuswell/core/directory"
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
+	"cactuswell/io/peer"
 	"cactuswell/ring"
 	"cactuswell/timer"
 	"cactuswell/trail"
@@ -23,8 +24,6 @@
 	// shareEvery is the least time between two messages to other hosts on work
 	// that changed: short against the time in which an engine reads a prompt.
 	shareEvery = 25 * time.Millisecond
-	// heartbeatEvery is the time between two messages with all work.
-	heartbeatEvery = 500 * time.Millisecond
 )
 
 // decisions is the duty that owns the state machines of a host.
@@ -176,7 +175,7 @@
 			d.step(scheduling.TimePassed{})
 		}
 		d.tellOthers()
-		d.endpoints.Store(int64(len(d.directory.Entries())))
+		d.endpoints.Store(int64(d.directory.Len()))
 		d.waiting.Store(int64(d.scheduler.Waiting()))
 		d.tellBudget()
 	}
@@ -214,7 +213,7 @@
 	d.share(full, work, placed)
 	d.shareAt = now.Add(shareEvery)
 	if full {
-		d.heartbeatAt = now.Add(heartbeatEvery)
+		d.heartbeatAt = now.Add(peer.HeartbeatEvery)
 	}
 }
 
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -187,7 +187,6 @@
 		return t.readFailed(err)
 	}
 	t.response = response
-	t.answer = x.server.Dialect.Answer(response)
 	return t.receive()
 }
 
@@ -217,8 +216,12 @@
 // owns reports whether an answer belongs to the call. An answer that names no
 // request can only be trusted on a connection that carried no other.
 func (t *attempt) owns(response *http.Response) bool {
-	id := t.exchange.server.Dialect.Answer(response).ID
-	return id == t.exchange.caller.ID || id == "" && !t.conn.Reused()
+	answer := t.exchange.server.Dialect.Answer(response)
+	if answer.ID != t.exchange.caller.ID && (answer.ID != "" || t.conn.Reused()) {
+		return false
+	}
+	t.answer = answer
+	return true
 }
 
 // arm bounds the wait for the endpoint's next bytes.
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -48,8 +48,8 @@
 	// silentAfter is when a host that is not heard counts as gone: three
 	// heartbeats and some delay.
 	silentAfter = 1700 * time.Millisecond
-	// heartbeatEvery is the time between two messages of a host with all its work.
-	heartbeatEvery = 500 * time.Millisecond
+	// HeartbeatEvery is the time between two messages of a host with all its work.
+	HeartbeatEvery = 500 * time.Millisecond
 	// missedRounds is the number of rounds of greetings after which a host of a
 	// large fleet counts as gone.
 	missedRounds = 3
@@ -354,7 +354,7 @@
 		m.mu.Unlock()
 		return
 	}
-	full := now.Sub(m.fullAt) >= heartbeatEvery
+	full := now.Sub(m.fullAt) >= HeartbeatEvery
 	if !full && (!m.zone.Dirty() || now.Sub(m.relayAt) < relayEvery) {
 		m.mu.Unlock()
 		return
@@ -481,7 +481,7 @@
 func (m *Mesh) check(now time.Time) {
 	var silent, replaced []string
 	m.mu.Lock()
-	round := time.Duration(len(m.hosts)/greeted+1) * heartbeatEvery
+	round := time.Duration(len(m.hosts)/greeted+1) * HeartbeatEvery
 	for address, k := range m.hosts {
 		longest := silentAfter
 		if m.large && m.relayOf(k.zone, now) != k {
--- a/simulation/engine.go
+++ b/simulation/engine.go
@@ -178,9 +178,9 @@
 func (e *engine) lookUp(a *attempt) int {
 	f := e.fleet
 	held, whole := 0, true
-	chain := uint64(17)
+	chains := scheduling.Chain(a.caller.prompt)
 	for i, part := range a.caller.prompt {
-		chain = (chain ^ part.ID) * 0x9e3779b97f4a7c15
+		chain := chains[i]
 		shared := i < len(a.caller.prompt)-1
 		known, ok := e.memory[chain]
 		if ok {
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -21,7 +21,6 @@
 package simulation
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -29,6 +28,7 @@
 	"cactuswell/core/aggregate"
 	"cactuswell/core/batching"
 	"cactuswell/core/directory"
+	"cactuswell/core/heap"
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 )
@@ -140,8 +140,9 @@
 func Run(config Config) Result {
 	f := newFleet(config)
 	f.start()
-	for len(f.queue) > 0 {
-		next := heap.Pop(&f.queue).(*moment)
+	for f.queue.Len() > 0 {
+		next := f.queue.Top()
+		f.queue.Remove(0)
 		f.now = next.at
 		if f.now.Sub(epoch) > config.Length+drainTime {
 			break
@@ -158,29 +159,19 @@
 	act    func()
 }
 
-type moments []*moment
-
-func (m moments) Len() int { return len(m) }
-func (m moments) Less(i, j int) bool {
-	if !m[i].at.Equal(m[j].at) {
-		return m[i].at.Before(m[j].at)
+// sooner orders moments by their time, and those of the same time as planned.
+func sooner(a, b *moment) bool {
+	if !a.at.Equal(b.at) {
+		return a.at.Before(b.at)
 	}
-	return m[i].number < m[j].number
-}
-func (m moments) Swap(i, j int) { m[i], m[j] = m[j], m[i] }
-func (m *moments) Push(x any)   { *m = append(*m, x.(*moment)) }
-func (m *moments) Pop() any {
-	old := *m
-	last := old[len(old)-1]
-	*m = old[:len(old)-1]
-	return last
+	return a.number < b.number
 }
 
 // fleet is a run under way.
 type fleet struct {
 	config Config
 	now    time.Time
-	queue  moments
+	queue  heap.Heap[*moment]
 	number int
 	// random is for what happens between hosts; each class has its own for its
 	// arrivals, so that runs with other policies meet the same load.
@@ -219,6 +210,7 @@
 	f := &fleet{
 		config: config,
 		now:    epoch,
+		queue:  heap.New(sooner, func(*moment, int) {}),
 		random: rand.New(rand.NewPCG(config.Seed, 7)),
 		byKey:  make(map[scheduling.Key]endpoint),
 		usedAt: make(map[uint64]time.Time),
@@ -279,7 +271,7 @@
 // at plans something for a time.
 func (f *fleet) at(when time.Time, act func()) {
 	f.number++
-	heap.Push(&f.queue, &moment{
+	f.queue.Push(&moment{
 		at:     when,
 		number: f.number,
 		act:    act,
