Merge repeated lines on beliefs, with their count

Cause: an endpoint that came and went, a store that failed in part or a host heard now and then wrote a line for each change.

Change: Line.Merge writes the first line with its event and subject at once. Of those that follow within a second the last is written at the end of it, with the number of those left out; a stop writes what waits. Used for endpoints, their health, hosts, roster, relay, store and budget.

Figures: TestMerge, five ejections in 250 ms: five lines before, two after.

--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -189,7 +189,7 @@
 		return
 	}
 	d.trail.Notice("budgetShared").Int("hosts", hosts).Int("before", before).
-		Float("slack", d.scheduler.SlackShare()).End()
+		Float("slack", d.scheduler.SlackShare()).Merge("")
 }
 
 // drain handles all events that wait.
@@ -319,7 +319,7 @@
 func (d *decisions) tellEndpoint(event string, entry directory.Entry, reason string) {
 	d.trail.Notice(event).Text("endpoint", entry.ID).Int("born", entry.Born).Text("service", entry.Service).
 		Text("address", entry.Address).Text("zone", entry.Zone).Int("slots", int64(entry.Slots)).
-		Text("reason", reason).End()
+		Text("reason", reason).Merge(entry.ID)
 }
 
 // step feeds one event to the scheduler and hands out what follows from it.
@@ -363,5 +363,5 @@
 	}
 	d.trail.Notice(event).Text("endpoint", judged.Key.ID).Int("born", judged.Key.Born).
 		Text("service", judged.Service).Text("reason", string(judged.Reason)).
-		Int("failures", int64(judged.Failures)).Millis("for", judged.For).End()
+		Int("failures", int64(judged.Failures)).Millis("for", judged.For).Merge(judged.Key.ID)
 }
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -107,13 +107,13 @@
 // Lost implements keyedlog.Listener.
 func (f *configurationFeed) Lost(err error) {
 	f.lost.Store(true)
-	f.trail.Failure("storeLost").Text("topic", "configuration").Err(err).End()
+	f.trail.Failure("storeLost").Text("topic", "configuration").Err(err).Merge("configuration")
 }
 
 // Back implements keyedlog.Listener.
 func (f *configurationFeed) Back(away time.Duration) {
 	f.lost.Store(false)
-	f.trail.Failure("storeBack").Text("topic", "configuration").Millis("away", away).End()
+	f.trail.Failure("storeBack").Text("topic", "configuration").Millis("away", away).Merge("configuration")
 }
 
 // endpointFeed tells the decisions of the endpoints' entries.
@@ -184,13 +184,13 @@
 // Lost implements keyedlog.Listener.
 func (f *endpointFeed) Lost(err error) {
 	f.lost.Store(true)
-	f.trail.Failure("storeLost").Text("topic", "endpoints").Err(err).End()
+	f.trail.Failure("storeLost").Text("topic", "endpoints").Err(err).Merge("endpoints")
 	f.decided.post(entriesLost{})
 }
 
 // Back implements keyedlog.Listener.
 func (f *endpointFeed) Back(away time.Duration) {
 	f.lost.Store(false)
-	f.trail.Failure("storeBack").Text("topic", "endpoints").Millis("away", away).End()
+	f.trail.Failure("storeBack").Text("topic", "endpoints").Millis("away", away).Merge("endpoints")
 	f.decided.post(entriesBack{})
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -113,7 +113,7 @@
 	}
 	value, err := r.get(ctx, address, configurationPath)
 	if err != nil {
-		r.trail.Failure("relayFailed").Text("what", "configuration").Text("from", address).Err(err).End()
+		r.trail.Failure("relayFailed").Text("what", "configuration").Text("from", address).Err(err).Merge("configuration " + address)
 		return
 	}
 	r.configuration.take(value, "host "+address)
@@ -135,7 +135,7 @@
 		err = r.takeEndpoints(value)
 	}
 	if err != nil {
-		r.trail.Failure("relayFailed").Text("what", "endpoints").Text("from", address).Err(err).End()
+		r.trail.Failure("relayFailed").Text("what", "endpoints").Text("from", address).Err(err).Merge("endpoints " + address)
 	}
 }
 
@@ -225,13 +225,13 @@
 
 // Silent implements peer.Listener.
 func (l *peerListener) Silent(host string) {
-	l.trail.Failure("hostSilent").Text("peer", host).End()
+	l.trail.Failure("hostSilent").Text("peer", host).Merge(host)
 	l.decided.events.TryPush(scheduling.PeerGone{Peer: host})
 }
 
 // Restarted implements peer.Listener.
 func (l *peerListener) Restarted(host string, silentFor time.Duration) {
-	l.trail.Notice("hostRestarted").Text("peer", host).Millis("silentFor", silentFor).End()
+	l.trail.Notice("hostRestarted").Text("peer", host).Millis("silentFor", silentFor).Merge(host)
 }
 
 // Replaced implements peer.Listener.
@@ -295,14 +295,14 @@
 			return err
 		}
 		if err := g.Roster.Put(ctx, rosterTopic, g.Settings.Name, value); err != nil {
-			g.trail.Failure("rosterFailed").Err(err).End()
+			g.trail.Failure("rosterFailed").Err(err).Merge("")
 			return err
 		}
 		*entered = true
 	}
 	listing, err := g.Roster.Newest(ctx, rosterTopic, "")
 	if err != nil {
-		g.trail.Failure("rosterFailed").Err(err).End()
+		g.trail.Failure("rosterFailed").Err(err).Merge("")
 		return err
 	}
 	for _, record := range listing.Records {
--- a/trail/trail.go
+++ b/trail/trail.go
@@ -11,7 +11,9 @@
 // A line goes to a bounded buffer, and one writer empties it, so that a reader
 // that is slow or gone never blocks a duty. When the buffer fills, ordinary lines
 // are dropped first, then notices, and failures last; the number of lines dropped
-// is counted, and told as soon as there is room.
+// is counted, and told as soon as there is room. Lines on a belief that may change
+// often end with Merge instead of End, which leaves out all but the first and the
+// last of a second.
 package trail
 
 import (
@@ -59,15 +61,17 @@
 	dropped [weights]uint64
 	told    [weights]uint64
 	lines   uint64
+	repeats map[occasion]*repeated
 	pool    sync.Pool
 }
 
 // New returns a trail that writes to out once Run is called.
 func New(out io.Writer, host string, timers *timer.Service) *Trail {
 	t := &Trail{
-		host:   host,
-		out:    out,
-		timers: timers,
+		host:    host,
+		out:     out,
+		timers:  timers,
+		repeats: make(map[occasion]*repeated),
 	}
 	t.pool.New = func() any { return &Line{trail: t} }
 	return t
@@ -77,6 +81,7 @@
 type Line struct {
 	trail  *Trail
 	weight Weight
+	event  string
 	bytes  []byte
 }
 
@@ -92,6 +97,7 @@
 func (t *Trail) begin(name string, weight Weight, level string) *Line {
 	l := t.pool.Get().(*Line)
 	l.weight = weight
+	l.event = name
 	l.bytes = append(l.bytes[:0], `{"time":"`...)
 	l.bytes = time.Now().UTC().AppendFormat(l.bytes, "2006-01-02T15:04:05.000Z")
 	l.bytes = append(l.bytes, `","level":"`...)
@@ -205,9 +211,11 @@
 	for {
 		select {
 		case <-ctx.Done():
+			t.endMerged(true)
 			t.flush()
 			return nil
 		case <-tick.C():
+			t.endMerged(false)
 			t.flush()
 		}
 	}
--- a/trail/trail_test.go
+++ b/trail/trail_test.go
@@ -5,12 +5,15 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"cactuswell/timer"
 	"cactuswell/trail"
 )
@@ -95,6 +98,48 @@
 	})
 }
 
+// TestMerge plays an endpoint that comes and goes five times in a second, beside
+// another that does so once.
+func TestMerge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		lines, end := start(t, &out)
+		for i := range 5 {
+			lines.Notice("endpointEjected").Int("number", int64(i)).Merge("endpoint-1")
+			time.Sleep(50 * time.Millisecond)
+		}
+		lines.Notice("endpointEjected").Int("number", 10).Merge("endpoint-2")
+		time.Sleep(3 * time.Second)
+		lines.Notice("endpointTakenBack").Int("number", 20).Merge("endpoint-1")
+		lines.Notice("endpointEjected").Int("number", 21).Merge("endpoint-1")
+		lines.Notice("endpointEjected").Int("number", 22).Merge("endpoint-1")
+		end()
+		var got []string
+		for _, line := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+			var decoded struct {
+				Event  string
+				Number int
+				Merged int
+			}
+			if err := json.Unmarshal([]byte(line), &decoded); err != nil {
+				t.Fatalf("line %q: %v", line, err)
+			}
+			got = append(got, fmt.Sprintf("%s %d+%d", decoded.Event, decoded.Number, decoded.Merged))
+		}
+		want := []string{
+			"endpointEjected 0+0",
+			"endpointEjected 10+0",
+			"endpointEjected 4+3",
+			"endpointTakenBack 20+0",
+			"endpointEjected 21+0",
+			"endpointEjected 22+0",
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("lines (-want +got):\n%s", diff)
+		}
+	})
+}
+
 func TestLeftOutLine(t *testing.T) {
 	var out bytes.Buffer
 	lines := trail.New(&out, "host-1", timer.New())
