--- a/cmd/dumpcmd.go
+++ b/cmd/dumpcmd.go
@@ -1,15 +1,21 @@
 package cmd
 
 import (
+	"fmt"
+	"io"
+	"net/http"
+
 	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
 
+	"cactuswell/gateway"
 	"cactuswell/io/operator/operatorv1"
 )
 
 // dumpCommand prints a host's state.
 type dumpCommand struct {
 	remote
+	Gateway string `long:"gateway" env:"CACTUSWELL_GATEWAY" description:"IP:port of the ready listener of a gateway, which is asked in place of an operator listener"`
 }
 
 func newDumpCommand(c *console) subcommand {
@@ -17,7 +23,8 @@
 		name:  "dump",
 		short: "Print a host's state as JSON",
 		long: "Prints the state of a running host as JSON: its pools, queues, endpoints, peers, configuration, " +
-			"claims and counters. It holds no prompt and no answer.",
+			"claims and counters; or, with --gateway, what a gateway believes of its services and endpoints. " +
+			"It holds no prompt and no answer.",
 		command: &dumpCommand{
 			remote: remote{
 				console: c,
@@ -28,6 +35,9 @@
 
 // Execute runs the command.
 func (d *dumpCommand) Execute([]string) error {
+	if d.Gateway != "" {
+		return d.dumpGateway()
+	}
 	client, err := d.client()
 	if err != nil {
 		return err
@@ -41,3 +51,38 @@
 	d.console.printf("%s\n", response.Msg.GetJson())
 	return nil
 }
+
+// DumpStatusError is an answer of a gateway that holds no dump.
+type DumpStatusError struct {
+	Gateway string
+	Status  string
+}
+
+// Error names the gateway and the status.
+func (e *DumpStatusError) Error() string {
+	return fmt.Sprintf("gateway %s answered with status %s", e.Gateway, e.Status)
+}
+
+// dumpGateway prints the state of a gateway. The error is a *DumpStatusError or that
+// of the connection.
+func (d *dumpCommand) dumpGateway() error {
+	ctx, cancel := d.context()
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Gateway+gateway.DumpPath, nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return trace.Wrap(&DumpStatusError{
+			Gateway: d.Gateway,
+			Status:  response.Status,
+		})
+	}
+	_, err = io.Copy(d.console.out, response.Body)
+	return trace.Wrap(err)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -297,10 +297,11 @@
 	}
 }
 
-// operatorHandler serves readiness and metrics.
+// operatorHandler serves readiness, metrics and dumps.
 func (g *Gateway) operatorHandler() http.Handler {
 	routes := http.NewServeMux()
 	routes.HandleFunc(g.Settings.ReadyPath, g.serveReady)
+	routes.HandleFunc(DumpPath, g.serveDump)
 	routes.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		g.meter.write(w)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -68,7 +68,7 @@
 
 // fixture is a host between callers and endpoints of the test.
 type fixture struct {
-	t         *testing.T
+	t         testing.TB
 	log       *keyedlog.Log
 	spec      route.Spec
 	endpoints []*standin.Endpoint
@@ -113,13 +113,13 @@
 }
 
 // newFixture starts a host with that many endpoints of each service.
-func newFixture(t *testing.T, endpoints int) *fixture {
+func newFixture(t testing.TB, endpoints int) *fixture {
 	t.Helper()
 	return newWrappedFixture(t, endpoints, nil)
 }
 
 // newWrappedFixture is newFixture with something around the callers' listener.
-func newWrappedFixture(t *testing.T, endpoints int, wrap func(net.Listener) net.Listener) *fixture {
+func newWrappedFixture(t testing.TB, endpoints int, wrap func(net.Listener) net.Listener) *fixture {
 	t.Helper()
 	f := &fixture{
 		t:    t,
--- a/gateway/life_test.go
+++ b/gateway/life_test.go
@@ -18,7 +18,7 @@
 )
 
 // eventually waits until a condition holds, for some seconds at most.
-func eventually(t *testing.T, what string, holds func() bool) {
+func eventually(t testing.TB, what string, holds func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(10 * time.Second)
 	for !holds() {
@@ -173,6 +173,36 @@
 	}
 }
 
+// TestDump checks that a dump tells what the host believes, and no key.
+func TestDump(t *testing.T) {
+	f := newFixture(t, 1)
+	f.behave(func(*http.Request) standin.Behaviour { return standin.Silent{} })
+	go f.post("/hold/x", "x")
+	eventually(t, "the call runs", func() bool { return len(f.runs()) == 1 })
+	response, err := http.Get("http://" + f.gateway.ReadyAddress() + gateway.DumpPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var dump gateway.Dump
+	if err := json.Unmarshal(text, &dump); err != nil {
+		t.Fatal(err)
+	}
+	if dump.Host != "host-1" || !dump.Ready || dump.Version != 1 || dump.OpenCalls != 1 || len(dump.Services) != 2 {
+		t.Errorf("the dump says %s", text)
+	}
+	if booking := dump.Services[0]; booking.Name != service || booking.Open != 1 || booking.Endpoints[0].Own != 1 {
+		t.Errorf("of the service it says %+v", booking)
+	}
+	if strings.Contains(string(text), "secret") {
+		t.Error("a key is in the dump")
+	}
+}
+
 // TestHostPassesTheConfigurationOn checks that a host which the log turns away
 // learns of a change from another.
 func TestHostPassesTheConfigurationOn(t *testing.T) {
