Try further ports where the system's choice is taken for datagrams

Cause: TestNextCallAfterMisbehaviour failed once: "listen udp 127.0.0.1:33937: bind: address already in use". With port 0 the system finds a port that is free for connections; the mesh then opens the same port for datagrams, which another socket of the machine may hold.

Ruled out: a leak of the test's own sockets; each test closes its host.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -220,14 +220,30 @@
 // buildMesh opens the sockets for other hosts.
 func (g *Gateway) buildMesh() error {
 	var err error
-	if g.peerListener, err = net.Listen("tcp", g.Settings.PeerListen); err != nil {
+	g.peerListener, err = listenPair(g.Settings.PeerListen, g.openMesh)
+	if err != nil {
 		return err
 	}
+	for _, address := range g.Settings.Peers {
+		g.mesh.Add(address, "")
+	}
+	g.decided.share = g.share
+	g.peers = &http.Server{
+		Handler:           g.peerHandler(),
+		ReadHeaderTimeout: headerTime,
+		ErrorLog:          newServerLog(g.trail),
+	}
+	return nil
+}
+
+// openMesh opens the mesh's socket at an address.
+func (g *Gateway) openMesh(address string) error {
+	var err error
 	g.mesh, err = peer.New(peer.Dependencies{
 		Host:    g.Settings.Name,
 		Zone:    g.Settings.Zone,
 		Born:    g.born,
-		Address: g.PeerAddress(),
+		Address: address,
 		Listener: &peerListener{
 			decided: g.decided,
 			trail:   g.trail,
@@ -235,19 +251,7 @@
 		},
 		Timers: g.timers,
 	})
-	if err != nil {
-		return errors.Join(err, g.peerListener.Close())
-	}
-	for _, address := range g.Settings.Peers {
-		g.mesh.Add(address, "")
-	}
-	g.decided.share = g.share
-	g.peers = &http.Server{
-		Handler:           g.peerHandler(),
-		ReadHeaderTimeout: headerTime,
-		ErrorLog:          newServerLog(g.trail),
-	}
-	return nil
+	return err
 }
 
 // CallerAddress returns the address on which callers are served.
