--- a/io/opaque/headers.go
+++ b/io/opaque/headers.go
@@ -1,12 +1,13 @@
 package opaque
 
 import (
-	"hash/fnv"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cactuswell/core/scheduling"
 )
 
@@ -121,7 +122,7 @@
 	for part := range strings.SplitSeq(list, ",") {
 		id, tokens, _ := strings.Cut(strings.TrimSpace(part), ":")
 		read = append(read, scheduling.Part{
-			ID:     hash(id),
+			ID:     xxhash.Sum64String(id),
 			Tokens: count(tokens),
 		})
 	}
@@ -137,13 +138,6 @@
 	return n
 }
 
-func hash(text string) uint64 {
-	h := fnv.New64a()
-	// A hash never fails to take bytes.
-	_, _ = h.Write([]byte(text))
-	return h.Sum64()
-}
-
 // Forward implements Dialect.
 func (h Headers) Forward(header, sent http.Header) {
 	for _, name := range []string{h.names.Key, h.names.Team, h.names.Endpoint, h.names.Priority, h.names.TimeLeft, h.names.LastEvent} {
