--- a/cmd/dumpcmd.go
+++ b/cmd/dumpcmd.go
@@ -1,14 +1,13 @@
 package cmd
 
 import (
-	"fmt"
-	"io"
 	"net/http"
 
 	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
 
 	"cactuswell/gateway"
+	"cactuswell/io/httpjson"
 	"cactuswell/io/operator/operatorv1"
 )
 
@@ -52,37 +51,18 @@
 	return nil
 }
 
-// DumpStatusError is an answer of a gateway that holds no dump.
-type DumpStatusError struct {
-	Gateway string
-	Status  string
-}
-
-// Error names the gateway and the status.
-func (e *DumpStatusError) Error() string {
-	return fmt.Sprintf("gateway %s answered with status %s", e.Gateway, e.Status)
-}
+// maxDump bounds the state of a gateway, in bytes.
+const maxDump = 64 << 20
 
-// dumpGateway prints the state of a gateway. The error is a *DumpStatusError or that
-// of the connection.
+// dumpGateway prints the state of a gateway. The error is an *httpjson.StatusError or
+// that of the connection.
 func (d *dumpCommand) dumpGateway() error {
 	ctx, cancel := d.context()
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Gateway+gateway.DumpPath, nil)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	response, err := http.DefaultClient.Do(request)
+	state, err := httpjson.Fetch(ctx, http.DefaultClient, http.MethodGet, "http://"+d.Gateway+gateway.DumpPath, nil, maxDump)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return trace.Wrap(&DumpStatusError{
-			Gateway: d.Gateway,
-			Status:  response.Status,
-		})
-	}
-	_, err = io.Copy(d.console.out, response.Body)
-	return trace.Wrap(err)
+	d.console.printf("%s", state)
+	return nil
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"cactuswell/core/directory"
 	"cactuswell/core/scheduling"
+	"cactuswell/io/httpjson"
 	"cactuswell/io/keyedlog"
 	"cactuswell/io/peer"
 	"cactuswell/io/tcp"
@@ -36,17 +35,6 @@
 	maxRelayed = 8 << 20
 )
 
-// RelayError is an unexpected answer of another host.
-type RelayError struct {
-	Address string
-	Status  int
-}
-
-// Error names the host and the status.
-func (e *RelayError) Error() string {
-	return fmt.Sprintf("host %s answered with status %d", e.Address, e.Status)
-}
-
 // relay reads from other hosts what the store does not tell this one.
 type relay struct {
 	mesh          *peer.Mesh
@@ -155,22 +143,7 @@
 }
 
 func (r *relay) get(ctx context.Context, address, path string) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
-	if err != nil {
-		return nil, err
-	}
-	response, err := r.client.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return nil, &RelayError{
-			Address: address,
-			Status:  response.StatusCode,
-		}
-	}
-	return io.ReadAll(io.LimitReader(response.Body, maxRelayed))
+	return httpjson.Fetch(ctx, r.client, http.MethodGet, "http://"+address+path, nil, maxRelayed)
 }
 
 // peerHandler serves what other hosts ask for.
