Let the log's stand-in turn one caller away, and answer late or not at all

Tests: a follower through each fault in virtual time; a host that enters itself while its writes are done and not answered, or done later.

Not there: groups, conditional and fenced appends, which the product does not call.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -17,6 +17,7 @@
 	"cactuswell/core/directory"
 	"cactuswell/core/route"
 	"cactuswell/gateway"
+	product "cactuswell/io/keyedlog"
 	"cactuswell/io/opaque"
 	"cactuswell/settings"
 	"cactuswell/standin/keyedlog"
@@ -198,13 +199,40 @@
 
 // start runs a host and waits until it is ready.
 func (f *fixture) start() {
+	f.t.Helper()
+	f.run(testSettings("host-1"), f.log)
+}
+
+// startSecond runs another host, which sees the log as a caller of its own and knows
+// the first host from its settings.
+func (f *fixture) startSecond(log *keyedlog.Caller) *fixture {
+	f.t.Helper()
+	second := &fixture{
+		t:         f.t,
+		log:       f.log,
+		spec:      f.spec,
+		endpoints: f.endpoints,
+	}
+	current := testSettings("host-2")
+	current.Peers = []string{f.gateway.PeerAddress()}
+	second.run(current, log)
+	return second
+}
+
+// hostLog is the log as a host uses it.
+type hostLog interface {
+	product.Log
+	gateway.Roster
+}
+
+// run runs a host with the given settings and log, and waits until it is ready.
+func (f *fixture) run(current settings.Gateway, log hostLog) {
 	f.t.Helper()
 	f.lines = &lockedBuffer{}
-	current := testSettings("host-1")
 	g, err := gateway.New(gateway.Dependencies{
 		Settings: current,
-		Log:      f.log,
-		Roster:   f.log,
+		Log:      log,
+		Roster:   log,
 		Topics: gateway.Topics{
 			Configuration:    configurationTopic,
 			ConfigurationKey: configurationKey,
--- a/gateway/life_test.go
+++ b/gateway/life_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -12,8 +11,7 @@
 
 	"cactuswell/core/route"
 	"cactuswell/gateway"
-	"cactuswell/io/opaque"
-	"cactuswell/settings"
+	"cactuswell/standin/keyedlog"
 	standin "cactuswell/standin/opaque"
 )
 
@@ -207,37 +205,9 @@
 // learns of a change from another.
 func TestHostPassesTheConfigurationOn(t *testing.T) {
 	f := newFixture(t, 1)
-	cut := newCutLog(f.log)
-	current := testSettings("host-2")
-	// A host that is turned away before it has read the roster knows the others
-	// from its settings.
-	current.Peers = []string{f.gateway.PeerAddress()}
-	second, err := gateway.New(gateway.Dependencies{
-		Settings: current,
-		Log:      cut,
-		Roster:   cut,
-		Topics: gateway.Topics{
-			Configuration:    configurationTopic,
-			ConfigurationKey: configurationKey,
-			Endpoints:        endpointTopic,
-		},
-		Decoder: plainValues{},
-		Dialect: opaque.NewHeaders(opaque.OwnNames()),
-		Output:  io.Discard,
-		Source:  func() (settings.Gateway, error) { return current, nil },
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	defer cancel()
-	stop, end := context.WithCancel(ctx)
-	done := make(chan error, 1)
-	go func() { done <- second.Run(stop, ctx) }()
-	if err := second.AwaitReady(ctx); err != nil {
-		t.Fatal(err)
-	}
-	cut.away.Store(true)
+	cut := f.log.Caller()
+	second := f.startSecond(cut)
+	cut.Disrupt(keyedlog.Refused{})
 	added := f.spec.Routes[0]
 	added.Name, added.Prefix = "new", "/new/"
 	f.spec.Routes = append(f.spec.Routes, added)
@@ -245,12 +215,34 @@
 	f.publish()
 	eventually(t, "the host that is turned away serves the new route", func() bool {
 		request := f.request(http.MethodGet, "/new/x", nil)
-		request.URL.Host = second.CallerAddress()
+		request.URL.Host = second.gateway.CallerAddress()
 		return f.do(request).status == http.StatusOK
 	})
-	end()
-	if err := <-done; err != nil {
-		t.Error(err)
+}
+
+// TestHostEntersItselfWhileWritesGoWrong covers a store that does what is written and
+// does not say so, or does it later: the host tries again, and others find it once.
+func TestHostEntersItselfWhileWritesGoWrong(t *testing.T) {
+	for name, fault := range map[string]keyedlog.Fault{
+		"lostAnswer": keyedlog.LostAnswer{},
+		"lateWrite":  keyedlog.LateWrite{By: 50 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			store := f.log.Caller()
+			store.Disrupt(fault)
+			second := f.startSecond(store)
+			eventually(t, "the failed write is told", func() bool {
+				return strings.Contains(second.lines.String(), `"event":"rosterFailed"`)
+			})
+			store.Disrupt(nil)
+			eventually(t, "the host is entered", func() bool {
+				return strings.Contains(second.lines.String(), `"event":"rosterRead"`)
+			})
+			eventually(t, "the hosts know each other", func() bool {
+				return strings.Contains(f.lines.String(), `"event":"budgetShared","host":"host-1","hosts":2`)
+			})
+		})
 	}
 }
 
--- a/io/keyedlog/keyedlog_test.go
+++ b/io/keyedlog/keyedlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,13 +44,20 @@
 
 // course runs a follower beside a course of events in virtual time.
 func course(t *testing.T, act func(log *standin.Log, l *listener)) {
+	t.Helper()
+	disruptedCourse(t, func(log *standin.Log, _ *standin.Caller, l *listener) { act(log, l) })
+}
+
+// disruptedCourse is course with the follower's own view of the log.
+func disruptedCourse(t *testing.T, act func(log *standin.Log, view *standin.Caller, l *listener)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		log := standin.New()
+		view := log.Caller()
 		l := &listener{}
 		timers := timer.New()
 		follower := keyedlog.New(keyedlog.Dependencies{
-			Log:      log,
+			Log:      view,
 			Topic:    topic,
 			Listener: l,
 			Timers:   timers,
@@ -61,7 +69,7 @@
 		done := make(chan error, 2)
 		go func() { done <- timers.Run(ctx) }()
 		go func() { done <- follower.Run(ctx) }()
-		act(log, l)
+		act(log, view, l)
 		cancel()
 		for range 2 {
 			if err := <-done; err != nil {
@@ -173,3 +181,47 @@
 		}
 	})
 }
+
+// TestFaultsOfOneCaller checks, for each fault of a log that serves others, whether
+// the follower tells of it and how soon it knows a change that came meanwhile.
+func TestFaultsOfOneCaller(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault standin.Fault
+		lost  bool
+		// known is when a change that came a second after the fault is known, from
+		// the fault's beginning; the fault ends after ten seconds.
+		known time.Duration
+	}{
+		{"refused", standin.Refused{}, true, 10500 * time.Millisecond},
+		{"mute", standin.Mute{}, true, 11 * time.Second},
+		{"slow", standin.Slow{By: 300 * time.Millisecond}, false, 2 * time.Second},
+		{"tooSlow", standin.Slow{By: 5 * time.Second}, true, 11 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			disruptedCourse(t, func(log *standin.Log, view *standin.Caller, l *listener) {
+				log.Append(topic, "a", []byte("1"))
+				wait(time.Second)
+				view.Disrupt(c.fault)
+				began := time.Now()
+				wait(time.Second)
+				log.Append(topic, "a", []byte("2"))
+				wait(10*time.Second - time.Since(began))
+				if told := slices.Contains(l.events, "lost"); told != c.lost {
+					t.Errorf("events are %v", l.events)
+				}
+				if !c.lost && l.values["a"] != "2" {
+					t.Error("the change is not known during the fault")
+				}
+				view.Disrupt(nil)
+				wait(c.known - time.Since(began))
+				if l.values["a"] != "2" {
+					t.Error("the change is not known after the fault")
+				}
+				if back := slices.Contains(l.events, "back"); back != c.lost {
+					t.Errorf("events are %v", l.events)
+				}
+			})
+		})
+	}
+}
