--- a/simulation/host.go
+++ b/simulation/host.go
@@ -208,6 +208,7 @@
 	id      scheduling.CallID
 	attempt *attempt
 	done    bool
+	result  *CallResult
 	// firstAt and lastAt are the times of the first and the last event that the
 	// caller has, and gap the longest pause.
 	firstAt time.Time
@@ -334,6 +335,7 @@
 		return
 	}
 	c.done = true
+	c.result.Served = true
 	counts := &c.class.counts
 	first := c.firstAt.Sub(c.arrived) + callerDelay
 	counts.First = append(counts.First, first)
--- a/simulation/load_test.go
+++ b/simulation/load_test.go
@@ -1,9 +1,11 @@
 package simulation_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 	"cactuswell/simulation"
 )
@@ -77,6 +79,52 @@
 	}
 }
 
+// TestNoSizeOrZoneStarves: on heavy days, and with three times the load, the largest
+// prompts of a class are served at least half as often as all of it, and no zone
+// much less often than the others.
+func TestNoSizeOrZoneStarves(t *testing.T) {
+	const (
+		sizePart   = 0.5
+		zoneWithin = 0.15
+	)
+	for name, config := range deployments() {
+		for load, config := range map[string]simulation.Config{
+			"heavy":    briefingBursts(config),
+			"overload": overload(config),
+		} {
+			t.Run(name+"/"+load, func(t *testing.T) {
+				result := simulation.Run(config)
+				for _, class := range config.Classes {
+					got := result.Class(class.Name)
+					served := got.ServedShare()
+					if class.Kind == route.Stream {
+						atLeast(t, class.Name+", largest tenth served", got.ServedShareOfSizes(0.9, 1), sizePart*served)
+						atLeast(t, class.Name+", fifth below it served", got.ServedShareOfSizes(0.7, 0.9), sizePart*served)
+					}
+					for zone := range config.Zones {
+						atLeast(t, fmt.Sprintf("%s, zone %d served", class.Name, zone), got.ServedShareOfZone(zone), served-zoneWithin)
+					}
+				}
+			})
+		}
+	}
+}
+
+// overload is three times the load of all classes for five seconds.
+func overload(config simulation.Config) simulation.Config {
+	config.Length = 15 * time.Second
+	config.Bursts = nil
+	for _, class := range config.Classes {
+		config.Bursts = append(config.Bursts, simulation.Burst{
+			Class:  class.Name,
+			From:   3700 * time.Millisecond,
+			For:    5100 * time.Millisecond,
+			Factor: 3,
+		})
+	}
+	return config
+}
+
 // TestLanesKeepDraftsInTime: short drafts keep their pauses beside bursts of long
 // briefings, which they don't when all engines do everything.
 func TestLanesKeepDraftsInTime(t *testing.T) {
--- a/simulation/result.go
+++ b/simulation/result.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -20,6 +21,46 @@
 	Reread int
 	First  []time.Duration
 	Gaps   []time.Duration
+	Calls  []*CallResult
+}
+
+// CallResult is what one caller got.
+type CallResult struct {
+	// Tokens is the size of the prompt, and Zone that of the host that took the
+	// call first.
+	Tokens int
+	Zone   int
+	Served bool
+}
+
+// ServedShareOfZone returns the part of a zone's calls that got a whole answer.
+func (r ClassResult) ServedShareOfZone(zone int) float64 {
+	var calls []*CallResult
+	for _, call := range r.Calls {
+		if call.Zone == zone {
+			calls = append(calls, call)
+		}
+	}
+	return servedShare(calls)
+}
+
+// ServedShareOfSizes returns the part that got a whole answer of the calls whose
+// prompts lie between two quantiles of size, from 0 to 1.
+func (r ClassResult) ServedShareOfSizes(from, to float64) float64 {
+	sorted := slices.Clone(r.Calls)
+	slices.SortStableFunc(sorted, func(a, b *CallResult) int { return cmp.Compare(a.Tokens, b.Tokens) })
+	count := float64(len(sorted))
+	return servedShare(sorted[int(from*count):int(to*count)])
+}
+
+func servedShare(calls []*CallResult) float64 {
+	served := 0
+	for _, call := range calls {
+		if call.Served {
+			served++
+		}
+	}
+	return share(served, len(calls))
 }
 
 // OnTimeShare returns the part of the calls that were answered in time.
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -352,8 +352,10 @@
 		till:    f.now.Add(class.Deadline),
 		tries:   2,
 		random:  rand.New(rand.NewPCG(class.random.Uint64(), 5)),
+		result:  &CallResult{},
 	}
 	class.counts.Offered++
+	class.counts.Calls = append(class.counts.Calls, c.result)
 	if class.Kind == route.Stream {
 		subject := uint64(c.random.IntN(class.Subjects))
 		if c.random.Float64() < hot {
@@ -374,7 +376,9 @@
 		c.events = max(1, int(c.random.ExpFloat64()*float64(class.Events)))
 	}
 	c.work = time.Duration(float64(class.Work) * math.Exp(0.5*c.random.NormFloat64()-0.125))
+	c.result.Tokens = c.promptTokens()
 	c.try()
+	c.result.Zone = c.host.index % f.config.Zones
 }
 
 func (f *fleet) addEntry(entry directory.Entry, e endpoint) {
