--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,13 +44,6 @@
 )
 
 const (
-	// configurationWait is the length of a long poll for the configuration. A
-	// connection that fell silent shows within it and the store's answer time.
-	configurationWait = 4 * time.Second
-	// endpointWait and endpointPace are those for the endpoints' entries. A
-	// leaving endpoint must get no calls two seconds after it said so.
-	endpointWait = 4 * time.Second
-	endpointPace = 700 * time.Millisecond
 	// memoryShare is the part of a host's memory that the runtime may use before
 	// it collects garbage without pause.
 	memoryShare = 0.75
@@ -58,15 +51,11 @@
 	bodyShare = 0.15
 	// gcPercent is the growth of the heap from one collection to the next.
 	gcPercent = 75
-	// sweepEvery is the time between two looks for idle connections to close.
-	sweepEvery = 2 * time.Second
 	// zoneDelay is the usual one-way delay between two zones of a region.
 	zoneDelay = 700 * time.Microsecond
 	// endTimeout bounds the wait for the duties at the end, which write the last
 	// lines: short against what is left until the platform kills the process.
 	endTimeout = 250 * time.Millisecond
-	// decisionsDuty is the duty that owns the state machines.
-	decisionsDuty = "decisions"
 	// headerTime bounds the arrival of a caller's header.
 	headerTime = 10 * time.Second
 	// maxHeader bounds a caller's header, in bytes.
@@ -335,32 +324,6 @@
 	return true, ""
 }
 
-func (g *Gateway) addGauges() {
-	g.meter.gauge("cactuswell_open_calls", func() float64 { return float64(g.server.Open()) })
-	g.meter.gauge("cactuswell_waiting_calls", func() float64 { return float64(g.decided.waiting.Load()) })
-	g.meter.gauge("cactuswell_endpoints", func() float64 { return float64(g.decided.endpoints.Load()) })
-	g.meter.gauge("cactuswell_hosts", func() float64 { return float64(g.decided.hosts.Load()) })
-	g.meter.gauge("cactuswell_endpoint_connections", func() float64 { return float64(g.pool.Open()) })
-	g.meter.gauge("cactuswell_endpoint_dials_total", func() float64 { return float64(g.pool.Dials()) })
-	g.meter.gauge("cactuswell_endpoint_reuses_total", func() float64 { return float64(g.pool.Reused()) })
-	g.meter.gauge("cactuswell_log_lines_dropped_total", func() float64 { return float64(g.trail.Dropped()) })
-	g.meter.gauge("cactuswell_log_lines_total", func() float64 { return float64(g.trail.Lines()) })
-	g.meter.gauge("cactuswell_configuration_version", func() float64 {
-		return float64(g.configuration.version())
-	})
-	g.meter.gauge("cactuswell_configuration_age_seconds", func() float64 {
-		if known := g.configuration.inForce.Load(); known != nil {
-			return time.Since(known.takenAt).Seconds()
-		}
-		return -1
-	})
-	g.meter.gauge("cactuswell_memory_bytes", func() float64 {
-		var stats runtime.MemStats
-		runtime.ReadMemStats(&stats)
-		return float64(stats.Sys)
-	})
-}
-
 // Run serves until stop ends and then stops in good order. The end of kill stops
 // it at once.
 func (g *Gateway) Run(stop, kill context.Context) error {
@@ -392,102 +355,3 @@
 	// The tree ends with its context and returns no other error.
 	_ = g.tree.Run(ctx)
 }
-
-func (g *Gateway) addDuties() {
-	calls := func(took time.Duration, err error) {
-		g.meter.observe("cactuswell_store_call_seconds{", took)
-		g.meter.add("cactuswell_store_calls_total", 1)
-		if err != nil {
-			g.meter.add("cactuswell_store_failures_total", 1)
-		}
-	}
-	configuration := keyedlog.New(keyedlog.Dependencies{
-		Log:      g.Log,
-		Topic:    g.Topics.Configuration,
-		Listener: g.configuration,
-		Timers:   g.timers,
-		Wait:     configurationWait,
-		Calls:    calls,
-	})
-	endpoints := keyedlog.New(keyedlog.Dependencies{
-		Log:      g.Log,
-		Topic:    g.Topics.Endpoints,
-		Listener: g.endpoints,
-		Timers:   g.timers,
-		Wait:     endpointWait,
-		Pace:     endpointPace,
-		Calls:    calls,
-	})
-	duties := map[string]func(context.Context) error{
-		"timer":         g.timers.Run,
-		"trail":         g.trail.Run,
-		decisionsDuty:   g.decided.run,
-		"configuration": configuration.Run,
-		"endpoints":     endpoints.Run,
-		"sweep":         g.sweep,
-		"reload":        g.reload,
-		"callers":       g.serve(g.callers, g.callerConns.listen(g.callerListener)),
-		"operators":     g.serve(g.operators, g.readyListener),
-	}
-	if g.mesh != nil {
-		duties["mesh"] = g.mesh.Run
-		duties["peers"] = g.serve(g.peers, g.peerListener)
-		duties["relay"] = newRelay(g).run
-		duties["roster"] = g.enroll
-	}
-	for name, run := range duties {
-		duty := supervisor.Duty{
-			Name: name,
-			Run:  run,
-		}
-		if name == decisionsDuty {
-			duty.Restarted = g.decided.restarted
-		}
-		g.tree.Add(duty)
-	}
-}
-
-// sweep closes the idle connections that nobody will use.
-func (g *Gateway) sweep(ctx context.Context) error {
-	tick := g.timers.Every(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.C():
-			keep := make(map[string]bool)
-			g.look(func() {
-				for _, entry := range g.decided.directory.Entries() {
-					keep[entry.Address] = true
-				}
-			})
-			g.pool.Sweep(now, keep)
-		}
-	}
-}
-
-// look runs a function in the duty that decides, and waits for its end.
-func (g *Gateway) look(look func()) {
-	request := inspection{
-		look: look,
-		done: make(chan struct{}),
-	}
-	g.decided.post(request)
-	<-request.done
-}
-
-// serve returns a duty that serves a listener until its server is closed.
-func (g *Gateway) serve(server *http.Server, listener net.Listener) func(context.Context) error {
-	return func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		// A stop closes the callers' listener before the server.
-		err := server.Serve(listener)
-		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			return trace.Wrap(err)
-		}
-		<-ctx.Done()
-		return nil
-	}
-}
