--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -402,3 +402,25 @@
 		return false
 	})
 }
+
+// dump returns the host's dump, in which no key may stand.
+func (f *fixture) dump() gateway.Dump {
+	f.t.Helper()
+	response, err := http.Get("http://" + f.gateway.ReadyAddress() + gateway.DumpPath)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if bytes.Contains(text, []byte("secret")) {
+		f.t.Error("a key is in the dump")
+	}
+	var dump gateway.Dump
+	if err := json.Unmarshal(text, &dump); err != nil {
+		f.t.Fatal(err)
+	}
+	return dump
+}
--- a/gateway/life_test.go
+++ b/gateway/life_test.go
@@ -4,12 +4,14 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"cactuswell/core/incident"
 	"cactuswell/core/route"
-	"cactuswell/gateway"
+	"cactuswell/core/scheduling"
 	"cactuswell/standin/keyedlog"
 	standin "cactuswell/standin/opaque"
 )
@@ -154,28 +156,13 @@
 	f.behave(func(*http.Request) standin.Behaviour { return standin.Silent{} })
 	go f.post("/hold/x", "x")
 	eventually(t, "the call runs", func() bool { return len(f.runs()) == 1 })
-	response, err := http.Get("http://" + f.gateway.ReadyAddress() + gateway.DumpPath)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var dump gateway.Dump
-	if err := json.Unmarshal(text, &dump); err != nil {
-		t.Fatal(err)
-	}
+	dump := f.dump()
 	if dump.Host != "host-1" || !dump.Ready || dump.Version != 1 || dump.OpenCalls != 1 || len(dump.Services) != 2 {
-		t.Errorf("the dump says %s", text)
+		t.Errorf("the dump says %+v", dump)
 	}
 	if booking := dump.Services[0]; booking.Name != service || booking.Open != 1 || booking.Endpoints[0].Own != 1 {
 		t.Errorf("of the service it says %+v", booking)
 	}
-	if strings.Contains(string(text), "secret") {
-		t.Error("a key is in the dump")
-	}
 }
 
 // TestHostPassesTheConfigurationOn checks that a host which the log turns away
@@ -248,3 +235,35 @@
 		t.Errorf("the call is told by %s, want %s", got, want)
 	}
 }
+
+// TestLinesAndDumpExplainAFailure follows calls whose endpoint broke off, and the
+// endpoint that was ejected for it, through the host's lines and its dump.
+func TestLinesAndDumpExplainAFailure(t *testing.T) {
+	f := newFixture(t, 2)
+	f.behave(func(*http.Request) standin.Behaviour { return standin.Cut{} })
+	ejected := func(endpoint scheduling.EndpointSnapshot) bool { return endpoint.EjectedForMs > 0 }
+	var out []scheduling.EndpointSnapshot
+	eventually(t, "an endpoint is ejected", func() bool {
+		f.post("/hold/x", "x")
+		out = f.dump().Services[0].Endpoints
+		return slices.ContainsFunc(out, ejected)
+	})
+	id := out[slices.IndexFunc(out, ejected)].ID
+	f.end()
+	found := incident.New("request--hold-x")
+	for _, line := range strings.Split(f.lines.String(), "\n") {
+		found.Add([]byte(line))
+	}
+	report, err := found.Report()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.HasPrefix(report.Cause, "failed, and may have run: ") || !strings.Contains(report.Cause, "ended as Broken") {
+		t.Errorf("the cause is %q", report.Cause)
+	}
+	if !slices.ContainsFunc(report.Lines, func(line incident.Line) bool {
+		return line.Event == "endpointEjected" && line.Endpoint == id
+	}) {
+		t.Errorf("no line tells that %s is ejected, which the dump says:\n%s", id, report.String())
+	}
+}
