Weigh a fetched prompt once, and drop what follows from the choice

Cause: a last reading found the reading of a prompt predicted twice for each endpoint where a part can be fetched, the source kept in three places though it follows from the choice, and a check of health that the one beside it implies.

Change: weighEngine starts from the tokens that are known to be held or fetched; send takes the source from the call if the choice fetches. The cache's usedSince looks up by item.

--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -62,10 +62,9 @@
 	// held is the number of the prompt's leading tokens that some endpoint holds.
 	held int
 	// source is the endpoint from which the most of the prompt can be fetched, with
-	// the number of leading tokens that it holds; fetched is from where it was.
+	// the number of leading tokens that it holds.
 	source     *target
 	sourceHeld int
-	fetched    *target
 	// homes are the endpoints that are preferred for the call's subject, if no host
 	// has told of it.
 	homes [homes]*target
--- a/core/scheduling/fetch.go
+++ b/core/scheduling/fetch.go
@@ -22,7 +22,7 @@
 	}
 	var usedAt time.Time
 	for _, t := range c.pool.targets {
-		if t.leaving || t.health.out(s.now) || t.health.ejectFor > 0 {
+		if t.leaving || t.health.ejectFor > 0 {
 			continue
 		}
 		tokens := 0
--- a/core/scheduling/place.go
+++ b/core/scheduling/place.go
@@ -126,8 +126,6 @@
 	cost   float64
 	choice Choice
 	work   time.Duration
-	// fetch is the endpoint to fetch from, or nil.
-	fetch *target
 }
 
 // pick returns the endpoint on which a call costs least, or nil if none has
@@ -162,7 +160,6 @@
 		best.choice.LoadAge = s.now.Sub(best.target.loadAt)
 	}
 	c.work = best.work
-	c.fetched = best.fetch
 	return best.target, best.choice
 }
 
@@ -242,23 +239,22 @@
 func (s *Scheduler) weighEngine(c *call, t *target, next *candidate, distance time.Duration) {
 	model := s.settings.Engine
 	cached := s.cachedTokens(c, t)
-	uncached := max(c.spec.PromptTokens-cached, 1)
-	work := time.Duration(float64(model.Reading(cached, uncached)) * t.slowness)
+	known := cached
 	fetching, canFetch := s.fetchTime(c, t, cached)
 	if canFetch {
-		next.fetch = c.source
-		next.choice.Fetched = c.sourceHeld - cached
-		uncached = max(c.spec.PromptTokens-c.sourceHeld, 1)
-		work = time.Duration(float64(model.Reading(c.sourceHeld, uncached)) * t.slowness)
+		known = c.sourceHeld
+		next.choice.Fetched = known - cached
 		next.cost += s.settings.Weights.FetchCost * float64(next.choice.Fetched) / 1000
 	}
+	uncached := max(c.spec.PromptTokens-known, 1)
+	work := time.Duration(float64(model.Reading(known, uncached)) * t.slowness)
 	reading := t.reading(s.now)
 	next.work = work
 	next.choice.Cached = cached
 	next.choice.Reading = reading
 	// A request joins the batch when the step under way is over.
 	next.choice.First = model.First + model.Step + reading + fetching + work + distance
-	if known := cached + next.choice.Fetched; c.held > known {
+	if c.held > known {
 		reread := model.Reading(known, c.held-known)
 		next.cost += s.settings.Weights.RereadCost * reread.Seconds()
 	} else if slices.Contains(c.homes[:], t) {
@@ -418,9 +414,9 @@
 		Repeat:   repeat,
 		Choice:   choice,
 	}
-	if c.fetched != nil {
-		command.Fetch = c.fetched.key
-		command.FetchAddress = c.fetched.entry.Address
+	if choice.Fetched > 0 {
+		command.Fetch = c.source.key
+		command.FetchAddress = c.source.entry.Address
 	}
 	s.setLimits(c, &command)
 	s.commands = append(s.commands, command)
--- a/core/scheduling/target.go
+++ b/core/scheduling/target.go
@@ -197,8 +197,8 @@
 
 // usedSince reports whether a run was given to the endpoint since then.
 func (x *cacheIndex) usedSince(chain uint64, since time.Time) bool {
-	element, ok := x.byHash[chain]
-	return ok && element.Value.(*cacheItem).usedAt.After(since)
+	item, ok := x.item(chain)
+	return ok && item.usedAt.After(since)
 }
 
 // item returns what is known of a run.
