Log a route's own priority and the age of the other hosts' load, and count datagrams

Change: routePriority in callTaken, peerLoadAgeMs in callSent, and the metrics cactuswell_relay, cactuswell_peer_datagrams_total and cactuswell_peer_bytes_total. No decision changes.

--- a/core/scheduling/command.go
+++ b/core/scheduling/command.go
@@ -51,6 +51,9 @@
 	// LoadAge is the age of the endpoint's last reported load, or negative if it
 	// has reported none.
 	LoadAge time.Duration
+	// PeerLoadAge is the age of the other hosts' load: that of the report of the peer
+	// that has not reported for longest, or negative if there is no peer.
+	PeerLoadAge time.Duration
 	// QueueTime is how long the call was queued at this host.
 	QueueTime time.Duration
 }
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -158,6 +158,7 @@
 	}
 	best.choice.ComparedEndpoints = compared
 	best.choice.QueueTime = s.now.Sub(c.arrived)
+	best.choice.PeerLoadAge = s.peerLoadAge()
 	best.choice.LoadAge = -1
 	if best.endpoint.reported.Known {
 		best.choice.LoadAge = s.now.Sub(best.endpoint.reportedAt)
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -65,14 +65,21 @@
 	byHash       map[uint64]*endpoint
 	dirty        bool
 	calls        map[CallID]*call
-	// peerHosts holds the number of hosts that each peer's report covers.
-	peerHosts  map[string]int
+	// peers holds the sources of load reports by name.
+	peers      map[string]peer
 	placements []Placement
 
 	now      time.Time
 	commands []Command
 }
 
+// peer is a source of load reports: another host, or a zone.
+type peer struct {
+	// hosts is the number of hosts that its reports cover, without this one.
+	hosts      int
+	reportedAt time.Time
+}
+
 // pool is a service with its endpoints.
 type pool struct {
 	name      string
@@ -92,13 +99,13 @@
 // New returns a scheduler without services and endpoints.
 func New(settings Settings, random *rand.Rand) *Scheduler {
 	return &Scheduler{
-		settings:  settings,
-		random:    random,
-		pools:     make(map[string]*pool),
-		byKey:     make(map[Key]*endpoint),
-		byHash:    make(map[uint64]*endpoint),
-		calls:     make(map[CallID]*call),
-		peerHosts: make(map[string]int),
+		settings: settings,
+		random:   random,
+		pools:    make(map[string]*pool),
+		byKey:    make(map[Key]*endpoint),
+		byHash:   make(map[uint64]*endpoint),
+		calls:    make(map[CallID]*call),
+		peers:    make(map[string]peer),
 	}
 }
 
@@ -252,8 +259,12 @@
 	if event.IncludesSelf {
 		otherHosts--
 	}
-	if known, ok := s.peerHosts[event.Peer]; !ok || known != otherHosts {
-		s.peerHosts[event.Peer] = otherHosts
+	known, ok := s.peers[event.Peer]
+	s.peers[event.Peer] = peer{
+		hosts:      otherHosts,
+		reportedAt: s.now,
+	}
+	if !ok || known.hosts != otherHosts {
 		s.updateSlack()
 	}
 	listed := make(map[uint64]bool, len(event.Loads))
@@ -286,7 +297,7 @@
 }
 
 func (s *Scheduler) handlePeerRemoved(peer string) {
-	delete(s.peerHosts, peer)
+	delete(s.peers, peer)
 	for _, e := range s.endpoints {
 		delete(e.peerLoads, peer)
 	}
@@ -348,12 +359,22 @@
 // Hosts returns the number of known hosts that serve calls, including this one.
 func (s *Scheduler) Hosts() int {
 	total := 1
-	for _, hosts := range s.peerHosts {
-		total += hosts
+	for _, p := range s.peers {
+		total += p.hosts
 	}
 	return total
 }
 
+// peerLoadAge returns the age of the report of the peer that has not reported for
+// longest, or -1 if there is no peer.
+func (s *Scheduler) peerLoadAge() time.Duration {
+	age := time.Duration(-1)
+	for _, p := range s.peers {
+		age = max(age, s.now.Sub(p.reportedAt))
+	}
+	return age
+}
+
 // QueuedCalls returns the number of calls queued at this host.
 func (s *Scheduler) QueuedCalls() int {
 	queued := 0
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -14,6 +14,16 @@
 	g.meter.addGauge("cactuswell_endpoint_connections", func() float64 { return float64(g.pool.OpenCount()) })
 	g.meter.addGauge("cactuswell_endpoint_dials_total", func() float64 { return float64(g.pool.DialCount()) })
 	g.meter.addGauge("cactuswell_endpoint_reuses_total", func() float64 { return float64(g.pool.ReuseCount()) })
+	if g.mesh != nil {
+		g.meter.addGauge("cactuswell_peer_datagrams_total", func() float64 { return float64(g.mesh.SentDatagrams()) })
+		g.meter.addGauge("cactuswell_peer_bytes_total", func() float64 { return float64(g.mesh.SentBytes()) })
+		g.meter.addGauge("cactuswell_relay", func() float64 {
+			if g.mesh.IsRelay() {
+				return 1
+			}
+			return 0
+		})
+	}
 	g.meter.addGauge("cactuswell_log_lines_dropped_total", func() float64 { return float64(g.trail.DroppedCount()) })
 	g.meter.addGauge("cactuswell_log_lines_total", func() float64 { return float64(g.trail.LineCount()) })
 	g.meter.addGauge("cactuswell_configuration_version", func() float64 {
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -98,6 +98,9 @@
 	if choice.LoadAge >= 0 {
 		line = line.Millis("loadAge", choice.LoadAge)
 	}
+	if choice.PeerLoadAge >= 0 {
+		line = line.Millis("peerLoadAge", choice.PeerLoadAge)
+	}
 	line.Millis("waited", choice.QueueTime).Millis("timeLeft", time.Until(x.deadline)).Bool("repeat", x.currentSend.IsRetry).End()
 }
 
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -88,7 +88,7 @@
 		return
 	}
 	x.logLine("callTaken").Int("version", x.table.Version()).Text("route", x.route.Name).
-		Text("service", x.service).Text("team", x.team).Int("priority", int64(x.priority)).
+		Text("service", x.service).Text("team", x.team).Int("priority", int64(x.priority)).Int("routePriority", int64(x.route.Priority)).
 		Int("promptTokens", int64(x.requestInfo.PromptTokens)).Millis("timeLeft", x.deadline.Sub(x.arrivedAt)).End()
 	x.executeCommands(commands)
 }
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -35,6 +35,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -96,6 +97,9 @@
 	Dependencies
 	conn     net.PacketConn
 	outgoing *ring.Ring[Message]
+	// sentDatagrams and sentBytes count the datagrams sent and their size.
+	sentDatagrams atomic.Int64
+	sentBytes     atomic.Int64
 
 	mu    sync.Mutex
 	hosts map[string]*peerHost
@@ -215,6 +219,12 @@
 	return ""
 }
 
+// SentDatagrams returns the number of datagrams sent.
+func (m *Mesh) SentDatagrams() int64 { return m.sentDatagrams.Load() }
+
+// SentBytes returns the size of all datagrams sent, in bytes.
+func (m *Mesh) SentBytes() int64 { return m.sentBytes.Load() }
+
 // Run exchanges messages until ctx ends.
 func (m *Mesh) Run(ctx context.Context) error {
 	received := make(chan struct{})
@@ -243,7 +253,7 @@
 			m.relayZoneReport(now)
 		}
 		// A running timer is not reset: frequent messages would postpone it forever.
-		if !relayTimerRunning && m.isRelay() {
+		if !relayTimerRunning && m.IsRelay() {
 			relayTimerRunning = true
 			relay.Reset(m.Timers.Now().Add(relayInterval))
 		}
@@ -299,6 +309,8 @@
 	for _, address := range addresses {
 		_, _ = m.conn.WriteTo(bytes, address)
 	}
+	m.sentDatagrams.Add(int64(len(addresses)))
+	m.sentBytes.Add(int64(len(addresses) * len(bytes)))
 }
 
 // runReceive reads datagrams until the socket is closed.
--- a/io/peer/relay.go
+++ b/io/peer/relay.go
@@ -41,8 +41,8 @@
 	return relay
 }
 
-// isRelay reports whether relays are in use and this host is one.
-func (m *Mesh) isRelay() bool {
+// IsRelay reports whether relays are in use and this host is one.
+func (m *Mesh) IsRelay() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.usesRelays && m.relayOf(m.Zone, m.Timers.Now()) == nil
