Order calls by their team's priority and then by their route's

Cause: a team's priority replaced that of the route. All teams have one, 0 or 1, so a team's drafts, summaries and briefings reached the engines with the same priority. An engine preempts the newest of the least urgent requests; among equals that is a draft as well as a briefing.

Change: route.Table.Priority ranks the combinations of team and route that the configuration has, in ten levels at most. The engine's order is then the order that the configuration defines, so the newest of the least urgent is preempted.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -68,7 +68,8 @@
 	// TargetEventGap is the target for the longest gap between two events of a
 	// stream, or zero for none.
 	TargetEventGap time.Duration
-	// Priority is the priority of the calls; 0 is the most urgent.
+	// Priority is the priority of the calls; 0 is the most urgent. See Table.Priority
+	// for how it is combined with that of the team.
 	Priority int
 	// MaxAttempts is the number of endpoints on which one call may run.
 	MaxAttempts int
@@ -129,7 +130,7 @@
 type Team struct {
 	Name string
 	Keys []string
-	// Priority overrides the priority of the route if HasPriority is set.
+	// Priority takes precedence over the priority of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
 }
@@ -172,19 +173,22 @@
 	teamsByKey   map[string]*Team
 	teamNames    map[string]bool
 	routeCount   int
+	// urgencyLevels holds the urgencies of all allowed calls, the most urgent first.
+	urgencyLevels []urgency
 }
 
 // New validates a configuration and returns its table. The error is a
 // *SpecError.
 func New(spec Spec) (*Table, error) {
 	t := &Table{
-		version:      spec.Version,
-		limits:       spec.Limits,
-		routesByHost: make(map[string][]*Route),
-		services:     make(map[string]*Service, len(spec.Services)),
-		teamsByKey:   make(map[string]*Team),
-		teamNames:    make(map[string]bool, len(spec.Teams)),
-		routeCount:   len(spec.Routes),
+		version:       spec.Version,
+		limits:        spec.Limits,
+		routesByHost:  make(map[string][]*Route),
+		services:      make(map[string]*Service, len(spec.Services)),
+		teamsByKey:    make(map[string]*Team),
+		teamNames:     make(map[string]bool, len(spec.Teams)),
+		routeCount:    len(spec.Routes),
+		urgencyLevels: urgencyLevels(spec),
 	}
 	for i := range spec.Services {
 		t.services[spec.Services[i].Name] = &spec.Services[i]
--- a/gateway/calls_test.go
+++ b/gateway/calls_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"cactuswell/core/route"
 	standin "cactuswell/standin/opaque"
 )
 
@@ -80,6 +81,33 @@
 	}
 }
 
+// TestPriorityOfAnAttempt guards against a team's priority that hides the route's from
+// the engine.
+func TestPriorityOfAnAttempt(t *testing.T) {
+	f := newFixture(t, 1)
+	f.spec.Version = 2
+	for i := range f.spec.Routes {
+		if f.spec.Routes[i].Name == "draft" {
+			f.spec.Routes[i].Priority = 1
+		}
+	}
+	f.spec.Teams = append(f.spec.Teams, route.Team{
+		Name:        "brides",
+		Keys:        []string{"second"},
+		Priority:    5,
+		HasPriority: true,
+	})
+	f.publishConfiguration()
+	// Calls without a priority of their team have 0 and 1; 2 is the more urgent route.
+	const want = "3"
+	eventually(t, "the engine receives the priority of team and route", func() bool {
+		request := f.request(http.MethodPost, "/draft/stream", []byte("x"))
+		request.Header.Set("Authorization", "Bearer second")
+		runs := len(f.runs())
+		return f.do(request).status == http.StatusOK && f.runs()[runs].Header.Get("Cactuswell-Priority") == want
+	})
+}
+
 // TestMisbehavingEndpoint checks what a caller receives when the first endpoint that
 // its call reaches misbehaves.
 func TestMisbehavingEndpoint(t *testing.T) {
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -176,7 +176,7 @@
 		return x.deny(http.StatusNotFound, ReasonNoRoute, nil)
 	}
 	x.route = found
-	x.priority = found.Priority
+	x.priority = x.table.Priority(found, nil)
 	if !x.authorize() {
 		return x.deny(http.StatusUnauthorized, ReasonUnknownKey, nil)
 	}
@@ -207,9 +207,7 @@
 		return x.route.Public
 	}
 	x.team = team.Name
-	if team.HasPriority {
-		x.priority = team.Priority
-	}
+	x.priority = x.table.Priority(x.route, team)
 	return true
 }
 
--- a/simulation/deployments.go
+++ b/simulation/deployments.go
@@ -130,6 +130,74 @@
 	return config
 }
 
+// KelisimGrown returns the mediation rooms after their growth: 90 hosts, 60 engines, and
+// 24 teams, a quarter of which go before the others.
+func KelisimGrown() Config {
+	config := Kelisim()
+	config.Hosts = 90
+	config.Engines = 60
+	config.KVCacheTokens = 568_363
+	config.Model.TokensPerEvent = 4
+	config.UseRelays = true
+	config.Teams = grownTeams()
+	rates := []float64{126, 34.3, 105, 54.4, 21.8}
+	prefixes := []int{518, 149, 455}
+	events := []int{30, 13, 43}
+	growClasses(&config, rates, prefixes, events)
+	return config
+}
+
+// LindqvistGrown returns the bridal firm after its growth: 68 hosts, 140 engines with 32
+// slots each, and 24 teams.
+func LindqvistGrown() Config {
+	config := Lindqvist()
+	config.Hosts = 68
+	config.Zones = 4
+	config.Engines = 140
+	config.Slots = 32
+	config.KVCacheTokens = 401_295
+	config.Model.TokensPerEvent = 5
+	config.Servers = 4
+	config.UseRelays = true
+	config.Teams = grownTeams()
+	rates := []float64{260, 70.6, 171, 101, 40.4}
+	prefixes := []int{1063, 694, 1682}
+	events := []int{24, 10, 34}
+	growClasses(&config, rates, prefixes, events)
+	config.Classes[0].MaxGap = time.Second
+	config.Classes[1].MaxGap = 400 * time.Millisecond
+	config.Classes[2].MaxGap = 250 * time.Millisecond
+	return config
+}
+
+func growClasses(config *Config, rates []float64, prefixes, events []int) {
+	for i := range config.Classes {
+		config.Classes[i].Rate = rates[i]
+	}
+	for i := range prefixes {
+		config.Classes[i].Prefixes = prefixes[i]
+		config.Classes[i].MeanEvents = events[i]
+	}
+}
+
+// grownTeams returns 24 teams of unequal size: the first has an eighth of the calls.
+func grownTeams() []Team {
+	const teams = 24
+	result := make([]Team, teams)
+	total := 0.0
+	for i := range result {
+		result[i].Share = 1 / float64(i+3)
+		total += result[i].Share
+		if i%4 != 1 {
+			result[i].Priority = 1
+		}
+	}
+	for i := range result {
+		result[i].Share /= total
+	}
+	return result
+}
+
 // Scale returns a copy of a deployment with the hosts, endpoints, arrival rates and
 // shared prompt prefixes multiplied by a factor.
 func Scale(config Config, factor int) Config {
--- a/simulation/engine.go
+++ b/simulation/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -33,6 +34,10 @@
 	busyTime    time.Duration
 	// fetchesUntil is when all started fetches are finished.
 	fetchesUntil time.Time
+	// preemptions counts the preempted attempts, and misorderedPreemptions those of them
+	// that were preempted while a less urgent attempt was running.
+	preemptions           int
+	misorderedPreemptions int
 }
 
 // cachedPart is a cached part of a prompt.
@@ -215,17 +220,40 @@
 	e.fleet.scheduleAfter(stepTime, func() { e.finishStep(incarnation) })
 }
 
-// admitQueued moves queued attempts to the batch while slots are free.
+// admitQueued moves queued attempts to the batch while slots are free, or can be freed by
+// preempting less urgent attempts.
 func (e *engine) admitQueued() {
-	for len(e.queue) > 0 && len(e.running) < e.entry.Slots {
+	for len(e.queue) > 0 && (len(e.running) < e.entry.Slots || e.preemptFor(e.queue[0])) {
 		a := e.queue[0]
 		e.queue = e.queue[1:]
 		a.contextTokens = e.cachePrompt(a)
-		a.prefillRemaining = max(a.promptTokens()-a.contextTokens, 1)
+		a.prefillRemaining = max(a.promptTokens()+a.generatedTokens-a.contextTokens, 1)
 		e.running = append(e.running, a)
 	}
 }
 
+// preemptFor moves the newest of the running attempts with the least urgent priority back
+// to the queue. It reports false if that priority is not less urgent than a's.
+func (e *engine) preemptFor(a *attempt) bool {
+	victim := e.running[0]
+	for _, other := range e.running[1:] {
+		if other.priority >= victim.priority {
+			victim = other
+		}
+	}
+	if victim.priority <= a.priority {
+		return false
+	}
+	e.running = removeAttempt(e.running, victim)
+	e.preemptions++
+	if slices.ContainsFunc(e.running, victim.caller.isMoreUrgentThan) {
+		e.misorderedPreemptions++
+	}
+	index := sort.Search(len(e.queue), func(i int) bool { return e.queue[i].priority > victim.priority })
+	e.queue = slices.Insert(e.queue, index, victim)
+	return true
+}
+
 // cachePrompt adds all parts of the prompt to the cache and returns the number of
 // leading tokens that were cached already.
 func (e *engine) cachePrompt(a *attempt) int {
--- a/simulation/host.go
+++ b/simulation/host.go
@@ -203,6 +203,7 @@
 type caller struct {
 	fleet           *fleet
 	class           *classState
+	team            *route.Team
 	arrived         time.Time
 	deadline        time.Time
 	submissionsLeft int
@@ -241,7 +242,7 @@
 				ID:           c.id,
 				Route:        c.class.route,
 				Service:      c.class.route.PickService(0),
-				Priority:     c.class.Priority,
+				Priority:     f.routes.Priority(c.class.route, c.team),
 				Deadline:     c.deadline,
 				PromptTokens: c.promptTokens(),
 				Prompt:       c.prompt,
@@ -358,6 +359,15 @@
 	result.Value += c.class.LateValue
 }
 
+// isMoreUrgentThan reports whether the caller's team, or among teams with the same
+// priority its class, is more urgent than that of an attempt.
+func (c *caller) isMoreUrgentThan(a *attempt) bool {
+	if c.team != nil && c.team.Priority != a.caller.team.Priority {
+		return c.team.Priority < a.caller.team.Priority
+	}
+	return c.class.Priority < a.caller.class.Priority
+}
+
 func (c *caller) promptTokens() int {
 	total := 0
 	for _, part := range c.prompt {
--- /dev/null
+++ b/simulation/incident_test.go
@@ -0,0 +1,44 @@
+package simulation_test
+
+import (
+	"testing"
+	"time"
+
+	"cactuswell/simulation"
+)
+
+func grownDeployments() map[string]simulation.Config {
+	return map[string]simulation.Config{
+		"kelisim":   simulation.KelisimGrown(),
+		"lindqvist": simulation.LindqvistGrown(),
+	}
+}
+
+// withColdBurst starts a burst of briefings when no prompt is cached yet, and one of
+// drafts after it.
+func withColdBurst(config simulation.Config) simulation.Config {
+	config.Duration = 14 * time.Second
+	config.Bursts = []simulation.Burst{
+		{Class: config.Classes[0].Name, Start: 500 * time.Millisecond, Duration: 9 * time.Second, RateFactor: 2.7},
+		{Class: config.Classes[2].Name, Start: 8 * time.Second, Duration: 5 * time.Second, RateFactor: 2.7, HotPrefixShare: 0.3},
+	}
+	return config
+}
+
+// TestNoPreemptionBesideLessUrgentRequests guards against preempting urgent requests first.
+func TestNoPreemptionBesideLessUrgentRequests(t *testing.T) {
+	for name, config := range grownDeployments() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			config = withColdBurst(config)
+			config.ReportLossRate = 0.5
+			result := simulation.Run(config)
+			if result.Preemptions == 0 {
+				t.Error("no request was preempted, so the load does not fill an engine")
+			}
+			if got := result.MisorderedPreemptions; got >= 10 {
+				t.Errorf("%d requests were preempted at one engine while less urgent ones ran, want less than 10", got)
+			}
+		})
+	}
+}
--- a/simulation/result.go
+++ b/simulation/result.go
@@ -31,6 +31,8 @@
 type CallResult struct {
 	// PromptTokens is the size of the prompt.
 	PromptTokens int
+	// Arrived is the time from the start of the run to the call's arrival.
+	Arrived time.Duration
 	// Zone is the index of the zone of the host to which the call was first submitted.
 	Zone int
 	// Served reports whether the caller got a complete answer.
@@ -67,6 +69,32 @@
 	return ratio(served, len(calls))
 }
 
+// WorstUnservedShare returns the greatest share of calls without a complete answer among
+// the calls that arrived in a window of the given length. Windows start every second.
+func (r ClassResult) WorstUnservedShare(window time.Duration) float64 {
+	offered := make(map[time.Duration]int)
+	unserved := make(map[time.Duration]int)
+	last := time.Duration(0)
+	for _, call := range r.Calls {
+		second := call.Arrived.Truncate(time.Second)
+		last = max(last, second)
+		offered[second]++
+		if !call.Served {
+			unserved[second]++
+		}
+	}
+	worst := 0.0
+	for start := time.Duration(0); start+window <= last+time.Second; start += time.Second {
+		windowOffered, windowUnserved := 0, 0
+		for second := start; second < start+window; second += time.Second {
+			windowOffered += offered[second]
+			windowUnserved += unserved[second]
+		}
+		worst = max(worst, ratio(windowUnserved, windowOffered))
+	}
+	return worst
+}
+
 // OnTimeShare returns the share of calls that were answered on time.
 func (r ClassResult) OnTimeShare() float64 { return ratio(r.OnTime, r.Offered) }
 
@@ -113,6 +141,11 @@
 	// PeakToMeanBusyTime is the busy time of the busiest engine divided by the mean busy time of
 	// all engines.
 	PeakToMeanBusyTime float64
+	// Preemptions counts the requests that engines preempted. MisorderedPreemptions is
+	// the number of those at a single engine that were preempted while a less urgent
+	// request was running there, for the engine with the most.
+	Preemptions           int
+	MisorderedPreemptions int
 	// OfferedValue is the value that all calls would have if answered on time, and Value
 	// the value of the answers given.
 	OfferedValue float64
@@ -139,6 +172,8 @@
 	}
 	total, longest := time.Duration(0), time.Duration(0)
 	for _, e := range f.engines {
+		result.Preemptions += e.preemptions
+		result.MisorderedPreemptions = max(result.MisorderedPreemptions, e.misorderedPreemptions)
 		total += e.busyTime
 		longest = max(longest, e.busyTime)
 	}
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -20,6 +20,7 @@
 package simulation
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -90,6 +91,13 @@
 	LateValue float64
 }
 
+// Team is a team of callers. Each call belongs to a team that is drawn by Share.
+type Team struct {
+	Priority int
+	// Share is the team's share of all calls.
+	Share float64
+}
+
 // Burst multiplies the arrival rate of a class for a period.
 type Burst struct {
 	Class      string
@@ -137,8 +145,10 @@
 	Servers     int
 	ServerSlots int
 	Classes     []Class
-	Bursts      []Burst
-	Faults      []Fault
+	// Teams may be empty, for callers without teams.
+	Teams  []Team
+	Bursts []Burst
+	Faults []Fault
 	// ReportLossRate is the share of load reports that are dropped.
 	ReportLossRate float64
 	// ReportsDisabled disables load reports between hosts.
@@ -209,6 +219,7 @@
 	recomputedTokens int
 	prefilledTokens  int
 	fetchedTokens    int
+	teams            []*route.Team
 }
 
 // classState is a class with its result and its random generator.
@@ -274,12 +285,22 @@
 			}},
 		})
 	}
+	for i, team := range config.Teams {
+		spec.Teams = append(spec.Teams, route.Team{
+			Name:        fmt.Sprintf("team-%d", i),
+			Priority:    team.Priority,
+			HasPriority: true,
+		})
+	}
 	routes, err := route.New(spec)
 	if err != nil {
 		// The routes are generated above, so an error is a bug in this package.
 		panic(err)
 	}
 	f.routes = routes
+	for i := range spec.Teams {
+		f.teams = append(f.teams, &spec.Teams[i])
+	}
 	for i, class := range config.Classes {
 		classRoute, _ := routes.Lookup("simulated", "/"+class.Name+"/")
 		f.classes = append(f.classes, &classState{
@@ -377,7 +398,9 @@
 		deadline:        f.now.Add(class.Deadline),
 		submissionsLeft: 2,
 		random:          rand.New(rand.NewPCG(class.random.Uint64(), 5)),
-		result:          &CallResult{},
+		result: &CallResult{
+			Arrived: f.now.Sub(epoch),
+		},
 	}
 	class.result.Offered++
 	class.result.Calls = append(class.result.Calls, c.result)
@@ -402,10 +425,26 @@
 	}
 	c.serviceTime = time.Duration(float64(class.MeanServiceTime) * math.Exp(0.5*c.random.NormFloat64()-0.125))
 	c.result.PromptTokens = c.promptTokens()
+	c.team = f.drawTeam(c.random)
 	c.submit()
 	c.result.Zone = c.host.index % f.config.Zones
 }
 
+// drawTeam returns the team of a call, or nil if callers have no teams.
+func (f *fleet) drawTeam(random *rand.Rand) *route.Team {
+	if len(f.teams) == 0 {
+		return nil
+	}
+	draw := random.Float64()
+	for i, team := range f.config.Teams {
+		draw -= team.Share
+		if draw < 0 {
+			return f.teams[i]
+		}
+	}
+	return f.teams[len(f.teams)-1]
+}
+
 func (f *fleet) registerEndpoint(entry directory.Entry, e endpoint) {
 	key := scheduling.Key{
 		ID:          entry.ID,
