Make the hosts with the fastest links relays, and pace relays by their link

Cause: the relay of a zone was the host whose address has the lowest hash. In these fleets 22 of 24 hosts of a zone have links of 10 Mbit/s, and all four relays were among them. A relay of 90 hosts sends 95 datagrams for each round of reports, up to 1,246 KB/s of the 1,250 KB/s that its link carries; the rest was dropped, and its own callers' answers queued behind them.

Change: a setting for the link's bandwidth, which hosts tell each other in the roster and in their messages (earlier releases ignore it there); the fastest link goes first in the order of relays.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -224,7 +224,7 @@
 		return err
 	}
 	for _, address := range g.Settings.Peers {
-		g.mesh.AddHost(address, "")
+		g.mesh.AddHost(address, "", 0)
 	}
 	g.decisions.sendReport = g.sendLoadReport
 	g.peerServer = &http.Server{
@@ -243,6 +243,7 @@
 		Zone:        g.Settings.Zone,
 		Incarnation: g.incarnation,
 		Address:     address,
+		LinkMbps:    g.Settings.LinkMbps,
 		Listener: &peerEvents{
 			decisions: g.decisions,
 			trail:     g.trail,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -240,6 +240,8 @@
 	Address     string `json:"address"`
 	Zone        string `json:"zone"`
 	Incarnation int64  `json:"born"`
+	// LinkMbps is the bandwidth of the host's network link, or zero if it is not known.
+	LinkMbps float64 `json:"linkMbps,omitempty"`
 }
 
 // joinRoster writes the host's entry to the roster and then reads the other entries,
@@ -271,6 +273,7 @@
 			Address:     g.PeerAddress(),
 			Zone:        g.Settings.Zone,
 			Incarnation: g.incarnation,
+			LinkMbps:    g.Settings.LinkMbps,
 		})
 		if err != nil {
 			return err
@@ -292,7 +295,7 @@
 			g.trail.Failure("rosterEntryUnreadable").Text("peer", record.Key).Err(err).End()
 			continue
 		}
-		g.mesh.AddHost(entry.Address, entry.Zone)
+		g.mesh.AddHost(entry.Address, entry.Zone, entry.LinkMbps)
 	}
 	g.decisions.post(heartbeatRequested{})
 	g.trail.Notice("rosterRead").Int("hosts", int64(len(listing.Records))).End()
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -59,7 +59,7 @@
 	})
 	if g.mesh != nil {
 		for _, address := range after.Peers {
-			g.mesh.AddHost(address, "")
+			g.mesh.AddHost(address, "", 0)
 		}
 	}
 	g.trail.Notice("reloaded").Bool("restartNeeded", needsRestart(before, after)).
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -25,8 +25,10 @@
 // In a small fleet each host sends its messages to all others. In a larger one, it
 // sends them to the relay of its availability zone, which sums them up and sends
 // the sums to the hosts of its zone and to the relays of the other zones. The relay
-// is the live host whose address has the lowest hash, so that hosts agree on it
-// without an election. While they disagree, load estimates are less accurate.
+// is the live host with the fastest network link, or among equals the one whose address
+// has the lowest hash, so that hosts agree on it without an election. While they
+// disagree, load estimates are less accurate. A relay sends reports less often if they
+// would take more than a share of its link.
 package peer
 
 import (
@@ -87,7 +89,10 @@
 	Zone        string
 	Incarnation int64
 	// Address is the IP and port at which other hosts reach this one.
-	Address  string
+	Address string
+	// LinkMbps is the bandwidth of this host's network link in Mbit/s, or zero if it is
+	// not known.
+	LinkMbps float64
 	Listener Listener
 	Timers   *timer.Service
 }
@@ -111,6 +116,7 @@
 	zoneLoad       *aggregate.Zone
 	lastRelayedAt  time.Time
 	lastCompleteAt time.Time
+	relayPacer     pacer
 	// nextHello counts the hellos sent; modulo the number of other hosts it is the
 	// position of the host that gets the next one.
 	nextHello int
@@ -125,6 +131,7 @@
 	address     string
 	udpAddress  net.Addr
 	relayRank   uint64
+	linkMbps    float64
 	incarnation int64
 	lastHeardAt time.Time
 	addedAt     time.Time
@@ -146,22 +153,24 @@
 		outgoing:     ring.New[Message](maxOutgoing),
 		hosts:        make(map[string]*peerHost),
 		zoneLoad:     aggregate.New(),
+		relayPacer:   newPacer(dependencies.LinkMbps),
 	}, nil
 }
 
-// AddHost makes a host known by its address and zone, so that it is sent messages
-// before it has sent any. The zone may be empty if it is not known.
-func (m *Mesh) AddHost(address, zone string) {
+// AddHost makes a host known by its address, its zone and the bandwidth of its link, so
+// that it is sent messages before it has sent any. The zone may be empty, and the
+// bandwidth zero, if they are not known.
+func (m *Mesh) AddHost(address, zone string, linkMbps float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if address != m.Address {
-		m.addLocked(address, zone)
+		m.addLocked(address, zone, linkMbps)
 	}
 }
 
 // addLocked returns the host at an address and adds it if necessary. It returns
 // nil if the address is invalid. The caller must hold m.mu.
-func (m *Mesh) addLocked(address, zone string) *peerHost {
+func (m *Mesh) addLocked(address, zone string, linkMbps float64) *peerHost {
 	h, ok := m.hosts[address]
 	if !ok {
 		parsed, err := netip.ParseAddrPort(address)
@@ -179,6 +188,9 @@
 	if zone != "" {
 		h.zone = zone
 	}
+	if linkMbps > 0 {
+		h.linkMbps = linkMbps
+	}
 	return h
 }
 
@@ -188,6 +200,7 @@
 	message.Zone = m.Zone
 	message.Incarnation = m.Incarnation
 	message.Address = m.Address
+	message.LinkMbps = m.LinkMbps
 	m.outgoing.TryPush(message)
 }
 
@@ -292,17 +305,18 @@
 	m.writeMessage(&hello, helloAddresses)
 }
 
-// writeMessage sends a message. Errors are ignored, as datagrams can be dropped by
-// the network as well.
-func (m *Mesh) writeMessage(message *Message, addresses []net.Addr) {
+// writeMessage sends a message and returns its size. Errors are ignored, as datagrams
+// can be dropped by the network as well.
+func (m *Mesh) writeMessage(message *Message, addresses []net.Addr) int {
 	if len(addresses) == 0 {
-		return
+		return 0
 	}
 	bytes := message.Append(make([]byte, 0, 512))
 	if len(bytes) > maxDatagram {
-		return
+		return 0
 	}
 	m.writeBytes(bytes, addresses)
+	return len(bytes)
 }
 
 func (m *Mesh) writeBytes(bytes []byte, addresses []net.Addr) {
@@ -358,8 +372,9 @@
 	isRelay := m.relayOf(m.Zone, now) == nil
 	var forwardTo []net.Addr
 	switch {
-	case message.Aggregate && message.Zone != m.Zone && isRelay:
+	case message.Aggregate && message.Zone != m.Zone && isRelay && m.relayPacer.allowsForward(now):
 		forwardTo = m.zoneAddresses()
+		m.relayPacer.recordSent(now, len(forwardTo), len(bytes))
 	case !message.Aggregate && message.Zone == m.Zone && isRelay && !message.ShuttingDown:
 		m.zoneLoad.RecordReport(now, message.Host, message.Complete, message.Loads, message.Placements)
 	}
@@ -374,7 +389,7 @@
 // false for a message of an earlier incarnation or with an invalid address. The
 // caller must hold m.mu.
 func (m *Mesh) recordSender(message *Message, now time.Time) (peerHost, bool) {
-	h := m.addLocked(message.Address, message.Zone)
+	h := m.addLocked(message.Address, message.Zone, message.LinkMbps)
 	if h == nil || message.Incarnation < h.incarnation {
 		return peerHost{}, false
 	}
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -53,6 +53,11 @@
 // startMeshAt starts a mesh and returns it with its listener and a function that
 // stops it.
 func startMeshAt(t *testing.T, name, zone, address string, incarnation int64) (*peer.Mesh, recorder, func()) {
+	t.Helper()
+	return startMeshWithLink(t, name, zone, address, incarnation, 0)
+}
+
+func startMeshWithLink(t *testing.T, name, zone, address string, incarnation int64, linkMbps float64) (*peer.Mesh, recorder, func()) {
 	t.Helper()
 	r := recorder{
 		messages:   make(chan peer.Message, 100),
@@ -64,6 +69,7 @@
 		Zone:        zone,
 		Incarnation: incarnation,
 		Address:     address,
+		LinkMbps:    linkMbps,
 		Listener:    r,
 		Timers:      timers,
 	})
@@ -90,7 +96,7 @@
 	first, firstRecorder, firstAddress := startMesh(t, "first", 1)
 	second, secondRecorder, _ := startMesh(t, "second", 1)
 	// The first host learns of the second only from the second's message.
-	second.AddHost(firstAddress, "z0")
+	second.AddHost(firstAddress, "z0", 0)
 	second.Send(peer.Message{ConfigurationVersion: 4})
 	if got := <-firstRecorder.messages; got.Host != "second" || got.ConfigurationVersion != 4 {
 		t.Errorf("received %+v", got)
@@ -110,7 +116,7 @@
 func TestSilentHostIsReported(t *testing.T) {
 	_, r, address := startMesh(t, "first", 1)
 	second, _, _ := startMesh(t, "second", 1)
-	second.AddHost(address, "z0")
+	second.AddHost(address, "z0", 0)
 	second.Send(peer.Message{})
 	<-r.messages
 	select {
@@ -128,7 +134,7 @@
 	secondAddress := freeAddress(t)
 	for i := range int64(2) {
 		second, _, stop := startMeshAt(t, "second", "z0", secondAddress, i+1)
-		second.AddHost(address, "z0")
+		second.AddHost(address, "z0", 0)
 		second.Send(peer.Message{})
 		<-r.messages
 		stop()
@@ -152,7 +158,7 @@
 	}
 	for i := range hosts {
 		for j := range hosts {
-			meshes[i].AddHost(addresses[j], zone(j))
+			meshes[i].AddHost(addresses[j], zone(j), 0)
 		}
 	}
 	timeout := time.After(20 * time.Second)
@@ -174,3 +180,46 @@
 		}
 	}
 }
+
+// TestRelaysHaveTheFastestLinks guards against relays on hosts whose links reports fill.
+func TestRelaysHaveTheFastestLinks(t *testing.T) {
+	const hosts = 24
+	meshes := make([]*peer.Mesh, hosts)
+	addresses := make([]string, hosts)
+	zone := func(i int) string { return []string{"z0", "z1"}[i%2] }
+	hasFastLink := func(i int) bool { return i == 7 || i == 8 }
+	for i := range hosts {
+		addresses[i] = freeAddress(t)
+		link := 10.0
+		if hasFastLink(i) {
+			link = 200
+		}
+		meshes[i], _, _ = startMeshWithLink(t, fmt.Sprintf("host-%d", i), zone(i), addresses[i], 1, link)
+	}
+	for i := range hosts {
+		for j := range hosts {
+			meshes[i].AddHost(addresses[j], zone(j), 0)
+		}
+	}
+	areRelaysRight := func() bool {
+		for i, mesh := range meshes {
+			if mesh.IsRelay() != hasFastLink(i) {
+				return false
+			}
+		}
+		return true
+	}
+	timeout := time.After(20 * time.Second)
+	poll := time.NewTicker(20 * time.Millisecond)
+	defer poll.Stop()
+	for !areRelaysRight() {
+		for _, mesh := range meshes {
+			mesh.Send(peer.Message{Complete: true})
+		}
+		select {
+		case <-poll.C:
+		case <-timeout:
+			t.Fatal("after 20 s the relays are not the hosts with the fastest links")
+		}
+	}
+}
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math"
 	"time"
 
 	"cactuswell/core/scheduling"
@@ -25,6 +26,7 @@
 	flagStoreUnavailable
 	flagShuttingDown
 	flagAggregate
+	flagLink
 )
 
 // Message is the report of a host to the others.
@@ -41,6 +43,9 @@
 	// hosts of the zone.
 	Aggregate bool
 	Hosts     int
+	// LinkMbps is the bandwidth of the sender's network link in Mbit/s, or zero if it is
+	// not known.
+	LinkMbps float64
 	// ConfigurationVersion is the version of the configuration that the sender has
 	// in force.
 	ConfigurationVersion int64
@@ -82,6 +87,9 @@
 	if m.Aggregate {
 		flags |= flagAggregate
 	}
+	if m.LinkMbps > 0 {
+		flags |= flagLink
+	}
 	to = append(to, flags)
 	to = appendText(to, m.Host)
 	to = appendText(to, m.Address)
@@ -109,6 +117,10 @@
 		to = binary.BigEndian.AppendUint64(to, p.PrefixHash)
 		to = binary.AppendUvarint(to, uint64(max(p.Tokens, 0)))
 	}
+	// Earlier releases ignore what follows the placements.
+	if m.LinkMbps > 0 {
+		to = binary.BigEndian.AppendUint64(to, math.Float64bits(m.LinkMbps))
+	}
 	return to
 }
 
@@ -153,6 +165,9 @@
 			Tokens:     int(d.boundedUvarint()),
 		})
 	}
+	if flags&flagLink != 0 {
+		m.LinkMbps = math.Float64frombits(d.uint64())
+	}
 	if d.failed || m.Host == "" {
 		return Message{}, &MalformedError{Reason: "truncated or out of bounds"}
 	}
--- a/io/peer/message_test.go
+++ b/io/peer/message_test.go
@@ -19,6 +19,7 @@
 		Zone:                 rapid.StringN(0, 20, 60).Draw(t, "zone"),
 		Aggregate:            rapid.Bool().Draw(t, "aggregate"),
 		Hosts:                rapid.IntRange(0, 1<<20).Draw(t, "hosts"),
+		LinkMbps:             float64(rapid.IntRange(0, 1<<20).Draw(t, "link")),
 		Incarnation:          rapid.Int64().Draw(t, "born"),
 		ConfigurationVersion: rapid.Int64().Draw(t, "version"),
 		StoreUnavailable:     rapid.Bool().Draw(t, "storeLost"),
@@ -59,8 +60,9 @@
 
 func TestTruncatedMessageIsRejected(t *testing.T) {
 	encoded := (&peer.Message{
-		Host:  "host-1",
-		Loads: []scheduling.PeerLoad{{Endpoint: 7, Running: 3}},
+		Host:     "host-1",
+		LinkMbps: 10,
+		Loads:    []scheduling.PeerLoad{{Endpoint: 7, Running: 3}},
 	}).Append(nil)
 	for length := range encoded {
 		_, err := peer.Decode(encoded[:length])
--- /dev/null
+++ b/io/peer/pacer_test.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRelayKeepsToItsShareOfTheLink guards against relays that fill their own links.
+func TestRelayKeepsToItsShareOfTheLink(t *testing.T) {
+	const (
+		linkMbps    = 10
+		zoneHosts   = 23
+		otherZones  = 3
+		reportBytes = 1100
+		duration    = 10 * time.Second
+	)
+	p := newPacer(linkMbps)
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	sent, reports := 0, 0
+	for now := start; now.Before(start.Add(duration)); now = now.Add(relayInterval) {
+		datagrams := 0
+		if p.allowsReport(now) {
+			datagrams += zoneHosts + otherZones
+			reports++
+		}
+		for range otherZones {
+			if p.allowsForward(now) {
+				datagrams += zoneHosts
+			}
+		}
+		p.recordSent(now, datagrams, reportBytes)
+		sent += datagrams * (reportBytes + datagramOverhead)
+	}
+	share := float64(sent) * 8 / 1e6 / duration.Seconds() / linkMbps
+	if share > relayLinkShare+0.05 {
+		t.Errorf("the relay uses %.2f of its link, want at most %.2f", share, relayLinkShare)
+	}
+	if reports == 0 {
+		t.Error("the relay sent no report of its own")
+	}
+}
+
+// TestUnknownLinkIsNotPaced guards against hosts that relay nothing because their link is
+// not known.
+func TestUnknownLinkIsNotPaced(t *testing.T) {
+	p := newPacer(0)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	p.recordSent(now, 1000, 1000)
+	if !p.allowsReport(now) || !p.allowsForward(now) {
+		t.Error("a relay with an unknown link is paced")
+	}
+}
--- a/io/peer/relay.go
+++ b/io/peer/relay.go
@@ -31,16 +31,28 @@
 	var relay *peerHost
 	for _, h := range m.hosts {
 		isNew := h.lastHeardAt.IsZero() && now.Sub(h.addedAt) < silenceTimeout
-		if h.zone == zone && (h.alive || isNew) && (relay == nil || h.relayRank < relay.relayRank) {
+		if h.zone == zone && (h.alive || isNew) && (relay == nil || h.isBetterRelay(relay)) {
 			relay = h
 		}
 	}
-	if zone == m.Zone && (relay == nil || xxhash.Sum64String(m.Address) < relay.relayRank) {
+	self := &peerHost{
+		linkMbps:  m.LinkMbps,
+		relayRank: xxhash.Sum64String(m.Address),
+	}
+	if zone == m.Zone && (relay == nil || self.isBetterRelay(relay)) {
 		return nil
 	}
 	return relay
 }
 
+// isBetterRelay reports whether h goes before other in the order of a zone's relays.
+func (h *peerHost) isBetterRelay(other *peerHost) bool {
+	if h.linkMbps != other.linkMbps {
+		return h.linkMbps > other.linkMbps
+	}
+	return h.relayRank < other.relayRank
+}
+
 // IsRelay reports whether relays are in use and this host is one.
 func (m *Mesh) IsRelay() bool {
 	m.mu.Lock()
@@ -57,7 +69,7 @@
 		return
 	}
 	complete := now.Sub(m.lastCompleteAt) >= HeartbeatInterval
-	if !complete && (!m.zoneLoad.HasChanges() || now.Sub(m.lastRelayedAt) < relayInterval) {
+	if !m.relayPacer.allowsReport(now) || !complete && (!m.zoneLoad.HasChanges() || now.Sub(m.lastRelayedAt) < relayInterval) {
 		m.mu.Unlock()
 		return
 	}
@@ -71,13 +83,17 @@
 	message.Zone = m.Zone
 	message.Incarnation = m.Incarnation
 	message.Address = m.Address
+	message.LinkMbps = m.LinkMbps
 	message.Aggregate = true
 	message.Complete = complete
 	message.Hosts = m.zoneLoad.Hosts()
 	message.Loads, message.Placements = m.zoneLoad.TakeTotals(now, complete)
 	addresses := append(m.zoneAddresses(), m.otherRelayAddresses(now)...)
 	m.mu.Unlock()
-	m.writeMessage(&message, addresses)
+	size := m.writeMessage(&message, addresses)
+	m.mu.Lock()
+	m.relayPacer.recordSent(now, len(addresses), size)
+	m.mu.Unlock()
 	m.Listener.HandleMessage(message)
 }
 
