Let the prefills of all hosts at an engine add up

Cause: each host let the prefill of its own oldest call shrink with time, and each receiver that of each report, as if the engine worked on all of them at once. It works on one at a time. The more hosts share an engine, the sooner it looked idle while a queue waited there. The relay's sums lost more: they subtracted the host's previous value in full from a sum that had shrunk meanwhile.

Change: hosts report the whole prefill time of calls without a first event; sums are exact; a receiver lets the total shrink once, since the last progress that it knows of. The field is renamed as it means something else; its place in the datagram stays.

TestPrefillTimeElapses asserted the fault (100 ms became 40 ms after 60 ms, also if the engine had worked on another host's prompt). TestPendingPrefillsAddUp replaces it.

Tests, on the code before (field renamed): TestPrefillsOfOtherHostsTakeTurns: backlog after 300 ms of work on five prefills of 400 ms is 500ms, want 1.7 s; after the first of five is 0s, want 1.6 s TestPendingPrefillsAddUp: 140ms, want 200 ms

--- a/core/aggregate/aggregate.go
+++ b/core/aggregate/aggregate.go
@@ -38,9 +38,8 @@
 
 // total is the load of all members at one endpoint.
 type total struct {
-	load      scheduling.PeerLoad
-	updatedAt time.Time
-	dirty     bool
+	load  scheduling.PeerLoad
+	dirty bool
 }
 
 // New returns a zone without members.
@@ -89,15 +88,12 @@
 		t = &total{load: scheduling.PeerLoad{Endpoint: load.Endpoint}}
 		z.totals[load.Endpoint] = t
 	}
-	// The prefill time of the previous total has partly elapsed.
-	t.load.PrefillBacklog = max(t.load.PrefillBacklog-now.Sub(t.updatedAt), 0)
-	t.load.PrefillBacklog = max(t.load.PrefillBacklog+load.PrefillBacklog-previous.PrefillBacklog, 0)
+	t.load.PendingPrefill += load.PendingPrefill - previous.PendingPrefill
 	t.load.Running += load.Running - previous.Running
 	t.load.LatencySensitive += load.LatencySensitive - previous.LatencySensitive
-	t.updatedAt = now
 	t.dirty = true
 	z.dirty = true
-	if load.Running == 0 && load.PrefillBacklog == 0 {
+	if load.Running == 0 && load.PendingPrefill == 0 {
 		delete(m.loads, load.Endpoint)
 		return
 	}
@@ -117,8 +113,6 @@
 	for endpoint, t := range z.totals {
 		idle := t.load.Running == 0
 		if t.dirty || complete && !idle {
-			t.load.PrefillBacklog = max(t.load.PrefillBacklog-now.Sub(t.updatedAt), 0)
-			t.updatedAt = now
 			t.dirty = false
 			loads = append(loads, t.load)
 		}
--- a/core/aggregate/aggregate_test.go
+++ b/core/aggregate/aggregate_test.go
@@ -76,13 +76,20 @@
 	}
 }
 
-func TestPrefillTimeElapses(t *testing.T) {
+// TestPendingPrefillsAddUp guards against a total that shrinks for each host at once, although
+// their prompts wait for the same engine.
+func TestPendingPrefillsAddUp(t *testing.T) {
 	zone := aggregate.New()
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	zone.RecordReport(now, "a", true, []scheduling.PeerLoad{{Endpoint: 1, Running: 1, PrefillBacklog: 100 * time.Millisecond}}, nil)
+	for _, host := range []string{"a", "b", "c"} {
+		zone.RecordReport(now, host, true, []scheduling.PeerLoad{{Endpoint: 1, Running: 1, PendingPrefill: 100 * time.Millisecond}}, nil)
+	}
 	now = now.Add(60 * time.Millisecond)
-	loads, _ := zone.TakeTotals(now, true)
-	if loads[0].PrefillBacklog != 40*time.Millisecond {
-		t.Errorf("prefill time is %v, want 40 ms", loads[0].PrefillBacklog)
+	zone.RecordReport(now, "a", true, []scheduling.PeerLoad{{Endpoint: 1, Running: 1}}, nil)
+	for _, complete := range []bool{false, true} {
+		loads, _ := zone.TakeTotals(now, complete)
+		if len(loads) != 1 || loads[0].PendingPrefill != 200*time.Millisecond {
+			t.Errorf("loads are %+v, want 200 ms of prefills", loads)
+		}
 	}
 }
--- a/core/scheduling/endpoint.go
+++ b/core/scheduling/endpoint.go
@@ -37,6 +37,9 @@
 	pending          []*call
 	running          int
 	latencySensitive int
+	// progressAt is when the engine last finished a prefill, or began one while it had no
+	// other, as far as this host knows.
+	progressAt time.Time
 	// peerLoads holds the load of each peer at this endpoint.
 	peerLoads       map[string]loadReport
 	reported        ReportedLoad
@@ -60,19 +63,13 @@
 	partitionRank int
 }
 
-// loadReport is a reported load with the time at which it was received or sent.
+// loadReport is a load that was received or sent.
 type loadReport struct {
 	PeerLoad
-	reportedAt time.Time
 	// includesSelf reports whether the load includes this host's own.
 	includesSelf bool
 }
 
-// remainingPrefill returns the prefill time that remains of the reported one.
-func (l *loadReport) remainingPrefill(now time.Time) time.Duration {
-	return max(l.PrefillBacklog-now.Sub(l.reportedAt), 0)
-}
-
 func newEndpoint(now time.Time, entry directory.Entry) *endpoint {
 	key := keyOf(entry)
 	return &endpoint{
@@ -88,24 +85,29 @@
 	}
 }
 
-// prefillBacklog returns the remaining engine time of the prefills sent so far.
+// prefillBacklog returns the remaining engine time of the prefills that all hosts have
+// sent. The engine is assumed to be at work on one of them since the last progress.
 func (e *endpoint) prefillBacklog(now time.Time) time.Duration {
-	backlog := e.ownPrefillBacklog(now)
+	return max(e.pendingPrefill(now)-now.Sub(e.progressAt), 0)
+}
+
+// pendingPrefill returns the whole prefill time of the calls of all hosts that have no
+// first event yet.
+func (e *endpoint) pendingPrefill(now time.Time) time.Duration {
+	pending := e.ownPendingPrefill(now)
 	for _, load := range e.peerLoads {
-		peerBacklog := load.remainingPrefill(now)
+		pending += load.PendingPrefill
 		if load.includesSelf {
-			peerBacklog = max(peerBacklog-e.lastSent.remainingPrefill(now), 0)
+			pending -= min(e.lastSent.PendingPrefill, load.PendingPrefill)
 		}
-		backlog += peerBacklog
 	}
-	return backlog
+	return pending
 }
 
-// ownPrefillBacklog is the part of prefillBacklog due to this host's calls. The
-// oldest pending call is assumed to be in prefill since it was sent. If it is
-// overdue, the endpoint is slower than estimated, which delays the calls behind it
-// as well.
-func (e *endpoint) ownPrefillBacklog(now time.Time) time.Duration {
+// ownPendingPrefill is the part of pendingPrefill due to this host's calls. If the oldest
+// of them is overdue, the endpoint is slower than estimated, which delays the calls
+// behind it as well.
+func (e *endpoint) ownPendingPrefill(now time.Time) time.Duration {
 	if len(e.pending) == 0 {
 		return 0
 	}
@@ -116,12 +118,20 @@
 	oldest := e.pending[0]
 	elapsed := now.Sub(oldest.sentAt)
 	if elapsed <= oldest.predictedTimeToFirstEvent {
-		return max(total-min(elapsed, oldest.prefillTime), 0)
+		return total
 	}
 	overdue := float64(elapsed) / float64(max(oldest.predictedTimeToFirstEvent, time.Millisecond))
 	return time.Duration(float64(total) * min(overdue, maxSlowness))
 }
 
+// addPending adds a call that waits for its first event.
+func (e *endpoint) addPending(now time.Time, c *call) {
+	if e.pendingPrefill(now) == 0 {
+		e.progressAt = now
+	}
+	e.pending = append(e.pending, c)
+}
+
 // inFlight returns the estimated number of calls that run or wait at the endpoint.
 func (e *endpoint) inFlight(now time.Time) int {
 	others := 0
@@ -165,8 +175,30 @@
 	e.slowness += slownessWeight * (ratio - e.slowness)
 }
 
-func (e *endpoint) removePending(c *call) {
+// removePending removes a call whose prefill is over or was canceled.
+func (e *endpoint) removePending(now time.Time, c *call) {
+	before := len(e.pending)
 	e.pending = slices.DeleteFunc(e.pending, func(pending *call) bool { return pending == c })
+	if len(e.pending) < before {
+		e.progressAt = now
+	}
+}
+
+// recordPeerLoad records the load that a peer reports.
+func (e *endpoint) recordPeerLoad(now time.Time, peer string, load loadReport) {
+	previous := e.peerLoads[peer].PendingPrefill
+	if load.PendingPrefill < previous || load.PendingPrefill > previous && e.pendingPrefill(now) == 0 {
+		e.progressAt = now
+	}
+	e.peerLoads[peer] = load
+}
+
+// removePeerLoad removes the load of a peer that no longer has any here.
+func (e *endpoint) removePeerLoad(now time.Time, peer string) {
+	if e.peerLoads[peer].PendingPrefill > 0 {
+		e.progressAt = now
+	}
+	delete(e.peerLoads, peer)
 }
 
 // cacheIndex estimates which prompt prefixes an engine has cached, by their hashes.
--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -105,9 +105,10 @@
 type PeerLoad struct {
 	// Endpoint is the hash of the endpoint's key.
 	Endpoint uint64
-	// PrefillBacklog is the remaining engine time of prefills whose stream has no
-	// first event yet.
-	PrefillBacklog time.Duration
+	// PendingPrefill is the whole engine time of the prefills whose stream has no first
+	// event yet. It does not shrink while one of them is in progress, since a host does
+	// not know which host's prompt an engine is working on.
+	PendingPrefill time.Duration
 	Running        int
 	// LatencySensitive counts the running latency-sensitive streams.
 	LatencySensitive int
--- a/core/scheduling/fetch_test.go
+++ b/core/scheduling/fetch_test.go
@@ -56,7 +56,7 @@
 			h.step(scheduling.PeerReported{
 				Peer:     "other",
 				Complete: true,
-				Loads:    []scheduling.PeerLoad{{Endpoint: holder.Hash(), PrefillBacklog: 20 * time.Second, Running: 2}},
+				Loads:    []scheduling.PeerLoad{{Endpoint: holder.Hash(), PendingPrefill: 20 * time.Second, Running: 2}},
 			})
 			_, commands = h.startCall("brief")
 			got := h.requireSend(commands)
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -54,7 +54,7 @@
 		return
 	}
 	c.started = true
-	c.endpoint.removePending(c)
+	c.endpoint.removePending(s.now, c)
 	s.markDirty(c.endpoint)
 	if c.endpoint.health.probing {
 		s.reinstate(c.endpoint)
@@ -73,7 +73,7 @@
 	if c.latencySensitive {
 		e.latencySensitive--
 	}
-	e.removePending(c)
+	e.removePending(s.now, c)
 	s.markDirty(e)
 	c.endpoint = nil
 	return e
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -407,7 +407,7 @@
 	s.markDirty(e)
 	if c.pool.engine != nil {
 		c.pool.partitions.recordDemand(s.now, c.latencySensitive, c.prefillTime)
-		e.pending = append(e.pending, c)
+		e.addPending(s.now, c)
 		s.recordPlacement(c, e)
 	}
 	if e.health.ejectionTime > 0 {
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -271,17 +271,16 @@
 	for _, load := range event.Loads {
 		listed[load.Endpoint] = true
 		if e := s.byHash[load.Endpoint]; e != nil {
-			e.peerLoads[event.Peer] = loadReport{
+			e.recordPeerLoad(s.now, event.Peer, loadReport{
 				PeerLoad:     load,
-				reportedAt:   s.now,
 				includesSelf: event.IncludesSelf,
-			}
+			})
 		}
 	}
 	if event.Complete {
 		for _, e := range s.endpoints {
 			if !listed[e.keyHash] {
-				delete(e.peerLoads, event.Peer)
+				e.removePeerLoad(s.now, event.Peer)
 			}
 		}
 	}
@@ -335,12 +334,11 @@
 		e.lastSent = loadReport{
 			PeerLoad: PeerLoad{
 				Endpoint:         e.keyHash,
-				PrefillBacklog:   e.ownPrefillBacklog(now),
+				PendingPrefill:   e.ownPendingPrefill(now),
 				Running:          e.running,
 				LatencySensitive: e.latencySensitive,
 				Ejected:          e.health.isEjected(now),
 			},
-			reportedAt: now,
 		}
 		loads = append(loads, e.lastSent.PeerLoad)
 	}
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -326,6 +326,40 @@
 	}
 }
 
+// TestPrefillsOfOtherHostsTakeTurns guards against a backlog that shrinks for each host at
+// once, so that a busy engine of a large fleet looks idle.
+func TestPrefillsOfOtherHostsTakeTurns(t *testing.T) {
+	const peers = 5
+	h := newHarness(t, 1)
+	engine := scheduling.Key{ID: entry(models, 0).ID, Incarnation: 1}
+	report := func(peer string, pending time.Duration) {
+		h.step(scheduling.PeerReported{
+			Peer:     peer,
+			Complete: true,
+			Loads: []scheduling.PeerLoad{{
+				Endpoint:       engine.Hash(),
+				PendingPrefill: pending,
+				Running:        0,
+			}},
+		})
+	}
+	for i := range peers {
+		report(fmt.Sprintf("peer-%d", i), 400*time.Millisecond)
+	}
+	h.now = h.now.Add(300 * time.Millisecond)
+	_, commands := h.startCall("summary")
+	if got := h.requireSend(commands).Choice.PrefillBacklog; got != 1700*time.Millisecond {
+		t.Errorf("backlog after 300 ms of work on five prefills of 400 ms is %v, want 1.7 s", got)
+	}
+	h.endAttempt(h.nextID, scheduling.Abandoned{})
+	h.now = h.now.Add(100 * time.Millisecond)
+	report("peer-0", 0)
+	_, commands = h.startCall("summary")
+	if got := h.requireSend(commands).Choice.PrefillBacklog; got != 1600*time.Millisecond {
+		t.Errorf("backlog after the first of five prefills is %v, want 1.6 s", got)
+	}
+}
+
 // TestInvariants feeds random sequences of events and checks that a call is sent at most
 // as often as its route allows, never to a leaving endpoint or while it runs, and that
 // each call ends.
--- a/core/scheduling/weights.go
+++ b/core/scheduling/weights.go
@@ -49,7 +49,7 @@
 		FetchCost:                0.1,
 		AffinityBonus:            0.2,
 		PartitionMissCost:        0.3,
-		InterferenceCost:         0.1,
+		InterferenceCost:         0.2,
 		ErrorCost:                1.5,
 		ColdStartCost:            0.2,
 		ProbeCost:                0.4,
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -101,7 +101,7 @@
 	to = binary.AppendUvarint(to, uint64(len(loads)))
 	for _, l := range loads {
 		to = binary.BigEndian.AppendUint64(to, l.Endpoint)
-		to = binary.AppendUvarint(to, uint64(max(l.PrefillBacklog.Milliseconds(), 0)))
+		to = binary.AppendUvarint(to, uint64(max(l.PendingPrefill.Milliseconds(), 0)))
 		to = binary.AppendUvarint(to, uint64(max(l.Running, 0)))
 		to = binary.AppendUvarint(to, uint64(max(l.LatencySensitive, 0)))
 		ejected := byte(0)
@@ -152,7 +152,7 @@
 	for range d.listLength() {
 		m.Loads = append(m.Loads, scheduling.PeerLoad{
 			Endpoint:         d.uint64(),
-			PrefillBacklog:   time.Duration(d.boundedUvarint()) * time.Millisecond,
+			PendingPrefill:   time.Duration(d.boundedUvarint()) * time.Millisecond,
 			Running:          int(d.boundedUvarint()),
 			LatencySensitive: int(d.boundedUvarint()),
 			Ejected:          d.byte() != 0,
--- a/io/peer/message_test.go
+++ b/io/peer/message_test.go
@@ -29,7 +29,7 @@
 	for range rapid.IntRange(0, 20).Draw(t, "work") {
 		m.Loads = append(m.Loads, scheduling.PeerLoad{
 			Endpoint:         rapid.Uint64().Draw(t, "endpoint"),
-			PrefillBacklog:   time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "reading")) * time.Millisecond,
+			PendingPrefill:   time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "reading")) * time.Millisecond,
 			Running:          rapid.IntRange(0, 1<<20).Draw(t, "running"),
 			LatencySensitive: rapid.IntRange(0, 1<<20).Draw(t, "tight"),
 			Ejected:          rapid.Bool().Draw(t, "ejected"),
