List a changed load in two reports

Cause: a report lists the engines whose load has changed. A host that misses it keeps the load from before until the next change there, or the next complete report.

Change: the next report lists them once more, at the host and at the relay. No report is sent earlier for that.

Test, on the code before: TestChangedTotalsAreListedTwice, report 2 lists nothing.

--- a/core/aggregate/aggregate.go
+++ b/core/aggregate/aggregate.go
@@ -38,8 +38,10 @@
 
 // total is the load of all members at one endpoint.
 type total struct {
-	load  scheduling.PeerLoad
-	dirty bool
+	load scheduling.PeerLoad
+	// reportsLeft is the number of reports that still list the load, because it has
+	// changed.
+	reportsLeft int
 }
 
 // New returns a zone without members.
@@ -91,7 +93,7 @@
 	t.load.PendingPrefill += load.PendingPrefill - previous.PendingPrefill
 	t.load.Running += load.Running - previous.Running
 	t.load.LatencySensitive += load.LatencySensitive - previous.LatencySensitive
-	t.dirty = true
+	t.reportsLeft = scheduling.ReportsPerChange
 	z.dirty = true
 	if load.Running == 0 && load.PendingPrefill == 0 {
 		delete(m.loads, load.Endpoint)
@@ -106,17 +108,17 @@
 // Hosts returns the number of members.
 func (z *Zone) Hosts() int { return len(z.members) }
 
-// TakeTotals returns the totals: all that are not zero, or those that changed since
-// the last call. It also returns the prompts placed since then.
+// TakeTotals returns the totals: all that are not zero, or those that changed lately.
+// It also returns the prompts placed lately.
 func (z *Zone) TakeTotals(now time.Time, complete bool) ([]scheduling.PeerLoad, []scheduling.Placement) {
 	loads := make([]scheduling.PeerLoad, 0, len(z.totals))
 	for endpoint, t := range z.totals {
 		idle := t.load.Running == 0
-		if t.dirty || complete && !idle {
-			t.dirty = false
+		if t.reportsLeft > 0 || complete && !idle {
+			t.reportsLeft = max(t.reportsLeft-1, 0)
 			loads = append(loads, t.load)
 		}
-		if idle {
+		if idle && t.reportsLeft == 0 {
 			delete(z.totals, endpoint)
 		}
 	}
--- a/core/aggregate/aggregate_test.go
+++ b/core/aggregate/aggregate_test.go
@@ -93,3 +93,19 @@
 		}
 	}
 }
+
+// TestChangedTotalsAreListedTwice guards against a host that misses one report and takes an
+// engine for idle, or busy, until the next complete one.
+func TestChangedTotalsAreListedTwice(t *testing.T) {
+	zone := aggregate.New()
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, running := range []int{2, 0} {
+		zone.RecordReport(now, "a", false, []scheduling.PeerLoad{{Endpoint: 1, Running: running}}, nil)
+		for report, want := range []int{1, 1, 0} {
+			loads, _ := zone.TakeTotals(now, false)
+			if len(loads) != want || want > 0 && loads[0].Running != running {
+				t.Errorf("report %d after the change to %d running calls lists %+v", report+1, running, loads)
+			}
+		}
+	}
+}
--- a/core/scheduling/endpoint.go
+++ b/core/scheduling/endpoint.go
@@ -53,9 +53,9 @@
 	fullUntil time.Time
 	// coldUntil is until when the endpoint is slow after its start.
 	coldUntil time.Time
-	// dirty reports whether the load has changed since it was last sent to other
-	// hosts.
-	dirty bool
+	// reportsLeft is the number of reports to other hosts that still list the load,
+	// because it has changed.
+	reportsLeft int
 	// lastSent is the load last sent to other hosts.
 	lastSent loadReport
 	// partitionRank is the endpoint's rank for the partitions. The latency
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -321,16 +321,20 @@
 // of TakeLoads.
 func (s *Scheduler) HasLoadChanges() bool { return s.dirty }
 
+// ReportsPerChange is the number of reports that list a changed load, since reports are
+// datagrams. Only the first of them is due because of the change.
+const ReportsPerChange = 2
+
 // TakeLoads returns the load that this host reports to others: all of it, or only
-// that of endpoints where it has changed since the last call. It also returns the
-// prompts placed since then.
+// that of endpoints where it has changed lately. It also returns the prompts placed
+// lately.
 func (s *Scheduler) TakeLoads(now time.Time, complete bool) ([]PeerLoad, []Placement) {
 	loads := make([]PeerLoad, 0, len(s.endpoints))
 	for _, e := range s.endpoints {
-		if !e.dirty && (!complete || e.running == 0) {
+		if e.reportsLeft == 0 && (!complete || e.running == 0) {
 			continue
 		}
-		e.dirty = false
+		e.reportsLeft = max(e.reportsLeft-1, 0)
 		e.lastSent = loadReport{
 			PeerLoad: PeerLoad{
 				Endpoint:         e.keyHash,
@@ -348,7 +352,7 @@
 
 // markDirty records that the load at an endpoint has changed.
 func (s *Scheduler) markDirty(e *endpoint) {
-	e.dirty = true
+	e.reportsLeft = ReportsPerChange
 	s.dirty = true
 }
 
