Refuse calls that engines cannot start before more urgent callers leave

Cause: a host sent each call to the best engine at once, however long the best one's queue was, as long as it had a slot. An engine admits what has a slot and prefills in order of arrival, so a priority does not help a call past the prompts before it. Above the engines' throughput all queues grew until everybody waited too long.

Change: a call is refused at once, with a time to come back, if the best engine's predicted time to the first event exceeds its limit. For the most urgent routes that is what callers are assumed to wait. For others it is the least patience of a more urgent route's callers, less a tenth for each priority level: a queue then stops growing where a more urgent call can still be served behind it, and the less urgent a call, the sooner it is refused.

--- a/core/incident/cause.go
+++ b/core/incident/cause.go
@@ -9,6 +9,7 @@
 var reasonTexts = map[string]string{
 	"noEndpoint":        "the host knew no endpoint of the service",
 	"allFull":           "no endpoint could have begun it in time",
+	"overloaded":        "every engine's queue was too long for it, or for more urgent calls behind it",
 	"timedOut":          "its time was over before an answer came",
 	"outcomeUnknown":    "an endpoint may have run it, so that it could not be sent again",
 	"retryBudgetSpent":  "the fleet's retry budget left no room for another attempt",
--- a/core/incident/incident_test.go
+++ b/core/incident/incident_test.go
@@ -65,6 +65,7 @@
 	}{
 		{"served", []string{line("callEnded", `"result":"served","status":200,"totalMs":12.5`)}, "served with status 200 after 12.5 ms"},
 		{"denied", []string{line("callDenied", `"reason":"unknownKey","status":401`)}, "denied with status 401: no team of the configuration has that key"},
+		{"overloaded", []string{line("callRefused", `"reason":"overloaded","cause":"","mayHaveRun":false,"result":"refused"`)}, "refused, and has not run: every engine's queue was too long for it, or for more urgent calls behind it"},
 		{"refused", []string{line("callRefused", `"reason":"allFull","cause":"","mayHaveRun":false,"result":"refused"`)}, "refused, and has not run: no endpoint could have begun it in time"},
 		{"cut", []string{
 			line("attemptEnded", `"attempt":1,"outcome":"Broken","events":10,"afterMs":3793.4`),
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -172,7 +172,7 @@
 	services     map[string]*Service
 	teamsByKey   map[string]*Team
 	teamNames    map[string]bool
-	routeCount   int
+	routes       []*Route
 	// urgencyLevels holds the urgencies of all allowed calls, the most urgent first.
 	urgencyLevels []urgency
 }
@@ -187,7 +187,6 @@
 		services:      make(map[string]*Service, len(spec.Services)),
 		teamsByKey:    make(map[string]*Team),
 		teamNames:     make(map[string]bool, len(spec.Teams)),
-		routeCount:    len(spec.Routes),
 		urgencyLevels: urgencyLevels(spec),
 	}
 	for i := range spec.Services {
@@ -202,6 +201,7 @@
 				Reason:  reason,
 			}
 		}
+		t.routes = append(t.routes, r)
 		host := strings.ToLower(r.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], r)
 	}
@@ -248,7 +248,10 @@
 func (t *Table) Limits() Limits { return t.limits }
 
 // RouteCount returns the number of routes.
-func (t *Table) RouteCount() int { return t.routeCount }
+func (t *Table) RouteCount() int { return len(t.routes) }
+
+// Routes returns all routes. The slice must not be changed.
+func (t *Table) Routes() []*Route { return t.routes }
 
 // TeamCount returns the number of teams.
 func (t *Table) TeamCount() int { return len(t.teamNames) }
--- a/core/scheduling/command.go
+++ b/core/scheduling/command.go
@@ -68,6 +68,11 @@
 	MayHaveRun bool
 	// RetryAfter is when the caller should retry, or zero.
 	RetryAfter time.Duration
+	// TimeToFirstEvent is the predicted time at the best endpoint, and DelayLimit the
+	// longest with which the call would have been sent, if the reason is
+	// ReasonOverloaded.
+	TimeToFirstEvent time.Duration
+	DelayLimit       time.Duration
 	// KnownEndpoints is the number of endpoints of the service, UsableEndpoints the
 	// number of those that take new work, and QueuedCalls the number of queued
 	// calls. They serve explanations.
@@ -105,6 +110,7 @@
 const (
 	ReasonNoEndpoint           Reason = "noEndpoint"
 	ReasonAllFull              Reason = "allFull"
+	ReasonOverloaded           Reason = "overloaded"
 	ReasonTimedOut             Reason = "timedOut"
 	ReasonOutcomeUnknown       Reason = "outcomeUnknown"
 	ReasonRetryBudgetExhausted Reason = "retryBudgetSpent"
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -280,7 +280,11 @@
 // refuse ends a call without a complete answer.
 func (s *Scheduler) refuse(c *call, reason Reason) {
 	s.removeCall(c)
-	s.commands = append(s.commands, Refuse{
+	s.commands = append(s.commands, s.newRefusal(c, reason))
+}
+
+func (s *Scheduler) newRefusal(c *call, reason Reason) Refuse {
+	return Refuse{
 		Call:            c.spec.ID,
 		Reason:          reason,
 		Cause:           c.lastFailure,
@@ -289,7 +293,7 @@
 		KnownEndpoints:  len(c.pool.endpoints),
 		UsableEndpoints: s.countUsable(c.pool),
 		QueuedCalls:     len(c.pool.queue),
-	})
+	}
 }
 
 // retryAfter returns the delay after which capacity is expected for a refused call:
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -60,6 +60,10 @@
 // placeOrQueue sends a call to the best endpoint, or queues or refuses it.
 func (s *Scheduler) placeOrQueue(c *call) {
 	if e, choice := s.pickEndpoint(c); e != nil {
+		if s.isOverloaded(c, choice) {
+			s.refuseOverloaded(c, choice)
+			return
+		}
 		s.send(c, e, choice)
 		return
 	}
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -94,6 +94,8 @@
 	// partitions divides the engines between latency-sensitive streams and
 	// prefills.
 	partitions partitions
+	// streamRoutes holds the routes that send streams to the service.
+	streamRoutes []*route.Route
 }
 
 // New returns a scheduler without services and endpoints.
@@ -170,6 +172,16 @@
 	for name, service := range table.Services() {
 		p := s.ensurePool(name)
 		p.engine = service.Engine
+		p.streamRoutes = nil
+	}
+	for _, r := range table.Routes() {
+		if r.Kind != route.Stream {
+			continue
+		}
+		for _, target := range r.Targets {
+			p := s.ensurePool(target.Service)
+			p.streamRoutes = append(p.streamRoutes, r)
+		}
 	}
 }
 
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -344,19 +344,19 @@
 		})
 	}
 	for i := range peers {
-		report(fmt.Sprintf("peer-%d", i), 400*time.Millisecond)
+		report(fmt.Sprintf("peer-%d", i), 200*time.Millisecond)
 	}
-	h.now = h.now.Add(300 * time.Millisecond)
+	h.now = h.now.Add(150 * time.Millisecond)
 	_, commands := h.startCall("summary")
-	if got := h.requireSend(commands).Choice.PrefillBacklog; got != 1700*time.Millisecond {
-		t.Errorf("backlog after 300 ms of work on five prefills of 400 ms is %v, want 1.7 s", got)
+	if got := h.requireSend(commands).Choice.PrefillBacklog; got != 850*time.Millisecond {
+		t.Errorf("backlog after 150 ms of work on five prefills of 200 ms is %v, want 0.85 s", got)
 	}
 	h.endAttempt(h.nextID, scheduling.Abandoned{})
-	h.now = h.now.Add(100 * time.Millisecond)
+	h.now = h.now.Add(50 * time.Millisecond)
 	report("peer-0", 0)
 	_, commands = h.startCall("summary")
-	if got := h.requireSend(commands).Choice.PrefillBacklog; got != 1600*time.Millisecond {
-		t.Errorf("backlog after the first of five prefills is %v, want 1.6 s", got)
+	if got := h.requireSend(commands).Choice.PrefillBacklog; got != 800*time.Millisecond {
+		t.Errorf("backlog after the first of five prefills is %v, want 0.8 s", got)
 	}
 }
 
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -327,11 +327,14 @@
 	if x.committed {
 		result = ResultTruncated
 	}
-	x.server.Trail.Failure("callRefused").Text("request", x.requestInfo.RequestID).Text("reason", string(refusal.Reason)).
+	line := x.server.Trail.Failure("callRefused").Text("request", x.requestInfo.RequestID).Text("reason", string(refusal.Reason)).
 		Text("cause", string(refusal.Cause)).Bool("mayHaveRun", refusal.MayHaveRun).Int("attempts", int64(x.attempts)).Millis("retryAfter", refusal.RetryAfter).
 		Int("endpoints", int64(refusal.KnownEndpoints)).Int("usable", int64(refusal.UsableEndpoints)).
-		Int("waiting", int64(refusal.QueuedCalls)).Int("version", x.configurationVersion()).
-		Millis("after", time.Since(x.arrivedAt)).Text("result", result).End()
+		Int("waiting", int64(refusal.QueuedCalls)).Int("version", x.configurationVersion())
+	if refusal.Reason == scheduling.ReasonOverloaded {
+		line = line.Millis("predictedFirst", refusal.TimeToFirstEvent).Millis("delayLimit", refusal.DelayLimit)
+	}
+	line.Millis("after", time.Since(x.arrivedAt)).Text("result", result).End()
 	x.finish(result, string(refusal.Reason), status)
 	if x.committed {
 		// Closes the connection without ending the response, so that the caller
--- a/simulation/incident_test.go
+++ b/simulation/incident_test.go
@@ -56,3 +56,20 @@
 		})
 	}
 }
+
+// TestBurstDoesNotStarveUrgentRequests guards against summaries that wait behind briefings.
+func TestBurstDoesNotStarveUrgentRequests(t *testing.T) {
+	const (
+		window      = 5 * time.Second
+		maxUnserved = 1.0 / 12
+	)
+	for name, config := range grownDeployments() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			result := simulation.Run(withColdBurst(config))
+			if got := result.Class(config.Classes[1].Name).WorstUnservedShare(window); got > maxUnserved {
+				t.Errorf("%.3f of the summaries of five seconds got nothing, want at most %.3f", got, maxUnserved)
+			}
+		})
+	}
+}
