Send long prompts to short queues even if they alone exceed the delay limit

Cause: the limit is on the predicted time to the first event, which includes the call's own prefill.

Change: a call is overloaded only if, besides, the queue at the best engine takes more than a quarter of the limit.

Test, on the code before: TestLongPromptIsSentToShortQueue, the first call is refused.

--- a/core/scheduling/overload.go
+++ b/core/scheduling/overload.go
@@ -15,6 +15,9 @@
 	// calls that more urgent ones may follow, and minDelayLimitShare the least share.
 	delayLimitStep     = 0.1
 	minDelayLimitShare = 0.4
+	// shortQueueShare is the share of the delay limit up to which an engine's queue is
+	// short enough for any prompt, even for one that alone takes longer than the limit.
+	shortQueueShare = 0.25
 )
 
 // patience returns how long callers of a route are assumed to wait for the first event.
@@ -45,9 +48,13 @@
 }
 
 // isOverloaded reports whether even the best endpoint for a call exceeds the call's delay
-// limit.
+// limit, because of the prompts that are queued there.
 func (s *Scheduler) isOverloaded(c *call, choice Choice) bool {
-	return c.pool.engine != nil && c.spec.Route.Kind == route.Stream && choice.TimeToFirstEvent > c.pool.delayLimit(c)
+	if c.pool.engine == nil || c.spec.Route.Kind != route.Stream {
+		return false
+	}
+	limit := c.pool.delayLimit(c)
+	return choice.TimeToFirstEvent > limit && choice.PrefillBacklog > time.Duration(shortQueueShare*float64(limit))
 }
 
 // refuseOverloaded refuses a call immediately, so that its caller can come back when the
--- a/core/scheduling/overload_test.go
+++ b/core/scheduling/overload_test.go
@@ -57,6 +57,34 @@
 	}
 }
 
+// TestLongPromptIsSentToShortQueue guards against prompts that are always refused because
+// they alone take longer than the limit.
+func TestLongPromptIsSentToShortQueue(t *testing.T) {
+	for backlog, refused := range map[time.Duration]bool{
+		100 * time.Millisecond: false,
+		800 * time.Millisecond: true,
+	} {
+		h := withBacklog(t, backlog)
+		found, _ := h.table.Lookup("h", "/brief/")
+		commands := h.step(scheduling.CallArrived{Call: scheduling.Call{
+			ID:           1,
+			Route:        found,
+			Service:      models,
+			Priority:     found.Priority,
+			Deadline:     h.now.Add(10 * time.Second),
+			PromptTokens: 90_000,
+			Prompt:       []scheduling.PromptPart{{ID: 7, Tokens: 90_000}},
+		}})
+		if refused {
+			h.requireRefuse(commands)
+			continue
+		}
+		if got := h.requireSend(commands).Choice.TimeToFirstEvent; got < 2*time.Second {
+			t.Errorf("the prompt takes %v, want more than any limit", got)
+		}
+	}
+}
+
 // TestOnlyRouteWaitsAsLongAsItsCallers guards against a limit for the sake of more urgent
 // calls where there are none.
 func TestOnlyRouteWaitsAsLongAsItsCallers(t *testing.T) {
