Let the load of silent peers expire

Found by reading, not seen by callers.

Cause: the load of a zone is kept under the zone's name, and a silent host removes only its own. If no host of a zone is left to be its relay, the zone's last load stayed for ever, since the backlog of an engine no longer shrinks for each report by itself.

Change: load that was not reported for 2 s (four complete reports) does not count. The peer still counts as hosts, which divide the retry budget.

Test, on the code before: TestLoadOfSilentPeerExpires, the call after 3 s of silence is refused.

--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -45,6 +45,7 @@
 	}
 	c.queueUntil = s.queueUntil(c)
 	s.calls[spec.ID] = c
+	s.expirePeerLoads()
 	s.placeOrQueue(c)
 }
 
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -78,8 +78,14 @@
 	// hosts is the number of hosts that its reports cover, without this one.
 	hosts      int
 	reportedAt time.Time
+	// expired reports whether its load no longer counts, because it is too old.
+	expired bool
 }
 
+// maxPeerLoadAge is the age up to which the load of a peer counts: a few complete
+// reports.
+const maxPeerLoadAge = 2 * time.Second
+
 // pool is a service with its endpoints.
 type pool struct {
 	name      string
@@ -309,10 +315,27 @@
 
 func (s *Scheduler) handlePeerRemoved(peer string) {
 	delete(s.peers, peer)
+	s.removePeerLoads(peer)
+	s.updateSlack()
+}
+
+func (s *Scheduler) removePeerLoads(peer string) {
 	for _, e := range s.endpoints {
 		delete(e.peerLoads, peer)
 	}
-	s.updateSlack()
+}
+
+// expirePeerLoads removes the load of peers that have not reported for too long. They
+// still count as hosts until they are removed.
+func (s *Scheduler) expirePeerLoads() {
+	for name, p := range s.peers {
+		if p.expired || s.now.Sub(p.reportedAt) <= maxPeerLoadAge {
+			continue
+		}
+		p.expired = true
+		s.peers[name] = p
+		s.removePeerLoads(name)
+	}
 }
 
 func (s *Scheduler) updateSlack() {
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -326,6 +326,20 @@
 	}
 }
 
+// TestLoadOfSilentPeerExpires guards against engines that look busy for as long as a zone
+// without hosts is not heard from.
+func TestLoadOfSilentPeerExpires(t *testing.T) {
+	h := withBacklog(t, 10*time.Second)
+	_, commands := h.startCall("brief")
+	h.requireRefuse(commands)
+	h.now = h.now.Add(3 * time.Second)
+	_, commands = h.startCall("brief")
+	h.requireSend(commands)
+	if got := h.scheduler.Hosts(); got != 2 {
+		t.Errorf("the silent peer is no longer one of %d hosts", got)
+	}
+}
+
 // TestPrefillsOfOtherHostsTakeTurns guards against a backlog that shrinks for each host at
 // once, so that a busy engine of a large fleet looks idle.
 func TestPrefillsOfOtherHostsTakeTurns(t *testing.T) {
