Send a relay's complete reports whatever its link carries

Seen in a test: a relay with a link of 10 Mbit/s beside zones that report at full rate sent one report of its own in 10 s, as what it forwards used its share. Not seen by callers.

Cause: its own reports yielded to forwarding, without a limit. The load of its zone would have expired everywhere after 2 s.

Change: complete reports, two a second, are not paced.

Test: TestRelayKeepsToItsShareOfTheLink wants two reports a second in place of one at all; with the policy before it counted 1 in 10 s. The bound on the share of the link is as before.

--- a/io/peer/pacer.go
+++ b/io/peer/pacer.go
@@ -39,7 +39,8 @@
 	p.freeAt = p.freeAt.Add(time.Duration(seconds * float64(time.Second)))
 }
 
-// allowsReport reports whether the relay may send a report of its own.
+// allowsReport reports whether the relay may send a report of changes. Complete reports
+// are sent in any case, so that its zone does not fall silent.
 func (p *pacer) allowsReport(now time.Time) bool { return !p.freeAt.After(now) }
 
 // allowsForward reports whether the relay may forward a message. Messages are forwarded
--- a/io/peer/pacer_test.go
+++ b/io/peer/pacer_test.go
@@ -17,9 +17,14 @@
 	p := newPacer(linkMbps)
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	sent, reports := 0, 0
+	var completeAt time.Time
 	for now := start; now.Before(start.Add(duration)); now = now.Add(relayInterval) {
 		datagrams := 0
-		if p.allowsReport(now) {
+		isComplete := now.Sub(completeAt) >= HeartbeatInterval
+		if isComplete {
+			completeAt = now
+		}
+		if isComplete || p.allowsReport(now) {
 			datagrams += zoneHosts + otherZones
 			reports++
 		}
@@ -35,8 +40,8 @@
 	if share > relayLinkShare+0.05 {
 		t.Errorf("the relay uses %.2f of its link, want at most %.2f", share, relayLinkShare)
 	}
-	if reports == 0 {
-		t.Error("the relay sent no report of its own")
+	if want := int(duration / HeartbeatInterval); reports < want {
+		t.Errorf("the relay sent %d reports of its own, want at least %d", reports, want)
 	}
 }
 
--- a/io/peer/relay.go
+++ b/io/peer/relay.go
@@ -69,7 +69,8 @@
 		return
 	}
 	complete := now.Sub(m.lastCompleteAt) >= HeartbeatInterval
-	if !m.relayPacer.allowsReport(now) || !complete && (!m.zoneLoad.HasChanges() || now.Sub(m.lastRelayedAt) < relayInterval) {
+	isChangeDue := m.zoneLoad.HasChanges() && now.Sub(m.lastRelayedAt) >= relayInterval && m.relayPacer.allowsReport(now)
+	if !complete && !isChangeDue {
 		m.mu.Unlock()
 		return
 	}
