--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -18,9 +18,9 @@
 // Hosts discover each other through a roster in the store, in which each registers
 // itself when it starts, and through the messages that they receive. Messages are
 // datagrams that hold absolute values, not increments, so that the next one
-// replaces one that was dropped; placements are listed in several of them. Correctness does not depend on them: they only
-// improve load estimates and the choice of the host from which a newer
-// configuration is requested.
+// replaces one that was dropped; placements are listed in several of them.
+// Correctness does not depend on them: they only improve load estimates and the
+// choice of the host from which a newer configuration is requested.
 //
 // In a small fleet each host sends its messages to all others. In a larger one, it
 // sends them to the relay of its availability zone, which sums them up and sends
--- a/simulation/deployments.go
+++ b/simulation/deployments.go
@@ -180,7 +180,7 @@
 	}
 }
 
-// grownTeams returns 24 teams of unequal size: the first has an eighth of the calls.
+// grownTeams returns 24 teams of unequal size: the first has a seventh of the calls.
 func grownTeams() []Team {
 	const teams = 24
 	result := make([]Team, teams)
