Load the preemption test so that it fails for both deployments without its fix

Cause: with the refusals of calls that came after it, the load of TestNoPreemptionBesideLessUrgentRequests no longer filled the engines of the 90 hosts enough: with the order by team and route taken out of the final code, only the half with 68 hosts failed (12 requests), and the incident is of the other one.

Change: drafts at four times their rate in place of 2.7, and 80% of the reports dropped in place of 50%. The bound is the same.

With it the test passes.

--- a/simulation/incident_test.go
+++ b/simulation/incident_test.go
@@ -31,7 +31,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			config = withColdBurst(config)
-			config.ReportLossRate = 0.5
+			config.Bursts[1].RateFactor = 4
+			config.ReportLossRate = 0.8
 			result := simulation.Run(config)
 			if result.Preemptions == 0 {
 				t.Error("no request was preempted, so the load does not fill an engine")
