Do not call a report complete whose loads were cut

Cause: a datagram lists 256 loads at most, and kept its complete flag when more were left out.

Change: such a report is sent as one of changes, so that the loads known before stay.

Result: TestCutReportIsNotComplete fails on the code before (257 loads are decoded with 256, complete: true) and passes now. What is left out is still not sent; fleets of more than 256 endpoints need several datagrams.

--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -71,11 +71,12 @@
 }
 
 // Append appends the encoded message to a buffer and returns the buffer. It encodes
-// at most maxItems entries of Load and of Placements.
+// at most maxItems entries of Loads and of Placements. A report of which loads are left
+// out is not encoded as complete, since receivers take what a complete one lacks for idle.
 func (m *Message) Append(to []byte) []byte {
 	to = append(to, formatVersion)
 	flags := byte(0)
-	if m.Complete {
+	if m.Complete && len(m.Loads) <= maxItems {
 		flags |= flagComplete
 	}
 	if m.StoreUnavailable {
--- a/io/peer/message_test.go
+++ b/io/peer/message_test.go
@@ -58,6 +58,25 @@
 	})
 }
 
+// TestCutReportIsNotComplete guards against endpoints that look idle because a report of a
+// large fleet has no room for them.
+func TestCutReportIsNotComplete(t *testing.T) {
+	for loads, complete := range map[int]bool{256: true, 257: false} {
+		sent := peer.Message{
+			Host:     "host-1",
+			Complete: true,
+			Loads:    make([]scheduling.PeerLoad, loads),
+		}
+		got, err := peer.Decode(sent.Append(nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.Complete != complete || len(got.Loads) != 256 {
+			t.Errorf("a report of %d loads is decoded with %d, complete: %v", loads, len(got.Loads), got.Complete)
+		}
+	}
+}
+
 func TestTruncatedMessageIsRejected(t *testing.T) {
 	encoded := (&peer.Message{
 		Host:     "host-1",
