--- a/core/scheduling/command.go
+++ b/core/scheduling/command.go
@@ -46,6 +46,9 @@
 	FetchedTokens int
 	// Running is the estimated number of calls in flight at the endpoint.
 	Running int
+	// OwnTokens is the size of the prompts of this host's calls in flight there, without
+	// this call.
+	OwnTokens int
 	// ComparedEndpoints is the number of endpoints that were scored.
 	ComparedEndpoints int
 	// LoadAge is the age of the endpoint's last reported load, or negative if it
--- a/core/scheduling/endpoint.go
+++ b/core/scheduling/endpoint.go
@@ -37,6 +37,8 @@
 	pending          []*call
 	running          int
 	latencySensitive int
+	// promptTokens is the size of the prompts of this host's calls in flight there.
+	promptTokens int
 	// progressAt is when the engine last finished a prefill, or began one while it had no
 	// other, as far as this host knows.
 	progressAt time.Time
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -70,6 +70,7 @@
 		return nil
 	}
 	e.running--
+	e.promptTokens -= c.spec.PromptTokens
 	if c.latencySensitive {
 		e.latencySensitive--
 	}
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -163,6 +163,7 @@
 	}
 	best.choice.ComparedEndpoints = compared
 	best.choice.QueueTime = s.now.Sub(c.arrived)
+	best.choice.OwnTokens = best.endpoint.promptTokens
 	best.choice.PeerLoadAge = s.peerLoadAge()
 	best.choice.LoadAge = -1
 	if best.endpoint.reported.Known {
@@ -406,6 +407,7 @@
 	c.started = false
 	c.predictedTimeToFirstEvent = choice.TimeToFirstEvent
 	e.running++
+	e.promptTokens += c.spec.PromptTokens
 	if c.latencySensitive {
 		e.latencySensitive++
 	}
