--- a/core/aggregate/aggregate.go
+++ b/core/aggregate/aggregate.go
@@ -6,7 +6,7 @@
 //
 //	zone := aggregate.New()
 //	zone.RecordReport(now, "host-1", complete, loads, placements)
-//	loads, placements := zone.TakeTotals(now, complete)
+//	loads, placements := zone.TakeTotals(complete)
 //	zone.Expire(now, maxAge)
 //
 // A Zone reads no clock and is not safe for concurrent use.
@@ -64,12 +64,12 @@
 	listed := make(map[uint64]bool, len(loads))
 	for _, load := range loads {
 		listed[load.Endpoint] = true
-		z.replaceLoad(now, m, load)
+		z.replaceLoad(m, load)
 	}
 	if complete {
 		for endpoint := range m.loads {
 			if !listed[endpoint] {
-				z.replaceLoad(now, m, scheduling.PeerLoad{Endpoint: endpoint})
+				z.replaceLoad(m, scheduling.PeerLoad{Endpoint: endpoint})
 			}
 		}
 	}
@@ -80,7 +80,7 @@
 }
 
 // replaceLoad replaces a member's previous load at an endpoint.
-func (z *Zone) replaceLoad(now time.Time, m *member, load scheduling.PeerLoad) {
+func (z *Zone) replaceLoad(m *member, load scheduling.PeerLoad) {
 	previous := m.loads[load.Endpoint]
 	if previous == load {
 		return
@@ -110,7 +110,7 @@
 
 // TakeTotals returns the totals: all that are not zero, or those that changed lately.
 // It also returns the prompts placed lately.
-func (z *Zone) TakeTotals(now time.Time, complete bool) ([]scheduling.PeerLoad, []scheduling.Placement) {
+func (z *Zone) TakeTotals(complete bool) ([]scheduling.PeerLoad, []scheduling.Placement) {
 	loads := make([]scheduling.PeerLoad, 0, len(z.totals))
 	for endpoint, t := range z.totals {
 		idle := t.load.Running == 0
@@ -139,7 +139,7 @@
 			continue
 		}
 		for _, load := range m.loads {
-			z.replaceLoad(now, m, scheduling.PeerLoad{Endpoint: load.Endpoint})
+			z.replaceLoad(m, scheduling.PeerLoad{Endpoint: load.Endpoint})
 		}
 		delete(z.members, host)
 	}
--- a/core/aggregate/aggregate_test.go
+++ b/core/aggregate/aggregate_test.go
@@ -20,7 +20,7 @@
 		reported := map[string]map[uint64]int{"a": {}, "b": {}, "c": {}}
 		applied := make(map[uint64]int)
 		applyChanges := func(complete bool) {
-			loads, _ := zone.TakeTotals(now, complete)
+			loads, _ := zone.TakeTotals(complete)
 			if complete {
 				clear(applied)
 			}
@@ -66,18 +66,17 @@
 	zone := aggregate.New()
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	zone.RecordReport(now, "a", true, []scheduling.PeerLoad{{Endpoint: 1, Running: 3}}, nil)
-	zone.TakeTotals(now, false)
+	zone.TakeTotals(false)
 	now = now.Add(3 * time.Second)
 	zone.RecordReport(now, "b", true, []scheduling.PeerLoad{{Endpoint: 1, Running: 2}}, nil)
 	zone.Expire(now, 2*time.Second)
-	loads, _ := zone.TakeTotals(now, false)
+	loads, _ := zone.TakeTotals(false)
 	if len(loads) != 1 || loads[0].Running != 2 || zone.Hosts() != 1 {
 		t.Errorf("loads %+v of %d hosts", loads, zone.Hosts())
 	}
 }
 
-// TestPendingPrefillsAddUp guards against a total that shrinks for each host at once, although
-// their prompts wait for the same engine.
+// TestPendingPrefillsAddUp guards against totals that shrink for each host at once.
 func TestPendingPrefillsAddUp(t *testing.T) {
 	zone := aggregate.New()
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -87,22 +86,21 @@
 	now = now.Add(60 * time.Millisecond)
 	zone.RecordReport(now, "a", true, []scheduling.PeerLoad{{Endpoint: 1, Running: 1}}, nil)
 	for _, complete := range []bool{false, true} {
-		loads, _ := zone.TakeTotals(now, complete)
+		loads, _ := zone.TakeTotals(complete)
 		if len(loads) != 1 || loads[0].PendingPrefill != 200*time.Millisecond {
 			t.Errorf("loads are %+v, want 200 ms of prefills", loads)
 		}
 	}
 }
 
-// TestChangedTotalsAreListedTwice guards against a host that misses one report and takes an
-// engine for idle, or busy, until the next complete one.
+// TestChangedTotalsAreListedTwice guards against changes that one lost report loses.
 func TestChangedTotalsAreListedTwice(t *testing.T) {
 	zone := aggregate.New()
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	for _, running := range []int{2, 0} {
 		zone.RecordReport(now, "a", false, []scheduling.PeerLoad{{Endpoint: 1, Running: running}}, nil)
 		for report, want := range []int{1, 1, 0} {
-			loads, _ := zone.TakeTotals(now, false)
+			loads, _ := zone.TakeTotals(false)
 			if len(loads) != want || want > 0 && loads[0].Running != running {
 				t.Errorf("report %d after the change to %d running calls lists %+v", report+1, running, loads)
 			}
--- a/core/route/priority_test.go
+++ b/core/route/priority_test.go
@@ -31,8 +31,7 @@
 	return spec
 }
 
-// TestTeamPriorityKeepsOrderOfRoutes guards against a team's calls that are all equally
-// urgent, so that engines cannot tell a draft from a briefing.
+// TestTeamPriorityKeepsOrderOfRoutes guards against teams whose calls are all equally urgent.
 func TestTeamPriorityKeepsOrderOfRoutes(t *testing.T) {
 	spec := specWithPriorities([]int{0, 1, 2}, []int{1, 0})
 	table, err := route.New(spec)
@@ -52,8 +51,7 @@
 	}
 }
 
-// TestPriorityWithoutTeams guards against calls without a team that do not have the
-// priority of their route.
+// TestPriorityWithoutTeams guards against calls that lose the priority of their route.
 func TestPriorityWithoutTeams(t *testing.T) {
 	spec := specWithPriorities([]int{2, 0, 1}, nil)
 	table, err := route.New(spec)
@@ -67,8 +65,7 @@
 	}
 }
 
-// TestPrioritiesFitEngines guards against priorities that engines do not know, in a
-// configuration with more combinations than they distinguish.
+// TestPrioritiesFitEngines guards against priorities that engines do not know.
 func TestPrioritiesFitEngines(t *testing.T) {
 	spec := specWithPriorities([]int{0, 1, 2, 3, 4}, []int{0, 1, 2, 3})
 	table, err := route.New(spec)
--- a/core/scheduling/overload_test.go
+++ b/core/scheduling/overload_test.go
@@ -24,8 +24,7 @@
 	return h
 }
 
-// TestOverloadRefusesLessUrgentCallsFirst guards against long prompts that are queued at an
-// engine until more urgent callers leave.
+// TestOverloadRefusesLessUrgentCallsFirst guards against queues that urgent callers do not outlast.
 func TestOverloadRefusesLessUrgentCallsFirst(t *testing.T) {
 	for name, test := range map[string]struct {
 		route   string
@@ -57,8 +56,7 @@
 	}
 }
 
-// TestLongPromptIsSentToShortQueue guards against prompts that are always refused because
-// they alone take longer than the limit.
+// TestLongPromptIsSentToShortQueue guards against prompts that are always refused.
 func TestLongPromptIsSentToShortQueue(t *testing.T) {
 	for backlog, refused := range map[time.Duration]bool{
 		100 * time.Millisecond: false,
@@ -85,8 +83,7 @@
 	}
 }
 
-// TestOnlyRouteWaitsAsLongAsItsCallers guards against a limit for the sake of more urgent
-// calls where there are none.
+// TestOnlyRouteWaitsAsLongAsItsCallers guards against a limit that protects nobody.
 func TestOnlyRouteWaitsAsLongAsItsCallers(t *testing.T) {
 	h := withBacklog(t, 6*time.Second)
 	spec := testSpec()
--- a/core/scheduling/placementqueue_test.go
+++ b/core/scheduling/placementqueue_test.go
@@ -6,8 +6,7 @@
 	"cactuswell/core/scheduling"
 )
 
-// TestPlacementsAreReportedAgain guards against a placement that is never known to a host
-// which missed one report.
+// TestPlacementsAreReportedAgain guards against placements that one lost report loses.
 func TestPlacementsAreReportedAgain(t *testing.T) {
 	var queue scheduling.PlacementQueue
 	first := scheduling.Placement{Endpoint: 1, PrefixHash: 10, Tokens: 100}
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -326,8 +326,25 @@
 	}
 }
 
-// TestLoadOfSilentPeerExpires guards against engines that look busy for as long as a zone
-// without hosts is not heard from.
+// TestOwnTokensFollowCalls guards against a figure that keeps the prompts of ended calls.
+func TestOwnTokensFollowCalls(t *testing.T) {
+	h := newHarness(t, 1)
+	for call, want := range []int{0, 17_000, 34_000} {
+		_, commands := h.startCall("draft")
+		if got := h.requireSend(commands).Choice.OwnTokens; got != want {
+			t.Errorf("call %d finds %d tokens of its host, want %d", call, got, want)
+		}
+	}
+	for id := scheduling.CallID(1); id <= 3; id++ {
+		h.endAttempt(id, scheduling.Completed{})
+	}
+	_, commands := h.startCall("draft")
+	if got := h.requireSend(commands).Choice.OwnTokens; got != 0 {
+		t.Errorf("after all calls have ended, %d tokens are left", got)
+	}
+}
+
+// TestLoadOfSilentPeerExpires guards against engines that look busy for ever.
 func TestLoadOfSilentPeerExpires(t *testing.T) {
 	h := withBacklog(t, 10*time.Second)
 	_, commands := h.startCall("brief")
@@ -340,8 +357,7 @@
 	}
 }
 
-// TestPrefillsOfOtherHostsTakeTurns guards against a backlog that shrinks for each host at
-// once, so that a busy engine of a large fleet looks idle.
+// TestPrefillsOfOtherHostsTakeTurns guards against busy engines that look idle in large fleets.
 func TestPrefillsOfOtherHostsTakeTurns(t *testing.T) {
 	const peers = 5
 	h := newHarness(t, 1)
--- a/gateway/calls_test.go
+++ b/gateway/calls_test.go
@@ -81,8 +81,7 @@
 	}
 }
 
-// TestPriorityOfAnAttempt guards against a team's priority that hides the route's from
-// the engine.
+// TestPriorityOfAnAttempt guards against a team's priority that hides the route's.
 func TestPriorityOfAnAttempt(t *testing.T) {
 	f := newFixture(t, 1)
 	f.spec.Version = 2
--- a/io/peer/message_test.go
+++ b/io/peer/message_test.go
@@ -58,8 +58,7 @@
 	})
 }
 
-// TestCutReportIsNotComplete guards against endpoints that look idle because a report of a
-// large fleet has no room for them.
+// TestCutReportIsNotComplete guards against endpoints that look idle for lack of room.
 func TestCutReportIsNotComplete(t *testing.T) {
 	for loads, complete := range map[int]bool{256: true, 257: false} {
 		sent := peer.Message{
--- a/io/peer/pacer_test.go
+++ b/io/peer/pacer_test.go
@@ -45,8 +45,7 @@
 	}
 }
 
-// TestUnknownLinkIsNotPaced guards against hosts that relay nothing because their link is
-// not known.
+// TestUnknownLinkIsNotPaced guards against hosts that relay nothing.
 func TestUnknownLinkIsNotPaced(t *testing.T) {
 	p := newPacer(0)
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/io/peer/relay.go
+++ b/io/peer/relay.go
@@ -88,7 +88,7 @@
 	message.Aggregate = true
 	message.Complete = complete
 	message.Hosts = m.zoneLoad.Hosts()
-	message.Loads, message.Placements = m.zoneLoad.TakeTotals(now, complete)
+	message.Loads, message.Placements = m.zoneLoad.TakeTotals(complete)
 	addresses := append(m.zoneAddresses(), m.otherRelayAddresses(now)...)
 	m.mu.Unlock()
 	size := m.writeMessage(&message, addresses)
--- a/simulation/host.go
+++ b/simulation/host.go
@@ -176,7 +176,7 @@
 	if !f.config.UseRelays || !complete && !relay.HasChanges() {
 		return
 	}
-	load, placements := relay.TakeTotals(f.now, complete)
+	load, placements := relay.TakeTotals(complete)
 	for _, h := range f.hosts {
 		if f.random.Float64() < f.config.ReportLossRate {
 			continue
