Leave alone endpoints that say they are leaving or ask for quiet

Cause: the scheduler sent a call to an endpoint that had declined one with a Retry-After as soon as no other had room, and knew of a leaving endpoint only by its entry. Change: an endpoint that answers that it is leaving gets no calls from then on; one that asked for quiet gets none until the time is over, as target, probe, affinity or source of a fetch. A pool that is quiet for longer than a call may wait refuses at once, as not run, with the shortest time left. Both are reported to the other hosts, by the relay of a zone in a large fleet; another host's quiet time only makes an endpoint the second choice, since it was asked of that host.

--- a/core/aggregate/aggregate.go
+++ b/core/aggregate/aggregate.go
@@ -13,6 +13,7 @@
 package aggregate
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -22,12 +23,31 @@
 // maxPendingPlacements bounds the placements that wait for the next TakeTotals.
 const maxPendingPlacements = 200
 
+const (
+	// noticeMaxAge is how long a notice is kept after a member last reported it: a few
+	// complete reports.
+	noticeMaxAge = 2 * time.Second
+	// noticeSlack is the difference up to which two ends of a quiet time are the same,
+	// as members report the time that is left.
+	noticeSlack = 100 * time.Millisecond
+)
+
 // Zone holds the total load of one zone's hosts.
 type Zone struct {
 	members    map[string]*member
 	totals     map[uint64]*total
 	dirty      bool
 	placements scheduling.PlacementQueue
+	notices    map[uint64]*notice
+}
+
+// notice is what an endpoint has told one of the members.
+type notice struct {
+	leaving    bool
+	quietUntil time.Time
+	recordedAt time.Time
+	// reportsLeft is the number of reports that still list the notice, because it is new.
+	reportsLeft int
 }
 
 // member holds the last reported load of one host by endpoint.
@@ -49,6 +69,7 @@
 	return &Zone{
 		members: make(map[string]*member),
 		totals:  make(map[uint64]*total),
+		notices: make(map[uint64]*notice),
 	}
 }
 
@@ -79,6 +100,49 @@
 	}
 }
 
+// RecordNotices records what endpoints have told a host.
+func (z *Zone) RecordNotices(now time.Time, notices []scheduling.Notice) {
+	for _, received := range notices {
+		n, ok := z.notices[received.Endpoint]
+		if !ok {
+			n = &notice{}
+			z.notices[received.Endpoint] = n
+		}
+		n.recordedAt = now
+		until := now.Add(received.QuietFor)
+		if ok && n.leaving == received.Leaving && !until.After(n.quietUntil.Add(noticeSlack)) {
+			continue
+		}
+		n.leaving = n.leaving || received.Leaving
+		n.quietUntil = until
+		n.reportsLeft = scheduling.ReportsPerChange
+		z.dirty = true
+	}
+}
+
+// TakeNotices returns what endpoints have told the members: all that the members still
+// report, or what is new.
+func (z *Zone) TakeNotices(now time.Time, complete bool) []scheduling.Notice {
+	var notices []scheduling.Notice
+	for endpoint, n := range z.notices {
+		if complete && now.Sub(n.recordedAt) > noticeMaxAge {
+			delete(z.notices, endpoint)
+			continue
+		}
+		if n.reportsLeft == 0 && !complete {
+			continue
+		}
+		n.reportsLeft = max(n.reportsLeft-1, 0)
+		notices = append(notices, scheduling.Notice{
+			Endpoint: endpoint,
+			Leaving:  n.leaving,
+			QuietFor: max(n.quietUntil.Sub(now), 0),
+		})
+	}
+	slices.SortFunc(notices, func(a, b scheduling.Notice) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return notices
+}
+
 // replaceLoad replaces a member's previous load at an endpoint.
 func (z *Zone) replaceLoad(m *member, load scheduling.PeerLoad) {
 	previous := m.loads[load.Endpoint]
--- a/core/scheduling/command.go
+++ b/core/scheduling/command.go
@@ -113,6 +113,7 @@
 const (
 	ReasonNoEndpoint           Reason = "noEndpoint"
 	ReasonAllFull              Reason = "allFull"
+	ReasonAllQuiet             Reason = "allQuiet"
 	ReasonOverloaded           Reason = "overloaded"
 	ReasonTimedOut             Reason = "timedOut"
 	ReasonOutcomeUnknown       Reason = "outcomeUnknown"
--- a/core/scheduling/endpoint.go
+++ b/core/scheduling/endpoint.go
@@ -51,8 +51,15 @@
 	slowness float64
 	health   health
 	cache    cacheIndex
-	// fullUntil is until when the endpoint asked not to be sent calls.
+	// fullUntil is until when the endpoint is avoided because it declined a call.
 	fullUntil time.Time
+	// quietUntil is until when the endpoint asked not to be sent calls.
+	quietUntil time.Time
+	// toldLeaving is set if the endpoint told this host that it is leaving, and
+	// noticesLeft is the number of reports to other hosts that still list what the
+	// endpoint has told, because it is new.
+	toldLeaving bool
+	noticesLeft int
 	// coldUntil is until when the endpoint is slow after its start.
 	coldUntil time.Time
 	// reportsLeft is the number of reports to other hosts that still list the load,
--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -38,6 +38,13 @@
 	// EventGap is the usual gap between two events of the stream while nothing
 	// delays it, or zero if unknown.
 	EventGap time.Duration
+	// QuietFor is for how long the endpoint asked not to be sent calls, or zero.
+	QuietFor time.Duration
+}
+
+// LeavingAnswered reports that an endpoint said in an answer that it is leaving.
+type LeavingAnswered struct {
+	Key Key
 }
 
 // EndpointChanged carries a change of the endpoint directory.
@@ -72,6 +79,8 @@
 	Loads    []PeerLoad
 	// Placements lists the prompts that the peer has recently sent to endpoints.
 	Placements []Placement
+	// Notices lists what endpoints have recently told the peer.
+	Notices []Notice
 }
 
 // PeerRemoved reports that another host has been removed from the membership.
@@ -86,6 +95,7 @@
 func (CallCanceled) isEvent()         {}
 func (AnswerStarted) isEvent()        {}
 func (AttemptEnded) isEvent()         {}
+func (LeavingAnswered) isEvent()      {}
 func (EndpointChanged) isEvent()      {}
 func (ConfigurationChanged) isEvent() {}
 func (BudgetChanged) isEvent()        {}
@@ -116,6 +126,16 @@
 	Ejected bool
 }
 
+// Notice reports what an endpoint has told a host that called it.
+type Notice struct {
+	// Endpoint is the hash of the endpoint's key.
+	Endpoint uint64
+	// Leaving reports whether the endpoint accepts no new calls.
+	Leaving bool
+	// QuietFor is for how much longer the endpoint asked not to be sent calls.
+	QuietFor time.Duration
+}
+
 // Placement reports that a prompt prefix was sent to an endpoint.
 type Placement struct {
 	// Endpoint is the hash of the endpoint's key.
@@ -143,7 +163,7 @@
 
 // Declined means that the endpoint answered that it did not run the call.
 type Declined struct {
-	// RetryAfter is how long the endpoint asked not to be sent calls, or zero.
+	// RetryAfter is how long to avoid the endpoint, or zero.
 	RetryAfter time.Duration
 }
 
--- a/core/scheduling/fetch.go
+++ b/core/scheduling/fetch.go
@@ -22,7 +22,7 @@
 	}
 	var usedAt time.Time
 	for _, e := range c.pool.endpoints {
-		if e.leaving || e.health.ejectionTime > 0 {
+		if e.leaving || e.health.ejectionTime > 0 || e.isQuiet(s.now) {
 			continue
 		}
 		tokens := 0
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -108,6 +108,7 @@
 	}
 	e := s.detachAttempt(c)
 	e.recordReportedLoad(s.now, event.Load)
+	s.recordQuiet(e, event.QuietFor)
 	switch outcome := event.Outcome.(type) {
 	case Completed:
 		s.recordCompletion(c, e, event)
@@ -299,7 +300,8 @@
 
 // retryAfter returns the delay after which capacity is expected for a refused call:
 // until the first endpoint has finished the prefills sent to it and its ejection has
-// ended. The delay is at least minRetryAfter and at most maxRetryAfter.
+// ended. The delay is at least minRetryAfter and at most maxRetryAfter, unless all
+// endpoints have asked not to be sent calls for longer.
 func (s *Scheduler) retryAfter(c *call) time.Duration {
 	shortest := time.Duration(-1)
 	for _, e := range c.pool.endpoints {
@@ -314,5 +316,5 @@
 			shortest = wait
 		}
 	}
-	return min(max(shortest, minRetryAfter), maxRetryAfter)
+	return max(min(max(shortest, minRetryAfter), maxRetryAfter), s.quietLeft(c.pool))
 }
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -68,7 +68,7 @@
 		s.send(c, e, choice)
 		return
 	}
-	if s.countUsable(c.pool) == 0 || !s.now.Before(c.queueUntil) {
+	if s.countUsable(c.pool) == 0 || !s.now.Before(c.queueUntil) || s.staysQuiet(c) {
 		s.refuse(c, s.noRoomReason(c.pool))
 		return
 	}
@@ -93,6 +93,9 @@
 	if s.countUsable(p) == 0 {
 		return ReasonNoEndpoint
 	}
+	if s.quietLeft(p) > 0 {
+		return ReasonAllQuiet
+	}
 	return ReasonAllFull
 }
 
@@ -114,7 +117,7 @@
 	for i := 0; i < len(p.queue); {
 		c := p.queue[i]
 		e, choice := s.pickEndpoint(c)
-		if e == nil && s.now.Before(c.queueUntil) {
+		if e == nil && s.now.Before(c.queueUntil) && !s.staysQuiet(c) {
 			i++
 			continue
 		}
@@ -184,7 +187,7 @@
 	if e.leaving || e.inFlight(s.now) >= s.concurrencyLimit(c.pool, e) {
 		return false
 	}
-	if e.health.isEjected(s.now) {
+	if e.health.isEjected(s.now) || e.isQuiet(s.now) {
 		return false
 	}
 	if secondPass {
@@ -325,7 +328,7 @@
 	for i := 0; i < len(c.prefixHashes)-1; i++ {
 		tokens += c.spec.Prompt[i].Tokens
 		for _, e := range c.pool.endpoints {
-			if !e.leaving && !e.health.isEjected(s.now) && e.cache.usedSince(c.prefixHashes[i], since) {
+			if !e.leaving && !e.health.isEjected(s.now) && !e.isQuiet(s.now) && e.cache.usedSince(c.prefixHashes[i], since) {
 				cached = tokens
 				break
 			}
@@ -343,7 +346,7 @@
 	}
 	prefix := c.prefixHashes[len(c.prefixHashes)-2]
 	for _, e := range c.pool.endpoints {
-		if e.leaving {
+		if e.leaving || e.isQuiet(s.now) {
 			continue
 		}
 		for i, other := range ranked {
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -138,6 +138,8 @@
 		s.handleAnswerStarted(event)
 	case AttemptEnded:
 		s.handleAttemptEnded(event)
+	case LeavingAnswered:
+		s.handleLeavingAnswered(event.Key)
 	case EndpointChanged:
 		s.handleEndpointChanged(event.Change)
 	case ConfigurationChanged:
@@ -243,9 +245,7 @@
 		}
 	case directory.Leaving:
 		if e := s.byKey[keyOf(change.Entry)]; e != nil {
-			e.leaving = true
-			p := s.ensurePool(change.Entry.Service)
-			p.partitions.rank(p.endpoints)
+			s.markLeaving(e)
 		}
 	case directory.Removed:
 		s.removeEndpoint(keyOf(change.Entry))
@@ -302,6 +302,7 @@
 			}
 		}
 	}
+	s.applyNotices(event.Notices)
 	for _, placement := range event.Placements {
 		if e := s.byHash[placement.Endpoint]; e != nil {
 			prefilledAt := s.now.Add(e.prefillBacklog(s.now) + s.settings.Engine.PrefillTime(0, placement.Tokens))
--- a/core/scheduling/snapshot.go
+++ b/core/scheduling/snapshot.go
@@ -42,7 +42,9 @@
 	// ErrorRate is the smoothed share of error responses.
 	ErrorRate float64 `json:"errorShare"`
 	// FullForMs is how much longer the endpoint asked not to be sent calls.
-	FullForMs float64 `json:"fullForMs"`
+	// QuietForMs is for how much longer the endpoint asked not to be sent calls.
+	QuietForMs float64 `json:"quietForMs"`
+	FullForMs  float64 `json:"fullForMs"`
 	// OwnCalls counts this host's calls in flight at the endpoint. InFlight is the
 	// estimated number for all hosts.
 	OwnCalls int `json:"own"`
@@ -105,6 +107,7 @@
 		Probing:          e.health.probing,
 		ErrorRate:        e.health.errorRate,
 		FullForMs:        millis(max(e.fullUntil.Sub(now), 0)),
+		QuietForMs:       millis(max(e.quietUntil.Sub(now), 0)),
 		OwnCalls:         e.running,
 		InFlight:         e.inFlight(now),
 		PrefillBacklogMs: millis(e.prefillBacklog(now)),
