Keep the directory right when the store comes back from an older copy

Cause: a listing from an older copy lacks entries that live endpoints will write again, and has entries of endpoints that have left since; the first were removed, the second taken up as ready. Change: a rewind opens the grace period of an outage; an entry that had been removed before counts only once it is written again or is still listed after the grace period; an incarnation that was leaving stays so, also after its removal.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -89,6 +89,8 @@
 	ReasonNotRenewed = "notBackAfterOutage"
 	ReasonReplaced   = "newIncarnation"
 	ReasonNotListed  = "notInListing"
+	ReasonAnswered   = "answerSaidSo"
+	ReasonHeard      = "otherHostSaidSo"
 )
 
 type record struct {
@@ -99,10 +101,29 @@
 	removeAt time.Time
 }
 
+// removal is an endpoint's incarnation that was removed.
+type removal struct {
+	born int64
+	// leaving is set if it was leaving, so that it never accepts calls again.
+	leaving   bool
+	removedAt time.Time
+}
+
+const (
+	// maxRemovals bounds the removed endpoints that a directory remembers, and
+	// removalMaxAge how long it does: longer than what the source can lose.
+	maxRemovals   = 4096
+	removalMaxAge = 2 * time.Minute
+)
+
 // Directory is the set of known endpoints.
 type Directory struct {
-	settings          Settings
-	records           map[string]*record
+	settings Settings
+	records  map[string]*record
+	// removals holds the removed endpoints by ID, and suspects the entries of a listing
+	// after a rewind that had been removed before.
+	removals          map[string]removal
+	suspects          map[string]Entry
 	sourceUnavailable bool
 	recoveredAt       time.Time
 	hadOutage         bool
@@ -116,6 +137,8 @@
 	return &Directory{
 		settings: settings,
 		records:  make(map[string]*record),
+		removals: make(map[string]removal),
+		suspects: make(map[string]Entry),
 	}
 }
 
@@ -140,11 +163,53 @@
 	}
 }
 
+// Rewind records that the source has come back from an older copy of itself. Entries
+// that it lacks may be written again within the grace period. Entries that had been
+// removed before may be listed again; they count only once they are written again, or
+// are still there after the grace period.
+func (d *Directory) Rewind(now time.Time) {
+	d.hadOutage = true
+	d.recoveredAt = now
+}
+
+// ObserveListed applies an entry of a complete listing. During the grace period after a
+// rewind, an entry that had been removed before is kept aside.
+func (d *Directory) ObserveListed(now time.Time, entry Entry, changes []Change) []Change {
+	removed, ok := d.removals[entry.ID]
+	if _, known := d.records[entry.ID]; !known && ok && removed.born == entry.Born && d.inGracePeriod(now) {
+		d.suspects[entry.ID] = entry
+		return changes
+	}
+	return d.Observe(now, entry, changes)
+}
+
+// SetLeaving records that an incarnation of an endpoint is leaving by another source
+// than its entry.
+func (d *Directory) SetLeaving(id string, born int64, reason string, changes []Change) []Change {
+	existing, ok := d.records[id]
+	if !ok || existing.entry.Born != born || existing.entry.Leaving {
+		return changes
+	}
+	existing.entry.Leaving = true
+	return append(changes, Leaving{
+		Entry:  existing.entry,
+		Reason: reason,
+	})
+}
+
 // Observe applies an endpoint's current entry. Entries of earlier incarnations
-// are ignored.
-func (d *Directory) Observe(_ time.Time, entry Entry, changes []Change) []Change {
+// are ignored. An incarnation that was leaving when it was removed is still leaving.
+func (d *Directory) Observe(now time.Time, entry Entry, changes []Change) []Change {
+	delete(d.suspects, entry.ID)
 	existing, ok := d.records[entry.ID]
 	if !ok {
+		if removed, ok := d.removals[entry.ID]; ok {
+			if entry.Born < removed.born {
+				return changes
+			}
+			entry.Leaving = entry.Leaving || removed.leaving && entry.Born == removed.born
+			delete(d.removals, entry.ID)
+		}
 		d.records[entry.ID] = &record{
 			entry: entry,
 		}
@@ -168,7 +233,7 @@
 			Reason: ReasonReplaced,
 		})
 		delete(d.records, entry.ID)
-		return d.Observe(time.Time{}, entry, changes)
+		return d.Observe(now, entry, changes)
 	}
 	existing.expired = false
 	// An incarnation that is leaving stays so.
@@ -197,6 +262,7 @@
 }
 
 func (d *Directory) expire(now time.Time, id, reason string, changes []Change) []Change {
+	delete(d.suspects, id)
 	existing, ok := d.records[id]
 	if !ok || existing.expired {
 		return changes
@@ -206,13 +272,38 @@
 		existing.removeAt = d.recoveredAt.Add(d.settings.RecoveryGrace)
 		return changes
 	}
-	delete(d.records, id)
+	return d.remove(now, existing.entry, reason, changes)
+}
+
+func (d *Directory) remove(now time.Time, entry Entry, reason string, changes []Change) []Change {
+	delete(d.records, entry.ID)
+	if len(d.removals) >= maxRemovals {
+		d.forgetRemovals(now)
+	}
+	d.removals[entry.ID] = removal{
+		born:      entry.Born,
+		leaving:   entry.Leaving,
+		removedAt: now,
+	}
 	return append(changes, Removed{
-		Entry:  existing.entry,
+		Entry:  entry,
 		Reason: reason,
 	})
 }
 
+// forgetRemovals forgets the removals that are too old to matter, or all if there are
+// none.
+func (d *Directory) forgetRemovals(now time.Time) {
+	for id, r := range d.removals {
+		if now.Sub(r.removedAt) > removalMaxAge {
+			delete(d.removals, id)
+		}
+	}
+	if len(d.removals) >= maxRemovals {
+		clear(d.removals)
+	}
+}
+
 // inGracePeriod reports whether an expiry may be due to an outage of the source.
 func (d *Directory) inGracePeriod(now time.Time) bool {
 	return d.sourceUnavailable || d.hadOutage && now.Before(d.recoveredAt.Add(d.settings.RecoveryGrace))
@@ -221,6 +312,11 @@
 // Reconcile applies a complete listing of the source: entries whose ids are not in
 // it have expired.
 func (d *Directory) Reconcile(now time.Time, ids map[string]bool, changes []Change) []Change {
+	for id := range d.suspects {
+		if !ids[id] {
+			delete(d.suspects, id)
+		}
+	}
 	for id := range d.records {
 		if !ids[id] {
 			changes = d.expire(now, id, ReasonNotListed, changes)
@@ -229,24 +325,29 @@
 	return changes
 }
 
-// Tick removes the expired entries whose grace period is over.
+// Tick removes the expired entries whose grace period is over, and takes up the entries
+// that were kept aside during it.
 func (d *Directory) Tick(now time.Time, changes []Change) []Change {
+	if !d.inGracePeriod(now) {
+		for _, entry := range d.suspects {
+			changes = d.Observe(now, entry, changes)
+		}
+	}
 	for id, r := range d.records {
 		if !r.expired || d.sourceUnavailable || now.Before(r.removeAt) {
 			continue
 		}
-		delete(d.records, id)
-		changes = append(changes, Removed{
-			Entry:  r.entry,
-			Reason: ReasonNotRenewed,
-		})
+		changes = d.remove(now, d.records[id].entry, ReasonNotRenewed, changes)
 	}
 	return changes
 }
 
-// NextWake returns when Tick is next due, or false if no removal is pending.
+// NextWake returns when Tick is next due, or false if no change is pending.
 func (d *Directory) NextWake() (time.Time, bool) {
 	var next time.Time
+	if len(d.suspects) > 0 && !d.sourceUnavailable {
+		next = d.recoveredAt.Add(d.settings.RecoveryGrace)
+	}
 	for _, r := range d.records {
 		if r.expired && !d.sourceUnavailable && (next.IsZero() || r.removeAt.Before(next)) {
 			next = r.removeAt
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -40,6 +40,22 @@
 	}, nil))
 }
 
+// list applies a listing of ready endpoints of the first incarnation.
+func (h *harness) list(ids ...string) {
+	listed := make(map[string]bool)
+	for _, id := range ids {
+		listed[id] = true
+		h.record(h.directory.ObserveListed(h.now, directory.Entry{
+			ID:      id,
+			Born:    1,
+			Service: "models",
+			Address: "10.0.0.1:80",
+			Slots:   4,
+		}, nil))
+	}
+	h.record(h.directory.Reconcile(h.now, listed, nil))
+}
+
 func (h *harness) expire(id string) { h.record(h.directory.Expire(h.now, id, nil)) }
 
 func (h *harness) record(changes []directory.Change) {
@@ -101,6 +117,96 @@
 			},
 			want: []string{"appeared a/1", "removed a/1 notBackAfterOutage"},
 		},
+		"entry that the log has forgotten is kept until it is written again": {
+			scenario: func(h *harness) {
+				h.observe("a", 1, false)
+				h.directory.Rewind(h.now)
+				h.list()
+				h.advance(1900 * time.Millisecond)
+				h.observe("a", 1, false)
+				h.advance(time.Minute)
+			},
+			want: []string{"appeared a/1"},
+		},
+		"entry that the log has forgotten and nobody writes again is removed": {
+			scenario: func(h *harness) {
+				h.observe("a", 1, false)
+				h.directory.Rewind(h.now)
+				h.list()
+				h.advance(2300 * time.Millisecond)
+			},
+			want: []string{"appeared a/1", "removed a/1 notBackAfterOutage"},
+		},
+		"endpoint whose leaving the log has forgotten is still leaving": {
+			scenario: func(h *harness) {
+				h.observe("a", 1, true)
+				h.directory.Rewind(h.now)
+				h.list("a")
+				h.observe("a", 1, false)
+				h.advance(time.Minute)
+			},
+			want: []string{"appeared a/1", "leaving a/1 endpointSaidSo"},
+		},
+		"removed endpoint that an older listing has is not used at once": {
+			scenario: func(h *harness) {
+				h.observe("a", 1, false)
+				h.expire("a")
+				h.directory.Rewind(h.now)
+				h.list("a")
+				h.advance(time.Second)
+				h.expire("a")
+				h.advance(time.Minute)
+			},
+			want: []string{"appeared a/1", "removed a/1 entryLapsed"},
+		},
+		"removed endpoint is used again once it writes its entry": {
+			scenario: func(h *harness) {
+				h.observe("a", 1, false)
+				h.expire("a")
+				h.directory.Rewind(h.now)
+				h.list("a")
+				h.advance(time.Second)
+				h.observe("a", 1, false)
+			},
+			want: []string{"appeared a/1", "removed a/1 entryLapsed", "appeared a/1"},
+		},
+		"removed endpoint that is still listed after the grace period is used again": {
+			scenario: func(h *harness) {
+				h.observe("a", 1, false)
+				h.expire("a")
+				h.directory.Rewind(h.now)
+				h.list("a")
+				h.advance(2300 * time.Millisecond)
+			},
+			want: []string{"appeared a/1", "removed a/1 entryLapsed", "appeared a/1"},
+		},
+		"leaving endpoint that an older listing has as ready stays leaving": {
+			scenario: func(h *harness) {
+				h.observe("a", 1, true)
+				h.expire("a")
+				h.directory.Rewind(h.now)
+				h.list("a")
+				h.advance(2300 * time.Millisecond)
+			},
+			want: []string{"appeared a/1", "leaving a/1 endpointSaidSo", "removed a/1 entryLapsed", "appeared a/1", "leaving a/1 endpointSaidSo"},
+		},
+		"new incarnation of a leaving endpoint is used": {
+			scenario: func(h *harness) {
+				h.observe("a", 1, true)
+				h.expire("a")
+				h.observe("a", 2, false)
+			},
+			want: []string{"appeared a/1", "leaving a/1 endpointSaidSo", "removed a/1 entryLapsed", "appeared a/2"},
+		},
+		"endpoint that an answer says is leaving stays so": {
+			scenario: func(h *harness) {
+				h.observe("a", 1, false)
+				h.record(h.directory.SetLeaving("a", 1, directory.ReasonAnswered, nil))
+				h.record(h.directory.SetLeaving("a", 1, directory.ReasonHeard, nil))
+				h.observe("a", 1, false)
+			},
+			want: []string{"appeared a/1", "leaving a/1 answerSaidSo"},
+		},
 		"expired leaving endpoint is removed even during an outage": {
 			scenario: func(h *harness) {
 				h.observe("a", 1, true)
