--- /dev/null
+++ b/gateway/copies.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"cactuswell/core/replica"
+	"cactuswell/io/httpjson"
+	"cactuswell/io/keyedlog"
+	"cactuswell/io/peer"
+)
+
+const (
+	// changesPath is the path on which a host serves the changes of its copies to others.
+	changesPath = "/v1/changes"
+	// endpointReadInterval is the minimum time between two deliveries of changed entries.
+	// A change passes a reader, a relay and a host, each of which may wait that long; a
+	// leaving endpoint must receive no calls later than two seconds after it announced
+	// that.
+	endpointReadInterval = 200 * time.Millisecond
+	// maxChangesBytes bounds the size of another host's changes.
+	maxChangesBytes = 8 << 20
+)
+
+// buildFollowers creates the followers of the store's topics.
+func (g *Gateway) buildFollowers() {
+	g.followers = map[string]*keyedlog.Follower{
+		g.Topics.Configuration: g.newFollower(g.Topics.Configuration, g.configuration, 0),
+		g.Topics.Endpoints:     g.newFollower(g.Topics.Endpoints, g.endpoints, endpointReadInterval),
+	}
+}
+
+func (g *Gateway) newFollower(topic string, listener keyedlog.Listener, interval time.Duration) *keyedlog.Follower {
+	dependencies := keyedlog.Dependencies{
+		Log:             g.Log,
+		Topic:           topic,
+		Listener:        listener,
+		Timers:          g.timers,
+		MinReadInterval: interval,
+		RecordCall: func(took time.Duration, err error) {
+			g.recordStoreCall(topic, took, err)
+		},
+		RecordAbandonedPoll: func(err error) {
+			g.meter.addToCounter("cactuswell_store_polls_abandoned_total", 1)
+			g.trail.Failure("pollAbandoned").Text("topic", topic).Err(err).Merge(topic)
+		},
+	}
+	if g.Settings.PeerListen != "" {
+		dependencies.Peers = newCopies(g)
+	}
+	return keyedlog.New(dependencies)
+}
+
+func (g *Gateway) recordStoreCall(topic string, took time.Duration, err error) {
+	g.meter.observeDuration("cactuswell_store_call_seconds{", took)
+	g.meter.addToCounter("cactuswell_store_calls_total", 1)
+	if err != nil {
+		g.meter.addToCounter("cactuswell_store_failures_total", 1)
+		g.trail.Failure("storeCallFailed").Text("topic", topic).Millis("took", took).Err(err).Merge(topic)
+	}
+}
+
+// copies is the access of the followers to the copies of other hosts.
+type copies struct {
+	gateway *Gateway
+	client  *http.Client
+}
+
+var _ keyedlog.Peers = (*copies)(nil)
+
+func newCopies(g *Gateway) *copies {
+	return &copies{
+		gateway: g,
+		client:  newPeerClient(),
+	}
+}
+
+// View implements keyedlog.Peers.
+func (c *copies) View(topic string, own replica.Position) replica.View {
+	return c.gateway.mesh.View(topic, own)
+}
+
+// Publish implements keyedlog.Peers.
+func (c *copies) Publish(topic string, end replica.Position, reads bool) {
+	c.gateway.mesh.SetCopy(peer.Copy{
+		Topic: topic,
+		End:   end,
+		Reads: reads,
+	})
+}
+
+// Fetch implements keyedlog.Peers.
+func (c *copies) Fetch(ctx context.Context, address, topic string, after replica.Position) (replica.Changes, error) {
+	query := url.Values{
+		"topic":  {topic},
+		"era":    {strconv.FormatInt(after.Era, 10)},
+		"offset": {strconv.FormatInt(after.Offset, 10)},
+	}
+	c.gateway.meter.addToCounter("cactuswell_peer_fetches_total", 1)
+	var changes replica.Changes
+	body, err := httpjson.Fetch(ctx, c.client, http.MethodGet, "http://"+address+changesPath+"?"+query.Encode(), nil, maxChangesBytes)
+	if err == nil {
+		err = json.Unmarshal(body, &changes)
+	}
+	if err != nil {
+		c.gateway.meter.addToCounter("cactuswell_peer_fetch_failures_total", 1)
+		c.gateway.trail.Failure("peerFetchFailed").Text("topic", topic).Text("from", address).Err(err).Merge(topic + " " + address)
+	}
+	return changes, err
+}
+
+// serveChanges serves the changes of this host's copies to other hosts.
+func (g *Gateway) serveChanges(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	follower := g.followers[query.Get("topic")]
+	era, eraErr := strconv.ParseInt(query.Get("era"), 10, 64)
+	offset, offsetErr := strconv.ParseInt(query.Get("offset"), 10, 64)
+	if follower == nil || eraErr != nil || offsetErr != nil {
+		http.Error(w, "unknown topic or malformed position", http.StatusBadRequest)
+		return
+	}
+	changes, ok := follower.ChangesAfter(replica.Position{
+		Era:    era,
+		Offset: offset,
+	})
+	if !ok {
+		http.Error(w, "nothing later", http.StatusNotFound)
+		return
+	}
+	// An error means that the other host has disconnected.
+	_ = json.NewEncoder(w).Encode(changes)
+}
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -48,11 +48,18 @@
 	hostCount     atomic.Int64
 	// sendReport reports this host's load to other hosts. It is nil if the host has
 	// no mesh.
-	sendReport      func(complete bool, load []scheduling.PeerLoad, placements []scheduling.Placement)
+	sendReport      func(complete bool, report loadReport)
 	nextReportAt    time.Time
 	nextHeartbeatAt time.Time
 }
 
+// loadReport is what a host reports to the others.
+type loadReport struct {
+	loads      []scheduling.PeerLoad
+	placements []scheduling.Placement
+	notices    []scheduling.Notice
+}
+
 // heartbeatRequested requests an immediate heartbeat to other hosts.
 type heartbeatRequested struct{}
 
@@ -74,6 +81,7 @@
 	entryDeleted           struct{ id string }
 	entrySourceUnavailable struct{}
 	entrySourceRecovered   struct{}
+	entrySourceRewound     struct{}
 )
 
 // inspection requests that the duty runs a function between two events, and closes
@@ -219,8 +227,13 @@
 	if !heartbeatDue && (!d.scheduler.HasLoadChanges() || now.Before(d.nextReportAt)) {
 		return
 	}
-	load, placements := d.scheduler.TakeLoads(now, heartbeatDue)
-	d.sendReport(heartbeatDue, load, placements)
+	notices := d.scheduler.TakeNotices(now, heartbeatDue)
+	loads, placements := d.scheduler.TakeLoads(now, heartbeatDue)
+	d.sendReport(heartbeatDue, loadReport{
+		loads:      loads,
+		placements: placements,
+		notices:    notices,
+	})
 	d.nextReportAt = now.Add(minReportInterval)
 	if heartbeatDue {
 		d.nextHeartbeatAt = now.Add(peer.HeartbeatInterval)
@@ -268,11 +281,17 @@
 	case scheduling.ConfigurationChanged:
 		d.routeTable = event.Table
 		d.stepScheduler(event)
+	case scheduling.LeavingAnswered:
+		d.changes = d.directory.SetLeaving(event.Key.ID, event.Key.Incarnation, directory.ReasonAnswered, d.changes)
+		d.stepScheduler(event)
+	case scheduling.PeerReported:
+		d.applyNotices(event.Notices)
+		d.stepScheduler(event)
 	case scheduling.Event:
 		d.stepScheduler(event)
 	case entriesListed:
 		for _, entry := range event.entries {
-			d.changes = d.directory.Observe(now, entry, d.changes)
+			d.changes = d.directory.ObserveListed(now, entry, d.changes)
 		}
 		d.changes = d.directory.Reconcile(now, event.ids, d.changes)
 	case entryObserved:
@@ -283,6 +302,8 @@
 		d.directory.SetSourceUnavailable()
 	case entrySourceRecovered:
 		d.directory.SetSourceAvailable(now)
+	case entrySourceRewound:
+		d.directory.Rewind(now)
 	case heartbeatRequested:
 		d.nextHeartbeatAt = now
 	case inspection:
@@ -292,6 +313,19 @@
 	d.applyChanges()
 }
 
+// applyNotices records in the directory which endpoints have told another host that they
+// are leaving.
+func (d *decisionLoop) applyNotices(notices []scheduling.Notice) {
+	for _, notice := range notices {
+		if !notice.Leaving {
+			continue
+		}
+		if key, ok := d.scheduler.KeyOf(notice.Endpoint); ok {
+			d.changes = d.directory.SetLeaving(key.ID, key.Incarnation, directory.ReasonHeard, d.changes)
+		}
+	}
+}
+
 // handleAttemptEnded removes a call if its attempt completed or was abandoned, as
 // no command for the call follows then.
 func (d *decisionLoop) handleAttemptEnded(event scheduling.AttemptEnded) {
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -9,19 +9,10 @@
 
 	"github.com/gravitational/trace"
 
-	"cactuswell/io/keyedlog"
 	"cactuswell/supervisor"
 )
 
 const (
-	// configurationPollWait is the duration of a long poll for the configuration. A
-	// silent connection is detected within this time plus the store's answer time.
-	configurationPollWait = 4 * time.Second
-	// endpointPollWait is the duration of a long poll for the endpoints' entries, and
-	// endpointReadInterval the minimum time between two reads. A leaving endpoint
-	// must receive no calls later than two seconds after it announced that.
-	endpointPollWait     = 4 * time.Second
-	endpointReadInterval = 700 * time.Millisecond
 	// sweepInterval is the time between two sweeps of idle endpoint connections.
 	sweepInterval = 2 * time.Second
 	// decisionsDutyName is the name of the duty that owns the state machines.
@@ -30,36 +21,12 @@
 
 // addDuties adds the host's duties to the supervisor's tree.
 func (g *Gateway) addDuties() {
-	recordCall := func(took time.Duration, err error) {
-		g.meter.observeDuration("cactuswell_store_call_seconds{", took)
-		g.meter.addToCounter("cactuswell_store_calls_total", 1)
-		if err != nil {
-			g.meter.addToCounter("cactuswell_store_failures_total", 1)
-		}
-	}
-	configuration := keyedlog.New(keyedlog.Dependencies{
-		Log:        g.Log,
-		Topic:      g.Topics.Configuration,
-		Listener:   g.configuration,
-		Timers:     g.timers,
-		PollWait:   configurationPollWait,
-		RecordCall: recordCall,
-	})
-	endpoints := keyedlog.New(keyedlog.Dependencies{
-		Log:             g.Log,
-		Topic:           g.Topics.Endpoints,
-		Listener:        g.endpoints,
-		Timers:          g.timers,
-		PollWait:        endpointPollWait,
-		MinReadInterval: endpointReadInterval,
-		RecordCall:      recordCall,
-	})
 	duties := map[string]func(context.Context) error{
 		"timer":           g.timers.Run,
 		"trail":           g.trail.Run,
 		decisionsDutyName: g.decisions.run,
-		"configuration":   configuration.Run,
-		"endpoints":       endpoints.Run,
+		"configuration":   g.followers[g.Topics.Configuration].Run,
+		"endpoints":       g.followers[g.Topics.Endpoints].Run,
 		"sweep":           g.sweepIdleConnections,
 		"reload":          g.reloadSettings,
 		"callers":         g.serveDuty(g.callerServer, g.callerConns.listen(g.callerListener)),
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactuswell/core/directory"
+	"cactuswell/core/replica"
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 	"cactuswell/io/keyedlog"
@@ -106,6 +107,17 @@
 		Text("source", source).Int("routes", int64(table.RouteCount())).Int("teams", int64(table.TeamCount())).End()
 }
 
+// HandleRewind implements keyedlog.Listener.
+func (f *configurationFeed) HandleRewind(before, after replica.Position) {
+	logRewind(f.trail, "configuration", before, after)
+}
+
+// logRewind logs that the store has come back from an older copy of itself.
+func logRewind(lines *trail.Trail, topic string, before, after replica.Position) {
+	lines.Failure("storeRewound").Text("topic", topic).Int("eraBefore", before.Era).Int("offsetBefore", before.Offset).
+		Int("era", after.Era).Int("offset", after.Offset).End()
+}
+
 // HandleOutage implements keyedlog.Listener.
 func (f *configurationFeed) HandleOutage(err error) {
 	f.unavailable.Store(true)
@@ -127,6 +139,10 @@
 	// loaded is closed when the endpoints have been loaded.
 	loaded     chan struct{}
 	loadedOnce sync.Once
+	// rewinds counts how often the store has come back from an older copy of itself.
+	rewinds atomic.Int64
+	// rewound is signaled each time.
+	rewound chan struct{}
 	// loggedUnreadable holds the IDs whose entry could not be decoded. Each is
 	// logged once.
 	loggedUnreadable map[string]bool
@@ -140,9 +156,9 @@
 		ids: make(map[string]bool, len(records)),
 	}
 	for _, record := range records {
-		entry, ok := f.decodeEntry(record)
-		if ok {
-			listing.ids[entry.ID] = true
+		// An entry that cannot be decoded is still there, so it has not expired.
+		listing.ids[record.Key] = true
+		if entry, ok := f.decodeEntry(record); ok {
 			listing.entries = append(listing.entries, entry)
 		}
 	}
@@ -184,6 +200,17 @@
 // maxLoggedUnreadable bounds the number of IDs whose unreadable entry is logged.
 const maxLoggedUnreadable = 1000
 
+// HandleRewind implements keyedlog.Listener.
+func (f *endpointFeed) HandleRewind(before, after replica.Position) {
+	logRewind(f.trail, "endpoints", before, after)
+	f.rewinds.Add(1)
+	select {
+	case f.rewound <- struct{}{}:
+	default:
+	}
+	f.decisions.post(entrySourceRewound{})
+}
+
 // HandleOutage implements keyedlog.Listener.
 func (f *endpointFeed) HandleOutage(err error) {
 	f.unavailable.Store(true)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,14 +95,16 @@
 // Gateway is a host that serves callers, operators and other hosts.
 type Gateway struct {
 	Dependencies
-	trail          *trail.Trail
-	timers         *timer.Service
-	tree           *supervisor.Tree
-	meter          *meter
-	decisions      *decisionLoop
-	pool           *upstream.Pool
-	configuration  *configurationFeed
-	endpoints      *endpointFeed
+	trail         *trail.Trail
+	timers        *timer.Service
+	tree          *supervisor.Tree
+	meter         *meter
+	decisions     *decisionLoop
+	pool          *upstream.Pool
+	configuration *configurationFeed
+	endpoints     *endpointFeed
+	// followers hold the host's copies of the store's topics.
+	followers      map[string]*keyedlog.Follower
 	callHandler    *opaque.Server
 	callerServer   *http.Server
 	callerConns    *callerConns
@@ -188,8 +190,10 @@
 		trail:            g.trail,
 		decisions:        g.decisions,
 		loggedUnreadable: make(map[string]bool),
+		rewound:          make(chan struct{}, 1),
 		loaded:           make(chan struct{}),
 	}
+	g.buildFollowers()
 	g.callHandler = opaque.New(opaque.Dependencies{
 		RouteTable: g.configuration.current,
 		Scheduler:  g.decisions,
@@ -248,6 +252,7 @@
 			decisions: g.decisions,
 			trail:     g.trail,
 			zone:      g.Settings.Zone,
+			followers: g.followers,
 		},
 		Timers: g.timers,
 	})
@@ -277,14 +282,15 @@
 }
 
 // sendLoadReport reports this host's load to the other hosts.
-func (g *Gateway) sendLoadReport(complete bool, load []scheduling.PeerLoad, placements []scheduling.Placement) {
+func (g *Gateway) sendLoadReport(complete bool, report loadReport) {
 	g.mesh.Send(peer.Message{
 		ConfigurationVersion: g.configuration.version(),
 		StoreUnavailable:     g.endpoints.unavailable.Load(),
 		ShuttingDown:         g.isStopping(),
 		Complete:             complete,
-		Loads:                load,
-		Placements:           placements,
+		Loads:                report.loads,
+		Placements:           report.placements,
+		Notices:              report.notices,
 	})
 }
 
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -14,6 +14,16 @@
 	g.meter.addGauge("cactuswell_endpoint_connections", func() float64 { return float64(g.pool.OpenCount()) })
 	g.meter.addGauge("cactuswell_endpoint_dials_total", func() float64 { return float64(g.pool.DialCount()) })
 	g.meter.addGauge("cactuswell_endpoint_reuses_total", func() float64 { return float64(g.pool.ReuseCount()) })
+	if g.Settings.PeerListen != "" {
+		for name, topic := range map[string]string{
+			"configuration": g.Topics.Configuration,
+			"endpoints":     g.Topics.Endpoints,
+		} {
+			g.meter.addGauge(`cactuswell_copy_behind_seconds{topic="`+name+`"}`, func() float64 {
+				return g.followers[topic].BehindFor().Seconds()
+			})
+		}
+	}
 	if g.mesh != nil {
 		g.meter.addGauge("cactuswell_peer_datagrams_total", func() float64 { return float64(g.mesh.SentDatagrams()) })
 		g.meter.addGauge("cactuswell_peer_bytes_total", func() float64 { return float64(g.mesh.SentBytes()) })
@@ -26,6 +36,7 @@
 	}
 	g.meter.addGauge("cactuswell_log_lines_dropped_total", func() float64 { return float64(g.trail.DroppedCount()) })
 	g.meter.addGauge("cactuswell_log_lines_total", func() float64 { return float64(g.trail.LineCount()) })
+	g.meter.addGauge("cactuswell_store_rewinds_total", func() float64 { return float64(g.endpoints.rewinds.Load()) })
 	g.meter.addGauge("cactuswell_configuration_version", func() float64 {
 		return float64(g.configuration.version())
 	})
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
-	"cactuswell/core/directory"
 	"cactuswell/core/scheduling"
 	"cactuswell/io/httpjson"
 	"cactuswell/io/keyedlog"
@@ -17,9 +17,8 @@
 )
 
 const (
-	// The paths that hosts serve to each other.
+	// configurationPath is the path on which a host serves its configuration to others.
 	configurationPath = "/v1/configuration"
-	endpointsPath     = "/v1/endpoints"
 
 	// relayInterval is the time between two checks whether data must be fetched
 	// from another host.
@@ -27,54 +26,56 @@
 	// relayDelay is how long another host must have had a newer configuration before
 	// it is requested from that host. Usually the store delivers it sooner.
 	relayDelay = 200 * time.Millisecond
-	// relayEndpointsInterval is the time between two requests for another host's
-	// endpoints while the store does not answer this host.
-	relayEndpointsInterval = 700 * time.Millisecond
 	// relayTimeout bounds a request to another host.
 	relayTimeout = time.Second
 	// maxRelayedBytes bounds the size of another host's answer.
 	maxRelayedBytes = 8 << 20
 )
 
-// relay fetches the configuration and the endpoints from other hosts when the store
-// does not deliver them to this host.
+// relay fetches the configuration from other hosts that have a newer one in effect than
+// the store delivers: a store that has come back from an older copy may lack it for a
+// while.
 type relay struct {
 	mesh          *peer.Mesh
 	timers        *timer.Service
 	trail         *trail.Trail
-	decisions     *decisionLoop
 	configuration *configurationFeed
-	endpoints     *endpointFeed
 	client        *http.Client
 
 	// behindSince is when another host was first seen to have a newer configuration,
 	// or zero.
-	behindSince     time.Time
-	endpointsReadAt time.Time
+	behindSince time.Time
 }
 
 func newRelay(g *Gateway) *relay {
-	dialer := tcp.NewDialer(tcp.Settings{
-		DialTimeout: relayTimeout / 2,
-		AckTimeout:  relayTimeout,
-		KeepAlive:   time.Second,
-	})
 	return &relay{
 		mesh:          g.mesh,
 		timers:        g.timers,
 		trail:         g.trail,
-		decisions:     g.decisions,
 		configuration: g.configuration,
-		endpoints:     g.endpoints,
-		client: &http.Client{
-			Timeout: relayTimeout,
-			Transport: &http.Transport{
-				DialContext: dialer.DialContext,
-			},
+		client:        newPeerClient(),
+	}
+}
+
+// newPeerClient returns a client for requests to other hosts.
+func newPeerClient() *http.Client {
+	dialer := tcp.NewDialer(tcp.Settings{
+		DialTimeout: relayTimeout / 2,
+		AckTimeout:  relayTimeout,
+		KeepAlive:   time.Second,
+	})
+	return &http.Client{
+		Timeout: relayTimeout,
+		Transport: &http.Transport{
+			DialContext:     dialer.DialContext,
+			IdleConnTimeout: peerIdleTimeout,
 		},
 	}
 }
 
+// peerIdleTimeout is how long a connection to another host is kept without a request.
+const peerIdleTimeout = 30 * time.Second
+
 // run checks for data to fetch from other hosts until ctx is done.
 func (r *relay) run(ctx context.Context) error {
 	tick := r.timers.Every(relayInterval)
@@ -85,7 +86,6 @@
 			return nil
 		case now := <-tick.C():
 			r.fetchConfiguration(ctx, now)
-			r.fetchEndpoints(ctx, now)
 		}
 	}
 }
@@ -112,41 +112,6 @@
 	r.configuration.apply(value, "host "+address)
 }
 
-// fetchEndpoints fetches the endpoints that another host knows, while the store does
-// not answer this host or has not delivered the endpoints yet.
-func (r *relay) fetchEndpoints(ctx context.Context, now time.Time) {
-	if !r.endpoints.unavailable.Load() && isClosed(r.endpoints.loaded) || now.Sub(r.endpointsReadAt) < relayEndpointsInterval {
-		return
-	}
-	address := r.mesh.HostWithStore()
-	if address == "" {
-		return
-	}
-	r.endpointsReadAt = now
-	value, err := r.get(ctx, address, endpointsPath)
-	if err == nil {
-		err = r.applyEndpoints(value)
-	}
-	if err != nil {
-		r.trail.Failure("relayFailed").Text("what", "endpoints").Text("from", address).Err(err).Merge("endpoints " + address)
-	}
-}
-
-func (r *relay) applyEndpoints(value []byte) error {
-	var entries []directory.Entry
-	if err := json.Unmarshal(value, &entries); err != nil {
-		return err
-	}
-	if len(entries) == 0 {
-		return nil
-	}
-	for _, entry := range entries {
-		r.decisions.post(entryObserved{entry: entry})
-	}
-	r.endpoints.markLoaded()
-	return nil
-}
-
 func (r *relay) get(ctx context.Context, address, path string) ([]byte, error) {
 	return httpjson.Fetch(ctx, r.client, http.MethodGet, "http://"+address+path, nil, maxRelayedBytes)
 }
@@ -163,11 +128,7 @@
 		// An error means that the other host has disconnected.
 		_, _ = w.Write(active.encoded)
 	})
-	routes.HandleFunc("GET "+endpointsPath, func(w http.ResponseWriter, _ *http.Request) {
-		var entries []directory.Entry
-		g.inspect(func() { entries = g.decisions.directory.Entries() })
-		_ = json.NewEncoder(w).Encode(entries)
-	})
+	routes.HandleFunc("GET "+changesPath, g.serveChanges)
 	return routes
 }
 
@@ -177,6 +138,7 @@
 	decisions *decisionLoop
 	trail     *trail.Trail
 	zone      string
+	followers map[string]*keyedlog.Follower
 }
 
 var _ peer.Listener = (*peerEvents)(nil)
@@ -199,6 +161,7 @@
 		Complete:     message.Complete,
 		Loads:        message.Loads,
 		Placements:   message.Placements,
+		Notices:      message.Notices,
 	})
 }
 
@@ -218,6 +181,13 @@
 	l.decisions.events.TryPush(scheduling.PeerRemoved{Peer: source})
 }
 
+// HandleCopyAhead implements peer.Listener.
+func (l *peerEvents) HandleCopyAhead(topic string) {
+	if follower := l.followers[topic]; follower != nil {
+		follower.Wake()
+	}
+}
+
 // Roster is the fleet's membership list in the store, to which each host adds its
 // entry.
 type Roster interface {
@@ -233,6 +203,11 @@
 	// the time between two attempts.
 	rosterTimeout    = 1500 * time.Millisecond
 	rosterRetryDelay = 700 * time.Millisecond
+	// rosterMaxLoss is the age up to which an entry may be missing from the older copy
+	// from which the store has come back, and rosterSpread the time over which hosts
+	// spread their new entries then.
+	rosterMaxLoss = time.Minute
+	rosterSpread  = 2 * time.Second
 )
 
 // rosterEntry is a host's entry in the roster.
@@ -245,26 +220,39 @@
 }
 
 // joinRoster writes the host's entry to the roster and then reads the other entries,
-// and retries until both have succeeded once. With this order, of two hosts that
+// and retries until both have succeeded once. It writes the entry again when the store
+// may have lost it. With this order, of two hosts that
 // start at the same time at least one reads the other's entry, and the other one
 // then receives its messages.
 func (g *Gateway) joinRoster(ctx context.Context) error {
 	entryWritten := false
 	for ctx.Err() == nil {
-		err := g.joinRosterOnce(ctx, &entryWritten)
-		if err == nil {
-			return nil
+		writtenAt := time.Now()
+		if err := g.joinRosterOnce(ctx, &entryWritten); err != nil {
+			g.waitFor(ctx, rosterRetryDelay)
+			continue
 		}
-		wake := g.timers.After(rosterRetryDelay)
 		select {
 		case <-ctx.Done():
-		case <-wake.C():
+		case <-g.endpoints.rewound:
+			// Hosts that write again at once would exceed the store's rate.
+			g.waitFor(ctx, rand.N(rosterSpread))
+			entryWritten = time.Since(writtenAt) > rosterMaxLoss
 		}
-		wake.Stop()
 	}
 	return nil
 }
 
+// waitFor waits for a time or until ctx is done.
+func (g *Gateway) waitFor(ctx context.Context, delay time.Duration) {
+	wake := g.timers.After(delay)
+	defer wake.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake.C():
+	}
+}
+
 func (g *Gateway) joinRosterOnce(ctx context.Context, entryWritten *bool) error {
 	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
 	defer cancel()
@@ -297,6 +285,7 @@
 		}
 		g.mesh.AddHost(entry.Address, entry.Zone, entry.LinkMbps)
 	}
+	g.mesh.MarkFleetKnown()
 	g.decisions.post(heartbeatRequested{})
 	g.trail.Notice("rosterRead").Int("hosts", int64(len(listing.Records))).End()
 	return nil
--- a/io/httpjson/httpjson.go
+++ b/io/httpjson/httpjson.go
@@ -40,6 +40,19 @@
 	return fmt.Sprintf("answer to %s has status %d", e.Path, e.Status)
 }
 
+// TooLargeError reports a response body that is larger than allowed.
+type TooLargeError struct {
+	// Path is the path of the request.
+	Path string
+	// Limit is the maximum size in bytes.
+	Limit int64
+}
+
+// Error returns a message with the path and the limit.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("answer to %s is larger than %d bytes", e.Path, e.Limit)
+}
+
 // Get decodes a JSON document of at most limit bytes into the given value.
 func Get(ctx context.Context, client *http.Client, address string, limit int64, into any) error {
 	return Call(ctx, client, http.MethodGet, address, nil, limit, into)
@@ -57,29 +70,44 @@
 	return trace.Wrap(json.Unmarshal(responseBody, into))
 }
 
-// Fetch makes a request and returns at most limit bytes of the response body.
+// Fetch makes a request and returns the response body. The error is a *TooLargeError if
+// the body has more than limit bytes.
 func Fetch(
 	ctx context.Context, client *http.Client, method, address string, body io.Reader, limit int64,
 ) ([]byte, error) {
+	responseBody, _, err := FetchWithHeader(ctx, client, method, address, body, limit)
+	return responseBody, err
+}
+
+// FetchWithHeader is like Fetch, and also returns the response header.
+func FetchWithHeader(
+	ctx context.Context, client *http.Client, method, address string, body io.Reader, limit int64,
+) ([]byte, http.Header, error) {
 	request, err := http.NewRequestWithContext(ctx, method, address, body)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, nil, trace.Wrap(err)
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, nil, trace.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
 		errorBody, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
-		return nil, trace.Wrap(&StatusError{
+		return nil, response.Header, trace.Wrap(&StatusError{
 			Path:   request.URL.Path,
 			Status: response.StatusCode,
 			Body:   errorBody,
 		})
 	}
-	responseBody, err := io.ReadAll(io.LimitReader(response.Body, limit))
-	return responseBody, trace.Wrap(err)
+	responseBody, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil && int64(len(responseBody)) > limit {
+		err = &TooLargeError{
+			Path:  request.URL.Path,
+			Limit: limit,
+		}
+	}
+	return responseBody, response.Header, trace.Wrap(err)
 }
 
 // RetryAfter returns the delay in a Retry-After header, which must be in seconds, or
--- /dev/null
+++ b/io/keyedlog/fleet_test.go
@@ -0,0 +1,242 @@
+package keyedlog_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cactuswell/core/replica"
+	"cactuswell/io/keyedlog"
+	standin "cactuswell/standin/keyedlog"
+	"cactuswell/timer"
+)
+
+// fleet connects the followers of hosts, whose reports arrive immediately. Hosts with a
+// name in readers are readers.
+type fleet struct {
+	mu        sync.Mutex
+	readers   []string
+	followers map[string]*keyedlog.Follower
+	copies    map[string]replica.Position
+	reads     map[string]bool
+	abandoned []string
+}
+
+// member is one host's access to the others.
+type member struct {
+	fleet *fleet
+	name  string
+}
+
+// View implements keyedlog.Peers.
+func (m member) View(_ string, own replica.Position) replica.View {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	view := replica.View{
+		IsComplete: true,
+		IsReader:   slices.Contains(m.fleet.readers, m.name),
+		Others:     len(m.fleet.followers) - 1,
+	}
+	for name, end := range m.fleet.copies {
+		if name == m.name {
+			continue
+		}
+		if m.fleet.reads[name] {
+			view.Readers++
+		}
+		if end.After(own) {
+			view.Sources = append(view.Sources, replica.Source{Address: name, IsPreferred: true})
+		}
+	}
+	return view
+}
+
+// Fetch implements keyedlog.Peers.
+func (m member) Fetch(_ context.Context, address, _ string, after replica.Position) (replica.Changes, error) {
+	m.fleet.mu.Lock()
+	source := m.fleet.followers[address]
+	m.fleet.mu.Unlock()
+	changes, _ := source.ChangesAfter(after)
+	return changes, nil
+}
+
+// Publish implements keyedlog.Peers.
+func (m member) Publish(_ string, end replica.Position, reads bool) {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	m.fleet.copies[m.name] = end
+	m.fleet.reads[m.name] = reads
+	for name, follower := range m.fleet.followers {
+		if name != m.name {
+			follower.Wake()
+		}
+	}
+}
+
+// host is a follower in a fleet.
+type host struct {
+	client   *standin.Client
+	listener *listener
+}
+
+// runFleet runs followers with the given names, of which the readers are the first two.
+func runFleet(t *testing.T, names []string, scenario func(f *fleet, log *standin.Log, hosts map[string]host)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		log := standin.New()
+		timers := timer.New()
+		f := &fleet{
+			readers:   names[:2],
+			followers: make(map[string]*keyedlog.Follower),
+			copies:    make(map[string]replica.Position),
+			reads:     make(map[string]bool),
+		}
+		hosts := make(map[string]host)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, len(names)+1)
+		go func() { done <- timers.Run(ctx) }()
+		for _, name := range names {
+			h := host{
+				client:   log.NewClient(),
+				listener: &listener{},
+			}
+			hosts[name] = h
+			f.followers[name] = keyedlog.New(keyedlog.Dependencies{
+				Log:             h.client,
+				Topic:           topic,
+				Listener:        h.listener,
+				Timers:          timers,
+				Peers:           member{fleet: f, name: name},
+				MinReadInterval: 200 * time.Millisecond,
+				RecordCall:      func(time.Duration, error) {},
+				RecordAbandonedPoll: func(error) {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					f.abandoned = append(f.abandoned, name)
+				},
+			})
+		}
+		for _, follower := range f.followers {
+			go func() { done <- follower.Run(ctx) }()
+		}
+		scenario(f, log, hosts)
+		cancel()
+		for range cap(done) {
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
+
+// TestHeldPollIsAbandoned plays a read of the log that stays open although there are newer
+// records, which happened to single hosts: they learned of leaving endpoints when the
+// next record came, up to 3.5 s later. The host learns from the others that it is behind,
+// gets the records from them, and says so.
+func TestHeldPollIsAbandoned(t *testing.T) {
+	runFleet(t, []string{"a", "b", "c"}, func(f *fleet, log *standin.Log, hosts map[string]host) {
+		wait(3 * time.Second)
+		hosts["a"].client.SetFault(standin.HeldPoll{})
+		wait(2500 * time.Millisecond)
+		log.Append(topic, "endpoint", []byte("leaving"))
+		wait(time.Second)
+		for name, h := range hosts {
+			if h.listener.values["endpoint"] != "leaving" {
+				t.Errorf("host %s does not know of the record after a second", name)
+			}
+		}
+		if !slices.Equal(f.abandoned, []string{"a"}) {
+			t.Errorf("polls abandoned: %v, want that of a", f.abandoned)
+		}
+	})
+}
+
+// TestOnlyReadersReadTheLog checks that hosts that are no readers make no calls to the log,
+// not even at their start, and are not told of an outage while a reader reads it.
+func TestOnlyReadersReadTheLog(t *testing.T) {
+	runFleet(t, []string{"a", "b", "c", "d", "e", "f"}, func(_ *fleet, log *standin.Log, hosts map[string]host) {
+		log.Append(topic, "x", []byte("1"))
+		hosts["b"].client.SetFault(standin.Refusal{})
+		for _, name := range []string{"c", "d", "e", "f"} {
+			hosts[name].client.SetFault(standin.Hang{})
+		}
+		wait(5 * time.Second)
+		log.Append(topic, "x", []byte("2"))
+		wait(time.Second)
+		for name, h := range hosts {
+			if h.listener.values["x"] != "2" {
+				t.Errorf("host %s has %q", name, h.listener.values["x"])
+			}
+			if slices.Contains(h.listener.events, "lost") {
+				t.Errorf("host %s was told of an outage: %v", name, h.listener.events)
+			}
+		}
+		if _, lists := log.CallCounts(); lists != 1 {
+			t.Errorf("%d listings, want 1", lists)
+		}
+	})
+}
+
+// TestOtherHostReadsWhileReadersCannot checks that a host that the log still serves reads
+// it when it turns both readers away, and that all are told of an outage when it turns
+// everybody away.
+func TestOtherHostReadsWhileReadersCannot(t *testing.T) {
+	runFleet(t, []string{"a", "b", "c", "d"}, func(_ *fleet, log *standin.Log, hosts map[string]host) {
+		wait(time.Second)
+		for _, name := range []string{"a", "b", "c"} {
+			hosts[name].client.SetFault(standin.Refusal{})
+		}
+		wait(2 * time.Second)
+		log.Append(topic, "x", []byte("1"))
+		wait(time.Second)
+		for name, h := range hosts {
+			if h.listener.values["x"] != "1" {
+				t.Errorf("host %s does not know of the record", name)
+			}
+		}
+		hosts["d"].client.SetFault(standin.Refusal{})
+		wait(2 * time.Second)
+		for name, h := range hosts {
+			if events := h.listener.events; events[len(events)-1] != "lost" {
+				t.Errorf("host %s was not told of the outage: %v", name, events)
+			}
+		}
+		for _, h := range hosts {
+			h.client.SetFault(nil)
+		}
+		wait(2 * time.Second)
+		for name, h := range hosts {
+			if events := h.listener.events; events[len(events)-1] != "back" {
+				t.Errorf("host %s was not told of the recovery: %v", name, events)
+			}
+		}
+	})
+}
+
+// TestRewindReachesFleet plays a log that comes back from an older copy and gives out the
+// lost offsets again. A follower that compared offsets across the rewind would keep the
+// lost records and miss the new ones.
+func TestRewindReachesFleet(t *testing.T) {
+	runFleet(t, []string{"a", "b", "c"}, func(_ *fleet, log *standin.Log, hosts map[string]host) {
+		log.Append(topic, "kept", []byte("1"))
+		log.Append(topic, "lost", []byte("1"))
+		log.Append(topic, "lost", []byte("2"))
+		wait(2 * time.Second)
+		log.Rewind(topic, 2)
+		log.Append(topic, "new", []byte("1"))
+		log.Append(topic, "new", []byte("2"))
+		log.Append(topic, "new", []byte("3"))
+		wait(time.Second)
+		for name, h := range hosts {
+			if h.listener.values["new"] != "3" || h.listener.values["lost"] != "" || h.listener.values["kept"] != "1" {
+				t.Errorf("host %s has %v", name, h.listener.values)
+			}
+			if !slices.Contains(h.listener.events, "rewound 0-3 to 1-4") {
+				t.Errorf("host %s was not told of the rewind: %v", name, h.listener.events)
+			}
+		}
+	})
+}
--- a/io/keyedlog/keyedlog.go
+++ b/io/keyedlog/keyedlog.go
@@ -7,14 +7,18 @@
 //		Log:      log,
 //		Topic:    "configuration",
 //		Listener: listener,
+//		Peers:    peers,
 //		...
 //	})
 //	tree.Add(supervisor.Duty{Name: "follower", Run: follower.Run})
 //
-// A follower lists the newest record of each key and then reads the records after
-// that listing with long polls. It lists again when the records that it would read
-// next are no longer retained. It notifies its listener when the log becomes
-// unavailable and when it is available again.
+// A follower keeps a copy of its topic. A few hosts of a fleet read the log: they list
+// the newest record of each key and then read the records after that listing with long
+// polls. The others get the changes from hosts whose copy is ahead (see package
+// replica, which decides). A follower lists again when the records that it would read
+// next are no longer retained, and when the log's era has risen, as the log has come
+// back from an older copy then. It notifies its listener when neither the log nor a
+// host that reads it answers, and when one does again.
 package keyedlog
 
 import (
@@ -22,8 +26,11 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"cactuswell/core/replica"
 	"cactuswell/timer"
 )
 
@@ -32,21 +39,12 @@
 	listPageTimeout = 1500 * time.Millisecond
 	// pollSlack is how much longer than its wait a long poll may take.
 	pollSlack = 900 * time.Millisecond
-	// minRetryDelay and maxRetryDelay bound the backoff while the log is
-	// unavailable, before jitter. They are short, since a change must take effect
-	// soon after the log has recovered.
-	minRetryDelay = 100 * time.Millisecond
-	maxRetryDelay = 400 * time.Millisecond
+	// fetchTimeout bounds a fetch of changes from another host.
+	fetchTimeout = 600 * time.Millisecond
 )
 
 // Record is one record of a topic.
-type Record struct {
-	Key   string
-	Value []byte
-	// Deleted reports whether the record deletes its key.
-	Deleted bool
-	Offset  int64
-}
+type Record = replica.Record
 
 // Listing is a page of a listing of the newest record of each key.
 type Listing struct {
@@ -56,6 +54,16 @@
 	More      bool
 	// EndOffset is the offset after the last record of the topic.
 	EndOffset int64
+	// Era is the log's era. See replica.Position.
+	Era int64
+}
+
+// Batch is the result of a read.
+type Batch struct {
+	Records []Record
+	// Era is the log's era. Records of a later era than the reader's do not continue
+	// what it has read before.
+	Era int64
 }
 
 // Log is a client of the log service.
@@ -64,12 +72,13 @@
 	// after the given key, or the first page if the key is empty.
 	ListNewest(ctx context.Context, topic, after string) (Listing, error)
 	// Read returns the records from an offset on. If there are none yet, it waits
-	// for them up to the given time. The error is an *ExpiredError if records from that
-	// offset on are no longer retained.
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) ([]Record, error)
+	// for them up to the given time. The error is an *ExpiredError if the log does not
+	// have records from that offset on: they are no longer retained, or the log has come
+	// back from an older copy.
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Batch, error)
 }
 
-// ExpiredError is the error for a read of records that are no longer retained.
+// ExpiredError is the error for a read of records that the log does not have.
 type ExpiredError struct {
 	Topic string
 	From  int64
@@ -77,7 +86,17 @@
 
 // Error names the topic and the offset.
 func (e *ExpiredError) Error() string {
-	return fmt.Sprintf("records of topic %s from offset %d on are no longer retained", e.Topic, e.From)
+	return fmt.Sprintf("records of topic %s from offset %d on are not available", e.Topic, e.From)
+}
+
+// NoReaderError is the error while no host that reads the log is heard of.
+type NoReaderError struct {
+	Topic string
+}
+
+// Error names the topic.
+func (e *NoReaderError) Error() string {
+	return "no other host reads topic " + e.Topic
 }
 
 // Listener handles the contents of a topic. Its methods are called by one goroutine.
@@ -86,6 +105,9 @@
 	HandleListing(records []Record)
 	// HandleRecords receives new records, in order.
 	HandleRecords(records []Record)
+	// HandleRewind is called before the first listing of a later era than the one
+	// before: what was written lately may be missing from it, and is written again.
+	HandleRewind(before, after replica.Position)
 	// HandleOutage is called when the log becomes unavailable.
 	HandleOutage(err error)
 	// HandleRecovery is called when the log is available again, after an outage of the
@@ -93,39 +115,105 @@
 	HandleRecovery(outage time.Duration)
 }
 
+// Peers is access to the copies of the other hosts of a fleet.
+type Peers interface {
+	// View returns what is known of the others' copies, for a host whose own copy ends
+	// at the given position.
+	View(topic string, own replica.Position) replica.View
+	// Fetch returns the changes after a position from the host at an address.
+	Fetch(ctx context.Context, address, topic string, after replica.Position) (replica.Changes, error)
+	// Publish tells the other hosts where the copy ends, and whether this host currently
+	// reads the log with success.
+	Publish(topic string, end replica.Position, reads bool)
+}
+
+// AbandonedPollError is the error of a read that was abandoned because another host
+// has records that it has not delivered.
+type AbandonedPollError struct {
+	Topic string
+	After time.Duration
+}
+
+// Error names the topic and the time that the read took.
+func (e *AbandonedPollError) Error() string {
+	return fmt.Sprintf("read of topic %s abandoned after %s: other hosts have newer records", e.Topic, e.After)
+}
+
 // Dependencies holds the settings and collaborators of a Follower.
 type Dependencies struct {
 	Log      Log
 	Topic    string
 	Listener Listener
 	Timers   *timer.Service
-	// PollWait is the duration of a long poll.
-	PollWait time.Duration
-	// MinReadInterval is the minimum time between two reads that return records, so
+	// Peers may be nil, for a host that knows no others.
+	Peers Peers
+	// MinReadInterval is the minimum time between two steps that deliver records, so
 	// that many small records need few calls.
 	MinReadInterval time.Duration
 	// RecordCall is called after each call to the log, with its duration and its
 	// error.
 	RecordCall func(took time.Duration, err error)
+	// RecordAbandonedPoll is called when a read of the log is abandoned, with an
+	// *AbandonedPollError.
+	RecordAbandonedPoll func(err error)
 }
 
 // Follower follows one topic.
 type Follower struct {
 	Dependencies
-	nextOffset       int64
-	listed           bool
+	planner *replica.Planner
+	// reads is set while the last read of the log succeeded and the host keeps reading.
+	reads            bool
 	unavailable      bool
 	unavailableSince time.Time
-	failures         int
+	// wake is signaled when another host's position has changed.
+	wake chan struct{}
+
+	// behindSince is the planner's BehindSince in Unix nanoseconds, or zero.
+	behindSince atomic.Int64
+
+	mu    sync.Mutex
+	table *replica.Table
 }
 
 // New creates a follower.
 func New(dependencies Dependencies) *Follower {
 	return &Follower{
 		Dependencies: dependencies,
+		planner:      replica.NewPlanner(time.Now()),
+		wake:         make(chan struct{}, 1),
+		table:        replica.New(),
 	}
 }
 
+// Wake makes the follower look at the other hosts' positions again. It never blocks.
+func (f *Follower) Wake() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// ChangesAfter returns the changes after a position, for another host. It reports
+// false if the follower has nothing later.
+func (f *Follower) ChangesAfter(position replica.Position) (replica.Changes, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.table.End().After(position) {
+		return replica.Changes{}, false
+	}
+	return f.table.Since(position), true
+}
+
+// BehindFor returns for how long another host has been known to have later records, or
+// zero.
+func (f *Follower) BehindFor() time.Duration {
+	if since := f.behindSince.Load(); since != 0 {
+		return time.Since(time.Unix(0, since))
+	}
+	return 0
+}
+
 // Run follows the topic until ctx is done.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -134,83 +222,184 @@
 	return nil
 }
 
-// runOnce lists or reads once, records the success or failure, and waits until the
-// next call is due.
+// runOnce executes the next step, and waits until the one after it is due.
 func (f *Follower) runOnce(ctx context.Context) {
 	startedAt := time.Now()
-	hasRecords, err := f.step(ctx)
+	view := f.view()
+	delivered := false
+	switch step := f.planner.Next(startedAt, view).(type) {
+	case replica.Wait:
+		f.recordIdle(view)
+		f.sleep(ctx, step.For, true)
+	case replica.Fetch:
+		delivered = f.fetch(ctx, step.Address)
+	case replica.Read:
+		delivered = f.readLog(ctx, step.PollWait)
+	}
+	if delivered {
+		f.sleep(ctx, f.MinReadInterval-time.Since(startedAt), false)
+	}
+}
+
+func (f *Follower) view() replica.View {
+	f.recordBehind()
+	if f.Peers == nil {
+		return replica.View{
+			IsSolo:     true,
+			IsComplete: true,
+			IsReader:   true,
+		}
+	}
+	return f.Peers.View(f.Topic, f.end())
+}
+
+func (f *Follower) recordBehind() {
+	since := int64(0)
+	if at := f.planner.BehindSince(); !at.IsZero() {
+		since = at.UnixNano()
+	}
+	f.behindSince.Store(since)
+}
+
+func (f *Follower) end() replica.Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.End()
+}
+
+// fetch gets the changes from another host, and reports whether it got any.
+func (f *Follower) fetch(ctx context.Context, address string) bool {
+	fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	before := f.end()
+	changes, err := f.Peers.Fetch(fetchCtx, address, f.Topic, before)
+	if ctx.Err() != nil {
+		return false
+	}
+	if err != nil || !changes.End.After(before) {
+		f.planner.RecordFetchFailure(time.Now())
+		return false
+	}
+	f.recordAvailable()
+	f.apply(changes)
+	return true
+}
+
+// readLog lists or reads once, and reports whether it delivered records.
+func (f *Follower) readLog(ctx context.Context, wait time.Duration) bool {
+	changes, err := f.readChanges(ctx, wait)
+	var abandoned *AbandonedPollError
 	switch {
 	case ctx.Err() != nil:
+		return false
+	case errors.As(err, &abandoned):
+		// The read may still be answered, so the log does not count as unavailable.
+		f.RecordAbandonedPoll(err)
+		return false
 	case err != nil:
-		f.recordFailure(err)
-		f.sleep(ctx, f.retryDelay())
-	default:
-		f.recordSuccess()
-		if hasRecords {
-			f.sleep(ctx, f.MinReadInterval-time.Since(startedAt))
+		view := f.view()
+		f.planner.RecordReadFailure(time.Now(), view, rand.Float64())
+		f.publish(false)
+		if view.Readers == 0 {
+			f.recordUnavailable(err)
 		}
+		return false
 	}
+	f.planner.RecordRead()
+	f.recordAvailable()
+	if !changes.End.After(f.end()) {
+		f.publish(true)
+		return false
+	}
+	f.reads = true
+	f.apply(changes)
+	return true
 }
 
-// step lists or reads once, and reports whether it listed or received records.
-func (f *Follower) step(ctx context.Context) (bool, error) {
-	if !f.listed {
-		return true, f.list(ctx)
+// readChanges lists the topic if there is no copy or its records do not continue the
+// copy, and reads the records after the copy otherwise.
+func (f *Follower) readChanges(ctx context.Context, wait time.Duration) (replica.Changes, error) {
+	end := f.end()
+	if !end.IsKnown() {
+		return f.list(ctx)
 	}
-	records, err := f.read(ctx)
+	batch, err := f.poll(ctx, end, wait)
 	var expired *ExpiredError
-	if errors.As(err, &expired) {
-		f.listed = false
-		return false, nil
+	if errors.As(err, &expired) || err == nil && batch.Era > end.Era {
+		return f.list(ctx)
+	}
+	if err != nil {
+		return replica.Changes{}, err
 	}
-	if err != nil || len(records) == 0 {
-		return false, err
+	if len(batch.Records) > 0 {
+		end.Offset = batch.Records[len(batch.Records)-1].Offset + 1
 	}
-	f.nextOffset = records[len(records)-1].Offset + 1
-	f.recordSuccess()
-	f.Listener.HandleRecords(records)
-	return true, nil
+	return replica.Changes{
+		End:     end,
+		Records: batch.Records,
+	}, nil
 }
 
-func (f *Follower) read(ctx context.Context) ([]Record, error) {
-	wait := f.PollWait
-	if f.unavailable {
-		// Without a wait, the answer shows immediately that the log is available again.
-		wait = 0
+// apply applies changes to the copy and passes them to the listener.
+func (f *Follower) apply(changes replica.Changes) {
+	f.mu.Lock()
+	before := f.table.End()
+	if changes.Whole {
+		f.table.Replace(changes.End, changes.Records)
+	} else {
+		f.table.Apply(changes.End, changes.Records)
+	}
+	f.mu.Unlock()
+	f.planner.RecordCopy()
+	f.publish(f.reads)
+	if before.IsKnown() && changes.End.Era > before.Era {
+		f.Listener.HandleRewind(before, changes.End)
+	}
+	if changes.Whole {
+		f.Listener.HandleListing(changes.Records)
+		return
+	}
+	f.Listener.HandleRecords(changes.Records)
+}
+
+func (f *Follower) publish(reads bool) {
+	f.reads = reads
+	if f.Peers != nil {
+		f.Peers.Publish(f.Topic, f.end(), reads)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+pollSlack)
-	defer cancel()
-	startedAt := time.Now()
-	records, err := f.Log.Read(ctx, f.Topic, f.nextOffset, wait)
-	f.RecordCall(time.Since(startedAt), err)
-	return records, err
 }
 
 // list lists the newest record of each key. Reading continues at the end offset of
 // the first page, since the pages may miss records that were appended after it.
-func (f *Follower) list(ctx context.Context) error {
-	var records []Record
-	end := int64(-1)
+func (f *Follower) list(ctx context.Context) (replica.Changes, error) {
+	changes := replica.Changes{
+		Whole: true,
+		End:   replica.Unknown(),
+	}
 	after := ""
 	for {
 		page, err := f.listPage(ctx, after)
 		if err != nil {
-			return err
+			return replica.Changes{}, err
 		}
-		if end < 0 {
-			end = page.EndOffset
+		if changes.End.IsKnown() && page.Era != changes.End.Era {
+			return replica.Changes{}, &ExpiredError{
+				Topic: f.Topic,
+				From:  changes.End.Offset,
+			}
 		}
-		records = append(records, page.Records...)
+		if !changes.End.IsKnown() {
+			changes.End = replica.Position{
+				Era:    page.Era,
+				Offset: page.EndOffset,
+			}
+		}
+		changes.Records = append(changes.Records, page.Records...)
 		if !page.More {
-			break
+			return changes, nil
 		}
 		after = page.NextAfter
 	}
-	f.nextOffset = end
-	f.listed = true
-	f.recordSuccess()
-	f.Listener.HandleListing(records)
-	return nil
 }
 
 func (f *Follower) listPage(ctx context.Context, after string) (Listing, error) {
@@ -222,8 +411,21 @@
 	return page, err
 }
 
-func (f *Follower) recordFailure(err error) {
-	f.failures++
+// recordIdle records what the other hosts say of the log while this one does not read
+// it.
+func (f *Follower) recordIdle(view replica.View) {
+	if f.reads && !view.IsReader {
+		f.publish(false)
+	}
+	switch {
+	case view.Readers > 0:
+		f.recordAvailable()
+	case f.planner.HearsOfNoReader(time.Now()):
+		f.recordUnavailable(&NoReaderError{Topic: f.Topic})
+	}
+}
+
+func (f *Follower) recordUnavailable(err error) {
 	if f.unavailable {
 		return
 	}
@@ -232,8 +434,7 @@
 	f.Listener.HandleOutage(err)
 }
 
-func (f *Follower) recordSuccess() {
-	f.failures = 0
+func (f *Follower) recordAvailable() {
 	if !f.unavailable {
 		return
 	}
@@ -241,21 +442,20 @@
 	f.Listener.HandleRecovery(time.Since(f.unavailableSince))
 }
 
-// retryDelay returns the delay before the next attempt, an exponential backoff with
-// jitter so that hosts don't retry at the same time.
-func (f *Follower) retryDelay() time.Duration {
-	delay := min(minRetryDelay<<min(f.failures-1, 4), maxRetryDelay)
-	return delay/2 + rand.N(delay)
-}
-
-func (f *Follower) sleep(ctx context.Context, delay time.Duration) {
+// sleep waits, at most until another host's position changes if isWakeable is set.
+func (f *Follower) sleep(ctx context.Context, delay time.Duration, isWakeable bool) {
 	if delay <= 0 {
 		return
 	}
-	wake := f.Timers.After(delay)
-	defer wake.Stop()
+	timeout := f.Timers.After(delay)
+	defer timeout.Stop()
+	var wake <-chan struct{}
+	if isWakeable {
+		wake = f.wake
+	}
 	select {
 	case <-ctx.Done():
-	case <-wake.C():
+	case <-timeout.C():
+	case <-wake:
 	}
 }
--- a/io/keyedlog/keyedlog_test.go
+++ b/io/keyedlog/keyedlog_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"cactuswell/core/replica"
 	"cactuswell/io/keyedlog"
 	standin "cactuswell/standin/keyedlog"
 	"cactuswell/timer"
@@ -39,6 +40,10 @@
 	}
 }
 
+func (l *listener) HandleRewind(before, after replica.Position) {
+	l.events = append(l.events, fmt.Sprintf("rewound %d-%d to %d-%d", before.Era, before.Offset, after.Era, after.Offset))
+}
+
 func (l *listener) HandleOutage(error)           { l.events = append(l.events, "lost") }
 func (l *listener) HandleRecovery(time.Duration) { l.events = append(l.events, "back") }
 
@@ -62,7 +67,6 @@
 			Topic:           topic,
 			Listener:        l,
 			Timers:          timers,
-			PollWait:        4 * time.Second,
 			MinReadInterval: 500 * time.Millisecond,
 			RecordCall:      func(time.Duration, error) {},
 		})
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -77,6 +77,7 @@
 		Outcome:  outcome,
 		Load:     t.responseInfo.Load,
 		EventGap: x.stream.usualGap(),
+		QuietFor: t.quietFor(),
 	}
 	x.server.Scheduler.Post(event)
 	switch outcome.(type) {
@@ -273,6 +274,7 @@
 
 // handleResponse handles a response whose header has arrived.
 func (t *attempt) handleResponse() scheduling.Outcome {
+	t.postNotices()
 	status := t.response.StatusCode
 	switch {
 	case status == http.StatusMisdirectedRequest:
@@ -293,6 +295,34 @@
 	return t.bufferFailure(status)
 }
 
+// postNotices passes on what the endpoint says of itself in the header of its response.
+// A response of another endpoint, which has taken over the address, says nothing of the
+// one that was called.
+func (t *attempt) postNotices() {
+	x := t.exchange
+	if t.response.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	if t.responseInfo.Leaving {
+		x.server.Scheduler.Post(scheduling.LeavingAnswered{Key: x.currentSend.Key})
+	}
+	if text := t.responseInfo.MalformedRetryAfter; text != "" {
+		x.server.Trail.Failure("retryAfterMalformed").Text("request", x.requestInfo.RequestID).
+			Text("endpoint", x.currentSend.Key.ID).Text("value", text[:min(len(text), maxLoggedValue)]).Merge(x.currentSend.Key.ID)
+	}
+}
+
+// maxLoggedValue bounds a header value in a log line, in bytes.
+const maxLoggedValue = 40
+
+// quietFor returns for how long the endpoint asked not to be sent calls, or zero.
+func (t *attempt) quietFor() time.Duration {
+	if t.response == nil || t.response.StatusCode != http.StatusServiceUnavailable {
+		return 0
+	}
+	return t.responseInfo.RetryAfter
+}
+
 // drainBody reads a short response body to its end, so that the connection can be
 // reused, and returns the given outcome.
 func (t *attempt) drainBody(outcome scheduling.Outcome) scheduling.Outcome {
--- a/io/opaque/dialect.go
+++ b/io/opaque/dialect.go
@@ -71,9 +71,13 @@
 	NotRun bool
 	// Misdirected is set if the address belongs to another endpoint now.
 	Misdirected bool
+	// Leaving is set if the endpoint accepts no new calls.
+	Leaving bool
 	// RetryAfter is how long to send no calls to the endpoint, or zero.
 	RetryAfter time.Duration
-	Load       scheduling.ReportedLoad
+	// MalformedRetryAfter is the text of a delay that is not a number or out of bounds.
+	MalformedRetryAfter string
+	Load                scheduling.ReportedLoad
 }
 
 // RequestError reports a request whose header is malformed.
--- a/io/opaque/headers.go
+++ b/io/opaque/headers.go
@@ -1,6 +1,8 @@
 package opaque
 
 import (
+	"errors"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -43,6 +45,8 @@
 	// Load is the number of running calls, of waiting calls and of slots of an
 	// endpoint, separated by commas.
 	Load string
+	// Leaving is set by endpoints that are leaving in all their responses.
+	Leaving string
 	// FetchAddress is the address of the engine from whose cache a part of the prompt is
 	// to be fetched.
 	FetchAddress string
@@ -66,13 +70,16 @@
 		Mark:         "Cactuswell-Mark",
 		NotRun:       "Cactuswell-Not-Run",
 		Load:         "Cactuswell-Load",
+		Leaving:      "Cactuswell-Leaving",
 		FetchAddress: "Cactuswell-Fetch",
 	}
 }
 
 const (
 	headerRetryAfter = "Retry-After"
-	bearerPrefix     = "Bearer "
+	// maxRetryAfter bounds the delay that an endpoint may ask for.
+	maxRetryAfter = time.Minute
+	bearerPrefix  = "Bearer "
 	// lowestPriority is the least urgent priority that engines support.
 	lowestPriority = 9
 )
@@ -178,6 +185,26 @@
 	}
 }
 
+// isSet reports whether a header that is a flag has a value other than zero.
+func isSet(value string) bool { return value != "" && value != "0" }
+
+// parseRetryAfter parses a delay in seconds, which may have a fraction. It returns the
+// text as malformed if it is not a positive number, and also if the number is larger than
+// maxRetryAfter, to which the delay is bounded.
+func parseRetryAfter(text string) (delay time.Duration, malformed string) {
+	if text == "" {
+		return 0, ""
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	switch {
+	case err != nil && !errors.Is(err, strconv.ErrRange), math.IsNaN(seconds), seconds < 0:
+		return 0, text
+	case seconds > maxRetryAfter.Seconds():
+		return maxRetryAfter, text
+	}
+	return time.Duration(seconds * float64(time.Second)), ""
+}
+
 // ParseResponse implements Dialect.
 func (h HeaderDialect) ParseResponse(response *http.Response) ResponseInfo {
 	header := response.Header
@@ -186,10 +213,9 @@
 		HasMark:     header.Get(h.names.Mark) != "",
 		NotRun:      header.Get(h.names.NotRun) != "",
 		Misdirected: response.StatusCode == http.StatusMisdirectedRequest,
+		Leaving:     isSet(header.Get(h.names.Leaving)),
 	}
-	if seconds, err := strconv.ParseFloat(header.Get(headerRetryAfter), 64); err == nil && seconds > 0 {
-		info.RetryAfter = time.Duration(seconds * float64(time.Second))
-	}
+	info.RetryAfter, info.MalformedRetryAfter = parseRetryAfter(header.Get(headerRetryAfter))
 	fields := strings.Split(header.Get(h.names.Load), ",")
 	if len(fields) == 3 {
 		info.Load = scheduling.ReportedLoad{
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -81,6 +81,9 @@
 	// report their own. A source is a host, or a zone whose relay reports for it (see
 	// ZoneSource).
 	HandleSourceReplaced(source string)
+	// HandleCopyAhead is called when a host has reported a copy of a topic that is ahead
+	// of this host's.
+	HandleCopyAhead(topic string)
 }
 
 // Dependencies holds what a Mesh needs.
@@ -120,8 +123,16 @@
 	// nextHello counts the hellos sent; modulo the number of other hosts it is the
 	// position of the host that gets the next one.
 	nextHello int
-	// latest is this host's last message without load and placements.
+	// latest is this host's last message without load, placements and notices.
 	latest Message
+	// copies are this host's copies by topic. copiesChanged is set while a relay has not
+	// reported their last change.
+	copies        map[string]Copy
+	copiesChanged bool
+	// knowsFleet is set once the fleet's hosts have been added.
+	knowsFleet bool
+	// copyChange is signaled when a change of a copy is to be sent at once.
+	copyChange chan struct{}
 }
 
 // peerHost is another host.
@@ -139,6 +150,7 @@
 	// configurationVersion and storeUnavailable are from its last message.
 	configurationVersion int64
 	storeUnavailable     bool
+	copies               map[string]Copy
 }
 
 // New returns a Mesh with an open socket. The error is that of opening it.
@@ -154,6 +166,8 @@
 		hosts:        make(map[string]*peerHost),
 		zoneLoad:     aggregate.New(),
 		relayPacer:   newPacer(dependencies.LinkMbps),
+		copies:       make(map[string]Copy),
+		copyChange:   make(chan struct{}, 1),
 	}, nil
 }
 
@@ -219,19 +233,6 @@
 	return newest
 }
 
-// HostWithStore returns the address of a live host that can reach the store, or ""
-// if there is none.
-func (m *Mesh) HostWithStore() string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for address, h := range m.hosts {
-		if h.alive && !h.storeUnavailable {
-			return address
-		}
-	}
-	return ""
-}
-
 // SentDatagrams returns the number of datagrams sent.
 func (m *Mesh) SentDatagrams() int64 { return m.sentDatagrams.Load() }
 
@@ -259,6 +260,8 @@
 			for message, ok := m.outgoing.Pop(); ok; message, ok = m.outgoing.Pop() {
 				m.distribute(&message)
 			}
+		case <-m.copyChange:
+			m.sendCopies()
 		case now := <-check.C():
 			m.checkHosts(now)
 		case now := <-relay.C():
@@ -280,7 +283,8 @@
 	now := m.Timers.Now()
 	m.mu.Lock()
 	m.latest = *message
-	m.latest.Loads, m.latest.Placements = nil, nil
+	m.latest.Loads, m.latest.Placements, m.latest.Notices = nil, nil, nil
+	message.Copies = m.copyList()
 	var addresses []net.Addr
 	if !m.usesRelays {
 		for _, h := range m.hosts {
@@ -293,6 +297,7 @@
 	relay := m.relayOf(m.Zone, now)
 	if relay == nil {
 		m.zoneLoad.RecordReport(now, m.Host, message.Complete, message.Loads, message.Placements)
+		m.zoneLoad.RecordNotices(now, message.Notices)
 	} else {
 		addresses = append(addresses, relay.udpAddress)
 	}
@@ -300,6 +305,7 @@
 	// A hello holds no load, so it must not be taken for a complete report.
 	hello := m.latest
 	hello.Complete = false
+	hello.Copies = message.Copies
 	m.mu.Unlock()
 	m.writeMessage(message, addresses)
 	m.writeMessage(&hello, helloAddresses)
@@ -359,6 +365,7 @@
 		m.mu.Unlock()
 		return
 	}
+	defer m.reportAhead(m.topicsAhead(message.Copies))
 	if previous.incarnation != 0 && previous.incarnation != message.Incarnation {
 		defer m.Listener.HandleHostRestarted(message.Host, now.Sub(previous.lastHeardAt))
 	}
@@ -377,6 +384,7 @@
 		m.relayPacer.recordSent(now, len(forwardTo), len(bytes))
 	case !message.Aggregate && message.Zone == m.Zone && isRelay && !message.ShuttingDown:
 		m.zoneLoad.RecordReport(now, message.Host, message.Complete, message.Loads, message.Placements)
+		m.zoneLoad.RecordNotices(now, message.Notices)
 	}
 	m.mu.Unlock()
 	m.writeBytes(bytes, forwardTo)
@@ -400,6 +408,10 @@
 	h.alive = !message.ShuttingDown
 	h.configurationVersion = message.ConfigurationVersion
 	h.storeUnavailable = message.StoreUnavailable
+	h.copies = make(map[string]Copy, len(message.Copies))
+	for _, c := range message.Copies {
+		h.copies[c.Topic] = c
+	}
 	return previous, true
 }
 
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -28,6 +28,7 @@
 
 func (r recorder) HandleHostSilent(host string) { r.hostEvents <- host }
 func (r recorder) HandleSourceReplaced(string)  {}
+func (r recorder) HandleCopyAhead(string)       {}
 func (r recorder) HandleHostRestarted(host string, _ time.Duration) {
 	r.hostEvents <- "restarted " + host
 }
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"cactuswell/core/replica"
 	"cactuswell/core/scheduling"
 )
 
@@ -27,6 +28,8 @@
 	flagShuttingDown
 	flagAggregate
 	flagLink
+	flagCopies
+	flagNotices
 )
 
 // Message is the report of a host to the others.
@@ -58,6 +61,18 @@
 	Complete   bool
 	Loads      []scheduling.PeerLoad
 	Placements []scheduling.Placement
+	// Copies are the sender's copies of the store's topics.
+	Copies []Copy
+	// Notices are what endpoints have told their callers.
+	Notices []scheduling.Notice
+}
+
+// Copy is a host's copy of a topic.
+type Copy struct {
+	Topic string
+	End   replica.Position
+	// Reads is set while the host reads the topic from the store with success.
+	Reads bool
 }
 
 // MalformedError reports a datagram that cannot be decoded.
@@ -91,6 +106,12 @@
 	if m.LinkMbps > 0 {
 		flags |= flagLink
 	}
+	if len(m.Copies) > 0 {
+		flags |= flagCopies
+	}
+	if len(m.Notices) > 0 {
+		flags |= flagNotices
+	}
 	to = append(to, flags)
 	to = appendText(to, m.Host)
 	to = appendText(to, m.Address)
@@ -105,11 +126,7 @@
 		to = binary.AppendUvarint(to, uint64(max(l.PendingPrefill.Milliseconds(), 0)))
 		to = binary.AppendUvarint(to, uint64(max(l.Running, 0)))
 		to = binary.AppendUvarint(to, uint64(max(l.LatencySensitive, 0)))
-		ejected := byte(0)
-		if l.Ejected {
-			ejected = 1
-		}
-		to = append(to, ejected)
+		to = appendBool(to, l.Ejected)
 	}
 	placements := m.Placements[:min(len(m.Placements), maxItems)]
 	to = binary.AppendUvarint(to, uint64(len(placements)))
@@ -122,9 +139,43 @@
 	if m.LinkMbps > 0 {
 		to = binary.BigEndian.AppendUint64(to, math.Float64bits(m.LinkMbps))
 	}
+	if len(m.Copies) > 0 {
+		to = appendCopies(to, m.Copies[:min(len(m.Copies), maxItems)])
+	}
+	if len(m.Notices) > 0 {
+		to = appendNotices(to, m.Notices[:min(len(m.Notices), maxItems)])
+	}
 	return to
 }
 
+func appendCopies(to []byte, copies []Copy) []byte {
+	to = binary.AppendUvarint(to, uint64(len(copies)))
+	for _, c := range copies {
+		to = appendText(to, c.Topic)
+		to = binary.AppendVarint(to, c.End.Era)
+		to = binary.AppendVarint(to, c.End.Offset)
+		to = appendBool(to, c.Reads)
+	}
+	return to
+}
+
+func appendNotices(to []byte, notices []scheduling.Notice) []byte {
+	to = binary.AppendUvarint(to, uint64(len(notices)))
+	for _, n := range notices {
+		to = binary.BigEndian.AppendUint64(to, n.Endpoint)
+		to = appendBool(to, n.Leaving)
+		to = binary.AppendUvarint(to, uint64(max(n.QuietFor.Milliseconds(), 0)))
+	}
+	return to
+}
+
+func appendBool(to []byte, value bool) []byte {
+	if value {
+		return append(to, 1)
+	}
+	return append(to, 0)
+}
+
 func appendText(to []byte, text string) []byte {
 	text = text[:min(len(text), maxTextBytes)]
 	to = append(to, byte(len(text)))
@@ -169,6 +220,12 @@
 	if flags&flagLink != 0 {
 		m.LinkMbps = math.Float64frombits(d.uint64())
 	}
+	if flags&flagCopies != 0 {
+		m.Copies = d.copies()
+	}
+	if flags&flagNotices != 0 {
+		m.Notices = d.notices()
+	}
 	if d.failed || m.Host == "" {
 		return Message{}, &MalformedError{Reason: "truncated or out of bounds"}
 	}
@@ -192,6 +249,33 @@
 	return bytes
 }
 
+func (d *decoder) copies() []Copy {
+	var copies []Copy
+	for range d.listLength() {
+		copies = append(copies, Copy{
+			Topic: d.text(),
+			End: replica.Position{
+				Era:    d.varint(),
+				Offset: d.varint(),
+			},
+			Reads: d.byte() != 0,
+		})
+	}
+	return copies
+}
+
+func (d *decoder) notices() []scheduling.Notice {
+	var notices []scheduling.Notice
+	for range d.listLength() {
+		notices = append(notices, scheduling.Notice{
+			Endpoint: d.uint64(),
+			Leaving:  d.byte() != 0,
+			QuietFor: time.Duration(d.boundedUvarint()) * time.Millisecond,
+		})
+	}
+	return notices
+}
+
 func (d *decoder) byte() byte { return d.next(1)[0] }
 
 func (d *decoder) uint64() uint64 { return binary.BigEndian.Uint64(d.next(8)) }
--- a/io/peer/relay.go
+++ b/io/peer/relay.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cactuswell/core/replica"
 )
 
 const (
@@ -25,32 +27,46 @@
 )
 
 // relayOf returns the relay of a zone, or nil if it is this host or if the zone has
-// no candidate. Hosts that have sent no message yet are candidates for
-// silenceTimeout.
+// no candidate.
 func (m *Mesh) relayOf(zone string, now time.Time) *peerHost {
 	var relay *peerHost
 	for _, h := range m.hosts {
-		isNew := h.lastHeardAt.IsZero() && now.Sub(h.addedAt) < silenceTimeout
-		if h.zone == zone && (h.alive || isNew) && (relay == nil || h.isBetterRelay(relay)) {
+		if h.zone == zone && h.isCandidate(now) && (relay == nil || h.member().Compare(relay.member()) < 0) {
 			relay = h
 		}
 	}
-	self := &peerHost{
-		linkMbps:  m.LinkMbps,
-		relayRank: xxhash.Sum64String(m.Address),
-	}
-	if zone == m.Zone && (relay == nil || self.isBetterRelay(relay)) {
+	if zone == m.Zone && (relay == nil || m.self().Compare(relay.member()) < 0) {
 		return nil
 	}
 	return relay
 }
 
-// isBetterRelay reports whether h goes before other in the order of a zone's relays.
-func (h *peerHost) isBetterRelay(other *peerHost) bool {
-	if h.linkMbps != other.linkMbps {
-		return h.linkMbps > other.linkMbps
+// self returns this host as candidate for a relay.
+func (m *Mesh) self() replica.Member {
+	return replica.Member{
+		Address:  m.Address,
+		Zone:     m.Zone,
+		LinkMbps: m.LinkMbps,
+		Rank:     xxhash.Sum64String(m.Address),
+		ZoneRank: xxhash.Sum64String(m.Zone),
 	}
-	return h.relayRank < other.relayRank
+}
+
+// member returns the host as candidate for a relay.
+func (h *peerHost) member() replica.Member {
+	return replica.Member{
+		Address:  h.address,
+		Zone:     h.zone,
+		LinkMbps: h.linkMbps,
+		Rank:     h.relayRank,
+		ZoneRank: xxhash.Sum64String(h.zone),
+	}
+}
+
+// isCandidate reports whether the host may be a relay or a reader. Hosts that have sent
+// no message yet are candidates for silenceTimeout.
+func (h *peerHost) isCandidate(now time.Time) bool {
+	return h.alive || h.lastHeardAt.IsZero() && now.Sub(h.addedAt) < silenceTimeout
 }
 
 // IsRelay reports whether relays are in use and this host is one.
@@ -69,12 +85,13 @@
 		return
 	}
 	complete := now.Sub(m.lastCompleteAt) >= HeartbeatInterval
-	isChangeDue := m.zoneLoad.HasChanges() && now.Sub(m.lastRelayedAt) >= relayInterval && m.relayPacer.allowsReport(now)
+	isChangeDue := (m.zoneLoad.HasChanges() || m.copiesChanged) && now.Sub(m.lastRelayedAt) >= relayInterval && m.relayPacer.allowsReport(now)
 	if !complete && !isChangeDue {
 		m.mu.Unlock()
 		return
 	}
 	m.lastRelayedAt = now
+	m.copiesChanged = false
 	if complete {
 		m.lastCompleteAt = now
 		m.zoneLoad.Expire(now, silenceTimeout)
@@ -89,6 +106,8 @@
 	message.Complete = complete
 	message.Hosts = m.zoneLoad.Hosts()
 	message.Loads, message.Placements = m.zoneLoad.TakeTotals(complete)
+	message.Notices = m.zoneLoad.TakeNotices(now, complete)
+	message.Copies = m.copyList()
 	addresses := append(m.zoneAddresses(), m.otherRelayAddresses(now)...)
 	m.mu.Unlock()
 	size := m.writeMessage(&message, addresses)
--- a/standin/keyedlog/client.go
+++ b/standin/keyedlog/client.go
@@ -33,11 +33,16 @@
 	Delay time.Duration
 }
 
+// HeldPoll keeps reads that wait for records open for their whole wait, although records
+// were appended meanwhile.
+type HeldPoll struct{}
+
 func (Refusal) isFault()    {}
 func (Hang) isFault()       {}
 func (SlowAnswer) isFault() {}
 func (LostAnswer) isFault() {}
 func (LateWrite) isFault()  {}
+func (HeldPoll) isFault()   {}
 
 // Client is a client of a log, with its own fault. It is safe for concurrent use.
 type Client struct {
@@ -103,34 +108,47 @@
 }
 
 // Read implements Log of the product. A fault that is set while it waits applies to it.
-func (c *Client) Read(ctx context.Context, topic string, from int64, wait time.Duration) ([]product.Record, error) {
+func (c *Client) Read(ctx context.Context, topic string, from int64, wait time.Duration) (product.Batch, error) {
 	if err := c.applyFault(ctx); err != nil {
-		return nil, err
+		return product.Batch{}, err
+	}
+	if fault, _ := c.currentFault(); fault == (HeldPoll{}) && wait > 0 {
+		return c.readAfter(ctx, topic, from, wait)
 	}
 	_, changed := c.currentFault()
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type answer struct {
-		records []product.Record
-		err     error
+		batch product.Batch
+		err   error
 	}
 	answers := make(chan answer, 1)
 	go func() {
-		records, err := c.log.Read(readCtx, topic, from, wait)
+		batch, err := c.log.Read(readCtx, topic, from, wait)
 		answers <- answer{
-			records: records,
-			err:     err,
+			batch: batch,
+			err:   err,
 		}
 	}()
 	select {
 	case received := <-answers:
-		return received.records, received.err
+		return received.batch, received.err
 	case <-changed:
 		if err := c.applyFault(ctx); err != nil {
-			return nil, err
+			return product.Batch{}, err
 		}
 		received := <-answers
-		return received.records, received.err
+		return received.batch, received.err
+	}
+}
+
+// readAfter reads at the end of the wait.
+func (c *Client) readAfter(ctx context.Context, topic string, from int64, wait time.Duration) (product.Batch, error) {
+	select {
+	case <-ctx.Done():
+		return product.Batch{}, ctx.Err()
+	case <-time.After(wait):
+		return c.log.Read(ctx, topic, from, 0)
 	}
 }
 
--- a/standin/keyedlog/keyedlog.go
+++ b/standin/keyedlog/keyedlog.go
@@ -32,6 +32,8 @@
 	listCount int
 	// pageSize is the maximum number of keys in a page of a listing.
 	pageSize int
+	// era counts the calls of Rewind.
+	era int64
 }
 
 type topic struct {
@@ -108,6 +110,17 @@
 	l.notifyWaiters()
 }
 
+// Rewind takes the log back to an older copy of itself, from which the last records of a
+// topic are missing. Their offsets are given out again.
+func (l *Log) Rewind(topicName string, lost int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.topic(topicName)
+	t.records = t.records[:max(len(t.records)-lost, 0)]
+	l.era++
+	l.notifyWaiters()
+}
+
 // CallCounts returns the number of reads and of listed pages.
 func (l *Log) CallCounts() (reads, lists int) {
 	l.mu.Lock()
@@ -168,6 +181,7 @@
 		Records:   page,
 		More:      from+len(page) < len(newest),
 		EndOffset: t.firstOffset + int64(len(t.records)),
+		Era:       l.era,
 	}
 	if len(page) > 0 {
 		listing.NextAfter = page[len(page)-1].Key
@@ -176,36 +190,38 @@
 }
 
 // Read implements Log of the product.
-func (l *Log) Read(ctx context.Context, topicName string, from int64, wait time.Duration) ([]product.Record, error) {
+func (l *Log) Read(ctx context.Context, topicName string, from int64, wait time.Duration) (product.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Hour)
 	defer cancel()
 	timeout := time.After(wait)
 	for {
 		if err := l.checkAvailable(ctx); err != nil {
-			return nil, err
+			return product.Batch{}, err
 		}
 		l.mu.Lock()
 		l.readCount++
 		t := l.topic(topicName)
 		changed := l.changed
+		end := t.firstOffset + int64(len(t.records))
+		batch := product.Batch{Era: l.era}
 		switch {
-		case from < t.firstOffset:
+		case from < t.firstOffset, from > end:
 			l.mu.Unlock()
-			return nil, &product.ExpiredError{
+			return product.Batch{}, &product.ExpiredError{
 				Topic: topicName,
 				From:  from,
 			}
-		case from < t.firstOffset+int64(len(t.records)):
-			records := append([]product.Record(nil), t.records[from-t.firstOffset:]...)
+		case from < end:
+			batch.Records = append([]product.Record(nil), t.records[from-t.firstOffset:]...)
 			l.mu.Unlock()
-			return records, nil
+			return batch, nil
 		}
 		l.mu.Unlock()
 		select {
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return product.Batch{}, ctx.Err()
 		case <-timeout:
-			return nil, nil
+			return batch, nil
 		case <-changed:
 		}
 	}
--- a/standin/opaque/endpoint.go
+++ b/standin/opaque/endpoint.go
@@ -44,8 +44,12 @@
 type ErrorStatus struct{ Status int }
 
 // Decline does not run the call and answers with status 503 and the header that says
-// so.
-type Decline struct{}
+// so. RetryAfter is the value of the answer's Retry-After header, if it is not empty.
+type Decline struct{ RetryAfter string }
+
+// LeavingAnswer is a complete answer with the header that says that the endpoint is
+// leaving.
+type LeavingAnswer struct{}
 
 // Misdirection does not run the call and answers with status 421, as an endpoint does
 // that has taken over the address of another.
@@ -89,6 +93,7 @@
 func (CompleteAnswer) isBehaviour()   {}
 func (ErrorStatus) isBehaviour()      {}
 func (Decline) isBehaviour()          {}
+func (LeavingAnswer) isBehaviour()    {}
 func (Misdirection) isBehaviour()     {}
 func (TruncatedAnswer) isBehaviour()  {}
 func (ClosedConnection) isBehaviour() {}
@@ -258,14 +263,21 @@
 // is closed if it returns an error.
 func (e *Endpoint) writeAnswer(conn net.Conn, request *http.Request, body []byte, behaviour Behaviour) error {
 	id := request.Header.Get(e.settings.Names.RequestID)
-	switch behaviour.(type) {
+	switch b := behaviour.(type) {
 	case Decline:
-		return e.write(conn, e.plainAnswer(http.StatusServiceUnavailable, id, e.settings.Names.NotRun+": 1\r\n", "busy"))
+		header := e.settings.Names.NotRun + ": 1\r\n"
+		if b.RetryAfter != "" {
+			header += "Retry-After: " + b.RetryAfter + "\r\n"
+		}
+		return e.write(conn, e.plainAnswer(http.StatusServiceUnavailable, id, header, "busy"))
 	case Misdirection:
 		return e.write(conn, e.plainAnswer(http.StatusMisdirectedRequest, id, "", "not here"))
 	}
 	e.recordRun(request, body)
 	switch b := behaviour.(type) {
+	case LeavingAnswer:
+		header := e.markHeader() + e.settings.Names.Leaving + ": 1\r\n"
+		return e.write(conn, e.plainAnswer(http.StatusOK, id, header, string(AnswerBody(body))))
 	case ErrorStatus:
 		return e.write(conn, e.plainAnswer(b.Status, id, e.markHeader(), "failed"))
 	case FalseNotRun:
