--- a/core/replica/planner.go
+++ b/core/replica/planner.go
@@ -21,7 +21,7 @@
 	// maxFetchFailures is the number of failed fetches with the same effect.
 	maxFetchFailures = 3
 	// rosterPatience is how long a starting host waits for the roster, from which it
-	// learns of other hosts, and startPatience how long it waits for their copy.
+	// learns of other hosts, and startPatience how long it waits for their copy at most.
 	rosterPatience = 500 * time.Millisecond
 	startPatience  = 900 * time.Millisecond
 	// rankDelay is the delay, for each live host before this one in the order of
@@ -233,11 +233,13 @@
 // to have one.
 func (p *Planner) start(now time.Time, view View) Step {
 	age := now.Sub(p.startedAt)
-	switch {
-	case !view.IsComplete && age < rosterPatience:
+	if !view.IsComplete && age < rosterPatience {
 		return Wait{For: min(rosterPatience-age, idleWait)}
-	case view.Others > 0 && !view.IsReader && age < startPatience:
-		return Wait{For: min(startPatience-age, idleWait)}
+	}
+	// The hosts of a small fleet that start together soon read for themselves, so that
+	// they serve without waiting for a reader.
+	if patience := min(time.Duration(view.Rank)*rankDelay, startPatience); !view.IsReader && age < patience {
+		return Wait{For: min(patience-age, idleWait)}
 	}
 	return p.read(now, view)
 }
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -41,12 +42,9 @@
 		Listener:        listener,
 		Timers:          g.timers,
 		MinReadInterval: interval,
-		RecordCall: func(took time.Duration, err error) {
-			g.recordStoreCall(topic, took, err)
-		},
-		RecordAbandonedPoll: func(err error) {
-			g.meter.addToCounter("cactuswell_store_polls_abandoned_total", 1)
-			g.trail.Failure("pollAbandoned").Text("topic", topic).Err(err).Merge(topic)
+		RecordCall:      g.recordStoreCall,
+		RecordReadFailure: func(err error) {
+			g.recordReadFailure(topic, err)
 		},
 	}
 	if g.Settings.PeerListen != "" {
@@ -55,15 +53,25 @@
 	return keyedlog.New(dependencies)
 }
 
-func (g *Gateway) recordStoreCall(topic string, took time.Duration, err error) {
+func (g *Gateway) recordStoreCall(took time.Duration, err error) {
 	g.meter.observeDuration("cactuswell_store_call_seconds{", took)
 	g.meter.addToCounter("cactuswell_store_calls_total", 1)
 	if err != nil {
 		g.meter.addToCounter("cactuswell_store_failures_total", 1)
-		g.trail.Failure("storeCallFailed").Text("topic", topic).Millis("took", took).Err(err).Merge(topic)
 	}
 }
 
+// recordReadFailure logs a read of the store that failed while other hosts read it.
+func (g *Gateway) recordReadFailure(topic string, err error) {
+	event := "storeReadFailed"
+	var abandoned *keyedlog.AbandonedPollError
+	if errors.As(err, &abandoned) {
+		event = "pollAbandoned"
+		g.meter.addToCounter("cactuswell_store_polls_abandoned_total", 1)
+	}
+	g.trail.Failure(event).Text("topic", topic).Err(err).Merge(topic)
+}
+
 // copies is the access of the followers to the copies of other hosts.
 type copies struct {
 	gateway *Gateway
--- a/io/keyedlog/fleet_test.go
+++ b/io/keyedlog/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"testing"
@@ -112,7 +113,11 @@
 				Peers:           member{fleet: f, name: name},
 				MinReadInterval: 200 * time.Millisecond,
 				RecordCall:      func(time.Duration, error) {},
-				RecordAbandonedPoll: func(error) {
+				RecordReadFailure: func(err error) {
+					var abandoned *keyedlog.AbandonedPollError
+					if !errors.As(err, &abandoned) {
+						return
+					}
 					f.mu.Lock()
 					defer f.mu.Unlock()
 					f.abandoned = append(f.abandoned, name)
--- a/io/keyedlog/keyedlog.go
+++ b/io/keyedlog/keyedlog.go
@@ -153,9 +153,9 @@
 	// RecordCall is called after each call to the log, with its duration and its
 	// error.
 	RecordCall func(took time.Duration, err error)
-	// RecordAbandonedPoll is called when a read of the log is abandoned, with an
-	// *AbandonedPollError.
-	RecordAbandonedPoll func(err error)
+	// RecordReadFailure is called when a read of the log fails while other hosts read it,
+	// which is no outage. The error is an *AbandonedPollError if the read was abandoned.
+	RecordReadFailure func(err error)
 }
 
 // Follower follows one topic.
@@ -294,13 +294,15 @@
 		return false
 	case errors.As(err, &abandoned):
 		// The read may still be answered, so the log does not count as unavailable.
-		f.RecordAbandonedPoll(err)
+		f.RecordReadFailure(err)
 		return false
 	case err != nil:
 		view := f.view()
 		f.planner.RecordReadFailure(time.Now(), view, rand.Float64())
 		f.publish(false)
-		if view.Readers == 0 {
+		if view.Readers > 0 {
+			f.RecordReadFailure(err)
+		} else {
 			f.recordUnavailable(err)
 		}
 		return false
