Keep long prompts out of the latency partition whatever gaps their streams may have

Cause: on the large site summaries may have gaps of 250 ms, so they counted as latency-sensitive and were placed beside the drafts, whose gaps may be 150 ms. A summary prefills some 9,000 tokens in chunks of 41 ms and more; three of them in one event of a draft make it late. Change: a stream whose prompt has more than two chunks, with what may be cached, is not latency-sensitive. The load answered: short urgent streams beside long prompts with nearly as short gaps. KelisimLarge is the large deployment in the simulation.

--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -26,6 +26,9 @@
 	// longPromptTokens is the number of uncached tokens above which a prompt delays
 	// latency-sensitive streams on its engine: more than one prefill chunk.
 	longPromptTokens = 2048
+	// maxSensitivePromptTokens is the size of a prompt, with the part that may be cached,
+	// above which a stream does not count as latency-sensitive.
+	maxSensitivePromptTokens = 2 * longPromptTokens
 	// latencySensitiveGap is the event gap up to which a stream counts as
 	// latency-sensitive: the time of an event if each of its steps also prefills a
 	// chunk, with some margin.
@@ -41,7 +44,7 @@
 		pool:             p,
 		arrived:          s.now,
 		prefixHashes:     PrefixHashes(spec.Prompt),
-		latencySensitive: isLatencySensitive(spec.Route),
+		latencySensitive: isLatencySensitive(spec),
 	}
 	c.queueUntil = s.queueUntil(c)
 	s.calls[spec.ID] = c
@@ -176,9 +179,13 @@
 	return best.endpoint, best.choice
 }
 
-// isLatencySensitive reports whether a route's streams require short event gaps.
-func isLatencySensitive(r *route.Route) bool {
-	return r.Kind == route.Stream && r.TargetEventGap > 0 && r.TargetEventGap <= latencySensitiveGap
+// isLatencySensitive reports whether a call's stream requires short event gaps and leaves
+// them to others: a long prompt would delay the streams of the latency partition, whose
+// gaps are mostly shorter than its own.
+func isLatencySensitive(spec Call) bool {
+	r := spec.Route
+	return r.Kind == route.Stream && r.TargetEventGap > 0 && r.TargetEventGap <= latencySensitiveGap &&
+		spec.PromptTokens <= maxSensitivePromptTokens
 }
 
 // canAccept reports whether an endpoint may receive a call. Endpoints that failed
--- a/simulation/deployments.go
+++ b/simulation/deployments.go
@@ -198,6 +198,38 @@
 	return result
 }
 
+// KelisimLarge returns the mediation rooms in six zones: 195 hosts in front of 117 engines
+// with 24 places each, and drafts whose events may be at most 150 ms apart.
+func KelisimLarge() Config {
+	config := Kelisim()
+	config.Hosts = 195
+	config.Zones = 6
+	config.Engines = 117
+	config.Slots = 24
+	config.KVCacheTokens = 526_035
+	config.Servers = 6
+	config.UseRelays = true
+	classes := make([]Class, len(config.Classes))
+	copy(classes, config.Classes)
+	for i, change := range []struct {
+		rate     float64
+		maxGap   time.Duration
+		prefixes int
+	}{
+		{174, 600 * time.Millisecond, 957},
+		{58.4, 250 * time.Millisecond, 278},
+		{125, 150 * time.Millisecond, 597},
+	} {
+		classes[i].Rate = change.rate
+		classes[i].MaxGap = change.maxGap
+		classes[i].Prefixes = change.prefixes
+	}
+	classes[3] = plainServiceClass("roomHold", 79.2, route.AtMostOnce, 15*time.Millisecond, 120*time.Millisecond, 1500*time.Millisecond)
+	classes[4] = plainServiceClass("roomLookup", 31.8, route.Safe, 15*time.Millisecond, 120*time.Millisecond, 1500*time.Millisecond)
+	config.Classes = classes
+	return config
+}
+
 // Scale returns a copy of a deployment with the hosts, endpoints, arrival rates and
 // shared prompt prefixes multiplied by a factor.
 func Scale(config Config, factor int) Config {
