Divide the engines by the demand that the whole fleet sees

Cause: each host sized the latency partition by the calls that it sees itself, 2.4 a second of which one in three is a draft on the large site; partitions had 8 to 59 of 117 engines, so that the engines in between served drafts and long prompts together. Change: complete reports carry the demand that callers make on a host, relays add it up, and each host sizes the partition by the sum; 18 bytes a service twice a second.

--- a/core/aggregate/aggregate.go
+++ b/core/aggregate/aggregate.go
@@ -54,6 +54,7 @@
 type member struct {
 	loads      map[uint64]scheduling.PeerLoad
 	reportedAt time.Time
+	demands    []scheduling.Demand
 }
 
 // total is the load of all members at one endpoint.
@@ -120,6 +121,34 @@
 	}
 }
 
+// RecordDemands records the demand that callers make on a host, which has reported its
+// load before.
+func (z *Zone) RecordDemands(host string, demands []scheduling.Demand) {
+	if m := z.members[host]; m != nil && demands != nil {
+		m.demands = demands
+	}
+}
+
+// Demands returns the demand that callers make on all members.
+func (z *Zone) Demands() []scheduling.Demand {
+	totals := make(map[uint64]scheduling.Demand)
+	for _, m := range z.members {
+		for _, demand := range m.demands {
+			t := totals[demand.Service]
+			t.Service = demand.Service
+			t.LatencySensitive += demand.LatencySensitive
+			t.Other += demand.Other
+			totals[demand.Service] = t
+		}
+	}
+	demands := make([]scheduling.Demand, 0, len(totals))
+	for _, t := range totals {
+		demands = append(demands, t)
+	}
+	slices.SortFunc(demands, func(a, b scheduling.Demand) int { return cmp.Compare(a.Service, b.Service) })
+	return demands
+}
+
 // TakeNotices returns what endpoints have told the members: all that the members still
 // report, or what is new.
 func (z *Zone) TakeNotices(now time.Time, complete bool) []scheduling.Notice {
--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -81,6 +81,9 @@
 	Placements []Placement
 	// Notices lists what endpoints have recently told the peer.
 	Notices []Notice
+	// Demands lists the demand that callers make on the peer, or is nil if the report
+	// does not tell it.
+	Demands []Demand
 }
 
 // PeerRemoved reports that another host has been removed from the membership.
@@ -126,6 +129,16 @@
 	Ejected bool
 }
 
+// Demand is the prefill time that callers request from a service, in engine time for each
+// second. A host takes it into account to divide the engines like the other hosts.
+type Demand struct {
+	// Service is the hash of the service's name.
+	Service uint64
+	// LatencySensitive is the part of it for latency-sensitive streams, and Other the rest.
+	LatencySensitive time.Duration
+	Other            time.Duration
+}
+
 // Notice reports what an endpoint has told a host that called it.
 type Notice struct {
 	// Endpoint is the hash of the endpoint's key.
--- a/core/scheduling/partitions.go
+++ b/core/scheduling/partitions.go
@@ -25,13 +25,17 @@
 // the same engine.
 //
 // All hosts rank the engines in the same order, so that their partitions differ
-// only in size, which each host derives from the calls that it sees.
+// only in size. Each host derives it from the calls that it and the other hosts see: the
+// few calls of one host of a large fleet would give each host another size, and the
+// engines in between would serve both kinds of calls.
 type partitions struct {
 	weights       Weights
 	latencySize   int
 	usableEngines int
 	latencyDemand demand
 	prefillDemand demand
+	// others is the demand that callers make on the other hosts.
+	others Demand
 }
 
 // rank ranks the endpoints that take new work. Endpoints that are leaving get the
@@ -73,8 +77,8 @@
 		p.latencySize = 0
 		return
 	}
-	latencyEngines := p.latencyDemand.rate / p.weights.LatencyPartitionLoad
-	prefillEngines := p.prefillDemand.rate / p.weights.PrefillPartitionLoad
+	latencyEngines := (p.latencyDemand.rate + p.others.LatencySensitive.Seconds()) / p.weights.LatencyPartitionLoad
+	prefillEngines := (p.prefillDemand.rate + p.others.Other.Seconds()) / p.weights.PrefillPartitionLoad
 	if latencyEngines == 0 {
 		if force {
 			p.latencySize = 0
@@ -96,6 +100,15 @@
 	at   time.Time
 }
 
+// rateAt returns the demand at a time.
+func (d *demand) rateAt(now time.Time) time.Duration {
+	if d.at.IsZero() {
+		return 0
+	}
+	rate := d.rate * math.Exp(-now.Sub(d.at).Seconds()/demandTimeConstant.Seconds())
+	return time.Duration(rate * float64(time.Second))
+}
+
 func (d *demand) add(now time.Time, amount float64) {
 	if !d.at.IsZero() {
 		d.rate *= math.Exp(-now.Sub(d.at).Seconds() / demandTimeConstant.Seconds())
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -80,6 +80,10 @@
 	reportedAt time.Time
 	// expired reports whether its load no longer counts, because it is too old.
 	expired bool
+	// demands is the demand that it reported last, which covers this host's own if
+	// includesSelf is set.
+	demands      []Demand
+	includesSelf bool
 }
 
 // maxPeerLoadAge is the age up to which the load of a peer counts: a few complete
@@ -100,6 +104,8 @@
 	// partitions divides the engines between latency-sensitive streams and
 	// prefills.
 	partitions partitions
+	// reportedDemand is the demand last reported to other hosts.
+	reportedDemand Demand
 	// streamRoutes holds the routes that send streams to the service.
 	streamRoutes []*route.Route
 }
@@ -278,9 +284,18 @@
 		otherHosts--
 	}
 	known, ok := s.peers[event.Peer]
+	demands := known.demands
+	if event.Demands != nil {
+		demands = event.Demands
+	}
 	s.peers[event.Peer] = peer{
-		hosts:      otherHosts,
-		reportedAt: s.now,
+		hosts:        otherHosts,
+		reportedAt:   s.now,
+		demands:      demands,
+		includesSelf: event.IncludesSelf,
+	}
+	if event.Demands != nil {
+		s.updateDemands()
 	}
 	if !ok || known.hosts != otherHosts {
 		s.updateSlack()
@@ -317,6 +332,7 @@
 func (s *Scheduler) handlePeerRemoved(peer string) {
 	delete(s.peers, peer)
 	s.removePeerLoads(peer)
+	s.updateDemands()
 	s.updateSlack()
 }
 
@@ -336,6 +352,7 @@
 		p.expired = true
 		s.peers[name] = p
 		s.removePeerLoads(name)
+		s.updateDemands()
 	}
 }
 
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -111,6 +111,13 @@
 
 // startCall starts a call of a route and returns its ID and the resulting commands.
 func (h *harness) startCall(name string) (scheduling.CallID, []scheduling.Command) {
+	h.t.Helper()
+	return h.startCallWithPrompt(name, 13_000, 4000)
+}
+
+// startCallWithPrompt starts a call whose prompt, if it has one, has a shared part and a
+// part of its own of the given sizes.
+func (h *harness) startCallWithPrompt(name string, shared, own int) (scheduling.CallID, []scheduling.Command) {
 	h.nextID++
 	found, ok := h.table.Lookup("h", "/"+name+"/")
 	if !ok {
@@ -124,8 +131,8 @@
 		Deadline: h.now.Add(10 * time.Second),
 	}
 	if found.Kind == route.Stream {
-		call.PromptTokens = 17_000
-		call.Prompt = []scheduling.PromptPart{{ID: 7, Tokens: 13_000}, {ID: uint64(1000 + h.nextID), Tokens: 4000}}
+		call.PromptTokens = shared + own
+		call.Prompt = []scheduling.PromptPart{{ID: 7, Tokens: shared}, {ID: uint64(1000 + h.nextID), Tokens: own}}
 	}
 	return h.nextID, h.step(scheduling.CallArrived{Call: call})
 }
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -58,6 +58,7 @@
 	loads      []scheduling.PeerLoad
 	placements []scheduling.Placement
 	notices    []scheduling.Notice
+	demands    []scheduling.Demand
 }
 
 // heartbeatRequested requests an immediate heartbeat to other hosts.
@@ -229,11 +230,15 @@
 	}
 	notices := d.scheduler.TakeNotices(now, heartbeatDue)
 	loads, placements := d.scheduler.TakeLoads(now, heartbeatDue)
-	d.sendReport(heartbeatDue, loadReport{
+	report := loadReport{
 		loads:      loads,
 		placements: placements,
 		notices:    notices,
-	})
+	}
+	if heartbeatDue {
+		report.demands = d.scheduler.TakeDemands()
+	}
+	d.sendReport(heartbeatDue, report)
 	d.nextReportAt = now.Add(minReportInterval)
 	if heartbeatDue {
 		d.nextHeartbeatAt = now.Add(peer.HeartbeatInterval)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -291,6 +291,7 @@
 		Loads:                report.loads,
 		Placements:           report.placements,
 		Notices:              report.notices,
+		Demands:              report.demands,
 	})
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -162,6 +162,7 @@
 		Loads:        message.Loads,
 		Placements:   message.Placements,
 		Notices:      message.Notices,
+		Demands:      message.Demands,
 	})
 }
 
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -123,7 +123,7 @@
 	// nextHello counts the hellos sent; modulo the number of other hosts it is the
 	// position of the host that gets the next one.
 	nextHello int
-	// latest is this host's last message without load, placements and notices.
+	// latest is this host's last message without load, placements, notices and demand.
 	latest Message
 	// copies are this host's copies by topic. copiesChanged is set while a relay has not
 	// reported their last change.
@@ -283,7 +283,7 @@
 	now := m.Timers.Now()
 	m.mu.Lock()
 	m.latest = *message
-	m.latest.Loads, m.latest.Placements, m.latest.Notices = nil, nil, nil
+	m.latest.Loads, m.latest.Placements, m.latest.Notices, m.latest.Demands = nil, nil, nil, nil
 	message.Copies = m.copyList()
 	var addresses []net.Addr
 	if !m.usesRelays {
@@ -298,6 +298,7 @@
 	if relay == nil {
 		m.zoneLoad.RecordReport(now, m.Host, message.Complete, message.Loads, message.Placements)
 		m.zoneLoad.RecordNotices(now, message.Notices)
+		m.zoneLoad.RecordDemands(m.Host, message.Demands)
 	} else {
 		addresses = append(addresses, relay.udpAddress)
 	}
@@ -385,6 +386,7 @@
 	case !message.Aggregate && message.Zone == m.Zone && isRelay && !message.ShuttingDown:
 		m.zoneLoad.RecordReport(now, message.Host, message.Complete, message.Loads, message.Placements)
 		m.zoneLoad.RecordNotices(now, message.Notices)
+		m.zoneLoad.RecordDemands(message.Host, message.Demands)
 	}
 	m.mu.Unlock()
 	m.writeBytes(bytes, forwardTo)
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -30,6 +30,7 @@
 	flagLink
 	flagCopies
 	flagNotices
+	flagDemands
 )
 
 // Message is the report of a host to the others.
@@ -65,6 +66,9 @@
 	Copies []Copy
 	// Notices are what endpoints have told their callers.
 	Notices []scheduling.Notice
+	// Demands is the demand that callers make on the sender. It is part of complete
+	// reports.
+	Demands []scheduling.Demand
 }
 
 // Copy is a host's copy of a topic.
@@ -112,6 +116,9 @@
 	if len(m.Notices) > 0 {
 		flags |= flagNotices
 	}
+	if len(m.Demands) > 0 {
+		flags |= flagDemands
+	}
 	to = append(to, flags)
 	to = appendText(to, m.Host)
 	to = appendText(to, m.Address)
@@ -145,6 +152,9 @@
 	if len(m.Notices) > 0 {
 		to = appendNotices(to, m.Notices[:min(len(m.Notices), maxItems)])
 	}
+	if len(m.Demands) > 0 {
+		to = appendDemands(to, m.Demands[:min(len(m.Demands), maxItems)])
+	}
 	return to
 }
 
@@ -169,6 +179,16 @@
 	return to
 }
 
+func appendDemands(to []byte, demands []scheduling.Demand) []byte {
+	to = binary.AppendUvarint(to, uint64(len(demands)))
+	for _, demand := range demands {
+		to = binary.BigEndian.AppendUint64(to, demand.Service)
+		to = binary.AppendUvarint(to, uint64(max(demand.LatencySensitive.Milliseconds(), 0)))
+		to = binary.AppendUvarint(to, uint64(max(demand.Other.Milliseconds(), 0)))
+	}
+	return to
+}
+
 func appendBool(to []byte, value bool) []byte {
 	if value {
 		return append(to, 1)
@@ -226,6 +246,9 @@
 	if flags&flagNotices != 0 {
 		m.Notices = d.notices()
 	}
+	if flags&flagDemands != 0 {
+		m.Demands = d.demands()
+	}
 	if d.failed || m.Host == "" {
 		return Message{}, &MalformedError{Reason: "truncated or out of bounds"}
 	}
@@ -276,6 +299,18 @@
 	return notices
 }
 
+func (d *decoder) demands() []scheduling.Demand {
+	var demands []scheduling.Demand
+	for range d.listLength() {
+		demands = append(demands, scheduling.Demand{
+			Service:          d.uint64(),
+			LatencySensitive: time.Duration(d.boundedUvarint()) * time.Millisecond,
+			Other:            time.Duration(d.boundedUvarint()) * time.Millisecond,
+		})
+	}
+	return demands
+}
+
 func (d *decoder) byte() byte { return d.next(1)[0] }
 
 func (d *decoder) uint64() uint64 { return binary.BigEndian.Uint64(d.next(8)) }
--- a/io/peer/message_test.go
+++ b/io/peer/message_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"cactuswell/core/replica"
 	"cactuswell/core/scheduling"
 	"cactuswell/io/peer"
 )
@@ -42,6 +43,30 @@
 			Tokens:     rapid.IntRange(0, 1<<20).Draw(t, "tokens"),
 		})
 	}
+	for range rapid.IntRange(0, 3).Draw(t, "copies") {
+		m.Copies = append(m.Copies, peer.Copy{
+			Topic: rapid.StringN(0, 20, 60).Draw(t, "topic"),
+			End: replica.Position{
+				Era:    rapid.Int64().Draw(t, "era"),
+				Offset: rapid.Int64().Draw(t, "offset"),
+			},
+			Reads: rapid.Bool().Draw(t, "reads"),
+		})
+	}
+	for range rapid.IntRange(0, 20).Draw(t, "notices") {
+		m.Notices = append(m.Notices, scheduling.Notice{
+			Endpoint: rapid.Uint64().Draw(t, "endpoint"),
+			Leaving:  rapid.Bool().Draw(t, "leaving"),
+			QuietFor: time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "quietFor")) * time.Millisecond,
+		})
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "demands") {
+		m.Demands = append(m.Demands, scheduling.Demand{
+			Service:          rapid.Uint64().Draw(t, "service"),
+			LatencySensitive: time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "sensitive")) * time.Millisecond,
+			Other:            time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "other")) * time.Millisecond,
+		})
+	}
 	return m
 }
 
--- a/io/peer/relay.go
+++ b/io/peer/relay.go
@@ -108,6 +108,9 @@
 	message.Loads, message.Placements = m.zoneLoad.TakeTotals(complete)
 	message.Notices = m.zoneLoad.TakeNotices(now, complete)
 	message.Copies = m.copyList()
+	if complete {
+		message.Demands = m.zoneLoad.Demands()
+	}
 	addresses := append(m.zoneAddresses(), m.otherRelayAddresses(now)...)
 	m.mu.Unlock()
 	size := m.writeMessage(&message, addresses)
--- a/simulation/host.go
+++ b/simulation/host.go
@@ -144,10 +144,16 @@
 		h.nextCompleteReportAt = f.now.Add(completeReportInterval)
 	}
 	load, placements := h.scheduler.TakeLoads(f.now, complete)
+	var demands []scheduling.Demand
+	if complete {
+		demands = h.scheduler.TakeDemands()
+	}
 	if f.config.UseRelays {
 		if f.random.Float64() >= f.config.ReportLossRate {
 			f.scheduleAfter(inZoneDelay, func() {
-				f.relays[h.index%f.config.Zones].RecordReport(f.now, h.name, complete, load, placements)
+				relay := f.relays[h.index%f.config.Zones]
+				relay.RecordReport(f.now, h.name, complete, load, placements)
+				relay.RecordDemands(h.name, demands)
 			})
 		}
 		return
@@ -162,6 +168,7 @@
 				Complete:   complete,
 				Loads:      load,
 				Placements: placements,
+				Demands:    demands,
 			})
 		})
 	}
@@ -177,6 +184,10 @@
 		return
 	}
 	load, placements := relay.TakeTotals(complete)
+	var demands []scheduling.Demand
+	if complete {
+		demands = relay.Demands()
+	}
 	for _, h := range f.hosts {
 		if f.random.Float64() < f.config.ReportLossRate {
 			continue
@@ -194,6 +205,7 @@
 				Complete:     complete,
 				Loads:        load,
 				Placements:   placements,
+				Demands:      demands,
 			})
 		})
 	}
