Do not reuse the connection of a caller that has left, and stop after six attempts

Cause: an attempt released its connection to the pool before the hook that aborts it on the caller's cancellation was stopped; a caller that left just when its answer was complete closed a connection in use by the next call, whose result was then unknown. And the bound of six failed attempts let a seventh through. Change: the hook is stopped first, and a connection whose hook has run is discarded. Result: TestConnOfCanceledCallIsNotReused; TestAttemptsAreBounded (7 attempts before). A stress test over sockets, 800 callers that leave with the last event, did not show the first fault on the old code in 3 runs and was not kept.

--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -16,7 +16,7 @@
 	// silent, and minSilence is the minimum of that time.
 	silenceGaps = 4
 	minSilence  = time.Second
-	// maxFailedEndpoints bounds the failed attempts of a call: if more have failed
+	// maxFailedEndpoints bounds the failed attempts of a call: once so many have failed
 	// and the last one did not run, the call is refused.
 	maxFailedEndpoints = 6
 	// defaultDeclineBackoff is how long an endpoint that declined a call is avoided
@@ -227,7 +227,7 @@
 		s.refuse(c, ReasonTimedOut)
 		return
 	}
-	if len(c.avoid) > maxFailedEndpoints || reason != ReasonUnreachable && c.pool.budget.Remaining(s.now) < 1 {
+	if len(c.avoid) >= maxFailedEndpoints || reason != ReasonUnreachable && c.pool.budget.Remaining(s.now) < 1 {
 		s.refuse(c, reason)
 		return
 	}
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -249,6 +249,29 @@
 	}
 }
 
+// TestAttemptsAreBounded guards against a call that is declined by one endpoint after the
+// other: it is refused after six attempts. A seventh was let through.
+func TestAttemptsAreBounded(t *testing.T) {
+	h := newHarness(t, 10)
+	for range 200 {
+		// Retries need a budget.
+		id, _ := h.startCall("lookup")
+		h.endAttempt(id, scheduling.Completed{})
+	}
+	id, commands := h.startCall("hold")
+	attempts := 0
+	for ; len(commands) == 1; attempts++ {
+		if _, ok := commands[0].(scheduling.Refuse); ok {
+			break
+		}
+		h.requireSend(commands)
+		commands = h.endAttempt(id, scheduling.Declined{})
+	}
+	if attempts != 6 {
+		t.Errorf("%d attempts, want 6", attempts)
+	}
+}
+
 func TestUnreachableEndpointIsProbedLater(t *testing.T) {
 	h := newHarness(t, 1)
 	id, commands := h.startCall("hold")
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -46,8 +46,10 @@
 
 // attempt is one attempt to run a call at an endpoint.
 type attempt struct {
-	exchange     *exchange
-	conn         *upstream.Conn
+	exchange *exchange
+	conn     *upstream.Conn
+	// unbindConn ends what bindConn began. It reports false if the caller has canceled.
+	unbindConn   func() bool
 	response     *http.Response
 	responseInfo ResponseInfo
 	sentAt       time.Time
@@ -141,9 +143,7 @@
 		}
 		return x.unsentOutcome()
 	}
-	t.conn = conn
-	stop := context.AfterFunc(x.request.Context(), conn.Abort)
-	defer stop()
+	t.bindConn(conn)
 	outcome := t.roundTrip(conn)
 	if outcome == nil {
 		outcome = scheduling.Completed{}
@@ -151,6 +151,12 @@
 	return t.releaseConn(outcome)
 }
 
+// bindConn makes the caller's cancellation abort the connection until it is released.
+func (t *attempt) bindConn(conn *upstream.Conn) {
+	t.conn = conn
+	t.unbindConn = context.AfterFunc(t.exchange.request.Context(), conn.Abort)
+}
+
 // unsentOutcome returns the outcome of an attempt of which nothing was sent. It
 // counts against the endpoint only if the call's deadline has not passed.
 func (x *exchange) unsentOutcome() scheduling.Outcome {
@@ -164,11 +170,13 @@
 // canceled the request, it returns Abandoned in place of the failure that the
 // cancellation caused.
 func (t *attempt) releaseConn(outcome scheduling.Outcome) scheduling.Outcome {
-	if t.exchange.request.Context().Err() != nil {
+	if !t.unbindConn() {
+		// The connection is aborted, maybe only once the next call uses it.
+		t.conn.Discard()
 		if _, ok := outcome.(scheduling.Completed); !ok {
-			t.conn.Discard()
 			return scheduling.Abandoned{}
 		}
+		return outcome
 	}
 	switch outcome.(type) {
 	case scheduling.Completed, scheduling.Declined, scheduling.Misdirected, scheduling.Failed:
