Read all pages of the roster, and test the gateway after a rewind of the store

Cause: a host read only the first page of the roster, 500 hosts on the platform. Result: TestRosterOfSeveralPages fails without the change (1 host of 2).

--- a/gateway/life_test.go
+++ b/gateway/life_test.go
@@ -212,6 +212,54 @@
 	}
 }
 
+// TestRosterOfSeveralPages guards against a host that knows only the hosts of the roster's
+// first page, which holds 500 on the platform.
+func TestRosterOfSeveralPages(t *testing.T) {
+	f := newFixture(t, 1)
+	f.log.SetPageSize(1)
+	second := f.startSecondHost(f.log.NewClient())
+	eventually(t, "the second host has read the roster", func() bool {
+		return strings.Contains(second.logLines.String(), `"event":"rosterRead"`)
+	})
+	if lines := second.logLines.String(); !strings.Contains(lines, `"event":"rosterRead","host":"host-2","hosts":2`) {
+		t.Errorf("lines: %s", lines)
+	}
+}
+
+// TestRewindKeepsFleet plays a store that comes back without what hosts wrote lately: the
+// hosts say so, write their entries in the roster again, and keep the configuration and
+// the endpoints in use. A host that starts then takes the configuration from them.
+func TestRewindKeepsFleet(t *testing.T) {
+	f := newFixture(t, 1)
+	second := f.startSecondHost(f.log.NewClient())
+	for topic, lost := range map[string]int{configurationTopic: 1, endpointTopic: 1, "keyed.cactuswellHosts": 2} {
+		f.log.Rewind(topic, lost)
+	}
+	for _, host := range []*fixture{f, second} {
+		eventually(t, "the rewind is logged", func() bool {
+			return strings.Contains(host.logLines.String(), `"event":"storeRewound"`)
+		})
+		if got := host.get("/lookup/x"); got.status != http.StatusOK {
+			t.Errorf("status %d after the rewind", got.status)
+		}
+	}
+	eventually(t, "both entries are in the roster again", func() bool {
+		listing, err := f.log.ListNewest(t.Context(), "keyed.cactuswellHosts", "")
+		return err == nil && len(listing.Records) == 2
+	})
+	late := &fixture{
+		t:         t,
+		log:       f.log,
+		spec:      f.spec,
+		endpoints: f.endpoints,
+	}
+	// The configuration is missing in the store, so the host is ready only with that of
+	// the others.
+	current := testSettings("host-3")
+	current.Peers = []string{f.gateway.PeerAddress()}
+	late.startHost(current, f.log.NewClient())
+}
+
 // TestLinesAreJSON checks that each log line is valid JSON without a key, and that
 // the lines record all steps of a call.
 func TestLinesAreJSON(t *testing.T) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -273,21 +273,41 @@
 		}
 		*entryWritten = true
 	}
-	listing, err := g.Roster.ListNewest(ctx, rosterTopic, "")
+	hosts, err := g.readRoster(ctx)
 	if err != nil {
 		g.trail.Failure("rosterFailed").Err(err).Merge("")
 		return err
 	}
-	for _, record := range listing.Records {
-		var entry rosterEntry
-		if err := json.Unmarshal(record.Value, &entry); err != nil {
-			g.trail.Failure("rosterEntryUnreadable").Text("peer", record.Key).Err(err).End()
-			continue
-		}
-		g.mesh.AddHost(entry.Address, entry.Zone, entry.LinkMbps)
-	}
 	g.mesh.MarkFleetKnown()
 	g.decisions.post(heartbeatRequested{})
-	g.trail.Notice("rosterRead").Int("hosts", int64(len(listing.Records))).End()
+	g.trail.Notice("rosterRead").Int("hosts", int64(hosts)).End()
 	return nil
 }
+
+// readRoster adds the hosts of the roster to the mesh, and returns their number.
+func (g *Gateway) readRoster(ctx context.Context) (int, error) {
+	hosts := 0
+	for after := ""; ; {
+		page, err := g.Roster.ListNewest(ctx, rosterTopic, after)
+		if err != nil {
+			return hosts, err
+		}
+		for _, record := range page.Records {
+			g.addRosterEntry(record)
+		}
+		hosts += len(page.Records)
+		if !page.More {
+			return hosts, nil
+		}
+		after = page.NextAfter
+	}
+}
+
+func (g *Gateway) addRosterEntry(record keyedlog.Record) {
+	var entry rosterEntry
+	if err := json.Unmarshal(record.Value, &entry); err != nil {
+		g.trail.Failure("rosterEntryUnreadable").Text("peer", record.Key).Err(err).End()
+		return
+	}
+	g.mesh.AddHost(entry.Address, entry.Zone, entry.LinkMbps)
+}
