--- a/io/peer/copies.go
+++ b/io/peer/copies.go
@@ -66,11 +66,7 @@
 	}
 	m.mu.Lock()
 	message := m.latest
-	message.Host = m.Host
-	message.Zone = m.Zone
-	message.Incarnation = m.Incarnation
-	message.Address = m.Address
-	message.LinkMbps = m.LinkMbps
+	m.setSender(&message)
 	message.Complete = false
 	message.Copies = m.copyList()
 	var addresses []net.Addr
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -210,12 +210,17 @@
 
 // Send queues a message of this host to the others. It never blocks.
 func (m *Mesh) Send(message Message) {
+	m.setSender(&message)
+	m.outgoing.TryPush(message)
+}
+
+// setSender sets the fields that tell which host sends a message.
+func (m *Mesh) setSender(message *Message) {
 	message.Host = m.Host
 	message.Zone = m.Zone
 	message.Incarnation = m.Incarnation
 	message.Address = m.Address
 	message.LinkMbps = m.LinkMbps
-	m.outgoing.TryPush(message)
 }
 
 // HostWithNewerConfiguration returns the address of the live host with the newest
--- a/io/peer/relay.go
+++ b/io/peer/relay.go
@@ -97,11 +97,7 @@
 		m.zoneLoad.Expire(now, silenceTimeout)
 	}
 	message := m.latest
-	message.Host = m.Host
-	message.Zone = m.Zone
-	message.Incarnation = m.Incarnation
-	message.Address = m.Address
-	message.LinkMbps = m.LinkMbps
+	m.setSender(&message)
 	message.Aggregate = true
 	message.Complete = complete
 	message.Hosts = m.zoneLoad.Hosts()
