--- a/core/replica/planner.go
+++ b/core/replica/planner.go
@@ -22,7 +22,9 @@
 	maxFetchFailures = 3
 	// rosterPatience is how long a starting host waits for the roster, from which it
 	// learns of other hosts, and startPatience how long it waits for their copy at most.
-	rosterPatience = 500 * time.Millisecond
+	// The store appends the entries of hosts that start together one after the other,
+	// which takes 0.8 s for 195 hosts.
+	rosterPatience = 1200 * time.Millisecond
 	startPatience  = 900 * time.Millisecond
 	// rankDelay is the delay, for each live host before this one in the order of
 	// hosts, before a host reads the log because it hears of no reader. It is at most
