--- a/deploy/worthtable/main.go
+++ b/deploy/worthtable/main.go
@@ -1,5 +1,5 @@
 // Command worthtable prints where the worth of each day goes, as a Markdown table, from
-// the newest complete score of each site in the bench's journal.
+// the newest finished full score of each site in the bench's journal.
 //
 // # Usage
 //
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -27,7 +28,6 @@
 	ID      string   `json:"id"`
 	Command string   `json:"cmd"`
 	Args    []string `json:"argv"`
-	OK      bool     `json:"ok"`
 	Days    []day    `json:"days"`
 }
 
@@ -39,6 +39,22 @@
 	Failed  float64 `json:"failed"`
 	Parts   []part  `json:"parts"`
 	Prices  []price `json:"prices"`
+	// Fault is why the day counts for nothing, or null.
+	Fault any `json:"fault"`
+	// Rules holds the broken rules.
+	Rules map[string]any `json:"rules"`
+}
+
+// title returns the day's name, marked if the day counts for nothing.
+func (d day) title() string {
+	title := d.Name
+	if d.Fault != nil {
+		title += " (fault)"
+	}
+	for _, rule := range slices.Sorted(maps.Keys(d.Rules)) {
+		title += " " + rule
+	}
+	return title
 }
 
 // part is a share of the worth: its name, its weight and its value.
@@ -96,7 +112,7 @@
 	return trace.Wrap(err)
 }
 
-// newestScores returns the newest complete score of each site. The names of entries begin
+// newestScores returns the newest finished full score of each site. The names of entries begin
 // with their time.
 func newestScores(journal string) (map[string]entry, error) {
 	paths, err := filepath.Glob(filepath.Join(journal, "*.json"))
@@ -114,7 +130,7 @@
 		if err := json.Unmarshal(text, &e); err != nil {
 			return nil, trace.Wrap(err, path)
 		}
-		if site := e.site(); e.OK && e.Command == "score" && site != "" {
+		if site := e.site(); e.Command == "score" && site != "" && len(e.Days) > 0 {
 			newest[site] = e
 		}
 	}
@@ -137,9 +153,6 @@
 }
 
 func writeSite(text *strings.Builder, site string, e entry) {
-	if len(e.Days) == 0 {
-		return
-	}
 	fmt.Fprintf(text, "\n## %s (%s)\n\n| day | worth | served | refused | failed |", site, e.ID)
 	for _, p := range e.Days[0].Parts {
 		fmt.Fprintf(text, " %s (%g) |", p.name, p.weight)
@@ -147,7 +160,7 @@
 	text.WriteString(" highest prices |\n|---|---|---|---|---|")
 	text.WriteString(strings.Repeat("---|", len(e.Days[0].Parts)+1) + "\n")
 	for _, d := range e.Days {
-		fmt.Fprintf(text, "| %s | %.3f | %.3f | %.3f | %.3f |", d.Name, d.Worth, d.Served, d.Refused, d.Failed)
+		fmt.Fprintf(text, "| %s | %.3f | %.3f | %.3f | %.3f |", d.title(), d.Worth, d.Served, d.Refused, d.Failed)
 		for _, p := range d.Parts {
 			fmt.Fprintf(text, " %.3f |", p.value)
 		}
--- a/deploy/worthtable/main_test.go
+++ b/deploy/worthtable/main_test.go
@@ -7,7 +7,7 @@
 	"github.com/sebdah/goldie/v2"
 )
 
-// TestTable checks that the newest complete score of a site is shown, and no quick score,
+// TestTable checks that the newest finished full score of a site is shown, and no quick score,
 // no unfinished run and no run of another kind.
 func TestTable(t *testing.T) {
 	var out bytes.Buffer
