--- a/io/keyedlog/keyedlog.go
+++ b/io/keyedlog/keyedlog.go
@@ -287,6 +287,10 @@
 
 // readLog lists or reads once, and reports whether it delivered records.
 func (f *Follower) readLog(ctx context.Context, wait time.Duration) bool {
+	if !f.reads {
+		// The others learn at once that this host reads, not only at the end of a poll.
+		wait = 0
+	}
 	changes, err := f.readChanges(ctx, wait)
 	var abandoned *AbandonedPollError
 	switch {
