Let a retry wait for another endpoint as a new call does

Cause: a call that may run twice was refused at once with 502 (allFull, may have run) when its attempt broke while all endpoints were full, although its caller had time left; a new call waits for room in that case. And while the others were full it was sent again to the endpoint that had just failed it, which spent its last run (attemptsSpent). Found with 30 calls at once at three endpoints of which one sends endless headers: the lines of the failed calls give these two reasons; ruled out: the retry budget (not spent).

Change: such a call is queued for as long as a new one, at most until its deadline, and while it waits it is not sent back to an endpoint that failed it unless there is no other; when its time in the queue is over it goes back there if there is room. The retry budget is checked again when it leaves the queue.

Result: TestRetryWaitsForRoom fails in each part without its part of the change.

--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -77,6 +77,9 @@
 	sends        int
 	// avoid lists the endpoints at which an attempt of the call has failed.
 	avoid []Key
+	// waitsForOther is set if the call waits for an endpoint that has not failed it, even
+	// while one that has failed it has room.
+	waitsForOther bool
 	// lastFailure is why the last attempt failed.
 	lastFailure      Reason
 	latencySensitive bool
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -247,10 +247,14 @@
 	c.lastFailure = cause
 	reason := s.retryDenialReason(c)
 	if reason == "" {
+		c.waitsForOther = !answered && s.hasOtherEndpoint(c)
 		if next, choice := s.pickEndpoint(c); next != nil {
 			s.send(c, next, choice)
 			return
 		}
+		if !answered && s.queueRetry(c) {
+			return
+		}
 		reason = s.noRoomReason(c.pool)
 	}
 	if answered {
@@ -263,6 +267,43 @@
 	s.refuse(c, reason)
 }
 
+// hasOtherEndpoint reports whether there is an endpoint in service that has not failed the
+// call. The runs of a call are few, so none is spent on an endpoint that has just failed it.
+func (s *Scheduler) hasOtherEndpoint(c *call) bool {
+	return slices.ContainsFunc(c.pool.endpoints, func(e *endpoint) bool {
+		return !e.leaving && !e.health.isEjected(s.now) && !slices.Contains(c.avoid, e.key)
+	})
+}
+
+// queueRetry queues a call that may have run until an endpoint has room, for as long as a
+// new call. It reports false if the call cannot wait. Refusing it at once would leave its
+// caller with an unknown outcome.
+//
+// It serves bursts that fill all endpoints while one of them fails.
+func (s *Scheduler) queueRetry(c *call) bool {
+	if s.countUsable(c.pool) == 0 || s.staysQuiet(c) {
+		return false
+	}
+	c.queueUntil = s.now.Add(c.spec.Route.TargetLatency)
+	if c.queueUntil.After(c.spec.Deadline) {
+		c.queueUntil = c.spec.Deadline
+	}
+	if !s.now.Before(c.queueUntil) {
+		return false
+	}
+	s.enqueue(c)
+	return true
+}
+
+// queuedRetryDenialReason returns why a call that has left the queue is not retried, or an
+// empty reason. The retry budget may have been spent while the call was queued.
+func (s *Scheduler) queuedRetryDenialReason(c *call) Reason {
+	if c.possibleRuns == 0 {
+		return ""
+	}
+	return s.retryDenialReason(c)
+}
+
 // retryDenialReason returns why a call that may have run is not retried, or an
 // empty reason.
 func (s *Scheduler) retryDenialReason(c *call) Reason {
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -75,6 +75,11 @@
 		s.refuse(c, s.noRoomReason(c.pool))
 		return
 	}
+	s.enqueue(c)
+}
+
+// enqueue adds a call to the queue of its pool.
+func (s *Scheduler) enqueue(c *call) {
 	c.queued = true
 	p := c.pool
 	index := sort.Search(len(p.queue), func(i int) bool {
@@ -124,8 +129,16 @@
 			i++
 			continue
 		}
+		if e == nil && c.waitsForOther {
+			c.waitsForOther = false
+			e, choice = s.pickEndpoint(c)
+		}
 		p.queue = append(p.queue[:i], p.queue[i+1:]...)
 		c.queued = false
+		if reason := s.queuedRetryDenialReason(c); reason != "" {
+			s.refuse(c, reason)
+			continue
+		}
 		if e == nil {
 			s.refuse(c, s.noRoomReason(p))
 			continue
@@ -189,7 +202,8 @@
 }
 
 // canAccept reports whether an endpoint may receive a call. Endpoints that failed
-// the call or recently declined one are accepted in the second pass only.
+// the call or recently declined one are accepted in the second pass only, and those that
+// failed it not while it waits for another one.
 func (s *Scheduler) canAccept(c *call, e *endpoint, secondPass bool) bool {
 	if e.leaving || e.inFlight(s.now) >= s.concurrencyLimit(c.pool, e) {
 		return false
@@ -197,10 +211,11 @@
 	if e.health.isEjected(s.now) || e.isQuiet(s.now) {
 		return false
 	}
+	hasFailed := slices.Contains(c.avoid, e.key)
 	if secondPass {
-		return true
+		return !hasFailed || !c.waitsForOther
 	}
-	return !slices.Contains(c.avoid, e.key) && !s.now.Before(e.fullUntil)
+	return !hasFailed && !s.now.Before(e.fullUntil)
 }
 
 // concurrencyLimit returns the number of calls that an endpoint may have in flight.
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -315,6 +315,85 @@
 	}
 }
 
+// TestRetryWaitsForRoom guards against a call that was refused with an unknown outcome,
+// although it could run again and its caller had time left, because all endpoints were
+// full when its attempt broke. A new call waits in that case.
+func TestRetryWaitsForRoom(t *testing.T) {
+	// fill starts lookups until all endpoints are full. It returns the calls at the first
+	// endpoint and one at another.
+	fill := func(h *harness) (first []scheduling.CallID, other scheduling.CallID) {
+		for {
+			id, commands := h.startCall("lookup")
+			if len(commands) == 0 {
+				h.step(scheduling.CallCanceled{Call: id})
+				return first, other
+			}
+			if h.requireSend(commands).Key.ID == "booking-0" {
+				first = append(first, id)
+			} else {
+				other = id
+			}
+		}
+	}
+	// breakFirst breaks attempts at the first endpoint, which is ejected by the second one,
+	// and returns the commands for the third, and the call at another endpoint.
+	breakFirst := func(h *harness) ([]scheduling.Command, scheduling.CallID) {
+		first, other := fill(h)
+		for _, id := range first[:2] {
+			h.endAttempt(id, scheduling.Broken{})
+		}
+		return h.endAttempt(first[2], scheduling.Broken{}), other
+	}
+	t.Run("rather than at the endpoint that failed it", func(t *testing.T) {
+		h := newHarness(t, 3)
+		first, other := fill(h)
+		if commands := h.endAttempt(first[0], scheduling.Broken{}); len(commands) != 0 {
+			t.Fatalf("commands %v, want none: the call waits", commands)
+		}
+		if send := h.requireSend(h.endAttempt(other, scheduling.Completed{})); send.Key.ID == "booking-0" {
+			t.Error("sent to the endpoint that failed it")
+		}
+	})
+	t.Run("and goes back at last", func(t *testing.T) {
+		h := newHarness(t, 3)
+		first, _ := fill(h)
+		h.endAttempt(first[0], scheduling.Broken{})
+		h.now = h.now.Add(200 * time.Millisecond)
+		if send := h.requireSend(h.step(scheduling.Tick{})); send.Call != first[0] || send.Key.ID != "booking-0" {
+			t.Errorf("call %d was sent to %s", send.Call, send.Key.ID)
+		}
+	})
+	t.Run("until there is room", func(t *testing.T) {
+		h := newHarness(t, 3)
+		commands, other := breakFirst(h)
+		if len(commands) != 0 {
+			t.Fatalf("commands %v, want none: the call waits", commands)
+		}
+		commands = h.endAttempt(other, scheduling.Completed{})
+		if send := h.requireSend(commands); !send.IsRetry || send.Key.ID == "booking-0" {
+			t.Errorf("sent to %s, as a retry: %v", send.Key.ID, send.IsRetry)
+		}
+	})
+	t.Run("not beyond its target", func(t *testing.T) {
+		h := newHarness(t, 3)
+		breakFirst(h)
+		h.now = h.now.Add(200 * time.Millisecond)
+		if refusal := h.requireRefuse(h.step(scheduling.Tick{})); !refusal.MayHaveRun {
+			t.Error("the refusal says that the call has not run")
+		}
+	})
+	t.Run("not beyond the budget", func(t *testing.T) {
+		h := newHarness(t, 3)
+		_, other := breakFirst(h)
+		h.step(scheduling.BudgetChanged{Window: 10 * time.Second})
+		for _, command := range h.endAttempt(other, scheduling.Completed{}) {
+			if send, ok := command.(scheduling.Send); ok {
+				t.Errorf("call %d was sent again without a budget", send.Call)
+			}
+		}
+	})
+}
+
 func TestColdEndpointIsAvoided(t *testing.T) {
 	h := newHarness(t, 1)
 	cold := entry(booking, 1)
