--- a/cmd/gatewaycmd_test.go
+++ b/cmd/gatewaycmd_test.go
@@ -181,17 +181,7 @@
 		}
 		awaitVersion(t, ready, last, exited)
 	}
-	if err := process.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	select {
-	case err := <-exited:
-		if err != nil {
-			t.Errorf("the process exited with %v", err)
-		}
-	case <-time.After(20 * time.Second):
-		t.Error("the process did not stop within 20 s")
-	}
+	stopProcess(t, process, exited)
 }
 
 // awaitVersion waits until a host's metrics show the configuration version. The
@@ -220,3 +210,19 @@
 		}
 	}
 }
+
+// stopProcess stops a process with SIGTERM and waits until it has exited.
+func stopProcess(t *testing.T, process *exec.Cmd, exited <-chan error) {
+	t.Helper()
+	if err := process.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-exited:
+		if err != nil {
+			t.Errorf("the process exited with %v", err)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("the process did not stop within 20 s")
+	}
+}
--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -40,6 +40,8 @@
 	EventGap time.Duration
 	// QuietFor is for how long the endpoint asked not to be sent calls, or zero.
 	QuietFor time.Duration
+	// Excess is set if the endpoint sent further bytes after a complete answer.
+	Excess bool
 }
 
 // LeavingAnswered reports that an endpoint said in an answer that it is leaving.
--- a/core/scheduling/health.go
+++ b/core/scheduling/health.go
@@ -67,3 +67,9 @@
 	h.ejectionTime = 0
 	h.errorRate += errorWeight * (1 - h.errorRate)
 }
+
+// recordExcess records bytes after a complete answer. The endpoint keeps its calls, as
+// the answer was complete, but others are preferred.
+func (h *health) recordExcess() {
+	h.errorRate += errorWeight * (1 - h.errorRate)
+}
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -112,6 +112,9 @@
 	switch outcome := event.Outcome.(type) {
 	case Completed:
 		s.recordCompletion(c, e, event)
+		if event.Excess {
+			e.health.recordExcess()
+		}
 	case Unreachable:
 		s.ejectEndpoint(e, ReasonUnreachable)
 		s.retryNotRun(c, e, ReasonUnreachable)
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -700,3 +700,30 @@
 		}
 	}
 }
+
+// TestExcessAfterAnswerCounts guards against an endpoint that appends bytes to complete
+// answers and is taken for as sound as the others: each such answer costs a connection.
+func TestExcessAfterAnswerCounts(t *testing.T) {
+	h := newHarness(t, 2)
+	calls := 0
+	preferred := ""
+	for range 20 {
+		id, commands := h.startCall("lookup")
+		key := h.requireSend(commands).Key
+		if preferred == "" {
+			preferred = key.ID
+		}
+		isFirst := key.ID == preferred
+		if isFirst {
+			calls++
+		}
+		h.step(scheduling.AttemptEnded{
+			Call:    id,
+			Outcome: scheduling.Completed{},
+			Excess:  isFirst,
+		})
+	}
+	if calls > 3 {
+		t.Errorf("%d of 20 calls were sent to the endpoint that appends bytes", calls)
+	}
+}
--- a/fleet/capacity.go
+++ b/fleet/capacity.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -211,6 +212,6 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var vars hostVars
-	err = json.NewDecoder(response.Body).Decode(&vars)
+	err = json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&vars)
 	return vars.Mallocs, trace.Wrap(err)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -38,6 +39,8 @@
 const (
 	// balancerLag is the setting of the hosts; the load tool's balancer reacts faster.
 	balancerLag = 1 * time.Second
+	// maxResponseBytes is the maximum size of an answer of a host.
+	maxResponseBytes = 64 << 20
 	// requestTimeout is the timeout of an HTTP request to a stand-in or a host.
 	requestTimeout = 10 * time.Second
 	// readyTimeout is the timeout for all profiles to be in force on all hosts.
@@ -271,7 +274,7 @@
 	var generated struct {
 		Attempts uint64 `json:"attempts"`
 	}
-	err = json.NewDecoder(response.Body).Decode(&generated)
+	err = json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&generated)
 	return generated.Attempts, trace.Wrap(err)
 }
 
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -55,6 +55,7 @@
 func (g *Gateway) sweepIdleConnections(ctx context.Context) error {
 	tick := g.timers.Every(sweepInterval)
 	defer tick.Stop()
+	unsolicited := int64(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -67,6 +68,10 @@
 				}
 			})
 			g.pool.Sweep(now, known)
+			if count := g.pool.UnsolicitedCount(); count > unsolicited {
+				g.trail.Failure("unsolicitedBytes").Int("connections", count-unsolicited).End()
+				unsolicited = count
+			}
 		}
 	}
 }
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -1,6 +1,18 @@
 package gateway
 
-import "net"
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"cactuswell/io/httpjson"
+)
+
+// FetchFromPeer makes a request to another host.
+func FetchFromPeer(ctx context.Context, address string) error {
+	_, err := httpjson.Fetch(ctx, newPeerClient(), http.MethodGet, "http://"+address+changesPath, nil, maxChangesBytes)
+	return err
+}
 
 // WrapCallerListener wraps the callers' listener. It must be called before Run.
 func (g *Gateway) WrapCallerListener(wrap func(net.Listener) net.Listener) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,8 @@
 	runtimeMemoryShare = 0.75
 	// bodyMemoryShare is the share of a host's memory that request bodies may use.
 	bodyMemoryShare = 0.15
+	// responseMemoryShare is the share that buffered parts of responses may use.
+	responseMemoryShare = 0.1
 	// gcPercent is the heap growth, in percent, that triggers a garbage collection.
 	gcPercent = 75
 	// interZoneDelay is the typical one-way network delay between two zones of a
@@ -63,6 +65,16 @@
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes bounds the size of a request's header.
 	maxHeaderBytes = 64 << 10
+	// callerWriteTimeout bounds the time from a request's header to the end of its
+	// response. It is beyond the longest call, so it ends only responses that the caller
+	// does not read.
+	callerWriteTimeout = opaque.MaxCallTime + 10*time.Second
+	// controlTimeout bounds a request of an operator or another host, and the response.
+	// controlIdleTimeout is how long their connections may be idle.
+	controlTimeout     = 5 * time.Second
+	controlIdleTimeout = time.Minute
+	// maxControlHeaderBytes bounds the header of such a request.
+	maxControlHeaderBytes = 16 << 10
 )
 
 // Topics names the topics of the store that a host follows.
@@ -195,31 +207,36 @@
 	}
 	g.buildFollowers()
 	g.callHandler = opaque.New(opaque.Dependencies{
-		RouteTable: g.configuration.current,
-		Scheduler:  g.decisions,
-		Dialect:    g.Dialect,
-		Pool:       g.pool,
-		Trail:      g.trail,
-		Meter:      g.meter,
-		BodyMemory: int64(bodyMemoryShare * float64(g.Settings.MemoryMB) * (1 << 20)),
+		RouteTable:     g.configuration.current,
+		Scheduler:      g.decisions,
+		Dialect:        g.Dialect,
+		Pool:           g.pool,
+		Trail:          g.trail,
+		Meter:          g.meter,
+		BodyMemory:     int64(bodyMemoryShare * float64(g.Settings.MemoryMB) * (1 << 20)),
+		ResponseMemory: int64(responseMemoryShare * float64(g.Settings.MemoryMB) * (1 << 20)),
+		ResponseLimit:  int64(g.Settings.MaxResponseMB) << 20,
 	})
-	g.callerConns = newCallerConns()
+	g.callerConns = newCallerConns(g.recordCallerExcess)
 	g.callerServer = &http.Server{
 		Handler:           g.callHandler,
 		ConnState:         g.callerConns.trackState,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		WriteTimeout:      callerWriteTimeout,
 		IdleTimeout:       g.Settings.IdleTimeout,
 		ErrorLog:          newServerLog(g.trail),
 	}
-	g.operatorServer = &http.Server{
-		Handler:           g.operatorHandler(),
-		ReadHeaderTimeout: headerTimeout,
-		ErrorLog:          newServerLog(g.trail),
-	}
+	g.operatorServer = g.newControlServer(g.operatorHandler())
 	g.addGauges()
 }
 
+// recordCallerExcess records a request whose header has too many lines.
+func (g *Gateway) recordCallerExcess(remote net.Addr) {
+	g.meter.addToCounter("cactuswell_caller_excess_total", 1)
+	g.trail.Failure("callerExcess").Text("caller", remote.String()).Err(&HeaderLinesError{}).Merge("")
+}
+
 // buildMesh opens the sockets for other hosts and creates the server for them.
 func (g *Gateway) buildMesh() error {
 	var err error
@@ -231,14 +248,22 @@
 		g.mesh.AddHost(address, "", 0)
 	}
 	g.decisions.sendReport = g.sendLoadReport
-	g.peerServer = &http.Server{
-		Handler:           g.peerHandler(),
-		ReadHeaderTimeout: headerTimeout,
-		ErrorLog:          newServerLog(g.trail),
-	}
+	g.peerServer = g.newControlServer(g.peerHandler())
 	return nil
 }
 
+// newControlServer returns a server for operators or other hosts.
+func (g *Gateway) newControlServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:        handler,
+		ReadTimeout:    controlTimeout,
+		WriteTimeout:   controlTimeout,
+		IdleTimeout:    controlIdleTimeout,
+		MaxHeaderBytes: maxControlHeaderBytes,
+		ErrorLog:       newServerLog(g.trail),
+	}
+}
+
 // openMesh creates the mesh and opens its socket at address.
 func (g *Gateway) openMesh(address string) error {
 	var err error
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -14,6 +14,7 @@
 	g.meter.addGauge("cactuswell_endpoint_connections", func() float64 { return float64(g.pool.OpenCount()) })
 	g.meter.addGauge("cactuswell_endpoint_dials_total", func() float64 { return float64(g.pool.DialCount()) })
 	g.meter.addGauge("cactuswell_endpoint_reuses_total", func() float64 { return float64(g.pool.ReuseCount()) })
+	g.meter.addGauge("cactuswell_endpoint_unsolicited_total", func() float64 { return float64(g.pool.UnsolicitedCount()) })
 	if g.Settings.PeerListen != "" {
 		for name, topic := range map[string]string{
 			"configuration": g.Topics.Configuration,
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -182,20 +182,21 @@
 
 func testSettings(name string) settings.Gateway {
 	return settings.Gateway{
-		Name:         name,
-		Zone:         "z0",
-		CallerListen: "127.0.0.1:0",
-		ReadyListen:  "127.0.0.1:0",
-		PeerListen:   "127.0.0.1:0",
-		ReadyPath:    "/ready",
-		HeaderNames:  settings.HeaderNamesOwn,
-		StoreAddress: "127.0.0.1:1",
-		MemoryMB:     128,
-		StopTimeout:  2 * time.Second,
-		IdleTimeout:  time.Minute,
-		BudgetWindow: 10 * time.Second,
-		BudgetRatio:  0.2,
-		BudgetSlack:  40,
+		Name:          name,
+		Zone:          "z0",
+		CallerListen:  "127.0.0.1:0",
+		ReadyListen:   "127.0.0.1:0",
+		PeerListen:    "127.0.0.1:0",
+		ReadyPath:     "/ready",
+		HeaderNames:   settings.HeaderNamesOwn,
+		StoreAddress:  "127.0.0.1:1",
+		MemoryMB:      128,
+		MaxResponseMB: 1,
+		StopTimeout:   2 * time.Second,
+		IdleTimeout:   time.Minute,
+		BudgetWindow:  10 * time.Second,
+		BudgetRatio:   0.2,
+		BudgetSlack:   40,
 	}
 }
 
@@ -409,6 +410,21 @@
 	})
 }
 
+// metrics returns the host's metrics.
+func (f *fixture) metrics() string {
+	f.t.Helper()
+	response, err := http.Get("http://" + f.gateway.ReadyAddress() + "/metrics")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return string(text)
+}
+
 // dump returns the host's dump and checks that it contains no key.
 func (f *fixture) dump() gateway.Dump {
 	f.t.Helper()
--- a/gateway/life_test.go
+++ b/gateway/life_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -130,22 +129,14 @@
 func TestMetrics(t *testing.T) {
 	f := newFixture(t, 1)
 	f.get("/lookup/x")
-	response, err := http.Get("http://" + f.gateway.ReadyAddress() + "/metrics")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
+	text := f.metrics()
 	for _, line := range []string{
 		`cactuswell_calls_total{kind="safe",priority="0",result="served",reason=""} 1`,
 		`cactuswell_configuration_version 1`,
 		`cactuswell_endpoints 2`,
 		`cactuswell_call_seconds{kind="safe",priority="0",quantile="0.5"}`,
 	} {
-		if !strings.Contains(string(text), line) {
+		if !strings.Contains(text, line) {
 			t.Errorf("no line %s in\n%s", line, text)
 		}
 	}
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"cactuswell/io/opaque"
+	"cactuswell/io/upstream"
 )
 
 const (
@@ -92,6 +93,11 @@
 	}
 }
 
+// RecordExcess implements opaque.Meter.
+func (m *meter) RecordExcess(part upstream.Part) {
+	m.addToCounter(fmt.Sprintf("cactuswell_response_excess_total{part=%q}", part), 1)
+}
+
 // writeText writes all metrics as text, one line each, sorted by name.
 func (m *meter) writeText(w io.Writer) {
 	m.mu.Lock()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -67,8 +67,10 @@
 	return &http.Client{
 		Timeout: relayTimeout,
 		Transport: &http.Transport{
-			DialContext:     dialer.DialContext,
-			IdleConnTimeout: peerIdleTimeout,
+			DialContext:            dialer.DialContext,
+			IdleConnTimeout:        peerIdleTimeout,
+			MaxResponseHeaderBytes: maxControlHeaderBytes,
+			DisableCompression:     true,
 		},
 	}
 }
@@ -299,6 +301,12 @@
 		if !page.More {
 			return hosts, nil
 		}
+		if !page.Advances(after) {
+			return hosts, &keyedlog.EndlessListingError{
+				Topic:   rosterTopic,
+				Records: hosts,
+			}
+		}
 		after = page.NextAfter
 	}
 }
--- a/host/run.go
+++ b/host/run.go
@@ -21,6 +21,7 @@
 	"cactuswell/io/claims"
 	"cactuswell/io/configuration"
 	"cactuswell/io/hostlist"
+	"cactuswell/io/httpbody"
 	"cactuswell/io/logservice"
 	"cactuswell/io/node"
 	"cactuswell/io/operator"
@@ -330,7 +331,7 @@
 	})
 	h.tree.Add(supervisor.Duty{
 		Name: "operators",
-		Run:  h.serve(h.newServer(h.operatorHandler(), h.tlsMutual), h.operatorListener),
+		Run:  h.serve(h.newServer(httpbody.Handler(h.operatorHandler(), h.settings.BodyTime), h.tlsMutual), h.operatorListener),
 	})
 }
 
--- a/host/transport.go
+++ b/host/transport.go
@@ -20,6 +20,8 @@
 	// maxIdleConnsPerEndpoint bounds the number of idle connections to one
 	// endpoint.
 	maxIdleConnsPerEndpoint = 64
+	// maxResponseHeaderBytes bounds the header of a response.
+	maxResponseHeaderBytes = 32 << 10
 	// keepAlivePeriod is the time between two TCP keep-alive probes.
 	keepAlivePeriod = 10 * time.Second
 )
@@ -61,11 +63,12 @@
 		KeepAlive: keepAlivePeriod,
 	}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableKeepAlives:   singleUse,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdleConnsPerEndpoint,
-		IdleConnTimeout:     idleTimeout,
+		DialContext:            dialer.DialContext,
+		DisableKeepAlives:      singleUse,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdleConnsPerEndpoint,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		IdleConnTimeout:        idleTimeout,
 	}
 	if certificates != nil {
 		transport.DialTLSContext = certificates.DialTLS
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -29,6 +29,7 @@
 	"github.com/gorilla/mux"
 
 	"cactuswell/core/profile"
+	"cactuswell/io/httpbody"
 )
 
 // The headers of the protocol.
@@ -119,7 +120,7 @@
 	router.HandleFunc("/readyz", s.handleReady).Methods(http.MethodGet)
 	router.NotFoundHandler = http.HandlerFunc(s.handleNotFound)
 	router.MethodNotAllowedHandler = http.HandlerFunc(s.handleNotFound)
-	return router
+	return httpbody.Handler(router, s.limits.BodyTimeout)
 }
 
 func (s *Server) handleNotFound(w http.ResponseWriter, _ *http.Request) {
--- a/io/caller/submission.go
+++ b/io/caller/submission.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"cactuswell/core/profile"
 )
@@ -44,11 +43,7 @@
 }
 
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Problem) {
-	if s.limits.BodyTimeout > 0 {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.limits.BodyTimeout))
-	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.MaxBodyBytes))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -5,14 +5,19 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
 	"github.com/gravitational/trace"
 )
 
-// maxEventBytes bounds the size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds the size of one event of a stream.
+	maxEventBytes = 64 << 10
+	// maxPaddingBytes bounds what comes between two events, such as comments.
+	maxPaddingBytes = 16 << 10
+)
 
 // Token is one token of an answer, or the end of the answer.
 type Token struct {
@@ -55,13 +60,26 @@
 	}
 }
 
+// PaddingError reports a stream with too many bytes between two events.
+type PaddingError struct{}
+
+// Error returns a message with the limit.
+func (*PaddingError) Error() string {
+	return fmt.Sprintf("more than %d bytes came between two events", maxPaddingBytes)
+}
+
 // Next returns the next token. It checks that the token belongs to the attempt and
 // follows the previous one. The errors are *IncompleteResponseError and
 // *AttemptMismatchError.
 func (s *Stream) Next() (Token, error) {
+	padding := 0
 	for s.lines.Scan() {
 		data, ok := bytes.CutPrefix(s.lines.Bytes(), []byte("data: "))
 		if !ok {
+			padding += len(s.lines.Bytes()) + 1
+			if padding > maxPaddingBytes {
+				return Token{}, trace.Wrap(&IncompleteResponseError{Cause: &PaddingError{}})
+			}
 			continue
 		}
 		s.choices[0] = ChunkChoice{}
--- a/io/keyedlog/keyedlog.go
+++ b/io/keyedlog/keyedlog.go
@@ -39,6 +39,10 @@
 	listPageTimeout = 1500 * time.Millisecond
 	// pollSlack is how much longer than its wait a long poll may take.
 	pollSlack = 900 * time.Millisecond
+	// maxListingBytes bounds a listing, and recordOverhead is what a record takes besides
+	// its key and its value.
+	maxListingBytes = 64 << 20
+	recordOverhead  = 64
 	// fetchTimeout bounds a fetch of changes from another host.
 	fetchTimeout = 600 * time.Millisecond
 )
@@ -58,6 +62,12 @@
 	Era int64
 }
 
+// Advances reports whether the page after this one differs from this one, which follows
+// the given key.
+func (l *Listing) Advances(after string) bool {
+	return l.NextAfter != "" && l.NextAfter != after
+}
+
 // Batch is the result of a read.
 type Batch struct {
 	Records []Record
@@ -89,6 +99,18 @@
 	return fmt.Sprintf("records of topic %s from offset %d on are not available", e.Topic, e.From)
 }
 
+// EndlessListingError is the error for a listing whose pages do not end.
+type EndlessListingError struct {
+	Topic string
+	// Records is the number of records that were listed.
+	Records int
+}
+
+// Error names the topic and the number of records.
+func (e *EndlessListingError) Error() string {
+	return fmt.Sprintf("the listing of topic %s does not end after %d records", e.Topic, e.Records)
+}
+
 // NoReaderError is the error while no host that reads the log is heard of.
 type NoReaderError struct {
 	Topic string
@@ -376,13 +398,15 @@
 }
 
 // list lists the newest record of each key. Reading continues at the end offset of
-// the first page, since the pages may miss records that were appended after it.
+// the first page, since the pages may miss records that were appended after it. The error
+// is an *EndlessListingError if the pages do not advance or exceed maxListingBytes.
 func (f *Follower) list(ctx context.Context) (replica.Changes, error) {
 	changes := replica.Changes{
 		Whole: true,
 		End:   replica.Unknown(),
 	}
 	after := ""
+	size := 0
 	for {
 		page, err := f.listPage(ctx, after)
 		if err != nil {
@@ -401,9 +425,18 @@
 			}
 		}
 		changes.Records = append(changes.Records, page.Records...)
+		for _, record := range page.Records {
+			size += len(record.Key) + len(record.Value) + recordOverhead
+		}
 		if !page.More {
 			return changes, nil
 		}
+		if !page.Advances(after) || size > maxListingBytes {
+			return replica.Changes{}, &EndlessListingError{
+				Topic:   f.Topic,
+				Records: len(changes.Records),
+			}
+		}
 		after = page.NextAfter
 	}
 }
--- a/io/keyedlog/keyedlog_test.go
+++ b/io/keyedlog/keyedlog_test.go
@@ -233,3 +233,28 @@
 		})
 	}
 }
+
+// TestEndlessListing guards against a log whose listing does not end: the follower
+// collected its pages until the host's memory was used up.
+func TestEndlessListing(t *testing.T) {
+	for name, fault := range map[string]standin.EndlessListing{
+		"the same page": {},
+		"further pages": {Advances: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFollowerWithCaller(t, func(log *standin.Log, caller *standin.Client, l *listener) {
+				caller.SetFault(fault)
+				log.Append(topic, "a", []byte("1"))
+				time.Sleep(time.Second)
+				if diff := cmp.Diff([]string{"lost"}, l.events); diff != "" {
+					t.Error(diff)
+				}
+				caller.SetFault(nil)
+				time.Sleep(10 * time.Second)
+				if l.values["a"] != "1" {
+					t.Errorf("values %v after the listing ends again", l.values)
+				}
+			})
+		})
+	}
+}
--- a/io/node/server.go
+++ b/io/node/server.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 
 	"cactuswell/core/membership"
+	"cactuswell/io/httpbody"
 	"cactuswell/io/node/nodev1"
 	"cactuswell/io/node/nodev1/nodev1connect"
 )
@@ -26,6 +27,8 @@
 	// listener's connections.
 	peerReadHeaderTimeout = 5 * time.Second
 	peerIdleTimeout       = 2 * time.Minute
+	// peerBodyTimeout bounds the time in which the body of a request must arrive.
+	peerBodyTimeout = 10 * time.Second
 	// maxPeerStreams limits the concurrent calls on one connection.
 	maxPeerStreams = 250
 )
@@ -71,7 +74,7 @@
 		protocols.SetUnencryptedHTTP2(true)
 	}
 	return &http.Server{
-		Handler:           handler,
+		Handler:           httpbody.Handler(handler, peerBodyTimeout),
 		TLSConfig:         n.deps.TLS.Clone(),
 		ReadHeaderTimeout: peerReadHeaderTimeout,
 		IdleTimeout:       peerIdleTimeout,
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -56,7 +56,15 @@
 	// silenceDeadline is when the endpoint is considered unresponsive, or zero if
 	// only the call's deadline applies.
 	silenceDeadline time.Time
-	err             error
+	// padding holds the comments and blank events before the first event that the
+	// caller gets, and paddingBytes counts those since the last event.
+	padding      []byte
+	paddingBytes int
+	// bodyBytes is the number of bytes of the response body that were received.
+	bodyBytes int64
+	// hasExcess is set if the endpoint sent bytes after a complete response.
+	hasExcess bool
+	err       error
 }
 
 // runAttempt sends the call to an endpoint and reports whether the call is
@@ -80,6 +88,7 @@
 		Load:     t.responseInfo.Load,
 		EventGap: x.stream.usualGap(),
 		QuietFor: t.quietFor(),
+		Excess:   t.hasExcess,
 	}
 	x.server.Scheduler.Post(event)
 	switch outcome.(type) {
@@ -129,6 +138,7 @@
 	x := t.exchange
 	x.stream.startAttempt()
 	x.lastFailure = nil
+	x.failureBody.release()
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
 	maxIdle := maxIdleNonRetryable
@@ -180,6 +190,10 @@
 	}
 	switch outcome.(type) {
 	case scheduling.Completed, scheduling.Declined, scheduling.Misdirected, scheduling.Failed:
+		if t.conn.IsUsable() && t.conn.HasUnreadBytes() {
+			t.hasExcess = true
+			t.recordExcess(upstream.PartAfterBody)
+		}
 		t.conn.Release(t.response)
 	default:
 		t.conn.Discard()
@@ -227,7 +241,7 @@
 		Target:  x.request.RequestURI,
 		Host:    x.request.Host,
 		Header:  header,
-		Body:    x.body,
+		Body:    x.body.bytes,
 		HasBody: x.request.ContentLength != 0 || x.request.Header.Get("Content-Length") != "",
 	}
 }
@@ -260,19 +274,17 @@
 func (t *attempt) readErrorOutcome(err error) scheduling.Outcome {
 	t.err = err
 	x := t.exchange
-	var unsolicited *upstream.UnsolicitedResponseError
+	var noMemory *BufferMemoryError
 	switch {
 	case tcp.IsTimeout(err) && !time.Now().Before(x.deadline):
 		return scheduling.TimedOut{}
 	case tcp.IsTimeout(err) && !t.silenceDeadline.IsZero():
 		return scheduling.Silent{PartlyDelivered: x.committed}
-	case tcp.IsTimeout(err), tcp.IsClosedByPeer(err):
+	case tcp.IsTimeout(err), tcp.IsClosedByPeer(err), errors.As(err, &noMemory):
 		return scheduling.Broken{PartlyDelivered: x.committed}
-	case errors.As(err, &unsolicited):
-		return scheduling.Broken{
-			PartlyDelivered: x.committed,
-			Malformed:       true,
-		}
+	}
+	if part := upstream.ExcessPart(err); part != "" {
+		t.recordExcess(part)
 	}
 	return scheduling.Broken{
 		PartlyDelivered: x.committed,
@@ -280,6 +292,22 @@
 	}
 }
 
+// recordExcess records that a part of the endpoint's response exceeds its bound.
+func (t *attempt) recordExcess(part upstream.Part) {
+	x := t.exchange
+	x.server.Meter.RecordExcess(part)
+	x.server.Trail.Failure("responseExcess").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
+		Text("part", string(part)).Int("bodyBytes", t.bodyBytes).Millis("after", time.Since(t.sentAt)).Merge(x.currentSend.Key.ID)
+}
+
+// excess ends the attempt because a part of the response exceeds its bound.
+func (t *attempt) excess(part upstream.Part, limit int64) scheduling.Outcome {
+	return t.readErrorOutcome(&upstream.ExcessError{
+		Part:  part,
+		Limit: limit,
+	})
+}
+
 // handleResponse handles a response whose header has arrived.
 func (t *attempt) handleResponse() scheduling.Outcome {
 	t.postNotices()
@@ -334,51 +362,82 @@
 // drainBody reads a short response body to its end, so that the connection can be
 // reused, and returns the given outcome.
 func (t *attempt) drainBody(outcome scheduling.Outcome) scheduling.Outcome {
-	n, err := io.Copy(io.Discard, io.LimitReader(t.response.Body, maxBufferedBody))
-	if err != nil || n == maxBufferedBody {
-		t.response.Close = true
-	}
+	t.conn.Drain(t.response)
 	return outcome
 }
 
 // bufferFailure stores a response that reports the failure of the call.
 func (t *attempt) bufferFailure(status int) scheduling.Outcome {
-	body, err := io.ReadAll(io.LimitReader(t.response.Body, maxBufferedBody))
-	if err != nil || len(body) == maxBufferedBody {
-		if err == nil {
-			err = io.ErrShortBuffer
-		}
+	x := t.exchange
+	complete, err := x.failureBody.readFrom(t.response.Body, maxBufferedBody, t.response.ContentLength)
+	t.bodyBytes = int64(len(x.failureBody.bytes))
+	if err != nil {
 		return t.readErrorOutcome(err)
 	}
-	t.exchange.lastFailure = &failureResponse{
+	if !complete && len(x.failureBody.bytes) < maxBufferedBody {
+		return t.readErrorOutcome(&BufferMemoryError{})
+	}
+	if !complete {
+		return t.excess(upstream.PartBody, maxBufferedBody)
+	}
+	x.lastFailure = &failureResponse{
 		response: t.response,
-		body:     body,
+		body:     x.failureBody.bytes,
 	}
 	return scheduling.Failed{Status: status}
 }
 
-// forwardWhole buffers the response body and forwards it in one piece. Once a body
-// reaches maxBufferedBody, the rest of it is forwarded as it arrives.
+// forwardWhole buffers the response body and forwards it in one piece. What does not fit
+// into the buffer is forwarded as it arrives.
 func (t *attempt) forwardWhole() scheduling.Outcome {
 	x := t.exchange
+	limit := x.server.ResponseLimit
+	if t.response.ContentLength > limit {
+		return t.excess(upstream.PartBody, limit)
+	}
 	t.setReadDeadline(0)
-	body, err := io.ReadAll(io.LimitReader(t.response.Body, maxBufferedBody))
+	body := buffer{budget: &x.server.responseMemory}
+	defer body.release()
+	complete, err := body.readFrom(t.response.Body, int(min(maxBufferedBody, limit)), t.response.ContentLength)
+	t.bodyBytes = int64(len(body.bytes))
 	if err != nil {
 		return t.readErrorOutcome(err)
 	}
 	x.firstEventAt = time.Now()
-	x.commitResponse(t.response, len(body) < maxBufferedBody, len(body))
-	if _, err := x.writer.Write(body); err != nil {
+	x.commitResponse(t.response, complete, len(body.bytes))
+	if _, err := x.writer.Write(body.bytes); err != nil {
 		t.err = err
 		return scheduling.Abandoned{}
 	}
-	if len(body) < maxBufferedBody {
+	if complete {
 		return nil
 	}
-	if _, err := io.Copy(x.writer, t.response.Body); err != nil {
-		return t.readErrorOutcome(err)
+	return t.forwardRest(body.bytes[:cap(body.bytes)])
+}
+
+// forwardRest forwards the rest of the response body as it arrives.
+func (t *attempt) forwardRest(chunk []byte) scheduling.Outcome {
+	x := t.exchange
+	if len(chunk) == 0 {
+		chunk = make([]byte, initialBufferBytes)
+	}
+	for {
+		n, err := t.response.Body.Read(chunk)
+		t.bodyBytes += int64(n)
+		if t.bodyBytes > x.server.ResponseLimit {
+			return t.excess(upstream.PartBody, x.server.ResponseLimit)
+		}
+		if _, writeErr := x.writer.Write(chunk[:n]); writeErr != nil {
+			t.err = writeErr
+			return scheduling.Abandoned{}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return t.readErrorOutcome(err)
+		}
 	}
-	return nil
 }
 
 // impliesNotRun reports whether callers take a status to mean that the call was not
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -11,13 +11,14 @@
 
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
+	"cactuswell/io/tcp"
 	"cactuswell/trail"
 )
 
 const (
-	// maxCallTime is the maximum duration of a call; the caller and the route may
+	// MaxCallTime is the maximum duration of a call; the caller and the route may
 	// set a shorter one.
-	maxCallTime = 60 * time.Second
+	MaxCallTime = 60 * time.Second
 	// bodyReadTimeout bounds the time to receive a request body.
 	bodyReadTimeout = 10 * time.Second
 	// noConfigurationRetryAfter is the Retry-After of a host that has just started:
@@ -33,10 +34,9 @@
 	// deadline. Decisions arrive before the deadline unless the scheduler has
 	// failed.
 	decisionGracePeriod = 200 * time.Millisecond
-	// unknownLengthDivisor divides the body limit to get the memory that is
-	// reserved for a body of unknown length while it is read; few bodies are near
-	// the limit.
-	unknownLengthDivisor = 16
+	// unreadBodyTimeout bounds the wait for the rest of a body that is not needed, which
+	// the HTTP server reads before it responds.
+	unreadBodyTimeout = 200 * time.Millisecond
 	// defaultBodyLimit bounds a body in bytes if the configuration sets no limit.
 	defaultBodyLimit = 4 << 20
 )
@@ -50,15 +50,16 @@
 	arrivedAt time.Time
 	logged    bool
 
-	table           *route.Table
-	requestInfo     RequestInfo
-	route           *route.Route
-	team            string
-	priority        int
-	service         string
-	deadline        time.Time
-	body            []byte
-	reservedBytes   int64
+	table       *route.Table
+	requestInfo RequestInfo
+	route       *route.Route
+	team        string
+	priority    int
+	service     string
+	deadline    time.Time
+	body        buffer
+	// hasUnreadBody is set while the caller may still be sending the body.
+	hasUnreadBody   bool
 	id              scheduling.CallID
 	forwardedHeader http.Header
 
@@ -69,9 +70,12 @@
 	queueTime    time.Duration
 	// committed is set once a response header was sent to the caller.
 	committed bool
-	stream    stream
+	// isAbandoned is set once the caller has left.
+	isAbandoned bool
+	stream      stream
 	// lastFailure is the failure response of the last attempt, or nil.
 	lastFailure *failureResponse
+	failureBody buffer
 }
 
 // run serves the call until it is finished.
@@ -156,6 +160,7 @@
 // false if the call is finished.
 func (x *exchange) admit() bool {
 	var err error
+	x.hasUnreadBody = x.request.ContentLength != 0
 	if x.requestInfo, err = x.server.Dialect.ParseRequest(x.request); err != nil {
 		return x.deny(http.StatusBadRequest, ReasonMalformed, err)
 	}
@@ -180,7 +185,7 @@
 	if !x.authorize() {
 		return x.deny(http.StatusUnauthorized, ReasonUnknownKey, nil)
 	}
-	x.deadline = x.arrivedAt.Add(maxCallTime)
+	x.deadline = x.arrivedAt.Add(MaxCallTime)
 	for _, limit := range []time.Duration{x.requestInfo.TimeLeft, found.Timeout} {
 		if limit > 0 && x.arrivedAt.Add(limit).Before(x.deadline) {
 			x.deadline = x.arrivedAt.Add(limit)
@@ -225,16 +230,9 @@
 	if r.ContentLength > limit {
 		return x.deny(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, nil)
 	}
-	x.reservedBytes = r.ContentLength
-	if x.reservedBytes < 0 {
-		x.reservedBytes = limit / unknownLengthDivisor
-	}
-	if x.server.bodyMemory.Add(x.reservedBytes) > x.server.BodyMemory {
-		x.refuse(scheduling.Refuse{
-			Reason:     ReasonHostFull,
-			RetryAfter: hostFullRetryAfter,
-		})
-		return false
+	// One more byte makes room for the read that finds the end.
+	if r.ContentLength > 0 && !x.body.grow(int(r.ContentLength)+1, int(limit)+1) {
+		return x.refuseFull()
 	}
 	readDeadline := x.arrivedAt.Add(bodyReadTimeout)
 	if x.deadline.Before(readDeadline) {
@@ -242,35 +240,45 @@
 	}
 	controller := http.NewResponseController(x.writer)
 	_ = controller.SetReadDeadline(readDeadline)
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, r.Body, limit))
+	complete, err := x.body.readFrom(http.MaxBytesReader(x.writer, r.Body, limit), int(limit)+1, r.ContentLength)
 	_ = controller.SetReadDeadline(time.Time{})
 	if err != nil {
 		return x.handleBodyError(err)
 	}
-	x.body = body
-	// Replace the reservation by the actual length, which may have been unknown.
-	x.server.bodyMemory.Add(int64(len(body)) - x.reservedBytes)
-	x.reservedBytes = int64(len(body))
+	if !complete {
+		return x.refuseFull()
+	}
+	x.hasUnreadBody = false
 	return true
 }
 
+// refuseFull refuses a call for which the host has no memory.
+func (x *exchange) refuseFull() bool {
+	x.refuse(scheduling.Refuse{
+		Reason:     ReasonHostFull,
+		RetryAfter: hostFullRetryAfter,
+	})
+	return false
+}
+
 // handleBodyError finishes a call whose body could not be read.
 func (x *exchange) handleBodyError(err error) bool {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return x.deny(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, err)
 	}
-	if x.request.Context().Err() != nil {
+	// A read that timed out also cancels the context.
+	if x.request.Context().Err() != nil && !tcp.IsTimeout(err) {
 		x.finish(ResultCanceled, "", 0)
 		return false
 	}
 	return x.deny(http.StatusRequestTimeout, ReasonMalformed, err)
 }
 
-func (x *exchange) releaseBody() {
-	if x.reservedBytes > 0 {
-		x.server.bodyMemory.Add(-x.reservedBytes)
-	}
+// release returns the memory of the call's buffers.
+func (x *exchange) release() {
+	x.body.release()
+	x.failureBody.release()
 }
 
 // newCall assigns the call its ID and service and returns its description for the
@@ -352,6 +360,9 @@
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
 	x.setConnectionHeader(header)
+	if x.hasUnreadBody {
+		_ = http.NewResponseController(x.writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
 	x.writer.WriteHeader(status)
 	// A write error is ignored: it means that the caller has disconnected.
 	_, _ = io.WriteString(x.writer, reason+"\n")
@@ -381,6 +392,7 @@
 	if !x.firstEventAt.IsZero() {
 		summary.TimeToFirstEvent = x.firstEventAt.Sub(x.arrivedAt)
 	}
+	x.isAbandoned = result == ResultCanceled
 	x.server.Meter.RecordCall(summary)
 	if result == ResultDenied {
 		return
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -50,6 +50,8 @@
 type Meter interface {
 	// RecordCall records a finished call.
 	RecordCall(summary CallSummary)
+	// RecordExcess records a response of which a part exceeds its bound.
+	RecordExcess(part upstream.Part)
 }
 
 // CallSummary summarizes a finished call for the metrics.
@@ -91,8 +93,12 @@
 	Pool       *upstream.Pool
 	Trail      *trail.Trail
 	Meter      Meter
-	// BodyMemory bounds the total size of the bodies of all open calls, in bytes.
-	BodyMemory int64
+	// BodyMemory bounds the total size of the bodies of all open calls, in bytes, and
+	// ResponseMemory that of the parts of responses that are buffered.
+	BodyMemory     int64
+	ResponseMemory int64
+	// ResponseLimit is the maximum size of a response body, in bytes.
+	ResponseLimit int64
 }
 
 // Server is the http.Handler that serves callers.
@@ -101,15 +107,18 @@
 	closeConnections atomic.Bool
 	shutdownDeadline atomic.Pointer[time.Time]
 	openCalls        atomic.Int64
-	bodyMemory       atomic.Int64
+	bodyMemory       memoryBudget
+	responseMemory   memoryBudget
 	aborted          chan struct{}
 }
 
 // New returns a Server.
 func New(dependencies Dependencies) *Server {
 	return &Server{
-		Dependencies: dependencies,
-		aborted:      make(chan struct{}),
+		Dependencies:   dependencies,
+		bodyMemory:     memoryBudget{limit: dependencies.BodyMemory},
+		responseMemory: memoryBudget{limit: dependencies.ResponseMemory},
+		aborted:        make(chan struct{}),
 	}
 }
 
@@ -139,12 +148,19 @@
 	s.openCalls.Add(1)
 	defer s.openCalls.Add(-1)
 	x := &exchange{
-		server:    s,
-		writer:    w,
-		request:   r,
-		arrivedAt: time.Now(),
-		logged:    !s.Trail.IsOverloaded(),
+		server:      s,
+		writer:      w,
+		request:     r,
+		arrivedAt:   time.Now(),
+		logged:      !s.Trail.IsOverloaded(),
+		body:        buffer{budget: &s.bodyMemory},
+		failureBody: buffer{budget: &s.responseMemory},
 	}
-	defer x.releaseBody()
+	defer x.release()
 	x.run()
+	if x.isAbandoned {
+		// A caller that has closed only its sending side would take the end of the handler
+		// for the end of a complete response.
+		panic(http.ErrAbortHandler)
+	}
 }
--- a/io/opaque/stream.go
+++ b/io/opaque/stream.go
@@ -12,11 +12,14 @@
 
 	"cactuswell/core/pace"
 	"cactuswell/core/scheduling"
+	"cactuswell/io/upstream"
 )
 
 const (
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 256 << 10
+	// maxPaddingBytes bounds the comments and blank events between two events.
+	maxPaddingBytes = 16 << 10
 	// eventBufferSize is the size of the read buffer for events, in bytes.
 	eventBufferSize = 4 << 10
 )
@@ -75,25 +78,18 @@
 	return fmt.Sprintf("event %d came after event %d", e.Got, e.Last)
 }
 
-// EventTooLargeError reports an event that is larger than the limit.
-type EventTooLargeError struct{}
-
-// Error returns a message with the limit.
-func (*EventTooLargeError) Error() string {
-	return fmt.Sprintf("an event is larger than %d bytes", maxEventBytes)
-}
-
 // forwardStream forwards each event to the caller once it was received completely.
 func (t *attempt) forwardStream() scheduling.Outcome {
 	x := t.exchange
 	reader := bufio.NewReaderSize(t.response.Body, eventBufferSize)
 	controller := http.NewResponseController(x.writer)
 	_ = controller.SetWriteDeadline(x.deadline)
-	var event []byte
+	event := buffer{budget: &x.server.responseMemory}
+	defer event.release()
 	for {
-		var err error
-		event, err = readEvent(reader, event[:0])
-		if errors.Is(err, io.EOF) && len(event) == 0 {
+		err := readEvent(reader, &event)
+		t.bodyBytes += int64(len(event.bytes))
+		if errors.Is(err, io.EOF) && len(event.bytes) == 0 {
 			return t.finishStream(controller)
 		}
 		if err != nil {
@@ -102,25 +98,67 @@
 			}
 			return t.readErrorOutcome(err)
 		}
-		id, hasID := parseEventID(event)
-		if err := x.stream.checkOrder(id, hasID); err != nil {
-			return t.readErrorOutcome(err)
-		}
-		if x.stream.attemptEvents == 0 {
-			x.server.Scheduler.Post(scheduling.AnswerStarted{
-				Call: x.id,
-				Load: t.responseInfo.Load,
-			})
+		if t.bodyBytes > x.server.ResponseLimit {
+			return t.excess(upstream.PartBody, x.server.ResponseLimit)
 		}
-		if !x.forwardEvent(t.response, controller, event) {
-			return scheduling.Abandoned{}
-		}
-		x.stream.recordEvent(time.Now(), id, hasID)
-		if t.silenceDeadline.IsZero() && x.currentSend.EventGapTimeout == 0 {
+		if isPadding(event.bytes) {
+			if outcome := t.forwardPadding(controller, event.bytes); outcome != nil {
+				return outcome
+			}
 			continue
 		}
+		if outcome := t.forwardEvent(controller, event.bytes); outcome != nil {
+			return outcome
+		}
+	}
+}
+
+// forwardPadding forwards a comment or a blank event. It is no progress: it does not
+// extend the time in which the next event is due. Before the first event it is kept, so
+// that the call can be sent to another endpoint.
+func (t *attempt) forwardPadding(controller *http.ResponseController, padding []byte) scheduling.Outcome {
+	x := t.exchange
+	t.paddingBytes += len(padding)
+	if t.paddingBytes > maxPaddingBytes {
+		return t.excess(upstream.PartPadding, maxPaddingBytes)
+	}
+	if !x.committed {
+		t.padding = append(t.padding, padding...)
+		return nil
+	}
+	if !x.writeEvent(controller, padding) {
+		return scheduling.Abandoned{}
+	}
+	return nil
+}
+
+// forwardEvent forwards an event that follows the last one that the caller has.
+func (t *attempt) forwardEvent(controller *http.ResponseController, event []byte) scheduling.Outcome {
+	x := t.exchange
+	id, hasID := parseEventID(event)
+	if err := x.stream.checkOrder(id, hasID); err != nil {
+		return t.readErrorOutcome(err)
+	}
+	if x.stream.attemptEvents == 0 {
+		x.server.Scheduler.Post(scheduling.AnswerStarted{
+			Call: x.id,
+			Load: t.responseInfo.Load,
+		})
+	}
+	if !x.committed {
+		x.firstEventAt = time.Now()
+		x.commitResponse(t.response, false, 0)
+		event = append(t.padding, event...)
+	}
+	if !x.writeEvent(controller, event) {
+		return scheduling.Abandoned{}
+	}
+	t.paddingBytes = 0
+	x.stream.recordEvent(time.Now(), id, hasID)
+	if !t.silenceDeadline.IsZero() || x.currentSend.EventGapTimeout > 0 {
 		t.setReadDeadline(x.currentSend.EventGapTimeout)
 	}
+	return nil
 }
 
 // finishStream handles the regular end of the endpoint's stream.
@@ -128,18 +166,17 @@
 	x := t.exchange
 	if !x.committed {
 		x.commitResponse(t.response, false, 0)
+		if !x.writeEvent(controller, t.padding) {
+			return scheduling.Abandoned{}
+		}
 	}
 	_ = controller.SetWriteDeadline(time.Time{})
 	return nil
 }
 
-// forwardEvent sends an event to the caller. It reports false if the caller has
+// writeEvent sends an event to the caller. It reports false if the caller has
 // disconnected.
-func (x *exchange) forwardEvent(response *http.Response, controller *http.ResponseController, event []byte) bool {
-	if !x.committed {
-		x.firstEventAt = time.Now()
-		x.commitResponse(response, false, 0)
-	}
+func (x *exchange) writeEvent(controller *http.ResponseController, event []byte) bool {
 	if _, err := x.writer.Write(event); err != nil {
 		return false
 	}
@@ -158,24 +195,40 @@
 	return nil
 }
 
-// readEvent appends the next event to event, including the empty line that ends
-// it.
-func readEvent(reader *bufio.Reader, event []byte) ([]byte, error) {
+// readEvent reads the next event, including the empty line that ends it.
+func readEvent(reader *bufio.Reader, event *buffer) error {
+	event.bytes = event.bytes[:0]
 	for {
 		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			err = nil
-		} else if err == nil && (len(line) == 1 || len(line) == 2 && line[0] == '\r') {
-			return event, nil
+		if len(event.bytes)+len(line) > maxEventBytes {
+			return &upstream.ExcessError{
+				Part:  upstream.PartEvent,
+				Limit: maxEventBytes,
+			}
 		}
-		if err != nil {
-			return event, err
+		if !event.grow(len(line), maxEventBytes) {
+			return &BufferMemoryError{}
 		}
-		if len(event) > maxEventBytes {
-			return event, &EventTooLargeError{}
+		event.bytes = append(event.bytes, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+		case err != nil:
+			return err
+		case len(line) == 1 || len(line) == 2 && line[0] == '\r':
+			return nil
+		}
+	}
+}
+
+// isPadding reports whether an event has neither an ID nor data.
+func isPadding(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if len(bytes.TrimSpace(value)) > 0 && (string(name) == "data" || string(name) == "id") {
+			return false
 		}
 	}
+	return true
 }
 
 // parseEventID returns the ID of an event. It reports false if the event has none
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -30,6 +30,9 @@
 	service operatorv1connect.OperatorServiceClient
 }
 
+// maxResponseBytes bounds a response of a host, of which a dump is the largest.
+const maxResponseBytes = 64 << 20
+
 // AcceptedChange holds the revision and the offset of an accepted change.
 type AcceptedChange struct {
 	Revision uint64
@@ -39,7 +42,7 @@
 // NewClient returns a client for the host at the base URL.
 func NewClient(base string, httpClient *http.Client) *Client {
 	return &Client{
-		service: operatorv1connect.NewOperatorServiceClient(httpClient, base),
+		service: operatorv1connect.NewOperatorServiceClient(httpClient, base, connect.WithReadMaxBytes(maxResponseBytes)),
 	}
 }
 
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -34,8 +34,8 @@
 	Body        []byte
 }
 
-// LengthError means that a response has no Content-Length, or has another length, so
-// that it may be incomplete.
+// LengthError means that a response has no Content-Length, one over the limit, or has
+// another length, so that it may be incomplete.
 type LengthError struct {
 	Announced int64
 	Got       int
@@ -43,7 +43,7 @@
 
 // Error implements error.
 func (*LengthError) Error() string {
-	return "response may be incomplete: its length is not that of its Content-Length header"
+	return "response may be incomplete: it has no Content-Length, a too large one, or another length"
 }
 
 // Client is an HTTP client of plain services. It is safe for concurrent use.
@@ -86,11 +86,15 @@
 }
 
 func readBody(response *http.Response) (Response, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	// A body without a length may be incomplete however it ends.
+	if response.ContentLength < 0 || response.ContentLength > maxResponseBytes {
+		return Response{}, trace.Wrap(&engine.IncompleteResponseError{Cause: &LengthError{Announced: response.ContentLength}})
+	}
+	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		return Response{}, trace.Wrap(&engine.IncompleteResponseError{Cause: err})
 	}
-	if response.ContentLength < 0 || int64(len(body)) != response.ContentLength {
+	if int64(len(body)) != response.ContentLength {
 		return Response{}, trace.Wrap(&engine.IncompleteResponseError{Cause: &LengthError{
 			Announced: response.ContentLength,
 			Got:       len(body),
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -74,22 +74,44 @@
 // IsIdle reports whether a connection is open at both ends and has no unread bytes.
 // It does not block.
 func IsIdle(conn net.Conn) bool {
+	_, err := peek(conn)
+	return errors.Is(err, unix.EAGAIN) || errors.Is(err, errNotInspectable)
+}
+
+// HasUnreadBytes reports whether a connection has unread bytes. It does not block.
+func HasUnreadBytes(conn net.Conn) bool {
+	n, err := peek(conn)
+	return err == nil && n > 0
+}
+
+// errNotInspectable is the error for a connection that is not a socket.
+var errNotInspectable = notInspectableError{}
+
+type notInspectableError struct{}
+
+// Error implements error.
+func (notInspectableError) Error() string { return "the connection is not a socket" }
+
+// peek returns the number of unread bytes, at most one, without waiting for any. The
+// error is EAGAIN if there are none, and nil with zero bytes if the peer has closed the
+// connection.
+func peek(conn net.Conn) (int, error) {
 	syscallConn, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, errNotInspectable
 	}
 	raw, err := syscallConn.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	quiet := false
 	var buffer [1]byte
+	var n int
+	var recvErr error
 	err = raw.Read(func(fd uintptr) bool {
-		_, _, recvErr := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = errors.Is(recvErr, unix.EAGAIN)
+		n, _, recvErr = unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && quiet
+	return n, errors.Join(err, recvErr)
 }
 
 // IsTimeout reports whether an error was caused by a timeout.
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -22,8 +22,10 @@
 	// maxUnsolicitedResponses bounds the responses that are skipped because they
 	// belong to earlier requests.
 	maxUnsolicitedResponses = 2
-	// maxUnsolicitedBody bounds the body of a skipped response in bytes.
-	maxUnsolicitedBody = 64 << 10
+	// maxDrainedBody and drainTimeout bound a body that is read only to keep the
+	// connection.
+	maxDrainedBody = 64 << 10
+	drainTimeout   = 100 * time.Millisecond
 )
 
 // Request is a request to an endpoint.
@@ -44,7 +46,10 @@
 	pool    *Pool
 	address string
 	conn    net.Conn
+	head    *headLimiter
 	reader  *bufio.Reader
+	// readDeadline is the deadline of reads, or zero.
+	readDeadline time.Time
 	// reused is set once the connection has carried a request and its response.
 	reused    bool
 	idleSince time.Time
@@ -65,6 +70,7 @@
 
 // SetReadDeadline sets the deadline of all later reads.
 func (c *Conn) SetReadDeadline(deadline time.Time) {
+	c.readDeadline = deadline
 	_ = c.conn.SetReadDeadline(deadline)
 }
 
@@ -116,34 +122,72 @@
 
 // ReadResponse returns the response to the request with the given method once its
 // header was read. The function isOwn reports whether a response belongs to the
-// request: late responses to earlier requests are skipped.
+// request: late responses to earlier requests are skipped. The error is an *ExcessError
+// if the endpoint sends more than a header may hold.
 func (c *Conn) ReadResponse(method string, isOwn func(*http.Response) bool) (*http.Response, error) {
 	request := &http.Request{Method: method}
-	for range maxUnsolicitedResponses + 1 {
+	c.head.begin()
+	defer c.head.end()
+	unsolicited := 0
+	for {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			c.unusable = true
-			return nil, err
+			return nil, c.head.cause(err)
+		}
+		if len(response.TransferEncoding) > 0 {
+			response.Body = &framedBody{
+				ReadCloser: response.Body,
+				head:       c.head,
+			}
 		}
 		if response.StatusCode < http.StatusOK {
+			c.head.part = PartInterim
 			continue
 		}
 		if isOwn(response) {
 			return response, nil
 		}
-		if !c.reused {
-			// There was no earlier request that this could be the response to.
+		// Without an earlier request there is none that this could be the response to.
+		if !c.reused || unsolicited == maxUnsolicitedResponses {
 			break
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxUnsolicitedBody))
-		if err != nil || n == maxUnsolicitedBody || response.Close {
+		unsolicited++
+		c.head.end()
+		if !c.Drain(response) {
 			break
 		}
+		c.head.begin()
 	}
 	c.unusable = true
 	return nil, &UnsolicitedResponseError{Address: c.address}
 }
 
+// Drain reads a short body to its end, so that the connection can carry another
+// request, and reports whether it can. A body that is long or slow makes the connection
+// unusable.
+func (c *Conn) Drain(response *http.Response) bool {
+	deadline := c.readDeadline
+	limit := time.Now().Add(drainTimeout)
+	if deadline.IsZero() || limit.Before(deadline) {
+		c.SetReadDeadline(limit)
+		defer c.SetReadDeadline(deadline)
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainedBody))
+	if err != nil || n == maxDrainedBody || response.Close {
+		c.unusable = true
+	}
+	return !c.unusable
+}
+
+// IsUsable reports whether nothing has been found that keeps the connection from carrying
+// another request.
+func (c *Conn) IsUsable() bool { return !c.unusable }
+
+// HasUnreadBytes reports whether bytes have arrived that no request is waiting for. The
+// response body must have been read to its end.
+func (c *Conn) HasUnreadBytes() bool { return c.reader.Buffered() > 0 }
+
 // Release returns the connection to the pool if it can carry another request, and
 // closes it otherwise. The response body must have been read to its end.
 func (c *Conn) Release(response *http.Response) {
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -14,6 +14,9 @@
 //	... read response.Body to its end ...
 //	conn.Release(response)
 //
+// What an endpoint may send is bounded: an *ExcessError names the part of the response that
+// goes beyond its bound. The body's size is bounded by the caller.
+//
 // The package never retries a request: whether a request may run twice is decided
 // by the caller.
 package upstream
@@ -85,6 +88,8 @@
 	dials  atomic.Int64
 	open   atomic.Int64
 	reused atomic.Int64
+	// unsolicited counts the idle connections that received bytes.
+	unsolicited atomic.Int64
 }
 
 // New returns an empty pool.
@@ -112,11 +117,13 @@
 	}
 	p.dials.Add(1)
 	p.open.Add(1)
+	head := &headLimiter{reader: conn}
 	return &Conn{
 		pool:    p,
 		address: address,
 		conn:    conn,
-		reader:  bufio.NewReaderSize(conn, readBufferSize),
+		head:    head,
+		reader:  bufio.NewReaderSize(head, readBufferSize),
 	}, nil
 }
 
@@ -139,7 +146,7 @@
 			break
 		}
 		conns = conns[:len(conns)-1]
-		c.Discard()
+		p.discardIdle(c)
 	}
 	p.idle[address] = conns
 	return nil
@@ -160,23 +167,31 @@
 	p.idle[c.address] = append(conns, c)
 }
 
+// discardIdle closes an idle connection.
+func (p *Pool) discardIdle(c *Conn) {
+	if tcp.HasUnreadBytes(c.conn) {
+		p.unsolicited.Add(1)
+	}
+	c.Discard()
+}
+
 func (p *Pool) countClosed() {
 	p.open.Add(-1)
 }
 
-// Sweep closes the idle connections that have expired, and those to addresses that
-// are not in keep.
+// Sweep closes the idle connections that have expired or received bytes, and those to
+// addresses that are not in keep.
 func (p *Pool) Sweep(now time.Time, keep map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, conns := range p.idle {
 		kept := conns[:0]
 		for _, c := range conns {
-			if keep[address] && now.Before(c.idleUntil) {
+			if keep[address] && now.Before(c.idleUntil) && tcp.IsIdle(c.conn) {
 				kept = append(kept, c)
 				continue
 			}
-			c.Discard()
+			p.discardIdle(c)
 		}
 		if len(kept) == 0 {
 			delete(p.idle, address)
@@ -192,6 +207,10 @@
 // ReuseCount returns the number of requests that reused an idle connection.
 func (p *Pool) ReuseCount() int64 { return p.reused.Load() }
 
+// UnsolicitedCount returns the number of idle connections that were closed because
+// bytes arrived that nobody had requested.
+func (p *Pool) UnsolicitedCount() int64 { return p.unsolicited.Load() }
+
 // OpenCount returns the number of open connections.
 func (p *Pool) OpenCount() int64 { return p.open.Load() }
 
--- a/load/driver.go
+++ b/load/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -17,6 +18,8 @@
 	queryTimeout = 10 * time.Second
 	// maxIdleConnections is the maximum number of idle connections to one host.
 	maxIdleConnections = 1024
+	// maxResponseBytes is the maximum size of an answer that is not streamed.
+	maxResponseBytes = 64 << 20
 )
 
 // Driver sends the requests of one run.
@@ -146,5 +149,5 @@
 		return trace.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	return trace.Wrap(json.NewDecoder(response.Body).Decode(into))
+	return trace.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(into))
 }
--- a/load/request.go
+++ b/load/request.go
@@ -155,7 +155,7 @@
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
 		r.recordNoResponse()
 		return
@@ -237,7 +237,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		body, _ := io.ReadAll(response.Body)
+		body, _ := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 		r.recordRefusal(body)
 		return
 	}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -18,11 +18,12 @@
 	HeaderNames  string   `long:"header-names" env:"CACTUSWELL_HEADER_NAMES" description:"names of the headers in which calls say what they are: own or platform" default:"own"`
 	StoreAddress string   `long:"store-address" env:"CACTUSWELL_STORE_ADDRESS" description:"IP:port of the platform's metadata store"`
 
-	MemoryMB    int           `long:"memory-mb" env:"CACTUSWELL_MEMORY_MB" description:"memory that this process may use, in MB" default:"128"`
-	LinkMbps    float64       `long:"link-mbps" env:"CACTUSWELL_LINK_MBPS" description:"bandwidth of this host's network link, in Mbit/s; the hosts with the fastest links become relays; 0 if not known" default:"0"`
-	BalancerLag time.Duration `long:"balancer-lag" env:"CACTUSWELL_BALANCER_LAG" description:"how long the balancer goes on sending connections to a host that is no longer ready" default:"3s"`
-	StopTimeout time.Duration `long:"stop-timeout" env:"CACTUSWELL_STOP_TIMEOUT" description:"longest time from the signal to stop to the end" default:"7600ms"`
-	IdleTimeout time.Duration `long:"idle-timeout" env:"CACTUSWELL_IDLE_TIMEOUT" description:"longest time that a caller's connection may be idle" default:"75s"`
+	MemoryMB      int           `long:"memory-mb" env:"CACTUSWELL_MEMORY_MB" description:"memory that this process may use, in MB" default:"128"`
+	MaxResponseMB int           `long:"max-response-mb" env:"CACTUSWELL_MAX_RESPONSE_MB" description:"largest answer of an endpoint, in MB; a larger one is cut" default:"64"`
+	LinkMbps      float64       `long:"link-mbps" env:"CACTUSWELL_LINK_MBPS" description:"bandwidth of this host's network link, in Mbit/s; the hosts with the fastest links become relays; 0 if not known" default:"0"`
+	BalancerLag   time.Duration `long:"balancer-lag" env:"CACTUSWELL_BALANCER_LAG" description:"how long the balancer goes on sending connections to a host that is no longer ready" default:"3s"`
+	StopTimeout   time.Duration `long:"stop-timeout" env:"CACTUSWELL_STOP_TIMEOUT" description:"longest time from the signal to stop to the end" default:"7600ms"`
+	IdleTimeout   time.Duration `long:"idle-timeout" env:"CACTUSWELL_IDLE_TIMEOUT" description:"longest time that a caller's connection may be idle" default:"75s"`
 
 	BudgetWindow time.Duration `long:"budget-window" env:"CACTUSWELL_BUDGET_WINDOW" description:"length of the windows of the fleet's retry budget" default:"10s"`
 	BudgetRatio  float64       `long:"budget-ratio" env:"CACTUSWELL_BUDGET_RATIO" description:"repeats for each call that the fleet's retry budget allows in a window" default:"0.1"`
@@ -41,6 +42,12 @@
 	maxMemoryMB = 1 << 20
 )
 
+// Bounds of Gateway.MaxResponseMB.
+const (
+	minResponseMB = 1
+	maxResponseMB = 1 << 20
+)
+
 // maxLinkMbps bounds Gateway.LinkMbps.
 const maxLinkMbps = 1e7
 
@@ -65,6 +72,7 @@
 		c.add("ready-path", g.ReadyPath, "a path that begins with a slash")
 	}
 	c.checkInt("memory-mb", int64(g.MemoryMB), minMemoryMB, maxMemoryMB, "32 to 1048576 MB")
+	c.checkInt("max-response-mb", int64(g.MaxResponseMB), minResponseMB, maxResponseMB, "1 to 1048576 MB")
 	c.checkFloat("link-mbps", g.LinkMbps, maxLinkMbps)
 	c.checkDuration("balancer-lag", g.BalancerLag, 0, 5*time.Minute)
 	c.checkDuration("stop-timeout", g.StopTimeout, time.Second, time.Hour)
--- a/standin/hostlist/hostlist.go
+++ b/standin/hostlist/hostlist.go
@@ -23,6 +23,9 @@
 	"cactuswell/standin/reply"
 )
 
+// maxBodyBytes is the maximum size of an entry.
+const maxBodyBytes = 1 << 20
+
 // Faults are the faults injected into the list.
 type Faults struct {
 	// Down makes all reads fail.
@@ -155,7 +158,7 @@
 
 func (l *List) handlePut(w http.ResponseWriter, r *http.Request) {
 	var entry hostlist.Entry
-	if err := json.NewDecoder(r.Body).Decode(&entry); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&entry); err != nil {
 		http.Error(w, "malformed entry", http.StatusBadRequest)
 		return
 	}
--- a/standin/keyedlog/client.go
+++ b/standin/keyedlog/client.go
@@ -37,6 +37,15 @@
 // were appended meanwhile.
 type HeldPoll struct{}
 
+// EndlessListing makes listings go on without end: with the same page again and again, or,
+// if Advances is set, with further keys.
+type EndlessListing struct {
+	Advances bool
+}
+
+// endlessPageBytes is the size of a page of an EndlessListing.
+const endlessPageBytes = 1 << 20
+
 func (Refusal) isFault()    {}
 func (Hang) isFault()       {}
 func (SlowAnswer) isFault() {}
@@ -44,6 +53,8 @@
 func (LateWrite) isFault()  {}
 func (HeldPoll) isFault()   {}
 
+func (EndlessListing) isFault() {}
+
 // Client is a client of a log, with its own fault. It is safe for concurrent use.
 type Client struct {
 	log   *Log
@@ -104,9 +115,30 @@
 	if err := c.applyFault(ctx); err != nil {
 		return product.Listing{}, err
 	}
+	fault, _ := c.currentFault()
+	if fault, ok := fault.(EndlessListing); ok {
+		return fault.page(after), nil
+	}
 	return c.log.ListNewest(ctx, topic, after)
 }
 
+// page returns the page after a key.
+func (f EndlessListing) page(after string) product.Listing {
+	key := "a"
+	if f.Advances {
+		key = after + "a"
+	}
+	return product.Listing{
+		Records: []product.Record{{
+			Key:   key,
+			Value: make([]byte, endlessPageBytes),
+		}},
+		NextAfter: key,
+		More:      true,
+		EndOffset: 1,
+	}
+}
+
 // Read implements Log of the product. A fault that is set while it waits applies to it.
 func (c *Client) Read(ctx context.Context, topic string, from int64, wait time.Duration) (product.Batch, error) {
 	if err := c.applyFault(ctx); err != nil {
--- a/standin/opaque/endpoint.go
+++ b/standin/opaque/endpoint.go
@@ -25,11 +25,16 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 
 	product "cactuswell/io/opaque"
+	"cactuswell/standin/endless"
 )
 
+// maxBodyBytes is the maximum size of the recorded body of a call.
+const maxBodyBytes = 64 << 20
+
 // Behaviour is how the endpoint answers one call. It is implemented only by the types
 // in this file.
 type Behaviour interface {
@@ -90,7 +95,39 @@
 // run.
 type FalseNotRun struct{ Status int }
 
+// EndlessAnswer runs the call and sends an answer of which a part does not end. Status is
+// the answer's status line, if it is not "200 OK".
+type EndlessAnswer struct {
+	Part   endless.Part
+	Pace   endless.Pace
+	Status string
+	// Events is the number of complete events with which a stream starts.
+	Events int
+}
+
+// EndlessDecline does not run the call, and sends a body without end after the header
+// that says so.
+type EndlessDecline struct{ Pace endless.Pace }
+
+// LargeAnswer answers with a body of the given size, in chunks if Chunked is set.
+type LargeAnswer struct {
+	Bytes   int
+	Chunked bool
+}
+
+// LongHeader answers with the given number of additional header fields of 100 bytes.
+type LongHeader struct{ Fields int }
+
+// PaddedStream sends comments and blank events before, between and after the events of a
+// stream.
+type PaddedStream struct{}
+
 func (CompleteAnswer) isBehaviour()   {}
+func (EndlessAnswer) isBehaviour()    {}
+func (EndlessDecline) isBehaviour()   {}
+func (LargeAnswer) isBehaviour()      {}
+func (LongHeader) isBehaviour()       {}
+func (PaddedStream) isBehaviour()     {}
 func (ErrorStatus) isBehaviour()      {}
 func (Decline) isBehaviour()          {}
 func (LeavingAnswer) isBehaviour()    {}
@@ -136,6 +173,7 @@
 	runs            []Run
 	conns           map[net.Conn]bool
 	canceled        chan string
+	cutAnswers      int
 }
 
 // New starts an endpoint on a loopback address.
@@ -176,6 +214,13 @@
 // CanceledCalls receives the request ID of each Hang call whose connection was closed.
 func (e *Endpoint) CanceledCalls() <-chan string { return e.canceled }
 
+// CutAnswers returns the number of endless answers whose connection the host has closed.
+func (e *Endpoint) CutAnswers() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cutAnswers
+}
+
 // Close stops the endpoint and closes its connections.
 func (e *Endpoint) Close() {
 	_ = e.listener.Close()
@@ -235,7 +280,7 @@
 		_, err := conn.Write(e.completeAnswer(request, nil, true))
 		return err == nil && discardBody(request)
 	}
-	body, err := io.ReadAll(request.Body)
+	body, err := io.ReadAll(io.LimitReader(request.Body, maxBodyBytes))
 	if err != nil {
 		return false
 	}
@@ -270,6 +315,8 @@
 			header += "Retry-After: " + b.RetryAfter + "\r\n"
 		}
 		return e.write(conn, e.plainAnswer(http.StatusServiceUnavailable, id, header, "busy"))
+	case EndlessDecline:
+		return e.writeEndless(conn, endless.Body.ResponseWithStatus("503 Service Unavailable", e.idHeader(id)+e.settings.Names.NotRun+": 1\r\n"), b.Pace)
 	case Misdirection:
 		return e.write(conn, e.plainAnswer(http.StatusMisdirectedRequest, id, "", "not here"))
 	}
@@ -282,6 +329,15 @@
 		return e.write(conn, e.plainAnswer(b.Status, id, e.markHeader(), "failed"))
 	case FalseNotRun:
 		return e.write(conn, e.plainAnswer(b.Status, id, e.markHeader(), "promised"))
+	case EndlessAnswer:
+		return e.writeEndless(conn, e.endlessResponse(id, b), b.Pace)
+	case LargeAnswer:
+		return e.writeLarge(conn, id, b)
+	case LongHeader:
+		header := strings.Repeat("X-Field: "+strings.Repeat("x", 89)+"\r\n", b.Fields)
+		return e.write(conn, e.plainAnswer(http.StatusOK, id, e.markHeader()+header, string(AnswerBody(body))))
+	case PaddedStream:
+		return errors.Join(e.write(conn, e.paddedStream(id)), errCloseConnection)
 	case ClosedConnection:
 		return errCloseConnection
 	case Hang:
@@ -323,6 +379,56 @@
 	return append(header, "\r\n\r\n"...)
 }
 
+func (e *Endpoint) idHeader(id string) string { return e.settings.Names.RequestID + ": " + id + "\r\n" }
+
+func (e *Endpoint) endlessResponse(id string, b EndlessAnswer) endless.Response {
+	var events []string
+	for i := range b.Events {
+		events = append(events, StreamEvent(i))
+	}
+	status := b.Status
+	if status == "" {
+		status = "200 OK"
+	}
+	return b.Part.ResponseWithStatus(status, e.idHeader(id)+e.markHeader(), events...)
+}
+
+// writeEndless sends an endless response until the host closes the connection.
+func (e *Endpoint) writeEndless(conn net.Conn, response endless.Response, pace endless.Pace) error {
+	err := response.Send(conn, pace)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cutAnswers++
+	return err
+}
+
+func (e *Endpoint) writeLarge(conn net.Conn, id string, b LargeAnswer) error {
+	body := LargeBody(b.Bytes)
+	if !b.Chunked {
+		return e.write(conn, e.plainAnswer(http.StatusOK, id, e.markHeader(), body))
+	}
+	return e.write(conn, fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+		e.idHeader(id), e.markHeader(), len(body), body))
+}
+
+// LargeBody returns the body of a LargeAnswer of n bytes.
+func LargeBody(n int) string { return strings.Repeat("0123456789abcdef", n/16+1)[:n] }
+
+// PaddedEvents is the body of a PaddedStream.
+func PaddedEvents(events int) string {
+	const padding = ": wait\n\n\ndata:\n\n"
+	var body strings.Builder
+	body.WriteString(padding)
+	for id := range events {
+		body.WriteString(StreamEvent(id) + padding)
+	}
+	return body.String()
+}
+
+func (e *Endpoint) paddedStream(id string) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s%s\r\n%s", e.idHeader(id), e.markHeader(), PaddedEvents(e.settings.Events))
+}
+
 func (e *Endpoint) markHeader() string { return e.settings.Names.Mark + ": " + e.settings.ID + "\r\n" }
 
 func (e *Endpoint) plainAnswer(status int, id, header, body string) []byte {
--- a/standin/reply/reply.go
+++ b/standin/reply/reply.go
@@ -12,6 +12,9 @@
 	"net/http"
 )
 
+// maxBodyBytes is the maximum size of a document.
+const maxBodyBytes = 1 << 20
+
 // WriteJSON writes a body as JSON with its content type.
 func WriteJSON(w http.ResponseWriter, body any) {
 	w.Header().Set("Content-Type", "application/json")
@@ -26,7 +29,7 @@
 		case http.MethodGet:
 		case http.MethodPut:
 			var document T
-			decoder := json.NewDecoder(r.Body)
+			decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 			decoder.DisallowUnknownFields()
 			if err := decoder.Decode(&document); err != nil {
 				http.Error(w, "malformed document: "+err.Error(), http.StatusBadRequest)
