--- a/standin/keyedlog/keyedlog.go
+++ b/standin/keyedlog/keyedlog.go
@@ -113,10 +113,17 @@
 // Rewind takes the log back to an older copy of itself, from which the last records of a
 // topic are missing. Their offsets are given out again.
 func (l *Log) Rewind(topicName string, lost int) {
+	l.RewindTopics(map[string]int{topicName: lost})
+}
+
+// RewindTopics is like Rewind, for the given number of lost records of each topic.
+func (l *Log) RewindTopics(lost map[string]int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.topic(topicName)
-	t.records = t.records[:max(len(t.records)-lost, 0)]
+	for name, n := range lost {
+		t := l.topic(name)
+		t.records = t.records[:max(len(t.records)-n, 0)]
+	}
 	l.era++
 	l.notifyWaiters()
 }
