--- a/cmd/gatewaymemory_test.go
+++ b/cmd/gatewaymemory_test.go
@@ -40,60 +40,85 @@
 	log := keyedlog.New()
 	log.Append(platform.ConfigurationTopic, platform.ConfigurationKey, []byte(memoryConfiguration))
 	for i := range 4 {
-		endpoint, err := standin.New(standin.Settings{
-			ID:     fmt.Sprintf("i-%d", i),
-			Names:  opaque.DefaultHeaderNames(),
-			Events: 3,
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(endpoint.Close)
-		endpoint.SetBehaviour(chooseEndless)
-		log.Append(platform.EndpointTopic, fmt.Sprintf("i-%d", i), fmt.Appendf(nil,
-			`{"service":"s","address":%q,"zone":"z0","slots":1000,"state":"ready","born":1}`, endpoint.Address()))
+		startEndpoint(t, log, fmt.Sprintf("i-%d", i)).SetBehaviour(chooseEndless)
 	}
-	store := httptest.NewServer(platformtest.NewStore(log))
-	t.Cleanup(store.Close)
-	callerAddress, readyAddress := freePort(t), freePort(t)
-	program, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	out := newOutput()
-	process := &exec.Cmd{
-		Path: program,
-		Args: []string{"cactuswell", "gateway", "--name", "host-1", "--zone", "z0", "--caller-listen", callerAddress,
-			"--ready-listen", readyAddress, "--store-address", store.Listener.Addr().String(), "--balancer-lag", "0s",
-			"--memory-mb", fmt.Sprint(memoryMB)},
-		Stdout: out,
-	}
-	if err := process.Start(); err != nil {
-		t.Fatal(err)
-	}
-	exited := make(chan error, 1)
-	go func() { exited <- process.Wait() }()
-	t.Cleanup(func() { _ = process.Process.Kill() })
-	awaitVersion(t, readyAddress, 1, exited)
-	out.awaitText(t, `"event":"endpointAppeared"`)
+	g := startGateway(t, log, "--memory-mb", fmt.Sprint(memoryMB))
 	var wait sync.WaitGroup
 	for caller := range callers {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
 			for i := range calls {
-				callEndless(t, callerAddress, caller*calls+i)
+				callEndless(t, g.callerAddress, caller*calls+i)
 			}
 		}()
 	}
 	wait.Wait()
-	if used := readMemory(t, readyAddress); used > memoryMB<<20 {
+	if used := readMemory(t, g.readyAddress); used > memoryMB<<20 {
 		t.Errorf("the host obtained %d bytes, its limit is %d MB", used, memoryMB)
 	}
-	if status, err := post(callerAddress, "/hold/sound", 5000); err != nil || status != http.StatusOK && status != http.StatusServiceUnavailable {
+	if status, err := post(g.callerAddress, "/hold/sound", 5000); err != nil || status != http.StatusOK && status != http.StatusServiceUnavailable {
 		t.Errorf("a call afterwards: status %d, error %v", status, err)
 	}
-	stopProcess(t, process, exited)
+	stopProcess(t, g.process, g.exited)
+}
+
+// gatewayProcess is a gateway that runs as a process of its own.
+type gatewayProcess struct {
+	process       *exec.Cmd
+	exited        chan error
+	out           *output
+	callerAddress string
+	readyAddress  string
+}
+
+// startGateway starts a gateway whose store is the log, and waits until it knows the
+// configuration with version 1 and an endpoint.
+func startGateway(t *testing.T, log *keyedlog.Log, arguments ...string) *gatewayProcess {
+	t.Helper()
+	store := httptest.NewServer(platformtest.NewStore(log))
+	t.Cleanup(store.Close)
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &gatewayProcess{
+		exited:        make(chan error, 1),
+		out:           newOutput(),
+		callerAddress: freePort(t),
+		readyAddress:  freePort(t),
+	}
+	g.process = &exec.Cmd{
+		Path: program,
+		Args: append([]string{"cactuswell", "gateway", "--name", "host-1", "--zone", "z0", "--caller-listen", g.callerAddress,
+			"--ready-listen", g.readyAddress, "--store-address", store.Listener.Addr().String(), "--balancer-lag", "0s"}, arguments...),
+		Stdout: g.out,
+	}
+	if err := g.process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { g.exited <- g.process.Wait() }()
+	t.Cleanup(func() { _ = g.process.Process.Kill() })
+	awaitVersion(t, g.readyAddress, 1, g.exited)
+	g.out.awaitText(t, `"event":"endpointAppeared"`)
+	return g
+}
+
+// startEndpoint starts an endpoint of the service "s" and writes its entry.
+func startEndpoint(t *testing.T, log *keyedlog.Log, id string) *standin.Endpoint {
+	t.Helper()
+	endpoint, err := standin.New(standin.Settings{
+		ID:     id,
+		Names:  opaque.DefaultHeaderNames(),
+		Events: 6,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(endpoint.Close)
+	log.Append(platform.EndpointTopic, id, fmt.Appendf(nil,
+		`{"service":"s","address":%q,"zone":"z0","slots":1000,"state":"ready","born":1}`, endpoint.Address()))
+	return endpoint
 }
 
 // chooseEndless returns the behaviour that the path of a call names by its number.
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"cactuswell/standin/endless"
 	standin "cactuswell/standin/opaque"
@@ -309,6 +310,32 @@
 	}
 }
 
+// TestSlowStreamIsServed checks that a sound stream is not taken for a stalled one, however
+// slow it is within the limit on silence, or without a limit if no other engine may
+// continue it.
+func TestSlowStreamIsServed(t *testing.T) {
+	for name, test := range map[string]struct {
+		path  string
+		pause time.Duration
+	}{
+		"within the limit on silence": {path: "/summary/stream", pause: 300 * time.Millisecond},
+		"without such a limit":        {path: "/draft/stream", pause: 600 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 2)
+			f.setBehaviour(func(*http.Request) standin.Behaviour { return standin.SlowStream{Pause: test.pause} })
+			got := f.postWithin(test.path, 20_000)
+			if got.status != http.StatusOK || got.broken || got.body != completeStream() {
+				t.Errorf("status %d, broken %v, body of %d bytes", got.status, got.broken, len(got.body))
+			}
+			if runs := len(f.runs()); runs != 1 {
+				t.Errorf("%d engines ran the call, want 1", runs)
+			}
+		})
+	}
+}
+
 // TestLargeAnswersAreServed checks that what an answer may rightly reach stays allowed.
 func TestLargeAnswersAreServed(t *testing.T) {
 	const limit = 1 << 20
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -46,10 +46,9 @@
 	pool    *Pool
 	address string
 	conn    net.Conn
+	input   *deadlineReader
 	head    *headLimiter
 	reader  *bufio.Reader
-	// readDeadline is the deadline of reads, or zero.
-	readDeadline time.Time
 	// reused is set once the connection has carried a request and its response.
 	reused    bool
 	idleSince time.Time
@@ -70,8 +69,7 @@
 
 // SetReadDeadline sets the deadline of all later reads.
 func (c *Conn) SetReadDeadline(deadline time.Time) {
-	c.readDeadline = deadline
-	_ = c.conn.SetReadDeadline(deadline)
+	c.input.setDeadline(deadline)
 }
 
 // SendRequest sends a request. The error is a *SendError. A large body may still be
@@ -167,7 +165,7 @@
 // request, and reports whether it can. A body that is long or slow makes the connection
 // unusable.
 func (c *Conn) Drain(response *http.Response) bool {
-	deadline := c.readDeadline
+	deadline := c.input.deadline
 	limit := time.Now().Add(drainTimeout)
 	if deadline.IsZero() || limit.Before(deadline) {
 		c.SetReadDeadline(limit)
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -117,11 +117,13 @@
 	}
 	p.dials.Add(1)
 	p.open.Add(1)
-	head := &headLimiter{reader: conn}
+	input := &deadlineReader{conn: conn}
+	head := &headLimiter{reader: input}
 	return &Conn{
 		pool:    p,
 		address: address,
 		conn:    conn,
+		input:   input,
 		head:    head,
 		reader:  bufio.NewReaderSize(head, readBufferSize),
 	}, nil
@@ -156,7 +158,7 @@
 	now := time.Now()
 	c.idleSince = now
 	c.idleUntil = now.Add(idleFor)
-	_ = c.conn.SetReadDeadline(time.Time{})
+	c.SetReadDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[c.address]
--- a/standin/opaque/endpoint.go
+++ b/standin/opaque/endpoint.go
@@ -27,6 +27,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	product "cactuswell/io/opaque"
 	"cactuswell/standin/endless"
@@ -122,7 +123,12 @@
 // stream.
 type PaddedStream struct{}
 
+// SlowStream sends a complete stream with a pause before each event, and each event byte
+// by byte.
+type SlowStream struct{ Pause time.Duration }
+
 func (CompleteAnswer) isBehaviour()   {}
+func (SlowStream) isBehaviour()       {}
 func (EndlessAnswer) isBehaviour()    {}
 func (EndlessDecline) isBehaviour()   {}
 func (LargeAnswer) isBehaviour()      {}
@@ -174,6 +180,7 @@
 	conns           map[net.Conn]bool
 	canceled        chan string
 	cutAnswers      int
+	slowAnswers     chan struct{}
 }
 
 // New starts an endpoint on a loopback address.
@@ -188,6 +195,7 @@
 		chooseBehaviour: func(*http.Request) Behaviour { return CompleteAnswer{} },
 		conns:           make(map[net.Conn]bool),
 		canceled:        make(chan string, 64),
+		slowAnswers:     make(chan struct{}, 64),
 	}
 	e.goroutines.Add(1)
 	go e.acceptConnections()
@@ -214,6 +222,9 @@
 // CanceledCalls receives the request ID of each Hang call whose connection was closed.
 func (e *Endpoint) CanceledCalls() <-chan string { return e.canceled }
 
+// SlowAnswers receives a value after each answer of a SlowStream was sent.
+func (e *Endpoint) SlowAnswers() <-chan struct{} { return e.slowAnswers }
+
 // CutAnswers returns the number of endless answers whose connection the host has closed.
 func (e *Endpoint) CutAnswers() int {
 	e.mu.Lock()
@@ -336,6 +347,8 @@
 	case LongHeader:
 		header := strings.Repeat("X-Field: "+strings.Repeat("x", 89)+"\r\n", b.Fields)
 		return e.write(conn, e.plainAnswer(http.StatusOK, id, e.markHeader()+header, string(AnswerBody(body))))
+	case SlowStream:
+		return e.writeSlowly(conn, e.completeAnswer(request, body, true), b.Pause)
 	case PaddedStream:
 		return errors.Join(e.write(conn, e.paddedStream(id)), errCloseConnection)
 	case ClosedConnection:
@@ -393,6 +406,36 @@
 	return b.Part.ResponseWithStatus(status, e.idHeader(id)+e.markHeader(), events...)
 }
 
+// writeSlowly sends an answer byte by byte, with a pause after each empty line.
+func (e *Endpoint) writeSlowly(conn net.Conn, answer []byte, pause time.Duration) error {
+	defer func() {
+		select {
+		case e.slowAnswers <- struct{}{}:
+		default:
+		}
+	}()
+	const byteInterval = time.Millisecond
+	tick := time.NewTicker(byteInterval)
+	defer tick.Stop()
+	for i, b := range answer {
+		<-tick.C
+		if i > 0 && b == '\n' && answer[i-1] == '\n' {
+			// Bytes of the next event come late, not those of this one.
+			tick.Reset(pause)
+			if err := e.write(conn, []byte{b}); err != nil {
+				return err
+			}
+			<-tick.C
+			tick.Reset(byteInterval)
+			continue
+		}
+		if err := e.write(conn, []byte{b}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // writeEndless sends an endless response until the host closes the connection.
 func (e *Endpoint) writeEndless(conn net.Conn, response endless.Response, pace endless.Pace) error {
 	err := response.Send(conn, pace)
