Keep the ranking when a host of the roster sends its first message

Cause: the first message of a host that the roster had named dropped the ranking, although the host stays a candidate; at a start of 2,400 hosts each would derive it 2,400 times. Change: only a host that becomes or ceases to be a candidate drops it. TestRankingIsKept plays the first messages of 2,400 hosts and fails without the change.

--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -418,13 +418,13 @@
 		return peerHost{}, false
 	}
 	previous := *h
-	if h.alive == message.ShuttingDown || h.lastHeardAt.IsZero() {
-		m.currentRanking = nil
-	}
 	h.name = message.Host
 	h.incarnation = message.Incarnation
 	h.lastHeardAt = now
 	h.alive = !message.ShuttingDown
+	if previous.isCandidate(now) != h.isCandidate(now) {
+		m.currentRanking = nil
+	}
 	h.configurationVersion = message.ConfigurationVersion
 	h.storeUnavailable = message.StoreUnavailable
 	clear(h.copies)
--- a/io/peer/ranking_test.go
+++ b/io/peer/ranking_test.go
@@ -131,11 +131,13 @@
 	const hosts = 2400
 	m := newTestMesh(hosts)
 	now := m.Timers.Now()
+	m.checkHosts(now)
+	before := m.rankingCount
 	for i := 1; i <= hosts; i++ {
+		// The first message of a host that the roster names changes nothing.
 		m.receive(testMessage(i), now)
+		m.IsRelay()
 	}
-	m.checkHosts(now)
-	before := m.rankingCount
 	for round := range 100 {
 		now = now.Add(10 * time.Millisecond)
 		m.receive(testMessage(round+1), now)
