--- a/gateway/endlesscaller_test.go
+++ b/gateway/endlesscaller_test.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"cactuswell/gateway"
 	"cactuswell/standin/endless"
@@ -104,6 +106,44 @@
 	return response.StatusCode
 }
 
+// TestUnreadResponse guards against a caller that does not read its response and keeps the
+// call, and what is buffered of the response, without end.
+func TestUnreadResponse(t *testing.T) {
+	first := newFixture(t, 1)
+	first.setBehaviour(func(*http.Request) standin.Behaviour { return standin.LargeAnswer{Bytes: 32 << 20} })
+	f := &fixture{
+		t:                  t,
+		log:                first.log,
+		spec:               first.spec,
+		endpoints:          first.endpoints,
+		callerWriteTimeout: 300 * time.Millisecond,
+	}
+	current := testSettings("host-2")
+	// More than the sockets' buffers take.
+	current.MaxResponseMB = 64
+	f.startHost(current, first.log.NewClient())
+	dialer := net.Dialer{
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var setErr error
+			err := raw.Control(func(fd uintptr) {
+				setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096)
+			})
+			return errors.Join(err, setErr)
+		},
+	}
+	conn, err := dialer.Dial("tcp", f.gateway.CallerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if _, err := io.WriteString(conn, strings.Replace(requestHead, "400", "4000", 1)+"Content-Length: 1\r\n\r\nx"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the call runs", func() bool { return len(f.runs()) == 1 })
+	eventually(t, "the call has ended", func() bool { return strings.Contains(f.metrics(), "cactuswell_open_calls 0\n") })
+	f.awaitLine(`"event":"callEnded"`, `"result":"callerLeft"`)
+}
+
 // TestHalfClosedCaller guards against a caller that closes its sending side after its
 // request, which counts as leaving, and then reads a complete response that no endpoint
 // gave: an empty one with status 200, or a stream that ends like a complete one.
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"cactuswell/io/httpjson"
 )
@@ -19,6 +20,10 @@
 	g.callerListener = wrap(g.callerListener)
 }
 
+// SetCallerWriteTimeout sets the time from a request's header to the end of its response.
+// It must be called before Run.
+func (g *Gateway) SetCallerWriteTimeout(timeout time.Duration) { g.callerServer.WriteTimeout = timeout }
+
 // IsLogOverloaded reports whether the host omits the log lines of new calls.
 func (g *Gateway) IsLogOverloaded() bool { return g.trail.IsOverloaded() }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -79,6 +79,8 @@
 	done      chan error
 	// wrapListener wraps the callers' listener, if it is set.
 	wrapListener func(net.Listener) net.Listener
+	// callerWriteTimeout replaces the host's, if it is set.
+	callerWriteTimeout time.Duration
 }
 
 // testSpec returns the configuration of the tests.
@@ -254,6 +256,9 @@
 	if f.wrapListener != nil {
 		g.WrapCallerListener(f.wrapListener)
 	}
+	if f.callerWriteTimeout > 0 {
+		g.SetCallerWriteTimeout(f.callerWriteTimeout)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
 	f.done = make(chan error, 1)
