Test that a long body which nobody needs costs its connection

The bound on time hid the one on bytes in TestEndlessFailure: a mutation without the latter passed it. The endless failure must also leave its line.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -218,6 +218,9 @@
 			if runs := len(f.runs()); runs != test.runs {
 				t.Errorf("%d endpoints ran the call, want %d", runs, test.runs)
 			}
+			if test.status == http.StatusBadGateway {
+				f.awaitLine(`"event":"responseExcess"`, `"part":"body"`)
+			}
 			eventually(t, "the endpoint's connection is closed", func() bool { return f.cutAnswers() == 1 })
 			f.checkNextCalls()
 		})
