Do not bound the length that a response to HEAD declares

Cause: found by reading the diff: the limit on a declared length also held for a response to HEAD, whose length is that of a body that is not sent. Change: it holds for others. Result: TestHead, extended by a response of 2 MB at a limit of 1 MB, failed with 502 before.

--- a/gateway/calls_test.go
+++ b/gateway/calls_test.go
@@ -216,6 +216,13 @@
 	if got.status != http.StatusOK || got.header.Get("Content-Length") != fmt.Sprint(len(standin.AnswerBody(nil))) {
 		t.Errorf("status %d, length %s", got.status, got.header.Get("Content-Length"))
 	}
+	// The length is that of a body that is not sent, so no limit applies to it.
+	const large = 2 << 20
+	f.setBehaviour(func(*http.Request) standin.Behaviour { return standin.LargeAnswer{Bytes: large} })
+	got = f.do(f.request(http.MethodHead, "/lookup/large", nil))
+	if got.status != http.StatusOK || got.header.Get("Content-Length") != fmt.Sprint(large) {
+		t.Errorf("status %d, length %s", got.status, got.header.Get("Content-Length"))
+	}
 }
 
 func TestDenials(t *testing.T) {
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -392,7 +392,7 @@
 func (t *attempt) forwardWhole() scheduling.Outcome {
 	x := t.exchange
 	limit := x.server.ResponseLimit
-	if t.response.ContentLength > limit {
+	if t.response.ContentLength > limit && x.request.Method != http.MethodHead {
 		return t.excess(upstream.PartBody, limit)
 	}
 	t.setReadDeadline(0)
--- a/standin/opaque/endpoint.go
+++ b/standin/opaque/endpoint.go
@@ -343,7 +343,7 @@
 	case EndlessAnswer:
 		return e.writeEndless(conn, e.endlessResponse(id, b), b.Pace)
 	case LargeAnswer:
-		return e.writeLarge(conn, id, b)
+		return e.writeLarge(conn, request, b)
 	case LongHeader:
 		header := strings.Repeat("X-Field: "+strings.Repeat("x", 89)+"\r\n", b.Fields)
 		return e.write(conn, e.plainAnswer(http.StatusOK, id, e.markHeader()+header, string(AnswerBody(body))))
@@ -445,8 +445,12 @@
 	return err
 }
 
-func (e *Endpoint) writeLarge(conn net.Conn, id string, b LargeAnswer) error {
+func (e *Endpoint) writeLarge(conn net.Conn, request *http.Request, b LargeAnswer) error {
+	id := request.Header.Get(e.settings.Names.RequestID)
 	body := LargeBody(b.Bytes)
+	if request.Method == http.MethodHead {
+		return e.write(conn, withoutBody(e.plainAnswer(http.StatusOK, id, e.markHeader(), body)))
+	}
 	if !b.Chunked {
 		return e.write(conn, e.plainAnswer(http.StatusOK, id, e.markHeader(), body))
 	}
