Make the tests of endless responses independent of the machine's load

And the race detector found TestEndlessListing reading the listener's events without waiting for the follower.

Change: the calls are canceled once the response has begun; the test of the listing waits as the others do; the call of TestTricklingAnswer has 1 s.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -158,7 +158,7 @@
 				Part: part,
 				Pace: endless.ByteByByte,
 			}))
-			got := f.postWithin("/hold/x", 300)
+			got := f.postWithin("/hold/x", 1000)
 			if part == endless.AfterBody {
 				if got.status != http.StatusOK || got.body != "answer" {
 					t.Errorf("status %d, body of %d bytes; want the complete answer", got.status, len(got.body))
--- a/host/endless_test.go
+++ b/host/endless_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"testing"
-	"time"
 
 	"cactuswell/core/record"
 	"cactuswell/io/engine"
@@ -88,15 +87,18 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(server.Close)
-	ctx := context.Background()
-	if pace == endless.ByteByByte {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, 100*time.Millisecond)
-		defer cancel()
-	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	clients := newClients(nil)
 	t.Cleanup(clients.close)
-	err = call(ctx, clients, "http://"+server.Address())
+	ended := make(chan error, 1)
+	go func() { ended <- call(ctx, clients, "http://"+server.Address()) }()
+	if pace == endless.ByteByByte && part != endless.AfterBody {
+		// The call ends with its context.
+		<-server.Begun()
+		cancel()
+	}
+	err = <-ended
 	if (err == nil) != isComplete {
 		t.Errorf("error %v, complete response: %v", err, isComplete)
 	}
--- a/io/keyedlog/keyedlog_test.go
+++ b/io/keyedlog/keyedlog_test.go
@@ -245,12 +245,12 @@
 			runFollowerWithCaller(t, func(log *standin.Log, caller *standin.Client, l *listener) {
 				caller.SetFault(fault)
 				log.Append(topic, "a", []byte("1"))
-				time.Sleep(time.Second)
+				wait(time.Second)
 				if diff := cmp.Diff([]string{"lost"}, l.events); diff != "" {
 					t.Error(diff)
 				}
 				caller.SetFault(nil)
-				time.Sleep(10 * time.Second)
+				wait(10 * time.Second)
 				if l.values["a"] != "1" {
 					t.Errorf("values %v after the listing ends again", l.values)
 				}
--- a/standin/endless/endless.go
+++ b/standin/endless/endless.go
@@ -147,6 +147,7 @@
 	response   Response
 	pace       Pace
 	listener   net.Listener
+	begun      chan struct{}
 	cut        chan struct{}
 	goroutines sync.WaitGroup
 
@@ -164,6 +165,7 @@
 		response: response,
 		pace:     pace,
 		listener: listener,
+		begun:    make(chan struct{}, 1),
 		cut:      make(chan struct{}, 1),
 	}
 	s.goroutines.Add(1)
@@ -174,6 +176,9 @@
 // Address returns the IP address and port.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Begun receives a value when a response begins.
+func (s *Server) Begun() <-chan struct{} { return s.begun }
+
 // Cut receives a value after a client has closed the connection of a response.
 func (s *Server) Cut() <-chan struct{} { return s.cut }
 
@@ -209,9 +214,14 @@
 	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 		return
 	}
+	signal(s.begun)
 	_ = s.response.Send(conn, s.pace)
+	signal(s.cut)
+}
+
+func signal(channel chan<- struct{}) {
 	select {
-	case s.cut <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
