Give the simulated engine an end to its queue, and the guild's deployments

Left of the emulator: an engine never declined, so that a policy which sends too much could not be judged by it, and the two guild deployments were missing. Now engines decline beyond QueuePlaces (no end where it is zero, as in the other deployments, whose results stay), the result counts arrivals and declined ones, and PunutudAbi and PunutudAbiGrown have the guild's engine times, slots, queues and classes.

No change of the product.

--- a/simulation/deployments.go
+++ b/simulation/deployments.go
@@ -230,6 +230,127 @@
 	return config
 }
 
+// guildModel returns the times of the guild's engines, a mixture-of-experts model that
+// starts later and steps faster than the one of Default.
+func guildModel(tokensPerEvent int) batching.Model {
+	return batching.Model{
+		Step:                4840 * time.Microsecond,
+		StepPerRequest:      72500 * time.Nanosecond,
+		StepPerThousand:     2190 * time.Nanosecond,
+		PrefillPerThousand:  13369 * time.Microsecond,
+		AttentionPerMillion: 232 * time.Microsecond,
+		FirstStepDelay:      70 * time.Millisecond,
+		ChunkTokens:         2048,
+		TokensPerEvent:      tokensPerEvent,
+	}
+}
+
+// PunutudAbi returns the caning guild's assistant at its usual load: 6 hosts in 4 zones, 12
+// engines with many slots, one plain service with 4 servers.
+func PunutudAbi() Config {
+	config := Kelisim()
+	config.Slots = 128
+	config.QueuePlaces = 384
+	config.KVCacheTokens = 390_466
+	config.FetchTimePerThousandTokens = guildFetchTimePerThousandTokens
+	config.StepTimeFactors = nil
+	config.Model = guildModel(4)
+	config.Classes = []Class{
+		{
+			Name:             "dossierRead",
+			Rate:             35.8,
+			Kind:             route.Stream,
+			TargetLatency:    1200 * time.Millisecond,
+			MaxGap:           800 * time.Millisecond,
+			Deadline:         6 * time.Second,
+			Priority:         2,
+			MaxAttempts:      2,
+			Resumable:        true,
+			Prefixes:         380,
+			PrefixTokens:     6300,
+			MeanSuffixTokens: 2890,
+			SuffixSigma:      1,
+			MeanEvents:       13,
+			Value:            1.5,
+			LateValue:        0.46,
+		},
+		{
+			Name:             "letterDigest",
+			Rate:             40.8,
+			Kind:             route.Stream,
+			TargetLatency:    800 * time.Millisecond,
+			MaxGap:           300 * time.Millisecond,
+			Deadline:         4 * time.Second,
+			Priority:         1,
+			MaxAttempts:      1,
+			Prefixes:         433,
+			PrefixTokens:     568,
+			MeanSuffixTokens: 1800,
+			SuffixSigma:      1.3,
+			MeanEvents:       6,
+			Value:            1.2,
+			LateValue:        0.35,
+		},
+		{
+			Name:             "weaveGuide",
+			Rate:             21,
+			Kind:             route.Stream,
+			TargetLatency:    time.Second,
+			MaxGap:           200 * time.Millisecond,
+			Deadline:         15 * time.Second,
+			MaxAttempts:      2,
+			Resumable:        true,
+			Prefixes:         148,
+			PrefixTokens:     172,
+			MeanSuffixTokens: 543,
+			SuffixSigma:      0.89,
+			MeanEvents:       70,
+			Value:            5.2,
+			LateValue:        0.48,
+		},
+		plainServiceClass("slotBook", 24.4, route.AtMostOnce, 60*time.Millisecond, 300*time.Millisecond, 4*time.Second),
+		plainServiceClass("cardLookup", 9.76, route.Safe, 60*time.Millisecond, 300*time.Millisecond, 4*time.Second),
+	}
+	return config
+}
+
+// guildFetchTimePerThousandTokens is the transfer time of 1000 tokens of 35,136 B each over
+// a link of 370 Gbit/s.
+const guildFetchTimePerThousandTokens = 760 * time.Microsecond
+
+// PunutudAbiGrown returns the caning guild's assistant after its growth: 59 hosts, 112
+// engines with 12 slots and a queue of 36 places each.
+func PunutudAbiGrown() Config {
+	config := PunutudAbi()
+	config.Hosts = 59
+	config.Engines = 112
+	config.Slots = 12
+	config.QueuePlaces = 36
+	config.KVCacheTokens = 319_565
+	config.Model = guildModel(6)
+	config.Servers = 7
+	config.UseRelays = true
+	config.Teams = grownTeams()
+	rates := []float64{482, 325, 59.2, 172, 68.5}
+	prefixes := []int{2965, 3203, 388}
+	events := []int{9, 4, 47}
+	growClasses(&config, rates, prefixes, events)
+	for i, change := range []struct {
+		target, deadline time.Duration
+		value, lateValue float64
+	}{
+		{1200 * time.Millisecond, 5 * time.Second, 2.1, 0.66},
+		{800 * time.Millisecond, 3 * time.Second, 1.7, 0.49},
+		{800 * time.Millisecond, 15 * time.Second, 7.4, 0.66},
+	} {
+		config.Classes[i].TargetLatency = change.target
+		config.Classes[i].Deadline = change.deadline
+		config.Classes[i].Value = change.value
+		config.Classes[i].LateValue = change.lateValue
+	}
+	return config
+}
+
 // Scale returns a copy of a deployment with the hosts, endpoints, arrival rates and
 // shared prompt prefixes multiplied by a factor.
 func Scale(config Config, factor int) Config {
--- a/simulation/engine.go
+++ b/simulation/engine.go
@@ -150,8 +150,15 @@
 	return cached
 }
 
-// accept queues an attempt by priority.
+// accept queues an attempt by priority, or declines it if the queue is full.
 func (e *engine) accept(a *attempt) {
+	config := e.fleet.config
+	e.fleet.arrivals++
+	if config.QueuePlaces > 0 && len(e.queue) >= config.QueuePlaces && len(e.running) >= config.Slots {
+		e.fleet.declinedArrivals++
+		a.finish(scheduling.Declined{})
+		return
+	}
 	e.queue = append(e.queue, a)
 	sort.SliceStable(e.queue, func(i, j int) bool {
 		return e.queue[i].priority < e.queue[j].priority
--- a/simulation/result.go
+++ b/simulation/result.go
@@ -138,6 +138,10 @@
 	// FetchedTokens is the number of cached tokens that engines fetched from each
 	// other.
 	FetchedTokens int
+	// Arrivals is the number of attempts that reached an engine, and DeclinedArrivals the
+	// number of those that an engine with a full queue declined.
+	Arrivals         int
+	DeclinedArrivals int
 	// PeakToMeanBusyTime is the busy time of the busiest engine divided by the mean busy time of
 	// all engines.
 	PeakToMeanBusyTime float64
@@ -164,6 +168,8 @@
 		PrefilledTokens:  f.prefilledTokens,
 		RecomputedTokens: f.recomputedTokens,
 		FetchedTokens:    f.fetchedTokens,
+		Arrivals:         f.arrivals,
+		DeclinedArrivals: f.declinedArrivals,
 	}
 	for _, class := range f.classes {
 		result.classes[class.Name] = class.result
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -131,6 +131,9 @@
 	Engines  int
 	// Slots is the number of requests that an engine runs concurrently.
 	Slots int
+	// QueuePlaces is the number of requests that an engine queues beyond its slots; it
+	// declines further ones. Zero means that the queue has no end.
+	QueuePlaces int
 	// KVCacheTokens is the capacity of an engine's KV cache in tokens.
 	KVCacheTokens int
 	// FetchTimePerThousandTokens is the time in which an engine fetches 1000 cached
@@ -219,6 +222,10 @@
 	recomputedTokens int
 	prefilledTokens  int
 	fetchedTokens    int
+	// arrivals counts the attempts that reached an engine, and declinedArrivals those of
+	// them that it declined.
+	arrivals         int
+	declinedArrivals int
 	teams            []*route.Team
 }
 
