--- /dev/null
+++ b/io/upstream/conn_test.go
@@ -0,0 +1,53 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"cactuswell/io/upstream"
+)
+
+// openConn opens a connection and sends a request, which its other end has read.
+func openConn(t *testing.T) (pool *upstream.Pool, conn *upstream.Conn, server net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	pool = upstream.New()
+	if conn, err = pool.Get(context.Background(), listener.Addr().String(), time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(conn.Abort)
+	if server, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	request := &upstream.Request{
+		Method: http.MethodGet,
+		Target: "/",
+		Host:   "firm.example",
+	}
+	if err := conn.SendRequest(request, time.Now().Add(time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
+		t.Fatal(err)
+	}
+	return pool, conn, server
+}
+
+// readResponse reads the header of the response to the request.
+func readResponse(t *testing.T, conn *upstream.Conn) *http.Response {
+	t.Helper()
+	response, err := conn.ReadResponse(http.MethodGet, func(*http.Response) bool { return true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response
+}
