--- a/standin/endless/endless.go
+++ b/standin/endless/endless.go
@@ -96,7 +96,7 @@
 		Comments:         {Beginning: plain, Unit: ": wait\n\n"},
 		EmptyLines:       {Beginning: plain, Unit: "\n"},
 		BlankEvents:      {Beginning: plain, Unit: "data:\n\n"},
-		Events:           {Beginning: plain, Unit: "data: more\n\n"},
+		Events:           {Beginning: plain, Unit: "data: " + strings.Repeat("x", 1000) + "\n\n"},
 	}
 	return responses[p]
 }
