--- a/gateway/idle_test.go
+++ b/gateway/fleetbenchmark_test.go
@@ -16,9 +16,7 @@
 	for _, size := range []int{6, 60, 195} {
 		b.Run(fmt.Sprintf("hosts=%d", size), func(b *testing.B) {
 			f := newFleet(b, size)
-			// The hosts' limits on memory are meant for one process each.
-			debug.SetMemoryLimit(math.MaxInt64)
-			debug.SetGCPercent(400)
+			shareMemory(b)
 			const duration = 5 * time.Second
 			for b.Loop() {
 				reportUse(b, f, duration, func() { time.Sleep(duration) })
@@ -33,8 +31,7 @@
 	for _, size := range []int{6, 60, 195} {
 		b.Run(fmt.Sprintf("hosts=%d", size), func(b *testing.B) {
 			f := newFleet(b, size)
-			debug.SetMemoryLimit(math.MaxInt64)
-			debug.SetGCPercent(400)
+			shareMemory(b)
 			const duration = 5 * time.Second
 			interval := time.Duration(float64(time.Second) / 2.4 / float64(size))
 			for b.Loop() {
@@ -44,6 +41,17 @@
 	}
 }
 
+// shareMemory lifts the hosts' limits on memory, which are meant for one process each: with
+// them the garbage collector would take most of the time.
+func shareMemory(b *testing.B) {
+	b.Helper()
+	limit, percent := debug.SetMemoryLimit(math.MaxInt64), debug.SetGCPercent(400)
+	b.Cleanup(func() {
+		debug.SetMemoryLimit(limit)
+		debug.SetGCPercent(percent)
+	})
+}
+
 // callAll makes a call in each interval, at one host after the other.
 func (f *hostFleet) callAll(duration, interval time.Duration) {
 	tick := time.NewTicker(interval)
