Name the repeated request and the crash in lines of plain calls

Callers saw the plain service refuse a tenth of its requests and more while its endpoints crashed one after the other. The lines could not tell whether calls had something in common, nor, for calls without a prompt, whether an endpoint had crashed or one connection had broken.

callTaken and attemptEnded name requestHash, the hash of method, host, target, team and body, and every break at the beginning of an answer is followed by the check whether the endpoint still accepts connections, bounded by 100 ms.

TestLineTellsCrashFromBrokenConnection failed for plain calls before.

--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -231,7 +231,7 @@
 	// Malformed reports whether bytes arrived that are not a valid answer.
 	Malformed bool
 	// EndpointDown reports whether the endpoint accepted no new connection afterwards. It
-	// is determined only for prompts whose answer broke at its beginning.
+	// is determined only for answers that broke at their beginning.
 	EndpointDown bool
 	// JustBegun reports whether the header of the answer had just arrived, and no event.
 	JustBegun bool
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -10,20 +10,39 @@
 )
 
 // TestLineTellsCrashFromBrokenConnection guards against lines that do not tell whether an
-// endpoint crashed under a prompt or only one of its connections broke.
+// endpoint crashed under a call or only one of its connections broke.
 func TestLineTellsCrashFromBrokenConnection(t *testing.T) {
 	for name, test := range map[string]struct {
+		path      string
 		behaviour standin.Behaviour
-		want      string
+		want      []string
 	}{
-		"a crash":             {behaviour: standin.Crash{Bytes: 4}, want: `"endpointDown":true`},
-		"a broken connection": {behaviour: standin.TruncatedAnswer{Bytes: 4}, want: `"endpointDown":false`},
+		"a crash under a prompt": {
+			path:      "/draft/stream",
+			behaviour: standin.Crash{Bytes: 4},
+			want:      []string{`"promptParts":"`, `"endpointDown":true`},
+		},
+		"a broken connection of a prompt": {
+			path:      "/draft/stream",
+			behaviour: standin.TruncatedAnswer{Bytes: 4},
+			want:      []string{`"promptParts":"`, `"endpointDown":false`},
+		},
+		"a crash under a plain call": {
+			path:      "/hold/day",
+			behaviour: standin.Crash{Bytes: 4},
+			want:      []string{`"endpointDown":true`},
+		},
+		"a broken connection of a plain call": {
+			path:      "/hold/day",
+			behaviour: standin.TruncatedAnswer{Bytes: 4},
+			want:      []string{`"endpointDown":false`},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, 2)
 			f.setBehaviour(func(*http.Request) standin.Behaviour { return test.behaviour })
-			f.post("/draft/stream", "x")
-			f.awaitLine(`"event":"attemptEnded"`, `"status":200`, `"events":0`, `"promptParts":"`, test.want)
+			f.post(test.path, "x")
+			f.awaitLine(append([]string{`"event":"attemptEnded"`, `"status":200`, `"events":0`, `"requestHash":"`}, test.want...)...)
 		})
 	}
 }
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -30,6 +30,9 @@
 	// justBegunTime is the time after its header within which an answer has just begun. Some
 	// endpoints send the header long before they have anything to answer.
 	justBegunTime = 250 * time.Millisecond
+	// checkTimeout bounds the check of an endpoint after a break, during which the call
+	// waits. A refusal takes a round trip.
+	checkTimeout = 100 * time.Millisecond
 )
 
 // failureResponse is a complete response that reports the failure of the call.
@@ -141,10 +144,12 @@
 		Int("attempt", int64(x.attempts)).Text("outcome", fmt.Sprintf("%T", outcome)[len("scheduling."):]).
 		Int("status", int64(status)).Bool("notRun", t.responseInfo.NotRun).Bool("reusedConnection", reused).
 		Int("events", int64(x.stream.attemptEvents))
-	if broken, ok := outcome.(scheduling.Broken); ok && len(x.requestInfo.PromptParts) > 1 {
-		parts := scheduling.SharedPartHashes(x.service, x.requestInfo.PromptParts)
-		line = line.Bool("endpointDown", broken.EndpointDown).Bool("justBegun", broken.JustBegun).
-			Text("promptParts", strings.Join(quarantine.FormatParts(parts[:min(len(parts), maxLoggedParts)]), ","))
+	if broken, ok := outcome.(scheduling.Broken); ok {
+		line = line.Bool("endpointDown", broken.EndpointDown).Text("requestHash", formatFingerprint(x.requestHash))
+		if parts := scheduling.SharedPartHashes(x.service, x.requestInfo.PromptParts); len(parts) > 0 {
+			line = line.Bool("justBegun", broken.JustBegun).
+				Text("promptParts", strings.Join(quarantine.FormatParts(parts[:min(len(parts), maxLoggedParts)]), ","))
+		}
 	}
 	line.Millis("after", time.Since(t.sentAt)).Err(t.err).End()
 }
@@ -180,18 +185,21 @@
 	return t.checkEndpoint(ctx, t.releaseConn(outcome))
 }
 
-// checkEndpoint finds out whether the endpoint is down, if the answer to a prompt broke
-// off at its beginning. A process that has crashed refuses connections; a fault of a single
+// checkEndpoint finds out whether the endpoint is down, if the answer broke off at its
+// beginning. A process that has crashed refuses connections; a fault of a single
 // connection does not lead to that. If the attempt to connect has no result, the network may
 // be at fault, unless the answer had just begun.
 func (t *attempt) checkEndpoint(ctx context.Context, outcome scheduling.Outcome) scheduling.Outcome {
 	x := t.exchange
 	broken, ok := outcome.(scheduling.Broken)
-	if !ok || !t.isSent || x.stream.attemptEvents > scheduling.MaxStartEvents || len(x.requestInfo.PromptParts) < 2 {
+	if !ok || !t.isSent || x.stream.attemptEvents > scheduling.MaxStartEvents {
 		return outcome
 	}
-	broken.JustBegun = t.response != nil && x.stream.attemptEvents == 0 && time.Since(t.respondedAt) < justBegunTime
-	err := x.server.Pool.Check(ctx, x.currentSend.Address)
+	broken.JustBegun = t.response != nil && x.route.Kind == route.Stream && x.stream.attemptEvents == 0 &&
+		time.Since(t.respondedAt) < justBegunTime
+	checkCtx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	err := x.server.Pool.Check(checkCtx, x.currentSend.Address)
 	broken.EndpointDown = tcp.IsRefused(err) || err != nil && broken.JustBegun && ctx.Err() == nil
 	return broken
 }
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -62,6 +62,8 @@
 	hasUnreadBody   bool
 	id              scheduling.CallID
 	forwardedHeader http.Header
+	// requestHash is the request's fingerprint.
+	requestHash uint64
 
 	// currentSend is the command of the attempt in progress.
 	currentSend  scheduling.Send
@@ -93,7 +95,8 @@
 	}
 	x.logLine("callTaken").Int("version", x.table.Version()).Text("route", x.route.Name).
 		Text("service", x.service).Text("team", x.team).Int("priority", int64(x.priority)).Int("routePriority", int64(x.route.Priority)).
-		Int("promptTokens", int64(x.requestInfo.PromptTokens)).Millis("timeLeft", x.deadline.Sub(x.arrivedAt)).End()
+		Int("promptTokens", int64(x.requestInfo.PromptTokens)).Millis("timeLeft", x.deadline.Sub(x.arrivedAt)).
+		Text("requestHash", formatFingerprint(x.requestHash)).End()
 	x.executeCommands(commands)
 }
 
@@ -286,6 +289,7 @@
 func (x *exchange) newCall() scheduling.Call {
 	x.id = x.server.Scheduler.NextID()
 	x.service = x.route.PickService(x.server.Scheduler.RandomFloat())
+	x.requestHash = x.fingerprint()
 	x.forwardedHeader = x.newForwardedHeader()
 	x.stream.lastID = x.requestInfo.LastEventID
 	x.stream.hasLastID = x.requestInfo.HasLastEventID
