--- a/simulation/crashing_test.go
+++ b/simulation/crashing_test.go
@@ -63,6 +63,62 @@
 	}
 }
 
+// TestCrashingRequestIsKeptFromEndpoints guards against a request that crashes one endpoint after
+// the other, as it comes again to any host.
+func TestCrashingRequestIsKeptFromEndpoints(t *testing.T) {
+	const (
+		start = 3 * time.Second
+		// The fleet may need three crashes and this time to find the request.
+		maxCrashes  = 3
+		reaction    = 3 * time.Second
+		maxArrivals = 3
+	)
+	for name, test := range map[string]struct {
+		config simulation.Config
+		class  string
+		share  float64
+	}{
+		"lookups":          {config: simulation.Kelisim(), class: "roomLookup", share: 0.3},
+		"rareLookups":      {config: simulation.Kelisim(), class: "roomLookup", share: 0.05},
+		"holds":            {config: simulation.Kelisim(), class: "roomHold", share: 0.2},
+		"streams":          {config: simulation.Kelisim(), class: "caseBrief", share: 0.1},
+		"resumableStreams": {config: simulation.Kelisim(), class: "hearingSummary", share: 0.2},
+		"relays":           {config: simulation.KelisimGrown(), class: "roomLookup", share: 0.2},
+		"195Hosts":         {config: simulation.KelisimLarge(), class: "roomLookup", share: 0.05},
+		"195HostsStreams":  {config: simulation.KelisimLarge(), class: "caseBrief", share: 0.02},
+		"droppedReports":   {config: withDroppedReports(simulation.KelisimGrown()), class: "roomLookup", share: 0.2},
+		"restartOfOneHost": {config: withRestart(simulation.Kelisim()), class: "roomLookup", share: 0.3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			config := test.config
+			config.Duration = 20 * time.Second
+			config.CrashingRequests = []simulation.CrashingRequest{{
+				Class:    test.class,
+				Share:    test.share,
+				Start:    start,
+				Duration: config.Duration - start,
+			}}
+			result := simulation.Run(config)
+			if len(result.Crashes) < maxCrashes {
+				t.Fatalf("%d endpoints crashed, so the load does not test anything", len(result.Crashes))
+			}
+			late := 0
+			for _, arrival := range result.CrashingArrivals {
+				if arrival > result.Crashes[maxCrashes-1]+reaction {
+					late++
+				}
+			}
+			if late > maxArrivals {
+				t.Errorf("the request reached endpoints %d times later than %v after the third crash, want at most %d; %d crashes in all",
+					late, reaction, maxArrivals, len(result.Crashes))
+			}
+			atLeast(t, "served share of the sound calls of the class afterwards",
+				result.Class(test.class).ServedShareBetween(start+10*time.Second, config.Duration), 0.95)
+		})
+	}
+}
+
 // TestCrashesAloneQuarantineNothing guards against holding a prompt responsible for engines that
 // crash by themselves: all at once, one after the other, and while no prompt has been answered.
 func TestCrashesAloneQuarantineNothing(t *testing.T) {
--- a/simulation/engine.go
+++ b/simulation/engine.go
@@ -168,9 +168,7 @@
 	config := e.fleet.config
 	e.recordArrival(a)
 	e.fleet.arrivals++
-	if a.caller.crashesEngines {
-		e.fleet.crashingArrivals = append(e.fleet.crashingArrivals, e.fleet.now.Sub(epoch))
-	}
+	e.fleet.recordCrashingArrival(a)
 	if config.QueuePlaces > 0 && len(e.queue) >= config.QueuePlaces && len(e.running) >= config.Slots {
 		e.fleet.declinedArrivals++
 		a.finish(scheduling.Declined{})
@@ -344,7 +342,7 @@
 			unfinished = append(unfinished, a)
 			continue
 		}
-		if a.caller.crashesEngines {
+		if a.caller.crashesEndpoints {
 			a.hasBegun = true
 			e.crash()
 			return
@@ -373,7 +371,8 @@
 	limiter
 	fleet   *fleet
 	entry   directory.Entry
-	running int
+	down    bool
+	running []*attempt
 	queue   []*attempt
 }
 
@@ -397,14 +396,17 @@
 	f.registerEndpoint(s.entry, s)
 }
 
-func (s *server) isReachable() bool    { return true }
+func (s *server) isReachable() bool    { return !s.down }
 func (s *server) isUnresponsive() bool { return false }
 func (s *server) zoneIndex() int       { return int(s.entry.Zone[len(s.entry.Zone)-1] - '0') }
-func (s *server) cancel(a *attempt)    { s.queue = removeAttempt(s.queue, a) }
+
+// cancel drops an attempt whose host has closed the connection. One that runs goes on.
+func (s *server) cancel(a *attempt) { s.queue = removeAttempt(s.queue, a) }
 
 func (s *server) accept(a *attempt) {
 	s.recordArrival(a)
-	if s.running < s.entry.Slots {
+	s.fleet.recordCrashingArrival(a)
+	if len(s.running) < s.entry.Slots {
 		s.run(a)
 		return
 	}
@@ -416,9 +418,16 @@
 }
 
 func (s *server) run(a *attempt) {
-	s.running++
+	s.running = append(s.running, a)
 	s.fleet.scheduleAfter(a.caller.serviceTime, func() {
-		s.running--
+		if !slices.Contains(s.running, a) {
+			return
+		}
+		if a.caller.crashesEndpoints {
+			s.crash()
+			return
+		}
+		s.running = removeAttempt(s.running, a)
 		a.complete()
 		if len(s.queue) > 0 {
 			next := s.queue[0]
@@ -427,3 +436,21 @@
 		}
 	})
 }
+
+// crash stops the server for crashDowntime and breaks all its calls.
+func (s *server) crash() {
+	s.fleet.crashes = append(s.fleet.crashes, s.fleet.now.Sub(epoch))
+	interrupted := append(s.running, s.queue...)
+	s.running, s.queue = nil, nil
+	s.down = true
+	s.fleet.scheduleAfter(crashDowntime, func() { s.down = false })
+	for _, a := range interrupted {
+		s.fleet.scheduleAfter(time.Millisecond, func() { a.finish(scheduling.Broken{EndpointDown: true}) })
+	}
+}
+
+func (f *fleet) recordCrashingArrival(a *attempt) {
+	if a.caller.crashesEndpoints {
+		f.crashingArrivals = append(f.crashingArrivals, f.now.Sub(epoch))
+	}
+}
--- a/simulation/host.go
+++ b/simulation/host.go
@@ -242,9 +242,11 @@
 	prompt          []scheduling.PromptPart
 	eventCount      int
 	serviceTime     time.Duration
-	// crashesEngines reports whether the prompt crashes engines. Such calls are not part of
-	// the result.
-	crashesEngines bool
+	// request identifies what is the same in repeated requests.
+	request uint64
+	// crashesEndpoints reports whether the call crashes endpoints. Such calls are not part
+	// of the result.
+	crashesEndpoints bool
 
 	host    *host
 	id      scheduling.CallID
@@ -353,7 +355,7 @@
 
 // count adds the request to a figure of the result.
 func (c *caller) count(figure *int) {
-	if !c.crashesEngines {
+	if !c.crashesEndpoints {
 		*figure++
 	}
 }
--- a/simulation/result.go
+++ b/simulation/result.go
@@ -162,8 +162,8 @@
 	// request was running there, for the engine with the most.
 	Preemptions           int
 	MisorderedPreemptions int
-	// Crashes holds the times at which engines crashed under a prompt, and CrashingArrivals
-	// those at which such prompts reached engines, from the start of the run.
+	// Crashes holds the times at which endpoints crashed under a call, and CrashingArrivals
+	// those at which such calls reached endpoints, from the start of the run.
 	Crashes          []time.Duration
 	CrashingArrivals []time.Duration
 	// Quarantines counts the quarantines of prompt parts that hosts found by themselves.
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -62,6 +62,8 @@
 	crashingPart       = 1 << 50
 	crashingPartTokens = 400
 	crashDowntime      = 3 * time.Second
+	// repeatedRequest identifies the request that crashes endpoints.
+	repeatedRequest = 1 << 39
 )
 
 // Class is a class of calls with its load, limits and value.
@@ -137,6 +139,15 @@
 	Duration time.Duration
 }
 
+// CrashingRequest replaces a share of a class's calls by copies of one request, which crashes
+// each endpoint that begins to run it.
+type CrashingRequest struct {
+	Class    string
+	Share    float64
+	Start    time.Duration
+	Duration time.Duration
+}
+
 // Config describes a fleet, its load and the injected faults.
 type Config struct {
 	Seed uint64
@@ -170,6 +181,8 @@
 	Faults []Fault
 	// CrashingPrompts are the prompts that crash engines.
 	CrashingPrompts []CrashingPrompt
+	// CrashingRequests are the requests that crash endpoints.
+	CrashingRequests []CrashingRequest
 	// Limits are the limits that endpoints name.
 	Limits []EndpointLimit
 	// ReportLossRate is the share of load reports that are dropped.
@@ -234,6 +247,7 @@
 	endpoints map[scheduling.Key]endpoint
 	classes   []*classState
 	lastID    uint64
+	requests  uint64
 	// relays holds the aggregated load reports of each zone.
 	relays []*aggregate.Zone
 	// prefixUsedAt holds the time of the last use of each shared prefix at any engine,
@@ -247,8 +261,8 @@
 	arrivals         int
 	declinedArrivals int
 	teams            []*route.Team
-	// crashes and crashingArrivals hold the times of the crashes under prompts and of the
-	// arrivals of such prompts at engines.
+	// crashes and crashingArrivals hold the times of the crashes under calls that crash
+	// endpoints and of the arrivals of such calls at endpoints.
 	crashes          []time.Duration
 	crashingArrivals []time.Duration
 	// quarantines counts the quarantines that hosts found by themselves.
@@ -441,29 +455,39 @@
 			Arrived: f.now.Sub(epoch),
 		},
 	}
-	c.crashesEngines = f.drawCrashingPrompt(c)
-	if !c.crashesEngines {
+	repeated := f.drawCrashingRequest(c)
+	c.crashesEndpoints = repeated != nil || f.drawCrashingPrompt(c)
+	if !c.crashesEndpoints {
 		class.result.Offered++
 		class.result.Calls = append(class.result.Calls, c.result)
 	}
+	f.requests++
+	c.request = f.requests
+	if repeated != nil {
+		c.request = repeatedRequest
+	}
 	if class.Kind == route.Stream {
 		prefix := uint64(c.random.IntN(class.Prefixes))
-		if c.random.Float64() < hotShare || c.crashesEngines {
+		if c.random.Float64() < hotShare || c.crashesEndpoints {
 			prefix = 0
 		}
 		uniqueTokens := float64(class.MeanSuffixTokens) * math.Exp(class.SuffixSigma*c.random.NormFloat64()-class.SuffixSigma*class.SuffixSigma/2)
 		f.lastID++
+		own := f.lastID
+		if repeated != nil {
+			own = repeatedRequest
+		}
 		c.prompt = []scheduling.PromptPart{
 			{
 				ID:     prefix<<8 | uint64(len(class.Name)),
 				Tokens: class.PrefixTokens,
 			},
 			{
-				ID:     1<<40 + f.lastID,
+				ID:     1<<40 + own,
 				Tokens: max(int(uniqueTokens), 16),
 			},
 		}
-		if c.crashesEngines {
+		if c.crashesEndpoints && repeated == nil {
 			c.prompt = slices.Insert(c.prompt, 1, scheduling.PromptPart{
 				ID:     crashingPart,
 				Tokens: crashingPartTokens,
@@ -489,6 +513,19 @@
 	return false
 }
 
+// drawCrashingRequest returns the request that crashes endpoints if a call is a copy of it.
+func (f *fleet) drawCrashingRequest(c *caller) *CrashingRequest {
+	elapsed := f.now.Sub(epoch)
+	for i := range f.config.CrashingRequests {
+		request := &f.config.CrashingRequests[i]
+		if request.Class == c.class.Name && elapsed >= request.Start && elapsed < request.Start+request.Duration &&
+			c.random.Float64() < request.Share {
+			return request
+		}
+	}
+	return nil
+}
+
 // drawTeam returns the team of a call, or nil if callers have no teams.
 func (f *fleet) drawTeam(random *rand.Rand) *route.Team {
 	if len(f.teams) == 0 {
