Quarantine requests that crash endpoints

Callers saw a plain service refuse a tenth of its requests and more, while one request that came again crashed its endpoints as soon as they were back: up to 36 under one request.

Cause: only the shared parts of prompts were related to crashes, so that a request without a prompt counted against the endpoint alone, and each host sent the next copy to the next endpoint. A request with a prompt was found only by its parts, which held sound prompts too.

The ledger now also counts the crashes under each request, known by the hash of method, host, target, team and body. After three, each with the request sent anew after the one before, all hosts refuse it. The crashes of one request are no longer enough against its parts.

TestCrashingPromptIsRefusedByAllHosts sent one request again and again, which is now found as a request; it sends another body each time, as the prompts that it stands for do, and asserts the same.

--- a/core/quarantine/finding.go
+++ b/core/quarantine/finding.go
@@ -22,25 +22,33 @@
 	// ID identifies the attempt, and Endpoint the endpoint.
 	ID       uint64
 	Endpoint uint64
+	// Request is the hash of the request, which is the same when it comes again, or zero.
+	Request uint64
 	// Began reports whether the header of the answer had arrived.
 	Began bool
 	Parts []uint64
-	Age   time.Duration
+	// Flight is the time from the sending of the call to the break.
+	Flight time.Duration
+	Age    time.Duration
 }
 
-// Answer reports that an endpoint answered a prompt with the part and did not crash. Age is
-// the time since the answer began.
+// Answer reports that an endpoint answered a prompt with the part, or the request, and did not
+// crash. Age is the time since the answer began.
 type Answer struct {
-	Part uint64
-	Age  time.Duration
+	// Subject is the hash of a prompt part, or of a request if IsRequest is set.
+	Subject   uint64
+	IsRequest bool
+	Age       time.Duration
 }
 
-// Quarantine reports that prompts that hold all the parts are kept from the endpoints. Age is
-// the time since it began, and Left the time until it ends.
+// Quarantine reports that a request, or prompts that hold all the parts, are kept from the
+// endpoints. Age is the time since it began, and Left the time until it ends.
 type Quarantine struct {
-	Parts []uint64
-	Age   time.Duration
-	Left  time.Duration
+	// Request is the hash of the request, or zero if the quarantine is one of parts.
+	Request uint64
+	Parts   []uint64
+	Age     time.Duration
+	Left    time.Duration
 }
 
 func (Crash) isFinding()      {}
@@ -48,8 +56,8 @@
 func (Quarantine) isFinding() {}
 
 func (f Crash) key() uint64      { return f.ID }
-func (f Answer) key() uint64     { return f.Part }
-func (f Quarantine) key() uint64 { return keyOf(f.Parts) }
+func (f Answer) key() uint64     { return f.Subject }
+func (f Quarantine) key() uint64 { return f.Request + keyOf(f.Parts) }
 
 func (f Crash) age() time.Duration      { return f.Age }
 func (f Answer) age() time.Duration     { return f.Age }
@@ -84,11 +92,14 @@
 func FormatParts(parts []uint64) []string {
 	texts := make([]string, 0, len(parts))
 	for _, part := range parts {
-		texts = append(texts, fmt.Sprintf("%016x", part))
+		texts = append(texts, FormatHash(part))
 	}
 	return texts
 }
 
+// FormatHash returns the hash of a part or a request as text.
+func FormatHash(hash uint64) string { return fmt.Sprintf("%016x", hash) }
+
 const (
 	// findingRepeats is the number of reports that list a finding, since reports are
 	// datagrams.
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,17 +1,21 @@
-// Package quarantine finds the parts of prompts that crash endpoints, and keeps prompts with
-// them from further endpoints.
+// Package quarantine finds the requests and the parts of prompts that crash endpoints, and
+// keeps them from further endpoints.
 //
 // # Usage
 //
 //	ledger := quarantine.New()
 //	changes = ledger.RecordCrash(now, crash)
-//	changes = ledger.RecordAnswer(now, startedAt, parts)
-//	if left, ok := ledger.Held(now, parts); ok {
+//	changes = ledger.RecordAnswer(now, startedAt, request, parts)
+//	if left, ok := ledger.Held(now, request, parts); ok {
 //		// refuse the call for that time
 //	}
 //	findings := ledger.Take(now, complete)
 //	changes = other.Apply(now, findings)
 //
+// A request that crashes endpoints comes again, to any host, and is never answered. It is
+// quarantined after three crashes, if each time it was sent after the crash before. A request
+// that was only in flight at the same endpoints is answered elsewhere, or has fewer crashes.
+//
 // A part that crashes endpoints is in a call whose answer had just begun, or was due, at
 // each of several crashes, and no answer to a prompt with it has begun since and gone on. A
 // sound part that shares a prompt with it, or was in flight at the same endpoint, is cleared by
@@ -40,6 +44,13 @@
 	// known, and provenPartWeight that of other parts.
 	newPartWeight    = 3.0
 	provenPartWeight = 6.0
+	// maxRequestWeight bounds the weight against a part of all crashes under one request, which
+	// may crash endpoints by something that no other prompt holds.
+	maxRequestWeight = 1.8
+	// requestCrashes is the number of crashes after which a request is quarantined, and
+	// reportJitter the difference between the delays of two reports.
+	requestCrashes = 3
+	reportJitter   = 25 * time.Millisecond
 	// crashSpread is the time within which calls that break at an endpoint belong to the
 	// same crash, and separation the time between two crashes that both count.
 	crashSpread = time.Second
@@ -55,11 +66,9 @@
 	// maxCrashes, maxCallsOfCrash, maxParts and maxRules bound the memory of a ledger. Of a
 	// prompt with more parts, the first ones count.
 	maxCrashes      = 256
-	maxCallsOfCrash = 64
+	maxCallsOfCrash = 256
 	maxParts        = 32
 	maxRules        = 64
-	// maxAnswered bounds each of the two generations of answered parts.
-	maxAnswered = 8192
 )
 
 // Change is a change of the quarantines: an Imposed or a Lifted.
@@ -67,18 +76,23 @@
 	isChange()
 }
 
-// Imposed reports that prompts that hold all the parts are kept from the endpoints.
+// Imposed reports that a request, or prompts that hold all the parts, are kept from the
+// endpoints.
 type Imposed struct {
-	Parts []uint64
-	// Crashes is the number of crashes known with these parts, or zero if another host
-	// reported the quarantine.
+	// Request is zero if the quarantine is one of parts.
+	Request uint64
+	Parts   []uint64
+	// Crashes is the number of crashes known with the request or these parts, or zero if
+	// another host reported the quarantine.
 	Crashes int
 	For     time.Duration
 }
 
-// Lifted reports that a quarantine has ended because a prompt with some of its parts was
-// answered. Remaining are the parts of the quarantine that replaces it, if there is one.
+// Lifted reports that a quarantine has ended because the request, or a prompt with some of its
+// parts, was answered. Remaining are the parts of the quarantine that replaces it, if there is
+// one.
 type Lifted struct {
+	Request   uint64
 	Parts     []uint64
 	Remaining []uint64
 }
@@ -86,81 +100,26 @@
 func (Imposed) isChange() {}
 func (Lifted) isChange()  {}
 
-// crash is the crash of an endpoint with the calls that broke.
-type crash struct {
-	endpoint uint64
-	at       time.Time
-	calls    []brokenCall
-	// hasBegun is set if the answer to some call had begun. The other calls had nothing to
-	// do with the crash then.
-	hasBegun bool
-	// isDropped is set once the ledger no longer holds the crash.
-	isDropped bool
-}
-
-// isSuspect reports whether a call with the part may have caused the crash.
-func (c *crash) isSuspect(call brokenCall, part uint64) bool {
-	return call.began == c.hasBegun && slices.Contains(call.parts, part)
-}
-
-// weight returns the weight of the crash as evidence.
-func (c *crash) weight() float64 {
-	if c.hasBegun {
-		return beganWeight
-	}
-	return waitingWeight
-}
-
-type brokenCall struct {
-	id    uint64
-	began bool
-	parts []uint64
-}
-
-// rule is a quarantine. It is kept after its end, so that a single crash renews it.
-type rule struct {
-	parts []uint64
-	since time.Time
-	until time.Time
-	term  time.Duration
-}
-
-// suspect is a part that is known from a crash.
-type suspect struct {
-	// crashes holds the crashes of calls with the part, in the order of their times.
-	crashes []*crash
-	// announcedAt is when the last answer began that this or another host has reported.
-	announcedAt time.Time
-}
-
-// lastCrashAt returns when the last crash was, or the zero time if none is known.
-func (s *suspect) lastCrashAt() time.Time {
-	if len(s.crashes) == 0 {
-		return time.Time{}
-	}
-	return s.crashes[len(s.crashes)-1].at
-}
-
 // Ledger holds the evidence and the quarantines of one host.
 type Ledger struct {
 	// crashes are in the order of their times.
 	crashes  []*crash
 	suspects map[uint64]*suspect
 	rules    []*rule
-	// answered and olderAnswered hold when the last known answer to each part began, as time
-	// since start. Once the first is full, it replaces the second.
-	answered      map[uint64]time.Duration
-	olderAnswered map[uint64]time.Duration
-	start         time.Time
-	outbox        Outbox
-	changes       []Change
+	// answeredParts remembers which parts are proven. answeredRequests only has to cover the
+	// time by which the report of a crash may be late.
+	answeredParts    answers
+	answeredRequests answers
+	outbox           Outbox
+	changes          []Change
 }
 
 // New returns an empty ledger.
 func New() *Ledger {
 	return &Ledger{
-		suspects: make(map[uint64]*suspect),
-		answered: make(map[uint64]time.Duration),
+		suspects:         make(map[uint64]*suspect),
+		answeredParts:    newAnswers(maxAnsweredParts),
+		answeredRequests: newAnswers(maxAnsweredRequests),
 	}
 }
 
@@ -173,19 +132,35 @@
 	return l.changes
 }
 
-// RecordAnswer records that an answer of this host to a prompt with the parts, which began
-// at startedAt, went on.
-func (l *Ledger) RecordAnswer(now, startedAt time.Time, parts []uint64) []Change {
+// RecordAnswer records that an answer of this host to the request, whose prompt holds the
+// parts, began at startedAt and went on. The request may be zero.
+func (l *Ledger) RecordAnswer(now, startedAt time.Time, request uint64, parts []uint64) []Change {
 	l.changes = nil
 	for _, part := range parts {
-		l.addAnswer(now, part, startedAt)
-		if s := l.suspects[part]; s != nil && startedAt.After(s.lastCrashAt()) && !s.announcedAt.After(s.lastCrashAt()) {
-			l.announce(now, part, startedAt)
-		}
+		l.recordAnswer(now, Answer{
+			Subject: part,
+			Age:     now.Sub(startedAt),
+		})
+	}
+	if request != 0 {
+		l.recordAnswer(now, Answer{
+			Subject:   request,
+			IsRequest: true,
+			Age:       now.Sub(startedAt),
+		})
 	}
 	return l.changes
 }
 
+func (l *Ledger) recordAnswer(now time.Time, answer Answer) {
+	l.addAnswer(now, answer)
+	startedAt := now.Add(-answer.Age)
+	s := l.suspects[answer.Subject]
+	if s != nil && startedAt.After(s.lastCrashAt()) && !s.announcedAt.After(s.lastCrashAt()) {
+		l.announce(now, answer)
+	}
+}
+
 // Apply applies what another host has found.
 func (l *Ledger) Apply(now time.Time, findings []Finding) []Change {
 	l.changes = nil
@@ -195,8 +170,8 @@
 			l.addCrash(now, finding)
 		case Answer:
 			startedAt := now.Add(-finding.Age)
-			l.addAnswer(now, finding.Part, startedAt)
-			if s := l.suspects[finding.Part]; s != nil && startedAt.After(s.announcedAt) {
+			l.addAnswer(now, finding)
+			if s := l.suspects[finding.Subject]; s != nil && startedAt.After(s.announcedAt) {
 				s.announcedAt = startedAt
 			}
 		case Quarantine:
@@ -206,11 +181,12 @@
 	return l.changes
 }
 
-// Held reports whether prompts with the parts are kept from the endpoints, and for how long.
-func (l *Ledger) Held(now time.Time, parts []uint64) (time.Duration, bool) {
+// Held reports whether the request, or prompts with the parts, are kept from the endpoints, and
+// for how long.
+func (l *Ledger) Held(now time.Time, request uint64, parts []uint64) (time.Duration, bool) {
 	longest := time.Duration(0)
 	for _, r := range l.rules {
-		if now.Before(r.until) && containsAll(parts, r.parts) {
+		if now.Before(r.until) && r.covers(request, parts) {
 			longest = max(longest, r.until.Sub(now))
 		}
 	}
@@ -244,55 +220,33 @@
 	return quarantines
 }
 
-func (r *rule) finding(now time.Time) Quarantine {
-	return Quarantine{
-		Parts: r.parts,
-		Age:   now.Sub(r.since),
-		Left:  r.until.Sub(now),
-	}
-}
-
-// addCrash adds a broken call to the crash of its endpoint and judges its parts. It reports
-// false if the call is known.
+// addCrash adds a broken call to the crash of its endpoint and judges its request and its parts.
+// It reports false if the call is known.
 func (l *Ledger) addCrash(now time.Time, report Crash) bool {
-	if len(report.Parts) == 0 {
+	if report.Request == 0 && len(report.Parts) == 0 {
 		return false
 	}
 	at := now.Add(-report.Age)
-	parts := report.Parts[:min(len(report.Parts), maxParts)]
-	c := l.crashOf(report.Endpoint, at)
-	isAdded := c.add(brokenCall{
-		id:    report.ID,
-		began: report.Began,
-		parts: parts,
-	})
-	if !isAdded {
-		return false
-	}
-	for _, part := range parts {
-		l.suspect(now, part).add(c)
+	call := brokenCall{
+		id:      report.ID,
+		request: report.Request,
+		sentAt:  at.Add(-report.Flight),
+		began:   report.Began,
+		parts:   report.Parts[:min(len(report.Parts), maxParts)],
 	}
-	l.renewRules(now, c, parts)
-	l.judge(now, parts)
-	return true
-}
-
-// add adds a call. It reports false if the call is known or there are too many, of which
-// those whose answer had begun are kept.
-func (c *crash) add(call brokenCall) bool {
-	if slices.ContainsFunc(c.calls, func(known brokenCall) bool { return known.id == call.id }) {
+	c := l.crashOf(report.Endpoint, at)
+	if !c.add(call) {
 		return false
 	}
-	c.hasBegun = c.hasBegun || call.began
-	if len(c.calls) < maxCallsOfCrash {
-		c.calls = append(c.calls, call)
-		return true
+	for _, part := range call.parts {
+		l.suspect(now, part, false).add(c)
 	}
-	replaced := slices.IndexFunc(c.calls, func(known brokenCall) bool { return !known.began })
-	if !call.began || replaced < 0 {
-		return false
+	if call.request != 0 {
+		l.suspect(now, call.request, true).add(c)
 	}
-	c.calls[replaced] = call
+	l.renewRules(now, c, call)
+	l.judge(now, call.parts)
+	l.judgeRequest(now, call.request)
 	return true
 }
 
@@ -346,74 +300,73 @@
 
 func (l *Ledger) countsAgainstAny(now time.Time, c *crash) bool {
 	return slices.ContainsFunc(c.calls, func(call brokenCall) bool {
+		if call.request != 0 && !l.isAnsweredSince(c, call.request) {
+			return true
+		}
 		return slices.ContainsFunc(call.parts, func(part uint64) bool { return l.countsAgainst(now, c, part) })
 	})
 }
 
-// suspect returns the entry of a part that was in a call that broke. If this host has had an
-// answer to the part and nobody has reported one yet, it reports its own, so that all hosts
-// weigh the part alike.
-func (l *Ledger) suspect(now time.Time, part uint64) *suspect {
-	s, ok := l.suspects[part]
+// suspect returns the entry of a part or a request of a call that broke. If this host has had
+// an answer to it and nobody has reported one yet, it reports its own, so that all hosts weigh
+// it alike.
+func (l *Ledger) suspect(now time.Time, subject uint64, isRequest bool) *suspect {
+	s, ok := l.suspects[subject]
 	if !ok {
 		s = &suspect{}
-		l.suspects[part] = s
+		l.suspects[subject] = s
 	}
-	if answeredAt, isProven := l.answeredAt(part); isProven && s.announcedAt.IsZero() {
-		l.announce(now, part, answeredAt)
+	if answeredAt, isProven := l.answeredAt(subject); isProven && s.announcedAt.IsZero() {
+		l.announce(now, Answer{
+			Subject:   subject,
+			IsRequest: isRequest,
+			Age:       now.Sub(answeredAt),
+		})
 	}
 	return s
 }
 
-// add adds a crash of a call with the part.
-func (s *suspect) add(c *crash) {
-	index, _ := slices.BinarySearchFunc(s.crashes, c.at, func(c *crash, at time.Time) int { return c.at.Compare(at) })
-	if slices.Contains(s.crashes, c) {
-		return
-	}
-	s.crashes = slices.Insert(s.crashes, index, c)
-}
-
 // announce reports an answer to other hosts.
-func (l *Ledger) announce(now time.Time, part uint64, startedAt time.Time) {
-	l.suspects[part].announcedAt = startedAt
-	l.outbox.Add(now, Answer{
-		Part: part,
-		Age:  now.Sub(startedAt),
-	})
+func (l *Ledger) announce(now time.Time, answer Answer) {
+	l.suspects[answer.Subject].announcedAt = now.Add(-answer.Age)
+	l.outbox.Add(now, answer)
 }
 
-// answeredAt returns when the last known answer to a prompt with the part began.
-func (l *Ledger) answeredAt(part uint64) (time.Time, bool) {
-	at, ok := l.answered[part]
-	if !ok {
-		at, ok = l.olderAnswered[part]
+// answeredAt returns when the last known answer to a request or to a prompt with the part began.
+func (l *Ledger) answeredAt(subject uint64) (time.Time, bool) {
+	if at, ok := l.answeredParts.at(subject); ok {
+		return at, true
 	}
-	if !ok {
-		return time.Time{}, false
-	}
-	return l.start.Add(at), true
+	return l.answeredRequests.at(subject)
+}
+
+// isAnsweredSince reports whether an answer is known that began after a crash.
+func (l *Ledger) isAnsweredSince(c *crash, subject uint64) bool {
+	answeredAt, ok := l.answeredAt(subject)
+	return ok && !c.at.After(answeredAt)
 }
 
-// addAnswer records an answer and removes the part from the quarantines that began before it.
-func (l *Ledger) addAnswer(now time.Time, part uint64, startedAt time.Time) {
-	if known, ok := l.answeredAt(part); ok && !startedAt.After(known) {
+// addAnswer records an answer and removes its subject from the quarantines that began before it.
+func (l *Ledger) addAnswer(now time.Time, answer Answer) {
+	startedAt := now.Add(-answer.Age)
+	if known, ok := l.answeredAt(answer.Subject); ok && !startedAt.After(known) {
 		return
 	}
-	if len(l.answered) >= maxAnswered {
-		l.olderAnswered = l.answered
-		l.answered = make(map[uint64]time.Duration)
-	}
-	if l.start.IsZero() {
-		l.start = now
+	if answer.IsRequest {
+		l.answeredRequests.record(now, answer.Subject, startedAt)
+	} else {
+		l.answeredParts.record(now, answer.Subject, startedAt)
 	}
-	l.answered[part] = startedAt.Sub(l.start)
 	for _, r := range l.rules {
-		if slices.Contains(r.parts, part) && startedAt.After(r.since) {
-			l.clearPart(now, r, part)
+		switch {
+		case !startedAt.After(r.since):
+		case r.request != 0 && r.request == answer.Subject:
+			l.clearRequest(now, r)
+		case slices.Contains(r.parts, answer.Subject):
+			l.clearPart(now, r, answer.Subject)
 		}
 	}
-	l.rules = slices.DeleteFunc(l.rules, func(r *rule) bool { return len(r.parts) == 0 })
+	l.rules = slices.DeleteFunc(l.rules, func(r *rule) bool { return r.request == 0 && len(r.parts) == 0 })
 }
 
 // clearPart removes a part that was answered from a rule.
@@ -432,33 +385,52 @@
 // adopt takes over a quarantine that another host reports.
 func (l *Ledger) adopt(now time.Time, reported Quarantine) {
 	since := now.Add(-reported.Age)
+	request := reported.Request
+	if request != 0 && l.refutes(now, since, request, true) {
+		return
+	}
 	parts := make([]uint64, 0, len(reported.Parts))
 	for _, part := range reported.Parts {
-		answeredAt, isProven := l.answeredAt(part)
-		if !isProven || !answeredAt.After(since) {
+		if !l.refutes(now, since, part, false) {
 			parts = append(parts, part)
-			continue
 		}
-		// The reporting host does not know the answer yet.
-		l.suspect(now, part)
-		l.announce(now, part, answeredAt)
 	}
 	until := now.Add(reported.Left)
-	if len(parts) == 0 || reported.Left < minAdoptedTerm {
+	if request == 0 && len(parts) == 0 || reported.Left < minAdoptedTerm {
 		return
 	}
-	if known := l.ruleFor(parts); known != nil {
+	if known := l.ruleFor(request, parts); known != nil {
 		if !now.Before(known.until) {
 			l.impose(now, known, until, 0)
 		}
 		return
 	}
-	l.addRule(now, parts, since, until, 0)
+	l.addRule(now, rule{
+		request: request,
+		parts:   parts,
+		since:   since,
+	}, until, 0)
 }
 
-func (l *Ledger) ruleFor(parts []uint64) *rule {
+// refutes reports whether this host knows an answer to a subject that began after another host
+// quarantined it, and tells the others.
+func (l *Ledger) refutes(now, since time.Time, subject uint64, isRequest bool) bool {
+	answeredAt, ok := l.answeredAt(subject)
+	if !ok || !answeredAt.After(since) {
+		return false
+	}
+	l.suspect(now, subject, isRequest)
+	l.announce(now, Answer{
+		Subject:   subject,
+		IsRequest: isRequest,
+		Age:       now.Sub(answeredAt),
+	})
+	return true
+}
+
+func (l *Ledger) ruleFor(request uint64, parts []uint64) *rule {
 	for _, r := range l.rules {
-		if keyOf(r.parts) == keyOf(parts) {
+		if r.request == request && keyOf(r.parts) == keyOf(parts) {
 			return r
 		}
 	}
@@ -466,24 +438,21 @@
 }
 
 // addRule adds a quarantine. The one that ends first is dropped if there are too many.
-func (l *Ledger) addRule(now time.Time, parts []uint64, since, until time.Time, crashes int) {
+func (l *Ledger) addRule(now time.Time, added rule, until time.Time, crashes int) {
 	if len(l.rules) >= maxRules {
 		slices.SortStableFunc(l.rules, func(a, b *rule) int { return a.until.Compare(b.until) })
 		l.rules = slices.Delete(l.rules, 0, 1)
 	}
-	r := &rule{
-		parts: parts,
-		since: since,
-		term:  firstTerm,
-	}
-	l.rules = append(l.rules, r)
-	l.impose(now, r, until, crashes)
+	added.term = firstTerm
+	l.rules = append(l.rules, &added)
+	l.impose(now, &added, until, crashes)
 }
 
 // impose puts a rule in force.
 func (l *Ledger) impose(now time.Time, r *rule, until time.Time, crashes int) {
 	r.until = until
 	l.changes = append(l.changes, Imposed{
+		Request: r.request,
 		Parts:   r.parts,
 		Crashes: crashes,
 		For:     until.Sub(now),
@@ -491,11 +460,10 @@
 	l.outbox.Add(now, r.finding(now))
 }
 
-// renewRules puts the rules in force again that have ended and whose parts were all in a
-// call that broke.
-func (l *Ledger) renewRules(now time.Time, c *crash, parts []uint64) {
+// renewRules puts the rules in force again that have ended and are about a call that broke.
+func (l *Ledger) renewRules(now time.Time, c *crash, call brokenCall) {
 	for _, r := range l.rules {
-		if now.Before(r.until) || !c.at.After(r.until) || !containsAll(parts, r.parts) {
+		if now.Before(r.until) || !c.at.After(r.until) || !r.covers(call.request, call.parts) {
 			continue
 		}
 		r.since = c.at
@@ -512,7 +480,10 @@
 		if !ok {
 			return
 		}
-		l.addRule(now, accused.parts, now, now.Add(firstTerm), accused.crashes)
+		l.addRule(now, rule{
+			parts: accused.parts,
+			since: now,
+		}, now.Add(firstTerm), accused.crashes)
 	}
 }
 
@@ -536,7 +507,7 @@
 		if !a.isSufficient() || strongest.parts != nil && !a.isStrongerThan(strongest) {
 			continue
 		}
-		if a.parts = l.inseparableParts(now, part); l.ruleFor(a.parts) == nil {
+		if a.parts = l.inseparableParts(now, part); l.ruleFor(0, a.parts) == nil {
 			strongest = a
 		}
 	}
@@ -565,12 +536,21 @@
 	a := accusation{isInRule: l.isInRule(now, part)}
 	_, a.isProven = l.answeredAt(part)
 	var last time.Time
+	requestWeights := make(map[uint64]float64)
 	for _, c := range l.suspects[part].crashes {
 		if a.crashes > 0 && c.at.Sub(last) < separation || !l.countsAgainst(now, c, part) {
 			continue
 		}
+		weight := c.weight()
+		if request := c.onlySuspect(part); request != 0 {
+			weight = min(weight, maxRequestWeight-requestWeights[request])
+			requestWeights[request] += weight
+		}
+		if weight <= 0 {
+			continue
+		}
 		last = c.at
-		a.weight += c.weight()
+		a.weight += weight
 		a.crashes++
 	}
 	return a
@@ -606,7 +586,7 @@
 
 // countsAgainst reports whether a crash is evidence against a part.
 func (l *Ledger) countsAgainst(now time.Time, c *crash, part uint64) bool {
-	if answeredAt, ok := l.answeredAt(part); ok && !c.at.After(answeredAt) {
+	if l.isAnsweredSince(c, part) {
 		return false
 	}
 	return slices.ContainsFunc(c.calls, func(call brokenCall) bool { return c.isSuspect(call, part) }) &&
@@ -616,8 +596,7 @@
 // isExplained reports whether a quarantined prompt was at the endpoint when it crashed.
 func (l *Ledger) isExplained(now time.Time, c *crash) bool {
 	return slices.ContainsFunc(l.rules, func(r *rule) bool {
-		return now.Before(r.until) &&
-			slices.ContainsFunc(c.calls, func(call brokenCall) bool { return containsAll(call.parts, r.parts) })
+		return now.Before(r.until) && r.request == 0 && r.isAnyCovered(c)
 	})
 }
 
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -49,11 +49,11 @@
 
 func (h *harness) answer(parts ...uint64) []quarantine.Change {
 	h.now = h.now.Add(100 * time.Millisecond)
-	return h.ledger.RecordAnswer(h.now, h.now.Add(-50*time.Millisecond), parts)
+	return h.ledger.RecordAnswer(h.now, h.now.Add(-50*time.Millisecond), 0, parts)
 }
 
 func (h *harness) isHeld(parts ...uint64) bool {
-	_, held := h.ledger.Held(h.now, parts)
+	_, held := h.ledger.Held(h.now, 0, parts)
 	return held
 }
 
@@ -278,13 +278,13 @@
 	h := newHarness()
 	h.crash(1, []uint64{deadly})
 	h.crash(2, []uint64{deadly})
-	first, _ := h.ledger.Held(h.now, []uint64{deadly})
+	first, _ := h.ledger.Held(h.now, 0, []uint64{deadly})
 	h.now = h.now.Add(first)
 	if h.isHeld(deadly) {
 		t.Fatal("held after its term")
 	}
 	h.crash(3, []uint64{deadly})
-	if second, _ := h.ledger.Held(h.now, []uint64{deadly}); second != 2*first {
+	if second, _ := h.ledger.Held(h.now, 0, []uint64{deadly}); second != 2*first {
 		t.Errorf("held for %v, want %v", second, 2*first)
 	}
 }
@@ -325,7 +325,7 @@
 			for range rapid.IntRange(1, 6).Draw(t, "answers") {
 				h := hosts[rapid.IntRange(0, len(hosts)-1).Draw(t, "answering host")]
 				now = now.Add(50 * time.Millisecond)
-				h.ledger.RecordAnswer(now, now.Add(-20*time.Millisecond), []uint64{system, session + rapid.Uint64Range(0, 2).Draw(t, "session")})
+				h.ledger.RecordAnswer(now, now.Add(-20*time.Millisecond), 0, []uint64{system, session + rapid.Uint64Range(0, 2).Draw(t, "session")})
 			}
 			now = now.Add(400 * time.Millisecond)
 			for i, h := range hosts {
--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -21,9 +21,12 @@
 	ID CallID
 	// RequestID is the caller's ID for the request, used in explanations.
 	RequestID string
-	Route     *route.Route
-	Service   string
-	Team      string
+	// RequestHash is the same for all copies of a request, at all hosts. It is zero if it is
+	// unknown.
+	RequestHash uint64
+	Route       *route.Route
+	Service     string
+	Team        string
 	// Priority is the effective priority: the team's, or else the route's.
 	Priority int
 	// Deadline is when the caller gives up or the route's timeout expires.
@@ -60,7 +63,7 @@
 	sentAt     time.Time
 	started    bool
 	startedAt  time.Time
-	// isSound is set once an answer to the prompt has gone on after its beginning.
+	// isSound is set once an answer to the request has gone on after its beginning.
 	isSound bool
 	// prefillTime is the expected engine time to prefill the prompt at the chosen
 	// endpoint.
--- a/core/scheduling/command.go
+++ b/core/scheduling/command.go
@@ -105,8 +105,8 @@
 	EjectedFor time.Duration
 }
 
-// PromptsQuarantined reports a change of the prompts that are kept from the endpoints.
-type PromptsQuarantined struct {
+// QuarantineChanged reports a change of the calls that are kept from the endpoints.
+type QuarantineChanged struct {
 	Change quarantine.Change
 }
 
@@ -122,7 +122,7 @@
 }
 
 func (EndpointLimitChanged) isCommand()  {}
-func (PromptsQuarantined) isCommand()    {}
+func (QuarantineChanged) isCommand()     {}
 func (Send) isCommand()                  {}
 func (Refuse) isCommand()                {}
 func (DeliverFailure) isCommand()        {}
--- a/core/scheduling/crash.go
+++ b/core/scheduling/crash.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"net/http"
 	"time"
 
 	"cactuswell/core/quarantine"
@@ -24,30 +25,35 @@
 }
 
 // recordCrash records an attempt whose answer broke at its beginning because the endpoint
-// crashed. Other calls with the same prompt part may crash further endpoints.
+// crashed. The same request, and other calls with the same prompt part, may crash further
+// endpoints.
 func (s *Scheduler) recordCrash(c *call, e *endpoint, event AttemptEnded) {
 	broken, ok := event.Outcome.(Broken)
-	if !ok || !broken.EndpointDown || len(c.parts) == 0 {
+	if !ok || !broken.EndpointDown {
 		return
 	}
 	s.applyQuarantineChanges(s.quarantine.RecordCrash(s.now, quarantine.Crash{
 		ID:       mix(uint64(c.sends), mix(uint64(c.spec.ID), hashID(c.spec.RequestID))),
 		Endpoint: e.keyHash,
+		Request:  c.spec.RequestHash,
 		Began:    broken.JustBegun,
 		Parts:    c.parts,
+		Flight:   s.now.Sub(c.sentAt),
 	}))
 }
 
-// handleAnswerContinued records that an answer went on after its beginning, so that nothing
-// in its prompt crashes endpoints.
+// handleAnswerContinued records that an answer went on after its beginning, so that neither
+// the request nor anything in its prompt crashes endpoints.
 func (s *Scheduler) handleAnswerContinued(id CallID) {
 	if c := s.calls[id]; c != nil && c.started {
-		s.recordSoundPrompt(c)
+		s.recordSound(c, c.parts)
 	}
 }
 
-func (s *Scheduler) recordSoundPrompt(c *call) {
-	if c.isSound || len(c.parts) == 0 {
+// recordSound records an answer to a call, which shows that its request and some parts of its
+// prompt crash no endpoints.
+func (s *Scheduler) recordSound(c *call, parts []uint64) {
+	if c.isSound {
 		return
 	}
 	c.isSound = true
@@ -55,14 +61,27 @@
 	if c.started {
 		startedAt = c.startedAt
 	}
-	s.applyQuarantineChanges(s.quarantine.RecordAnswer(s.now, startedAt, c.parts))
+	s.applyQuarantineChanges(s.quarantine.RecordAnswer(s.now, startedAt, c.spec.RequestHash, parts))
+}
+
+// recordFailure records a failure response as an answer to the request. At the call's deadline,
+// endpoints respond without having run the request to its end.
+func (s *Scheduler) recordFailure(c *call, failed Failed) {
+	if failed.Status != http.StatusGatewayTimeout {
+		s.recordSound(c, nil)
+	}
+}
+
+// isHeld reports whether a call is kept from the endpoints, and for how long.
+func (s *Scheduler) isHeld(c *call) (time.Duration, bool) {
+	return s.quarantine.Held(s.now, c.spec.RequestHash, c.parts)
 }
 
 // applyQuarantineChanges reports changes of the quarantines and refuses the queued calls
 // that are quarantined now.
 func (s *Scheduler) applyQuarantineChanges(changes []quarantine.Change) {
 	for _, change := range changes {
-		s.commands = append(s.commands, PromptsQuarantined{Change: change})
+		s.commands = append(s.commands, QuarantineChanged{Change: change})
 	}
 	if len(changes) == 0 {
 		return
@@ -70,7 +89,7 @@
 	for _, p := range s.poolsInOrder {
 		kept := p.queue[:0]
 		for _, c := range p.queue {
-			if _, held := s.quarantine.Held(s.now, c.parts); held {
+			if _, held := s.isHeld(c); held {
 				c.queued = false
 				s.refuse(c, ReasonQuarantined)
 				continue
@@ -82,16 +101,16 @@
 	}
 }
 
-// refuseQuarantined refuses a call whose prompt is quarantined, and reports whether it is.
+// refuseQuarantined refuses a call that is quarantined, and reports whether it is.
 func (s *Scheduler) refuseQuarantined(c *call) bool {
-	if _, held := s.quarantine.Held(s.now, c.parts); !held {
+	if _, held := s.isHeld(c); !held {
 		return false
 	}
 	s.refuse(c, ReasonQuarantined)
 	return true
 }
 
-// TakeFindings returns what this host reports to others about prompts that crash endpoints.
+// TakeFindings returns what this host reports to others about calls that crash endpoints.
 func (s *Scheduler) TakeFindings(now time.Time, complete bool) []quarantine.Finding {
 	return s.quarantine.Take(now, complete)
 }
--- a/core/scheduling/crash_test.go
+++ b/core/scheduling/crash_test.go
@@ -130,3 +130,60 @@
 		})
 	}
 }
+
+// TestQuarantinedRequestReachesNoEndpoint checks that copies of a request of a plain service that
+// crashes endpoints are refused, and which of them have not run.
+func TestQuarantinedRequestReachesNoEndpoint(t *testing.T) {
+	const crashing = 77
+	h := newHarness(t, 8)
+	first, commands := h.startRequest("lookup", crashing, nil)
+	h.requireSend(commands)
+	h.requireSend(h.crash(first))
+	h.requireRefuse(h.crash(first))
+	second, commands := h.startRequest("lookup", crashing, nil)
+	h.requireSend(commands)
+	refusal := h.requireRefuse(h.crash(second))
+	if !refusal.MayHaveRun || refusal.Reason != scheduling.ReasonQuarantined {
+		t.Errorf("the repeat is refused by %+v, want an unknown outcome", refusal)
+	}
+	_, commands = h.startRequest("lookup", crashing, nil)
+	refusal = h.requireRefuse(commands)
+	if refusal.MayHaveRun || refusal.Reason != scheduling.ReasonQuarantined || refusal.RetryAfter < time.Minute {
+		t.Errorf("a new call is refused by %+v, want one that has not run and is to stay away", refusal)
+	}
+	_, commands = h.startRequest("lookup", crashing+1, nil)
+	h.requireSend(commands)
+}
+
+// TestAnswersClearRequest checks which answers show that a request crashes no endpoint.
+func TestAnswersClearRequest(t *testing.T) {
+	for name, test := range map[string]struct {
+		outcome scheduling.Outcome
+		want    int
+	}{
+		"a complete answer":             {outcome: scheduling.Completed{}, want: 0},
+		"an error":                      {outcome: scheduling.Failed{Status: 500}, want: 0},
+		"an error at the deadline":      {outcome: scheduling.Failed{Status: 504}, want: 1},
+		"an end with the connection":    {outcome: scheduling.Completed{Unframed: true}, want: 1},
+		"an answer that it did not run": {outcome: scheduling.Declined{}, want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const request = 77
+			h := newHarness(t, 8)
+			hold := func(outcome scheduling.Outcome) {
+				id, commands := h.startRequest("hold", request, nil)
+				h.requireSend(commands)
+				h.now = h.now.Add(time.Second)
+				h.endAttempt(id, outcome)
+			}
+			crash := scheduling.Broken{EndpointDown: true}
+			hold(crash)
+			hold(crash)
+			hold(test.outcome)
+			hold(crash)
+			if got := len(h.scheduler.Quarantines(h.now)); got != test.want {
+				t.Errorf("%d quarantines, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -137,6 +137,7 @@
 	case Failed:
 		c.possibleRuns++
 		e.health.recordFailedAnswer()
+		s.recordFailure(c, outcome)
 		s.retryMayHaveRun(c, e, ReasonErrors, true)
 	case Broken:
 		c.possibleRuns++
@@ -170,7 +171,7 @@
 	s.removeCall(c)
 	// An unframed answer that ends after one event may have been broken off.
 	if !isUnframed {
-		s.recordSoundPrompt(c)
+		s.recordSound(c, c.parts)
 	}
 	if c.pool.engine == nil {
 		answerTime := s.now.Sub(c.sentAt).Seconds()
@@ -320,7 +321,7 @@
 // retryDenialReason returns why a call that may have run is not retried, or an
 // empty reason.
 func (s *Scheduler) retryDenialReason(c *call) Reason {
-	_, isQuarantined := s.quarantine.Held(s.now, c.parts)
+	_, isQuarantined := s.isHeld(c)
 	switch {
 	case isQuarantined:
 		return ReasonQuarantined
@@ -361,7 +362,7 @@
 // endpoints have asked not to be sent calls for longer. A quarantined call may come back when
 // the quarantine ends.
 func (s *Scheduler) retryAfter(c *call) time.Duration {
-	if left, held := s.quarantine.Held(s.now, c.parts); held {
+	if left, held := s.isHeld(c); held {
 		return left
 	}
 	shortest := time.Duration(-1)
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -71,7 +71,7 @@
 	// peers holds the sources of load reports by name.
 	peers      map[string]peer
 	placements PlacementQueue
-	// quarantine holds the prompt parts that crash endpoints.
+	// quarantine holds the requests and the prompt parts that crash endpoints.
 	quarantine *quarantine.Ledger
 
 	now      time.Time
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -127,6 +127,12 @@
 
 // startCallWithParts starts a call whose prompt, if it has one, has the given parts.
 func (h *harness) startCallWithParts(name string, parts []scheduling.PromptPart) (scheduling.CallID, []scheduling.Command) {
+	h.t.Helper()
+	return h.startRequest(name, 0, parts)
+}
+
+// startRequest starts a call with the given hash of its request.
+func (h *harness) startRequest(name string, request uint64, parts []scheduling.PromptPart) (scheduling.CallID, []scheduling.Command) {
 	h.t.Helper()
 	h.nextID++
 	found, ok := h.table.Lookup("h", "/"+name+"/")
@@ -134,11 +140,12 @@
 		h.t.Fatalf("no route %s", name)
 	}
 	call := scheduling.Call{
-		ID:       h.nextID,
-		Route:    found,
-		Service:  found.PickService(0),
-		Priority: found.Priority,
-		Deadline: h.now.Add(10 * time.Second),
+		ID:          h.nextID,
+		RequestHash: request,
+		Route:       found,
+		Service:     found.PickService(0),
+		Priority:    found.Priority,
+		Deadline:    h.now.Add(10 * time.Second),
 	}
 	if found.Kind == route.Stream {
 		call.Prompt = parts
--- a/core/scheduling/snapshot.go
+++ b/core/scheduling/snapshot.go
@@ -13,16 +13,17 @@
 	// Hosts is the number of hosts that share the retry budget, including this one.
 	Hosts    int               `json:"hosts"`
 	Services []ServiceSnapshot `json:"services"`
-	// Quarantines lists the prompts that are kept from the endpoints.
+	// Quarantines lists the requests and prompts that are kept from the endpoints.
 	Quarantines []QuarantineSnapshot `json:"quarantines"`
 }
 
-// QuarantineSnapshot describes the prompts that are kept from the endpoints: those that hold
-// all the parts, of which the hashes are given. Times are in seconds.
+// QuarantineSnapshot describes what is kept from the endpoints: a request, or the prompts that
+// hold all the parts. Their hashes are given. Times are in seconds.
 type QuarantineSnapshot struct {
-	Parts []string `json:"parts"`
-	AgeS  float64  `json:"ageS"`
-	LeftS float64  `json:"leftS"`
+	RequestHash string   `json:"requestHash,omitempty"`
+	Parts       []string `json:"parts"`
+	AgeS        float64  `json:"ageS"`
+	LeftS       float64  `json:"leftS"`
 }
 
 // ServiceSnapshot is the state of a service.
@@ -106,11 +107,15 @@
 		snapshot.Services = append(snapshot.Services, service)
 	}
 	for _, q := range s.quarantine.Quarantines(now) {
-		snapshot.Quarantines = append(snapshot.Quarantines, QuarantineSnapshot{
+		held := QuarantineSnapshot{
 			Parts: quarantine.FormatParts(q.Parts),
 			AgeS:  q.Age.Seconds(),
 			LeftS: q.Left.Seconds(),
-		})
+		}
+		if q.Request != 0 {
+			held.RequestHash = quarantine.FormatHash(q.Request)
+		}
+		snapshot.Quarantines = append(snapshot.Quarantines, held)
 	}
 	slices.SortFunc(snapshot.Services, func(a, b ServiceSnapshot) int { return cmp.Compare(a.Name, b.Name) })
 	return snapshot
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -62,8 +62,10 @@
 			return standin.CompleteAnswer{}
 		})
 	}
+	requests := 0
 	ask := func(host *fixture, parts string) reply {
-		request := host.request(http.MethodPost, "/draft/stream", []byte("x"))
+		requests++
+		request := host.request(http.MethodPost, "/draft/stream", []byte(strconv.Itoa(requests)))
 		request.Header.Set("Cactuswell-Prompt", parts)
 		return host.do(request)
 	}
@@ -108,3 +110,60 @@
 		}
 	}
 }
+
+// TestCrashingRequestIsRefusedByAllHosts guards against a request of a plain service that crashes
+// one endpoint after the other as it comes again, with other request IDs and to other hosts.
+func TestCrashingRequestIsRefusedByAllHosts(t *testing.T) {
+	f := newFixture(t, 4)
+	second := f.startSecondHost(f.log.NewClient())
+	for _, endpoint := range f.endpoints {
+		endpoint.SetBehaviour(func(request *http.Request) standin.Behaviour {
+			if strings.HasSuffix(request.URL.Path, "/deadly") {
+				return standin.Crash{}
+			}
+			return standin.CompleteAnswer{}
+		})
+	}
+	id := 0
+	ask := func(host *fixture, path string) reply {
+		id++
+		request := host.request(http.MethodGet, path, nil)
+		request.Header.Set("X-Request-Id", strconv.Itoa(id))
+		return host.do(request)
+	}
+	crashes := 0
+	eventually(t, "both hosts refuse the request", func() bool {
+		for _, host := range []*fixture{f, second} {
+			ask(host, "/lookup/deadly")
+		}
+		for _, endpoint := range f.endpoints {
+			if endpoint.IsDown() {
+				crashes++
+				if err := endpoint.Restart(); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		return len(f.dump().Quarantines) > 0 && len(second.dump().Quarantines) > 0
+	})
+	if crashes < 3 {
+		t.Errorf("quarantined after %d crashes", crashes)
+	}
+	for _, host := range []*fixture{f, second} {
+		host.awaitLine(`"event":"requestQuarantined"`, `"requestHash":"`)
+		runs := len(f.runs())
+		got := ask(host, "/lookup/deadly")
+		if delay, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64); got.status != http.StatusServiceUnavailable || err != nil || delay < 60 {
+			t.Errorf("the request got %d with Retry-After %q", got.status, got.header.Get("Retry-After"))
+		}
+		if len(f.runs()) != runs {
+			t.Error("the refused request reached an endpoint")
+		}
+		if got := ask(host, "/lookup/sound"); got.status != http.StatusOK {
+			t.Errorf("a sound request got %d", got.status)
+		}
+		if dump := host.dump(); len(dump.Quarantines) != 1 || dump.Quarantines[0].RequestHash == "" {
+			t.Errorf("the dump lists the quarantines %+v", dump.Quarantines)
+		}
+	}
+}
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -401,7 +401,7 @@
 			d.logHealthChange(command)
 		case scheduling.EndpointLimitChanged:
 			d.logLimit(command)
-		case scheduling.PromptsQuarantined:
+		case scheduling.QuarantineChanged:
 			d.logQuarantine(command.Change)
 		}
 	}
@@ -438,10 +438,20 @@
 	d.quarantineCount.Store(int64(len(d.scheduler.Quarantines(d.timers.Now()))))
 	switch change := change.(type) {
 	case quarantine.Imposed:
-		d.trail.Failure("promptsQuarantined").Text("promptParts", strings.Join(quarantine.FormatParts(change.Parts), ",")).
-			Int("crashes", int64(change.Crashes)).Millis("for", change.For).End()
+		var line *trail.Line
+		if change.Request != 0 {
+			line = d.trail.Failure("requestQuarantined").Text("requestHash", quarantine.FormatHash(change.Request))
+		} else {
+			line = d.trail.Failure("promptsQuarantined").Text("promptParts", strings.Join(quarantine.FormatParts(change.Parts), ","))
+		}
+		line.Int("crashes", int64(change.Crashes)).Millis("for", change.For).End()
 	case quarantine.Lifted:
-		d.trail.Notice("quarantineLifted").Text("promptParts", strings.Join(quarantine.FormatParts(change.Parts), ",")).
+		line := d.trail.Notice("quarantineLifted")
+		if change.Request != 0 {
+			line.Text("requestHash", quarantine.FormatHash(change.Request)).End()
+			return
+		}
+		line.Text("promptParts", strings.Join(quarantine.FormatParts(change.Parts), ",")).
 			Text("remaining", strings.Join(quarantine.FormatParts(change.Remaining), ",")).End()
 	}
 }
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -145,7 +145,7 @@
 		Int("status", int64(status)).Bool("notRun", t.responseInfo.NotRun).Bool("reusedConnection", reused).
 		Int("events", int64(x.stream.attemptEvents))
 	if broken, ok := outcome.(scheduling.Broken); ok {
-		line = line.Bool("endpointDown", broken.EndpointDown).Text("requestHash", formatFingerprint(x.requestHash))
+		line = line.Bool("endpointDown", broken.EndpointDown).Text("requestHash", quarantine.FormatHash(x.requestHash))
 		if parts := scheduling.SharedPartHashes(x.service, x.requestInfo.PromptParts); len(parts) > 0 {
 			line = line.Bool("justBegun", broken.JustBegun).
 				Text("promptParts", strings.Join(quarantine.FormatParts(parts[:min(len(parts), maxLoggedParts)]), ","))
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"cactuswell/core/quarantine"
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 	"cactuswell/io/tcp"
@@ -96,7 +97,7 @@
 	x.logLine("callTaken").Int("version", x.table.Version()).Text("route", x.route.Name).
 		Text("service", x.service).Text("team", x.team).Int("priority", int64(x.priority)).Int("routePriority", int64(x.route.Priority)).
 		Int("promptTokens", int64(x.requestInfo.PromptTokens)).Millis("timeLeft", x.deadline.Sub(x.arrivedAt)).
-		Text("requestHash", formatFingerprint(x.requestHash)).End()
+		Text("requestHash", quarantine.FormatHash(x.requestHash)).End()
 	x.executeCommands(commands)
 }
 
@@ -296,6 +297,7 @@
 	return scheduling.Call{
 		ID:           x.id,
 		RequestID:    x.requestInfo.RequestID,
+		RequestHash:  x.requestHash,
 		Route:        x.route,
 		Service:      x.service,
 		Team:         x.team,
--- a/io/opaque/fingerprint.go
+++ b/io/opaque/fingerprint.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"fmt"
 	"hash"
 	"io"
 	"strings"
@@ -31,6 +30,3 @@
 	binary.BigEndian.PutUint64(size[:], uint64(length))
 	_, _ = digest.Write(size[:])
 }
-
-// formatFingerprint returns a fingerprint as text, for lines.
-func formatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
--- a/io/opaque/fingerprint_test.go
+++ b/io/opaque/fingerprint_test.go
@@ -1,6 +1,7 @@
 package opaque
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"testing"
 )
@@ -42,7 +43,7 @@
 }
 
 func BenchmarkFingerprint(b *testing.B) {
-	request := httptest.NewRequest("POST", "/draft/1", nil)
+	request := httptest.NewRequest(http.MethodPost, "/draft/1", nil)
 	x := &exchange{
 		request: request,
 		team:    "team",
--- a/io/peer/extension.go
+++ b/io/peer/extension.go
@@ -15,11 +15,11 @@
 const (
 	// minExtension is the first kind; bundleMark is lower.
 	minExtension      = 2
-	extensionFindings = 2
 	extensionLimits   = 3
+	extensionFindings = 4
 )
 
-// Kinds of a finding.
+// Kinds of a finding. The kind of extension 2 held findings that did not name requests.
 const (
 	findingCrash = iota
 	findingAnswer
@@ -81,15 +81,19 @@
 			to = append(to, findingCrash)
 			to = binary.BigEndian.AppendUint64(to, finding.ID)
 			to = binary.BigEndian.AppendUint64(to, finding.Endpoint)
+			to = binary.BigEndian.AppendUint64(to, finding.Request)
 			to = appendBool(to, finding.Began)
 			to = appendParts(to, finding.Parts)
+			to = appendMillis(to, finding.Flight)
 			to = appendMillis(to, finding.Age)
 		case quarantine.Answer:
 			to = append(to, findingAnswer)
-			to = binary.BigEndian.AppendUint64(to, finding.Part)
+			to = binary.BigEndian.AppendUint64(to, finding.Subject)
+			to = appendBool(to, finding.IsRequest)
 			to = appendMillis(to, finding.Age)
 		case quarantine.Quarantine:
 			to = append(to, findingQuarantine)
+			to = binary.BigEndian.AppendUint64(to, finding.Request)
 			to = appendParts(to, finding.Parts)
 			to = appendMillis(to, finding.Age)
 			to = appendMillis(to, finding.Left)
@@ -169,20 +173,24 @@
 			findings = append(findings, quarantine.Crash{
 				ID:       d.uint64(),
 				Endpoint: d.uint64(),
+				Request:  d.uint64(),
 				Began:    d.byte() != 0,
 				Parts:    d.parts(),
+				Flight:   d.millis(),
 				Age:      d.millis(),
 			})
 		case findingAnswer:
 			findings = append(findings, quarantine.Answer{
-				Part: d.uint64(),
-				Age:  d.millis(),
+				Subject:   d.uint64(),
+				IsRequest: d.byte() != 0,
+				Age:       d.millis(),
 			})
 		case findingQuarantine:
 			findings = append(findings, quarantine.Quarantine{
-				Parts: d.parts(),
-				Age:   d.millis(),
-				Left:  d.millis(),
+				Request: d.uint64(),
+				Parts:   d.parts(),
+				Age:     d.millis(),
+				Left:    d.millis(),
 			})
 		default:
 			d.failed = true
--- a/io/peer/message_test.go
+++ b/io/peer/message_test.go
@@ -102,20 +102,24 @@
 		return quarantine.Crash{
 			ID:       rapid.Uint64().Draw(t, "attempt"),
 			Endpoint: rapid.Uint64().Draw(t, "endpoint"),
+			Request:  rapid.Uint64().Draw(t, "request"),
+			Flight:   drawDuration("flight"),
 			Began:    rapid.Bool().Draw(t, "began"),
 			Parts:    drawParts.Draw(t, "parts"),
 			Age:      drawDuration("age"),
 		}
 	case 1:
 		return quarantine.Answer{
-			Part: rapid.Uint64().Draw(t, "part"),
-			Age:  drawDuration("age"),
+			Subject:   rapid.Uint64().Draw(t, "subject"),
+			IsRequest: rapid.Bool().Draw(t, "is request"),
+			Age:       drawDuration("age"),
 		}
 	}
 	return quarantine.Quarantine{
-		Parts: drawParts.Draw(t, "parts"),
-		Age:   drawDuration("age"),
-		Left:  drawDuration("left"),
+		Request: rapid.Uint64().Draw(t, "request"),
+		Parts:   drawParts.Draw(t, "parts"),
+		Age:     drawDuration("age"),
+		Left:    drawDuration("left"),
 	}
 }
 
@@ -123,7 +127,7 @@
 func TestUnknownExtensionIsSkipped(t *testing.T) {
 	sent := peer.Message{
 		Host:     "host-1",
-		Findings: []quarantine.Finding{quarantine.Answer{Part: 7}},
+		Findings: []quarantine.Finding{quarantine.Answer{Subject: 7}},
 	}
 	plain := (&peer.Message{Host: "host-1"}).Append(nil)
 	extensions := sent.Append(nil)[len(plain):]
--- a/simulation/host.go
+++ b/simulation/host.go
@@ -103,7 +103,7 @@
 				delete(h.calls, command.Call)
 				c.handleRefusal(command)
 			}
-		case scheduling.PromptsQuarantined:
+		case scheduling.QuarantineChanged:
 			if imposed, ok := command.Change.(quarantine.Imposed); ok && imposed.Crashes > 0 {
 				h.fleet.quarantines++
 			}
@@ -279,6 +279,7 @@
 				Route:        c.class.route,
 				Service:      c.class.route.PickService(0),
 				RequestID:    fmt.Sprint(c.id),
+				RequestHash:  c.request,
 				Priority:     f.routes.Priority(c.class.route, c.team),
 				Deadline:     c.deadline,
 				PromptTokens: c.promptTokens(),
