Keep quarantines in the store, so that a restart of all hosts keeps them

Callers saw endpoints crash again under a request that had been quarantined, after all hosts had been killed, or had drained at the same time in a rolling restart: a draining host is in no roster, and tells nobody what it knows.

A host that finds a quarantine writes those in force to a record of its own in the topic of the roster, which each host reads when it starts anyway; it is replaced when one is lifted and written again when the store has come back from a copy. Calls to the store: one for each find, none more at a start.

TestQuarantineOutlivesRestartOfAllHosts fails without the writes.

--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -106,6 +106,12 @@
 	Demands []Demand
 }
 
+// FindingsRestored carries what the fleet had found about calls that crash endpoints before this
+// host started.
+type FindingsRestored struct {
+	Findings []quarantine.Finding
+}
+
 // PeerRemoved reports that another host has been removed from the membership.
 type PeerRemoved struct {
 	Peer string
@@ -124,6 +130,7 @@
 func (ConfigurationChanged) isEvent() {}
 func (BudgetChanged) isEvent()        {}
 func (PeerReported) isEvent()         {}
+func (FindingsRestored) isEvent()     {}
 func (PeerRemoved) isEvent()          {}
 func (Tick) isEvent()                 {}
 
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -168,6 +168,8 @@
 		s.applyBudget(event)
 	case PeerReported:
 		s.handlePeerReported(event)
+	case FindingsRestored:
+		s.applyQuarantineChanges(s.quarantine.Apply(s.now, event.Findings))
 	case PeerRemoved:
 		s.handlePeerRemoved(event.Peer)
 	case Tick:
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -1,11 +1,14 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 
+	logapi "cactuswell/io/keyedlog"
 	standin "cactuswell/standin/opaque"
 )
 
@@ -111,44 +114,51 @@
 	}
 }
 
-// TestCrashingRequestIsRefusedByAllHosts guards against a request of a plain service that crashes
-// one endpoint after the other as it comes again, with other request IDs and to other hosts.
-func TestCrashingRequestIsRefusedByAllHosts(t *testing.T) {
-	f := newFixture(t, 4)
-	second := f.startSecondHost(f.log.NewClient())
-	for _, endpoint := range f.endpoints {
-		endpoint.SetBehaviour(func(request *http.Request) standin.Behaviour {
-			if strings.HasSuffix(request.URL.Path, "/deadly") {
-				return standin.Crash{}
-			}
-			return standin.CompleteAnswer{}
-		})
-	}
-	id := 0
-	ask := func(host *fixture, path string) reply {
-		id++
-		request := host.request(http.MethodGet, path, nil)
-		request.Header.Set("X-Request-Id", strconv.Itoa(id))
-		return host.do(request)
-	}
+// lookup sends a call with a request ID of its own.
+func (f *fixture) lookup(path string) reply {
+	f.lookups++
+	request := f.request(http.MethodGet, path, nil)
+	request.Header.Set("X-Request-Id", fmt.Sprintf("%s-%d", f.gateway.PeerAddress(), f.lookups))
+	return f.do(request)
+}
+
+// crashUntilRefused sends a request that crashes each endpoint until both hosts refuse it, and
+// returns the number of crashes.
+func (f *fixture) crashUntilRefused(second *fixture) int {
+	f.t.Helper()
+	f.setBehaviour(func(request *http.Request) standin.Behaviour {
+		if strings.HasSuffix(request.URL.Path, "/deadly") {
+			return standin.Crash{}
+		}
+		return standin.CompleteAnswer{}
+	})
 	crashes := 0
-	eventually(t, "both hosts refuse the request", func() bool {
+	eventually(f.t, "both hosts refuse the request", func() bool {
 		for _, host := range []*fixture{f, second} {
-			ask(host, "/lookup/deadly")
+			host.lookup("/lookup/deadly")
 		}
 		for _, endpoint := range f.endpoints {
 			if endpoint.IsDown() {
 				crashes++
 				if err := endpoint.Restart(); err != nil {
-					t.Fatal(err)
+					f.t.Fatal(err)
 				}
 			}
 		}
 		return len(f.dump().Quarantines) > 0 && len(second.dump().Quarantines) > 0
 	})
-	if crashes < 3 {
+	return crashes
+}
+
+// TestCrashingRequestIsRefusedByAllHosts guards against a request of a plain service that crashes
+// one endpoint after the other as it comes again, with other request IDs and to other hosts.
+func TestCrashingRequestIsRefusedByAllHosts(t *testing.T) {
+	f := newFixture(t, 4)
+	second := f.startSecondHost(f.log.NewClient())
+	if crashes := f.crashUntilRefused(second); crashes < 3 {
 		t.Errorf("quarantined after %d crashes", crashes)
 	}
+	ask := (*fixture).lookup
 	for _, host := range []*fixture{f, second} {
 		host.awaitLine(`"event":"requestQuarantined"`, `"requestHash":"`)
 		runs := len(f.runs())
@@ -167,3 +177,31 @@
 		}
 	}
 }
+
+// TestQuarantineOutlivesRestartOfAllHosts guards against a fleet that forgets which request
+// crashes endpoints when all hosts restart at once.
+func TestQuarantineOutlivesRestartOfAllHosts(t *testing.T) {
+	f := newFixture(t, 4)
+	second := f.startSecondHost(f.log.NewClient())
+	f.crashUntilRefused(second)
+	eventually(t, "the quarantine is in the store", func() bool {
+		listing, err := f.log.ListNewest(t.Context(), "keyed.cactuswellHosts", "")
+		return err == nil && slices.ContainsFunc(listing.Records, func(record logapi.Record) bool {
+			return strings.HasPrefix(record.Key, "quarantines/") && strings.Contains(string(record.Value), "requestHash")
+		})
+	})
+	f.stopAndWait()
+	second.stopAndWait()
+	f.start()
+	f.awaitLine(`"event":"requestQuarantined"`)
+	runs := len(f.runs())
+	if got := f.lookup("/lookup/deadly"); got.status != http.StatusServiceUnavailable {
+		t.Errorf("the request got %d", got.status)
+	}
+	if len(f.runs()) != runs {
+		t.Error("the request reached an endpoint")
+	}
+	if got := f.lookup("/lookup/sound"); got.status != http.StatusOK {
+		t.Errorf("a sound request got %d", got.status)
+	}
+}
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -50,6 +50,10 @@
 	hostCount     atomic.Int64
 	// quarantineCount is the number of quarantines at the last change of them.
 	quarantineCount atomic.Int64
+	// keepsQuarantines is set once this host keeps a record of the quarantines in the store,
+	// and quarantinesChanged signals that the record may be out of date.
+	keepsQuarantines   atomic.Bool
+	quarantinesChanged chan struct{}
 	// sendReport reports this host's load to other hosts. It is nil if the host has
 	// no mesh.
 	sendReport      func(complete bool, report loadReport)
@@ -107,6 +111,8 @@
 		events:    ring.New[any](eventCapacity),
 		settings:  settings,
 		directory: directory.New(directory.Settings{}),
+
+		quarantinesChanged: make(chan struct{}, 1),
 	}
 	d.resetScheduler()
 	d.hostCount.Store(int64(d.scheduler.Hosts()))
@@ -434,10 +440,22 @@
 		Float("perSecond", change.Limit.PerSecond).Int("sentLately", int64(change.SentLately)).Merge(change.Key.ID)
 }
 
+// signalQuarantines signals that the record of the quarantines may be out of date.
+func (d *decisionLoop) signalQuarantines() {
+	select {
+	case d.quarantinesChanged <- struct{}{}:
+	default:
+	}
+}
+
 func (d *decisionLoop) logQuarantine(change quarantine.Change) {
 	d.quarantineCount.Store(int64(len(d.scheduler.Quarantines(d.timers.Now()))))
 	switch change := change.(type) {
 	case quarantine.Imposed:
+		if change.Crashes > 0 {
+			d.keepsQuarantines.Store(true)
+			d.signalQuarantines()
+		}
 		var line *trail.Line
 		if change.Request != 0 {
 			line = d.trail.Failure("requestQuarantined").Text("requestHash", quarantine.FormatHash(change.Request))
@@ -446,6 +464,7 @@
 		}
 		line.Int("crashes", int64(change.Crashes)).Millis("for", change.For).End()
 	case quarantine.Lifted:
+		d.signalQuarantines()
 		line := d.trail.Notice("quarantineLifted")
 		if change.Request != 0 {
 			line.Text("requestHash", quarantine.FormatHash(change.Request)).End()
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -37,6 +37,7 @@
 		duties["peers"] = g.serveDuty(g.peerServer, g.peerListener)
 		duties["relay"] = newRelay(g).run
 		duties["roster"] = g.joinRoster
+		duties["quarantines"] = g.keepQuarantines
 	}
 	for name, run := range duties {
 		duty := supervisor.Duty{
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -81,6 +81,8 @@
 	wrapListener func(net.Listener) net.Listener
 	// callerWriteTimeout replaces the host's, if it is set.
 	callerWriteTimeout time.Duration
+	// lookups counts the calls of lookup.
+	lookups int
 }
 
 // testSpec returns the configuration of the tests.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -244,6 +244,7 @@
 			// Hosts that write again at once would exceed the store's rate.
 			g.waitFor(ctx, rand.N(rosterSpread))
 			entryWritten = time.Since(writtenAt) > rosterMaxLoss
+			g.decisions.signalQuarantines()
 		}
 	}
 	return nil
@@ -289,25 +290,30 @@
 	return nil
 }
 
-// readRoster adds the hosts of the roster to the mesh, and returns their number.
+// readRoster adds the hosts of the roster to the mesh, and returns their number. It takes over
+// the quarantines that hosts have saved.
 func (g *Gateway) readRoster(ctx context.Context) (int, error) {
-	hosts := 0
+	hosts, records := 0, 0
 	for after := ""; ; {
 		page, err := g.Roster.ListNewest(ctx, rosterTopic, after)
 		if err != nil {
 			return hosts, err
 		}
+		records += len(page.Records)
 		for _, record := range page.Records {
+			if g.restoreQuarantines(record) {
+				continue
+			}
+			hosts++
 			g.addRosterEntry(record)
 		}
-		hosts += len(page.Records)
 		if !page.More {
 			return hosts, nil
 		}
 		if !page.Advances(after) {
 			return hosts, &keyedlog.EndlessListingError{
 				Topic:   rosterTopic,
-				Records: hosts,
+				Records: records,
 			}
 		}
 		after = page.NextAfter
