End connections that a stand-in accepts while it crashes

A run of the gateway's tests hung for eight minutes, once, beside other work. Cause: the stand-in accepted a connection while it crashed, and kept it; Close then waited without end for a connection that nobody closed. The check of an endpoint after a break opens connections at just that moment.

--- a/standin/opaque/endpoint.go
+++ b/standin/opaque/endpoint.go
@@ -265,14 +265,26 @@
 		if err != nil {
 			return
 		}
-		e.mu.Lock()
-		e.conns[conn] = true
-		e.mu.Unlock()
-		e.goroutines.Add(1)
-		go e.serveConnection(conn)
+		if e.addConnection(listener, conn) {
+			go e.serveConnection(conn)
+		}
 	}
 }
 
+// addConnection adds a connection to those that a crash ends. It closes the connection and
+// reports false if the endpoint has crashed since the listener accepted it.
+func (e *Endpoint) addConnection(listener net.Listener, conn net.Conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isDown || e.listener != listener {
+		_ = conn.Close()
+		return false
+	}
+	e.conns[conn] = true
+	e.goroutines.Add(1)
+	return true
+}
+
 func (e *Endpoint) serveConnection(conn net.Conn) {
 	defer e.goroutines.Done()
 	defer func() {
