Name the software version of endpoints in lines, and what a stream resumes

The lines could not tell at which version of a service a stream began and went on, nor which call a caller takes up again. endpointAppeared names version, callSent endpointVersion, callTaken resumes.

No logic is changed.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -41,6 +41,8 @@
 	// Address is the IP address and port of the endpoint.
 	Address string
 	Zone    string
+	// Version is the version of the endpoint's software, or empty if it is not known.
+	Version string
 	// Slots is the number of calls that the endpoint runs concurrently.
 	Slots int
 	// Leaving is set when the endpoint accepts no new work.
--- a/core/scheduling/command.go
+++ b/core/scheduling/command.go
@@ -17,6 +17,8 @@
 	Call     CallID
 	Key      Key
 	Address  string
+	// Version is the version of the endpoint's software.
+	Version  string
 	Priority int
 	// IsRetry reports whether an earlier attempt may have run.
 	IsRetry bool
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -457,6 +457,7 @@
 		Call:     c.spec.ID,
 		Key:      e.key,
 		Address:  e.entry.Address,
+		Version:  e.entry.Version,
 		Priority: c.spec.Priority,
 		IsRetry:  isRetry,
 		Choice:   choice,
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -387,7 +387,7 @@
 
 func (d *decisionLoop) logEndpoint(event string, entry directory.Entry, reason string) {
 	d.trail.Notice(event).Text("endpoint", entry.ID).Int("born", entry.Born).Text("service", entry.Service).
-		Text("address", entry.Address).Text("zone", entry.Zone).Int("slots", int64(entry.Slots)).
+		Text("address", entry.Address).Text("zone", entry.Zone).Text("version", entry.Version).Int("slots", int64(entry.Slots)).
 		Text("reason", reason).Merge(entry.ID)
 }
 
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -118,7 +118,7 @@
 // logChoice logs the chosen endpoint and the reasons for the choice.
 func (x *exchange) logChoice(choice scheduling.Choice) {
 	line := x.logLine("callSent").Text("endpoint", x.currentSend.Key.ID).Int("born", x.currentSend.Key.Incarnation).
-		Int("attempt", int64(x.attempts)).Millis("predictedFirst", choice.TimeToFirstEvent).Millis("reading", choice.PrefillBacklog).
+		Text("endpointVersion", x.currentSend.Version).Int("attempt", int64(x.attempts)).Millis("predictedFirst", choice.TimeToFirstEvent).Millis("reading", choice.PrefillBacklog).
 		Int("cached", int64(choice.CachedTokens)).Int("fetched", int64(choice.FetchedTokens)).Text("fetchedFrom", x.currentSend.FetchFrom.ID).Int("running", int64(choice.Running)).
 		Int("ownTokens", int64(choice.OwnTokens)).Int("compared", int64(choice.ComparedEndpoints))
 	if choice.LoadAge >= 0 {
--- a/io/opaque/dialect.go
+++ b/io/opaque/dialect.go
@@ -38,6 +38,8 @@
 	// received, if HasLastEventID is set.
 	LastEventID    int64
 	HasLastEventID bool
+	// Resumes is the request ID of the call that brought the stream's first event, or empty.
+	Resumes string
 }
 
 // AttemptInfo holds what the request of one attempt carries in addition to the
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -97,7 +97,7 @@
 	x.logLine("callTaken").Int("version", x.table.Version()).Text("route", x.route.Name).
 		Text("service", x.service).Text("team", x.team).Int("priority", int64(x.priority)).Int("routePriority", int64(x.route.Priority)).
 		Int("promptTokens", int64(x.requestInfo.PromptTokens)).Millis("timeLeft", x.deadline.Sub(x.arrivedAt)).
-		Text("requestHash", quarantine.FormatHash(x.requestHash)).End()
+		Text("requestHash", quarantine.FormatHash(x.requestHash)).Text("resumes", x.requestInfo.Resumes).End()
 	x.executeCommands(commands)
 }
 
--- a/io/opaque/headers.go
+++ b/io/opaque/headers.go
@@ -32,6 +32,9 @@
 	PromptParts string
 	// LastEventID is the ID of the last event of a stream that the sender has.
 	LastEventID string
+	// Resumes is the request ID of the call that brought the first event of the stream
+	// that a call resumes.
+	Resumes string
 	// EndpointID is the ID of the only endpoint that may run the call.
 	EndpointID string
 	// Team is the caller's team.
@@ -67,6 +70,7 @@
 		Tokens:       "Cactuswell-Tokens",
 		PromptParts:  "Cactuswell-Prompt",
 		LastEventID:  "Last-Event-Id",
+		Resumes:      "Cactuswell-Resumes",
 		EndpointID:   "Cactuswell-Endpoint",
 		Team:         "Cactuswell-Team",
 		Priority:     "Cactuswell-Priority",
@@ -108,6 +112,7 @@
 	header := request.Header
 	info := RequestInfo{
 		RequestID: header.Get(h.names.RequestID),
+		Resumes:   header.Get(h.names.Resumes),
 	}
 	if info.RequestID == "" {
 		return info, &RequestError{
