--- a/simulation/crashing_test.go
+++ b/simulation/crashing_test.go
@@ -66,13 +66,7 @@
 // TestCrashingRequestIsKeptFromEndpoints guards against a request that crashes one endpoint after
 // the other, as it comes again to any host.
 func TestCrashingRequestIsKeptFromEndpoints(t *testing.T) {
-	const (
-		start = 3 * time.Second
-		// The fleet may need three crashes and this time to find the request.
-		maxCrashes  = 3
-		reaction    = 3 * time.Second
-		maxArrivals = 3
-	)
+	const start = 3 * time.Second
 	for name, test := range map[string]struct {
 		config simulation.Config
 		class  string
@@ -99,26 +93,75 @@
 				Start:    start,
 				Duration: config.Duration - start,
 			}}
-			result := simulation.Run(config)
-			if len(result.Crashes) < maxCrashes {
-				t.Fatalf("%d endpoints crashed, so the load does not test anything", len(result.Crashes))
-			}
-			late := 0
-			for _, arrival := range result.CrashingArrivals {
-				if arrival > result.Crashes[maxCrashes-1]+reaction {
-					late++
-				}
-			}
-			if late > maxArrivals {
-				t.Errorf("the request reached endpoints %d times later than %v after the third crash, want at most %d; %d crashes in all",
-					late, reaction, maxArrivals, len(result.Crashes))
+			checkCrashingRequest(t, config)
+		})
+	}
+}
+
+// TestCrashingRequestIsFoundAtAnyMoment guards against a request that is found only if it is
+// frequent, or only once other calls have shown which endpoints are sound.
+func TestCrashingRequestIsFoundAtAnyMoment(t *testing.T) {
+	type window struct {
+		start, duration time.Duration
+		share           float64
+	}
+	for name, windows := range map[string][]window{
+		"firstCalls":     {{start: 0, duration: 12 * time.Second, share: 0.3}},
+		"rareFirstCalls": {{start: 0, duration: 20 * time.Second, share: 0.03}},
+		"rare":           {{start: 5 * time.Second, duration: 25 * time.Second, share: 0.03}},
+		"mostCalls":      {{start: 9 * time.Second, duration: 4 * time.Second, share: 0.8}},
+		"comesAgain": {
+			{start: time.Second, duration: 6 * time.Second, share: 0.05},
+			{start: 14 * time.Second, duration: 6 * time.Second, share: 0.4},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			config := simulation.Kelisim()
+			for _, w := range windows {
+				config.Duration = max(config.Duration, w.start+w.duration)
+				config.CrashingRequests = append(config.CrashingRequests, simulation.CrashingRequest{
+					Class:    "caseBrief",
+					Share:    w.share,
+					Start:    w.start,
+					Duration: w.duration,
+				})
 			}
-			atLeast(t, "served share of the sound calls of the class afterwards",
-				result.Class(test.class).ServedShareBetween(start+10*time.Second, config.Duration), 0.95)
+			config.Duration = max(config.Duration, windows[0].start+11*time.Second)
+			checkCrashingRequest(t, config)
 		})
 	}
 }
 
+// checkCrashingRequest runs a fleet that gets a request which crashes endpoints, and checks that
+// it stays away from them once it has crashed three.
+func checkCrashingRequest(t *testing.T, config simulation.Config) {
+	t.Helper()
+	const (
+		// The fleet may need three crashes and this time to find the request.
+		maxCrashes  = 3
+		reaction    = 3 * time.Second
+		maxArrivals = 3
+	)
+	result := simulation.Run(config)
+	if len(result.Crashes) < maxCrashes {
+		t.Fatalf("%d endpoints crashed, so the load does not test anything", len(result.Crashes))
+	}
+	late := 0
+	for _, arrival := range result.CrashingArrivals {
+		if arrival > result.Crashes[maxCrashes-1]+reaction {
+			late++
+		}
+	}
+	if late > maxArrivals {
+		t.Errorf("the request reached endpoints %d times later than %v after the third crash, want at most %d; %d crashes in all",
+			late, reaction, maxArrivals, len(result.Crashes))
+	}
+	first := config.CrashingRequests[0]
+	atLeast(t, "served share of the sound calls of the class afterwards",
+		result.Class(first.Class).ServedShareBetween(first.Start+10*time.Second, config.Duration), 0.95)
+}
+
 // TestCrashesAloneQuarantineNothing guards against holding a prompt responsible for engines that
 // crash by themselves: all at once, one after the other, and while no prompt has been answered.
 func TestCrashesAloneQuarantineNothing(t *testing.T) {
