Let the test of line shapes wait for the base version of streams

The first check of base versions comes when the host starts, often before its configuration and its endpoints, and the next one a second later; the test ended before that check, or on a busy machine after it.

Now it waits for the line, so that its shape is checked in every run, and the golden file has it; the operations page had it already.

--- a/gateway/lines_test.go
+++ b/gateway/lines_test.go
@@ -19,6 +19,7 @@
 // which lists those that docs/OPERATIONS.md describes.
 func TestLineShapes(t *testing.T) {
 	f := newFixture(t, 2)
+	f.awaitLine(`"event":"baseVersionSet"`, `"service":"`+models+`"`)
 	f.setBehaviour(firstThen(standin.ErrorStatus{Status: 500}))
 	f.get("/lookup/x")
 	f.setBehaviour(func(*http.Request) standin.Behaviour { return standin.ClosedConnection{} })
