Keep endpoints that an older copy of the store has again aside until they write

Cause: a store that comes back from an older copy has the entry of an endpoint that is gone, and lacks its removal. Hosts kept such an entry aside for 2.2 s after they heard of the return, and then took it up: that no removal had come counted as proof that the endpoint lives. The removal may be written later (the store itself drops the entry of a silent endpoint only after three heartbeats), or be heard of later. Traced in a run at load 27 on 8 processors: store back at 30.877, host-3 hears of it at 30.882 and takes the endpoint up at 33.181, before the removal is written again (33.329); host-2 hears at 31.153, takes it up at 33.365 and hears of the removal at 33.572. With two returns the clock starts at the first for a host that hears of the second late.

Now it counts once its entry is written again (a record after the listing, or a later listing with a higher offset), or if it stays listed for two minutes, the time for which removals are remembered. An endpoint that was removed after the return is used as soon as it is listed.

TestDirectory: the case "still listed after the grace period is used again" demanded the fault; it is replaced by five cases. Without the change two of them fail: removed endpoint is not used while its removal may still be on its way: + "appeared a/1", + "removed a/1 entryLapsed" removed endpoint is not used if the second rewind is heard of late: the same

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -52,7 +52,13 @@
 	ColdFor time.Duration
 }
 
-// Change is a change of the directory: an Appeared, Updated, Leaving or Removed.
+// Listed is an entry of a complete listing, with the offset of its record.
+type Listed struct {
+	Entry  Entry
+	Offset int64
+}
+
+// Change is a change of the directory: an Appeared, Updated, Leaving, Removed or Withheld.
 type Change interface {
 	isChange()
 }
@@ -79,10 +85,17 @@
 	Reason string
 }
 
+// Withheld reports that an endpoint is not used, as an older copy of the source has the entry
+// of an incarnation that was removed before.
+type Withheld struct {
+	Entry Entry
+}
+
 func (Appeared) isChange() {}
 func (Updated) isChange()  {}
 func (Leaving) isChange()  {}
 func (Removed) isChange()  {}
+func (Withheld) isChange() {}
 
 // Reasons for changes.
 const (
@@ -111,9 +124,18 @@
 	removedAt time.Time
 }
 
+// suspect is a listed entry of an incarnation that had been removed.
+type suspect struct {
+	listed Listed
+	// predatesRewind is set if it had been removed before the last rewind, so that the
+	// listing may lack the removal.
+	predatesRewind bool
+}
+
 const (
 	// maxRemovals bounds the removed endpoints that a directory remembers, and
-	// removalMaxAge how long it does: longer than what the source can lose.
+	// removalMaxAge how long it does: longer than what the source can lose, and than a
+	// removal that it has lost can be missing.
 	maxRemovals   = 4096
 	removalMaxAge = 2 * time.Minute
 )
@@ -123,11 +145,12 @@
 	settings Settings
 	records  map[string]*record
 	// removals holds the removed endpoints by ID, and suspects the entries of a listing
-	// after a rewind that had been removed before.
+	// that had been removed before.
 	removals          map[string]removal
-	suspects          map[string]Entry
+	suspects          map[string]suspect
 	sourceUnavailable bool
 	recoveredAt       time.Time
+	rewoundAt         time.Time
 	hadOutage         bool
 }
 
@@ -140,7 +163,7 @@
 		settings: settings,
 		records:  make(map[string]*record),
 		removals: make(map[string]removal),
-		suspects: make(map[string]Entry),
+		suspects: make(map[string]suspect),
 	}
 }
 
@@ -168,21 +191,47 @@
 // Rewind records that the source has come back from an older copy of itself. Entries
 // that it lacks may be written again within the grace period. Entries that had been
 // removed before may be listed again; they count only once they are written again, or
-// are still there after the grace period.
+// if they stay listed for longer than a removal can be missing.
 func (d *Directory) Rewind(now time.Time) {
 	d.hadOutage = true
 	d.recoveredAt = now
+	d.rewoundAt = now
+	// Offsets of different copies are not comparable.
+	clear(d.suspects)
 }
 
-// ObserveListed applies an entry of a complete listing. During the grace period after a
-// rewind, an entry that had been removed before is kept aside.
-func (d *Directory) ObserveListed(now time.Time, entry Entry, changes []Change) []Change {
+// ObserveListed applies an entry of a complete listing. An entry that had been removed
+// before, and which the source may have from an older copy, is kept aside.
+func (d *Directory) ObserveListed(now time.Time, listed Listed, changes []Change) []Change {
+	entry := listed.Entry
 	removed, ok := d.removals[entry.ID]
-	if _, known := d.records[entry.ID]; !known && ok && removed.born == entry.Born && d.inGracePeriod(now) {
-		d.suspects[entry.ID] = entry
+	if _, known := d.records[entry.ID]; known || !ok || removed.born != entry.Born {
+		return d.Observe(now, entry, changes)
+	}
+	if previous, ok := d.suspects[entry.ID]; ok {
+		if listed.Offset > previous.listed.Offset {
+			return d.Observe(now, entry, changes)
+		}
 		return changes
 	}
-	return d.Observe(now, entry, changes)
+	predatesRewind := !removed.removedAt.After(d.rewoundAt)
+	if !predatesRewind && !d.inGracePeriod(now) {
+		return d.Observe(now, entry, changes)
+	}
+	d.suspects[entry.ID] = suspect{
+		listed:         listed,
+		predatesRewind: predatesRewind,
+	}
+	return append(changes, Withheld{Entry: entry})
+}
+
+// suspectUntil returns until when a suspect that is not written again is kept aside.
+func (d *Directory) suspectUntil(s suspect) time.Time {
+	until := d.recoveredAt.Add(d.settings.RecoveryGrace)
+	if lost := d.rewoundAt.Add(removalMaxAge); s.predatesRewind && lost.After(until) {
+		return lost
+	}
+	return until
 }
 
 // SetLeaving records that an incarnation of an endpoint is leaving by another source
@@ -328,11 +377,11 @@
 }
 
 // Tick removes the expired entries whose grace period is over, and takes up the entries
-// that were kept aside during it.
+// that have been kept aside for long enough.
 func (d *Directory) Tick(now time.Time, changes []Change) []Change {
-	if !d.inGracePeriod(now) {
-		for _, entry := range d.suspects {
-			changes = d.Observe(now, entry, changes)
+	for _, s := range d.suspects {
+		if !d.sourceUnavailable && !now.Before(d.suspectUntil(s)) {
+			changes = d.Observe(now, s.listed.Entry, changes)
 		}
 	}
 	for id, r := range d.records {
@@ -347,8 +396,10 @@
 // NextWake returns when Tick is next due, or false if no change is pending.
 func (d *Directory) NextWake() (time.Time, bool) {
 	var next time.Time
-	if len(d.suspects) > 0 && !d.sourceUnavailable {
-		next = d.recoveredAt.Add(d.settings.RecoveryGrace)
+	for _, s := range d.suspects {
+		if until := d.suspectUntil(s); !d.sourceUnavailable && (next.IsZero() || until.Before(next)) {
+			next = until
+		}
 	}
 	for _, r := range d.records {
 		if r.expired && !d.sourceUnavailable && (next.IsZero() || r.removeAt.Before(next)) {
@@ -361,6 +412,9 @@
 // Len returns the number of known entries.
 func (d *Directory) Len() int { return len(d.records) }
 
+// WithheldCount returns the number of listed entries that are kept aside.
+func (d *Directory) WithheldCount() int { return len(d.suspects) }
+
 // Entries returns all known entries in no particular order.
 func (d *Directory) Entries() []Entry {
 	entries := make([]Entry, 0, len(d.records))
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -40,17 +40,24 @@
 	}, nil))
 }
 
-// list applies a listing of ready endpoints of the first incarnation.
-func (h *harness) list(ids ...string) {
+// list applies a listing of ready endpoints of the first incarnation, whose entries are the
+// store's first records.
+func (h *harness) list(ids ...string) { h.listAt(0, ids...) }
+
+// listAt is like list, for entries that were written at an offset.
+func (h *harness) listAt(offset int64, ids ...string) {
 	listed := make(map[string]bool)
 	for _, id := range ids {
 		listed[id] = true
-		h.record(h.directory.ObserveListed(h.now, directory.Entry{
-			ID:      id,
-			Born:    1,
-			Service: "models",
-			Address: "10.0.0.1:80",
-			Slots:   4,
+		h.record(h.directory.ObserveListed(h.now, directory.Listed{
+			Entry: directory.Entry{
+				ID:      id,
+				Born:    1,
+				Service: "models",
+				Address: "10.0.0.1:80",
+				Slots:   4,
+			},
+			Offset: offset,
 		}, nil))
 	}
 	h.record(h.directory.Reconcile(h.now, listed, nil))
@@ -63,6 +70,8 @@
 		switch change := change.(type) {
 		case directory.Appeared:
 			h.changes = append(h.changes, fmt.Sprintf("appeared %s/%d", change.Entry.ID, change.Entry.Born))
+		case directory.Withheld:
+			h.changes = append(h.changes, fmt.Sprintf("withheld %s/%d", change.Entry.ID, change.Entry.Born))
 		case directory.Leaving:
 			h.changes = append(h.changes, fmt.Sprintf("leaving %s/%d %s", change.Entry.ID, change.Entry.Born, change.Reason))
 		case directory.Removed:
@@ -155,9 +164,9 @@
 				h.list("a")
 				h.advance(time.Second)
 				h.expire("a")
-				h.advance(time.Minute)
+				h.advance(time.Hour)
 			},
-			want: []string{"appeared a/1", "removed a/1 entryLapsed"},
+			want: []string{"appeared a/1", "removed a/1 entryLapsed", "withheld a/1"},
 		},
 		"removed endpoint is used again once it writes its entry": {
 			scenario: func(h *harness) {
@@ -168,15 +177,66 @@
 				h.advance(time.Second)
 				h.observe("a", 1, false)
 			},
-			want: []string{"appeared a/1", "removed a/1 entryLapsed", "appeared a/1"},
+			want: []string{"appeared a/1", "removed a/1 entryLapsed", "withheld a/1", "appeared a/1"},
 		},
-		"removed endpoint that is still listed after the grace period is used again": {
+		"removed endpoint is used again once a later listing shows that it was written again": {
 			scenario: func(h *harness) {
 				h.observe("a", 1, false)
 				h.expire("a")
 				h.directory.Rewind(h.now)
 				h.list("a")
-				h.advance(2300 * time.Millisecond)
+				h.advance(10 * time.Second)
+				h.listAt(0, "a")
+				h.listAt(1, "a")
+			},
+			want: []string{"appeared a/1", "removed a/1 entryLapsed", "withheld a/1", "appeared a/1"},
+		},
+		"removed endpoint is not used while its removal may still be on its way": {
+			scenario: func(h *harness) {
+				h.observe("a", 1, false)
+				h.expire("a")
+				h.directory.Rewind(h.now)
+				h.list("a")
+				h.advance(30 * time.Second)
+				h.expire("a")
+				h.advance(time.Hour)
+			},
+			want: []string{"appeared a/1", "removed a/1 entryLapsed", "withheld a/1"},
+		},
+		"removed endpoint is not used if the second rewind is heard of late": {
+			scenario: func(h *harness) {
+				h.observe("a", 1, false)
+				h.expire("a")
+				h.directory.Rewind(h.now)
+				h.list("a")
+				h.advance(10 * time.Second)
+				h.directory.Rewind(h.now)
+				h.list("a")
+				h.advance(10 * time.Second)
+				h.expire("a")
+				h.advance(time.Hour)
+			},
+			want: []string{"appeared a/1", "removed a/1 entryLapsed", "withheld a/1", "withheld a/1"},
+		},
+		"removed endpoint that stays listed for longer than a removal can be missing is used again": {
+			scenario: func(h *harness) {
+				h.observe("a", 1, false)
+				h.expire("a")
+				h.directory.Rewind(h.now)
+				h.list("a")
+				h.advance(2 * time.Minute)
+			},
+			want: []string{"appeared a/1", "removed a/1 entryLapsed", "withheld a/1", "appeared a/1"},
+		},
+		"endpoint that was removed after the rewind is used as soon as it is listed": {
+			scenario: func(h *harness) {
+				h.observe("a", 1, false)
+				h.directory.Rewind(h.now)
+				h.list("a")
+				h.advance(3 * time.Second)
+				h.expire("a")
+				h.advance(time.Second)
+				h.listAt(5, "a")
 			},
 			want: []string{"appeared a/1", "removed a/1 entryLapsed", "appeared a/1"},
 		},
@@ -186,9 +246,9 @@
 				h.expire("a")
 				h.directory.Rewind(h.now)
 				h.list("a")
-				h.advance(2300 * time.Millisecond)
+				h.advance(2 * time.Minute)
 			},
-			want: []string{"appeared a/1", "leaving a/1 endpointSaidSo", "removed a/1 entryLapsed", "appeared a/1", "leaving a/1 endpointSaidSo"},
+			want: []string{"appeared a/1", "leaving a/1 endpointSaidSo", "removed a/1 entryLapsed", "withheld a/1", "appeared a/1", "leaving a/1 endpointSaidSo"},
 		},
 		"new incarnation of a leaving endpoint is used": {
 			scenario: func(h *harness) {
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -46,6 +46,7 @@
 	commands      []scheduling.Command
 	changes       []directory.Change
 	endpointCount atomic.Int64
+	withheldCount atomic.Int64
 	waitingCount  atomic.Int64
 	hostCount     atomic.Int64
 	// quarantineCount is the number of quarantines at the last change of them.
@@ -89,7 +90,7 @@
 // store that the entries come from.
 type (
 	entriesListed struct {
-		entries []directory.Entry
+		entries []directory.Listed
 		ids     map[string]bool
 	}
 	entryObserved          struct{ entry directory.Entry }
@@ -209,6 +210,7 @@
 		}
 		d.reportToPeers()
 		d.endpointCount.Store(int64(d.directory.Len()))
+		d.withheldCount.Store(int64(d.directory.WithheldCount()))
 		d.waitingCount.Store(int64(d.scheduler.QueuedCalls()))
 		d.logBudgetShare()
 	}
@@ -390,6 +392,8 @@
 		d.logEndpoint("endpointLeaving", change.Entry, change.Reason)
 	case directory.Removed:
 		d.logEndpoint("endpointGone", change.Entry, change.Reason)
+	case directory.Withheld:
+		d.logEndpoint("endpointWithheld", change.Entry, "")
 	}
 }
 
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -159,7 +159,10 @@
 		// An entry that cannot be decoded is still there, so it has not expired.
 		listing.ids[record.Key] = true
 		if entry, ok := f.decodeEntry(record); ok {
-			listing.entries = append(listing.entries, entry)
+			listing.entries = append(listing.entries, directory.Listed{
+				Entry:  entry,
+				Offset: record.Offset,
+			})
 		}
 	}
 	f.decisions.post(listing)
