Export the metrics of the messages between hosts

Three metrics of docs/OPERATIONS.md (cactuswell_relay, peer_datagrams_total, peer_bytes_total) were on no host's page: they were registered before the mesh existed, on the condition that it does. They are read at each scrape, so the condition is now whether the host has peers at all.

TestMetrics failed before: no line cactuswell_peer_datagrams_total.

--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -29,8 +29,6 @@
 				return g.followers[topic].BehindFor().Seconds()
 			})
 		}
-	}
-	if g.mesh != nil {
 		g.meter.addGauge("cactuswell_peer_datagrams_total", func() float64 { return float64(g.mesh.SentDatagrams()) })
 		g.meter.addGauge("cactuswell_peer_bytes_total", func() float64 { return float64(g.mesh.SentBytes()) })
 		g.meter.addGauge("cactuswell_relay", func() float64 {
--- a/gateway/life_test.go
+++ b/gateway/life_test.go
@@ -134,6 +134,9 @@
 		`cactuswell_calls_total{kind="safe",priority="0",result="served",reason=""} 1`,
 		`cactuswell_configuration_version 1`,
 		`cactuswell_endpoints 2`,
+		"\ncactuswell_peer_datagrams_total ",
+		"\ncactuswell_peer_bytes_total ",
+		"\ncactuswell_relay ",
 		`cactuswell_call_seconds{kind="safe",priority="0",quantile="0.5"}`,
 	} {
 		if !strings.Contains(text, line) {
