Keep what a host reports within the bounds of its readers

Callers saw nothing at first: one request with X-Token-Counts 1000000000,50 on a route to engines made the host count as silent at another one within 4 s, so that its load is unknown there and the retry budget is divided by too few hosts.

Cause: counts and durations in a datagram are bounded at 2^30 by the decoder alone. The prefill time of such a prompt, in milliseconds, is beyond it, and the decoder refuses the whole datagram. The same held for placed tokens, demand, quiet times, running calls and what is reported on limits. The class: a range that the reader checks and the writer does not keep.

The property test of the round trip draws numbers up to 2^20 only.

All counts and durations are now encoded by two functions that bound them.

--- /dev/null
+++ b/io/peer/bounds_test.go
@@ -0,0 +1,48 @@
+package peer_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"cactuswell/core/quarantine"
+	"cactuswell/core/replica"
+	"cactuswell/core/scheduling"
+	"cactuswell/io/peer"
+)
+
+// TestMessageWithLargeNumbersIsDecoded guards against a host whose reports no other host can read, so that it counts as silent.
+func TestMessageWithLargeNumbersIsDecoded(t *testing.T) {
+	const endpoint = 7
+	for name, number := range map[string]int64{"beyond the bound": 1<<30 + 1, "largest": math.MaxInt64, "smallest": math.MinInt64} {
+		count := int(number)
+		duration := time.Duration(number)
+		if number == 1<<30+1 {
+			duration *= time.Millisecond
+		}
+		for field, sent := range map[string]peer.Message{
+			"hosts":             {Hosts: count},
+			"pending prefill":   {Loads: []scheduling.PeerLoad{{Endpoint: endpoint, PendingPrefill: duration}}},
+			"running":           {Loads: []scheduling.PeerLoad{{Endpoint: endpoint, Running: count}}},
+			"latency-sensitive": {Loads: []scheduling.PeerLoad{{Endpoint: endpoint, LatencySensitive: count}}},
+			"placed tokens":     {Placements: []scheduling.Placement{{Endpoint: endpoint, Tokens: count}}},
+			"quiet time":        {Notices: []scheduling.Notice{{Endpoint: endpoint, QuietFor: duration}}},
+			"demand":            {Demands: []scheduling.Demand{{Service: endpoint, LatencySensitive: duration, Other: duration}}},
+			"sent":              {Limits: []scheduling.LimitReport{{Endpoint: endpoint, Age: duration, Sent: count}}},
+			"call demand":       {CallDemands: []scheduling.CallDemand{{Service: endpoint, Calls: count, Hosts: count}}},
+			"quarantine":        {Findings: []quarantine.Finding{quarantine.Quarantine{Request: 1, Age: duration, Left: duration}}},
+			"position":          {Copies: []peer.Copy{{Topic: "t", End: replica.Position{Era: number, Offset: number}}}},
+		} {
+			t.Run(field+" "+name, func(t *testing.T) {
+				sent.Host = "host-1"
+				got, err := peer.Decode(sent.Append(nil))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if len(got.Limits) != len(sent.Limits) || len(got.CallDemands) != len(sent.CallDemands) || len(got.Findings) != len(sent.Findings) {
+					t.Errorf("an extension is lost: %+v", got)
+				}
+			})
+		}
+	}
+}
--- a/io/peer/extension.go
+++ b/io/peer/extension.go
@@ -122,16 +122,16 @@
 		to = append(to, flags)
 		to = binary.BigEndian.AppendUint64(to, math.Float64bits(l.Limit.PerSecond))
 		if l.Limit.IsBrittle {
-			to = binary.AppendUvarint(to, uint64(min(max(l.Limit.MaxDeclines, 0), maxUvarint)))
+			to = appendCount(to, l.Limit.MaxDeclines)
 		}
 		to = appendMillis(to, l.Age)
-		to = binary.AppendUvarint(to, uint64(max(l.Sent, 0)))
+		to = appendCount(to, l.Sent)
 	}
 	to = binary.AppendUvarint(to, uint64(len(demands)))
 	for _, demand := range demands {
 		to = binary.BigEndian.AppendUint64(to, demand.Service)
-		to = binary.AppendUvarint(to, uint64(max(demand.Calls, 0)))
-		to = binary.AppendUvarint(to, uint64(max(demand.Hosts, 0)))
+		to = appendCount(to, demand.Calls)
+		to = appendCount(to, demand.Hosts)
 	}
 	return to
 }
@@ -169,10 +169,6 @@
 	return demands
 }
 
-func appendMillis(to []byte, duration time.Duration) []byte {
-	return binary.AppendUvarint(to, uint64(min(max(duration.Milliseconds(), 0), maxUvarint)))
-}
-
 func appendParts(to []byte, parts []uint64) []byte {
 	parts = parts[:min(len(parts), maxFindingParts)]
 	to = binary.AppendUvarint(to, uint64(len(parts)))
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -20,7 +20,8 @@
 	// maxItems bounds each list in a datagram, so that a datagram with full lists
 	// stays below maxDatagram.
 	maxItems = 256
-	// maxUvarint bounds each count and duration.
+	// maxUvarint bounds each count, and each duration in milliseconds. Larger ones are encoded
+	// as the bound, and receivers refuse them.
 	maxUvarint = 1 << 30
 )
 
@@ -132,16 +133,16 @@
 	to = appendText(to, m.Host)
 	to = appendText(to, m.Address)
 	to = appendText(to, m.Zone)
-	to = binary.AppendUvarint(to, uint64(max(m.Hosts, 0)))
+	to = appendCount(to, m.Hosts)
 	to = binary.AppendVarint(to, m.Incarnation)
 	to = binary.AppendVarint(to, m.ConfigurationVersion)
 	loads := m.Loads[:min(len(m.Loads), maxItems)]
 	to = binary.AppendUvarint(to, uint64(len(loads)))
 	for _, l := range loads {
 		to = binary.BigEndian.AppendUint64(to, l.Endpoint)
-		to = binary.AppendUvarint(to, uint64(max(l.PendingPrefill.Milliseconds(), 0)))
-		to = binary.AppendUvarint(to, uint64(max(l.Running, 0)))
-		to = binary.AppendUvarint(to, uint64(max(l.LatencySensitive, 0)))
+		to = appendMillis(to, l.PendingPrefill)
+		to = appendCount(to, l.Running)
+		to = appendCount(to, l.LatencySensitive)
 		to = appendBool(to, l.Ejected)
 	}
 	placements := m.Placements[:min(len(m.Placements), maxItems)]
@@ -149,7 +150,7 @@
 	for _, p := range placements {
 		to = binary.BigEndian.AppendUint64(to, p.Endpoint)
 		to = binary.BigEndian.AppendUint64(to, p.PrefixHash)
-		to = binary.AppendUvarint(to, uint64(max(p.Tokens, 0)))
+		to = appendCount(to, p.Tokens)
 	}
 	// Earlier releases ignore what follows the placements.
 	if m.LinkMbps > 0 {
@@ -190,7 +191,7 @@
 	for _, n := range notices {
 		to = binary.BigEndian.AppendUint64(to, n.Endpoint)
 		to = appendBool(to, n.Leaving)
-		to = binary.AppendUvarint(to, uint64(max(n.QuietFor.Milliseconds(), 0)))
+		to = appendMillis(to, n.QuietFor)
 	}
 	return to
 }
@@ -199,12 +200,22 @@
 	to = binary.AppendUvarint(to, uint64(len(demands)))
 	for _, demand := range demands {
 		to = binary.BigEndian.AppendUint64(to, demand.Service)
-		to = binary.AppendUvarint(to, uint64(max(demand.LatencySensitive.Milliseconds(), 0)))
-		to = binary.AppendUvarint(to, uint64(max(demand.Other.Milliseconds(), 0)))
+		to = appendMillis(to, demand.LatencySensitive)
+		to = appendMillis(to, demand.Other)
 	}
 	return to
 }
 
+// appendCount appends a count, at most maxUvarint.
+func appendCount(to []byte, count int) []byte {
+	return binary.AppendUvarint(to, uint64(min(max(count, 0), maxUvarint)))
+}
+
+// appendMillis appends a duration in milliseconds, at most maxUvarint.
+func appendMillis(to []byte, duration time.Duration) []byte {
+	return binary.AppendUvarint(to, uint64(min(max(duration.Milliseconds(), 0), maxUvarint)))
+}
+
 func appendBool(to []byte, value bool) []byte {
 	if value {
 		return append(to, 1)
