Allocate no more for a datagram than it holds

A datagram of 22 bytes made a host allocate a gigabyte: the length of an extension, up to 2^30, was the size of the slice that the decoder returned when fewer bytes were left. Anyone who reaches the port can send one, and a host has some hundred megabytes.

TestMalformedLengthAllocatesLittle failed before: bytes allocated for a datagram of 22 bytes. What is returned after a failure is never read beyond the largest field of fixed size.

--- a/io/peer/bounds_test.go
+++ b/io/peer/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"runtime"
 	"testing"
 	"time"
 
@@ -46,3 +47,18 @@
 		}
 	}
 }
+
+// TestMalformedLengthAllocatesLittle guards against a datagram of some bytes for which a host allocates a gigabyte.
+func TestMalformedLengthAllocatesLittle(t *testing.T) {
+	encoded := (&peer.Message{Host: "host-1"}).Append(nil)
+	encoded = append(encoded, 200, 0x80, 0x80, 0x80, 0x80, 0x04)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	if _, err := peer.Decode(encoded); err != nil {
+		t.Fatal(err)
+	}
+	runtime.ReadMemStats(&after)
+	if allocated := after.TotalAlloc - before.TotalAlloc; allocated > 1<<20 {
+		t.Errorf("%d bytes allocated for a datagram of %d bytes", allocated, len(encoded))
+	}
+}
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -289,6 +289,9 @@
 	return m, d.remaining, nil
 }
 
+// maxFixedBytes is the size of the largest field of fixed size.
+const maxFixedBytes = 8
+
 // decoder decodes the fields of a datagram. Once failed is set, the returned values
 // are meaningless.
 type decoder struct {
@@ -296,10 +299,12 @@
 	failed    bool
 }
 
+// next returns the next n bytes. If there are fewer, it returns as many as the fields of fixed
+// size need at most.
 func (d *decoder) next(n int) []byte {
 	if d.failed || len(d.remaining) < n {
 		d.failed = true
-		return make([]byte, n)
+		return make([]byte, maxFixedBytes)
 	}
 	bytes := d.remaining[:n]
 	d.remaining = d.remaining[n:]
