Refuse rates of other hosts that are no numbers

A datagram with a limit of infinity a second was taken, after which the host's dump fails (JSON has no infinity), and one with a link of NaN Mbit/s makes each message of its sender count as a change of the ranking, as NaN differs from itself.

TestNumbersThatAreNoRateAreRefused failed before: 'a limit of +Inf a second is taken', 'a link of NaN Mbit/s is taken'. A bad bandwidth counts as unknown, so that the rest of the message holds; a bad limit spoils its extension only.

--- a/io/peer/bounds_test.go
+++ b/io/peer/bounds_test.go
@@ -62,3 +62,30 @@
 		t.Errorf("%d bytes allocated for a datagram of %d bytes", allocated, len(encoded))
 	}
 }
+
+// TestNumbersThatAreNoRateAreRefused guards against numbers of another host that spoil each comparison and the encoding of a dump.
+func TestNumbersThatAreNoRateAreRefused(t *testing.T) {
+	for name, number := range map[string]float64{"NaN": math.NaN(), "infinite": math.Inf(1)} {
+		t.Run(name, func(t *testing.T) {
+			limits := peer.Message{
+				Host:   "host-1",
+				Limits: []scheduling.LimitReport{{Endpoint: 7, Limit: scheduling.Limit{IsNamed: true, PerSecond: number}}},
+			}
+			got, err := peer.Decode(limits.Append(nil))
+			if err == nil && len(got.Limits) > 0 {
+				t.Errorf("a limit of %v a second is taken", got.Limits[0].Limit.PerSecond)
+			}
+			link := peer.Message{
+				Host:     "host-1",
+				LinkMbps: 1,
+			}
+			encoded := link.Append(nil)
+			for i := range 8 {
+				encoded[len(encoded)-8+i] = byte(math.Float64bits(number) >> (56 - 8*i))
+			}
+			if got, err := peer.Decode(encoded); err == nil && got.LinkMbps != 0 {
+				t.Errorf("a link of %v Mbit/s is taken", got.LinkMbps)
+			}
+		})
+	}
+}
--- a/io/peer/extension.go
+++ b/io/peer/extension.go
@@ -142,16 +142,15 @@
 		l := scheduling.LimitReport{Endpoint: d.uint64()}
 		flags := d.byte()
 		l.Limit.IsNamed = flags&limitNamed != 0
-		l.Limit.PerSecond = math.Float64frombits(d.uint64())
+		perSecond, ok := d.rate()
+		l.Limit.PerSecond = perSecond
 		if flags&limitBrittle != 0 {
 			l.Limit.IsBrittle = true
 			l.Limit.MaxDeclines = int(d.boundedUvarint())
 		}
 		l.Age = d.millis()
 		l.Sent = int(d.boundedUvarint())
-		if math.IsNaN(l.Limit.PerSecond) || l.Limit.PerSecond < 0 {
-			d.failed = true
-		}
+		d.failed = d.failed || !ok
 		limits = append(limits, l)
 	}
 	return limits
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -271,7 +271,8 @@
 		})
 	}
 	if flags&flagLink != 0 {
-		m.LinkMbps = math.Float64frombits(d.uint64())
+		// A bandwidth that is no number is not known.
+		m.LinkMbps, _ = d.rate()
 	}
 	if flags&flagCopies != 0 {
 		m.Copies = d.copies()
@@ -354,6 +355,15 @@
 
 func (d *decoder) uint64() uint64 { return binary.BigEndian.Uint64(d.next(8)) }
 
+// rate decodes a number that is neither negative nor infinite. It reports false for others.
+func (d *decoder) rate() (float64, bool) {
+	value := math.Float64frombits(d.uint64())
+	if math.IsNaN(value) || math.IsInf(value, 0) || value < 0 {
+		return 0, false
+	}
+	return value, true
+}
+
 func (d *decoder) text() string { return string(d.next(int(d.byte()))) }
 
 func (d *decoder) varint() int64 {
