Take what holds of a read or a listing that has an odd record

A host stopped following the store over one record or one item of a page that cannot be decoded: the whole read or page failed, and was tried again from the same offset for ever. As the endpoints' entries are such a topic, changes of them were lost until all records were listed anew by a restart, which fails as well if the item is in the listing.

The class: one bad element fails the whole that it is part of. Ruled out: nesting. encoding/json refuses more than 10,000 levels, in 1 MB of brackets as well.

Before, on the same input, the read of records a, odd, b returned 'malformed record 41 of t: truncated record', which the follower takes for a failed call; a listing with an offset of "5" returned 'cannot unmarshal string into Go struct field'.

Records and items are now decoded one by one; what cannot be decoded is counted (cactuswell_store_records_unreadable_total, line recordsUnreadable). A read tells where it ends, so that an odd record at its end is not read again. If a length cannot be right, the records before it count, and the next read, which begins there, is replaced by a listing; if that gets no further, the host waits as after any failed read.

--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -43,6 +43,9 @@
 		Timers:          g.timers,
 		MinReadInterval: interval,
 		RecordCall:      g.recordStoreCall,
+		RecordUnreadable: func(count int) {
+			g.recordUnreadable(topic, count)
+		},
 		RecordReadFailure: func(err error) {
 			g.recordReadFailure(topic, err)
 		},
@@ -61,6 +64,12 @@
 	}
 }
 
+// recordUnreadable logs records of the store that cannot be decoded.
+func (g *Gateway) recordUnreadable(topic string, count int) {
+	g.meter.addToCounter("cactuswell_store_records_unreadable_total", int64(count))
+	g.trail.Failure("recordsUnreadable").Text("topic", topic).Int("records", int64(count)).Merge(topic)
+}
+
 // recordReadFailure logs a read of the store that failed while other hosts read it.
 func (g *Gateway) recordReadFailure(topic string, err error) {
 	event := "storeReadFailed"
--- a/io/keyedlog/keyedlog.go
+++ b/io/keyedlog/keyedlog.go
@@ -60,6 +60,8 @@
 	EndOffset int64
 	// Era is the log's era. See replica.Position.
 	Era int64
+	// Unreadable is the number of records that cannot be decoded and are left out.
+	Unreadable int
 }
 
 // Advances reports whether the page after this one differs from this one, which follows
@@ -71,6 +73,11 @@
 // Batch is the result of a read.
 type Batch struct {
 	Records []Record
+	// Unreadable is the number of records that cannot be decoded and are left out, and End the
+	// offset after the last record of the read, whether it can be decoded or not. End is zero
+	// if it follows from Records.
+	Unreadable int
+	End        int64
 	// Era is the log's era. Records of a later era than the reader's do not continue
 	// what it has read before.
 	Era int64
@@ -99,6 +106,18 @@
 	return fmt.Sprintf("records of topic %s from offset %d on are not available", e.Topic, e.From)
 }
 
+// MalformedError is the error for a read whose result cannot be divided into records.
+type MalformedError struct {
+	Topic  string
+	From   int64
+	Reason string
+}
+
+// Error names the topic, the offset and the reason.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("malformed read of topic %s from offset %d on: %s", e.Topic, e.From, e.Reason)
+}
+
 // EndlessListingError is the error for a listing whose pages do not end.
 type EndlessListingError struct {
 	Topic string
@@ -175,6 +194,9 @@
 	// RecordCall is called after each call to the log, with its duration and its
 	// error.
 	RecordCall func(took time.Duration, err error)
+	// RecordUnreadable is called with the number of records of a read or of a page of a listing
+	// that cannot be decoded, if there are any.
+	RecordUnreadable func(count int)
 	// RecordReadFailure is called when a read of the log fails while other hosts read it,
 	// which is no outage. The error is an *AbandonedPollError if the read was abandoned.
 	RecordReadFailure func(err error)
@@ -356,18 +378,41 @@
 	if errors.As(err, &expired) || err == nil && batch.Era > end.Era {
 		return f.list(ctx)
 	}
+	var malformed *MalformedError
+	if errors.As(err, &malformed) {
+		return f.listPast(ctx, end, err)
+	}
 	if err != nil {
 		return replica.Changes{}, err
 	}
+	f.recordUnreadable(batch.Unreadable)
 	if len(batch.Records) > 0 {
 		end.Offset = batch.Records[len(batch.Records)-1].Offset + 1
 	}
+	end.Offset = max(end.Offset, batch.End)
 	return replica.Changes{
 		End:     end,
 		Records: batch.Records,
 	}, nil
 }
 
+// listPast lists the topic, to get past a malformed read from the end of the copy. It returns
+// the read's error if the listing does not get past it.
+func (f *Follower) listPast(ctx context.Context, end replica.Position, readErr error) (replica.Changes, error) {
+	changes, err := f.list(ctx)
+	if err != nil || !changes.End.After(end) {
+		return replica.Changes{}, readErr
+	}
+	f.RecordReadFailure(readErr)
+	return changes, nil
+}
+
+func (f *Follower) recordUnreadable(count int) {
+	if count > 0 {
+		f.RecordUnreadable(count)
+	}
+}
+
 // apply applies changes to the copy and passes them to the listener.
 func (f *Follower) apply(changes replica.Changes) {
 	f.mu.Lock()
@@ -447,6 +492,7 @@
 	startedAt := time.Now()
 	page, err := f.Log.ListNewest(ctx, f.Topic, after)
 	f.RecordCall(time.Since(startedAt), err)
+	f.recordUnreadable(page.Unreadable)
 	return page, err
 }
 
