Let an incarnation from the future yield to the endpoint's own entry

An entry of another writer with the id of an endpoint and a start that lies far in the future made all hosts ignore the endpoint's own entries, as those of an earlier incarnation, also after the odd entry was deleted: the endpoint was lost until it started again, or for ever.

Incarnations are ordered by their start, so that a late write of the one before does not replace the newer one. That order has no meaning for a start that has not been yet: such an incarnation now yields to whatever comes later. The endpoint writes with each heartbeat, so the odd entry holds for one of them. Refusing such entries instead would cost a host whose clock is behind all endpoints that have started lately.

A start in the past that is later than the endpoint's own still replaces it: it can't be told from a new incarnation.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -22,6 +22,9 @@
 // the delay of reading.
 const DefaultRecoveryGrace = 2200 * time.Millisecond
 
+// maxClockSkew is how far an endpoint's clock may run ahead of the host's.
+const maxClockSkew = 10 * time.Second
+
 // Settings configures a directory.
 type Settings struct {
 	// RecoveryGrace is how long an expired entry is kept after the source has
@@ -200,13 +203,14 @@
 }
 
 // Observe applies an endpoint's current entry. Entries of earlier incarnations
-// are ignored. An incarnation that was leaving when it was removed is still leaving.
+// are ignored, except that an incarnation that starts in the future yields to any later entry.
+// An incarnation that was leaving when it was removed is still leaving.
 func (d *Directory) Observe(now time.Time, entry Entry, changes []Change) []Change {
 	delete(d.suspects, entry.ID)
 	existing, ok := d.records[entry.ID]
 	if !ok {
 		if removed, ok := d.removals[entry.ID]; ok {
-			if entry.Born < removed.born {
+			if precedes(now, entry.Born, removed.born) {
 				return changes
 			}
 			entry.Leaving = entry.Leaving || removed.leaving && entry.Born == removed.born
@@ -226,10 +230,10 @@
 		}
 		return changes
 	}
-	if entry.Born < existing.entry.Born {
+	if precedes(now, entry.Born, existing.entry.Born) {
 		return changes
 	}
-	if entry.Born > existing.entry.Born || entry.Address != existing.entry.Address || entry.Service != existing.entry.Service {
+	if entry.Born != existing.entry.Born || entry.Address != existing.entry.Address || entry.Service != existing.entry.Service {
 		changes = append(changes, Removed{
 			Entry:  existing.entry,
 			Reason: ReasonReplaced,
@@ -256,6 +260,12 @@
 	return changes
 }
 
+// precedes reports whether an incarnation that started at born is an earlier one than the known
+// incarnation. Nothing precedes one that starts in the future: it is not the endpoint's own.
+func precedes(now time.Time, born, known int64) bool {
+	return born < known && known <= now.Add(maxClockSkew).UnixMilli()
+}
+
 // Expire handles the expiry of an endpoint's entry at the source. The endpoint
 // is removed immediately, or after the grace period if the expiry may be due to
 // an outage of the source.
