--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -143,8 +143,9 @@
 	rewinds atomic.Int64
 	// rewound is signaled each time.
 	rewound chan struct{}
+	meter   *meter
 	// loggedUnreadable holds the IDs whose entry could not be decoded. Each is
-	// logged once.
+	// logged once, until it can be decoded again.
 	loggedUnreadable map[string]bool
 }
 
@@ -188,17 +189,23 @@
 func (f *endpointFeed) decodeEntry(record keyedlog.Record) (directory.Entry, bool) {
 	entry, err := f.decoder.Endpoint(record.Key, record.Value)
 	if err == nil {
+		delete(f.loggedUnreadable, record.Key)
 		return entry, true
 	}
+	f.meter.addToCounter("cactuswell_entries_unreadable_total", 1)
 	if !f.loggedUnreadable[record.Key] && len(f.loggedUnreadable) < maxLoggedUnreadable {
 		f.loggedUnreadable[record.Key] = true
-		f.trail.Failure("entryUnreadable").Text("endpoint", record.Key).Int("offset", record.Offset).Err(err).End()
+		f.trail.Failure("entryUnreadable").Text("endpoint", record.Key[:min(len(record.Key), maxLoggedKey)]).Int("offset", record.Offset).Err(err).End()
 	}
 	return directory.Entry{}, false
 }
 
-// maxLoggedUnreadable bounds the number of IDs whose unreadable entry is logged.
-const maxLoggedUnreadable = 1000
+const (
+	// maxLoggedUnreadable bounds the number of IDs whose unreadable entry is logged.
+	maxLoggedUnreadable = 1000
+	// maxLoggedKey bounds a key in a log line, in bytes.
+	maxLoggedKey = 255
+)
 
 // HandleRewind implements keyedlog.Listener.
 func (f *endpointFeed) HandleRewind(before, after replica.Position) {
--- a/gateway/life_test.go
+++ b/gateway/life_test.go
@@ -73,6 +73,14 @@
 	if got := f.get("/lookup/x"); got.status != http.StatusOK {
 		t.Errorf("status %d: the last valid entry is not in use", got.status)
 	}
+	if !strings.Contains(f.metrics(), "\ncactuswell_entries_unreadable_total 2\n") {
+		t.Error("the unreadable entries are not counted")
+	}
+	f.publishEndpoint("booking-0", service, f.endpoints[0].Address(), false)
+	f.log.Append(endpointTopic, "booking-0", []byte(`not an entry again`))
+	eventually(t, "an entry that becomes unreadable again is logged again", func() bool {
+		return strings.Count(f.logLines.String(), `"event":"entryUnreadable"`) == 3
+	})
 }
 
 func TestLeavingEndpointReceivesNoCalls(t *testing.T) {
