--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -20,7 +20,8 @@
 	// maxItems bounds each list in a datagram, so that a datagram with full lists
 	// stays below maxDatagram.
 	maxItems = 256
-	// maxUvarint bounds each count and duration.
+	// maxUvarint bounds each count, and each duration in milliseconds. Larger ones are encoded
+	// as the bound, and receivers refuse them.
 	maxUvarint = 1 << 30
 )
 
@@ -132,16 +133,16 @@
 	to = appendText(to, m.Host)
 	to = appendText(to, m.Address)
 	to = appendText(to, m.Zone)
-	to = binary.AppendUvarint(to, uint64(max(m.Hosts, 0)))
+	to = appendCount(to, m.Hosts)
 	to = binary.AppendVarint(to, m.Incarnation)
 	to = binary.AppendVarint(to, m.ConfigurationVersion)
 	loads := m.Loads[:min(len(m.Loads), maxItems)]
 	to = binary.AppendUvarint(to, uint64(len(loads)))
 	for _, l := range loads {
 		to = binary.BigEndian.AppendUint64(to, l.Endpoint)
-		to = binary.AppendUvarint(to, uint64(max(l.PendingPrefill.Milliseconds(), 0)))
-		to = binary.AppendUvarint(to, uint64(max(l.Running, 0)))
-		to = binary.AppendUvarint(to, uint64(max(l.LatencySensitive, 0)))
+		to = appendMillis(to, l.PendingPrefill)
+		to = appendCount(to, l.Running)
+		to = appendCount(to, l.LatencySensitive)
 		to = appendBool(to, l.Ejected)
 	}
 	placements := m.Placements[:min(len(m.Placements), maxItems)]
@@ -149,7 +150,7 @@
 	for _, p := range placements {
 		to = binary.BigEndian.AppendUint64(to, p.Endpoint)
 		to = binary.BigEndian.AppendUint64(to, p.PrefixHash)
-		to = binary.AppendUvarint(to, uint64(max(p.Tokens, 0)))
+		to = appendCount(to, p.Tokens)
 	}
 	// Earlier releases ignore what follows the placements.
 	if m.LinkMbps > 0 {
@@ -190,7 +191,7 @@
 	for _, n := range notices {
 		to = binary.BigEndian.AppendUint64(to, n.Endpoint)
 		to = appendBool(to, n.Leaving)
-		to = binary.AppendUvarint(to, uint64(max(n.QuietFor.Milliseconds(), 0)))
+		to = appendMillis(to, n.QuietFor)
 	}
 	return to
 }
@@ -199,12 +200,22 @@
 	to = binary.AppendUvarint(to, uint64(len(demands)))
 	for _, demand := range demands {
 		to = binary.BigEndian.AppendUint64(to, demand.Service)
-		to = binary.AppendUvarint(to, uint64(max(demand.LatencySensitive.Milliseconds(), 0)))
-		to = binary.AppendUvarint(to, uint64(max(demand.Other.Milliseconds(), 0)))
+		to = appendMillis(to, demand.LatencySensitive)
+		to = appendMillis(to, demand.Other)
 	}
 	return to
 }
 
+// appendCount appends a count, at most maxUvarint.
+func appendCount(to []byte, count int) []byte {
+	return binary.AppendUvarint(to, uint64(min(max(count, 0), maxUvarint)))
+}
+
+// appendMillis appends a duration in milliseconds, at most maxUvarint.
+func appendMillis(to []byte, duration time.Duration) []byte {
+	return binary.AppendUvarint(to, uint64(min(max(duration.Milliseconds(), 0), maxUvarint)))
+}
+
 func appendBool(to []byte, value bool) []byte {
 	if value {
 		return append(to, 1)
@@ -260,7 +271,8 @@
 		})
 	}
 	if flags&flagLink != 0 {
-		m.LinkMbps = math.Float64frombits(d.uint64())
+		// A bandwidth that is no number is not known.
+		m.LinkMbps, _ = d.rate()
 	}
 	if flags&flagCopies != 0 {
 		m.Copies = d.copies()
@@ -278,6 +290,9 @@
 	return m, d.remaining, nil
 }
 
+// maxFixedBytes is the size of the largest field of fixed size.
+const maxFixedBytes = 8
+
 // decoder decodes the fields of a datagram. Once failed is set, the returned values
 // are meaningless.
 type decoder struct {
@@ -285,10 +300,12 @@
 	failed    bool
 }
 
+// next returns the next n bytes. If there are fewer, it returns as many as the fields of fixed
+// size need at most.
 func (d *decoder) next(n int) []byte {
 	if d.failed || len(d.remaining) < n {
 		d.failed = true
-		return make([]byte, n)
+		return make([]byte, maxFixedBytes)
 	}
 	bytes := d.remaining[:n]
 	d.remaining = d.remaining[n:]
@@ -338,6 +355,15 @@
 
 func (d *decoder) uint64() uint64 { return binary.BigEndian.Uint64(d.next(8)) }
 
+// rate decodes a number that is neither negative nor infinite. It reports false for others.
+func (d *decoder) rate() (float64, bool) {
+	value := math.Float64frombits(d.uint64())
+	if math.IsNaN(value) || math.IsInf(value, 0) || value < 0 {
+		return 0, false
+	}
+	return value, true
+}
+
 func (d *decoder) text() string { return string(d.next(int(d.byte()))) }
 
 func (d *decoder) varint() int64 {
