Carry each request ID once on a connection to an endpoint

Cause: a declined call may go back to the endpoint that declined it, over the same kept connection. The ID of a response names the call, not the attempt, so the repeated refusal passed for the response to the second attempt. The same for 429, 408, 400, 421, for a 500 that is tried again, and for two calls of a caller that gives both one ID. Ruled out by reading: bytes left in a buffer (such a connection is neither kept nor taken), and connections opened by checks (no earlier request).

The pool now passes over idle connections that have carried the request's ID, so a late response to an earlier attempt never arrives where the next attempt waits: on the other connection it names another request, and is skipped. IDs are kept as hashes of 4 bytes; a connection is closed after 1,000 requests. If two idle connections have carried an ID, a new one replaces the older: a caller that uses one ID for all calls keeps two connections open, not sixteen.

Callers in the tests of the gateway now give each request an ID of its own, as the protocol says: repeated IDs would open a connection for each call.

--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -15,6 +15,7 @@
 	g.meter.addGauge("cactuswell_endpoint_connections", func() float64 { return float64(g.pool.OpenCount()) })
 	g.meter.addGauge("cactuswell_endpoint_dials_total", func() float64 { return float64(g.pool.DialCount()) })
 	g.meter.addGauge("cactuswell_endpoint_reuses_total", func() float64 { return float64(g.pool.ReuseCount()) })
+	g.meter.addGauge("cactuswell_endpoint_passed_over_total", func() float64 { return float64(g.pool.PassedOverCount()) })
 	g.meter.addGauge("cactuswell_endpoint_unsolicited_total", func() float64 { return float64(g.pool.UnsolicitedCount()) })
 	g.meter.addGauge("cactuswell_endpoint_dials_through_total", func() float64 { return float64(g.pool.ThroughCount()) })
 	g.meter.addGauge("cactuswell_paths_lost", func() float64 { return float64(g.pool.LostPathCount()) })
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -85,6 +85,8 @@
 	link *link
 	// lookups counts the calls of lookup.
 	lookups int
+	// requests counts the requests to each path.
+	requests requestCounter
 }
 
 // testSpec returns the configuration of the tests.
@@ -343,6 +345,27 @@
 	closesConnection bool
 }
 
+// requestCounter counts requests by their path. It is safe for concurrent use.
+type requestCounter struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+// nextID returns the ID of the next request to a path, which no other request has.
+func (c *requestCounter) nextID(path string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts == nil {
+		c.counts = make(map[string]int)
+	}
+	c.counts[path]++
+	id := "request-" + strings.ReplaceAll(path, "/", "-")
+	if c.counts[path] > 1 {
+		id += fmt.Sprintf("-%d", c.counts[path])
+	}
+	return id
+}
+
 // request returns a caller's request. Paths that end in "stream" get the headers of
 // a call to an engine.
 func (f *fixture) request(method, path string, body []byte) *http.Request {
@@ -356,7 +379,7 @@
 		f.t.Fatal(err)
 	}
 	request.Host = "firm.example"
-	request.Header.Set("X-Request-Id", "request-"+strings.ReplaceAll(path, "/", "-"))
+	request.Header.Set("X-Request-Id", f.requests.nextID(path))
 	request.Header.Set("Authorization", "Bearer secret")
 	request.Header.Set("Cactuswell-Time-Left-Ms", "4000")
 	if strings.HasSuffix(path, "stream") {
--- /dev/null
+++ b/gateway/repeat_test.go
@@ -0,0 +1,152 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	standin "cactuswell/standin/opaque"
+)
+
+// byAttempt returns the given behaviour for the first call with a request ID, and next for the
+// others.
+func byAttempt(first, next standin.Behaviour) func(*http.Request) standin.Behaviour {
+	var mu sync.Mutex
+	seen := make(map[string]bool)
+	return func(request *http.Request) standin.Behaviour {
+		mu.Lock()
+		defer mu.Unlock()
+		id := request.Header.Get("X-Request-Id")
+		if !seen[id] {
+			seen[id] = true
+			return first
+		}
+		return next
+	}
+}
+
+// runsOf returns how often the call with a request ID was run.
+func (f *fixture) runsOf(id string) int {
+	count := 0
+	for _, run := range f.runs() {
+		if run.ID == id {
+			count++
+		}
+	}
+	return count
+}
+
+// promises are the statuses that callers take to mean that a call has not run.
+var promises = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
+// TestRepeatedAnswerOfEarlierAttemptIsNotBelieved guards against an answer to an earlier attempt of
+// a call that passes for the answer to the next one.
+func TestRepeatedAnswerOfEarlierAttemptIsNotBelieved(t *testing.T) {
+	repeat := standin.RepeatedAnswer{}
+	slowRepeat := standin.RepeatedAnswer{IsSlow: true}
+	complete := standin.CompleteAnswer{}
+	for name, test := range map[string]struct {
+		path  string
+		first standin.Behaviour
+		next  standin.Behaviour
+	}{
+		"503 of a hold":                    {path: "/hold/%d", first: standin.Decline{}, next: repeat},
+		"503 of a hold, byte by byte":      {path: "/hold/%d", first: standin.Decline{}, next: slowRepeat},
+		"503 of a hold, before the next":   {path: "/hold/%d", first: standin.Decline{Copies: 1}, next: complete},
+		"503 of a hold, 1 ms later":        {path: "/hold/%d", first: standin.Decline{Copies: 1, Delay: time.Millisecond}, next: complete},
+		"503 of a hold, 2 copies":          {path: "/hold/%d", first: standin.Decline{Copies: 2}, next: complete},
+		"429 of a hold":                    {path: "/hold/%d", first: standin.Decline{Status: http.StatusTooManyRequests}, next: repeat},
+		"408 of a hold":                    {path: "/hold/%d", first: standin.Decline{Status: http.StatusRequestTimeout}, next: repeat},
+		"400 of a hold":                    {path: "/hold/%d", first: standin.Decline{Status: http.StatusBadRequest}, next: repeat},
+		"503 of a draft":                   {path: "/draft/%d/stream", first: standin.Decline{}, next: repeat},
+		"503 of a lookup":                  {path: "/lookup/%d", first: standin.Decline{}, next: repeat},
+		"500 of a lookup":                  {path: "/lookup/%d", first: standin.ErrorStatus{Status: http.StatusInternalServerError}, next: repeat},
+		"500 of a lookup, byte by byte":    {path: "/lookup/%d", first: standin.ErrorStatus{Status: http.StatusInternalServerError}, next: slowRepeat},
+		"503 of a summary, byte by byte":   {path: "/summary/%d/stream", first: standin.Decline{}, next: slowRepeat},
+		"503 of a summary, 1 ms later":     {path: "/summary/%d/stream", first: standin.Decline{Copies: 1, Delay: time.Millisecond}, next: complete},
+		"503 of a lookup with Retry-After": {path: "/lookup/%d", first: standin.Decline{RetryAfter: "0.01"}, next: repeat},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 1)
+			f.setBehaviour(byAttempt(test.first, test.next))
+			// As many as the retry budget allows.
+			const calls = 8
+			refusedButRan, ranTwice, notServed := 0, 0, 0
+			for i := range calls {
+				request := f.request(http.MethodPost, fmt.Sprintf(test.path, i), []byte("body"))
+				got := f.do(request)
+				runs := f.runsOf(request.Header.Get("X-Request-Id"))
+				if slices.Contains(promises, got.status) && runs > 0 {
+					refusedButRan++
+				}
+				if runs > 1 && !strings.HasPrefix(test.path, "/lookup/") {
+					ranTwice++
+				}
+				want := string(standin.AnswerBody([]byte("body")))
+				if strings.HasSuffix(test.path, "stream") {
+					want = completeStream()
+				}
+				if got.status != http.StatusOK || got.body != want {
+					notServed++
+				}
+			}
+			if refusedButRan+ranTwice+notServed > 0 {
+				t.Errorf("of %d calls %d were refused though they ran, %d ran twice, %d were not served", calls, refusedButRan, ranTwice, notServed)
+			}
+		})
+	}
+}
+
+// TestRepeatedMisdirectionIsNotBelieved guards against a 421 to an earlier attempt, after which the
+// endpoint gets no calls for a while, that passes for the answer to the next one.
+func TestRepeatedMisdirectionIsNotBelieved(t *testing.T) {
+	f := newFixture(t, 1)
+	f.setBehaviour(byAttempt(standin.Misdirection{}, standin.RepeatedAnswer{}))
+	got := f.post("/lookup/x", "body")
+	if got.status != http.StatusOK || len(f.runs()) != 1 {
+		t.Errorf("status %d, %d runs", got.status, len(f.runs()))
+	}
+}
+
+// TestRepeatedAnswerOfEarlierCallWithSameIDIsNotBelieved guards against the answer to a call that
+// passes for that to another call of which the caller has used the same ID.
+func TestRepeatedAnswerOfEarlierCallWithSameIDIsNotBelieved(t *testing.T) {
+	f := newFixture(t, 1)
+	f.setBehaviour(byAttempt(standin.CompleteAnswer{}, standin.RepeatedAnswer{}))
+	for i := range 5 {
+		body := fmt.Sprintf("body %d", i)
+		request := f.request(http.MethodPost, "/hold/x", []byte(body))
+		request.Header.Set("X-Request-Id", "the-same")
+		if got := f.do(request); got.status != http.StatusOK || got.body != string(standin.AnswerBody([]byte(body))) {
+			t.Errorf("call %d got status %d and body %q", i, got.status, got.body)
+		}
+	}
+}
+
+// TestDeclinedCallsOpenFewConnections guards against a new connection for each call that goes back to
+// the endpoint that declined it.
+func TestDeclinedCallsOpenFewConnections(t *testing.T) {
+	f := newFixture(t, 1)
+	calls := 0
+	f.setBehaviour(func(*http.Request) standin.Behaviour {
+		calls++
+		if calls%10 == 0 {
+			return standin.Decline{}
+		}
+		return standin.CompleteAnswer{}
+	})
+	for i := range 100 {
+		if got := f.get(fmt.Sprintf("/lookup/%d", i)); got.status != http.StatusOK {
+			t.Fatalf("call %d got status %d", i, got.status)
+		}
+	}
+	// One for the calls, and one for those that were declined on it.
+	if !strings.Contains(f.metrics(), "cactuswell_endpoint_dials_total 2\n") || !strings.Contains(f.metrics(), "cactuswell_endpoint_passed_over_total 11\n") {
+		t.Errorf("the metrics are:\n%s", f.metrics())
+	}
+}
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -140,13 +140,13 @@
 	if t.response != nil {
 		status = t.response.StatusCode
 	}
-	reused, host := false, ""
+	reused, host, passedOver := false, "", 0
 	if t.conn != nil {
-		reused, host = t.conn.Reused(), t.conn.Host()
+		reused, host, passedOver = t.conn.Reused(), t.conn.Host(), t.conn.PassedOver()
 	}
 	line := x.server.Trail.Failure("attemptEnded").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
 		Int("attempt", int64(x.attempts)).Text("outcome", fmt.Sprintf("%T", outcome)[len("scheduling."):]).
-		Int("status", int64(status)).Bool("notRun", t.responseInfo.NotRun).Bool("reusedConnection", reused).Text("throughHost", host).
+		Int("status", int64(status)).Bool("notRun", t.responseInfo.NotRun).Bool("reusedConnection", reused).Int("passedOverConnections", int64(passedOver)).Text("throughHost", host).
 		Int("events", int64(x.stream.attemptEvents))
 	if broken, ok := outcome.(scheduling.Broken); ok {
 		line = line.Bool("endpointDown", broken.EndpointDown).Text("requestHash", quarantine.FormatHash(x.requestHash))
@@ -173,7 +173,7 @@
 	if x.route.Retryable() {
 		maxIdle = maxIdleRetryable
 	}
-	conn, err := x.server.Pool.Get(ctx, x.endpoint(), maxIdle)
+	conn, err := x.server.Pool.Get(ctx, x.endpoint(), maxIdle, x.requestInfo.RequestID)
 	if err != nil {
 		t.err = err
 		if x.request.Context().Err() != nil {
@@ -303,8 +303,9 @@
 	}
 }
 
-// isOwnResponse reports whether a response belongs to the call. A response without
-// a request ID is accepted only on a connection that carried no earlier request.
+// isOwnResponse reports whether a response belongs to the attempt: the connection has carried no
+// other attempt with the call's ID. A response without a request ID is accepted only on a
+// connection that carried no earlier request.
 func (t *attempt) isOwnResponse(response *http.Response) bool {
 	info := t.exchange.server.Dialect.ParseResponse(response)
 	if info.RequestID != t.exchange.requestInfo.RequestID && (info.RequestID != "" || t.conn.Reused()) {
--- a/io/opaque/attempt_test.go
+++ b/io/opaque/attempt_test.go
@@ -28,8 +28,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			pool := upstream.New(upstream.Dependencies{})
-			getConn := func() *upstream.Conn {
-				conn, err := pool.Get(t.Context(), detour.Endpoint{Address: listener.Addr().String()}, time.Minute)
+			getConn := func(id string) *upstream.Conn {
+				conn, err := pool.Get(t.Context(), detour.Endpoint{Address: listener.Addr().String()}, time.Minute, id)
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -45,14 +45,14 @@
 				exchange: &exchange{request: request},
 				response: &http.Response{StatusCode: http.StatusOK},
 			}
-			a.bindConn(getConn())
+			a.bindConn(getConn("first"))
 			if name == "canceled" {
 				cancel()
 			}
 			if _, ok := a.releaseConn(scheduling.Completed{}).(scheduling.Completed); !ok {
 				t.Error("the answer does not count as complete")
 			}
-			next := getConn()
+			next := getConn("next")
 			defer next.Discard()
 			if next.Reused() != wantReused {
 				t.Errorf("the next call reuses the connection: %v", next.Reused())
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -52,9 +52,13 @@
 	head   *headLimiter
 	reader *bufio.Reader
 	// reused is set once the connection has carried a request and its response.
-	reused    bool
-	idleSince time.Time
-	idleUntil time.Time
+	reused bool
+	// requestIDs holds the hashes of the IDs of all requests that the connection was taken for.
+	requestIDs []uint32
+	// passedOver is the number of idle connections that had carried the request's ID.
+	passedOver int
+	idleSince  time.Time
+	idleUntil  time.Time
 	// bodyWritten receives the result of writing the body if it is written
 	// concurrently.
 	bodyWritten chan error
@@ -64,6 +68,10 @@
 // Reused reports whether the connection carried a request before.
 func (c *Conn) Reused() bool { return c.reused }
 
+// PassedOver returns the number of idle connections that were not used instead, as they had carried
+// a request with the same ID.
+func (c *Conn) PassedOver() int { return c.passedOver }
+
 // Host returns the address of the host through which the connection leads, or an empty string
 // for a direct one.
 func (c *Conn) Host() string { return c.host }
@@ -212,7 +220,7 @@
 }
 
 func (c *Conn) isReusable(response *http.Response) bool {
-	if c.unusable || response.Close || !IsFramed(response) || c.reader.Buffered() > 0 {
+	if c.unusable || response.Close || !IsFramed(response) || c.reader.Buffered() > 0 || len(c.requestIDs) >= maxRequestsPerConn {
 		return false
 	}
 	if c.bodyWritten == nil {
@@ -234,8 +242,5 @@
 	c.pool.countClosed()
 }
 
-// isUsable reports whether an idle connection can carry a request that allows an
-// idle time of maxIdle.
-func (c *Conn) isUsable(now time.Time, maxIdle time.Duration) bool {
-	return now.Before(c.idleUntil) && now.Sub(c.idleSince) <= maxIdle && tcp.IsIdle(c.conn)
-}
+// isOpen reports whether an idle connection has neither expired nor received anything.
+func (c *Conn) isOpen(now time.Time) bool { return now.Before(c.idleUntil) && tcp.IsIdle(c.conn) }
--- a/io/upstream/conn_test.go
+++ b/io/upstream/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -21,7 +22,7 @@
 	}
 	t.Cleanup(func() { _ = listener.Close() })
 	pool = upstream.New(upstream.Dependencies{})
-	if conn, err = pool.Get(context.Background(), detour.Endpoint{Address: listener.Addr().String()}, time.Minute); err != nil {
+	if conn, err = pool.Get(context.Background(), detour.Endpoint{Address: listener.Addr().String()}, time.Minute, "first"); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(conn.Abort)
@@ -29,12 +30,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = server.Close() })
-	request := &upstream.Request{
-		Method: http.MethodGet,
-		Target: "/",
-		Host:   "firm.example",
-	}
-	if err := conn.SendRequest(request, time.Now().Add(time.Minute)); err != nil {
+	if err := conn.SendRequest(getRequest(), time.Now().Add(time.Minute)); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
@@ -43,6 +39,28 @@
 	return pool, conn, server
 }
 
+func getRequest() *upstream.Request {
+	return &upstream.Request{
+		Method: http.MethodGet,
+		Target: "/",
+		Host:   "firm.example",
+	}
+}
+
+// answerAll answers all requests of a connection.
+func answerAll(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n"); err != nil {
+			return
+		}
+	}
+}
+
 // readResponse reads the header of the response to the request.
 func readResponse(t *testing.T, conn *upstream.Conn) *http.Response {
 	t.Helper()
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	pool := upstream.New(upstream.Dependencies{})
-//	conn, err := pool.Get(ctx, endpoint, maxIdle)
+//	conn, err := pool.Get(ctx, endpoint, maxIdle, requestID)
 //	if err != nil {
 //		// nothing was sent
 //	}
@@ -14,6 +14,10 @@
 //	... read response.Body to its end ...
 //	conn.Release(response)
 //
+// A response is matched to its request by the connection and the request's ID. Several attempts
+// of a call bear the same ID, so a connection carries each ID once: the late response to an
+// earlier attempt arrives on another connection than the one on which the next attempt waits.
+//
 // If the pool is given tunnels, an endpoint that cannot be reached directly is reached through
 // another host; see package detour for when.
 //
@@ -37,6 +41,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cactuswell/core/detour"
 	"cactuswell/io/tcp"
 )
@@ -61,6 +67,12 @@
 	stoppedHostMemory = 10 * time.Second
 	// maxIdlePerEndpoint is the maximum number of idle connections to an endpoint.
 	maxIdlePerEndpoint = 16
+	// maxPassedOver is the number of idle connections that have carried a request's ID beyond which
+	// a new connection replaces one of them, as endpoints limit their connections.
+	maxPassedOver = 1
+	// maxRequestsPerConn is the maximum number of requests that a connection carries. It bounds
+	// the memory of their IDs.
+	maxRequestsPerConn = 1000
 )
 
 // SendError reports a request that was not sent, or not completely.
@@ -111,6 +123,9 @@
 	reused       atomic.Int64
 	// unsolicited counts the idle connections that received bytes.
 	unsolicited atomic.Int64
+	// passedOver counts the idle connections that were not used for a request as they had
+	// carried one with its ID.
+	passedOver atomic.Int64
 }
 
 // New returns an empty pool.
@@ -131,14 +146,24 @@
 	}
 }
 
-// Get returns a connection that has been idle for at most maxIdle, or a new one.
-// If it returns an error, nothing was sent.
-func (p *Pool) Get(ctx context.Context, to detour.Endpoint, maxIdle time.Duration) (*Conn, error) {
-	if c := p.takeIdle(to, maxIdle); c != nil {
+// Get returns a connection for the request with the given ID: one that has been idle for at
+// most maxIdle and has carried no request with that ID, or a new one. If it returns an error,
+// nothing was sent.
+func (p *Pool) Get(ctx context.Context, to detour.Endpoint, maxIdle time.Duration, requestID string) (*Conn, error) {
+	hash := hashID(requestID)
+	c, passedOver := p.takeIdle(to, maxIdle, hash)
+	p.passedOver.Add(int64(passedOver))
+	if c != nil {
 		p.reused.Add(1)
-		return c, nil
+	} else {
+		var err error
+		if c, err = p.dial(ctx, to); err != nil {
+			return nil, err
+		}
 	}
-	return p.dial(ctx, to)
+	c.requestIDs = append(c.requestIDs, hash)
+	c.passedOver = passedOver
+	return c, nil
 }
 
 // Check opens a connection to the endpoint, which is kept for a later request. The error is a
@@ -215,35 +240,46 @@
 	}, nil
 }
 
-// takeIdle returns the most recently used idle connection, or nil if it has been
-// idle for longer than maxIdle. It closes connections that have expired or broken, and those
-// over a path that is not used any more.
-func (p *Pool) takeIdle(to detour.Endpoint, maxIdle time.Duration) *Conn {
+// takeIdle returns the most recently used idle connection that has carried no request with the
+// given hash of its ID, and the number of those that have. It returns nil if there is none or if
+// it has been idle for longer than maxIdle. It closes connections that have expired or broken, and
+// those over a path that is not used any more.
+func (p *Pool) takeIdle(to detour.Endpoint, maxIdle time.Duration, id uint32) (c *Conn, passedOver int) {
 	now := time.Now()
 	usesDirect := p.dialer.choosePath(to)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	address := to.Address
-	conns := p.idle[address]
-	for len(conns) > 0 {
-		c := conns[len(conns)-1]
-		isOnPath := c.isDirect() == usesDirect
-		if isOnPath && c.isUsable(now, maxIdle) {
-			p.idle[address] = conns[:len(conns)-1]
-			return c
+	conns := p.idle[to.Address]
+	defer func() { p.idle[to.Address] = conns }()
+	i := len(conns) - 1
+	for ; i >= 0; i-- {
+		c := conns[i]
+		if c.isDirect() != usesDirect || !c.isOpen(now) {
+			conns = slices.Delete(conns, i, i+1)
+			p.discardIdle(c)
+			continue
 		}
-		if isOnPath && now.Before(c.idleUntil) && tcp.IsIdle(c.conn) {
-			// The connection is open, but has been idle for longer than maxIdle. The
-			// remaining ones have been idle for even longer.
+		if now.Sub(c.idleSince) > maxIdle {
+			// The remaining ones have been idle for even longer.
 			break
 		}
-		conns = conns[:len(conns)-1]
-		p.discardIdle(c)
+		if !slices.Contains(c.requestIDs, id) {
+			conns = slices.Delete(conns, i, i+1)
+			return c, passedOver
+		}
+		passedOver++
 	}
-	p.idle[address] = conns
-	return nil
+	if passedOver > maxPassedOver {
+		p.discardIdle(conns[i+1])
+		conns = slices.Delete(conns, i+1, i+2)
+	}
+	return nil, passedOver
 }
 
+// hashID returns the hash of a request's ID. Two IDs with the same hash cost a connection and
+// nothing else.
+func hashID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
 func (p *Pool) putIdle(c *Conn, idleFor time.Duration) {
 	now := time.Now()
 	c.idleSince = now
@@ -313,6 +349,10 @@
 // bytes arrived that nobody had requested.
 func (p *Pool) UnsolicitedCount() int64 { return p.unsolicited.Load() }
 
+// PassedOverCount returns the number of idle connections that were not used for a request as they
+// had carried one with its ID.
+func (p *Pool) PassedOverCount() int64 { return p.passedOver.Load() }
+
 // OpenCount returns the number of open connections.
 func (p *Pool) OpenCount() int64 { return p.open.Load() }
 
--- a/standin/opaque/endpoint.go
+++ b/standin/opaque/endpoint.go
@@ -49,9 +49,22 @@
 // ErrorStatus runs the call and answers with the given status.
 type ErrorStatus struct{ Status int }
 
-// Decline does not run the call and answers with status 503 and the header that says
-// so. RetryAfter is the value of the answer's Retry-After header, if it is not empty.
-type Decline struct{ RetryAfter string }
+// Decline does not run the call and answers with the header that says so. Status is the
+// answer's status, if it is not 503, and RetryAfter the value of its Retry-After header, if it
+// is not empty.
+type Decline struct {
+	RetryAfter string
+	Status     int
+	// WithoutID omits the call's ID.
+	WithoutID bool
+	// Copies is the number of further copies of the answer, which are sent after Delay.
+	Copies int
+	Delay  time.Duration
+}
+
+// RepeatedAnswer runs the call, but sends the first answer of the connection once more before
+// the call's own, byte by byte if IsSlow is set.
+type RepeatedAnswer struct{ IsSlow bool }
 
 // LeavingAnswer is a complete answer with the header that says that the endpoint is
 // leaving.
@@ -150,6 +163,7 @@
 func (PaddedStream) isBehaviour()     {}
 func (ErrorStatus) isBehaviour()      {}
 func (Decline) isBehaviour()          {}
+func (RepeatedAnswer) isBehaviour()   {}
 func (LeavingAnswer) isBehaviour()    {}
 func (LimitedAnswer) isBehaviour()    {}
 func (Misdirection) isBehaviour()     {}
@@ -285,14 +299,29 @@
 	return true
 }
 
-func (e *Endpoint) serveConnection(conn net.Conn) {
+// recorder is a connection that keeps the first bytes that were written at once.
+type recorder struct {
+	net.Conn
+	first []byte
+}
+
+// Write implements net.Conn.
+func (r *recorder) Write(p []byte) (int, error) {
+	if r.first == nil {
+		r.first = bytes.Clone(p)
+	}
+	return r.Conn.Write(p)
+}
+
+func (e *Endpoint) serveConnection(accepted net.Conn) {
 	defer e.goroutines.Done()
 	defer func() {
-		_ = conn.Close()
+		_ = accepted.Close()
 		e.mu.Lock()
-		delete(e.conns, conn)
+		delete(e.conns, accepted)
 		e.mu.Unlock()
 	}()
+	conn := &recorder{Conn: accepted}
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -357,17 +386,36 @@
 func (e *Endpoint) writeNotRun(conn net.Conn, id string, behaviour Behaviour) error {
 	switch b := behaviour.(type) {
 	case Decline:
-		header := e.settings.Names.NotRun + ": 1\r\n"
-		if b.RetryAfter != "" {
-			header += "Retry-After: " + b.RetryAfter + "\r\n"
-		}
-		return e.write(conn, e.plainAnswer(http.StatusServiceUnavailable, id, header, "busy"))
+		return e.writeDecline(conn, id, b)
 	case EndlessDecline:
 		return e.writeEndless(conn, endless.Body.ResponseWithStatus("503 Service Unavailable", e.idHeader(id)+e.settings.Names.NotRun+": 1\r\n"), b.Pace)
 	}
 	return e.write(conn, e.plainAnswer(http.StatusMisdirectedRequest, id, "", "not here"))
 }
 
+// writeDecline writes the answer to a call that is declined, and its copies.
+func (e *Endpoint) writeDecline(conn net.Conn, id string, b Decline) error {
+	header := e.settings.Names.NotRun + ": 1\r\n"
+	if b.RetryAfter != "" {
+		header += "Retry-After: " + b.RetryAfter + "\r\n"
+	}
+	status := b.Status
+	if status == 0 {
+		status = http.StatusServiceUnavailable
+	}
+	answer := e.plainAnswer(status, id, header, "busy")
+	if b.WithoutID {
+		answer = bytes.Replace(answer, []byte(e.idHeader(id)), nil, 1)
+	}
+	if err := e.write(conn, answer); err != nil || b.Copies == 0 {
+		return err
+	}
+	timer := time.NewTimer(b.Delay)
+	defer timer.Stop()
+	<-timer.C
+	return e.write(conn, bytes.Repeat(answer, b.Copies))
+}
+
 // writeRun writes the answer to a call that has run.
 func (e *Endpoint) writeRun(conn net.Conn, request *http.Request, body []byte, behaviour Behaviour) error {
 	id := request.Header.Get(e.settings.Names.RequestID)
@@ -389,6 +437,8 @@
 	case LongHeader:
 		header := strings.Repeat("X-Field: "+strings.Repeat("x", 89)+"\r\n", b.Fields)
 		return e.write(conn, e.plainAnswer(http.StatusOK, id, e.markHeader()+header, string(AnswerBody(body))))
+	case RepeatedAnswer:
+		return e.writeAfterRepeat(conn, e.completeAnswer(request, body, true), b)
 	case SlowStream:
 		return e.writeSlowly(conn, e.completeAnswer(request, body, true), b.Pause)
 	case PaddedStream:
@@ -427,6 +477,20 @@
 	return e.write(conn, e.completeAnswer(request, body, true))
 }
 
+// writeAfterRepeat sends an answer after the first one of the connection.
+func (e *Endpoint) writeAfterRepeat(conn net.Conn, answer []byte, b RepeatedAnswer) error {
+	first := conn.(*recorder).first
+	if !b.IsSlow {
+		return e.write(conn, append(bytes.Clone(first), answer...))
+	}
+	for _, octet := range first {
+		if err := e.write(conn, []byte{octet}); err != nil {
+			return err
+		}
+	}
+	return e.write(conn, answer)
+}
+
 // writeTruncated sends the header and the given number of bytes of the body of an answer.
 func (e *Endpoint) writeTruncated(conn net.Conn, request *http.Request, body []byte, size int) error {
 	answer := e.completeAnswer(request, body, true)
