Run hosts as processes beside stand-ins and judge what ran

A soak runs the program as processes beside a stand-in of the store, endpoints with few slots, and callers that keep to the protocol; hosts are stopped (SIGSTOP), killed, restarted and reloaded, endpoints frozen, crashed, replaced at their address and given faults, and links held, slowed, cut and reset through a loopback proxy, one after the other and overlapping, by a schedule drawn from a seed. The judge counts the runs of each request, and refusals and resets of those that ran.

--- /dev/null
+++ b/soak/caller.go
@@ -0,0 +1,322 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	connectTimeout = time.Second
+	// maxTries is the number of requests that a caller sends for an operation.
+	maxTries = 4
+	// maxResponseBody is the maximum size of a response's body in bytes.
+	maxResponseBody = 1 << 20
+	// splitPause is the time between the two parts of a request that is sent in two.
+	splitPause = 5 * time.Millisecond
+)
+
+// operationKind is something that callers want done.
+type operationKind struct {
+	path         string
+	isRepeatable bool
+	timeLeft     time.Duration
+	weight       int
+}
+
+// operationKinds are sent with these weights.
+var operationKinds = []operationKind{
+	{path: "/hold/", timeLeft: 2500 * time.Millisecond, weight: 5},
+	{path: "/trial/", timeLeft: 600 * time.Millisecond, weight: 5},
+	{path: "/lookup/", isRepeatable: true, timeLeft: 2500 * time.Millisecond, weight: 2},
+	{path: "/draft/", timeLeft: 2500 * time.Millisecond, weight: 2},
+}
+
+// result is how an attempt ended. It is implemented only by the types below.
+type result interface {
+	isResult()
+}
+
+// answered means that there was a whole response.
+type answered struct {
+	status     int
+	retryAfter time.Duration
+}
+
+// notConnected means that nothing was sent.
+type notConnected struct{}
+
+// unread means that the connection was reset before the first byte of a response.
+type unread struct{}
+
+// broken means that the connection ended otherwise.
+type broken struct{}
+
+// abandoned means that the caller has closed the connection.
+type abandoned struct{}
+
+func (answered) isResult()     {}
+func (notConnected) isResult() {}
+func (unread) isResult()       {}
+func (broken) isResult()       {}
+func (abandoned) isResult()    {}
+
+// address is where a caller reaches a host.
+type address struct {
+	host    string
+	address string
+	// isDirect is set if no network is between, so that a reset comes from the host.
+	isDirect bool
+}
+
+// caller carries out operations, one after the other, and keeps a connection.
+type caller struct {
+	name    string
+	journal *Journal
+	// pick returns the address of a host that takes new connections.
+	pick   func(random *rand.Rand) address
+	names  headerNames
+	random *rand.Rand
+	served *atomic.Int64
+	kept   *callerConn
+	sent   int
+}
+
+// headerNames are the names of the headers that callers use.
+type headerNames struct {
+	requestID, timeLeft string
+}
+
+// callerConn is a connection of a caller to a host.
+type callerConn struct {
+	net.Conn
+	reader *bufio.Reader
+	to     address
+	count  *countingReader
+}
+
+// countingReader counts the bytes that were read.
+type countingReader struct {
+	reader io.Reader
+	n      int
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	r.n += n
+	return n, err
+}
+
+// loop carries out operations until ctx is done.
+func (c *caller) loop(ctx context.Context) {
+	defer c.drop()
+	for i := 1; ctx.Err() == nil; i++ {
+		c.operate(ctx, fmt.Sprintf("%s-%d", c.name, i))
+		c.wait(ctx, time.Duration(c.random.IntN(40))*time.Millisecond)
+	}
+}
+
+func (c *caller) wait(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (c *caller) drop() {
+	if c.kept != nil {
+		_ = c.kept.Close()
+		c.kept = nil
+	}
+}
+
+func (c *caller) drawKind() operationKind {
+	total := 0
+	for _, kind := range operationKinds {
+		total += kind.weight
+	}
+	drawn := c.random.IntN(total)
+	for _, kind := range operationKinds {
+		if drawn -= kind.weight; drawn < 0 {
+			return kind
+		}
+	}
+	return operationKinds[0]
+}
+
+// operate carries out one operation: a request and, where the protocol allows it, retries, each
+// on a new connection.
+func (c *caller) operate(ctx context.Context, operation string) {
+	kind := c.drawKind()
+	deadline := time.Now().Add(kind.timeLeft)
+	for try := 1; try <= maxTries; try++ {
+		end := c.attempt(kind, operation, deadline)
+		if a, ok := end.(answered); ok && a.status == http.StatusOK {
+			c.served.Add(1)
+		}
+		if !mayRetry(kind, end) || !time.Now().Before(deadline) {
+			return
+		}
+		c.drop()
+		if a, ok := end.(answered); ok {
+			c.wait(ctx, min(a.retryAfter, time.Until(deadline)/3))
+		}
+	}
+}
+
+// mayRetry reports whether the protocol allows a caller to send another request.
+func mayRetry(kind operationKind, end result) bool {
+	switch end := end.(type) {
+	case answered:
+		if isPromise(end.status) {
+			return true
+		}
+		return kind.isRepeatable && end.status >= http.StatusInternalServerError
+	case notConnected, unread:
+		return true
+	case broken:
+		return kind.isRepeatable
+	}
+	return false
+}
+
+// attempt sends one request and records how it ends.
+func (c *caller) attempt(kind operationKind, operation string, deadline time.Time) result {
+	conn := c.kept
+	c.kept = nil
+	if conn == nil {
+		if conn = c.connect(deadline); conn == nil {
+			return notConnected{}
+		}
+	}
+	c.sent++
+	event := Event{
+		Kind:         AttemptSent,
+		Operation:    operation,
+		Request:      fmt.Sprintf("%s-%d", operation, c.sent),
+		IsRepeatable: kind.isRepeatable,
+		Host:         conn.to.host,
+	}
+	c.journal.Record(event)
+	end, isKept, detail := c.exchange(conn, kind, event.Request, deadline)
+	if isKept {
+		c.kept = conn
+	} else {
+		_ = conn.Close()
+	}
+	event.Detail = detail
+	switch end := end.(type) {
+	case answered:
+		event.Kind = AttemptAnswered
+		event.Status = end.status
+	case unread:
+		event.Kind = AttemptUnread
+	case abandoned:
+		event.Kind = AttemptAbandoned
+	default:
+		event.Kind = AttemptBroken
+	}
+	c.journal.Record(event)
+	return end
+}
+
+func (c *caller) connect(deadline time.Time) *callerConn {
+	to := c.pick(c.random)
+	conn, err := net.DialTimeout("tcp", to.address, min(connectTimeout, time.Until(deadline)))
+	if err != nil {
+		return nil
+	}
+	count := &countingReader{reader: conn}
+	return &callerConn{
+		Conn:   conn,
+		reader: bufio.NewReader(count),
+		to:     to,
+		count:  count,
+	}
+}
+
+// exchange sends a request and reads the response. It also returns whether the connection can be
+// used again, and a text for the journal.
+func (c *caller) exchange(conn *callerConn, kind operationKind, request string, deadline time.Time) (end result, isKept bool, detail string) {
+	leavesAt := deadline
+	if c.random.IntN(20) == 0 {
+		leavesAt = time.Now().Add(time.Duration(c.random.Int64N(int64(time.Until(deadline)) + 1)))
+	}
+	_ = conn.SetDeadline(leavesAt)
+	conn.count.n = 0
+	if err := c.send(conn, kind, request, deadline); err != nil {
+		return conn.endOf(err), false, err.Error()
+	}
+	response, err := http.ReadResponse(conn.reader, &http.Request{Method: http.MethodPost})
+	if err != nil {
+		return conn.endOf(err), false, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBody)); err != nil {
+		return conn.endOf(err), false, err.Error()
+	}
+	if got := response.Header.Get(c.names.requestID); got != "" && got != request {
+		detail = "the response is for " + got
+	}
+	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	return answered{
+		status:     response.StatusCode,
+		retryAfter: time.Duration(seconds * float64(time.Second)),
+	}, !response.Close, detail
+}
+
+// endOf returns how an attempt ended that has failed with an error. A caller cannot know
+// whether a host has read what it sent. But if the host's process ends, or closes the
+// connection, the operating system resets a connection with unread bytes, and ends others in
+// order.
+func (conn *callerConn) endOf(err error) result {
+	var netErr net.Error
+	switch {
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return abandoned{}
+	case conn.to.isDirect && conn.count.n == 0 && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)):
+		return unread{}
+	}
+	return broken{}
+}
+
+// send sends a request, with a length or in chunks, in one part or two.
+func (c *caller) send(conn *callerConn, kind operationKind, request string, deadline time.Time) error {
+	path := kind.path + request
+	if kind.path == "/draft/" {
+		path += "/stream"
+	}
+	body := strings.Repeat("b", c.random.IntN(400))
+	if c.random.IntN(16) == 0 {
+		body = strings.Repeat("b", 20_000)
+	}
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", path, callerHost,
+		c.names.requestID, request, c.names.timeLeft, time.Until(deadline).Milliseconds())
+	message := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	if c.random.IntN(3) == 0 && body != "" {
+		message = fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+	}
+	first := len(message)
+	if c.random.IntN(8) == 0 {
+		first = c.random.IntN(len(message))
+	}
+	if _, err := io.WriteString(conn, message[:first]); err != nil || first == len(message) {
+		return err
+	}
+	c.wait(context.Background(), splitPause)
+	_, err := io.WriteString(conn, message[first:])
+	return err
+}
--- /dev/null
+++ b/soak/journal_test.go
@@ -0,0 +1,57 @@
+package soak_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cactuswell/soak"
+)
+
+// TestJudge checks which rules the events of one request break.
+func TestJudge(t *testing.T) {
+	sent := soak.Event{Kind: soak.AttemptSent}
+	run := soak.Event{Kind: soak.RequestRun}
+	declined := soak.Event{Kind: soak.RequestDeclined}
+	unread := soak.Event{Kind: soak.AttemptUnread}
+	answered := func(status int) soak.Event {
+		return soak.Event{
+			Kind:   soak.AttemptAnswered,
+			Status: status,
+		}
+	}
+	repeatable := soak.Event{
+		Kind:         soak.AttemptSent,
+		IsRepeatable: true,
+	}
+	for _, c := range []struct {
+		name   string
+		events []soak.Event
+		want   []soak.Rule
+	}{
+		{"served", []soak.Event{sent, declined, run, answered(200)}, nil},
+		{"refused", []soak.Event{sent, declined, answered(503)}, nil},
+		{"failed", []soak.Event{sent, run, answered(502)}, nil},
+		{"ranTwice", []soak.Event{sent, run, run, answered(200)}, []soak.Rule{soak.RanTwice}},
+		{"ranAndRefused", []soak.Event{sent, run, answered(429)}, []soak.Rule{soak.RanThoughRefused}},
+		{"ranAfterRefusal", []soak.Event{sent, answered(421), run}, []soak.Rule{soak.RanThoughRefused}},
+		{"ranTwiceAndRefused", []soak.Event{sent, run, run, answered(408)}, []soak.Rule{soak.RanTwice, soak.RanThoughRefused}},
+		{"ranThoughUnread", []soak.Event{sent, run, unread}, []soak.Rule{soak.RanThoughUnread}},
+		{"repeatable", []soak.Event{repeatable, run, run, answered(503)}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			journal := soak.NewJournal()
+			for _, event := range c.events {
+				event.Request = "request"
+				journal.Record(event)
+			}
+			var got []soak.Rule
+			for _, violation := range journal.Judge() {
+				got = append(got, violation.Rule)
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,453 @@
+// Package soak runs hosts as processes of the operating system, beside stand-ins of the store
+// and of endpoints, while callers call them and they are stopped, killed, restarted and cut
+// off, and judges whether calls that must run at most once did, and whether refusals were true.
+//
+// # Usage
+//
+//	report, err := soak.Run(ctx, soak.Settings{
+//		Seed:      1,
+//		Programs:  []string{"/usr/local/bin/cactuswell"},
+//		Hosts:     3,
+//		Endpoints: 3,
+//		Callers:   24,
+//		Duration:  10 * time.Second,
+//		Directory: directory,
+//	})
+//	for _, violation := range report.Violations {
+//		...
+//	}
+//
+// The schedule of disturbances and the callers' choices follow from the seed; what happens then
+// depends on the machine. The journal of a run therefore holds all that callers and endpoints
+// saw, and the directory the lines of the hosts.
+//
+// Callers keep to the protocol: a request that must run at most once is sent again only after
+// a status that promises that it was not run, or if the host closed the connection without having
+// read it. All that a caller can know of the latter is that the connection was reset before the first
+// byte of a response, since the operating system resets a connection that is closed with
+// unread bytes and ends others in order. Through a proxy, which may itself have reset the connection,
+// a caller knows nothing.
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"cactuswell/core/route"
+	"cactuswell/platform"
+	"cactuswell/platform/platformtest"
+	"cactuswell/standin/keyedlog"
+	"cactuswell/standin/proxy"
+	"cactuswell/standin/worker"
+)
+
+const (
+	// callerHost is the host name of all routes.
+	callerHost  = "firm.example"
+	serviceName = "booking"
+	zone        = "zone-1"
+
+	slots        = 4
+	queueLength  = 3
+	workTime     = 20 * time.Millisecond
+	streamEvents = 5
+
+	startLimit = 20 * time.Second
+	// readyInterval is the time between two checks whether a host takes new connections.
+	readyInterval = 250 * time.Millisecond
+	// calmTime is how long the callers go on after the last disturbance.
+	calmTime = 1500 * time.Millisecond
+	// settleTime is the time after the last call in which one that was given up may still run. It
+	// is longer than callers wait.
+	settleTime = 3 * time.Second
+)
+
+// StartError reports a host that does not become ready.
+type StartError struct{ Host string }
+
+// Error returns a message with the host.
+func (e *StartError) Error() string { return e.Host + " does not become ready" }
+
+// Settings describes a run.
+type Settings struct {
+	Seed uint64
+	// Programs are the paths of the hosts' programs. Host i runs the program i modulo their
+	// number.
+	Programs  []string
+	Hosts     int
+	Endpoints int
+	Callers   int
+	// Duration is the time in which disturbances begin.
+	Duration time.Duration
+	// RepeatsRefusals makes faulty endpoints send refusals once more.
+	RepeatsRefusals bool
+	// Directory takes the lines of the hosts, one file each.
+	Directory string
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Violations []Violation
+	Counts     Counts
+	Journal    *Journal
+	// ServedWhenCalm is the number of operations that were served after the last disturbance.
+	ServedWhenCalm int64
+}
+
+// fleet is a running fleet with all that is around it.
+type fleet struct {
+	settings  Settings
+	journal   *Journal
+	log       *keyedlog.Log
+	store     *httptest.Server
+	hosts     []*host
+	endpoints []*worker.Worker
+	links     map[Network][]*proxy.Proxy
+	// restarting and crashing are held while a host or an endpoint is down.
+	restarting []sync.Mutex
+	crashing   []sync.Mutex
+	// isReady tells for each host whether it takes new connections.
+	isReady      []atomic.Bool
+	served       atomic.Int64
+	endpointIDs  atomic.Int64
+	disturbances sync.WaitGroup
+	duties       sync.WaitGroup
+
+	mu      sync.Mutex
+	failure error
+}
+
+// Run runs a fleet. The error is that of a host or a stand-in that did not start, or of a host that
+// ended by itself.
+func Run(ctx context.Context, settings Settings) (*Report, error) {
+	f := &fleet{
+		settings:   settings,
+		journal:    NewJournal(),
+		log:        keyedlog.New(),
+		links:      make(map[Network][]*proxy.Proxy),
+		restarting: make([]sync.Mutex, settings.Hosts),
+		crashing:   make([]sync.Mutex, settings.Endpoints),
+		isReady:    make([]atomic.Bool, settings.Hosts),
+	}
+	defer f.close()
+	if err := f.start(ctx); err != nil {
+		return nil, err
+	}
+	servedWhenCalm := f.play(ctx)
+	return &Report{
+		Violations:     f.journal.Judge(),
+		Counts:         f.journal.Count(),
+		Journal:        f.journal,
+		ServedWhenCalm: servedWhenCalm,
+	}, f.err()
+}
+
+// start starts the stand-ins and the hosts, and waits until all hosts are ready.
+func (f *fleet) start(ctx context.Context) error {
+	f.log.Append(platform.ConfigurationTopic, platform.ConfigurationKey, configuration())
+	f.store = httptest.NewServer(platformtest.NewStore(f.log))
+	for i := range f.settings.Endpoints {
+		if err := f.startEndpoint(i); err != nil {
+			return err
+		}
+	}
+	if err := f.prepareHosts(); err != nil {
+		return err
+	}
+	for _, h := range f.hosts {
+		if err := h.start(); err != nil {
+			return err
+		}
+	}
+	return f.awaitReady(ctx)
+}
+
+func configuration() []byte {
+	var routes []platformtest.Route
+	for name, kind := range map[string]route.Kind{"hold": route.AtMostOnce, "trial": route.AtMostOnce, "lookup": route.Safe, "draft": route.Stream} {
+		routes = append(routes, platformtest.Route{
+			Name:          name,
+			Host:          callerHost,
+			PathPrefix:    "/" + name + "/",
+			Kind:          kind,
+			Service:       serviceName,
+			MaxAttempts:   2,
+			Timeout:       2500 * time.Millisecond,
+			TargetLatency: 150 * time.Millisecond,
+		})
+	}
+	return platformtest.EncodeConfiguration(1, routes)
+}
+
+func (f *fleet) nextEndpointID() string { return fmt.Sprintf("i-%d", f.endpointIDs.Add(1)) }
+
+func (f *fleet) startEndpoint(i int) error {
+	id := f.nextEndpointID()
+	w, err := worker.New(worker.Settings{
+		ID:       id,
+		Names:    platform.HeaderNames(),
+		Slots:    slots,
+		Queue:    queueLength,
+		WorkTime: workTime,
+		Events:   streamEvents,
+		Observer: f.journal,
+		Seed:     f.settings.Seed + uint64(i),
+	})
+	if err != nil {
+		return err
+	}
+	f.endpoints = append(f.endpoints, w)
+	if err := f.addLink(HostsToEndpoint, w.Address()); err != nil {
+		return err
+	}
+	f.publish(i, id)
+	return nil
+}
+
+func (f *fleet) addLink(network Network, target string) error {
+	link, err := proxy.New(target)
+	if err != nil {
+		return err
+	}
+	f.links[network] = append(f.links[network], link)
+	return nil
+}
+
+// publish writes the entry of an endpoint, which hosts reach through its link.
+func (f *fleet) publish(i int, id string) {
+	f.log.Append(platform.EndpointTopic, id, platformtest.Endpoint{
+		Service:   serviceName,
+		Address:   f.links[HostsToEndpoint][i].Address(),
+		Zone:      zone,
+		Slots:     slots,
+		StartedAt: time.Now(),
+	}.Encode())
+}
+
+// withdraw removes the entry of an endpoint.
+func (f *fleet) withdraw(id string) { f.log.Append(platform.EndpointTopic, id, nil) }
+
+// prepareHosts chooses the hosts' addresses and their links.
+func (f *fleet) prepareHosts() error {
+	for i := range f.settings.Hosts {
+		addresses, err := freeAddresses(3)
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(f.addLink(HostToStore, f.store.Listener.Addr().String()), f.addLink(CallersToHost, addresses[0])); err != nil {
+			return err
+		}
+		name := fmt.Sprintf("host-%d", i)
+		f.hosts = append(f.hosts, &host{
+			name:      name,
+			program:   f.settings.Programs[i%len(f.settings.Programs)],
+			caller:    addresses[0],
+			ready:     addresses[1],
+			peer:      addresses[2],
+			linesPath: linesPath(f.settings.Directory, name),
+		})
+	}
+	for i, h := range f.hosts {
+		h.args = []string{"gateway", "--name", h.name, "--zone", zone, "--caller-listen", h.caller, "--ready-listen", h.ready,
+			"--peer-listen", h.peer, "--store-address", f.links[HostToStore][i].Address(), "--header-names", "platform",
+			"--balancer-lag", "500ms", "--stop-timeout", "4s"}
+		for _, other := range f.hosts {
+			if other != h {
+				h.args = append(h.args, "--peer", other.peer)
+			}
+		}
+	}
+	return nil
+}
+
+// freeAddresses returns loopback addresses that are free for TCP.
+func freeAddresses(n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+func (f *fleet) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	for _, h := range f.hosts {
+		for !isReady(ctx, h) {
+			if ctx.Err() != nil {
+				return &StartError{Host: h.name}
+			}
+			f.wait(ctx, readyInterval/5)
+		}
+	}
+	return nil
+}
+
+// isReady reports whether a host answers that it takes new connections.
+func isReady(ctx context.Context, h *host) bool {
+	ctx, cancel := context.WithTimeout(ctx, readyInterval)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.ready+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// play lets callers call while the schedule is carried out, and returns the number of operations
+// that were served after its end.
+func (f *fleet) play(ctx context.Context) int64 {
+	calling, stopCalling := context.WithCancel(ctx)
+	defer stopCalling()
+	for i := range f.hosts {
+		f.duties.Add(1)
+		go f.loopReadiness(calling, i)
+	}
+	var callers sync.WaitGroup
+	for i := range f.settings.Callers {
+		c := f.newCaller(i)
+		callers.Go(func() { c.loop(calling) })
+	}
+	for _, scheduled := range NewSchedule(f.settings) {
+		f.disturbances.Add(1)
+		a := &applied{
+			fleet:     f,
+			scheduled: scheduled,
+		}
+		go a.run(ctx)
+	}
+	f.disturbances.Wait()
+	f.fail(f.awaitReady(ctx))
+	before := f.served.Load()
+	f.wait(ctx, calmTime)
+	served := f.served.Load() - before
+	stopCalling()
+	callers.Wait()
+	f.duties.Wait()
+	f.wait(ctx, settleTime)
+	return served
+}
+
+func (f *fleet) newCaller(i int) *caller {
+	names := platform.HeaderNames()
+	return &caller{
+		name:    fmt.Sprintf("c%d", i),
+		journal: f.journal,
+		pick:    f.pickHost,
+		names: headerNames{
+			requestID: names.RequestID,
+			timeLeft:  names.TimeLeft,
+		},
+		random: rand.New(rand.NewPCG(f.settings.Seed, uint64(2+i))),
+		served: &f.served,
+	}
+}
+
+// loopReadiness asks a host again and again whether it takes new connections. Two misses take it out.
+func (f *fleet) loopReadiness(ctx context.Context, i int) {
+	defer f.duties.Done()
+	misses := 0
+	for ctx.Err() == nil {
+		if isReady(ctx, f.hosts[i]) {
+			misses = 0
+		} else {
+			misses++
+		}
+		f.isReady[i].Store(misses < 2)
+		f.wait(ctx, readyInterval)
+	}
+}
+
+// pickHost draws a host that takes new connections, or any if there is none, and whether it is
+// reached directly.
+func (f *fleet) pickHost(random *rand.Rand) address {
+	var ready []int
+	for i := range f.hosts {
+		if f.isReady[i].Load() {
+			ready = append(ready, i)
+		}
+	}
+	i := random.IntN(len(f.hosts))
+	if len(ready) > 0 {
+		i = ready[random.IntN(len(ready))]
+	}
+	if random.IntN(2) == 0 {
+		return address{
+			host:    f.hosts[i].name,
+			address: f.links[CallersToHost][i].Address(),
+		}
+	}
+	return address{
+		host:     f.hosts[i].name,
+		address:  f.hosts[i].caller,
+		isDirect: true,
+	}
+}
+
+func (f *fleet) wait(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// fail keeps an error that does not end the run.
+func (f *fleet) fail(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failure = errors.Join(f.failure, err)
+}
+
+// err returns what failed during the run.
+func (f *fleet) err() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	errs := []error{f.failure}
+	for _, h := range f.hosts {
+		errs = append(errs, h.err())
+	}
+	return errors.Join(errs...)
+}
+
+// close ends all processes and stand-ins.
+func (f *fleet) close() {
+	for _, h := range f.hosts {
+		if h.process != nil {
+			h.end(syscall.SIGKILL)
+		}
+	}
+	for _, links := range f.links {
+		for _, link := range links {
+			link.Close()
+		}
+	}
+	for _, w := range f.endpoints {
+		w.Close()
+	}
+	if f.store != nil {
+		f.store.CloseClientConnections()
+		f.store.Close()
+	}
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,145 @@
+package soak_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"cactuswell/cmd"
+	"cactuswell/soak"
+)
+
+// TestMain makes the test's program serve as the hosts' program as well.
+func TestMain(m *testing.M) {
+	if filepath.Base(os.Args[0]) == "cactuswell" {
+		os.Exit(cmd.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// Variables for longer runs by hand.
+const (
+	// seedsVariable holds the first and the last seed, as in "1-50".
+	seedsVariable = "CACTUSWELL_SOAK_SEEDS"
+	// programsVariable holds the paths of the hosts' programs, separated by commas; an empty one
+	// stands for the code under test.
+	programsVariable = "CACTUSWELL_SOAK_PROGRAMS"
+	hostsVariable    = "CACTUSWELL_SOAK_HOSTS"
+)
+
+// TestSoak guards against calls that must run at most once and run twice, and against refusals of
+// calls that have run or run later, while processes and connections fail.
+func TestSoak(t *testing.T) {
+	first, last := 1, 2
+	readVariable(t, seedsVariable, "%d-%d", &first, &last)
+	for seed := first; seed <= last; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { checkSoak(t, uint64(seed), false) })
+	}
+}
+
+// TestSoakWithRepeatedRefusals is TestSoak with endpoints that send their refusals once more.
+func TestSoakWithRepeatedRefusals(t *testing.T) {
+	first, last := 1, 1
+	readVariable(t, seedsVariable, "%d-%d", &first, &last)
+	for seed := first; seed <= last; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { checkSoak(t, uint64(seed), true) })
+	}
+}
+
+// readVariable reads a variable if it is set.
+func readVariable(t *testing.T, name, format string, values ...any) {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return
+	}
+	if _, err := fmt.Sscanf(text, format, values...); err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+}
+
+func checkSoak(t *testing.T, seed uint64, repeatsRefusals bool) {
+	hosts := 3
+	readVariable(t, hostsVariable, "%d", &hosts)
+	directory := t.TempDir()
+	report, err := soak.Run(t.Context(), soak.Settings{
+		Seed:            seed,
+		Programs:        programs(t),
+		Hosts:           hosts,
+		Endpoints:       3,
+		Callers:         8 * hosts,
+		Duration:        8 * time.Second,
+		RepeatsRefusals: repeatsRefusals,
+		Directory:       directory,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v, %d served when calm", report.Counts, report.ServedWhenCalm)
+	for _, violation := range report.Violations {
+		t.Errorf("%s: %s", violation.Rule, violation.Request)
+		for _, event := range violation.Events {
+			t.Logf("%+v", event)
+		}
+		t.Log(linesOf(t, directory, violation.Request))
+	}
+	if report.ServedWhenCalm == 0 {
+		t.Error("nothing is served after the last disturbance")
+	}
+	if t.Failed() {
+		keepJournal(t, report.Journal, seed)
+	}
+}
+
+func programs(t *testing.T) []string {
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	paths := strings.Split(os.Getenv(programsVariable), ",")
+	for i, path := range paths {
+		if path == "" {
+			paths[i] = program
+		}
+	}
+	return paths
+}
+
+// linesOf returns the hosts' lines about a request.
+func linesOf(t *testing.T, directory, request string) string {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(directory, "*.jsonl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var found strings.Builder
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for line := range strings.Lines(string(text)) {
+			if strings.Contains(line, fmt.Sprintf("%q", request)) {
+				found.WriteString(line)
+			}
+		}
+	}
+	return found.String()
+}
+
+// keepJournal writes the journal of a failed run to a file that stays.
+func keepJournal(t *testing.T, journal *soak.Journal, seed uint64) {
+	t.Helper()
+	file, err := os.CreateTemp("", fmt.Sprintf("soak-%d-*.jsonl", seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	if _, err := journal.WriteTo(file); err != nil {
+		t.Fatal(err)
+	}
+	t.Log("journal: " + file.Name())
+}
