Send no at-most-once call of a caller that has left

Callers saw: a call that must run at most once ran although its caller had closed the connection before, and may have asked again elsewhere. The host's process had been stopped; the request and the end of the connection lay in the socket.

Cause: the end of a caller's connection is told by the request's context, from a goroutine of the HTTP server that runs after the body was read. A call that is placed at once goes out before. Not a false promise by itself: such a caller got no answer.

Now the host peeks at the caller's connection before the first byte of such a call goes out. The end is in the socket by then, behind a request that was read, so it is seen for certain. By reading alone: a call is not sent either whose connection a shutdown has closed as idle, which takes a stop of the process between the read and the start of the call.

--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"cactuswell/io/opaque"
+	"cactuswell/io/tcp"
 )
 
 // requestGracePeriod is how long a shutdown waits for a request on a connection
@@ -79,6 +83,16 @@
 	}
 }
 
+// withCallerConn lets calls find the connection over which they arrived. It is the ConnContext
+// hook of http.Server.
+func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	tracked, ok := conn.(*callerConn)
+	if !ok {
+		return ctx
+	}
+	return opaque.WithCallerConn(ctx, tracked)
+}
+
 // closeIdle closes the connections on which no request is served or expected. It
 // returns the number of the other connections, which are closed as they become
 // idle.
@@ -184,6 +198,16 @@
 	return c.Conn.Write(p)
 }
 
+var _ opaque.CallerConn = (*callerConn)(nil)
+
+// HasEnded implements opaque.CallerConn.
+func (c *callerConn) HasEnded() bool {
+	c.conns.mu.Lock()
+	closed := c.closed
+	c.conns.mu.Unlock()
+	return closed || tcp.HasEnded(c.Conn)
+}
+
 // CloseWrite closes the sending side of the connection. http.Server calls it when
 // the caller may still be sending.
 func (c *callerConn) CloseWrite() error {
--- a/gateway/callerconns_test.go
+++ b/gateway/callerconns_test.go
@@ -79,6 +79,20 @@
 	}
 }
 
+// TestConnClosedByShutdownHasEnded guards against a call that is sent although the host has closed its connection as idle.
+func TestConnClosedByShutdownHasEnded(t *testing.T) {
+	conns := newCallerConns(nil)
+	conn := acceptOne(t, conns)
+	tracked := conn.(*callerConn)
+	if tracked.HasEnded() {
+		t.Error("an open connection has ended")
+	}
+	conns.closeIdle(time.Now().Add(2 * requestGracePeriod))
+	if !tracked.HasEnded() {
+		t.Error("the closed connection has not ended")
+	}
+}
+
 // acceptOne returns a tracked connection whose reads always return bytes.
 func acceptOne(t *testing.T, conns *callerConns) net.Conn {
 	t.Helper()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -234,6 +234,7 @@
 	g.callerServer = &http.Server{
 		Handler:           g.callHandler,
 		ConnState:         g.callerConns.trackState,
+		ConnContext:       withCallerConn,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		WriteTimeout:      callerWriteTimeout,
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -260,6 +260,10 @@
 // nil if the response was complete.
 func (t *attempt) roundTrip(conn *upstream.Conn) scheduling.Outcome {
 	x := t.exchange
+	if !x.route.Retryable() && x.hasCallerLeft() {
+		t.err = &CallerLeftError{}
+		return scheduling.Abandoned{}
+	}
 	if err := conn.SendRequest(t.newRequest(), x.deadline); err != nil {
 		t.err = err
 		var sendError *upstream.SendError
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -84,6 +84,13 @@
 	return err == nil && n > 0
 }
 
+// HasEnded reports whether the peer has closed or reset a connection, if no unread bytes are
+// before that. It does not block, also while another goroutine reads.
+func HasEnded(conn net.Conn) bool {
+	n, err := peek(conn)
+	return err == nil && n == 0 || IsClosedByPeer(err)
+}
+
 // errNotInspectable is the error for a connection that is not a socket.
 var errNotInspectable = notInspectableError{}
 
@@ -107,9 +114,8 @@
 	var buffer [1]byte
 	var n int
 	var recvErr error
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		n, _, recvErr = unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		return true
 	})
 	return n, errors.Join(err, recvErr)
 }
