Let the link of the partition test join each connection with its own endpoint

TestHostWithoutPathToEndpointsServesCallers/5_of_6_silent was red beside load: 10 to 12 of 48 calls at each of five hosts failed (504, 502) for minutes. Traced in a run beside 8 busy processes: nearly all attempts of those hosts were connected through the only host left and got no byte (Silent, TimedOut, throughHost set) until their callers gave up, from the first such attempt to the end of the test.

Cause, in the test: link.dial connects to a listener of its own and takes the next connection from it for the other end. If the dialer gives up (100 to 250 ms) when the connection is already in the listener's queue, the queue is one ahead from then on, and each later connection of that host is joined with the endpoint of the next. Such bytes do not exist in the product. The link now takes the connection that comes from its dialer's address.

TestLinkKeepsConnectionsApart failed before with "i/o timeout" on each of three connections after an abandoned one. What the partition test checks is unchanged.

--- a/gateway/link_test.go
+++ b/gateway/link_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // linkState is how the link between a host and the endpoints behaves.
@@ -70,6 +73,18 @@
 	l.conns = nil
 }
 
+// accept returns the other end of a connection to the listener. A connection whose dialer has
+// given up may wait before it.
+func (l *link) accept(host net.Conn) (net.Conn, error) {
+	for {
+		inner, err := l.listener.Accept()
+		if err != nil || inner.RemoteAddr().String() == host.LocalAddr().String() {
+			return inner, err
+		}
+		_ = inner.Close()
+	}
+}
+
 func (l *link) current() (linkState, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -100,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	inner, err := l.listener.Accept()
+	inner, err := l.accept(host)
 	if err != nil {
 		return nil, err
 	}
@@ -128,3 +143,38 @@
 		}
 	}
 }
+
+// TestLinkKeepsConnectionsApart guards against a link that joins connections with each other's
+// endpoints after the dialer of one has given up.
+func TestLinkKeepsConnectionsApart(t *testing.T) {
+	l := newLink(t)
+	abandoned, err := net.Dial("tcp", l.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = abandoned.Close()
+	for range 3 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		host, err := l.dial(t.Context(), listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		endpoint, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := host.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(endpoint, "x"); err != nil {
+			t.Error(err)
+		}
+		if _, err := io.ReadFull(host, make([]byte, 1)); err != nil {
+			t.Error(err)
+		}
+		_ = errors.Join(host.Close(), endpoint.Close(), listener.Close())
+	}
+}
