Log, count and hold against an endpoint that it repeats its answers

A response that names another request than the one that waits was skipped without a line, a count or a mark in the endpoint's health: an endpoint that repeats earlier refusals looked sound.

Each such response now has the line lateResponse and the counter cactuswell_response_excess_total{part="lateResponse"}. The attempt ends with Excess, as after bytes behind its own answer, and Excess counts for declined attempts as well.

Before: "not within 10 s: a line with "event":"lateResponse"", "excess true: 39 of 40 calls were sent to the endpoint that declines".

--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -52,7 +52,8 @@
 	EventGap time.Duration
 	// QuietFor is for how long the endpoint asked not to be sent calls, or zero.
 	QuietFor time.Duration
-	// Excess is set if the endpoint sent further bytes after a complete answer.
+	// Excess is set if the endpoint sent further bytes after a complete answer, of this attempt or
+	// of an earlier one on the same connection.
 	Excess bool
 }
 
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -133,6 +133,9 @@
 		s.refuse(c, ReasonTimedOut)
 	case Declined:
 		e.health.probing = false
+		if event.Excess {
+			e.health.recordExcess()
+		}
 		s.recordDecline(e)
 		e.fullUntil = s.now.Add(max(outcome.RetryAfter, defaultDeclineBackoff))
 		s.retryNotRun(c, e, ReasonDeclined)
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -746,3 +746,32 @@
 		t.Errorf("%d of 20 calls were sent to the endpoint that appends bytes", calls)
 	}
 }
+
+// TestExcessBeforeRefusalCounts guards against an endpoint that sends earlier answers again before it
+// declines, and is taken for as sound as the others.
+func TestExcessBeforeRefusalCounts(t *testing.T) {
+	const calls = 40
+	for _, excess := range []bool{false, true} {
+		h := newHarness(t, 2)
+		declined := 0
+		for range calls {
+			id, commands := h.startCall("lookup")
+			if h.requireSend(commands).Key.ID == entry(booking, 0).ID {
+				declined++
+				h.step(scheduling.AttemptEnded{
+					Call:    id,
+					Outcome: scheduling.Declined{},
+					Excess:  excess,
+				})
+			}
+			h.now = h.now.Add(50 * time.Millisecond)
+			// A call that the retry budget does not allow to be sent elsewhere has ended.
+			h.endAttempt(id, scheduling.Completed{})
+			// Until the endpoint may be sent calls again after the refusal.
+			h.now = h.now.Add(time.Second)
+		}
+		if excess != (declined <= 3) {
+			t.Errorf("excess %v: %d of %d calls were sent to the endpoint that declines", excess, declined, calls)
+		}
+	}
+}
--- a/gateway/repeat_test.go
+++ b/gateway/repeat_test.go
@@ -150,3 +150,18 @@
 		t.Errorf("the metrics are:\n%s", f.metrics())
 	}
 }
+
+// TestLateResponseIsLogged guards against an endpoint that repeats its answers and of which nobody learns.
+func TestLateResponseIsLogged(t *testing.T) {
+	f := newFixture(t, 1)
+	f.setBehaviour(byAttempt(standin.Decline{}, standin.RepeatedAnswer{}))
+	for range 2 {
+		if got := f.post("/hold/x", "body"); got.status != http.StatusOK {
+			t.Fatalf("status %d", got.status)
+		}
+	}
+	f.awaitLine(`"event":"lateResponse"`, `"request":"request--hold-x-2"`, `"endpoint":"booking-0"`, `"respondsTo":"request--hold-x"`, `"status":503`, `"notRun":true`)
+	if !strings.Contains(f.metrics(), `cactuswell_response_excess_total{part="lateResponse"} 1`) {
+		t.Errorf("the metrics are:\n%s", f.metrics())
+	}
+}
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -72,7 +72,8 @@
 	paddingBytes int
 	// bodyBytes is the number of bytes of the response body that were received.
 	bodyBytes int64
-	// hasExcess is set if the endpoint sent bytes after a complete response.
+	// hasExcess is set if the endpoint sent bytes after a complete response: after that of the
+	// attempt, or after that of an earlier request on the connection.
 	hasExcess bool
 	// isSent is set once the whole request has been sent.
 	isSent bool
@@ -309,12 +310,26 @@
 func (t *attempt) isOwnResponse(response *http.Response) bool {
 	info := t.exchange.server.Dialect.ParseResponse(response)
 	if info.RequestID != t.exchange.requestInfo.RequestID && (info.RequestID != "" || t.conn.Reused()) {
+		t.recordLateResponse(info, response.StatusCode)
 		return false
 	}
 	t.responseInfo = info
 	return true
 }
 
+// recordLateResponse records a response that belongs to an earlier request on the connection.
+func (t *attempt) recordLateResponse(info ResponseInfo, status int) {
+	if !t.conn.Reused() {
+		return
+	}
+	x := t.exchange
+	t.hasExcess = true
+	x.server.Meter.RecordExcess(upstream.PartLateResponse)
+	x.server.Trail.Failure("lateResponse").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
+		Text("respondsTo", info.RequestID[:min(len(info.RequestID), maxLoggedValue)]).Int("status", int64(status)).Bool("notRun", info.NotRun).
+		Millis("after", time.Since(t.sentAt)).Merge(x.currentSend.Key.ID)
+}
+
 // setReadDeadline bounds the wait for the endpoint's next bytes by the call's
 // deadline and, unless it is zero, by silenceLimit.
 func (t *attempt) setReadDeadline(silenceLimit time.Duration) {
--- a/io/upstream/excess.go
+++ b/io/upstream/excess.go
@@ -31,6 +31,8 @@
 	PartEvent     Part = "event"
 	// PartPadding is the comments and blank events between two events of a stream.
 	PartPadding Part = "padding"
+	// PartLateResponse is a response to an earlier request on the connection.
+	PartLateResponse Part = "lateResponse"
 )
 
 // ExcessError reports a response of which a part exceeds its bound.
