Bound the times that responses announce

Tests that failed before: TestKeepAliveTimeoutOutOfRange ('the connection is reused: false, want true'), TestRetryAfterOutOfRange (three cases).

--- a/io/httpjson/httpjson.go
+++ b/io/httpjson/httpjson.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,6 +24,9 @@
 	"github.com/gravitational/trace"
 )
 
+// maxRetryAfter bounds the delay that a response may ask for.
+const maxRetryAfter = time.Hour
+
 // maxErrorBytes bounds how much of an error response is read.
 const maxErrorBytes = 64 * 1024
 
@@ -111,11 +115,12 @@
 }
 
 // RetryAfter returns the delay in a Retry-After header, which must be in seconds, or
-// zero.
+// zero. It returns maxRetryAfter for longer ones.
 func RetryAfter(header http.Header) time.Duration {
+	// Beyond the range of an integer, Atoi returns the nearest one.
 	seconds, err := strconv.Atoi(header.Get("Retry-After"))
-	if err != nil || seconds < 0 {
+	if err != nil && !errors.Is(err, strconv.ErrRange) || seconds < 0 {
 		return 0
 	}
-	return time.Duration(seconds) * time.Second
+	return time.Duration(min(seconds, int(maxRetryAfter/time.Second))) * time.Second
 }
--- a/io/httpjson/httpjson_test.go
+++ b/io/httpjson/httpjson_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"cactuswell/io/httpjson"
 )
@@ -26,3 +27,20 @@
 		}
 	}
 }
+
+// TestRetryAfterOutOfRange guards against a delay that wraps and is taken for none, or for another one.
+func TestRetryAfterOutOfRange(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"":                    0,
+		"3":                   3 * time.Second,
+		"-1":                  0,
+		"1e300":               0,
+		"9223372037":          time.Hour,
+		"9223372036854775807": time.Hour,
+		"9223372036854775808": time.Hour,
+	} {
+		if got := httpjson.RetryAfter(http.Header{"Retry-After": {text}}); got != want {
+			t.Errorf("%q: %s, want %s", text, got, want)
+		}
+	}
+}
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -27,6 +27,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -56,6 +57,8 @@
 	// idleMargin is how long before the endpoint's announced timeout an idle
 	// connection is no longer used.
 	idleMargin = time.Second
+	// maxIdleSeconds bounds the endpoint's announced timeout.
+	maxIdleSeconds = 3600
 	// stoppedHostMemory is how long a host that shuts down is remembered. It is longer than
 	// its shutdown takes.
 	stoppedHostMemory = 10 * time.Second
@@ -325,11 +328,12 @@
 		if !ok {
 			continue
 		}
+		// Beyond the range of an integer, Atoi returns the nearest one.
 		seconds, err := strconv.Atoi(value)
-		if err != nil {
+		if err != nil && !errors.Is(err, strconv.ErrRange) {
 			continue
 		}
-		return time.Duration(seconds)*time.Second - idleMargin
+		return time.Duration(min(max(seconds, 0), maxIdleSeconds))*time.Second - idleMargin
 	}
 	return defaultIdleTimeout
 }
