Bound the numbers of requests and loads

A caller's X-Token-Counts of 2^63 counted as no prompt at all, one of 2^63-1 as that many tokens, of which the prefill time wraps, and a large one that does not wrap made the host's demand for engines 1 h 48 min a second for some time: the division of the engines into partitions followed one prompt that no engine can hold. X-Timeout-Ms of 1e300 is a duration beyond the range, on amd64 a negative one. The parts of a prompt without a number of tokens took no room in the index of cached prefixes, so that it never evicted any: callers' headers made it grow without a bound.

Numbers of headers are now bounded where they are parsed; a prompt counts as at most what its service's engines hold, as these decline larger ones; each part takes room for a token.

--- a/core/scheduling/endpoint.go
+++ b/core/scheduling/endpoint.go
@@ -258,13 +258,15 @@
 }
 
 // add adds a prefix whose last part has the given size and whose prefill finishes
-// at prefilledAt. A known prefix is only marked as used.
+// at prefilledAt. A known prefix is only marked as used. A part takes room for one token at
+// least, so that the index is bounded.
 func (c *cacheIndex) add(now, prefilledAt time.Time, prefixHash uint64, tokens, capacity int) {
 	if element, ok := c.byHash[prefixHash]; ok {
 		element.Value.(*cacheItem).usedAt = now
 		c.lru.MoveToBack(element)
 		return
 	}
+	tokens = max(tokens, 1)
 	c.byHash[prefixHash] = c.lru.PushBack(&cacheItem{
 		prefixHash:  prefixHash,
 		tokens:      tokens,
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -39,6 +39,10 @@
 func (s *Scheduler) handleCallArrived(spec Call) {
 	p := s.ensurePool(spec.Service)
 	p.budget.RecordFirst(s.now)
+	if p.engine != nil && p.engine.KVCacheTokens > 0 {
+		// Engines decline prompts that are larger than their memory.
+		spec.PromptTokens = min(spec.PromptTokens, p.engine.KVCacheTokens)
+	}
 	c := &call{
 		spec:             spec,
 		pool:             p,
--- a/io/opaque/headers.go
+++ b/io/opaque/headers.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cactuswell/core/scheduling"
+	"cactuswell/saturate"
 )
 
 // HeaderNames holds the names of the headers that describe calls. The comment of
@@ -92,7 +93,13 @@
 	// maxRetryAfter bounds the delay that an endpoint may ask for.
 	maxRetryAfter = time.Minute
 	// maxLimit is the number of requests a second beyond which a limit makes no difference.
-	maxLimit     = 1e6
+	maxLimit = 1e6
+	// maxTimeLeft bounds the time for which a caller waits; calls are far shorter.
+	maxTimeLeft = 24 * time.Hour
+	// maxTokens bounds the size of a prompt and of a part, beyond what any engine holds, and
+	// maxCount all other counts.
+	maxTokens    = 1 << 24
+	maxCount     = 1 << 30
 	bearerPrefix = "Bearer "
 	// lowestPriority is the least urgent priority that engines support.
 	lowestPriority = 9
@@ -125,13 +132,13 @@
 		}
 	}
 	if ms, err := strconv.ParseFloat(header.Get(h.names.TimeLeft), 64); err == nil && ms > 0 {
-		info.TimeLeft = time.Duration(ms * float64(time.Millisecond))
+		info.TimeLeft = min(saturate.Duration(ms, time.Millisecond), maxTimeLeft)
 	}
 	if key, ok := strings.CutPrefix(header.Get(h.names.APIKey), bearerPrefix); ok {
 		info.APIKey = key
 	}
 	promptTokens, _, _ := strings.Cut(header.Get(h.names.Tokens), ",")
-	info.PromptTokens = parseCount(promptTokens)
+	info.PromptTokens = parseCount(promptTokens, maxTokens)
 	info.PromptParts = parsePromptParts(header.Get(h.names.PromptParts))
 	if id, err := strconv.ParseInt(header.Get(h.names.LastEventID), 10, 64); err == nil {
 		info.LastEventID = id
@@ -150,19 +157,21 @@
 		id, tokens, _ := strings.Cut(strings.TrimSpace(item), ":")
 		parts = append(parts, scheduling.PromptPart{
 			ID:     xxhash.Sum64String(id),
-			Tokens: parseCount(tokens),
+			Tokens: parseCount(tokens, maxTokens),
 		})
 	}
 	return parts
 }
 
-// parseCount parses a non-negative integer. It returns zero for anything else.
-func parseCount(text string) int {
+// parseCount parses a non-negative integer and returns it, at most limit. It returns zero for
+// anything else.
+func parseCount(text string, limit int) int {
+	// Beyond the range of an integer, Atoi returns the nearest one.
 	n, err := strconv.Atoi(strings.TrimSpace(text))
-	if err != nil || n < 0 {
+	if err != nil && !errors.Is(err, strconv.ErrRange) || n < 0 {
 		return 0
 	}
-	return n
+	return min(n, limit)
 }
 
 // CompleteHeader implements Dialect.
@@ -268,9 +277,9 @@
 	if len(fields) == 3 {
 		info.Load = scheduling.ReportedLoad{
 			Known:   true,
-			Running: parseCount(fields[0]),
-			Waiting: parseCount(fields[1]),
-			Slots:   parseCount(fields[2]),
+			Running: parseCount(fields[0], maxCount),
+			Waiting: parseCount(fields[1], maxCount),
+			Slots:   parseCount(fields[2], maxCount),
 		}
 	}
 	return info
