Keep entries that are too large from separating hosts

Hosts that do not read the store themselves got no endpoints, or no changes of them, once the entries together were beyond the 8 MB that one host reads from another: 32 odd entries of 256 KB, the largest record of the store, are enough. A listing may have 64 MB, so the hosts that read the store went on.

An entry beyond 16 KB is now kept and passed on as its key and its size only; the line entryUnreadable tells the size. The entries of the largest fleet, 6,800 with some hundred bytes, stay below 8 MB beside many such ones.

--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -41,6 +41,9 @@
 type Record struct {
 	Key   string
 	Value []byte
+	// Omitted is the size in bytes of a value that is too large to be kept, or zero. Value is
+	// empty then.
+	Omitted int `json:",omitempty"`
 	// Deleted reports whether the record deletes its key.
 	Deleted bool
 	Offset  int64
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -23,6 +23,9 @@
 	// leaving endpoint must receive no calls later than two seconds after it announced
 	// that.
 	endpointReadInterval = 200 * time.Millisecond
+	// maxEntryBytes bounds an endpoint's entry; a usual one has some hundred bytes. The entries
+	// of a large fleet stay below maxChangesBytes then, whatever some of them hold.
+	maxEntryBytes = 16 << 10
 	// maxChangesBytes bounds the size of another host's changes.
 	maxChangesBytes = 8 << 20
 )
@@ -30,18 +33,19 @@
 // buildFollowers creates the followers of the store's topics.
 func (g *Gateway) buildFollowers() {
 	g.followers = map[string]*keyedlog.Follower{
-		g.Topics.Configuration: g.newFollower(g.Topics.Configuration, g.configuration, 0),
-		g.Topics.Endpoints:     g.newFollower(g.Topics.Endpoints, g.endpoints, endpointReadInterval),
+		g.Topics.Configuration: g.newFollower(g.Topics.Configuration, g.configuration, 0, 0),
+		g.Topics.Endpoints:     g.newFollower(g.Topics.Endpoints, g.endpoints, endpointReadInterval, maxEntryBytes),
 	}
 }
 
-func (g *Gateway) newFollower(topic string, listener keyedlog.Listener, interval time.Duration) *keyedlog.Follower {
+func (g *Gateway) newFollower(topic string, listener keyedlog.Listener, interval time.Duration, maxValueBytes int) *keyedlog.Follower {
 	dependencies := keyedlog.Dependencies{
 		Log:             g.Log,
 		Topic:           topic,
 		Listener:        listener,
 		Timers:          g.timers,
 		MinReadInterval: interval,
+		MaxValueBytes:   maxValueBytes,
 		RecordCall:      g.recordStoreCall,
 		RecordUnreadable: func(count int) {
 			g.recordUnreadable(topic, count)
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -187,7 +187,7 @@
 // decodeEntry decodes an entry. An entry that cannot be decoded is logged and
 // ignored. If it was appended, the last valid entry of its ID stays in effect.
 func (f *endpointFeed) decodeEntry(record keyedlog.Record) (directory.Entry, bool) {
-	entry, err := f.decoder.Endpoint(record.Key, record.Value)
+	entry, err := f.decode(record)
 	if err == nil {
 		delete(f.loggedUnreadable, record.Key)
 		return entry, true
@@ -200,6 +200,24 @@
 	return directory.Entry{}, false
 }
 
+// LargeEntryError reports an entry that is too large to be kept.
+type LargeEntryError struct {
+	// Bytes is its size.
+	Bytes int
+}
+
+// Error names the size.
+func (e *LargeEntryError) Error() string {
+	return fmt.Sprintf("an entry of %d bytes, at most %d are kept", e.Bytes, maxEntryBytes)
+}
+
+func (f *endpointFeed) decode(record keyedlog.Record) (directory.Entry, error) {
+	if record.Omitted > 0 {
+		return directory.Entry{}, &LargeEntryError{Bytes: record.Omitted}
+	}
+	return f.decoder.Endpoint(record.Key, record.Value)
+}
+
 const (
 	// maxLoggedUnreadable bounds the number of IDs whose unreadable entry is logged.
 	maxLoggedUnreadable = 1000
--- a/io/keyedlog/keyedlog.go
+++ b/io/keyedlog/keyedlog.go
@@ -191,6 +191,9 @@
 	// MinReadInterval is the minimum time between two steps that deliver records, so
 	// that many small records need few calls.
 	MinReadInterval time.Duration
+	// MaxValueBytes bounds the values of the topic, if it is positive. Larger ones are omitted,
+	// so that they do not make the copy too large for other hosts to fetch.
+	MaxValueBytes int
 	// RecordCall is called after each call to the log, with its duration and its
 	// error.
 	RecordCall func(took time.Duration, err error)
@@ -386,6 +389,7 @@
 		return replica.Changes{}, err
 	}
 	f.recordUnreadable(batch.Unreadable)
+	f.omitLargeValues(batch.Records)
 	if len(batch.Records) > 0 {
 		end.Offset = batch.Records[len(batch.Records)-1].Offset + 1
 	}
@@ -407,6 +411,16 @@
 	return changes, nil
 }
 
+// omitLargeValues omits the values beyond MaxValueBytes.
+func (f *Follower) omitLargeValues(records []Record) {
+	for i := range records {
+		if size := len(records[i].Value); f.MaxValueBytes > 0 && size > f.MaxValueBytes {
+			records[i].Value = nil
+			records[i].Omitted = size
+		}
+	}
+}
+
 func (f *Follower) recordUnreadable(count int) {
 	if count > 0 {
 		f.RecordUnreadable(count)
@@ -469,6 +483,7 @@
 				Offset: page.EndOffset,
 			}
 		}
+		f.omitLargeValues(page.Records)
 		changes.Records = append(changes.Records, page.Records...)
 		for _, record := range page.Records {
 			size += len(record.Key) + len(record.Value) + recordOverhead
