Let the soak's callers resume streams of two versions

Endpoints change between two software versions while callers ask for resumable streams and take them up again at other hosts. Events that are missing, come twice or are of two versions break a rule.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +15,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	product "cactuswell/io/opaque"
 )
 
 const (
@@ -30,17 +33,24 @@
 type operationKind struct {
 	path         string
 	isRepeatable bool
+	isStream     bool
 	timeLeft     time.Duration
 	weight       int
 }
 
-// operationKinds are sent with these weights.
-var operationKinds = []operationKind{
-	{path: "/hold/", timeLeft: 2500 * time.Millisecond, weight: 5},
-	{path: "/trial/", timeLeft: 600 * time.Millisecond, weight: 5},
-	{path: "/lookup/", isRepeatable: true, timeLeft: 2500 * time.Millisecond, weight: 2},
-	{path: "/draft/", timeLeft: 2500 * time.Millisecond, weight: 2},
-}
+// plainOperations and streamOperations are carried out with these weights.
+var (
+	plainOperations = []operationKind{
+		{path: "/hold/", timeLeft: 2500 * time.Millisecond, weight: 5},
+		{path: "/trial/", timeLeft: 600 * time.Millisecond, weight: 5},
+		{path: "/lookup/", isRepeatable: true, timeLeft: 2500 * time.Millisecond, weight: 2},
+		{path: "/draft/", isStream: true, timeLeft: 2500 * time.Millisecond, weight: 2},
+	}
+	streamOperations = []operationKind{
+		{path: "/summary/", isStream: true, isRepeatable: true, timeLeft: 5 * time.Second, weight: 3},
+		{path: "/hold/", timeLeft: 2500 * time.Millisecond, weight: 1},
+	}
+)
 
 // result is how an attempt ended. It is implemented only by the types below.
 type result interface {
@@ -84,17 +94,13 @@
 	name    string
 	journal *Journal
 	// pick returns the address of a host that takes new connections.
-	pick   func(random *rand.Rand) address
-	names  headerNames
-	random *rand.Rand
-	served *atomic.Int64
-	kept   *callerConn
-	sent   int
-}
-
-// headerNames are the names of the headers that callers use.
-type headerNames struct {
-	requestID, timeLeft string
+	pick       func(random *rand.Rand) address
+	operations []operationKind
+	names      product.HeaderNames
+	random     *rand.Rand
+	served     *atomic.Int64
+	kept       *callerConn
+	sent       int
 }
 
 // callerConn is a connection of a caller to a host.
@@ -145,16 +151,16 @@
 
 func (c *caller) drawKind() operationKind {
 	total := 0
-	for _, kind := range operationKinds {
+	for _, kind := range c.operations {
 		total += kind.weight
 	}
 	drawn := c.random.IntN(total)
-	for _, kind := range operationKinds {
+	for _, kind := range c.operations {
 		if drawn -= kind.weight; drawn < 0 {
 			return kind
 		}
 	}
-	return operationKinds[0]
+	return c.operations[0]
 }
 
 // operate carries out one operation: a request and, where the protocol allows it, retries, each
@@ -162,8 +168,9 @@
 func (c *caller) operate(ctx context.Context, operation string) {
 	kind := c.drawKind()
 	deadline := time.Now().Add(kind.timeLeft)
+	s := &stream{lastID: -1}
 	for try := 1; try <= maxTries; try++ {
-		end := c.attempt(kind, operation, deadline)
+		end := c.attempt(kind, operation, deadline, s)
 		if a, ok := end.(answered); ok && a.status == http.StatusOK {
 			c.served.Add(1)
 		}
@@ -194,7 +201,7 @@
 }
 
 // attempt sends one request and records how it ends.
-func (c *caller) attempt(kind operationKind, operation string, deadline time.Time) result {
+func (c *caller) attempt(kind operationKind, operation string, deadline time.Time, s *stream) result {
 	conn := c.kept
 	c.kept = nil
 	if conn == nil {
@@ -211,7 +218,7 @@
 		Host:         conn.to.host,
 	}
 	c.journal.Record(event)
-	end, isKept, detail := c.exchange(conn, kind, event.Request, deadline)
+	end, isKept, detail := c.exchange(conn, kind, event.Request, deadline, s)
 	if isKept {
 		c.kept = conn
 	} else {
@@ -230,6 +237,12 @@
 		event.Kind = AttemptBroken
 	}
 	c.journal.Record(event)
+	if s.fault != "" {
+		event.Kind = StreamFault
+		event.Detail = s.fault
+		c.journal.Record(event)
+		s.fault = ""
+	}
 	return end
 }
 
@@ -250,14 +263,14 @@
 
 // exchange sends a request and reads the response. It also returns whether the connection can be
 // used again, and a text for the journal.
-func (c *caller) exchange(conn *callerConn, kind operationKind, request string, deadline time.Time) (end result, isKept bool, detail string) {
+func (c *caller) exchange(conn *callerConn, kind operationKind, request string, deadline time.Time, s *stream) (end result, isKept bool, detail string) {
 	leavesAt := deadline
 	if c.random.IntN(20) == 0 {
 		leavesAt = time.Now().Add(time.Duration(c.random.Int64N(int64(time.Until(deadline)) + 1)))
 	}
 	_ = conn.SetDeadline(leavesAt)
 	conn.count.n = 0
-	if err := c.send(conn, kind, request, deadline); err != nil {
+	if err := c.send(conn, kind, request, deadline, s); err != nil {
 		return conn.endOf(err), false, err.Error()
 	}
 	response, err := http.ReadResponse(conn.reader, &http.Request{Method: http.MethodPost})
@@ -265,10 +278,15 @@
 		return conn.endOf(err), false, err.Error()
 	}
 	defer func() { _ = response.Body.Close() }()
-	if _, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBody)); err != nil {
+	var body bytes.Buffer
+	_, err = io.Copy(&body, io.LimitReader(response.Body, maxResponseBody))
+	if kind.isStream && response.StatusCode == http.StatusOK {
+		s.read(body.String(), request, err == nil)
+	}
+	if err != nil {
 		return conn.endOf(err), false, err.Error()
 	}
-	if got := response.Header.Get(c.names.requestID); got != "" && got != request {
+	if got := response.Header.Get(c.names.RequestID); got != "" && got != request {
 		detail = "the response is for " + got
 	}
 	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
@@ -294,9 +312,9 @@
 }
 
 // send sends a request, with a length or in chunks, in one part or two.
-func (c *caller) send(conn *callerConn, kind operationKind, request string, deadline time.Time) error {
+func (c *caller) send(conn *callerConn, kind operationKind, request string, deadline time.Time, s *stream) error {
 	path := kind.path + request
-	if kind.path == "/draft/" {
+	if kind.isStream {
 		path += "/stream"
 	}
 	body := strings.Repeat("b", c.random.IntN(400))
@@ -304,7 +322,10 @@
 		body = strings.Repeat("b", 20_000)
 	}
 	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", path, callerHost,
-		c.names.requestID, request, c.names.timeLeft, time.Until(deadline).Milliseconds())
+		c.names.RequestID, request, c.names.TimeLeft, time.Until(deadline).Milliseconds())
+	if s.lastID >= 0 {
+		head += fmt.Sprintf("%s: %d\r\n%s: %s\r\n", c.names.LastEventID, s.lastID, c.names.Resumes, s.begunBy)
+	}
 	message := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 	if c.random.IntN(3) == 0 && body != "" {
 		message = fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
--- a/soak/disturbance.go
+++ b/soak/disturbance.go
@@ -43,7 +43,7 @@
 }
 
 // CrashedEndpoint ends an endpoint and starts it again: with its ID, or as another endpoint at the
-// same address while its entry is still there.
+// same address while its entry is still there. With streams, the other one has another version.
 type CrashedEndpoint struct {
 	Endpoint  int
 	For       time.Duration
@@ -358,13 +358,16 @@
 	}
 	defer f.crashing[d.Endpoint].Unlock()
 	w := f.endpoints[d.Endpoint]
-	before, id := w.ID(), w.ID()
+	before, id, version := w.ID(), w.ID(), w.Version()
 	if d.IsAnother {
 		id = f.nextEndpointID()
 	}
+	if d.IsAnother && f.settings.Streams {
+		version = versions[(slices.Index(versions, version)+1)%len(versions)]
+	}
 	w.Crash()
 	f.wait(ctx, d.For)
-	f.fail(w.Start(id))
+	f.fail(w.Start(id, version))
 	if !d.IsAnother {
 		f.publish(d.Endpoint, id)
 		return
--- a/soak/journal.go
+++ b/soak/journal.go
@@ -32,6 +32,8 @@
 	// RequestRun and RequestDeclined mean that an endpoint began to run a request or declined it.
 	RequestRun      EventKind = "requestRun"
 	RequestDeclined EventKind = "requestDeclined"
+	// StreamFault means that a caller got an event of a stream that does not belong there.
+	StreamFault EventKind = "streamFault"
 	// DisturbanceBegun and DisturbanceEnded tell what was done to the fleet.
 	DisturbanceBegun EventKind = "disturbanceBegun"
 	DisturbanceEnded EventKind = "disturbanceEnded"
@@ -57,7 +59,7 @@
 // Rule is a rule that the judge checks.
 type Rule string
 
-// The rules, which hold for requests that are not repeatable.
+// The rules. The first three hold for requests that are not repeatable.
 const (
 	// RanTwice means that a request began to run more than once.
 	RanTwice Rule = "ranTwice"
@@ -67,6 +69,9 @@
 	// RanThoughUnread means that a request was run although the host has reset the
 	// connection, from which callers conclude that it was not read.
 	RanThoughUnread Rule = "ranThoughUnread"
+	// BrokenStream means that events of a stream were missing, came twice, or were of two
+	// software versions.
+	BrokenStream Rule = "brokenStream"
 )
 
 // Violation is a rule that was broken for a request, with all events of the request.
@@ -78,15 +83,16 @@
 
 // Counts are the numbers of what happened in a soak.
 type Counts struct {
-	Operations  int
-	Requests    int
-	Statuses    map[int]int
-	Unread      int
-	Broken      int
-	Abandoned   int
-	Runs        int
-	Declines    int
-	Disturbance int
+	Operations   int
+	Requests     int
+	Statuses     map[int]int
+	Unread       int
+	Broken       int
+	Abandoned    int
+	Runs         int
+	Declines     int
+	StreamFaults int
+	Disturbances int
 }
 
 // Journal records what happens in a soak. It is safe for concurrent use.
@@ -177,7 +183,9 @@
 		case RequestDeclined:
 			counts.Declines++
 		case DisturbanceBegun:
-			counts.Disturbance++
+			counts.Disturbances++
+		case StreamFault:
+			counts.StreamFaults++
 		case DisturbanceEnded:
 		}
 	}
@@ -210,11 +218,9 @@
 // brokenRules returns the rules that are broken for one request.
 func brokenRules(events []Event) []Rule {
 	runs := 0
-	isRefused, isUnread := false, false
+	var isRepeatable, isRefused, isUnread, isFaulty bool
 	for _, event := range events {
-		if event.IsRepeatable {
-			return nil
-		}
+		isRepeatable = isRepeatable || event.IsRepeatable
 		switch event.Kind {
 		case RequestRun:
 			runs++
@@ -222,17 +228,23 @@
 			isUnread = true
 		case AttemptAnswered:
 			isRefused = isRefused || isPromise(event.Status)
+		case StreamFault:
+			isFaulty = true
 		}
 	}
 	var rules []Rule
-	if runs > 1 {
-		rules = append(rules, RanTwice)
-	}
-	if runs > 0 && isRefused {
-		rules = append(rules, RanThoughRefused)
-	}
-	if runs > 0 && isUnread {
-		rules = append(rules, RanThoughUnread)
+	for _, rule := range []struct {
+		name     Rule
+		isBroken bool
+	}{
+		{RanTwice, !isRepeatable && runs > 1},
+		{RanThoughRefused, !isRepeatable && runs > 0 && isRefused},
+		{RanThoughUnread, !isRepeatable && runs > 0 && isUnread},
+		{BrokenStream, isFaulty},
+	} {
+		if rule.isBroken {
+			rules = append(rules, rule.name)
+		}
 	}
 	return rules
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -59,7 +59,7 @@
 	slots        = 4
 	queueLength  = 3
 	workTime     = 20 * time.Millisecond
-	streamEvents = 5
+	streamEvents = 10
 
 	startLimit = 20 * time.Second
 	// readyInterval is the time between two checks whether a host takes new connections.
@@ -71,6 +71,9 @@
 	settleTime = 3 * time.Second
 )
 
+// versions are the software versions of endpoints, of which the first is the one at the start.
+var versions = []string{"v1", "v2"}
+
 // StartError reports a host that does not become ready.
 type StartError struct{ Host string }
 
@@ -90,6 +93,9 @@
 	Duration time.Duration
 	// RepeatsRefusals makes faulty endpoints send refusals once more.
 	RepeatsRefusals bool
+	// Streams makes callers ask for streams, which they resume, while endpoints change between
+	// two software versions.
+	Streams bool
 	// Directory takes the lines of the hosts, one file each.
 	Directory string
 }
@@ -173,16 +179,19 @@
 
 func configuration() []byte {
 	var routes []platformtest.Route
-	for name, kind := range map[string]route.Kind{"hold": route.AtMostOnce, "trial": route.AtMostOnce, "lookup": route.Safe, "draft": route.Stream} {
+	for name, kind := range map[string]route.Kind{"hold": route.AtMostOnce, "trial": route.AtMostOnce, "lookup": route.Safe,
+		"draft": route.Stream, "summary": route.Stream} {
 		routes = append(routes, platformtest.Route{
-			Name:          name,
-			Host:          callerHost,
-			PathPrefix:    "/" + name + "/",
-			Kind:          kind,
-			Service:       serviceName,
-			MaxAttempts:   2,
-			Timeout:       2500 * time.Millisecond,
-			TargetLatency: 150 * time.Millisecond,
+			Name:           name,
+			Host:           callerHost,
+			PathPrefix:     "/" + name + "/",
+			Kind:           kind,
+			Resumable:      name == "summary",
+			Service:        serviceName,
+			MaxAttempts:    2,
+			Timeout:        5 * time.Second,
+			TargetLatency:  150 * time.Millisecond,
+			TargetEventGap: 100 * time.Millisecond,
 		})
 	}
 	return platformtest.EncodeConfiguration(1, routes)
@@ -194,6 +203,7 @@
 	id := f.nextEndpointID()
 	w, err := worker.New(worker.Settings{
 		ID:       id,
+		Version:  versions[0],
 		Names:    platform.HeaderNames(),
 		Slots:    slots,
 		Queue:    queueLength,
@@ -228,6 +238,7 @@
 		Service:   serviceName,
 		Address:   f.links[HostsToEndpoint][i].Address(),
 		Zone:      zone,
+		Version:   f.endpoints[i].Version(),
 		Slots:     slots,
 		StartedAt: time.Now(),
 	}.Encode())
@@ -349,17 +360,18 @@
 }
 
 func (f *fleet) newCaller(i int) *caller {
-	names := platform.HeaderNames()
+	operations := plainOperations
+	if f.settings.Streams {
+		operations = streamOperations
+	}
 	return &caller{
-		name:    fmt.Sprintf("c%d", i),
-		journal: f.journal,
-		pick:    f.pickHost,
-		names: headerNames{
-			requestID: names.RequestID,
-			timeLeft:  names.TimeLeft,
-		},
-		random: rand.New(rand.NewPCG(f.settings.Seed, uint64(2+i))),
-		served: &f.served,
+		name:       fmt.Sprintf("c%d", i),
+		journal:    f.journal,
+		pick:       f.pickHost,
+		operations: operations,
+		names:      platform.HeaderNames(),
+		random:     rand.New(rand.NewPCG(f.settings.Seed, uint64(2+i))),
+		served:     &f.served,
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,20 +32,24 @@
 
 // TestSoak guards against calls that must run at most once and run twice, and against refusals of
 // calls that have run or run later, while processes and connections fail.
-func TestSoak(t *testing.T) {
-	first, last := 1, 2
-	readVariable(t, seedsVariable, "%d-%d", &first, &last)
-	for seed := first; seed <= last; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { checkSoak(t, uint64(seed), false) })
-	}
-}
+func TestSoak(t *testing.T) { checkSeeds(t, 2, soak.Settings{}) }
 
 // TestSoakWithRepeatedRefusals is TestSoak with endpoints that send their refusals once more.
 func TestSoakWithRepeatedRefusals(t *testing.T) {
-	first, last := 1, 1
+	checkSeeds(t, 1, soak.Settings{RepeatsRefusals: true})
+}
+
+// TestSoakOfStreams guards against streams with events of two software versions, or with events
+// that are missing or come twice, when they are resumed while processes and connections fail.
+func TestSoakOfStreams(t *testing.T) { checkSeeds(t, 1, soak.Settings{Streams: true}) }
+
+// checkSeeds runs a soak for each seed, by default from 1 to the given one.
+func checkSeeds(t *testing.T, last int, settings soak.Settings) {
+	first := 1
 	readVariable(t, seedsVariable, "%d-%d", &first, &last)
 	for seed := first; seed <= last; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { checkSoak(t, uint64(seed), true) })
+		settings.Seed = uint64(seed)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { checkSoak(t, settings) })
 	}
 }
 
@@ -61,20 +65,15 @@
 	}
 }
 
-func checkSoak(t *testing.T, seed uint64, repeatsRefusals bool) {
-	hosts := 3
-	readVariable(t, hostsVariable, "%d", &hosts)
-	directory := t.TempDir()
-	report, err := soak.Run(t.Context(), soak.Settings{
-		Seed:            seed,
-		Programs:        programs(t),
-		Hosts:           hosts,
-		Endpoints:       3,
-		Callers:         8 * hosts,
-		Duration:        8 * time.Second,
-		RepeatsRefusals: repeatsRefusals,
-		Directory:       directory,
-	})
+func checkSoak(t *testing.T, settings soak.Settings) {
+	settings.Hosts = 3
+	readVariable(t, hostsVariable, "%d", &settings.Hosts)
+	settings.Programs = programs(t)
+	settings.Endpoints = 3
+	settings.Callers = 8 * settings.Hosts
+	settings.Duration = 8 * time.Second
+	settings.Directory = t.TempDir()
+	report, err := soak.Run(t.Context(), settings)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -84,13 +83,13 @@
 		for _, event := range violation.Events {
 			t.Logf("%+v", event)
 		}
-		t.Log(linesOf(t, directory, violation.Request))
+		t.Log(linesOf(t, settings.Directory, violation.Request))
 	}
 	if report.ServedWhenCalm == 0 {
 		t.Error("nothing is served after the last disturbance")
 	}
 	if t.Failed() {
-		keepJournal(t, report.Journal, seed)
+		keepJournal(t, report.Journal, settings.Seed)
 	}
 }
 
--- /dev/null
+++ b/soak/stream.go
@@ -0,0 +1,60 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+)
+
+// stream is what a caller has of a stream, over all of its requests.
+type stream struct {
+	// begunBy is the ID of the request that brought the first event.
+	begunBy string
+	// lastID is the ID of the last event, or -1.
+	lastID int
+	// version is the software version of the endpoints that made the events.
+	version string
+	// fault is the first fault of the events, or empty.
+	fault string
+}
+
+// read takes the body of a response to a request, which is complete if isWhole is set.
+func (s *stream) read(body, request string, isWhole bool) {
+	for {
+		event, rest, ok := strings.Cut(body, "\n\n")
+		if !ok {
+			break
+		}
+		body = rest
+		s.add(event, request)
+	}
+	if isWhole && s.lastID != streamEvents-1 {
+		s.fail(fmt.Sprintf("the stream ends as complete after event %d", s.lastID))
+	}
+}
+
+// add takes an event.
+func (s *stream) add(event, request string) {
+	var id int
+	var version string
+	if _, err := fmt.Sscanf(event, "id: %d\ndata: %s", &id, &version); err != nil {
+		s.fail(fmt.Sprintf("%q is no event", event))
+		return
+	}
+	if id != s.lastID+1 {
+		s.fail(fmt.Sprintf("event %d follows event %d", id, s.lastID))
+	}
+	if s.lastID >= 0 && version != s.version {
+		s.fail(fmt.Sprintf("event %d is of version %s, those before are of %s", id, version, s.version))
+	}
+	if s.lastID < 0 {
+		s.begunBy = request
+	}
+	s.lastID = id
+	s.version = version
+}
+
+func (s *stream) fail(fault string) {
+	if s.fault == "" {
+		s.fault = fault
+	}
+}
--- a/standin/worker/answer.go
+++ b/standin/worker/answer.go
@@ -1,8 +1,11 @@
 package worker
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -37,7 +40,7 @@
 	}
 	header := w.settings.Names.Mark + ": " + s.incarnation.id + "\r\n"
 	if strings.HasSuffix(request.URL.Path, "stream") {
-		return s.stream(id, header) && s.finish(request)
+		return s.stream(request, id, header) && s.finish(request)
 	}
 	whole := w.encode(http.StatusOK, id, header, "answer to "+id+"\n")
 	if w.happens(func(f Faults) float64 { return f.CutAnswers }) {
@@ -54,20 +57,21 @@
 	return s.finish(request) && !w.happens(func(f Faults) float64 { return f.Closes })
 }
 
-// stream sends a stream, which a fault may cut off after an event.
-func (s *session) stream(id, header string) bool {
+// stream sends a stream, from the event after the last one that the caller has. A fault may cut
+// it off after an event.
+func (s *session) stream(request *http.Request, id, header string) bool {
 	w := s.worker
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
 		w.settings.Names.RequestID, id, header)
 	if !s.write([]byte(head)) {
 		return false
 	}
-	tick := time.NewTicker(eventPause)
-	defer tick.Stop()
-	for i := range w.settings.Events {
-		<-tick.C
+	for i := s.firstEvent(request); i < w.settings.Events; i++ {
+		if !s.awaitEvent() {
+			return false
+		}
 		w.awaitThaw()
-		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, id)
+		event := Event(i, s.incarnation.version)
 		if !s.write(fmt.Appendf(nil, "%x\r\n%s\r\n", len(event), event)) || w.happens(func(f Faults) float64 { return f.CutAnswers }) {
 			return false
 		}
@@ -75,6 +79,31 @@
 	return s.write([]byte("0\r\n\r\n"))
 }
 
+// Event returns an event of a stream.
+func Event(id int, version string) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", id, version) }
+
+// firstEvent returns the ID of the first event that the caller does not have.
+func (s *session) firstEvent(request *http.Request) int {
+	last, err := strconv.Atoi(request.Header.Get(s.worker.settings.Names.LastEventID))
+	if err != nil {
+		return 0
+	}
+	return last + 1
+}
+
+// awaitEvent waits until the next event is due. It reports false if the connection has ended.
+func (s *session) awaitEvent() bool {
+	due := time.Now().Add(eventPause)
+	defer func() { _ = s.conn.SetReadDeadline(time.Time{}) }()
+	_ = s.conn.SetReadDeadline(due)
+	_, err := s.reader.Peek(1)
+	if err == nil {
+		// The rest of the request's body has arrived.
+		s.await(time.Until(due))
+	}
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // finish reads the rest of the request and reports whether the connection stays open.
 func (s *session) finish(request *http.Request) bool {
 	return !s.early || discardBody(request)
@@ -91,7 +120,11 @@
 	s.worker.mu.Lock()
 	delay := s.worker.faults.ExtraAnswerDelay
 	s.worker.mu.Unlock()
-	timer := time.NewTimer(delay)
+	s.await(delay)
+}
+
+func (s *session) await(duration time.Duration) {
+	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	<-timer.C
 }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -16,8 +16,9 @@
 //	w.SetFaults(worker.Faults{Declines: 0.2})
 //	w.SetFrozen(true)
 //
-// A request that waits is run also if its connection has been closed meanwhile, as some
-// servers do; one whose time has passed is declined.
+// A plain request is run to its end also if its connection has been closed meanwhile, as some
+// servers do, and a stream ends with its connection. What waits until its time has passed is
+// declined.
 package worker
 
 import (
@@ -37,7 +38,7 @@
 	// maxBodyBytes is the maximum size of a request's body.
 	maxBodyBytes = 4 << 20
 	// eventPause is the time between two events of a stream.
-	eventPause = 10 * time.Millisecond
+	eventPause = 20 * time.Millisecond
 )
 
 // Observer is told what a worker does with each request.
@@ -50,8 +51,10 @@
 
 // Settings configures a Worker.
 type Settings struct {
-	ID    string
-	Names product.HeaderNames
+	ID string
+	// Version is the version of the endpoint's software, which each event of a stream holds.
+	Version string
+	Names   product.HeaderNames
 	// Slots is the number of requests that run at a time, and Queue that of those that wait.
 	Slots    int
 	Queue    int
@@ -81,6 +84,7 @@
 // mu.
 type incarnation struct {
 	id       string
+	version  string
 	listener net.Listener
 	conns    map[net.Conn]bool
 	// slots holds a value for each running request.
@@ -99,14 +103,14 @@
 		random:   rand.New(rand.NewPCG(settings.Seed, 0)),
 		thawed:   thawed,
 	}
-	if err := w.Start(settings.ID); err != nil {
+	if err := w.Start(settings.ID, settings.Version); err != nil {
 		return nil, err
 	}
 	return w, nil
 }
 
-// Start listens, after New or Crash, as the endpoint with the given ID. The address stays.
-func (w *Worker) Start(id string) error {
+// Start listens, after a Crash, as the endpoint with the given ID and version. The address stays.
+func (w *Worker) Start(id, version string) error {
 	listener, err := net.Listen("tcp", w.address)
 	if err != nil {
 		return err
@@ -116,6 +120,7 @@
 	w.address = listener.Addr().String()
 	w.current = &incarnation{
 		id:       id,
+		version:  version,
 		listener: listener,
 		conns:    make(map[net.Conn]bool),
 		slots:    make(chan struct{}, w.settings.Slots),
@@ -140,6 +145,13 @@
 	return w.current.id
 }
 
+// Version returns the version of the endpoint's software.
+func (w *Worker) Version() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.current.version
+}
+
 // SetFaults sets the faults from now on.
 func (w *Worker) SetFaults(faults Faults) {
 	w.mu.Lock()
@@ -337,7 +349,7 @@
 	if !w.begin(s.incarnation, id) {
 		return false
 	}
-	s.awaitWork()
+	s.await(w.settings.WorkTime)
 	w.awaitThaw()
 	return s.answer(request, id)
 }
@@ -352,12 +364,6 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-func (s *session) awaitWork() {
-	timer := time.NewTimer(s.worker.settings.WorkTime)
-	defer timer.Stop()
-	<-timer.C
-}
-
 func discardBody(request *http.Request) bool {
 	_, err := io.Copy(io.Discard, io.LimitReader(request.Body, maxBodyBytes))
 	return err == nil
