--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -10,11 +10,13 @@
 	g.meter.addGauge("cactuswell_open_calls", func() float64 { return float64(g.callHandler.OpenCalls()) })
 	g.meter.addGauge("cactuswell_waiting_calls", func() float64 { return float64(g.decisions.waitingCount.Load()) })
 	g.meter.addGauge("cactuswell_endpoints", func() float64 { return float64(g.decisions.endpointCount.Load()) })
+	g.meter.addGauge("cactuswell_endpoints_withheld", func() float64 { return float64(g.decisions.withheldCount.Load()) })
 	g.meter.addGauge("cactuswell_quarantines", func() float64 { return float64(g.decisions.quarantineCount.Load()) })
 	g.meter.addGauge("cactuswell_hosts", func() float64 { return float64(g.decisions.hostCount.Load()) })
 	g.meter.addGauge("cactuswell_endpoint_connections", func() float64 { return float64(g.pool.OpenCount()) })
 	g.meter.addGauge("cactuswell_endpoint_dials_total", func() float64 { return float64(g.pool.DialCount()) })
 	g.meter.addGauge("cactuswell_endpoint_reuses_total", func() float64 { return float64(g.pool.ReuseCount()) })
+	g.meter.addGauge("cactuswell_endpoint_passed_over_total", func() float64 { return float64(g.pool.PassedOverCount()) })
 	g.meter.addGauge("cactuswell_endpoint_unsolicited_total", func() float64 { return float64(g.pool.UnsolicitedCount()) })
 	g.meter.addGauge("cactuswell_endpoint_dials_through_total", func() float64 { return float64(g.pool.ThroughCount()) })
 	g.meter.addGauge("cactuswell_paths_lost", func() float64 { return float64(g.pool.LostPathCount()) })
@@ -29,8 +31,6 @@
 				return g.followers[topic].BehindFor().Seconds()
 			})
 		}
-	}
-	if g.mesh != nil {
 		g.meter.addGauge("cactuswell_peer_datagrams_total", func() float64 { return float64(g.mesh.SentDatagrams()) })
 		g.meter.addGauge("cactuswell_peer_bytes_total", func() float64 { return float64(g.mesh.SentBytes()) })
 		g.meter.addGauge("cactuswell_relay", func() float64 {
