--- a/io/upstream/keepalive_test.go
+++ b/io/upstream/keepalive_test.go
@@ -29,7 +29,7 @@
 				t.Fatal(err)
 			}
 			conn.Release(readResponse(t, conn))
-			next, err := pool.Get(context.Background(), detour.Endpoint{Address: server.LocalAddr().String()}, time.Minute)
+			next, err := pool.Get(context.Background(), detour.Endpoint{Address: server.LocalAddr().String()}, time.Minute, "next")
 			if err != nil {
 				t.Fatal(err)
 			}
