Wait for the last hosts with a path, and ask a host that was slow again

Callers got 503 from hosts without a path to endpoints beside load (TestHostWithoutPathToEndpointsServesCallers, 5 of 6 hosts partitioned).

Cause, traced beside 8 busy processes: the one host that still had a path took longer than 0.1 s to accept a connection or 0.2 s to answer. It was not asked for a second then, like a host that says that it cannot help, so each call in that second found no host ("noHost"), tried six endpoints within milliseconds and was refused as not run. No answer in time was taken for the answer that there is no path.

Now a host that has not answered is waited for, 0.25 s, or 1.2 s (the retransmission of a SYN) once the path counts as lost, while another host is asked too; hosts that were slow are asked last, not never. What a host says itself, that its path is lost, that it is full or that it stops, excludes it for a second as before.

--- a/io/tunnel/client.go
+++ b/io/tunnel/client.go
@@ -13,15 +13,17 @@
 )
 
 const (
-	// hostDialTimeout and responseTimeout bound the time to reach another host and that to
-	// its response. The latter is more than serverDialTimeout.
-	hostDialTimeout = 100 * time.Millisecond
-	responseTimeout = 200 * time.Millisecond
+	// askDelay is how long a host may take to answer until another one is asked too, for
+	// each host that has not answered. It is several round trips within a region.
+	askDelay = 100 * time.Millisecond
+	// hostDialTimeout bounds the time to reach another host. It allows for the
+	// retransmission of a dropped SYN.
+	hostDialTimeout = 1200 * time.Millisecond
 	// ackTimeout is how long sent bytes may remain unacknowledged by the other host.
 	ackTimeout = 1200 * time.Millisecond
 	keepAlive  = time.Second
-	// exclusionTime is how long a host is not asked again after it has not helped for a
-	// reason of its own.
+	// exclusionTime is how long a host is not asked again after it has said that it cannot
+	// help, and asked after all others once it has not answered.
 	exclusionTime = time.Second
 	// maxHostsAsked bounds the hosts that are asked for one connection.
 	maxHostsAsked = 5
@@ -42,8 +44,10 @@
 	dialer *tcp.Dialer
 
 	mu sync.Mutex
-	// excluded holds the hosts that are not asked until the given time.
+	// excluded holds the hosts that are not asked until the given time, and silent those
+	// that are asked after all others until then.
 	excluded map[string]time.Time
+	silent   map[string]time.Time
 }
 
 // NewClient returns a client that asks the given hosts.
@@ -56,53 +60,180 @@
 			KeepAlive:   keepAlive,
 		}),
 		excluded: make(map[string]time.Time),
+		silent:   make(map[string]time.Time),
 	}
 }
 
 // Connect opens a connection to the endpoint at an address through another host, and returns
-// it with the address of that host. The error is a *ConnectError.
+// it with the address of that host. A host that takes long is waited for until ctx ends, while
+// others are asked too: the last one with a path may be slow. The error is a *ConnectError.
 func (c *Client) Connect(ctx context.Context, address string) (net.Conn, string, error) {
-	failure := &ConnectError{
-		Address: address,
-		Reason:  NoHost,
+	s := &search{
+		client:  c,
+		address: address,
+		asked:   make(map[string]bool),
+		waiting: make(map[string]bool),
+		answers: make(chan answer, maxHostsAsked),
 	}
-	asked := make(map[string]bool)
-	for len(asked) < maxHostsAsked && ctx.Err() == nil {
-		host := c.hosts.PickHost(func(host string) bool { return asked[host] || c.isExcluded(host) })
-		if host == "" {
-			break
-		}
-		asked[host] = true
-		conn, err := c.ask(ctx, host, address)
-		if err == nil {
-			return conn, host, nil
-		}
-		failure = err
-		if err.IsEndpointDown() {
-			break
-		}
-		if err.Reason != Unproven {
-			c.exclude(host)
-		}
+	return s.run(ctx)
+}
+
+// pick returns the address of a host to ask, or "" if there is none. Those that have not
+// answered lately come last.
+func (c *Client) pick(asked map[string]bool) string {
+	host := c.hosts.PickHost(func(host string) bool {
+		return asked[host] || c.isListed(c.excluded, host) || c.isListed(c.silent, host)
+	})
+	if host != "" {
+		return host
 	}
-	return nil, "", failure
+	return c.hosts.PickHost(func(host string) bool { return asked[host] || c.isListed(c.excluded, host) })
 }
 
-func (c *Client) isExcluded(host string) bool {
+func (c *Client) isListed(list map[string]time.Time, host string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	until, ok := c.excluded[host]
+	until, ok := list[host]
 	if ok && !time.Now().Before(until) {
-		delete(c.excluded, host)
+		delete(list, host)
 		return false
 	}
 	return ok
 }
 
-func (c *Client) exclude(host string) {
+func (c *Client) list(list map[string]time.Time, host string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.excluded[host] = time.Now().Add(exclusionTime)
+	list[host] = time.Now().Add(exclusionTime)
+}
+
+// recordAnswer records whether a host can help.
+func (c *Client) recordAnswer(host string, failure *ConnectError) {
+	switch {
+	case failure == nil:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.silent, host)
+	case failure.Reason == HostUnreachable:
+		c.list(c.silent, host)
+	case failure.Reason != Unproven && !failure.IsEndpointDown():
+		c.list(c.excluded, host)
+	}
+}
+
+// search asks hosts for one connection until one opens it.
+type search struct {
+	client  *Client
+	address string
+	asked   map[string]bool
+	// waiting holds the hosts that have not answered.
+	waiting map[string]bool
+	// last is the host that was asked last.
+	last    string
+	answers chan answer
+}
+
+// answer is that of one host.
+type answer struct {
+	host    string
+	conn    net.Conn
+	failure *ConnectError
+}
+
+func (s *search) run(ctx context.Context) (net.Conn, string, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	failure := &ConnectError{
+		Address: s.address,
+		Reason:  NoHost,
+	}
+	for {
+		s.askNext(ctx)
+		if len(s.waiting) == 0 {
+			return nil, "", failure
+		}
+		received, ok := s.await(ctx)
+		switch {
+		case !ok && ctx.Err() != nil:
+			s.abandon()
+			return nil, "", &ConnectError{
+				Host:    s.last,
+				Address: s.address,
+				Reason:  HostUnreachable,
+				Err:     ctx.Err(),
+			}
+		case !ok:
+			for host := range s.waiting {
+				s.client.list(s.client.silent, host)
+			}
+		case received.failure == nil:
+			s.abandon()
+			return received.conn, received.host, nil
+		case received.failure.IsEndpointDown():
+			s.abandon()
+			return nil, "", received.failure
+		default:
+			failure = received.failure
+		}
+	}
+}
+
+// askNext asks one more host, if there is one.
+func (s *search) askNext(ctx context.Context) {
+	if len(s.asked) >= maxHostsAsked || ctx.Err() != nil {
+		return
+	}
+	host := s.client.pick(s.asked)
+	if host == "" {
+		return
+	}
+	s.asked[host] = true
+	s.waiting[host] = true
+	s.last = host
+	go s.runAsk(ctx, host)
+}
+
+func (s *search) runAsk(ctx context.Context, host string) {
+	conn, failure := s.client.ask(ctx, host, s.address)
+	s.answers <- answer{
+		host:    host,
+		conn:    conn,
+		failure: failure,
+	}
+}
+
+// await waits for an answer. It reports false once another host is to be asked too, or ctx
+// has ended.
+func (s *search) await(ctx context.Context) (answer, bool) {
+	wait := ctx
+	if len(s.asked) < maxHostsAsked {
+		var cancel context.CancelFunc
+		wait, cancel = context.WithTimeout(ctx, time.Duration(len(s.waiting))*askDelay)
+		defer cancel()
+	}
+	select {
+	case received := <-s.answers:
+		delete(s.waiting, received.host)
+		s.client.recordAnswer(received.host, received.failure)
+		return received, true
+	case <-wait.Done():
+		return answer{}, false
+	}
+}
+
+// abandon makes sure that the connections that are opened nevertheless are closed.
+func (s *search) abandon() {
+	if len(s.waiting) > 0 {
+		go s.runAbandon()
+	}
+}
+
+func (s *search) runAbandon() {
+	for range s.waiting {
+		if received := <-s.answers; received.failure == nil {
+			_ = received.conn.Close()
+		}
+	}
 }
 
 // ask asks one host to connect.
@@ -132,9 +263,6 @@
 // requestTunnel sends a CONNECT request and returns why it was not granted, or an empty
 // reason.
 func requestTunnel(conn net.Conn, address string) (Reason, error) {
-	if err := conn.SetDeadline(time.Now().Add(responseTimeout)); err != nil {
-		return HostUnreachable, err
-	}
 	if _, err := conn.Write([]byte("CONNECT " + address + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n")); err != nil {
 		return HostUnreachable, err
 	}
@@ -153,7 +281,7 @@
 	if reader.Buffered() > 0 {
 		return HostUnreachable, errEarlyBytes
 	}
-	return "", conn.SetDeadline(time.Time{})
+	return "", nil
 }
 
 // limitedReader reads a bounded number of bytes. Endpoints send nothing before a request, so
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -40,7 +41,27 @@
 	reason   tunnel.Reason
 	dialErr  error
 	isProven bool
-	asked    int
+	asked    atomic.Int64
+	// asks receives each question, notify is closed at the first one, and the host answers
+	// none before await is closed.
+	asks   chan struct{}
+	notify chan struct{}
+	await  chan struct{}
+	// notified is set once notify is closed.
+	notified atomic.Bool
+}
+
+// handleQuestion waits until the host may answer.
+func (h *host) handleQuestion() {
+	if h.asks != nil {
+		h.asks <- struct{}{}
+	}
+	if h.notify != nil && h.notified.CompareAndSwap(false, true) {
+		close(h.notify)
+	}
+	if h.await != nil {
+		<-h.await
+	}
 }
 
 func newHost(t *testing.T) *host {
@@ -48,7 +69,8 @@
 	h := &host{isProven: true}
 	h.server = tunnel.NewServer(tunnel.ServerDependencies{
 		Find: func(address string) (detour.Endpoint, tunnel.Reason) {
-			h.asked++
+			h.handleQuestion()
+			h.asked.Add(1)
 			return detour.Endpoint{Address: address}, h.reason
 		},
 		Dial: func(ctx context.Context, to detour.Endpoint) (net.Conn, error) {
@@ -187,12 +209,12 @@
 				_ = conn.Close()
 				_ = (<-conns).Close()
 			}
-			wantAsked := 1
+			wantAsked := int64(1)
 			if reason == tunnel.Unproven {
 				wantAsked = 2
 			}
-			if useless.asked != wantAsked {
-				t.Errorf("the host was asked %d times, want %d", useless.asked, wantAsked)
+			if useless.asked.Load() != wantAsked {
+				t.Errorf("the host was asked %d times, want %d", useless.asked.Load(), wantAsked)
 			}
 		})
 	}
@@ -216,7 +238,7 @@
 		if got := tcp.IsRefused(err); got != (test.want == tunnel.Refused) {
 			t.Errorf("the connection counts as refused: %v, after %v", got, test.err)
 		}
-		if second.asked > 0 {
+		if second.asked.Load() > 0 {
 			t.Error("a second host was asked about an endpoint that is down")
 		}
 	}
@@ -282,3 +304,72 @@
 	}
 	<-done
 }
+
+// TestSlowHostIsWaitedFor guards against tunnels that are given up because the only host that can
+// open them is slow.
+func TestSlowHostIsWaitedFor(t *testing.T) {
+	address, conns := listen(t)
+	slow, useless := newHost(t), newHost(t)
+	othersAsked := make(chan struct{})
+	slow.await = othersAsked
+	useless.reason = tunnel.PathLost
+	useless.notify = othersAsked
+	client := tunnel.NewClient(hostList{slow.address, useless.address})
+	conn, host, err := client.Connect(t.Context(), address)
+	if err != nil || host != slow.address {
+		t.Fatalf("connected through %q, %v", host, err)
+	}
+	_ = conn.Close()
+	_ = (<-conns).Close()
+}
+
+// TestSilentHostIsAskedAgainIfThereIsNoOther guards against hosts that are left without a path
+// because the only host that can help was slow once.
+func TestSilentHostIsAskedAgainIfThereIsNoOther(t *testing.T) {
+	h := newHost(t)
+	asked, answer := make(chan struct{}), make(chan struct{})
+	h.notify, h.await = asked, answer
+	client := tunnel.NewClient(hostList{h.address})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-asked
+		cancel()
+	}()
+	_, _, err := client.Connect(ctx, "127.0.0.1:1")
+	var failure *tunnel.ConnectError
+	if !errors.As(err, &failure) || failure.Reason != tunnel.HostUnreachable {
+		t.Errorf("got %v, want %s", err, tunnel.HostUnreachable)
+	}
+	close(answer)
+	address, conns := listen(t)
+	conn, _, err := client.Connect(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.Close()
+	_ = (<-conns).Close()
+}
+
+// TestSilentHostIsAskedLast guards against a host that is asked first each time although it does
+// not answer.
+func TestSilentHostIsAskedLast(t *testing.T) {
+	address, conns := listen(t)
+	silent, useful := newHost(t), newHost(t)
+	useful.asks = make(chan struct{}, 8)
+	answer := make(chan struct{})
+	defer close(answer)
+	silent.await = answer
+	silent.asks = make(chan struct{}, 8)
+	client := tunnel.NewClient(hostList{silent.address, useful.address})
+	for range 3 {
+		conn, host, err := client.Connect(t.Context(), address)
+		if err != nil || host != useful.address {
+			t.Fatalf("connected through %q, %v", host, err)
+		}
+		_ = conn.Close()
+		_ = (<-conns).Close()
+	}
+	if len(silent.asks) != 1 || len(useful.asks) != 3 {
+		t.Errorf("asked %d and %d times, want 1 and 3", len(silent.asks), len(useful.asks))
+	}
+}
--- a/io/upstream/dialer.go
+++ b/io/upstream/dialer.go
@@ -13,8 +13,14 @@
 	"cactuswell/io/tunnel"
 )
 
-// throughTimeout bounds the time to connect through another host.
-const throughTimeout = 250 * time.Millisecond
+const (
+	// throughTimeout bounds the time to connect through another host while the path is not
+	// known to be lost, so that the call may go to another endpoint.
+	throughTimeout = 250 * time.Millisecond
+	// lostPathTimeout bounds it where there is no other path. It allows for the
+	// retransmission of a dropped SYN.
+	lostPathTimeout = 1200 * time.Millisecond
+)
 
 // Tunnels connects to endpoints through other hosts. The error is a *tunnel.ConnectError.
 type Tunnels interface {
@@ -61,7 +67,7 @@
 		conn, err := d.connectDirectly(ctx, to)
 		return connection{Conn: conn}, err
 	}
-	c, err := d.connectThrough(ctx, to)
+	c, err := d.connectThrough(ctx, to, lostPathTimeout)
 	var failure *tunnel.ConnectError
 	if err == nil || ctx.Err() != nil || !errors.As(err, &failure) || failure.IsEndpointDown() {
 		return c, err
@@ -146,8 +152,8 @@
 }
 
 // connectThrough opens a connection through another host.
-func (d *dialer) connectThrough(ctx context.Context, to detour.Endpoint) (connection, error) {
-	ctx, cancel := context.WithTimeout(ctx, throughTimeout)
+func (d *dialer) connectThrough(ctx context.Context, to detour.Endpoint, timeout time.Duration) (connection, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, host, err := d.tunnels.Connect(ctx, to.Address)
 	var failure *tunnel.ConnectError
@@ -289,7 +295,7 @@
 
 // runThrough tries the path through another host.
 func (r *race) runThrough() {
-	conn, err := r.dialer.connectThrough(r.ctx, r.to)
+	conn, err := r.dialer.connectThrough(r.ctx, r.to, throughTimeout)
 	r.deliver(r.through, conn, err)
 }
 
