Do not wait until the deadline after an answer that names no call

An endpoint that answered without the call's ID on a kept connection left the caller waiting until its deadline: the answer was skipped, as it may be a late one, and none followed. Found while the repeated refusal was reproduced.

After such an answer the next one is waited for as long as the route's latency target; then the attempt ends as silent, and its outcome is unknown: a refusal without an ID on a kept connection proves nothing. A connection is not kept after an answer that names no call, so an endpoint that never repeats the ID is answered for on new connections, where its refusals can be believed. An answer that follows a late one is still delivered.

--- a/gateway/repeat_test.go
+++ b/gateway/repeat_test.go
@@ -165,3 +165,56 @@
 		t.Errorf("the metrics are:\n%s", f.metrics())
 	}
 }
+
+// sequence returns the given behaviours in order, and the last one for all further calls.
+func sequence(behaviours ...standin.Behaviour) func(*http.Request) standin.Behaviour {
+	var mu sync.Mutex
+	return func(*http.Request) standin.Behaviour {
+		mu.Lock()
+		defer mu.Unlock()
+		next := behaviours[0]
+		if len(behaviours) > 1 {
+			behaviours = behaviours[1:]
+		}
+		return next
+	}
+}
+
+// TestAnswerThatNamesNoCall guards against a call that waits until its deadline for another answer than
+// one without an ID, and against a refusal without an ID that is believed though it may be an earlier one.
+func TestAnswerThatNamesNoCall(t *testing.T) {
+	withoutID := standin.Decline{WithoutID: true}
+	complete := standin.CompleteAnswer{}
+	for name, test := range map[string]struct {
+		path       string
+		behaviours []standin.Behaviour
+		// first is the status of a call before, or 0 for none.
+		first  int
+		status int
+		runs   int
+	}{
+		"a refusal on a new connection":              {path: "/hold/x", behaviours: []standin.Behaviour{withoutID, complete}, status: http.StatusOK, runs: 1},
+		"each answer":                                {path: "/hold/x", behaviours: []standin.Behaviour{withoutID}, first: http.StatusServiceUnavailable, status: http.StatusServiceUnavailable},
+		"a refusal of a hold on a kept connection":   {path: "/hold/x", behaviours: []standin.Behaviour{complete, withoutID, complete}, first: http.StatusOK, status: http.StatusBadGateway, runs: 1},
+		"a refusal of a lookup on a kept connection": {path: "/lookup/x", behaviours: []standin.Behaviour{complete, withoutID, complete}, first: http.StatusOK, status: http.StatusOK, runs: 2},
+		"a repeated answer":                          {path: "/hold/x", behaviours: []standin.Behaviour{complete, standin.RepeatedAnswer{WithoutID: true}}, first: http.StatusOK, status: http.StatusOK, runs: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 1)
+			f.setBehaviour(sequence(test.behaviours...))
+			if test.first != 0 {
+				if got := f.post(test.path, "first"); got.status != test.first {
+					t.Fatalf("the first call got status %d, want %d", got.status, test.first)
+				}
+			}
+			got := f.post(test.path, "body")
+			if got.status != test.status || len(f.runs()) != test.runs {
+				t.Errorf("status %d, %d runs; want %d, %d", got.status, len(f.runs()), test.status, test.runs)
+			}
+			if want := string(standin.AnswerBody([]byte("body"))); got.status == http.StatusOK && got.body != want {
+				t.Errorf("body %q, want %q", got.body, want)
+			}
+		})
+	}
+}
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -250,6 +250,11 @@
 			t.hasExcess = true
 			t.recordExcess(upstream.PartAfterBody)
 		}
+		if t.responseInfo.RequestID != t.exchange.requestInfo.RequestID {
+			// The next response could not be told from a late one of this attempt.
+			t.conn.Discard()
+			break
+		}
 		t.conn.Release(t.response)
 	default:
 		t.conn.Discard()
@@ -317,12 +322,17 @@
 	return true
 }
 
-// recordLateResponse records a response that belongs to an earlier request on the connection.
+// recordLateResponse records a response that belongs to an earlier request on the connection, or may
+// do so. If it names no request it may also be the attempt's own: then no other follows, and the call
+// would wait until its deadline.
 func (t *attempt) recordLateResponse(info ResponseInfo, status int) {
 	if !t.conn.Reused() {
 		return
 	}
 	x := t.exchange
+	if limit := x.route.TargetLatency; info.RequestID == "" && limit > 0 && (t.silenceDeadline.IsZero() || time.Now().Add(limit).Before(t.silenceDeadline)) {
+		t.setReadDeadline(limit)
+	}
 	t.hasExcess = true
 	x.server.Meter.RecordExcess(upstream.PartLateResponse)
 	x.server.Trail.Failure("lateResponse").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
--- a/standin/opaque/endpoint.go
+++ b/standin/opaque/endpoint.go
@@ -63,8 +63,11 @@
 }
 
 // RepeatedAnswer runs the call, but sends the first answer of the connection once more before
-// the call's own, byte by byte if IsSlow is set.
-type RepeatedAnswer struct{ IsSlow bool }
+// the call's own, byte by byte if IsSlow is set, and without its ID if WithoutID is.
+type RepeatedAnswer struct {
+	IsSlow    bool
+	WithoutID bool
+}
 
 // LeavingAnswer is a complete answer with the header that says that the endpoint is
 // leaving.
@@ -405,7 +408,7 @@
 	}
 	answer := e.plainAnswer(status, id, header, "busy")
 	if b.WithoutID {
-		answer = bytes.Replace(answer, []byte(e.idHeader(id)), nil, 1)
+		answer = e.withoutID(answer)
 	}
 	if err := e.write(conn, answer); err != nil || b.Copies == 0 {
 		return err
@@ -480,6 +483,9 @@
 // writeAfterRepeat sends an answer after the first one of the connection.
 func (e *Endpoint) writeAfterRepeat(conn net.Conn, answer []byte, b RepeatedAnswer) error {
 	first := conn.(*recorder).first
+	if b.WithoutID {
+		first = e.withoutID(first)
+	}
 	if !b.IsSlow {
 		return e.write(conn, append(bytes.Clone(first), answer...))
 	}
@@ -544,6 +550,17 @@
 
 func (e *Endpoint) idHeader(id string) string { return e.settings.Names.RequestID + ": " + id + "\r\n" }
 
+// withoutID returns an answer without the header field that names the call.
+func (e *Endpoint) withoutID(answer []byte) []byte {
+	var out []byte
+	for line := range bytes.Lines(answer) {
+		if !bytes.HasPrefix(line, []byte(e.settings.Names.RequestID+": ")) {
+			out = append(out, line...)
+		}
+	}
+	return out
+}
+
 func (e *Endpoint) endlessResponse(id string, b EndlessAnswer) endless.Response {
 	var events []string
 	for i := range b.Events {
