--- a/io/service/client_test.go
+++ b/io/service/client_test.go
@@ -111,3 +111,37 @@
 		})
 	}
 }
+
+// refusalOf returns a response that says that an attempt was not started.
+func refusalOf(attempt string) string {
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: true\r\nContent-Length: 0\r\n\r\n",
+		engine.HeaderAttemptID, attempt, engine.HeaderNotStarted)
+}
+
+// TestRepeatedRefusalOfEarlierAttempt guards against a refusal of an earlier attempt of a call that passes
+// for that of the next one, which was run.
+func TestRepeatedRefusalOfEarlierAttempt(t *testing.T) {
+	base := respondInOrder(t, func(n int, attempt string) string {
+		if n == 0 {
+			return refusalOf(attempt)
+		}
+		return refusalOf("call-1") + answerOf(attempt)
+	})
+	client := service.New(&http.Client{Transport: &http.Transport{}}, &http.Client{})
+	call := func(attempt string) error {
+		_, err := client.Call(context.Background(), service.Call{
+			AttemptID: attempt,
+			BaseURL:   base,
+			Operation: "hold",
+		})
+		return err
+	}
+	var notStarted *engine.NotStartedError
+	if err := call("call-1"); !errors.As(err, &notStarted) {
+		t.Fatalf("error %v, want a *NotStartedError", err)
+	}
+	var mismatch *engine.AttemptMismatchError
+	if err := call("call-2"); !errors.As(err, &mismatch) || errors.As(err, &notStarted) {
+		t.Errorf("error %v, want an *AttemptMismatchError", err)
+	}
+}
