Keep the soak's ports and signals from ending hosts

Ports now come from below that range, a host that is not ready gets no SIGHUP, and the error has the host's last line.

--- a/soak/disturbance.go
+++ b/soak/disturbance.go
@@ -280,7 +280,7 @@
 	case RestartedHost:
 		f.restart(ctx, d)
 	case ReloadedHost:
-		f.hosts[d.Host].signal(syscall.SIGHUP)
+		f.reload(ctx, d)
 	case FrozenEndpoint:
 		f.endpoints[d.Endpoint].SetFrozen(true)
 		f.wait(ctx, d.For)
@@ -342,6 +342,18 @@
 	}
 }
 
+// reload makes a host read its settings again, unless it is starting: the signal ends a process
+// that does not yet handle it.
+func (f *fleet) reload(ctx context.Context, d ReloadedHost) {
+	if !f.restarting[d.Host].TryLock() {
+		return
+	}
+	defer f.restarting[d.Host].Unlock()
+	if isReady(ctx, f.hosts[d.Host]) {
+		f.hosts[d.Host].signal(syscall.SIGHUP)
+	}
+}
+
 func (f *fleet) restart(ctx context.Context, d RestartedHost) {
 	if !f.restarting[d.Host].TryLock() {
 		return
--- a/soak/host.go
+++ b/soak/host.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -16,7 +17,9 @@
 // ExitError reports a host that has ended without being told to.
 type ExitError struct {
 	Host string
-	Err  error
+	// LastLine is the last line of its output.
+	LastLine string
+	Err      error
 }
 
 // Error returns a message with the host and the cause.
@@ -25,6 +28,9 @@
 	if e.Err != nil {
 		text += ": " + e.Err.Error()
 	}
+	if e.LastLine != "" {
+		text += "; its last line: " + e.LastLine
+	}
 	return text
 }
 
@@ -82,8 +88,9 @@
 	defer h.mu.Unlock()
 	if !h.endsWanted {
 		h.failure = errors.Join(h.failure, &ExitError{
-			Host: h.name,
-			Err:  err,
+			Host:     h.name,
+			LastLine: lastLine(h.linesPath),
+			Err:      err,
 		})
 	}
 	close(exited)
@@ -123,6 +130,16 @@
 	return h.failure
 }
 
+// lastLine returns the last line of a file, or an empty string if it cannot be read.
+func lastLine(path string) string {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return ""
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
 func linesPath(directory, name string) string {
 	return filepath.Join(directory, name+".jsonl")
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -280,18 +280,24 @@
 	return nil
 }
 
-// freeAddresses returns loopback addresses that are free for TCP.
+// freeAddresses returns loopback addresses that are free. Their ports are none that the operating
+// system gives to outgoing connections, which could take them while a host is down.
 func freeAddresses(n int) ([]string, error) {
+	const firstPort, lastPort, maxTries = 12_000, 32_000, 100
 	var addresses []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var failure error
+	for range maxTries {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
 		if err != nil {
-			return nil, err
+			failure = err
+			continue
 		}
 		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
+		if addresses = append(addresses, listener.Addr().String()); len(addresses) == n {
+			return addresses, nil
+		}
 	}
-	return addresses, nil
+	return nil, failure
 }
 
 func (f *fleet) awaitReady(ctx context.Context) error {
