Take no odd record for the version of a stream

Records of another writer in the topic of streams decided at which software version a stream goes on. A base version that no endpoint has bound all streams without a record to it, which were refused until the streams' lifetime was over.

Base versions are now listed from their prefix on, and a record counts only if it has the mark that hosts write and a version of at most 255 printable bytes. An odd base version counts as unknown, so that the next one is set at once; a stream whose own record is odd is refused, as its version isn't known. The line is versionUnreadable.

Failed before: TestOddBaseVersionIsNoVersion (six cases, no base version set within 10 s), TestOddKeysDoNotHideBaseVersions ('a stream that began at v1 goes on at v2'), TestOddRecordOfStreamIsNoVersion (no line; the stream was refused before as well, as no endpoint has such a version).

--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
@@ -24,6 +26,8 @@
 	// the version, as a key without a value is dropped.
 	streamTopic = "keyed.cactuswellStreams"
 	valuePrefix = "="
+	// maxVersionBytes bounds a version.
+	maxVersionBytes = 255
 	// baseKeyPrefix precedes a service's name in the key of its base version, and
 	// streamKeyPrefix the hash of a request ID in that of a stream. Base versions come first
 	// in a listing.
@@ -55,6 +59,16 @@
 	return "the software version of a stream of " + e.Service + " is not known"
 }
 
+// VersionUnreadableError reports a record of a version that is not a host's.
+type VersionUnreadableError struct {
+	Key string
+}
+
+// Error returns a message with the record's key.
+func (e *VersionUnreadableError) Error() string {
+	return "the version in record " + e.Key + " cannot be read"
+}
+
 // streamRecords keeps the software versions of streams in the store.
 type streamRecords struct {
 	gateway *Gateway
@@ -194,7 +208,8 @@
 	return base, nil
 }
 
-// read returns the version in the record with a key. It reports false if there is none.
+// read returns the version in the record with a key. It reports false if there is none. The error
+// is a *VersionUnreadableError if the record is not a host's.
 func (r *streamRecords) read(ctx context.Context, key string) (version string, found bool, err error) {
 	// Keys are listed in order, so that the page after a prefix of the key begins with it.
 	after := key[:len(key)-1]
@@ -206,7 +221,11 @@
 		previous := after
 		for _, record := range page.Records {
 			if record.Key == key {
-				return strings.TrimPrefix(string(record.Value), valuePrefix), true, nil
+				version, ok := r.decodeVersion(record)
+				if !ok {
+					return "", false, &VersionUnreadableError{Key: key}
+				}
+				return version, true, nil
 			}
 			if previous < key && record.Key > key {
 				return "", false, nil
@@ -314,7 +333,8 @@
 func (r *streamRecords) readBases(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, baseTimeout)
 	defer cancel()
-	page, err := r.gateway.Roster.ListNewest(ctx, streamTopic, "")
+	// Keys are listed in order, so that the page after a prefix of baseKeyPrefix begins with them.
+	page, err := r.gateway.Roster.ListNewest(ctx, streamTopic, baseKeyPrefix[:len(baseKeyPrefix)-1])
 	if err != nil {
 		r.gateway.trail.Failure("baseVersionsUnread").Err(err).Merge("")
 		return trace.Wrap(err)
@@ -322,13 +342,30 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, record := range page.Records {
-		if service, ok := strings.CutPrefix(record.Key, baseKeyPrefix); ok {
-			r.tracker.SetBase(service, strings.TrimPrefix(string(record.Value), valuePrefix))
+		service, ok := strings.CutPrefix(record.Key, baseKeyPrefix)
+		if !ok {
+			continue
+		}
+		if version, ok := r.decodeVersion(record); ok {
+			r.tracker.SetBase(service, version)
 		}
 	}
 	return nil
 }
 
+// decodeVersion returns the version in a record. It reports false, and logs it, if the record is
+// not a host's.
+func (r *streamRecords) decodeVersion(record keyedlog.Record) (string, bool) {
+	version, ok := strings.CutPrefix(string(record.Value), valuePrefix)
+	if ok && len(version) <= maxVersionBytes && utf8.ValidString(version) && strings.TrimSpace(version) == version &&
+		!strings.ContainsFunc(version, unicode.IsControl) {
+		return version, true
+	}
+	key := record.Key[:min(len(record.Key), maxLoggedKey)]
+	r.gateway.trail.Failure("versionUnreadable").Text("key", key).Int("bytes", int64(len(record.Value))).Merge(key)
+	return "", false
+}
+
 // proposeBases changes the base versions that are due, unless another host has done so.
 func (r *streamRecords) proposeBases(ctx context.Context) {
 	if len(r.proposals()) == 0 {
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"cactuswell/core/directory"
 	"cactuswell/gateway"
@@ -193,3 +196,86 @@
 		}
 	}
 }
+
+// restartAtNewVersion restarts the host once all engines have the new version, with a record under
+// the key of the base version. Streams last longer than the test.
+func (f *versionFleet) restartAtNewVersion(base string) *fixture {
+	f.t.Helper()
+	f.stopAndWait()
+	f.spec.Version++
+	for i := range f.spec.Routes {
+		f.spec.Routes[i].Timeout = time.Minute
+	}
+	f.publishConfiguration()
+	f.log.Append(gateway.StreamTopic, "base/"+models, []byte(base))
+	for i := 1; i < len(f.endpoints); i += 2 {
+		f.publishEntry(fmt.Sprintf("%s-%d", models, i/2), directory.Entry{
+			Born:    3,
+			Service: models,
+			Address: f.endpoints[i].Address(),
+			Zone:    "z0",
+			Version: newVersion,
+			Slots:   4,
+		})
+	}
+	restarted := &fixture{
+		t:         f.t,
+		log:       f.log,
+		spec:      f.spec,
+		endpoints: f.endpoints,
+	}
+	restarted.start()
+	return restarted
+}
+
+// TestOddBaseVersionIsNoVersion guards against streams that are bound to a version that no endpoint has, because another writer's record was taken for their version.
+func TestOddBaseVersionIsNoVersion(t *testing.T) {
+	for name, value := range map[string]string{
+		"no mark":       "v9",
+		"line break":    "=v\r\n9",
+		"no valid text": "=\xff",
+		"too long":      "=" + strings.Repeat("v", 256),
+		"deeply nested": strings.Repeat("[", 100_000),
+		"space around":  "= v9",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newVersionFleet(t)
+			restarted := f.restartAtNewVersion(value)
+			restarted.awaitLine(`"event":"baseVersionSet"`, `"version":"`+newVersion+`"`)
+			f.send(restarted, "resumed", "began-before")
+		})
+	}
+}
+
+// TestOddKeysDoNotHideBaseVersions guards against streams that go on at another software version, because other keys fill the page with the base versions.
+func TestOddKeysDoNotHideBaseVersions(t *testing.T) {
+	f := newVersionFleet(t)
+	for i := range 600 {
+		f.log.Append(gateway.StreamTopic, fmt.Sprintf("a%03d", i), []byte("="))
+	}
+	restarted := f.restartAtNewVersion("=" + oldVersion)
+	request := restarted.request(http.MethodPost, "/summary/stream", []byte("x"))
+	request.Header.Set("Cactuswell-Resumes", "began-before")
+	request.Header.Set("Last-Event-Id", "0")
+	// Base versions are read and checked once a second.
+	eventually(t, "the base versions are read", func() bool {
+		return restarted.metric(t, "cactuswell_configuration_age_seconds") > 3
+	})
+	if got := restarted.do(request); got.status == http.StatusOK {
+		t.Errorf("a stream that began at %s goes on at %s", oldVersion, newVersion)
+	}
+}
+
+// TestOddRecordOfStreamIsNoVersion guards against a stream that goes on at the base version, although a record says that it began at another one.
+func TestOddRecordOfStreamIsNoVersion(t *testing.T) {
+	f := newVersionFleet(t)
+	f.log.Append(gateway.StreamTopic, fmt.Sprintf("stream/%016x", xxhash.Sum64String("began-before")), []byte("v\xff"))
+	restarted := f.restartAtNewVersion("=" + newVersion)
+	request := restarted.request(http.MethodPost, "/summary/stream", []byte("x"))
+	request.Header.Set("Cactuswell-Resumes", "began-before")
+	request.Header.Set("Last-Event-Id", "0")
+	if got := restarted.do(request); got.status == http.StatusOK {
+		t.Errorf("status %d", got.status)
+	}
+	restarted.awaitLine(`"event":"versionUnreadable"`, `"key":"stream/`)
+}
