Let adopted quarantines end

A record of quarantines that ends in the far future, which another writer may have left or a host whose clock was wrong, kept a request from the endpoints for as long as a host ran, and from there through the hosts' reports from all others. Each part that a record names was kept as well.

A quarantine that is taken over now lasts for as long as one of this host's own may, 8 hours, and one of more parts than a ledger has is ignored: without some of its parts it would hold further prompts.

Failed before: TestAdoptedQuarantineEnds ('still held after 8 hours'), TestQuarantineOfTooManyPartsIsNotAdopted ('1 quarantines, one of 100000 parts').

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -382,8 +382,12 @@
 	})
 }
 
-// adopt takes over a quarantine that another host reports.
+// adopt takes over a quarantine that another host reports, for maxTerm at most. It ignores one of
+// more parts than a ledger has.
 func (l *Ledger) adopt(now time.Time, reported Quarantine) {
+	if len(reported.Parts) > maxParts {
+		return
+	}
 	since := now.Add(-reported.Age)
 	request := reported.Request
 	if request != 0 && l.refutes(now, since, request, true) {
@@ -395,7 +399,7 @@
 			parts = append(parts, part)
 		}
 	}
-	until := now.Add(reported.Left)
+	until := now.Add(min(reported.Left, maxTerm))
 	if request == 0 && len(parts) == 0 || reported.Left < minAdoptedTerm {
 		return
 	}
