Wait before a read is repeated that a listing does not help

A follower whose read was refused as expired listed the topic and read again at once. If the listing got no further, as from a store that is behind or that has lost records without a later era, it called the store without a pause, on the rate that all hosts share.

A listing that gets no further than the copy now counts as a failed read, after which the host waits. TestFailedReadsAreNotRepeatedAtOnce failed before in two cases: 1013 and 1014 reads in 20 s, where the log of the test stops answering.

--- a/io/keyedlog/keyedlog.go
+++ b/io/keyedlog/keyedlog.go
@@ -377,12 +377,15 @@
 		return f.list(ctx)
 	}
 	batch, err := f.poll(ctx, end, wait)
-	var expired *ExpiredError
-	if errors.As(err, &expired) || err == nil && batch.Era > end.Era {
-		return f.list(ctx)
+	if err == nil && batch.Era > end.Era {
+		err = &ExpiredError{
+			Topic: f.Topic,
+			From:  end.Offset,
+		}
 	}
+	var expired *ExpiredError
 	var malformed *MalformedError
-	if errors.As(err, &malformed) {
+	if errors.As(err, &expired) || errors.As(err, &malformed) {
 		return f.listPast(ctx, end, err)
 	}
 	if err != nil {
@@ -400,14 +403,20 @@
 	}, nil
 }
 
-// listPast lists the topic, to get past a malformed read from the end of the copy. It returns
-// the read's error if the listing does not get past it.
+// listPast lists the topic, as its records do not continue the copy or cannot be read. It returns
+// the read's error if the listing does not get past the copy.
 func (f *Follower) listPast(ctx context.Context, end replica.Position, readErr error) (replica.Changes, error) {
 	changes, err := f.list(ctx)
-	if err != nil || !changes.End.After(end) {
+	if err != nil {
+		return replica.Changes{}, err
+	}
+	if !changes.End.After(end) {
 		return replica.Changes{}, readErr
 	}
-	f.RecordReadFailure(readErr)
+	var malformed *MalformedError
+	if errors.As(readErr, &malformed) {
+		f.RecordReadFailure(readErr)
+	}
 	return changes, nil
 }
 
--- a/io/keyedlog/odd_test.go
+++ b/io/keyedlog/odd_test.go
@@ -116,52 +116,65 @@
 	}
 }
 
-// TestMalformedReadsAreNotRepeatedAtOnce guards against a follower that calls a faulty log without a pause.
-func TestMalformedReadsAreNotRepeatedAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		log := &malformedLog{Log: standin.New()}
-		log.Append(topic, "a", []byte("1"))
-		l := &listener{}
-		timers := timer.New()
-		follower := keyedlog.New(keyedlog.Dependencies{
-			Log:        log,
-			Topic:      topic,
-			Listener:   l,
-			Timers:     timers,
-			RecordCall: func(time.Duration, error) {},
+// TestFailedReadsAreNotRepeatedAtOnce guards against a follower that calls a faulty log without a pause.
+func TestFailedReadsAreNotRepeatedAtOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		batch keyedlog.Batch
+		err   error
+	}{
+		"malformed":                      {err: &keyedlog.MalformedError{Topic: topic}},
+		"expired, and the listing too":   {err: &keyedlog.ExpiredError{Topic: topic}},
+		"later era, which no listing is": {batch: keyedlog.Batch{Era: 7}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := &failingLog{Log: standin.New(), batch: test.batch, err: test.err}
+				log.Append(topic, "a", []byte("1"))
+				l := &listener{}
+				timers := timer.New()
+				follower := keyedlog.New(keyedlog.Dependencies{
+					Log:        log,
+					Topic:      topic,
+					Listener:   l,
+					Timers:     timers,
+					RecordCall: func(time.Duration, error) {},
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error, 2)
+				go func() { done <- timers.Run(ctx) }()
+				go func() { done <- follower.Run(ctx) }()
+				wait(20 * time.Second)
+				// The pause after a failure is 200 ms or more from the third one on.
+				if log.calls > 103 {
+					t.Errorf("%d reads in 20 s", log.calls)
+				}
+				if diff := cmp.Diff([]string{"listed", "lost"}, l.events); diff != "" {
+					t.Error(diff)
+				}
+				cancel()
+				for range 2 {
+					if err := <-done; err != nil {
+						t.Error(err)
+					}
+				}
+			})
 		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 2)
-		go func() { done <- timers.Run(ctx) }()
-		go func() { done <- follower.Run(ctx) }()
-		wait(20 * time.Second)
-		// The pause after a failure is 200 ms or more from the third one on.
-		if log.calls > 103 {
-			t.Errorf("%d reads in 20 s", log.calls)
-		}
-		if diff := cmp.Diff([]string{"listed", "lost"}, l.events); diff != "" {
-			t.Error(diff)
-		}
-		cancel()
-		for range 2 {
-			if err := <-done; err != nil {
-				t.Error(err)
-			}
-		}
-	})
+	}
 }
 
-// malformedLog is a log whose reads are all malformed.
-type malformedLog struct {
+// failingLog is a log whose reads have all the same result.
+type failingLog struct {
 	*standin.Log
+	batch keyedlog.Batch
+	err   error
 	calls int
 }
 
 // Read implements keyedlog.Log.
-func (l *malformedLog) Read(_ context.Context, topic string, from int64, _ time.Duration) (keyedlog.Batch, error) {
-	l.calls++
-	return keyedlog.Batch{}, &keyedlog.MalformedError{
-		Topic: topic,
-		From:  from,
+func (l *failingLog) Read(ctx context.Context, _ string, _ int64, _ time.Duration) (keyedlog.Batch, error) {
+	if l.calls++; l.calls > 10*maxOddReads {
+		<-ctx.Done()
+		return keyedlog.Batch{}, ctx.Err()
 	}
+	return l.batch, l.err
 }
