Follow the host list past an entry that cannot be used

One entry of the platform's host list with an incarnation beyond its type or a field of another type failed the whole list (serve): hosts kept the endpoints that they knew and followed no change, and a host that started knew none. An entry with port 0, a host name or an unknown state was taken for that of an endpoint.

The class is that of the store's listings: one bad element fails the whole. Entries are now decoded one by one. One that names no endpoint to use is left out and counted (hostListEntriesUnusable); if its name can be read, the endpoint is not taken for one that is no longer listed.

--- a/host/directory.go
+++ b/host/directory.go
@@ -136,6 +136,11 @@
 		listed.Add(entry.Name)
 		descriptors = append(descriptors, descriptorOf(entry))
 	}
+	// An endpoint whose entry has become unusable stays as it was listed last.
+	for _, name := range list.Unusable {
+		listed.Add(name)
+	}
+	d.counters.Add("hostListEntriesUnusable", int64(len(list.Unusable)))
 	d.add(descriptors...)
 	for _, entry := range list.Entries {
 		if entry.State == hostlist.StateLeaving {
--- a/host/directory_test.go
+++ b/host/directory_test.go
@@ -69,6 +69,18 @@
 	return list
 }
 
+// TestUnusableEntryIsNotLost guards against an endpoint that counts as leaving because another writer spoiled its entry.
+func TestUnusableEntryIsNotLost(t *testing.T) {
+	d, r := newTestDirectory()
+	d.applyList(hostListOf("a/1", "b/1", "c/1"))
+	list := hostListOf("a/1", "b/1")
+	list.Unusable = []string{"c", ""}
+	d.applyList(list)
+	if diff := cmp.Diff([]string{"drafting: added a/1", "drafting: added b/1", "drafting: added c/1"}, r.lines); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestDirectoryFollowsTheHostList(t *testing.T) {
 	for _, test := range []struct {
 		name  string
--- a/io/hostlist/client.go
+++ b/io/hostlist/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 
@@ -46,11 +47,27 @@
 	}
 }
 
-// Fetch implements Lister.
+// encodedList is the list with its entries as they were received.
+type encodedList struct {
+	Revision uint64            `json:"revision"`
+	Entries  []json.RawMessage `json:"entries"`
+}
+
+// Fetch implements Lister. Entries that name no endpoint to use are left out.
 func (c *Client) Fetch(ctx context.Context) (ListResponse, error) {
-	var list ListResponse
-	if err := httpjson.Get(ctx, c.http, c.base+"/v1/hosts", maxListResponseBytes, &list); err != nil {
+	var encoded encodedList
+	if err := httpjson.Get(ctx, c.http, c.base+"/v1/hosts", maxListResponseBytes, &encoded); err != nil {
 		return ListResponse{}, trace.Wrap(&UnavailableError{Cause: err})
 	}
+	list := ListResponse{Revision: encoded.Revision}
+	for _, text := range encoded.Entries {
+		// After a field of another type, the fields that follow are decoded as well.
+		var entry Entry
+		if err := json.Unmarshal(text, &entry); err != nil || !entry.isUsable() {
+			list.Unusable = append(list.Unusable, entry.Name)
+			continue
+		}
+		list.Entries = append(list.Entries, entry)
+	}
 	return list, nil
 }
--- a/io/hostlist/wire.go
+++ b/io/hostlist/wire.go
@@ -11,6 +11,8 @@
 //	GET /v1/hosts -> ListResponse
 package hostlist
 
+import "net/netip"
+
 // The states of an entry.
 const (
 	StateLive    = "live"
@@ -39,8 +41,18 @@
 	ChecksFencing bool `json:"checksFencing"`
 }
 
+// isUsable reports whether the entry names an endpoint to which work can be sent.
+func (e *Entry) isUsable() bool {
+	address, err := netip.ParseAddrPort(e.Address)
+	return err == nil && address.Port() != 0 && e.Name != "" &&
+		(e.Kind == KindEngine || e.Kind == KindService) && (e.State == StateLive || e.State == StateLeaving)
+}
+
 // ListResponse is the complete list.
 type ListResponse struct {
 	Revision uint64  `json:"revision"`
 	Entries  []Entry `json:"entries"`
+	// Unusable holds the names of the entries that Client.Fetch has left out, as they name no
+	// endpoint to use. A name that cannot be decoded is empty.
+	Unusable []string `json:"-"`
 }
