Refuse entries that name the host itself

An entry with the address at which a host accepts calls made it send calls to itself. Each came in as a new call and was sent again, until the slots and a half that the entry names were in use: in a trial with 4 slots one call made six attempts and ended after a second with 502, on a route that runs calls once. An entry may name a million slots.

A host now refuses entries with its own addresses for callers and readiness (entryUnreadable). Another host that takes such an entry up reaches this one, which serves the call as any other.

--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -11,6 +11,7 @@
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 	"cactuswell/io/keyedlog"
+	"cactuswell/set"
 	"cactuswell/trail"
 )
 
@@ -144,6 +145,8 @@
 	// rewound is signaled each time.
 	rewound chan struct{}
 	meter   *meter
+	// ownAddresses are the addresses at which the host accepts requests.
+	ownAddresses set.Set[string]
 	// loggedUnreadable holds the IDs whose entry could not be decoded. Each is
 	// logged once, until it can be decoded again.
 	loggedUnreadable map[string]bool
@@ -215,7 +218,21 @@
 	if record.Omitted > 0 {
 		return directory.Entry{}, &LargeEntryError{Bytes: record.Omitted}
 	}
-	return f.decoder.Endpoint(record.Key, record.Value)
+	entry, err := f.decoder.Endpoint(record.Key, record.Value)
+	if err == nil && f.ownAddresses.Has(entry.Address) {
+		err = &OwnAddressError{Address: entry.Address}
+	}
+	return entry, err
+}
+
+// OwnAddressError reports an entry that names this host. Calls would return to it without end.
+type OwnAddressError struct {
+	Address string
+}
+
+// Error names the address.
+func (e *OwnAddressError) Error() string {
+	return e.Address + " is an address of this host"
 }
 
 const (
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"cactuswell/io/peer"
 	"cactuswell/io/tunnel"
 	"cactuswell/io/upstream"
+	"cactuswell/set"
 	"cactuswell/settings"
 	"cactuswell/supervisor"
 	"cactuswell/timer"
@@ -214,6 +215,7 @@
 		trail:            g.trail,
 		decisions:        g.decisions,
 		meter:            g.meter,
+		ownAddresses:     set.New(g.CallerAddress(), g.ReadyAddress()),
 		loggedUnreadable: make(map[string]bool),
 		rewound:          make(chan struct{}, 1),
 		loaded:           make(chan struct{}),
