--- a/io/keyedlog/odd_test.go
+++ b/io/keyedlog/odd_test.go
@@ -71,7 +71,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				log := &oddLog{Log: standin.New(), offset: test.offset, isFramed: test.isFramed}
+				log := &oddLog{
+					Log:      standin.New(),
+					offset:   test.offset,
+					isFramed: test.isFramed,
+				}
 				l := &listener{}
 				timers := timer.New()
 				unreadable, failures := 0, 0
@@ -128,7 +132,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				log := &failingLog{Log: standin.New(), batch: test.batch, err: test.err}
+				log := &failingLog{
+					Log:   standin.New(),
+					batch: test.batch,
+					err:   test.err,
+				}
 				log.Append(topic, "a", []byte("1"))
 				l := &listener{}
 				timers := timer.New()
