--- a/io/upstream/dialer_test.go
+++ b/io/upstream/dialer_test.go
@@ -51,7 +51,7 @@
 			conn, err := pool.Get(t.Context(), detour.Endpoint{
 				Service: "booking",
 				Address: address,
-			}, 0)
+			}, 0, "request")
 			if err == nil {
 				conn.Discard()
 			}
