--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -171,13 +171,16 @@
 }
 
 // Find implements opaque.StreamVersions.
-func (r *streamRecords) Find(ctx context.Context, service, requestID string) (string, error) {
+func (r *streamRecords) Find(ctx context.Context, service, requestID string) (opaque.FoundVersion, error) {
 	r.mu.Lock()
 	base, hasBase := r.tracker.Base(service)
 	isSettled := r.tracker.IsSettled(r.gateway.timers.Now(), service)
 	r.mu.Unlock()
 	if isSettled {
-		return base, nil
+		return opaque.FoundVersion{
+			Version: base,
+			Source:  opaque.VersionSettled,
+		}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
@@ -185,13 +188,19 @@
 	version, found, err := r.read(ctx, streamKey(requestID))
 	switch {
 	case err != nil:
-		return "", trace.Wrap(err)
+		return opaque.FoundVersion{}, trace.Wrap(err)
 	case found:
-		return version, nil
+		return opaque.FoundVersion{
+			Version: version,
+			Source:  opaque.VersionRecorded,
+		}, nil
 	case !hasBase:
-		return "", &VersionUnknownError{Service: service}
+		return opaque.FoundVersion{}, &VersionUnknownError{Service: service}
 	}
-	return base, nil
+	return opaque.FoundVersion{
+		Version: base,
+		Source:  opaque.VersionOfBase,
+	}, nil
 }
 
 // read returns the version in the record with a key. It reports false if there is none.
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -114,7 +114,7 @@
 	if x.server.Versions == nil || !x.route.Resumable || x.requestInfo.Resumes == "" {
 		return true
 	}
-	version, err := x.server.Versions.Find(x.request.Context(), x.service, x.requestInfo.Resumes)
+	found, err := x.server.Versions.Find(x.request.Context(), x.service, x.requestInfo.Resumes)
 	if err != nil {
 		x.server.Trail.Failure("streamVersionUnknown").Text("request", x.requestInfo.RequestID).
 			Text("resumes", x.requestInfo.Resumes).Err(err).End()
@@ -124,7 +124,9 @@
 		})
 		return false
 	}
-	call.Version = version
+	x.logLine("streamVersionFound").Text("resumes", x.requestInfo.Resumes).
+		Text("endpointVersion", found.Version).Text("source", string(found.Source)).End()
+	call.Version = found.Version
 	call.IsBoundToVersion = true
 	return true
 }
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -90,9 +90,28 @@
 	// Record keeps the version of a stream, and returns when it is kept.
 	Record(ctx context.Context, service, requestID, version string) error
 	// Find returns the version of a stream.
-	Find(ctx context.Context, service, requestID string) (string, error)
+	Find(ctx context.Context, service, requestID string) (FoundVersion, error)
 }
 
+// FoundVersion is the version of a stream, and what tells it.
+type FoundVersion struct {
+	Version string
+	Source  VersionSource
+}
+
+// VersionSource is what tells the version of a stream.
+type VersionSource string
+
+// The sources.
+const (
+	// VersionRecorded means that the stream has a record.
+	VersionRecorded VersionSource = "record"
+	// VersionOfBase means that it has none, and thus the base version.
+	VersionOfBase VersionSource = "noRecord"
+	// VersionSettled means that no stream of another version can be left.
+	VersionSettled VersionSource = "settled"
+)
+
 // Dependencies holds what a Server needs.
 type Dependencies struct {
 	// RouteTable returns the configuration in force, or nil if there is none yet. It
