Deliver no stream whose version is not recorded

Callers got streams of two software versions: a host delivered the first event of a stream at another version than the base although the store had not taken its record within 0.25 s. If that host then died, or the caller came back at another one, the host that took the stream up read the missing record as the base version.

The class of fault is absence of knowledge taken for knowledge. A missing record now is knowledge: the record is written while the call is sent, and its first event is delivered only once the store has acknowledged it. While the store acknowledges none, resumable streams begin at the base version, and the writes are repeated. Failed writes were counted as done; they are now repeated, also those after the store has come back from an older copy.

--- a/core/lineage/lineage.go
+++ b/core/lineage/lineage.go
@@ -6,19 +6,24 @@
 // changes once all endpoints have had another version for longer than a stream lasts, so that
 // no stream is left that began at the old one without a record.
 //
+// That a record is missing tells the version only because no caller gets an event of a stream
+// whose record the store has not acknowledged: while it acknowledges none, streams begin at the
+// base version.
+//
 // # Usage
 //
 //	tracker := lineage.New()
 //	tracker.SetLifetime(service, lifetime)
 //	tracker.Observe(now, service, versions)
 //	if tracker.MustRecord(service, version) {
-//		... write a record before the caller gets the first event ...
+//		entry := outbox.Add(now, key, version, tracker.Lifetime(service), nil)
+//		... write it before the caller gets the first event, and see entry.IsKept() ...
 //	}
 //	if version, ok := tracker.ProposedBase(now, service); ok {
 //		... write the base, and SetBase ...
 //	}
 //
-// A Tracker reads no clock and is not safe for concurrent use.
+// Neither a Tracker nor an Outbox reads a clock or is safe for concurrent use.
 package lineage
 
 import (
--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -71,6 +71,8 @@
 	// It may go on only there.
 	version          string
 	isBoundToVersion bool
+	// beginsAtBase is set while the stream may begin only at the base version.
+	beginsAtBase bool
 	// isSound is set once an answer to the request has gone on after its beginning.
 	isSound bool
 	// prefillTime is the expected engine time to prefill the prompt at the chosen
--- a/core/scheduling/command.go
+++ b/core/scheduling/command.go
@@ -18,8 +18,11 @@
 	Key     Key
 	Address string
 	// Version is the version of the endpoint's software.
-	Version  string
-	Priority int
+	Version string
+	// RequiresRecord is set if the version at which the stream begins must have been recorded
+	// before the caller gets an event, as there are endpoints of the base version.
+	RequiresRecord bool
+	Priority       int
 	// IsRetry reports whether an earlier attempt may have run.
 	IsRetry bool
 	// FirstEventTimeout is how long to wait for the first event or the response
@@ -142,6 +145,7 @@
 	ReasonOverloaded           Reason = "overloaded"
 	ReasonQuarantined          Reason = "quarantined"
 	ReasonVersionGone          Reason = "versionGone"
+	ReasonVersionNotRecorded   Reason = "versionNotRecorded"
 	ReasonTimedOut             Reason = "timedOut"
 	ReasonOutcomeUnknown       Reason = "outcomeUnknown"
 	ReasonRetryBudgetExhausted Reason = "retryBudgetSpent"
--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -112,6 +112,16 @@
 	Findings []quarantine.Finding
 }
 
+// RecordsChanged tells how the versions at which resumable streams begin are recorded.
+type RecordsChanged struct {
+	// Bases holds the base version of each service for which it is known. Streams that begin
+	// there need no record. It must not be changed.
+	Bases map[string]string
+	// IsOverdue is set while records are not acknowledged, so that a stream that begins at another
+	// version would be taken for one of the base version.
+	IsOverdue bool
+}
+
 // PeerRemoved reports that another host has been removed from the membership.
 type PeerRemoved struct {
 	Peer string
@@ -131,6 +141,7 @@
 func (BudgetChanged) isEvent()        {}
 func (PeerReported) isEvent()         {}
 func (FindingsRestored) isEvent()     {}
+func (RecordsChanged) isEvent()       {}
 func (PeerRemoved) isEvent()          {}
 func (Tick) isEvent()                 {}
 
@@ -252,6 +263,10 @@
 	JustBegun bool
 }
 
+// Unrecorded means that the attempt was abandoned at the first event of its stream, as the version
+// at which the stream begins could not be recorded.
+type Unrecorded struct{}
+
 // Silent means that the attempt was abandoned because the endpoint made no
 // progress.
 type Silent struct {
@@ -271,6 +286,7 @@
 func (Misdirected) isOutcome() {}
 func (Failed) isOutcome()      {}
 func (Broken) isOutcome()      {}
+func (Unrecorded) isOutcome()  {}
 func (Silent) isOutcome()      {}
 func (TimedOut) isOutcome()    {}
 func (Abandoned) isOutcome()   {}
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -152,6 +152,10 @@
 		}
 		s.recordBreak(e, reason)
 		s.retryMayHaveRun(c, e, reason, false)
+	case Unrecorded:
+		c.possibleRuns++
+		e.health.probing = false
+		s.refuse(c, ReasonVersionNotRecorded)
 	case Silent:
 		c.possibleRuns++
 		s.recordBreak(e, ReasonSilent)
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -173,6 +173,7 @@
 func (s *Scheduler) pickEndpoint(c *call) (*endpoint, Choice) {
 	var best candidate
 	compared := 0
+	s.restrictVersions(c)
 	if c.pool.engine != nil {
 		c.cachedTokens = s.cachedTokensAnywhere(c)
 		c.affinity = s.affinityEndpoints(c)
@@ -467,6 +468,8 @@
 		Priority: c.spec.Priority,
 		IsRetry:  isRetry,
 		Choice:   choice,
+
+		RequiresRecord: s.requiresRecord(c, e.entry.Version),
 	}
 	if choice.FetchedTokens > 0 {
 		command.FetchFrom = c.fetchSource.key
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -73,6 +73,10 @@
 	placements PlacementQueue
 	// quarantine holds the requests and the prompt parts that crash endpoints.
 	quarantine *quarantine.Ledger
+	// bases holds the base versions by service, and recordsOverdue is set while streams that
+	// begin at other ones cannot be recorded.
+	bases          map[string]string
+	recordsOverdue bool
 
 	now      time.Time
 	commands []Command
@@ -118,6 +122,9 @@
 	callDemands   map[string]peerDemand
 	reportedCalls int
 	part          demandPart
+	// base is the software version of streams without a record, if hasBase is set.
+	base    string
+	hasBase bool
 	// streamRoutes holds the routes that send streams to the service.
 	streamRoutes []*route.Route
 }
@@ -172,6 +179,8 @@
 		s.handlePeerReported(event)
 	case FindingsRestored:
 		s.applyQuarantineChanges(s.quarantine.Apply(s.now, event.Findings))
+	case RecordsChanged:
+		s.handleRecordsChanged(event)
 	case PeerRemoved:
 		s.handlePeerRemoved(event.Peer)
 	case Tick:
@@ -227,6 +236,7 @@
 			partitions: partitions{weights: s.settings.Weights},
 		}
 		p.budget.SetSlack(s.SlackShare())
+		p.base, p.hasBase = s.bases[name]
 		s.pools[name] = p
 		s.poolsInOrder = append(s.poolsInOrder, p)
 	}
--- a/core/scheduling/version.go
+++ b/core/scheduling/version.go
@@ -13,15 +13,50 @@
 // isCompatible reports whether an endpoint may run the call, as far as its software version
 // matters.
 func (c *call) isCompatible(e *endpoint) bool {
-	return !c.isBoundToVersion || e.entry.Version == c.version
+	switch {
+	case c.isBoundToVersion:
+		return e.entry.Version == c.version
+	case c.beginsAtBase:
+		return e.entry.Version == c.pool.base
+	}
+	return true
+}
+
+// requiresRecord reports whether a stream that begins at a version without a record would be taken
+// for one of another version that has endpoints, and go on there.
+func (s *Scheduler) requiresRecord(c *call, version string) bool {
+	p := c.pool
+	return !c.isBoundToVersion && c.spec.Route.Resumable && p.hasBase && p.base != version && s.countVersion(p, p.base) > 0
+}
+
+// restrictVersions lets a stream begin only at the base version while its version cannot be
+// recorded, unless that version has no endpoint.
+func (s *Scheduler) restrictVersions(c *call) {
+	p := c.pool
+	c.beginsAtBase = s.recordsOverdue && !c.isBoundToVersion && c.spec.Route.Resumable && p.hasBase && s.countVersion(p, p.base) > 0
+}
+
+func (s *Scheduler) handleRecordsChanged(event RecordsChanged) {
+	s.recordsOverdue = event.IsOverdue
+	s.bases = event.Bases
+	for _, p := range s.poolsInOrder {
+		p.base, p.hasBase = s.bases[p.name]
+	}
+	for _, p := range s.poolsInOrder {
+		s.dispatchWaiting(p)
+	}
 }
 
 // countUsableFor returns the number of endpoints that accept new work and may run the call.
 func (s *Scheduler) countUsableFor(c *call) int {
-	if !c.isBoundToVersion {
-		return s.countUsable(c.pool)
+	s.restrictVersions(c)
+	switch {
+	case c.isBoundToVersion:
+		return s.countVersion(c.pool, c.version)
+	case c.beginsAtBase:
+		return s.countVersion(c.pool, c.pool.base)
 	}
-	return s.countVersion(c.pool, c.version)
+	return s.countUsable(c.pool)
 }
 
 // countVersion returns the number of endpoints of a software version that accept new work.
--- a/core/scheduling/version_test.go
+++ b/core/scheduling/version_test.go
@@ -92,3 +92,105 @@
 		t.Errorf("the call is sent to %s again", send.Version)
 	}
 }
+
+// startOwnPrompt starts a call for a resumable stream whose prompt no engine has cached.
+func (h *harness) startOwnPrompt() (scheduling.CallID, []scheduling.Command) {
+	h.t.Helper()
+	return h.startCallWithParts("summary", []scheduling.PromptPart{{
+		ID:     uint64(1001 + h.nextID),
+		Tokens: 500,
+	}})
+}
+
+// startStreams starts calls for resumable streams, and returns how many were sent to each version.
+func (h *harness) startStreams(count int) map[string]int {
+	h.t.Helper()
+	sent := make(map[string]int)
+	for range count {
+		h.now = h.now.Add(20 * time.Millisecond)
+		id, commands := h.startOwnPrompt()
+		for _, send := range h.sends(commands) {
+			sent[send.Version]++
+			h.step(scheduling.AnswerStarted{Call: id})
+			h.endAttempt(id, scheduling.Completed{})
+		}
+	}
+	return sent
+}
+
+// TestStreamsBeginAtBaseWhileRecordsAreOverdue guards against streams that begin at a version that
+// cannot be recorded although endpoints of the base version have room.
+func TestStreamsBeginAtBaseWhileRecordsAreOverdue(t *testing.T) {
+	for _, endpoints := range []int{6, 18, 117} {
+		t.Run(fmt.Sprintf("%d endpoints", endpoints), func(t *testing.T) {
+			h := newHarness(t, 0)
+			for i := range endpoints {
+				h.addVersion(i, []string{"v1", "v2"}[i%2])
+			}
+			records := scheduling.RecordsChanged{Bases: map[string]string{models: "v1"}}
+			h.step(records)
+			if sent := h.startStreams(60); sent["v1"] == 0 || sent["v2"] == 0 {
+				t.Errorf("sent %v with sound records", sent)
+			}
+			records.IsOverdue = true
+			h.step(records)
+			if sent := h.startStreams(60); sent["v1"] != 60 {
+				t.Errorf("sent %v while records are overdue, want 60 to v1", sent)
+			}
+			for i := 0; i < endpoints; i += 2 {
+				h.step(scheduling.EndpointChanged{Change: directory.Leaving{Entry: entry(models, i)}})
+			}
+			if sent := h.startStreams(60); sent["v2"] != 60 {
+				t.Errorf("sent %v without endpoints of the base version, want 60 to v2", sent)
+			}
+		})
+	}
+}
+
+// TestRecordIsRequiredBesideOtherVersion guards against a stream that is delivered without a record
+// while a host that takes it up would go on at another version.
+func TestRecordIsRequiredBesideOtherVersion(t *testing.T) {
+	tests := []struct {
+		name     string
+		bases    map[string]string
+		versions []string
+		want     bool
+	}{
+		{name: "base version", bases: map[string]string{models: "v2"}, versions: []string{"v2"}},
+		{name: "base version gone", bases: map[string]string{models: "v1"}, versions: []string{"v2"}},
+		{name: "base version in service", bases: map[string]string{models: "v1"}, versions: []string{"v2", "v1"}, want: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 0)
+			h.step(scheduling.RecordsChanged{Bases: test.bases})
+			for i, version := range test.versions {
+				h.addVersion(i, version)
+			}
+			for range 20 {
+				id, commands := h.startOwnPrompt()
+				if send := h.requireSend(commands); send.Version == "v2" && send.RequiresRecord != test.want {
+					t.Errorf("the record is required: %v", send.RequiresRecord)
+				}
+				h.now = h.now.Add(time.Second)
+				h.step(scheduling.AnswerStarted{Call: id})
+				h.endAttempt(id, scheduling.Completed{})
+			}
+		})
+	}
+}
+
+// TestStreamWithoutRecordIsRefused guards against an endpoint that is taken for faulty, or a caller
+// that is told that nothing ran, because the version of a stream could not be recorded.
+func TestStreamWithoutRecordIsRefused(t *testing.T) {
+	h := newHarness(t, 0)
+	h.addVersion(0, "v2")
+	for range 10 {
+		id, commands := h.startCall("summary")
+		h.requireSend(commands)
+		refusal := h.requireRefuse(h.endAttempt(id, scheduling.Unrecorded{}))
+		if refusal.Reason != scheduling.ReasonVersionNotRecorded || !refusal.MayHaveRun {
+			t.Errorf("the call ends with %+v", refusal)
+		}
+	}
+}
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -56,6 +56,10 @@
 	quarantinesChanged chan struct{}
 	// versions follows the versions of endpoints. It is nil if the host has no roster.
 	versions *streamRecords
+	// records is what the scheduler knows of the records of streams.
+	records recordState
+	// overdueSince is since when the records are overdue, if they are.
+	overdueSince time.Time
 	// sendReport reports this host's load to other hosts. It is nil if the host has
 	// no mesh.
 	sendReport      func(complete bool, report loadReport)
@@ -126,6 +130,7 @@
 	d.scheduler = scheduling.New(d.settings, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	d.replies = make(map[scheduling.CallID]chan<- scheduling.Command)
 	d.requestIDs = make(map[scheduling.CallID]string)
+	d.records = recordState{}
 }
 
 // handleRestart restores the duty after a failure. It refuses all open calls, and
@@ -205,6 +210,7 @@
 		case <-wake.C():
 			d.changes = d.directory.Tick(d.timers.Now(), d.changes[:0])
 			d.applyChanges()
+			d.applyRecordState()
 			d.stepScheduler(scheduling.Tick{})
 		}
 		d.reportToPeers()
@@ -291,6 +297,7 @@
 func (d *decisionLoop) handleEvent(event any) {
 	now := d.timers.Now()
 	d.changes = d.changes[:0]
+	d.applyRecordState()
 	switch event := event.(type) {
 	case submission:
 		d.replies[event.call.ID] = event.replies
@@ -339,6 +346,30 @@
 	d.applyChanges()
 }
 
+// applyRecordState tells the scheduler of changes of the records of streams.
+func (d *decisionLoop) applyRecordState() {
+	if d.versions == nil {
+		return
+	}
+	now := d.timers.Now()
+	before := d.records
+	d.records = d.versions.state(now)
+	if d.records.basesVersion == before.basesVersion && d.records.isOverdue == before.isOverdue {
+		return
+	}
+	d.stepScheduler(scheduling.RecordsChanged{
+		Bases:     d.records.bases,
+		IsOverdue: d.records.isOverdue,
+	})
+	switch {
+	case d.records.isOverdue && !before.isOverdue:
+		d.overdueSince = now
+		d.trail.Failure("streamRecordsOverdue").Merge("")
+	case before.isOverdue && !d.records.isOverdue:
+		d.trail.Notice("streamRecordsCurrent").Millis("after", now.Sub(d.overdueSince)).Merge("")
+	}
+}
+
 // applyNotices records in the directory which endpoints have told another host that they
 // are leaving.
 func (d *decisionLoop) applyNotices(notices []scheduling.Notice) {
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -21,6 +21,15 @@
 	if g.Settings.PeerListen != "" {
 		g.meter.addGauge("cactuswell_tunnels", func() float64 { return float64(g.tunnels.OpenTunnels()) })
 		g.meter.addGauge("cactuswell_tunnels_total", func() float64 { return float64(g.tunnels.ServedTunnels()) })
+		g.meter.addGauge("cactuswell_stream_records_overdue", func() float64 {
+			if g.streams.state(g.timers.Now()).isOverdue {
+				return 1
+			}
+			return 0
+		})
+		g.meter.addGauge("cactuswell_stream_bases", func() float64 {
+			return float64(len(g.streams.state(g.timers.Now()).bases))
+		})
 		for name, topic := range map[string]string{
 			"configuration": g.Topics.Configuration,
 			"endpoints":     g.Topics.Endpoints,
--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"fmt"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
 	"cactuswell/core/directory"
@@ -29,10 +28,12 @@
 	// in a listing.
 	baseKeyPrefix   = "base/"
 	streamKeyPrefix = "stream/"
-	// recordTimeout bounds how long the first event of a stream waits for its record, and
-	// findTimeout how long a stream that is taken up again waits for its version.
-	recordTimeout = 250 * time.Millisecond
-	findTimeout   = 400 * time.Millisecond
+	// writeTimeout bounds a write of records, and writeRetryDelay is the time until the next one
+	// if it fails.
+	writeTimeout    = 500 * time.Millisecond
+	writeRetryDelay = 50 * time.Millisecond
+	// findTimeout bounds how long a stream that is taken up again waits for its version.
+	findTimeout = 400 * time.Millisecond
 	// baseTimeout bounds a read or write of a base version.
 	baseTimeout = time.Second
 	// baseInterval is the time between two checks of the base versions, and baseSpread the time
@@ -61,24 +62,15 @@
 
 	mu      sync.Mutex
 	tracker *lineage.Tracker
-	pending []*streamRecord
-	// expiring holds the records that this host has written, oldest first.
-	expiring []writtenRecord
-	// written is signaled when pending has an entry.
-	written chan struct{}
-}
-
-// streamRecord is a record to be written. done receives the result.
-type streamRecord struct {
-	key      string
-	version  string
-	lifetime time.Duration
-	done     chan error
-}
-
-type writtenRecord struct {
-	*streamRecord
-	expiresAt time.Time
+	outbox  *lineage.Outbox
+	// acknowledged holds a channel for each record that the store has not acknowledged yet,
+	// which is closed when it has.
+	acknowledged map[*lineage.Entry]chan struct{}
+	// bases holds the base versions. It is replaced when one changes; basesVersion counts that.
+	bases        map[string]string
+	basesVersion int
+	// wake is signaled when a write is due.
+	wake chan struct{}
 }
 
 var _ opaque.StreamVersions = (*streamRecords)(nil)
@@ -93,9 +85,12 @@
 
 func newStreamRecords(g *Gateway) *streamRecords {
 	return &streamRecords{
-		gateway: g,
-		tracker: lineage.New(),
-		written: make(chan struct{}, 1),
+		gateway:      g,
+		tracker:      lineage.New(),
+		outbox:       lineage.NewOutbox(),
+		acknowledged: make(map[*lineage.Entry]chan struct{}),
+		bases:        make(map[string]string),
+		wake:         make(chan struct{}, 1),
 	}
 }
 
@@ -137,39 +132,6 @@
 	}
 }
 
-func streamKey(requestID string) string {
-	return fmt.Sprintf("%s%016x", streamKeyPrefix, xxhash.Sum64String(requestID))
-}
-
-// Record implements opaque.StreamVersions.
-func (r *streamRecords) Record(ctx context.Context, service, requestID, version string) error {
-	r.mu.Lock()
-	if !r.tracker.MustRecord(service, version) {
-		r.mu.Unlock()
-		return nil
-	}
-	record := &streamRecord{
-		key:      streamKey(requestID),
-		version:  version,
-		lifetime: r.tracker.Lifetime(service),
-		done:     make(chan error, 1),
-	}
-	r.pending = append(r.pending, record)
-	r.mu.Unlock()
-	select {
-	case r.written <- struct{}{}:
-	default:
-	}
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	select {
-	case err := <-record.done:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Find implements opaque.StreamVersions.
 func (r *streamRecords) Find(ctx context.Context, service, requestID string) (opaque.FoundVersion, error) {
 	r.mu.Lock()
@@ -235,75 +197,6 @@
 	}
 }
 
-// runWriter writes records, one call at a time with all that have come meanwhile.
-func (r *streamRecords) runWriter(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-r.written:
-			r.write(ctx)
-		}
-	}
-}
-
-// write writes the pending records, and drops the expired ones of this host with them.
-func (r *streamRecords) write(ctx context.Context) {
-	now := r.gateway.timers.Now()
-	r.mu.Lock()
-	batch := r.pending
-	r.pending = nil
-	var records []keyedlog.Record
-	for _, record := range batch {
-		records = append(records, keyedlog.Record{
-			Key:   record.key,
-			Value: []byte(valuePrefix + record.version),
-		})
-	}
-	for len(r.expiring) > 0 && !now.Before(r.expiring[0].expiresAt) {
-		records = append(records, keyedlog.Record{Key: r.expiring[0].key})
-		r.expiring = r.expiring[1:]
-	}
-	r.mu.Unlock()
-	if len(batch) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	err := r.gateway.Roster.PutAll(ctx, streamTopic, records)
-	r.gateway.meter.addToCounter("cactuswell_stream_versions_written_total", int64(len(batch)))
-	r.mu.Lock()
-	for _, record := range batch {
-		r.expiring = append(r.expiring, writtenRecord{
-			streamRecord: record,
-			expiresAt:    now.Add(2 * record.lifetime),
-		})
-	}
-	r.mu.Unlock()
-	for _, record := range batch {
-		record.done <- trace.Wrap(err)
-	}
-}
-
-// writeAgain writes all records of this host again, as the store may have lost them.
-func (r *streamRecords) writeAgain() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, written := range r.expiring {
-		r.pending = append(r.pending, &streamRecord{
-			key:      written.key,
-			version:  written.version,
-			lifetime: written.lifetime,
-			done:     make(chan error, 1),
-		})
-	}
-	r.expiring = nil
-	select {
-	case r.written <- struct{}{}:
-	default:
-	}
-}
-
 // runBase reads the base versions when the host starts, and changes them when they are due.
 func (r *streamRecords) runBase(ctx context.Context) error {
 	isRead := false
@@ -332,12 +225,23 @@
 	defer r.mu.Unlock()
 	for _, record := range page.Records {
 		if service, ok := strings.CutPrefix(record.Key, baseKeyPrefix); ok {
-			r.tracker.SetBase(service, strings.TrimPrefix(string(record.Value), valuePrefix))
+			r.setBase(service, strings.TrimPrefix(string(record.Value), valuePrefix))
 		}
 	}
 	return nil
 }
 
+// setBase sets a base version. The caller must hold r.mu.
+func (r *streamRecords) setBase(service, version string) {
+	r.tracker.SetBase(service, version)
+	if known, ok := r.bases[service]; ok && known == version {
+		return
+	}
+	r.bases = maps.Clone(r.bases)
+	r.bases[service] = version
+	r.basesVersion++
+}
+
 // proposeBases changes the base versions that are due, unless another host has done so.
 func (r *streamRecords) proposeBases(ctx context.Context) {
 	if len(r.proposals()) == 0 {
@@ -359,7 +263,7 @@
 			continue
 		}
 		r.mu.Lock()
-		r.tracker.SetBase(service, version)
+		r.setBase(service, version)
 		r.mu.Unlock()
 		r.gateway.trail.Notice("baseVersionSet").Text("service", service).Text("version", version).End()
 	}
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -88,6 +88,7 @@
 		x.queueTime = time.Since(x.arrivedAt)
 	}
 	x.logChoice(send.Choice)
+	x.recordVersion()
 	t := &attempt{
 		exchange: x,
 		sentAt:   time.Now(),
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -34,6 +34,10 @@
 	// versionRetryAfter is the Retry-After of a stream whose version could not be found out:
 	// about the time in which a host that has just started knows the base version.
 	versionRetryAfter = 300 * time.Millisecond
+	// recordTimeout bounds how long the first event of a stream waits for the record of its
+	// version, and requiredRecordTimeout how long if it is not delivered without.
+	recordTimeout         = 250 * time.Millisecond
+	requiredRecordTimeout = time.Second
 	// decisionGracePeriod is how long a call waits for a decision beyond its
 	// deadline. Decisions arrive before the deadline unless the scheduler has
 	// failed.
@@ -79,6 +83,10 @@
 	// isAbandoned is set once the caller has left.
 	isAbandoned bool
 	stream      stream
+	// record is the record of the version at which the stream begins, or nil if it needs none.
+	record StreamRecord
+	// replacesRecord is set if the record takes the place of one of another version.
+	replacesRecord bool
 	// lastFailure is the failure response of the last attempt, or nil.
 	lastFailure *failureResponse
 	failureBody buffer
@@ -131,17 +139,36 @@
 	return true
 }
 
-// recordVersion keeps the version at which a resumable stream begins, before its caller has an
-// event of it. The stream goes on if that fails: only the restart of this host would lose it.
+// recordVersion begins to record the version at which a resumable stream is about to begin.
 func (x *exchange) recordVersion() {
-	if x.server.Versions == nil || !x.route.Resumable || x.requestInfo.Resumes != "" || x.requestInfo.HasLastEventID {
+	if x.server.Versions == nil || !x.route.Resumable || x.committed || x.requestInfo.Resumes != "" || x.requestInfo.HasLastEventID {
 		return
 	}
-	err := x.server.Versions.Record(x.request.Context(), x.service, x.requestInfo.RequestID, x.currentSend.Version)
-	if err != nil {
+	if x.record == nil || x.record.Version() != x.currentSend.Version {
+		x.replacesRecord = x.record != nil
+		x.record = x.server.Versions.Record(x.service, x.requestInfo.RequestID, x.currentSend.Version, x.record)
+	}
+}
+
+// awaitRecord waits until the version of the stream is recorded, before its caller gets the first
+// event. It reports false if the stream must not begin, as a host that takes it up again would
+// take it for one of another version. Where the base version has no endpoint, a stream without a
+// record begins all the same: it is refused when it is taken up.
+func (x *exchange) awaitRecord() bool {
+	if x.record == nil {
+		return true
+	}
+	isRequired := x.currentSend.RequiresRecord || x.replacesRecord
+	limit := recordTimeout
+	if isRequired {
+		limit = requiredRecordTimeout
+	}
+	err := x.record.Await(x.request.Context(), limit)
+	if err != nil && x.request.Context().Err() == nil {
 		x.server.Trail.Failure("streamNotRecorded").Text("request", x.requestInfo.RequestID).
-			Text("endpointVersion", x.currentSend.Version).Err(err).End()
+			Text("endpointVersion", x.currentSend.Version).Bool("delivered", !isRequired).Err(err).End()
 	}
+	return err == nil || !isRequired
 }
 
 // Reasons that this package adds to those of scheduling.
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -87,12 +87,21 @@
 // StreamVersions keeps at which software version resumable streams have begun. A stream is
 // named by the request ID of the call that brought its first event.
 type StreamVersions interface {
-	// Record keeps the version of a stream, and returns when it is kept.
-	Record(ctx context.Context, service, requestID, version string) error
+	// Record begins to keep the version of a stream, in place of an earlier record of it unless
+	// that is nil. It returns nil if the version need not be kept.
+	Record(service, requestID, version string, replaced StreamRecord) StreamRecord
 	// Find returns the version of a stream.
 	Find(ctx context.Context, service, requestID string) (FoundVersion, error)
 }
 
+// StreamRecord is a record of the version of a stream that is being kept.
+type StreamRecord interface {
+	// Version is the version of the stream.
+	Version() string
+	// Await waits until the record is kept. The error tells that it is not yet, or not for sure.
+	Await(ctx context.Context, limit time.Duration) error
+}
+
 // FoundVersion is the version of a stream, and what tells it.
 type FoundVersion struct {
 	Version string
--- a/io/opaque/stream.go
+++ b/io/opaque/stream.go
@@ -150,7 +150,9 @@
 		x.server.Scheduler.Post(scheduling.AnswerContinued{Call: x.id})
 	}
 	if !x.committed {
-		x.recordVersion()
+		if !x.awaitRecord() {
+			return scheduling.Unrecorded{}
+		}
 		x.firstEventAt = time.Now()
 		x.commitResponse(t.response, false, 0)
 		event = append(t.padding, event...)
