Refuse streams whose record the store may have lost

A host took a missing record for the base version although the store had come back from an older copy, in which the record is missing, while the host that had written it was gone and could not write it again; the same for a read that shows the records as they were before. Callers then get a stream of two versions.

A read now comes with the era and the end of the records. For a stream's lifetime after the era has risen, and if the end is before one that this host has seen, a missing record tells nothing and the stream is refused as not run. Since when the store has lost nothing is a record in the store, as a host that has just started cannot know it, and the hosts read the base versions again.

Before: TestStreamWithLostRecordDoesNotGoOnAtBase fails with a host that has been there all the time and with one that has just started ("stream-0 began at the new version: true; it goes on at the other one", 14 or more of 24), and TestStaleReadOfRecordsIsNotBelieved ("stream-9 goes on at another version"). A stale read at a host that has read nothing later is not noticed.

--- a/core/lineage/lineage.go
+++ b/core/lineage/lineage.go
@@ -8,7 +8,8 @@
 //
 // That a record is missing tells the version only because no caller gets an event of a stream
 // whose record the store has not acknowledged: while it acknowledges none, streams begin at the
-// base version.
+// base version. A store that has come back from an older copy of itself may have lost records, so
+// that for the lifetime of a stream a missing one tells nothing.
 //
 // # Usage
 //
@@ -19,6 +20,7 @@
 //		entry := outbox.Add(now, key, version, tracker.Lifetime(service), nil)
 //		... write it before the caller gets the first event, and see entry.IsKept() ...
 //	}
+//	version, err := tracker.Unrecorded(now, service, page) // the read shows no record
 //	if version, ok := tracker.ProposedBase(now, service); ok {
 //		... write the base, and SetBase ...
 //	}
@@ -29,12 +31,42 @@
 import (
 	"time"
 
+	"cactuswell/core/replica"
 	"cactuswell/set"
 )
 
 // Tracker holds what a host knows of the versions of services.
 type Tracker struct {
 	services map[string]*service
+	// end is the latest end of the records that this host has seen, and eraSince the time since
+	// which the store has lost none, or zero if it never has. eraSince is set if isEraKnown is.
+	end        replica.Position
+	eraSince   time.Time
+	isEraKnown bool
+}
+
+// VersionUnknownError reports that the software version of a stream is not known.
+type VersionUnknownError struct {
+	Service string
+	Reason  UnknownReason
+}
+
+// UnknownReason is why a missing record does not tell the version of a stream.
+type UnknownReason string
+
+// The reasons.
+const (
+	// UnknownBase means that the base version of the service is not known.
+	UnknownBase UnknownReason = "the base version is not known"
+	// UnknownEra means that the store may have lost records that streams still need.
+	UnknownEra UnknownReason = "the store may have lost its record"
+	// UnknownEnd means that the read does not show records that the store has taken before.
+	UnknownEnd UnknownReason = "the read of the store is out of date"
+)
+
+// Error returns a message with the service and the reason.
+func (e *VersionUnknownError) Error() string {
+	return "the software version of a stream of " + e.Service + " is not known: " + string(e.Reason)
 }
 
 type service struct {
@@ -49,7 +81,10 @@
 
 // New returns a Tracker without services.
 func New() *Tracker {
-	return &Tracker{services: make(map[string]*service)}
+	return &Tracker{
+		services: make(map[string]*service),
+		end:      replica.Unknown(),
+	}
 }
 
 func (t *Tracker) service(name string) *service {
@@ -141,3 +176,62 @@
 	}
 	return names
 }
+
+// ObserveEnd records the end of the records as of a read of the store. It reports false if the
+// read does not show all that an earlier one has shown.
+func (t *Tracker) ObserveEnd(now time.Time, end replica.Position) bool {
+	if t.end.After(end) {
+		return false
+	}
+	if t.isEraKnown && end.Era > t.end.Era {
+		t.eraSince = now
+	}
+	t.end = end
+	return true
+}
+
+// Era returns the store's era as of the last read.
+func (t *Tracker) Era() int64 { return t.end.Era }
+
+// SetEra records since when the store has had an era, as the store itself tells; the zero time
+// means from its beginning. If the era is not that of the last read, the store has lost records
+// since, and may have done so just now.
+func (t *Tracker) SetEra(now time.Time, era int64, since time.Time) {
+	isCurrent := era == t.end.Era
+	switch {
+	case t.isEraKnown && (!isCurrent || t.eraSince.Before(since)):
+		return
+	case !isCurrent:
+		since = now
+	}
+	t.eraSince, t.isEraKnown = since, true
+}
+
+// EraSince returns since when the store has lost no records, or the zero time if it never has. It
+// reports false if that is not known.
+func (t *Tracker) EraSince() (time.Time, bool) { return t.eraSince, t.isEraKnown }
+
+// Unrecorded returns the version of a stream of which a read of the store, with the given end,
+// shows no record. The error is a *VersionUnknownError.
+func (t *Tracker) Unrecorded(now time.Time, name string, end replica.Position) (string, error) {
+	isCurrent := t.ObserveEnd(now, end)
+	base, hasBase := t.Base(name)
+	switch {
+	case !hasBase:
+		return "", &VersionUnknownError{
+			Service: name,
+			Reason:  UnknownBase,
+		}
+	case !isCurrent:
+		return "", &VersionUnknownError{
+			Service: name,
+			Reason:  UnknownEnd,
+		}
+	case !t.isEraKnown, !t.eraSince.IsZero() && now.Sub(t.eraSince) < t.Lifetime(name):
+		return "", &VersionUnknownError{
+			Service: name,
+			Reason:  UnknownEra,
+		}
+	}
+	return base, nil
+}
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -139,6 +139,9 @@
 	// loaded is closed when the endpoints have been loaded.
 	loaded     chan struct{}
 	loadedOnce sync.Once
+	// streams holds the records of streams, which the store may have lost. It is nil if the host
+	// has no roster.
+	streams *streamRecords
 	// rewinds counts how often the store has come back from an older copy of itself.
 	rewinds atomic.Int64
 	// rewound is signaled each time.
@@ -204,6 +207,9 @@
 func (f *endpointFeed) HandleRewind(before, after replica.Position) {
 	logRewind(f.trail, "endpoints", before, after)
 	f.rewinds.Add(1)
+	if f.streams != nil {
+		f.streams.handleRewind(after.Era)
+	}
 	select {
 	case f.rewound <- struct{}{}:
 	default:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -213,6 +213,7 @@
 		decoder:          g.Decoder,
 		trail:            g.trail,
 		decisions:        g.decisions,
+		streams:          g.streams,
 		loggedUnreadable: make(map[string]bool),
 		rewound:          make(chan struct{}, 1),
 		loaded:           make(chan struct{}),
--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -12,6 +14,7 @@
 
 	"cactuswell/core/directory"
 	"cactuswell/core/lineage"
+	"cactuswell/core/replica"
 	"cactuswell/core/route"
 	"cactuswell/io/keyedlog"
 	"cactuswell/io/opaque"
@@ -28,6 +31,8 @@
 	// in a listing.
 	baseKeyPrefix   = "base/"
 	streamKeyPrefix = "stream/"
+	// eraKey is the key of the record that tells since when the store has lost no records.
+	eraKey = "era"
 	// writeTimeout bounds a write of records, and writeRetryDelay is the time until the next one
 	// if it fails.
 	writeTimeout    = 500 * time.Millisecond
@@ -46,16 +51,6 @@
 	lifetimeMargin = time.Second
 )
 
-// VersionUnknownError reports that the software version of a stream is not known.
-type VersionUnknownError struct {
-	Service string
-}
-
-// Error returns a message with the service.
-func (e *VersionUnknownError) Error() string {
-	return "the software version of a stream of " + e.Service + " is not known"
-}
-
 // streamRecords keeps the software versions of streams in the store.
 type streamRecords struct {
 	gateway *Gateway
@@ -69,6 +64,10 @@
 	// bases holds the base versions. It is replaced when one changes; basesVersion counts that.
 	bases        map[string]string
 	basesVersion int
+	// hasReadBases is set while the base versions are those of the store, as far as this host
+	// knows, and hasEraRecord once the store tells the era.
+	hasReadBases bool
+	hasEraRecord bool
 	// wake is signaled when a write is due.
 	wake chan struct{}
 }
@@ -134,11 +133,7 @@
 
 // Find implements opaque.StreamVersions.
 func (r *streamRecords) Find(ctx context.Context, service, requestID string) (opaque.FoundVersion, error) {
-	r.mu.Lock()
-	base, hasBase := r.tracker.Base(service)
-	isSettled := r.tracker.IsSettled(r.gateway.timers.Now(), service)
-	r.mu.Unlock()
-	if isSettled {
+	if base, ok := r.settledBase(service); ok {
 		return opaque.FoundVersion{
 			Version: base,
 			Source:  opaque.VersionSettled,
@@ -147,48 +142,63 @@
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	r.gateway.meter.addToCounter("cactuswell_stream_versions_read_total", 1)
-	version, found, err := r.read(ctx, streamKey(requestID))
-	switch {
-	case err != nil:
+	version, end, err := r.read(ctx, streamKey(requestID))
+	if err != nil {
 		return opaque.FoundVersion{}, trace.Wrap(err)
-	case found:
+	}
+	if version != "" {
 		return opaque.FoundVersion{
 			Version: version,
 			Source:  opaque.VersionRecorded,
 		}, nil
-	case !hasBase:
-		return opaque.FoundVersion{}, &VersionUnknownError{Service: service}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	version, err = r.tracker.Unrecorded(r.gateway.timers.Now(), service, end)
 	return opaque.FoundVersion{
-		Version: base,
+		Version: version,
 		Source:  opaque.VersionOfBase,
-	}, nil
+	}, err
+}
+
+// settledBase returns the base version of a service. It reports false if streams of other versions
+// may be taken up again.
+func (r *streamRecords) settledBase(service string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	base, _ := r.tracker.Base(service)
+	return base, r.tracker.IsSettled(r.gateway.timers.Now(), service)
 }
 
-// read returns the version in the record with a key. It reports false if there is none.
-func (r *streamRecords) read(ctx context.Context, key string) (version string, found bool, err error) {
+// read returns the version in the record with a key, or none, and the end of the records as of
+// the read.
+func (r *streamRecords) read(ctx context.Context, key string) (version string, end replica.Position, err error) {
 	// Keys are listed in order, so that the page after a prefix of the key begins with it.
 	after := key[:len(key)-1]
 	for {
 		page, err := r.gateway.Roster.ListNewest(ctx, streamTopic, after)
 		if err != nil {
-			return "", false, err
+			return "", end, err
+		}
+		end = replica.Position{
+			Era:    page.Era,
+			Offset: page.EndOffset,
 		}
 		previous := after
 		for _, record := range page.Records {
 			if record.Key == key {
-				return strings.TrimPrefix(string(record.Value), valuePrefix), true, nil
+				return strings.TrimPrefix(string(record.Value), valuePrefix), end, nil
 			}
 			if previous < key && record.Key > key {
-				return "", false, nil
+				return "", end, nil
 			}
 			previous = record.Key
 		}
 		if !page.More {
-			return "", false, nil
+			return "", end, nil
 		}
 		if !page.Advances(after) {
-			return "", false, &keyedlog.EndlessListingError{
+			return "", end, &keyedlog.EndlessListingError{
 				Topic:   streamTopic,
 				Records: len(page.Records),
 			}
@@ -197,14 +207,17 @@
 	}
 }
 
-// runBase reads the base versions when the host starts, and changes them when they are due.
+// runBase reads the base versions when the host starts and after the store has lost records, and
+// changes them when they are due.
 func (r *streamRecords) runBase(ctx context.Context) error {
-	isRead := false
 	for ctx.Err() == nil {
-		if !isRead {
-			isRead = r.readBases(ctx) == nil
+		r.mu.Lock()
+		isRead, wasRead := r.hasReadBases, len(r.bases) > 0
+		r.mu.Unlock()
+		if wasRead && !isRead {
+			r.waitForTurn(ctx)
 		}
-		if isRead {
+		if isRead || r.readBases(ctx) == nil {
 			r.proposeBases(ctx)
 		}
 		r.gateway.waitFor(ctx, baseInterval)
@@ -212,7 +225,7 @@
 	return nil
 }
 
-// readBases reads the base versions from the store.
+// readBases reads the base versions and the era from the store.
 func (r *streamRecords) readBases(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, baseTimeout)
 	defer cancel()
@@ -221,13 +234,27 @@
 		r.gateway.trail.Failure("baseVersionsUnread").Err(err).Merge("")
 		return trace.Wrap(err)
 	}
+	now := r.gateway.timers.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.tracker.ObserveEnd(now, replica.Position{
+		Era:    page.Era,
+		Offset: page.EndOffset,
+	})
+	era, since := page.Era, time.Time{}
+	r.hasEraRecord = false
 	for _, record := range page.Records {
+		value := strings.TrimPrefix(string(record.Value), valuePrefix)
 		if service, ok := strings.CutPrefix(record.Key, baseKeyPrefix); ok {
-			r.setBase(service, strings.TrimPrefix(string(record.Value), valuePrefix))
+			r.setBase(service, value)
+		}
+		if record.Key == eraKey {
+			era, since = parseEra(now, value)
+			r.hasEraRecord = era == page.Era
 		}
 	}
+	r.tracker.SetEra(now, era, since)
+	r.hasReadBases = true
 	return nil
 }
 
@@ -242,33 +269,94 @@
 	r.basesVersion++
 }
 
-// proposeBases changes the base versions that are due, unless another host has done so.
+// parseEra returns an era and since when the store has had it, from the value of its record: the
+// era and the Unix time in milliseconds, or 0 for the store's beginning. Clocks may differ: a time
+// in the future counts as now.
+func parseEra(now time.Time, value string) (era int64, since time.Time) {
+	eraText, sinceText, _ := strings.Cut(value, " ")
+	era, eraErr := strconv.ParseInt(eraText, 10, 64)
+	millis, sinceErr := strconv.ParseInt(sinceText, 10, 64)
+	if eraErr != nil || sinceErr != nil {
+		return -1, now
+	}
+	if millis == 0 {
+		return era, time.Time{}
+	}
+	return era, now.Add(-max(time.Since(time.UnixMilli(millis)), 0))
+}
+
+// eraRecord returns the record of the era. It reports false if the store has it.
+func (r *streamRecords) eraRecord() (keyedlog.Record, bool) {
+	now := r.gateway.timers.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	since, ok := r.tracker.EraSince()
+	millis := int64(0)
+	if !since.IsZero() {
+		millis = time.Now().Add(-now.Sub(since)).UnixMilli()
+	}
+	return keyedlog.Record{
+		Key:   eraKey,
+		Value: fmt.Appendf(nil, "%s%d %d", valuePrefix, r.tracker.Era(), millis),
+	}, ok && !r.hasEraRecord
+}
+
+// handleRewind takes account of the records that the store has lost: those of this host are to be
+// written again, and the base versions to be read again.
+func (r *streamRecords) handleRewind(era int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.ObserveEnd(r.gateway.timers.Now(), replica.Position{Era: era})
+	r.hasReadBases = false
+}
+
+// proposeBases changes the base versions that are due and records the era, unless another host
+// has done so.
 func (r *streamRecords) proposeBases(ctx context.Context) {
-	if len(r.proposals()) == 0 {
+	if _, isEraDue := r.eraRecord(); !isEraDue && len(r.proposals()) == 0 {
 		return
 	}
-	r.gateway.waitFor(ctx, rand.N(time.Duration(max(r.gateway.decisions.hostCount.Load(), 1))*baseSpread))
+	r.waitForTurn(ctx)
 	if r.readBases(ctx) != nil {
 		return
 	}
-	for service, version := range r.proposals() {
-		putCtx, cancel := context.WithTimeout(ctx, baseTimeout)
-		err := r.gateway.Roster.PutAll(putCtx, streamTopic, []keyedlog.Record{{
+	var records []keyedlog.Record
+	era, isEraDue := r.eraRecord()
+	if isEraDue {
+		records = append(records, era)
+	}
+	due := r.proposals()
+	for service, version := range due {
+		records = append(records, keyedlog.Record{
 			Key:   baseKeyPrefix + service,
 			Value: []byte(valuePrefix + version),
-		}})
-		cancel()
-		if err != nil {
-			r.gateway.trail.Failure("baseVersionNotSaved").Text("service", service).Err(err).Merge(service)
-			continue
-		}
-		r.mu.Lock()
+		})
+	}
+	if len(records) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, baseTimeout)
+	defer cancel()
+	if err := r.gateway.Roster.PutAll(ctx, streamTopic, records); err != nil {
+		r.gateway.trail.Failure("baseVersionNotSaved").Err(err).Merge("")
+		return
+	}
+	r.mu.Lock()
+	r.hasEraRecord = r.hasEraRecord || isEraDue
+	for service, version := range due {
 		r.setBase(service, version)
-		r.mu.Unlock()
+	}
+	r.mu.Unlock()
+	for service, version := range due {
 		r.gateway.trail.Notice("baseVersionSet").Text("service", service).Text("version", version).End()
 	}
 }
 
+// waitForTurn waits for a random time, so that the hosts of a fleet do not read the store at once.
+func (r *streamRecords) waitForTurn(ctx context.Context) {
+	r.gateway.waitFor(ctx, rand.N(time.Duration(max(r.gateway.decisions.hostCount.Load(), 1))*baseSpread))
+}
+
 // proposals returns the base versions that are due, by service.
 func (r *streamRecords) proposals() map[string]string {
 	now := r.gateway.timers.Now()
--- a/gateway/unrecorded_test.go
+++ b/gateway/unrecorded_test.go
@@ -192,6 +192,55 @@
 	}
 }
 
+// TestStreamWithLostRecordDoesNotGoOnAtBase guards against streams that go on at the base version
+// because the store has come back from a copy without their record, and their host is gone.
+func TestStreamWithLostRecordDoesNotGoOnAtBase(t *testing.T) {
+	for _, isNew := range []bool{false, true} {
+		t.Run(fmt.Sprintf("host just started: %v", isNew), func(t *testing.T) {
+			f := newReleaseFleet(t, 2)
+			begun := f.begin(f.fixture, "stream", 24)
+			f.stopAndWait()
+			f.log.RewindTopics(map[string]int{
+				gateway.StreamTopic: f.streamRecordCount(),
+				endpointTopic:       0,
+			})
+			finder := f.hosts[1]
+			if isNew {
+				finder = f.addHost()
+				f.awaitVersions(finder)
+			}
+			f.resumeAll(finder, begun)
+		})
+	}
+}
+
+func (f *releaseFleet) streamRecordCount() int {
+	f.t.Helper()
+	page, err := f.log.ListNewest(f.t.Context(), gateway.StreamTopic, "stream/")
+	if err != nil || len(page.Records) == 0 {
+		f.t.Fatalf("%d streams are recorded, %v", len(page.Records), err)
+	}
+	return len(page.Records)
+}
+
+// TestStaleReadOfRecordsIsNotBelieved guards against streams that go on at the base version
+// because the store shows its records as they were before.
+func TestStaleReadOfRecordsIsNotBelieved(t *testing.T) {
+	f := newReleaseFleet(t, 2)
+	begun := f.begin(f.fixture, "stream", 24)
+	finder := f.hosts[1]
+	if served := f.resumeAll(finder, begun); served != len(begun) {
+		t.Errorf("%d of %d streams went on", served, len(begun))
+	}
+	f.clients[1].SetFault(keyedlog.StaleListing{Missing: f.streamRecordCount()})
+	for id, isNew := range begun {
+		got := finder.do(f.streamRequest(finder, "stale-"+id, id))
+		if got.status == http.StatusOK && f.lastRanAtNew("stale-"+id) != isNew {
+			t.Errorf("%s goes on at another version", id)
+		}
+	}
+}
+
 // TestStreamsBeginWithoutBaseEndpoints guards against an outage of the store in which no stream
 // begins, as the base version has no endpoint left.
 func TestStreamsBeginWithoutBaseEndpoints(t *testing.T) {
--- a/standin/keyedlog/client.go
+++ b/standin/keyedlog/client.go
@@ -44,6 +44,16 @@
 	Advances bool
 }
 
+// StaleListing makes listings show a topic without its last records.
+type StaleListing struct {
+	Missing int
+}
+
+// RefusedTopic makes the calls for one topic fail immediately without effect.
+type RefusedTopic struct {
+	Topic string
+}
+
 // endlessPageBytes is the size of a page of an EndlessListing.
 const endlessPageBytes = 1 << 20
 
@@ -55,6 +65,8 @@
 func (HeldPoll) isFault()   {}
 
 func (EndlessListing) isFault() {}
+func (StaleListing) isFault()   {}
+func (RefusedTopic) isFault()   {}
 
 // Client is a client of a log, with its own fault. It is safe for concurrent use.
 type Client struct {
@@ -93,11 +105,15 @@
 }
 
 // applyFault applies the fault to a call before it is executed.
-func (c *Client) applyFault(ctx context.Context) error {
+func (c *Client) applyFault(ctx context.Context, topic string) error {
 	fault, _ := c.currentFault()
 	switch fault := fault.(type) {
 	case Refusal:
 		return ErrDown
+	case RefusedTopic:
+		if topic == fault.Topic {
+			return ErrDown
+		}
 	case Hang:
 		<-ctx.Done()
 		return ctx.Err()
@@ -113,12 +129,15 @@
 
 // ListNewest implements Log of the product.
 func (c *Client) ListNewest(ctx context.Context, topic, after string) (product.Listing, error) {
-	if err := c.applyFault(ctx); err != nil {
+	if err := c.applyFault(ctx, topic); err != nil {
 		return product.Listing{}, err
 	}
 	fault, _ := c.currentFault()
-	if fault, ok := fault.(EndlessListing); ok {
+	switch fault := fault.(type) {
+	case EndlessListing:
 		return fault.page(after), nil
+	case StaleListing:
+		return c.log.listNewest(ctx, topic, after, fault.Missing)
 	}
 	return c.log.ListNewest(ctx, topic, after)
 }
@@ -142,7 +161,7 @@
 
 // Read implements Log of the product. A fault that is set while it waits applies to it.
 func (c *Client) Read(ctx context.Context, topic string, from int64, wait time.Duration) (product.Batch, error) {
-	if err := c.applyFault(ctx); err != nil {
+	if err := c.applyFault(ctx, topic); err != nil {
 		return product.Batch{}, err
 	}
 	if fault, _ := c.currentFault(); fault == (HeldPoll{}) && wait > 0 {
@@ -167,7 +186,7 @@
 	case received := <-answers:
 		return received.batch, received.err
 	case <-changed:
-		if err := c.applyFault(ctx); err != nil {
+		if err := c.applyFault(ctx, topic); err != nil {
 			return product.Batch{}, err
 		}
 		received := <-answers
@@ -187,7 +206,7 @@
 
 // Put sets a key. Hosts write with it.
 func (c *Client) Put(ctx context.Context, topic, key string, value []byte) error {
-	if err := c.applyFault(ctx); err != nil {
+	if err := c.applyFault(ctx, topic); err != nil {
 		return err
 	}
 	fault, _ := c.currentFault()
@@ -204,7 +223,7 @@
 
 // PutAll sets keys. Hosts write with it.
 func (c *Client) PutAll(ctx context.Context, topic string, records []product.Record) error {
-	if err := c.applyFault(ctx); err != nil {
+	if err := c.applyFault(ctx, topic); err != nil {
 		return err
 	}
 	fault, _ := c.currentFault()
--- a/standin/keyedlog/keyedlog.go
+++ b/standin/keyedlog/keyedlog.go
@@ -170,6 +170,11 @@
 
 // ListNewest implements Log of the product.
 func (l *Log) ListNewest(ctx context.Context, topicName, after string) (product.Listing, error) {
+	return l.listNewest(ctx, topicName, after, 0)
+}
+
+// listNewest is like ListNewest, but without the last records of the topic.
+func (l *Log) listNewest(ctx context.Context, topicName, after string, missing int) (product.Listing, error) {
 	if err := l.checkAvailable(ctx); err != nil {
 		return product.Listing{}, err
 	}
@@ -177,7 +182,8 @@
 	defer l.mu.Unlock()
 	l.listCount++
 	t := l.topic(topicName)
-	combined := &topic{records: append(append([]product.Record(nil), l.topic(topicName+"/kept").records...), t.records...)}
+	records := t.records[:max(len(t.records)-missing, 0)]
+	combined := &topic{records: append(append([]product.Record(nil), l.topic(topicName+"/kept").records...), records...)}
 	newest := combined.newestRecords()
 	slices.SortFunc(newest, func(a, b product.Record) int { return strings.Compare(a.Key, b.Key) })
 	from := 0
@@ -188,7 +194,7 @@
 	listing := product.Listing{
 		Records:   page,
 		More:      from+len(page) < len(newest),
-		EndOffset: t.firstOffset + int64(len(t.records)),
+		EndOffset: t.firstOffset + int64(len(records)),
 		Era:       l.era,
 	}
 	if len(page) > 0 {
