Trust no settled view of the endpoints while cut off

A host that sees only endpoints of the base version for longer than streams last takes a stream up there without reading its record. A host that is cut off from the others does not learn of a release, so a stream that began at the new version elsewhere would go on at the old one.

TestCutOffHostDoesNotHearMost covers what the host hears. There is no test of the stream itself: the hosts of a test cannot be cut off from each other.

--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -133,11 +133,14 @@
 
 // Find implements opaque.StreamVersions.
 func (r *streamRecords) Find(ctx context.Context, service, requestID string) (opaque.FoundVersion, error) {
-	if base, ok := r.settledBase(service); ok {
-		return opaque.FoundVersion{
-			Version: base,
-			Source:  opaque.VersionSettled,
-		}, nil
+	// The endpoints may have changed without the knowledge of a host that hears only few others.
+	if r.gateway.mesh.HearsMost() {
+		if base, ok := r.settledBase(service); ok {
+			return opaque.FoundVersion{
+				Version: base,
+				Source:  opaque.VersionSettled,
+			}, nil
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -113,6 +113,8 @@
 
 	mu    sync.Mutex
 	hosts map[string]*peerHost
+	// lastHeardAt is when any other host was last heard from.
+	lastHeardAt time.Time
 	// usesRelays is set while the fleet is large enough for relays. The fields after
 	// it are used then: zoneLoad is what this host reports if it is the relay of its
 	// zone, and lastRelayedAt and lastCompleteAt are the times of its last report
@@ -265,6 +267,16 @@
 	return ""
 }
 
+// HearsMost reports whether at least half of the other hosts that are known count as live, and one
+// has been heard from lately. A host that knows no others hears all.
+func (m *Mesh) HearsMost() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Timers.Now()
+	return len(m.hosts) == 0 ||
+		now.Sub(m.lastHeardAt) < silenceTimeout && 2*m.ranking(now).candidates >= len(m.hosts)
+}
+
 // SentDatagrams returns the number of datagrams sent.
 func (m *Mesh) SentDatagrams() int64 { return m.sentDatagrams.Load() }
 
@@ -442,6 +454,7 @@
 	if h == nil || message.Incarnation < h.incarnation {
 		return peerHost{}, false
 	}
+	m.lastHeardAt = now
 	previous := *h
 	h.name = message.Host
 	h.incarnation = message.Incarnation
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -130,6 +131,39 @@
 	}
 }
 
+// TestCutOffHostDoesNotHearMost guards against a host that trusts its view of the fleet although it
+// is cut off from the others.
+func TestCutOffHostDoesNotHearMost(t *testing.T) {
+	first, _, address := startMesh(t, "first", 1)
+	if !first.HearsMost() {
+		t.Error("a host without others does not hear all")
+	}
+	var stops []func()
+	for i := range 3 {
+		other, _, stop := startMeshAt(t, fmt.Sprint("other-", i), "z0", freeAddress(t), 1)
+		stops = append(stops, stop)
+		other.AddHost(address, "z0", 0)
+		other.Send(peer.Message{})
+	}
+	eventually(t, first.HearsMost)
+	for _, stop := range stops {
+		stop()
+	}
+	eventually(t, func() bool { return !first.HearsMost() })
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatal("not within 10 s")
+		}
+		runtime.Gosched()
+	}
+}
+
 func TestRestartedHostIsReported(t *testing.T) {
 	_, r, address := startMesh(t, "first", 1)
 	secondAddress := freeAddress(t)
