Read the base again when other hosts may have changed it

A host reads the base versions when it starts, and again only when it would change them itself, up to a stream's lifetime after another host has. Until then it refused each stream of the new base with versionGone, as it found no record and the old version had no endpoint. Had a release been taken back meanwhile, it would have sent the stream to the old version, or begun streams there without a record. A host that finds no record while the base that it knows has no endpoint, or has one again, now reads the base first. For a stream's lifetime after the base has come back, streams that begin at it are recorded, and those without a record are refused, as some may have begun meanwhile.

Before: TestHostOfEarlierBaseResumesAtNewOne fails ("the stream does not go on"). Found by reading; not seen in a play.

--- a/core/lineage/lineage.go
+++ b/core/lineage/lineage.go
@@ -60,6 +60,9 @@
 	UnknownBase UnknownReason = "the base version is not known"
 	// UnknownEra means that the store may have lost records that streams still need.
 	UnknownEra UnknownReason = "the store may have lost its record"
+	// UnknownReturn means that no endpoint had the base version a short while ago, so that streams
+	// of other versions may have begun without a record.
+	UnknownReturn UnknownReason = "the base version has endpoints again"
 	// UnknownEnd means that the read does not show records that the store has taken before.
 	UnknownEnd UnknownReason = "the read of the store is out of date"
 )
@@ -73,6 +76,11 @@
 	lifetime time.Duration
 	base     string
 	hasBase  bool
+	// present holds the versions that endpoints have, as of the last time that there was one.
+	present set.Set[string]
+	// baseReturnedAt is when an endpoint had the base version again after none had had it, or
+	// zero.
+	baseReturnedAt time.Time
 	// only is the version of all endpoints since onlySince, if isUniform is set.
 	only      string
 	onlySince time.Time
@@ -105,23 +113,32 @@
 // Lifetime returns the longest time for which a stream of a service may be taken up again.
 func (t *Tracker) Lifetime(name string) time.Duration { return t.service(name).lifetime }
 
-// Observe records the versions of a service's endpoints.
-func (t *Tracker) Observe(now time.Time, name string, versions set.Set[string]) {
+// Observe records the versions of a service's endpoints. It reports whether an endpoint has the
+// base version again after none has had it, so that the base is to be read again.
+func (t *Tracker) Observe(now time.Time, name string, versions set.Set[string]) (hasReturned bool) {
 	s := t.service(name)
 	if versions.Len() == 0 {
 		// Endpoints that are away for a moment change nothing.
-		return
+		return false
 	}
+	hasReturned = s.hasBase && s.present.Len() > 0 && !s.present.Has(s.base) && versions.Has(s.base)
+	if hasReturned {
+		s.baseReturnedAt = now
+	}
+	s.present = versions
 	only, isUniform := versions.Values()[0], versions.Len() == 1
-	if isUniform && s.isUniform && only == s.only {
-		return
+	if !isUniform || !s.isUniform || only != s.only {
+		s.only, s.isUniform, s.onlySince = only, isUniform, now
 	}
-	s.only, s.isUniform, s.onlySince = only, isUniform, now
+	return hasReturned
 }
 
 // SetBase sets the base version of a service, as the store has it.
 func (t *Tracker) SetBase(name, version string) {
 	s := t.service(name)
+	if !s.hasBase || s.base != version {
+		s.baseReturnedAt = time.Time{}
+	}
 	s.base, s.hasBase = version, true
 }
 
@@ -134,10 +151,25 @@
 	return s.base, s.hasBase
 }
 
-// MustRecord reports whether a stream that begins at a version is to be recorded.
-func (t *Tracker) MustRecord(name, version string) bool {
+// MustRecord reports whether a stream that begins at a version is to be recorded. After a time
+// without endpoints of the base version that includes those that begin there: other hosts may
+// have changed the base meanwhile.
+func (t *Tracker) MustRecord(now time.Time, name, version string) bool {
 	base, ok := t.Base(name)
-	return !ok || base != version
+	return !ok || base != version || t.services[name].hasReturned(now)
+}
+
+// IsBaseInDoubt reports whether other hosts may have changed the base version since this host has
+// read it: no endpoint has it, or had it until lately.
+func (t *Tracker) IsBaseInDoubt(now time.Time, name string) bool {
+	s, ok := t.services[name]
+	return !ok || !s.hasBase || !s.present.Has(s.base) || s.hasReturned(now)
+}
+
+// hasReturned reports whether streams may be left that began while no endpoint had the base
+// version.
+func (s *service) hasReturned(now time.Time) bool {
+	return !s.baseReturnedAt.IsZero() && now.Sub(s.baseReturnedAt) < s.lifetime
 }
 
 // IsSettled reports whether all streams that callers may take up again have the base version.
@@ -227,6 +259,11 @@
 			Service: name,
 			Reason:  UnknownEnd,
 		}
+	case t.services[name].hasReturned(now):
+		return "", &VersionUnknownError{
+			Service: name,
+			Reason:  UnknownReturn,
+		}
 	case !t.isEraKnown, !t.eraSince.IsZero() && now.Sub(t.eraSince) < t.Lifetime(name):
 		return "", &VersionUnknownError{
 			Service: name,
--- a/core/lineage/lineage_test.go
+++ b/core/lineage/lineage_test.go
@@ -49,13 +49,13 @@
 func TestBaseFollowsReleaseOnceOldStreamsHaveEnded(t *testing.T) {
 	f := newFixture(t)
 	f.observe(0, "v1")
-	if !f.MustRecord(models, "v1") {
+	if !f.MustRecord(f.now, models, "v1") {
 		t.Error("streams are not recorded although no base is known")
 	}
 	f.requireProposal(0, "v1")
 	f.SetBase(models, "v1")
 	f.now = f.now.Add(lifetime)
-	if f.MustRecord(models, "v1") || !f.MustRecord(models, "v2") {
+	if f.MustRecord(f.now, models, "v1") || !f.MustRecord(f.now, models, "v2") {
 		t.Error("only streams of other versions than the base are to be recorded")
 	}
 	if !f.IsSettled(f.now, models) {
@@ -70,7 +70,7 @@
 	f.requireProposal(lifetime-1, "")
 	f.requireProposal(1, "v2")
 	f.SetBase(models, "v2")
-	if f.MustRecord(models, "v2") || !f.IsSettled(f.now, models) {
+	if f.MustRecord(f.now, models, "v2") || !f.IsSettled(f.now, models) {
 		t.Error("the new base is not in force")
 	}
 }
--- a/core/lineage/unrecorded_test.go
+++ b/core/lineage/unrecorded_test.go
@@ -78,3 +78,28 @@
 		})
 	}
 }
+
+// TestBaseThatReturnsIsInDoubt guards against streams of two versions after a release is taken
+// back: some hosts may have changed the base, and streams may have begun without a record.
+func TestBaseThatReturnsIsInDoubt(t *testing.T) {
+	f := newFixture(t)
+	f.SetEra(f.now, -1, time.Time{})
+	f.observe(0, "v1")
+	f.SetBase(models, "v1")
+	if f.IsBaseInDoubt(f.now, models) {
+		t.Error("the base is in doubt although endpoints have it")
+	}
+	f.observe(time.Second, "v2")
+	if !f.IsBaseInDoubt(f.now, models) {
+		t.Error("the base is not in doubt although no endpoint has it")
+	}
+	f.observe(time.Second, "v1", "v2")
+	if !f.IsBaseInDoubt(f.now, models) || !f.MustRecord(f.now, models, "v1") {
+		t.Error("the base that has returned is not in doubt")
+	}
+	f.requireUnrecorded(at(0, 1), "", lineage.UnknownReturn)
+	f.now = f.now.Add(lifetime)
+	if f.MustRecord(f.now, models, "v1") {
+		t.Error("the base is in doubt for longer than a stream lasts")
+	}
+}
--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -127,7 +127,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, present := range versions {
-		r.tracker.Observe(now, name, present)
+		if r.tracker.Observe(now, name, present) {
+			r.hasReadBases = false
+		}
 	}
 }
 
@@ -144,6 +146,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
+	if r.isBaseInDoubt(service) {
+		// An error leaves the base that is known, and fails the next read too.
+		_ = r.readBases(ctx)
+	}
 	r.gateway.meter.addToCounter("cactuswell_stream_versions_read_total", 1)
 	version, end, err := r.read(ctx, streamKey(requestID))
 	if err != nil {
@@ -164,6 +170,12 @@
 	}, err
 }
 
+func (r *streamRecords) isBaseInDoubt(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.IsBaseInDoubt(r.gateway.timers.Now(), service)
+}
+
 // settledBase returns the base version of a service. It reports false if streams of other versions
 // may be taken up again.
 func (r *streamRecords) settledBase(service string) (string, bool) {
--- a/gateway/streamwriter.go
+++ b/gateway/streamwriter.go
@@ -71,7 +71,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	earlier, isRecorded := replaced.(*streamRecord)
-	if !isRecorded && !r.tracker.MustRecord(service, version) {
+	if !isRecorded && !r.tracker.MustRecord(now, service, version) {
 		return nil
 	}
 	var replacedEntry *lineage.Entry
--- a/gateway/unrecorded_test.go
+++ b/gateway/unrecorded_test.go
@@ -278,3 +278,24 @@
 		t.Errorf("%d of %d streams went on", served, len(begun))
 	}
 }
+
+// TestHostOfEarlierBaseResumesAtNewOne guards against streams that are refused, as the host that
+// gets them has not heard that the base version has changed.
+func TestHostOfEarlierBaseResumesAtNewOne(t *testing.T) {
+	f := newReleaseFleet(t, 2)
+	f.publishVersion(1, true)
+	f.publishVersion(3, true)
+	for _, host := range f.hosts {
+		host.awaitLine(`"event":"endpointLeaving"`, `"endpoint":"`+models+`-1"`)
+	}
+	f.log.Append(endpointTopic, models+"-0", nil)
+	f.log.Append(endpointTopic, models+"-1", nil)
+	f.log.Append(gateway.StreamTopic, "base/"+models, []byte("="+newVersion))
+	for _, host := range f.hosts {
+		host.awaitLine(`"event":"endpointGone"`, `"endpoint":"`+models+`-1"`)
+	}
+	// Another host has changed the base, and has not recorded the stream.
+	if served := f.resumeAll(f.hosts[1], map[string]bool{"unrecorded": true}); served != 1 {
+		t.Error("the stream does not go on")
+	}
+}
