Tell started hosts the base versions if the store does not

A host that the store turns away gets configuration and endpoints from other hosts, but did not know the base versions. While none is known and endpoints have two versions, no stream is delivered without a record.

Before: TestStartedHostWithoutStoreBeginsAtBase fails ("not within 10 s: the host knows the base version").

--- a/core/scheduling/version.go
+++ b/core/scheduling/version.go
@@ -1,5 +1,7 @@
 package scheduling
 
+import "slices"
+
 // bindVersion binds a resumable stream that has begun to the software version of its endpoint.
 // What two versions write does not fit together, and endpoints do not check it.
 func bindVersion(c *call, e *endpoint) {
@@ -26,7 +28,13 @@
 // for one of another version that has endpoints, and go on there.
 func (s *Scheduler) requiresRecord(c *call, version string) bool {
 	p := c.pool
-	return !c.isBoundToVersion && c.spec.Route.Resumable && p.hasBase && p.base != version && s.countVersion(p, p.base) > 0
+	switch {
+	case c.isBoundToVersion, !c.spec.Route.Resumable:
+		return false
+	case !p.hasBase:
+		return slices.ContainsFunc(p.endpoints, func(e *endpoint) bool { return e.entry.Version != version })
+	}
+	return p.base != version && s.countVersion(p, p.base) > 0
 }
 
 // restrictVersions lets a stream begin only at the base version while its version cannot be
--- a/core/scheduling/version_test.go
+++ b/core/scheduling/version_test.go
@@ -159,6 +159,8 @@
 		{name: "base version", bases: map[string]string{models: "v2"}, versions: []string{"v2"}},
 		{name: "base version gone", bases: map[string]string{models: "v1"}, versions: []string{"v2"}},
 		{name: "base version in service", bases: map[string]string{models: "v1"}, versions: []string{"v2", "v1"}, want: true},
+		{name: "base unknown, one version", versions: []string{"v2"}},
+		{name: "base unknown, two versions", versions: []string{"v2", "v1"}, want: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,6 +18,7 @@
 	"cactuswell/core/lineage"
 	"cactuswell/core/replica"
 	"cactuswell/core/route"
+	"cactuswell/io/httpjson"
 	"cactuswell/io/keyedlog"
 	"cactuswell/io/opaque"
 	"cactuswell/set"
@@ -31,6 +34,8 @@
 	// in a listing.
 	baseKeyPrefix   = "base/"
 	streamKeyPrefix = "stream/"
+	// baseVersionsPath is the path on which a host serves the base versions to others.
+	baseVersionsPath = "/v1/baseVersions"
 	// eraKey is the key of the record that tells since when the store has lost no records.
 	eraKey = "era"
 	// writeTimeout bounds a write of records, and writeRetryDelay is the time until the next one
@@ -68,6 +73,8 @@
 	// knows, and hasEraRecord once the store tells the era.
 	hasReadBases bool
 	hasEraRecord bool
+	// peers is the client for requests to other hosts.
+	peers *http.Client
 	// wake is signaled when a write is due.
 	wake chan struct{}
 }
@@ -89,6 +96,7 @@
 		outbox:       lineage.NewOutbox(),
 		acknowledged: make(map[*lineage.Entry]chan struct{}),
 		bases:        make(map[string]string),
+		peers:        newPeerClient(),
 		wake:         make(chan struct{}, 1),
 	}
 }
@@ -234,6 +242,8 @@
 		}
 		if isRead || r.readBases(ctx) == nil {
 			r.proposeBases(ctx)
+		} else {
+			r.fetchBases(ctx)
 		}
 		r.gateway.waitFor(ctx, baseInterval)
 	}
@@ -273,6 +283,44 @@
 	return nil
 }
 
+// baseVersions is the answer of a host to another one that cannot read the store.
+type baseVersions struct {
+	Versions map[string]string `json:"versions"`
+}
+
+// fetchBases asks another host for the base versions that this host does not know.
+func (r *streamRecords) fetchBases(ctx context.Context) {
+	address := r.gateway.mesh.PickHost(func(string) bool { return false })
+	if address == "" {
+		return
+	}
+	var fetched baseVersions
+	body, err := httpjson.Fetch(ctx, r.peers, http.MethodGet, "http://"+address+baseVersionsPath, nil, maxRelayedBytes)
+	if err == nil {
+		err = json.Unmarshal(body, &fetched)
+	}
+	if err != nil {
+		r.gateway.trail.Failure("relayFailed").Text("what", "baseVersions").Text("from", address).Err(err).Merge("baseVersions " + address)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service, version := range fetched.Versions {
+		if _, ok := r.tracker.Base(service); !ok {
+			r.setBase(service, version)
+		}
+	}
+}
+
+// serveBases serves the base versions that this host knows to others.
+func (r *streamRecords) serveBases(w http.ResponseWriter, _ *http.Request) {
+	r.mu.Lock()
+	known := baseVersions{Versions: r.bases}
+	r.mu.Unlock()
+	// An error means that the other host has disconnected.
+	_ = json.NewEncoder(w).Encode(known)
+}
+
 // setBase sets a base version. The caller must hold r.mu.
 func (r *streamRecords) setBase(service, version string) {
 	r.tracker.SetBase(service, version)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -132,6 +132,7 @@
 		_, _ = w.Write(active.encoded)
 	})
 	routes.HandleFunc("GET "+changesPath, g.serveChanges)
+	routes.HandleFunc("GET "+baseVersionsPath, g.streams.serveBases)
 	return routes
 }
 
--- a/gateway/unrecorded_test.go
+++ b/gateway/unrecorded_test.go
@@ -51,7 +51,12 @@
 // addHost starts a host with a client of the log of its own.
 func (f *releaseFleet) addHost() *fixture {
 	f.t.Helper()
-	client := f.log.NewClient()
+	return f.addHostBehind(f.log.NewClient())
+}
+
+// addHostBehind starts a host with a client of the log.
+func (f *releaseFleet) addHostBehind(client *keyedlog.Client) *fixture {
+	f.t.Helper()
 	host := f.fixture
 	if len(f.hosts) > 0 {
 		host = &fixture{
@@ -279,6 +284,26 @@
 	}
 }
 
+// TestStartedHostWithoutStoreBeginsAtBase guards against streams that a host begins at any version
+// as the store, which turns it away, does not tell it the base version.
+func TestStartedHostWithoutStoreBeginsAtBase(t *testing.T) {
+	f := newReleaseFleet(t, 2)
+	client := f.log.NewClient()
+	client.SetFault(keyedlog.RefusedTopic{Topic: gateway.StreamTopic})
+	started := f.addHostBehind(client)
+	f.awaitVersions(started)
+	eventually(t, "the host knows the base version", func() bool {
+		return strings.Contains(started.metrics(), "cactuswell_stream_bases 1\n")
+	})
+	begun := f.begin(started, "stream", 24)
+	if len(begun) < 20 {
+		t.Errorf("%d of 24 streams were delivered", len(begun))
+	}
+	if served := f.resumeAll(f.hosts[1], begun); served != len(begun) {
+		t.Errorf("%d of %d streams went on", served, len(begun))
+	}
+}
+
 // TestHostOfEarlierBaseResumesAtNewOne guards against streams that are refused, as the host that
 // gets them has not heard that the base version has changed.
 func TestHostOfEarlierBaseResumesAtNewOne(t *testing.T) {
