Believe reads of records that overtake each other

A read was taken for out of date if a later one had been answered before it, so that a stream without a record was refused although nothing was wrong. A read is out of date only if it shows an earlier end than the host had seen when it began. TestOverlappingReadsAreBelieved does not compile before, as the call had no such argument.

--- a/core/lineage/lineage.go
+++ b/core/lineage/lineage.go
@@ -20,7 +20,9 @@
 //		entry := outbox.Add(now, key, version, tracker.Lifetime(service), nil)
 //		... write it before the caller gets the first event, and see entry.IsKept() ...
 //	}
-//	version, err := tracker.Unrecorded(now, service, page) // the read shows no record
+//	before := tracker.End()
+//	... read the store, which shows no record ...
+//	version, err := tracker.Unrecorded(now, service, before, end)
 //	if version, ok := tracker.ProposedBase(now, service); ok {
 //		... write the base, and SetBase ...
 //	}
@@ -209,19 +211,20 @@
 	return names
 }
 
-// ObserveEnd records the end of the records as of a read of the store. It reports false if the
-// read does not show all that an earlier one has shown.
-func (t *Tracker) ObserveEnd(now time.Time, end replica.Position) bool {
+// ObserveEnd records the end of the records as of a read of the store.
+func (t *Tracker) ObserveEnd(now time.Time, end replica.Position) {
 	if t.end.After(end) {
-		return false
+		return
 	}
 	if t.isEraKnown && end.Era > t.end.Era {
 		t.eraSince = now
 	}
 	t.end = end
-	return true
 }
 
+// End returns the latest end of the records that this host has seen.
+func (t *Tracker) End() replica.Position { return t.end }
+
 // Era returns the store's era as of the last read.
 func (t *Tracker) Era() int64 { return t.end.Era }
 
@@ -243,10 +246,11 @@
 // reports false if that is not known.
 func (t *Tracker) EraSince() (time.Time, bool) { return t.eraSince, t.isEraKnown }
 
-// Unrecorded returns the version of a stream of which a read of the store, with the given end,
-// shows no record. The error is a *VersionUnknownError.
-func (t *Tracker) Unrecorded(now time.Time, name string, end replica.Position) (string, error) {
-	isCurrent := t.ObserveEnd(now, end)
+// Unrecorded returns the version of a stream of which a read of the store shows no record. before
+// is the End when the read began, and end that which the read shows. The error is a
+// *VersionUnknownError.
+func (t *Tracker) Unrecorded(now time.Time, name string, before, end replica.Position) (string, error) {
+	t.ObserveEnd(now, end)
 	base, hasBase := t.Base(name)
 	switch {
 	case !hasBase:
@@ -254,7 +258,7 @@
 			Service: name,
 			Reason:  UnknownBase,
 		}
-	case !isCurrent:
+	case before.After(end):
 		return "", &VersionUnknownError{
 			Service: name,
 			Reason:  UnknownEnd,
--- a/core/lineage/unrecorded_test.go
+++ b/core/lineage/unrecorded_test.go
@@ -12,7 +12,7 @@
 // requireUnrecorded checks what a missing record tells: a version, or why it tells none.
 func (f *fixture) requireUnrecorded(end replica.Position, wantVersion string, wantReason lineage.UnknownReason) {
 	f.t.Helper()
-	got, err := f.Unrecorded(f.now, models, end)
+	got, err := f.Unrecorded(f.now, models, f.End(), end)
 	var unknown *lineage.VersionUnknownError
 	errors.As(err, &unknown)
 	switch {
@@ -103,3 +103,19 @@
 		t.Error("the base is in doubt for longer than a stream lasts")
 	}
 }
+
+// TestOverlappingReadsAreBelieved guards against streams that are refused because the answers of
+// two reads overtake each other.
+func TestOverlappingReadsAreBelieved(t *testing.T) {
+	f := newFixture(t)
+	f.ObserveEnd(f.now, at(0, 1))
+	f.SetEra(f.now, 0, time.Time{})
+	f.observe(0, "v1", "v2")
+	f.SetBase(models, "v1")
+	f.requireUnrecorded(at(0, 5), "v1", "")
+	before := f.End()
+	f.requireUnrecorded(at(0, 8), "v1", "")
+	if got, err := f.Unrecorded(f.now, models, before, at(0, 7)); got != "v1" || err != nil {
+		t.Errorf("version %q, %v", got, err)
+	}
+}
--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -159,6 +159,9 @@
 		_ = r.readBases(ctx)
 	}
 	r.gateway.meter.addToCounter("cactuswell_stream_versions_read_total", 1)
+	r.mu.Lock()
+	before := r.tracker.End()
+	r.mu.Unlock()
 	version, end, err := r.read(ctx, streamKey(requestID))
 	if err != nil {
 		return opaque.FoundVersion{}, trace.Wrap(err)
@@ -171,7 +174,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	version, err = r.tracker.Unrecorded(r.gateway.timers.Now(), service, end)
+	version, err = r.tracker.Unrecorded(r.gateway.timers.Now(), service, before, end)
 	return opaque.FoundVersion{
 		Version: version,
 		Source:  opaque.VersionOfBase,
