Tell a record without a version from a missing one

A stream that began at an endpoint that names no software version has a record with an empty one, which was read like a missing record: it went on at the base version.

Before: TestRecordOfUnnamedVersionIsFound fails ("unnamed-22 began at the new version: false; it goes on at the other one"). Found by reading.

Keys of expired records stay due until the store has dropped them, and the first event of a stream waits for its record until the call's deadline at most.

--- a/core/lineage/outbox.go
+++ b/core/lineage/outbox.go
@@ -46,8 +46,10 @@
 	waiting []*Entry
 	// inFlight holds the records of the write in progress.
 	inFlight []*Entry
-	// written holds the records that the store has acknowledged, oldest first.
+	// written holds the records that the store has acknowledged, oldest first, and expired the
+	// keys of those that it is to drop.
 	written []*Entry
+	expired []string
 }
 
 // NewOutbox returns an Outbox without records.
@@ -104,10 +106,10 @@
 	}
 	o.waiting = nil
 	for len(o.written) > 0 && now.Sub(o.written[0].writtenAt) >= 2*o.written[0].lifetime {
-		w.Expired = append(w.Expired, o.written[0].key)
+		o.expired = append(o.expired, o.written[0].key)
 		o.written = o.written[1:]
 	}
-	w.Entries = o.inFlight
+	w.Entries, w.Expired = o.inFlight, o.expired
 	return w
 }
 
@@ -117,7 +119,7 @@
 		e.writtenAt = now
 	}
 	o.written = append(o.written, o.inFlight...)
-	o.inFlight = nil
+	o.inFlight, o.expired = nil, nil
 }
 
 // Fail ends the write in progress without an acknowledgement. Its records are due again.
--- a/core/lineage/outbox_test.go
+++ b/core/lineage/outbox_test.go
@@ -78,8 +78,11 @@
 	f.write(true)
 	f.now = f.now.Add(2 * lifetime)
 	f.add("4", "v2", nil)
-	if got := fmt.Sprint(f.Begin(f.now).Expired); got != "[3]" {
-		t.Errorf("dropped %s", got)
+	for range 2 {
+		if got := fmt.Sprint(f.Begin(f.now).Expired); got != "[3]" {
+			t.Errorf("dropped %s", got)
+		}
+		f.Fail()
 	}
 }
 
--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -162,19 +162,19 @@
 	r.mu.Lock()
 	before := r.tracker.End()
 	r.mu.Unlock()
-	version, end, err := r.read(ctx, streamKey(requestID))
+	record, end, err := r.read(ctx, streamKey(requestID))
 	if err != nil {
 		return opaque.FoundVersion{}, trace.Wrap(err)
 	}
-	if version != "" {
+	if record != nil {
 		return opaque.FoundVersion{
-			Version: version,
+			Version: strings.TrimPrefix(string(record.Value), valuePrefix),
 			Source:  opaque.VersionRecorded,
 		}, nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	version, err = r.tracker.Unrecorded(r.gateway.timers.Now(), service, before, end)
+	version, err := r.tracker.Unrecorded(r.gateway.timers.Now(), service, before, end)
 	return opaque.FoundVersion{
 		Version: version,
 		Source:  opaque.VersionOfBase,
@@ -196,15 +196,14 @@
 	return base, r.tracker.IsSettled(r.gateway.timers.Now(), service)
 }
 
-// read returns the version in the record with a key, or none, and the end of the records as of
-// the read.
-func (r *streamRecords) read(ctx context.Context, key string) (version string, end replica.Position, err error) {
+// read returns the record with a key, or nil, and the end of the records as of the read.
+func (r *streamRecords) read(ctx context.Context, key string) (found *keyedlog.Record, end replica.Position, err error) {
 	// Keys are listed in order, so that the page after a prefix of the key begins with it.
 	after := key[:len(key)-1]
 	for {
 		page, err := r.gateway.Roster.ListNewest(ctx, streamTopic, after)
 		if err != nil {
-			return "", end, err
+			return nil, end, err
 		}
 		end = replica.Position{
 			Era:    page.Era,
@@ -213,18 +212,18 @@
 		previous := after
 		for _, record := range page.Records {
 			if record.Key == key {
-				return strings.TrimPrefix(string(record.Value), valuePrefix), end, nil
+				return &record, end, nil
 			}
 			if previous < key && record.Key > key {
-				return "", end, nil
+				return nil, end, nil
 			}
 			previous = record.Key
 		}
 		if !page.More {
-			return "", end, nil
+			return nil, end, nil
 		}
 		if !page.Advances(after) {
-			return "", end, &keyedlog.EndlessListingError{
+			return nil, end, &keyedlog.EndlessListingError{
 				Topic:   streamTopic,
 				Records: len(page.Records),
 			}
--- a/gateway/unrecorded_test.go
+++ b/gateway/unrecorded_test.go
@@ -324,3 +324,27 @@
 		t.Error("the stream does not go on")
 	}
 }
+
+// TestRecordOfUnnamedVersionIsFound guards against a stream that began at an endpoint that names no
+// version, and is taken for one without a record.
+func TestRecordOfUnnamedVersionIsFound(t *testing.T) {
+	f := newReleaseFleet(t, 2)
+	f.log.Append(gateway.StreamTopic, "base/"+models, []byte("="+newVersion))
+	finder := f.addHost()
+	f.awaitVersions(finder)
+	if served := f.resumeAll(finder, f.beginAtUnnamedVersion()); served == 0 {
+		t.Error("no stream goes on")
+	}
+}
+
+// beginAtUnnamedVersion begins streams at a host that knows the new version as the base.
+func (f *releaseFleet) beginAtUnnamedVersion() map[string]bool {
+	f.t.Helper()
+	begun := f.begin(f.hosts[len(f.hosts)-1], "unnamed", 24)
+	for id, isNew := range begun {
+		if isNew {
+			delete(begun, id)
+		}
+	}
+	return begun
+}
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -163,7 +163,7 @@
 	if isRequired {
 		limit = requiredRecordTimeout
 	}
-	err := x.record.Await(x.request.Context(), limit)
+	err := x.record.Await(x.request.Context(), min(limit, time.Until(x.deadline)))
 	if err != nil && x.request.Context().Err() == nil {
 		x.server.Trail.Failure("streamNotRecorded").Text("request", x.requestInfo.RequestID).
 			Text("endpointVersion", x.currentSend.Version).Bool("delivered", !isRequired).Err(err).End()
