Let hosts repeat writes of records less and less often

A write of records that failed was repeated after 50 ms without end. A store that refuses writes at once would have got 48,000 calls a second from 2,400 hosts, of 400 that it takes. The delay now doubles, up to 0.5 s or 5 ms for each host of the fleet.

Before: TestRefusedWritesLeaveRateOfStore with a constant delay: "the fleet writes 160 times a second" passes for 6 hosts, 5200 for 195 and 64000 for 2,400 fail.

--- a/core/lineage/outbox.go
+++ b/core/lineage/outbox.go
@@ -6,6 +6,15 @@
 // records: several times as long as it usually takes for one.
 const overdueAfter = 100 * time.Millisecond
 
+// The delay until a write that failed is repeated doubles from minRetryDelay to maxRetryDelay, or to
+// retrySpread for each host of the fleet if that is longer: hosts that repeat their writes leave
+// most of the store's rate to others.
+const (
+	minRetryDelay = 50 * time.Millisecond
+	maxRetryDelay = 500 * time.Millisecond
+	retrySpread   = 5 * time.Millisecond
+)
+
 // Entry is a record of a stream on its way to the store.
 type Entry struct {
 	key      string
@@ -46,6 +55,8 @@
 	waiting []*Entry
 	// inFlight holds the records of the write in progress.
 	inFlight []*Entry
+	// retryDelay is the delay after the last write if that failed, or zero.
+	retryDelay time.Duration
 	// written holds the records that the store has acknowledged, oldest first, and expired the
 	// keys of those that it is to drop.
 	written []*Entry
@@ -120,6 +131,7 @@
 	}
 	o.written = append(o.written, o.inFlight...)
 	o.inFlight, o.expired = nil, nil
+	o.retryDelay = 0
 }
 
 // Fail ends the write in progress without an acknowledgement. Its records are due again.
@@ -131,6 +143,14 @@
 	o.inFlight = nil
 }
 
+// RetryDelay returns the delay until the next write after one that failed, in a fleet of the given
+// size. A random half of it is to be left out, so that the hosts spread their writes.
+func (o *Outbox) RetryDelay(hosts int) time.Duration {
+	longest := max(maxRetryDelay, time.Duration(hosts)*retrySpread)
+	o.retryDelay = min(max(2*o.retryDelay, minRetryDelay), longest)
+	return o.retryDelay
+}
+
 // WriteAgain makes all records due again that the store has acknowledged, as it has lost some.
 func (o *Outbox) WriteAgain() {
 	again := make([]*Entry, 0, len(o.written)+len(o.waiting))
--- a/core/lineage/outbox_test.go
+++ b/core/lineage/outbox_test.go
@@ -110,3 +110,30 @@
 	f.write(true)
 	return e.IsKept()
 }
+
+// TestRefusedWritesLeaveRateOfStore guards against fleets whose repeated writes use up the rate of a
+// store that refuses them.
+func TestRefusedWritesLeaveRateOfStore(t *testing.T) {
+	const writesPerSecond = 400
+	for _, hosts := range []int{6, 195, 2400} {
+		t.Run(fmt.Sprintf("%d hosts", hosts), func(t *testing.T) {
+			f := newOutboxFixture()
+			f.add("a", "v2", nil)
+			var delay time.Duration
+			for range 20 {
+				f.write(false)
+				delay = f.RetryDelay(hosts)
+			}
+			// Hosts wait for three quarters of the delay on average.
+			if rate := float64(hosts) / (0.75 * delay.Seconds()); rate > writesPerSecond {
+				t.Errorf("the fleet writes %.0f times a second, %d allowed", rate, writesPerSecond)
+			}
+			f.write(true)
+			f.add("b", "v2", nil)
+			f.write(false)
+			if got := f.RetryDelay(hosts); got != 50*time.Millisecond {
+				t.Errorf("delay %v after a write that was taken", got)
+			}
+		})
+	}
+}
--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -38,10 +38,8 @@
 	baseVersionsPath = "/v1/baseVersions"
 	// eraKey is the key of the record that tells since when the store has lost no records.
 	eraKey = "era"
-	// writeTimeout bounds a write of records, and writeRetryDelay is the time until the next one
-	// if it fails.
-	writeTimeout    = 500 * time.Millisecond
-	writeRetryDelay = 50 * time.Millisecond
+	// writeTimeout bounds a write of records.
+	writeTimeout = 500 * time.Millisecond
 	// findTimeout bounds how long a stream that is taken up again waits for its version.
 	findTimeout = 400 * time.Millisecond
 	// baseTimeout bounds a read or write of a base version.
--- a/gateway/streamwriter.go
+++ b/gateway/streamwriter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -110,11 +111,18 @@
 		case <-r.wake:
 		}
 		for ctx.Err() == nil && !r.write(ctx) {
-			r.gateway.waitFor(ctx, writeRetryDelay)
+			delay := r.retryDelay()
+			r.gateway.waitFor(ctx, delay/2+rand.N(delay/2))
 		}
 	}
 }
 
+func (r *streamRecords) retryDelay() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.outbox.RetryDelay(int(r.gateway.decisions.hostCount.Load()))
+}
+
 // write writes the waiting records, and drops the expired ones of this host with them. It reports
 // false if the store has not acknowledged the write.
 func (r *streamRecords) write(ctx context.Context) bool {
