--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -235,14 +235,15 @@
 func (r *streamRecords) runBase(ctx context.Context) error {
 	for ctx.Err() == nil {
 		r.mu.Lock()
-		isRead, wasRead := r.hasReadBases, len(r.bases) > 0
+		isRead, hasBases := r.hasReadBases, len(r.bases) > 0
 		r.mu.Unlock()
-		if wasRead && !isRead {
+		if hasBases && !isRead {
 			r.waitForTurn(ctx)
 		}
-		if isRead || r.readBases(ctx) == nil {
+		switch {
+		case isRead || r.readBases(ctx) == nil:
 			r.proposeBases(ctx)
-		} else {
+		case !hasBases:
 			r.fetchBases(ctx)
 		}
 		r.gateway.waitFor(ctx, baseInterval)
