--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -216,6 +216,7 @@
 		decisions:        g.decisions,
 		meter:            g.meter,
 		ownAddresses:     set.New(g.CallerAddress(), g.ReadyAddress()),
+		streams:          g.streams,
 		loggedUnreadable: make(map[string]bool),
 		rewound:          make(chan struct{}, 1),
 		loaded:           make(chan struct{}),
