Read the record of the store's loss where other keys fill the page

Callers could get streams of two software versions after the store had come back from an older copy: hosts read the base versions and the record that tells since when nothing was lost from the first page of a listing. Keys of another writer between the two, as many as a page holds, hid that record; a host then took the store for one that had lost nothing, wrote so, and read missing records as the base version.

The listing now begins at the base versions, and the record is read by itself if the page ends before it. TestOddKeysDoNotHideLossOfRecords failed before ('not within 10 s: the loss is recorded') and passes now with the race detector, as do the tests of odd keys, odd base versions and lost records.

--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -273,8 +273,7 @@
 func (r *streamRecords) readBases(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, baseTimeout)
 	defer cancel()
-	// Keys are listed in order, so that the page after a prefix of baseKeyPrefix begins with them.
-	page, err := r.gateway.Roster.ListNewest(ctx, streamTopic, baseKeyPrefix[:len(baseKeyPrefix)-1])
+	page, err := r.listBases(ctx)
 	if err != nil {
 		r.gateway.trail.Failure("baseVersionsUnread").Err(err).Merge("")
 		return trace.Wrap(err)
@@ -304,6 +303,20 @@
 	return nil
 }
 
+// listBases lists the base versions and the record of the era, which come first in the order of keys.
+func (r *streamRecords) listBases(ctx context.Context) (keyedlog.Listing, error) {
+	page, err := r.gateway.Roster.ListNewest(ctx, streamTopic, baseKeyPrefix)
+	if err != nil || !page.More || page.NextAfter >= eraKey {
+		return page, err
+	}
+	// Keys of another writer fill the page.
+	era, _, err := r.read(ctx, eraKey)
+	if err == nil && era != nil {
+		page.Records = append(page.Records, *era)
+	}
+	return page, err
+}
+
 // decodeVersion returns the version in a record. It reports false, and logs it, if the record is
 // not a host's.
 func (r *streamRecords) decodeVersion(record keyedlog.Record) (string, bool) {
--- a/gateway/unrecorded_test.go
+++ b/gateway/unrecorded_test.go
@@ -219,6 +219,29 @@
 	}
 }
 
+// TestOddKeysDoNotHideLossOfRecords guards against a host that is started and takes missing records for knowledge, because other keys fill the page before the record of the store's loss.
+func TestOddKeysDoNotHideLossOfRecords(t *testing.T) {
+	f := newReleaseFleet(t, 2)
+	for i := range 600 {
+		f.log.Append(gateway.StreamTopic, fmt.Sprintf("c%03d", i), []byte("="))
+	}
+	begun := f.begin(f.fixture, "stream", 24)
+	f.stopAndWait()
+	f.log.RewindTopics(map[string]int{
+		gateway.StreamTopic: f.streamRecordCount(),
+		endpointTopic:       0,
+	})
+	f.hosts[1].awaitLine(`"event":"storeRewound"`)
+	eventually(t, "the loss is recorded", func() bool {
+		page, err := f.log.ListNewest(t.Context(), gateway.StreamTopic, "er")
+		return err == nil && len(page.Records) > 0 && !strings.HasSuffix(string(page.Records[0].Value), " 0")
+	})
+	f.hosts[1].stopAndWait()
+	finder := f.addHost()
+	f.awaitVersions(finder)
+	f.resumeAll(finder, begun)
+}
+
 func (f *releaseFleet) streamRecordCount() int {
 	f.t.Helper()
 	page, err := f.log.ListNewest(f.t.Context(), gateway.StreamTopic, "stream/")
