--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -11,6 +11,7 @@
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 	"cactuswell/io/keyedlog"
+	"cactuswell/set"
 	"cactuswell/trail"
 )
 
@@ -146,8 +147,11 @@
 	rewinds atomic.Int64
 	// rewound is signaled each time.
 	rewound chan struct{}
+	meter   *meter
+	// ownAddresses are the addresses at which the host accepts requests.
+	ownAddresses set.Set[string]
 	// loggedUnreadable holds the IDs whose entry could not be decoded. Each is
-	// logged once.
+	// logged once, until it can be decoded again.
 	loggedUnreadable map[string]bool
 }
 
@@ -162,7 +166,10 @@
 		// An entry that cannot be decoded is still there, so it has not expired.
 		listing.ids[record.Key] = true
 		if entry, ok := f.decodeEntry(record); ok {
-			listing.entries = append(listing.entries, entry)
+			listing.entries = append(listing.entries, directory.Listed{
+				Entry:  entry,
+				Offset: record.Offset,
+			})
 		}
 	}
 	f.decisions.post(listing)
@@ -189,19 +196,57 @@
 // decodeEntry decodes an entry. An entry that cannot be decoded is logged and
 // ignored. If it was appended, the last valid entry of its ID stays in effect.
 func (f *endpointFeed) decodeEntry(record keyedlog.Record) (directory.Entry, bool) {
-	entry, err := f.decoder.Endpoint(record.Key, record.Value)
+	entry, err := f.decode(record)
 	if err == nil {
+		delete(f.loggedUnreadable, record.Key)
 		return entry, true
 	}
+	f.meter.addToCounter("cactuswell_entries_unreadable_total", 1)
 	if !f.loggedUnreadable[record.Key] && len(f.loggedUnreadable) < maxLoggedUnreadable {
 		f.loggedUnreadable[record.Key] = true
-		f.trail.Failure("entryUnreadable").Text("endpoint", record.Key).Int("offset", record.Offset).Err(err).End()
+		f.trail.Failure("entryUnreadable").Text("endpoint", record.Key[:min(len(record.Key), maxLoggedKey)]).Int("offset", record.Offset).Err(err).End()
 	}
 	return directory.Entry{}, false
 }
 
-// maxLoggedUnreadable bounds the number of IDs whose unreadable entry is logged.
-const maxLoggedUnreadable = 1000
+// LargeEntryError reports an entry that is too large to be kept.
+type LargeEntryError struct {
+	// Bytes is its size.
+	Bytes int
+}
+
+// Error names the size.
+func (e *LargeEntryError) Error() string {
+	return fmt.Sprintf("an entry of %d bytes, at most %d are kept", e.Bytes, maxEntryBytes)
+}
+
+func (f *endpointFeed) decode(record keyedlog.Record) (directory.Entry, error) {
+	if record.Omitted > 0 {
+		return directory.Entry{}, &LargeEntryError{Bytes: record.Omitted}
+	}
+	entry, err := f.decoder.Endpoint(record.Key, record.Value)
+	if err == nil && f.ownAddresses.Has(entry.Address) {
+		err = &OwnAddressError{Address: entry.Address}
+	}
+	return entry, err
+}
+
+// OwnAddressError reports an entry that names this host. Calls would return to it without end.
+type OwnAddressError struct {
+	Address string
+}
+
+// Error names the address.
+func (e *OwnAddressError) Error() string {
+	return e.Address + " is an address of this host"
+}
+
+const (
+	// maxLoggedUnreadable bounds the number of IDs whose unreadable entry is logged.
+	maxLoggedUnreadable = 1000
+	// maxLoggedKey bounds a key in a log line, in bytes.
+	maxLoggedKey = 255
+)
 
 // HandleRewind implements keyedlog.Listener.
 func (f *endpointFeed) HandleRewind(before, after replica.Position) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"cactuswell/io/peer"
 	"cactuswell/io/tunnel"
 	"cactuswell/io/upstream"
+	"cactuswell/set"
 	"cactuswell/settings"
 	"cactuswell/supervisor"
 	"cactuswell/timer"
@@ -214,6 +215,8 @@
 		trail:            g.trail,
 		decisions:        g.decisions,
 		streams:          g.streams,
+		meter:            g.meter,
+		ownAddresses:     set.New(g.CallerAddress(), g.ReadyAddress()),
 		loggedUnreadable: make(map[string]bool),
 		rewound:          make(chan struct{}, 1),
 		loaded:           make(chan struct{}),
@@ -235,6 +238,7 @@
 	g.callerServer = &http.Server{
 		Handler:           g.callHandler,
 		ConnState:         g.callerConns.trackState,
+		ConnContext:       withCallerConn,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		WriteTimeout:      callerWriteTimeout,
--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/gravitational/trace"
 
@@ -37,7 +39,7 @@
 	// baseVersionsPath is the path on which a host serves the base versions to others.
 	baseVersionsPath = "/v1/baseVersions"
 	// eraKey is the key of the record that tells since when the store has lost no records.
-	eraKey = "era"
+	eraKey = "base.era"
 	// writeTimeout bounds a write of records.
 	writeTimeout = 500 * time.Millisecond
 	// findTimeout bounds how long a stream that is taken up again waits for its version.
@@ -48,12 +50,24 @@
 	// over which the hosts of a fleet spread theirs, for each host.
 	baseInterval = time.Second
 	baseSpread   = 20 * time.Millisecond
+	// maxVersionBytes bounds a version.
+	maxVersionBytes = 255
 	// lifetimeFactor and lifetimeMargin give the lifetime of streams by the longest timeout
 	// of their routes: callers may take a stream up again until their own deadline.
 	lifetimeFactor = 1.5
 	lifetimeMargin = time.Second
 )
 
+// VersionUnreadableError reports a record of a version that is not a host's.
+type VersionUnreadableError struct {
+	Key string
+}
+
+// Error returns a message with the record's key.
+func (e *VersionUnreadableError) Error() string {
+	return "the version in record " + e.Key + " cannot be read"
+}
+
 // streamRecords keeps the software versions of streams in the store.
 type streamRecords struct {
 	gateway *Gateway
@@ -165,8 +179,12 @@
 		return opaque.FoundVersion{}, trace.Wrap(err)
 	}
 	if record != nil {
+		version, ok := r.decodeVersion(*record)
+		if !ok {
+			return opaque.FoundVersion{}, &VersionUnreadableError{Key: record.Key}
+		}
 		return opaque.FoundVersion{
-			Version: strings.TrimPrefix(string(record.Value), valuePrefix),
+			Version: version,
 			Source:  opaque.VersionRecorded,
 		}, nil
 	}
@@ -255,7 +273,9 @@
 func (r *streamRecords) readBases(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, baseTimeout)
 	defer cancel()
-	page, err := r.gateway.Roster.ListNewest(ctx, streamTopic, "")
+	// Keys are listed in order, so that the page after a prefix of baseKeyPrefix and eraKey begins
+	// with them.
+	page, err := r.gateway.Roster.ListNewest(ctx, streamTopic, baseKeyPrefix[:len(baseKeyPrefix)-1])
 	if err != nil {
 		r.gateway.trail.Failure("baseVersionsUnread").Err(err).Merge("")
 		return trace.Wrap(err)
@@ -270,14 +290,17 @@
 	era, since := page.Era, time.Time{}
 	r.hasEraRecord = false
 	for _, record := range page.Records {
-		value := strings.TrimPrefix(string(record.Value), valuePrefix)
-		if service, ok := strings.CutPrefix(record.Key, baseKeyPrefix); ok {
-			r.setBase(service, value)
-		}
 		if record.Key == eraKey {
-			era, since = parseEra(now, value)
+			era, since = parseEra(now, strings.TrimPrefix(string(record.Value), valuePrefix))
 			r.hasEraRecord = era == page.Era
 		}
+		service, ok := strings.CutPrefix(record.Key, baseKeyPrefix)
+		if !ok {
+			continue
+		}
+		if version, ok := r.decodeVersion(record); ok {
+			r.setBase(service, version)
+		}
 	}
 	r.tracker.SetEra(now, era, since)
 	r.hasReadBases = true
@@ -322,6 +345,19 @@
 	_ = json.NewEncoder(w).Encode(known)
 }
 
+// decodeVersion returns the version in a record. It reports false, and logs it, if the record is
+// not a host's.
+func (r *streamRecords) decodeVersion(record keyedlog.Record) (string, bool) {
+	version, ok := strings.CutPrefix(string(record.Value), valuePrefix)
+	if ok && len(version) <= maxVersionBytes && utf8.ValidString(version) && strings.TrimSpace(version) == version &&
+		!strings.ContainsFunc(version, unicode.IsControl) {
+		return version, true
+	}
+	key := record.Key[:min(len(record.Key), maxLoggedKey)]
+	r.gateway.trail.Failure("versionUnreadable").Text("key", key).Int("bytes", int64(len(record.Value))).Merge(key)
+	return "", false
+}
+
 // setBase sets a base version. The caller must hold r.mu.
 func (r *streamRecords) setBase(service, version string) {
 	r.tracker.SetBase(service, version)
--- a/io/keyedlog/keyedlog.go
+++ b/io/keyedlog/keyedlog.go
@@ -60,6 +60,8 @@
 	EndOffset int64
 	// Era is the log's era. See replica.Position.
 	Era int64
+	// Unreadable is the number of records that cannot be decoded and are left out.
+	Unreadable int
 }
 
 // Advances reports whether the page after this one differs from this one, which follows
@@ -71,6 +73,11 @@
 // Batch is the result of a read.
 type Batch struct {
 	Records []Record
+	// Unreadable is the number of records that cannot be decoded and are left out, and End the
+	// offset after the last record of the read, whether it can be decoded or not. End is zero
+	// if it follows from Records.
+	Unreadable int
+	End        int64
 	// Era is the log's era. Records of a later era than the reader's do not continue
 	// what it has read before.
 	Era int64
@@ -99,6 +106,18 @@
 	return fmt.Sprintf("records of topic %s from offset %d on are not available", e.Topic, e.From)
 }
 
+// MalformedError is the error for a read whose result cannot be divided into records.
+type MalformedError struct {
+	Topic  string
+	From   int64
+	Reason string
+}
+
+// Error names the topic, the offset and the reason.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("malformed read of topic %s from offset %d on: %s", e.Topic, e.From, e.Reason)
+}
+
 // EndlessListingError is the error for a listing whose pages do not end.
 type EndlessListingError struct {
 	Topic string
@@ -172,9 +191,15 @@
 	// MinReadInterval is the minimum time between two steps that deliver records, so
 	// that many small records need few calls.
 	MinReadInterval time.Duration
+	// MaxValueBytes bounds the values of the topic, if it is positive. Larger ones are omitted,
+	// so that they do not make the copy too large for other hosts to fetch.
+	MaxValueBytes int
 	// RecordCall is called after each call to the log, with its duration and its
 	// error.
 	RecordCall func(took time.Duration, err error)
+	// RecordUnreadable is called with the number of records of a read or of a page of a listing
+	// that cannot be decoded, if there are any.
+	RecordUnreadable func(count int)
 	// RecordReadFailure is called when a read of the log fails while other hosts read it,
 	// which is no outage. The error is an *AbandonedPollError if the read was abandoned.
 	RecordReadFailure func(err error)
@@ -352,22 +377,65 @@
 		return f.list(ctx)
 	}
 	batch, err := f.poll(ctx, end, wait)
+	if err == nil && batch.Era > end.Era {
+		err = &ExpiredError{
+			Topic: f.Topic,
+			From:  end.Offset,
+		}
+	}
 	var expired *ExpiredError
-	if errors.As(err, &expired) || err == nil && batch.Era > end.Era {
-		return f.list(ctx)
+	var malformed *MalformedError
+	if errors.As(err, &expired) || errors.As(err, &malformed) {
+		return f.listPast(ctx, end, err)
 	}
 	if err != nil {
 		return replica.Changes{}, err
 	}
+	f.recordUnreadable(batch.Unreadable)
+	f.omitLargeValues(batch.Records)
 	if len(batch.Records) > 0 {
 		end.Offset = batch.Records[len(batch.Records)-1].Offset + 1
 	}
+	end.Offset = max(end.Offset, batch.End)
 	return replica.Changes{
 		End:     end,
 		Records: batch.Records,
 	}, nil
 }
 
+// listPast lists the topic, as its records do not continue the copy or cannot be read. It returns
+// the read's error if the listing does not get past the copy.
+func (f *Follower) listPast(ctx context.Context, end replica.Position, readErr error) (replica.Changes, error) {
+	changes, err := f.list(ctx)
+	if err != nil {
+		return replica.Changes{}, err
+	}
+	if !changes.End.After(end) {
+		return replica.Changes{}, readErr
+	}
+	var malformed *MalformedError
+	if errors.As(readErr, &malformed) {
+		f.RecordReadFailure(readErr)
+	}
+	return changes, nil
+}
+
+// omitLargeValues omits the values beyond MaxValueBytes.
+func (f *Follower) omitLargeValues(records []Record) {
+	for i := range records {
+		if size := len(records[i].Value); f.MaxValueBytes > 0 && size > f.MaxValueBytes {
+			records[i].Value = nil
+			records[i].Omitted = size
+		}
+	}
+}
+
+func (f *Follower) recordUnreadable(count int) {
+	if count > 0 {
+		f.RecordUnreadable(count)
+	}
+}
+
 // apply applies changes to the copy and passes them to the listener.
 func (f *Follower) apply(changes replica.Changes) {
 	f.mu.Lock()
@@ -424,6 +492,7 @@
 				Offset: page.EndOffset,
 			}
 		}
+		f.omitLargeValues(page.Records)
 		changes.Records = append(changes.Records, page.Records...)
 		for _, record := range page.Records {
 			size += len(record.Key) + len(record.Value) + recordOverhead
@@ -447,6 +516,7 @@
 	startedAt := time.Now()
 	page, err := f.Log.ListNewest(ctx, f.Topic, after)
 	f.RecordCall(time.Since(startedAt), err)
+	f.recordUnreadable(page.Unreadable)
 	return page, err
 }
 
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -72,7 +72,8 @@
 	paddingBytes int
 	// bodyBytes is the number of bytes of the response body that were received.
 	bodyBytes int64
-	// hasExcess is set if the endpoint sent bytes after a complete response.
+	// hasExcess is set if the endpoint sent bytes after a complete response: after that of the
+	// attempt, or after that of an earlier request on the connection.
 	hasExcess bool
 	// isSent is set once the whole request has been sent.
 	isSent bool
@@ -141,13 +142,13 @@
 	if t.response != nil {
 		status = t.response.StatusCode
 	}
-	reused, host := false, ""
+	reused, host, passedOver := false, "", 0
 	if t.conn != nil {
-		reused, host = t.conn.Reused(), t.conn.Host()
+		reused, host, passedOver = t.conn.Reused(), t.conn.Host(), t.conn.PassedOver()
 	}
 	line := x.server.Trail.Failure("attemptEnded").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
 		Int("attempt", int64(x.attempts)).Text("outcome", fmt.Sprintf("%T", outcome)[len("scheduling."):]).
-		Int("status", int64(status)).Bool("notRun", t.responseInfo.NotRun).Bool("reusedConnection", reused).Text("throughHost", host).
+		Int("status", int64(status)).Bool("notRun", t.responseInfo.NotRun).Bool("reusedConnection", reused).Int("passedOverConnections", int64(passedOver)).Text("throughHost", host).
 		Int("events", int64(x.stream.attemptEvents))
 	if broken, ok := outcome.(scheduling.Broken); ok {
 		line = line.Bool("endpointDown", broken.EndpointDown).Text("requestHash", quarantine.FormatHash(x.requestHash))
@@ -174,7 +175,7 @@
 	if x.route.Retryable() {
 		maxIdle = maxIdleRetryable
 	}
-	conn, err := x.server.Pool.Get(ctx, x.endpoint(), maxIdle)
+	conn, err := x.server.Pool.Get(ctx, x.endpoint(), maxIdle, x.requestInfo.RequestID)
 	if err != nil {
 		t.err = err
 		if x.request.Context().Err() != nil {
@@ -250,6 +251,11 @@
 			t.hasExcess = true
 			t.recordExcess(upstream.PartAfterBody)
 		}
+		if t.responseInfo.RequestID != t.exchange.requestInfo.RequestID {
+			// The next response could not be told from a late one of this attempt.
+			t.conn.Discard()
+			break
+		}
 		t.conn.Release(t.response)
 	default:
 		t.conn.Discard()
@@ -261,6 +267,10 @@
 // nil if the response was complete.
 func (t *attempt) roundTrip(conn *upstream.Conn) scheduling.Outcome {
 	x := t.exchange
+	if !x.route.Retryable() && x.hasCallerLeft() {
+		t.err = &CallerLeftError{}
+		return scheduling.Abandoned{}
+	}
 	if err := conn.SendRequest(t.newRequest(), x.deadline); err != nil {
 		t.err = err
 		var sendError *upstream.SendError
@@ -304,17 +314,37 @@
 	}
 }
 
-// isOwnResponse reports whether a response belongs to the call. A response without
-// a request ID is accepted only on a connection that carried no earlier request.
+// isOwnResponse reports whether a response belongs to the attempt: the connection has carried no
+// other attempt with the call's ID. A response without a request ID is accepted only on a
+// connection that carried no earlier request.
 func (t *attempt) isOwnResponse(response *http.Response) bool {
 	info := t.exchange.server.Dialect.ParseResponse(response)
 	if info.RequestID != t.exchange.requestInfo.RequestID && (info.RequestID != "" || t.conn.Reused()) {
+		t.recordLateResponse(info, response.StatusCode)
 		return false
 	}
 	t.responseInfo = info
 	return true
 }
 
+// recordLateResponse records a response that belongs to an earlier request on the connection, or may
+// do so. If it names no request it may also be the attempt's own: then no other follows, and the call
+// would wait until its deadline.
+func (t *attempt) recordLateResponse(info ResponseInfo, status int) {
+	if !t.conn.Reused() {
+		return
+	}
+	x := t.exchange
+	if limit := x.route.TargetLatency; info.RequestID == "" && limit > 0 && (t.silenceDeadline.IsZero() || time.Now().Add(limit).Before(t.silenceDeadline)) {
+		t.setReadDeadline(limit)
+	}
+	t.hasExcess = true
+	x.server.Meter.RecordExcess(upstream.PartLateResponse)
+	x.server.Trail.Failure("lateResponse").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
+		Text("respondsTo", info.RequestID[:min(len(info.RequestID), maxLoggedValue)]).Int("status", int64(status)).Bool("notRun", info.NotRun).
+		Millis("after", time.Since(t.sentAt)).Merge(x.currentSend.Key.ID)
+}
+
 // setReadDeadline bounds the wait for the endpoint's next bytes by the call's
 // deadline and, unless it is zero, by silenceLimit.
 func (t *attempt) setReadDeadline(silenceLimit time.Duration) {
--- /dev/null
+++ b/standin/worker/answer.go
@@ -0,0 +1,141 @@
+package worker
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// refuse answers that the request was not run and never will be.
+func (s *session) refuse(request *http.Request, id string, status int) bool {
+	w := s.worker
+	w.settings.Observer.ObserveDecline(s.incarnation.id, id, status)
+	header := ""
+	if status != http.StatusMisdirectedRequest {
+		header = w.settings.Names.NotRun + ": 1\r\n"
+	}
+	refusal := w.encode(status, id, header, "busy\n")
+	if !s.write(refusal) {
+		return false
+	}
+	if w.happens(func(f Faults) float64 { return f.RepeatedRefusals }) {
+		s.pending = refusal
+	}
+	return s.finish(request)
+}
+
+// answer answers a request that has run.
+func (s *session) answer(request *http.Request, id string) bool {
+	w := s.worker
+	switch {
+	case w.happens(func(f Faults) float64 { return f.LostAnswers }):
+		return false
+	case w.happens(func(f Faults) float64 { return f.ResetAnswers }):
+		s.reset()
+		return false
+	}
+	header := w.settings.Names.Mark + ": " + s.incarnation.id + "\r\n"
+	if strings.HasSuffix(request.URL.Path, "stream") {
+		return s.stream(request, id, header) && s.finish(request)
+	}
+	whole := w.encode(http.StatusOK, id, header, "answer to "+id+"\n")
+	if w.happens(func(f Faults) float64 { return f.CutAnswers }) {
+		s.write(whole[:len(whole)-4])
+		return false
+	}
+	if !s.write(whole) {
+		return false
+	}
+	if w.happens(func(f Faults) float64 { return f.ExtraAnswers }) {
+		s.awaitExtra()
+		s.write(whole)
+	}
+	return s.finish(request) && !w.happens(func(f Faults) float64 { return f.Closes })
+}
+
+// stream sends a stream, from the event after the last one that the caller has. A fault may cut
+// it off after an event.
+func (s *session) stream(request *http.Request, id, header string) bool {
+	w := s.worker
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		w.settings.Names.RequestID, id, header)
+	if !s.write([]byte(head)) {
+		return false
+	}
+	for i := s.firstEvent(request); i < w.settings.Events; i++ {
+		if !s.awaitEvent() {
+			return false
+		}
+		w.awaitThaw()
+		event := Event(i, s.incarnation.version)
+		if !s.write(fmt.Appendf(nil, "%x\r\n%s\r\n", len(event), event)) || w.happens(func(f Faults) float64 { return f.CutAnswers }) {
+			return false
+		}
+	}
+	return s.write([]byte("0\r\n\r\n"))
+}
+
+// Event returns an event of a stream.
+func Event(id int, version string) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", id, version) }
+
+// firstEvent returns the ID of the first event that the caller does not have.
+func (s *session) firstEvent(request *http.Request) int {
+	last, err := strconv.Atoi(request.Header.Get(s.worker.settings.Names.LastEventID))
+	if err != nil {
+		return 0
+	}
+	return last + 1
+}
+
+// awaitEvent waits until the next event is due. It reports false if the connection has ended.
+func (s *session) awaitEvent() bool {
+	due := time.Now().Add(eventPause)
+	defer func() { _ = s.conn.SetReadDeadline(time.Time{}) }()
+	_ = s.conn.SetReadDeadline(due)
+	_, err := s.reader.Peek(1)
+	if err == nil {
+		// The rest of the request's body has arrived.
+		s.await(time.Until(due))
+	}
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// finish reads the rest of the request and reports whether the connection stays open.
+func (s *session) finish(request *http.Request) bool {
+	return !s.early || discardBody(request)
+}
+
+// write sends an answer or a part of it, and before it what is pending.
+func (s *session) write(answer []byte) bool {
+	_, err := s.conn.Write(append(s.pending, answer...))
+	s.pending = nil
+	return err == nil
+}
+
+func (s *session) awaitExtra() {
+	s.worker.mu.Lock()
+	delay := s.worker.faults.ExtraAnswerDelay
+	s.worker.mu.Unlock()
+	s.await(delay)
+}
+
+func (s *session) await(duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	<-timer.C
+}
+
+func (s *session) reset() {
+	if lingerer, ok := s.conn.(interface{ SetLinger(int) error }); ok {
+		_ = lingerer.SetLinger(0)
+	}
+}
+
+func (w *Worker) encode(status int, id, header, body string) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), w.settings.Names.RequestID, id, header, len(body), body)
+}
