--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -31,8 +31,6 @@
 	// the version, as a key without a value is dropped.
 	streamTopic = "keyed.cactuswellStreams"
 	valuePrefix = "="
-	// maxVersionBytes bounds a version.
-	maxVersionBytes = 255
 	// baseKeyPrefix precedes a service's name in the key of its base version, and
 	// streamKeyPrefix the hash of a request ID in that of a stream. Base versions come first
 	// in a listing.
@@ -41,7 +39,7 @@
 	// baseVersionsPath is the path on which a host serves the base versions to others.
 	baseVersionsPath = "/v1/baseVersions"
 	// eraKey is the key of the record that tells since when the store has lost no records.
-	eraKey = "era"
+	eraKey = "base.era"
 	// writeTimeout bounds a write of records.
 	writeTimeout = 500 * time.Millisecond
 	// findTimeout bounds how long a stream that is taken up again waits for its version.
@@ -52,6 +50,8 @@
 	// over which the hosts of a fleet spread theirs, for each host.
 	baseInterval = time.Second
 	baseSpread   = 20 * time.Millisecond
+	// maxVersionBytes bounds a version.
+	maxVersionBytes = 255
 	// lifetimeFactor and lifetimeMargin give the lifetime of streams by the longest timeout
 	// of their routes: callers may take a stream up again until their own deadline.
 	lifetimeFactor = 1.5
@@ -273,7 +273,9 @@
 func (r *streamRecords) readBases(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, baseTimeout)
 	defer cancel()
-	page, err := r.listBases(ctx)
+	// Keys are listed in order, so that the page after a prefix of baseKeyPrefix and eraKey begins
+	// with them.
+	page, err := r.gateway.Roster.ListNewest(ctx, streamTopic, baseKeyPrefix[:len(baseKeyPrefix)-1])
 	if err != nil {
 		r.gateway.trail.Failure("baseVersionsUnread").Err(err).Merge("")
 		return trace.Wrap(err)
@@ -288,48 +290,23 @@
 	era, since := page.Era, time.Time{}
 	r.hasEraRecord = false
 	for _, record := range page.Records {
-		if service, ok := strings.CutPrefix(record.Key, baseKeyPrefix); ok {
-			if version, ok := r.decodeVersion(record); ok {
-				r.setBase(service, version)
-			}
-		}
 		if record.Key == eraKey {
 			era, since = parseEra(now, strings.TrimPrefix(string(record.Value), valuePrefix))
 			r.hasEraRecord = era == page.Era
 		}
+		service, ok := strings.CutPrefix(record.Key, baseKeyPrefix)
+		if !ok {
+			continue
+		}
+		if version, ok := r.decodeVersion(record); ok {
+			r.setBase(service, version)
+		}
 	}
 	r.tracker.SetEra(now, era, since)
 	r.hasReadBases = true
 	return nil
 }
 
-// listBases lists the base versions and the record of the era, which come first in the order of keys.
-func (r *streamRecords) listBases(ctx context.Context) (keyedlog.Listing, error) {
-	page, err := r.gateway.Roster.ListNewest(ctx, streamTopic, baseKeyPrefix)
-	if err != nil || !page.More || page.NextAfter >= eraKey {
-		return page, err
-	}
-	// Keys of another writer fill the page.
-	era, _, err := r.read(ctx, eraKey)
-	if err == nil && era != nil {
-		page.Records = append(page.Records, *era)
-	}
-	return page, err
-}
-
-// decodeVersion returns the version in a record. It reports false, and logs it, if the record is
-// not a host's.
-func (r *streamRecords) decodeVersion(record keyedlog.Record) (string, bool) {
-	version, ok := strings.CutPrefix(string(record.Value), valuePrefix)
-	if ok && len(version) <= maxVersionBytes && utf8.ValidString(version) && strings.TrimSpace(version) == version &&
-		!strings.ContainsFunc(version, unicode.IsControl) {
-		return version, true
-	}
-	key := record.Key[:min(len(record.Key), maxLoggedKey)]
-	r.gateway.trail.Failure("versionUnreadable").Text("key", key).Int("bytes", int64(len(record.Value))).Merge(key)
-	return "", false
-}
-
 // baseVersions is the answer of a host to another one that cannot read the store.
 type baseVersions struct {
 	Versions map[string]string `json:"versions"`
@@ -368,6 +345,19 @@
 	_ = json.NewEncoder(w).Encode(known)
 }
 
+// decodeVersion returns the version in a record. It reports false, and logs it, if the record is
+// not a host's.
+func (r *streamRecords) decodeVersion(record keyedlog.Record) (string, bool) {
+	version, ok := strings.CutPrefix(string(record.Value), valuePrefix)
+	if ok && len(version) <= maxVersionBytes && utf8.ValidString(version) && strings.TrimSpace(version) == version &&
+		!strings.ContainsFunc(version, unicode.IsControl) {
+		return version, true
+	}
+	key := record.Key[:min(len(record.Key), maxLoggedKey)]
+	r.gateway.trail.Failure("versionUnreadable").Text("key", key).Int("bytes", int64(len(record.Value))).Merge(key)
+	return "", false
+}
+
 // setBase sets a base version. The caller must hold r.mu.
 func (r *streamRecords) setBase(service, version string) {
 	r.tracker.SetBase(service, version)
--- a/gateway/unrecorded_test.go
+++ b/gateway/unrecorded_test.go
@@ -233,8 +233,8 @@
 	})
 	f.hosts[1].awaitLine(`"event":"storeRewound"`)
 	eventually(t, "the loss is recorded", func() bool {
-		page, err := f.log.ListNewest(t.Context(), gateway.StreamTopic, "er")
-		return err == nil && len(page.Records) > 0 && !strings.HasSuffix(string(page.Records[0].Value), " 0")
+		page, err := f.log.ListNewest(t.Context(), gateway.StreamTopic, "base")
+		return err == nil && len(page.Records) > 0 && page.Records[0].Key == "base.era" && !strings.HasSuffix(string(page.Records[0].Value), " 0")
 	})
 	f.hosts[1].stopAndWait()
 	finder := f.addHost()
