Let another host read the store while it leaves the readers' calls open

Cause: the store served one host of six, and left the calls of the other five open. All three readers were among the five. A long poll without an answer cannot be told from one without news, so their polls ended at 39.4 to 40.3 s (2 s of wait and 0.9 s of slack); they counted as readers until then, and the host that the store served, which waits for readers, read at 40.71 s, 2.6 s after the change, where 2 s are allowed. No answer was taken for no news. The fetches among hosts were not at fault: all others had the changes 0.2 s later.

Now reports tell when the store last answered a reader, in the byte that said that it reads (earlier releases read it as before, and theirs count as answered just now). Readers' polls end one after the other, a third of 2 s apart. A host that is no reader, and has heard of no answer for 1 s, reads once; the next ones follow 50 ms later each, at most 0.3 s, unless they hear of that read. In a large fleet only relays do, whom all hear. Line storeReadForReaders, metric cactuswell_store_stand_in_reads_total.

The simulation of fleets answered polls that were open when a host was cut off from the log; they now stay without an answer.

In a large fleet whose relays are all readers (three zones or fewer) nothing changes.

--- a/core/replica/fleet_test.go
+++ b/core/replica/fleet_test.go
@@ -28,6 +28,8 @@
 	fetchTime = 10 * time.Millisecond
 	callTime  = 5 * time.Millisecond
 	timeout   = 600 * time.Millisecond
+	// changeBound is the time within which a change must be in force.
+	changeBound = 2 * time.Second
 )
 
 // fault is what happens to a host at the time of the change.
@@ -46,6 +48,7 @@
 type copyReport struct {
 	end    replica.Position
 	reads  bool
+	readAt time.Time
 	sentAt time.Time
 }
 
@@ -55,6 +58,10 @@
 	fault   fault
 	end     replica.Position
 	reads   bool
+	// readAt is when the log last answered this host, and confirmedAt when it last answered
+	// any other host whose report this one has got.
+	readAt      time.Time
+	confirmedAt time.Time
 	// reports holds the copy as sent, the newest last.
 	reports  []copyReport
 	lastSent time.Time
@@ -63,6 +70,8 @@
 	finish    func()
 	isWaiting bool
 	polls     bool
+	// isUnanswered is set once the log does not answer the read in progress.
+	isUnanswered bool
 }
 
 // simulatedFleet plays the planners of a fleet against a log, with the delays of its
@@ -147,6 +156,7 @@
 func (f *simulatedFleet) viewOf(h *simulatedHost, speakers []*simulatedHost) replica.View {
 	view := replica.View{
 		IsComplete: true,
+		IsHeard:    len(f.hosts) <= maxDirect || f.relays[h.member.Zone] == h,
 		Others:     len(f.hosts) - 1,
 	}
 	members := make([]replica.Member, 0, len(speakers))
@@ -163,6 +173,9 @@
 		if !ok {
 			continue
 		}
+		if report.readAt.After(h.confirmedAt) {
+			h.confirmedAt = report.readAt
+		}
 		if report.reads && f.now.Sub(report.sentAt) <= readerAge {
 			view.Readers++
 		}
@@ -176,7 +189,8 @@
 			}
 		}
 	}
-	view.IsReader = replica.IsReader(h.member, members)
+	view.ConfirmedAt = h.confirmedAt
+	view.Reader = replica.ReaderOf(h.member, members)
 	return view
 }
 
@@ -189,13 +203,14 @@
 			continue
 		}
 		isSpeaker := len(f.hosts) <= maxDirect || f.relays[h.member.Zone] == h
-		changed := len(h.reports) == 0 || h.reports[len(h.reports)-1].end != h.end || h.reports[len(h.reports)-1].reads != h.reads
+		changed := len(h.reports) == 0 || h.reports[len(h.reports)-1].end != h.end || h.reports[len(h.reports)-1].reads != h.reads ||
+			h.reports[len(h.reports)-1].readAt != h.readAt
 		if changed && isSpeaker {
 			f.newsAt = f.now
 		}
 		if f.now.Sub(h.lastSent) >= heartbeat || changed && isSpeaker {
 			h.lastSent = f.now
-			h.reports = append(h.reports[max(len(h.reports)-8, 0):], copyReport{end: h.end, reads: h.reads, sentAt: f.now})
+			h.reports = append(h.reports[max(len(h.reports)-8, 0):], copyReport{end: h.end, reads: h.reads, readAt: h.readAt, sentAt: f.now})
 		}
 		f.advance(h, speakers)
 	}
@@ -206,6 +221,12 @@
 	if h.polls && h.fault == healthy && f.end.After(h.end) {
 		h.busyUntil = f.now
 	}
+	if h.polls && h.fault == cutOff && !h.isUnanswered && !f.now.Before(h.busyUntil) {
+		// The answer at the end of the wait does not come.
+		h.isUnanswered = true
+		h.busyUntil = f.now.Add(timeout)
+		h.finish = func() { f.failRead(h) }
+	}
 	if f.now.Before(h.busyUntil) {
 		isIdle := h.isWaiting || h.polls
 		if !isIdle || f.now.Sub(f.newsAt) > newsTime {
@@ -220,7 +241,7 @@
 		}
 		h.finish = nil
 	}
-	h.isWaiting, h.polls = false, false
+	h.isWaiting, h.polls, h.isUnanswered = false, false, false
 	if h.finish != nil {
 		finish := h.finish
 		h.finish = nil
@@ -231,11 +252,11 @@
 	case replica.Wait:
 		h.isWaiting = true
 		h.busyUntil = f.now.Add(step.For)
-		h.reads = h.reads && view.IsReader
+		h.reads = h.reads && view.Reader.IsReader()
 	case replica.Fetch:
 		f.fetch(h, f.byAddress[step.Address])
 	case replica.Read:
-		f.read(h, step, view)
+		f.read(h, step)
 	}
 }
 
@@ -251,15 +272,13 @@
 	h.finish = func() { f.deliver(h, end) }
 }
 
-func (f *simulatedFleet) read(h *simulatedHost, step replica.Read, view replica.View) {
+func (f *simulatedFleet) read(h *simulatedHost, step replica.Read) {
 	f.calls++
 	switch {
 	case h.fault == cutOff:
+		h.polls, h.isUnanswered = true, true
 		h.busyUntil = f.now.Add(step.PollWait + timeout)
-		h.finish = func() {
-			h.reads = false
-			h.planner.RecordReadFailure(f.now, view, 0.5)
-		}
+		h.finish = func() { f.failRead(h) }
 	case step.PollWait > 0 && !f.end.After(h.end):
 		h.polls = true
 		h.busyUntil = f.now.Add(step.PollWait)
@@ -270,9 +289,15 @@
 	}
 }
 
+func (f *simulatedFleet) failRead(h *simulatedHost) {
+	h.reads = false
+	h.planner.RecordReadFailure(f.now, f.viewOf(h, f.speakers()), 0.5)
+}
+
 func (f *simulatedFleet) finishRead(h *simulatedHost) {
 	h.reads = true
-	h.planner.RecordRead()
+	h.readAt = f.now
+	h.planner.RecordRead(f.now)
 	f.deliver(h, f.end)
 }
 
@@ -346,8 +371,8 @@
 				f.end.Offset++
 				bound := time.Second
 				if c.spared == 0 && c.fault == cutOff {
-					// The others find out by the end of the readers' calls.
-					bound = 4 * time.Second
+					// The others find out as they hear of no answer of the log.
+					bound = changeBound
 				}
 				f.run(bound)
 				if lagging := f.lagging(); lagging > 0 {
@@ -358,6 +383,36 @@
 	}
 }
 
+// TestChangeReachesFleetThatLogServesInPart guards against a change that is not in force in time
+// as the log answers one host alone, and not the readers, whose reads stay open.
+func TestChangeReachesFleetThatLogServesInPart(t *testing.T) {
+	for _, size := range []struct{ hosts, zones int }{{6, 4}, {9, 3}, {12, 1}} {
+		for after := range 10 {
+			f := newFleet(size.hosts, size.zones)
+			f.run(2500*time.Millisecond + time.Duration(after)*200*time.Millisecond)
+			var spared *simulatedHost
+			for _, h := range f.hosts {
+				if !h.reads && (spared == nil || spared.member.Compare(h.member) < 0) {
+					spared = h
+				}
+			}
+			f.faultAt = f.now
+			for _, h := range f.hosts {
+				if h != spared {
+					h.fault = cutOff
+				}
+			}
+			for range 5 {
+				f.end.Offset++
+				f.run(changeBound)
+				if lagging := f.lagging(); lagging > 0 {
+					t.Errorf("%d hosts, cut off %d ms later: %d lack the change after %s", size.hosts, 200*after, lagging, changeBound)
+				}
+			}
+		}
+	}
+}
+
 // TestLogCallsDoNotGrowWithFleet checks that a fleet without changes needs as many calls
 // to the log however large it is, and that no host is asked by all others when there is a
 // change.
--- a/core/replica/planner.go
+++ b/core/replica/planner.go
@@ -31,6 +31,14 @@
 	// maxRankDelay.
 	rankDelay    = 20 * time.Millisecond
 	maxRankDelay = time.Second
+	// confirmTimeout is how long the log may have answered no host that a host hears of
+	// until it reads for itself: the answers of readers come every third of
+	// readerPollWait. A log may serve some hosts, and leave the reads of others open.
+	confirmTimeout = time.Second
+	// confirmRankDelay is added for each live host before this one, so that the others hear
+	// of its read, up to maxConfirmDelay.
+	confirmRankDelay = 50 * time.Millisecond
+	maxConfirmDelay  = 300 * time.Millisecond
 	// unattendedTimeout is how long a host must hear of no reader until the log counts
 	// as unavailable to it.
 	unattendedTimeout = 400 * time.Millisecond
@@ -53,14 +61,18 @@
 	IsSolo bool
 	// IsComplete is set once the host has had the chance to learn of the others.
 	IsComplete bool
-	// IsReader is set if the host is a reader by the hosts that it knows.
-	IsReader bool
+	// IsHeard is set if all other hosts hear what this one reports.
+	IsHeard bool
+	// Reader is the host's position among the readers by the hosts that it knows.
+	Reader Reader
 	// Others is the number of other live hosts, and Rank the number of those before
 	// this one in the order of hosts.
 	Others int
 	Rank   int
 	// Readers is the number of other hosts that currently read the log with success.
 	Readers int
+	// ConfirmedAt is when the log last answered another host, as far as is known.
+	ConfirmedAt time.Time
 	// Sources are hosts whose copy is ahead of this host's, the preferred ones first.
 	Sources []Source
 }
@@ -81,6 +93,8 @@
 type Read struct {
 	// PollWait is how long the log may wait for a record.
 	PollWait time.Duration
+	// StandsIn is set if the host reads because the log seems to answer no reader.
+	StandsIn bool
 }
 
 // Fetch gets the changes from another host.
@@ -112,7 +126,11 @@
 	fetchDueAt time.Time
 	// readDueAt is when the log may be read again after a failure.
 	readDueAt time.Time
-	isBehind  bool
+	// readAt is when the log last answered, and isStaggered is set once a poll has begun whose
+	// end is apart from those of the other readers.
+	readAt      time.Time
+	isStaggered bool
+	isBehind    bool
 }
 
 // NewPlanner returns the planner of a host that starts.
@@ -125,6 +143,7 @@
 	p.hasCopy = true
 	p.behindSince = time.Time{}
 	p.fetchFailures = 0
+	p.isStaggered = false
 }
 
 // RecordFetchFailure records that a fetch from another host failed.
@@ -134,7 +153,8 @@
 }
 
 // RecordRead records that the log answered.
-func (p *Planner) RecordRead() {
+func (p *Planner) RecordRead(now time.Time) {
+	p.readAt = now
 	p.readFailures = 0
 	p.readDueAt = time.Time{}
 }
@@ -143,8 +163,9 @@
 // from 0 to 1, which keeps hosts from reading again at the same time.
 func (p *Planner) RecordReadFailure(now time.Time, view View, jitter float64) {
 	p.readFailures++
+	p.isStaggered = false
 	delay := min(minBackoff<<min(p.readFailures-1, 4), maxBackoff)
-	if !view.IsReader {
+	if !view.Reader.IsReader() {
 		delay = max(delay, time.Duration(view.Others)*fleetBackoff)
 	}
 	p.readDueAt = now.Add(time.Duration((0.5 + jitter) * float64(delay)))
@@ -180,7 +201,7 @@
 		p.behindSince = now
 	}
 	switch {
-	case view.Readers > 0 || view.IsReader:
+	case view.Readers > 0 || view.Reader.IsReader():
 		p.unattendedSince = time.Time{}
 	case p.unattendedSince.IsZero():
 		p.unattendedSince = now
@@ -205,11 +226,11 @@
 	if !p.hasCopy {
 		return p.start(now, view)
 	}
-	if view.IsReader {
+	if view.Reader.IsReader() {
 		return p.read(now, view)
 	}
 	if view.Readers > 0 {
-		return Wait{For: idleWait}
+		return p.standBy(now, view)
 	}
 	takeOverAt := p.unattendedSince.Add(min(time.Duration(view.Rank)*rankDelay, maxRankDelay))
 	if now.Before(takeOverAt) {
@@ -218,6 +239,28 @@
 	return p.read(now, view)
 }
 
+// standBy returns the step of a host that leaves reading to the readers. It reads once if the
+// log seems to answer none of them. In a large fleet only hosts that all others hear do so.
+func (p *Planner) standBy(now time.Time, view View) Step {
+	if !view.IsHeard {
+		return Wait{For: idleWait}
+	}
+	confirmedAt := p.startedAt
+	for _, at := range []time.Time{view.ConfirmedAt, p.readAt} {
+		if at.After(confirmedAt) {
+			confirmedAt = at
+		}
+	}
+	dueAt := confirmedAt.Add(confirmTimeout + min(time.Duration(view.Rank)*confirmRankDelay, maxConfirmDelay))
+	if now.Before(dueAt) {
+		return Wait{For: min(dueAt.Sub(now), idleWait)}
+	}
+	if !p.mayRead(now) {
+		return Wait{For: min(p.readDueAt.Sub(now), idleWait)}
+	}
+	return Read{StandsIn: true}
+}
+
 // fetch returns the fetch from the preferred source. The other sources follow after
 // sourcePatience or after a failure.
 func (p *Planner) fetch(now time.Time, view View) Step {
@@ -240,7 +283,7 @@
 	}
 	// The hosts of a small fleet that start together soon read for themselves, so that
 	// they serve without waiting for a reader.
-	if patience := min(time.Duration(view.Rank)*rankDelay, startPatience); !view.IsReader && age < patience {
+	if patience := min(time.Duration(view.Rank)*rankDelay, startPatience); !view.Reader.IsReader() && age < patience {
 		return Wait{For: min(patience-age, idleWait)}
 	}
 	return p.read(now, view)
@@ -260,7 +303,20 @@
 	case view.IsSolo:
 		return Read{PollWait: soloPollWait}
 	case view.Readers > 0:
-		return Read{PollWait: readerPollWait}
+		return Read{PollWait: p.readerWait(now, view)}
 	}
 	return Read{PollWait: lonePollWait}
 }
+
+// readerWait returns how long a reader's poll waits, so that the log answers the readers one
+// after the other. After a change all of them begin to poll at the same time, and the first
+// poll of each is shorter. Later ones correct the time since the answer of the reader before.
+func (p *Planner) readerWait(now time.Time, view View) time.Duration {
+	const spacing = readerPollWait / MaxReaders
+	if !p.isStaggered {
+		p.isStaggered = true
+		return time.Duration(view.Reader.Index+1) * spacing
+	}
+	early := min(max(spacing-now.Sub(view.ConfirmedAt), -spacing), spacing)
+	return time.Duration(view.Reader.Count)*spacing + early/2
+}
--- a/core/replica/planner_test.go
+++ b/core/replica/planner_test.go
@@ -16,7 +16,7 @@
 	startedAt := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	now := startedAt
 	planner := replica.NewPlanner(now)
-	alone := replica.View{IsReader: true}
+	alone := replica.View{Reader: replica.Reader{Count: 1}}
 	for now.Sub(startedAt) < rosterTime {
 		step, ok := planner.Next(now, alone).(replica.Wait)
 		if !ok {
@@ -36,8 +36,8 @@
 func TestStartWithoutRosterReadsStore(t *testing.T) {
 	startedAt := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	planner := replica.NewPlanner(startedAt)
-	planner.Next(startedAt, replica.View{IsReader: true})
-	step := planner.Next(startedAt.Add(2*time.Second), replica.View{IsReader: true})
+	planner.Next(startedAt, replica.View{Reader: replica.Reader{Count: 1}})
+	step := planner.Next(startedAt.Add(2*time.Second), replica.View{Reader: replica.Reader{Count: 1}})
 	if _, ok := step.(replica.Read); !ok {
 		t.Errorf("step %T, want a read", step)
 	}
--- a/core/replica/readers.go
+++ b/core/replica/readers.go
@@ -6,6 +6,9 @@
 // different availability zones as far as there are enough.
 const MaxReaders = 3
 
+// oneZoneReaders is the number of readers of a fleet in one zone.
+const oneZoneReaders = 2
+
 // Member is a live host, as candidate for a reader.
 type Member struct {
 	Address string
@@ -28,10 +31,20 @@
 	)
 }
 
-// IsReader reports whether self is one of the readers of a fleet that consists of it
+// Reader is a host's position among the readers. It is the zero value for other hosts.
+type Reader struct {
+	// Index counts the readers before it, and Count all readers.
+	Index int
+	Count int
+}
+
+// IsReader reports whether the host is a reader.
+func (r Reader) IsReader() bool { return r.Count > 0 }
+
+// ReaderOf returns the position of self among the readers of a fleet that consists of it
 // and the other members. The readers are the first hosts of up to MaxReaders zones; if
 // there is only one zone, its first two hosts.
-func IsReader(self Member, others []Member) bool {
+func ReaderOf(self Member, others []Member) Reader {
 	ahead := 0
 	for _, other := range others {
 		if other.Zone == self.Zone && other.Compare(self) < 0 {
@@ -39,10 +52,19 @@
 		}
 	}
 	zones := zonesBefore(self, others)
+	reader := Reader{
+		Index: zones.before,
+		Count: min(zones.total, MaxReaders),
+	}
 	if zones.total == 1 {
-		return ahead < 2
+		reader.Index = ahead
+		reader.Count = min(len(others)+1, oneZoneReaders)
+		ahead = 0
+	}
+	if ahead > 0 || reader.Index >= reader.Count {
+		return Reader{}
 	}
-	return ahead == 0 && zones.before < MaxReaders
+	return reader
 }
 
 type zoneOrder struct {
--- a/core/replica/readers_test.go
+++ b/core/replica/readers_test.go
@@ -46,7 +46,7 @@
 			readers := 0
 			zones := make(map[string]bool)
 			for i, member := range members {
-				if replica.IsReader(member, without(members, i)) {
+				if replica.ReaderOf(member, without(members, i)).IsReader() {
 					readers++
 					zones[member.Zone] = true
 				}
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -46,6 +46,10 @@
 		RecordReadFailure: func(err error) {
 			g.recordReadFailure(topic, err)
 		},
+		RecordStandIn: func() {
+			g.meter.addToCounter("cactuswell_store_stand_in_reads_total", 1)
+			g.trail.Notice("storeReadForReaders").Text("topic", topic).Merge(topic)
+		},
 	}
 	if g.Settings.PeerListen != "" {
 		dependencies.Peers = newCopies(g)
@@ -93,12 +97,12 @@
 }
 
 // Publish implements keyedlog.Peers.
-func (c *copies) Publish(topic string, end replica.Position, reads bool) {
+func (c *copies) Publish(topic string, end replica.Position, reads bool, readAt time.Time) {
 	c.gateway.mesh.SetCopy(peer.Copy{
 		Topic: topic,
 		End:   end,
 		Reads: reads,
-	})
+	}, readAt)
 }
 
 // Fetch implements keyedlog.Peers.
--- a/io/keyedlog/fleet_test.go
+++ b/io/keyedlog/fleet_test.go
@@ -25,6 +25,7 @@
 	followers map[string]*keyedlog.Follower
 	copies    map[string]replica.Position
 	reads     map[string]bool
+	readAt    time.Time
 	abandoned []string
 }
 
@@ -40,9 +41,17 @@
 	defer m.fleet.mu.Unlock()
 	view := replica.View{
 		IsComplete: true,
-		IsReader:   slices.Contains(m.fleet.readers, m.name),
+		IsHeard:    true,
 		Others:     len(m.fleet.followers) - 1,
 		Rank:       slices.Index(m.fleet.names, m.name),
+
+		ConfirmedAt: m.fleet.readAt,
+	}
+	if i := slices.Index(m.fleet.readers, m.name); i >= 0 {
+		view.Reader = replica.Reader{
+			Index: i,
+			Count: len(m.fleet.readers),
+		}
 	}
 	for name, end := range m.fleet.copies {
 		if name == m.name {
@@ -68,11 +77,14 @@
 }
 
 // Publish implements keyedlog.Peers.
-func (m member) Publish(_ string, end replica.Position, reads bool) {
+func (m member) Publish(_ string, end replica.Position, reads bool, readAt time.Time) {
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
 	m.fleet.copies[m.name] = end
 	m.fleet.reads[m.name] = reads
+	if readAt.After(m.fleet.readAt) {
+		m.fleet.readAt = readAt
+	}
 	for name, follower := range m.fleet.followers {
 		if name != m.name {
 			follower.Wake()
@@ -235,6 +247,33 @@
 	})
 }
 
+// TestLogThatAnswersOneHostReachesAll guards against changes that come late as the log leaves the
+// reads of all hosts but one open, the readers among them, without refusing them.
+func TestLogThatAnswersOneHostReachesAll(t *testing.T) {
+	const bound = 2 * time.Second
+	for i := range 16 {
+		served := []string{"c", "f"}[i%2]
+		cutAfter := 3*time.Second + time.Duration(i)*100*time.Millisecond
+		runFleet(t, []string{"a", "b", "c", "d", "e", "f"}, prepareNothing, func(_ *fleet, log *standin.Log, hosts map[string]host) {
+			wait(cutAfter)
+			for name, h := range hosts {
+				if name != served {
+					h.client.SetFault(standin.Hang{})
+				}
+			}
+			for _, value := range []string{"1", "2", "3"} {
+				log.Append(topic, "x", []byte(value))
+				wait(bound)
+				for name, h := range hosts {
+					if got := h.listener.values["x"]; got != value {
+						t.Errorf("%s is served after %s: host %s has %q, want %q", served, cutAfter, name, got, value)
+					}
+				}
+			}
+		})
+	}
+}
+
 // TestRewindReachesFleet plays a log that comes back from an older copy and gives out the
 // lost offsets again. A follower that compared offsets across the rewind would keep the
 // lost records and miss the new ones.
--- a/io/keyedlog/keyedlog.go
+++ b/io/keyedlog/keyedlog.go
@@ -145,8 +145,8 @@
 	// Fetch returns the changes after a position from the host at an address.
 	Fetch(ctx context.Context, address, topic string, after replica.Position) (replica.Changes, error)
 	// Publish tells the other hosts where the copy ends, and whether this host currently
-	// reads the log with success.
-	Publish(topic string, end replica.Position, reads bool)
+	// reads the log with success. The log has last answered at readAt.
+	Publish(topic string, end replica.Position, reads bool, readAt time.Time)
 }
 
 // AbandonedPollError is the error of a read that was abandoned because another host
@@ -178,6 +178,9 @@
 	// RecordReadFailure is called when a read of the log fails while other hosts read it,
 	// which is no outage. The error is an *AbandonedPollError if the read was abandoned.
 	RecordReadFailure func(err error)
+	// RecordStandIn is called, if it is set, when the host reads because the log seems to
+	// answer none of the readers.
+	RecordStandIn func()
 }
 
 // Follower follows one topic.
@@ -185,7 +188,9 @@
 	Dependencies
 	planner *replica.Planner
 	// reads is set while the last read of the log succeeded and the host keeps reading.
-	reads            bool
+	reads bool
+	// readAt is when the log last answered.
+	readAt           time.Time
 	unavailable      bool
 	unavailableSince time.Time
 	// wake is signaled when another host's position has changed.
@@ -256,6 +261,9 @@
 	case replica.Fetch:
 		delivered = f.fetch(ctx, step.Address)
 	case replica.Read:
+		if step.StandsIn && f.RecordStandIn != nil {
+			f.RecordStandIn()
+		}
 		delivered = f.readLog(ctx, step.PollWait)
 	}
 	if delivered {
@@ -269,7 +277,7 @@
 		return replica.View{
 			IsSolo:     true,
 			IsComplete: true,
-			IsReader:   true,
+			Reader:     replica.Reader{Count: 1},
 		}
 	}
 	return f.Peers.View(f.Topic, f.end())
@@ -333,7 +341,8 @@
 		}
 		return false
 	}
-	f.planner.RecordRead()
+	f.readAt = time.Now()
+	f.planner.RecordRead(f.readAt)
 	f.recordAvailable()
 	if !changes.End.After(f.end()) {
 		f.publish(true)
@@ -393,7 +402,7 @@
 func (f *Follower) publish(reads bool) {
 	f.reads = reads
 	if f.Peers != nil {
-		f.Peers.Publish(f.Topic, f.end(), reads)
+		f.Peers.Publish(f.Topic, f.end(), reads, f.readAt)
 	}
 }
 
@@ -453,7 +462,7 @@
 // recordIdle records what the other hosts say of the log while this one does not read
 // it.
 func (f *Follower) recordIdle(view replica.View) {
-	if f.reads && !view.IsReader {
+	if f.reads && !view.Reader.IsReader() {
 		f.publish(false)
 	}
 	switch {
--- a/io/peer/copies.go
+++ b/io/peer/copies.go
@@ -18,13 +18,14 @@
 )
 
 // SetCopy sets the end of this host's copy of a topic, and whether it currently reads
-// the topic from the store with success. The copies of readers and relays are sent at
-// once, as other hosts get their changes from them; the others follow with the next
-// report.
-func (m *Mesh) SetCopy(c Copy) {
+// the topic from the store with success, which has last answered at readAt. The copies of
+// readers and relays are sent at once, as other hosts get their changes from them and learn
+// that the store answers; the others follow with the next report.
+func (m *Mesh) SetCopy(c Copy, readAt time.Time) {
 	m.mu.Lock()
-	changed := m.copies[c.Topic] != c
+	changed := m.copies[c.Topic] != c || m.readAt[c.Topic] != readAt
 	m.copies[c.Topic] = c
+	m.readAt[c.Topic] = readAt
 	isRelay := m.usesRelays && m.relayOf(m.Zone, m.Timers.Now()) == nil
 	m.copiesChanged = m.copiesChanged || changed && isRelay
 	m.mu.Unlock()
@@ -45,9 +46,12 @@
 }
 
 // copyList returns this host's copies. The caller must hold m.mu.
-func (m *Mesh) copyList() []Copy {
+func (m *Mesh) copyList(now time.Time) []Copy {
 	copies := make([]Copy, 0, len(m.copies))
 	for _, c := range m.copies {
+		if c.Reads {
+			c.ReadAgo = now.Sub(m.readAt[c.Topic])
+		}
 		copies = append(copies, c)
 	}
 	slices.SortFunc(copies, func(a, b Copy) int { return cmp.Compare(a.Topic, b.Topic) })
@@ -68,7 +72,7 @@
 	message := m.latest
 	m.setSender(&message)
 	message.Complete = false
-	message.Copies = m.copyList()
+	message.Copies = m.copyList(now)
 	var addresses []net.Addr
 	if relay := m.relayOf(m.Zone, now); m.usesRelays && relay != nil {
 		addresses = append(addresses, relay.udpAddress)
@@ -121,9 +125,12 @@
 	anySource := !m.usesRelays || relay == nil
 	view := replica.View{
 		IsComplete: m.knowsFleet,
-		IsReader:   current.isReader,
+		IsHeard:    !m.usesRelays || current.isRelay,
+		Reader:     current.reader,
 		Others:     current.candidates,
 		Rank:       current.before,
+
+		ConfirmedAt: m.confirmedAt[topic],
 	}
 	var sources []source
 	for _, h := range m.hosts {
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -133,6 +133,10 @@
 	// reported their last change.
 	copies        map[string]Copy
 	copiesChanged bool
+	// readAt is when the store last answered a read of a topic by this host, and confirmedAt
+	// when it last answered one by another host, as far as is known.
+	readAt      map[string]time.Time
+	confirmedAt map[string]time.Time
 	// currentRanking is nil after a host has changed; rankingCount is the number of
 	// rankings that were computed.
 	currentRanking *ranking
@@ -175,6 +179,8 @@
 		zoneLoad:     aggregate.New(),
 		relayPacer:   newPacer(dependencies.LinkMbps),
 		copies:       make(map[string]Copy),
+		readAt:       make(map[string]time.Time),
+		confirmedAt:  make(map[string]time.Time),
 		copyChange:   make(chan struct{}, 1),
 	}, nil
 }
@@ -317,7 +323,7 @@
 	m.latest = *message
 	m.latest.Loads, m.latest.Placements, m.latest.Notices, m.latest.Demands = nil, nil, nil, nil
 	m.latest.Findings, m.latest.Limits, m.latest.CallDemands = nil, nil, nil
-	message.Copies = m.copyList()
+	message.Copies = m.copyList(now)
 	var addresses []net.Addr
 	if !m.usesRelays {
 		for _, h := range m.hosts {
@@ -455,6 +461,9 @@
 	clear(h.copies)
 	for _, c := range message.Copies {
 		h.copies[c.Topic] = c
+		if at := now.Add(-c.ReadAgo); c.Reads && at.After(m.confirmedAt[c.Topic]) {
+			m.confirmedAt[c.Topic] = at
+		}
 	}
 	return previous, true
 }
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -20,6 +20,10 @@
 	// maxItems bounds each list in a datagram, so that a datagram with full lists
 	// stays below maxDatagram.
 	maxItems = 256
+	// readAgoStep and maxReadAgo are the resolution and the bound of a Copy's ReadAgo, which
+	// shares a byte with its Reads.
+	readAgoStep = 16 * time.Millisecond
+	maxReadAgo  = 254 * readAgoStep
 	// maxUvarint bounds each count and duration.
 	maxUvarint = 1 << 30
 )
@@ -86,6 +90,9 @@
 	End   replica.Position
 	// Reads is set while the host reads the topic from the store with success.
 	Reads bool
+	// ReadAgo is how long ago the store last answered, if Reads is set. It is exchanged in
+	// steps of readAgoStep, and up to maxReadAgo.
+	ReadAgo time.Duration
 }
 
 // MalformedError reports a datagram that cannot be decoded.
@@ -180,11 +187,28 @@
 		to = appendText(to, c.Topic)
 		to = binary.AppendVarint(to, c.End.Era)
 		to = binary.AppendVarint(to, c.End.Offset)
-		to = appendBool(to, c.Reads)
+		to = append(to, readsByte(c))
 	}
 	return to
 }
 
+// readsByte returns 0 for a host that does not read the topic, and 1 more than the steps since
+// the store has answered for one that does. Earlier releases send and read only 0 and not 0.
+func readsByte(c Copy) byte {
+	if !c.Reads {
+		return 0
+	}
+	ago := min(max(c.ReadAgo, 0), maxReadAgo)
+	return byte(1 + (ago+readAgoStep-1)/readAgoStep)
+}
+
+func (c *Copy) setReads(value byte) {
+	c.Reads = value != 0
+	if c.Reads {
+		c.ReadAgo = time.Duration(value-1) * readAgoStep
+	}
+}
+
 func appendNotices(to []byte, notices []scheduling.Notice) []byte {
 	to = binary.AppendUvarint(to, uint64(len(notices)))
 	for _, n := range notices {
@@ -298,14 +322,15 @@
 func (d *decoder) copies() []Copy {
 	var copies []Copy
 	for range d.listLength() {
-		copies = append(copies, Copy{
+		c := Copy{
 			Topic: d.text(),
 			End: replica.Position{
 				Era:    d.varint(),
 				Offset: d.varint(),
 			},
-			Reads: d.byte() != 0,
-		})
+		}
+		c.setReads(d.byte())
+		copies = append(copies, c)
 	}
 	return copies
 }
--- a/io/peer/message_test.go
+++ b/io/peer/message_test.go
@@ -45,14 +45,18 @@
 		})
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "copies") {
-		m.Copies = append(m.Copies, peer.Copy{
+		c := peer.Copy{
 			Topic: rapid.StringN(0, 20, 60).Draw(t, "topic"),
 			End: replica.Position{
 				Era:    rapid.Int64().Draw(t, "era"),
 				Offset: rapid.Int64().Draw(t, "offset"),
 			},
 			Reads: rapid.Bool().Draw(t, "reads"),
-		})
+		}
+		if c.Reads {
+			c.ReadAgo = time.Duration(rapid.IntRange(0, 254).Draw(t, "readAgo")) * 16 * time.Millisecond
+		}
+		m.Copies = append(m.Copies, c)
 	}
 	for range rapid.IntRange(0, 20).Draw(t, "notices") {
 		m.Notices = append(m.Notices, scheduling.Notice{
--- a/io/peer/ranking.go
+++ b/io/peer/ranking.go
@@ -14,10 +14,10 @@
 type ranking struct {
 	// relays holds the first candidate of each zone other than this host.
 	relays map[string]*peerHost
-	// isRelay reports whether this host is the relay of its zone, and isReader whether it
-	// is to read the store.
-	isRelay  bool
-	isReader bool
+	// isRelay reports whether this host is the relay of its zone, and reader is its position
+	// among the readers of the store.
+	isRelay bool
+	reader  replica.Reader
 	// candidates is the number of other candidates, and before the number of those that
 	// precede this host.
 	candidates int
@@ -69,7 +69,7 @@
 	slices.SortFunc(r.byRank, func(a, b *peerHost) int { return cmp.Compare(a.member.Rank, b.member.Rank) })
 	relay := r.relays[m.Zone]
 	r.isRelay = relay == nil || self.Compare(relay.member) < 0
-	r.isReader = replica.IsReader(self, members)
+	r.reader = replica.ReaderOf(self, members)
 	r.candidates = len(members)
 	return r
 }
--- a/io/peer/ranking_test.go
+++ b/io/peer/ranking_test.go
@@ -40,6 +40,9 @@
 		hosts:    make(map[string]*peerHost),
 		zoneLoad: aggregate.New(),
 		copies:   make(map[string]Copy),
+
+		readAt:      make(map[string]time.Time),
+		confirmedAt: make(map[string]time.Time),
 	}
 	for i := 1; i <= hosts; i++ {
 		m.AddHost(testAddress(i), fmt.Sprintf("z%d", i%fleetZones), float64(10*(i%4)))
@@ -115,7 +118,7 @@
 					}
 				}
 				current := m.ranking(now)
-				if got, want := current.isReader, replica.IsReader(m.self(), members); got != want {
+				if got, want := current.reader, replica.ReaderOf(m.self(), members); got != want {
 					t.Fatalf("reader %v, want %v", got, want)
 				}
 				if current.candidates != len(members) || len(current.byRank) != len(m.hosts) {
