Name the endpoint that sends bytes on idle connections

The line unsolicitedBytes told how many idle connections had received bytes, but not from whom: an endpoint that repeats its answers when nothing is asked was not found. There is now a line for each endpoint's address.

--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -58,7 +58,6 @@
 func (g *Gateway) sweepIdleConnections(ctx context.Context) error {
 	tick := g.timers.Every(sweepInterval)
 	defer tick.Stop()
-	unsolicited := int64(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -71,9 +70,8 @@
 				}
 			})
 			g.pool.Sweep(now, known)
-			if count := g.pool.UnsolicitedCount(); count > unsolicited {
-				g.trail.Failure("unsolicitedBytes").Int("connections", count-unsolicited).End()
-				unsolicited = count
+			for address, count := range g.pool.TakeUnsolicited() {
+				g.trail.Failure("unsolicitedBytes").Text("address", address).Int("connections", int64(count)).End()
 			}
 		}
 	}
--- a/gateway/repeat_test.go
+++ b/gateway/repeat_test.go
@@ -218,3 +218,14 @@
 		})
 	}
 }
+
+// TestRepeatOnIdleConnectionNamesEndpoint guards against a repeated answer on an idle connection of which
+// nobody learns where it came from.
+func TestRepeatOnIdleConnectionNamesEndpoint(t *testing.T) {
+	f := newFixture(t, 1)
+	f.setBehaviour(byAttempt(standin.Decline{Copies: 1, Delay: 10 * time.Millisecond}, standin.CompleteAnswer{}))
+	if got := f.post("/hold/x", "body"); got.status != http.StatusOK {
+		t.Fatalf("status %d", got.status)
+	}
+	f.awaitLine(`"event":"unsolicitedBytes"`, `"address":"`+f.endpoints[0].Address()+`"`, `"connections":1`)
+}
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -118,9 +118,12 @@
 	idle   map[string][]*Conn
 	// stoppedHosts are the hosts that shut down, with the time at which they said so.
 	stoppedHosts map[string]time.Time
-	dials        atomic.Int64
-	open         atomic.Int64
-	reused       atomic.Int64
+	// unsolicitedBy counts the idle connections that received bytes since TakeUnsolicited, by
+	// the endpoint's address.
+	unsolicitedBy map[string]int
+	dials         atomic.Int64
+	open          atomic.Int64
+	reused        atomic.Int64
 	// unsolicited counts the idle connections that received bytes.
 	unsolicited atomic.Int64
 	// passedOver counts the idle connections that were not used for a request as they had
@@ -141,8 +144,9 @@
 			report:  dependencies.ReportPath,
 			planner: detour.New(),
 		},
-		idle:         make(map[string][]*Conn),
-		stoppedHosts: make(map[string]time.Time),
+		idle:          make(map[string][]*Conn),
+		stoppedHosts:  make(map[string]time.Time),
+		unsolicitedBy: make(map[string]int),
 	}
 }
 
@@ -299,10 +303,11 @@
 	p.idle[c.address] = append(conns, c)
 }
 
-// discardIdle closes an idle connection.
+// discardIdle closes an idle connection. The caller must hold p.mu.
 func (p *Pool) discardIdle(c *Conn) {
 	if tcp.HasUnreadBytes(c.conn) {
 		p.unsolicited.Add(1)
+		p.unsolicitedBy[c.address]++
 	}
 	c.Discard()
 }
@@ -353,6 +358,16 @@
 // had carried one with its ID.
 func (p *Pool) PassedOverCount() int64 { return p.passedOver.Load() }
 
+// TakeUnsolicited returns the number of idle connections that were closed because bytes arrived
+// that nobody had requested, by the endpoint's address, since the last time.
+func (p *Pool) TakeUnsolicited() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	taken := p.unsolicitedBy
+	p.unsolicitedBy = make(map[string]int)
+	return taken
+}
+
 // OpenCount returns the number of open connections.
 func (p *Pool) OpenCount() int64 { return p.open.Load() }
 
--- a/io/upstream/sweep_test.go
+++ b/io/upstream/sweep_test.go
@@ -31,4 +31,7 @@
 	if pool.UnsolicitedCount() != 1 {
 		t.Errorf("%d connections with unsolicited bytes, want 1", pool.UnsolicitedCount())
 	}
+	if got, again := pool.TakeUnsolicited(), pool.TakeUnsolicited(); got[server.LocalAddr().String()] != 1 || len(again) != 0 {
+		t.Errorf("unsolicited bytes by address: %v, then %v", got, again)
+	}
 }
