Let the soak check that planned work loses no answer

Hosts are restarted in order and reloaded, and nothing else happens: each request that ran must be answered.

--- a/soak/disturbance.go
+++ b/soak/disturbance.go
@@ -150,6 +150,9 @@
 }
 
 func (s *scheduler) draw() Disturbance {
+	if s.settings.OnlyPlannedWork {
+		return s.drawPlannedWork()
+	}
 	switch drawn := s.random.IntN(20); {
 	case drawn < 4:
 		return PausedHost{
@@ -180,6 +183,13 @@
 	return s.drawLink()
 }
 
+func (s *scheduler) drawPlannedWork() Disturbance {
+	if s.random.IntN(4) == 0 {
+		return ReloadedHost{Host: s.host()}
+	}
+	return RestartedHost{Host: s.host()}
+}
+
 func (s *scheduler) drawEndpoint() Disturbance {
 	switch s.random.IntN(4) {
 	case 0:
--- a/soak/journal.go
+++ b/soak/journal.go
@@ -69,6 +69,9 @@
 	// RanThoughUnread means that a request was run although the host has reset the
 	// connection, from which callers conclude that it was not read.
 	RanThoughUnread Rule = "ranThoughUnread"
+	// AnswerLost means that a request was run whose caller got no whole response though it waited.
+	// It is checked if nothing but planned work disturbs the fleet.
+	AnswerLost Rule = "answerLost"
 	// BrokenStream means that events of a stream were missing, came twice, or were of two
 	// software versions.
 	BrokenStream Rule = "brokenStream"
@@ -193,8 +196,9 @@
 	return counts
 }
 
-// Judge returns the violations, in the order of their first events.
-func (j *Journal) Judge() []Violation {
+// Judge returns the violations, in the order of their first events. If mustAnswer is set, each
+// request that ran must be answered.
+func (j *Journal) Judge(mustAnswer bool) []Violation {
 	histories := make(map[string][]Event)
 	for _, event := range j.Events() {
 		if event.Request != "" {
@@ -203,7 +207,7 @@
 	}
 	var violations []Violation
 	for request, events := range histories {
-		for _, rule := range brokenRules(events) {
+		for _, rule := range brokenRules(events, mustAnswer) {
 			violations = append(violations, Violation{
 				Rule:    rule,
 				Request: request,
@@ -216,9 +220,9 @@
 }
 
 // brokenRules returns the rules that are broken for one request.
-func brokenRules(events []Event) []Rule {
+func brokenRules(events []Event, mustAnswer bool) []Rule {
 	runs := 0
-	var isRepeatable, isRefused, isUnread, isFaulty bool
+	var isRepeatable, isRefused, isUnread, isBroken, isFaulty bool
 	for _, event := range events {
 		isRepeatable = isRepeatable || event.IsRepeatable
 		switch event.Kind {
@@ -226,6 +230,8 @@
 			runs++
 		case AttemptUnread:
 			isUnread = true
+		case AttemptBroken:
+			isBroken = true
 		case AttemptAnswered:
 			isRefused = isRefused || isPromise(event.Status)
 		case StreamFault:
@@ -240,6 +246,7 @@
 		{RanTwice, !isRepeatable && runs > 1},
 		{RanThoughRefused, !isRepeatable && runs > 0 && isRefused},
 		{RanThoughUnread, !isRepeatable && runs > 0 && isUnread},
+		{AnswerLost, mustAnswer && runs > 0 && (isBroken || isUnread)},
 		{BrokenStream, isFaulty},
 	} {
 		if rule.isBroken {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -96,6 +96,9 @@
 	// Streams makes callers ask for streams, which they resume, while endpoints change between
 	// two software versions.
 	Streams bool
+	// OnlyPlannedWork leaves nothing of the disturbances but hosts that are restarted in order
+	// and reloaded.
+	OnlyPlannedWork bool
 	// Directory takes the lines of the hosts, one file each.
 	Directory string
 }
@@ -150,7 +153,7 @@
 	}
 	servedWhenCalm := f.play(ctx)
 	return &Report{
-		Violations:     f.journal.Judge(),
+		Violations:     f.journal.Judge(f.settings.OnlyPlannedWork),
 		Counts:         f.journal.Count(),
 		Journal:        f.journal,
 		ServedWhenCalm: servedWhenCalm,
