--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -2,20 +2,25 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 	"unicode"
 	"unicode/utf8"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
 	"cactuswell/core/directory"
 	"cactuswell/core/lineage"
+	"cactuswell/core/replica"
 	"cactuswell/core/route"
+	"cactuswell/io/httpjson"
 	"cactuswell/io/keyedlog"
 	"cactuswell/io/opaque"
 	"cactuswell/set"
@@ -33,10 +38,14 @@
 	// in a listing.
 	baseKeyPrefix   = "base/"
 	streamKeyPrefix = "stream/"
-	// recordTimeout bounds how long the first event of a stream waits for its record, and
-	// findTimeout how long a stream that is taken up again waits for its version.
-	recordTimeout = 250 * time.Millisecond
-	findTimeout   = 400 * time.Millisecond
+	// baseVersionsPath is the path on which a host serves the base versions to others.
+	baseVersionsPath = "/v1/baseVersions"
+	// eraKey is the key of the record that tells since when the store has lost no records.
+	eraKey = "era"
+	// writeTimeout bounds a write of records.
+	writeTimeout = 500 * time.Millisecond
+	// findTimeout bounds how long a stream that is taken up again waits for its version.
+	findTimeout = 400 * time.Millisecond
 	// baseTimeout bounds a read or write of a base version.
 	baseTimeout = time.Second
 	// baseInterval is the time between two checks of the base versions, and baseSpread the time
@@ -49,16 +58,6 @@
 	lifetimeMargin = time.Second
 )
 
-// VersionUnknownError reports that the software version of a stream is not known.
-type VersionUnknownError struct {
-	Service string
-}
-
-// Error returns a message with the service.
-func (e *VersionUnknownError) Error() string {
-	return "the software version of a stream of " + e.Service + " is not known"
-}
-
 // VersionUnreadableError reports a record of a version that is not a host's.
 type VersionUnreadableError struct {
 	Key string
@@ -75,24 +74,21 @@
 
 	mu      sync.Mutex
 	tracker *lineage.Tracker
-	pending []*streamRecord
-	// expiring holds the records that this host has written, oldest first.
-	expiring []writtenRecord
-	// written is signaled when pending has an entry.
-	written chan struct{}
-}
-
-// streamRecord is a record to be written. done receives the result.
-type streamRecord struct {
-	key      string
-	version  string
-	lifetime time.Duration
-	done     chan error
-}
-
-type writtenRecord struct {
-	*streamRecord
-	expiresAt time.Time
+	outbox  *lineage.Outbox
+	// acknowledged holds a channel for each record that the store has not acknowledged yet,
+	// which is closed when it has.
+	acknowledged map[*lineage.Entry]chan struct{}
+	// bases holds the base versions. It is replaced when one changes; basesVersion counts that.
+	bases        map[string]string
+	basesVersion int
+	// hasReadBases is set while the base versions are those of the store, as far as this host
+	// knows, and hasEraRecord once the store tells the era.
+	hasReadBases bool
+	hasEraRecord bool
+	// peers is the client for requests to other hosts.
+	peers *http.Client
+	// wake is signaled when a write is due.
+	wake chan struct{}
 }
 
 var _ opaque.StreamVersions = (*streamRecords)(nil)
@@ -107,9 +103,13 @@
 
 func newStreamRecords(g *Gateway) *streamRecords {
 	return &streamRecords{
-		gateway: g,
-		tracker: lineage.New(),
-		written: make(chan struct{}, 1),
+		gateway:      g,
+		tracker:      lineage.New(),
+		outbox:       lineage.NewOutbox(),
+		acknowledged: make(map[*lineage.Entry]chan struct{}),
+		bases:        make(map[string]string),
+		peers:        newPeerClient(),
+		wake:         make(chan struct{}, 1),
 	}
 }
 
@@ -147,96 +147,99 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, present := range versions {
-		r.tracker.Observe(now, name, present)
+		if r.tracker.Observe(now, name, present) {
+			r.hasReadBases = false
+		}
 	}
 }
 
-func streamKey(requestID string) string {
-	return fmt.Sprintf("%s%016x", streamKeyPrefix, xxhash.Sum64String(requestID))
-}
-
-// Record implements opaque.StreamVersions.
-func (r *streamRecords) Record(ctx context.Context, service, requestID, version string) error {
-	r.mu.Lock()
-	if !r.tracker.MustRecord(service, version) {
-		r.mu.Unlock()
-		return nil
+// Find implements opaque.StreamVersions.
+func (r *streamRecords) Find(ctx context.Context, service, requestID string) (opaque.FoundVersion, error) {
+	// The endpoints may have changed without the knowledge of a host that hears only few others.
+	if r.gateway.mesh.HearsMost() {
+		if base, ok := r.settledBase(service); ok {
+			return opaque.FoundVersion{
+				Version: base,
+				Source:  opaque.VersionSettled,
+			}, nil
+		}
 	}
-	record := &streamRecord{
-		key:      streamKey(requestID),
-		version:  version,
-		lifetime: r.tracker.Lifetime(service),
-		done:     make(chan error, 1),
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	if r.isBaseInDoubt(service) {
+		// An error leaves the base that is known, and fails the next read too.
+		_ = r.readBases(ctx)
 	}
-	r.pending = append(r.pending, record)
+	r.gateway.meter.addToCounter("cactuswell_stream_versions_read_total", 1)
+	r.mu.Lock()
+	before := r.tracker.End()
 	r.mu.Unlock()
-	select {
-	case r.written <- struct{}{}:
-	default:
+	record, end, err := r.read(ctx, streamKey(requestID))
+	if err != nil {
+		return opaque.FoundVersion{}, trace.Wrap(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	select {
-	case err := <-record.done:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
+	if record != nil {
+		version, ok := r.decodeVersion(*record)
+		if !ok {
+			return opaque.FoundVersion{}, &VersionUnreadableError{Key: record.Key}
+		}
+		return opaque.FoundVersion{
+			Version: version,
+			Source:  opaque.VersionRecorded,
+		}, nil
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	version, err := r.tracker.Unrecorded(r.gateway.timers.Now(), service, before, end)
+	return opaque.FoundVersion{
+		Version: version,
+		Source:  opaque.VersionOfBase,
+	}, err
 }
 
-// Find implements opaque.StreamVersions.
-func (r *streamRecords) Find(ctx context.Context, service, requestID string) (string, error) {
+func (r *streamRecords) isBaseInDoubt(service string) bool {
 	r.mu.Lock()
-	base, hasBase := r.tracker.Base(service)
-	isSettled := r.tracker.IsSettled(r.gateway.timers.Now(), service)
-	r.mu.Unlock()
-	if isSettled {
-		return base, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
-	r.gateway.meter.addToCounter("cactuswell_stream_versions_read_total", 1)
-	version, found, err := r.read(ctx, streamKey(requestID))
-	switch {
-	case err != nil:
-		return "", trace.Wrap(err)
-	case found:
-		return version, nil
-	case !hasBase:
-		return "", &VersionUnknownError{Service: service}
-	}
-	return base, nil
+	defer r.mu.Unlock()
+	return r.tracker.IsBaseInDoubt(r.gateway.timers.Now(), service)
 }
 
-// read returns the version in the record with a key. It reports false if there is none. The error
-// is a *VersionUnreadableError if the record is not a host's.
-func (r *streamRecords) read(ctx context.Context, key string) (version string, found bool, err error) {
+// settledBase returns the base version of a service. It reports false if streams of other versions
+// may be taken up again.
+func (r *streamRecords) settledBase(service string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	base, _ := r.tracker.Base(service)
+	return base, r.tracker.IsSettled(r.gateway.timers.Now(), service)
+}
+
+// read returns the record with a key, or nil, and the end of the records as of the read.
+func (r *streamRecords) read(ctx context.Context, key string) (found *keyedlog.Record, end replica.Position, err error) {
 	// Keys are listed in order, so that the page after a prefix of the key begins with it.
 	after := key[:len(key)-1]
 	for {
 		page, err := r.gateway.Roster.ListNewest(ctx, streamTopic, after)
 		if err != nil {
-			return "", false, err
+			return nil, end, err
+		}
+		end = replica.Position{
+			Era:    page.Era,
+			Offset: page.EndOffset,
 		}
 		previous := after
 		for _, record := range page.Records {
 			if record.Key == key {
-				version, ok := r.decodeVersion(record)
-				if !ok {
-					return "", false, &VersionUnreadableError{Key: key}
-				}
-				return version, true, nil
+				return &record, end, nil
 			}
 			if previous < key && record.Key > key {
-				return "", false, nil
+				return nil, end, nil
 			}
 			previous = record.Key
 		}
 		if !page.More {
-			return "", false, nil
+			return nil, end, nil
 		}
 		if !page.Advances(after) {
-			return "", false, &keyedlog.EndlessListingError{
+			return nil, end, &keyedlog.EndlessListingError{
 				Topic:   streamTopic,
 				Records: len(page.Records),
 			}
@@ -245,114 +248,75 @@
 	}
 }
 
-// runWriter writes records, one call at a time with all that have come meanwhile.
-func (r *streamRecords) runWriter(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-r.written:
-			r.write(ctx)
-		}
-	}
-}
-
-// write writes the pending records, and drops the expired ones of this host with them.
-func (r *streamRecords) write(ctx context.Context) {
-	now := r.gateway.timers.Now()
-	r.mu.Lock()
-	batch := r.pending
-	r.pending = nil
-	var records []keyedlog.Record
-	for _, record := range batch {
-		records = append(records, keyedlog.Record{
-			Key:   record.key,
-			Value: []byte(valuePrefix + record.version),
-		})
-	}
-	for len(r.expiring) > 0 && !now.Before(r.expiring[0].expiresAt) {
-		records = append(records, keyedlog.Record{Key: r.expiring[0].key})
-		r.expiring = r.expiring[1:]
-	}
-	r.mu.Unlock()
-	if len(batch) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	err := r.gateway.Roster.PutAll(ctx, streamTopic, records)
-	r.gateway.meter.addToCounter("cactuswell_stream_versions_written_total", int64(len(batch)))
-	r.mu.Lock()
-	for _, record := range batch {
-		r.expiring = append(r.expiring, writtenRecord{
-			streamRecord: record,
-			expiresAt:    now.Add(2 * record.lifetime),
-		})
-	}
-	r.mu.Unlock()
-	for _, record := range batch {
-		record.done <- trace.Wrap(err)
-	}
-}
-
-// writeAgain writes all records of this host again, as the store may have lost them.
-func (r *streamRecords) writeAgain() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, written := range r.expiring {
-		r.pending = append(r.pending, &streamRecord{
-			key:      written.key,
-			version:  written.version,
-			lifetime: written.lifetime,
-			done:     make(chan error, 1),
-		})
-	}
-	r.expiring = nil
-	select {
-	case r.written <- struct{}{}:
-	default:
-	}
-}
-
-// runBase reads the base versions when the host starts, and changes them when they are due.
+// runBase reads the base versions when the host starts and after the store has lost records, and
+// changes them when they are due.
 func (r *streamRecords) runBase(ctx context.Context) error {
-	isRead := false
 	for ctx.Err() == nil {
-		if !isRead {
-			isRead = r.readBases(ctx) == nil
+		r.mu.Lock()
+		isRead, hasBases := r.hasReadBases, len(r.bases) > 0
+		r.mu.Unlock()
+		if hasBases && !isRead {
+			r.waitForTurn(ctx)
 		}
-		if isRead {
+		switch {
+		case isRead || r.readBases(ctx) == nil:
 			r.proposeBases(ctx)
+		case !hasBases:
+			r.fetchBases(ctx)
 		}
 		r.gateway.waitFor(ctx, baseInterval)
 	}
 	return nil
 }
 
-// readBases reads the base versions from the store.
+// readBases reads the base versions and the era from the store.
 func (r *streamRecords) readBases(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, baseTimeout)
 	defer cancel()
-	// Keys are listed in order, so that the page after a prefix of baseKeyPrefix begins with them.
-	page, err := r.gateway.Roster.ListNewest(ctx, streamTopic, baseKeyPrefix[:len(baseKeyPrefix)-1])
+	page, err := r.listBases(ctx)
 	if err != nil {
 		r.gateway.trail.Failure("baseVersionsUnread").Err(err).Merge("")
 		return trace.Wrap(err)
 	}
+	now := r.gateway.timers.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.tracker.ObserveEnd(now, replica.Position{
+		Era:    page.Era,
+		Offset: page.EndOffset,
+	})
+	era, since := page.Era, time.Time{}
+	r.hasEraRecord = false
 	for _, record := range page.Records {
-		service, ok := strings.CutPrefix(record.Key, baseKeyPrefix)
-		if !ok {
-			continue
+		if service, ok := strings.CutPrefix(record.Key, baseKeyPrefix); ok {
+			if version, ok := r.decodeVersion(record); ok {
+				r.setBase(service, version)
+			}
 		}
-		if version, ok := r.decodeVersion(record); ok {
-			r.tracker.SetBase(service, version)
+		if record.Key == eraKey {
+			era, since = parseEra(now, strings.TrimPrefix(string(record.Value), valuePrefix))
+			r.hasEraRecord = era == page.Era
 		}
 	}
+	r.tracker.SetEra(now, era, since)
+	r.hasReadBases = true
 	return nil
 }
 
+// listBases lists the base versions and the record of the era, which come first in the order of keys.
+func (r *streamRecords) listBases(ctx context.Context) (keyedlog.Listing, error) {
+	page, err := r.gateway.Roster.ListNewest(ctx, streamTopic, baseKeyPrefix)
+	if err != nil || !page.More || page.NextAfter >= eraKey {
+		return page, err
+	}
+	// Keys of another writer fill the page.
+	era, _, err := r.read(ctx, eraKey)
+	if err == nil && era != nil {
+		page.Records = append(page.Records, *era)
+	}
+	return page, err
+}
+
 // decodeVersion returns the version in a record. It reports false, and logs it, if the record is
 // not a host's.
 func (r *streamRecords) decodeVersion(record keyedlog.Record) (string, bool) {
@@ -366,33 +330,143 @@
 	return "", false
 }
 
-// proposeBases changes the base versions that are due, unless another host has done so.
+// baseVersions is the answer of a host to another one that cannot read the store.
+type baseVersions struct {
+	Versions map[string]string `json:"versions"`
+}
+
+// fetchBases asks another host for the base versions that this host does not know.
+func (r *streamRecords) fetchBases(ctx context.Context) {
+	address := r.gateway.mesh.PickHost(func(string) bool { return false })
+	if address == "" {
+		return
+	}
+	var fetched baseVersions
+	body, err := httpjson.Fetch(ctx, r.peers, http.MethodGet, "http://"+address+baseVersionsPath, nil, maxRelayedBytes)
+	if err == nil {
+		err = json.Unmarshal(body, &fetched)
+	}
+	if err != nil {
+		r.gateway.trail.Failure("relayFailed").Text("what", "baseVersions").Text("from", address).Err(err).Merge("baseVersions " + address)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service, version := range fetched.Versions {
+		if _, ok := r.tracker.Base(service); !ok {
+			r.setBase(service, version)
+		}
+	}
+}
+
+// serveBases serves the base versions that this host knows to others.
+func (r *streamRecords) serveBases(w http.ResponseWriter, _ *http.Request) {
+	r.mu.Lock()
+	known := baseVersions{Versions: r.bases}
+	r.mu.Unlock()
+	// An error means that the other host has disconnected.
+	_ = json.NewEncoder(w).Encode(known)
+}
+
+// setBase sets a base version. The caller must hold r.mu.
+func (r *streamRecords) setBase(service, version string) {
+	r.tracker.SetBase(service, version)
+	if known, ok := r.bases[service]; ok && known == version {
+		return
+	}
+	r.bases = maps.Clone(r.bases)
+	r.bases[service] = version
+	r.basesVersion++
+}
+
+// parseEra returns an era and since when the store has had it, from the value of its record: the
+// era and the Unix time in milliseconds, or 0 for the store's beginning. Clocks may differ: a time
+// in the future counts as now.
+func parseEra(now time.Time, value string) (era int64, since time.Time) {
+	eraText, sinceText, _ := strings.Cut(value, " ")
+	era, eraErr := strconv.ParseInt(eraText, 10, 64)
+	millis, sinceErr := strconv.ParseInt(sinceText, 10, 64)
+	if eraErr != nil || sinceErr != nil {
+		return -1, now
+	}
+	if millis == 0 {
+		return era, time.Time{}
+	}
+	return era, now.Add(-max(time.Since(time.UnixMilli(millis)), 0))
+}
+
+// eraRecord returns the record of the era. It reports false if the store has it.
+func (r *streamRecords) eraRecord() (keyedlog.Record, bool) {
+	now := r.gateway.timers.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	since, ok := r.tracker.EraSince()
+	millis := int64(0)
+	if !since.IsZero() {
+		millis = time.Now().Add(-now.Sub(since)).UnixMilli()
+	}
+	return keyedlog.Record{
+		Key:   eraKey,
+		Value: fmt.Appendf(nil, "%s%d %d", valuePrefix, r.tracker.Era(), millis),
+	}, ok && !r.hasEraRecord
+}
+
+// handleRewind takes account of the records that the store has lost: those of this host are to be
+// written again, and the base versions to be read again.
+func (r *streamRecords) handleRewind(era int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.ObserveEnd(r.gateway.timers.Now(), replica.Position{Era: era})
+	r.hasReadBases = false
+}
+
+// proposeBases changes the base versions that are due and records the era, unless another host
+// has done so.
 func (r *streamRecords) proposeBases(ctx context.Context) {
-	if len(r.proposals()) == 0 {
+	if _, isEraDue := r.eraRecord(); !isEraDue && len(r.proposals()) == 0 {
 		return
 	}
-	r.gateway.waitFor(ctx, rand.N(time.Duration(max(r.gateway.decisions.hostCount.Load(), 1))*baseSpread))
+	r.waitForTurn(ctx)
 	if r.readBases(ctx) != nil {
 		return
 	}
-	for service, version := range r.proposals() {
-		putCtx, cancel := context.WithTimeout(ctx, baseTimeout)
-		err := r.gateway.Roster.PutAll(putCtx, streamTopic, []keyedlog.Record{{
+	var records []keyedlog.Record
+	era, isEraDue := r.eraRecord()
+	if isEraDue {
+		records = append(records, era)
+	}
+	due := r.proposals()
+	for service, version := range due {
+		records = append(records, keyedlog.Record{
 			Key:   baseKeyPrefix + service,
 			Value: []byte(valuePrefix + version),
-		}})
-		cancel()
-		if err != nil {
-			r.gateway.trail.Failure("baseVersionNotSaved").Text("service", service).Err(err).Merge(service)
-			continue
-		}
-		r.mu.Lock()
-		r.tracker.SetBase(service, version)
-		r.mu.Unlock()
+		})
+	}
+	if len(records) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, baseTimeout)
+	defer cancel()
+	if err := r.gateway.Roster.PutAll(ctx, streamTopic, records); err != nil {
+		r.gateway.trail.Failure("baseVersionNotSaved").Err(err).Merge("")
+		return
+	}
+	r.mu.Lock()
+	r.hasEraRecord = r.hasEraRecord || isEraDue
+	for service, version := range due {
+		r.setBase(service, version)
+	}
+	r.mu.Unlock()
+	for service, version := range due {
 		r.gateway.trail.Notice("baseVersionSet").Text("service", service).Text("version", version).End()
 	}
 }
 
+// waitForTurn waits for a random time, so that the hosts of a fleet do not read the store at once.
+func (r *streamRecords) waitForTurn(ctx context.Context) {
+	r.gateway.waitFor(ctx, rand.N(time.Duration(max(r.gateway.decisions.hostCount.Load(), 1))*baseSpread))
+}
+
 // proposals returns the base versions that are due, by service.
 func (r *streamRecords) proposals() map[string]string {
 	now := r.gateway.timers.Now()
