Keep a base version in doubt until it is read again

A host that has seen the base version go and come back records streams at it for a stream's lifetime, as other hosts may have changed the base meanwhile. A host that could not read the store in all that time then took its old base for the current one, without having read it: its streams there had no record, and hosts with the new base would take them up at that one.

TestBaseThatReturnedStaysInDoubtUntilRead failed before: "the base counts as known although it has not been read again". TestBaseThatReturnsIsInDoubt now reads the base before its doubt ends, which the test left out; its other checks stay, and one is added: that the read alone does not end the doubt.

--- a/core/lineage/lineage.go
+++ b/core/lineage/lineage.go
@@ -81,8 +81,9 @@
 	// present holds the versions that endpoints have, as of the last time that there was one.
 	present set.Set[string]
 	// baseReturnedAt is when an endpoint had the base version again after none had had it, or
-	// zero.
+	// zero. isBaseUnread is set until the base is read after that.
 	baseReturnedAt time.Time
+	isBaseUnread   bool
 	// only is the version of all endpoints since onlySince, if isUniform is set.
 	only      string
 	onlySince time.Time
@@ -126,6 +127,7 @@
 	hasReturned = s.hasBase && s.present.Len() > 0 && !s.present.Has(s.base) && versions.Has(s.base)
 	if hasReturned {
 		s.baseReturnedAt = now
+		s.isBaseUnread = true
 	}
 	s.present = versions
 	only, isUniform := versions.Values()[0], versions.Len() == 1
@@ -135,13 +137,14 @@
 	return hasReturned
 }
 
-// SetBase sets the base version of a service, as the store has it.
+// SetBase sets the base version of a service, as a read of the store shows it. It is also called
+// with the known base if the store has none.
 func (t *Tracker) SetBase(name, version string) {
 	s := t.service(name)
 	if !s.hasBase || s.base != version {
 		s.baseReturnedAt = time.Time{}
 	}
-	s.base, s.hasBase = version, true
+	s.base, s.hasBase, s.isBaseUnread = version, true, false
 }
 
 // Base returns the base version of a service. It reports false if it is not known.
@@ -169,9 +172,9 @@
 }
 
 // hasReturned reports whether streams may be left that began while no endpoint had the base
-// version.
+// version, or the base has not been read since.
 func (s *service) hasReturned(now time.Time) bool {
-	return !s.baseReturnedAt.IsZero() && now.Sub(s.baseReturnedAt) < s.lifetime
+	return s.isBaseUnread || !s.baseReturnedAt.IsZero() && now.Sub(s.baseReturnedAt) < s.lifetime
 }
 
 // IsSettled reports whether all streams that callers may take up again have the base version.
--- a/core/lineage/unrecorded_test.go
+++ b/core/lineage/unrecorded_test.go
@@ -98,6 +98,8 @@
 		t.Error("the base that has returned is not in doubt")
 	}
 	f.requireUnrecorded(at(0, 1), "", lineage.UnknownReturn)
+	f.SetBase(models, "v1")
+	f.requireUnrecorded(at(0, 1), "", lineage.UnknownReturn)
 	f.now = f.now.Add(lifetime)
 	if f.MustRecord(f.now, models, "v1") {
 		t.Error("the base is in doubt for longer than a stream lasts")
@@ -119,3 +121,20 @@
 		t.Errorf("version %q, %v", got, err)
 	}
 }
+
+// TestBaseThatReturnedStaysInDoubtUntilRead guards against streams that are not recorded at a version that other hosts have replaced as the base, while the store cannot be read for longer than a stream lasts.
+func TestBaseThatReturnedStaysInDoubtUntilRead(t *testing.T) {
+	f := newFixture(t)
+	f.observe(0, "v1")
+	f.SetBase(models, "v1")
+	f.observe(time.Second, "v2")
+	f.observe(2*lifetime, "v1", "v2")
+	f.now = f.now.Add(2 * lifetime)
+	if !f.MustRecord(f.now, models, "v1") || !f.IsBaseInDoubt(f.now, models) {
+		t.Error("the base counts as known although it has not been read again")
+	}
+	f.SetBase(models, "v1")
+	if f.MustRecord(f.now, models, "v1") || f.IsBaseInDoubt(f.now, models) {
+		t.Error("the base is in doubt after it has been read again")
+	}
+}
