Take a store that has lost the record of its loss for one that lost records

A host that starts after the store has come back from an older copy reads since when the store has lost nothing. If the copy lacked that record too, the host took the store for one that had never lost any, although its era says that it had, and took missing records for the base version: streams of a host that was gone went on at another version. The time now counts as that of the loss: streams without a record are refused for a lifetime.

TestStartedHostDoesNotTakeRewoundStoreForWhole failed before: 15 of the streams that began at the new version went on at the other one.

--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -288,6 +288,10 @@
 		Offset: page.EndOffset,
 	})
 	era, since := page.Era, time.Time{}
+	if era > 0 {
+		// The store has lost records, and that of the time at which it did.
+		since = now
+	}
 	r.hasEraRecord = false
 	for _, record := range page.Records {
 		if record.Key == eraKey {
--- a/gateway/unrecorded_test.go
+++ b/gateway/unrecorded_test.go
@@ -371,3 +371,23 @@
 	}
 	return begun
 }
+
+// loseStreamTopic brings the store back from a copy without any record of versions.
+func (f *releaseFleet) loseStreamTopic() {
+	f.log.RewindTopics(map[string]int{
+		gateway.StreamTopic: 1 << 20,
+		endpointTopic:       0,
+	})
+}
+
+// TestStartedHostDoesNotTakeRewoundStoreForWhole guards against a host that is started after a loss of which the store has no record, and takes missing records for knowledge.
+func TestStartedHostDoesNotTakeRewoundStoreForWhole(t *testing.T) {
+	f := newReleaseFleet(t, 1)
+	begun := f.begin(f.fixture, "stream", 24)
+	f.stopAndWait()
+	f.loseStreamTopic()
+	f.log.Append(gateway.StreamTopic, "base/"+models, []byte("="))
+	finder := f.addHost()
+	f.awaitVersions(finder)
+	f.resumeAll(finder, begun)
+}
