Write base versions again that the store has lost

After the store came back from a copy without the base version, no host wrote it again. A host that started later knew no base, and as soon as all endpoints had one version it wrote that one at once, as the first base, while streams that had begun at the real base had no record: they would be taken for the new one. Hosts now write the base that they know again if a read shows none, unless it is in doubt.

TestLostBaseVersionIsWrittenAgain failed before: "not within 10 s: the base version is recorded again".

--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -81,6 +82,8 @@
 	// bases holds the base versions. It is replaced when one changes; basesVersion counts that.
 	bases        map[string]string
 	basesVersion int
+	// lostBases holds the services whose base version is known, and was missing at the last read.
+	lostBases set.Set[string]
 	// hasReadBases is set while the base versions are those of the store, as far as this host
 	// knows, and hasEraRecord once the store tells the era.
 	hasReadBases bool
@@ -108,6 +111,7 @@
 		outbox:       lineage.NewOutbox(),
 		acknowledged: make(map[*lineage.Entry]chan struct{}),
 		bases:        make(map[string]string),
+		lostBases:    set.New[string](),
 		peers:        newPeerClient(),
 		wake:         make(chan struct{}, 1),
 	}
@@ -293,6 +297,10 @@
 		since = now
 	}
 	r.hasEraRecord = false
+	r.lostBases = set.New[string]()
+	if !page.More || len(page.Records) > 0 && !strings.HasPrefix(page.Records[len(page.Records)-1].Key, baseKeyPrefix) {
+		r.lostBases = set.New(slices.Collect(maps.Keys(r.bases))...)
+	}
 	for _, record := range page.Records {
 		if record.Key == eraKey {
 			era, since = parseEra(now, strings.TrimPrefix(string(record.Value), valuePrefix))
@@ -302,10 +310,14 @@
 		if !ok {
 			continue
 		}
+		r.lostBases.Remove(service)
 		if version, ok := r.decodeVersion(record); ok {
 			r.setBase(service, version)
 		}
 	}
+	for _, service := range r.lostBases.Values() {
+		r.setBase(service, r.bases[service])
+	}
 	r.tracker.SetEra(now, era, since)
 	r.hasReadBases = true
 	return nil
@@ -449,6 +461,7 @@
 	r.hasEraRecord = r.hasEraRecord || isEraDue
 	for service, version := range due {
 		r.setBase(service, version)
+		r.lostBases.Remove(service)
 	}
 	r.mu.Unlock()
 	for service, version := range due {
@@ -461,7 +474,8 @@
 	r.gateway.waitFor(ctx, rand.N(time.Duration(max(r.gateway.decisions.hostCount.Load(), 1))*baseSpread))
 }
 
-// proposals returns the base versions that are due, by service.
+// proposals returns the base versions that are due, by service: those that change, and those that
+// the store has lost.
 func (r *streamRecords) proposals() map[string]string {
 	now := r.gateway.timers.Now()
 	r.mu.Lock()
@@ -470,6 +484,8 @@
 	for _, name := range r.tracker.Services() {
 		if version, ok := r.tracker.ProposedBase(now, name); ok {
 			due[name] = version
+		} else if r.lostBases.Has(name) && !r.tracker.IsBaseInDoubt(now, name) {
+			due[name] = r.bases[name]
 		}
 	}
 	return due
--- a/gateway/unrecorded_test.go
+++ b/gateway/unrecorded_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
 	"cactuswell/gateway"
+	product "cactuswell/io/keyedlog"
 	"cactuswell/standin/keyedlog"
 	standin "cactuswell/standin/opaque"
 )
@@ -372,6 +374,16 @@
 	return begun
 }
 
+// TestLostBaseVersionIsWrittenAgain guards against a host that is started after the store has lost the base version and writes another one while streams at the first are left.
+func TestLostBaseVersionIsWrittenAgain(t *testing.T) {
+	f := newReleaseFleet(t, 2)
+	f.loseStreamTopic()
+	eventually(t, "the base version is recorded again", func() bool {
+		page, err := f.log.ListNewest(t.Context(), gateway.StreamTopic, "base/")
+		return err == nil && slices.ContainsFunc(page.Records, func(r product.Record) bool { return r.Key == "base/"+models })
+	})
+}
+
 // loseStreamTopic brings the store back from a copy without any record of versions.
 func (f *releaseFleet) loseStreamTopic() {
 	f.log.RewindTopics(map[string]int{
