Play the test of the kept ranking in virtual time

Cause, in the test: its messages arrive at one moment, but IsRelay and View read the clock of the machine. If the test takes longer than hosts may be silent, they count as silent, which is a change. Shown: with a sleep of 3 s before the last round it failed with that line.

It now runs in virtual time, which stands still; the check is unchanged. Green in ten runs with the race detector.

--- a/io/peer/ranking_test.go
+++ b/io/peer/ranking_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -134,6 +135,10 @@
 // the relay of each host's zone was searched among all hosts, which took a host of 195
 // most of its time without calls, and would take one of 2,400 more than a processor.
 func TestRankingIsKept(t *testing.T) {
+	synctest.Test(t, testRankingIsKept)
+}
+
+func testRankingIsKept(t *testing.T) {
 	const hosts = 2400
 	m := newTestMesh(hosts)
 	now := m.Timers.Now()
