Test a host that begins streams by an earlier base version, as known red

Callers can get streams of two versions from a host that the store turns away while the others change the base version: it begins streams without a record.

--- a/gateway/unrecorded_test.go
+++ b/gateway/unrecorded_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"cactuswell/core/directory"
 	"cactuswell/gateway"
 	product "cactuswell/io/keyedlog"
 	"cactuswell/standin/keyedlog"
@@ -403,3 +404,41 @@
 	f.awaitVersions(finder)
 	f.resumeAll(finder, begun)
 }
+
+// TestHostOfEarlierBaseDoesNotBeginUnrecordedStreams guards against streams that a host begins without a record as it knows an earlier base version than others: the store turns it away.
+func TestHostOfEarlierBaseDoesNotBeginUnrecordedStreams(t *testing.T) {
+	for _, version := range []string{"", oldVersion} {
+		t.Run(fmt.Sprintf("endpoints of version %q appear", version), func(t *testing.T) {
+			testHostOfEarlierBase(t, version)
+		})
+	}
+}
+
+func testHostOfEarlierBase(t *testing.T, version string) {
+	f := newReleaseFleet(t, 1)
+	f.clients[0].SetFault(keyedlog.RefusedTopic{Topic: gateway.StreamTopic})
+	f.log.Append(endpointTopic, models+"-0", nil)
+	f.log.Append(endpointTopic, models+"-1", nil)
+	f.awaitLine(`"event":"endpointGone"`, `"endpoint":"`+models+`-0"`)
+	f.awaitLine(`"event":"endpointGone"`, `"endpoint":"`+models+`-1"`)
+	f.log.Append(gateway.StreamTopic, "base/"+models, []byte("="+newVersion))
+	finder := f.addHost()
+	f.awaitVersions(finder)
+	eventually(f.t, "the started host knows the base version", func() bool {
+		return strings.Contains(finder.metrics(), "cactuswell_stream_bases 1\n")
+	})
+	for _, i := range []int{1, 3} {
+		f.publishEntry(fmt.Sprintf("%s-%d", models, i/2), directory.Entry{
+			Born:    3,
+			Service: models,
+			Address: f.endpoints[i].Address(),
+			Zone:    "z0",
+			Version: version,
+			Slots:   4,
+		})
+	}
+	for _, host := range f.hosts {
+		host.awaitLine(`"event":"endpointAppeared"`, `"endpoint":"`+models+`-1"`, `"born":3`)
+	}
+	f.resumeAll(finder, f.begin(f.fixture, "stream", 8))
+}
