Test that a host which stays silent is asked again if there is no other

Cause: with the fixes taken out one by one, the choice of a silent host where no other is left could go without a test failing: the test of it gives up before the host counts as silent. Change: a test that waits for that.

--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -350,6 +350,28 @@
 	_ = (<-conns).Close()
 }
 
+// TestHostThatStaysSilentIsAskedAgainIfThereIsNoOther guards against hosts that are left without a path because the only host that can help did not answer for so long that others are preferred.
+func TestHostThatStaysSilentIsAskedAgainIfThereIsNoOther(t *testing.T) {
+	const patience = 300 * time.Millisecond
+	h := newHost(t)
+	answer := make(chan struct{})
+	h.await = answer
+	client := tunnel.NewClient(hostList{h.address})
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	if _, _, err := client.Connect(ctx, "127.0.0.1:1"); err == nil {
+		t.Fatal("a host that does not answer has connected")
+	}
+	close(answer)
+	address, conns := listen(t)
+	conn, _, err := client.Connect(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.Close()
+	_ = (<-conns).Close()
+}
+
 // TestSilentHostIsAskedLast guards against a host that is asked first each time although it does
 // not answer.
 func TestSilentHostIsAskedLast(t *testing.T) {
