--- a/cmd/gatewaycmd.go
+++ b/cmd/gatewaycmd.go
@@ -9,6 +9,7 @@
 	"cactuswell/core/directory"
 	"cactuswell/core/route"
 	"cactuswell/gateway"
+	"cactuswell/io/control"
 	"cactuswell/io/opaque"
 	"cactuswell/platform"
 	"cactuswell/settings"
@@ -95,10 +96,15 @@
 	signals := newStopSignals()
 	defer signals.close()
 	store := platform.NewStore(loaded.StoreAddress)
+	var controlAPI control.Client
+	if loaded.ControlAddress != "" {
+		controlAPI = platform.NewControl(loaded.ControlAddress)
+	}
 	host, err := gateway.New(gateway.Dependencies{
 		Settings: loaded,
 		Log:      store,
 		Roster:   store,
+		Control:  controlAPI,
 		Topics: gateway.Topics{
 			Configuration:    platform.ConfigurationTopic,
 			ConfigurationKey: platform.ConfigurationKey,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 
 	"cactuswell/core/batching"
 	"cactuswell/core/scheduling"
+	"cactuswell/io/control"
 	"cactuswell/io/keyedlog"
 	"cactuswell/io/opaque"
 	"cactuswell/io/peer"
@@ -94,7 +95,9 @@
 	Settings settings.Gateway
 	Log      keyedlog.Log
 	// Roster is the fleet's membership list.
-	Roster  Roster
+	Roster Roster
+	// Control is the platform's control API. It is nil if the settings name no address of it.
+	Control control.Client
 	Topics  Topics
 	Decoder Decoder
 	Dialect opaque.Dialect
--- a/io/httpjson/httpjson.go
+++ b/io/httpjson/httpjson.go
@@ -91,6 +91,12 @@
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
+	return Do(client, request, limit)
+}
+
+// Do sends a request and returns the body and the header of the response. The error is that of
+// FetchWithHeader.
+func Do(client *http.Client, request *http.Request, limit int64) ([]byte, http.Header, error) {
 	response, err := client.Do(request)
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -1,6 +1,9 @@
 package settings
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Gateway holds the settings of a gateway host, which serves the routes of a
 // configuration kept in a store.
@@ -28,6 +31,26 @@
 	BudgetWindow time.Duration `long:"budget-window" env:"CACTUSWELL_BUDGET_WINDOW" description:"length of the windows of the fleet's retry budget" default:"10s"`
 	BudgetRatio  float64       `long:"budget-ratio" env:"CACTUSWELL_BUDGET_RATIO" description:"repeats for each call that the fleet's retry budget allows in a window" default:"0.1"`
 	BudgetSlack  float64       `long:"budget-slack" env:"CACTUSWELL_BUDGET_SLACK" description:"repeats that the fleet's retry budget allows in a window besides" default:"20"`
+
+	MaxFDs int `long:"max-fds" env:"CACTUSWELL_MAX_FDS" description:"file descriptors that this process may use; 0 if not limited" default:"0"`
+
+	ControlAddress  string        `long:"control-address" env:"CACTUSWELL_CONTROL_ADDRESS" description:"IP:port of the platform's control API; empty for none"`
+	SingletonDuties []string      `long:"singleton-duty" env:"CACTUSWELL_SINGLETON_DUTIES" env-delim:"," description:"duty that one host of the fleet performs at a time: usage or autoscale; may be given many times"`
+	ControlRate     float64       `long:"control-rate" env:"CACTUSWELL_CONTROL_RATE" description:"calls a second that the control API accepts from the whole fleet" default:"10"`
+	LeaseTime       time.Duration `long:"lease-time" env:"CACTUSWELL_LEASE_TIME" description:"length of the lease on the singleton duties" default:"3s"`
+	UsageWindow     time.Duration `long:"usage-window" env:"CACTUSWELL_USAGE_WINDOW" description:"length of the windows of usage reports" default:"5s"`
+	UsageDelay      time.Duration `long:"usage-delay" env:"CACTUSWELL_USAGE_DELAY" description:"time from the end of a window until its usage report is due" default:"10s"`
+}
+
+// Values of Gateway.SingletonDuties.
+const (
+	DutyUsage     = "usage"
+	DutyAutoscale = "autoscale"
+)
+
+// HasDuty reports whether the fleet performs a singleton duty.
+func (g *Gateway) HasDuty(duty string) bool {
+	return g.ControlAddress != "" && slices.Contains(g.SingletonDuties, duty)
 }
 
 // Values of Gateway.HeaderNames.
@@ -80,8 +103,32 @@
 	c.checkDuration("budget-window", g.BudgetWindow, time.Second, time.Hour)
 	c.checkFloat("budget-ratio", g.BudgetRatio, 1)
 	c.checkFloat("budget-slack", g.BudgetSlack, 1e6)
+	c.checkInt("max-fds", int64(g.MaxFDs), 0, maxMaxFDs, "0 to 1048576")
+	g.checkControl(c)
 	if len(c.violations) == 0 {
 		return nil
 	}
 	return &InvalidError{Violations: c.violations}
 }
+
+// maxMaxFDs bounds Gateway.MaxFDs, and maxControlRate Gateway.ControlRate.
+const (
+	maxMaxFDs      = 1 << 20
+	maxControlRate = 1e6
+)
+
+func (g *Gateway) checkControl(c *checker) {
+	if g.ControlAddress == "" {
+		return
+	}
+	c.checkAddress("control-address", g.ControlAddress)
+	for _, duty := range g.SingletonDuties {
+		if duty != DutyUsage && duty != DutyAutoscale {
+			c.add("singleton-duty", duty, "usage or autoscale")
+		}
+	}
+	c.checkFloat("control-rate", g.ControlRate, maxControlRate)
+	c.checkDuration("lease-time", g.LeaseTime, 500*time.Millisecond, time.Hour)
+	c.checkDuration("usage-window", g.UsageWindow, time.Second, 24*time.Hour)
+	c.checkDuration("usage-delay", g.UsageDelay, time.Second, 24*time.Hour)
+}
