--- a/io/keyedlog/keyedlog.go
+++ b/io/keyedlog/keyedlog.go
@@ -95,6 +95,30 @@
 	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Batch, error)
 }
 
+// Appended is the result of a conditional append.
+type Appended struct {
+	// Offset is that of the first record, and End the offset after the last one.
+	Offset int64
+	End    int64
+	// Era is the log's era.
+	Era int64
+}
+
+// ConditionError is the error for a conditional append that was not executed, as the topic does
+// not end at the given offset.
+type ConditionError struct {
+	Topic string
+	At    int64
+	// End is where the topic ends, and Era the log's era.
+	End int64
+	Era int64
+}
+
+// Error names the topic and the offsets.
+func (e *ConditionError) Error() string {
+	return fmt.Sprintf("topic %s ends at offset %d, not at %d", e.Topic, e.End, e.At)
+}
+
 // ExpiredError is the error for a read of records that the log does not have.
 type ExpiredError struct {
 	Topic string
--- a/standin/keyedlog/client.go
+++ b/standin/keyedlog/client.go
@@ -236,3 +236,21 @@
 	}
 	return c.log.PutAll(ctx, topic, records)
 }
+
+// AppendAt adds records if the topic ends at the given offset. Hosts write with it.
+func (c *Client) AppendAt(ctx context.Context, topic string, at int64, records []product.Record) (product.Appended, error) {
+	if err := c.applyFault(ctx, topic); err != nil {
+		return product.Appended{}, err
+	}
+	fault, _ := c.currentFault()
+	switch fault := fault.(type) {
+	case LostAnswer:
+		// The caller learns neither of success nor of a rejection.
+		_, _ = c.log.AppendAt(ctx, topic, at, records)
+		return product.Appended{}, ErrDown
+	case LateWrite:
+		time.AfterFunc(fault.Delay, func() { _, _ = c.log.AppendAt(context.Background(), topic, at, records) })
+		return product.Appended{}, ErrDown
+	}
+	return c.log.AppendAt(ctx, topic, at, records)
+}
--- a/standin/keyedlog/keyedlog.go
+++ b/standin/keyedlog/keyedlog.go
@@ -32,6 +32,8 @@
 	changed   chan struct{}
 	readCount int
 	listCount int
+	// appendCount counts the conditional appends.
+	appendCount int
 	// pageSize is the maximum number of keys in a page of a listing.
 	pageSize int
 	// era counts the calls of Rewind.
@@ -88,6 +90,11 @@
 func (l *Log) Append(topicName, key string, value []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.appendLocked(topicName, key, value)
+}
+
+// appendLocked adds a record. The caller must hold l.mu.
+func (l *Log) appendLocked(topicName, key string, value []byte) {
 	t := l.topic(topicName)
 	t.records = append(t.records, product.Record{
 		Key:     key,
@@ -276,3 +283,41 @@
 	}
 	return nil
 }
+
+// AppendAt adds records if the topic ends at the given offset. Hosts write with it.
+func (l *Log) AppendAt(ctx context.Context, topicName string, at int64, records []product.Record) (product.Appended, error) {
+	if err := l.checkAvailable(ctx); err != nil {
+		return product.Appended{}, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appendCount++
+	t := l.topic(topicName)
+	if end := t.firstOffset + int64(len(t.records)); end != at {
+		return product.Appended{}, &product.ConditionError{
+			Topic: topicName,
+			At:    at,
+			End:   end,
+			Era:   l.era,
+		}
+	}
+	for _, record := range records {
+		value := record.Value
+		if len(value) == 0 {
+			value = nil
+		}
+		l.appendLocked(topicName, record.Key, value)
+	}
+	return product.Appended{
+		Offset: at,
+		End:    at + int64(len(records)),
+		Era:    l.era,
+	}, nil
+}
+
+// AppendCount returns the number of conditional appends that were received.
+func (l *Log) AppendCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appendCount
+}
