Announce the holder of the lease over the mesh

Cause: standby hosts must not read the store to learn of the holder. Change: messages have an extension (kind 7) with the holder, its token, the position of its record and the last fixed window; relays pass it on. Result: go test ./io/peer passes, the encoding is part of the random round trip.

--- a/io/peer/copies.go
+++ b/io/peer/copies.go
@@ -73,6 +73,7 @@
 	m.setSender(&message)
 	message.Complete = false
 	message.Copies = m.copyList(now)
+	message.Duty = m.announcedDuty(now, false)
 	var addresses []net.Addr
 	if relay := m.relayOf(m.Zone, now); m.usesRelays && relay != nil {
 		addresses = append(addresses, relay.udpAddress)
--- a/io/peer/extension.go
+++ b/io/peer/extension.go
@@ -17,6 +17,7 @@
 	minExtension      = 2
 	extensionLimits   = 3
 	extensionFindings = 4
+	extensionDuty     = 7
 )
 
 // Kinds of a finding. The kind of extension 2 held findings that did not name requests.
@@ -75,6 +76,12 @@
 			return false
 		}
 		m.Limits, m.CallDemands = limits, demands
+	case extensionDuty:
+		duty := content.duty()
+		if content.failed {
+			return false
+		}
+		m.Duty = duty
 	}
 	return true
 }
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -99,7 +99,10 @@
 	// not known.
 	LinkMbps float64
 	Listener Listener
-	Timers   *timer.Service
+	// HandleDuty is called with each announcement of a holder of the lease on the singleton
+	// duties, unless it is nil. It must not block.
+	HandleDuty func(Duty)
+	Timers     *timer.Service
 }
 
 // Mesh exchanges messages with other hosts. It is safe for concurrent use.
@@ -145,7 +148,12 @@
 	rankingCount   int
 	// knowsFleet is set once the fleet's hosts have been added.
 	knowsFleet bool
-	// copyChange is signaled when a change of a copy is to be sent at once.
+	// ownDuty is what this host announces of the singleton duties, and zoneDuty the last
+	// announcement that this host, as a relay, has received from a host of its zone.
+	ownDuty  *heardDuty
+	zoneDuty *heardDuty
+	// copyChange is signaled when a change of a copy, or of the announcement, is to be sent at
+	// once.
 	copyChange chan struct{}
 }
 
@@ -336,6 +344,7 @@
 	m.latest.Loads, m.latest.Placements, m.latest.Notices, m.latest.Demands = nil, nil, nil, nil
 	m.latest.Findings, m.latest.Limits, m.latest.CallDemands = nil, nil, nil
 	message.Copies = m.copyList(now)
+	message.Duty = m.announcedDuty(now, false)
 	var addresses []net.Addr
 	if !m.usesRelays {
 		for _, h := range m.hosts {
@@ -360,6 +369,7 @@
 	hello := m.latest
 	hello.Complete = false
 	hello.Copies = message.Copies
+	hello.Duty = message.Duty
 	m.mu.Unlock()
 	m.writeMessage(message, addresses)
 	m.writeMessage(&hello, helloAddresses)
@@ -423,6 +433,10 @@
 		return
 	}
 	defer m.reportAhead(m.topicsAhead(message.Copies))
+	m.recordDuty(message, now)
+	if message.Duty != nil && m.HandleDuty != nil {
+		defer m.HandleDuty(*message.Duty)
+	}
 	if previous.incarnation != 0 && previous.incarnation != message.Incarnation {
 		defer m.Listener.HandleHostRestarted(message.Host, now.Sub(previous.lastHeardAt))
 	}
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -83,6 +83,8 @@
 	// Demands is the demand that callers make on the sender. It is part of complete
 	// reports.
 	Demands []scheduling.Demand
+	// Duty is the announcement of the host that holds the lease on the singleton duties, or nil.
+	Duty *Duty
 }
 
 // Copy is a host's copy of a topic.
@@ -179,6 +181,9 @@
 		to = appendExtension(to, extensionLimits,
 			appendLimits(nil, m.Limits[:min(len(m.Limits), maxItems)], m.CallDemands[:min(len(m.CallDemands), maxItems)]))
 	}
+	if m.Duty != nil {
+		to = appendExtension(to, extensionDuty, appendDuty(nil, m.Duty))
+	}
 	return to
 }
 
--- a/io/peer/message_test.go
+++ b/io/peer/message_test.go
@@ -37,6 +37,18 @@
 			Ejected:          rapid.Bool().Draw(t, "ejected"),
 		})
 	}
+	if rapid.Bool().Draw(t, "hasDuty") {
+		m.Duty = &peer.Duty{
+			Host:     rapid.StringN(0, 20, 60).Draw(t, "holder"),
+			Address:  rapid.StringN(0, 20, 60).Draw(t, "holderAddress"),
+			Token:    rapid.Int64().Draw(t, "token"),
+			Era:      rapid.Int64().Draw(t, "dutyEra"),
+			Offset:   rapid.Int64().Draw(t, "dutyOffset"),
+			Released: rapid.Bool().Draw(t, "released"),
+			Fixed:    rapid.Int64().Draw(t, "fixed"),
+			Age:      time.Duration(rapid.IntRange(0, 1<<20).Draw(t, "dutyAge")) * time.Millisecond,
+		}
+	}
 	for range rapid.IntRange(0, 20).Draw(t, "placed") {
 		m.Placements = append(m.Placements, scheduling.Placement{
 			Endpoint:   rapid.Uint64().Draw(t, "endpoint"),
--- a/io/peer/relay.go
+++ b/io/peer/relay.go
@@ -126,6 +126,7 @@
 	message.Findings = m.zoneLoad.TakeFindings(now, complete)
 	message.Limits, message.CallDemands = m.zoneLoad.TakeLimits(now, complete)
 	message.Copies = m.copyList(now)
+	message.Duty = m.announcedDuty(now, true)
 	if complete {
 		message.Demands = m.zoneLoad.Demands()
 	}
