Run the lease and report the usage in the gateway

Cause: the platform's control API wants usage reports and orders from one host at a time. Change: with a control API and duties in the settings a host runs the lease, releases it at the start of a shutdown, counts the requests that began to run, sends its counts to the holder, and as holder fixes each window in the store before it reports it. Result: the new tests of ./gateway pass: restarts, planned stop, killed holder, holder without store, without control API, late claim; nothing starts without the settings.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -175,8 +175,12 @@
 	Rejected
 )
 
-// Write asks for records to be appended under the lease.
-type Write struct{ Extras []Extra }
+// Write asks for records to be appended under the lease: at once, or with the next renewal if
+// CanWait is set.
+type Write struct {
+	Extras  []Extra
+	CanWait bool
+}
 
 // Conflict tells that the control API has rejected a token. Fresh asks for a term with a new token
 // if the host still holds the lease.
@@ -322,7 +326,9 @@
 	mustClaim bool
 	past      []Past
 	note      int64
-	queued    []Extra
+	// queued are the extras of the next append, which is made at once if writeNow is set.
+	queued   []Extra
+	writeNow bool
 	// endsBecause is the cause of the release that is in progress or due.
 	endsBecause string
 	// release is the announcement of this host's last release.
@@ -417,6 +423,7 @@
 	case Write:
 		if m.holds {
 			m.queued = append(m.queued, event.Extras...)
+			m.writeNow = m.writeNow || !event.CanWait
 		}
 	case Conflict:
 		m.mustRead = m.holds
@@ -497,7 +504,7 @@
 		return m.begin(now, releasing, m.newRecord(now))
 	case m.holds && m.mustClaim:
 		return m.claimAgain(now)
-	case m.holds && (m.mustRenew || len(m.queued) > 0 || now.since(m.renewedAt) >= m.Term/renewalsPerTerm):
+	case m.holds && (m.mustRenew || m.writeNow || now.since(m.renewedAt) >= m.Term/renewalsPerTerm):
 		return m.begin(now, renewing, m.newRecord(now))
 	case !m.holds && !m.isStopping && m.isReadDue(now.Mono):
 		return m.read()
@@ -529,7 +536,7 @@
 		sentAt:  now,
 		tries:   1,
 	}
-	m.queued = nil
+	m.queued, m.writeNow = nil, false
 	return m.send(m.pending.command)
 }
 
@@ -657,6 +664,7 @@
 		return m.standBy(now, done)
 	}
 	m.queued = append(slices.Clone(pending.command.Extras), m.queued...)
+	m.writeNow = m.writeNow || len(m.queued) > 0
 	return m.checkHeld(now, done)
 }
 
@@ -696,7 +704,7 @@
 	m.holds = false
 	m.mustRenew, m.mustRead, m.mustClaim = false, false, false
 	m.endsBecause = ""
-	m.queued = nil
+	m.queued, m.writeNow = nil, false
 }
 
 // standBy observes the lease of another host, and claims it when it has ended.
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -12,7 +12,7 @@
 // The holder merges them into a Tally, derives the true time from the hosts' clocks with
 // MedianOffset, and asks a Book which window is to be fixed or reported:
 //
-//	tally.Merge(now, source, counts)
+//	tally.Merge(report, oldest, newest)
 //	if window, ok := book.Due(trueTime); ok { ... }
 //
 // Counts are cumulative for one incarnation of a host, so that a message may come twice, late, or
@@ -21,6 +21,7 @@
 package usage
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -199,8 +200,7 @@
 }
 
 type tallied struct {
-	counts  ByWindow
-	heardAt time.Duration
+	counts ByWindow
 }
 
 // NewTally returns an empty tally.
@@ -210,7 +210,7 @@
 
 // Merge takes over the counts of a source. Counts never fall, so that the order and the number of
 // the messages do not matter. Windows outside of the given range are ignored.
-func (t *Tally) Merge(now time.Duration, report Report, oldest, newest int64) {
+func (t *Tally) Merge(report Report, oldest, newest int64) {
 	s := t.sources[report.Source]
 	if s == nil {
 		if len(t.sources) >= maxSources {
@@ -219,7 +219,6 @@
 		s = &tallied{counts: make(ByWindow)}
 		t.sources[report.Source] = s
 	}
-	s.heardAt = now
 	for window, counts := range report.Counts {
 		if window < oldest || window > newest || len(s.counts) >= maxWindows && s.counts[window] == nil {
 			continue
@@ -271,35 +270,22 @@
 	}
 }
 
-// Silent returns the counts of the sources that have not been heard of since a time, such as those of
-// hosts that have ended. At most limit sources are returned, those with the latest incarnations.
-func (t *Tally) Silent(since time.Duration, limit int) []Report {
-	var silent []Report
+// Ended returns the counts of the sources that are not live. At most limit sources are returned, in a
+// fixed order.
+func (t *Tally) Ended(isLive func(Source) bool, limit int) []Report {
+	var ended []Report
 	for source, s := range t.sources {
-		if s.heardAt < since && len(s.counts) > 0 {
-			silent = append(silent, Report{
+		if len(s.counts) > 0 && !isLive(source) {
+			ended = append(ended, Report{
 				Source: source,
 				Counts: cloneCounts(s.counts),
 			})
 		}
 	}
-	slices.SortFunc(silent, func(a, b Report) int {
-		if a.Incarnation != b.Incarnation {
-			return int(min(max(b.Incarnation-a.Incarnation, -1), 1))
-		}
-		return compareText(a.Host, b.Host)
+	slices.SortFunc(ended, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(b.Incarnation, a.Incarnation), cmp.Compare(a.Host, b.Host))
 	})
-	return silent[:min(len(silent), limit)]
-}
-
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+	return ended[:min(len(ended), limit)]
 }
 
 func cloneCounts(counts ByWindow) ByWindow {
@@ -378,6 +364,13 @@
 	b.advance()
 }
 
+// Begin lets the book begin with an earlier window, if none is fixed yet.
+func (b *Book) Begin(first int64) {
+	if len(b.entries) == 0 && first < b.next {
+		b.next, b.through = first, first-1
+	}
+}
+
 // Fix sets the counts of the next window. They may be reported after Store.
 func (b *Book) Fix(counts Counts) {
 	b.entries[b.next] = &entry{counts: counts}
@@ -441,6 +434,12 @@
 	b.advance()
 }
 
+// IsFinished reports whether a window needs no further report.
+func (b *Book) IsFinished(window int64) bool {
+	e := b.entries[window]
+	return e != nil && e.done
+}
+
 // Retry records that a report has failed.
 func (b *Book) Retry(window int64, now time.Duration) {
 	if e := b.entries[window]; e != nil {
--- a/gateway/dump.go
+++ b/gateway/dump.go
@@ -33,6 +33,9 @@
 	OpenCalls                int64  `json:"openCalls"`
 	LinesDropped             uint64 `json:"linesDropped"`
 
+	// SingletonDuties is what the host knows of the singleton duties, if the fleet has any.
+	SingletonDuties *DutiesDump `json:"singletonDuties,omitempty"`
+
 	scheduling.Snapshot
 }
 
@@ -54,6 +57,9 @@
 	if active := g.configuration.active.Load(); active != nil {
 		dump.VersionAgeMs = float64(time.Since(active.appliedAt)) / float64(time.Millisecond)
 	}
+	if g.singleton != nil {
+		dump.SingletonDuties = g.singleton.dump()
+	}
 	g.inspect(func() { dump.Snapshot = g.decisions.scheduler.Snapshot(g.timers.Now()) })
 	return dump
 }
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -41,6 +41,12 @@
 		duties["streamRecords"] = g.streams.runWriter
 		duties["baseVersions"] = g.streams.runBase
 	}
+	if g.singleton != nil {
+		duties["lease"] = g.singleton.run
+		if g.singleton.hasUsage && g.mesh != nil {
+			duties["usage"] = g.singleton.runPush
+		}
+	}
 	for name, run := range duties {
 		duty := supervisor.Duty{
 			Name: name,
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -32,3 +32,6 @@
 
 // StreamTopic is the topic of the records of streams.
 const StreamTopic = streamTopic
+
+// UsagePath is the path on which the holder of the lease receives counts.
+const UsagePath = usagePath
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,6 +138,9 @@
 	// streams keeps the software versions of streams. It is nil if the host has no roster.
 	streams      *streamRecords
 	peerListener net.Listener
+	// singleton performs the singleton duties while this host holds the lease. It is nil if the
+	// fleet has none.
+	singleton *singletonDuties
 	// incarnation is the time of the host's start, in Unix milliseconds.
 	incarnation int64
 	// currentSettings holds the settings as of the last reload.
@@ -225,6 +228,7 @@
 		loaded:           make(chan struct{}),
 	}
 	g.buildFollowers()
+	g.buildSingletonDuties()
 	g.callHandler = opaque.New(opaque.Dependencies{
 		RouteTable:     g.configuration.current,
 		Scheduler:      g.decisions,
@@ -233,6 +237,7 @@
 		Versions:       g.streamVersions(),
 		Trail:          g.trail,
 		Meter:          g.meter,
+		Executions:     g.executionRecorder(),
 		BodyMemory:     int64(bodyMemoryShare * float64(g.Settings.MemoryMB) * (1 << 20)),
 		ResponseMemory: int64(responseMemoryShare * float64(g.Settings.MemoryMB) * (1 << 20)),
 		ResponseLimit:  int64(g.Settings.MaxResponseMB) << 20,
@@ -302,7 +307,8 @@
 			zone:      g.Settings.Zone,
 			followers: g.followers,
 		},
-		Timers: g.timers,
+		HandleDuty: g.hearDuty(),
+		Timers:     g.timers,
 	})
 	return err
 }
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -49,6 +49,9 @@
 			return 0
 		})
 	}
+	if g.singleton != nil {
+		g.singleton.addGauges()
+	}
 	g.meter.addGauge("cactuswell_log_lines_dropped_total", func() float64 { return float64(g.trail.DroppedCount()) })
 	g.meter.addGauge("cactuswell_log_lines_total", func() float64 { return float64(g.trail.LineCount()) })
 	g.meter.addGauge("cactuswell_store_rewinds_total", func() float64 { return float64(g.endpoints.rewinds.Load()) })
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -133,6 +133,9 @@
 	})
 	routes.HandleFunc("GET "+changesPath, g.serveChanges)
 	routes.HandleFunc("GET "+baseVersionsPath, g.streams.serveBases)
+	if g.singleton != nil {
+		routes.HandleFunc("POST "+usagePath, g.singleton.serveUsage)
+	}
 	return routes
 }
 
@@ -206,6 +209,10 @@
 	Put(ctx context.Context, topic, key string, value []byte) error
 	// PutAll sets the values of several keys, or of none. A key without a value is dropped.
 	PutAll(ctx context.Context, topic string, records []keyedlog.Record) error
+	// AppendAt appends records, all or none, if the topic ends at the given offset. The error is
+	// a *keyedlog.ConditionError if it does not. After another error the records may have been
+	// written, or may be later if the topic still ends there.
+	AppendAt(ctx context.Context, topic string, at int64, records []keyedlog.Record) (keyedlog.Appended, error)
 }
 
 const (
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -413,12 +413,25 @@
 		}
 	case status >= 200 && status < 300 && t.exchange.route.Kind == route.Stream:
 		return t.forwardStream()
-	case status >= 200 && status < 300:
+	}
+	if t.exchange.route.Kind != route.Stream {
+		t.exchange.recordExecution()
+	}
+	if status >= 200 && status < 300 {
 		return t.forwardWhole()
 	}
 	return t.bufferFailure(status)
 }
 
+// recordExecution records that the request began to run, unless an earlier attempt did.
+func (x *exchange) recordExecution() {
+	if x.hasBegun || x.server.Executions == nil {
+		return
+	}
+	x.hasBegun = true
+	x.server.Executions.RecordExecution(x.team)
+}
+
 // postNotices passes on what the endpoint says of itself in the header of its response.
 // A response of another endpoint, which has taken over the address, says nothing of the
 // one that was called.
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -80,6 +80,8 @@
 	queueTime    time.Duration
 	// committed is set once a response header was sent to the caller.
 	committed bool
+	// hasBegun is set once the request was recorded as one that began to run.
+	hasBegun bool
 	// isAbandoned is set once the caller has left.
 	isAbandoned bool
 	stream      stream
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -55,6 +55,13 @@
 	RecordExcess(part upstream.Part)
 }
 
+// ExecutionRecorder records the requests that began to run.
+type ExecutionRecorder interface {
+	// RecordExecution records a request of a team: a stream when its first event arrives, another
+	// request when an endpoint has worked on it. It is called once for each request.
+	RecordExecution(team string)
+}
+
 // CallSummary summarizes a finished call for the metrics.
 type CallSummary struct {
 	Route    *route.Route
@@ -134,6 +141,8 @@
 	Versions StreamVersions
 	Trail    *trail.Trail
 	Meter    Meter
+	// Executions records the requests that began to run, unless it is nil.
+	Executions ExecutionRecorder
 	// BodyMemory bounds the total size of the bodies of all open calls, in bytes, and
 	// ResponseMemory that of the parts of responses that are buffered.
 	BodyMemory     int64
--- a/io/opaque/stream.go
+++ b/io/opaque/stream.go
@@ -135,6 +135,7 @@
 // forwardEvent forwards an event that follows the last one that the caller has.
 func (t *attempt) forwardEvent(controller *http.ResponseController, event []byte) scheduling.Outcome {
 	x := t.exchange
+	x.recordExecution()
 	id, hasID := parseEventID(event)
 	if err := x.stream.checkOrder(id, hasID); err != nil {
 		return t.readErrorOutcome(err)
--- a/io/peer/duty.go
+++ b/io/peer/duty.go
@@ -124,6 +124,19 @@
 	}
 }
 
+// Incarnations returns the last known incarnation of each live host, by name.
+func (m *Mesh) Incarnations() map[string]int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	live := make(map[string]int64, len(m.hosts))
+	for _, h := range m.hosts {
+		if h.alive {
+			live[h.name] = max(live[h.name], h.incarnation)
+		}
+	}
+	return live
+}
+
 // Flags of a duty.
 const dutyReleased = 1
 
