--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -187,7 +187,7 @@
 type Conflict struct{ Fresh bool }
 
 // GiveUp asks for the release of the lease, as the host cannot perform the duties.
-type GiveUp struct{}
+type GiveUp struct{ Cause string }
 
 // Stop asks for the release of the lease. The host makes no further claim.
 type Stop struct{}
@@ -255,6 +255,7 @@
 	CauseEra         = "storeRestored"
 	CauseStopping    = "stopping"
 	CauseControl     = "controlUnreachable"
+	CauseUnheard     = "notHeardByOthers"
 	CauseConflict    = "tokenRejected"
 )
 
@@ -430,7 +431,7 @@
 		m.mustClaim = m.mustClaim || m.holds && event.Fresh
 	case GiveUp:
 		if m.holds && m.endsBecause == "" {
-			m.endsBecause = CauseControl
+			m.endsBecause = event.Cause
 			m.coolsUntil = now.Mono + cooldownTerms*m.Term
 		}
 	case Stop:
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -299,7 +299,7 @@
 			f.store.records = nil
 		},
 		"holder gives up": func(f *fleet, holder *host) {
-			f.handle(holder, lease.GiveUp{})
+			f.handle(holder, lease.GiveUp{Cause: lease.CauseControl})
 			f.settle(holder)
 			f.run(time.Second)
 			if f.holder(time.Second) == holder {
@@ -394,7 +394,7 @@
 				f.store.era++
 				f.store.records = f.store.records[:rapid.IntRange(0, len(f.store.records)).Draw(t, "kept")]
 			case 6:
-				f.handle(h, lease.GiveUp{})
+				f.handle(h, lease.GiveUp{Cause: lease.CauseControl})
 				f.settle(h)
 			case 7:
 				f.handle(h, lease.Conflict{Fresh: true})
--- a/gateway/singleton.go
+++ b/gateway/singleton.go
@@ -336,9 +336,27 @@
 		return lease.ReadDone{Failed: true}
 	}
 	d.listed = listed
+	if found := done.Lease; found != nil && !found.Record.Released && found.Record.Era == done.Era {
+		d.learnHolder(found.Record)
+	}
 	return done
 }
 
+// learnHolder takes over the holder that the store names, as its announcements may not arrive.
+func (d *singletonDuties) learnHolder(record lease.Record) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if record.Host == d.gateway.Settings.Name || d.isKnown && record.Token <= d.known.Token {
+		return
+	}
+	d.known = lease.Heard{
+		Host:    record.Host,
+		Address: record.Address,
+		Token:   record.Token,
+	}
+	d.isKnown = true
+}
+
 // listDuties lists the records of the topic.
 func (d *singletonDuties) listDuties(ctx context.Context) (done lease.ReadDone, listed dutyRecords, err error) {
 	listed.usage = make(usage.ByWindow)
@@ -529,7 +547,7 @@
 	if d.controlFailures >= maxControlFailures && isOld && d.view().Others > 0 {
 		d.controlFailures = 0
 		d.writeEnded(ctx, true)
-		d.handle(ctx, lease.GiveUp{})
+		d.handle(ctx, lease.GiveUp{Cause: lease.CauseControl})
 	}
 }
 
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -26,7 +26,13 @@
 	maxUsageBytes = 1 << 20
 	// usageKeepAlive is the time after which a host sends a message although nothing has changed,
 	// so that its clock stays right and the holder knows it.
-	usageKeepAlive = 5 * time.Second
+	usageKeepAlive = 2 * time.Second
+	// maxMissedMessages is the number of such messages of all other hosts after which a holder takes
+	// it that they do not hear of it.
+	maxMissedMessages = 3
+	// idlePeriods is the number of usual periods in that time at least, so that idle hosts of a large
+	// fleet make a quarter of the holder's load.
+	idlePeriods = 4
 	// maxSyncTime is the longest round trip after which the holder's time is taken over.
 	maxSyncTime = 400 * time.Millisecond
 	// maxClockDrift is the change of the difference of a host's two clocks after which one of them
@@ -73,6 +79,8 @@
 	isFirst bool
 	// clocks holds what the hosts' clocks show at the zero of this host's monotonic clock.
 	clocks map[string]hostClock
+	// heardAt is when another host last sent counts.
+	heardAt time.Duration
 	// medianAt is when the true time was last derived from them, and drift the difference of
 	// this host's clocks then.
 	medianAt time.Duration
@@ -102,6 +110,7 @@
 		settledAt: now.Mono + d.settings.CloseDelay(hosts),
 		isFirst:   d.listed.note == 0 && d.lastBook == nil && d.knownFixed == 0,
 		clocks:    make(map[string]hostClock),
+		heardAt:   now.Mono,
 		drift:     now.Wall - now.Mono,
 	}
 	first := d.settings.WindowAt(trueTime - now.Mono)
@@ -217,7 +226,13 @@
 	extras, missed := d.takeDue(now, others)
 	late := d.holder.book.Late(now)
 	d.finishWindows(now)
+	isUnheard := others > 0 && d.instant().Mono-d.holder.heardAt > maxMissedMessages*d.keepAlive(others)
 	d.mu.Unlock()
+	if isUnheard {
+		d.writeEnded(ctx, true)
+		d.handle(ctx, lease.GiveUp{Cause: lease.CauseUnheard})
+		return
+	}
 	for _, window := range append(missed, late...) {
 		d.gateway.meter.addToCounter(`cactuswell_usage_windows_total{result="missed"}`, 1)
 		d.gateway.trail.Failure("usageMissed").Int("window", window).Bool("isFixed", slices.Contains(late, window)).Merge("")
@@ -403,6 +418,7 @@
 	}
 	h := d.holder
 	now := d.instant()
+	h.heardAt = now.Mono
 	h.clocks[message.Host] = hostClock{
 		atZero:  time.Duration(message.WallMs*float64(time.Millisecond)) - now.Mono,
 		heardAt: now.Mono,
@@ -433,7 +449,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if d.push(ctx, client, time.Since(lastPush) > d.keepAlive()) {
+		if d.push(ctx, client, time.Since(lastPush) > d.keepAlive(d.view().Others)) {
 			lastPush = time.Now()
 		}
 	}
@@ -444,8 +460,8 @@
 }
 
 // keepAlive returns the time after which a message is sent although nothing has changed.
-func (d *singletonDuties) keepAlive() time.Duration {
-	return max(usageKeepAlive, 4*d.settings.PushPeriod(d.view().Others+1))
+func (d *singletonDuties) keepAlive(others int) time.Duration {
+	return max(usageKeepAlive, idlePeriods*d.settings.PushPeriod(others+1))
 }
 
 // push sends the counts that have changed to the holder, if there are any or if it must. It reports
