Test announcements through relays and the calls of the control API

Cause: in a fleet with relays an announcement passes two of them; a token of zero could be taken for none. Change: tests of both; tokens are the offset plus one below the era.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -57,7 +57,8 @@
 	// cooldownTerms is the number of terms for which a host that has given up the lease makes
 	// no claim.
 	cooldownTerms = 5
-	// eraShift is the position of the era in a token. A topic with more than 2^32 records has
+	// eraShift is the position of the era in a token, below which is the offset of the claim plus
+	// one, so that no token is zero. A topic with more than 2^32 records has
 	// lasted for 45 years at one record a third of a second.
 	eraShift = 32
 )
@@ -581,7 +582,7 @@
 		Host:        m.Host,
 		Address:     m.Address,
 		Incarnation: m.Incarnation,
-		Token:       m.era<<eraShift | m.end,
+		Token:       m.era<<eraShift | (m.end + 1),
 		Era:         m.era,
 		Past:        past,
 		Note:        m.note,
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -175,3 +175,30 @@
 		t.Error(diff)
 	}
 }
+
+// TestControlCalls guards against more than one call to the control API for a window, in a fleet of any
+// size.
+func TestControlCalls(t *testing.T) {
+	const windows = 12
+	for _, hosts := range []int{6, 83, 195, 2400} {
+		book, calls := usage.NewBook(settings, 100), 0
+		for now := settings.End(99); now < settings.End(99+windows)+settings.Delay; now += 100 * time.Millisecond {
+			if window, ok := book.Due(now, settings.CloseDelay(hosts)); ok && window < 100+windows {
+				book.Fix(nil)
+				book.Store(window)
+			}
+			if window, _, ok := book.NextReport(now); ok {
+				calls++
+				book.Finish(window)
+			}
+			if late := book.Late(now); len(late) > 0 {
+				t.Errorf("%d hosts: windows %v are late", hosts, late)
+			}
+			book.Expire(settings.Oldest(now))
+		}
+		t.Logf("%d hosts: %d calls for %d windows", hosts, calls, windows)
+		if calls != windows {
+			t.Errorf("%d hosts: %d calls", hosts, calls)
+		}
+	}
+}
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -18,6 +18,8 @@
 type recorder struct {
 	messages   chan peer.Message
 	hostEvents chan string
+	// duties holds the last announcement of a holder.
+	duties chan peer.Duty
 }
 
 func (r recorder) HandleMessage(message peer.Message) {
@@ -64,6 +66,7 @@
 	r := recorder{
 		messages:   make(chan peer.Message, 100),
 		hostEvents: make(chan string, 10),
+		duties:     make(chan peer.Duty, 1),
 	}
 	timers := timer.New()
 	mesh, err := peer.New(peer.Dependencies{
@@ -73,6 +76,7 @@
 		Address:     address,
 		LinkMbps:    linkMbps,
 		Listener:    r,
+		HandleDuty:  r.handleDuty,
 		Timers:      timers,
 	})
 	if err != nil {
