--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -53,6 +53,10 @@
 	// ColdFor is the remaining time for which the endpoint is slow after a cold
 	// start.
 	ColdFor time.Duration
+	// Spot is set for an endpoint at a lower price, which the platform may reclaim. LeavesIn is
+	// the time until a leaving endpoint is gone, or zero if it is not known.
+	Spot     bool
+	LeavesIn time.Duration
 }
 
 // Listed is an entry of a complete listing, with the offset of its record.
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -124,8 +124,29 @@
 	Name string
 	// Engine is set for services of model engines.
 	Engine *Engine
+	// Scale is set for services whose number of endpoints may be ordered.
+	Scale *Scale
 }
 
+// Scale bounds the number of endpoints that may be ordered for a service, and tells their
+// prices.
+type Scale struct {
+	// Min and Max bound the endpoints in each zone, spot and on-demand ones together. Equal
+	// ones pin the number.
+	Min int
+	Max int
+	// Boot is the time from an order until a new endpoint serves.
+	Boot time.Duration
+	// SpotPrice is the price of a spot endpoint as a share of that of an on-demand one, or
+	// zero if there are none.
+	SpotPrice float64
+	// ZonePrices holds the price of an on-demand endpoint for a second by zone.
+	ZonePrices map[string]float64
+}
+
+// IsPinned reports whether the number of endpoints is fixed.
+func (s *Scale) IsPinned() bool { return s.Min == s.Max }
+
 // Team is a tenant and its API keys.
 type Team struct {
 	Name string
