Decide how many endpoints of a service the fleet orders

The control API takes orders for endpoints by zone and capacity type, and spot endpoints cost a fraction of on-demand ones but are reclaimed a zone at a time. core/autoscale decides from what a host observes: the endpoints by zone, and the load as the number of endpoints that it uses fully. The gateway's autoscaler collects this from the decision loop and makes the orders under a fence; the scheduler reports the load of all hosts and the share of calls without room. Nothing calls it yet: the runner of the lease will.

--- /dev/null
+++ b/core/autoscale/autoscale_test.go
@@ -0,0 +1,238 @@
+package autoscale_test
+
+import (
+	"testing"
+	"time"
+
+	"cactuswell/core/autoscale"
+)
+
+const (
+	simInitial = 30
+	simLimit   = 60
+)
+
+func constantly(demand float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return demand }
+}
+
+func (p *simPlatform) report() {
+	onDemand, spot := p.totals()
+	p.t.Logf("%s: least capacity %.2f of the demand at %s, cost %.3f of the initial number's, %d on-demand and %d spot endpoints, %d orders, %d turns",
+		p.now.Sub(p.started), p.leastShare, p.leastShareAt, p.cost/p.initialCost, onDemand, spot, len(p.orders), p.directionChanges())
+}
+
+// check checks the capacity that callers had, and the cost, over the whole run.
+func (p *simPlatform) check(leastShare, maxCost float64, maxTurns int) {
+	p.t.Helper()
+	p.report()
+	if p.leastShare < leastShare {
+		p.t.Errorf("the capacity was %.2f of the demand at %s, want %.2f", p.leastShare, p.leastShareAt, leastShare)
+	}
+	if got := p.cost / p.initialCost; got > maxCost {
+		p.t.Errorf("the cost was %.2f of that of the initial number, want %.2f", got, maxCost)
+	}
+	if got := p.directionChanges(); got > maxTurns {
+		p.t.Errorf("orders turned %d times, want %d", got, maxTurns)
+	}
+}
+
+// TestLoads guards against a capacity that is too small for the load at any moment after the
+// endpoints' boot time, against orders that follow the load up and down, and against a cost that
+// is not far below that of the initial number.
+func TestLoads(t *testing.T) {
+	for name, test := range map[string]struct {
+		demand     func(time.Duration) float64
+		leastShare float64
+		maxShort   time.Duration
+		maxCost    float64
+	}{
+		"idle": {
+			demand:  constantly(0),
+			maxCost: 0.5,
+		},
+		"calm": {
+			demand:     constantly(30),
+			leastShare: 2.5,
+			maxCost:    0.55,
+		},
+		"busy": {
+			demand:     constantly(60),
+			leastShare: 1.5,
+			maxCost:    0.8,
+		},
+		"oscillating": {
+			demand: func(at time.Duration) float64 {
+				if at%(40*time.Second) < 20*time.Second {
+					return 15
+				}
+				return 45
+			},
+			leastShare: 2,
+			maxCost:    0.55,
+		},
+		"burst of a class to three times its rate for 5 s every 30 s": {
+			demand: func(at time.Duration) float64 {
+				if at%(30*time.Second) > 25*time.Second {
+					return 66
+				}
+				return 30
+			},
+			leastShare: 1.5,
+			maxCost:    0.6,
+		},
+		"six times as much after 5 min": {
+			demand: func(at time.Duration) float64 {
+				if at > 5*time.Minute {
+					return 120
+				}
+				return 20
+			},
+			// Until more endpoints have started, those that are there are all that there is.
+			leastShare: 0.6,
+			maxShort:   simBoot + 2*time.Second,
+			maxCost:    0.7,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlatform(t, simInitial, simLimit, test.demand)
+			p.run(10 * time.Minute)
+			p.check(test.leastShare, test.maxCost, 6)
+			if p.shortFor > test.maxShort {
+				t.Errorf("too few endpoints for %s, want %s", p.shortFor, test.maxShort)
+			}
+		})
+	}
+}
+
+// TestReclaim guards against a zone's spot endpoints without which the rest does not suffice, also
+// if a holder that knows nothing takes over at that moment.
+func TestReclaim(t *testing.T) {
+	for name, replaceHolder := range map[string]bool{
+		"same holder": false,
+		"new holder":  true,
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlatform(t, simInitial, simLimit, constantly(40))
+			p.run(3 * time.Minute)
+			p.report()
+			p.reclaim("b")
+			if replaceHolder {
+				p.replaceHolder()
+			}
+			before := len(p.orders)
+			p.run(time.Second)
+			if len(p.orders) == before {
+				t.Errorf("no order within a second of the reclaim")
+			}
+			p.run(time.Minute)
+			if got := p.present("b", true); got < simInitial {
+				t.Errorf("%d spot endpoints in the zone a minute after the reclaim, want %d", got, simInitial)
+			}
+			p.run(4 * time.Minute)
+			p.check(2, 0.75, 6)
+		})
+	}
+}
+
+// TestNoCapacity guards against releasing endpoints for others that are not to be had, and against
+// ordering them too often.
+func TestNoCapacity(t *testing.T) {
+	p := newPlatform(t, simInitial, simLimit, constantly(50))
+	p.outcome = func(order autoscale.Order) (autoscale.Outcome, time.Duration) {
+		if order.Reason == autoscale.ReasonShrink {
+			return autoscale.Accepted, 0
+		}
+		return autoscale.Conflicted, 0
+	}
+	p.run(5 * time.Minute)
+	onDemand, spot := p.totals()
+	if onDemand != 3*simInitial || spot != 0 {
+		t.Errorf("%d on-demand and %d spot endpoints", onDemand, spot)
+	}
+	if len(p.orders) > 60 {
+		t.Errorf("%d orders within 5 min", len(p.orders))
+	}
+	p.check(1.5, 1.01, 0)
+	p.outcome = func(autoscale.Order) (autoscale.Outcome, time.Duration) { return autoscale.Accepted, 0 }
+	p.run(3 * time.Minute)
+	if _, spot := p.totals(); spot < 3*simInitial {
+		t.Errorf("%d spot endpoints 3 min after there is capacity again", spot)
+	}
+}
+
+// TestLateExecution guards against an old order that is executed after a newer one and stays in
+// force.
+func TestLateExecution(t *testing.T) {
+	p := newPlatform(t, simInitial, simLimit, constantly(30))
+	calls := 0
+	p.outcome = func(autoscale.Order) (autoscale.Outcome, time.Duration) {
+		calls++
+		switch calls % 3 {
+		case 0:
+			return autoscale.Unknown, 6 * time.Second
+		case 1:
+			return autoscale.Unknown, 0
+		}
+		return autoscale.Accepted, 0
+	}
+	p.run(6 * time.Minute)
+	onDemand, spot := p.totals()
+	if onDemand < 20 || onDemand > 30 || spot < 75 || spot > 100 {
+		t.Errorf("%d on-demand and %d spot endpoints", onDemand, spot)
+	}
+	p.check(2, 0.9, 12)
+}
+
+// TestNewHolder guards against a new holder that takes the endpoints of a fleet that has replaced
+// its on-demand ones for those of a new fleet, and orders as many again.
+func TestNewHolder(t *testing.T) {
+	p := newPlatform(t, simInitial, simLimit, constantly(40))
+	for range 10 {
+		p.run(40 * time.Second)
+		p.replaceHolder()
+	}
+	p.run(time.Minute)
+	if onDemand, spot := p.totals(); onDemand > 30 || spot > 110 {
+		t.Errorf("%d on-demand and %d spot endpoints", onDemand, spot)
+	}
+	p.check(2, 0.7, 12)
+}
+
+// TestBounds guards against orders beyond the limit of a zone, and against changes of a number that
+// an operator has pinned.
+func TestBounds(t *testing.T) {
+	for name, test := range map[string]struct {
+		min, max int
+		demand   float64
+		wantSpot bool
+	}{
+		"pinned":                  {min: simInitial, max: simInitial, demand: 20},
+		"limit is initial number": {min: 0, max: simInitial, demand: 20, wantSpot: true},
+		"too much demand":         {min: 0, max: simLimit, demand: 300, wantSpot: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlatform(t, simInitial, test.max, constantly(test.demand))
+			p.scale.Min = test.min
+			p.run(5 * time.Minute)
+			p.report()
+			ordered := make(map[autoscale.Subject]int)
+			for zone := range simPrices {
+				ordered[simSubject(zone, false)] = simInitial
+			}
+			for _, order := range p.orders {
+				ordered[order.Subject] = order.Desired
+				zone := order.Zone
+				if sum := ordered[simSubject(zone, true)] + ordered[simSubject(zone, false)]; sum < test.min || sum > test.max {
+					t.Fatalf("%d endpoints in zone %s after %+v", sum, zone, order)
+				}
+			}
+			if _, spot := p.totals(); (spot > simInitial) != test.wantSpot {
+				t.Errorf("%d spot endpoints", spot)
+			}
+			if test.min == test.max && len(p.orders) > 0 {
+				t.Errorf("%d orders", len(p.orders))
+			}
+		})
+	}
+}
--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -101,4 +101,6 @@
 	// lastFailure is why the last attempt failed.
 	lastFailure      Reason
 	latencySensitive bool
+	// isUnmet is set once the call has found no room.
+	isUnmet bool
 }
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -357,6 +357,9 @@
 }
 
 func (s *Scheduler) newRefusal(c *call, reason Reason) Refuse {
+	if reason.isLackOfCapacity() {
+		c.pool.unmet.recordUnmet(s.now, c)
+	}
 	return Refuse{
 		Call:            c.spec.ID,
 		Reason:          reason,
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -92,6 +92,7 @@
 func (s *Scheduler) enqueue(c *call) {
 	c.queued = true
 	p := c.pool
+	p.unmet.recordUnmet(s.now, c)
 	index := sort.Search(len(p.queue), func(i int) bool {
 		return isMoreUrgent(c, p.queue[i])
 	})
@@ -441,6 +442,7 @@
 // send starts an attempt of a call at an endpoint.
 func (s *Scheduler) send(c *call, e *endpoint, choice Choice) {
 	isRetry := c.possibleRuns > 0
+	c.pool.unmet.recordPlaced(s.now, c)
 	if c.sends > 0 {
 		c.pool.budget.RecordRetry(s.now)
 	}
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -122,6 +122,7 @@
 	callDemands   map[string]peerDemand
 	reportedCalls int
 	part          demandPart
+	unmet         unmetMeter
 	// base is the software version of streams without a record, if hasBase is set.
 	base    string
 	hasBase bool
--- a/gateway/dump.go
+++ b/gateway/dump.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"cactuswell/core/autoscale"
 	"cactuswell/core/scheduling"
 )
 
@@ -34,6 +35,9 @@
 	LinesDropped             uint64 `json:"linesDropped"`
 
 	scheduling.Snapshot
+
+	// Autoscale holds the services whose endpoints this host orders.
+	Autoscale []autoscale.Snapshot `json:"autoscale,omitempty"`
 }
 
 // dump returns the host's state.
@@ -55,6 +59,9 @@
 		dump.VersionAgeMs = float64(time.Since(active.appliedAt)) / float64(time.Millisecond)
 	}
 	g.inspect(func() { dump.Snapshot = g.decisions.scheduler.Snapshot(g.timers.Now()) })
+	if a := g.autoscaler.Load(); a != nil {
+		dump.Autoscale = a.snapshots(g.timers.Now())
+	}
 	return dump
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,6 +145,8 @@
 	// lastReloadError is the text of the last reload's error, so that an unchanged
 	// error is logged once.
 	lastReloadError string
+	// autoscaler is the one that was created last, for dumps. It is nil if there is none.
+	autoscaler atomic.Pointer[autoscaler]
 	// stopping is closed when the shutdown starts.
 	stopping chan struct{}
 }
