--- a/gateway/dump.go
+++ b/gateway/dump.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"cactuswell/core/autoscale"
 	"cactuswell/core/scheduling"
 )
 
@@ -37,6 +38,9 @@
 	SingletonDuties *DutiesDump `json:"singletonDuties,omitempty"`
 
 	scheduling.Snapshot
+
+	// Autoscale holds the services whose endpoints this host orders.
+	Autoscale []autoscale.Snapshot `json:"autoscale,omitempty"`
 }
 
 // dump returns the host's state.
@@ -61,6 +65,9 @@
 		dump.SingletonDuties = g.singleton.dump()
 	}
 	g.inspect(func() { dump.Snapshot = g.decisions.scheduler.Snapshot(g.timers.Now()) })
+	if a := g.autoscaler.Load(); a != nil {
+		dump.Autoscale = a.snapshots(g.timers.Now())
+	}
 	return dump
 }
 
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -423,9 +423,10 @@
 	return t.bufferFailure(status)
 }
 
-// recordExecution records that the request began to run, unless an earlier attempt did.
+// recordExecution records that the request began to run, unless an earlier attempt did. Requests
+// of public routes belong to no team.
 func (x *exchange) recordExecution() {
-	if x.hasBegun || x.server.Executions == nil {
+	if x.hasBegun || x.server.Executions == nil || x.team == "" {
 		return
 	}
 	x.hasBegun = true
