Begin a term's usage only once the true time is known

Cause: a holder whose clock is seconds off, and which has not heard the others' clocks yet, would leave out windows or drop counts; records of old windows stayed in the store after a change of the holder. Result: the duty tests of ./gateway pass twice with the race detector.

--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -72,7 +74,8 @@
 // holderState is what a host keeps while it holds the lease.
 type holderState struct {
 	tally *usage.Tally
-	book  *usage.Book
+	// book is nil until the true time is known.
+	book *usage.Book
 	// settledAt is when the hosts have sent their counts to this holder.
 	settledAt time.Duration
 	// isFirst is set if no window was ever reported.
@@ -104,40 +107,73 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.instant()
-	trueTime, _ := d.estimateTime(now)
 	h := &holderState{
-		tally:     usage.NewTally(),
+		// Counts that this host got as holder before are still right, as they never fall.
+		tally:     d.lastTally,
 		settledAt: now.Mono + d.settings.CloseDelay(hosts),
-		isFirst:   d.listed.note == 0 && d.lastBook == nil && d.knownFixed == 0,
 		clocks:    make(map[string]hostClock),
 		heardAt:   now.Mono,
 		drift:     now.Wall - now.Mono,
 	}
-	first := d.settings.WindowAt(trueTime - now.Mono)
+	if h.tally == nil {
+		h.tally = usage.NewTally()
+	}
+	for _, report := range d.listed.ended {
+		h.tally.Merge(report, 0, math.MaxInt64)
+	}
+	d.holder = h
+	d.isKnown = false
+	if now, isSynced := d.estimateTime(now); isSynced {
+		d.openBook(now)
+	}
+}
+
+// openBook takes over what earlier holders have fixed and reported. The true time must be known: by
+// a wrong clock windows would be left out. The caller must hold d.mu.
+func (d *singletonDuties) openBook(now time.Duration) {
+	h := d.holder
+	h.isFirst = d.listed.note == 0 && d.lastBook == nil && d.knownFixed == 0
+	first := d.settings.WindowAt(now - time.Since(d.startedAt))
 	if !h.isFirst {
-		first = max(d.listed.note+1, d.settings.WindowAt(trueTime-d.settings.Delay))
+		first = max(d.listed.note+1, d.settings.WindowAt(now-d.settings.Delay))
 	}
 	h.book = usage.NewBook(d.settings, first)
-	restore := d.listed.usage
+	restored := maps.Clone(d.listed.usage)
 	if d.lastBook != nil {
 		// The store may have lost records of this host that were reported already.
 		for window, counts := range d.lastBook.Stored() {
-			if restore[window] == nil && window >= first {
-				restore[window] = counts
+			if restored[window] == nil {
+				restored[window] = counts
 			}
 		}
 	}
-	for window, counts := range restore {
+	for window, counts := range restored {
 		h.book.Restore(window, counts)
 		if d.lastBook != nil && d.lastBook.IsFinished(window) {
 			h.book.Finish(window)
 		}
 	}
-	for _, report := range d.listed.ended {
-		h.tally.Merge(report, first, d.settings.WindowAt(trueTime)+1)
+	for window := range d.listed.usage {
+		if window < min(first, d.settings.Oldest(now)) {
+			h.expired = append(h.expired, window)
+		}
 	}
-	d.holder = h
-	d.isKnown = false
+}
+
+// fixedThrough returns the last window that this holder knows to be fixed, or zero.
+func (h *holderState) fixedThrough() int64 {
+	if h.book == nil {
+		return 0
+	}
+	return h.book.FixedThrough()
+}
+
+// newestWindow returns the last window for which counts are taken. The caller must hold d.mu.
+func (d *singletonDuties) newestWindow(now time.Duration, isSynced bool) int64 {
+	if !isSynced {
+		return math.MaxInt64
+	}
+	return d.settings.WindowAt(now) + 1
 }
 
 // endTerm ends the duties of a holder.
@@ -145,6 +181,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.holder != nil {
+		d.lastTally = d.holder.tally
+	}
+	if d.holder != nil && d.holder.book != nil {
 		d.lastBook = d.holder.book
 	}
 	d.holder = nil
@@ -160,9 +199,9 @@
 	return now.Wall, false
 }
 
-// syncClock derives the true time from the clocks of the hosts, and returns it. The caller must hold
-// d.mu.
-func (d *singletonDuties) syncClock(others int) time.Duration {
+// syncClock derives the true time from the clocks of the hosts, and returns it as estimateTime does.
+// The caller must hold d.mu.
+func (d *singletonDuties) syncClock(others int) (time.Duration, bool) {
 	now := d.instant()
 	h := d.holder
 	drift := now.Wall - now.Mono
@@ -173,7 +212,7 @@
 	h.drift = drift
 	trueTime, isSynced := d.estimateTime(now)
 	if isSynced && now.Mono-h.medianAt < medianInterval {
-		return trueTime
+		return trueTime, true
 	}
 	h.medianAt = now.Mono
 	offsets := []time.Duration{drift}
@@ -190,20 +229,20 @@
 	case isSynced || now.Mono < h.settledAt:
 		// Until most hosts have sent their time, this host's clock would outweigh theirs, and what
 		// an earlier holder has found.
-		return trueTime
+		return trueTime, isSynced
 	}
 	d.counter.Sync(now.Mono, trueTime)
-	return trueTime
+	return trueTime, true
 }
 
 // mergeOwn adds this host's counts to the tally. The caller must hold d.mu.
-func (d *singletonDuties) mergeOwn(trueTime time.Duration) {
+func (d *singletonDuties) mergeOwn(now time.Duration, isSynced bool) {
 	changes, version := d.counter.Changes(d.holder.merged)
 	d.holder.merged = version
 	d.holder.tally.Merge(usage.Report{
 		Source: d.source(),
 		Counts: changes,
-	}, d.holder.book.FixedThrough()+1, d.settings.WindowAt(trueTime)+1)
+	}, d.holder.fixedThrough()+1, d.newestWindow(now, isSynced))
 }
 
 func (d *singletonDuties) source() usage.Source {
@@ -221,8 +260,15 @@
 		d.mu.Unlock()
 		return
 	}
-	now := d.syncClock(others)
-	d.mergeOwn(now)
+	now, isSynced := d.syncClock(others)
+	d.mergeOwn(now, isSynced)
+	if !isSynced {
+		d.mu.Unlock()
+		return
+	}
+	if d.holder.book == nil {
+		d.openBook(now)
+	}
 	extras, missed := d.takeDue(now, others)
 	late := d.holder.book.Late(now)
 	d.finishWindows(now)
@@ -309,7 +355,7 @@
 		}
 		d.mu.Lock()
 		var total int64
-		if d.holder != nil {
+		if d.holder != nil && d.holder.book != nil {
 			d.holder.book.Store(window)
 			for _, count := range d.holder.book.Stored()[window] {
 				total += count
@@ -342,7 +388,7 @@
 		if !isSynced {
 			d.counter.Sync(instant.Mono, now)
 		}
-		d.mergeOwn(now)
+		d.mergeOwn(now, true)
 	}
 	ended := d.holder.tally.Ended(func(s usage.Source) bool { return s == own && !isReleasing || live[s.Host] == s.Incarnation }, maxEnded)
 	value, err := json.Marshal(ended)
@@ -365,7 +411,7 @@
 // reportUsage reports a window that is fixed.
 func (d *singletonDuties) reportUsage(ctx context.Context) {
 	d.mu.Lock()
-	if d.holder == nil {
+	if d.holder == nil || d.holder.book == nil {
 		d.mu.Unlock()
 		return
 	}
@@ -381,9 +427,9 @@
 	var conflict *control.ConflictError
 	isFinished := err == nil || errors.As(err, &conflict)
 	d.mu.Lock()
-	if d.holder != nil && isFinished {
+	if d.holder != nil && d.holder.book != nil && isFinished {
 		d.holder.book.Finish(window)
-	} else if d.holder != nil {
+	} else if d.holder != nil && d.holder.book != nil {
 		d.holder.book.Retry(window, trueTime+time.Since(startedAt))
 	}
 	d.mu.Unlock()
@@ -424,9 +470,9 @@
 		heardAt: now.Mono,
 	}
 	trueTime, isSynced := d.estimateTime(now)
-	fixed := h.book.FixedThrough()
-	h.tally.Merge(message.Report, fixed+1, d.settings.WindowAt(trueTime)+1)
-	d.knownFixed = max(d.knownFixed, min(message.FixedThrough, d.settings.WindowAt(trueTime)))
+	fixed := h.fixedThrough()
+	h.tally.Merge(message.Report, fixed+1, d.newestWindow(trueTime, isSynced))
+	d.knownFixed = max(d.knownFixed, message.FixedThrough)
 	response := usageResponse{
 		Token:        d.machine.Token(),
 		FixedThrough: fixed,
