Bound what a gateway holds for its clients

Cause: the callers' and the ready listener had no limit on connections, headers of all requests had none together, bodies were reserved by declared length, and a response that was not read was held for 70 s. Change: io/clientconns bounds connections and headers and closes those that make no progress first; memory for bodies is taken as they arrive, and stalled ones make way; limits.headerTimeoutMs and idleTimeoutMs apply.

--- a/core/clientbudget/body.go
+++ b/core/clientbudget/body.go
@@ -29,36 +29,35 @@
 	return int64(largeCeiling * float64(limit))
 }
 
-// ArrivingBody describes a body that is arriving.
-type ArrivingBody struct {
+// Arrival describes a body or a header that is arriving.
+type Arrival struct {
 	// Taken is the memory that it has, in bytes.
 	Taken int64
-	// Elapsed is the time since its header, and Received the bytes that have arrived
-	// since.
+	// Elapsed is the time since it began, and Received the bytes that have arrived since.
 	Elapsed  time.Duration
 	Received int64
 	// Silent is the time since its last bytes.
 	Silent time.Duration
 }
 
-// lag returns by how much the body is late. A large body that stops just before its end
+// lag returns by how much it is late. A large body that stops just before its end
 // has arrived fast on average, and lags since then.
-func (b *ArrivingBody) lag() time.Duration { return max(Lag(b.Elapsed, b.Received), b.Silent) }
+func (a *Arrival) lag() time.Duration { return max(Lag(a.Elapsed, a.Received), a.Silent) }
 
-// SelectBodies returns the indexes of the bodies that make way for need bytes: those that
+// SelectArrivals returns the indexes of the arrivals that make way for need bytes: those that
 // lag most. It returns none if they do not suffice.
-func SelectBodies(bodies []ArrivingBody, need int64) []int {
+func SelectArrivals(arrivals []Arrival, need int64) []int {
 	var selected []int
-	for i := range bodies {
-		if bodies[i].Taken > 0 && bodies[i].lag() >= minBodyLag {
+	for i := range arrivals {
+		if arrivals[i].Taken > 0 && arrivals[i].lag() >= minArrivalLag {
 			selected = append(selected, i)
 		}
 	}
 	slices.SortFunc(selected, func(i, j int) int {
-		return cmp.Or(cmp.Compare(bodies[j].lag(), bodies[i].lag()), cmp.Compare(i, j))
+		return cmp.Or(cmp.Compare(arrivals[j].lag(), arrivals[i].lag()), cmp.Compare(i, j))
 	})
 	for n, i := range selected {
-		need -= bodies[i].Taken
+		need -= arrivals[i].Taken
 		if need <= 0 {
 			return selected[:n+1]
 		}
--- a/core/clientbudget/clientbudget.go
+++ b/core/clientbudget/clientbudget.go
@@ -125,9 +125,9 @@
 	// minRate is the rate of bytes, in bytes a second, at which a client makes
 	// progress. It is below that of any link on which the calls' targets can be met.
 	minRate = 16 << 10
-	// minBodyLag and minWritingLag are the lags from which bodies and unread responses
+	// minArrivalLag and minWritingLag are the lags from which arrivals and unread responses
 	// make way. Callers behind a lost packet lag for a retransmission timeout.
-	minBodyLag    = 300 * time.Millisecond
+	minArrivalLag = 300 * time.Millisecond
 	minWritingLag = time.Second
 	// overShareFactor is the multiple of an even share of the connections from which
 	// an address is disconnected before others in the same phase.
@@ -149,13 +149,13 @@
 	AddressConns int
 }
 
-// mayClose reports whether a connection makes way for others.
-func (c *Conn) mayClose() bool {
+// MayClose reports whether a connection makes way for others.
+func (c *Conn) MayClose() bool {
 	switch c.Phase {
 	case Silent, Header, Idle:
 		return true
 	case Body:
-		return c.Lag >= minBodyLag
+		return c.Lag >= minArrivalLag
 	case Writing:
 		return c.Lag >= minWritingLag
 	case Serving:
@@ -176,7 +176,7 @@
 	}
 	var selected []int
 	for i := range conns {
-		if conns[i].mayClose() {
+		if conns[i].MayClose() {
 			selected = append(selected, i)
 		}
 	}
--- a/core/clientbudget/clientbudget_test.go
+++ b/core/clientbudget/clientbudget_test.go
@@ -89,10 +89,10 @@
 	}
 }
 
-// TestSelectBodies guards against bodies that hold memory although they stopped one byte
+// TestSelectArrivals guards against bodies that hold memory although they stopped one byte
 // before their end, and against ones that arrive steadily and make way.
-func TestSelectBodies(t *testing.T) {
-	bodies := []clientbudget.ArrivingBody{
+func TestSelectArrivals(t *testing.T) {
+	bodies := []clientbudget.Arrival{
 		{Taken: 4 << 20, Elapsed: time.Second, Received: 4 << 20, Silent: 900 * time.Millisecond},
 		{Taken: 1 << 20, Elapsed: time.Second, Received: 1 << 20},
 		{Taken: 1 << 20, Elapsed: 3 * time.Second, Received: 100, Silent: time.Millisecond},
@@ -102,7 +102,7 @@
 		3 << 20:  {2, 0},
 		20 << 20: nil,
 	} {
-		if got := clientbudget.SelectBodies(bodies, need); !slices.Equal(got, want) {
+		if got := clientbudget.SelectArrivals(bodies, need); !slices.Equal(got, want) {
 			t.Errorf("for %d bytes: %v, want %v", need, got, want)
 		}
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -135,11 +135,15 @@
 	HasPriority bool
 }
 
-// Limits are the size limits of a request.
+// Limits are the limits on requests and their connections.
 type Limits struct {
 	// MaxHeaderBytes and MaxBodyBytes are zero for no limit.
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
+	// HeaderTimeout bounds the time until a request's header has arrived, and IdleTimeout
+	// the time between two requests on a connection. They are zero for the host's own.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Spec is a complete configuration, not yet validated.
@@ -244,7 +248,7 @@
 // Version returns the configuration's version.
 func (t *Table) Version() int64 { return t.version }
 
-// Limits returns the size limits of requests.
+// Limits returns the limits on requests and their connections.
 func (t *Table) Limits() Limits { return t.limits }
 
 // RouteCount returns the number of routes.
--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -1,14 +1,13 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"cactuswell/io/clientconns"
 	"cactuswell/io/opaque"
 	"cactuswell/io/tcp"
 )
@@ -18,18 +17,6 @@
 // request immediately, and TCP retransmits a lost packet within this time.
 const requestGracePeriod = time.Second
 
-// maxHeaderLines bounds the lines of a request's header. The parsed form of a line takes
-// many times the size of a short line.
-const maxHeaderLines = 256
-
-// HeaderLinesError reports a request whose header has too many lines.
-type HeaderLinesError struct{}
-
-// Error returns a message with the limit.
-func (*HeaderLinesError) Error() string {
-	return fmt.Sprintf("the request's header has more than %d lines", maxHeaderLines)
-}
-
 // callerConns tracks the open connections of callers. http.Server closes idle
 // connections even if it has read a request from them that it has not started to
 // serve. This type closes only connections on which no request is served or
@@ -40,14 +27,11 @@
 	// closeWhenIdle is set during shutdown: connections are closed as they become
 	// idle.
 	closeWhenIdle bool
-	// recordExcess is called for a header with too many lines.
-	recordExcess func(remote net.Addr)
 }
 
-func newCallerConns(recordExcess func(remote net.Addr)) *callerConns {
+func newCallerConns() *callerConns {
 	return &callerConns{
-		open:         make(map[*callerConn]struct{}),
-		recordExcess: recordExcess,
+		open: make(map[*callerConn]struct{}),
 	}
 }
 
@@ -73,7 +57,6 @@
 	case http.StateClosed, http.StateHijacked:
 		delete(c.open, tracked)
 	case http.StateIdle:
-		tracked.headerLines = 0
 		// An answer whose header was sent before the shutdown started has no
 		// "Connection: close".
 		if c.closeWhenIdle && !tracked.expectsRequest {
@@ -90,7 +73,7 @@
 	if !ok {
 		return ctx
 	}
-	return opaque.WithCallerConn(ctx, tracked)
+	return opaque.WithCallerConn(clientconns.WithConn(ctx, tracked), tracked)
 }
 
 // closeIdle closes the connections on which no request is served or expected. It
@@ -154,27 +137,18 @@
 	// serving reports whether a request's header was read and its answer is not
 	// complete.
 	serving bool
-	// headerLines is the number of lines received of the header that is being read.
-	headerLines int
-	closed      bool
+	closed  bool
 }
 
 // Read implements net.Conn. Bytes that arrive after the connection was closed as
 // idle are discarded, so that no request is started that cannot be answered.
 func (c *callerConn) Read(p []byte) (int, error) {
-	if c.hasTooManyLines() {
-		c.conns.recordExcess(c.RemoteAddr())
-		return 0, &HeaderLinesError{}
-	}
 	n, err := c.Conn.Read(p)
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
 	if c.closed {
 		return 0, net.ErrClosed
 	}
-	if !c.serving {
-		c.headerLines += bytes.Count(p[:n], []byte{'\n'})
-	}
 	if n > 0 {
 		c.expectsRequest = true
 		c.expectsRequestSince = time.Now()
@@ -182,14 +156,6 @@
 	return n, err
 }
 
-// hasTooManyLines reports whether the header that is being read has too many lines. The
-// server reads on only if the header is not complete.
-func (c *callerConn) hasTooManyLines() bool {
-	c.conns.mu.Lock()
-	defer c.conns.mu.Unlock()
-	return !c.serving && c.headerLines > maxHeaderLines
-}
-
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) {
 	c.conns.mu.Lock()
@@ -198,6 +164,9 @@
 	return c.Conn.Write(p)
 }
 
+// NetConn returns the connection inside this one.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 var _ opaque.CallerConn = (*callerConn)(nil)
 
 // HasEnded implements opaque.CallerConn.
@@ -205,7 +174,8 @@
 	c.conns.mu.Lock()
 	closed := c.closed
 	c.conns.mu.Unlock()
-	return closed || tcp.HasEnded(c.Conn)
+	inner := clientconns.Unwrap(c)
+	return closed || inner != nil && inner.IsClosed() || tcp.HasEnded(c.Conn)
 }
 
 // CloseWrite closes the sending side of the connection. http.Server calls it when
--- a/gateway/callerconns_test.go
+++ b/gateway/callerconns_test.go
@@ -55,7 +55,7 @@
 		}, 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			conns := newCallerConns(nil)
+			conns := newCallerConns()
 			conn := acceptOne(t, conns)
 			c.prepare(t, conns, conn)
 			if remaining := conns.closeIdle(time.Now().Add(c.after)); remaining != c.wantRemaining {
@@ -68,7 +68,7 @@
 // TestClosedCallerConnDropsLateBytes checks that bytes that were in flight to the
 // reader when the connection was closed as idle are discarded.
 func TestClosedCallerConnDropsLateBytes(t *testing.T) {
-	conns := newCallerConns(nil)
+	conns := newCallerConns()
 	conn := acceptOne(t, conns)
 	if remaining := conns.closeIdle(time.Now().Add(2 * requestGracePeriod)); remaining != 0 {
 		t.Fatalf("%d connections remain, want 0", remaining)
@@ -81,7 +81,7 @@
 
 // TestConnClosedByShutdownHasEnded guards against a call that is sent although the host has closed its connection as idle.
 func TestConnClosedByShutdownHasEnded(t *testing.T) {
-	conns := newCallerConns(nil)
+	conns := newCallerConns()
 	conn := acceptOne(t, conns)
 	tracked := conn.(*callerConn)
 	if tracked.HasEnded() {
@@ -121,7 +121,7 @@
 // during a shutdown: the header of a stream was sent before the shutdown started, and
 // the connection accepted another request long afterwards.
 func TestCallerConnClosesAfterLastAnswer(t *testing.T) {
-	conns := newCallerConns(nil)
+	conns := newCallerConns()
 	conn := acceptOne(t, conns)
 	if _, err := conn.Read(make([]byte, 100)); err != nil {
 		t.Fatal(err)
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -29,8 +29,10 @@
 		"endpoints":       g.followers[g.Topics.Endpoints].Run,
 		"sweep":           g.sweepIdleConnections,
 		"reload":          g.reloadSettings,
-		"callers":         g.serveDuty(g.callerServer, g.callerConns.listen(g.callerListener)),
-		"operators":       g.serveDuty(g.operatorServer, g.readyListener),
+		"callers":         g.serveDuty(g.callerServer, g.callerConns.listen(g.callerClients.Listen(g.callerListener))),
+		"operators":       g.serveDuty(g.operatorServer, g.operatorClients.Listen(g.readyListener)),
+		"callerClients":   g.callerClients.Run,
+		"operatorClients": g.operatorClients.Run,
 	}
 	if g.mesh != nil {
 		duties["mesh"] = g.mesh.Run
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 
 	"cactuswell/core/batching"
 	"cactuswell/core/scheduling"
+	"cactuswell/io/clientconns"
 	"cactuswell/io/control"
 	"cactuswell/io/keyedlog"
 	"cactuswell/io/opaque"
@@ -51,10 +52,6 @@
 	// limit of the Go runtime. Near the limit the runtime collects garbage
 	// continuously.
 	runtimeMemoryShare = 0.75
-	// bodyMemoryShare is the share of a host's memory that request bodies may use.
-	bodyMemoryShare = 0.15
-	// responseMemoryShare is the share that buffered parts of responses may use.
-	responseMemoryShare = 0.1
 	// gcPercent is the heap growth, in percent, that triggers a garbage collection.
 	gcPercent = 75
 	// interZoneDelay is the typical one-way network delay between two zones of a
@@ -124,15 +121,18 @@
 	configuration *configurationFeed
 	endpoints     *endpointFeed
 	// followers hold the host's copies of the store's topics.
-	followers      map[string]*keyedlog.Follower
-	callHandler    *opaque.Server
-	callerServer   *http.Server
-	callerConns    *callerConns
-	operatorServer *http.Server
-	callerListener net.Listener
-	readyListener  net.Listener
-	mesh           *peer.Mesh
-	peerServer     *http.Server
+	followers    map[string]*keyedlog.Follower
+	callHandler  *opaque.Server
+	callerServer *http.Server
+	callerConns  *callerConns
+	// callerClients and operatorClients bound the connections to the two listeners.
+	callerClients   *clientconns.Conns
+	operatorClients *clientconns.Conns
+	operatorServer  *http.Server
+	callerListener  net.Listener
+	readyListener   net.Listener
+	mesh            *peer.Mesh
+	peerServer      *http.Server
 	// tunnels connects other hosts to endpoints.
 	tunnels *tunnel.Server
 	// streams keeps the software versions of streams. It is nil if the host has no roster.
@@ -225,6 +225,7 @@
 		loaded:           make(chan struct{}),
 	}
 	g.buildFollowers()
+	limits := g.newClientConns()
 	g.callHandler = opaque.New(opaque.Dependencies{
 		RouteTable:     g.configuration.current,
 		Scheduler:      g.decisions,
@@ -233,14 +234,16 @@
 		Versions:       g.streamVersions(),
 		Trail:          g.trail,
 		Meter:          g.meter,
-		BodyMemory:     int64(bodyMemoryShare * float64(g.Settings.MemoryMB) * (1 << 20)),
-		ResponseMemory: int64(responseMemoryShare * float64(g.Settings.MemoryMB) * (1 << 20)),
+		BodyMemory:     limits.BodyBytes,
+		ResponseMemory: limits.ResponseBytes,
 		ResponseLimit:  int64(g.Settings.MaxResponseMB) << 20,
+
+		CloseStalledWriters: g.callerClients.CloseStalledWriters,
 	})
-	g.callerConns = newCallerConns(g.recordCallerExcess)
+	g.callerConns = newCallerConns()
 	g.callerServer = &http.Server{
 		Handler:           g.callHandler,
-		ConnState:         g.callerConns.trackState,
+		ConnState:         g.trackCallerState,
 		ConnContext:       withCallerConn,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -249,15 +252,10 @@
 		ErrorLog:          newServerLog(g.trail),
 	}
 	g.operatorServer = g.newControlServer(g.operatorHandler())
+	g.operatorServer.ConnState = g.operatorClients.TrackState
 	g.addGauges()
 }
 
-// recordCallerExcess records a request whose header has too many lines.
-func (g *Gateway) recordCallerExcess(remote net.Addr) {
-	g.meter.addToCounter("cactuswell_caller_excess_total", 1)
-	g.trail.Failure("callerExcess").Text("caller", remote.String()).Err(&HeaderLinesError{}).Merge("")
-}
-
 // buildMesh opens the sockets for other hosts and creates the server for them.
 func (g *Gateway) buildMesh() error {
 	var err error
@@ -363,11 +361,11 @@
 func (g *Gateway) operatorHandler() http.Handler {
 	routes := http.NewServeMux()
 	routes.HandleFunc(g.Settings.ReadyPath, g.serveReady)
-	routes.HandleFunc(DumpPath, g.serveDump)
-	routes.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+	routes.HandleFunc(DumpPath, limitConcurrency(g.serveDump))
+	routes.HandleFunc("/metrics", limitConcurrency(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		g.meter.writeText(w)
-	})
+	}))
 	return routes
 }
 
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -8,6 +8,11 @@
 // addGauges registers the metrics that are read at each scrape.
 func (g *Gateway) addGauges() {
 	g.meter.addGauge("cactuswell_open_calls", func() float64 { return float64(g.callHandler.OpenCalls()) })
+	g.meter.addGauge(`cactuswell_client_connections{listener="callers"}`, func() float64 { return float64(g.callerClients.OpenCount()) })
+	g.meter.addGauge(`cactuswell_client_connections{listener="operators"}`, func() float64 { return float64(g.operatorClients.OpenCount()) })
+	g.meter.addGauge("cactuswell_header_bytes", func() float64 { return float64(g.callerClients.HeaderBytes()) })
+	g.meter.addGauge("cactuswell_body_bytes", func() float64 { return float64(g.callHandler.BodyBytes()) })
+	g.meter.addGauge("cactuswell_response_bytes", func() float64 { return float64(g.callHandler.ResponseBytes()) })
 	g.meter.addGauge("cactuswell_waiting_calls", func() float64 { return float64(g.decisions.waitingCount.Load()) })
 	g.meter.addGauge("cactuswell_endpoints", func() float64 { return float64(g.decisions.endpointCount.Load()) })
 	g.meter.addGauge("cactuswell_endpoints_withheld", func() float64 { return float64(g.decisions.withheldCount.Load()) })
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -497,6 +497,9 @@
 	}
 	x.firstEventAt = time.Now()
 	x.commitResponse(t.response, complete, len(body.bytes))
+	// The call is not sent again, so the caller does not hold the memory of its request while
+	// it reads the response.
+	x.body.release()
 	if _, err := x.writer.Write(body.bytes); err != nil {
 		t.err = err
 		return scheduling.Abandoned{}
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -12,6 +12,7 @@
 	"cactuswell/core/quarantine"
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
+	"cactuswell/io/clientconns"
 	"cactuswell/io/tcp"
 	"cactuswell/trail"
 )
@@ -45,6 +46,8 @@
 	// unreadBodyTimeout bounds the wait for the rest of a body that is not needed, which
 	// the HTTP server reads before it responds.
 	unreadBodyTimeout = 200 * time.Millisecond
+	// firstBodyBytes is the memory in bytes that a body takes before any of it has arrived.
+	firstBodyBytes = 16 << 10
 	// defaultBodyLimit bounds a body in bytes if the configuration sets no limit.
 	defaultBodyLimit = 4 << 20
 )
@@ -236,6 +239,10 @@
 func (x *exchange) admit() bool {
 	var err error
 	x.hasUnreadBody = x.request.ContentLength != 0
+	if conn := clientconns.FromContext(x.request.Context()); conn != nil && conn.IsClosed() {
+		x.finish(ResultCanceled, "", 0)
+		return false
+	}
 	if x.requestInfo, err = x.server.Dialect.ParseRequest(x.request); err != nil {
 		return x.deny(http.StatusBadRequest, ReasonMalformed, err)
 	}
@@ -305,19 +312,27 @@
 	if r.ContentLength > limit {
 		return x.deny(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, nil)
 	}
-	// One more byte makes room for the read that finds the end.
-	if r.ContentLength > 0 && !x.body.grow(int(r.ContentLength)+1, int(limit)+1) {
-		return x.refuseFull()
+	// Memory is taken as bytes arrive: a declared length costs a client nothing. One more
+	// byte makes room for the read that finds the end.
+	maxSize, firstSize := int(limit)+1, int64(-1)
+	if r.ContentLength > 0 {
+		maxSize = int(r.ContentLength) + 1
+		firstSize = min(r.ContentLength, firstBodyBytes)
 	}
+	end := x.server.arriving.begin(r.Context(), &x.body)
 	readDeadline := x.arrivedAt.Add(bodyReadTimeout)
 	if x.deadline.Before(readDeadline) {
 		readDeadline = x.deadline
 	}
 	controller := http.NewResponseController(x.writer)
 	_ = controller.SetReadDeadline(readDeadline)
-	complete, err := x.body.readFrom(http.MaxBytesReader(x.writer, r.Body, limit), int(limit)+1, r.ContentLength)
+	complete, err := x.body.readFrom(http.MaxBytesReader(x.writer, r.Body, limit), maxSize, firstSize)
 	_ = controller.SetReadDeadline(time.Time{})
+	if !end() {
+		return x.refuseFull()
+	}
 	if err != nil {
+		x.body.release()
 		return x.handleBodyError(err)
 	}
 	if !complete {
@@ -329,6 +344,7 @@
 
 // refuseFull refuses a call for which the host has no memory.
 func (x *exchange) refuseFull() bool {
+	x.body.release()
 	x.refuse(scheduling.Refuse{
 		Reason:     ReasonHostFull,
 		RetryAfter: hostFullRetryAfter,
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -138,6 +138,10 @@
 	// ResponseMemory that of the parts of responses that are buffered.
 	BodyMemory     int64
 	ResponseMemory int64
+	// CloseStalledWriters closes the connections of callers that do not read their
+	// responses, as the memory for responses is short. It reports false if there are none.
+	// It may be nil.
+	CloseStalledWriters func() bool
 	// ResponseLimit is the maximum size of a response body, in bytes.
 	ResponseLimit int64
 }
@@ -150,19 +154,40 @@
 	openCalls        atomic.Int64
 	bodyMemory       memoryBudget
 	responseMemory   memoryBudget
+	arriving         arrivingBodies
 	aborted          chan struct{}
 }
 
 // New returns a Server.
 func New(dependencies Dependencies) *Server {
-	return &Server{
-		Dependencies:   dependencies,
-		bodyMemory:     memoryBudget{limit: dependencies.BodyMemory},
-		responseMemory: memoryBudget{limit: dependencies.ResponseMemory},
-		aborted:        make(chan struct{}),
+	s := &Server{
+		Dependencies: dependencies,
+		bodyMemory: memoryBudget{
+			limit:      dependencies.BodyMemory,
+			leavesRoom: true,
+			released:   make(chan struct{}, 1),
+		},
+		responseMemory: memoryBudget{
+			limit:    dependencies.ResponseMemory,
+			released: make(chan struct{}, 1),
+		},
+		arriving: arrivingBodies{open: make(map[*arrivingBody]struct{})},
+		aborted:  make(chan struct{}),
 	}
+	s.bodyMemory.reclaim = s.arriving.makeRoom
+	if dependencies.CloseStalledWriters != nil {
+		s.responseMemory.reclaim = func(int64) bool { return dependencies.CloseStalledWriters() }
+	}
+	return s
 }
 
+// BodyBytes returns the memory that the bodies of all open calls take at the moment, and
+// ResponseBytes that of the buffered parts of responses.
+func (s *Server) BodyBytes() int64 { return s.bodyMemory.taken.Load() }
+
+// ResponseBytes returns the memory of the buffered parts of responses.
+func (s *Server) ResponseBytes() int64 { return s.responseMemory.taken.Load() }
+
 // DisableKeepAlives makes every response from now on close its connection.
 func (s *Server) DisableKeepAlives() { s.closeConnections.Store(true) }
 
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -75,7 +75,7 @@
 // It does not block.
 func IsIdle(conn net.Conn) bool {
 	_, err := peek(conn)
-	return errors.Is(err, unix.EAGAIN) || errors.Is(err, errNotInspectable)
+	return errors.Is(err, unix.EAGAIN) || errors.Is(err, ErrNotInspectable)
 }
 
 // HasUnreadBytes reports whether a connection has unread bytes. It does not block.
@@ -91,8 +91,8 @@
 	return err == nil && n == 0 || IsClosedByPeer(err)
 }
 
-// errNotInspectable is the error for a connection that is not a socket.
-var errNotInspectable = notInspectableError{}
+// ErrNotInspectable is the error for a connection that is not a socket.
+var ErrNotInspectable = notInspectableError{}
 
 type notInspectableError struct{}
 
@@ -105,7 +105,7 @@
 func peek(conn net.Conn) (int, error) {
 	syscallConn, ok := conn.(syscall.Conn)
 	if !ok {
-		return 0, errNotInspectable
+		return 0, ErrNotInspectable
 	}
 	raw, err := syscallConn.SyscallConn()
 	if err != nil {
@@ -120,6 +120,28 @@
 	return n, errors.Join(err, recvErr)
 }
 
+// AckedBytes returns how many bytes the peer has acknowledged since the connection was
+// opened. It reports false if that is not known.
+func AckedBytes(conn net.Conn) (uint64, bool) {
+	syscallConn, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || infoErr != nil {
+		return 0, false
+	}
+	return info.Bytes_acked, true
+}
+
 // IsTimeout reports whether an error was caused by a timeout.
 func IsTimeout(err error) bool {
 	var netErr net.Error
