--- a/cmd/gatewaymemory_test.go
+++ b/cmd/gatewaymemory_test.go
@@ -82,6 +82,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if other := os.Getenv(programVariable); other != "" {
+		program = other
+	}
 	g := &gatewayProcess{
 		exited:        make(chan error, 1),
 		out:           newOutput(),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -251,8 +251,9 @@
 		IdleTimeout:       g.Settings.IdleTimeout,
 		ErrorLog:          newServerLog(g.trail),
 	}
-	g.operatorServer = g.newControlServer(g.operatorHandler())
+	g.operatorServer = g.newControlServer(clientconns.WithoutBodies(g.operatorHandler()))
 	g.operatorServer.ConnState = g.operatorClients.TrackState
+	g.operatorServer.ConnContext = clientconns.WithConn
 	g.addGauges()
 }
 
--- a/io/clientconns/clientconns.go
+++ b/io/clientconns/clientconns.go
@@ -199,9 +199,12 @@
 	c.mu.Unlock()
 	closed := 0
 	count := clientbudget.BatchSize(c.settings.MaxConns)
-	// Some may turn out to have unread bytes.
-	for _, i := range clientbudget.SelectConns(described, addresses, 2*count) {
-		if closed < count && c.evict(conns[i], described[i].Phase) {
+	for _, i := range clientbudget.SelectConns(described, addresses, len(described)) {
+		if closed == count {
+			break
+		}
+		// Some turn out to have unread bytes.
+		if c.evict(conns[i], described[i].Phase) {
 			closed++
 		}
 	}
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -454,6 +454,10 @@
 	}
 	x.setConnectionHeader(header)
 	if x.hasUnreadBody {
+		if conn := clientconns.FromContext(x.request.Context()); conn != nil {
+			// A caller that does not stop sending makes way for others.
+			conn.BeginBody()
+		}
 		_ = http.NewResponseController(x.writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 	}
 	x.writer.WriteHeader(status)
