Bound the connections of serve's callers, and put such clients into the soak

Headers rank by their age: their size counted as progress before, so that an ordinary caller's short header came before a long one that had stopped.

--- a/cmd/gatewayclients_test.go
+++ b/cmd/gatewayclients_test.go
@@ -8,7 +8,6 @@
 	"os"
 	"slices"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -26,8 +25,9 @@
 const (
 	clientsMemoryMB = 144
 	// programVariable names a program to measure in place of the built one: then each kind of
-	// client is measured alone.
+	// client is measured alone, with the numbers of clients multiplied by scaleVariable.
 	programVariable = "CACTUSWELL_CLIENTS_PROGRAM"
+	scaleVariable   = "CACTUSWELL_CLIENTS_SCALE"
 )
 
 // crowdSizes are the numbers of clients of the kinds. Others have 60.
@@ -229,9 +229,6 @@
 	stop := make(chan struct{})
 	calls, checks, wait := callOrdinarily(g, stop)
 	<-time.After(length)
-	if os.Getenv("QUIT") != "" {
-		_ = g.process.Process.Signal(syscall.SIGQUIT)
-	}
 	close(stop)
 	wait()
 	return calls, checks
@@ -239,28 +236,32 @@
 
 // measureClients logs a line of a table for each kind of client at each path.
 func measureClients(t *testing.T) {
-	paths := []string{"/hold/x"}
-	if os.Getenv("CACTUSWELL_CLIENTS_PATHS") == "all" {
-		paths = []string{"/hold/x", "/none", "/ready"}
-	}
-	for _, path := range paths {
+	for _, path := range []string{"/hold/x", "/none", "/ready"} {
 		for _, kind := range append([]crowd.Kind{"none"}, crowd.Kinds()...) {
-			g := startClientsGateway(t)
-			var c *crowd.Crowd
-			if kind != "none" {
-				c = crowd.Start(crowdFor(g, kind, path, 1))
-			}
-			calls, checks := watchCallers(g, 4*time.Second)
-			peak := 0
-			if status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.process.Process.Pid)); err == nil && bytes.Contains(status, []byte("VmHWM")) {
-				peak = readPeak(t, g.process.Process.Pid)
-			}
-			if c != nil {
-				c.Close()
-			}
-			_ = g.process.Process.Kill()
-			t.Logf("| %s | %s | %d | %d of %d | %.0f | %.0f | %d of %d |", kind, path, peak>>20, calls.served, calls.served+calls.refused+calls.failed,
-				float64(calls.percentile(50).Microseconds())/1000, float64(calls.slowest.Microseconds())/1000, checks.served, checks.served+checks.refused+checks.failed)
+			t.Run(string(kind)+path, func(t *testing.T) { measureKind(t, kind, path) })
+		}
+	}
+}
+
+func measureKind(t *testing.T, kind crowd.Kind, path string) {
+	g := startClientsGateway(t)
+	if kind != "none" {
+		settings := crowdFor(g, kind, path, 1)
+		var scale int
+		if _, err := fmt.Sscan(os.Getenv(scaleVariable), &scale); err == nil {
+			settings.Clients *= scale
 		}
+		defer crowd.Start(settings).Close()
+	}
+	calls, checks := watchCallers(g, 4*time.Second)
+	peak := 0
+	select {
+	case <-g.exited:
+	default:
+		peak = readPeak(t, g.process.Process.Pid) >> 20
 	}
+	_ = g.process.Process.Kill()
+	t.Logf("| %s | %s | %d | %d of %d | %.0f | %.0f | %d of %d |", kind, path, peak, calls.served, calls.served+calls.refused+calls.failed,
+		float64(calls.percentile(50).Microseconds())/1000, float64(calls.slowest.Microseconds())/1000, checks.served, checks.served+checks.refused+checks.failed)
+	t.Log(calls.errors, checks.errors)
 }
--- a/core/clientbudget/clientbudget.go
+++ b/core/clientbudget/clientbudget.go
@@ -143,7 +143,8 @@
 // Conn describes a connection.
 type Conn struct {
 	Phase Phase
-	// Lag is that of the phase's transfer, or the time in the phase if it has none.
+	// Lag is that of the body's or response's transfer, else the time in the phase. Headers
+	// of ordinary callers arrive at once, whatever their size.
 	Lag time.Duration
 	// AddressConns is the number of connections of the client's address.
 	AddressConns int
--- a/host/host.go
+++ b/host/host.go
@@ -33,6 +33,7 @@
 	"cactuswell/core/profile"
 	"cactuswell/core/routing"
 	"cactuswell/io/claims"
+	"cactuswell/io/clientconns"
 	"cactuswell/io/configuration"
 	"cactuswell/io/node"
 	"cactuswell/metrics"
@@ -56,6 +57,8 @@
 	counters    *metrics.Counters
 	tree        *supervisor.Tree
 	clients     clients
+	// callerClients bounds the connections to the callers' listener.
+	callerClients *clientconns.Conns
 	// certificates and the two TLS configurations are nil without TLS.
 	certificates  *certificate.Store
 	tlsPublic     *tls.Config
--- a/host/run.go
+++ b/host/run.go
@@ -15,10 +15,12 @@
 
 	"cactuswell/certificate"
 	"cactuswell/core/claim"
+	"cactuswell/core/clientbudget"
 	"cactuswell/core/dispatch"
 	"cactuswell/core/membership"
 	"cactuswell/io/caller"
 	"cactuswell/io/claims"
+	"cactuswell/io/clientconns"
 	"cactuswell/io/configuration"
 	"cactuswell/io/hostlist"
 	"cactuswell/io/httpbody"
@@ -36,6 +38,10 @@
 	headerTimeout = 5 * time.Second
 	// maxHeaderBytes bounds the size of a request's header.
 	maxHeaderBytes = 32 * 1024
+	// maxHeaderLines bounds the lines of a request's header.
+	maxHeaderLines = 256
+	// maxCallerStreams bounds the requests at the same time on an HTTP/2 connection.
+	maxCallerStreams = 100
 	// callerIdleTimeout is how long an idle inbound connection is kept.
 	callerIdleTimeout = 2 * time.Minute
 	// openCallsPollInterval is the time between two checks for requests in flight
@@ -83,6 +89,7 @@
 		return nil, err
 	}
 	h.clients = newClients(h.certificates)
+	h.callerClients = h.newCallerClients()
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
@@ -257,6 +264,9 @@
 		MaxBodyBytes: h.settings.BodyLimit,
 		BodyTimeout:  h.settings.BodyTime,
 	}).Handler(), h.tlsPublic)
+	callers.ConnState = h.callerClients.TrackState
+	callers.ConnContext = clientconns.WithConn
+	callers.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxCallerStreams}
 	h.addDuties(callers)
 	done := make(chan struct{})
 	go h.runTree(treeCtx, done)
@@ -319,7 +329,11 @@
 	})
 	h.tree.Add(supervisor.Duty{
 		Name: "callers",
-		Run:  h.serve(callers, h.callerListener),
+		Run:  h.serve(callers, h.callerClients.Listen(h.callerListener)),
+	})
+	h.tree.Add(supervisor.Duty{
+		Name: "callerClients",
+		Run:  h.callerClients.Run,
 	})
 	peers := http.NewServeMux()
 	peers.Handle(h.node.Handler())
@@ -350,6 +364,29 @@
 	}
 }
 
+// newCallerClients returns what bounds the callers' connections.
+func (h *Host) newCallerClients() *clientconns.Conns {
+	descriptors := h.settings.MaxFDs
+	if descriptors == 0 {
+		descriptors = clientconns.Descriptors()
+	}
+	limits := clientbudget.Divide(clientbudget.Resources{
+		MemoryBytes: int64(h.settings.MemoryMB) << 20,
+		Descriptors: descriptors,
+	})
+	return clientconns.New(clientconns.Settings{
+		MaxConns:       limits.Connections,
+		HeaderBytes:    limits.HeaderBytes,
+		MaxHeaderLines: maxHeaderLines,
+		Encrypted:      h.tlsPublic != nil,
+		ReportClosed: func(cause clientbudget.Cause, connections int64) {
+			h.counters.Add("clientsClosed."+string(cause), connections)
+			_ = h.logger.Log("level", "warn", "event", "clientsClosed", "cause", string(cause), "connections", connections)
+		},
+		Timers: h.timers,
+	})
+}
+
 // serve returns a duty that serves a listener until its context ends. Messages of
 // the HTTP server go to the host's log.
 func (h *Host) serve(server *http.Server, listener net.Listener) func(context.Context) error {
--- a/io/clientconns/conn.go
+++ b/io/clientconns/conn.go
@@ -104,7 +104,7 @@
 		AddressConns: addressConns,
 	}
 	switch described.Phase {
-	case clientbudget.Header, clientbudget.Body:
+	case clientbudget.Body:
 		described.Lag = clientbudget.Lag(described.Lag, c.received.Load())
 	case clientbudget.Serving:
 		if writing := c.writingSince.Load(); writing != 0 && writing == c.sampledWrite {
--- a/io/httpbody/httpbody.go
+++ b/io/httpbody/httpbody.go
@@ -6,6 +6,9 @@
 //		Handler: httpbody.Handler(routes, 10*time.Second),
 //	}
 //
+// While a body arrives on a connection that clientconns tracks, the connection makes way for
+// others if it makes no progress.
+//
 // http.Server has only a timeout that also ends the handlers, and without one it reads a
 // body that a handler has left unread for as long as it takes, before it sends the
 // response.
@@ -15,7 +18,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
+
+	"cactuswell/io/clientconns"
 )
 
 // Handler returns a handler that fails the reading of bodies which have not arrived
@@ -33,16 +39,30 @@
 			r.Body = &body{
 				ReadCloser: r.Body,
 				controller: controller,
+				conn:       beginBody(r),
 			}
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// beginBody begins the arrival of a body. It returns nil if the connection is not tracked or
+// carries other requests as well.
+func beginBody(r *http.Request) *clientconns.Conn {
+	conn := clientconns.FromContext(r.Context())
+	if conn == nil || r.ProtoMajor != 1 {
+		return nil
+	}
+	conn.BeginBody()
+	return conn
+}
+
 // body is a body with a read deadline.
 type body struct {
 	io.ReadCloser
 	controller *http.ResponseController
+	// conn is the connection on which the body arrives, or nil.
+	conn *clientconns.Conn
 }
 
 // Read implements io.Reader. It removes the deadline at the end of the body: a deadline
@@ -51,6 +71,12 @@
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		_ = b.controller.SetReadDeadline(time.Time{})
+		if conn := b.conn; conn != nil {
+			b.conn = nil
+			if !conn.EndBody() {
+				return n, os.ErrDeadlineExceeded
+			}
+		}
 	}
 	return n, err
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,6 +33,9 @@
 	HostListURL string   `long:"host-list-url" env:"CACTUSWELL_HOST_LIST_URL" description:"base URL of the platform's host list" required:"yes"`
 	Peers       []string `long:"peer" env:"CACTUSWELL_PEERS" env-delim:"," description:"IP:port of another host's peer listener; may be given many times"`
 
+	MemoryMB int `long:"memory-mb" env:"CACTUSWELL_MEMORY_MB" description:"memory that this process may use, in MB, which bounds callers' connections; 0 if not limited" default:"0"`
+	MaxFDs   int `long:"max-fds" env:"CACTUSWELL_MAX_FDS" description:"file descriptors that this process may use; 0 for the operating system's limit" default:"0"`
+
 	BodyLimit      int64         `long:"body-limit" env:"CACTUSWELL_BODY_LIMIT" description:"largest body of a request, in bytes" default:"1048576"`
 	BodyTime       time.Duration `long:"body-time" env:"CACTUSWELL_BODY_TIME" description:"longest time for a body to arrive" default:"10s"`
 	BalancerLag    time.Duration `long:"balancer-lag" env:"CACTUSWELL_BALANCER_LAG" description:"how long the balancer goes on sending requests to a host that is no longer ready" default:"5s"`
@@ -92,6 +95,10 @@
 	for _, peer := range s.Peers {
 		c.checkAddress("peer", peer)
 	}
+	if s.MemoryMB != 0 {
+		c.checkInt("memory-mb", int64(s.MemoryMB), minMemoryMB, maxMemoryMB, "0 or 32 to 1048576 MB")
+	}
+	c.checkInt("max-fds", int64(s.MaxFDs), 0, maxMaxFDs, "0 to 1048576")
 	c.checkInt("body-limit", s.BodyLimit, 1024, 64<<20, "1024 to 67108864 bytes")
 	c.checkDuration("body-time", s.BodyTime, time.Second, 5*time.Minute)
 	c.checkDuration("balancer-lag", s.BalancerLag, 0, 5*time.Minute)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -45,6 +45,7 @@
 	"cactuswell/core/route"
 	"cactuswell/platform"
 	"cactuswell/platform/platformtest"
+	"cactuswell/standin/crowd"
 	"cactuswell/standin/keyedlog"
 	"cactuswell/standin/proxy"
 	"cactuswell/standin/worker"
@@ -348,6 +349,7 @@
 		c := f.newCaller(i)
 		callers.Go(func() { c.loop(calling) })
 	}
+	defer f.startCrowds()()
 	for _, scheduled := range NewSchedule(f.settings) {
 		f.disturbances.Add(1)
 		a := &applied{
@@ -368,6 +370,32 @@
 	return served
 }
 
+// crowdKinds are clients among the callers of which none completes a request.
+var crowdKinds = []crowd.Kind{
+	crowd.StoppedBody, crowd.FalseLength, crowd.ShortFields, crowd.Silent, crowd.Trickling, crowd.StoppedHeader,
+}
+
+// startCrowds starts a client of each kind at each host. The returned function ends them.
+func (f *fleet) startCrowds() (end func()) {
+	var crowds []*crowd.Crowd
+	for _, h := range f.hosts {
+		for _, kind := range crowdKinds {
+			crowds = append(crowds, crowd.Start(crowd.Settings{
+				Address: h.caller,
+				Path:    "/hold/crowd",
+				Fields:  platform.HeaderNames().RequestID + ": crowd\r\n",
+				Kind:    kind,
+				Clients: 1,
+			}))
+		}
+	}
+	return func() {
+		for _, c := range crowds {
+			c.Close()
+		}
+	}
+}
+
 func (f *fleet) newCaller(i int) *caller {
 	operations := plainOperations
 	if f.settings.Streams {
