Test a crowd at serve's callers' listener, and fix a race in the report of closed connections

Cause: report read the map of causes outside the lock if it was empty when taken; the race detector found it in the new test. Change: the map is replaced each time.

--- a/host/tls_test.go
+++ b/host/tls_test.go
@@ -19,6 +19,11 @@
 
 // startTLSHost runs a host with certificates issued by the authority.
 func startTLSHost(t *testing.T, authority *certificatetest.Authority) *host.Host {
+	t.Helper()
+	return startTLSHostWith(t, authority, func(*settings.Settings) {})
+}
+
+func startTLSHostWith(t *testing.T, authority *certificatetest.Authority, change func(*settings.Settings)) *host.Host {
 	t.Helper()
 	logServer := httptest.NewServer(logservice.New(time.Now, 1).Handler())
 	t.Cleanup(logServer.Close)
@@ -37,6 +42,7 @@
 	s.TLSKey = files.Key
 	s.TLSCA = files.CA
 	s.BalancerLag = 0
+	change(&s)
 	h, err := host.New(host.Dependencies{
 		Settings: s,
 		Logger:   log.NewNopLogger(),
--- a/io/clientconns/clientconns.go
+++ b/io/clientconns/clientconns.go
@@ -355,9 +355,7 @@
 func (c *Conns) report() {
 	c.mu.Lock()
 	closed := c.closed
-	if len(closed) > 0 {
-		c.closed = make(map[clientbudget.Cause]int64)
-	}
+	c.closed = make(map[clientbudget.Cause]int64)
 	c.mu.Unlock()
 	if c.settings.ReportClosed == nil {
 		return
