Keep idle connections while new ones have bytes that are not read yet

Change: the search stops before idle connections then, and is repeated after 5 ms, five times at most.

--- a/io/clientconns/clientconns.go
+++ b/io/clientconns/clientconns.go
@@ -43,6 +43,10 @@
 	sweepInterval = 250 * time.Millisecond
 	// ipv6SiteBits is the length of the prefix that counts as one IPv6 address.
 	ipv6SiteBits = 64
+	// roomTries bounds the attempts to make room for a connection, and roomPause is the time
+	// between two, in which bytes are read that many new connections have sent at once.
+	roomTries = 5
+	roomPause = 5 * time.Millisecond
 	// acceptTries bounds the attempts to accept a connection without descriptors.
 	acceptTries = 4
 )
@@ -135,7 +139,7 @@
 		conn, err := l.Listener.Accept()
 		if err != nil {
 			lacksDescriptors := errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
-			if lacksDescriptors && tries < acceptTries && l.conns.makeRoom() {
+			if lacksDescriptors && tries < acceptTries && l.conns.makeRoom(true) {
 				continue
 			}
 			return nil, err
@@ -153,7 +157,11 @@
 	c.mu.Lock()
 	isFull := c.settings.MaxConns > 0 && len(c.open) >= c.settings.MaxConns
 	c.mu.Unlock()
-	if isFull && !c.makeRoom() {
+	for tries := 1; isFull && !c.makeRoom(tries == roomTries); tries++ {
+		if tries < roomTries {
+			<-time.After(roomPause)
+			continue
+		}
 		c.count(clientbudget.CauseConnections)
 		return nil
 	}
@@ -186,7 +194,9 @@
 }
 
 // makeRoom closes the connections that make way first. It reports false if there are none.
-func (c *Conns) makeRoom() bool {
+// Unless it is the last attempt, idle connections stay while new ones have unread bytes, which
+// may turn out to make way.
+func (c *Conns) makeRoom(isLast bool) bool {
 	c.mu.Lock()
 	conns := make([]*Conn, 0, len(c.open))
 	described := make([]clientbudget.Conn, 0, len(c.open))
@@ -197,15 +207,16 @@
 	}
 	addresses := len(c.addresses)
 	c.mu.Unlock()
-	closed := 0
+	closed, isPassedOver := 0, false
 	count := clientbudget.BatchSize(c.settings.MaxConns)
 	for _, i := range clientbudget.SelectConns(described, addresses, len(described)) {
-		if closed == count {
+		if closed == count || isPassedOver && !isLast && described[i].Phase > clientbudget.Header {
 			break
 		}
-		// Some turn out to have unread bytes.
 		if c.evict(conns[i], described[i].Phase) {
 			closed++
+		} else {
+			isPassedOver = true
 		}
 	}
 	return closed > 0
