Compare parts of the demand as of the peers' reports at brittle endpoints

Cause: while the demand rises, each host compared its calls of now with calls that the others had reported up to 0.5 s before, so that each took a part too large and all of them together more slots than an endpoint has. With 9 hosts before 3 servers parts of 0.17 to 0.37 were seen where a ninth was due.

Change: a host compares each peer's calls with those that it had when the peer's report came, and a slot costs more than 1/(slots+1) of the demand (the Droop quota), so that inexact parts leave no slot unowned. Endpoints with a limit of requests a second, and all others, are treated as before.

--- a/core/scheduling/brittle.go
+++ b/core/scheduling/brittle.go
@@ -37,15 +37,18 @@
 	}
 	slots := max(e.entry.Slots, 1)
 	p := s.ensurePool(e.entry.Service)
-	part, rivals := s.partOfDemand(p)
-	own := float64(slots) * part
+	_, rivals := s.partOfDemand(p)
+	part := p.part.partAtReports
+	// Each slot costs more than 1/(slots+1) of the demand (the Droop quota): the hosts own at most
+	// all slots together, and inexact parts of hosts with equal demand do not leave slots unowned.
+	own := float64(slots+1) * part
 	inFlight := e.inFlight(s.now)
 	switch {
 	case inFlight >= slots:
 		return false
-	case float64(e.running+1) <= own, inFlight+1+rivals <= slots:
+	case float64(e.running+1) < own, inFlight+1+rivals <= slots:
 		return true
-	case own >= 1 || float64(inFlight) >= brittleUse*float64(slots):
+	case own > 1 || float64(inFlight) >= brittleUse*float64(slots):
 		return false
 	}
 	rate := brittleUse * float64(slots) / max(p.meanRunTime().Seconds(), 0.001)
--- a/core/scheduling/limit.go
+++ b/core/scheduling/limit.go
@@ -70,6 +70,10 @@
 	at     time.Time
 	part   float64
 	rivals int
+	// partAtReports is the part if each peer's calls are compared with those that this host had
+	// when the peer reported them. Calls of now against older ones of all others would make the
+	// parts of all hosts exceed the whole while the demand rises.
+	partAtReports float64
 }
 
 // peerSent is the number of requests that a peer has reported.
@@ -84,8 +88,15 @@
 	CallDemand
 	includesSelf bool
 	reportedAt   time.Time
+	// ratio is that of the calls of the report's hosts, without this host, to this host's calls
+	// when the report came, in 1/ratioUnit.
+	ratio int
 }
 
+// ratioUnit is the unit of ratios. They are integers because a sum of floating-point numbers would
+// depend on the order of the peers.
+const ratioUnit = 1 << 20
+
 // recordLimit records the limit that an endpoint named in an answer to this host, or that it
 // named none.
 func (s *Scheduler) recordLimit(e *endpoint, limit Limit) {
@@ -216,13 +227,14 @@
 		return p.part.part, p.part.rivals
 	}
 	own := p.budget.FirstAttempts(s.now) + 1
-	total, known := own, 1
+	total, known, ratio := own, 1, ratioUnit
 	for _, demand := range p.callDemands {
 		if s.now.Sub(demand.reportedAt) >= demandMaxAge {
 			continue
 		}
 		total += demand.Calls
 		known += demand.Hosts
+		ratio += demand.ratio
 		if demand.includesSelf {
 			total -= min(p.reportedCalls, demand.Calls)
 			known -= min(1, demand.Hosts)
@@ -230,10 +242,13 @@
 	}
 	unknown := max(s.Hosts()-known, 0)
 	total += unknown * own
+	ratio += unknown * ratioUnit
 	p.part = demandPart{
 		at:     s.now,
 		part:   float64(own) / float64(total),
 		rivals: known - 1 + unknown,
+
+		partAtReports: ratioUnit / float64(ratio),
 	}
 	return p.part.part, p.part.rivals
 }
@@ -332,10 +347,15 @@
 			if p.callDemands == nil {
 				p.callDemands = make(map[string]peerDemand)
 			}
+			others := demand.Calls
+			if event.IncludesSelf {
+				others -= min(p.reportedCalls, demand.Calls)
+			}
 			p.callDemands[event.Peer] = peerDemand{
 				CallDemand:   demand,
 				includesSelf: event.IncludesSelf,
 				reportedAt:   s.now,
+				ratio:        others * ratioUnit / (p.budget.FirstAttempts(s.now) + 1),
 			}
 		}
 	}
--- a/core/scheduling/limit_test.go
+++ b/core/scheduling/limit_test.go
@@ -127,3 +127,34 @@
 		t.Errorf("limit %v, want none", *got)
 	}
 }
+
+// TestBrittleEndpointSeesNoMoreCallsBeforePeersReport guards against hosts that each take a larger
+// part of a brittle endpoint's slots while the demand rises, because they compare their calls with
+// older ones of the others.
+func TestBrittleEndpointSeesNoMoreCallsBeforePeersReport(t *testing.T) {
+	h := newHarness(t, 1)
+	brittle := scheduling.Limit{IsBrittle: true, MaxDeclines: 1}
+	id, _ := h.startCall("hold")
+	h.answer(id, brittle)
+	_, demands := h.scheduler.TakeLimits(h.now, true)
+	for _, peer := range []string{"host-2", "host-3", "host-4", "host-5", "host-6"} {
+		h.step(scheduling.PeerReported{
+			Peer:        peer,
+			Complete:    true,
+			CallDemands: demands,
+		})
+	}
+	sent := 0
+	for range 20 {
+		h.now = h.now.Add(time.Millisecond)
+		_, commands := h.startCall("hold")
+		for _, command := range commands {
+			if _, ok := command.(scheduling.Send); ok {
+				sent++
+			}
+		}
+	}
+	if sent > 1 {
+		t.Errorf("%d calls sent to 4 slots of 6 hosts with equal demand, 1 allowed", sent)
+	}
+}
