Swap capacity types within a zone's limit, and tighten the tests of the decision

With a limit equal to the initial number nothing was replaced until the demand had lowered the total: the plan without the on-demand endpoints that have to leave first asked for all of them. Tests play a stale order in force, part of the wanted spot capacity, a zone whose spot orders are accepted in vain, rare bursts, and a holder that takes over after a reclaim.

--- a/core/autoscale/autoscale.go
+++ b/core/autoscale/autoscale.go
@@ -208,7 +208,7 @@
 		return
 	}
 	s.subject(order.Subject).record(now, order, outcome)
-	if order.Reason == ReasonShrink && !s.demand.isIdle(now, s.total) {
+	if order.Reason == ReasonShrink && s.demand.hasTraffic(now) {
 		s.nextReductionAt = now.Add(reductionInterval)
 	}
 }
@@ -323,7 +323,7 @@
 		if target.desired >= before || now.Before(known.retryAt) {
 			continue
 		}
-		isIdle := s.demand.isIdle(now, s.total)
+		isIdle := !s.demand.hasTraffic(now)
 		step := before - target.desired
 		if !isIdle {
 			step = min(step, max(int(math.Ceil(reductionShare*float64(s.total))), 1), maxReduction)
--- a/core/autoscale/autoscale_test.go
+++ b/core/autoscale/autoscale_test.go
@@ -10,6 +10,8 @@
 const (
 	simInitial = 30
 	simLimit   = 60
+	// reflectTime is the time from an order until it is repeated because it is not observed.
+	reflectTime = simBoot + 5*time.Second
 )
 
 func constantly(demand float64) func(time.Duration) float64 {
@@ -46,6 +48,7 @@
 		leastShare float64
 		maxShort   time.Duration
 		maxCost    float64
+		maxTurns   int
 	}{
 		"idle": {
 			demand:  constantly(0),
@@ -55,6 +58,7 @@
 			demand:     constantly(30),
 			leastShare: 2.5,
 			maxCost:    0.55,
+			maxTurns:   3,
 		},
 		"busy": {
 			demand:     constantly(60),
@@ -92,12 +96,25 @@
 			leastShare: 0.6,
 			maxShort:   simBoot + 2*time.Second,
 			maxCost:    0.7,
+			maxTurns:   6,
+		},
+		"rare bursts": {
+			demand: func(at time.Duration) float64 {
+				if at%(100*time.Second) > 96*time.Second {
+					return 66
+				}
+				return 20
+			},
+			// Only the first burst is not known before.
+			leastShare: 1.5,
+			maxCost:    0.55,
+			maxTurns:   2,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := newPlatform(t, simInitial, simLimit, test.demand)
+			p := newPlatform(t, simPrices, simLimit, test.demand)
 			p.run(10 * time.Minute)
-			p.check(test.leastShare, test.maxCost, 6)
+			p.check(test.leastShare, test.maxCost, test.maxTurns)
 			if p.shortFor > test.maxShort {
 				t.Errorf("too few endpoints for %s, want %s", p.shortFor, test.maxShort)
 			}
@@ -106,27 +123,32 @@
 }
 
 // TestReclaim guards against a zone's spot endpoints without which the rest does not suffice, also
-// if a holder that knows nothing takes over at that moment.
+// if no others are to be had there for some time, and a holder that knows nothing takes over.
 func TestReclaim(t *testing.T) {
 	for name, replaceHolder := range map[string]bool{
 		"same holder": false,
 		"new holder":  true,
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := newPlatform(t, simInitial, simLimit, constantly(40))
+			p := newPlatform(t, simPrices, simLimit, constantly(40))
 			p.run(3 * time.Minute)
 			p.report()
-			p.reclaim("b")
+			before := p.capacity()
+			reclaimedAt := p.now
+			p.reclaim("c")
+			p.ignores = func(order autoscale.Order) bool {
+				return order.Subject == simSubject("c", true) && p.now.Sub(reclaimedAt) < 20*time.Second
+			}
+			p.run(2 * time.Second)
 			if replaceHolder {
 				p.replaceHolder()
 			}
-			before := len(p.orders)
-			p.run(time.Second)
-			if len(p.orders) == before {
-				t.Errorf("no order within a second of the reclaim")
+			p.run(simBoot + 2*time.Second)
+			if got := p.capacity(); got < before-5 {
+				t.Errorf("%.0f endpoints after the boot time, %.0f before", got, before)
 			}
 			p.run(time.Minute)
-			if got := p.present("b", true); got < simInitial {
+			if got := p.present("c", true); got < simInitial {
 				t.Errorf("%d spot endpoints in the zone a minute after the reclaim, want %d", got, simInitial)
 			}
 			p.run(4 * time.Minute)
@@ -135,10 +157,20 @@
 	}
 }
 
+// TestReclaimOfOnlyZone guards against spot endpoints without which too few are left, where no other
+// zone can absorb their loss.
+func TestReclaimOfOnlyZone(t *testing.T) {
+	p := newPlatform(t, map[string]float64{"a": 1}, simLimit, constantly(12))
+	p.run(3 * time.Minute)
+	p.reclaim("a")
+	p.run(10 * time.Second)
+	p.check(1.3, 0.9, 0)
+}
+
 // TestNoCapacity guards against releasing endpoints for others that are not to be had, and against
 // ordering them too often.
 func TestNoCapacity(t *testing.T) {
-	p := newPlatform(t, simInitial, simLimit, constantly(50))
+	p := newPlatform(t, simPrices, simLimit, constantly(50))
 	p.outcome = func(order autoscale.Order) (autoscale.Outcome, time.Duration) {
 		if order.Reason == autoscale.ReasonShrink {
 			return autoscale.Accepted, 0
@@ -161,10 +193,46 @@
 	}
 }
 
+// TestPartialCapacity guards against a zone without spot endpoints because it has not as many as are
+// wanted.
+func TestPartialCapacity(t *testing.T) {
+	p := newPlatform(t, simPrices, simLimit, constantly(30))
+	p.outcome = func(order autoscale.Order) (autoscale.Outcome, time.Duration) {
+		if order.Spot && order.Desired > 10 {
+			return autoscale.Conflicted, 0
+		}
+		return autoscale.Accepted, 0
+	}
+	p.run(2 * time.Minute)
+	if onDemand, spot := p.totals(); spot < 20 || onDemand+spot < 75 {
+		t.Errorf("%d on-demand and %d spot endpoints", onDemand, spot)
+	}
+}
+
+// TestStaleOrderInForce guards against a number of endpoints that stays what an old order made it,
+// which was executed after the newest one.
+func TestStaleOrderInForce(t *testing.T) {
+	for name, stale := range map[string]int{
+		"fewer": 2,
+		"more":  simInitial,
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlatform(t, simPrices, simLimit, constantly(30))
+			p.run(3 * time.Minute)
+			before := p.present("c", false)
+			p.execute(simSubject("c", false), stale)
+			p.run(2*simBoot + reflectTime)
+			if got := p.present("c", false); got != before {
+				t.Errorf("%d endpoints, want %d", got, before)
+			}
+		})
+	}
+}
+
 // TestLateExecution guards against an old order that is executed after a newer one and stays in
 // force.
 func TestLateExecution(t *testing.T) {
-	p := newPlatform(t, simInitial, simLimit, constantly(30))
+	p := newPlatform(t, simPrices, simLimit, constantly(30))
 	calls := 0
 	p.outcome = func(autoscale.Order) (autoscale.Outcome, time.Duration) {
 		calls++
@@ -185,9 +253,17 @@
 }
 
 // TestNewHolder guards against a new holder that takes the endpoints of a fleet that has replaced
-// its on-demand ones for those of a new fleet, and orders as many again.
+// its on-demand ones for those of a new fleet, and orders as many again. Orders of the one before
+// are executed late.
 func TestNewHolder(t *testing.T) {
-	p := newPlatform(t, simInitial, simLimit, constantly(40))
+	p := newPlatform(t, simPrices, simLimit, constantly(40))
+	calls := 0
+	p.outcome = func(autoscale.Order) (autoscale.Outcome, time.Duration) {
+		if calls++; calls%5 == 0 {
+			return autoscale.Unknown, 5 * time.Second
+		}
+		return autoscale.Accepted, 0
+	}
 	for range 10 {
 		p.run(40 * time.Second)
 		p.replaceHolder()
@@ -206,16 +282,22 @@
 		min, max int
 		demand   float64
 		wantSpot bool
+		// leastShare is the least capacity in terms of the demand.
+		leastShare float64
 	}{
 		"pinned":                  {min: simInitial, max: simInitial, demand: 20},
 		"limit is initial number": {min: 0, max: simInitial, demand: 20, wantSpot: true},
+		"no room for a swap":      {min: 0, max: simInitial, demand: 75, leastShare: 1.2},
 		"too much demand":         {min: 0, max: simLimit, demand: 300, wantSpot: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := newPlatform(t, simInitial, test.max, constantly(test.demand))
+			p := newPlatform(t, simPrices, test.max, constantly(test.demand))
 			p.scale.Min = test.min
 			p.run(5 * time.Minute)
 			p.report()
+			if p.leastShare < test.leastShare {
+				t.Errorf("the capacity was %.2f of the demand at %s", p.leastShare, p.leastShareAt)
+			}
 			ordered := make(map[autoscale.Subject]int)
 			for zone := range simPrices {
 				ordered[simSubject(zone, false)] = simInitial
--- a/core/autoscale/demand.go
+++ b/core/autoscale/demand.go
@@ -34,8 +34,6 @@
 	// which it has to stay there.
 	idleShare = 0.005
 	idleTime  = 10 * time.Second
-	// knownTime is the time of traffic after which the demand is known.
-	knownTime = 60 * time.Second
 )
 
 // Load is the load of a service on all hosts.
@@ -80,9 +78,8 @@
 	base float64
 	// peaks holds the highest demand of each interval within peakMemory, the oldest first.
 	peaks []peak
-	// busySince is since when there is traffic, and busyAt when there was some last.
-	busySince time.Time
-	busyAt    time.Time
+	// busyAt is when there was traffic last.
+	busyAt time.Time
 }
 
 type peak struct {
@@ -119,13 +116,9 @@
 
 // observeTraffic records whether there is traffic for a service of a number of endpoints.
 func (m *demandMeter) observeTraffic(now time.Time, total int) {
-	if m.fast <= idleShare*float64(total) {
-		return
+	if m.fast > idleShare*float64(total) {
+		m.busyAt = now
 	}
-	if m.busyAt.IsZero() || now.Sub(m.busyAt) > idleTime {
-		m.busySince = now
-	}
-	m.busyAt = now
 }
 
 func (m *demandMeter) current() Demand {
@@ -139,13 +132,8 @@
 	return current
 }
 
-// isIdle reports whether there has been no traffic for idleTime.
-func (m *demandMeter) isIdle(now time.Time, total int) bool {
-	return m.fast <= idleShare*float64(total) && (m.busyAt.IsZero() || now.Sub(m.busyAt) > idleTime)
-}
-
-// isKnown reports whether there is traffic for long enough to tell the demand. An idle service
-// says nothing about the demand to come.
-func (m *demandMeter) isKnown(now time.Time) bool {
-	return !m.busyAt.IsZero() && now.Sub(m.busyAt) <= idleTime && now.Sub(m.busySince) >= knownTime
+// hasTraffic reports whether there has been traffic within idleTime. A service without any says
+// nothing about the demand to come.
+func (m *demandMeter) hasTraffic(now time.Time) bool {
+	return !m.busyAt.IsZero() && now.Sub(m.busyAt) <= idleTime
 }
--- a/core/autoscale/plan.go
+++ b/core/autoscale/plan.go
@@ -82,7 +82,7 @@
 	case need > s.total:
 		s.total = min(max(need, int(math.Ceil(float64(s.total)*(1+raiseStep)))), most)
 		s.lowSince = time.Time{}
-	case !s.demand.isKnown(now) || float64(need) > lowerThreshold*float64(s.total):
+	case !s.demand.hasTraffic(now) || float64(need) > lowerThreshold*float64(s.total):
 		s.lowSince = time.Time{}
 	case s.lowSince.IsZero():
 		s.lowSince = now
@@ -205,13 +205,13 @@
 		committed += z.onDemandCommitted
 		isBound = isBound || z.spot < min(z.share, z.max-z.base) && !z.spotShort
 	}
-	raised := s.onDemandNeed(base, s.total, zones, func(z *zonePlan) int { return z.spot })
-	serving := func(z *zonePlan) int { return min(z.zone.Spot.Serving, z.spot) }
-	kept := s.onDemandNeed(base, s.total, zones, serving)
+	total := s.total
 	if isBound {
 		// On-demand endpoints have to leave before spot ones can start.
-		kept = min(kept, s.onDemandNeed(base, int(math.Ceil(swapShare*float64(s.total))), zones, serving))
+		total = int(math.Ceil(swapShare * float64(s.total)))
 	}
+	raised := s.onDemandNeed(base, total, zones, func(z *zonePlan) int { return z.spot })
+	kept := s.onDemandNeed(base, total, zones, func(z *zonePlan) int { return min(z.zone.Spot.Serving, z.spot) })
 	fill(zones, max(raised, min(committed, kept)))
 	for _, z := range zones {
 		z.spot = max(min(z.spot, z.max-z.onDemand), 0)
--- a/core/autoscale/platform_test.go
+++ b/core/autoscale/platform_test.go
@@ -1,6 +1,7 @@
 package autoscale_test
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -51,6 +52,8 @@
 	late      []lateOrder
 	// outcome decides about an order; a late execution follows after the returned delay.
 	outcome func(order autoscale.Order) (autoscale.Outcome, time.Duration)
+	// ignores reports whether an order is accepted in vain. It may be nil.
+	ignores func(order autoscale.Order) bool
 	decider *autoscale.Decider
 	// demand is the load in endpoints that it uses fully, at a time since the start.
 	demand func(at time.Duration) float64
@@ -65,7 +68,7 @@
 	shortFor time.Duration
 }
 
-func newPlatform(t *testing.T, initial int, limit int, demand func(time.Duration) float64) *simPlatform {
+func newPlatform(t *testing.T, prices map[string]float64, limit int, demand func(time.Duration) float64) *simPlatform {
 	started := time.Date(2026, 12, 5, 6, 0, 0, 0, time.UTC)
 	p := &simPlatform{
 		t:       t,
@@ -75,16 +78,16 @@
 			Max:        limit,
 			Boot:       simBoot,
 			SpotPrice:  0.18,
-			ZonePrices: simPrices,
+			ZonePrices: prices,
 		},
 		desired:    make(map[autoscale.Subject]int),
 		outcome:    func(autoscale.Order) (autoscale.Outcome, time.Duration) { return autoscale.Accepted, 0 },
 		demand:     demand,
 		leastShare: 1e9,
 	}
-	for zone := range simPrices {
-		p.add(simSubject(zone, false), initial)
-		p.desired[simSubject(zone, false)] = initial
+	for zone := range prices {
+		p.add(simSubject(zone, false), simInitial)
+		p.desired[simSubject(zone, false)] = simInitial
 	}
 	for _, e := range p.endpoints {
 		e.servesAt, e.coldUntil = started.Add(-time.Minute), started.Add(-time.Minute)
@@ -149,7 +152,7 @@
 		Name:  simService,
 		Scale: p.scale,
 	}
-	for _, zone := range []string{"a", "b", "c"} {
+	for _, zone := range slices.Sorted(maps.Keys(p.scale.ZonePrices)) {
 		z := autoscale.Zone{Name: zone}
 		for _, e := range p.endpoints {
 			count := &z.OnDemand
@@ -180,7 +183,7 @@
 	return observed
 }
 
-// capacity returns the number of endpoints that run calls: those that are leaving finish theirs.
+// capacity returns the number of endpoints that take calls.
 func (p *simPlatform) capacity() float64 {
 	serving := 0
 	for _, e := range p.endpoints {
@@ -208,6 +211,10 @@
 		for _, order := range p.decider.Step(p.now, []autoscale.Service{p.observe()}) {
 			p.orders = append(p.orders, order)
 			outcome, delay := p.outcome(order)
+			if outcome == autoscale.Accepted && p.ignores != nil && p.ignores(order) {
+				p.decider.Record(p.now, order, outcome)
+				continue
+			}
 			if outcome == autoscale.Accepted {
 				p.execute(order.Subject, order.Desired)
 			} else if delay > 0 {
@@ -223,7 +230,7 @@
 
 func (p *simPlatform) measure() {
 	for _, e := range p.endpoints {
-		price := simPrices[e.subject.Zone]
+		price := p.scale.ZonePrices[e.subject.Zone]
 		if e.subject.Spot {
 			price *= p.scale.SpotPrice
 		}
@@ -238,8 +245,8 @@
 			p.shortFor += simStep
 		}
 	}
-	for _, zone := range simPrices {
-		p.initialCost += zone * simStep.Seconds() * float64(simInitial)
+	for _, price := range p.scale.ZonePrices {
+		p.initialCost += price * simStep.Seconds() * float64(simInitial)
 	}
 }
 
@@ -255,7 +262,7 @@
 }
 
 func (p *simPlatform) totals() (onDemand, spot int) {
-	for zone := range simPrices {
+	for zone := range p.scale.ZonePrices {
 		onDemand += p.present(zone, false)
 		spot += p.present(zone, true)
 	}
--- a/core/autoscale/snapshot.go
+++ b/core/autoscale/snapshot.go
@@ -15,9 +15,9 @@
 	Reference int    `json:"reference"`
 	Serving   int    `json:"serving"`
 	Demand    Demand `json:"demand"`
-	// IsKnown reports whether there has been traffic for long enough to tell the demand.
-	IsKnown  bool              `json:"known"`
-	Subjects []SubjectSnapshot `json:"subjects"`
+	// HasTraffic reports whether there has been traffic lately. Without any, the total stays.
+	HasTraffic bool              `json:"hasTraffic"`
+	Subjects   []SubjectSnapshot `json:"subjects"`
 }
 
 // SubjectSnapshot is the state of one capacity type in one zone.
@@ -44,7 +44,8 @@
 			Total:   s.total,
 			Serving: s.serving(),
 			Demand:  s.demand.current(),
-			IsKnown: s.demand.isKnown(now),
+
+			HasTraffic: s.demand.hasTraffic(now),
 		}
 		for _, size := range s.reference {
 			snapshot.Reference += size
--- a/core/scheduling/benchmark_test.go
+++ b/core/scheduling/benchmark_test.go
@@ -33,3 +33,25 @@
 		})
 	}
 }
+
+// BenchmarkServiceLoads measures how long the decision loop is held up for the autoscaler, with the
+// load of six zones at each endpoint.
+func BenchmarkServiceLoads(b *testing.B) {
+	for _, endpoints := range []int{140, 6800} {
+		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) {
+			h := newHarness(b, endpoints)
+			for peer := range 6 {
+				loads := make([]scheduling.PeerLoad, 0, endpoints)
+				for i := range endpoints {
+					key := scheduling.Key{ID: fmt.Sprintf("%s-%d", models, i), Incarnation: 1}
+					loads = append(loads, scheduling.PeerLoad{Endpoint: key.Hash(), Running: 1})
+				}
+				h.step(scheduling.PeerReported{Peer: fmt.Sprint(peer), Complete: true, Loads: loads})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				h.loadOf(models, h.now)
+			}
+		})
+	}
+}
--- a/core/scheduling/serviceload.go
+++ b/core/scheduling/serviceload.go
@@ -41,10 +41,13 @@
 	Serving bool
 }
 
-// ServiceLoads returns the load of all services, in the order in which they became known.
-func (s *Scheduler) ServiceLoads(now time.Time) []ServiceLoad {
+// ServiceLoads returns the load of the wanted services, in the order in which they became known.
+func (s *Scheduler) ServiceLoads(now time.Time, isWanted func(service string) bool) []ServiceLoad {
 	loads := make([]ServiceLoad, 0, len(s.poolsInOrder))
 	for _, p := range s.poolsInOrder {
+		if !isWanted(p.name) {
+			continue
+		}
 		load := ServiceLoad{
 			Service:        p.name,
 			LatencyPrefill: p.partitions.latencyDemand.rateAt(now) + p.partitions.others.LatencySensitive,
--- a/core/scheduling/serviceload_test.go
+++ b/core/scheduling/serviceload_test.go
@@ -80,11 +80,9 @@
 // loadOf returns the load of a service at a time.
 func (h *harness) loadOf(service string, now time.Time) scheduling.ServiceLoad {
 	h.t.Helper()
-	for _, load := range h.scheduler.ServiceLoads(now) {
-		if load.Service == service {
-			return load
-		}
+	loads := h.scheduler.ServiceLoads(now, func(name string) bool { return name == service })
+	if len(loads) != 1 || loads[0].Service != service {
+		h.t.Fatalf("loads %+v", loads)
 	}
-	h.t.Fatalf("no load of %s", service)
-	return scheduling.ServiceLoad{}
+	return loads[0]
 }
--- a/gateway/autoscale.go
+++ b/gateway/autoscale.go
@@ -81,6 +81,9 @@
 		a.decider = autoscale.New(autoscale.Settings{OrdersPerSecond: orderRateShare * a.gateway.currentSettings.Load().ControlRate})
 		a.token = fence.Token
 	}
+	if now.Before(a.steppedAt) {
+		now = a.steppedAt
+	}
 	a.steppedAt = now
 	orders := a.decider.Step(now, a.observe())
 	defer a.publish(now)
@@ -157,14 +160,14 @@
 	services := a.gateway.configuration.current().Services()
 	var loads []scheduling.ServiceLoad
 	a.gateway.inspect(func() {
-		loads = a.gateway.decisions.scheduler.ServiceLoads(a.gateway.timers.Now())
+		loads = a.gateway.decisions.scheduler.ServiceLoads(a.gateway.timers.Now(), func(service string) bool {
+			return services[service] != nil && services[service].Scale != nil
+		})
 	})
 	isStale := a.gateway.endpoints.unavailable.Load()
 	var observed []autoscale.Service
 	for _, load := range loads {
-		if service, ok := services[load.Service]; ok && service.Scale != nil {
-			observed = append(observed, observeService(service, load, isStale))
-		}
+		observed = append(observed, observeService(services[load.Service], load, isStale))
 	}
 	return observed
 }
