--- a/core/autoscale/plan.go
+++ b/core/autoscale/plan.go
@@ -257,7 +257,7 @@
 		wanted -= kept
 	}
 	for _, z := range zones {
-		if z.onDemandShort {
+		if z.onDemandShort || z.share == 0 {
 			continue
 		}
 		added := min(max(z.max-z.spotCommitted-z.onDemand, 0), max(wanted, 0))
--- a/core/autoscale/snapshot.go
+++ b/core/autoscale/snapshot.go
@@ -31,8 +31,11 @@
 	Present int `json:"present"`
 	Serving int `json:"serving"`
 	Leaving int `json:"leaving"`
-	// ShortForMs is for how much longer no more endpoints are ordered after a shortage.
-	ShortForMs float64 `json:"shortForMs"`
+	// ShortForMs is for how much longer no more endpoints are ordered after a shortage, Shortages
+	// the number of shortages, and ShortCause the cause of the last one.
+	ShortForMs float64    `json:"shortForMs"`
+	Shortages  int        `json:"shortages"`
+	ShortCause ShortCause `json:"shortCause,omitempty"`
 }
 
 // Snapshots returns the state of all services, sorted by name.
@@ -60,6 +63,8 @@
 				Present:    known.count.Present,
 				Serving:    known.count.Serving,
 				Leaving:    known.count.Leaving,
+				Shortages:  known.shortages,
+				ShortCause: known.shortCause,
 				ShortForMs: float64(max(known.retryAt.Sub(now), 0)) / float64(time.Millisecond),
 			})
 		}
--- a/core/autoscale/subject.go
+++ b/core/autoscale/subject.go
@@ -43,8 +43,24 @@
 	backoff   time.Duration
 	shortAt   time.Time
 	conflicts int
+	// shortages counts the shortages, and shortCause is the cause of the last one.
+	shortages  int
+	shortCause ShortCause
 }
 
+// ShortCause is why no more endpoints are ordered for some time.
+type ShortCause string
+
+// The causes.
+const (
+	// ShortReclaimed is that the platform has reclaimed spot endpoints.
+	ShortReclaimed ShortCause = "reclaimed"
+	// ShortConflict is that an order was rejected.
+	ShortConflict ShortCause = "conflict"
+	// ShortNotObserved is that an accepted order and its repetition have not led to endpoints.
+	ShortNotObserved ShortCause = "notObserved"
+)
+
 // observe takes the number of endpoints.
 func (s *subject) observe(now time.Time, count Count, boot time.Duration) {
 	before, expected, wasSeen := s.count, s.committed(), s.isSeen
@@ -53,7 +69,7 @@
 	s.boot = boot
 	if s.isSpot && count.Leaving > before.Leaving && (!wasSeen || count.Present < expected) {
 		s.isOrdered = false
-		s.markShort(now, minReclaimBackoff)
+		s.markShort(now, ShortReclaimed, minReclaimBackoff)
 		return
 	}
 	if !s.isOrdered || count.Present == s.desired {
@@ -66,7 +82,7 @@
 	// The order was repeated, and there are still too few.
 	s.isOrdered = false
 	s.repeats = 0
-	s.markShort(now, minConflictBackoff)
+	s.markShort(now, ShortNotObserved, minConflictBackoff)
 }
 
 // committed returns the number that was ordered, or else observed.
@@ -103,7 +119,9 @@
 	return before + max((desired-before)>>min(s.conflicts, maxProbeHalvings), 1)
 }
 
-func (s *subject) markShort(now time.Time, first time.Duration) {
+func (s *subject) markShort(now time.Time, cause ShortCause, first time.Duration) {
+	s.shortages++
+	s.shortCause = cause
 	if s.backoff == 0 || now.Sub(s.shortAt) > backoffMemory {
 		s.backoff = first
 	} else {
@@ -129,7 +147,7 @@
 		s.conflicts++
 		s.repeatAt = time.Time{}
 		s.isOrdered = false
-		s.markShort(now, minConflictBackoff)
+		s.markShort(now, ShortConflict, minConflictBackoff)
 	case Limited:
 	case Unknown:
 		s.set(now, order.Desired)
--- a/gateway/autoscale.go
+++ b/gateway/autoscale.go
@@ -51,6 +51,8 @@
 	decider   *autoscale.Decider
 	token     int64
 	steppedAt time.Time
+	// shortages holds the number of shortages that the decider had at the last step.
+	shortages map[autoscale.Subject]int
 
 	mu sync.Mutex
 	// state is the state after the last step, which ended at stateAt.
@@ -80,6 +82,7 @@
 	if a.decider == nil || a.token != fence.Token || now.Sub(a.steppedAt) > autoscaleMaxPause {
 		a.decider = autoscale.New(autoscale.Settings{OrdersPerSecond: orderRateShare * a.gateway.currentSettings.Load().ControlRate})
 		a.token = fence.Token
+		a.shortages = make(map[autoscale.Subject]int)
 	}
 	if now.Before(a.steppedAt) {
 		now = a.steppedAt
@@ -223,6 +226,7 @@
 // publish makes the state available to dumps and metrics.
 func (a *autoscaler) publish(now time.Time) {
 	state := a.decider.Snapshots(now)
+	a.logShortages(state)
 	a.mu.Lock()
 	a.state = state
 	a.stateAt = a.gateway.timers.Now()
@@ -240,6 +244,28 @@
 	}
 }
 
+// logShortages logs the capacity that has become short since the last step.
+func (a *autoscaler) logShortages(state []autoscale.Snapshot) {
+	for _, service := range state {
+		for _, s := range service.Subjects {
+			key := autoscale.Subject{
+				Service: service.Service,
+				Zone:    s.Zone,
+				Spot:    s.Spot,
+			}
+			if s.Shortages <= a.shortages[key] {
+				continue
+			}
+			a.shortages[key] = s.Shortages
+			a.gateway.meter.addToCounter(fmt.Sprintf("cactuswell_autoscale_shortages_total{cause=%q}", s.ShortCause), 1)
+			a.gateway.trail.Failure("capacityShort").Text("service", service.Service).Text("zone", s.Zone).
+				Text("type", capacityType(s.Spot)).Text("cause", string(s.ShortCause)).Int("desired", int64(s.Desired)).
+				Int("present", int64(s.Present)).Int("leaving", int64(s.Leaving)).
+				Millis("for", time.Duration(s.ShortForMs*float64(time.Millisecond))).End()
+		}
+	}
+}
+
 func (a *autoscaler) addSubjectGauge(name, service string, subject autoscale.SubjectSnapshot, read func(autoscale.SubjectSnapshot) int) {
 	a.addGauge(name, func() float64 {
 		return a.readService(service, func(s autoscale.Snapshot) float64 {
--- a/gateway/autoscale_test.go
+++ b/gateway/autoscale_test.go
@@ -153,6 +153,9 @@
 	if !errors.As(err, &conflict) || len(f.api.Calls()) != 1 {
 		t.Errorf("error %v after %d calls", err, len(f.api.Calls()))
 	}
+	eventually(t, "the shortage is logged", func() bool {
+		return strings.Contains(f.logLines.String(), `"event":"capacityShort"`) && strings.Contains(f.logLines.String(), `"cause":"conflict"`)
+	})
 	f.api.SetFaults(standin.Faults{Down: true})
 	if err := f.step(1, time.Second); err == nil || errors.As(err, &conflict) {
 		t.Errorf("error %v while the API is down", err)
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -429,7 +429,11 @@
 }
 
 func (d *decisionLoop) logEndpoint(event string, entry directory.Entry, reason string) {
-	d.trail.Notice(event).Text("endpoint", entry.ID).Int("born", entry.Born).Text("service", entry.Service).
+	line := d.trail.Notice(event)
+	if entry.Spot {
+		line.Bool("spot", true).Millis("leaves", entry.LeavesIn)
+	}
+	line.Text("endpoint", entry.ID).Int("born", entry.Born).Text("service", entry.Service).
 		Text("address", entry.Address).Text("zone", entry.Zone).Text("version", entry.Version).Int("slots", int64(entry.Slots)).
 		Text("reason", reason).Merge(entry.ID)
 }
