--- a/core/autoscale/autoscale_test.go
+++ b/core/autoscale/autoscale_test.go
@@ -48,6 +48,7 @@
 		leastShare float64
 		maxShort   time.Duration
 		maxCost    float64
+		maxTurns   int
 	}{
 		"idle": {
 			demand:  constantly(0),
@@ -57,6 +58,7 @@
 			demand:     constantly(30),
 			leastShare: 2.5,
 			maxCost:    0.55,
+			maxTurns:   3,
 		},
 		"busy": {
 			demand:     constantly(60),
@@ -94,12 +96,25 @@
 			leastShare: 0.6,
 			maxShort:   simBoot + 2*time.Second,
 			maxCost:    0.7,
+			maxTurns:   6,
+		},
+		"rare bursts": {
+			demand: func(at time.Duration) float64 {
+				if at%(100*time.Second) > 96*time.Second {
+					return 66
+				}
+				return 20
+			},
+			// Only the first burst is not known before.
+			leastShare: 1.5,
+			maxCost:    0.55,
+			maxTurns:   2,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := newPlatform(t, simPrices, simLimit, test.demand)
 			p.run(10 * time.Minute)
-			p.check(test.leastShare, test.maxCost, 6)
+			p.check(test.leastShare, test.maxCost, test.maxTurns)
 			if p.shortFor > test.maxShort {
 				t.Errorf("too few endpoints for %s, want %s", p.shortFor, test.maxShort)
 			}
@@ -267,9 +282,12 @@
 		min, max int
 		demand   float64
 		wantSpot bool
+		// leastShare is the least capacity in terms of the demand.
+		leastShare float64
 	}{
 		"pinned":                  {min: simInitial, max: simInitial, demand: 20},
 		"limit is initial number": {min: 0, max: simInitial, demand: 20, wantSpot: true},
+		"no room for a swap":      {min: 0, max: simInitial, demand: 75, leastShare: 1.2},
 		"too much demand":         {min: 0, max: simLimit, demand: 300, wantSpot: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -277,6 +295,9 @@
 			p.scale.Min = test.min
 			p.run(5 * time.Minute)
 			p.report()
+			if p.leastShare < test.leastShare {
+				t.Errorf("the capacity was %.2f of the demand at %s", p.leastShare, p.leastShareAt)
+			}
 			ordered := make(map[autoscale.Subject]int)
 			for zone := range simPrices {
 				ordered[simSubject(zone, false)] = simInitial
