--- a/gateway/singleton.go
+++ b/gateway/singleton.go
@@ -85,7 +85,6 @@
 
 	// The fields below are used by run only.
 	lastBook        *usage.Book
-	lastTally       *usage.Tally
 	listed          dutyRecords
 	nextScale       time.Time
 	nextEnded       time.Time
@@ -664,7 +663,7 @@
 	dump.Token = d.machine.Token()
 	dump.RemainingMs = float64(d.machine.Remaining(now)) / float64(time.Millisecond)
 	dump.Holder, dump.HolderToken = d.gateway.Settings.Name, dump.Token
-	if d.holder != nil && d.holder.book != nil {
+	if d.holder != nil {
 		dump.ReportedThrough = d.holder.book.Through()
 	}
 	return dump
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -5,8 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"maps"
-	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -74,8 +72,7 @@
 // holderState is what a host keeps while it holds the lease.
 type holderState struct {
 	tally *usage.Tally
-	// book is nil until the true time is known.
-	book *usage.Book
+	book  *usage.Book
 	// settledAt is when the hosts have sent their counts to this holder.
 	settledAt time.Duration
 	// isFirst is set if no window was ever reported.
@@ -107,73 +104,40 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.instant()
+	trueTime, _ := d.estimateTime(now)
 	h := &holderState{
-		// Counts that this host got as holder before are still right, as they never fall.
-		tally:     d.lastTally,
+		tally:     usage.NewTally(),
 		settledAt: now.Mono + d.settings.CloseDelay(hosts),
+		isFirst:   d.listed.note == 0 && d.lastBook == nil && d.knownFixed == 0,
 		clocks:    make(map[string]hostClock),
 		heardAt:   now.Mono,
 		drift:     now.Wall - now.Mono,
 	}
-	if h.tally == nil {
-		h.tally = usage.NewTally()
-	}
-	for _, report := range d.listed.ended {
-		h.tally.Merge(report, 0, math.MaxInt64)
-	}
-	d.holder = h
-	d.isKnown = false
-	if now, isSynced := d.estimateTime(now); isSynced {
-		d.openBook(now)
-	}
-}
-
-// openBook takes over what earlier holders have fixed and reported. The true time must be known: by
-// a wrong clock windows would be left out. The caller must hold d.mu.
-func (d *singletonDuties) openBook(now time.Duration) {
-	h := d.holder
-	h.isFirst = d.listed.note == 0 && d.lastBook == nil && d.knownFixed == 0
-	first := d.settings.WindowAt(now - time.Since(d.startedAt))
+	first := d.settings.WindowAt(trueTime - now.Mono)
 	if !h.isFirst {
-		first = max(d.listed.note+1, d.settings.WindowAt(now-d.settings.Delay))
+		first = max(d.listed.note+1, d.settings.WindowAt(trueTime-d.settings.Delay))
 	}
 	h.book = usage.NewBook(d.settings, first)
-	restored := maps.Clone(d.listed.usage)
+	restore := d.listed.usage
 	if d.lastBook != nil {
 		// The store may have lost records of this host that were reported already.
 		for window, counts := range d.lastBook.Stored() {
-			if restored[window] == nil {
-				restored[window] = counts
+			if restore[window] == nil && window >= first {
+				restore[window] = counts
 			}
 		}
 	}
-	for window, counts := range restored {
+	for window, counts := range restore {
 		h.book.Restore(window, counts)
 		if d.lastBook != nil && d.lastBook.IsFinished(window) {
 			h.book.Finish(window)
 		}
 	}
-	for window := range d.listed.usage {
-		if window < min(first, d.settings.Oldest(now)) {
-			h.expired = append(h.expired, window)
-		}
-	}
-}
-
-// fixedThrough returns the last window that this holder knows to be fixed, or zero.
-func (h *holderState) fixedThrough() int64 {
-	if h.book == nil {
-		return 0
-	}
-	return h.book.FixedThrough()
-}
-
-// newestWindow returns the last window for which counts are taken. The caller must hold d.mu.
-func (d *singletonDuties) newestWindow(now time.Duration, isSynced bool) int64 {
-	if !isSynced {
-		return math.MaxInt64
+	for _, report := range d.listed.ended {
+		h.tally.Merge(report, first, d.settings.WindowAt(trueTime)+1)
 	}
-	return d.settings.WindowAt(now) + 1
+	d.holder = h
+	d.isKnown = false
 }
 
 // endTerm ends the duties of a holder.
@@ -181,9 +145,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.holder != nil {
-		d.lastTally = d.holder.tally
-	}
-	if d.holder != nil && d.holder.book != nil {
 		d.lastBook = d.holder.book
 	}
 	d.holder = nil
@@ -199,9 +160,9 @@
 	return now.Wall, false
 }
 
-// syncClock derives the true time from the clocks of the hosts, and returns it as estimateTime does.
-// The caller must hold d.mu.
-func (d *singletonDuties) syncClock(others int) (time.Duration, bool) {
+// syncClock derives the true time from the clocks of the hosts, and returns it. The caller must hold
+// d.mu.
+func (d *singletonDuties) syncClock(others int) time.Duration {
 	now := d.instant()
 	h := d.holder
 	drift := now.Wall - now.Mono
@@ -212,7 +173,7 @@
 	h.drift = drift
 	trueTime, isSynced := d.estimateTime(now)
 	if isSynced && now.Mono-h.medianAt < medianInterval {
-		return trueTime, true
+		return trueTime
 	}
 	h.medianAt = now.Mono
 	offsets := []time.Duration{drift}
@@ -229,20 +190,20 @@
 	case isSynced || now.Mono < h.settledAt:
 		// Until most hosts have sent their time, this host's clock would outweigh theirs, and what
 		// an earlier holder has found.
-		return trueTime, isSynced
+		return trueTime
 	}
 	d.counter.Sync(now.Mono, trueTime)
-	return trueTime, true
+	return trueTime
 }
 
 // mergeOwn adds this host's counts to the tally. The caller must hold d.mu.
-func (d *singletonDuties) mergeOwn(now time.Duration, isSynced bool) {
+func (d *singletonDuties) mergeOwn(trueTime time.Duration) {
 	changes, version := d.counter.Changes(d.holder.merged)
 	d.holder.merged = version
 	d.holder.tally.Merge(usage.Report{
 		Source: d.source(),
 		Counts: changes,
-	}, d.holder.fixedThrough()+1, d.newestWindow(now, isSynced))
+	}, d.holder.book.FixedThrough()+1, d.settings.WindowAt(trueTime)+1)
 }
 
 func (d *singletonDuties) source() usage.Source {
@@ -260,15 +221,8 @@
 		d.mu.Unlock()
 		return
 	}
-	now, isSynced := d.syncClock(others)
-	d.mergeOwn(now, isSynced)
-	if !isSynced {
-		d.mu.Unlock()
-		return
-	}
-	if d.holder.book == nil {
-		d.openBook(now)
-	}
+	now := d.syncClock(others)
+	d.mergeOwn(now)
 	extras, missed := d.takeDue(now, others)
 	late := d.holder.book.Late(now)
 	d.finishWindows(now)
@@ -355,7 +309,7 @@
 		}
 		d.mu.Lock()
 		var total int64
-		if d.holder != nil && d.holder.book != nil {
+		if d.holder != nil {
 			d.holder.book.Store(window)
 			for _, count := range d.holder.book.Stored()[window] {
 				total += count
@@ -388,7 +342,7 @@
 		if !isSynced {
 			d.counter.Sync(instant.Mono, now)
 		}
-		d.mergeOwn(now, true)
+		d.mergeOwn(now)
 	}
 	ended := d.holder.tally.Ended(func(s usage.Source) bool { return s == own && !isReleasing || live[s.Host] == s.Incarnation }, maxEnded)
 	value, err := json.Marshal(ended)
@@ -411,7 +365,7 @@
 // reportUsage reports a window that is fixed.
 func (d *singletonDuties) reportUsage(ctx context.Context) {
 	d.mu.Lock()
-	if d.holder == nil || d.holder.book == nil {
+	if d.holder == nil {
 		d.mu.Unlock()
 		return
 	}
@@ -427,9 +381,9 @@
 	var conflict *control.ConflictError
 	isFinished := err == nil || errors.As(err, &conflict)
 	d.mu.Lock()
-	if d.holder != nil && d.holder.book != nil && isFinished {
+	if d.holder != nil && isFinished {
 		d.holder.book.Finish(window)
-	} else if d.holder != nil && d.holder.book != nil {
+	} else if d.holder != nil {
 		d.holder.book.Retry(window, trueTime+time.Since(startedAt))
 	}
 	d.mu.Unlock()
@@ -470,9 +424,9 @@
 		heardAt: now.Mono,
 	}
 	trueTime, isSynced := d.estimateTime(now)
-	fixed := h.fixedThrough()
-	h.tally.Merge(message.Report, fixed+1, d.newestWindow(trueTime, isSynced))
-	d.knownFixed = max(d.knownFixed, message.FixedThrough)
+	fixed := h.book.FixedThrough()
+	h.tally.Merge(message.Report, fixed+1, d.settings.WindowAt(trueTime)+1)
+	d.knownFixed = max(d.knownFixed, min(message.FixedThrough, d.settings.WindowAt(trueTime)))
 	response := usageResponse{
 		Token:        d.machine.Token(),
 		FixedThrough: fixed,
