Order no fewer endpoints than exist while they are unobserved

Cause: while the store was down, the number of visible endpoints was taken for the number that exists. Growth starts from that number, and an order is an absolute number: after conflicts, or by a new holder, an order to grow from 3 visible endpoints to 10 released 20 of 30 that served.

Change: while the endpoints are unobserved, the zones of the last observation count. A holder that has made none orders nothing. Reductions wait for settleTime after the endpoints are observed again.

The tests of core/autoscale pass.

--- a/core/autoscale/autoscale.go
+++ b/core/autoscale/autoscale.go
@@ -57,8 +57,8 @@
 	// Zones holds the zones with endpoints, and those that have a price.
 	Zones []Zone
 	Load  Load
-	// IsStale is set if the endpoints may have changed without being observed. Nothing is reduced
-	// then.
+	// IsStale is set if the endpoints may have changed without being observed. The zones of the
+	// last observation count then, and nothing is reduced.
 	IsStale bool
 }
 
@@ -144,7 +144,9 @@
 type service struct {
 	observed  Service
 	startedAt time.Time
-	demand    demandMeter
+	// staleAt is when the endpoints were last unobserved.
+	staleAt time.Time
+	demand  demandMeter
 	// reference holds the number of endpoints by zone when the Decider started.
 	reference map[string]int
 	// total is the number of endpoints that the service is to have before those that replace
@@ -237,6 +239,10 @@
 
 // observe takes the endpoints and the load of the service.
 func (s *service) observe(now time.Time, observed Service) {
+	if observed.IsStale {
+		s.observeBlindly(now, observed)
+		return
+	}
 	s.observed = observed
 	s.demand.observe(now, observed.Load)
 	if now.Sub(s.startedAt) < settleTime {
@@ -249,6 +255,19 @@
 	s.resize(now)
 }
 
+// observeBlindly takes the load alone. An order for more than the remaining entries show would
+// release endpoints that serve without being observed, as orders are absolute numbers.
+func (s *service) observeBlindly(now time.Time, observed Service) {
+	observed.Zones = s.observed.Zones
+	s.observed = observed
+	s.staleAt = now
+	if len(observed.Zones) == 0 {
+		s.startedAt = now
+	}
+	s.demand.observe(now, observed.Load)
+	s.resize(now)
+}
+
 // isUnobserved reports whether the endpoints of the service are probably not known yet.
 func (s *service) isUnobserved(now time.Time) bool {
 	for _, zone := range s.observed.Zones {
@@ -313,7 +332,8 @@
 
 // reductions returns the orders that release endpoints.
 func (s *service) reductions(now time.Time) []Order {
-	if s.observed.IsStale || now.Sub(s.startedAt) < settleTime || now.Before(s.nextReductionAt) || s.isBusy() {
+	isSettled := now.Sub(s.startedAt) >= settleTime && now.Sub(s.staleAt) >= settleTime
+	if s.observed.IsStale || !isSettled || now.Before(s.nextReductionAt) || s.isBusy() {
 		return nil
 	}
 	var orders []Order
--- a/core/autoscale/autoscale_test.go
+++ b/core/autoscale/autoscale_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cactuswell/core/autoscale"
+	"cactuswell/core/route"
 )
 
 const (
@@ -297,3 +298,44 @@
 		})
 	}
 }
+
+// TestOrdersWhileEndpointsAreUnobserved guards against an order that grows a number which is
+// observed only in part while the store is down: the number is absolute, so that it releases
+// endpoints that still serve.
+func TestOrdersWhileEndpointsAreUnobserved(t *testing.T) {
+	const existing, visible = 30, 3
+	for name, seen := range map[string]time.Duration{
+		"holder":     2 * time.Second,
+		"new holder": 0,
+	} {
+		t.Run(name, func(t *testing.T) {
+			decider := autoscale.New(autoscale.Settings{OrdersPerSecond: 10})
+			for at := time.Duration(0); at < 30*time.Second; at += 500 * time.Millisecond {
+				observed := autoscale.Service{
+					Name: "s",
+					Scale: route.Scale{
+						Min:  10,
+						Max:  60,
+						Boot: simBoot,
+					},
+					Zones: []autoscale.Zone{{Name: "a"}},
+					Load:  autoscale.Load{Slots: 1},
+				}
+				observed.Zones[0].OnDemand.Present = existing
+				if at >= seen {
+					observed.IsStale = true
+					observed.Zones[0].OnDemand.Present = visible
+				}
+				observed.Zones[0].OnDemand.Serving = observed.Zones[0].OnDemand.Present
+				now := time.Unix(0, 0).Add(at)
+				for _, order := range decider.Step(now, []autoscale.Service{observed}) {
+					if order.Desired < existing {
+						t.Errorf("at %s: %s order for %d of %d endpoints", at, order.Reason, order.Desired, existing)
+					}
+					// The orders for more are rejected, so that part of the number is ordered next.
+					decider.Record(now, order, autoscale.Conflicted)
+				}
+			}
+		})
+	}
+}
