Keep the note of the lease record across holders

Cause: a claim carried the note of the claimant, which is 0 for a host that has never held the lease. If that holder ended before its first renewal, the record said that no window was ever reported, and a successor without other knowledge dropped the fixed windows that were not reported yet.

Change: a host takes over the note of each record that it reads. Notes never fall.

Result: TestNoteOutlivesHolders failed before (note 0 instead of 7) and passes, as do the tests of core/lease.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -100,7 +100,7 @@
 	// Past are the holders before, the last one first, until their term is over for the length
 	// of a term.
 	Past []Past `json:"past,omitempty"`
-	// Note is passed on for the holder's duties.
+	// Note is passed on for the holder's duties. It never falls.
 	Note int64 `json:"note,omitempty"`
 }
 
@@ -407,7 +407,7 @@
 }
 
 // SetNote sets the note of the next records.
-func (m *Machine) SetNote(note int64) { m.note = note }
+func (m *Machine) SetNote(note int64) { m.note = max(m.note, note) }
 
 // Handle handles an event.
 func (m *Machine) Handle(now Instant, event Event) []Command {
@@ -716,6 +716,7 @@
 	if done.Lease != nil {
 		offset = done.Lease.Offset
 		m.highestSeen = max(m.highestSeen, done.Lease.Record.Token)
+		m.note = max(m.note, done.Lease.Record.Note)
 	}
 	wasKnown := m.observed.known
 	if !m.observed.known || m.observed.era != done.Era || m.observed.offset != offset {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -462,3 +462,20 @@
 		}
 	}
 }
+
+// TestNoteOutlivesHolders guards against a note that is lost if a holder ends right after its claim:
+// the next one would take it that the duties were never performed.
+func TestNoteOutlivesHolders(t *testing.T) {
+	f := newFleet(3, t.Fatalf)
+	f.run(term)
+	first := f.holder(time.Second)
+	first.machine.SetNote(7)
+	f.run(term)
+	first.paused = true
+	for f.now < 10*term && f.acts[len(f.acts)-1].host == first.name {
+		f.advance()
+	}
+	if note := f.store.read().Lease.Record.Note; note != 7 {
+		t.Errorf("note %d in the claim of the next holder, want 7", note)
+	}
+}
