Drop no windows by the clock of a holder that does not know the true time

Cause: a host that becomes the holder before it knows the true time bounded the windows by its own clock. If that was ahead, it dropped fixed windows that were still to be reported; in both directions it ignored the counts of other hosts for the current windows, which it acknowledged nevertheless.

Change: until the true time is known, the holder fixes and drops no windows, and the range of windows that it accepts is wider by maxClockError.

Result: TestHolderWithWrongClock failed before with a clock 30 s ahead and 30 s behind, and passes, as do the gateway's tests of the duties.

--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -43,6 +43,9 @@
 	medianInterval = time.Second
 	// clockMemory is the age up to which the clock of a host counts for the true time.
 	clockMemory = time.Minute
+	// maxClockError bounds the error of this host's clock while the true time is not known. Clocks
+	// are off by seconds.
+	maxClockError = time.Minute
 	// endedInterval is the time between two checks for hosts that have ended, and maxEnded the
 	// number of those whose counts are kept in the store.
 	endedInterval = time.Second
@@ -104,7 +107,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.instant()
-	trueTime, _ := d.estimateTime(now)
+	trueTime, isSynced := d.estimateTime(now)
 	h := &holderState{
 		tally:     usage.NewTally(),
 		settledAt: now.Mono + d.settings.CloseDelay(hosts),
@@ -115,7 +118,11 @@
 	}
 	first := d.settings.WindowAt(trueTime - now.Mono)
 	if !h.isFirst {
-		first = max(d.listed.note+1, d.settings.WindowAt(trueTime-d.settings.Delay))
+		earliest := trueTime - d.settings.Delay
+		if !isSynced {
+			earliest -= maxClockError
+		}
+		first = max(d.listed.note+1, d.settings.WindowAt(earliest))
 	}
 	h.book = usage.NewBook(d.settings, first)
 	restore := d.listed.usage
@@ -134,7 +141,7 @@
 		}
 	}
 	for _, report := range d.listed.ended {
-		h.tally.Merge(report, first, d.settings.WindowAt(trueTime)+1)
+		h.tally.Merge(report, first, d.newestWindow(now))
 	}
 	d.holder = h
 	d.isKnown = false
@@ -197,13 +204,22 @@
 }
 
 // mergeOwn adds this host's counts to the tally. The caller must hold d.mu.
-func (d *singletonDuties) mergeOwn(trueTime time.Duration) {
+func (d *singletonDuties) mergeOwn() {
 	changes, version := d.counter.Changes(d.holder.merged)
 	d.holder.merged = version
 	d.holder.tally.Merge(usage.Report{
 		Source: d.source(),
 		Counts: changes,
-	}, d.holder.book.FixedThrough()+1, d.settings.WindowAt(trueTime)+1)
+	}, d.holder.book.FixedThrough()+1, d.newestWindow(d.instant()))
+}
+
+// newestWindow returns the newest window that may have begun anywhere. The caller must hold d.mu.
+func (d *singletonDuties) newestWindow(now lease.Instant) int64 {
+	trueTime, isSynced := d.estimateTime(now)
+	if !isSynced {
+		trueTime += maxClockError
+	}
+	return d.settings.WindowAt(trueTime) + 1
 }
 
 func (d *singletonDuties) source() usage.Source {
@@ -221,11 +237,7 @@
 		d.mu.Unlock()
 		return
 	}
-	now := d.syncClock(others)
-	d.mergeOwn(now)
-	extras, missed := d.takeDue(now, others)
-	late := d.holder.book.Late(now)
-	d.finishWindows(now)
+	due := d.closeWindows(others)
 	isUnheard := others > 0 && d.instant().Mono-d.holder.heardAt > maxMissedMessages*d.keepAlive(others)
 	d.mu.Unlock()
 	if isUnheard {
@@ -233,19 +245,51 @@
 		d.handle(ctx, lease.GiveUp{Cause: lease.CauseUnheard})
 		return
 	}
-	for _, window := range append(missed, late...) {
+	for _, window := range append(due.missed, due.late...) {
 		d.gateway.meter.addToCounter(`cactuswell_usage_windows_total{result="missed"}`, 1)
-		d.gateway.trail.Failure("usageMissed").Int("window", window).Bool("isFixed", slices.Contains(late, window)).Merge("")
+		d.gateway.trail.Failure("usageMissed").Int("window", window).Bool("isFixed", slices.Contains(due.late, window)).Merge("")
 	}
 	if time.Now().After(d.nextEnded) {
 		d.nextEnded = time.Now().Add(endedInterval)
 		d.writeEnded(ctx, false)
 	}
-	if len(extras) > 0 {
-		d.handle(ctx, lease.Write{Extras: extras})
+	if len(due.extras) > 0 {
+		d.handle(ctx, lease.Write{Extras: due.extras})
 	}
 }
 
+// dueWindows holds the records of windows that are to be fixed, the windows that are left out, and
+// those that were fixed and whose reports are overdue.
+type dueWindows struct {
+	extras []lease.Extra
+	missed []int64
+	late   []int64
+}
+
+// closeWindows fixes the windows that are due, and drops those that are no longer needed. The caller
+// must hold d.mu.
+func (d *singletonDuties) closeWindows(others int) dueWindows {
+	now := d.syncClock(others)
+	d.mergeOwn()
+	if _, isSynced := d.estimateTime(d.instant()); !isSynced {
+		// By this host's clock alone, windows would be dropped whose reports are still due.
+		return dueWindows{}
+	}
+	extras, missed := d.takeDue(now, others)
+	late := d.holder.book.Late(now)
+	d.finishWindows(now)
+	return dueWindows{
+		extras: extras,
+		missed: missed,
+		late:   late,
+	}
+}
+
+// mergeCounts adds the counts of another host to the tally. The caller must hold d.mu.
+func (d *singletonDuties) mergeCounts(report usage.Report) {
+	d.holder.tally.Merge(report, d.holder.book.FixedThrough()+1, d.newestWindow(d.instant()))
+}
+
 // takeDue fixes the windows that are due, and returns the records to be written and the windows that
 // are left out. The caller must hold d.mu.
 func (d *singletonDuties) takeDue(now time.Duration, others int) (extras []lease.Extra, missed []int64) {
@@ -342,7 +386,7 @@
 		if !isSynced {
 			d.counter.Sync(instant.Mono, now)
 		}
-		d.mergeOwn(now)
+		d.mergeOwn()
 	}
 	ended := d.holder.tally.Ended(func(s usage.Source) bool { return s == own && !isReleasing || live[s.Host] == s.Incarnation }, maxEnded)
 	value, err := json.Marshal(ended)
@@ -425,8 +469,8 @@
 	}
 	trueTime, isSynced := d.estimateTime(now)
 	fixed := h.book.FixedThrough()
-	h.tally.Merge(message.Report, fixed+1, d.settings.WindowAt(trueTime)+1)
-	d.knownFixed = max(d.knownFixed, min(message.FixedThrough, d.settings.WindowAt(trueTime)))
+	d.mergeCounts(message.Report)
+	d.knownFixed = max(d.knownFixed, min(message.FixedThrough, d.newestWindow(now)-1))
 	response := usageResponse{
 		Token:        d.machine.Token(),
 		FixedThrough: fixed,
--- /dev/null
+++ b/gateway/usageclock_test.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cactuswell/core/lease"
+	"cactuswell/core/usage"
+	"cactuswell/settings"
+)
+
+// TestHolderWithWrongClock guards against a new holder that drops windows, or the counts of other
+// hosts, by its own clock, before it has derived the true time from the clocks of the others.
+func TestHolderWithWrongClock(t *testing.T) {
+	for name, clockError := range map[string]time.Duration{
+		"ahead":  30 * time.Second,
+		"behind": -30 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkHolderWithWrongClock(t, clockError) })
+		})
+	}
+}
+
+func checkHolderWithWrongClock(t *testing.T, clockError time.Duration) {
+	d := &singletonDuties{
+		gateway:   &Gateway{Dependencies: Dependencies{Settings: settings.Gateway{Name: "host-0"}}},
+		startedAt: time.Now(),
+		settings: usage.Settings{
+			Window: 5 * time.Second,
+			Delay:  10 * time.Second,
+		},
+		machine: lease.New(lease.Settings{Host: "host-0"}),
+	}
+	d.counter = usage.NewCounter(d.settings)
+	time.Sleep(time.Minute)
+	trueTime := func() time.Duration { return d.instant().Wall - clockError }
+	current := d.settings.WindowAt(trueTime())
+	unreported := current - 2
+	d.listed = dutyRecords{
+		note:  unreported - 1,
+		usage: usage.ByWindow{unreported: {"clerks": 4}},
+	}
+	d.beginTerm()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.instant()
+	for _, host := range []string{"host-1", "host-2"} {
+		d.holder.clocks[host] = hostClock{
+			atZero:  trueTime() - now.Mono,
+			heardAt: now.Mono,
+		}
+	}
+	const others = 4
+	d.mergeCounts(usage.Report{
+		Source: usage.Source{Host: "host-1"},
+		Counts: usage.ByWindow{current: {"clerks": 3}},
+	})
+	if due := d.closeWindows(others); len(due.late)+len(due.missed) > 0 {
+		t.Errorf("windows %v and %v are dropped before the true time is known", due.late, due.missed)
+	}
+	d.holder.clocks["host-3"] = d.holder.clocks["host-1"]
+	time.Sleep(medianInterval)
+	d.closeWindows(others)
+	if window, _, ok := d.holder.book.NextReport(trueTime()); !ok || window != unreported {
+		t.Errorf("report of window %d, %t, want %d", window, ok, unreported)
+	}
+	if got := d.holder.tally.Total(current)["clerks"]; got != 3 {
+		t.Errorf("%d requests in the current window, want 3", got)
+	}
+}
