Find the first window of a fleet by the true time

Cause: the first holder took its own clock for the first window. If the clock was ahead, the counts of the windows before were ignored and could not correct it: the reports of that time were missing.

Change: the first window is found once the true time is known. Until then the holder accepts windows within maxClockError. A fleet whose store has fixed windows is not a new one. Book.Begin is no longer needed.

--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -364,13 +364,6 @@
 	b.advance()
 }
 
-// Begin lets the book begin with an earlier window, if none is fixed yet.
-func (b *Book) Begin(first int64) {
-	if len(b.entries) == 0 && first < b.next {
-		b.next, b.through = first, first-1
-	}
-}
-
 // Fix sets the counts of the next window. They may be reported after Store.
 func (b *Book) Fix(counts Counts) {
 	b.entries[b.next] = &entry{counts: counts}
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -111,19 +111,20 @@
 	h := &holderState{
 		tally:     usage.NewTally(),
 		settledAt: now.Mono + d.settings.CloseDelay(hosts),
-		isFirst:   d.listed.note == 0 && d.lastBook == nil && d.knownFixed == 0,
+		isFirst:   d.listed.note == 0 && len(d.listed.usage) == 0 && d.lastBook == nil && d.knownFixed == 0,
 		clocks:    make(map[string]hostClock),
 		heardAt:   now.Mono,
 		drift:     now.Wall - now.Mono,
 	}
-	first := d.settings.WindowAt(trueTime - now.Mono)
-	if !h.isFirst {
-		earliest := trueTime - d.settings.Delay
-		if !isSynced {
-			earliest -= maxClockError
-		}
-		first = max(d.listed.note+1, d.settings.WindowAt(earliest))
+	earliest := trueTime - d.settings.Delay
+	if h.isFirst {
+		// takeDue finds the first window once the true time is known.
+		earliest = trueTime - now.Mono
 	}
+	if !isSynced {
+		earliest -= maxClockError
+	}
+	first := max(d.listed.note+1, d.settings.WindowAt(earliest))
 	h.book = usage.NewBook(d.settings, first)
 	restore := d.listed.usage
 	if d.lastBook != nil {
@@ -297,10 +298,14 @@
 	if d.instant().Mono < h.settledAt {
 		return nil, nil
 	}
-	if first, ok := h.tally.First(); ok && h.isFirst {
-		h.book.Begin(first)
+	if h.isFirst {
+		first := d.settings.WindowAt(now - d.instant().Mono)
+		if counted, ok := h.tally.First(); ok {
+			first = min(first, counted)
+		}
+		h.book = usage.NewBook(d.settings, first)
+		h.isFirst = false
 	}
-	h.isFirst = false
 	for {
 		window, ok := h.book.Due(now, d.settings.CloseDelay(others+1))
 		if !ok {
--- a/gateway/usageclock_test.go
+++ b/gateway/usageclock_test.go
@@ -24,16 +24,7 @@
 }
 
 func checkHolderWithWrongClock(t *testing.T, clockError time.Duration) {
-	d := &singletonDuties{
-		gateway:   &Gateway{Dependencies: Dependencies{Settings: settings.Gateway{Name: "host-0"}}},
-		startedAt: time.Now(),
-		settings: usage.Settings{
-			Window: 5 * time.Second,
-			Delay:  10 * time.Second,
-		},
-		machine: lease.New(lease.Settings{Host: "host-0"}),
-	}
-	d.counter = usage.NewCounter(d.settings)
+	d := newClockDuties()
 	time.Sleep(time.Minute)
 	trueTime := func() time.Duration { return d.instant().Wall - clockError }
 	current := d.settings.WindowAt(trueTime())
@@ -45,13 +36,7 @@
 	d.beginTerm()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.instant()
-	for _, host := range []string{"host-1", "host-2"} {
-		d.holder.clocks[host] = hostClock{
-			atZero:  trueTime() - now.Mono,
-			heardAt: now.Mono,
-		}
-	}
+	d.setClocks(trueTime)
 	const others = 4
 	d.mergeCounts(usage.Report{
 		Source: usage.Source{Host: "host-1"},
@@ -70,3 +55,64 @@
 		t.Errorf("%d requests in the current window, want 3", got)
 	}
 }
+
+// TestFirstHolderWithWrongClock guards against a fleet whose first windows are not reported because
+// the clock of its first holder is ahead, or that reports windows before its start.
+func TestFirstHolderWithWrongClock(t *testing.T) {
+	for name, clockError := range map[string]time.Duration{
+		"ahead":  30 * time.Second,
+		"behind": -30 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newClockDuties()
+				trueTime := func() time.Duration { return d.instant().Wall - clockError }
+				started := d.settings.WindowAt(trueTime())
+				d.beginTerm()
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				d.setClocks(trueTime)
+				d.mergeCounts(usage.Report{
+					Source: usage.Source{Host: "host-1"},
+					Counts: usage.ByWindow{started: {"clerks": 3}},
+				})
+				const others = 2
+				d.closeWindows(others)
+				time.Sleep(3 * time.Second)
+				d.closeWindows(others)
+				if window, _ := d.holder.book.Due(trueTime(), 0); window != started {
+					t.Errorf("the first window is %d, want %d", window, started)
+				}
+				if got := d.holder.tally.Total(started)["clerks"]; got != 3 {
+					t.Errorf("%d requests in the first window, want 3", got)
+				}
+			})
+		})
+	}
+}
+
+// newClockDuties returns the duties of a host that does not know the true time.
+func newClockDuties() *singletonDuties {
+	d := &singletonDuties{
+		gateway:   &Gateway{Dependencies: Dependencies{Settings: settings.Gateway{Name: "host-0"}}},
+		startedAt: time.Now(),
+		settings: usage.Settings{
+			Window: 5 * time.Second,
+			Delay:  10 * time.Second,
+		},
+		machine: lease.New(lease.Settings{Host: "host-0"}),
+	}
+	d.counter = usage.NewCounter(d.settings)
+	return d
+}
+
+// setClocks sets the clocks of two other hosts, which are right.
+func (d *singletonDuties) setClocks(trueTime func() time.Duration) {
+	now := d.instant()
+	for _, host := range []string{"host-1", "host-2"} {
+		d.holder.clocks[host] = hostClock{
+			atZero:  trueTime() - now.Mono,
+			heardAt: now.Mono,
+		}
+	}
+}
