Announce a fixed window before its report

Cause: the holder announced a window as fixed in the step after its report. If it ended right after the call, and the store came back from a copy without the window's record, its successor fixed the window again with other counts.

Change: the announcement is made between the write and the report.

--- a/gateway/singleton.go
+++ b/gateway/singleton.go
@@ -263,6 +263,9 @@
 	d.announce()
 	if d.hasUsage {
 		d.fixUsage(ctx)
+		// If the store loses the record of a window, only the announcement tells a successor not to
+		// report it with other counts.
+		d.announce()
 		d.reportUsage(ctx)
 	}
 	d.scale(ctx)
--- a/gateway/singleton_test.go
+++ b/gateway/singleton_test.go
@@ -325,6 +325,31 @@
 	fleet.awaitHolder(holder)
 }
 
+// TestFixedWindowIsKnownBeforeItsReport guards against a second report with other counts by a successor
+// if the store loses the record of a window: nobody but the holder knew then that it was fixed.
+func TestFixedWindowIsKnownBeforeItsReport(t *testing.T) {
+	t.Parallel()
+	fleet := newDutyFleet(t, 2, nil)
+	var once sync.Once
+	called := make(chan string)
+	release := make(chan struct{})
+	fleet.control.setAfterCall(func(holder string) {
+		once.Do(func() {
+			called <- holder
+			<-release
+		})
+	})
+	holder := <-called
+	defer close(release)
+	for name, host := range fleet.hosts {
+		if name != holder {
+			eventually(t, "the other host knows of the fixed window", func() bool {
+				return host.dump().SingletonDuties.FixedThrough > 0
+			})
+		}
+	}
+}
+
 // lateClaims executes the first conditional append of a host late, and returns an error for it.
 type lateClaims struct {
 	*keyedlog.Client
