Fix no window again after the store was restored and all hosts restarted

Cause: a holder without any knowledge of earlier windows fixed those that were still due. If the store had come back from a copy without their records, they may have been reported with other counts.

Change: if the lease record is of an earlier era than the store and no host knows of a fixed window, windows that ended before the term are left out unless the store has their records.

Result: TestRestartAfterStoreRestored failed before (the window before the term was fixed) and passes, as do the gateway's tests of the duties.

--- a/gateway/singleton.go
+++ b/gateway/singleton.go
@@ -94,10 +94,12 @@
 
 // dutyRecords is what the store holds besides the lease.
 type dutyRecords struct {
-	era   int64
-	note  int64
-	usage usage.ByWindow
-	ended []usage.Report
+	era int64
+	// leaseEra is the era in which the lease record was meant to be written.
+	leaseEra int64
+	note     int64
+	usage    usage.ByWindow
+	ended    []usage.Report
 }
 
 // buildSingletonDuties creates the runner of the lease if the fleet has singleton duties.
@@ -412,6 +414,7 @@
 		done.Lease = found
 		err := json.Unmarshal(record.Value, &found.Record)
 		listed.note = found.Record.Note
+		listed.leaseEra = found.Record.Era
 		return trace.Wrap(err)
 	case record.Key == endedKey:
 		return trace.Wrap(json.Unmarshal(record.Value, &listed.ended))
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -80,6 +80,10 @@
 	settledAt time.Duration
 	// isFirst is set if no window was ever reported.
 	isFirst bool
+	// isRestored is set if the store has come back from an older copy since the last lease record was
+	// written, and this host has not held the lease. beganAt is when the term began.
+	isRestored bool
+	beganAt    time.Duration
 	// clocks holds what the hosts' clocks show at the zero of this host's monotonic clock.
 	clocks map[string]hostClock
 	// heardAt is when another host last sent counts.
@@ -115,6 +119,9 @@
 		clocks:    make(map[string]hostClock),
 		heardAt:   now.Mono,
 		drift:     now.Wall - now.Mono,
+
+		isRestored: d.listed.leaseEra < d.listed.era && d.lastBook == nil,
+		beganAt:    now.Mono,
 	}
 	earliest := trueTime - d.settings.Delay
 	if h.isFirst {
@@ -306,6 +313,12 @@
 		h.book = usage.NewBook(d.settings, first)
 		h.isFirst = false
 	}
+	if h.isRestored && d.knownFixed == 0 {
+		// No host knows what an earlier holder has fixed. It cannot have fixed a window that ended
+		// after this term began.
+		d.knownFixed = d.settings.WindowAt(now-(d.instant().Mono-h.beganAt)) - 1
+	}
+	h.isRestored = false
 	for {
 		window, ok := h.book.Due(now, d.settings.CloseDelay(others+1))
 		if !ok {
--- a/gateway/usageclock_test.go
+++ b/gateway/usageclock_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,6 +93,36 @@
 	}
 }
 
+// TestRestartAfterStoreRestored guards against windows that are fixed again with other counts after
+// the store has lost their records and all hosts, which knew that they were fixed, have restarted.
+func TestRestartAfterStoreRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newClockDuties()
+		time.Sleep(time.Second)
+		current := d.settings.WindowAt(d.instant().Wall)
+		d.listed = dutyRecords{
+			era:      1,
+			leaseEra: 0,
+			note:     current - 4,
+			usage:    usage.ByWindow{current - 3: {"clerks": 4}},
+		}
+		d.beginTerm()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.setClocks(func() time.Duration { return d.instant().Wall })
+		const others = 2
+		d.closeWindows(others)
+		time.Sleep(d.settings.Window + 2*time.Second)
+		var got []string
+		for _, extra := range d.closeWindows(others).extras {
+			got = append(got, extra.Key)
+		}
+		if want := []string{usageKeyPrefix + strconv.FormatInt(current, 10)}; !slices.Equal(got, want) {
+			t.Errorf("fixed %v, want %v", got, want)
+		}
+	})
+}
+
 // newClockDuties returns the duties of a host that does not know the true time.
 func newClockDuties() *singletonDuties {
 	d := &singletonDuties{
