Bound the windows that a host keeps while there is no holder

Cause: a host forgot the counts of a window only when a holder had acknowledged it. Without one, for example while the store is down, memory grew by a window every 5 s, and the message to the next holder exceeded maxUsageBytes, so that the host's counts never arrived.

Change: a new window drops those whose reports are overdue.

Result: TestCounterIsBounded failed before (1000 windows kept) and passes, as do the tests of core/usage.

--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -139,6 +139,8 @@
 func (c *Counter) add(window int64, team string, count int64) {
 	if c.counts[window] == nil {
 		c.counts[window] = make(Counts)
+		// Without a holder nobody else drops the windows whose reports are overdue.
+		c.Forget(c.Oldest(time.Duration(window)*c.Window) - 1)
 	}
 	c.counts[window][team] += count
 	c.version++
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -202,3 +202,24 @@
 		}
 	}
 }
+
+// TestCounterIsBounded guards against memory, and a message to the next holder, that grow for as long
+// as there is none.
+func TestCounterIsBounded(t *testing.T) {
+	counter := usage.NewCounter(settings)
+	counter.Sync(0, settings.End(20))
+	const windows = 1000
+	for i := range windows {
+		counter.Record(time.Duration(i)*settings.Window, "clerks")
+	}
+	changes, _ := counter.Changes(0)
+	last := settings.End(20) + (windows-1)*settings.Window
+	for window := range changes {
+		if window < settings.Oldest(last) {
+			t.Fatalf("%d windows are kept, among them %d, the oldest of use is %d", len(changes), window, settings.Oldest(last))
+		}
+	}
+	if changes[settings.Oldest(last)] == nil {
+		t.Errorf("window %d is missing", settings.Oldest(last))
+	}
+}
