--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -139,6 +139,8 @@
 func (c *Counter) add(window int64, team string, count int64) {
 	if c.counts[window] == nil {
 		c.counts[window] = make(Counts)
+		// Without a holder nobody else drops the windows whose reports are overdue.
+		c.Forget(c.Oldest(time.Duration(window)*c.Window) - 1)
 	}
 	c.counts[window][team] += count
 	c.version++
@@ -364,13 +366,6 @@
 	b.advance()
 }
 
-// Begin lets the book begin with an earlier window, if none is fixed yet.
-func (b *Book) Begin(first int64) {
-	if len(b.entries) == 0 && first < b.next {
-		b.next, b.through = first, first-1
-	}
-}
-
 // Fix sets the counts of the next window. They may be reported after Store.
 func (b *Book) Fix(counts Counts) {
 	b.entries[b.next] = &entry{counts: counts}
--- /dev/null
+++ b/gateway/usageclock_test.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cactuswell/core/lease"
+	"cactuswell/core/usage"
+	"cactuswell/settings"
+)
+
+// TestHolderWithWrongClock guards against a new holder that drops windows, or the counts of other
+// hosts, by its own clock, before it has derived the true time from the clocks of the others.
+func TestHolderWithWrongClock(t *testing.T) {
+	for name, clockError := range map[string]time.Duration{
+		"ahead":  30 * time.Second,
+		"behind": -30 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkHolderWithWrongClock(t, clockError) })
+		})
+	}
+}
+
+func checkHolderWithWrongClock(t *testing.T, clockError time.Duration) {
+	d := newClockDuties()
+	time.Sleep(time.Minute)
+	trueTime := func() time.Duration { return d.instant().Wall - clockError }
+	current := d.settings.WindowAt(trueTime())
+	unreported := current - 2
+	d.listed = dutyRecords{
+		note:  unreported - 1,
+		usage: usage.ByWindow{unreported: {"clerks": 4}},
+	}
+	d.beginTerm()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.setClocks(trueTime)
+	const others = 4
+	d.mergeCounts(usage.Report{
+		Source: usage.Source{Host: "host-1"},
+		Counts: usage.ByWindow{current: {"clerks": 3}},
+	})
+	if due := d.closeWindows(others); len(due.late)+len(due.missed) > 0 {
+		t.Errorf("windows %v and %v are dropped before the true time is known", due.late, due.missed)
+	}
+	d.holder.clocks["host-3"] = d.holder.clocks["host-1"]
+	time.Sleep(medianInterval)
+	d.closeWindows(others)
+	if window, _, ok := d.holder.book.NextReport(trueTime()); !ok || window != unreported {
+		t.Errorf("report of window %d, %t, want %d", window, ok, unreported)
+	}
+	if got := d.holder.tally.Total(current)["clerks"]; got != 3 {
+		t.Errorf("%d requests in the current window, want 3", got)
+	}
+}
+
+// TestFirstHolderWithWrongClock guards against a fleet whose first windows are not reported because
+// the clock of its first holder is ahead, or that reports windows before its start.
+func TestFirstHolderWithWrongClock(t *testing.T) {
+	for name, clockError := range map[string]time.Duration{
+		"ahead":  30 * time.Second,
+		"behind": -30 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newClockDuties()
+				trueTime := func() time.Duration { return d.instant().Wall - clockError }
+				started := d.settings.WindowAt(trueTime())
+				d.beginTerm()
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				d.setClocks(trueTime)
+				d.mergeCounts(usage.Report{
+					Source: usage.Source{Host: "host-1"},
+					Counts: usage.ByWindow{started: {"clerks": 3}},
+				})
+				const others = 2
+				d.closeWindows(others)
+				time.Sleep(3 * time.Second)
+				d.closeWindows(others)
+				if window, _ := d.holder.book.Due(trueTime(), 0); window != started {
+					t.Errorf("the first window is %d, want %d", window, started)
+				}
+				if got := d.holder.tally.Total(started)["clerks"]; got != 3 {
+					t.Errorf("%d requests in the first window, want 3", got)
+				}
+			})
+		})
+	}
+}
+
+// TestRestartAfterStoreRestored guards against windows that are fixed again with other counts after
+// the store has lost their records and all hosts, which knew that they were fixed, have restarted.
+func TestRestartAfterStoreRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newClockDuties()
+		time.Sleep(time.Second)
+		current := d.settings.WindowAt(d.instant().Wall)
+		d.listed = dutyRecords{
+			era:      1,
+			leaseEra: 0,
+			note:     current - 4,
+			usage:    usage.ByWindow{current - 3: {"clerks": 4}},
+		}
+		d.beginTerm()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.setClocks(func() time.Duration { return d.instant().Wall })
+		const others = 2
+		d.closeWindows(others)
+		time.Sleep(d.settings.Window + 2*time.Second)
+		var got []string
+		for _, extra := range d.closeWindows(others).extras {
+			got = append(got, extra.Key)
+		}
+		if want := []string{usageKeyPrefix + strconv.FormatInt(current, 10)}; !slices.Equal(got, want) {
+			t.Errorf("fixed %v, want %v", got, want)
+		}
+	})
+}
+
+// newClockDuties returns the duties of a host that does not know the true time.
+func newClockDuties() *singletonDuties {
+	d := &singletonDuties{
+		gateway:   &Gateway{Dependencies: Dependencies{Settings: settings.Gateway{Name: "host-0"}}},
+		startedAt: time.Now(),
+		settings: usage.Settings{
+			Window: 5 * time.Second,
+			Delay:  10 * time.Second,
+		},
+		machine: lease.New(lease.Settings{Host: "host-0"}),
+	}
+	d.counter = usage.NewCounter(d.settings)
+	return d
+}
+
+// setClocks sets the clocks of two other hosts, which are right.
+func (d *singletonDuties) setClocks(trueTime func() time.Duration) {
+	now := d.instant()
+	for _, host := range []string{"host-1", "host-2"} {
+		d.holder.clocks[host] = hostClock{
+			atZero:  trueTime() - now.Mono,
+			heardAt: now.Mono,
+		}
+	}
+}
