Keep the ready listener open to checks beside a crowd

Cause: with 4,500 clients at the ready listener 5 of 13 checks were served with stopped headers, and checks waited a second with false lengths: new connections were refused after a pause of 20 ms, and connections with an unread body held their place for 0.3 s. Change: the pause only while new connections have unread bytes; a request with a body makes way at once there; operators have a third of the connections.

--- a/core/clientbudget/clientbudget.go
+++ b/core/clientbudget/clientbudget.go
@@ -44,7 +44,7 @@
 	reservedDescriptors = 200
 	// operatorFraction is the fraction of the connections for the operators' listener,
 	// and minConnections the minimum for each listener.
-	operatorFraction = 6
+	operatorFraction = 3
 	minConnections   = 16
 	// batchFraction is the fraction of the connections that are disconnected at once,
 	// so that the search for them costs little for each new connection.
--- a/io/clientconns/clientconns.go
+++ b/io/clientconns/clientconns.go
@@ -139,8 +139,10 @@
 		conn, err := l.Listener.Accept()
 		if err != nil {
 			lacksDescriptors := errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
-			if lacksDescriptors && tries < acceptTries && l.conns.makeRoom(true) {
-				continue
+			if lacksDescriptors && tries < acceptTries {
+				if hasRoom, _ := l.conns.makeRoom(true); hasRoom {
+					continue
+				}
 			}
 			return nil, err
 		}
@@ -157,8 +159,12 @@
 	c.mu.Lock()
 	isFull := c.settings.MaxConns > 0 && len(c.open) >= c.settings.MaxConns
 	c.mu.Unlock()
-	for tries := 1; isFull && !c.makeRoom(tries == roomTries); tries++ {
-		if tries < roomTries {
+	for tries := 1; isFull; tries++ {
+		hasRoom, isBusy := c.makeRoom(tries == roomTries)
+		if hasRoom {
+			break
+		}
+		if isBusy && tries < roomTries {
 			<-time.After(roomPause)
 			continue
 		}
@@ -193,10 +199,10 @@
 	return address
 }
 
-// makeRoom closes the connections that make way first. It reports false if there are none.
-// Unless it is the last attempt, idle connections stay while new ones have unread bytes, which
-// may turn out to make way.
-func (c *Conns) makeRoom(isLast bool) bool {
+// makeRoom closes the connections that make way first. HasRoom reports whether
+// there were any. Unless it is the last attempt, idle connections stay while new ones have unread
+// bytes, which may turn out to make way: then isBusy is set.
+func (c *Conns) makeRoom(isLast bool) (hasRoom, isBusy bool) {
 	c.mu.Lock()
 	conns := make([]*Conn, 0, len(c.open))
 	described := make([]clientbudget.Conn, 0, len(c.open))
@@ -207,19 +213,19 @@
 	}
 	addresses := len(c.addresses)
 	c.mu.Unlock()
-	closed, isPassedOver := 0, false
+	closed := 0
 	count := clientbudget.BatchSize(c.settings.MaxConns)
 	for _, i := range clientbudget.SelectConns(described, addresses, len(described)) {
-		if closed == count || isPassedOver && !isLast && described[i].Phase > clientbudget.Header {
+		if closed == count || isBusy && !isLast && described[i].Phase > clientbudget.Header {
 			break
 		}
 		if c.evict(conns[i], described[i].Phase) {
 			closed++
 		} else {
-			isPassedOver = true
+			isBusy = true
 		}
 	}
-	return closed > 0
+	return closed > 0, isBusy
 }
 
 // evict closes a connection to make room. It reports false if the connection has bytes that
--- a/io/clientconns/handler.go
+++ b/io/clientconns/handler.go
@@ -1,6 +1,10 @@
 package clientconns
 
-import "net/http"
+import (
+	"net/http"
+
+	"cactuswell/core/clientbudget"
+)
 
 // WithoutBodies returns a handler for requests that need no body. The connection of a request
 // with one is closed after the response, and makes way for others until then: the server would
@@ -10,7 +14,7 @@
 		if r.ContentLength != 0 {
 			w.Header().Set("Connection", "close")
 			if conn := FromContext(r.Context()); conn != nil {
-				conn.BeginBody()
+				conn.setPhase(clientbudget.Header)
 			}
 		}
 		next.ServeHTTP(w, r)
