Read the pace that endpoints add to their load

Cause: a load header with a fourth value, the pace of the endpoint at the moment, was taken for absent. Change: three or four values are accepted; the pace is a factor between 0.1 and 20, and a malformed one leaves the other values in use. Nothing uses the pace yet.

--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -152,6 +152,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is the factor on the usual time of work that the endpoint claims for this moment, or
+	// zero if it claims none. It may be false.
+	Pace float64
 }
 
 // Limit is what an endpoint takes from all hosts together: a rate of requests, or a number of
--- a/io/opaque/headers.go
+++ b/io/opaque/headers.go
@@ -47,7 +47,8 @@
 	// NotRun is set by endpoints that did not run the call.
 	NotRun string
 	// Load is the number of running calls, of waiting calls and of slots of an
-	// endpoint, separated by commas.
+	// endpoint, separated by commas. A fourth value may follow: how long work takes at the
+	// moment, in percent of the usual time.
 	Load string
 	// Leaving is set by endpoints that are leaving in all their responses.
 	Leaving string
@@ -98,8 +99,16 @@
 	maxTimeLeft = 24 * time.Hour
 	// maxTokens bounds the size of a prompt and of a part, beyond what any engine holds, and
 	// maxCount all other counts.
-	maxTokens    = 1 << 24
-	maxCount     = 1 << 30
+	maxTokens = 1 << 24
+	maxCount  = 1 << 30
+	// minLoadFields and maxLoadFields are the numbers of values of a load without and with the
+	// pace.
+	minLoadFields = 3
+	maxLoadFields = 4
+	// minPace and maxPace bound the pace that an endpoint reports, beyond what any machine
+	// reaches.
+	minPace      = 0.1
+	maxPace      = 20
 	bearerPrefix = "Bearer "
 	// lowestPriority is the least urgent priority that engines support.
 	lowestPriority = 9
@@ -273,14 +282,35 @@
 		info.MalformedLimit = text
 	}
 	info.RetryAfter, info.MalformedRetryAfter = parseRetryAfter(header.Get(headerRetryAfter))
-	fields := strings.Split(header.Get(h.names.Load), ",")
-	if len(fields) == 3 {
-		info.Load = scheduling.ReportedLoad{
-			Known:   true,
-			Running: parseCount(fields[0], maxCount),
-			Waiting: parseCount(fields[1], maxCount),
-			Slots:   parseCount(fields[2], maxCount),
-		}
-	}
+	info.Load = parseLoad(header.Get(h.names.Load))
 	return info
 }
+
+// parseLoad parses the load of an endpoint. A load has three values, or four with the pace. A
+// malformed pace counts as missing, and leaves the others in use.
+func parseLoad(text string) scheduling.ReportedLoad {
+	fields := strings.SplitN(text, ",", maxLoadFields+1)
+	if len(fields) != minLoadFields && len(fields) != maxLoadFields {
+		return scheduling.ReportedLoad{}
+	}
+	load := scheduling.ReportedLoad{
+		Known:   true,
+		Running: parseCount(fields[0], maxCount),
+		Waiting: parseCount(fields[1], maxCount),
+		Slots:   parseCount(fields[2], maxCount),
+	}
+	if len(fields) == maxLoadFields {
+		load.Pace = parsePace(fields[minLoadFields])
+	}
+	return load
+}
+
+// parsePace parses a pace in percent and returns it as a factor within the bounds, or zero if it
+// is not a positive number.
+func parsePace(text string) float64 {
+	percent, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || math.IsNaN(percent) || percent <= 0 {
+		return 0
+	}
+	return min(max(percent/100, minPace), maxPace)
+}
