Estimate the speed of endpoints among those of their service

Cause: an endpoint's slowness is a factor between 0.7 and 20 on the default times of engines. Where engines are faster than these, endpoints of 0.55 and 1.2 times the usual time look nearly alike, and prefills are predicted at twice their time. Change: core/speed estimates each endpoint's factor from event gaps, times to the first event and plain answers, with a short and a long average, the level of each kind of work, and the reported pace as far as measured times follow it. While a service is uneven (a spread of 1.6 with enough observations), predictions use it, a clearly slower endpoint is offered fewer calls while others have room, and event gaps that would miss their target have a cost. Otherwise decisions are as before. simulation.Uneven is a deployment with such engines.

--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -79,6 +79,11 @@
 	// endpoint.
 	prefillTime               time.Duration
 	predictedTimeToFirstEvent time.Duration
+	// nominalPrefill is the expected time to the first event at an engine of usual speed, or zero
+	// if the measured time does not tell the engine's speed. utilization is the share of the
+	// endpoint's slots that were in use when the call was sent.
+	nominalPrefill time.Duration
+	utilization    float64
 	// cachedTokens is the number of the prompt's leading tokens that at least one
 	// usable endpoint has cached.
 	cachedTokens int
--- a/core/scheduling/endpoint.go
+++ b/core/scheduling/endpoint.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cactuswell/core/directory"
+	"cactuswell/core/speed"
 )
 
 const (
@@ -49,8 +50,10 @@
 	runningAtReport int
 	// slowness is the factor on the times of the performance model.
 	slowness float64
-	health   health
-	cache    cacheIndex
+	// speed is the estimate of all hosts of the endpoint's speed among those of its service.
+	speed  *speed.Endpoint
+	health health
+	cache  cacheIndex
 	// fullUntil is until when the endpoint is avoided because it declined a call.
 	fullUntil time.Time
 	// quietUntil is until when the endpoint asked not to be sent calls.
@@ -175,6 +178,7 @@
 		return
 	}
 	e.reported = load
+	e.speed.ReportPace(now, load.Pace)
 	e.reportedAt = now
 	e.runningAtReport = e.running
 }
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cactuswell/core/route"
+	"cactuswell/core/speed"
 )
 
 const (
@@ -59,6 +60,7 @@
 	s.recordLimit(c.endpoint, event.Limit)
 	c.started = true
 	c.startedAt = s.now
+	s.observeFirstEvent(c)
 	bindVersion(c, c.endpoint)
 	c.endpoint.removePending(s.now, c)
 	s.markDirty(c.endpoint)
@@ -113,7 +115,10 @@
 		return
 	}
 	e := s.detachAttempt(c)
-	e.recordReportedLoad(s.now, event.Load)
+	if !c.started || event.Load.Pace == 0 {
+		// A load with a pace that came with the header of a stream is old by now.
+		e.recordReportedLoad(s.now, event.Load)
+	}
 	if event.HasAnswer && !c.started {
 		s.recordLimit(e, event.Limit)
 	}
@@ -188,6 +193,8 @@
 	}
 	if c.pool.engine == nil {
 		answerTime := s.now.Sub(c.sentAt).Seconds()
+		s.observeSpeed(c.pool, e, speed.Plain, s.now.Sub(c.sentAt)-s.roundTrip(e),
+			time.Duration(float64(initialAnswerTime)*(1+c.utilization*c.utilization)))
 		e.observeSlowness(answerTime / max(c.pool.answerTime, 0.001))
 		c.pool.answerTime += 0.02 * (answerTime - c.pool.answerTime)
 		return
@@ -197,6 +204,7 @@
 	}
 	expected := time.Duration(s.tokensPerEvent(c.pool)) * s.settings.Engine.StepTime(e.inFlight(s.now), 0)
 	e.observeSlowness(float64(event.EventGap) / float64(expected))
+	s.observeSpeed(c.pool, e, speed.EventGap, event.EventGap, expected)
 }
 
 // reinstate records a successful answer of an endpoint and ends its ejection, if
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cactuswell/core/route"
+	"cactuswell/core/speed"
 )
 
 const (
@@ -170,6 +171,9 @@
 	cost        float64
 	choice      Choice
 	prefillTime time.Duration
+	// nominalPrefill is the expected time to the first event at usual speed, if the measured
+	// time is to be compared with it.
+	nominalPrefill time.Duration
 }
 
 // pickEndpoint returns the endpoint with the lowest cost for a call, or nil if none
@@ -207,6 +211,8 @@
 		best.choice.LoadAge = s.now.Sub(best.endpoint.reportedAt)
 	}
 	c.prefillTime = best.prefillTime
+	c.nominalPrefill = best.nominalPrefill
+	c.utilization = float64(best.choice.Running) / float64(max(best.endpoint.entry.Slots, 1))
 	return best.endpoint, best.choice
 }
 
@@ -220,8 +226,8 @@
 }
 
 // canAccept reports whether an endpoint may receive a call. Endpoints that failed
-// the call or recently declined one are accepted in the second pass only, and those that
-// failed it not while it waits for another one.
+// the call, recently declined one, or are slow and have their share, are accepted in the second
+// pass only, and those that failed it not while it waits for another one.
 func (s *Scheduler) canAccept(c *call, e *endpoint, secondPass bool) bool {
 	if e.leaving || !c.isCompatible(e) || e.inFlight(s.now) >= s.concurrencyLimit(c.pool, e) {
 		return false
@@ -233,7 +239,7 @@
 	if secondPass {
 		return !hasFailed || !c.waitsForOther
 	}
-	return !hasFailed && !s.now.Before(e.fullUntil)
+	return !hasFailed && !s.now.Before(e.fullUntil) && e.inFlight(s.now) < s.speedShare(c.pool, e, s.concurrencyLimit(c.pool, e))
 }
 
 // concurrencyLimit returns the number of calls that an endpoint may have in flight.
@@ -259,7 +265,7 @@
 	scored.choice.Running = inFlight
 	if c.pool.engine == nil {
 		utilization := float64(inFlight) / float64(max(e.entry.Slots, 1))
-		answerTime := c.pool.answerTime * e.slowness * (1 + utilization*utilization)
+		answerTime := s.answerTime(c.pool, e) * (1 + utilization*utilization)
 		scored.choice.TimeToFirstEvent = roundTrip + time.Duration(answerTime*float64(time.Second))
 	} else {
 		s.scoreEngine(c, e, &scored, roundTrip)
@@ -286,7 +292,7 @@
 		return 1 + s.settings.Weights.DelayWeight*timeToFirst.Seconds()/c.spec.Route.TargetLatency.Seconds()
 	}
 	share := timeToFirst.Seconds() / remaining.Seconds()
-	return 1/(1+math.Exp((s.settings.Weights.OnTimeMargin-share)/s.settings.Weights.OnTimeSpread)) + s.settings.Weights.DelayWeight*share
+	return s.lateness(share) + s.settings.Weights.DelayWeight*share
 }
 
 func (s *Scheduler) scoreEngine(c *call, e *endpoint, scored *candidate, roundTrip time.Duration) {
@@ -300,13 +306,16 @@
 		scored.cost += s.settings.Weights.FetchCost * float64(scored.choice.FetchedTokens) / 1000
 	}
 	uncachedTokens := max(c.spec.PromptTokens-available, 1)
-	prefillTime := time.Duration(float64(model.PrefillTime(available, uncachedTokens)) * e.slowness)
+	nominal := model.PrefillTime(available, uncachedTokens)
+	prefillTime := time.Duration(float64(nominal) * s.slowness(c.pool, e, speed.Prefill))
 	backlog := e.prefillBacklog(s.now)
 	scored.prefillTime = prefillTime
 	scored.choice.CachedTokens = cached
 	scored.choice.PrefillBacklog = backlog
 	// A request joins the batch when the current step is over.
 	scored.choice.TimeToFirstEvent = model.FirstStepDelay + model.Step + backlog + fetchTime + prefillTime + roundTrip
+	scored.nominalPrefill = s.nominalPrefill(&scored.choice, nominal)
+	scored.cost += s.gapCost(c, e, scored.choice.Running)
 	if c.cachedTokens > available {
 		recompute := model.PrefillTime(available, c.cachedTokens-available)
 		scored.cost += s.settings.Weights.RecomputeCost * recompute.Seconds()
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -29,6 +29,7 @@
 	"cactuswell/core/quarantine"
 	"cactuswell/core/retry"
 	"cactuswell/core/route"
+	"cactuswell/core/speed"
 )
 
 // Settings configures a Scheduler.
@@ -110,6 +111,8 @@
 	budget *retry.WindowBudget
 	// answerTime is the smoothed answer time of a plain service, in seconds.
 	answerTime float64
+	// speeds holds the estimates of the endpoints' speeds.
+	speeds *speed.Service
 	// runTime is the smoothed time that calls run at endpoints, or zero if none has run yet.
 	runTime time.Duration
 	// partitions divides the engines between latency-sensitive streams and
@@ -234,6 +237,7 @@
 			budget:     retry.NewWindowBudget(s.settings.BudgetWindow, s.settings.BudgetRatio*budgetSafety, 0),
 			answerTime: initialAnswerTime.Seconds(),
 			partitions: partitions{weights: s.settings.Weights},
+			speeds:     speed.NewService(),
 		}
 		p.budget.SetSlack(s.SlackShare())
 		p.base, p.hasBase = s.bases[name]
@@ -270,6 +274,7 @@
 		s.byHash[e.keyHash] = e
 		s.endpoints = append(s.endpoints, e)
 		p := s.ensurePool(change.Entry.Service)
+		e.speed = p.speeds.Add()
 		p.endpoints = append(p.endpoints, e)
 		p.partitions.rank(p.endpoints)
 		s.dispatchWaiting(p)
@@ -303,6 +308,7 @@
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(other *endpoint) bool { return other == e })
 	s.limited = slices.DeleteFunc(s.limited, func(other *endpoint) bool { return other == e })
 	p := s.ensurePool(e.entry.Service)
+	p.speeds.Remove(e.speed)
 	p.endpoints = slices.DeleteFunc(p.endpoints, func(other *endpoint) bool { return other == e })
 	p.partitions.rank(p.endpoints)
 }
--- /dev/null
+++ b/core/scheduling/speed.go
@@ -0,0 +1,106 @@
+package scheduling
+
+import (
+	"math"
+	"time"
+
+	"cactuswell/core/route"
+	"cactuswell/core/speed"
+)
+
+const (
+	// minMeasuredPrefill is the nominal prefill time from which on a time to the first event
+	// tells the speed of an engine rather than that of the network and the host.
+	minMeasuredPrefill = 20 * time.Millisecond
+	// maxMeasuredBacklog is the prefill backlog, as a share of the call's own prefill time, up to
+	// which the time to its first event is measured.
+	maxMeasuredBacklog = 0.25
+	// minShareFactor is the factor from which on an endpoint is offered fewer calls than it has
+	// slots.
+	minShareFactor = 1.5
+)
+
+// observeSpeed records a measured time of an endpoint's work.
+func (s *Scheduler) observeSpeed(p *pool, e *endpoint, kind speed.Kind, measured, nominal time.Duration) {
+	e.speed.Observe(s.now, kind, measured, nominal)
+}
+
+// nominalPrefill returns the expected time to the first event of a call at an engine of usual
+// speed, or zero if the measured time would not tell the engine's speed.
+func (s *Scheduler) nominalPrefill(choice *Choice, prefillTime time.Duration) time.Duration {
+	if prefillTime < minMeasuredPrefill || choice.FetchedTokens > 0 || choice.PrefillBacklog > time.Duration(maxMeasuredBacklog*float64(prefillTime)) {
+		return 0
+	}
+	return s.settings.Engine.FirstStepDelay + s.settings.Engine.Step + prefillTime
+}
+
+// observeFirstEvent records the time to the first event of a stream.
+func (s *Scheduler) observeFirstEvent(c *call) {
+	if c.nominalPrefill > 0 {
+		s.observeSpeed(c.pool, c.endpoint, speed.Prefill, s.now.Sub(c.sentAt)-s.roundTrip(c.endpoint), c.nominalPrefill)
+	}
+}
+
+// slowness returns the factor on the time of work of a kind at an endpoint. While the endpoints of
+// the service are alike, or too little is known about them, it is this host's estimate.
+//
+// It serves services whose machines differ in speed permanently, or for seconds.
+func (s *Scheduler) slowness(p *pool, e *endpoint, kind speed.Kind) float64 {
+	if !p.speeds.IsUneven(s.now) {
+		return e.slowness
+	}
+	level, ok := p.speeds.Level(s.now, kind)
+	if !ok && kind == speed.Prefill {
+		level, ok = p.speeds.Level(s.now, speed.EventGap)
+	}
+	if !ok {
+		return e.slowness
+	}
+	return level * e.speed.FactorNow(s.now)
+}
+
+// answerTime returns the expected time of an answer of a plain service, without a queue.
+func (s *Scheduler) answerTime(p *pool, e *endpoint) float64 {
+	if p.speeds.IsUneven(s.now) {
+		return p.answerTime * e.speed.FactorNow(s.now)
+	}
+	return p.answerTime * e.slowness
+}
+
+// speedShare returns the number of calls that an endpoint is offered while others have room: fewer
+// than its slots if it is clearly slower than the others, so that all its calls end about as soon
+// as theirs.
+func (s *Scheduler) speedShare(p *pool, e *endpoint, limit int) int {
+	if !p.speeds.IsUneven(s.now) {
+		return limit
+	}
+	factor := e.speed.Factor(s.now)
+	if factor < minShareFactor {
+		return limit
+	}
+	return max(int(math.Ceil(float64(limit)/factor)), 1)
+}
+
+// gapCost returns the cost of an engine at which a stream's event gaps are more likely to miss
+// their target than at an engine of usual speed, and a gain where they are less likely to. A gap
+// is taken to include the prefill of one chunk, since the stream meets other calls' prompts.
+func (s *Scheduler) gapCost(c *call, e *endpoint, inFlight int) float64 {
+	r := c.spec.Route
+	if r.Kind != route.Stream || r.TargetEventGap <= 0 || !c.pool.speeds.IsUneven(s.now) {
+		return 0
+	}
+	level, ok := c.pool.speeds.Level(s.now, speed.EventGap)
+	if !ok {
+		return 0
+	}
+	model := s.settings.Engine
+	model.TokensPerEvent = s.tokensPerEvent(c.pool)
+	usual := level * model.EventGap(inFlight, 0, 0, model.ChunkTokens).Seconds() / r.TargetEventGap.Seconds()
+	return s.lateness(usual*e.speed.Factor(s.now)) - s.lateness(usual)
+}
+
+// lateness returns the probability that a time misses its target, of which it is expected to take
+// a share.
+func (s *Scheduler) lateness(share float64) float64 {
+	return 1 / (1 + math.Exp((s.settings.Weights.OnTimeMargin-share)/s.settings.Weights.OnTimeSpread))
+}
--- a/simulation/deployments.go
+++ b/simulation/deployments.go
@@ -351,6 +351,51 @@
 	return config
 }
 
+// Uneven returns a deployment of uneven engines under hard load: 84 hosts, 140 engines with 16
+// slots, a queue of 33 and lasting differences of speed, whose pace also changes every moment.
+// Hosts assume the default times of engines.
+func Uneven() Config {
+	config := KelisimGrown()
+	hostModel := batching.Default()
+	config.HostModel = &hostModel
+	config.Hosts = 84
+	config.Engines = 140
+	config.Slots = 16
+	config.QueuePlaces = 33
+	config.KVCacheTokens = 730_160
+	config.StepTimeFactors = []float64{0.55, 1.2, 1.2, 1.2}
+	config.PaceSpread = 0.25
+	config.Model.Step = 3400 * time.Microsecond
+	config.Model.PrefillPerThousand = 8930 * time.Microsecond
+	config.Model.AttentionPerMillion = 163 * time.Microsecond
+	config.Model.TokensPerEvent = 5
+	classes := make([]Class, len(config.Classes))
+	copy(classes, config.Classes)
+	for i, change := range []struct {
+		rate             float64
+		target, gap      time.Duration
+		shared, own      int
+		prefixes, events int
+		value, lateValue float64
+	}{
+		{290, 1500 * time.Millisecond, 800 * time.Millisecond, 13_300, 3700, 1200, 30, 1.4, 0.14},
+		{176, 400 * time.Millisecond, 300 * time.Millisecond, 6300, 2900, 700, 13, 2, 0.2},
+		{142, 250 * time.Millisecond, 200 * time.Millisecond, 350, 1110, 500, 43, 3.1, 0.093},
+	} {
+		classes[i].Rate = change.rate
+		classes[i].TargetLatency = change.target
+		classes[i].MaxGap = change.gap
+		classes[i].PrefixTokens = change.shared
+		classes[i].MeanSuffixTokens = change.own
+		classes[i].Prefixes = change.prefixes
+		classes[i].MeanEvents = change.events
+		classes[i].Value = change.value
+		classes[i].LateValue = change.lateValue
+	}
+	config.Classes = classes
+	return config
+}
+
 // Scale returns a copy of a deployment with the hosts, endpoints, arrival rates and
 // shared prompt prefixes multiplied by a factor.
 func Scale(config Config, factor int) Config {
--- a/simulation/engine.go
+++ b/simulation/engine.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
@@ -70,6 +72,31 @@
 	f.registerEndpoint(e.entry, e)
 }
 
+// load implements endpoint.
+func (e *engine) load() scheduling.ReportedLoad {
+	if e.fleet.config.PaceSpread == 0 {
+		return scheduling.ReportedLoad{}
+	}
+	return scheduling.ReportedLoad{
+		Known:   true,
+		Running: len(e.running),
+		Waiting: len(e.queue),
+		Slots:   e.entry.Slots,
+		Pace:    e.pace(),
+	}
+}
+
+// pace returns the factor on the step times at the moment.
+func (e *engine) pace() float64 {
+	factor := e.timeFactor * e.slowdown
+	if e.fleet.config.PaceSpread > 0 {
+		interval := uint64(e.fleet.now.Sub(epoch) / paceInterval)
+		random := rand.New(rand.NewPCG(interval, uint64(e.entry.Born)))
+		factor *= math.Exp(e.fleet.config.PaceSpread * random.NormFloat64())
+	}
+	return factor
+}
+
 func (e *engine) isReachable() bool    { return !e.down }
 func (e *engine) isUnresponsive() bool { return e.unresponsive }
 func (e *engine) zoneIndex() int       { return int(e.entry.Zone[len(e.entry.Zone)-1] - '0') }
@@ -244,7 +271,7 @@
 		a.contextTokens += chunk
 		a.prefillDone = a.prefillRemaining == 0
 	}
-	stepTime := time.Duration(float64(model.StepTime(decoding, contextTokens)+prefillTime) * e.timeFactor * e.slowdown)
+	stepTime := time.Duration(float64(model.StepTime(decoding, contextTokens)+prefillTime) * e.pace())
 	e.busyTime += stepTime
 	e.fleet.scheduleAfter(stepTime, func() { e.finishStep(incarnation) })
 }
@@ -403,6 +430,9 @@
 	f.registerEndpoint(s.entry, s)
 }
 
+// load implements endpoint.
+func (s *server) load() scheduling.ReportedLoad { return scheduling.ReportedLoad{} }
+
 func (s *server) isReachable() bool    { return !s.down }
 func (s *server) isUnresponsive() bool { return false }
 func (s *server) zoneIndex() int       { return int(s.entry.Zone[len(s.entry.Zone)-1] - '0') }
--- a/simulation/host.go
+++ b/simulation/host.go
@@ -56,6 +56,9 @@
 		BudgetSlack:  50,
 		Weights:      scheduling.DefaultWeights(),
 	}
+	if h.fleet.config.HostModel != nil {
+		settings.Engine = *h.fleet.config.HostModel
+	}
 	if h.fleet.config.AdjustSettings != nil {
 		h.fleet.config.AdjustSettings(&settings)
 	}
@@ -512,6 +515,7 @@
 	case 1:
 		a.host.handleEvent(scheduling.AnswerStarted{
 			Call:  c.id,
+			Load:  a.endpoint.load(),
 			Limit: a.endpoint.tell(a),
 		})
 	case 2:
@@ -559,6 +563,7 @@
 	case scheduling.Completed, scheduling.Declined:
 		event.HasAnswer = true
 		event.Limit = a.endpoint.tell(a)
+		event.Load = a.endpoint.load()
 	}
 	a.host.handleEvent(event)
 }
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -62,6 +62,8 @@
 	crashingPart       = 1 << 50
 	crashingPartTokens = 400
 	crashDowntime      = 3 * time.Second
+	// paceInterval is the time for which an engine keeps its pace.
+	paceInterval = 100 * time.Millisecond
 	// repeatedRequest identifies the request that crashes endpoints.
 	repeatedRequest = 1 << 39
 )
@@ -170,6 +172,11 @@
 	// turn. A larger factor makes a slower engine.
 	StepTimeFactors []float64
 	Model           batching.Model
+	// HostModel is the model that hosts assume for the engines. Nil means Model.
+	HostModel *batching.Model
+	// PaceSpread is the log-scale sigma of a factor on the engines' step times that changes
+	// every paceInterval. If it is positive, engines report their load with their pace.
+	PaceSpread float64
 	// Servers is the number of servers of the plain service, and ServerSlots the
 	// number of calls that each of them runs concurrently.
 	Servers     int
@@ -284,6 +291,8 @@
 	cancel(a *attempt)
 	isReachable() bool
 	isUnresponsive() bool
+	// load returns the load that an answer reports, if the endpoint reports any.
+	load() scheduling.ReportedLoad
 	// tell returns the limit that an answer to a host names.
 	tell(a *attempt) scheduling.Limit
 	zoneIndex() int
