Share what hosts measure of the speed of endpoints

Cause: a host of a large fleet calls an endpoint every 20 s or so, so that its own measurements find no difference that lasts seconds. Change: hosts report observations (endpoint, kind of work, number, logarithm of measured over nominal time) in an extension of their reports, at most 8 a second, if the endpoints of a service report their pace or are uneven. A zone reports those that differ by a clear step from what it told last, or after 4 s, at most 16 a second: 11 B each, whatever the number of hosts. The partitions are still sized by the host's own estimate, since the shared one made the latency partition half as large.

--- a/core/aggregate/aggregate.go
+++ b/core/aggregate/aggregate.go
@@ -20,6 +20,7 @@
 	"cactuswell/core/quarantine"
 	"cactuswell/core/quota"
 	"cactuswell/core/scheduling"
+	"cactuswell/core/speed"
 )
 
 // maxPendingPlacements bounds the placements that wait for the next TakeTotals.
@@ -32,6 +33,9 @@
 	// noticeSlack is the difference up to which two ends of a quiet time are the same,
 	// as members report the time that is left.
 	noticeSlack = 100 * time.Millisecond
+	// speedsPerSecond bounds the observations of endpoints' speeds that a zone reports in a
+	// second.
+	speedsPerSecond = 16
 )
 
 // Zone holds the total load of one zone's hosts.
@@ -43,6 +47,7 @@
 	notices    map[uint64]*notice
 	findings   quarantine.Outbox
 	limits     map[uint64]*limit
+	speeds     *speed.Outbox
 	// limitReports counts the reports on limits.
 	limitReports int
 }
@@ -99,6 +104,7 @@
 		totals:  make(map[uint64]*total),
 		notices: make(map[uint64]*notice),
 		limits:  make(map[uint64]*limit),
+		speeds:  speed.NewOutbox(speedsPerSecond, false),
 	}
 }
 
@@ -258,6 +264,17 @@
 	return z.findings.Take(now, complete)
 }
 
+// RecordSpeeds records a host's observations of the speed of endpoints.
+func (z *Zone) RecordSpeeds(now time.Time, observations []speed.Observation) {
+	for _, o := range observations {
+		z.speeds.Add(now, o)
+	}
+}
+
+// TakeSpeeds returns the members' observations of the speed of endpoints, as far as they differ
+// from what was reported before.
+func (z *Zone) TakeSpeeds(now time.Time) []speed.Observation { return z.speeds.Take(now) }
+
 // RecordDemands records the demand that callers make on a host, which has reported its
 // load before.
 func (z *Zone) RecordDemands(host string, demands []scheduling.Demand) {
--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -84,6 +84,9 @@
 	// endpoint's slots that were in use when the call was sent.
 	nominalPrefill time.Duration
 	utilization    float64
+	// demandTime is the prefill time in the unit in which the partitions are sized: that of the
+	// performance model, with this host's own estimate of the endpoint's slowness.
+	demandTime time.Duration
 	// cachedTokens is the number of the prompt's leading tokens that at least one
 	// usable endpoint has cached.
 	cachedTokens int
--- a/core/scheduling/endpoint.go
+++ b/core/scheduling/endpoint.go
@@ -173,14 +173,18 @@
 	return streams
 }
 
-func (e *endpoint) recordReportedLoad(now time.Time, load ReportedLoad) {
+// recordReportedLoad records the load that an endpoint reports in an answer to this host.
+func (s *Scheduler) recordReportedLoad(e *endpoint, load ReportedLoad) {
 	if !load.Known {
 		return
 	}
 	e.reported = load
-	e.speed.ReportPace(now, load.Pace)
-	e.reportedAt = now
+	e.reportedAt = s.now
 	e.runningAtReport = e.running
+	if load.Pace > 0 {
+		e.speed.ReportPace(s.now, load.Pace)
+		s.ensurePool(e.entry.Service).reportsPace = true
+	}
 }
 
 // observeSlowness updates the smoothed slowness with a ratio of measured to
--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -6,6 +6,7 @@
 	"cactuswell/core/directory"
 	"cactuswell/core/quarantine"
 	"cactuswell/core/route"
+	"cactuswell/core/speed"
 )
 
 // Event is an input of the state machine. The types in this file are the only
@@ -100,6 +101,8 @@
 	// for the services that have limits. Complete reports list all of it.
 	Limits      []LimitReport
 	CallDemands []CallDemand
+	// Speeds lists the observations of endpoints' speeds that the peer has made lately.
+	Speeds []speed.Observation
 	// Findings lists what the peer has found about prompts that crash endpoints.
 	Findings []quarantine.Finding
 	// Demands lists the demand that callers make on the peer, or is nil if the report
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -53,7 +53,7 @@
 	if c == nil || c.endpoint == nil {
 		return
 	}
-	c.endpoint.recordReportedLoad(s.now, event.Load)
+	s.recordReportedLoad(c.endpoint, event.Load)
 	if c.started {
 		return
 	}
@@ -117,7 +117,7 @@
 	e := s.detachAttempt(c)
 	if !c.started || event.Load.Pace == 0 {
 		// A load with a pace that came with the header of a stream is old by now.
-		e.recordReportedLoad(s.now, event.Load)
+		s.recordReportedLoad(e, event.Load)
 	}
 	if event.HasAnswer && !c.started {
 		s.recordLimit(e, event.Limit)
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -174,6 +174,8 @@
 	// nominalPrefill is the expected time to the first event at usual speed, if the measured
 	// time is to be compared with it.
 	nominalPrefill time.Duration
+	// demandTime is the prefill time in the unit in which the partitions are sized.
+	demandTime time.Duration
 }
 
 // pickEndpoint returns the endpoint with the lowest cost for a call, or nil if none
@@ -212,6 +214,7 @@
 	}
 	c.prefillTime = best.prefillTime
 	c.nominalPrefill = best.nominalPrefill
+	c.demandTime = best.demandTime
 	c.utilization = float64(best.choice.Running) / float64(max(best.endpoint.entry.Slots, 1))
 	return best.endpoint, best.choice
 }
@@ -310,6 +313,7 @@
 	prefillTime := time.Duration(float64(nominal) * s.slowness(c.pool, e, speed.Prefill))
 	backlog := e.prefillBacklog(s.now)
 	scored.prefillTime = prefillTime
+	scored.demandTime = time.Duration(float64(nominal) * e.slowness)
 	scored.choice.CachedTokens = cached
 	scored.choice.PrefillBacklog = backlog
 	// A request joins the batch when the current step is over.
@@ -466,7 +470,7 @@
 	s.markDirty(e)
 	s.recordLimitedSend(e)
 	if c.pool.engine != nil {
-		c.pool.partitions.recordDemand(s.now, c.latencySensitive, c.prefillTime)
+		c.pool.partitions.recordDemand(s.now, c.latencySensitive, c.demandTime)
 		e.addPending(s.now, c)
 		s.recordPlacement(c, e)
 	}
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -72,6 +72,8 @@
 	// peers holds the sources of load reports by name.
 	peers      map[string]peer
 	placements PlacementQueue
+	// speeds holds the observations of endpoints' speeds that wait to be reported.
+	speeds *speed.Outbox
 	// quarantine holds the requests and the prompt parts that crash endpoints.
 	quarantine *quarantine.Ledger
 	// bases holds the base versions by service, and recordsOverdue is set while streams that
@@ -113,6 +115,8 @@
 	answerTime float64
 	// speeds holds the estimates of the endpoints' speeds.
 	speeds *speed.Service
+	// reportsPace is set once an endpoint has reported its pace.
+	reportsPace bool
 	// runTime is the smoothed time that calls run at endpoints, or zero if none has run yet.
 	runTime time.Duration
 	// partitions divides the engines between latency-sensitive streams and
@@ -143,6 +147,7 @@
 		calls:    make(map[CallID]*call),
 		peers:    make(map[string]peer),
 
+		speeds:     speed.NewOutbox(speedsPerSecond, true),
 		quarantine: quarantine.New(),
 	}
 }
@@ -354,6 +359,7 @@
 	}
 	s.applyNotices(event.Notices)
 	s.applyLimits(event)
+	s.applySpeeds(event.Speeds)
 	s.applyQuarantineChanges(s.quarantine.Apply(s.now, event.Findings))
 	for _, placement := range event.Placements {
 		if e := s.byHash[placement.Endpoint]; e != nil {
--- a/core/scheduling/speed.go
+++ b/core/scheduling/speed.go
@@ -18,11 +18,34 @@
 	// minShareFactor is the factor from which on an endpoint is offered fewer calls than it has
 	// slots.
 	minShareFactor = 1.5
+	// speedsPerSecond bounds the observations of speed that a host reports to the others in a
+	// second. A host of a large fleet has about as many.
+	speedsPerSecond = 8
 )
 
-// observeSpeed records a measured time of an endpoint's work.
+// observeSpeed records a measured time of an endpoint's work. Other hosts are told of it if the
+// service's endpoints report their pace, or are known to be uneven.
 func (s *Scheduler) observeSpeed(p *pool, e *endpoint, kind speed.Kind, measured, nominal time.Duration) {
-	e.speed.Observe(s.now, kind, measured, nominal)
+	observation, ok := e.speed.Observe(s.now, kind, measured, nominal)
+	if !ok || !p.reportsPace && !p.speeds.IsUneven(s.now) {
+		return
+	}
+	observation.Endpoint = e.keyHash
+	s.speeds.Add(s.now, observation)
+}
+
+// TakeSpeeds returns this host's latest observations of the speed of endpoints, for a report to the
+// other hosts.
+func (s *Scheduler) TakeSpeeds(now time.Time) []speed.Observation { return s.speeds.Take(now) }
+
+// applySpeeds records the observations of another host, or of a zone's hosts. Those of a zone may
+// include this host's own, which then count twice here.
+func (s *Scheduler) applySpeeds(observations []speed.Observation) {
+	for _, o := range observations {
+		if e := s.byHash[o.Endpoint]; e != nil {
+			e.speed.Apply(s.now, o)
+		}
+	}
 }
 
 // nominalPrefill returns the expected time to the first event of a call at an engine of usual
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -11,6 +11,7 @@
 	"cactuswell/core/quarantine"
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
+	"cactuswell/core/speed"
 	"cactuswell/io/peer"
 	"cactuswell/ring"
 	"cactuswell/timer"
@@ -78,6 +79,7 @@
 	limits     []scheduling.LimitReport
 	// callDemands is the demand for the services that have limits.
 	callDemands []scheduling.CallDemand
+	speeds      []speed.Observation
 }
 
 // heartbeatRequested requests an immediate heartbeat to other hosts.
@@ -259,6 +261,7 @@
 		placements: placements,
 		notices:    notices,
 		findings:   d.scheduler.TakeFindings(now, heartbeatDue),
+		speeds:     d.scheduler.TakeSpeeds(now),
 	}
 	report.limits, report.callDemands = d.scheduler.TakeLimits(now, heartbeatDue)
 	if heartbeatDue {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -343,6 +343,7 @@
 		Findings:             report.findings,
 		Limits:               report.limits,
 		CallDemands:          report.callDemands,
+		Speeds:               report.speeds,
 	})
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -171,6 +171,7 @@
 		Findings:     message.Findings,
 		Limits:       message.Limits,
 		CallDemands:  message.CallDemands,
+		Speeds:       message.Speeds,
 		Demands:      message.Demands,
 	})
 }
--- a/io/peer/extension.go
+++ b/io/peer/extension.go
@@ -7,6 +7,7 @@
 
 	"cactuswell/core/quarantine"
 	"cactuswell/core/scheduling"
+	"cactuswell/core/speed"
 )
 
 // An extension follows the fields of a message: its kind, its size as a variable-length
@@ -17,6 +18,7 @@
 	minExtension      = 2
 	extensionLimits   = 3
 	extensionFindings = 4
+	extensionSpeeds   = 6
 )
 
 // Kinds of a finding. The kind of extension 2 held findings that did not name requests.
@@ -75,6 +77,12 @@
 			return false
 		}
 		m.Limits, m.CallDemands = limits, demands
+	case extensionSpeeds:
+		speeds := content.speeds()
+		if content.failed {
+			return false
+		}
+		m.Speeds = speeds
 	}
 	return true
 }
@@ -168,6 +176,42 @@
 	return demands
 }
 
+// logRatioSteps is the number of steps of the logarithm of a ratio for a factor of e, and
+// logRatioBias makes it positive.
+const (
+	logRatioSteps = 4096
+	logRatioBias  = 1 << 15
+)
+
+func appendSpeeds(to []byte, observations []speed.Observation) []byte {
+	to = binary.AppendUvarint(to, uint64(len(observations)))
+	for _, o := range observations {
+		to = binary.BigEndian.AppendUint64(to, o.Endpoint)
+		to = append(to, byte(o.Kind))
+		to = appendCount(to, o.Count)
+		to = binary.BigEndian.AppendUint16(to, uint16(min(max(math.Round(o.LogRatio*logRatioSteps)+logRatioBias, 0), math.MaxUint16)))
+	}
+	return to
+}
+
+// speeds decodes observations. Those of kinds of work that this release does not know are left
+// out.
+func (d *decoder) speeds() []speed.Observation {
+	var observations []speed.Observation
+	for range d.listLength() {
+		o := speed.Observation{
+			Endpoint: d.uint64(),
+			Kind:     speed.Kind(d.byte()),
+			Count:    int(d.boundedUvarint()),
+			LogRatio: (float64(binary.BigEndian.Uint16(d.next(2))) - logRatioBias) / logRatioSteps,
+		}
+		if o.Kind < speed.Kinds {
+			observations = append(observations, o)
+		}
+	}
+	return observations
+}
+
 func appendParts(to []byte, parts []uint64) []byte {
 	parts = parts[:min(len(parts), maxFindingParts)]
 	to = binary.AppendUvarint(to, uint64(len(parts)))
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -334,7 +334,7 @@
 	m.mu.Lock()
 	m.latest = *message
 	m.latest.Loads, m.latest.Placements, m.latest.Notices, m.latest.Demands = nil, nil, nil, nil
-	m.latest.Findings, m.latest.Limits, m.latest.CallDemands = nil, nil, nil
+	m.latest.Findings, m.latest.Limits, m.latest.CallDemands, m.latest.Speeds = nil, nil, nil, nil
 	message.Copies = m.copyList(now)
 	var addresses []net.Addr
 	if !m.usesRelays {
@@ -352,6 +352,7 @@
 		m.zoneLoad.RecordDemands(m.Host, message.Demands)
 		m.zoneLoad.RecordFindings(now, message.Findings)
 		m.zoneLoad.RecordLimits(now, m.Host, message.Complete, message.Limits, message.CallDemands)
+		m.zoneLoad.RecordSpeeds(now, message.Speeds)
 	} else {
 		addresses = append(addresses, relay.udpAddress)
 	}
@@ -445,6 +446,7 @@
 		m.zoneLoad.RecordDemands(message.Host, message.Demands)
 		m.zoneLoad.RecordFindings(now, message.Findings)
 		m.zoneLoad.RecordLimits(now, message.Host, message.Complete, message.Limits, message.CallDemands)
+		m.zoneLoad.RecordSpeeds(now, message.Speeds)
 	}
 	m.mu.Unlock()
 	if message.Aggregate {
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -9,6 +9,7 @@
 	"cactuswell/core/quarantine"
 	"cactuswell/core/replica"
 	"cactuswell/core/scheduling"
+	"cactuswell/core/speed"
 )
 
 const (
@@ -80,6 +81,8 @@
 	// the demand for the services that have limits. Complete reports have all of it.
 	Limits      []scheduling.LimitReport
 	CallDemands []scheduling.CallDemand
+	// Speeds are the observations of endpoints' speeds that the sender has made lately.
+	Speeds []speed.Observation
 	// Demands is the demand that callers make on the sender. It is part of complete
 	// reports.
 	Demands []scheduling.Demand
@@ -179,6 +182,9 @@
 		to = appendExtension(to, extensionLimits,
 			appendLimits(nil, m.Limits[:min(len(m.Limits), maxItems)], m.CallDemands[:min(len(m.CallDemands), maxItems)]))
 	}
+	if len(m.Speeds) > 0 {
+		to = appendExtension(to, extensionSpeeds, appendSpeeds(nil, m.Speeds[:min(len(m.Speeds), maxItems)]))
+	}
 	return to
 }
 
--- a/io/peer/message_test.go
+++ b/io/peer/message_test.go
@@ -11,6 +11,7 @@
 	"cactuswell/core/quarantine"
 	"cactuswell/core/replica"
 	"cactuswell/core/scheduling"
+	"cactuswell/core/speed"
 	"cactuswell/io/peer"
 )
 
@@ -86,6 +87,14 @@
 			Sent: rapid.IntRange(0, 1<<20).Draw(t, "sent"),
 		})
 	}
+	for range rapid.IntRange(0, 12).Draw(t, "speeds") {
+		m.Speeds = append(m.Speeds, speed.Observation{
+			Endpoint: rapid.Uint64().Draw(t, "endpoint"),
+			Kind:     rapid.SampledFrom([]speed.Kind{speed.EventGap, speed.Prefill, speed.Plain}).Draw(t, "kind"),
+			Count:    rapid.IntRange(0, 1<<20).Draw(t, "count"),
+			LogRatio: float64(rapid.IntRange(-1<<14, 1<<14).Draw(t, "ratio")) / 4096,
+		})
+	}
 	for range rapid.IntRange(0, 3).Draw(t, "call demands") {
 		m.CallDemands = append(m.CallDemands, scheduling.CallDemand{
 			Service: rapid.Uint64().Draw(t, "service"),
--- a/io/peer/relay.go
+++ b/io/peer/relay.go
@@ -125,6 +125,7 @@
 	message.Notices = m.zoneLoad.TakeNotices(now, complete)
 	message.Findings = m.zoneLoad.TakeFindings(now, complete)
 	message.Limits, message.CallDemands = m.zoneLoad.TakeLimits(now, complete)
+	message.Speeds = m.zoneLoad.TakeSpeeds(now)
 	message.Copies = m.copyList(now)
 	if complete {
 		message.Demands = m.zoneLoad.Demands()
--- a/simulation/host.go
+++ b/simulation/host.go
@@ -154,6 +154,7 @@
 	load, placements := h.scheduler.TakeLoads(f.now, complete)
 	findings := h.scheduler.TakeFindings(f.now, complete)
 	limits, callDemands := h.scheduler.TakeLimits(f.now, complete)
+	speeds := h.scheduler.TakeSpeeds(f.now)
 	var demands []scheduling.Demand
 	if complete {
 		demands = h.scheduler.TakeDemands()
@@ -166,6 +167,7 @@
 				relay.RecordDemands(h.name, demands)
 				relay.RecordFindings(f.now, findings)
 				relay.RecordLimits(f.now, h.name, complete, limits, callDemands)
+				relay.RecordSpeeds(f.now, speeds)
 			})
 		}
 		return
@@ -183,6 +185,7 @@
 				Findings:    findings,
 				Limits:      limits,
 				CallDemands: callDemands,
+				Speeds:      speeds,
 				Demands:     demands,
 			})
 		})
@@ -201,6 +204,7 @@
 	load, placements := relay.TakeTotals(complete)
 	findings := relay.TakeFindings(f.now, complete)
 	limits, callDemands := relay.TakeLimits(f.now, complete)
+	speeds := relay.TakeSpeeds(f.now)
 	var demands []scheduling.Demand
 	if complete {
 		demands = relay.Demands()
@@ -227,6 +231,7 @@
 				Findings:     findings,
 				Limits:       limits,
 				CallDemands:  callDemands,
+				Speeds:       speeds,
 				Demands:      demands,
 			})
 		})
