Weigh the occupied slots of uneven engines

Cause: hosts whose estimates of speed agree prefer the same fast engines, know of each other's calls only from the next report, and fill their slots; an engine without a free slot queues calls or preempts others, whose streams then have long gaps. Change: while a service is uneven, a full engine costs one missed target, a partly full one the square of its share.

--- a/core/scheduling/speed.go
+++ b/core/scheduling/speed.go
@@ -18,6 +18,9 @@
 	// minShareFactor is the factor from which on an endpoint is offered fewer calls than it has
 	// slots.
 	minShareFactor = 1.5
+	// fullSlotsCost is the cost of an engine all of whose slots are in use, in missed latency
+	// targets.
+	fullSlotsCost = 1
 	// speedsPerSecond bounds the observations of speed that a host reports to the others in a
 	// second. A host of a large fleet has about as many.
 	speedsPerSecond = 8
@@ -122,6 +125,17 @@
 	return s.lateness(usual*e.speed.Factor(s.now)) - s.lateness(usual)
 }
 
+// slotCost returns the cost of an engine whose slots fill up. Hosts whose estimates agree prefer the
+// same fast engines, and know of each other's latest calls only from the next report; an engine
+// without a free slot queues a call, or preempts another.
+func (s *Scheduler) slotCost(p *pool, e *endpoint, inFlight int) float64 {
+	if !p.speeds.IsUneven(s.now) {
+		return 0
+	}
+	occupied := float64(inFlight) / float64(max(e.entry.Slots, 1))
+	return fullSlotsCost * occupied * occupied
+}
+
 // lateness returns the probability that a time misses its target, of which it is expected to take
 // a share.
 func (s *Scheduler) lateness(share float64) float64 {
