Bound the load of endpoints that have just appeared or recovered

Cause: an endpoint that is new or back is empty, so that all hosts prefer it at once, and slow until it has prompts cached or has recovered. Change: core/warmup bounds the calls of all hosts in flight there: an eighth of the slots at first, doubled every 400 ms while the latest known answer was not late, halved by a late one (2.5 times the others) or a refusal. Hosts tell each other of its answers, and draw with odds of the room over the calls that all hosts get until they know of each other's. The bound gives way if no other endpoint has room, and ends with its window, or after 10 s. It applies to endpoints that appear 3 s or more after the host's start and to those that are reinstated after an ejection. Lines endpointRampBegan and endpointRampEnded, gauges cactuswell_endpoints_ramping and cactuswell_services_uneven, figures of both in the dump.

--- a/core/scheduling/command.go
+++ b/core/scheduling/command.go
@@ -126,6 +126,20 @@
 	SentLately int
 }
 
+// EndpointRampChanged reports that the load of an endpoint is bounded because it has just appeared
+// or recovered, or no longer.
+type EndpointRampChanged struct {
+	Key     Key
+	Service string
+	Begun   bool
+	// Reason is why it began. Window is the number of calls of all hosts that are allowed there,
+	// and After how long the bound has lasted, if it has ended.
+	Reason Reason
+	Window float64
+	After  time.Duration
+}
+
+func (EndpointRampChanged) isCommand()   {}
 func (EndpointLimitChanged) isCommand()  {}
 func (QuarantineChanged) isCommand()     {}
 func (Send) isCommand()                  {}
@@ -158,4 +172,5 @@
 	ReasonMalformedAnswer      Reason = "spoiledAnswers"
 	ReasonConnectionBroken     Reason = "brokenConnections"
 	ReasonRecovered            Reason = "recovered"
+	ReasonAppeared             Reason = "appeared"
 )
--- a/core/scheduling/endpoint.go
+++ b/core/scheduling/endpoint.go
@@ -7,6 +7,7 @@
 
 	"cactuswell/core/directory"
 	"cactuswell/core/speed"
+	"cactuswell/core/warmup"
 )
 
 const (
@@ -53,7 +54,11 @@
 	// speed is the estimate of all hosts of the endpoint's speed among those of its service.
 	speed  *speed.Endpoint
 	health health
-	cache  cacheIndex
+	// ramp bounds the load while the endpoint has just appeared or recovered, since rampBegunAt.
+	// It is nil at other times.
+	ramp        *warmup.Ramp
+	rampBegunAt time.Time
+	cache       cacheIndex
 	// fullUntil is until when the endpoint is avoided because it declined a call.
 	fullUntil time.Time
 	// quietUntil is until when the endpoint asked not to be sent calls.
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -142,6 +142,9 @@
 			e.health.recordExcess()
 		}
 		s.recordDecline(e)
+		if e.ramp != nil {
+			e.ramp.RecordDecline(s.now)
+		}
 		e.fullUntil = s.now.Add(max(outcome.RetryAfter, defaultDeclineBackoff))
 		s.retryNotRun(c, e, ReasonDeclined)
 	case Misdirected:
@@ -218,6 +221,7 @@
 		Service: e.entry.Service,
 		Reason:  ReasonRecovered,
 	})
+	s.beginRamp(e, ReasonRecovered)
 }
 
 // recordBreak records a broken connection, a malformed answer or a silent attempt.
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -229,7 +229,7 @@
 }
 
 // canAccept reports whether an endpoint may receive a call. Endpoints that failed
-// the call, recently declined one, or are slow and have their share, are accepted in the second
+// the call, recently declined one, are slow and have their share, or have just appeared, are accepted in the second
 // pass only, and those that failed it not while it waits for another one.
 func (s *Scheduler) canAccept(c *call, e *endpoint, secondPass bool) bool {
 	if e.leaving || !c.isCompatible(e) || e.inFlight(s.now) >= s.concurrencyLimit(c.pool, e) {
@@ -242,7 +242,8 @@
 	if secondPass {
 		return !hasFailed || !c.waitsForOther
 	}
-	return !hasFailed && !s.now.Before(e.fullUntil) && e.inFlight(s.now) < s.speedShare(c.pool, e, s.concurrencyLimit(c.pool, e))
+	return !hasFailed && !s.now.Before(e.fullUntil) && e.inFlight(s.now) < s.speedShare(c.pool, e, s.concurrencyLimit(c.pool, e)) &&
+		s.allowsRamp(c.pool, e)
 }
 
 // concurrencyLimit returns the number of calls that an endpoint may have in flight.
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -81,8 +81,10 @@
 	bases          map[string]string
 	recordsOverdue bool
 
-	now      time.Time
-	commands []Command
+	now time.Time
+	// startedAt is the time of the first event.
+	startedAt time.Time
+	commands  []Command
 }
 
 // peer is a source of load reports: another host, or a zone.
@@ -156,6 +158,9 @@
 // returns the extended slice. Times must never decrease.
 func (s *Scheduler) Step(now time.Time, event Event, commands []Command) []Command {
 	s.now = now
+	if s.startedAt.IsZero() {
+		s.startedAt = now
+	}
 	s.commands = commands
 	s.handle(event)
 	commands = s.commands
@@ -282,6 +287,7 @@
 		e.speed = p.speeds.Add()
 		p.endpoints = append(p.endpoints, e)
 		p.partitions.rank(p.endpoints)
+		s.beginRampOfNew(e)
 		s.dispatchWaiting(p)
 	case directory.Updated:
 		if e := s.byKey[keyOf(change.Entry)]; e != nil {
--- a/core/scheduling/snapshot.go
+++ b/core/scheduling/snapshot.go
@@ -73,6 +73,15 @@
 	PrefillBacklogMs float64 `json:"readingMs"`
 	// Slowness is the factor on the times of the performance model.
 	Slowness float64 `json:"slowness"`
+	// SpeedFactor is the factor on the time of work relative to the service's other endpoints, as
+	// estimated from what all hosts measure, and SpeedWeight the number of observations behind
+	// it. SpeedUsed reports whether the service is uneven, so that decisions use it.
+	SpeedFactor float64 `json:"speedFactor"`
+	SpeedWeight float64 `json:"speedWeight"`
+	SpeedUsed   bool    `json:"speedUsed"`
+	// RampWindow is the number of calls of all hosts that the endpoint may have while it has just
+	// appeared or recovered, or zero.
+	RampWindow float64 `json:"rampWindow"`
 	// LoadAgeMs is the age of the endpoint's last reported load, or negative if it
 	// has reported none.
 	LoadAgeMs float64 `json:"loadAgeMs"`
@@ -101,7 +110,14 @@
 			Endpoints:   make([]EndpointSnapshot, 0, len(p.endpoints)),
 		}
 		for _, e := range p.endpoints {
-			service.Endpoints = append(service.Endpoints, e.snapshot(now))
+			snapshot := e.snapshot(now)
+			snapshot.SpeedFactor = e.speed.Factor(now)
+			snapshot.SpeedWeight = e.speed.Weight(now)
+			snapshot.SpeedUsed = p.speeds.IsUneven(now)
+			if e.ramp != nil {
+				snapshot.RampWindow = e.ramp.Window(now)
+			}
+			service.Endpoints = append(service.Endpoints, snapshot)
 		}
 		slices.SortFunc(service.Endpoints, func(a, b EndpointSnapshot) int { return cmp.Compare(a.ID, b.ID) })
 		snapshot.Services = append(snapshot.Services, service)
--- a/core/scheduling/speed.go
+++ b/core/scheduling/speed.go
@@ -27,10 +27,16 @@
 )
 
 // observeSpeed records a measured time of an endpoint's work. Other hosts are told of it if the
-// service's endpoints report their pace, or are known to be uneven.
+// service's endpoints report their pace or are known to be uneven, or if the endpoint has just
+// appeared or recovered.
 func (s *Scheduler) observeSpeed(p *pool, e *endpoint, kind speed.Kind, measured, nominal time.Duration) {
 	observation, ok := e.speed.Observe(s.now, kind, measured, nominal)
-	if !ok || !p.reportsPace && !p.speeds.IsUneven(s.now) {
+	if !ok {
+		return
+	}
+	isRamping := e.ramp != nil
+	s.recordRampAnswer(p, e, observation)
+	if !isRamping && !p.reportsPace && !p.speeds.IsUneven(s.now) {
 		return
 	}
 	observation.Endpoint = e.keyHash
@@ -47,6 +53,7 @@
 	for _, o := range observations {
 		if e := s.byHash[o.Endpoint]; e != nil {
 			e.speed.Apply(s.now, o)
+			s.recordRampAnswer(s.ensurePool(e.entry.Service), e, o)
 		}
 	}
 }
@@ -141,3 +148,14 @@
 func (s *Scheduler) lateness(share float64) float64 {
 	return 1 / (1 + math.Exp((s.settings.Weights.OnTimeMargin-share)/s.settings.Weights.OnTimeSpread))
 }
+
+// UnevenServices returns the number of services whose endpoints clearly differ in speed.
+func (s *Scheduler) UnevenServices() int {
+	uneven := 0
+	for _, p := range s.poolsInOrder {
+		if p.speeds.IsUneven(s.now) {
+			uneven++
+		}
+	}
+	return uneven
+}
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -49,7 +49,11 @@
 	endpointCount atomic.Int64
 	withheldCount atomic.Int64
 	waitingCount  atomic.Int64
-	hostCount     atomic.Int64
+	// rampingCount is the number of endpoints that have just appeared or recovered, and
+	// unevenCount that of services whose endpoints differ in speed.
+	rampingCount atomic.Int64
+	unevenCount  atomic.Int64
+	hostCount    atomic.Int64
 	// quarantineCount is the number of quarantines at the last change of them.
 	quarantineCount atomic.Int64
 	// keepsQuarantines is set once this host keeps a record of the quarantines in the store,
@@ -220,6 +224,8 @@
 		d.endpointCount.Store(int64(d.directory.Len()))
 		d.withheldCount.Store(int64(d.directory.WithheldCount()))
 		d.waitingCount.Store(int64(d.scheduler.QueuedCalls()))
+		d.rampingCount.Store(int64(d.scheduler.RampingEndpoints()))
+		d.unevenCount.Store(int64(d.scheduler.UnevenServices()))
 		d.logBudgetShare()
 	}
 }
@@ -453,6 +459,8 @@
 			d.logHealthChange(command)
 		case scheduling.EndpointLimitChanged:
 			d.logLimit(command)
+		case scheduling.EndpointRampChanged:
+			d.logRamp(command)
 		case scheduling.QuarantineChanged:
 			d.logQuarantine(command.Change)
 		}
@@ -489,6 +497,15 @@
 		Float("perSecond", change.Limit.PerSecond).Int("maxDeclines", int64(change.Limit.MaxDeclines)).Int("sentLately", int64(change.SentLately)).Merge(change.Key.ID)
 }
 
+func (d *decisionLoop) logRamp(change scheduling.EndpointRampChanged) {
+	event := "endpointRampEnded"
+	if change.Begun {
+		event = "endpointRampBegan"
+	}
+	d.trail.Notice(event).Text("endpoint", change.Key.ID).Int("born", change.Key.Incarnation).Text("service", change.Service).
+		Text("reason", string(change.Reason)).Float("window", change.Window).Millis("after", change.After).Merge(change.Key.ID)
+}
+
 // signalQuarantines signals that the record of the quarantines may be out of date.
 func (d *decisionLoop) signalQuarantines() {
 	select {
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -10,6 +10,8 @@
 	g.meter.addGauge("cactuswell_open_calls", func() float64 { return float64(g.callHandler.OpenCalls()) })
 	g.meter.addGauge("cactuswell_waiting_calls", func() float64 { return float64(g.decisions.waitingCount.Load()) })
 	g.meter.addGauge("cactuswell_endpoints", func() float64 { return float64(g.decisions.endpointCount.Load()) })
+	g.meter.addGauge("cactuswell_endpoints_ramping", func() float64 { return float64(g.decisions.rampingCount.Load()) })
+	g.meter.addGauge("cactuswell_services_uneven", func() float64 { return float64(g.decisions.unevenCount.Load()) })
 	g.meter.addGauge("cactuswell_endpoints_withheld", func() float64 { return float64(g.decisions.withheldCount.Load()) })
 	g.meter.addGauge("cactuswell_quarantines", func() float64 { return float64(g.decisions.quarantineCount.Load()) })
 	g.meter.addGauge("cactuswell_hosts", func() float64 { return float64(g.decisions.hostCount.Load()) })
