--- a/core/scheduling/brittle.go
+++ b/core/scheduling/brittle.go
@@ -60,9 +60,12 @@
 	})
 }
 
-// recordDecline makes this host leave a brittle endpoint alone that has declined a call, for so
-// long that all hosts together stay below what it bears.
+// recordDecline narrows the ramp of an endpoint that has declined a call, and makes this host leave
+// it alone if it is brittle, for so long that all hosts together stay below what it bears.
 func (s *Scheduler) recordDecline(e *endpoint) {
+	if e.ramp != nil {
+		e.ramp.RecordDecline(s.now)
+	}
 	l := &e.limit
 	if !l.IsBrittle {
 		return
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -142,9 +142,6 @@
 			e.health.recordExcess()
 		}
 		s.recordDecline(e)
-		if e.ramp != nil {
-			e.ramp.RecordDecline(s.now)
-		}
 		e.fullUntil = s.now.Add(max(outcome.RetryAfter, defaultDeclineBackoff))
 		s.retryNotRun(c, e, ReasonDeclined)
 	case Misdirected:
--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -44,10 +44,13 @@
 	Kinds
 )
 
+// The time constants of the two averages.
 const (
-	// ShortWindow and LongWindow are the time constants of the two averages.
 	ShortWindow = 1500 * time.Millisecond
 	LongWindow  = 20 * time.Second
+)
+
+const (
 	// maxLogRatio bounds an observation.
 	maxLogRatio = 4
 	// maxLongStep and maxShortStep bound by how much an observation may differ from the long
