Weigh occupied slots for latency-sensitive streams only

Cause: at 1.7 times the load the cost of occupied slots moved long prompts away from the engines that have them cached. Change: only latency-sensitive streams have it.

--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -320,7 +320,7 @@
 	// A request joins the batch when the current step is over.
 	scored.choice.TimeToFirstEvent = model.FirstStepDelay + model.Step + backlog + fetchTime + prefillTime + roundTrip
 	scored.nominalPrefill = s.nominalPrefill(&scored.choice, nominal)
-	scored.cost += s.gapCost(c, e, scored.choice.Running) + s.slotCost(c.pool, e, scored.choice.Running)
+	scored.cost += s.gapCost(c, e, scored.choice.Running) + s.slotCost(c, e, scored.choice.Running)
 	if c.cachedTokens > available {
 		recompute := model.PrefillTime(available, c.cachedTokens-available)
 		scored.cost += s.settings.Weights.RecomputeCost * recompute.Seconds()
--- a/core/scheduling/speed.go
+++ b/core/scheduling/speed.go
@@ -134,9 +134,10 @@
 
 // slotCost returns the cost of an engine whose slots fill up. Hosts whose estimates agree prefer the
 // same fast engines, and know of each other's latest calls only from the next report; an engine
-// without a free slot queues a call, or preempts another.
-func (s *Scheduler) slotCost(p *pool, e *endpoint, inFlight int) float64 {
-	if !p.speeds.IsUneven(s.now) {
+// without a free slot queues a call, or preempts another. Only latency-sensitive streams are moved:
+// others would leave the engines that have their prompts cached.
+func (s *Scheduler) slotCost(c *call, e *endpoint, inFlight int) float64 {
+	if !c.latencySensitive || !c.pool.speeds.IsUneven(s.now) {
 		return 0
 	}
 	occupied := float64(inFlight) / float64(max(e.entry.Slots, 1))
