--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -79,6 +79,14 @@
 	// endpoint.
 	prefillTime               time.Duration
 	predictedTimeToFirstEvent time.Duration
+	// nominalPrefill is the expected time to the first event at an engine of usual speed, or zero
+	// if the measured time does not tell the engine's speed. utilization is the share of the
+	// endpoint's slots that were in use when the call was sent.
+	nominalPrefill time.Duration
+	utilization    float64
+	// demandTime is the prefill time in the unit in which the partitions are sized: that of the
+	// performance model, with this host's own estimate of the endpoint's slowness.
+	demandTime time.Duration
 	// cachedTokens is the number of the prompt's leading tokens that at least one
 	// usable endpoint has cached.
 	cachedTokens int
--- a/core/scheduling/endpoint.go
+++ b/core/scheduling/endpoint.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"cactuswell/core/directory"
+	"cactuswell/core/speed"
+	"cactuswell/core/warmup"
 )
 
 const (
@@ -49,8 +51,14 @@
 	runningAtReport int
 	// slowness is the factor on the times of the performance model.
 	slowness float64
-	health   health
-	cache    cacheIndex
+	// speed is the estimate of all hosts of the endpoint's speed among those of its service.
+	speed  *speed.Endpoint
+	health health
+	// ramp bounds the load while the endpoint has just appeared or recovered, since rampBegunAt.
+	// It is nil at other times.
+	ramp        *warmup.Ramp
+	rampBegunAt time.Time
+	cache       cacheIndex
 	// fullUntil is until when the endpoint is avoided because it declined a call.
 	fullUntil time.Time
 	// quietUntil is until when the endpoint asked not to be sent calls.
@@ -170,13 +178,18 @@
 	return streams
 }
 
-func (e *endpoint) recordReportedLoad(now time.Time, load ReportedLoad) {
+// recordReportedLoad records the load that an endpoint reports in an answer to this host.
+func (s *Scheduler) recordReportedLoad(e *endpoint, load ReportedLoad) {
 	if !load.Known {
 		return
 	}
 	e.reported = load
-	e.reportedAt = now
+	e.reportedAt = s.now
 	e.runningAtReport = e.running
+	if load.Pace > 0 {
+		e.speed.ReportPace(s.now, load.Pace)
+		s.ensurePool(e.entry.Service).reportsPace = true
+	}
 }
 
 // observeSlowness updates the smoothed slowness with a ratio of measured to
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -29,6 +29,7 @@
 	"cactuswell/core/quarantine"
 	"cactuswell/core/retry"
 	"cactuswell/core/route"
+	"cactuswell/core/speed"
 )
 
 // Settings configures a Scheduler.
@@ -71,6 +72,8 @@
 	// peers holds the sources of load reports by name.
 	peers      map[string]peer
 	placements PlacementQueue
+	// speeds holds the observations of endpoints' speeds that wait to be reported.
+	speeds *speed.Outbox
 	// quarantine holds the requests and the prompt parts that crash endpoints.
 	quarantine *quarantine.Ledger
 	// bases holds the base versions by service, and recordsOverdue is set while streams that
@@ -78,8 +81,10 @@
 	bases          map[string]string
 	recordsOverdue bool
 
-	now      time.Time
-	commands []Command
+	now time.Time
+	// startedAt is the time of the first event.
+	startedAt time.Time
+	commands  []Command
 }
 
 // peer is a source of load reports: another host, or a zone.
@@ -110,6 +115,10 @@
 	budget *retry.WindowBudget
 	// answerTime is the smoothed answer time of a plain service, in seconds.
 	answerTime float64
+	// speeds holds the estimates of the endpoints' speeds.
+	speeds *speed.Service
+	// reportsPace is set once an endpoint has reported its pace.
+	reportsPace bool
 	// runTime is the smoothed time that calls run at endpoints, or zero if none has run yet.
 	runTime time.Duration
 	// partitions divides the engines between latency-sensitive streams and
@@ -141,6 +150,7 @@
 		calls:    make(map[CallID]*call),
 		peers:    make(map[string]peer),
 
+		speeds:     speed.NewOutbox(speedsPerSecond, true),
 		quarantine: quarantine.New(),
 	}
 }
@@ -149,6 +159,9 @@
 // returns the extended slice. Times must never decrease.
 func (s *Scheduler) Step(now time.Time, event Event, commands []Command) []Command {
 	s.now = now
+	if s.startedAt.IsZero() {
+		s.startedAt = now
+	}
 	s.commands = commands
 	s.handle(event)
 	commands = s.commands
@@ -235,6 +248,7 @@
 			budget:     retry.NewWindowBudget(s.settings.BudgetWindow, s.settings.BudgetRatio*budgetSafety, 0),
 			answerTime: initialAnswerTime.Seconds(),
 			partitions: partitions{weights: s.settings.Weights},
+			speeds:     speed.NewService(),
 		}
 		p.budget.SetSlack(s.SlackShare())
 		p.base, p.hasBase = s.bases[name]
@@ -271,8 +285,10 @@
 		s.byHash[e.keyHash] = e
 		s.endpoints = append(s.endpoints, e)
 		p := s.ensurePool(change.Entry.Service)
+		e.speed = p.speeds.Add()
 		p.endpoints = append(p.endpoints, e)
 		p.partitions.rank(p.endpoints)
+		s.beginRampOfNew(e)
 		s.dispatchWaiting(p)
 	case directory.Updated:
 		if e := s.byKey[keyOf(change.Entry)]; e != nil {
@@ -304,6 +320,7 @@
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(other *endpoint) bool { return other == e })
 	s.limited = slices.DeleteFunc(s.limited, func(other *endpoint) bool { return other == e })
 	p := s.ensurePool(e.entry.Service)
+	p.speeds.Remove(e.speed)
 	p.endpoints = slices.DeleteFunc(p.endpoints, func(other *endpoint) bool { return other == e })
 	p.partitions.rank(p.endpoints)
 }
@@ -349,6 +366,7 @@
 	}
 	s.applyNotices(event.Notices)
 	s.applyLimits(event)
+	s.applySpeeds(event.Speeds)
 	s.applyQuarantineChanges(s.quarantine.Apply(s.now, event.Findings))
 	for _, placement := range event.Placements {
 		if e := s.byHash[placement.Endpoint]; e != nil {
--- a/simulation/host.go
+++ b/simulation/host.go
@@ -56,6 +56,9 @@
 		BudgetSlack:  50,
 		Weights:      scheduling.DefaultWeights(),
 	}
+	if h.fleet.config.HostModel != nil {
+		settings.Engine = *h.fleet.config.HostModel
+	}
 	if h.fleet.config.AdjustSettings != nil {
 		h.fleet.config.AdjustSettings(&settings)
 	}
@@ -151,6 +154,7 @@
 	load, placements := h.scheduler.TakeLoads(f.now, complete)
 	findings := h.scheduler.TakeFindings(f.now, complete)
 	limits, callDemands := h.scheduler.TakeLimits(f.now, complete)
+	speeds := h.scheduler.TakeSpeeds(f.now)
 	var demands []scheduling.Demand
 	if complete {
 		demands = h.scheduler.TakeDemands()
@@ -163,6 +167,7 @@
 				relay.RecordDemands(h.name, demands)
 				relay.RecordFindings(f.now, findings)
 				relay.RecordLimits(f.now, h.name, complete, limits, callDemands)
+				relay.RecordSpeeds(f.now, speeds)
 			})
 		}
 		return
@@ -180,6 +185,7 @@
 				Findings:    findings,
 				Limits:      limits,
 				CallDemands: callDemands,
+				Speeds:      speeds,
 				Demands:     demands,
 			})
 		})
@@ -198,6 +204,7 @@
 	load, placements := relay.TakeTotals(complete)
 	findings := relay.TakeFindings(f.now, complete)
 	limits, callDemands := relay.TakeLimits(f.now, complete)
+	speeds := relay.TakeSpeeds(f.now)
 	var demands []scheduling.Demand
 	if complete {
 		demands = relay.Demands()
@@ -224,6 +231,7 @@
 				Findings:     findings,
 				Limits:       limits,
 				CallDemands:  callDemands,
+				Speeds:       speeds,
 				Demands:      demands,
 			})
 		})
@@ -512,6 +520,7 @@
 	case 1:
 		a.host.handleEvent(scheduling.AnswerStarted{
 			Call:  c.id,
+			Load:  a.endpoint.load(),
 			Limit: a.endpoint.tell(a),
 		})
 	case 2:
@@ -559,6 +568,7 @@
 	case scheduling.Completed, scheduling.Declined:
 		event.HasAnswer = true
 		event.Limit = a.endpoint.tell(a)
+		event.Load = a.endpoint.load()
 	}
 	a.host.handleEvent(event)
 }
