Count failed control calls in a row across both duties

Cause: only an accepted usage report ended a row of failures. Orders that were accepted in between did not, so that a holder of the autoscale duty alone gave up the lease after four failures spread over many accepted calls.

Change: each accepted call ends the row.

Result: TestAcceptedOrderEndsFailures failed before (3 failures after an accepted order) and passes.

--- a/gateway/singleton.go
+++ b/gateway/singleton.go
@@ -611,6 +611,9 @@
 		return trace.Wrap(&NoLeaseError{Token: fence.Token})
 	}
 	err := send(ctx)
+	if err == nil {
+		c.duties.controlFailures = 0
+	}
 	c.duties.gateway.meter.addToCounter(fmt.Sprintf("cactuswell_control_calls_total{call=%q,result=%q}", name, controlResult(err)), 1)
 	return err
 }
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -454,7 +454,6 @@
 		d.handleControlError(ctx, err, true)
 		return
 	}
-	d.controlFailures = 0
 	var total int64
 	for _, count := range counts {
 		total += count
--- a/gateway/usageclock_test.go
+++ b/gateway/usageclock_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"strconv"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"cactuswell/core/lease"
 	"cactuswell/core/usage"
+	"cactuswell/io/control"
 	"cactuswell/settings"
 )
 
@@ -148,3 +150,54 @@
 		}
 	}
 }
+
+// successfulControl accepts all calls.
+type successfulControl struct{}
+
+// ReportUsage implements control.Client.
+func (successfulControl) ReportUsage(context.Context, control.Fence, int64, map[string]int64) error {
+	return nil
+}
+
+// OrderEndpoints implements control.Client.
+func (successfulControl) OrderEndpoints(context.Context, control.Fence, control.Order) error {
+	return nil
+}
+
+// TestAcceptedOrderEndsFailures guards against a holder that gives up the lease for failed calls among
+// which orders were accepted.
+func TestAcceptedOrderEndsFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newClockDuties()
+		d.gateway.meter = newMeter()
+		d.callTimeout = time.Second
+		d.machine = lease.New(lease.Settings{
+			Host: "host-0",
+			Term: 3 * time.Second,
+		})
+		tick := lease.Tick{View: lease.View{IsComplete: true}}
+		d.machine.Handle(d.instant(), tick)
+		time.Sleep(2 * time.Second)
+		d.machine.Handle(d.instant(), tick)
+		d.machine.Handle(d.instant(), lease.ReadDone{})
+		d.machine.Handle(d.instant(), lease.AppendDone{
+			Outcome: lease.Executed,
+			End:     1,
+		})
+		fence, ok := d.fence()
+		if !ok {
+			t.Fatal("the host does not hold the lease")
+		}
+		d.control = &guardedControl{
+			duties: d,
+			client: successfulControl{},
+		}
+		d.controlFailures = maxControlFailures - 1
+		if err := d.control.OrderEndpoints(t.Context(), fence, control.Order{}); err != nil {
+			t.Fatal(err)
+		}
+		if d.controlFailures != 0 {
+			t.Errorf("%d failures in a row after an accepted order", d.controlFailures)
+		}
+	})
+}
