Bound the clocks that a holder keeps

Cause: the holder kept the clock of every host name in the messages of the last minute, without a bound.

Change: at most maxClocks are kept, as many as sources of counts.

Result: TestClocksAreBounded failed before (10000 clocks kept) and passes.

--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -43,6 +43,8 @@
 	medianInterval = time.Second
 	// clockMemory is the age up to which the clock of a host counts for the true time.
 	clockMemory = time.Minute
+	// maxClocks bounds the hosts whose clocks a holder keeps: as many as their counts.
+	maxClocks = 8192
 	// maxClockError bounds the error of this host's clock while the true time is not known. Clocks
 	// are off by seconds.
 	maxClockError = time.Minute
@@ -480,9 +482,11 @@
 	h := d.holder
 	now := d.instant()
 	h.heardAt = now.Mono
-	h.clocks[message.Host] = hostClock{
-		atZero:  time.Duration(message.WallMs*float64(time.Millisecond)) - now.Mono,
-		heardAt: now.Mono,
+	if _, ok := h.clocks[message.Host]; ok || len(h.clocks) < maxClocks {
+		h.clocks[message.Host] = hostClock{
+			atZero:  time.Duration(message.WallMs*float64(time.Millisecond)) - now.Mono,
+			heardAt: now.Mono,
+		}
 	}
 	trueTime, isSynced := d.estimateTime(now)
 	fixed := h.book.FixedThrough()
--- a/gateway/usageclock_test.go
+++ b/gateway/usageclock_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -171,19 +175,7 @@
 		d := newClockDuties()
 		d.gateway.meter = newMeter()
 		d.callTimeout = time.Second
-		d.machine = lease.New(lease.Settings{
-			Host: "host-0",
-			Term: 3 * time.Second,
-		})
-		tick := lease.Tick{View: lease.View{IsComplete: true}}
-		d.machine.Handle(d.instant(), tick)
-		time.Sleep(2 * time.Second)
-		d.machine.Handle(d.instant(), tick)
-		d.machine.Handle(d.instant(), lease.ReadDone{})
-		d.machine.Handle(d.instant(), lease.AppendDone{
-			Outcome: lease.Executed,
-			End:     1,
-		})
+		d.acquire()
 		fence, ok := d.fence()
 		if !ok {
 			t.Fatal("the host does not hold the lease")
@@ -201,3 +193,37 @@
 		}
 	})
 }
+
+// acquire lets the host claim the lease.
+func (d *singletonDuties) acquire() {
+	d.machine = lease.New(lease.Settings{
+		Host: "host-0",
+		Term: 3 * time.Second,
+	})
+	tick := lease.Tick{View: lease.View{IsComplete: true}}
+	d.machine.Handle(d.instant(), tick)
+	time.Sleep(2 * time.Second)
+	d.machine.Handle(d.instant(), tick)
+	d.machine.Handle(d.instant(), lease.ReadDone{})
+	d.machine.Handle(d.instant(), lease.AppendDone{
+		Outcome: lease.Executed,
+		End:     1,
+	})
+}
+
+// TestClocksAreBounded guards against memory that grows with the names in messages of other hosts.
+func TestClocksAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newClockDuties()
+		d.acquire()
+		d.beginTerm()
+		const names = 10000
+		for i := range names {
+			request := httptest.NewRequest(http.MethodPost, usagePath, strings.NewReader(fmt.Sprintf(`{"host":"h-%d","born":1}`, i)))
+			d.serveUsage(httptest.NewRecorder(), request)
+		}
+		if got := len(d.holder.clocks); got >= names || got == 0 {
+			t.Errorf("%d clocks are kept", got)
+		}
+	})
+}
