Wait until a paused host has stopped in tests

Cause: TestCallsOfCallersThatLeftDoNotRun took a host for stopped as soon as SIGSTOP had been sent. The signal stops each thread when it is next scheduled, so on a busy machine the host goes on for some ms, reads calls whose callers are still there, and rightly sends them. Trace at a load average of 22, 7 of 40 runs failed: all 9 calls that ran were sent to the endpoint within 4.2 ms of SIGSTOP and 3 ms or more before SIGCONT, while /proc showed threads running or runnable. docs/design/left-callers.md promises this only for what is in the socket when the request is read; the product is unchanged.

Change: gatewayProcess.pause sends SIGSTOP and waits for the kernel's report that all threads have stopped (waitid with WSTOPPED). TestPausedGateway uses it too. The check is as before: none of the 40 calls may run.

--- a/cmd/gatewayleft_test.go
+++ b/cmd/gatewayleft_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -36,18 +35,14 @@
 				}
 				conns = append(conns, conn)
 			}
-			if err := g.process.Process.Signal(syscall.SIGSTOP); err != nil {
-				t.Fatal(err)
-			}
+			g.pause(t)
 			for i, conn := range conns {
 				sendHold(t, conn, fmt.Sprintf("left-%d", i))
 				if err := leave(conn); err != nil {
 					t.Fatal(err)
 				}
 			}
-			if err := g.process.Process.Signal(syscall.SIGCONT); err != nil {
-				t.Fatal(err)
-			}
+			g.resume(t)
 			if status, _, err := g.call("/hold/stayed", "key"); err != nil || status != http.StatusOK {
 				t.Errorf("the call of a caller that stayed: status %d, error %v", status, err)
 			}
--- a/cmd/gatewaypause_test.go
+++ b/cmd/gatewaypause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +11,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"cactuswell/platform"
 	"cactuswell/standin/keyedlog"
 	standin "cactuswell/standin/opaque"
@@ -75,19 +78,13 @@
 		}
 	}()
 	running := awaitRun(t, endpoints)
-	signal := func(signal syscall.Signal) {
-		t.Helper()
-		if err := g.process.Process.Signal(signal); err != nil {
-			t.Fatal(err)
-		}
-	}
-	signal(syscall.SIGSTOP)
+	g.pause(t)
 	log.Append(platform.ConfigurationTopic, platform.ConfigurationKey, fmt.Appendf(nil, pauseConfiguration, 2, "new"))
 	other := endpoints[1-running]
 	other.SetBehaviour(func(*http.Request) standin.Behaviour { return standin.Misdirection{} })
 	// The rest of the stream takes longer than the limit on silence, which is 1 s.
 	<-endpoints[running].SlowAnswers()
-	signal(syscall.SIGCONT)
+	g.resume(t)
 	var events strings.Builder
 	for id := range 6 {
 		events.WriteString(standin.StreamEvent(id))
@@ -114,6 +111,35 @@
 	stopProcess(t, g.process, g.exited)
 }
 
+// pause stops a host's process and waits until all of its threads are stopped. The signal alone
+// does not ensure that: on a busy machine some threads were still running 4 ms after it, and
+// read requests meanwhile.
+func (g *gatewayProcess) pause(t *testing.T) {
+	t.Helper()
+	if err := g.process.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		// The kernel reports the stop to the parent after the last thread. WSTOPPED alone
+		// leaves the exit status to the goroutine that waits for it.
+		err := unix.Waitid(unix.P_PID, g.process.Process.Pid, nil, unix.WSTOPPED, nil)
+		if err == nil {
+			return
+		}
+		if !errors.Is(err, unix.EINTR) {
+			t.Fatalf("the process did not stop: %v", err)
+		}
+	}
+}
+
+// resume lets a paused process go on.
+func (g *gatewayProcess) resume(t *testing.T) {
+	t.Helper()
+	if err := g.process.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // awaitRun waits until an endpoint runs a call and returns the endpoint's index.
 func awaitRun(t *testing.T, endpoints []*standin.Endpoint) int {
 	t.Helper()
