Use the usual terms in the comments of the new parts

Cause: comments personified code (tells, stands, goes on, makes way), which the house rules exclude; core/scheduling imported net/http for one status. Change: words and one constant only.

--- a/cmd/gatewaypause_test.go
+++ b/cmd/gatewaypause_test.go
@@ -132,7 +132,7 @@
 	}
 }
 
-// resume lets a paused process go on.
+// resume continues a paused process.
 func (g *gatewayProcess) resume(t *testing.T) {
 	t.Helper()
 	if err := g.process.Process.Signal(syscall.SIGCONT); err != nil {
--- a/core/autoscale/autoscale.go
+++ b/core/autoscale/autoscale.go
@@ -94,7 +94,7 @@
 	// observed.
 	Before   int
 	Observed Count
-	// Total is the number of endpoints that the service is to have, Serving what it has, and
+	// Total is the desired number of endpoints of the service, Serving what it has, and
 	// Demand what it needs.
 	Total   int
 	Serving int
@@ -149,7 +149,7 @@
 	demand  demandMeter
 	// reference holds the number of endpoints by zone when the Decider started.
 	reference map[string]int
-	// total is the number of endpoints that the service is to have before those that replace
+	// total is the desired number of endpoints of the service before those that replace
 	// reclaimed ones, and lowSince since when fewer would do.
 	total           int
 	lowSince        time.Time
--- a/core/autoscale/autoscale_test.go
+++ b/core/autoscale/autoscale_test.go
@@ -124,7 +124,7 @@
 }
 
 // TestReclaim guards against a zone's spot endpoints without which the rest does not suffice, also
-// if no others are to be had there for some time, and a holder that knows nothing takes over.
+// if no others are available there for some time, and a change to a holder without state.
 func TestReclaim(t *testing.T) {
 	for name, replaceHolder := range map[string]bool{
 		"same holder": false,
--- a/core/autoscale/demand.go
+++ b/core/autoscale/demand.go
@@ -132,7 +132,7 @@
 	return current
 }
 
-// hasTraffic reports whether there has been traffic within idleTime. A service without any says
+// hasTraffic reports whether there has been traffic within idleTime. A service without any shows
 // nothing about the demand to come.
 func (m *demandMeter) hasTraffic(now time.Time) bool {
 	return !m.busyAt.IsZero() && now.Sub(m.busyAt) <= idleTime
--- a/core/autoscale/plan.go
+++ b/core/autoscale/plan.go
@@ -32,7 +32,7 @@
 	defaultPrice = 1
 )
 
-// plan is what a service is to have.
+// plan is the desired number of endpoints of a service.
 type plan struct {
 	// spotTotal is the number of spot endpoints in all zones.
 	spotTotal int
@@ -96,7 +96,7 @@
 	s.total = min(s.total, most)
 }
 
-// makePlan returns the numbers of endpoints that the service is to have.
+// makePlan returns the desired numbers of endpoints of the service.
 func (s *service) makePlan(now time.Time) plan {
 	zones := s.zonePlans(now)
 	if s.observed.Scale.IsPinned() {
--- a/core/autoscale/snapshot.go
+++ b/core/autoscale/snapshot.go
@@ -9,7 +9,7 @@
 // Snapshot is the state of a service, for dumps and metrics.
 type Snapshot struct {
 	Service string `json:"service"`
-	// Total is the number of endpoints that the service is to have before those that replace
+	// Total is the desired number of endpoints of the service before those that replace
 	// reclaimed ones, Reference that at the start, and Serving the number that serves.
 	Total     int    `json:"total"`
 	Reference int    `json:"reference"`
--- a/core/clientbudget/body.go
+++ b/core/clientbudget/body.go
@@ -44,7 +44,7 @@
 // has arrived fast on average, and lags since then.
 func (a *Arrival) lag() time.Duration { return max(Lag(a.Elapsed, a.Received), a.Silent) }
 
-// SelectArrivals returns the indexes of the arrivals that make way for need bytes: those that
+// SelectArrivals returns the indexes of the arrivals that are evicted to free need bytes: those that
 // lag most. It returns none if they do not suffice.
 func SelectArrivals(arrivals []Arrival, need int64) []int {
 	var selected []int
--- a/core/clientbudget/clientbudget.go
+++ b/core/clientbudget/clientbudget.go
@@ -126,7 +126,7 @@
 	// progress. It is below that of any link on which the calls' targets can be met.
 	minRate = 16 << 10
 	// minArrivalLag and minWritingLag are the lags from which arrivals and unread responses
-	// make way. Callers behind a lost packet lag for a retransmission timeout.
+	// be evicted. Callers behind a lost packet lag for a retransmission timeout.
 	minArrivalLag = 300 * time.Millisecond
 	minWritingLag = time.Second
 	// overShareFactor is the multiple of an even share of the connections from which
@@ -150,7 +150,7 @@
 	AddressConns int
 }
 
-// MayClose reports whether a connection makes way for others.
+// MayClose reports whether a connection may be evicted for others.
 func (c *Conn) MayClose() bool {
 	switch c.Phase {
 	case Silent, Header, Idle:
--- a/core/clientbudget/clientbudget_test.go
+++ b/core/clientbudget/clientbudget_test.go
@@ -90,7 +90,7 @@
 }
 
 // TestSelectArrivals guards against bodies that hold memory although they stopped one byte
-// before their end, and against ones that arrive steadily and make way.
+// before their end, and against steady ones that are evicted.
 func TestSelectArrivals(t *testing.T) {
 	bodies := []clientbudget.Arrival{
 		{Taken: 4 << 20, Elapsed: time.Second, Received: 4 << 20, Silent: 900 * time.Millisecond},
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -65,7 +65,7 @@
 
 // Instant is a point in time on two clocks of one host.
 type Instant struct {
-	// Mono is the reading of a monotonic clock, which may stand still while the host is
+	// Mono is the reading of a monotonic clock, which may stop while the host is
 	// suspended, and Wall that of the wall clock, which does not but may jump.
 	Mono time.Duration
 	Wall time.Duration
@@ -183,7 +183,7 @@
 	CanWait bool
 }
 
-// Conflict tells that the control API has rejected a token. Fresh asks for a term with a new token
+// Conflict reports that the control API has rejected a token. Fresh asks for a term with a new token
 // if the host still holds the lease.
 type Conflict struct{ Fresh bool }
 
@@ -215,16 +215,16 @@
 	Extras []Extra
 }
 
-// Acquired tells that the host holds the lease from now on.
+// Acquired reports that the host holds the lease from now on.
 type Acquired struct{ Token int64 }
 
-// Lost tells that the host no longer holds the lease.
+// Lost reports that the host no longer holds the lease.
 type Lost struct {
 	Token int64
 	Cause string
 }
 
-// Released tells that the host has released the lease. If Known is not set, the store has not
+// Released reports that the host has released the lease. If Known is not set, the store has not
 // acknowledged it.
 type Released struct {
 	Token int64
@@ -232,13 +232,13 @@
 	Known bool
 }
 
-// Renewed tells that the lease was renewed.
+// Renewed reports that the lease was renewed.
 type Renewed struct{ Token int64 }
 
-// RenewalFailed tells that a try to renew the lease had no known success.
+// RenewalFailed reports that a try to renew the lease had no known success.
 type RenewalFailed struct{ Token int64 }
 
-// Written tells that extras were appended.
+// Written reports that extras were appended.
 type Written struct{ Extras []Extra }
 
 func (Read) isCommand()          {}
@@ -359,7 +359,7 @@
 	return &Machine{Settings: settings}
 }
 
-// Holds reports whether the host holds the lease as far as it knows. Only Fence tells whether it
+// Holds reports whether the host holds the lease as far as it knows. Only Fence reports whether it
 // may act.
 func (m *Machine) Holds() bool { return m.holds }
 
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -128,7 +128,7 @@
 	Scale *Scale
 }
 
-// Scale bounds the number of endpoints that may be ordered for a service, and tells their
+// Scale bounds the number of endpoints that may be ordered for a service, and states their
 // prices.
 type Scale struct {
 	// Min and Max bound the endpoints in each zone, spot and on-demand ones together. Equal
--- a/core/scheduling/crash.go
+++ b/core/scheduling/crash.go
@@ -1,7 +1,6 @@
 package scheduling
 
 import (
-	"net/http"
 	"time"
 
 	"cactuswell/core/quarantine"
@@ -10,6 +9,9 @@
 // MaxStartEvents is the number of events up to which an answer is at its beginning.
 const MaxStartEvents = 1
 
+// statusGatewayTimeout is the status of a response whose endpoint reached the call's deadline.
+const statusGatewayTimeout = 504
+
 // SharedPartHashes returns the hashes by which hosts identify the parts of a prompt that
 // other prompts to the same service may hold: all but the last.
 func SharedPartHashes(service string, prompt []PromptPart) []uint64 {
@@ -67,7 +69,7 @@
 // recordFailure records a failure response as an answer to the request. At the call's deadline,
 // endpoints respond without having run the request to its end.
 func (s *Scheduler) recordFailure(c *call, failed Failed) {
-	if failed.Status != http.StatusGatewayTimeout {
+	if failed.Status != statusGatewayTimeout {
 		s.recordSound(c, nil)
 	}
 }
--- a/core/scheduling/serviceload.go
+++ b/core/scheduling/serviceload.go
@@ -10,7 +10,7 @@
 	// burst lasts for a few seconds.
 	unmetTimeConstant = 3 * time.Second
 	// minUnmetCalls is the number of calls by which the share is lowered, so that one call of a
-	// host with few does not stand for the whole fleet.
+	// host with few does not represent the whole fleet.
 	minUnmetCalls = 5
 )
 
@@ -25,7 +25,7 @@
 	LatencyPrefill time.Duration
 	OtherPrefill   time.Duration
 	// UnmetShare is the share of this host's calls that found no room at once. Callers are spread
-	// over the hosts, so that it stands for all of them.
+	// over the hosts, so that it represents all of them.
 	UnmetShare float64
 	Endpoints  []EndpointState
 }
--- a/core/scheduling/speed.go
+++ b/core/scheduling/speed.go
@@ -10,7 +10,7 @@
 
 const (
 	// minMeasuredPrefill is the nominal prefill time from which on a time to the first event
-	// tells the speed of an engine rather than that of the network and the host.
+	// shows the speed of an engine rather than that of the network and the host.
 	minMeasuredPrefill = 20 * time.Millisecond
 	// maxMeasuredBacklog is the prefill backlog, as a share of the call's own prefill time, up to
 	// which the time to its first event is measured.
@@ -26,7 +26,7 @@
 	speedsPerSecond = 8
 )
 
-// observeSpeed records a measured time of an endpoint's work. Other hosts are told of it if the
+// observeSpeed records a measured time of an endpoint's work. Other hosts get it if the
 // service's endpoints report their pace or are known to be uneven, or if the endpoint has just
 // appeared or recovered.
 func (s *Scheduler) observeSpeed(p *pool, e *endpoint, kind speed.Kind, measured, nominal time.Duration) {
--- a/core/speed/observation.go
+++ b/core/speed/observation.go
@@ -8,15 +8,15 @@
 )
 
 const (
-	// maxCount bounds the number of observations that one report may stand for, so that no
+	// maxCount bounds the number of observations that one report may represent, so that no
 	// single report outweighs the rest.
 	maxCount = 32
 	// maxPending bounds the endpoints whose observations wait to be reported.
 	maxPending = 512
-	// toldStep is the difference from what was last told, as a logarithm, from which on new
-	// observations are news, and toldMemory how long what was told needs no repetition.
-	toldStep   = 0.3
-	toldMemory = 4 * time.Second
+	// reportStep is the difference from what was last reported, as a logarithm, from which on new
+	// observations are news, and reportMemory how long what was reported needs no repetition.
+	reportStep   = 0.3
+	reportMemory = 4 * time.Second
 	// MaxReported bounds the observations in a report.
 	MaxReported = 12
 )
@@ -90,7 +90,7 @@
 // forget removes what was reported long ago and has not been observed since.
 func (b *Outbox) forget(now time.Time) {
 	for key, p := range b.pending {
-		if p.count == 0 && now.Sub(p.toldAt) >= toldMemory {
+		if p.count == 0 && now.Sub(p.toldAt) >= reportMemory {
 			delete(b.pending, key)
 		}
 	}
@@ -105,7 +105,7 @@
 		return maxLogRatio, true
 	}
 	step := math.Abs(p.recent.mean - p.told)
-	return step, b.repeats || step >= toldStep || now.Sub(p.toldAt) >= toldMemory
+	return step, b.repeats || step >= reportStep || now.Sub(p.toldAt) >= reportMemory
 }
 
 // HasNews reports whether Take would return observations.
--- a/core/warmup/warmup.go
+++ b/core/warmup/warmup.go
@@ -16,7 +16,7 @@
 // endpoint. It begins with an eighth of the slots, and doubles every Step while the latest known
 // answer was not late, which is when it took more than LateRatio times as long as at the other
 // endpoints. A late answer or a refusal halves it. Hosts tell each other of answers whose time
-// differs from what was told before, so that a host which hears nothing may go on, and the windows
+// differs from what was reported before, so that a host which hears nothing may continue, and the windows
 // of all hosts agree. An endpoint whose answers are not late has its full share within FullShare of
 // its first answer.
 //
@@ -33,7 +33,7 @@
 	// take to reach all hosts.
 	Step = 400 * time.Millisecond
 	// FullShare bounds the time from the first answer to the full share, and firstAnswerTime is
-	// the time after which a ramp goes on without any known answer, so that an endpoint is not
+	// the time after which a ramp continues without any known answer, so that an endpoint is not
 	// left idle because its answers are too small to be measured.
 	FullShare       = 2 * time.Second
 	firstAnswerTime = time.Second
--- a/core/warmup/warmup_test.go
+++ b/core/warmup/warmup_test.go
@@ -16,7 +16,7 @@
 		answer func(r *warmup.Ramp, now time.Time)
 		after  time.Duration
 		isOver bool
-		// window is the greatest allowed, if the ramp goes on.
+		// window is the greatest allowed, if the ramp continues.
 		window float64
 	}{
 		"healthy":    {answer: func(r *warmup.Ramp, now time.Time) { r.RecordAnswer(now, 1.2) }, after: warmup.FullShare, isOver: true},
--- a/gateway/autoscale_test.go
+++ b/gateway/autoscale_test.go
@@ -143,8 +143,8 @@
 	})
 }
 
-// TestAutoscalerReportsConflicts guards against a holder that goes on after a conflict without a
-// look at its lease, and against one that gives up its lease because the API takes no more calls.
+// TestAutoscalerReportsConflicts guards against a holder that continues after a conflict without a
+// check of its lease, and against one that gives up its lease because the API takes no more calls.
 func TestAutoscalerReportsConflicts(t *testing.T) {
 	f := newScaledFixture(t)
 	f.api.SetFaults(standin.Faults{IsExhausted: func(standin.Order) bool { return true }})
--- a/gateway/singleton.go
+++ b/gateway/singleton.go
@@ -265,8 +265,8 @@
 	d.announce()
 	if d.hasUsage {
 		d.fixUsage(ctx)
-		// If the store loses the record of a window, only the announcement tells a successor not to
-		// report it with other counts.
+		// If the store loses the record of a window, only the announcement keeps a successor from
+		// reporting it with other counts.
 		d.announce()
 		d.reportUsage(ctx)
 		// A slow report must not delay the renewal by the time of the orders as well.
@@ -474,7 +474,7 @@
 	}
 }
 
-// announce tells the other hosts who holds the lease, if this host does.
+// announce reports to the other hosts who holds the lease, if this host does.
 func (d *singletonDuties) announce() {
 	if d.gateway.mesh == nil {
 		return
--- a/io/clientconns/clientconns.go
+++ b/io/clientconns/clientconns.go
@@ -199,9 +199,9 @@
 	return address
 }
 
-// makeRoom closes the connections that make way first. HasRoom reports whether
+// makeRoom evicts connections in the order of core/clientbudget. HasRoom reports whether
 // there were any. Unless it is the last attempt, idle connections stay while new ones have unread
-// bytes, which may turn out to make way: then isBusy is set.
+// bytes, which may turn out to be evictable: then isBusy is set.
 func (c *Conns) makeRoom(isLast bool) (hasRoom, isBusy bool) {
 	c.mu.Lock()
 	conns := make([]*Conn, 0, len(c.open))
--- a/io/clientconns/handler.go
+++ b/io/clientconns/handler.go
@@ -7,7 +7,7 @@
 )
 
 // WithoutBodies returns a handler for requests that need no body. The connection of a request
-// with one is closed after the response, and makes way for others until then: the server would
+// with one is closed after the response, and may be evicted for others until then: the server would
 // read the body first.
 func WithoutBodies(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/io/httpbody/httpbody.go
+++ b/io/httpbody/httpbody.go
@@ -6,7 +6,7 @@
 //		Handler: httpbody.Handler(routes, 10*time.Second),
 //	}
 //
-// While a body arrives on a connection that clientconns tracks, the connection makes way for
+// While a body arrives on a connection that clientconns tracks, the connection may be evicted for
 // others if it makes no progress.
 //
 // http.Server has only a timeout that also ends the handlers, and without one it reads a
--- a/io/opaque/arriving.go
+++ b/io/opaque/arriving.go
@@ -24,7 +24,7 @@
 }
 
 // begin begins the arrival of a body. The returned function ends it, and reports false if the
-// request must be refused as its body has made way.
+// request must be refused as its body was evicted.
 func (a *arrivingBodies) begin(ctx context.Context, body *buffer) (end func() bool) {
 	conn := clientconns.FromContext(ctx)
 	if conn == nil {
@@ -44,7 +44,7 @@
 	}
 }
 
-// makeRoom refuses the bodies that make way for n bytes. It reports false if they do not
+// makeRoom refuses bodies to free n bytes. It reports false if they do not
 // suffice.
 func (a *arrivingBodies) makeRoom(n int64) bool {
 	a.mu.Lock()
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -457,7 +457,7 @@
 	x.setConnectionHeader(header)
 	if x.hasUnreadBody {
 		if conn := clientconns.FromContext(x.request.Context()); conn != nil {
-			// A caller that does not stop sending makes way for others.
+			// A caller that does not stop sending may be evicted for others.
 			conn.BeginBody()
 		}
 		_ = http.NewResponseController(x.writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
--- a/io/peer/duty.go
+++ b/io/peer/duty.go
@@ -6,7 +6,7 @@
 )
 
 // dutyMaxAge is the age up to which a relay passes on the announcement of a holder: two heartbeats
-// and some network delay. Then only a later one tells that the holder lives.
+// and some network delay. Then only a later one shows that the holder is alive.
 const dutyMaxAge = 1200 * time.Millisecond
 
 // Duty is the announcement of the host that holds the lease on the singleton duties.
