--- a/cmd/gatewayclients_test.go
+++ b/cmd/gatewayclients_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"slices"
 	"sync"
 	"testing"
@@ -162,7 +164,22 @@
 			return standin.CompleteAnswer{}
 		})
 	}
-	return startGateway(t, log, "--memory-mb", fmt.Sprint(clientsMemoryMB))
+	program := os.Getenv(programVariable)
+	if program == "" {
+		program = buildProgram(t)
+	}
+	return startProgram(t, program, log, "--memory-mb", fmt.Sprint(clientsMemoryMB))
+}
+
+// buildProgram builds the program as it is deployed. The test's own program may contain the race
+// detector, which takes several times the memory and the processor time.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "cactuswell")
+	if output, err := exec.Command("go", "build", "-o", program, "cactuswell").CombinedOutput(); err != nil {
+		t.Fatalf("go build: %v\n%s", err, output)
+	}
+	return program
 }
 
 // crowdFor returns the settings of a crowd.
--- a/cmd/gatewaymemory_test.go
+++ b/cmd/gatewaymemory_test.go
@@ -76,15 +76,18 @@
 // configuration with version 1 and an endpoint.
 func startGateway(t *testing.T, log *keyedlog.Log, arguments ...string) *gatewayProcess {
 	t.Helper()
-	store := httptest.NewServer(platformtest.NewStore(log))
-	t.Cleanup(store.Close)
 	program, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if other := os.Getenv(programVariable); other != "" {
-		program = other
-	}
+	return startProgram(t, program, log, arguments...)
+}
+
+// startProgram is like startGateway, with the program that is run.
+func startProgram(t *testing.T, program string, log *keyedlog.Log, arguments ...string) *gatewayProcess {
+	t.Helper()
+	store := httptest.NewServer(platformtest.NewStore(log))
+	t.Cleanup(store.Close)
 	g := &gatewayProcess{
 		exited:        make(chan error, 1),
 		out:           newOutput(),
