Test the report of the call that ejected an endpoint

It repeats calls until some endpoint is ejected, and read the report of the first one, which names only the endpoint of that call; the ejected one may be the other. Change: the report of the call after which the endpoint is ejected; the checks are as before.

--- a/gateway/life_test.go
+++ b/gateway/life_test.go
@@ -296,14 +296,18 @@
 	f.setBehaviour(func(*http.Request) standin.Behaviour { return standin.TruncatedAnswer{} })
 	isEjected := func(endpoint scheduling.EndpointSnapshot) bool { return endpoint.EjectedForMs > 0 }
 	var endpoints []scheduling.EndpointSnapshot
+	// An earlier call may have been at the other endpoint, whose report does not name this one.
+	lastID := ""
 	eventually(t, "an endpoint is ejected", func() bool {
-		f.post("/hold/x", "x")
+		request := f.request(http.MethodPost, "/hold/x", []byte("x"))
+		lastID = request.Header.Get("X-Request-Id")
+		f.do(request)
 		endpoints = f.dump().Services[0].Endpoints
 		return slices.ContainsFunc(endpoints, isEjected)
 	})
 	id := endpoints[slices.IndexFunc(endpoints, isEjected)].ID
 	f.stopAndWait()
-	holdIncident := incident.New("request--hold-x")
+	holdIncident := incident.New(lastID)
 	for _, line := range strings.Split(f.logLines.String(), "\n") {
 		holdIncident.Add([]byte(line))
 	}
