Review case 2: kill a gateway through which an answer really goes

Cause: the script could kill one whose connection had lost the race. Added: a wait until connections that are not used are closed.

--- a/review/_standin/tunnel.go
+++ b/review/_standin/tunnel.go
@@ -227,16 +227,14 @@
 	lost := awaitOpening(listener.address, 2)
 	end()
 	b.printf("packets pass again, %d connections were being opened", lost)
-	for range 20 {
-		time.Sleep(50 * time.Millisecond)
-		if helper := findHelper(b); helper != nil {
-			// The answers have begun.
-			time.Sleep(300 * time.Millisecond)
-			helper.signal(syscall.SIGKILL)
-			return true, nil
-		}
+	// The answers have begun, and connections through other gateways that are not used are closed.
+	time.Sleep(500 * time.Millisecond)
+	helper := findHelper(b)
+	if helper == nil {
+		return false, nil
 	}
-	return false, nil
+	helper.signal(syscall.SIGKILL)
+	return true, nil
 }
 
 // askForWhole sends a request whose answer takes long, and looks at whether one that ends as complete is.
