Read TROUBLE in the review's scripts, and keep case 4 within its dose

Cause: run.sh left TROUBLE to the stand-in; bookings came at four times the site's rate, where a burst is 2.3 at most; a case that is stopped could start a process after its end. Added: the argument, half of the clients, no start after the end.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
-# Plays the case. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+# Plays the case; with TROUBLE=0, without its disruption. Exits with 1 if the rule was broken, 0 if it
+# held, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/standin prompts review/1
+exec target/review/standin prompts review/1 "${TROUBLE:-1}"
--- a/review/_standin/freeze.go
+++ b/review/_standin/freeze.go
@@ -25,7 +25,7 @@
 	recoveryTime = 12 * time.Second
 	// clientsEach is the number of clients of each machine, and clientPause their mean pause
 	// between two requests.
-	clientsEach = 20
+	clientsEach = 10
 	clientPause = 380 * time.Millisecond
 )
 
--- a/review/_standin/harness.go
+++ b/review/_standin/harness.go
@@ -41,10 +41,14 @@
 
 	mu     sync.Mutex
 	broken []string
+
+	// processes guards the start of processes: none starts once isClosed is set.
+	processes sync.Mutex
+	isClosed  bool
 }
 
 // newBench starts the store. Dir is the folder of the case.
-func newBench(dir string) (*bench, error) {
+func newBench(dir string, trouble bool) (*bench, error) {
 	record, err := os.Create(filepath.Join(dir, "record.txt"))
 	if err != nil {
 		return nil, err
@@ -54,7 +58,7 @@
 		record:  record,
 		start:   time.Now(),
 		log:     keyedlog.New(),
-		trouble: os.Getenv("TROUBLE") != "0",
+		trouble: trouble,
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -264,6 +268,11 @@
 
 // run starts the process with the command of the deploy file.
 func (g *gateway) run() error {
+	g.bench.processes.Lock()
+	defer g.bench.processes.Unlock()
+	if g.bench.isClosed {
+		return errors.New("the case has ended")
+	}
 	output, err := os.OpenFile(filepath.Join(os.TempDir(), fmt.Sprintf("review-%d-%s.log", os.Getpid(), g.name)), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
@@ -337,6 +346,9 @@
 
 // close ends all processes, prints the result and returns the exit code.
 func (b *bench) close() int {
+	b.processes.Lock()
+	b.isClosed = true
+	b.processes.Unlock()
 	for _, g := range b.gateways {
 		if g.command == nil || g.command.Process == nil {
 			continue
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -22,15 +22,15 @@
 		"freeze":   playFreeze,
 		"prompts":  playPrompts,
 	}
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER TROUBLE")
 		os.Exit(2)
 	}
-	os.Exit(play(os.Args[2], cases[os.Args[1]]))
+	os.Exit(play(os.Args[2], os.Args[3] != "0", cases[os.Args[1]]))
 }
 
-func play(dir string, run func(b *bench) error) int {
-	b, err := newBench(dir)
+func play(dir string, trouble bool, run func(b *bench) error) int {
+	b, err := newBench(dir, trouble)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
