--- a/review/_standin/harness.go
+++ b/review/_standin/harness.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -199,14 +200,16 @@
 	exited  chan struct{}
 }
 
-// freeAddress returns a loopback address that is free for TCP and UDP.
+// freeAddress returns a loopback address that is free for TCP and UDP, with a port outside the range
+// from which outgoing connections take theirs.
 func freeAddress() string {
+	const firstPort, ports = 20000, 12000
 	for {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			panic(err)
+			continue
 		}
-		address := listener.Addr().String()
 		packets, err := net.ListenPacket("udp", address)
 		_ = listener.Close()
 		if err == nil {
