End a tunnel's answers only where the endpoint has ended them

Cause: a tunnel carried bytes with no framing.

The idle check does not count the last frame as bytes of the endpoint.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -20,6 +20,11 @@
 	g.callerListener = wrap(g.callerListener)
 }
 
+// WrapPeerListener wraps the listener for other hosts. It must be called before Run.
+func (g *Gateway) WrapPeerListener(wrap func(net.Listener) net.Listener) {
+	g.peerListener = wrap(g.peerListener)
+}
+
 // SetCallerWriteTimeout sets the time from a request's header to the end of its response.
 // It must be called before Run.
 func (g *Gateway) SetCallerWriteTimeout(timeout time.Duration) { g.callerServer.WriteTimeout = timeout }
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -84,6 +84,8 @@
 	done    chan error
 	// wrapListener wraps the callers' listener, if it is set.
 	wrapListener func(net.Listener) net.Listener
+	// peerConns records the connections of other hosts, if it is set.
+	peerConns *peerConns
 	// callerWriteTimeout replaces the host's, if it is set.
 	callerWriteTimeout time.Duration
 	// link is the host's link to the endpoints, or nil if it has none of its own.
@@ -282,6 +284,9 @@
 	if f.wrapListener != nil {
 		g.WrapCallerListener(f.wrapListener)
 	}
+	if f.peerConns != nil {
+		g.WrapPeerListener(f.peerConns.listen)
+	}
 	if f.callerWriteTimeout > 0 {
 		g.SetCallerWriteTimeout(f.callerWriteTimeout)
 	}
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -78,8 +78,17 @@
 	return errors.Is(err, unix.EAGAIN) || errors.Is(err, ErrNotInspectable)
 }
 
+// UnreadInspector is implemented by connections some of whose bytes belong to their own framing.
+type UnreadInspector interface {
+	// HasUnreadBytes reports whether other bytes wait to be read. It does not block.
+	HasUnreadBytes() bool
+}
+
 // HasUnreadBytes reports whether a connection has unread bytes. It does not block.
 func HasUnreadBytes(conn net.Conn) bool {
+	if inspector, ok := conn.(UnreadInspector); ok {
+		return inspector.HasUnreadBytes()
+	}
 	n, err := peek(conn)
 	return err == nil && n > 0
 }
@@ -99,10 +108,16 @@
 // Error implements error.
 func (notInspectableError) Error() string { return "the connection is not a socket" }
 
-// peek returns the number of unread bytes, at most one, without waiting for any. The
-// error is EAGAIN if there are none, and nil with zero bytes if the peer has closed the
-// connection.
+// peek returns the number of unread bytes, at most one. The results are those of Peek.
 func peek(conn net.Conn) (int, error) {
+	var buffer [1]byte
+	return Peek(conn, buffer[:])
+}
+
+// Peek copies unread bytes into the buffer without taking them or waiting for any, and returns their
+// number. The error is EAGAIN if there are none, and nil with zero bytes if the peer has closed the
+// connection.
+func Peek(conn net.Conn, buffer []byte) (int, error) {
 	syscallConn, ok := conn.(syscall.Conn)
 	if !ok {
 		return 0, ErrNotInspectable
@@ -111,11 +126,10 @@
 	if err != nil {
 		return 0, err
 	}
-	var buffer [1]byte
 	var n int
 	var recvErr error
 	err = raw.Control(func(fd uintptr) {
-		n, _, recvErr = unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _, recvErr = unix.Recvfrom(int(fd), buffer, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
 	return n, errors.Join(err, recvErr)
 }
--- a/io/tunnel/client.go
+++ b/io/tunnel/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -249,22 +250,23 @@
 		return nil, failure
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	failure.Reason, err = requestTunnel(conn, address)
+	tunnel, reason, err := requestTunnel(conn, address)
+	failure.Reason = reason
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
 	if err == nil && failure.Reason == "" {
-		return conn, nil
+		return tunnel, nil
 	}
 	failure.Err = errors.Join(err, conn.Close())
 	return nil, failure
 }
 
-// requestTunnel sends a CONNECT request and returns why it was not granted, or an empty
-// reason.
-func requestTunnel(conn net.Conn, address string) (Reason, error) {
-	if _, err := conn.Write([]byte("CONNECT " + address + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n")); err != nil {
-		return HostUnreachable, err
+// requestTunnel sends a CONNECT request, and returns the tunnel or why it was not granted.
+func requestTunnel(conn net.Conn, address string) (*clientConn, Reason, error) {
+	request := "CONNECT " + address + " HTTP/1.1\r\nHost: " + address + "\r\n" + framingHeader + ": " + framingLength + "\r\n\r\n"
+	if _, err := io.WriteString(conn, request); err != nil {
+		return nil, HostUnreachable, err
 	}
 	reader := bufio.NewReaderSize(&limitedReader{
 		conn: conn,
@@ -272,16 +274,20 @@
 	}, maxResponseBytes)
 	response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
 	if err != nil {
-		return HostUnreachable, err
+		return nil, HostUnreachable, err
 	}
 	_ = response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return Reason(response.Header.Get(reasonHeader)), &StatusError{Status: response.StatusCode}
+		return nil, Reason(response.Header.Get(reasonHeader)), &StatusError{Status: response.StatusCode}
 	}
-	if reader.Buffered() > 0 {
-		return HostUnreachable, errEarlyBytes
+	tunnel := &clientConn{
+		Conn:     conn,
+		isFramed: acceptsFrames(response.Header),
 	}
-	return "", nil
+	if err := tunnel.takeBuffered(reader); err != nil {
+		return nil, HostUnreachable, err
+	}
+	return tunnel, "", nil
 }
 
 // limitedReader reads a bounded number of bytes. Endpoints send nothing before a request, so
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -96,6 +96,7 @@
 	s.serve(&tunnel{
 		host:     host,
 		endpoint: endpoint,
+		isFramed: acceptsFrames(r.Header),
 	})
 }
 
@@ -142,6 +143,8 @@
 type tunnel struct {
 	host     net.Conn
 	endpoint net.Conn
+	// isFramed is set if the other host expects frames.
+	isFramed bool
 }
 
 // run copies bytes in both directions until either side has ended.
@@ -151,7 +154,11 @@
 	if t.host.SetDeadline(time.Time{}) != nil {
 		return
 	}
-	if _, err := t.host.Write([]byte("HTTP/1.1 200 OK\r\n\r\n")); err != nil {
+	response := "HTTP/1.1 200 OK\r\n\r\n"
+	if t.isFramed {
+		response = "HTTP/1.1 200 OK\r\n" + framingHeader + ": " + framingLength + "\r\n\r\n"
+	}
+	if _, err := io.WriteString(t.host, response); err != nil {
 		return
 	}
 	done := make(chan struct{})
@@ -172,7 +179,14 @@
 // loopResponses copies what the endpoint sends, and ends the tunnel as the endpoint has
 // ended the connection.
 func (t *tunnel) loopResponses() {
-	if copyBytes(t.host, t.endpoint) == nil {
+	if !t.isFramed {
+		if copyBytes(t.host, t.endpoint) == nil {
+			_ = t.host.Close()
+		}
+		return
+	}
+	frames := &frameWriter{conn: t.host}
+	if copyBytes(frames, t.endpoint) == nil && frames.end() == nil {
 		_ = t.host.Close()
 	}
 }
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -1,12 +1,14 @@
 package tunnel_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -148,28 +150,130 @@
 				t.Fatal(err)
 			}
 			endpoint := <-conns
-			exchange(t, conn, endpoint, "request")
-			exchange(t, endpoint, conn, "response")
+			exchange(t, conn, endpoint, "request", "request")
+			exchange(t, endpoint, conn, "response", "response")
 			test.end(endpoint)
 			_, err = conn.Read(make([]byte, 1))
-			if isReset := errors.Is(err, syscall.ECONNRESET); isReset != test.wantReset {
+			if isReset := errors.Is(err, syscall.ECONNRESET); isReset != test.wantReset || !isReset && !errors.Is(err, io.EOF) {
 				t.Errorf("the tunnel ended with %v", err)
 			}
 		})
 	}
 }
 
-func exchange(t *testing.T, from, to net.Conn, text string) {
+// exchange sends text over one connection and expects another text on the other.
+func exchange(t *testing.T, from, to net.Conn, text, want string) {
 	t.Helper()
 	if _, err := io.WriteString(from, text); err != nil {
 		t.Fatal(err)
 	}
-	got := make([]byte, len(text))
-	if _, err := io.ReadFull(to, got); err != nil || string(got) != text {
+	got := make([]byte, len(want))
+	if _, err := io.ReadFull(to, got); err != nil || string(got) != want {
 		t.Fatalf("got %q, %v", got, err)
 	}
 }
 
+// answerTunnel starts a host that answers the first request for a tunnel with the given bytes and
+// ends the connection as the kernel does for a process that was killed.
+func answerTunnel(t *testing.T, answer string) string {
+	t.Helper()
+	address, conns := listen(t)
+	go func() {
+		conn := <-conns
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			t.Error(err)
+		}
+		_, _ = io.WriteString(conn, answer)
+		_ = conn.Close()
+	}()
+	return address
+}
+
+// TestEndOfHostIsNoEndOfAnswer guards against the end of a host that is taken for that of the
+// endpoint's connection, and so for the end of an answer without a length. Hosts of earlier versions
+// do not say which of the two it is.
+func TestEndOfHostIsNoEndOfAnswer(t *testing.T) {
+	const framed = "HTTP/1.1 200 OK\r\nCactuswell-Framing: length\r\n\r\n"
+	for name, answer := range map[string]string{
+		"afterFrame":     framed,
+		"withinHeader":   framed + "\x00",
+		"earlierVersion": "HTTP/1.1 200 OK\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := connect(t, hostList{answerTunnel(t, answer)}, "127.0.0.1:1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.ErrUnexpectedEOF) {
+				t.Errorf("the tunnel ended with %v", err)
+			}
+		})
+	}
+}
+
+// TestEndpointThatClosesAtOnceEndsTunnel guards against a host that counts as unreachable because
+// the end of the endpoint's connection has arrived together with its response.
+func TestEndpointThatClosesAtOnceEndsTunnel(t *testing.T) {
+	conn, err := connect(t, hostList{answerTunnel(t, "HTTP/1.1 200 OK\r\nCactuswell-Framing: length\r\n\r\n\x00\x00")}, "127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the tunnel ended with %v", err)
+	}
+}
+
+// TestHostOfEarlierVersionGetsBytes guards against frames that are sent to a host that has not asked
+// for them.
+func TestHostOfEarlierVersionGetsBytes(t *testing.T) {
+	address, conns := listen(t)
+	conn, err := net.Dial("tcp", newHost(t).address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	exchange(t, conn, conn, "CONNECT "+address+" HTTP/1.1\r\nHost: "+address+"\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n")
+	endpoint := <-conns
+	exchange(t, endpoint, conn, "response", "response")
+	_ = endpoint.Close()
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the tunnel ended with %v", err)
+	}
+}
+
+// TestUnreadBytesOfIdleTunnel guards against an endpoint that is blamed for bytes that nobody has
+// requested because a host has said that the endpoint has closed an idle connection.
+func TestUnreadBytesOfIdleTunnel(t *testing.T) {
+	for name, test := range map[string]struct {
+		send string
+		want bool
+	}{
+		"closed":      {},
+		"unsolicited": {send: "bytes", want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, conns := listen(t)
+			conn, err := connect(t, hostList{newHost(t).address}, address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			endpoint := <-conns
+			exchange(t, endpoint, conn, "response", "response")
+			if !tcp.IsIdle(conn) {
+				t.Error("the tunnel is not idle after a response")
+			}
+			_, _ = io.WriteString(endpoint, test.send)
+			_ = endpoint.Close()
+			for tcp.IsIdle(conn) {
+				runtime.Gosched()
+			}
+			if got := tcp.HasUnreadBytes(conn); got != test.want {
+				t.Errorf("the tunnel has unread bytes: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // TestEndpointLearnsThatHostHasLeft guards against endpoints that work on for a host which has
 // closed its tunnel.
 func TestEndpointLearnsThatHostHasLeft(t *testing.T) {
--- a/standin/opaque/endpoint.go
+++ b/standin/opaque/endpoint.go
@@ -113,6 +113,10 @@
 	Bytes int
 }
 
+// StalledUnframedAnswer sends the given number of bytes of an answer's body with neither a length
+// nor chunks, and nothing more until the host closes the connection.
+type StalledUnframedAnswer struct{ Bytes int }
+
 // EarlyAnswer answers before it has read the body of the request.
 type EarlyAnswer struct{}
 
@@ -179,10 +183,13 @@
 func (MissingMark) isBehaviour()      {}
 func (MissingLength) isBehaviour()    {}
 func (UnframedStream) isBehaviour()   {}
-func (EarlyAnswer) isBehaviour()      {}
-func (Garbage) isBehaviour()          {}
-func (SkippedEvent) isBehaviour()     {}
-func (FalseNotRun) isBehaviour()      {}
+
+func (StalledUnframedAnswer) isBehaviour() {}
+
+func (EarlyAnswer) isBehaviour()  {}
+func (Garbage) isBehaviour()      {}
+func (SkippedEvent) isBehaviour() {}
+func (FalseNotRun) isBehaviour()  {}
 
 // Settings configures an Endpoint.
 type Settings struct {
@@ -468,6 +475,8 @@
 		return errors.Join(e.write(conn, e.completeAnswer(request, body, false)), errCloseConnection)
 	case UnframedStream:
 		return errors.Join(e.write(conn, e.unframedStream(request, b)), errCloseConnection)
+	case StalledUnframedAnswer:
+		return errors.Join(e.writeStalled(conn, request, body, b), errCloseConnection)
 	case ExtraAnswer:
 		answers := append(e.completeAnswer(request, body, true), e.plainAnswer(http.StatusOK, "earlier-request", e.markHeader(), "late")...)
 		return e.write(conn, answers)
@@ -703,6 +712,19 @@
 		"Content-Type: text/event-stream\r\n"
 }
 
+// writeStalled sends the beginning of an answer and waits until the host closes the connection.
+func (e *Endpoint) writeStalled(conn net.Conn, request *http.Request, body []byte, b StalledUnframedAnswer) error {
+	head, rest, _ := bytes.Cut(e.completeAnswer(request, body, false), []byte("\r\n\r\n"))
+	if isStream(request) {
+		head, rest, _ = bytes.Cut(e.unframedStream(request, UnframedStream{}), []byte("\r\n\r\n"))
+	}
+	if err := e.write(conn, append(append(head, "\r\n\r\n"...), rest[:b.Bytes]...)); err != nil {
+		return err
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return err
+}
+
 // unframedStream returns a stream without a length and chunks.
 func (e *Endpoint) unframedStream(request *http.Request, b UnframedStream) []byte {
 	var events bytes.Buffer
