Reset broken answers to HTTP/1.0 callers

A caller over HTTP/1.0 got a stream that the host broke off with an end in order, and took it for complete.

Cause: HTTP/1.0 has no last chunk that could be missing, and net/http closes the connection in order after http.ErrAbortHandler.

Change: the connection is reset in this case, for HTTP/1.0 only.

--- a/io/clientconns/conn.go
+++ b/io/clientconns/conn.go
@@ -251,6 +251,13 @@
 	return c.SetReadDeadline(deadline)
 }
 
+// ResetOnClose makes Close reset the connection: what the client has not received is dropped.
+func (c *Conn) ResetOnClose() {
+	if lingerer, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		_ = lingerer.SetLinger(0)
+	}
+}
+
 // CloseWrite closes the sending side of the connection. http.Server calls it when the client
 // may still be sending.
 func (c *Conn) CloseWrite() error {
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -440,13 +440,21 @@
 	line.Millis("after", time.Since(x.arrivedAt)).Text("result", result).End()
 	x.finish(result, string(refusal.Reason), status)
 	if x.committed {
-		// Closes the connection without ending the response, so that the caller
-		// cannot take it for complete.
-		panic(http.ErrAbortHandler)
+		x.abortResponse()
 	}
 	x.respond(status, string(refusal.Reason), refusal.RetryAfter)
 }
 
+// abortResponse ends the handler and closes the connection without ending the response, so that the
+// caller cannot take it for complete. A response over HTTP/1.0 has no chunks of which the last one
+// could be missing: its connection is reset.
+func (x *exchange) abortResponse() {
+	if conn := clientconns.FromContext(x.request.Context()); conn != nil && !x.request.ProtoAtLeast(1, 1) {
+		conn.ResetOnClose()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // respond sends a response of this host's own.
 func (x *exchange) respond(status int, reason string, retryAfter time.Duration) {
 	header := x.writer.Header()
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -236,6 +236,6 @@
 	if x.isAbandoned {
 		// A caller that has closed only its sending side would take the end of the handler
 		// for the end of a complete response.
-		panic(http.ErrAbortHandler)
+		x.abortResponse()
 	}
 }
