Bound what a host remembers of prompts by its own memory

Cause: the index of prefixes that engines may have cached was bounded, for each endpoint, by the tokens that its engine holds, with one token for a part at least: 250,000 entries of 224 bytes for each of 18 endpoints. The number of parts, and the work for them at each endpoint, were bounded by the size of the header alone.

Change: a prompt has at most 32 parts, and those beyond count as one; the prefixes of all endpoints share 8% of the host's memory, and the least recently used one is forgotten. All lines of the list of parts are parsed and passed on; only the first one was, so that endpoints got another list than the caller's.

--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"math"
 	"time"
 
 	"cactuswell/core/route"
@@ -16,6 +17,22 @@
 	Tokens int
 }
 
+// MaxPromptParts bounds the parts of a prompt that are told apart. The work for a call grows with
+// its parts, at each endpoint of the service.
+const MaxPromptParts = 32
+
+// AppendPart appends a part to a prompt. The parts from MaxPromptParts on count as one, which is the
+// same for prompts with the same parts.
+func AppendPart(prompt []PromptPart, part PromptPart) []PromptPart {
+	if len(prompt) < MaxPromptParts {
+		return append(prompt, part)
+	}
+	last := &prompt[len(prompt)-1]
+	last.ID = mix(last.ID, part.ID)
+	last.Tokens = min(last.Tokens+part.Tokens, math.MaxInt32)
+	return prompt
+}
+
 // Call is a caller's request as the scheduler sees it.
 type Call struct {
 	ID CallID
--- a/core/scheduling/endpoint.go
+++ b/core/scheduling/endpoint.go
@@ -1,7 +1,6 @@
 package scheduling
 
 import (
-	"container/list"
 	"slices"
 	"time"
 
@@ -58,7 +57,7 @@
 	// It is nil at other times.
 	ramp        *warmup.Ramp
 	rampBegunAt time.Time
-	cache       cacheIndex
+	cache       *cacheIndex
 	// fullUntil is until when the endpoint is avoided because it declined a call.
 	fullUntil time.Time
 	// quietUntil is until when the endpoint asked not to be sent calls.
@@ -89,7 +88,7 @@
 	includesSelf bool
 }
 
-func newEndpoint(now time.Time, entry directory.Entry) *endpoint {
+func newEndpoint(now time.Time, entry directory.Entry, prefixes *prefixBudget) *endpoint {
 	key := keyOf(entry)
 	return &endpoint{
 		entry:     entry,
@@ -100,7 +99,7 @@
 		coldUntil: now.Add(entry.ColdFor),
 		peerLoads: make(map[string]loadReport),
 		slowness:  1,
-		cache:     newCacheIndex(),
+		cache:     newCacheIndex(prefixes),
 	}
 }
 
@@ -224,72 +223,3 @@
 	}
 	delete(e.peerLoads, peer)
 }
-
-// cacheIndex estimates which prompt prefixes an engine has cached, by their hashes.
-// The least recently used prefix is evicted first.
-type cacheIndex struct {
-	lru    *list.List
-	byHash map[uint64]*list.Element
-	tokens int
-}
-
-type cacheItem struct {
-	prefixHash uint64
-	tokens     int
-	// usedAt is when a prompt with the prefix was last sent to the endpoint, and
-	// prefilledAt when its prefill has probably finished.
-	usedAt      time.Time
-	prefilledAt time.Time
-}
-
-func newCacheIndex() cacheIndex {
-	return cacheIndex{
-		lru:    list.New(),
-		byHash: make(map[uint64]*list.Element),
-	}
-}
-
-func (c *cacheIndex) has(prefixHash uint64) bool {
-	_, ok := c.byHash[prefixHash]
-	return ok
-}
-
-// usedSince reports whether a prompt with the prefix was sent to the endpoint after
-// the given time.
-func (c *cacheIndex) usedSince(prefixHash uint64, since time.Time) bool {
-	item, ok := c.lookup(prefixHash)
-	return ok && item.usedAt.After(since)
-}
-
-// lookup returns the entry of a prefix.
-func (c *cacheIndex) lookup(prefixHash uint64) (*cacheItem, bool) {
-	element, ok := c.byHash[prefixHash]
-	if !ok {
-		return nil, false
-	}
-	return element.Value.(*cacheItem), true
-}
-
-// add adds a prefix whose last part has the given size and whose prefill finishes
-// at prefilledAt. A known prefix is only marked as used. A part takes room for one token at
-// least, so that the index is bounded.
-func (c *cacheIndex) add(now, prefilledAt time.Time, prefixHash uint64, tokens, capacity int) {
-	if element, ok := c.byHash[prefixHash]; ok {
-		element.Value.(*cacheItem).usedAt = now
-		c.lru.MoveToBack(element)
-		return
-	}
-	tokens = max(tokens, 1)
-	c.byHash[prefixHash] = c.lru.PushBack(&cacheItem{
-		prefixHash:  prefixHash,
-		tokens:      tokens,
-		usedAt:      now,
-		prefilledAt: prefilledAt,
-	})
-	c.tokens += tokens
-	for c.tokens > capacity && c.lru.Len() > 1 {
-		oldest := c.lru.Remove(c.lru.Front()).(*cacheItem)
-		delete(c.byHash, oldest.prefixHash)
-		c.tokens -= oldest.tokens
-	}
-}
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -46,6 +46,10 @@
 	BudgetWindow time.Duration
 	BudgetRatio  float64
 	BudgetSlack  float64
+	// MaxCachedPrefixes bounds the prompt prefixes that the host remembers of all endpoints
+	// together, each of which takes about CachedPrefixBytes. Zero means no bound but that of
+	// each engine's memory.
+	MaxCachedPrefixes int
 	// Weights are the costs used to choose an endpoint.
 	Weights Weights
 }
@@ -72,6 +76,8 @@
 	// peers holds the sources of load reports by name.
 	peers      map[string]peer
 	placements PlacementQueue
+	// prefixes bounds the prefixes that the endpoints are assumed to have cached.
+	prefixes *prefixBudget
 	// speeds holds the observations of endpoints' speeds that wait to be reported.
 	speeds *speed.Outbox
 	// quarantine holds the requests and the prompt parts that crash endpoints.
@@ -150,6 +156,7 @@
 		calls:    make(map[CallID]*call),
 		peers:    make(map[string]peer),
 
+		prefixes:   newPrefixBudget(settings.MaxCachedPrefixes),
 		speeds:     speed.NewOutbox(speedsPerSecond, true),
 		quarantine: quarantine.New(),
 	}
@@ -280,7 +287,7 @@
 func (s *Scheduler) handleEndpointChanged(change directory.Change) {
 	switch change := change.(type) {
 	case directory.Appeared:
-		e := newEndpoint(s.now, change.Entry)
+		e := newEndpoint(s.now, change.Entry, s.prefixes)
 		s.byKey[e.key] = e
 		s.byHash[e.keyHash] = e
 		s.endpoints = append(s.endpoints, e)
@@ -317,6 +324,7 @@
 	}
 	delete(s.byKey, key)
 	delete(s.byHash, e.keyHash)
+	e.cache.clear()
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(other *endpoint) bool { return other == e })
 	s.limited = slices.DeleteFunc(s.limited, func(other *endpoint) bool { return other == e })
 	p := s.ensurePool(e.entry.Service)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,9 @@
 )
 
 const (
+	// prefixMemoryShare is the share of a host's memory for what it remembers of the prompts that
+	// engines have cached.
+	prefixMemoryShare = 0.08
 	// runtimeMemoryShare is the share of a host's memory that is set as the memory
 	// limit of the Go runtime. Near the limit the runtime collects garbage
 	// continuously.
@@ -205,7 +208,9 @@
 		BudgetWindow: g.Settings.BudgetWindow,
 		BudgetRatio:  g.Settings.BudgetRatio,
 		BudgetSlack:  g.Settings.BudgetSlack,
-		Weights:      scheduling.DefaultWeights(),
+
+		MaxCachedPrefixes: int(prefixMemoryShare * float64(g.Settings.MemoryMB) * (1 << 20) / scheduling.CachedPrefixBytes),
+		Weights:           scheduling.DefaultWeights(),
 	}, g.timers, g.trail)
 	if g.Settings.PeerListen != "" {
 		g.streams = newStreamRecords(g)
--- a/io/opaque/headers.go
+++ b/io/opaque/headers.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -148,7 +149,7 @@
 	}
 	promptTokens, _, _ := strings.Cut(header.Get(h.names.Tokens), ",")
 	info.PromptTokens = parseCount(promptTokens, maxTokens)
-	info.PromptParts = parsePromptParts(header.Get(h.names.PromptParts))
+	info.PromptParts = parsePromptParts(strings.Join(header.Values(h.names.PromptParts), ","))
 	if id, err := strconv.ParseInt(header.Get(h.names.LastEventID), 10, 64); err == nil {
 		info.LastEventID = id
 		info.HasLastEventID = true
@@ -156,7 +157,8 @@
 	return info, nil
 }
 
-// parsePromptParts parses the list of a prompt's parts.
+// parsePromptParts parses the list of a prompt's parts. Those beyond scheduling.MaxPromptParts are
+// merged.
 func parsePromptParts(list string) []scheduling.PromptPart {
 	if list == "" {
 		return nil
@@ -164,7 +166,7 @@
 	var parts []scheduling.PromptPart
 	for item := range strings.SplitSeq(list, ",") {
 		id, tokens, _ := strings.Cut(strings.TrimSpace(item), ":")
-		parts = append(parts, scheduling.PromptPart{
+		parts = scheduling.AppendPart(parts, scheduling.PromptPart{
 			ID:     xxhash.Sum64String(id),
 			Tokens: parseCount(tokens, maxTokens),
 		})
@@ -193,11 +195,15 @@
 	}
 	// The headers that describe the call reach the endpoint even if the caller's
 	// Connection header lists them as hop-by-hop.
-	for _, name := range []string{h.names.RequestID, h.names.Model, h.names.Tokens, h.names.PromptParts} {
+	for _, name := range []string{h.names.RequestID, h.names.Model, h.names.Tokens} {
 		if value := sent.Get(name); value != "" {
 			header.Set(name, value)
 		}
 	}
+	// A list may have several lines.
+	if parts := sent.Values(h.names.PromptParts); len(parts) > 0 {
+		header[http.CanonicalHeaderKey(h.names.PromptParts)] = slices.Clone(parts)
+	}
 }
 
 // SetAttempt implements Dialect.
