Answer streams that have no event at their timeout

Cause: the deadline of the call became that of writes to the caller as soon as the endpoint's header was there. The host's own response is written at that deadline, and failed.

Change: the deadline of writes is set with the first event.

--- a/io/opaque/stream.go
+++ b/io/opaque/stream.go
@@ -83,7 +83,6 @@
 	x := t.exchange
 	reader := bufio.NewReaderSize(t.response.Body, eventBufferSize)
 	controller := http.NewResponseController(x.writer)
-	_ = controller.SetWriteDeadline(x.deadline)
 	event := buffer{budget: &x.server.responseMemory}
 	defer event.release()
 	for {
@@ -155,6 +154,9 @@
 			return scheduling.Unrecorded{}
 		}
 		x.firstEventAt = time.Now()
+		// Not before: if no event comes in time, the caller gets a response of this host's own after
+		// the deadline.
+		_ = controller.SetWriteDeadline(x.deadline)
 		x.commitResponse(t.response, false, 0)
 		event = append(t.padding, event...)
 	}
