End the wait after a late answer once the call's own has come

A stream whose own answer had begun was given up (502) if its first event took longer than the route's target, after an answer on the same connection that named no call.

Cause: the wait for a further answer is bounded by the target, and the bound stayed for the first event.

Change: the deadline that the attempt had before is set again.

--- a/gateway/repeat_test.go
+++ b/gateway/repeat_test.go
@@ -1,7 +1,10 @@
 package gateway_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -9,6 +12,7 @@
 	"testing"
 	"time"
 
+	"cactuswell/io/opaque"
 	standin "cactuswell/standin/opaque"
 )
 
@@ -229,3 +233,61 @@
 	}
 	f.awaitLine(`"event":"unsolicitedBytes"`, `"address":"`+f.endpoints[0].Address()+`"`, `"connections":1`)
 }
+
+// slowAfterLateAnswer serves one connection after the other: it answers the first request at once, and
+// before its answer to the second one, whose first event takes longer than the route's target, it sends an answer that
+// names no call.
+func slowAfterLateAnswer(listener net.Listener, delay time.Duration) {
+	names := opaque.DefaultHeaderNames()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(conn)
+		for n := 1; ; n++ {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				break
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: m\r\nTransfer-Encoding: chunked\r\n\r\n",
+				names.RequestID, request.Header.Get(names.RequestID), names.Mark)
+			if n > 1 {
+				head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" + head
+			}
+			_, _ = io.WriteString(conn, head)
+			if n > 1 {
+				<-time.After(delay)
+			}
+			event := standin.StreamEvent(0)
+			_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", len(event), event)
+		}
+		_ = conn.Close()
+	}
+}
+
+// TestWaitAfterLateAnswerDoesNotCutStream guards against a stream that is given up although its answer has begun: the
+// wait for a further answer after one that names no call is bounded by the route's target, and that bound also held for
+// the first event.
+func TestWaitAfterLateAnswerDoesNotCutStream(t *testing.T) {
+	const target = 100 * time.Millisecond
+	f := newFixture(t, 0)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go slowAfterLateAnswer(listener, 4*target)
+	f.spec.Version++
+	for i := range f.spec.Routes {
+		f.spec.Routes[i].TargetLatency = target
+	}
+	f.publishConfiguration()
+	f.publishEndpoint("models-0", models, listener.Addr().String(), false)
+	eventually(t, "the first call is served", func() bool { return f.post("/draft/stream", "x").status == http.StatusOK })
+	if got := f.post("/draft/stream", "x"); got.status != http.StatusOK || got.broken {
+		t.Errorf("status %d, broken %v", got.status, got.broken)
+	}
+	f.awaitLine(`"event":"lateResponse"`)
+}
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -281,10 +281,15 @@
 	}
 	t.isSent = true
 	t.setReadDeadline(x.currentSend.FirstEventTimeout)
+	firstEventBy := t.silenceDeadline
 	response, err := conn.ReadResponse(x.request.Method, t.isOwnResponse)
 	if err != nil {
 		return t.readErrorOutcome(err)
 	}
+	if t.silenceDeadline != firstEventBy {
+		// The wait after a late response is over.
+		t.applyReadDeadline(firstEventBy)
+	}
 	t.response = response
 	t.respondedAt = time.Now()
 	return t.handleResponse()
@@ -348,14 +353,20 @@
 // setReadDeadline bounds the wait for the endpoint's next bytes by the call's
 // deadline and, unless it is zero, by silenceLimit.
 func (t *attempt) setReadDeadline(silenceLimit time.Duration) {
-	x := t.exchange
-	t.silenceDeadline = time.Time{}
-	readDeadline := x.deadline
-	if silenceLimit > 0 && time.Now().Add(silenceLimit).Before(readDeadline) {
-		t.silenceDeadline = time.Now().Add(silenceLimit)
-		readDeadline = t.silenceDeadline
+	var silenceDeadline time.Time
+	if limit := time.Now().Add(silenceLimit); silenceLimit > 0 && limit.Before(t.exchange.deadline) {
+		silenceDeadline = limit
+	}
+	t.applyReadDeadline(silenceDeadline)
+}
+
+// applyReadDeadline bounds the wait by silenceDeadline or, if it is zero, by the call's deadline.
+func (t *attempt) applyReadDeadline(silenceDeadline time.Time) {
+	t.silenceDeadline = silenceDeadline
+	if silenceDeadline.IsZero() {
+		silenceDeadline = t.exchange.deadline
 	}
-	t.conn.SetReadDeadline(readDeadline)
+	t.conn.SetReadDeadline(silenceDeadline)
 }
 
 // readErrorOutcome returns the outcome for an error while reading the response.
