--- a/gateway/partition_test.go
+++ b/gateway/partition_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"testing"
 
+	"cactuswell/standin/endless"
 	standin "cactuswell/standin/opaque"
 )
 
@@ -182,3 +183,34 @@
 	host.get("/lookup/1")
 	host.awaitLine(`"event":"attemptEnded"`, `"outcome":"Broken"`, `"endpointDown":true`)
 }
+
+// TestEndlessAnswerThroughOtherHost guards against bytes without end that a host keeps for another one, or
+// that the other one reads on, if the connection to the endpoint leads through a further host.
+func TestEndlessAnswerThroughOtherHost(t *testing.T) {
+	fleet := newPartitionedFleet(t, 2, 4)
+	host, helper := fleet.hosts[1], fleet.hosts[0]
+	host.link.set(linkReset)
+	eventually(t, "calls go through the other host", func() bool { return len(fleet.serve(host, 1)) == 0 })
+	for i, part := range endless.Plain() {
+		if part == endless.AfterBody {
+			continue
+		}
+		cut := fleet.cutAnswers()
+		fleet.setBehaviour(firstThen(standin.EndlessAnswer{
+			Part: part,
+			Pace: endless.NoPause,
+		}))
+		request := host.request(http.MethodPost, "/hold/x", []byte("body"))
+		request.Header.Set("X-Request-Id", fmt.Sprintf("endless-%d", i))
+		if got := host.do(request); got.status == http.StatusOK && !got.broken {
+			t.Errorf("%s: the caller got a complete answer of %d bytes", part, len(got.body))
+		}
+		host.awaitLine(`"event":"responseExcess"`, fmt.Sprintf(`"part":%q`, excessParts[part]))
+		eventually(t, "the endpoint's connection is closed", func() bool { return fleet.cutAnswers() > cut })
+		// The endpoints that have sent such answers are avoided for a while.
+		eventually(t, "calls go through the other host", func() bool { return len(fleet.serve(host, 1)) == 0 })
+	}
+	if used := helper.metric(t, "cactuswell_response_bytes"); used > 0 {
+		t.Errorf("the other host keeps %.0f bytes", used)
+	}
+}
