Pass on no call that may outlast a host that stops

Cause: whether a call may outlast the host was asked for streams only, when their header had come, after the balancer's lag. At the end only calls that waited for a decision were answered; those at an endpoint ended with the process.

Change: core/shutdown decides, and is asked at the header, at the end of the body, for calls that wait, and for each attempt. At the end the host breaks off the calls itself and answers those of which the caller has no part.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -6,13 +6,19 @@
 	"strings"
 	"time"
 
+	"cactuswell/core/shutdown"
 	"cactuswell/trail"
 )
 
-// stopPollInterval is the time between two checks whether calls are still open
-// during a shutdown. It is also the time that calls have to answer their callers
-// after they were cut.
-const stopPollInterval = 50 * time.Millisecond
+const (
+	// stopPollInterval is the time between two checks whether calls are still open
+	// during a shutdown.
+	stopPollInterval = 50 * time.Millisecond
+	// abortGrace is the time that calls have to answer their callers after they were broken
+	// off, and abortPollInterval that between two checks whether they have.
+	abortGrace        = 250 * time.Millisecond
+	abortPollInterval = 5 * time.Millisecond
+)
 
 // shutDown stops the host gracefully. The host reports immediately that it is not
 // ready, but accepts new connections until the balancer has noticed. Then it
@@ -21,21 +27,27 @@
 	startedAt := g.timers.Now()
 	current := g.currentSettings.Load()
 	close(g.stopping)
-	g.callHandler.DisableKeepAlives()
+	plan := shutdown.Plan{
+		ListensUntil: startedAt.Add(current.BalancerLag),
+		EndsAt:       startedAt.Add(current.StopTimeout),
+	}
+	g.callHandler.BeginShutdown(plan)
 	g.trail.Notice("stopping").Int("openCalls", g.callHandler.OpenCalls()).End()
-	g.waitUntil(kill, startedAt.Add(current.BalancerLag))
+	g.waitUntil(kill, plan.ListensUntil)
 	// The server's own Shutdown and SetKeepAlivesEnabled would close connections
 	// from which a request was read that has not been started.
-	deadline := startedAt.Add(current.StopTimeout)
-	g.callHandler.SetShutdownDeadline(deadline)
+	g.callHandler.RefuseWaitingCalls()
 	err := g.callerListener.Close()
-	for g.callerConns.closeIdle(g.timers.Now())+g.openTunnels() > 0 && g.timers.Now().Before(deadline) && kill.Err() == nil {
+	for g.callerConns.closeIdle(g.timers.Now())+g.openTunnels() > 0 && g.timers.Now().Before(plan.EndsAt) && kill.Err() == nil {
 		g.waitUntil(kill, g.timers.Now().Add(stopPollInterval))
 	}
 	openCalls := g.callHandler.OpenCalls()
 	if openCalls > 0 {
 		g.callHandler.AbortCalls()
-		g.waitUntil(kill, g.timers.Now().Add(stopPollInterval))
+		answeredBy := g.timers.Now().Add(abortGrace)
+		for g.callerConns.closeIdle(g.timers.Now()) > 0 && g.timers.Now().Before(answeredBy) && kill.Err() == nil {
+			g.waitUntil(kill, g.timers.Now().Add(abortPollInterval))
+		}
 	}
 	tunnels := g.openTunnels()
 	if tunnels > 0 {
--- a/io/opaque/arriving.go
+++ b/io/opaque/arriving.go
@@ -64,3 +64,13 @@
 	}
 	return len(selected) > 0
 }
+
+// failAll refuses all bodies that are arriving.
+func (a *arrivingBodies) failAll() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for body := range a.open {
+		body.conn.FailBody()
+	}
+	clear(a.open)
+}
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -57,8 +57,10 @@
 type attempt struct {
 	exchange *exchange
 	conn     *upstream.Conn
-	// unbindConn ends what bindConn began. It reports false if the caller has canceled.
+	// unbindConn ends what bindConn began. It reports false if the caller has canceled, and
+	// unbindAbort if the server has aborted its calls.
 	unbindConn   func() bool
+	unbindAbort  func() bool
 	response     *http.Response
 	respondedAt  time.Time
 	responseInfo ResponseInfo
@@ -90,11 +92,13 @@
 	}
 	x.logChoice(send.Choice)
 	x.recordVersion()
+	x.sentAt = time.Now()
 	t := &attempt{
 		exchange: x,
-		sentAt:   time.Now(),
+		sentAt:   x.sentAt,
 	}
 	outcome := t.run()
+	x.mayHaveRun = x.mayHaveRun || mayHaveRun(outcome)
 	x.logOutcome(t, outcome)
 	event := scheduling.AttemptEnded{
 		Call:      x.id,
@@ -118,6 +122,15 @@
 	return false
 }
 
+// mayHaveRun reports whether the endpoint may have run the call in an attempt with the given outcome.
+func mayHaveRun(outcome scheduling.Outcome) bool {
+	switch outcome.(type) {
+	case scheduling.Unreachable, scheduling.Expired, scheduling.Declined, scheduling.Misdirected:
+		return false
+	}
+	return true
+}
+
 // logChoice logs the chosen endpoint and the reasons for the choice.
 func (x *exchange) logChoice(choice scheduling.Choice) {
 	line := x.logLine("callSent").Text("endpoint", x.currentSend.Key.ID).Int("born", x.currentSend.Key.Incarnation).
@@ -171,6 +184,7 @@
 	x.failureBody.release()
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.server.aborted, cancel)()
 	maxIdle := maxIdleNonRetryable
 	if x.route.Retryable() {
 		maxIdle = maxIdleRetryable
@@ -218,10 +232,12 @@
 	}
 }
 
-// bindConn makes the caller's cancellation abort the connection until it is released.
+// bindConn makes the caller's cancellation and the end of the server abort the connection until it is
+// released.
 func (t *attempt) bindConn(conn *upstream.Conn) {
 	t.conn = conn
 	t.unbindConn = context.AfterFunc(t.exchange.request.Context(), conn.Abort)
+	t.unbindAbort = context.AfterFunc(t.exchange.server.aborted, conn.Abort)
 }
 
 // unsentOutcome returns the outcome of an attempt of which nothing was sent. It
@@ -237,6 +253,11 @@
 // canceled the request, it returns Abandoned in place of the failure that the
 // cancellation caused.
 func (t *attempt) releaseConn(outcome scheduling.Outcome) scheduling.Outcome {
+	if !t.unbindAbort() {
+		t.unbindConn()
+		t.conn.Discard()
+		return t.abortedOutcome(outcome)
+	}
 	if !t.unbindConn() {
 		// The connection is aborted, maybe only once the next call uses it.
 		t.conn.Discard()
@@ -263,6 +284,19 @@
 	return outcome
 }
 
+// abortedOutcome returns the outcome of an attempt whose connection the server has aborted. An answer
+// that was complete by then counts.
+func (t *attempt) abortedOutcome(outcome scheduling.Outcome) scheduling.Outcome {
+	switch outcome.(type) {
+	case scheduling.Completed, scheduling.Declined, scheduling.Misdirected, scheduling.Failed:
+		return outcome
+	}
+	if !t.isSent {
+		return outcome
+	}
+	return scheduling.Broken{PartlyDelivered: t.exchange.committed}
+}
+
 // roundTrip sends the call over a connection and forwards the response. It returns
 // nil if the response was complete.
 func (t *attempt) roundTrip(conn *upstream.Conn) scheduling.Outcome {
--- a/io/opaque/attempt_test.go
+++ b/io/opaque/attempt_test.go
@@ -42,7 +42,10 @@
 				t.Fatal(err)
 			}
 			a := &attempt{
-				exchange: &exchange{request: request},
+				exchange: &exchange{
+					server:  &Server{aborted: t.Context()},
+					request: request,
+				},
 				response: &http.Response{StatusCode: http.StatusOK},
 			}
 			a.bindConn(getConn("first"))
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -79,10 +79,13 @@
 	// currentSend is the command of the attempt in progress.
 	currentSend  scheduling.Send
 	attempts     int
+	sentAt       time.Time
 	firstEventAt time.Time
 	queueTime    time.Duration
 	// committed is set once a response header was sent to the caller.
 	committed bool
+	// mayHaveRun is set once an attempt has ended that an endpoint may have run.
+	mayHaveRun bool
 	// hasBegun is set once the request was recorded as one that began to run.
 	hasBegun bool
 	// isAbandoned is set once the caller has left.
@@ -193,6 +196,7 @@
 func (x *exchange) executeCommands(commands <-chan scheduling.Command) {
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline.Add(decisionGracePeriod))
 	defer cancel()
+	draining := x.server.draining
 	for {
 		select {
 		case <-ctx.Done():
@@ -206,13 +210,15 @@
 			x.server.Scheduler.Post(scheduling.CallCanceled{Call: x.id})
 			x.finish(ResultCanceled, "", 0)
 			return
-		case <-x.server.aborted:
-			x.server.Scheduler.Post(scheduling.CallCanceled{Call: x.id})
-			x.refuse(scheduling.Refuse{
-				Reason:     ReasonStopping,
-				MayHaveRun: x.attempts > 0,
-			})
+		case <-x.server.aborted.Done():
+			x.cancelStopping()
 			return
+		case <-draining:
+			draining = nil
+			if !x.committed && x.server.mayOutlast(x.route, x.deadline) {
+				x.cancelStopping()
+				return
+			}
 		case command := <-commands:
 			if x.execute(command) {
 				return
@@ -221,10 +227,21 @@
 	}
 }
 
+// cancelStopping withdraws the call from the scheduler, which may have placed it at an endpoint, and
+// refuses it as this host shuts down.
+func (x *exchange) cancelStopping() {
+	x.server.Scheduler.Post(scheduling.CallCanceled{Call: x.id})
+	x.refuseStopping()
+}
+
 // execute executes a command and reports whether the call is finished.
 func (x *exchange) execute(command scheduling.Command) bool {
 	switch command := command.(type) {
 	case scheduling.Send:
+		if x.server.isAborted() || !x.committed && x.server.mayOutlast(x.route, x.deadline) {
+			x.cancelStopping()
+			return true
+		}
 		return x.runAttempt(command)
 	case scheduling.DeliverFailure:
 		x.forwardFailure()
@@ -275,14 +292,27 @@
 			x.deadline = x.arrivedAt.Add(limit)
 		}
 	}
-	if found.Kind == route.Stream && x.server.outlivesServer(x.deadline) {
-		x.refuse(scheduling.Refuse{
-			Reason:     ReasonStopping,
-			RetryAfter: stoppingRetryAfter,
-		})
+	// The time to read the body passes before the call can be passed on.
+	return !x.refuseIfStopping() && x.readBody() && !x.refuseIfStopping()
+}
+
+// refuseIfStopping refuses a call that is not passed on, as it may outlast this host, and reports
+// whether it has.
+func (x *exchange) refuseIfStopping() bool {
+	if !x.server.isAborted() && !x.server.mayOutlast(x.route, x.deadline) {
 		return false
 	}
-	return x.readBody()
+	x.refuseStopping()
+	return true
+}
+
+// refuseStopping refuses a call as this host shuts down.
+func (x *exchange) refuseStopping() {
+	x.refuse(scheduling.Refuse{
+		Reason:     ReasonStopping,
+		RetryAfter: stoppingRetryAfter,
+		MayHaveRun: x.mayHaveRun,
+	})
 }
 
 // authorize looks up the caller's team and applies the team's priority. It reports
@@ -331,6 +361,11 @@
 	complete, err := x.body.readFrom(http.MaxBytesReader(x.writer, r.Body, limit), maxSize, firstSize)
 	_ = controller.SetReadDeadline(time.Time{})
 	if !end() {
+		if x.server.isAborted() {
+			x.body.release()
+			x.refuseStopping()
+			return false
+		}
 		return x.refuseFull()
 	}
 	if err != nil {
@@ -500,6 +535,9 @@
 		summary.TimeToFirstEvent = x.firstEventAt.Sub(x.arrivedAt)
 	}
 	x.isAbandoned = result == ResultCanceled
+	if x.attempts > 0 {
+		x.server.recordDuration(x.route, now.Sub(x.sentAt))
+	}
 	x.server.Meter.RecordCall(summary)
 	if result == ResultDenied {
 		return
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -24,11 +24,13 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
+	"cactuswell/core/shutdown"
 	"cactuswell/io/upstream"
 	"cactuswell/trail"
 )
@@ -159,12 +161,19 @@
 type Server struct {
 	Dependencies
 	closeConnections atomic.Bool
-	shutdownDeadline atomic.Pointer[time.Time]
+	shutdownPlan     atomic.Pointer[shutdown.Plan]
 	openCalls        atomic.Int64
 	bodyMemory       memoryBudget
 	responseMemory   memoryBudget
 	arriving         arrivingBodies
-	aborted          chan struct{}
+	// draining is closed once waiting calls that may outlast the host are refused.
+	draining chan struct{}
+	// aborted is done once the open calls are broken off.
+	aborted context.Context
+	abort   context.CancelFunc
+
+	durationsMu sync.Mutex
+	durations   *shutdown.Durations
 }
 
 // New returns a Server.
@@ -180,9 +189,11 @@
 			limit:    dependencies.ResponseMemory,
 			released: make(chan struct{}, 1),
 		},
-		arriving: arrivingBodies{open: make(map[*arrivingBody]struct{})},
-		aborted:  make(chan struct{}),
+		arriving:  arrivingBodies{open: make(map[*arrivingBody]struct{})},
+		draining:  make(chan struct{}),
+		durations: shutdown.NewDurations(),
 	}
+	s.aborted, s.abort = context.WithCancel(context.Background())
 	s.bodyMemory.reclaim = s.arriving.makeRoom
 	if dependencies.CloseStalledWriters != nil {
 		s.responseMemory.reclaim = func(int64) bool { return dependencies.CloseStalledWriters() }
@@ -197,23 +208,52 @@
 // ResponseBytes returns the memory of the buffered parts of responses.
 func (s *Server) ResponseBytes() int64 { return s.responseMemory.taken.Load() }
 
-// DisableKeepAlives makes every response from now on close its connection.
-func (s *Server) DisableKeepAlives() { s.closeConnections.Store(true) }
+// BeginShutdown makes every response from now on close its connection, and refuses calls that may
+// outlast the server before they are passed on: another host can serve them without breaking
+// them off.
+func (s *Server) BeginShutdown(plan shutdown.Plan) {
+	s.shutdownPlan.Store(&plan)
+	s.closeConnections.Store(true)
+}
+
+// RefuseWaitingCalls refuses the waiting calls that may outlast the server. It must not be called more
+// than once.
+func (s *Server) RefuseWaitingCalls() { close(s.draining) }
 
-// SetShutdownDeadline sets the time at which the server shuts down. From now on,
-// streams that may last longer are refused: another host can serve them without
-// truncating them.
-func (s *Server) SetShutdownDeadline(deadline time.Time) { s.shutdownDeadline.Store(&deadline) }
+// mayOutlast reports whether a call that is about to be passed on is refused, as it may last
+// beyond the server's shutdown.
+func (s *Server) mayOutlast(r *route.Route, deadline time.Time) bool {
+	plan := s.shutdownPlan.Load()
+	if plan == nil {
+		return false
+	}
+	now := time.Now()
+	s.durationsMu.Lock()
+	longest := s.durations.Longest(now, r.Name)
+	s.durationsMu.Unlock()
+	return plan.Refuses(now, shutdown.Call{
+		Deadline:  deadline,
+		MayRepeat: r.Kind == route.Safe,
+		Longest:   longest,
+	})
+}
+
+// recordDuration records the time of a call from its last attempt to the end of its answer.
+func (s *Server) recordDuration(r *route.Route, taken time.Duration) {
+	s.durationsMu.Lock()
+	defer s.durationsMu.Unlock()
+	s.durations.Record(time.Now(), r.Name, taken)
+}
 
-// outlivesServer reports whether a stream with the given deadline may last beyond
-// the server's shutdown.
-func (s *Server) outlivesServer(deadline time.Time) bool {
-	shutdown := s.shutdownDeadline.Load()
-	return shutdown != nil && deadline.After(*shutdown)
+// AbortCalls breaks off the open calls. Callers that have no part of an answer get a response of
+// this host's own.
+func (s *Server) AbortCalls() {
+	s.abort()
+	s.arriving.failAll()
 }
 
-// AbortCalls aborts the open calls. It must not be called more than once.
-func (s *Server) AbortCalls() { close(s.aborted) }
+// isAborted reports whether the open calls are broken off.
+func (s *Server) isAborted() bool { return s.aborted.Err() != nil }
 
 // OpenCalls returns the number of open calls.
 func (s *Server) OpenCalls() int64 { return s.openCalls.Load() }
--- a/standin/opaque/endpoint.go
+++ b/standin/opaque/endpoint.go
@@ -60,6 +60,8 @@
 	// Copies is the number of further copies of the answer, which are sent after Delay.
 	Copies int
 	Delay  time.Duration
+	// After is the time until the answer.
+	After time.Duration
 }
 
 // RepeatedAnswer runs the call, but sends the first answer of the connection once more before
@@ -405,6 +407,7 @@
 
 // writeDecline writes the answer to a call that is declined, and its copies.
 func (e *Endpoint) writeDecline(conn net.Conn, id string, b Decline) error {
+	<-time.After(b.After)
 	header := e.settings.Names.NotRun + ": 1\r\n"
 	if b.RetryAfter != "" {
 		header += "Retry-After: " + b.RetryAfter + "\r\n"
