Begin no stream at a version that a host may not know of

Cause: a host trusts its view of the endpoints until the others have been silent for 1.7 s, while streams began at a new version at once. A host that had stood still, that heard of a newer copy, or that had forgotten all others trusted it as well.

Change: a host is in step only if it hears most of the others, none of them has a newer copy of the endpoints and it has not stood still; resumable streams begin at a version 2.7 s after its first endpoint, if the base has endpoints. A host that is not in step reads the base version as well as the record.

--- a/core/scheduling/cacheindex_test.go
+++ b/core/scheduling/cacheindex_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"runtime"
 	"testing"
 	"time"
 
-	"cactuswell/core/batching"
 	"cactuswell/core/directory"
 	"cactuswell/core/scheduling"
 )
@@ -15,21 +13,7 @@
 // newPrefixHarness returns a harness whose host remembers at most limit prefixes.
 func newPrefixHarness(t testing.TB, endpoints, limit int) *harness {
 	t.Helper()
-	h := &harness{
-		t:     t,
-		table: testTable(t),
-		scheduler: scheduling.New(scheduling.Settings{
-			Zone:              "z0",
-			Engine:            batching.Default(),
-			BudgetWindow:      10 * time.Second,
-			BudgetRatio:       0.2,
-			BudgetSlack:       20,
-			MaxCachedPrefixes: limit,
-			Weights:           scheduling.DefaultWeights(),
-		}, rand.New(rand.NewPCG(1, 2))),
-		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
-	}
-	h.step(scheduling.ConfigurationChanged{Table: h.table})
+	h := newHarnessWith(t, 0, func(settings *scheduling.Settings) { settings.MaxCachedPrefixes = limit })
 	for i := range endpoints {
 		h.addEndpoint(models, i)
 	}
--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -90,6 +90,8 @@
 	isBoundToVersion bool
 	// beginsAtBase is set while the stream may begin only at the base version.
 	beginsAtBase bool
+	// unsettled holds the versions at which the stream may not begin.
+	unsettled []string
 	// isSound is set once an answer to the request has gone on after its beginning.
 	isSound bool
 	// prefillTime is the expected engine time to prefill the prompt at the chosen
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -50,6 +50,10 @@
 	// together, each of which takes about CachedPrefixBytes. Zero means no bound but that of
 	// each engine's memory.
 	MaxCachedPrefixes int
+	// VersionSettleTime is the time from the first endpoint of a software version until resumable
+	// streams begin there, if the base version has endpoints. By then, each host knows of the version
+	// or knows that it may not.
+	VersionSettleTime time.Duration
 	// Weights are the costs used to choose an endpoint.
 	Weights Weights
 }
@@ -138,6 +142,8 @@
 	reportedCalls int
 	part          demandPart
 	unmet         unmetMeter
+	// versionSeenAt is when an endpoint of each version was first known, since when there is one.
+	versionSeenAt map[string]time.Time
 	// base is the software version of streams without a record, if hasBase is set.
 	base    string
 	hasBase bool
@@ -256,6 +262,8 @@
 			answerTime: initialAnswerTime.Seconds(),
 			partitions: partitions{weights: s.settings.Weights},
 			speeds:     speed.NewService(),
+
+			versionSeenAt: make(map[string]time.Time),
 		}
 		p.budget.SetSlack(s.SlackShare())
 		p.base, p.hasBase = s.bases[name]
@@ -294,12 +302,14 @@
 		p := s.ensurePool(change.Entry.Service)
 		e.speed = p.speeds.Add()
 		p.endpoints = append(p.endpoints, e)
+		p.observeVersions(s.now)
 		p.partitions.rank(p.endpoints)
 		s.beginRampOfNew(e)
 		s.dispatchWaiting(p)
 	case directory.Updated:
 		if e := s.byKey[keyOf(change.Entry)]; e != nil {
 			e.entry = change.Entry
+			s.ensurePool(e.entry.Service).observeVersions(s.now)
 		}
 	case directory.Leaving:
 		if e := s.byKey[keyOf(change.Entry)]; e != nil {
@@ -330,6 +340,7 @@
 	p := s.ensurePool(e.entry.Service)
 	p.speeds.Remove(e.speed)
 	p.endpoints = slices.DeleteFunc(p.endpoints, func(other *endpoint) bool { return other == e })
+	p.observeVersions(s.now)
 	p.partitions.rank(p.endpoints)
 }
 
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -68,18 +68,26 @@
 
 func newHarness(t testing.TB, endpoints int) *harness {
 	t.Helper()
+	return newHarnessWith(t, endpoints, func(*scheduling.Settings) {})
+}
+
+// newHarnessWith is like newHarness, with settings of its own.
+func newHarnessWith(t testing.TB, endpoints int, adjust func(*scheduling.Settings)) *harness {
+	t.Helper()
+	settings := scheduling.Settings{
+		Zone:         "z0",
+		Engine:       batching.Default(),
+		BudgetWindow: 10 * time.Second,
+		BudgetRatio:  0.2,
+		BudgetSlack:  20,
+		Weights:      scheduling.DefaultWeights(),
+	}
+	adjust(&settings)
 	h := &harness{
-		t:     t,
-		table: testTable(t),
-		scheduler: scheduling.New(scheduling.Settings{
-			Zone:         "z0",
-			Engine:       batching.Default(),
-			BudgetWindow: 10 * time.Second,
-			BudgetRatio:  0.2,
-			BudgetSlack:  20,
-			Weights:      scheduling.DefaultWeights(),
-		}, rand.New(rand.NewPCG(1, 2))),
-		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		t:         t,
+		table:     testTable(t),
+		scheduler: scheduling.New(settings, rand.New(rand.NewPCG(1, 2))),
+		now:       time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 	}
 	h.step(scheduling.ConfigurationChanged{Table: h.table})
 	for i := range endpoints {
--- a/core/scheduling/snapshot.go
+++ b/core/scheduling/snapshot.go
@@ -35,8 +35,10 @@
 	QueuedCalls int `json:"waiting"`
 	// RetriesLeft is the number of retries that this host has left in the budget
 	// window.
-	RetriesLeft float64            `json:"repeatsLeft"`
-	Endpoints   []EndpointSnapshot `json:"endpoints"`
+	RetriesLeft float64 `json:"repeatsLeft"`
+	// UnsettledVersions are the software versions at which no resumable stream begins yet.
+	UnsettledVersions []string           `json:"unsettledVersions,omitempty"`
+	Endpoints         []EndpointSnapshot `json:"endpoints"`
 }
 
 // EndpointSnapshot is an endpoint's state as this host estimates it. Times are in
@@ -103,11 +105,12 @@
 	}
 	for _, p := range s.poolsInOrder {
 		service := ServiceSnapshot{
-			Name:        p.name,
-			OpenCalls:   open[p],
-			QueuedCalls: len(p.queue),
-			RetriesLeft: p.budget.Remaining(now),
-			Endpoints:   make([]EndpointSnapshot, 0, len(p.endpoints)),
+			Name:              p.name,
+			OpenCalls:         open[p],
+			QueuedCalls:       len(p.queue),
+			UnsettledVersions: s.settlingVersions(now, p),
+			RetriesLeft:       p.budget.Remaining(now),
+			Endpoints:         make([]EndpointSnapshot, 0, len(p.endpoints)),
 		}
 		for _, e := range p.endpoints {
 			snapshot := e.snapshot(now)
--- a/core/scheduling/version.go
+++ b/core/scheduling/version.go
@@ -1,6 +1,10 @@
 package scheduling
 
-import "slices"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // bindVersion binds a resumable stream that has begun to the software version of its endpoint.
 // What two versions write does not fit together, and endpoints do not check it.
@@ -21,7 +25,45 @@
 	case c.beginsAtBase:
 		return e.entry.Version == c.pool.base
 	}
-	return true
+	return !slices.Contains(c.unsettled, e.entry.Version)
+}
+
+// observeVersions records since when the pool has had endpoints of each version.
+func (p *pool) observeVersions(now time.Time) {
+	present := make(map[string]bool)
+	for _, e := range p.endpoints {
+		present[e.entry.Version] = true
+		if _, ok := p.versionSeenAt[e.entry.Version]; !ok {
+			p.versionSeenAt[e.entry.Version] = now
+		}
+	}
+	maps.DeleteFunc(p.versionSeenAt, func(version string, _ time.Time) bool { return !present[version] })
+}
+
+// settlingVersions returns the versions other than the base that some hosts may not know of yet, if the base
+// has endpoints. A host that does not know of the version would let a stream that began there go on at the
+// base.
+func (s *Scheduler) settlingVersions(now time.Time, p *pool) []string {
+	if !p.hasBase || s.countVersion(p, p.base) == 0 {
+		return nil
+	}
+	var versions []string
+	for version, seenAt := range p.versionSeenAt {
+		if version != p.base && now.Sub(seenAt) < s.settings.VersionSettleTime {
+			versions = append(versions, version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
+// UnsettledVersions returns the number of versions, of all services, at which no resumable stream begins yet.
+func (s *Scheduler) UnsettledVersions(now time.Time) int {
+	count := 0
+	for _, p := range s.poolsInOrder {
+		count += len(s.settlingVersions(now, p))
+	}
+	return count
 }
 
 // requiresRecord reports whether a stream that begins at a version without a record would be taken
@@ -38,10 +80,16 @@
 }
 
 // restrictVersions lets a stream begin only at the base version while its version cannot be
-// recorded, unless that version has no endpoint.
+// recorded, and not at a version that some hosts may not know of, unless the base version has no
+// endpoint.
 func (s *Scheduler) restrictVersions(c *call) {
 	p := c.pool
-	c.beginsAtBase = s.recordsOverdue && !c.isBoundToVersion && c.spec.Route.Resumable && p.hasBase && s.countVersion(p, p.base) > 0
+	c.beginsAtBase, c.unsettled = false, nil
+	if c.isBoundToVersion || !c.spec.Route.Resumable {
+		return
+	}
+	c.beginsAtBase = s.recordsOverdue && p.hasBase && s.countVersion(p, p.base) > 0
+	c.unsettled = s.settlingVersions(s.now, p)
 }
 
 func (s *Scheduler) handleRecordsChanged(event RecordsChanged) {
--- a/core/scheduling/version_test.go
+++ b/core/scheduling/version_test.go
@@ -196,3 +196,56 @@
 		}
 	}
 }
+
+// TestStreamsDoNotBeginAtVersionThatHostsMayNotKnow guards against streams that begin at a version which has just joined:
+// a host that has not heard of it would let them go on at the base version.
+func TestStreamsDoNotBeginAtVersionThatHostsMayNotKnow(t *testing.T) {
+	const settleTime = 3 * time.Second
+	h := newVersionHarness(t, settleTime)
+	for i := range 4 {
+		h.addVersion(i, "v1")
+	}
+	h.step(scheduling.RecordsChanged{Bases: map[string]string{models: "v1"}})
+	h.now = h.now.Add(time.Minute)
+	for i := range 4 {
+		h.addVersion(4+i, "v2")
+	}
+	// The endpoints of one version have 16 places.
+	begin := func(route string) map[string]int {
+		versions := make(map[string]int)
+		var ids []scheduling.CallID
+		for range 24 {
+			id, commands := h.startCall(route)
+			ids = append(ids, id)
+			for _, send := range h.sends(commands) {
+				versions[send.Version]++
+			}
+		}
+		for _, id := range ids {
+			h.step(scheduling.CallCanceled{Call: id})
+		}
+		return versions
+	}
+	if got := begin("summary"); got["v1"] == 0 || got["v2"] > 0 {
+		t.Errorf("resumable streams begin at %v", got)
+	}
+	if got := begin("draft"); got["v2"] == 0 {
+		t.Errorf("other streams begin at %v", got)
+	}
+	h.now = h.now.Add(settleTime)
+	if got := begin("summary"); got["v2"] == 0 {
+		t.Errorf("%v later, resumable streams begin at %v", settleTime, got)
+	}
+	for i := range 4 {
+		h.step(scheduling.EndpointChanged{Change: directory.Removed{Entry: entry(models, i)}})
+	}
+	h.addVersion(8, "v3")
+	if got := begin("summary"); got["v2"]+got["v3"] == 0 {
+		t.Error("without endpoints of the base, no resumable stream begins")
+	}
+}
+
+func newVersionHarness(t *testing.T, settleTime time.Duration) *harness {
+	t.Helper()
+	return newHarnessWith(t, 0, func(settings *scheduling.Settings) { settings.VersionSettleTime = settleTime })
+}
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -38,18 +38,21 @@
 // awaitLine waits until the log of the host has a line with all the texts.
 func (f *fixture) awaitLine(texts ...string) {
 	f.t.Helper()
-	eventually(f.t, "a line with "+strings.Join(texts, " "), func() bool {
-		for line := range strings.Lines(f.logLines.String()) {
-			found := true
-			for _, text := range texts {
-				found = found && strings.Contains(line, text)
-			}
-			if found {
-				return true
-			}
+	eventually(f.t, "a line with "+strings.Join(texts, " "), func() bool { return f.hasLine(texts...) })
+}
+
+// hasLine reports whether the log of the host has a line with all the texts.
+func (f *fixture) hasLine(texts ...string) bool {
+	for line := range strings.Lines(f.logLines.String()) {
+		found := true
+		for _, text := range texts {
+			found = found && strings.Contains(line, text)
 		}
-		return false
-	})
+		if found {
+			return true
+		}
+	}
+	return false
 }
 
 func (f *fixture) cutAnswers() int {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,6 +106,9 @@
 	// DialEndpoint opens a connection to the endpoint at an address. If it is nil, it is a
 	// TCP connection.
 	DialEndpoint func(ctx context.Context, address string) (net.Conn, error)
+	// ListenPeers opens the socket for datagrams of other hosts at an address. If it is nil, it is
+	// a UDP socket.
+	ListenPeers func(address string) (net.PacketConn, error)
 	// LoadSettings reads the current settings. A value on ReloadRequests requests a
 	// reload; the settings are also reloaded periodically.
 	LoadSettings   SettingsLoader
@@ -210,6 +213,7 @@
 		BudgetSlack:  g.Settings.BudgetSlack,
 
 		MaxCachedPrefixes: int(prefixMemoryShare * float64(g.Settings.MemoryMB) * (1 << 20) / scheduling.CachedPrefixBytes),
+		VersionSettleTime: peer.MaxOutOfStep,
 		Weights:           scheduling.DefaultWeights(),
 	}, g.timers, g.trail)
 	if g.Settings.PeerListen != "" {
@@ -306,6 +310,7 @@
 		Incarnation: g.incarnation,
 		Address:     address,
 		LinkMbps:    g.Settings.LinkMbps,
+		Listen:      g.ListenPeers,
 		Listener: &peerEvents{
 			decisions: g.decisions,
 			pool:      g.pool,
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -86,6 +86,8 @@
 	wrapListener func(net.Listener) net.Listener
 	// peerConns records the connections of other hosts, if it is set.
 	peerConns *peerConns
+	// datagrams is the host's link to the others for datagrams, or nil if it has none of its own.
+	datagrams *datagramLink
 	// callerWriteTimeout replaces the host's, if it is set.
 	callerWriteTimeout time.Duration
 	// link is the host's link to the endpoints, or nil if it has none of its own.
@@ -273,6 +275,9 @@
 	if f.control != nil {
 		dependencies.Control = f.control
 	}
+	if f.datagrams != nil {
+		dependencies.ListenPeers = f.datagrams.listen
+	}
 	if f.link != nil {
 		dependencies.DialEndpoint = f.link.dial
 	}
--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -159,8 +159,9 @@
 
 // Find implements opaque.StreamVersions.
 func (r *streamRecords) Find(ctx context.Context, service, requestID string) (opaque.FoundVersion, error) {
-	// The endpoints may have changed without the knowledge of a host that hears only few others.
-	if r.gateway.mesh.HearsMost() {
+	// The endpoints may have changed without the knowledge of a host that is not in step.
+	isInStep := r.gateway.mesh.IsInStep(r.gateway.Topics.Endpoints)
+	if isInStep {
 		if base, ok := r.settledBase(service); ok {
 			return opaque.FoundVersion{
 				Version: base,
@@ -170,7 +171,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	if r.isBaseInDoubt(service) {
+	if !isInStep || r.isBaseInDoubt(service) {
 		// An error leaves the base that is known, and fails the next read too.
 		_ = r.readBases(ctx)
 	}
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -35,10 +35,19 @@
 	return f
 }
 
-// awaitVersions waits until a host knows the versions of all engines.
+// awaitVersions waits until a host knows the versions of all engines, and lets streams begin at
+// them.
 func (f *versionFleet) awaitVersions(host *fixture) {
 	f.t.Helper()
 	host.awaitLine(`"event":"endpointAppeared"`, `"version":"`+newVersion+`"`, `"endpoint":"`+models+`-7"`)
+	eventually(f.t, "the versions are settled", func() bool {
+		for _, known := range host.dump().Services {
+			if known.Name == models {
+				return len(known.UnsettledVersions) == 0
+			}
+		}
+		return false
+	})
 }
 
 // isOld reports whether the engine with an index has the old version. Engines have odd
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -60,6 +60,12 @@
 	removalTimeout = 30 * time.Second
 	// checkInterval is the time between two checks for silent hosts.
 	checkInterval = 250 * time.Millisecond
+	// maxCheckDelay is the delay of a check beyond which the process counts as paused.
+	maxCheckDelay = 250 * time.Millisecond
+	// MaxOutOfStep is the time for which a host may take itself for one that is in step with the
+	// others although it has not heard of what they know: until they count as silent, after the
+	// heartbeat that would have told it and its relay's.
+	MaxOutOfStep = silenceTimeout + 2*HeartbeatInterval
 	// maxDatagram is the maximum size of a datagram in bytes.
 	maxDatagram = 16 << 10
 	// maxOutgoing bounds the queue of messages to be sent. While it is full, new
@@ -98,6 +104,8 @@
 	// LinkMbps is the bandwidth of this host's network link in Mbit/s, or zero if it is
 	// not known.
 	LinkMbps float64
+	// Listen opens the socket for datagrams at an address. If it is nil, it is a UDP socket.
+	Listen   func(address string) (net.PacketConn, error)
 	Listener Listener
 	// HandleDuty is called with each announcement of a holder of the lease on the singleton
 	// duties, unless it is nil. It must not block.
@@ -116,8 +124,14 @@
 
 	mu    sync.Mutex
 	hosts map[string]*peerHost
-	// lastHeardAt is when any other host was last heard from.
-	lastHeardAt time.Time
+	// lastHeardAt is when any other host was last heard from, and hasKnownOthers is set once
+	// another host was known.
+	lastHeardAt    time.Time
+	hasKnownOthers bool
+	// checkedAt is when the hosts were last checked, and resumedAt when the last check came late, as
+	// the process had been paused.
+	checkedAt time.Time
+	resumedAt time.Time
 	// usesRelays is set while the fleet is large enough for relays. The fields after
 	// it are used then: zoneLoad is what this host reports if it is the relay of its
 	// zone, and lastRelayedAt and lastCompleteAt are the times of its last report
@@ -177,7 +191,11 @@
 
 // New returns a Mesh with an open socket. The error is that of opening it.
 func New(dependencies Dependencies) (*Mesh, error) {
-	conn, err := net.ListenPacket("udp", dependencies.Address)
+	listen := dependencies.Listen
+	if listen == nil {
+		listen = listenUDP
+	}
+	conn, err := listen(dependencies.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -195,6 +213,8 @@
 	}, nil
 }
 
+func listenUDP(address string) (net.PacketConn, error) { return net.ListenPacket("udp", address) }
+
 // AddHost makes a host known by its address, its zone and the bandwidth of its link, so
 // that it is sent messages before it has sent any. The zone may be empty, and the
 // bandwidth zero, if they are not known.
@@ -223,6 +243,7 @@
 			copies:     make(map[string]Copy),
 		}
 		m.hosts[address] = h
+		m.hasKnownOthers = true
 		m.currentRanking = nil
 	}
 	zone = cmp.Or(zone, h.zone)
@@ -282,13 +303,49 @@
 }
 
 // HearsMost reports whether at least half of the other hosts that are known count as live, and one
-// has been heard from lately. A host that knows no others hears all.
+// has been heard from lately. A host that has never known others hears all. After a pause of the process,
+// messages that were sent before it may be read after it, so that for as long as others count as
+// live none is heard.
 func (m *Mesh) HearsMost() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.Timers.Now()
-	return len(m.hosts) == 0 ||
-		now.Sub(m.lastHeardAt) < silenceTimeout && 2*m.ranking(now).candidates >= len(m.hosts)
+	return m.hearsMost(m.Timers.Now())
+}
+
+func (m *Mesh) hearsMost(now time.Time) bool {
+	if !m.hasKnownOthers {
+		return true
+	}
+	if m.isLate(now) || now.Sub(m.resumedAt) < silenceTimeout {
+		return false
+	}
+	return now.Sub(m.lastHeardAt) < silenceTimeout && len(m.hosts) > 0 && 2*m.ranking(now).candidates >= len(m.hosts)
+}
+
+// isLate reports whether the check of the hosts is overdue, as after a pause of the process.
+func (m *Mesh) isLate(now time.Time) bool {
+	return !m.checkedAt.IsZero() && now.Sub(m.checkedAt) > checkInterval+maxCheckDelay
+}
+
+// IsInStep reports whether this host hears most of the others, and none of them has a copy of the
+// topic that is ahead of this host's.
+func (m *Mesh) IsInStep(topic string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isInStep(m.Timers.Now(), topic)
+}
+
+func (m *Mesh) isInStep(now time.Time, topic string) bool {
+	if !m.hearsMost(now) {
+		return false
+	}
+	own, hasOwn := m.copies[topic]
+	for _, h := range m.hosts {
+		if c, ok := h.copies[topic]; ok && (!hasOwn || c.End.After(own.End)) {
+			return false
+		}
+	}
+	return true
 }
 
 // SentDatagrams returns the number of datagrams sent.
@@ -502,6 +559,10 @@
 func (m *Mesh) checkHosts(now time.Time) {
 	var silent, replaced []string
 	m.mu.Lock()
+	if m.isLate(now) {
+		m.resumedAt = now
+	}
+	m.checkedAt = now
 	current := m.ranking(now)
 	helloRound := time.Duration(len(m.hosts)/hellosPerHeartbeat+1) * HeartbeatInterval
 	for address, h := range m.hosts {
