Withdraw calls that are given up at their deadline

Cause: a call whose deadline passed while it waited for a decision was refused by its goroutine, and the scheduler was not told. Placed afterwards, it kept its place, or the test of an ejected endpoint, for good.

Change: a call withdraws itself however it ends, and the scheduler refuses calls past their deadline before it looks for an endpoint.

--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -71,7 +71,7 @@
 
 // placeOrQueue sends a call to the best endpoint, or queues or refuses it.
 func (s *Scheduler) placeOrQueue(c *call) {
-	if s.refuseQuarantined(c) {
+	if s.refuseExpired(c) || s.refuseQuarantined(c) {
 		return
 	}
 	if e, choice := s.pickEndpoint(c); e != nil {
@@ -89,6 +89,16 @@
 	s.enqueue(c)
 }
 
+// refuseExpired refuses a call whose deadline has passed, and reports whether it has. A process that was
+// paused or is late finds calls whose callers have given up: they take no place, and test no endpoint.
+func (s *Scheduler) refuseExpired(c *call) bool {
+	if s.now.Before(c.spec.Deadline) {
+		return false
+	}
+	s.refuse(c, ReasonTimedOut)
+	return true
+}
+
 // enqueue adds a call to the queue of its pool.
 func (s *Scheduler) enqueue(c *call) {
 	c.queued = true
@@ -143,6 +153,12 @@
 func (s *Scheduler) dispatchWaiting(p *pool) {
 	for i := 0; i < len(p.queue); {
 		c := p.queue[i]
+		if !s.now.Before(c.spec.Deadline) {
+			p.queue = slices.Delete(p.queue, i, i+1)
+			c.queued = false
+			s.refuse(c, ReasonTimedOut)
+			continue
+		}
 		e, choice := s.pickEndpoint(c)
 		if e == nil && s.now.Before(c.queueUntil) && !s.staysClosed(c) && s.hasVersion(c) {
 			i++
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -783,3 +783,48 @@
 		}
 	}
 }
+
+// TestExpiredCallTakesNoPlace guards against places that are taken by calls whose deadline has passed while the process was
+// paused or late, and against endpoints that are tested with such a call.
+func TestExpiredCallTakesNoPlace(t *testing.T) {
+	t.Run("arrived late", func(t *testing.T) {
+		h := newHarness(t, 1)
+		h.step(scheduling.CallArrived{Call: scheduling.Call{
+			ID:       1,
+			Route:    h.table.Routes()[1],
+			Service:  booking,
+			Deadline: h.now,
+		}})
+		h.requireExpired()
+	})
+	t.Run("waited", func(t *testing.T) {
+		h := newHarness(t, 1)
+		id, _ := h.startCall("hold")
+		h.endAttempt(id, scheduling.Unreachable{})
+		waiting := scheduling.Call{
+			ID:       2,
+			Route:    h.table.Routes()[1],
+			Service:  booking,
+			Deadline: h.now.Add(100 * time.Millisecond),
+		}
+		h.step(scheduling.CallArrived{Call: waiting})
+		if len(h.sends(h.commands)) > 0 {
+			t.Fatal("the call does not wait")
+		}
+		// The ejection of the endpoint is over, and so is the call.
+		h.now = h.now.Add(time.Minute)
+		h.step(scheduling.Tick{})
+		h.requireExpired()
+	})
+}
+
+// requireExpired requires that the last commands refuse a call whose deadline has passed, and send none.
+func (h *harness) requireExpired() {
+	h.t.Helper()
+	if sends := h.sends(h.commands); len(sends) > 0 {
+		h.t.Errorf("the call is sent: %+v", sends)
+	}
+	if refusal := h.requireRefuse(h.commands); refusal.Reason != scheduling.ReasonTimedOut {
+		h.t.Errorf("the call is refused for %s, want %s", refusal.Reason, scheduling.ReasonTimedOut)
+	}
+}
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -113,9 +113,11 @@
 	x.server.Scheduler.Post(event)
 	switch outcome.(type) {
 	case scheduling.Completed:
+		x.isScheduled = false
 		x.finish(ResultServed, "", t.response.StatusCode)
 		return true
 	case scheduling.Abandoned:
+		x.isScheduled = false
 		x.finish(ResultCanceled, "", 0)
 		return true
 	}
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -84,6 +84,8 @@
 	queueTime    time.Duration
 	// committed is set once a response header was sent to the caller.
 	committed bool
+	// isScheduled is set while the scheduler may hold the call.
+	isScheduled bool
 	// mayHaveRun is set once an attempt has ended that an endpoint may have run.
 	mayHaveRun bool
 	// hasBegun is set once the request was recorded as one that began to run.
@@ -121,9 +123,20 @@
 		Text("service", x.service).Text("team", x.team).Int("priority", int64(x.priority)).Int("routePriority", int64(x.route.Priority)).
 		Int("promptTokens", int64(x.requestInfo.PromptTokens)).Millis("timeLeft", x.deadline.Sub(x.arrivedAt)).
 		Text("requestHash", quarantine.FormatHash(x.requestHash)).Text("resumes", x.requestInfo.Resumes).End()
+	x.isScheduled = true
+	defer x.withdraw()
 	x.executeCommands(commands)
 }
 
+// withdraw tells the scheduler that the call has ended, unless one of them has told the other. The
+// scheduler may be about to place the call, or have placed it: the place would stay taken.
+func (x *exchange) withdraw() {
+	if x.isScheduled {
+		x.isScheduled = false
+		x.server.Scheduler.Post(scheduling.CallCanceled{Call: x.id})
+	}
+}
+
 // bindVersion binds a stream that is taken up again to the version at which it began. It reports
 // false if the call is finished, as the version is not known.
 func (x *exchange) bindVersion(call *scheduling.Call) bool {
@@ -200,15 +213,15 @@
 	for {
 		select {
 		case <-ctx.Done():
-			if x.request.Context().Err() == nil {
-				x.refuse(scheduling.Refuse{
-					Reason:     scheduling.ReasonTimedOut,
-					MayHaveRun: x.attempts > 0,
-				})
+			x.withdraw()
+			if x.request.Context().Err() != nil {
+				x.finish(ResultCanceled, "", 0)
 				return
 			}
-			x.server.Scheduler.Post(scheduling.CallCanceled{Call: x.id})
-			x.finish(ResultCanceled, "", 0)
+			x.refuse(scheduling.Refuse{
+				Reason:     scheduling.ReasonTimedOut,
+				MayHaveRun: x.mayHaveRun,
+			})
 			return
 		case <-x.server.aborted.Done():
 			x.cancelStopping()
@@ -227,10 +240,9 @@
 	}
 }
 
-// cancelStopping withdraws the call from the scheduler, which may have placed it at an endpoint, and
-// refuses it as this host shuts down.
+// cancelStopping withdraws the call and refuses it as this host shuts down.
 func (x *exchange) cancelStopping() {
-	x.server.Scheduler.Post(scheduling.CallCanceled{Call: x.id})
+	x.withdraw()
 	x.refuseStopping()
 }
 
@@ -244,9 +256,11 @@
 		}
 		return x.runAttempt(command)
 	case scheduling.DeliverFailure:
+		x.isScheduled = false
 		x.forwardFailure()
 		return true
 	case scheduling.Refuse:
+		x.isScheduled = false
 		x.refuse(command)
 		return true
 	}
