Let endpoints read long bodies late

A call with a body of more than some 100 KB broke off after 1.2 s if its endpoint had not begun to read.

Cause: TCP_USER_TIMEOUT, which finds peers that are gone, also ends connections whose peer is alive and has no room.

--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -66,6 +66,24 @@
 	return d
 }
 
+// SetAckTimeout changes the time that sent bytes may remain unacknowledged on a connection. The kernel
+// applies it to bytes that the peer has no room for as well: a peer that does not read for so long
+// counts as broken, although it is alive.
+func SetAckTimeout(conn net.Conn, timeout time.Duration) {
+	syscallConn, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return
+	}
+	// Without effect, the timeout of the dialer stays.
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(max(timeout, time.Millisecond)/time.Millisecond))
+	})
+}
+
 // DialContext opens a connection to an IP and port.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	return d.dialer.DialContext(ctx, network, address)
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -20,6 +20,9 @@
 	MaxTunnels = 384
 	// serverDialTimeout bounds the time to connect to an endpoint.
 	serverDialTimeout = 150 * time.Millisecond
+	// tunnelAckTimeout is how long bytes for the endpoint may remain unacknowledged: longer than a
+	// call lasts.
+	tunnelAckTimeout = 90 * time.Second
 	// copyBufferBytes is the size of the buffer for each direction of a tunnel.
 	copyBufferBytes = 4 << 10
 )
@@ -150,6 +153,8 @@
 // run copies bytes in both directions until either side has ended.
 func (t *tunnel) run() {
 	defer t.abort()
+	// The other host, which knows the call, decides how long its endpoint may take to read.
+	tcp.SetAckTimeout(t.endpoint, tunnelAckTimeout)
 	// The deadlines are those of the server that has read the request.
 	if t.host.SetDeadline(time.Time{}) != nil {
 		return
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -19,6 +19,9 @@
 	// with the header, before the response is read. A larger one is written
 	// concurrently, as the endpoint may respond before it has read the body.
 	maxInlineBody = 8 << 10
+	// maxUnreadBody is the size in bytes up to which a request fits into what a peer takes without
+	// reading.
+	maxUnreadBody = 48 << 10
 	// maxUnsolicitedResponses bounds the responses that are skipped because they
 	// belong to earlier requests.
 	maxUnsolicitedResponses = 2
@@ -59,6 +62,9 @@
 	passedOver int
 	idleSince  time.Time
 	idleUntil  time.Time
+	// hasLongBody is set while the connection carries a request whose body may exceed what the
+	// endpoint has room for.
+	hasLongBody bool
 	// bodyWritten receives the result of writing the body if it is written
 	// concurrently.
 	bodyWritten chan error
@@ -92,6 +98,11 @@
 // in the process of being written when SendRequest returns.
 func (c *Conn) SendRequest(request *Request, deadline time.Time) error {
 	_ = c.conn.SetWriteDeadline(deadline)
+	if len(request.Body) > maxUnreadBody {
+		// The endpoint may read a long body late.
+		c.hasLongBody = true
+		tcp.SetAckTimeout(c.conn, time.Until(deadline))
+	}
 	var head bytes.Buffer
 	head.Grow(len(request.Body) + 1024)
 	head.WriteString(request.Method)
@@ -207,6 +218,10 @@
 func (c *Conn) Release(response *http.Response) {
 	if c.isReusable(response) {
 		c.reused = true
+		if c.hasLongBody {
+			c.hasLongBody = false
+			tcp.SetAckTimeout(c.conn, ackTimeout)
+		}
 		c.pool.putIdle(c, idleTimeout(response))
 		return
 	}
