Pause within bodies and send many short parts in the soak

Added: a split request pauses for up to 2 s in one of four cases; one of 16 streams has a prompt of 901 parts.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -25,8 +25,12 @@
 	maxTries = 4
 	// maxResponseBody is the maximum size of a response's body in bytes.
 	maxResponseBody = 1 << 20
-	// splitPause is the time between the two parts of a request that is sent in two.
-	splitPause = 5 * time.Millisecond
+	// splitPause is the time between the two parts of a request that is sent in two, and
+	// longestSplitPause the longest one: a host may stop meanwhile.
+	splitPause        = 5 * time.Millisecond
+	longestSplitPause = 2 * time.Second
+	// shortParts is the number of parts of the prompts that consist of very many short ones.
+	shortParts = 900
 )
 
 // operationKind is something that callers want done.
@@ -326,6 +330,9 @@
 	if s.lastID >= 0 {
 		head += fmt.Sprintf("%s: %d\r\n%s: %s\r\n", c.names.LastEventID, s.lastID, c.names.Resumes, s.begunBy)
 	}
+	if kind.isStream && c.random.IntN(16) == 0 {
+		head += fmt.Sprintf("%s: %d,50\r\n%s: %s0:1\r\n", c.names.Tokens, shortParts+1, c.names.PromptParts, strings.Repeat("a:1,", shortParts))
+	}
 	message := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 	if c.random.IntN(3) == 0 && body != "" {
 		message = fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
@@ -337,7 +344,11 @@
 	if _, err := io.WriteString(conn, message[:first]); err != nil || first == len(message) {
 		return err
 	}
-	c.wait(context.Background(), splitPause)
+	pause := splitPause
+	if c.random.IntN(4) == 0 {
+		pause = time.Duration(c.random.Int64N(int64(longestSplitPause)))
+	}
+	c.wait(context.Background(), pause)
 	_, err := io.WriteString(conn, message[first:])
 	return err
 }
