--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -51,6 +51,8 @@
 	await  chan struct{}
 	// notified is set once notify is closed.
 	notified atomic.Bool
+	// dialer opens its connections, if it is set.
+	dialer *tcp.Dialer
 }
 
 // handleQuestion waits until the host may answer.
@@ -79,6 +81,9 @@
 			if h.dialErr != nil {
 				return nil, h.dialErr
 			}
+			if h.dialer != nil {
+				return h.dialer.DialContext(ctx, "tcp", to.Address)
+			}
 			var dialer net.Dialer
 			return dialer.DialContext(ctx, "tcp", to.Address)
 		},
@@ -499,3 +504,36 @@
 		t.Errorf("asked %d and %d times, want 1 and 3", len(silent.asks), len(useful.asks))
 	}
 }
+
+// TestEndpointBehindTunnelMayReadLate guards against a tunnel that ends because the endpoint has no room for a long body
+// yet: the host's own connections to endpoints give up after bytes have not been acknowledged for a while.
+func TestEndpointBehindTunnelMayReadLate(t *testing.T) {
+	const size, lateness = 1 << 20, 2 * time.Second
+	address, conns := listen(t)
+	h := newHost(t)
+	h.dialer = tcp.NewDialer(tcp.Settings{
+		DialTimeout: time.Second,
+		AckTimeout:  500 * time.Millisecond,
+		KeepAlive:   time.Second,
+	})
+	conn, err := connect(t, hostList{h.address}, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The host that asks decides for its own connection.
+	tcp.SetAckTimeout(conn, time.Minute)
+	endpoint := <-conns
+	written := make(chan error, 1)
+	go func() {
+		_, err := conn.Write(make([]byte, size))
+		written <- err
+	}()
+	<-time.After(lateness)
+	if n, err := io.ReadFull(endpoint, make([]byte, size)); err != nil {
+		t.Errorf("the endpoint got %d bytes, %v", n, err)
+	}
+	_ = endpoint.Close()
+	if err := <-written; err != nil {
+		t.Error(err)
+	}
+}
