Count the versions of endpoints in place of listing them

Cause: each event looked through all endpoints for versions that are not settled, and each change of an endpoint through those of its service, which costs more with each endpoint. Change: a pool counts its endpoints of each version; with one version, which is the usual case, nothing is looked through. Result: the tests of core/scheduling and of versions in gateway pass; decisions are the same.

--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -142,8 +142,8 @@
 	reportedCalls int
 	part          demandPart
 	unmet         unmetMeter
-	// versionSeenAt is when an endpoint of each version was first known, since when there is one.
-	versionSeenAt map[string]time.Time
+	// versions holds the software versions that endpoints have.
+	versions map[string]knownVersion
 	// base is the software version of streams without a record, if hasBase is set.
 	base    string
 	hasBase bool
@@ -263,7 +263,7 @@
 			partitions: partitions{weights: s.settings.Weights},
 			speeds:     speed.NewService(),
 
-			versionSeenAt: make(map[string]time.Time),
+			versions: make(map[string]knownVersion),
 		}
 		p.budget.SetSlack(s.SlackShare())
 		p.base, p.hasBase = s.bases[name]
@@ -302,14 +302,16 @@
 		p := s.ensurePool(change.Entry.Service)
 		e.speed = p.speeds.Add()
 		p.endpoints = append(p.endpoints, e)
-		p.observeVersions(s.now)
+		p.addVersion(s.now, e.entry.Version)
 		p.partitions.rank(p.endpoints)
 		s.beginRampOfNew(e)
 		s.dispatchWaiting(p)
 	case directory.Updated:
 		if e := s.byKey[keyOf(change.Entry)]; e != nil {
+			p, before := s.ensurePool(e.entry.Service), e.entry.Version
 			e.entry = change.Entry
-			s.ensurePool(e.entry.Service).observeVersions(s.now)
+			p.addVersion(s.now, e.entry.Version)
+			p.removeVersion(before)
 		}
 	case directory.Leaving:
 		if e := s.byKey[keyOf(change.Entry)]; e != nil {
@@ -340,7 +342,7 @@
 	p := s.ensurePool(e.entry.Service)
 	p.speeds.Remove(e.speed)
 	p.endpoints = slices.DeleteFunc(p.endpoints, func(other *endpoint) bool { return other == e })
-	p.observeVersions(s.now)
+	p.removeVersion(e.entry.Version)
 	p.partitions.rank(p.endpoints)
 }
 
--- a/core/scheduling/version.go
+++ b/core/scheduling/version.go
@@ -1,7 +1,6 @@
 package scheduling
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -28,28 +27,42 @@
 	return !slices.Contains(c.unsettled, e.entry.Version)
 }
 
-// observeVersions records since when the pool has had endpoints of each version.
-func (p *pool) observeVersions(now time.Time) {
-	present := make(map[string]bool)
-	for _, e := range p.endpoints {
-		present[e.entry.Version] = true
-		if _, ok := p.versionSeenAt[e.entry.Version]; !ok {
-			p.versionSeenAt[e.entry.Version] = now
-		}
+// knownVersion is a software version that endpoints of a pool have.
+type knownVersion struct {
+	endpoints int
+	// seenAt is when the first of them was known.
+	seenAt time.Time
+}
+
+func (p *pool) addVersion(now time.Time, version string) {
+	known, ok := p.versions[version]
+	if !ok {
+		known.seenAt = now
+	}
+	known.endpoints++
+	p.versions[version] = known
+}
+
+func (p *pool) removeVersion(version string) {
+	known := p.versions[version]
+	known.endpoints--
+	if known.endpoints <= 0 {
+		delete(p.versions, version)
+		return
 	}
-	maps.DeleteFunc(p.versionSeenAt, func(version string, _ time.Time) bool { return !present[version] })
+	p.versions[version] = known
 }
 
 // settlingVersions returns the versions other than the base that some hosts may not know of yet, if the base
 // has endpoints. A host that does not know of the version would let a stream that began there go on at the
 // base.
 func (s *Scheduler) settlingVersions(now time.Time, p *pool) []string {
-	if !p.hasBase || s.countVersion(p, p.base) == 0 {
+	if len(p.versions) < 2 || !p.hasBase || s.countVersion(p, p.base) == 0 {
 		return nil
 	}
 	var versions []string
-	for version, seenAt := range p.versionSeenAt {
-		if version != p.base && now.Sub(seenAt) < s.settings.VersionSettleTime {
+	for version, known := range p.versions {
+		if version != p.base && now.Sub(known.seenAt) < s.settings.VersionSettleTime {
 			versions = append(versions, version)
 		}
 	}
