Count a host as out of step only if it stays behind

Cause: entries of endpoints change all the time, so that some other copy is nearly always ahead by a moment. A host counted as out of step then, and each stream that is taken up cost two reads of the store, at any size of the fleet.

--- a/io/peer/copies.go
+++ b/io/peer/copies.go
@@ -25,6 +25,7 @@
 	m.mu.Lock()
 	changed := m.copies[c.Topic] != c || m.readAt[c.Topic] != readAt
 	m.copies[c.Topic] = c
+	m.reachEnd(c.Topic, c.End)
 	m.readAt[c.Topic] = readAt
 	isRelay := m.usesRelays && m.relayOf(m.Zone, m.Timers.Now()) == nil
 	m.copiesChanged = m.copiesChanged || changed && isRelay
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -62,10 +62,13 @@
 	checkInterval = 250 * time.Millisecond
 	// maxCheckDelay is the delay of a check beyond which the process counts as paused.
 	maxCheckDelay = 250 * time.Millisecond
+	// maxCatchUp is the time that a host has to get what another one has reported. It is longer than a
+	// host waits for the others before it reads the store itself.
+	maxCatchUp = 2 * HeartbeatInterval
 	// MaxOutOfStep is the time for which a host may take itself for one that is in step with the
-	// others although it has not heard of what they know: until they count as silent, after the
-	// heartbeat that would have told it and its relay's.
-	MaxOutOfStep = silenceTimeout + 2*HeartbeatInterval
+	// others although it lacks what they know: until they count as silent, or until it has been
+	// behind twice in a row; and the heartbeats that tell it and its relay.
+	MaxOutOfStep = silenceTimeout + 3*HeartbeatInterval
 	// maxDatagram is the maximum size of a datagram in bytes.
 	maxDatagram = 16 << 10
 	// maxOutgoing bounds the queue of messages to be sent. While it is full, new
@@ -128,6 +131,9 @@
 	// another host was known.
 	lastHeardAt    time.Time
 	hasKnownOthers bool
+	// ahead holds, by topic, an end that another host has reported and that this host's copy has not
+	// reached.
+	ahead map[string]aheadEnd
 	// checkedAt is when the hosts were last checked, and resumedAt when the last check came late, as
 	// the process had been paused.
 	checkedAt time.Time
@@ -209,6 +215,7 @@
 		copies:       make(map[string]Copy),
 		readAt:       make(map[string]time.Time),
 		confirmedAt:  make(map[string]time.Time),
+		ahead:        make(map[string]aheadEnd),
 		copyChange:   make(chan struct{}, 1),
 	}, nil
 }
@@ -327,8 +334,9 @@
 	return !m.checkedAt.IsZero() && now.Sub(m.checkedAt) > checkInterval+maxCheckDelay
 }
 
-// IsInStep reports whether this host hears most of the others, and none of them has a copy of the
-// topic that is ahead of this host's.
+// IsInStep reports whether this host hears most of the others, and its copy of the topic has reached
+// what they have reported a while ago. Entries change all the time, so that some other copy is nearly
+// always ahead by a moment.
 func (m *Mesh) IsInStep(topic string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -339,13 +347,31 @@
 	if !m.hearsMost(now) {
 		return false
 	}
-	own, hasOwn := m.copies[topic]
-	for _, h := range m.hosts {
-		if c, ok := h.copies[topic]; ok && (!hasOwn || c.End.After(own.End)) {
-			return false
+	end, isBehind := m.ahead[topic]
+	return !isBehind || now.Sub(end.heardAt) < maxCatchUp
+}
+
+// aheadEnd is the end of another host's copy, and when this host has heard of it.
+type aheadEnd struct {
+	end     replica.Position
+	heardAt time.Time
+}
+
+// observeEnd records that another host has reported the end of its copy. The caller must hold m.mu.
+func (m *Mesh) observeEnd(now time.Time, c Copy) {
+	if _, isBehind := m.ahead[c.Topic]; !isBehind && c.End.After(m.copies[c.Topic].End) {
+		m.ahead[c.Topic] = aheadEnd{
+			end:     c.End,
+			heardAt: now,
 		}
 	}
-	return true
+}
+
+// reachEnd records that this host's copy has reached an end. The caller must hold m.mu.
+func (m *Mesh) reachEnd(topic string, end replica.Position) {
+	if !m.ahead[topic].end.After(end) {
+		delete(m.ahead, topic)
+	}
 }
 
 // SentDatagrams returns the number of datagrams sent.
@@ -547,6 +573,7 @@
 	clear(h.copies)
 	for _, c := range message.Copies {
 		h.copies[c.Topic] = c
+		m.observeEnd(now, c)
 		if at := now.Add(-c.ReadAgo); c.Reads && at.After(m.confirmedAt[c.Topic]) {
 			m.confirmedAt[c.Topic] = at
 		}
