Show what bounds prompts and versions, and agree with the quarantine

Cause: the bound on a prompt's parts left the quarantine one part fewer than a host of the version before sees, and neither the prefixes that are remembered nor being out of step had a metric. Result: the tests of core/scheduling, core/quarantine and io/opaque pass.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -63,11 +63,11 @@
 	minAdoptedTerm = 5 * time.Second
 	// evidenceMemory is how long a crash counts.
 	evidenceMemory = 30 * time.Minute
-	// maxCrashes, maxCallsOfCrash, maxParts and maxRules bound the memory of a ledger. Of a
-	// prompt with more parts, the first ones count.
+	// MaxParts bounds the parts of a call: of a prompt with more, the first ones count. maxCrashes,
+	// maxCallsOfCrash and maxRules bound the memory of a ledger as well.
 	maxCrashes      = 256
 	maxCallsOfCrash = 256
-	maxParts        = 32
+	MaxParts        = 32
 	maxRules        = 64
 )
 
@@ -232,7 +232,7 @@
 		request: report.Request,
 		sentAt:  at.Add(-report.Flight),
 		began:   report.Began,
-		parts:   report.Parts[:min(len(report.Parts), maxParts)],
+		parts:   report.Parts[:min(len(report.Parts), MaxParts)],
 	}
 	c := l.crashOf(report.Endpoint, at)
 	if !c.add(call) {
@@ -385,7 +385,7 @@
 // adopt takes over a quarantine that another host reports, for maxTerm at most. It ignores one of
 // more parts than a ledger has.
 func (l *Ledger) adopt(now time.Time, reported Quarantine) {
-	if len(reported.Parts) > maxParts {
+	if len(reported.Parts) > MaxParts {
 		return
 	}
 	since := now.Add(-reported.Age)
--- a/core/scheduling/cacheindex.go
+++ b/core/scheduling/cacheindex.go
@@ -55,6 +55,9 @@
 	}
 }
 
+// CachedPrefixes returns the number of prefixes that the host remembers of all endpoints together.
+func (s *Scheduler) CachedPrefixes() int { return s.prefixes.lru.Len() }
+
 func newCacheIndex(budget *prefixBudget) *cacheIndex {
 	return &cacheIndex{
 		lru:    list.New(),
--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"cactuswell/core/quarantine"
 	"cactuswell/core/route"
 )
 
@@ -17,9 +18,10 @@
 	Tokens int
 }
 
-// MaxPromptParts bounds the parts of a prompt that are told apart. The work for a call grows with
-// its parts, at each endpoint of the service.
-const MaxPromptParts = 32
+// MaxPromptParts bounds the parts of a prompt that are told apart: as many as the quarantine does, and
+// the last one, which no other prompt shares. The work for a call grows with its parts, at each
+// endpoint of the service.
+const MaxPromptParts = quarantine.MaxParts + 1
 
 // AppendPart appends a part to a prompt. The parts from MaxPromptParts on count as one, which is the
 // same for prompts with the same parts.
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -55,7 +55,9 @@
 	unevenCount  atomic.Int64
 	// unsettledCount is the number of versions at which streams may not begin yet.
 	unsettledCount atomic.Int64
-	hostCount      atomic.Int64
+	// prefixCount is the number of prompt prefixes that engines are assumed to have cached.
+	prefixCount atomic.Int64
+	hostCount   atomic.Int64
 	// quarantineCount is the number of quarantines at the last change of them.
 	quarantineCount atomic.Int64
 	// keepsQuarantines is set once this host keeps a record of the quarantines in the store,
@@ -227,6 +229,7 @@
 		d.withheldCount.Store(int64(d.directory.WithheldCount()))
 		d.waitingCount.Store(int64(d.scheduler.QueuedCalls()))
 		d.rampingCount.Store(int64(d.scheduler.RampingEndpoints()))
+		d.prefixCount.Store(int64(d.scheduler.CachedPrefixes()))
 		d.unsettledCount.Store(int64(d.scheduler.UnsettledVersions(d.timers.Now())))
 		d.unevenCount.Store(int64(d.scheduler.UnevenServices()))
 		d.logBudgetShare()
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -15,6 +15,13 @@
 	g.meter.addGauge("cactuswell_response_bytes", func() float64 { return float64(g.callHandler.ResponseBytes()) })
 	g.meter.addGauge("cactuswell_waiting_calls", func() float64 { return float64(g.decisions.waitingCount.Load()) })
 	g.meter.addGauge("cactuswell_endpoints", func() float64 { return float64(g.decisions.endpointCount.Load()) })
+	g.meter.addGauge("cactuswell_cached_prefixes", func() float64 { return float64(g.decisions.prefixCount.Load()) })
+	g.meter.addGauge("cactuswell_in_step", func() float64 {
+		if g.mesh == nil || g.mesh.IsInStep(g.Topics.Endpoints) {
+			return 1
+		}
+		return 0
+	})
 	g.meter.addGauge("cactuswell_versions_unsettled", func() float64 { return float64(g.decisions.unsettledCount.Load()) })
 	g.meter.addGauge("cactuswell_endpoints_ramping", func() float64 { return float64(g.decisions.rampingCount.Load()) })
 	g.meter.addGauge("cactuswell_services_uneven", func() float64 { return float64(g.decisions.unevenCount.Load()) })
