Say what each bound of the quarantine bounds

Cause: the linter wants a comment on the exported bound alone. Change: two comments in place of one. Result: no finding; no change of behaviour.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -63,11 +63,11 @@
 	minAdoptedTerm = 5 * time.Second
 	// evidenceMemory is how long a crash counts.
 	evidenceMemory = 30 * time.Minute
-	// MaxParts bounds the parts of a call: of a prompt with more, the first ones count. maxCrashes,
-	// maxCallsOfCrash and maxRules bound the memory of a ledger as well.
+	// MaxParts bounds the parts of a call. Of a prompt with more, the first ones count.
+	MaxParts = 32
+	// maxCrashes, maxCallsOfCrash and maxRules bound the memory of a ledger.
 	maxCrashes      = 256
 	maxCallsOfCrash = 256
-	MaxParts        = 32
 	maxRules        = 64
 )
 
