Test that a host out of step reads the base version

Cause: the use of being in step, and the read of the base by a host that is not, had no test of their own. Added: TestHostOutOfStepReadsBase.

--- a/gateway/outofstep_test.go
+++ b/gateway/outofstep_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"cactuswell/gateway"
 	"cactuswell/standin/keyedlog"
 )
 
@@ -132,3 +133,19 @@
 		})
 	}
 }
+
+// TestHostOutOfStepReadsBase guards against a stream without a record that goes on at an earlier base version: the host
+// was out of step while the others changed the base, and still knows endpoints of the earlier one.
+func TestHostOutOfStepReadsBase(t *testing.T) {
+	f, outOfStep := newStepFleet(t)
+	outOfStep.datagrams.isCut.Store(true)
+	f.clients[2].SetFault(keyedlog.RefusedTopic{Topic: endpointTopic})
+	eventually(t, "the host knows that it is out of step", func() bool {
+		return outOfStep.metric(t, "cactuswell_in_step") == 0
+	})
+	f.log.Append(gateway.StreamTopic, "base/"+models, []byte("="+newVersion))
+	got := outOfStep.do(f.streamRequest(outOfStep, "resumed", "unrecorded"))
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
+	}
+}
