--- a/cmd/gatewaycmd_test.go
+++ b/cmd/gatewaycmd_test.go
@@ -217,6 +217,12 @@
 	if err := process.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
+	awaitExit(t, exited)
+}
+
+// awaitExit waits until a process that stops has exited without an error.
+func awaitExit(t *testing.T, exited <-chan error) {
+	t.Helper()
 	select {
 	case err := <-exited:
 		if err != nil {
--- a/standin/opaque/endpoint.go
+++ b/standin/opaque/endpoint.go
@@ -119,6 +119,9 @@
 // nor chunks, and nothing more until the host closes the connection.
 type StalledUnframedAnswer struct{ Bytes int }
 
+// DelayedAnswer is a complete answer to a call that takes the given time.
+type DelayedAnswer struct{ After time.Duration }
+
 // EarlyAnswer answers before it has read the body of the request.
 type EarlyAnswer struct{}
 
@@ -188,6 +191,8 @@
 
 func (StalledUnframedAnswer) isBehaviour() {}
 
+func (DelayedAnswer) isBehaviour() {}
+
 func (EarlyAnswer) isBehaviour()  {}
 func (Garbage) isBehaviour()      {}
 func (SkippedEvent) isBehaviour() {}
@@ -478,6 +483,9 @@
 		return errors.Join(e.write(conn, e.completeAnswer(request, body, false)), errCloseConnection)
 	case UnframedStream:
 		return errors.Join(e.write(conn, e.unframedStream(request, b)), errCloseConnection)
+	case DelayedAnswer:
+		<-time.After(b.After)
+		return e.write(conn, e.completeAnswer(request, body, true))
 	case StalledUnframedAnswer:
 		return errors.Join(e.writeStalled(conn, request, body, b), errCloseConnection)
 	case ExtraAnswer:
