Show which version decided a call, its age, and how long a host is behind

Cause: the lines could not tell a host that learns late from one that decides by what it kept: a call's end and its refusal named no version's age, no line the bytes and the time of a transfer, none how long a host knew that it was behind. Change: callTaken, callDenied, callRefused and callEnded name version, age and wait; configurationTaken its bytes, decoding time and time behind; the new configurationFetched and the failures of fetches the bytes that came. Metrics for the bytes fetched, the lag and the time behind.

--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -127,13 +127,20 @@
 	}
 	c.gateway.meter.addToCounter("cactuswell_peer_fetches_total", 1)
 	var changes replica.Changes
+	startedAt := time.Now()
 	body, err := httpjson.Fetch(ctx, c.client, http.MethodGet, "http://"+address+changesPath+"?"+query.Encode(), nil, maxChangesBytes)
+	c.gateway.meter.addToCounter("cactuswell_peer_fetch_bytes_total", int64(len(body)))
 	if err == nil {
 		err = json.Unmarshal(body, &changes)
 	}
+	if err == nil && topic == c.gateway.Topics.Configuration {
+		c.gateway.trail.Event("configurationFetched").Text("from", address).Int("bytes", int64(len(body))).
+			Millis("after", time.Since(startedAt)).Int("offset", changes.End.Offset).End()
+	}
 	if err != nil {
 		c.gateway.meter.addToCounter("cactuswell_peer_fetch_failures_total", 1)
-		c.gateway.trail.Failure("peerFetchFailed").Text("topic", topic).Text("from", address).Err(err).Merge(topic + " " + address)
+		c.gateway.trail.Failure("peerFetchFailed").Text("topic", topic).Text("from", address).
+			Int("bytes", int64(len(body))).Millis("after", time.Since(startedAt)).Err(err).Merge(topic + " " + address)
 	}
 	return changes, err
 }
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -32,7 +32,11 @@
 	decisions   *decisionLoop
 	active      atomic.Pointer[activeConfiguration]
 	unavailable atomic.Bool
+	meter       *meter
 	applyMu     sync.Mutex
+	// aheadSince is when another host was first heard to have a newer configuration than this one's,
+	// in Unix nanoseconds, or zero.
+	aheadSince atomic.Int64
 	// loaded is closed when the first configuration has been applied.
 	loaded chan struct{}
 }
@@ -53,6 +57,27 @@
 	return nil
 }
 
+// inForce returns the configuration in effect and since when it has been, or nil.
+func (f *configurationFeed) inForce() (*route.Table, time.Time) {
+	if active := f.active.Load(); active != nil {
+		return active.table, active.appliedAt
+	}
+	return nil, time.Time{}
+}
+
+// observeAhead records that another host has a newer configuration.
+func (f *configurationFeed) observeAhead(now time.Time) {
+	f.aheadSince.CompareAndSwap(0, now.UnixNano())
+}
+
+// aheadFor returns for how long another host has been known to have a newer configuration, or zero.
+func (f *configurationFeed) aheadFor(now time.Time) time.Duration {
+	if since := f.aheadSince.Load(); since != 0 {
+		return now.Sub(time.Unix(0, since))
+	}
+	return 0
+}
+
 // version returns the version in effect, or a negative number if there is none.
 func (f *configurationFeed) version() int64 {
 	if table := f.current(); table != nil {
@@ -81,6 +106,7 @@
 func (f *configurationFeed) apply(value []byte, source string) {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
+	startedAt := time.Now()
 	spec, err := f.decoder.Configuration(value)
 	if err != nil {
 		f.trail.Failure("configurationRefused").Text("source", source).Err(err).End()
@@ -95,17 +121,22 @@
 		return
 	}
 	before := f.version()
+	now := time.Now()
 	f.active.Store(&activeConfiguration{
 		table:     table,
 		encoded:   value,
-		appliedAt: time.Now(),
+		appliedAt: now,
 	})
+	behind := f.aheadFor(now)
+	f.aheadSince.Store(0)
+	f.meter.observeDuration("cactuswell_configuration_lag_seconds{", behind)
 	f.decisions.post(scheduling.ConfigurationChanged{Table: table})
 	if before < 0 {
 		close(f.loaded)
 	}
 	f.trail.Notice("configurationTaken").Int("version", table.Version()).Int("before", before).
-		Text("source", source).Int("routes", int64(table.RouteCount())).Int("teams", int64(table.TeamCount())).End()
+		Text("source", source).Int("routes", int64(table.RouteCount())).Int("teams", int64(table.TeamCount())).
+		Int("bytes", int64(len(value))).Millis("decode", now.Sub(startedAt)).Millis("behind", behind).End()
 }
 
 // HandleRewind implements keyedlog.Listener.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -225,6 +225,7 @@
 		decoder:   g.Decoder,
 		trail:     g.trail,
 		decisions: g.decisions,
+		meter:     g.meter,
 		loaded:    make(chan struct{}),
 	}
 	g.endpoints = &endpointFeed{
@@ -242,7 +243,7 @@
 	g.buildSingletonDuties()
 	limits := g.newClientConns()
 	g.callHandler = opaque.New(opaque.Dependencies{
-		RouteTable:     g.configuration.current,
+		RouteTable:     g.configuration.inForce,
 		Scheduler:      g.decisions,
 		Dialect:        g.Dialect,
 		Pool:           g.pool,
@@ -317,6 +318,9 @@
 			trail:     g.trail,
 			zone:      g.Settings.Zone,
 			followers: g.followers,
+
+			configuration:      g.configuration,
+			configurationTopic: g.Topics.Configuration,
 		},
 		HandleDuty: g.hearDuty(),
 		Timers:     g.timers,
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -73,6 +73,9 @@
 	g.meter.addGauge("cactuswell_configuration_version", func() float64 {
 		return float64(g.configuration.version())
 	})
+	g.meter.addGauge("cactuswell_configuration_behind_seconds", func() float64 {
+		return g.configuration.aheadFor(time.Now()).Seconds()
+	})
 	g.meter.addGauge("cactuswell_configuration_age_seconds", func() float64 {
 		if active := g.configuration.active.Load(); active != nil {
 			return time.Since(active.appliedAt).Seconds()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -101,15 +101,18 @@
 		r.behindSince = time.Time{}
 		return
 	}
+	r.configuration.observeAhead(now)
 	if r.behindSince.IsZero() {
 		r.behindSince = now
 	}
 	if now.Sub(r.behindSince) < relayDelay {
 		return
 	}
+	startedAt := time.Now()
 	value, err := r.get(ctx, address, configurationPath)
 	if err != nil {
-		r.trail.Failure("relayFailed").Text("what", "configuration").Text("from", address).Err(err).Merge("configuration " + address)
+		r.trail.Failure("relayFailed").Text("what", "configuration").Text("from", address).
+			Int("bytes", int64(len(value))).Millis("after", time.Since(startedAt)).Err(err).Merge("configuration " + address)
 		return
 	}
 	r.configuration.apply(value, "host "+address)
@@ -147,6 +150,9 @@
 	trail     *trail.Trail
 	zone      string
 	followers map[string]*keyedlog.Follower
+
+	configuration      *configurationFeed
+	configurationTopic string
 }
 
 var _ peer.Listener = (*peerEvents)(nil)
@@ -197,6 +203,9 @@
 
 // HandleCopyAhead implements peer.Listener.
 func (l *peerEvents) HandleCopyAhead(topic string) {
+	if topic == l.configurationTopic {
+		l.configuration.observeAhead(time.Now())
+	}
 	if follower := l.followers[topic]; follower != nil {
 		follower.Wake()
 	}
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -61,7 +61,9 @@
 	arrivedAt time.Time
 	logged    bool
 
-	table       *route.Table
+	table *route.Table
+	// tableAge is how long the configuration had been in force here when it decided the call.
+	tableAge    time.Duration
 	requestInfo RequestInfo
 	route       *route.Route
 	team        string
@@ -119,9 +121,9 @@
 		})
 		return
 	}
-	x.logLine("callTaken").Int("version", x.table.Version()).Text("route", x.route.Name).
+	x.logLine("callTaken").Int("version", x.table.Version()).Millis("versionAge", x.tableAge).Text("route", x.route.Name).
 		Text("service", x.service).Text("team", x.team).Int("priority", int64(x.priority)).Int("routePriority", int64(x.route.Priority)).
-		Int("promptTokens", int64(x.requestInfo.PromptTokens)).Millis("timeLeft", x.deadline.Sub(x.arrivedAt)).
+		Int("promptTokens", int64(x.requestInfo.PromptTokens)).Millis("read", time.Since(x.arrivedAt)).Millis("timeLeft", x.deadline.Sub(x.arrivedAt)).
 		Text("requestHash", quarantine.FormatHash(x.requestHash)).Text("resumes", x.requestInfo.Resumes).End()
 	x.isScheduled = true
 	defer x.withdraw()
@@ -279,7 +281,8 @@
 	if x.requestInfo, err = x.server.Dialect.ParseRequest(x.request); err != nil {
 		return x.deny(http.StatusBadRequest, ReasonMalformed, err)
 	}
-	x.table = x.server.RouteTable()
+	var inForceSince time.Time
+	x.table, inForceSince = x.server.RouteTable()
 	if x.table == nil {
 		x.refuse(scheduling.Refuse{
 			Reason:     ReasonNoConfiguration,
@@ -287,6 +290,7 @@
 		})
 		return false
 	}
+	x.tableAge = time.Since(inForceSince)
 	if limit := x.table.Limits().MaxHeaderBytes; limit > 0 && headerSize(x.request.Header) > limit {
 		return x.deny(http.StatusRequestHeaderFieldsTooLarge, ReasonHeaderTooLarge, nil)
 	}
@@ -449,7 +453,8 @@
 // deny finishes a call that is invalid or not allowed by the configuration.
 func (x *exchange) deny(status int, reason scheduling.Reason, err error) bool {
 	x.server.Trail.Failure("callDenied").Text("request", x.requestInfo.RequestID).Text("reason", string(reason)).
-		Int("status", int64(status)).Int("version", x.configurationVersion()).Err(err).End()
+		Int("status", int64(status)).Int("version", x.configurationVersion()).Millis("versionAge", x.tableAge).
+		Millis("after", time.Since(x.arrivedAt)).Err(err).End()
 	x.respond(status, string(reason), 0)
 	x.finish(ResultDenied, string(reason), status)
 	return false
@@ -482,7 +487,7 @@
 	line := x.server.Trail.Failure("callRefused").Text("request", x.requestInfo.RequestID).Text("reason", string(refusal.Reason)).
 		Text("cause", string(refusal.Cause)).Bool("mayHaveRun", refusal.MayHaveRun).Int("attempts", int64(x.attempts)).Millis("retryAfter", refusal.RetryAfter).
 		Int("endpoints", int64(refusal.KnownEndpoints)).Int("usable", int64(refusal.UsableEndpoints)).
-		Int("waiting", int64(refusal.QueuedCalls)).Int("version", x.configurationVersion())
+		Int("waiting", int64(refusal.QueuedCalls)).Int("version", x.configurationVersion()).Millis("versionAge", x.tableAge).Millis("waited", x.waited())
 	if refusal.Reason == scheduling.ReasonOverloaded {
 		line = line.Millis("predictedFirst", refusal.TimeToFirstEvent).Millis("delayLimit", refusal.DelayLimit)
 	}
@@ -494,6 +499,14 @@
 	x.respond(status, string(refusal.Reason), refusal.RetryAfter)
 }
 
+// waited returns the time until the call was first sent, or until now if it was not.
+func (x *exchange) waited() time.Duration {
+	if x.attempts > 0 {
+		return x.queueTime
+	}
+	return time.Since(x.arrivedAt)
+}
+
 // abortResponse ends the handler and closes the connection without ending the response, so that the
 // caller cannot take it for complete. A response over HTTP/1.0 has no chunks of which the last one
 // could be missing: its connection is reset.
@@ -556,7 +569,7 @@
 	if result == ResultDenied {
 		return
 	}
-	x.logLine("callEnded").Text("result", result).Int("status", int64(status)).Int("attempts", int64(x.attempts)).
+	x.logLine("callEnded").Int("version", x.configurationVersion()).Text("result", result).Int("status", int64(status)).Int("attempts", int64(x.attempts)).
 		Millis("total", summary.TotalTime).Millis("first", summary.TimeToFirstEvent).Millis("gap", summary.LongestGap).
 		Int("events", int64(x.stream.events)).End()
 }
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -132,9 +132,9 @@
 
 // Dependencies holds what a Server needs.
 type Dependencies struct {
-	// RouteTable returns the configuration in force, or nil if there is none yet. It
-	// is called for each call.
-	RouteTable func() *route.Table
+	// RouteTable returns the configuration in force, or nil if there is none yet, and since when
+	// this host has had it. It is called for each call.
+	RouteTable func() (*route.Table, time.Time)
 	Scheduler  Scheduler
 	Dialect    Dialect
 	Pool       *upstream.Pool
--- a/io/opaque/withdraw_test.go
+++ b/io/opaque/withdraw_test.go
@@ -117,7 +117,7 @@
 			names := opaque.DefaultHeaderNames()
 			lines := trail.New(io.Discard, "host", timer.New())
 			server := opaque.New(opaque.Dependencies{
-				RouteTable:     func() *route.Table { return table },
+				RouteTable:     func() (*route.Table, time.Time) { return table, time.Now() },
 				Scheduler:      scheduler,
 				Dialect:        opaque.NewHeaderDialect(names),
 				Pool:           upstream.New(upstream.Dependencies{}),
