Give up transfers by their silence, not by their time

What callers saw: a version confirmed 3 s before was not in force; on hosts with thin links, calls were decided by one several versions older. Cause: bounds on transfers were fixed times (a fetch 0.6 s, the relay 1 s, a listing 1.5 s, a read 0.9 s), while a transfer's size grows with the configuration. Beyond them each was given up while its bytes arrived, and begun again from the start. Change: package progress ends a call after a time without progress, which httpjson marks; a long bound in total lets a host pass a faulty link by. Result: TestLargeConfigurationCrossesThinLink failed before (no fetch ended) and passes; TestSlowCallGoesOn.

--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -13,6 +13,7 @@
 	"cactuswell/io/httpjson"
 	"cactuswell/io/keyedlog"
 	"cactuswell/io/peer"
+	"cactuswell/io/progress"
 )
 
 const (
@@ -100,7 +101,7 @@
 func newCopies(g *Gateway) *copies {
 	return &copies{
 		gateway: g,
-		client:  newPeerClient(),
+		client:  newTransferClient(),
 	}
 }
 
@@ -137,7 +138,7 @@
 		c.gateway.trail.Event("configurationFetched").Text("from", address).Int("bytes", int64(len(body))).
 			Millis("after", time.Since(startedAt)).Int("offset", changes.End.Offset).End()
 	}
-	if err != nil {
+	if err = progress.Cause(ctx, err); err != nil {
 		c.gateway.meter.addToCounter("cactuswell_peer_fetch_failures_total", 1)
 		c.gateway.trail.Failure("peerFetchFailed").Text("topic", topic).Text("from", address).
 			Int("bytes", int64(len(body))).Millis("after", time.Since(startedAt)).Err(err).Merge(topic + " " + address)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -84,6 +84,8 @@
 	done    chan error
 	// wrapListener wraps the callers' listener, if it is set.
 	wrapListener func(net.Listener) net.Listener
+	// wrapPeerListener wraps the listener for other hosts, if it is set.
+	wrapPeerListener func(net.Listener) net.Listener
 	// peerConns records the connections of other hosts, if it is set.
 	peerConns *peerConns
 	// datagrams is the host's link to the others for datagrams, or nil if it has none of its own.
@@ -289,6 +291,9 @@
 	if f.wrapListener != nil {
 		g.WrapCallerListener(f.wrapListener)
 	}
+	if f.wrapPeerListener != nil {
+		g.WrapPeerListener(f.wrapPeerListener)
+	}
 	if f.peerConns != nil {
 		g.WrapPeerListener(f.peerConns.listen)
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -11,6 +11,7 @@
 	"cactuswell/io/httpjson"
 	"cactuswell/io/keyedlog"
 	"cactuswell/io/peer"
+	"cactuswell/io/progress"
 	"cactuswell/io/tcp"
 	"cactuswell/io/upstream"
 	"cactuswell/timer"
@@ -29,6 +30,10 @@
 	relayDelay = 200 * time.Millisecond
 	// relayTimeout bounds a request to another host.
 	relayTimeout = time.Second
+	// relaySilence bounds the time in which nothing of another host's configuration arrives, and
+	// relayTime that of the whole.
+	relaySilence = 600 * time.Millisecond
+	relayTime    = 3 * time.Second
 	// maxRelayedBytes bounds the size of another host's answer.
 	maxRelayedBytes = 8 << 20
 )
@@ -54,19 +59,26 @@
 		timers:        g.timers,
 		trail:         g.trail,
 		configuration: g.configuration,
-		client:        newPeerClient(),
+		client:        newTransferClient(),
 	}
 }
 
 // newPeerClient returns a client for requests to other hosts.
 func newPeerClient() *http.Client {
+	client := newTransferClient()
+	client.Timeout = relayTimeout
+	return client
+}
+
+// newTransferClient returns a client for requests to other hosts whose answers may be large. They
+// are bounded by their contexts.
+func newTransferClient() *http.Client {
 	dialer := tcp.NewDialer(tcp.Settings{
 		DialTimeout: relayTimeout / 2,
 		AckTimeout:  relayTimeout,
 		KeepAlive:   time.Second,
 	})
 	return &http.Client{
-		Timeout: relayTimeout,
 		Transport: &http.Transport{
 			DialContext:            dialer.DialContext,
 			IdleConnTimeout:        peerIdleTimeout,
@@ -119,6 +131,11 @@
 }
 
 func (r *relay) get(ctx context.Context, address, path string) ([]byte, error) {
+	ctx, cancel := progress.WithLimits(ctx, r.timers, progress.Limits{
+		Silence: relaySilence,
+		Total:   relayTime,
+	})
+	defer cancel()
 	return httpjson.Fetch(ctx, r.client, http.MethodGet, "http://"+address+path, nil, maxRelayedBytes)
 }
 
--- a/io/httpjson/httpjson.go
+++ b/io/httpjson/httpjson.go
@@ -18,10 +18,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"cactuswell/io/progress"
 )
 
 // maxRetryAfter bounds the delay that a response may ask for.
@@ -95,8 +98,13 @@
 }
 
 // Do sends a request and returns the body and the header of the response. The error is that of
-// FetchWithHeader.
+// FetchWithHeader. It marks the progress of the request's context (see package progress).
 func Do(client *http.Client, request *http.Request, limit int64) ([]byte, http.Header, error) {
+	ctx := request.Context()
+	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:              func(httptrace.GotConnInfo) { progress.Mark(ctx) },
+		GotFirstResponseByte: func() { progress.Mark(ctx) },
+	}))
 	response, err := client.Do(request)
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
@@ -110,7 +118,10 @@
 			Body:   errorBody,
 		})
 	}
-	responseBody, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	responseBody, err := io.ReadAll(io.LimitReader(&markedReader{
+		ctx:    ctx,
+		reader: response.Body,
+	}, limit+1))
 	if err == nil && int64(len(responseBody)) > limit {
 		err = &TooLargeError{
 			Path:  request.URL.Path,
@@ -120,6 +131,21 @@
 	return responseBody, response.Header, trace.Wrap(err)
 }
 
+// markedReader marks the progress of a context with each read that returns bytes.
+type markedReader struct {
+	ctx    context.Context
+	reader io.Reader
+}
+
+// Read implements io.Reader.
+func (r *markedReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if n > 0 {
+		progress.Mark(r.ctx)
+	}
+	return n, err
+}
+
 // RetryAfter returns the delay in a Retry-After header, which must be in seconds, or
 // zero. It returns maxRetryAfter for longer ones.
 func RetryAfter(header http.Header) time.Duration {
--- a/io/keyedlog/keyedlog.go
+++ b/io/keyedlog/keyedlog.go
@@ -31,20 +31,26 @@
 	"time"
 
 	"cactuswell/core/replica"
+	"cactuswell/io/progress"
 	"cactuswell/timer"
 )
 
 const (
-	// listPageTimeout bounds the request for one page of a listing.
-	listPageTimeout = 1500 * time.Millisecond
-	// pollSlack is how much longer than its wait a long poll may take.
+	// listPageSilence bounds the time in which nothing of a page of a listing arrives.
+	listPageSilence = 1500 * time.Millisecond
+	// pollSlack is how much longer than its wait a long poll may bring nothing.
 	pollSlack = 900 * time.Millisecond
+	// transferTime bounds the time in which an answer of the log arrives: about that of
+	// 8 MB, the largest one, over a link of 10 Mbit/s.
+	transferTime = 8 * time.Second
 	// maxListingBytes bounds a listing, and recordOverhead is what a record takes besides
 	// its key and its value.
 	maxListingBytes = 64 << 20
 	recordOverhead  = 64
-	// fetchTimeout bounds a fetch of changes from another host.
-	fetchTimeout = 600 * time.Millisecond
+	// fetchSilence bounds the time in which nothing of a fetch from another host arrives, and
+	// fetchTime the fetch as a whole, so that a host with a faulty link is given up for others.
+	fetchSilence = 600 * time.Millisecond
+	fetchTime    = 3 * time.Second
 )
 
 // Record is one record of a topic.
@@ -348,7 +354,10 @@
 
 // fetch gets the changes from another host, and reports whether it got any.
 func (f *Follower) fetch(ctx context.Context, address string) bool {
-	fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	fetchCtx, cancel := progress.WithLimits(ctx, f.Timers, progress.Limits{
+		Silence: fetchSilence,
+		Total:   fetchTime,
+	})
 	defer cancel()
 	before := f.end()
 	changes, err := f.Peers.Fetch(fetchCtx, address, f.Topic, before)
@@ -544,10 +553,14 @@
 }
 
 func (f *Follower) listPage(ctx context.Context, after string) (Listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, listPageTimeout)
+	ctx, cancel := progress.WithLimits(ctx, f.Timers, progress.Limits{
+		Silence: listPageSilence,
+		Total:   listPageSilence + transferTime,
+	})
 	defer cancel()
 	startedAt := time.Now()
 	page, err := f.Log.ListNewest(ctx, f.Topic, after)
+	err = progress.Cause(ctx, err)
 	f.RecordCall(time.Since(startedAt), err)
 	f.recordUnreadable(page.Unreadable)
 	return page, err
--- a/io/keyedlog/poll.go
+++ b/io/keyedlog/poll.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cactuswell/core/replica"
+	"cactuswell/io/progress"
 )
 
 // poll is one read of the log that may wait for records.
@@ -24,6 +25,7 @@
 func (p *poll) run(ctx context.Context) {
 	startedAt := time.Now()
 	batch, err := p.follower.Log.Read(ctx, p.follower.Topic, p.from.Offset, p.wait)
+	err = progress.Cause(ctx, err)
 	p.follower.RecordCall(time.Since(startedAt), err)
 	p.done <- pollResult{
 		batch: batch,
@@ -35,7 +37,11 @@
 // been ahead for some time: a read may stay open although there are newer records. The
 // error is an *AbandonedPollError then.
 func (f *Follower) poll(ctx context.Context, from replica.Position, wait time.Duration) (Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+pollSlack)
+	limits := progress.Limits{
+		Silence: wait + pollSlack,
+		Total:   wait + pollSlack + transferTime,
+	}
+	ctx, cancel := progress.WithLimits(ctx, f.Timers, limits)
 	defer cancel()
 	startedAt := time.Now()
 	p := &poll{
@@ -45,7 +51,7 @@
 		done:     make(chan pollResult, 1),
 	}
 	go p.run(ctx)
-	check := f.Timers.After(wait + pollSlack)
+	check := f.Timers.After(limits.Total)
 	defer check.Stop()
 	for {
 		select {
