Transfer a configuration once, not beside the copy of it

What callers saw: a version confirmed 3 s before was not in force; the time until all hosts had a small change grew with the configuration. Cause: 0.2 s after a host heard of a newer version, the relay fetched it past the copy, although the copy's own fetch was under way: two transfers of the same bytes shared a link, and both ran into their bounds. The follower's BehindFor was recorded one step late, so nothing could tell. Change: the relay leaves a newer version to the copy while the copy has been behind for less than 1 s, and while one is being decoded. BehindFor is recorded with the step that finds out.

--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -34,6 +34,8 @@
 	unavailable atomic.Bool
 	meter       *meter
 	applyMu     sync.Mutex
+	// isApplying is set while a configuration is decoded and put into effect.
+	isApplying atomic.Bool
 	// aheadSince is when another host was first heard to have a newer configuration than this one's,
 	// in Unix nanoseconds, or zero.
 	aheadSince atomic.Int64
@@ -106,6 +108,8 @@
 func (f *configurationFeed) apply(value []byte, source string) {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
+	f.isApplying.Store(true)
+	defer f.isApplying.Store(false)
 	startedAt := time.Now()
 	spec, err := f.decoder.Configuration(value)
 	if err != nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -28,6 +28,9 @@
 	// relayDelay is how long another host must have had a newer configuration before
 	// it is requested from that host. Usually the store delivers it sooner.
 	relayDelay = 200 * time.Millisecond
+	// copyPatience is how long the copy of the store may take to get a newer configuration before it
+	// is also requested past the copy: a second transfer of the same takes half of the link.
+	copyPatience = time.Second
 	// relayTimeout bounds a request to another host.
 	relayTimeout = time.Second
 	// relaySilence bounds the time in which nothing of another host's configuration arrives, and
@@ -46,6 +49,8 @@
 	timers        *timer.Service
 	trail         *trail.Trail
 	configuration *configurationFeed
+	// copyBehindFor returns for how long the copy of the configuration has been known to lack records.
+	copyBehindFor func() time.Duration
 	client        *http.Client
 
 	// behindSince is when another host was first seen to have a newer configuration,
@@ -59,6 +64,7 @@
 		timers:        g.timers,
 		trail:         g.trail,
 		configuration: g.configuration,
+		copyBehindFor: g.followers[g.Topics.Configuration].BehindFor,
 		client:        newTransferClient(),
 	}
 }
@@ -114,6 +120,10 @@
 		return
 	}
 	r.configuration.observeAhead(now)
+	if r.isUnderWay() {
+		r.behindSince = time.Time{}
+		return
+	}
 	if r.behindSince.IsZero() {
 		r.behindSince = now
 	}
@@ -130,6 +140,13 @@
 	r.configuration.apply(value, "host "+address)
 }
 
+// isUnderWay reports whether a newer configuration is about to come from the copy, or is being
+// decoded.
+func (r *relay) isUnderWay() bool {
+	behindFor := r.copyBehindFor()
+	return behindFor > 0 && behindFor < copyPatience || r.configuration.isApplying.Load()
+}
+
 func (r *relay) get(ctx context.Context, address, path string) ([]byte, error) {
 	ctx, cancel := progress.WithLimits(ctx, r.timers, progress.Limits{
 		Silence: relaySilence,
--- a/gateway/thinlink_test.go
+++ b/gateway/thinlink_test.go
@@ -189,3 +189,17 @@
 	}
 	return strings.Join(found, "")
 }
+
+// TestConfigurationIsTransferredOnce guards against a second transfer of a configuration over the
+// link over which the first is still coming.
+func TestConfigurationIsTransferredOnce(t *testing.T) {
+	first, second, link := startBehindThinLink(t)
+	first.publishRoutes(manyRoutes / 2)
+	second.awaitVersion(2)
+	if requests := link.requests("/v1/configuration"); requests > 0 {
+		t.Errorf("the configuration was requested %d times past the copy", requests)
+	}
+	if requests := link.requests("/v1/changes?era=0&offset=1&topic=" + configurationTopic); requests != 1 {
+		t.Errorf("the changes were requested %d times", requests)
+	}
+}
--- a/io/keyedlog/keyedlog.go
+++ b/io/keyedlog/keyedlog.go
@@ -309,7 +309,9 @@
 	startedAt := time.Now()
 	view := f.view()
 	delivered := false
-	switch step := f.planner.Next(startedAt, view).(type) {
+	step := f.planner.Next(startedAt, view)
+	f.recordBehind()
+	switch step := step.(type) {
 	case replica.Wait:
 		f.recordIdle(view)
 		f.sleep(ctx, step.For, true)
