Do not decode the configuration in force again

Cause: every delivery was decoded before its version was looked at; 28 ms for 2,850 routes on a free core, 0.2 s at 0.144 cores, while the host has calls to decide. The same value comes again from the relay, and after the store has come back from an older copy. Change: a value that equals the one in force is passed over.

--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -103,11 +104,15 @@
 }
 
 // apply puts a configuration into effect if it is newer than the current one. An
-// invalid configuration is logged and ignored. apply may run concurrently, as both
+// invalid configuration is logged and ignored. The value of the current one, which may come again
+// from another source, is not decoded. apply may run concurrently, as both
 // the store and other hosts deliver configurations.
 func (f *configurationFeed) apply(value []byte, source string) {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
+	if active := f.active.Load(); active != nil && bytes.Equal(active.encoded, value) {
+		return
+	}
 	f.isApplying.Store(true)
 	defer f.isApplying.Store(false)
 	startedAt := time.Now()
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,9 +36,13 @@
 )
 
 // jsonDecoder decodes values as the JSON form of route.Spec and directory.Entry.
-type jsonDecoder struct{}
+type jsonDecoder struct {
+	// decoded counts the configurations.
+	decoded *atomic.Int64
+}
 
-func (jsonDecoder) Configuration(value []byte) (route.Spec, error) {
+func (d jsonDecoder) Configuration(value []byte) (route.Spec, error) {
+	d.decoded.Add(1)
 	var spec route.Spec
 	err := json.Unmarshal(value, &spec)
 	return spec, err
@@ -79,6 +84,8 @@
 	stop      context.CancelFunc
 	// kill ends the host without a graceful shutdown.
 	kill context.CancelFunc
+	// decoded counts the configurations that the host has decoded.
+	decoded atomic.Int64
 	// control is the platform's control API, if the fleet has singleton duties.
 	control control.Client
 	done    chan error
@@ -269,7 +276,7 @@
 			ConfigurationKey: configurationKey,
 			Endpoints:        endpointTopic,
 		},
-		Decoder:      jsonDecoder{},
+		Decoder:      jsonDecoder{decoded: &f.decoded},
 		Dialect:      opaque.NewHeaderDialect(opaque.DefaultHeaderNames()),
 		Output:       f.logLines,
 		LoadSettings: func() (settings.Gateway, error) { return current, nil },
