Do not report ready with an older configuration after a start

What callers saw: a host that had just started decided calls by a version older than the one that it knew of (found by a test, not in a report). Cause: readiness asked that there be a configuration; a stale answer of the store gives an older one, and the newer one takes a fetch. Change: for 6 s after its start a host that knows of a newer version is not ready. What it knows is cleared once no host has a newer one, as after the store has come back from an older copy. The stand-in of the log learned stale reads.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,8 @@
 	// controlIdleTimeout is how long their connections may be idle.
 	controlTimeout     = 5 * time.Second
 	controlIdleTimeout = time.Minute
+	// startCatchUp is how long after its start a host that knows of a newer configuration is not ready.
+	startCatchUp = 6 * time.Second
 	// maxControlHeaderBytes bounds the header of such a request.
 	maxControlHeaderBytes = 16 << 10
 )
@@ -415,10 +417,19 @@
 		return false, "no configuration yet"
 	case !isClosed(g.endpoints.loaded):
 		return false, "no endpoints yet"
+	case g.isCatchingUp():
+		return false, "configuration older than that of other hosts"
 	}
 	return true, ""
 }
 
+// isCatchingUp reports whether the host has just started and knows that others have a newer
+// configuration: the store may have answered from an older copy of itself.
+func (g *Gateway) isCatchingUp() bool {
+	now := g.timers.Now()
+	return now.Sub(time.UnixMilli(g.incarnation)) < startCatchUp && g.configuration.aheadFor(now) > 0
+}
+
 // Run serves until stop is done and then shuts down gracefully. When kill is done,
 // it cuts the open calls and returns immediately.
 func (g *Gateway) Run(stop, kill context.Context) error {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -262,6 +262,17 @@
 	gateway.Roster
 }
 
+// isReady reports whether the host says that it is ready.
+func (f *fixture) isReady() bool {
+	f.t.Helper()
+	response, err := http.Get("http://" + f.gateway.ReadyAddress() + "/ready")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 // startHost starts a host with the given settings and log, and waits until it is
 // ready.
 func (f *fixture) startHost(current settings.Gateway, log hostLog) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -123,6 +123,11 @@
 	address := r.mesh.HostWithNewerConfiguration(r.configuration.version())
 	if address == "" {
 		r.behindSince = time.Time{}
+		if !r.isUnderWay() {
+			// What was ahead is no newer configuration, as after the store has come back from an
+			// older copy.
+			r.configuration.aheadSince.Store(0)
+		}
 		return
 	}
 	r.configuration.observeAhead(now)
--- a/standin/keyedlog/client.go
+++ b/standin/keyedlog/client.go
@@ -49,6 +49,11 @@
 	Missing int
 }
 
+// StaleReads makes listings show a topic without its last records, and reads after them find none.
+type StaleReads struct {
+	Missing int
+}
+
 // RefusedTopic makes the calls for one topic fail immediately without effect.
 type RefusedTopic struct {
 	Topic string
@@ -66,6 +71,7 @@
 
 func (EndlessListing) isFault() {}
 func (StaleListing) isFault()   {}
+func (StaleReads) isFault()     {}
 func (RefusedTopic) isFault()   {}
 
 // Client is a client of a log, with its own fault. It is safe for concurrent use.
@@ -138,6 +144,8 @@
 		return fault.page(after), nil
 	case StaleListing:
 		return c.log.listNewest(ctx, topic, after, fault.Missing)
+	case StaleReads:
+		return c.log.listNewest(ctx, topic, after, fault.Missing)
 	}
 	return c.log.ListNewest(ctx, topic, after)
 }
@@ -164,9 +172,18 @@
 	if err := c.applyFault(ctx, topic); err != nil {
 		return product.Batch{}, err
 	}
-	if fault, _ := c.currentFault(); fault == (HeldPoll{}) && wait > 0 {
+	fault, _ := c.currentFault()
+	if fault == (HeldPoll{}) && wait > 0 {
 		return c.readAfter(ctx, topic, from, wait)
 	}
+	if _, isStale := fault.(StaleReads); isStale {
+		select {
+		case <-ctx.Done():
+			return product.Batch{}, ctx.Err()
+		case <-time.After(wait):
+			return product.Batch{End: from}, nil
+		}
+	}
 	_, changed := c.currentFault()
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
