Continue a stream only with a response of its own kind

Cause: any 2xx of the endpoint that was to resume a stream was taken for the rest of it: a page or text whose bytes end with an empty line was passed on as an event, and a 204, a 202 or an empty 200 of another type ended the stream. Change: a response continues a stream only with the status and the media type of the one that the caller has got.

--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -645,6 +645,8 @@
 	x.setConnectionHeader(header)
 	x.writer.WriteHeader(response.StatusCode)
 	x.committed = true
+	x.stream.status = response.StatusCode
+	x.stream.mediaType = mediaTypeOf(response)
 }
 
 func allowsBody(status int) bool {
--- a/io/opaque/stream.go
+++ b/io/opaque/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"cactuswell/core/pace"
@@ -32,6 +33,9 @@
 	events      int
 	lastEventAt time.Time
 	longestGap  time.Duration
+	// status and mediaType are those of the response that the caller gets.
+	status    int
+	mediaType string
 	// attemptEvents and pace are those of the attempt in progress.
 	attemptEvents int
 	pace          pace.EventGaps
@@ -78,9 +82,43 @@
 	return fmt.Sprintf("event %d came after event %d", e.Got, e.Last)
 }
 
+// DifferentResponseError reports a response that is to continue a stream, but is no part of it: it has
+// another status or another type than the response that the caller has got.
+type DifferentResponseError struct {
+	Status    int
+	MediaType string
+}
+
+// Error names the status and the type.
+func (e *DifferentResponseError) Error() string {
+	return fmt.Sprintf("the answer with status %d and type %q does not continue the stream", e.Status, e.MediaType)
+}
+
+// mediaTypeOf returns the type of a response without its parameters.
+func mediaTypeOf(response *http.Response) string {
+	name, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
+// checkContinuation returns an error if a response does not continue the stream that the caller has
+// begun to get.
+func (x *exchange) checkContinuation(response *http.Response) error {
+	mediaType := mediaTypeOf(response)
+	if !x.committed || response.StatusCode == x.stream.status && mediaType == x.stream.mediaType {
+		return nil
+	}
+	return &DifferentResponseError{
+		Status:    response.StatusCode,
+		MediaType: mediaType,
+	}
+}
+
 // forwardStream forwards each event to the caller once it was received completely.
 func (t *attempt) forwardStream() scheduling.Outcome {
 	x := t.exchange
+	if err := x.checkContinuation(t.response); err != nil {
+		return t.readErrorOutcome(err)
+	}
 	reader := bufio.NewReaderSize(t.response.Body, eventBufferSize)
 	controller := http.NewResponseController(x.writer)
 	event := buffer{budget: &x.server.responseMemory}
