Test that the configuration in force decides on every connection

Cause: the second hypothesis of the incident, that a host which knows decides by what it kept, was open. Change: tests only. Dropped and added keys and routes, asked over connections and heads (at every seventh byte) from before the change; a call that waits over a change names the version that admitted it.

--- a/gateway/configuration_test.go
+++ b/gateway/configuration_test.go
@@ -1,10 +1,18 @@
 package gateway_test
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
+	"cactuswell/core/route"
 	"cactuswell/standin/keyedlog"
+	standin "cactuswell/standin/opaque"
 )
 
 // TestKnownConfigurationIsNotDecodedAgain guards against processor time for a configuration that comes
@@ -48,3 +56,116 @@
 	second.awaitVersion(2)
 	eventually(t, "the host is ready", second.isReady)
 }
+
+// configurationCaller is a connection of a caller that was opened before a change.
+type configurationCaller struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// ask sends the rest of a request's head, of which begun has been sent, and returns the status.
+func (c *configurationCaller) ask(t *testing.T, head, begun string) int {
+	t.Helper()
+	if _, err := io.WriteString(c.conn, strings.TrimPrefix(head, begun)); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode
+}
+
+// TestConfigurationInForceDecidesOnEveryConnection guards against a host that has a configuration and
+// decides by an older one that a connection, or a head that has begun to arrive, has kept.
+func TestConfigurationInForceDecidesOnEveryConnection(t *testing.T) {
+	f := newFixture(t, 1)
+	requests := 0
+	headOf := func(version, path, key string) string {
+		requests++
+		return fmt.Sprintf("GET %s HTTP/%s\r\nHost: firm.example\r\nX-Request-Id: r%d\r\nAuthorization: Bearer %s\r\n\r\n", path, version, requests, key)
+	}
+	dial := func() *configurationCaller {
+		conn, reader := f.dialAndSend("")
+		return &configurationCaller{conn: conn, reader: reader}
+	}
+	questions := []struct {
+		name, path, key string
+		before, after   int
+	}{
+		{"dropped key", "/lookup/x", "secret", http.StatusOK, http.StatusUnauthorized},
+		{"added key", "/lookup/x", "added", http.StatusUnauthorized, http.StatusOK},
+		{"dropped route", "/hold/x", "added", http.StatusUnauthorized, http.StatusNotFound},
+		{"added route", "/new/x", "added", http.StatusNotFound, http.StatusOK},
+	}
+	type waiting struct {
+		*configurationCaller
+		name, head, begun string
+		want              int
+	}
+	var callers []waiting
+	for _, question := range questions {
+		kept := dial()
+		if got := kept.ask(t, headOf("1.1", question.path, question.key), ""); got != question.before {
+			t.Fatalf("%s: status %d before the change, want %d", question.name, got, question.before)
+		}
+		callers = append(callers, waiting{kept, question.name + ", kept connection", headOf("1.1", question.path, question.key), "", question.after})
+		for _, version := range []string{"1.0", "1.1"} {
+			callers = append(callers, waiting{dial(), question.name + ", HTTP/" + version, headOf(version, question.path, question.key), "", question.after})
+			head := headOf(version, question.path, question.key)
+			for begun := 1; begun < len(head); begun += 7 {
+				callers = append(callers, waiting{dial(), fmt.Sprintf("%s, HTTP/%s, %d bytes before", question.name, version, begun), head, head[:begun], question.after})
+			}
+		}
+	}
+	for _, caller := range callers {
+		if _, err := io.WriteString(caller.conn, caller.begun); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.spec.Version = 2
+	f.spec.Teams = []route.Team{{Name: "clerks", Keys: []string{"added"}}}
+	added := f.spec.Routes[0]
+	added.Name, added.PathPrefix = "new", "/new/"
+	f.spec.Routes = append(f.spec.Routes[:1:1], added)
+	f.publishConfiguration()
+	f.awaitVersion(2)
+	for _, caller := range callers {
+		if got := caller.ask(t, caller.head, caller.begun); got != caller.want {
+			t.Errorf("%s: status %d, want %d", caller.name, got, caller.want)
+		}
+	}
+}
+
+// TestCallThatWaitsNamesItsVersion checks that a call which the configuration in force admitted, and
+// which waits while it is replaced, is decided by that version to its end, and says so.
+func TestCallThatWaitsNamesItsVersion(t *testing.T) {
+	f := newFixture(t, 1)
+	release := make(chan struct{})
+	var once sync.Once
+	t.Cleanup(func() { once.Do(func() { close(release) }) })
+	f.setBehaviour(func(*http.Request) standin.Behaviour {
+		<-release
+		return standin.CompleteAnswer{}
+	})
+	replies := make(chan reply, 1)
+	go func() { replies <- f.get("/lookup/waits") }()
+	f.awaitLine(`"event":"callSent"`, `"request":"request--lookup-waits"`)
+	f.spec.Version = 2
+	f.spec.Teams = []route.Team{{Name: "clerks", Keys: []string{"added"}}}
+	f.publishConfiguration()
+	f.awaitVersion(2)
+	if got := f.get("/lookup/later"); got.status != http.StatusUnauthorized {
+		t.Errorf("status %d of a call after the change", got.status)
+	}
+	once.Do(func() { close(release) })
+	if got := <-replies; got.status != http.StatusOK {
+		t.Errorf("status %d of the call from before the change", got.status)
+	}
+	f.awaitLine(`"event":"callEnded"`, `"request":"request--lookup-waits"`, `"version":1,`)
+	f.awaitLine(`"event":"callDenied"`, `"request":"request--lookup-later"`, `"version":2,`, `"versionAgeMs"`)
+}
