Keep large values apart, and time the start by the monotonic clock

Cause: found in reading the diff: a fetch looked through all records of a topic for the large one, so that each fetch of endpoints cost with their number; a step of the wall clock moved the time for which a host that starts is not ready. TestConfigurationIsTransferredOnce failed once beside 10 busy processes, as packing 2.6 MB under the race detector took longer than the 0.6 s of silence that a fetch bears. Change: a table keeps its large records by key; times are kept as times.

--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -93,7 +93,9 @@
 type Table struct {
 	end     Position
 	records map[string]Record
-	// previous holds the record before the newest one of keys whose values are large.
+	// large holds the records of which the value is large, and previous the ones before them if
+	// their values were large, too.
+	large    map[string]Record
 	previous map[string]Record
 	// deletions holds the offsets at which keys were deleted, oldest first, and
 	// forgottenBefore is the offset before which deletions may be missing.
@@ -104,9 +106,9 @@
 // New returns a table that has no copy yet.
 func New() *Table {
 	return &Table{
-		end:     Unknown(),
-		records: make(map[string]Record),
-
+		end:      Unknown(),
+		records:  make(map[string]Record),
+		large:    make(map[string]Record),
 		previous: make(map[string]Record),
 	}
 }
@@ -130,24 +132,26 @@
 func (t *Table) Large() (Record, bool) {
 	var newest Record
 	found := false
-	for _, record := range t.records {
-		if IsLarge(record) && (!found || record.Offset > newest.Offset) {
+	for _, record := range t.large {
+		if !found || record.Offset > newest.Offset {
 			newest, found = record, true
 		}
 	}
 	return newest, found
 }
 
-// keepPrevious keeps the record that a new one replaces.
-func (t *Table) keepPrevious(record Record) {
-	before, ok := t.records[record.Key]
+// keepLarge keeps a record if its value is large, and the one that it replaces.
+func (t *Table) keepLarge(record Record) {
+	before, ok := t.large[record.Key]
 	switch {
-	case ok && before.Offset == record.Offset:
-	case ok && IsLarge(before) && IsLarge(record):
-		t.previous[record.Key] = before
-	default:
+	case !IsLarge(record):
+		delete(t.large, record.Key)
 		delete(t.previous, record.Key)
+		return
+	case ok && before.Offset != record.Offset:
+		t.previous[record.Key] = before
 	}
+	t.large[record.Key] = record
 }
 
 // End returns the position of the copy.
@@ -158,10 +162,18 @@
 	if end.Era != t.end.Era {
 		// Offsets of another era name other records.
 		clear(t.previous)
-		clear(t.records)
+		clear(t.large)
 	}
+	listed := make(map[string]bool, len(t.large))
 	for _, record := range records {
-		t.keepPrevious(record)
+		t.keepLarge(record)
+		listed[record.Key] = true
+	}
+	for key := range t.large {
+		if !listed[key] {
+			delete(t.large, key)
+			delete(t.previous, key)
+		}
 	}
 	t.end = end
 	t.records = make(map[string]Record, len(records))
@@ -176,7 +188,7 @@
 func (t *Table) Apply(end Position, records []Record) {
 	t.end = end
 	for _, record := range records {
-		t.keepPrevious(record)
+		t.keepLarge(record)
 		if !record.Deleted {
 			t.records[record.Key] = record
 			continue
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -38,8 +38,8 @@
 	// isApplying is set while a configuration is decoded and put into effect.
 	isApplying atomic.Bool
 	// aheadSince is when another host was first heard to have a newer configuration than this one's,
-	// in Unix nanoseconds, or zero.
-	aheadSince atomic.Int64
+	// or nil.
+	aheadSince atomic.Pointer[time.Time]
 	// loaded is closed when the first configuration has been applied.
 	loaded chan struct{}
 }
@@ -70,13 +70,13 @@
 
 // observeAhead records that another host has a newer configuration.
 func (f *configurationFeed) observeAhead(now time.Time) {
-	f.aheadSince.CompareAndSwap(0, now.UnixNano())
+	f.aheadSince.CompareAndSwap(nil, &now)
 }
 
 // aheadFor returns for how long another host has been known to have a newer configuration, or zero.
 func (f *configurationFeed) aheadFor(now time.Time) time.Duration {
-	if since := f.aheadSince.Load(); since != 0 {
-		return now.Sub(time.Unix(0, since))
+	if since := f.aheadSince.Load(); since != nil {
+		return now.Sub(*since)
 	}
 	return 0
 }
@@ -137,7 +137,7 @@
 		appliedAt: now,
 	})
 	behind := f.aheadFor(now)
-	f.aheadSince.Store(0)
+	f.aheadSince.Store(nil)
 	f.meter.observeDuration("cactuswell_configuration_lag_seconds{", behind)
 	f.decisions.post(scheduling.ConfigurationChanged{Table: table})
 	if before < 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,7 +152,8 @@
 	// singleton performs the singleton duties while this host holds the lease. It is nil if the
 	// fleet has none.
 	singleton *singletonDuties
-	// incarnation is the time of the host's start, in Unix milliseconds.
+	// startedAt is the time of the host's start, and incarnation the same in Unix milliseconds.
+	startedAt   time.Time
 	incarnation int64
 	// currentSettings holds the settings as of the last reload.
 	currentSettings atomic.Pointer[settings.Gateway]
@@ -171,12 +172,14 @@
 	if err := dependencies.Settings.Check(); err != nil {
 		return nil, err
 	}
+	startedAt := time.Now()
 	g := &Gateway{
 		Dependencies: dependencies,
 		timers:       timer.New(),
 		meter:        newMeter(),
 		changes:      changes.NewEncoder(),
-		incarnation:  time.Now().UnixMilli(),
+		startedAt:    startedAt,
+		incarnation:  startedAt.UnixMilli(),
 		stopping:     make(chan struct{}),
 	}
 	g.trail = trail.New(dependencies.Output, dependencies.Settings.Name, g.timers)
@@ -427,7 +430,7 @@
 // configuration: the store may have answered from an older copy of itself.
 func (g *Gateway) isCatchingUp() bool {
 	now := g.timers.Now()
-	return now.Sub(time.UnixMilli(g.incarnation)) < startCatchUp && g.configuration.aheadFor(now) > 0
+	return now.Sub(g.startedAt) < startCatchUp && g.configuration.aheadFor(now) > 0
 }
 
 // Run serves until stop is done and then shuts down gracefully. When kill is done,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -126,7 +126,7 @@
 		if !r.isUnderWay() {
 			// What was ahead is no newer configuration, as after the store has come back from an
 			// older copy.
-			r.configuration.aheadSince.Store(0)
+			r.configuration.aheadSince.Store(nil)
 		}
 		return
 	}
