--- a/io/changes/changes.go
+++ b/io/changes/changes.go
@@ -16,7 +16,6 @@
 package changes
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/bits"
@@ -254,7 +253,7 @@
 // *FormatError.
 func Decode(body []byte, base func(key string, offset int64) ([]byte, bool)) (replica.Changes, error) {
 	var sent sentChanges
-	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&sent); err != nil {
+	if err := json.Unmarshal(body, &sent); err != nil {
 		return replica.Changes{}, trace.Wrap(&FormatError{Reason: err.Error()})
 	}
 	later := replica.Changes{
