--- a/io/opaque/stream.go
+++ b/io/opaque/stream.go
@@ -21,6 +21,9 @@
 	maxEventBytes = 256 << 10
 	// maxPaddingBytes bounds the comments and blank events between two events.
 	maxPaddingBytes = 16 << 10
+	// eventStreamType is the media type of streams of events. The response that a caller has got may
+	// name none.
+	eventStreamType = "text/event-stream"
 	// eventBufferSize is the size of the read buffer for events, in bytes.
 	eventBufferSize = 4 << 10
 )
@@ -104,7 +107,8 @@
 // begun to get.
 func (x *exchange) checkContinuation(response *http.Response) error {
 	mediaType := mediaTypeOf(response)
-	if !x.committed || response.StatusCode == x.stream.status && mediaType == x.stream.mediaType {
+	isOfKind := mediaType == x.stream.mediaType || mediaType == eventStreamType
+	if !x.committed || response.StatusCode == x.stream.status && isOfKind {
 		return nil
 	}
 	return &DifferentResponseError{
