Give new connections time to send before they make room for others

Cause: the silent connection that has waited longest is evicted, whatever its age. In a burst that is a caller whose handshake takes some milliseconds. Change: silent connections and unfinished headers younger than 0.1 s make room for no other; Accept waits, 0.155 s at most. It works as a burst fills the host once, and the clients that send nothing are old then.

--- a/core/clientbudget/clientbudget.go
+++ b/core/clientbudget/clientbudget.go
@@ -129,6 +129,10 @@
 	// be evicted. Callers behind a lost packet lag for a retransmission timeout.
 	minArrivalLag = 300 * time.Millisecond
 	minWritingLag = time.Second
+	// maxNewTime is how long a connection counts as new: its caller may not yet have had the time
+	// to send a request, or be within the TLS handshake. A listener that gives each connection this
+	// time accepts as many as it may hold in it.
+	maxNewTime = 100 * time.Millisecond
 	// overShareFactor is the multiple of an even share of the connections from which
 	// an address is disconnected before others in the same phase.
 	overShareFactor = 2
@@ -150,6 +154,10 @@
 	AddressConns int
 }
 
+// IsNew reports whether the request that a connection was opened for, or the rest of its header, may
+// still be on its way.
+func (c *Conn) IsNew() bool { return (c.Phase == Silent || c.Phase == Header) && c.Lag < maxNewTime }
+
 // MayClose reports whether a connection may be evicted for others.
 func (c *Conn) MayClose() bool {
 	switch c.Phase {
--- a/io/clientconns/clientconns.go
+++ b/io/clientconns/clientconns.go
@@ -44,8 +44,9 @@
 	// ipv6SiteBits is the length of the prefix that counts as one IPv6 address.
 	ipv6SiteBits = 64
 	// roomTries bounds the attempts to make room for a connection, and roomPause is the time
-	// between two, in which bytes are read that many new connections have sent at once.
-	roomTries = 5
+	// before the second one, which doubles: bytes are read meanwhile that many new connections have
+	// sent at once. In all it is longer than connections count as new.
+	roomTries = 6
 	roomPause = 5 * time.Millisecond
 	// acceptTries bounds the attempts to accept a connection without descriptors.
 	acceptTries = 4
@@ -159,13 +160,15 @@
 	c.mu.Lock()
 	isFull := c.settings.MaxConns > 0 && len(c.open) >= c.settings.MaxConns
 	c.mu.Unlock()
+	pause := roomPause
 	for tries := 1; isFull; tries++ {
 		hasRoom, isBusy := c.makeRoom(tries == roomTries)
 		if hasRoom {
 			break
 		}
 		if isBusy && tries < roomTries {
-			<-time.After(roomPause)
+			<-time.After(pause)
+			pause *= 2
 			continue
 		}
 		c.count(clientbudget.CauseConnections)
@@ -200,8 +203,9 @@
 }
 
 // makeRoom evicts connections in the order of core/clientbudget. HasRoom reports whether
-// there were any. Unless it is the last attempt, idle connections stay while new ones have unread
-// bytes, which may turn out to be evictable: then isBusy is set.
+// there were any. Unless it is the last attempt, new connections stay, and idle ones as long as
+// there are new ones or some with unread bytes, which may turn out to be evictable: then isBusy
+// is set.
 func (c *Conns) makeRoom(isLast bool) (hasRoom, isBusy bool) {
 	c.mu.Lock()
 	conns := make([]*Conn, 0, len(c.open))
@@ -219,7 +223,11 @@
 		if closed == count || isBusy && !isLast && described[i].Phase > clientbudget.Header {
 			break
 		}
-		if c.evict(conns[i], described[i].Phase) {
+		isEvicted := false
+		if isLast || !described[i].IsNew() {
+			isEvicted = c.evict(conns[i], described[i].Phase)
+		}
+		if isEvicted {
 			closed++
 		} else {
 			isBusy = true
--- a/io/clientconns/clientconns_test.go
+++ b/io/clientconns/clientconns_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
@@ -115,6 +116,58 @@
 	}
 }
 
+// TestBurstOfConnectionsLeavesTimeToSend guards against a caller whose connection is closed because
+// many others connect before it has sent its request.
+func TestBurstOfConnectionsLeavesTimeToSend(t *testing.T) {
+	const limit = 8
+	synctest.Test(t, func(t *testing.T) {
+		conns := clientconns.New(clientconns.Settings{
+			MaxConns: limit,
+			Timers:   timer.New(),
+		})
+		listener := pipeListener{conns: make(chan net.Conn)}
+		accepted := make(chan net.Conn)
+		go func() {
+			defer close(accepted)
+			for tracked := conns.Listen(listener); ; {
+				conn, err := tracked.Accept()
+				if err != nil {
+					return
+				}
+				accepted <- conn
+			}
+		}()
+		connect := func() net.Conn {
+			client, inner := net.Pipe()
+			listener.conns <- inner
+			return client
+		}
+		caller := connect()
+		server := <-accepted
+		time.Sleep(time.Millisecond)
+		for range limit - 1 {
+			defer func(conn net.Conn) { _ = conn.Close() }(connect())
+			<-accepted
+		}
+		defer func(conn net.Conn) { _ = conn.Close() }(connect())
+		time.Sleep(50 * time.Millisecond)
+		go func() { _, _ = io.WriteString(caller, "GET") }()
+		if n, err := server.Read(make([]byte, 3)); n != 3 {
+			t.Errorf("the caller is not served: %v", err)
+		}
+		// Connections that stay silent make room.
+		<-accepted
+		if n := conns.OpenCount(); n != limit {
+			t.Errorf("%d connections are open, want %d", n, limit)
+		}
+		if clientconns.Unwrap(server).IsClosed() {
+			t.Error("the caller's connection is closed before those that have sent nothing")
+		}
+		close(listener.conns)
+		_ = caller.Close()
+	})
+}
+
 // pipeListener accepts one connection.
 type pipeListener struct {
 	conns chan net.Conn
