Ask further sources for changes beside a slow one

By test, hosts whose preferred source sends a few bytes each 0.1 s lack a change 2 s after the store accepted it, though other hosts have it. Cause: a fetch is bounded by silence, so that a slow source is kept for 3 s, and no other is asked meanwhile. None is given up for being slow, as the receiver's own link may be the slow one. Evidence: TestSlowSourcesDelayNoChange fails without the change (one slow source: hosts c and d lack the first change after 2 s), and passes with it. Result: tests of io/keyedlog and core/replica pass with the race detector.

--- a/core/replica/planner.go
+++ b/core/replica/planner.go
@@ -1,6 +1,9 @@
 package replica
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// readerPollWait is the duration of a reader's long poll, lonePollWait that of a
@@ -20,6 +23,8 @@
 	maxBehind = 700 * time.Millisecond
 	// maxFetchFailures is the number of failed fetches with the same effect.
 	maxFetchFailures = 3
+	// maxSpares bounds the sources that a host asks beside a slow one.
+	maxSpares = 2
 	// rosterPatience is how long a starting host waits for the roster, from which it
 	// learns of other hosts, and startPatience how long it waits for their copy at most.
 	// The store appends the entries of hosts that start together one after the other,
@@ -262,7 +267,7 @@
 }
 
 // fetch returns the fetch from the preferred source. The other sources follow after
-// sourcePatience or after a failure.
+// sourcePatience, after a failure, or beside a slow one.
 func (p *Planner) fetch(now time.Time, view View) Step {
 	behindFor := now.Sub(p.behindSince)
 	if !view.Sources[0].IsPreferred && p.fetchFailures == 0 && behindFor < sourcePatience && p.hasCopy {
@@ -274,6 +279,20 @@
 	return Fetch{Address: view.Sources[p.fetchFailures%len(view.Sources)].Address}
 }
 
+// Spare returns a source to ask beside those that have been asked and are slow, and false if there is
+// none or enough have been asked.
+func (p *Planner) Spare(view View, asked []string) (address string, ok bool) {
+	if len(asked) > maxSpares {
+		return "", false
+	}
+	for _, source := range view.Sources {
+		if !slices.Contains(asked, source.Address) {
+			return source.Address, true
+		}
+	}
+	return "", false
+}
+
 // start returns the step of a host that has no copy yet, while no other host is known
 // to have one.
 func (p *Planner) start(now time.Time, view View) Step {
--- a/io/keyedlog/fleet_test.go
+++ b/io/keyedlog/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"cactuswell/core/replica"
 	"cactuswell/io/keyedlog"
+	"cactuswell/io/progress"
 	standin "cactuswell/standin/keyedlog"
 	"cactuswell/timer"
 )
@@ -27,6 +28,10 @@
 	reads     map[string]bool
 	readAt    time.Time
 	abandoned []string
+	// slow are hosts whose answers to others take a minute. They arrive in small parts, or with
+	// isSilent at the end.
+	slow     []string
+	isSilent bool
 }
 
 // member is one host's access to the others.
@@ -64,14 +69,28 @@
 			view.Sources = append(view.Sources, replica.Source{Address: name, IsPreferred: true})
 		}
 	}
+	// Slow hosts are the preferred sources.
+	slices.SortFunc(view.Sources, func(a, b replica.Source) int {
+		return slices.Index(m.fleet.slow, b.Address) - slices.Index(m.fleet.slow, a.Address)
+	})
 	return view
 }
 
 // Fetch implements keyedlog.Peers.
-func (m member) Fetch(_ context.Context, address, _ string, after replica.Position) (replica.Changes, error) {
+func (m member) Fetch(ctx context.Context, address, _ string, after replica.Position) (replica.Changes, error) {
 	m.fleet.mu.Lock()
-	source := m.fleet.followers[address]
+	source, isSlow, isSilent := m.fleet.followers[address], slices.Contains(m.fleet.slow, address), m.fleet.isSilent
 	m.fleet.mu.Unlock()
+	for i := 0; isSlow && i < 600; i++ {
+		if !isSilent {
+			progress.Mark(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return replica.Changes{}, ctx.Err()
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
 	changes, _ := source.ChangesAfter(after)
 	return changes, nil
 }
@@ -274,6 +293,38 @@
 	}
 }
 
+// TestSlowSourcesDelayNoChange guards against changes that come late as the hosts from which the others
+// get them first send them slowly, or stop to, though other hosts or the log have them.
+func TestSlowSourcesDelayNoChange(t *testing.T) {
+	const bound = 2 * time.Second
+	for name, test := range map[string]struct {
+		slow     []string
+		isSilent bool
+	}{
+		"one slow":       {slow: []string{"a"}},
+		"one that stops": {slow: []string{"a"}, isSilent: true},
+		"all that stop":  {slow: []string{"a", "b", "c", "d"}, isSilent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, []string{"a", "b", "c", "d"}, prepareNothing, func(f *fleet, log *standin.Log, hosts map[string]host) {
+				wait(3 * time.Second)
+				f.mu.Lock()
+				f.slow, f.isSilent = test.slow, test.isSilent
+				f.mu.Unlock()
+				for _, value := range []string{"1", "2", "3"} {
+					log.Append(topic, "x", []byte(value))
+					wait(bound)
+					for name, h := range hosts {
+						if got := h.listener.values["x"]; got != value {
+							t.Errorf("host %s has %q, want %q", name, got, value)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestRewindReachesFleet plays a log that comes back from an older copy and gives out the
 // lost offsets again. A follower that compared offsets across the rewind would keep the
 // lost records and miss the new ones.
--- a/io/keyedlog/keyedlog.go
+++ b/io/keyedlog/keyedlog.go
@@ -47,10 +47,6 @@
 	// its key and its value.
 	maxListingBytes = 64 << 20
 	recordOverhead  = 64
-	// fetchSilence bounds the time in which nothing of a fetch from another host arrives, and
-	// fetchTime the fetch as a whole, so that a host with a faulty link is given up for others.
-	fetchSilence = 600 * time.Millisecond
-	fetchTime    = 3 * time.Second
 )
 
 // Record is one record of a topic.
@@ -380,29 +376,6 @@
 	return f.table.End()
 }
 
-// fetch gets the changes from another host, and reports whether it got any.
-func (f *Follower) fetch(ctx context.Context, address string) bool {
-	fetchCtx, cancel := progress.WithLimits(ctx, f.Timers, progress.Limits{
-		Silence: fetchSilence,
-		Total:   fetchTime,
-	})
-	defer cancel()
-	f.isFetching.Store(true)
-	defer f.isFetching.Store(false)
-	before := f.end()
-	changes, err := f.Peers.Fetch(fetchCtx, address, f.Topic, before)
-	if ctx.Err() != nil {
-		return false
-	}
-	if err != nil || !changes.End.After(before) {
-		f.planner.RecordFetchFailure(time.Now())
-		return false
-	}
-	f.recordAvailable()
-	f.apply(changes)
-	return true
-}
-
 // readLog lists or reads once, and reports whether it delivered records.
 func (f *Follower) readLog(ctx context.Context, wait time.Duration) bool {
 	if !f.reads {
