Give new connections the time of a lost packet

Cause: the time of 0.1 s that new connections got is shorter than that of a lost packet, for which bodies have 0.3 s; of 23 traced runs that failed, four closed connections that were 0.17 to 0.45 s old (on an overloaded machine). Change: minArrivalLag in place of a time of its own. Result: TestCrowdAtCallersListener over HTTP/1.1 72 of 72 runs, six at a time, beside other tests; tests of io/clientconns and core/clientbudget pass.

--- a/core/clientbudget/clientbudget.go
+++ b/core/clientbudget/clientbudget.go
@@ -125,14 +125,11 @@
 	// minRate is the rate of bytes, in bytes a second, at which a client makes
 	// progress. It is below that of any link on which the calls' targets can be met.
 	minRate = 16 << 10
-	// minArrivalLag and minWritingLag are the lags from which arrivals and unread responses
-	// be evicted. Callers behind a lost packet lag for a retransmission timeout.
+	// minArrivalLag and minWritingLag are the lags from which arrivals and unread responses may
+	// be evicted. Callers behind a lost packet lag for a retransmission timeout. A listener that
+	// waits for minArrivalLag accepts as many connections in that time as it may hold.
 	minArrivalLag = 300 * time.Millisecond
 	minWritingLag = time.Second
-	// maxNewTime is how long a connection counts as new: its caller may not yet have had the time
-	// to send a request, or be within the TLS handshake. A listener that gives each connection this
-	// time accepts as many as it may hold in it.
-	maxNewTime = 100 * time.Millisecond
 	// overShareFactor is the multiple of an even share of the connections from which
 	// an address is disconnected before others in the same phase.
 	overShareFactor = 2
@@ -156,7 +153,7 @@
 
 // IsNew reports whether the request that a connection was opened for, or the rest of its header, may
 // still be on its way.
-func (c *Conn) IsNew() bool { return (c.Phase == Silent || c.Phase == Header) && c.Lag < maxNewTime }
+func (c *Conn) IsNew() bool { return (c.Phase == Silent || c.Phase == Header) && c.Lag < minArrivalLag }
 
 // MayClose reports whether a connection may be evicted for others.
 func (c *Conn) MayClose() bool {
--- a/io/clientconns/clientconns.go
+++ b/io/clientconns/clientconns.go
@@ -46,7 +46,7 @@
 	// roomTries bounds the attempts to make room for a connection, and roomPause is the time
 	// before the second one, which doubles: bytes are read meanwhile that many new connections have
 	// sent at once. In all it is longer than connections count as new.
-	roomTries = 6
+	roomTries = 7
 	roomPause = 5 * time.Millisecond
 	// acceptTries bounds the attempts to accept a connection without descriptors.
 	acceptTries = 4
