Change the configuration in the soak, and judge by which version hosts decide

A 404 from a process that has handled a request by that version breaks a rule, and so does, with a bound (by hand, 2 s), one from a host that is undisturbed for 3 s. At the end all hosts must have the newest version.

--- a/soak/disturbance.go
+++ b/soak/disturbance.go
@@ -93,6 +93,9 @@
 // StoreDown makes the store fail all calls.
 type StoreDown struct{ For time.Duration }
 
+// ChangedConfiguration writes a version of the configuration.
+type ChangedConfiguration struct{}
+
 func (PausedHost) isDisturbance()       {}
 func (KilledHosts) isDisturbance()      {}
 func (RestartedHost) isDisturbance()    {}
@@ -105,6 +108,8 @@
 func (EndedConnections) isDisturbance() {}
 func (StoreDown) isDisturbance()        {}
 
+func (ChangedConfiguration) isDisturbance() {}
+
 // Scheduled is a disturbance with the time since the start at which it begins.
 type Scheduled struct {
 	At          time.Duration
@@ -150,6 +155,9 @@
 }
 
 func (s *scheduler) draw() Disturbance {
+	if s.settings.Configurations && s.random.IntN(3) == 0 {
+		return ChangedConfiguration{}
+	}
 	if s.settings.OnlyPlannedWork {
 		return s.drawPlannedWork()
 	}
@@ -271,7 +279,9 @@
 		Kind:   DisturbanceBegun,
 		Detail: detail,
 	})
+	end := a.fleet.operator.disturb(a.scheduled.Disturbance)
 	a.fleet.disturb(ctx, a.scheduled.Disturbance)
+	end()
 	a.fleet.journal.Record(Event{
 		Kind:   DisturbanceEnded,
 		Detail: detail,
@@ -301,6 +311,8 @@
 		f.endpoints[d.Endpoint].SetFaults(d.Faults)
 		f.wait(ctx, d.For)
 		f.endpoints[d.Endpoint].SetFaults(worker.Faults{})
+	case ChangedConfiguration:
+		f.operator.change()
 	case StoreDown:
 		f.log.SetDown(true)
 		f.wait(ctx, d.For)
--- a/soak/host.go
+++ b/soak/host.go
@@ -50,6 +50,8 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	exited  chan struct{}
+	// starts is the number of processes that have been started.
+	starts int
 	// endsWanted is set while the process is told to end.
 	endsWanted bool
 	failure    error
@@ -75,6 +77,7 @@
 		return err
 	}
 	h.process = process
+	h.starts++
 	h.exited = make(chan struct{})
 	h.endsWanted = false
 	go h.run(process, h.exited)
@@ -123,6 +126,13 @@
 	return false
 }
 
+// incarnation returns a number that differs for each process of the host.
+func (h *host) incarnation() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.starts
+}
+
 // err returns the errors of processes that have ended by themselves.
 func (h *host) err() error {
 	h.mu.Lock()
--- a/soak/journal.go
+++ b/soak/journal.go
@@ -34,6 +34,8 @@
 	RequestDeclined EventKind = "requestDeclined"
 	// StreamFault means that a caller got an event of a stream that does not belong there.
 	StreamFault EventKind = "streamFault"
+	// ConfigurationFault means that a host handled a request by an older configuration than it may.
+	ConfigurationFault EventKind = "configurationFault"
 	// DisturbanceBegun and DisturbanceEnded tell what was done to the fleet.
 	DisturbanceBegun EventKind = "disturbanceBegun"
 	DisturbanceEnded EventKind = "disturbanceEnded"
@@ -75,6 +77,10 @@
 	// BrokenStream means that events of a stream were missing, came twice, or were of two
 	// software versions.
 	BrokenStream Rule = "brokenStream"
+	// OldConfiguration means that a host handled a request by an older version of the configuration
+	// than one by which the same process had handled requests before, or than one that must be in
+	// force by then.
+	OldConfiguration Rule = "oldConfiguration"
 )
 
 // Violation is a rule that was broken for a request, with all events of the request.
@@ -96,6 +102,8 @@
 	Declines     int
 	StreamFaults int
 	Disturbances int
+
+	ConfigurationFaults int
 }
 
 // Journal records what happens in a soak. It is safe for concurrent use.
@@ -189,6 +197,8 @@
 			counts.Disturbances++
 		case StreamFault:
 			counts.StreamFaults++
+		case ConfigurationFault:
+			counts.ConfigurationFaults++
 		case DisturbanceEnded:
 		}
 	}
@@ -222,7 +232,7 @@
 // brokenRules returns the rules that are broken for one request.
 func brokenRules(events []Event, mustAnswer bool) []Rule {
 	runs := 0
-	var isRepeatable, isRefused, isUnread, isBroken, isFaulty bool
+	var isRepeatable, isRefused, isUnread, isBroken, isFaulty, isOld bool
 	for _, event := range events {
 		isRepeatable = isRepeatable || event.IsRepeatable
 		switch event.Kind {
@@ -236,6 +246,8 @@
 			isRefused = isRefused || isPromise(event.Status)
 		case StreamFault:
 			isFaulty = true
+		case ConfigurationFault:
+			isOld = true
 		}
 	}
 	var rules []Rule
@@ -248,6 +260,7 @@
 		{RanThoughUnread, !isRepeatable && runs > 0 && isUnread},
 		{AnswerLost, mustAnswer && runs > 0 && (isBroken || isUnread)},
 		{BrokenStream, isFaulty},
+		{OldConfiguration, isOld},
 	} {
 		if rule.isBroken {
 			rules = append(rules, rule.name)
--- a/soak/journal_test.go
+++ b/soak/journal_test.go
@@ -21,6 +21,7 @@
 			Status: status,
 		}
 	}
+	old := soak.Event{Kind: soak.ConfigurationFault}
 	repeatable := soak.Event{
 		Kind:         soak.AttemptSent,
 		IsRepeatable: true,
@@ -43,6 +44,7 @@
 		{"answerLost", []soak.Event{sent, run, broken}, true, []soak.Rule{soak.AnswerLost}},
 		{"closedBeforeRun", []soak.Event{sent, broken}, true, nil},
 		{"repeatable", []soak.Event{repeatable, run, run, answered(503)}, false, nil},
+		{"oldConfiguration", []soak.Event{repeatable, answered(404), old}, false, []soak.Rule{soak.OldConfiguration}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			journal := soak.NewJournal()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -1,6 +1,7 @@
 // Package soak runs hosts as processes of the operating system, beside stand-ins of the store
 // and of endpoints, while callers call them and they are stopped, killed, restarted and cut
-// off, and judges whether calls that must run at most once did, and whether refusals were true.
+// off, and judges whether calls that must run at most once did, whether refusals were true, and whether
+// hosts decided by the configuration that was in force.
 //
 // # Usage
 //
@@ -97,6 +98,12 @@
 	// Streams makes callers ask for streams, which they resume, while endpoints change between
 	// two software versions.
 	Streams bool
+	// Configurations changes a large configuration again and again, and probes by which version the
+	// hosts handle requests.
+	Configurations bool
+	// ConfigurationBound is how long after its acceptance a version must be in force on a host that
+	// is undisturbed. Zero means that it need not be in force by a given time.
+	ConfigurationBound time.Duration
 	// OnlyPlannedWork leaves nothing of the disturbances but hosts that are restarted in order
 	// and reloaded.
 	OnlyPlannedWork bool
@@ -109,6 +116,8 @@
 	Violations []Violation
 	Counts     Counts
 	Journal    *Journal
+	// ConfigurationsChecked is the number of probes that had to find the newest version in force.
+	ConfigurationsChecked int64
 	// ServedWhenCalm is the number of operations that were served after the last disturbance.
 	ServedWhenCalm int64
 }
@@ -118,6 +127,7 @@
 	settings  Settings
 	journal   *Journal
 	log       *keyedlog.Log
+	operator  *operator
 	store     *httptest.Server
 	hosts     []*host
 	endpoints []*worker.Worker
@@ -148,6 +158,7 @@
 		crashing:   make([]sync.Mutex, settings.Endpoints),
 		isReady:    make([]atomic.Bool, settings.Hosts),
 	}
+	f.operator = newOperator(f)
 	defer f.close()
 	if err := f.start(ctx); err != nil {
 		return nil, err
@@ -158,12 +169,14 @@
 		Counts:         f.journal.Count(),
 		Journal:        f.journal,
 		ServedWhenCalm: servedWhenCalm,
+
+		ConfigurationsChecked: f.operator.checkedCount(),
 	}, f.err()
 }
 
 // start starts the stand-ins and the hosts, and waits until all hosts are ready.
 func (f *fleet) start(ctx context.Context) error {
-	f.log.Append(platform.ConfigurationTopic, platform.ConfigurationKey, configuration())
+	f.operator.change()
 	f.store = httptest.NewServer(platformtest.NewStore(f.log))
 	for i := range f.settings.Endpoints {
 		if err := f.startEndpoint(i); err != nil {
@@ -181,7 +194,8 @@
 	return f.awaitReady(ctx)
 }
 
-func configuration() []byte {
+// callerRoutes returns the routes that callers call.
+func callerRoutes() []platformtest.Route {
 	var routes []platformtest.Route
 	for name, kind := range map[string]route.Kind{"hold": route.AtMostOnce, "trial": route.AtMostOnce, "lookup": route.Safe,
 		"draft": route.Stream, "summary": route.Stream} {
@@ -198,7 +212,7 @@
 			TargetEventGap: 100 * time.Millisecond,
 		})
 	}
-	return platformtest.EncodeConfiguration(1, routes)
+	return routes
 }
 
 func (f *fleet) nextEndpointID() string { return fmt.Sprintf("i-%d", f.endpointIDs.Add(1)) }
@@ -344,6 +358,12 @@
 		f.duties.Add(1)
 		go f.loopReadiness(calling, i)
 	}
+	if f.settings.Configurations {
+		for i := range f.hosts {
+			p := f.newProber(i)
+			f.duties.Go(func() { p.loop(calling) })
+		}
+	}
 	var callers sync.WaitGroup
 	for i := range f.settings.Callers {
 		c := f.newCaller(i)
@@ -360,6 +380,10 @@
 	}
 	f.disturbances.Wait()
 	f.fail(f.awaitReady(ctx))
+	if f.settings.Configurations {
+		f.fail(f.awaitNewestVersion(ctx))
+		f.wait(ctx, stableTime+f.settings.ConfigurationBound)
+	}
 	before := f.served.Load()
 	f.wait(ctx, calmTime)
 	served := f.served.Load() - before
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,6 +28,8 @@
 	// stands for the code under test.
 	programsVariable = "CACTUSWELL_SOAK_PROGRAMS"
 	hostsVariable    = "CACTUSWELL_SOAK_HOSTS"
+	// boundVariable holds the seconds in which a configuration must be in force.
+	boundVariable = "CACTUSWELL_SOAK_CONFIGURATION_BOUND"
 )
 
 // TestSoak guards against calls that must run at most once and run twice, and against refusals of
@@ -47,6 +49,17 @@
 // restarted in order or reloaded.
 func TestSoakOfPlannedWork(t *testing.T) { checkSeeds(t, 1, soak.Settings{OnlyPlannedWork: true}) }
 
+// TestSoakOfConfigurations guards against requests that a process handles by an older configuration than
+// others before, and against hosts that do not get the newest one, when a large configuration changes while
+// processes and connections fail.
+func TestSoakOfConfigurations(t *testing.T) {
+	settings := soak.Settings{Configurations: true}
+	seconds := 0.0
+	readVariable(t, boundVariable, "%g", &seconds)
+	settings.ConfigurationBound = time.Duration(seconds * float64(time.Second))
+	checkSeeds(t, 1, settings)
+}
+
 // checkSeeds runs a soak for each seed, by default from 1 to the given one.
 func checkSeeds(t *testing.T, last int, settings soak.Settings) {
 	first := 1
@@ -81,7 +94,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("%+v, %d served when calm", report.Counts, report.ServedWhenCalm)
+	t.Logf("%+v, %d served when calm, %d probes had to find the newest configuration", report.Counts, report.ServedWhenCalm, report.ConfigurationsChecked)
+	if settings.ConfigurationBound > 0 && report.ConfigurationsChecked == 0 {
+		t.Error("no probe had to find the newest configuration")
+	}
 	for _, violation := range report.Violations {
 		t.Errorf("%s: %s", violation.Rule, violation.Request)
 		for _, event := range violation.Events {
