Measure calls beside routes that have none

Hypothesis: pools that look through all stream routes for each call (delayLimit) make calls dear beside a large configuration, so that small hosts decide late. Trial: the shortest patience of each priority in place of the routes. Not the cause; the trial is dropped, the benchmark stays.

--- a/core/scheduling/benchmark_test.go
+++ b/core/scheduling/benchmark_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 )
 
@@ -34,6 +35,36 @@
 	}
 }
 
+// BenchmarkCallBesideRoutes measures the same beside routes that have no calls.
+func BenchmarkCallBesideRoutes(b *testing.B) {
+	for _, routes := range []int{3, 1400, 2800} {
+		b.Run(fmt.Sprintf("routes=%d", routes), func(b *testing.B) {
+			h := newHarness(b, 140)
+			spec := testSpec()
+			spec.Version++
+			for i := range routes {
+				added := spec.Routes[len(spec.Routes)-1]
+				added.Name, added.PathPrefix = fmt.Sprintf("added-%d", i), fmt.Sprintf("/added-%d/", i)
+				spec.Routes = append(spec.Routes, added)
+			}
+			table, err := route.New(spec)
+			if err != nil {
+				b.Fatal(err)
+			}
+			h.table = table
+			h.step(scheduling.ConfigurationChanged{Table: table})
+			b.ReportAllocs()
+			for b.Loop() {
+				h.now = h.now.Add(50 * time.Millisecond)
+				id, commands := h.startCall("brief")
+				h.requireSend(commands)
+				h.step(scheduling.AnswerStarted{Call: id})
+				h.endAttempt(id, scheduling.Completed{})
+			}
+		})
+	}
+}
+
 // BenchmarkServiceLoads measures how long the decision loop is held up for the autoscaler, with the
 // load of six zones at each endpoint.
 func BenchmarkServiceLoads(b *testing.B) {
