Show how long connections wait to be accepted

Cause: since new connections make room for no other, Accept waits when all are new; neither a line nor a metric shows it. The benchmarks of calls share their steps. Result: TestBurstOfConnectionsLeavesTimeToSend checks the metric's value; tests of io/clientconns pass with the race detector.

--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -37,8 +37,8 @@
 // behind gets the whole table.
 const maxDeletions = 1024
 
-// largeBytes is the size from which a value is large: it is worth its compression, and the one
-// before it is kept, so that hosts which have that one get the difference.
+// largeBytes is the size above which a value is compressed for other hosts. The value before it is
+// kept, so that hosts which have that one get the difference.
 const largeBytes = 16 << 10
 
 // Record is one record of a topic.
--- a/core/scheduling/benchmark_test.go
+++ b/core/scheduling/benchmark_test.go
@@ -23,14 +23,7 @@
 				}
 				h.step(scheduling.PeerReported{Peer: fmt.Sprint(peer), Complete: true, Loads: loads})
 			}
-			b.ReportAllocs()
-			for b.Loop() {
-				h.now = h.now.Add(50 * time.Millisecond)
-				id, commands := h.startCall("brief")
-				h.requireSend(commands)
-				h.step(scheduling.AnswerStarted{Call: id})
-				h.endAttempt(id, scheduling.Completed{})
-			}
+			benchmarkCalls(b, h)
 		})
 	}
 }
@@ -53,18 +46,23 @@
 			}
 			h.table = table
 			h.step(scheduling.ConfigurationChanged{Table: table})
-			b.ReportAllocs()
-			for b.Loop() {
-				h.now = h.now.Add(50 * time.Millisecond)
-				id, commands := h.startCall("brief")
-				h.requireSend(commands)
-				h.step(scheduling.AnswerStarted{Call: id})
-				h.endAttempt(id, scheduling.Completed{})
-			}
+			benchmarkCalls(b, h)
 		})
 	}
 }
 
+// benchmarkCalls measures calls from arrival to completion, one after the other.
+func benchmarkCalls(b *testing.B, h *harness) {
+	b.ReportAllocs()
+	for b.Loop() {
+		h.now = h.now.Add(50 * time.Millisecond)
+		id, commands := h.startCall("brief")
+		h.requireSend(commands)
+		h.step(scheduling.AnswerStarted{Call: id})
+		h.endAttempt(id, scheduling.Completed{})
+	}
+}
+
 // BenchmarkServiceLoads measures how long the decision loop is held up for the autoscaler, with the
 // load of six zones at each endpoint.
 func BenchmarkServiceLoads(b *testing.B) {
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -10,6 +10,8 @@
 	g.meter.addGauge("cactuswell_open_calls", func() float64 { return float64(g.callHandler.OpenCalls()) })
 	g.meter.addGauge(`cactuswell_client_connections{listener="callers"}`, func() float64 { return float64(g.callerClients.OpenCount()) })
 	g.meter.addGauge(`cactuswell_client_connections{listener="operators"}`, func() float64 { return float64(g.operatorClients.OpenCount()) })
+	g.meter.addGauge(`cactuswell_client_accept_wait_seconds{listener="callers"}`, func() float64 { return g.callerClients.AcceptWait().Seconds() })
+	g.meter.addGauge(`cactuswell_client_accept_wait_seconds{listener="operators"}`, func() float64 { return g.operatorClients.AcceptWait().Seconds() })
 	g.meter.addGauge("cactuswell_header_bytes", func() float64 { return float64(g.callerClients.HeaderBytes()) })
 	g.meter.addGauge("cactuswell_body_bytes", func() float64 { return float64(g.callHandler.BodyBytes()) })
 	g.meter.addGauge("cactuswell_response_bytes", func() float64 { return float64(g.callHandler.ResponseBytes()) })
--- a/io/clientconns/clientconns.go
+++ b/io/clientconns/clientconns.go
@@ -88,6 +88,8 @@
 	settings  Settings
 	startedAt time.Time
 	headers   atomic.Int64
+	// acceptWait is the time that Accept has waited for room, in nanoseconds.
+	acceptWait atomic.Int64
 
 	mu   sync.Mutex
 	open map[*Conn]struct{}
@@ -117,6 +119,9 @@
 	return len(c.open)
 }
 
+// AcceptWait returns the time for which connections have not been accepted as there was no room.
+func (c *Conns) AcceptWait() time.Duration { return time.Duration(c.acceptWait.Load()) }
+
 // HeaderBytes returns what the headers of all requests cost at the moment.
 func (c *Conns) HeaderBytes() int64 { return c.headers.Load() }
 
@@ -168,6 +173,7 @@
 		}
 		if isBusy && tries < roomTries {
 			<-time.After(pause)
+			c.acceptWait.Add(int64(pause))
 			pause *= 2
 			continue
 		}
--- a/io/clientconns/clientconns_test.go
+++ b/io/clientconns/clientconns_test.go
@@ -160,6 +160,9 @@
 		if n := conns.OpenCount(); n != limit {
 			t.Errorf("%d connections are open, want %d", n, limit)
 		}
+		if conns.AcceptWait() < 250*time.Millisecond {
+			t.Errorf("Accept waited for %s", conns.AcceptWait())
+		}
 		if clientconns.Unwrap(server).IsClosed() {
 			t.Error("the caller's connection is closed before those that have sent nothing")
 		}
