Build a table without the product of routes and teams

With 2,850 routes and 3,800 teams, the size that the product is designed for, each change of the configuration takes 1.05 s of a core and 1.04 GB: 7 s at 0.144 cores, where 2 to 6 s are allowed. Cause: urgencyLevels lists the urgency of each route with each team, and sorts and compacts the list afterwards. Change: the distinct priorities of routes and those of teams are combined, which gives the same levels. Evidence: TestTableOfManyTeamsIsSmall takes 1,034,692,808 bytes without the change (256 MB are allowed for control). TestPriorityIsRankOfUrgency compares the priorities with the ranks of all combinations.

--- a/core/route/priority.go
+++ b/core/route/priority.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"cactuswell/set"
 )
 
 // priorityLevels is the number of priorities that engines distinguish.
@@ -35,12 +37,26 @@
 // urgencyLevels returns the distinct urgencies of all calls that a configuration
 // allows, the most urgent first.
 func urgencyLevels(spec Spec) []urgency {
-	var levels []urgency
+	routePriorities, teamPriorities := set.New[int](), set.New[int]()
 	for i := range spec.Routes {
-		r := &spec.Routes[i]
-		levels = append(levels, urgencyOf(r, nil))
-		for j := range spec.Teams {
-			levels = append(levels, urgencyOf(r, &spec.Teams[j]))
+		routePriorities.Add(spec.Routes[i].Priority)
+	}
+	for i := range spec.Teams {
+		if team := &spec.Teams[i]; team.HasPriority {
+			teamPriorities.Add(team.Priority)
+		}
+	}
+	var levels []urgency
+	for _, own := range routePriorities.Values() {
+		levels = append(levels, urgency{
+			team:  own,
+			route: own,
+		})
+		for _, team := range teamPriorities.Values() {
+			levels = append(levels, urgency{
+				team:  team,
+				route: own,
+			})
 		}
 	}
 	slices.SortFunc(levels, compareUrgency)
--- a/core/route/priority_test.go
+++ b/core/route/priority_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"cactuswell/core/route"
 )
 
@@ -83,3 +86,74 @@
 		}
 	}
 }
+
+// TestTableOfManyTeamsIsSmall guards against tables whose memory grows with the product of routes and
+// teams: 3,800 teams and 2,850 routes took 1 GB for each change.
+func TestTableOfManyTeamsIsSmall(t *testing.T) {
+	// A host has 256 MB for control.
+	const maxBytes = 256 << 20
+	spec := specWithPriorities(make([]int, 2850), make([]int, 3800))
+	for i := range spec.Routes {
+		spec.Routes[i].Priority = i % 3
+	}
+	for i := range spec.Teams {
+		spec.Teams[i].HasPriority = i%2 == 0
+		spec.Teams[i].Priority = i % 4
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	if _, err := route.New(spec); err != nil {
+		t.Fatal(err)
+	}
+	runtime.ReadMemStats(&after)
+	if taken := after.TotalAlloc - before.TotalAlloc; taken > maxBytes {
+		t.Errorf("the table took %d bytes", taken)
+	}
+}
+
+// TestPriorityIsRankOfUrgency checks priorities against the ranks of all combinations of a route and a
+// team.
+func TestPriorityIsRankOfUrgency(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		priorities := rapid.SliceOfN(rapid.IntRange(-2, 12), 1, 6)
+		spec := specWithPriorities(priorities.Draw(t, "routes"), priorities.Draw(t, "teams"))
+		for i := range spec.Teams {
+			spec.Teams[i].HasPriority = rapid.Bool().Draw(t, "hasPriority")
+		}
+		table, err := route.New(spec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		type urgency struct{ team, route int }
+		var urgencies []urgency
+		visit := func(use func(r *route.Route, team *route.Team, u urgency)) {
+			for i := range spec.Routes {
+				r := &spec.Routes[i]
+				use(r, nil, urgency{r.Priority, r.Priority})
+				for j := range spec.Teams {
+					u := urgency{r.Priority, r.Priority}
+					if team := &spec.Teams[j]; team.HasPriority {
+						u.team = team.Priority
+					}
+					use(r, &spec.Teams[j], u)
+				}
+			}
+		}
+		visit(func(_ *route.Route, _ *route.Team, u urgency) {
+			if !slices.Contains(urgencies, u) {
+				urgencies = append(urgencies, u)
+			}
+		})
+		visit(func(r *route.Route, team *route.Team, u urgency) {
+			rank := 0
+			for _, other := range urgencies {
+				if other.team < u.team || other.team == u.team && other.route < u.route {
+					rank++
+				}
+			}
+			if got, want := table.Priority(r, team), rank*10/max(len(urgencies), 10); got != want {
+				t.Errorf("priority %d, want %d", got, want)
+			}
+		})
+	})
+}
