Say what the soak's operator records

Cause: a reader of soak/configuration.go has to find out that mustHave counts. Change: comments, and no variable with the name of a type.

--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -62,8 +62,8 @@
 	return routes
 }
 
-// operator changes the configuration, and knows which hosts must have the newest one. It is safe for
-// concurrent use.
+// operator changes the configuration, and records what disturbs each host, from which follows whether
+// it must have the newest one. It is safe for concurrent use.
 type operator struct {
 	fleet *fleet
 
@@ -163,8 +163,8 @@
 	return nil
 }
 
-// mustHave reports whether a host must handle a request that was sent at a time by a version, and
-// whether that version is still the newest one.
+// mustHave reports whether a host must handle a request that was sent at a time by the newest version,
+// and whether that still is the given one. It counts the requests of which both are true.
 func (o *operator) mustHave(host, version int, sentAt time.Time) (isDue, isNewest bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -216,8 +216,8 @@
 // probe sends one request, and records a fault if the host has handled it by an older version than
 // it may.
 func (p *prober) probe(ctx context.Context) {
-	h, operator := p.fleet.hosts[p.index], p.fleet.operator
-	version, incarnation, sentAt := operator.newest(), h.incarnation(), time.Now()
+	h := p.fleet.hosts[p.index]
+	version, incarnation, sentAt := p.fleet.operator.newest(), h.incarnation(), time.Now()
 	if incarnation != p.incarnation {
 		p.incarnation, p.seen = incarnation, 0
 	}
@@ -242,7 +242,7 @@
 	if h.incarnation() != incarnation || status == http.StatusServiceUnavailable {
 		return
 	}
-	isDue, isNewest := operator.mustHave(p.index, version, sentAt)
+	isDue, isNewest := p.fleet.operator.mustHave(p.index, version, sentAt)
 	switch {
 	case status != http.StatusNotFound:
 		p.seen = version
