Wait for new connections only in a burst of them

What callers would have seen: a host whose connections are all open, most of them idle, and that has a few new and silent ones accepts some 60 connections a second (at 144 MB), as Accept waits 0.3 s although idle ones could make room. Cause: since a single new connection keeps idle ones from making room. Change: idle connections are spared while most connections are new. Evidence: TestIdleConnectionsMakeRoomAtOnce waits 315 ms without the change.

--- a/core/clientbudget/clientbudget.go
+++ b/core/clientbudget/clientbudget.go
@@ -155,6 +155,18 @@
 // still be on its way.
 func (c *Conn) IsNew() bool { return (c.Phase == Silent || c.Phase == Header) && c.Lag < minArrivalLag }
 
+// IsBurst reports whether most connections are new: there may soon be some that have sent nothing for
+// longer, so that a listener which waits need not disconnect callers that have completed requests.
+func IsBurst(conns []Conn) bool {
+	fresh := 0
+	for i := range conns {
+		if conns[i].IsNew() {
+			fresh++
+		}
+	}
+	return 2*fresh > len(conns)
+}
+
 // MayClose reports whether a connection may be evicted for others.
 func (c *Conn) MayClose() bool {
 	switch c.Phase {
--- a/io/clientconns/clientconns.go
+++ b/io/clientconns/clientconns.go
@@ -209,9 +209,8 @@
 }
 
 // makeRoom evicts connections in the order of core/clientbudget. HasRoom reports whether
-// there were any. Unless it is the last attempt, new connections stay, and idle ones as long as
-// there are new ones or some with unread bytes, which may turn out to be evictable: then isBusy
-// is set.
+// there were any. Unless it is the last attempt, new connections stay, and idle ones in a burst of new
+// ones or while some have unread bytes, which may turn out to be evictable: then isBusy is set.
 func (c *Conns) makeRoom(isLast bool) (hasRoom, isBusy bool) {
 	c.mu.Lock()
 	conns := make([]*Conn, 0, len(c.open))
@@ -225,17 +224,17 @@
 	c.mu.Unlock()
 	closed := 0
 	count := clientbudget.BatchSize(c.settings.MaxConns)
+	isBurst := clientbudget.IsBurst(described)
 	for _, i := range clientbudget.SelectConns(described, addresses, len(described)) {
 		if closed == count || isBusy && !isLast && described[i].Phase > clientbudget.Header {
 			break
 		}
-		isEvicted := false
-		if isLast || !described[i].IsNew() {
-			isEvicted = c.evict(conns[i], described[i].Phase)
-		}
-		if isEvicted {
+		switch {
+		case !isLast && described[i].IsNew():
+			isBusy = isBusy || isBurst
+		case c.evict(conns[i], described[i].Phase):
 			closed++
-		} else {
+		default:
 			isBusy = true
 		}
 	}
--- a/io/clientconns/clientconns_test.go
+++ b/io/clientconns/clientconns_test.go
@@ -171,6 +171,31 @@
 	})
 }
 
+// TestIdleConnectionsMakeRoomAtOnce guards against connections that wait to be accepted although idle
+// ones could make room, as a few clients are new and silent.
+func TestIdleConnectionsMakeRoomAtOnce(t *testing.T) {
+	const limit = 8
+	conns := clientconns.New(clientconns.Settings{
+		MaxConns: limit,
+		Timers:   timer.New(),
+	})
+	address, stop := serve(t, conns)
+	defer stop()
+	for range limit {
+		conn := dial(t, address)
+		defer func() { _ = conn.Close() }()
+		request(t, conn)
+	}
+	silent := dial(t, address)
+	defer func() { _ = silent.Close() }()
+	caller := dial(t, address)
+	defer func() { _ = caller.Close() }()
+	request(t, caller)
+	if waited := conns.AcceptWait(); waited > 0 {
+		t.Errorf("Accept waited for %s", waited)
+	}
+}
+
 // pipeListener accepts one connection.
 type pipeListener struct {
 	conns chan net.Conn
