Let idle connections make room beside new ones only if most are idle

Cause: spares idle connections only while most are new. Where the others serve calls or are being closed, a few new ones are not most. And an attempt that passed over new connections alone counted as one that a further one cannot help. Change: idle connections make room beside new ones if most are idle; Accept waits if there are new ones.

--- a/core/clientbudget/clientbudget.go
+++ b/core/clientbudget/clientbudget.go
@@ -155,16 +155,16 @@
 // still be on its way.
 func (c *Conn) IsNew() bool { return (c.Phase == Silent || c.Phase == Header) && c.Lag < minArrivalLag }
 
-// IsBurst reports whether most connections are new: there may soon be some that have sent nothing for
-// longer, so that a listener which waits need not disconnect callers that have completed requests.
-func IsBurst(conns []Conn) bool {
-	fresh := 0
+// AreMostlyIdle reports whether most connections are idle. Then it is these that fill the host, and they
+// make room although new ones might.
+func AreMostlyIdle(conns []Conn) bool {
+	idle := 0
 	for i := range conns {
-		if conns[i].IsNew() {
-			fresh++
+		if conns[i].Phase == Idle {
+			idle++
 		}
 	}
-	return 2*fresh > len(conns)
+	return 2*idle > len(conns)
 }
 
 // MayClose reports whether a connection may be evicted for others.
--- a/io/clientconns/clientconns.go
+++ b/io/clientconns/clientconns.go
@@ -209,8 +209,9 @@
 }
 
 // makeRoom evicts connections in the order of core/clientbudget. HasRoom reports whether
-// there were any. Unless it is the last attempt, new connections stay, and idle ones in a burst of new
-// ones or while some have unread bytes, which may turn out to be evictable: then isBusy is set.
+// there were any. Unless it is the last attempt, new connections stay, and idle ones beside new ones
+// (unless most are idle) or while some have unread bytes. IsBusy reports whether there are new ones or
+// such bytes, so that another attempt may find more.
 func (c *Conns) makeRoom(isLast bool) (hasRoom, isBusy bool) {
 	c.mu.Lock()
 	conns := make([]*Conn, 0, len(c.open))
@@ -223,22 +224,24 @@
 	addresses := len(c.addresses)
 	c.mu.Unlock()
 	closed := 0
+	hasNew, hasUnread := false, false
 	count := clientbudget.BatchSize(c.settings.MaxConns)
-	isBurst := clientbudget.IsBurst(described)
+	areMostlyIdle := clientbudget.AreMostlyIdle(described)
 	for _, i := range clientbudget.SelectConns(described, addresses, len(described)) {
-		if closed == count || isBusy && !isLast && described[i].Phase > clientbudget.Header {
+		sparesIdle := !isLast && (hasUnread || hasNew && !areMostlyIdle)
+		if closed == count || sparesIdle && described[i].Phase > clientbudget.Header {
 			break
 		}
 		switch {
 		case !isLast && described[i].IsNew():
-			isBusy = isBusy || isBurst
+			hasNew = true
 		case c.evict(conns[i], described[i].Phase):
 			closed++
 		default:
-			isBusy = true
+			hasUnread = true
 		}
 	}
-	return closed > 0, isBusy
+	return closed > 0, hasNew || hasUnread
 }
 
 // evict closes a connection to make room. It reports false if the connection has bytes that
--- a/io/clientconns/clientconns_test.go
+++ b/io/clientconns/clientconns_test.go
@@ -196,6 +196,67 @@
 	}
 }
 
+// TestNewConnectionsMakeRoomBeforeIdleOnes guards against a caller that loses its kept connection to
+// clients that have sent nothing, while the other connections serve calls.
+func TestNewConnectionsMakeRoomBeforeIdleOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		conns := clientconns.New(clientconns.Settings{
+			MaxConns: 4,
+			Timers:   timer.New(),
+		})
+		listener := pipeListener{conns: make(chan net.Conn, 1)}
+		tracked := conns.Listen(listener)
+		var accepted []net.Conn
+		for _, state := range []http.ConnState{http.StateIdle, http.StateActive, http.StateActive, http.StateNew, http.StateNew} {
+			client, inner := net.Pipe()
+			defer func() { _ = client.Close() }()
+			listener.conns <- inner
+			conn, err := tracked.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			conns.TrackState(conn, state)
+			accepted = append(accepted, conn)
+		}
+		if clientconns.Unwrap(accepted[0]).IsClosed() || !clientconns.Unwrap(accepted[3]).IsClosed() {
+			t.Error("the idle connection made room before the silent one")
+		}
+	})
+}
+
+// TestNewConnectionsAreAwaitedBesideCalls guards against connections that are turned away at once, as the
+// others serve calls or are new and cannot make room yet.
+func TestNewConnectionsAreAwaitedBesideCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		conns := clientconns.New(clientconns.Settings{
+			MaxConns: 2,
+			Timers:   timer.New(),
+		})
+		listener := pipeListener{conns: make(chan net.Conn, 3)}
+		tracked := conns.Listen(listener)
+		var accepted []net.Conn
+		for i := range 3 {
+			client, inner := net.Pipe()
+			defer func() { _ = client.Close() }()
+			listener.conns <- inner
+			if i == 2 {
+				close(listener.conns)
+			}
+			conn, err := tracked.Accept()
+			if err != nil {
+				t.Fatalf("connection %d is not accepted: %v", i, err)
+			}
+			accepted = append(accepted, conn)
+			if i == 0 {
+				conns.TrackState(conn, http.StateActive)
+			}
+		}
+		if clientconns.Unwrap(accepted[0]).IsClosed() || !clientconns.Unwrap(accepted[1]).IsClosed() {
+			t.Error("the silent connection did not make room")
+		}
+	})
+}
+
 // pipeListener accepts one connection.
 type pipeListener struct {
 	conns chan net.Conn
