Keep the holder's own usage counts in the store

Cause: all other hosts send their counts to the holder and keep them until the window is fixed. The holder's own ones were in its memory alone until then. The test fails if its requests fall into a window after the first reported one and the host that answered them holds the lease.

Change: the holder writes its own counts once a second, with a renewal, in the record of the counts of ended hosts, which a successor reads already.

--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -272,6 +272,18 @@
 	}
 }
 
+// Report returns the counts of a source. It reports false if there are none.
+func (t *Tally) Report(source Source) (Report, bool) {
+	s := t.sources[source]
+	if s == nil || len(s.counts) == 0 {
+		return Report{}, false
+	}
+	return Report{
+		Source: source,
+		Counts: cloneCounts(s.counts),
+	}, true
+}
+
 // Ended returns the counts of the sources that are not live. At most limit sources are returned, in a
 // fixed order.
 func (t *Tally) Ended(isLive func(Source) bool, limit int) []Report {
--- a/gateway/singleton.go
+++ b/gateway/singleton.go
@@ -87,7 +87,7 @@
 	lastBook        *usage.Book
 	listed          dutyRecords
 	nextScale       time.Time
-	nextEnded       time.Time
+	nextUnsent      time.Time
 	controlFailures int
 	lastFailureAt   time.Time
 }
@@ -233,7 +233,7 @@
 			return nil
 		case <-stopping:
 			stopping = nil
-			d.writeEnded(ctx, true)
+			d.writeUnsent(ctx, true)
 			d.handle(ctx, lease.Stop{})
 		case <-d.wake:
 		case <-tick.C():
@@ -554,7 +554,7 @@
 	d.mu.Unlock()
 	if d.controlFailures >= maxControlFailures && isOld && d.view().Others > 0 {
 		d.controlFailures = 0
-		d.writeEnded(ctx, true)
+		d.writeUnsent(ctx, true)
 		d.handle(ctx, lease.GiveUp{Cause: lease.CauseControl})
 	}
 }
--- a/gateway/singleton_test.go
+++ b/gateway/singleton_test.go
@@ -147,6 +147,7 @@
 // dutyFleet is a fleet with singleton duties.
 type dutyFleet struct {
 	t        *testing.T
+	window   time.Duration
 	control  *controlAPI
 	first    *fixture
 	hosts    map[string]*fixture
@@ -156,9 +157,16 @@
 
 // newDutyFleet starts hosts. The given function may wrap a host's client of the store.
 func newDutyFleet(t *testing.T, size int, wrap func(name string, client *keyedlog.Client) hostLog) *dutyFleet {
+	t.Helper()
+	return newWindowedDutyFleet(t, size, testWindow, wrap)
+}
+
+// newWindowedDutyFleet starts hosts that report usage by windows of the given length.
+func newWindowedDutyFleet(t *testing.T, size int, window time.Duration, wrap func(name string, client *keyedlog.Client) hostLog) *dutyFleet {
 	t.Helper()
 	fleet := &dutyFleet{
 		t:       t,
+		window:  window,
 		control: newControlAPI(t),
 		first: &fixture{
 			t:    t,
@@ -191,7 +199,7 @@
 	current.ControlRate = 50
 	current.LeaseTime = testLease
 	current.BalancerLag = testLease
-	current.UsageWindow = testWindow
+	current.UsageWindow = f.window
 	current.UsageDelay = 10 * time.Second
 	client := f.first.log.NewClient()
 	var log hostLog = client
@@ -301,6 +309,21 @@
 	fleet.awaitTotal()
 }
 
+// TestKilledHolderLosesNoOldCounts guards against requests that a holder has counted itself, seconds
+// before it is killed, and that nobody reports.
+func TestKilledHolderLosesNoOldCounts(t *testing.T) {
+	t.Parallel()
+	const window = 3 * time.Second
+	fleet := newWindowedDutyFleet(t, 3, window, nil)
+	holder := fleet.awaitHolder("")
+	time.Sleep(time.Until(time.Now().Truncate(window).Add(window)))
+	fleet.call(holder, 10)
+	time.Sleep(2 * time.Second)
+	fleet.crash(holder)
+	fleet.awaitHolder(holder)
+	fleet.awaitTotal()
+}
+
 // TestHolderWithoutStore guards against a holder that acts although it cannot renew its lease.
 func TestHolderWithoutStore(t *testing.T) {
 	t.Parallel()
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -48,10 +48,10 @@
 	// maxClockError bounds the error of this host's clock while the true time is not known. Clocks
 	// are off by seconds.
 	maxClockError = time.Minute
-	// endedInterval is the time between two checks for hosts that have ended, and maxEnded the
-	// number of those whose counts are kept in the store.
-	endedInterval = time.Second
-	maxEnded      = 64
+	// unsentInterval is the time between two records of the counts that a successor may not get from
+	// the hosts, and maxEnded the number of ended hosts in one.
+	unsentInterval = time.Second
+	maxEnded       = 64
 	// finalPushTimeout bounds the last message of a host that ends.
 	finalPushTimeout = 150 * time.Millisecond
 )
@@ -96,9 +96,9 @@
 	drift    time.Duration
 	// merged is the version of this host's counts that are in the tally.
 	merged uint64
-	// ended is what the store holds of hosts that have ended, and expired are the windows whose
-	// records are to be dropped.
-	ended   []byte
+	// unsent is what the store holds of the counts that nobody may be able to send to a successor,
+	// and expired are the windows whose records are to be dropped.
+	unsent  []byte
 	expired []int64
 }
 
@@ -251,7 +251,7 @@
 	isUnheard := others > 0 && d.instant().Mono-d.holder.heardAt > maxMissedMessages*d.keepAlive(others)
 	d.mu.Unlock()
 	if isUnheard {
-		d.writeEnded(ctx, true)
+		d.writeUnsent(ctx, true)
 		d.handle(ctx, lease.GiveUp{Cause: lease.CauseUnheard})
 		return
 	}
@@ -259,9 +259,9 @@
 		d.gateway.meter.addToCounter(`cactuswell_usage_windows_total{result="missed"}`, 1)
 		d.gateway.trail.Failure("usageMissed").Int("window", window).Bool("isFixed", slices.Contains(due.late, window)).Merge("")
 	}
-	if time.Now().After(d.nextEnded) {
-		d.nextEnded = time.Now().Add(endedInterval)
-		d.writeEnded(ctx, false)
+	if time.Now().After(d.nextUnsent) {
+		d.nextUnsent = time.Now().Add(unsentInterval)
+		d.writeUnsent(ctx, false)
 	}
 	if len(due.extras) > 0 {
 		d.handle(ctx, lease.Write{Extras: due.extras})
@@ -386,10 +386,10 @@
 	}
 }
 
-// writeEnded writes the counts of hosts that have ended to the store with the next renewal: no other
-// host can send them to a successor. Those of this host are included when it is about to release the
-// lease, as it may end before there is a successor.
-func (d *singletonDuties) writeEnded(ctx context.Context, isReleasing bool) {
+// writeUnsent writes the counts that nobody may be able to send to a successor to the store with the next
+// renewal: those of hosts that have ended, and those of this host, which may be killed. If it is about to
+// release the lease, the requests since the last step are included.
+func (d *singletonDuties) writeUnsent(ctx context.Context, isReleasing bool) {
 	if d.gateway.mesh == nil {
 		return
 	}
@@ -399,7 +399,6 @@
 		d.mu.Unlock()
 		return
 	}
-	own := d.source()
 	if isReleasing {
 		instant := d.instant()
 		now, isSynced := d.estimateTime(instant)
@@ -408,11 +407,15 @@
 		}
 		d.mergeOwn()
 	}
-	ended := d.holder.tally.Ended(func(s usage.Source) bool { return s == own && !isReleasing || live[s.Host] == s.Incarnation }, maxEnded)
-	value, err := json.Marshal(ended)
-	isChanged := err == nil && !bytes.Equal(value, d.holder.ended) && (len(ended) > 0 || d.holder.ended != nil)
+	own := d.source()
+	unsent := d.holder.tally.Ended(func(s usage.Source) bool { return s == own || live[s.Host] == s.Incarnation }, maxEnded)
+	if report, ok := d.holder.tally.Report(own); ok {
+		unsent = append(unsent, report)
+	}
+	value, err := json.Marshal(unsent)
+	isChanged := err == nil && !bytes.Equal(value, d.holder.unsent) && (len(unsent) > 0 || d.holder.unsent != nil)
 	if isChanged {
-		d.holder.ended = value
+		d.holder.unsent = value
 	}
 	d.mu.Unlock()
 	if isChanged {
