Say how many requests an answer names and whether its address had the call

An attempt whose refusal is believed could not be told from one whose refusal belongs to another attempt: attemptEnded lacked whether the answer names one request, none or several, and whether an earlier attempt of the call had gone to the same address, over whatever connection.

--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -79,7 +79,9 @@
 	hasExcess bool
 	// isSent is set once the whole request has been sent.
 	isSent bool
-	err    error
+	// earlierSends is the number of the call's earlier attempts that were sent to the same address.
+	earlierSends int
+	err          error
 }
 
 // runAttempt sends the call to an endpoint and reports whether the call is
@@ -164,6 +166,7 @@
 	line := x.server.Trail.Failure("attemptEnded").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
 		Int("attempt", int64(x.attempts)).Text("outcome", fmt.Sprintf("%T", outcome)[len("scheduling."):]).
 		Int("status", int64(status)).Bool("notRun", t.responseInfo.NotRun).Bool("reusedConnection", reused).Int("passedOverConnections", int64(passedOver)).Text("throughHost", host).
+		Int("namedRequests", int64(t.responseInfo.RequestIDs)).Int("earlierSendsToAddress", int64(t.earlierSends)).
 		Int("events", int64(x.stream.attemptEvents))
 	if broken, ok := outcome.(scheduling.Broken); ok {
 		line = line.Bool("endpointDown", broken.EndpointDown).Text("requestHash", quarantine.FormatHash(x.requestHash))
@@ -207,6 +210,17 @@
 	return t.checkEndpoint(ctx, t.releaseConn(outcome))
 }
 
+// countOf returns how often a value is in a list.
+func countOf(list []string, value string) int {
+	count := 0
+	for _, item := range list {
+		if item == value {
+			count++
+		}
+	}
+	return count
+}
+
 // checkEndpoint finds out whether the endpoint is down, if the answer broke off at its
 // beginning. A process that has crashed refuses connections; a fault of a single
 // connection does not lead to that. If the attempt to connect has no result, the network may
@@ -316,6 +330,8 @@
 		return scheduling.Broken{PartlyDelivered: x.committed}
 	}
 	t.isSent = true
+	t.earlierSends = countOf(x.addresses, x.currentSend.Address)
+	x.addresses = append(x.addresses, x.currentSend.Address)
 	t.setReadDeadline(x.currentSend.FirstEventTimeout)
 	firstEventBy := t.silenceDeadline
 	response, err := conn.ReadResponse(x.request.Method, t.isOwnResponse)
--- a/io/opaque/dialect.go
+++ b/io/opaque/dialect.go
@@ -65,8 +65,10 @@
 
 // ResponseInfo is the decoded header of an endpoint's response.
 type ResponseInfo struct {
-	// RequestID is the ID of the request that the response is for, or empty.
-	RequestID string
+	// RequestID is the ID of the request that the response is for, or empty, and RequestIDs is how
+	// many the response names.
+	RequestID  string
+	RequestIDs int
 	// HasMark is set if the response has the mark header of an endpoint.
 	HasMark bool
 	// NotRun is set if the endpoint did not run the call and never will.
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -79,7 +79,9 @@
 	requestHash uint64
 
 	// currentSend is the command of the attempt in progress.
-	currentSend  scheduling.Send
+	currentSend scheduling.Send
+	// addresses are those to which attempts of the call were sent.
+	addresses    []string
 	attempts     int
 	sentAt       time.Time
 	firstEventAt time.Time
--- a/io/opaque/headers.go
+++ b/io/opaque/headers.go
@@ -278,6 +278,7 @@
 	header := response.Header
 	info := ResponseInfo{
 		RequestID:   header.Get(h.names.RequestID),
+		RequestIDs:  len(header.Values(h.names.RequestID)),
 		HasMark:     header.Get(h.names.Mark) != "",
 		NotRun:      header.Get(h.names.NotRun) != "",
 		Misdirected: response.StatusCode == http.StatusMisdirectedRequest,
