--- a/standin/opaque/endpoint.go
+++ b/standin/opaque/endpoint.go
@@ -71,6 +71,9 @@
 	WithoutID bool
 }
 
+// PrecededAnswer runs the call, and sends the given bytes before the complete answer.
+type PrecededAnswer struct{ By string }
+
 // LeavingAnswer is a complete answer with the header that says that the endpoint is
 // leaving.
 type LeavingAnswer struct{}
@@ -176,6 +179,7 @@
 func (ErrorStatus) isBehaviour()      {}
 func (Decline) isBehaviour()          {}
 func (RepeatedAnswer) isBehaviour()   {}
+func (PrecededAnswer) isBehaviour()   {}
 func (LeavingAnswer) isBehaviour()    {}
 func (LimitedAnswer) isBehaviour()    {}
 func (Misdirection) isBehaviour()     {}
@@ -457,6 +461,8 @@
 		return e.write(conn, e.plainAnswer(http.StatusOK, id, e.markHeader()+header, string(AnswerBody(body))))
 	case RepeatedAnswer:
 		return e.writeAfterRepeat(conn, e.completeAnswer(request, body, true), b)
+	case PrecededAnswer:
+		return e.write(conn, append([]byte(b.By), e.completeAnswer(request, body, true)...))
 	case SlowStream:
 		return e.writeSlowly(conn, e.completeAnswer(request, body, true), b.Pause)
 	case PaddedStream:
