Send a call that must run at most once to each address only once

Callers saw calls run twice, and calls run that were answered 503, where an endpoint writes an earlier refusal to another connection than its own.

Cause: a call that was declined went back to the endpoint that had declined it. Both attempts bear the same ID, which is forwarded as the caller sent it, so nothing in a second refusal tells it from the first one; another connection does not help, as a faulty endpoint writes to any. The class: evidence of one attempt is taken for that of another.

Change: package evidence keeps account of the attempts of a call. An attempt is taken to have run unless nothing of it was written, or its refusal can be meant for no other attempt. Only an account makes the proof that a promise needs (respondNotRun takes it), and only an attempt of it permits a request to be written, once (upstream.Request.Attempt). The scheduler chooses only among addresses that have not had the call; when there are none, it is refused. An address, not an endpoint's ID, since a process may have two IDs.

Tests that changed: the rows of TestRepeatedAnswerOfEarlierAttemptIsNotBelieved for calls that must run at most once have two endpoints, since the first one gets the call only once; their check (8 of 8 served, none twice, none refused and run) is the same. TestLateResponseIsLogged and TestRepeatOnIdleConnectionNamesEndpoint use a lookup, which still goes back. TestAnswerThatNamesNoCall: the hold is refused by its only endpoint, a lookup is sent there again as before. TestDeclinedCallGoesToEachEndpointOnce is new.

--- /dev/null
+++ b/core/evidence/evidence.go
@@ -0,0 +1,142 @@
+// Package evidence keeps account of the attempts of a call, and tells what proves that the call has not
+// run. A call that must run at most once may be sent again, and its caller may be told that it has not
+// run, only if that is proven for each of its attempts.
+//
+// An attempt is taken to have run unless it is proven that it has not. There are two proofs:
+//
+//   - Nothing of the request was written.
+//   - The endpoint has refused the request, and the refusal can be meant for no other attempt: it names
+//     the call, and the endpoint has received the call's ID only once from this host. IDs tell calls
+//     apart, but not the attempts of a call, and a faulty endpoint may write a refusal more than once,
+//     at any later moment and to any of its connections.
+//
+// It follows that a call that must run at most once is sent to an address only once: the refusal of a
+// second attempt there would prove nothing.
+//
+// # Usage
+//
+//	account := evidence.New(mayRepeat)
+//	attempt := account.Begin(address)
+//	if attempt == nil {
+//		// the call must not be sent there
+//	}
+//	if attempt.Send() {
+//		... write the request, and call NotSent if nothing of it was written ...
+//	}
+//	if !attempt.Refused(refusal) {
+//		// the refusal proves nothing
+//	}
+//	if proof := account.NotRun(); proof != nil {
+//		... tell the caller that the call has not run ...
+//	}
+//
+// An Account and its attempts are not safe for concurrent use.
+package evidence
+
+import "slices"
+
+// NotRun proves that a call has not run and never will. Only an Account makes one.
+type NotRun interface{ isNotRun() }
+
+// allRefused is the proof of a call of which each attempt was not sent or was refused.
+type allRefused struct{}
+
+func (allRefused) isNotRun() {}
+
+// Refusal is what an endpoint's response tells of a request that it says it has not run.
+type Refusal struct {
+	// NamesCall is set if the response names the call and no other.
+	NamesCall bool
+	// IsIDShared is set if the address has received the call's ID with another call.
+	IsIDShared bool
+}
+
+// state is what is known of an attempt.
+type state int
+
+const (
+	// notSent means that nothing of the request was written.
+	notSent state = iota
+	// mayHaveRun means that some of it may have been written.
+	mayHaveRun
+	// refused means that the endpoint has proven that it did not run the request.
+	refused
+)
+
+// Account holds the attempts of one call.
+type Account struct {
+	mayRepeat bool
+	attempts  []*Attempt
+}
+
+// New returns the account of a call that has not been sent. If mayRepeat is set, the call may run more
+// than once, and an endpoint that says it has not run it is believed.
+func New(mayRepeat bool) *Account {
+	return &Account{mayRepeat: mayRepeat}
+}
+
+// Begin begins an attempt at an address. It returns nil if the call must not be sent there, as an
+// earlier attempt may have run it or has reached the same address.
+func (a *Account) Begin(address string) *Attempt {
+	if !a.mayRepeat && (a.NotRun() == nil || a.SendsTo(address) > 0) {
+		return nil
+	}
+	attempt := &Attempt{
+		account: a,
+		address: address,
+	}
+	a.attempts = append(a.attempts, attempt)
+	return attempt
+}
+
+// SendsTo returns how often the call was sent to an address.
+func (a *Account) SendsTo(address string) int {
+	sends := 0
+	for _, t := range a.attempts {
+		if t.state != notSent && t.address == address {
+			sends++
+		}
+	}
+	return sends
+}
+
+// NotRun returns the proof that the call has not run, or nil if there is none.
+func (a *Account) NotRun() NotRun {
+	if slices.ContainsFunc(a.attempts, func(t *Attempt) bool { return t.state == mayHaveRun }) {
+		return nil
+	}
+	return allRefused{}
+}
+
+// Attempt is one attempt of a call. It permits that the request is written once.
+type Attempt struct {
+	account *Account
+	address string
+	state   state
+	isUsed  bool
+}
+
+// Send must be called before the first byte of the request is written. It reports false if the request
+// must not be written, as the attempt has been used already or is nil.
+func (t *Attempt) Send() bool {
+	if t == nil || t.isUsed {
+		return false
+	}
+	t.isUsed = true
+	t.state = mayHaveRun
+	return true
+}
+
+// NotSent records that nothing of the request was written.
+func (t *Attempt) NotSent() { t.state = notSent }
+
+// Refused records that the endpoint says that it has not run the request and never will. It reports
+// whether that is proven.
+func (t *Attempt) Refused(refusal Refusal) bool {
+	isProven := refusal.NamesCall && !refusal.IsIDShared && t.account.SendsTo(t.address) == 1
+	if t.state != mayHaveRun || !isProven && !t.account.mayRepeat {
+		return false
+	}
+	t.state = refused
+	return true
+}
--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -122,6 +122,8 @@
 	// attempts.
 	possibleRuns int
 	sends        int
+	// sentTo lists the addresses that have received the call.
+	sentTo []string
 	// avoid lists the endpoints at which an attempt of the call has failed.
 	avoid []Key
 	// waitsForOther is set if the call waits for an endpoint that has not failed it, even
--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -247,6 +247,10 @@
 	RetryAfter time.Duration
 }
 
+// Unproven means that the endpoint answered that it did not run the call, but the answer may be meant for
+// another attempt.
+type Unproven struct{}
+
 // Misdirected means that another endpoint has taken over the address.
 type Misdirected struct{}
 
@@ -290,6 +294,7 @@
 func (Unreachable) isOutcome() {}
 func (Expired) isOutcome()     {}
 func (Declined) isOutcome()    {}
+func (Unproven) isOutcome()    {}
 func (Misdirected) isOutcome() {}
 func (Failed) isOutcome()      {}
 func (Broken) isOutcome()      {}
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -136,17 +136,8 @@
 	case Expired:
 		e.health.probing = false
 		s.refuse(c, ReasonTimedOut)
-	case Declined:
-		e.health.probing = false
-		if event.Excess {
-			e.health.recordExcess()
-		}
-		s.recordDecline(e)
-		e.fullUntil = s.now.Add(max(outcome.RetryAfter, defaultDeclineBackoff))
-		s.retryNotRun(c, e, ReasonDeclined)
-	case Misdirected:
-		s.ejectEndpoint(e, ReasonMisdirected)
-		s.retryNotRun(c, e, ReasonMisdirected)
+	case Declined, Unproven, Misdirected:
+		s.handleRefusedAttempt(c, e, event)
 	case Failed:
 		c.possibleRuns++
 		e.health.recordFailedAnswer()
@@ -183,6 +174,29 @@
 	s.dispatchWaiting(c.pool)
 }
 
+// handleRefusedAttempt handles an attempt of which the endpoint says that it did not run the call.
+func (s *Scheduler) handleRefusedAttempt(c *call, e *endpoint, event AttemptEnded) {
+	switch outcome := event.Outcome.(type) {
+	case Declined:
+		e.health.probing = false
+		if event.Excess {
+			e.health.recordExcess()
+		}
+		s.recordDecline(e)
+		e.fullUntil = s.now.Add(max(outcome.RetryAfter, defaultDeclineBackoff))
+		s.retryNotRun(c, e, ReasonDeclined)
+	case Unproven:
+		c.possibleRuns++
+		e.health.probing = false
+		s.recordDecline(e)
+		e.fullUntil = s.now.Add(defaultDeclineBackoff)
+		s.retryMayHaveRun(c, e, ReasonUnprovenRefusal, false)
+	case Misdirected:
+		s.ejectEndpoint(e, ReasonMisdirected)
+		s.retryNotRun(c, e, ReasonMisdirected)
+	}
+}
+
 func (s *Scheduler) recordCompletion(c *call, e *endpoint, event AttemptEnded, isUnframed bool) {
 	s.reinstate(e)
 	s.removeCall(c)
@@ -271,6 +285,7 @@
 		// An attempt that reached no endpoint is not counted, so that the next one
 		// does not count as a retry because of it.
 		c.sends--
+		c.sentTo = c.sentTo[:len(c.sentTo)-1]
 	}
 	s.placeOrQueue(c)
 }
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -82,7 +82,7 @@
 		s.send(c, e, choice)
 		return
 	}
-	if s.countUsableFor(c) == 0 || !s.now.Before(c.queueUntil) || s.staysClosed(c) {
+	if s.countUsableFor(c) == 0 || s.hasTriedAll(c) || !s.now.Before(c.queueUntil) || s.staysClosed(c) {
 		s.refuse(c, s.noRoomReason(c))
 		return
 	}
@@ -119,11 +119,22 @@
 	return a.arrived.Before(b.arrived)
 }
 
+// hasTriedAll reports whether a call may be sent to none of the endpoints that accept new work, as it has
+// been sent to each of them.
+func (s *Scheduler) hasTriedAll(c *call) bool {
+	return len(c.sentTo) > 0 && !slices.ContainsFunc(c.pool.endpoints, func(e *endpoint) bool {
+		return !e.leaving && c.isCompatible(e) && c.maySendTo(e)
+	})
+}
+
 func (s *Scheduler) noRoomReason(c *call) Reason {
 	p := c.pool
 	if s.countUsable(p) == 0 {
 		return ReasonNoEndpoint
 	}
+	if s.hasVersion(c) && s.hasTriedAll(c) {
+		return c.lastFailure
+	}
 	if s.countUsableFor(c) == 0 {
 		return ReasonVersionGone
 	}
@@ -160,7 +171,7 @@
 			continue
 		}
 		e, choice := s.pickEndpoint(c)
-		if e == nil && s.now.Before(c.queueUntil) && !s.staysClosed(c) && s.hasVersion(c) {
+		if e == nil && s.now.Before(c.queueUntil) && !s.staysClosed(c) && s.hasVersion(c) && !s.hasTriedAll(c) {
 			i++
 			continue
 		}
@@ -249,7 +260,7 @@
 // the call, recently declined one, are slow and have their share, or have just appeared, are accepted in the second
 // pass only, and those that failed it not while it waits for another one.
 func (s *Scheduler) canAccept(c *call, e *endpoint, secondPass bool) bool {
-	if e.leaving || !c.isCompatible(e) || e.inFlight(s.now) >= s.concurrencyLimit(c.pool, e) {
+	if e.leaving || !c.isCompatible(e) || !c.maySendTo(e) || e.inFlight(s.now) >= s.concurrencyLimit(c.pool, e) {
 		return false
 	}
 	if e.health.isEjected(s.now) || e.isQuiet(s.now) || !s.allowsLimit(e) || !s.allowsBrittle(e) {
@@ -263,6 +274,12 @@
 		s.allowsRamp(c.pool, e)
 }
 
+// maySendTo reports whether a call may be sent to an endpoint's address. If a call that must run at most
+// once went there a second time, a refusal could not be told from the earlier one.
+func (c *call) maySendTo(e *endpoint) bool {
+	return c.spec.Route.Retryable() || !slices.Contains(c.sentTo, e.entry.Address)
+}
+
 // concurrencyLimit returns the number of calls that an endpoint may have in flight.
 func (s *Scheduler) concurrencyLimit(p *pool, e *endpoint) int {
 	limit := e.entry.Slots
@@ -478,6 +495,7 @@
 	}
 	c.sends++
 	c.endpoint = e
+	c.sentTo = append(c.sentTo, e.entry.Address)
 	c.sentAt = s.now
 	c.started = false
 	c.predictedTimeToFirstEvent = choice.TimeToFirstEvent
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cactuswell/core/detour"
+	"cactuswell/core/evidence"
 	"cactuswell/core/quarantine"
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
@@ -79,9 +80,13 @@
 	hasExcess bool
 	// isSent is set once the whole request has been sent.
 	isSent bool
+	// evidence tells whether it is proven that the attempt has not run.
+	evidence *evidence.Attempt
 	// earlierSends is the number of the call's earlier attempts that were sent to the same address.
 	earlierSends int
-	err          error
+	// isRefusalUnproven is set once the endpoint has sent a refusal that may be that of another attempt.
+	isRefusalUnproven bool
+	err               error
 }
 
 // runAttempt sends the call to an endpoint and reports whether the call is
@@ -100,7 +105,6 @@
 		sentAt:   x.sentAt,
 	}
 	outcome := t.run()
-	x.mayHaveRun = x.mayHaveRun || mayHaveRun(outcome)
 	x.logOutcome(t, outcome)
 	event := scheduling.AttemptEnded{
 		Call:      x.id,
@@ -126,15 +130,6 @@
 	return false
 }
 
-// mayHaveRun reports whether the endpoint may have run the call in an attempt with the given outcome.
-func mayHaveRun(outcome scheduling.Outcome) bool {
-	switch outcome.(type) {
-	case scheduling.Unreachable, scheduling.Expired, scheduling.Declined, scheduling.Misdirected:
-		return false
-	}
-	return true
-}
-
 // logChoice logs the chosen endpoint and the reasons for the choice.
 func (x *exchange) logChoice(choice scheduling.Choice) {
 	line := x.logLine("callSent").Text("endpoint", x.currentSend.Key.ID).Int("born", x.currentSend.Key.Incarnation).
@@ -187,6 +182,11 @@
 	x.stream.startAttempt()
 	x.lastFailure = nil
 	x.failureBody.release()
+	t.earlierSends = x.account.SendsTo(x.currentSend.Address)
+	if t.evidence = x.account.Begin(x.currentSend.Address); t.evidence == nil {
+		t.err = &upstream.UnpermittedError{}
+		return scheduling.Unproven{}
+	}
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
 	defer context.AfterFunc(x.server.aborted, cancel)()
@@ -210,17 +210,6 @@
 	return t.checkEndpoint(ctx, t.releaseConn(outcome))
 }
 
-// countOf returns how often a value is in a list.
-func countOf(list []string, value string) int {
-	count := 0
-	for _, item := range list {
-		if item == value {
-			count++
-		}
-	}
-	return count
-}
-
 // checkEndpoint finds out whether the endpoint is down, if the answer broke off at its
 // beginning. A process that has crashed refuses connections; a fault of a single
 // connection does not lead to that. If the attempt to connect has no result, the network may
@@ -330,11 +319,9 @@
 		return scheduling.Broken{PartlyDelivered: x.committed}
 	}
 	t.isSent = true
-	t.earlierSends = countOf(x.addresses, x.currentSend.Address)
-	x.addresses = append(x.addresses, x.currentSend.Address)
 	t.setReadDeadline(x.currentSend.FirstEventTimeout)
 	firstEventBy := t.silenceDeadline
-	response, err := conn.ReadResponse(x.request.Method, t.isOwnResponse)
+	response, err := conn.ReadResponse(x.request.Method, t.relate)
 	if err != nil {
 		return t.readErrorOutcome(err)
 	}
@@ -368,33 +355,60 @@
 		Header:  header,
 		Body:    x.body.bytes,
 		HasBody: x.request.ContentLength != 0 || x.request.Header.Get("Content-Length") != "",
+		Attempt: t.evidence,
 	}
 }
 
-// isOwnResponse reports whether a response belongs to the attempt: the connection has carried no
-// other attempt with the call's ID. A response without a request ID is accepted only on a
-// connection that carried no earlier request.
-func (t *attempt) isOwnResponse(response *http.Response) bool {
+// relate tells how a response relates to the attempt. The connection has carried no other attempt
+// with the call's ID, so a response that names the call is the attempt's own, unless it is a refusal that is
+// not proven to be. One that names no request may be late if the connection carried an earlier one.
+func (t *attempt) relate(response *http.Response) upstream.Relation {
 	info := t.exchange.server.Dialect.ParseResponse(response)
-	if info.RequestID != t.exchange.requestInfo.RequestID && (info.RequestID != "" || t.conn.Reused()) {
+	namesCall := info.RequestID == t.exchange.requestInfo.RequestID
+	switch {
+	case !namesCall && info.RequestID != "":
+		t.recordLateResponse(info, response.StatusCode)
+		return upstream.Other
+	case !namesCall && t.conn.Reused():
 		t.recordLateResponse(info, response.StatusCode)
-		return false
+		t.awaitFurtherResponse()
+		return upstream.Doubtful
+	}
+	if (info.NotRun || info.Misdirected) && !t.evidence.Refused(evidence.Refusal{NamesCall: true}) {
+		t.recordUnprovenRefusal(info, response.StatusCode)
+		t.awaitFurtherResponse()
+		return upstream.Doubtful
 	}
 	t.responseInfo = info
-	return true
+	return upstream.Own
+}
+
+// awaitFurtherResponse bounds the wait for a further response after one that may have been the
+// attempt's own: then no other follows, and the call would wait until its deadline.
+func (t *attempt) awaitFurtherResponse() {
+	limit := t.exchange.route.TargetLatency
+	if limit > 0 && (t.silenceDeadline.IsZero() || time.Now().Add(limit).Before(t.silenceDeadline)) {
+		t.setReadDeadline(limit)
+	}
+}
+
+// recordUnprovenRefusal records a refusal that may be that of another attempt.
+func (t *attempt) recordUnprovenRefusal(info ResponseInfo, status int) {
+	x := t.exchange
+	t.isRefusalUnproven = true
+	x.server.Meter.RecordExcess(upstream.PartUnprovenRefusal)
+	x.server.Trail.Failure("refusalUnproven").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
+		Int("status", int64(status)).Int("namedRequests", int64(info.RequestIDs)).Bool("reusedConnection", t.conn.Reused()).
+		Int("earlierSendsToAddress", int64(t.earlierSends)).Millis("after", time.Since(t.sentAt)).Merge(x.currentSend.Key.ID)
 }
 
 // recordLateResponse records a response that belongs to an earlier request on the connection, or may
-// do so. If it names no request it may also be the attempt's own: then no other follows, and the call
-// would wait until its deadline.
+// do so.
 func (t *attempt) recordLateResponse(info ResponseInfo, status int) {
 	if !t.conn.Reused() {
 		return
 	}
 	x := t.exchange
-	if limit := x.route.TargetLatency; info.RequestID == "" && limit > 0 && (t.silenceDeadline.IsZero() || time.Now().Add(limit).Before(t.silenceDeadline)) {
-		t.setReadDeadline(limit)
-	}
 	t.hasExcess = true
 	x.server.Meter.RecordExcess(upstream.PartLateResponse)
 	x.server.Trail.Failure("lateResponse").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
@@ -429,6 +443,8 @@
 	switch {
 	case tcp.IsTimeout(err) && !time.Now().Before(x.deadline):
 		return scheduling.TimedOut{}
+	case t.isRefusalUnproven && t.response == nil:
+		return scheduling.Unproven{}
 	case tcp.IsTimeout(err) && !t.silenceDeadline.IsZero():
 		return scheduling.Silent{PartlyDelivered: x.committed}
 	case tcp.IsTimeout(err), tcp.IsClosedByPeer(err), errors.As(err, &noMemory):
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"cactuswell/core/evidence"
 	"cactuswell/core/quarantine"
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
@@ -80,8 +81,8 @@
 
 	// currentSend is the command of the attempt in progress.
 	currentSend scheduling.Send
-	// addresses are those to which attempts of the call were sent.
-	addresses    []string
+	// account holds what proves that the attempts of the call have not run.
+	account      *evidence.Account
 	attempts     int
 	sentAt       time.Time
 	firstEventAt time.Time
@@ -90,8 +91,6 @@
 	committed bool
 	// isScheduled is set while the scheduler may hold the call.
 	isScheduled bool
-	// mayHaveRun is set once an attempt has ended that an endpoint may have run.
-	mayHaveRun bool
 	// hasBegun is set once the request was recorded as one that began to run.
 	hasBegun bool
 	// isAbandoned is set once the caller has left.
@@ -222,10 +221,7 @@
 				x.finish(ResultCanceled, "", 0)
 				return
 			}
-			x.refuse(scheduling.Refuse{
-				Reason:     scheduling.ReasonTimedOut,
-				MayHaveRun: x.mayHaveRun,
-			})
+			x.refuse(scheduling.Refuse{Reason: scheduling.ReasonTimedOut})
 			return
 		case <-x.server.aborted.Done():
 			x.cancelStopping()
@@ -331,7 +327,6 @@
 	x.refuse(scheduling.Refuse{
 		Reason:     ReasonStopping,
 		RetryAfter: stoppingRetryAfter,
-		MayHaveRun: x.mayHaveRun,
 	})
 }
 
@@ -434,6 +429,7 @@
 func (x *exchange) newCall() scheduling.Call {
 	x.id = x.server.Scheduler.NextID()
 	x.service = x.route.PickService(x.server.Scheduler.RandomFloat())
+	x.account = evidence.New(x.route.Retryable())
 	x.requestHash = x.fingerprint()
 	x.forwardedHeader = x.newForwardedHeader()
 	x.stream.lastID = x.requestInfo.LastEventID
@@ -457,7 +453,11 @@
 	x.server.Trail.Failure("callDenied").Text("request", x.requestInfo.RequestID).Text("reason", string(reason)).
 		Int("status", int64(status)).Int("version", x.configurationVersion()).Millis("versionAge", x.tableAge).
 		Millis("after", time.Since(x.arrivedAt)).Err(err).End()
-	x.respond(status, string(reason), 0)
+	if impliesNotRun(status) {
+		x.respondNotRun(x.account.NotRun(), status, string(reason), 0)
+	} else {
+		x.respond(status, string(reason))
+	}
 	x.finish(ResultDenied, string(reason), status)
 	return false
 }
@@ -474,7 +474,8 @@
 func (x *exchange) refuse(refusal scheduling.Refuse) {
 	status := http.StatusServiceUnavailable
 	result := ResultRefused
-	if refusal.MayHaveRun {
+	proof := x.account.NotRun()
+	if refusal.MayHaveRun = refusal.MayHaveRun || proof == nil; refusal.MayHaveRun {
 		// No Retry-After: the call may have run, so it is not safe to repeat.
 		refusal.RetryAfter = 0
 		result = ResultFailed
@@ -498,7 +499,11 @@
 	if x.committed {
 		x.abortResponse()
 	}
-	x.respond(status, string(refusal.Reason), refusal.RetryAfter)
+	if refusal.MayHaveRun {
+		x.respond(status, string(refusal.Reason))
+		return
+	}
+	x.respondNotRun(proof, status, string(refusal.Reason), refusal.RetryAfter)
 }
 
 // waited returns the time until the call was first sent, or until now if it was not.
@@ -519,13 +524,31 @@
 	panic(http.ErrAbortHandler)
 }
 
-// respond sends a response of this host's own.
-func (x *exchange) respond(status int, reason string, retryAfter time.Duration) {
-	header := x.writer.Header()
-	header.Set("Content-Type", "text/plain; charset=utf-8")
+// respondNotRun sends a response of this host's own with a status that promises that the call has not
+// run and never will, which the proof must show.
+func (x *exchange) respondNotRun(proof evidence.NotRun, status int, reason string, retryAfter time.Duration) {
+	if proof == nil {
+		x.respond(http.StatusBadGateway, reason)
+		return
+	}
 	if retryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+		x.writer.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
+	x.writeResponse(status, reason)
+}
+
+// respond sends a response of this host's own with a status that promises nothing.
+func (x *exchange) respond(status int, reason string) {
+	if impliesNotRun(status) {
+		status = http.StatusBadGateway
+	}
+	x.writeResponse(status, reason)
+}
+
+// writeResponse sends a response of this host's own. It is called by respond and respondNotRun only.
+func (x *exchange) writeResponse(status int, reason string) {
+	header := x.writer.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
 	x.setConnectionHeader(header)
 	if x.hasUnreadBody {
 		if conn := clientconns.FromContext(x.request.Context()); conn != nil {
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -28,6 +28,7 @@
 	"sync/atomic"
 	"time"
 
+	"cactuswell/core/evidence"
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 	"cactuswell/core/shutdown"
@@ -270,6 +271,7 @@
 		logged:      !s.Trail.IsOverloaded(),
 		body:        buffer{budget: &s.bodyMemory},
 		failureBody: buffer{budget: &s.responseMemory},
+		account:     evidence.New(false),
 	}
 	defer x.release()
 	x.run()
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"cactuswell/core/evidence"
 	"cactuswell/io/tcp"
 )
 
@@ -41,8 +42,23 @@
 	Body   []byte
 	// HasBody is set if the caller sent a body, which may be empty.
 	HasBody bool
+	// Attempt permits that the request is sent, once.
+	Attempt *evidence.Attempt
 }
 
+// Relation is how a response relates to the request that was sent last.
+type Relation int
+
+// The relations.
+const (
+	// Own means that the response is the one to the request.
+	Own Relation = iota
+	// Other means that it is the response to another request.
+	Other
+	// Doubtful means that it may be the response to the request or another one.
+	Doubtful
+)
+
 // Conn is a connection to an endpoint. It carries one request at a time. It is not
 // safe for concurrent use, except for Abort.
 type Conn struct {
@@ -120,6 +136,9 @@
 		return &SendError{Err: err}
 	}
 	head.WriteString("\r\n")
+	if !request.Attempt.Send() {
+		return &SendError{Err: &UnpermittedError{}}
+	}
 	concurrently := len(request.Body) > maxInlineBody
 	if !concurrently {
 		head.Write(request.Body)
@@ -127,6 +146,9 @@
 	n, err := c.conn.Write(head.Bytes())
 	if err != nil {
 		c.unusable = true
+		if n == 0 {
+			request.Attempt.NotSent()
+		}
 		return &SendError{
 			Partial: n > 0,
 			Err:     err,
@@ -146,10 +168,10 @@
 }
 
 // ReadResponse returns the response to the request with the given method once its
-// header was read. The function isOwn reports whether a response belongs to the
-// request: late responses to earlier requests are skipped. The error is an *ExcessError
-// if the endpoint sends more than a header may hold.
-func (c *Conn) ReadResponse(method string, isOwn func(*http.Response) bool) (*http.Response, error) {
+// header was read. The function relate tells how a response relates to the request: those that are
+// doubtful, and late ones to earlier requests, are skipped. The error is an *ExcessError if the
+// endpoint sends more than a header may hold.
+func (c *Conn) ReadResponse(method string, relate func(*http.Response) Relation) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	c.head.begin()
 	defer c.head.end()
@@ -170,11 +192,12 @@
 			c.head.part = PartInterim
 			continue
 		}
-		if isOwn(response) {
+		relation := relate(response)
+		if relation == Own {
 			return response, nil
 		}
-		// Without an earlier request there is none that this could be the response to.
-		if !c.reused || unsolicited == maxUnsolicitedResponses {
+		// Without an earlier request there is none that another's response could be late for.
+		if relation == Other && !c.reused || unsolicited == maxUnsolicitedResponses {
 			break
 		}
 		unsolicited++
--- a/io/upstream/excess.go
+++ b/io/upstream/excess.go
@@ -33,6 +33,8 @@
 	PartPadding Part = "padding"
 	// PartLateResponse is a response to an earlier request on the connection.
 	PartLateResponse Part = "lateResponse"
+	// PartUnprovenRefusal is a refusal that may be that of another attempt.
+	PartUnprovenRefusal Part = "unprovenRefusal"
 )
 
 // ExcessError reports a response of which a part exceeds its bound.
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -10,7 +10,7 @@
 //		// nothing was sent
 //	}
 //	err = conn.SendRequest(request, deadline)
-//	response, err := conn.ReadResponse(method, isOwn)
+//	response, err := conn.ReadResponse(method, relate)
 //	... read response.Body to its end ...
 //	conn.Release(response)
 //
@@ -93,6 +93,12 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
+// UnpermittedError reports a request that must not be sent, as its attempt does not permit it.
+type UnpermittedError struct{}
+
+// Error returns a message.
+func (*UnpermittedError) Error() string { return "the request must not be sent again" }
+
 // UnsolicitedResponseError reports that a connection received only responses to
 // other requests.
 type UnsolicitedResponseError struct {
