Take a refusal that names no request for no promise

Callers saw calls that must run at most once run twice, or run though they got 503, where an endpoint writes a refusal without an ID before the answer to a call that runs.

Cause: such a refusal was believed on a connection that had carried no request, as no earlier request could have caused it. But endpoints repeat the ID of each request, and a host sends none without one: a refusal that names none answers nothing that the host has sent, on whatever connection.

Change: the account is told whether the refusal names the call. Calls that may run more than once are sent to another endpoint, as before.

--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -374,7 +374,7 @@
 		t.awaitFurtherResponse()
 		return upstream.Doubtful
 	}
-	if (info.NotRun || info.Misdirected) && !t.evidence.Refused(evidence.Refusal{NamesCall: true}) {
+	if (info.NotRun || info.Misdirected) && !t.evidence.Refused(evidence.Refusal{NamesCall: namesCall}) {
 		t.recordUnprovenRefusal(info, response.StatusCode)
 		t.awaitFurtherResponse()
 		return upstream.Doubtful
