--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -13,7 +13,7 @@
 // refusalOf returns a refusal as an endpoint writes it, with a header field for each given ID.
 func refusalOf(ids ...string) string {
 	names := opaque.DefaultHeaderNames()
-	refusal := "HTTP/1.1 503 Service Unavailable\r\n" + names.NotRun + ": 1\r\nContent-Length: 4\r\n"
+	refusal := "HTTP/1.1 503 Service Unavailable\r\n" + names.NotRun + ": 1\r\nRetry-After: 0.1\r\nContent-Length: 4\r\n"
 	for _, id := range ids {
 		refusal += names.RequestID + ": " + id + "\r\n"
 	}
@@ -106,8 +106,12 @@
 func TestSplicedRefusalIsNoPromise(t *testing.T) {
 	for name, by := range map[string]func(id string) string{
 		"in a field":         func(string) string { return tornAfter(refusalOf(), "Run: ") },
-		"in a later field":   func(string) string { return tornAfter(refusalOf(), "Length: ") },
+		"in a later field":   func(string) string { return tornAfter(refusalOf(), "After: 0") },
+		"in the length":      func(string) string { return tornAfter(refusalOf(), "Length: ") },
 		"in the ID":          func(id string) string { return tornAfter(refusalOf(id), "Request-Id: ") },
+		"in the status":      func(string) string { return "HTTP/1.1 42" },
+		"before the body":    func(id string) string { return strings.TrimSuffix(refusalOf(), "\r\nbusy") },
+		"in the body":        func(id string) string { return strings.TrimSuffix(refusalOf(), "sy") },
 		"in the status line": func(string) string { return "HTTP/1.1 421 Misdi" },
 		"after the status":   func(string) string { return "HTTP/1.1 421 " },
 		"two IDs":            func(id string) string { return refusalOf("another", id) },
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -374,7 +374,7 @@
 		t.awaitFurtherResponse()
 		return upstream.Doubtful
 	}
-	if (info.NotRun || info.Misdirected) && !t.evidence.Refused(evidence.Refusal{NamesCall: namesCall}) {
+	if (info.NotRun || info.Misdirected) && !t.evidence.Refused(evidence.Refusal{NamesCall: namesCall && info.RequestIDs == 1}) {
 		t.recordUnprovenRefusal(info, response.StatusCode)
 		t.awaitFurtherResponse()
 		return upstream.Doubtful
