Believe no refusal of a call whose ID another call has

Callers that gave two calls one ID saw the second run twice, or run though it got 503, where an endpoint writes the refusal of the first to another connection.

Cause: a refusal names an ID, and the ID of two calls that were sent to one endpoint tells neither apart. Until now only a connection remembered the IDs that it has carried.

A refusal of an ID that several calls had there proves nothing, also if the other call came later. Two calls with one ID at two hosts cannot be told apart; the protocol has each attempt of a caller bear an ID of its own.

--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -203,6 +203,7 @@
 		return x.unsentOutcome()
 	}
 	t.bindConn(conn)
+	x.server.recordID(x.requestInfo.RequestID, x.currentSend.Address, x.id)
 	outcome := t.roundTrip(conn)
 	if outcome == nil {
 		outcome = scheduling.Completed{Unframed: !upstream.IsFramed(t.response)}
@@ -374,8 +375,7 @@
 		t.awaitFurtherResponse()
 		return upstream.Doubtful
 	}
-	if (info.NotRun || info.Misdirected) && !t.evidence.Refused(evidence.Refusal{NamesCall: namesCall && info.RequestIDs == 1}) {
-		t.recordUnprovenRefusal(info, response.StatusCode)
+	if (info.NotRun || info.Misdirected) && !t.isProvenRefusal(info, response.StatusCode) {
 		t.awaitFurtherResponse()
 		return upstream.Doubtful
 	}
@@ -383,6 +383,26 @@
 	return upstream.Own
 }
 
+// isProvenRefusal reports whether a refusal proves that the attempt has not run, and records one that
+// does not.
+func (t *attempt) isProvenRefusal(info ResponseInfo, status int) bool {
+	x := t.exchange
+	refusal := evidence.Refusal{
+		NamesCall:  info.RequestID == x.requestInfo.RequestID && info.RequestIDs == 1,
+		IsIDShared: x.server.isIDShared(x.requestInfo.RequestID, x.currentSend.Address),
+	}
+	if t.evidence.Refused(refusal) {
+		return true
+	}
+	t.isRefusalUnproven = true
+	x.server.Meter.RecordExcess(upstream.PartUnprovenRefusal)
+	x.server.Trail.Failure("refusalUnproven").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
+		Int("status", int64(status)).Int("namedRequests", int64(info.RequestIDs)).Bool("idShared", refusal.IsIDShared).
+		Bool("reusedConnection", t.conn.Reused()).Int("earlierSendsToAddress", int64(t.earlierSends)).
+		Millis("after", time.Since(t.sentAt)).Merge(x.currentSend.Key.ID)
+	return false
+}
+
 // awaitFurtherResponse bounds the wait for a further response after one that may have been the
 // attempt's own: then no other follows, and the call would wait until its deadline.
 func (t *attempt) awaitFurtherResponse() {
@@ -392,16 +412,6 @@
 	}
 }
 
-// recordUnprovenRefusal records a refusal that may be that of another attempt.
-func (t *attempt) recordUnprovenRefusal(info ResponseInfo, status int) {
-	x := t.exchange
-	t.isRefusalUnproven = true
-	x.server.Meter.RecordExcess(upstream.PartUnprovenRefusal)
-	x.server.Trail.Failure("refusalUnproven").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
-		Int("status", int64(status)).Int("namedRequests", int64(info.RequestIDs)).Bool("reusedConnection", t.conn.Reused()).
-		Int("earlierSendsToAddress", int64(t.earlierSends)).Millis("after", time.Since(t.sentAt)).Merge(x.currentSend.Key.ID)
-}
-
 // recordLateResponse records a response that belongs to an earlier request on the connection, or may
 // do so.
 func (t *attempt) recordLateResponse(info ResponseInfo, status int) {
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -173,6 +173,9 @@
 	aborted context.Context
 	abort   context.CancelFunc
 
+	sentIDsMu sync.Mutex
+	sentIDs   *evidence.IDs
+
 	durationsMu sync.Mutex
 	durations   *shutdown.Durations
 }
@@ -192,6 +195,7 @@
 		},
 		arriving:  arrivingBodies{open: make(map[*arrivingBody]struct{})},
 		draining:  make(chan struct{}),
+		sentIDs:   evidence.NewIDs(),
 		durations: shutdown.NewDurations(),
 	}
 	s.aborted, s.abort = context.WithCancel(context.Background())
@@ -239,6 +243,20 @@
 	})
 }
 
+// recordID records that the ID of a call is about to be sent to an address.
+func (s *Server) recordID(id, address string, call scheduling.CallID) {
+	s.sentIDsMu.Lock()
+	defer s.sentIDsMu.Unlock()
+	s.sentIDs.Add(time.Now(), id, address, uint64(call))
+}
+
+// isIDShared reports whether several calls with an ID were sent to an address.
+func (s *Server) isIDShared(id, address string) bool {
+	s.sentIDsMu.Lock()
+	defer s.sentIDsMu.Unlock()
+	return s.sentIDs.IsShared(id, address)
+}
+
 // recordDuration records the time of a call from its last attempt to the end of its answer.
 func (s *Server) recordDuration(r *route.Route, taken time.Duration) {
 	s.durationsMu.Lock()
