Answer short histories in a fixed order, and in the reverse one

Cause: two requests at a time were answered at the same moment, so the order of the answers, and the counts, differed from run to run.

Change: each request has its own time to the answer; in further histories the earlier request is answered later.

--- a/io/opaque/histories_test.go
+++ b/io/opaque/histories_test.go
@@ -17,8 +17,8 @@
 // steps are run and answered.
 type history struct {
 	place place
-	// calls lists the IDs of the calls. A space parts calls that are made in turn, and a bar
-	// those that are made at a time.
+	// calls lists the IDs of the calls. A space separates calls that are made in turn, and answeredInOrder or
+	// answeredInReverse those that are made at a time.
 	calls string
 	// kind is the first part of the calls' path.
 	kind string
@@ -27,6 +27,13 @@
 	steps  []step
 }
 
+// The separators of calls that are made at a time. Their requests are answered in the order in which they arrive,
+// or the earlier ones later.
+const (
+	answeredInOrder   = "|"
+	answeredInReverse = "^"
+)
+
 // String returns the history in one line.
 func (h history) String() string {
 	connections := "new"
@@ -312,7 +319,7 @@
 // earlier ones, those of other calls, nameless and torn ones), answers, silence and cuts.
 func TestShortHistories(t *testing.T) {
 	table := historyTable(t)
-	for _, calls := range []string{"a", "a b", "a a", "a|b", "a|a"} {
+	for _, calls := range []string{"a", "a b", "a a", "a|b", "a|a", "a^b", "a^a"} {
 		for _, kind := range []string{"once", "stream"} {
 			t.Run(kind+" "+calls, func(t *testing.T) {
 				t.Parallel()
--- a/io/opaque/historiesrig_test.go
+++ b/io/opaque/historiesrig_test.go
@@ -28,9 +28,12 @@
 )
 
 const (
-	// answerTime is how long an endpoint takes for an answer, and callTime how long a caller waits.
-	answerTime = time.Millisecond
+	// answerStep is the difference between the times that two answers take, and callTime how long a caller
+	// waits.
+	answerStep = time.Millisecond
 	callTime   = 2 * time.Second
+	// maxRequests is more than the number of requests in a history.
+	maxRequests = 16
 	// warmPath is the path of the requests that connections have carried before a history begins.
 	warmPath = "/once/warm"
 )
@@ -315,7 +318,7 @@
 	}
 	var results []callResult
 	for _, group := range strings.Fields(p.history.calls) {
-		ids := strings.Split(group, "|")
+		ids := strings.FieldsFunc(group, func(r rune) bool { return strings.ContainsRune(answeredInOrder+answeredInReverse, r) })
 		statuses := make([]int, len(ids))
 		var open sync.WaitGroup
 		for i, id := range ids {
@@ -372,14 +375,14 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
-		step := p.receive(request)
-		time.Sleep(answerTime)
+		step, after := p.receive(request)
+		time.Sleep(after)
 		answer := p.answer(address, request, step)
 		if _, err := io.WriteString(conn, answer.bytes); err != nil || !answer.stays {
 			return
 		}
 		if step.after == afterLateCopy || step.after == afterLateNameless {
-			time.Sleep(answerTime)
+			time.Sleep(answerStep / 2)
 			if _, err := io.WriteString(conn, p.lateBytes(request, step)); err != nil {
 				return
 			}
@@ -387,14 +390,15 @@
 	}
 }
 
-// receive returns the step of the history that a request meets, and counts the run.
-func (p *play) receive(request *http.Request) step {
+// receive returns the step of the history that a request meets, and after which time it is answered. It counts
+// the run.
+func (p *play) receive(request *http.Request) (met step, after time.Duration) {
+	met = step{act: actOK}
 	if request.URL.Path == warmPath {
-		return step{act: actOK}
+		return met, answerStep
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	met := step{act: actOK}
 	if p.received < len(p.history.steps) {
 		met = p.history.steps[p.received]
 	}
@@ -402,7 +406,10 @@
 	if met.act.runs() {
 		p.runs[request.URL.Path]++
 	}
-	return met
+	if strings.Contains(p.history.calls, answeredInReverse) {
+		return met, time.Duration(maxRequests-p.received) * answerStep
+	}
+	return met, time.Duration(p.received) * answerStep
 }
 
 // answer returns what an endpoint sends in a step.
@@ -523,9 +530,9 @@
 // otherID returns the ID of a call that the process has refused: another call of the history, or one that
 // came from another host.
 func (p *play) otherID(address, id string) string {
-	for key := range p.refusals {
-		if key.address == address && key.id != id {
-			return key.id
+	for _, other := range []string{"call-a", "call-b"} {
+		if other != id && p.refusals[refusalKey{address: address, id: other}] != "" {
+			return other
 		}
 	}
 	return "call-z"
