Log of an attempt how its connection was when it got it

Cause: attemptEnded was written after the attempt had released its connection, which marks it as reused; by then another call may have taken it, so passedOverConnections could be that call's, and the race detector reported the read in tests with many calls.

Change: the attempt keeps the three values when it gets the connection.

--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -58,6 +58,11 @@
 type attempt struct {
 	exchange *exchange
 	conn     *upstream.Conn
+	// usesKeptConn, throughHost and passedOverConns describe the connection as it was when the attempt got it.
+	// Once the attempt has released it, another one may use it.
+	usesKeptConn    bool
+	throughHost     string
+	passedOverConns int
 	// unbindConn ends what bindConn began. It reports false if the caller has canceled, and
 	// unbindAbort if the server has aborted its calls.
 	unbindConn   func() bool
@@ -154,13 +159,10 @@
 	if t.response != nil {
 		status = t.response.StatusCode
 	}
-	reused, host, passedOver := false, "", 0
-	if t.conn != nil {
-		reused, host, passedOver = t.conn.Reused(), t.conn.Host(), t.conn.PassedOver()
-	}
 	line := x.server.Trail.Failure("attemptEnded").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
 		Int("attempt", int64(x.attempts)).Text("outcome", fmt.Sprintf("%T", outcome)[len("scheduling."):]).
-		Int("status", int64(status)).Bool("notRun", t.responseInfo.NotRun).Bool("reusedConnection", reused).Int("passedOverConnections", int64(passedOver)).Text("throughHost", host).
+		Int("status", int64(status)).Bool("notRun", t.responseInfo.NotRun).Bool("reusedConnection", t.usesKeptConn).
+		Int("passedOverConnections", int64(t.passedOverConns)).Text("throughHost", t.throughHost).
 		Int("namedRequests", int64(t.responseInfo.RequestIDs)).Int("earlierSendsToAddress", int64(t.earlierSends)).
 		Int("events", int64(x.stream.attemptEvents))
 	if broken, ok := outcome.(scheduling.Broken); ok {
@@ -242,6 +244,9 @@
 // released.
 func (t *attempt) bindConn(conn *upstream.Conn) {
 	t.conn = conn
+	t.usesKeptConn = conn.Reused()
+	t.throughHost = conn.Host()
+	t.passedOverConns = conn.PassedOver()
 	t.unbindConn = context.AfterFunc(t.exchange.request.Context(), conn.Abort)
 	t.unbindAbort = context.AfterFunc(t.exchange.server.aborted, conn.Abort)
 }
