Take an endpoint whose address changes for the same process

Callers got 503 for a call that ran, where an endpoint's entry names another address while an attempt is under way: the call went to the same process again, whose first refusal came once more and was believed.

Cause: the rule that a call which must run at most once is sent to an endpoint once compared addresses. An entry with another address counts as a new incarnation, though the process may be the same.

Change: two places may be one process if they have the address or the ID in common (evidence.Place), for the account and for the scheduler. The line's field is now earlierSends.

--- a/core/evidence/evidence.go
+++ b/core/evidence/evidence.go
@@ -10,13 +10,14 @@
 //     apart, but not the attempts of a call, and a faulty endpoint may write a refusal more than once,
 //     at any later moment and to any of its connections.
 //
-// It follows that a call that must run at most once is sent to an address only once: the refusal of a
-// second attempt there would prove nothing.
+// It follows that a call that must run at most once is sent to an endpoint only once: the refusal of a
+// second attempt there would prove nothing. Two places count as one endpoint if they have the address or
+// the endpoint's ID in common.
 //
 // # Usage
 //
 //	account := evidence.New(mayRepeat)
-//	attempt := account.Begin(address)
+//	attempt := account.Begin(place)
 //	if attempt == nil {
 //		// the call must not be sent there
 //	}
@@ -43,11 +44,22 @@
 
 func (allRefused) isNotRun() {}
 
+// Place is where an attempt of a call is sent.
+type Place struct {
+	Address    string
+	EndpointID string
+}
+
+// MayBe reports whether two places may be one process.
+func (p Place) MayBe(other Place) bool {
+	return p.Address == other.Address || p.EndpointID == other.EndpointID
+}
+
 // Refusal is what an endpoint's response tells of a request that it says it has not run.
 type Refusal struct {
 	// NamesCall is set if the response names the call and no other.
 	NamesCall bool
-	// IsIDShared is set if the address has received the call's ID with another call.
+	// IsIDShared is set if the place has received the call's ID with another call.
 	IsIDShared bool
 }
 
@@ -75,25 +87,25 @@
 	return &Account{mayRepeat: mayRepeat}
 }
 
-// Begin begins an attempt at an address. It returns nil if the call must not be sent there, as an
-// earlier attempt may have run it or has reached the same address.
-func (a *Account) Begin(address string) *Attempt {
-	if !a.mayRepeat && (a.NotRun() == nil || a.SendsTo(address) > 0) {
+// Begin begins an attempt at a place. It returns nil if the call must not be sent there, as an earlier
+// attempt may have run it or has reached the same endpoint.
+func (a *Account) Begin(place Place) *Attempt {
+	if !a.mayRepeat && (a.NotRun() == nil || a.SendsTo(place) > 0) {
 		return nil
 	}
 	attempt := &Attempt{
 		account: a,
-		address: address,
+		place:   place,
 	}
 	a.attempts = append(a.attempts, attempt)
 	return attempt
 }
 
-// SendsTo returns how often the call was sent to an address.
-func (a *Account) SendsTo(address string) int {
+// SendsTo returns how often the call was sent to what may be the endpoint at a place.
+func (a *Account) SendsTo(place Place) int {
 	sends := 0
 	for _, t := range a.attempts {
-		if t.state != notSent && t.address == address {
+		if t.state != notSent && t.place.MayBe(place) {
 			sends++
 		}
 	}
@@ -111,7 +123,7 @@
 // Attempt is one attempt of a call. It permits that the request is written once.
 type Attempt struct {
 	account *Account
-	address string
+	place   Place
 	state   state
 	isUsed  bool
 }
@@ -133,7 +145,7 @@
 // Refused records that the endpoint says that it has not run the request and never will. It reports
 // whether that is proven.
 func (t *Attempt) Refused(refusal Refusal) bool {
-	isProven := refusal.NamesCall && !refusal.IsIDShared && t.account.SendsTo(t.address) == 1
+	isProven := refusal.NamesCall && !refusal.IsIDShared && t.account.SendsTo(t.place) == 1
 	if t.state != mayHaveRun || !isProven && !t.account.mayRepeat {
 		return false
 	}
--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"cactuswell/core/evidence"
 	"cactuswell/core/quarantine"
 	"cactuswell/core/route"
 )
@@ -122,8 +123,8 @@
 	// attempts.
 	possibleRuns int
 	sends        int
-	// sentTo lists the addresses that have received the call.
-	sentTo []string
+	// sentTo lists the places that have received the call.
+	sentTo []evidence.Place
 	// avoid lists the endpoints at which an attempt of the call has failed.
 	avoid []Key
 	// waitsForOther is set if the call waits for an endpoint that has not failed it, even
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"cactuswell/core/evidence"
 	"cactuswell/core/route"
 	"cactuswell/core/speed"
 )
@@ -274,10 +275,18 @@
 		s.allowsRamp(c.pool, e)
 }
 
-// maySendTo reports whether a call may be sent to an endpoint's address. If a call that must run at most
-// once went there a second time, a refusal could not be told from the earlier one.
+// place returns where the endpoint is.
+func (e *endpoint) place() evidence.Place {
+	return evidence.Place{
+		Address:    e.entry.Address,
+		EndpointID: e.key.ID,
+	}
+}
+
+// maySendTo reports whether a call may be sent to an endpoint. If a call that must run at most once went there
+// a second time, a refusal could not be told from the earlier one.
 func (c *call) maySendTo(e *endpoint) bool {
-	return c.spec.Route.Retryable() || !slices.Contains(c.sentTo, e.entry.Address)
+	return c.spec.Route.Retryable() || !slices.ContainsFunc(c.sentTo, e.place().MayBe)
 }
 
 // concurrencyLimit returns the number of calls that an endpoint may have in flight.
@@ -495,7 +504,7 @@
 	}
 	c.sends++
 	c.endpoint = e
-	c.sentTo = append(c.sentTo, e.entry.Address)
+	c.sentTo = append(c.sentTo, e.place())
 	c.sentAt = s.now
 	c.started = false
 	c.predictedTimeToFirstEvent = choice.TimeToFirstEvent
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -87,7 +87,7 @@
 	isSent bool
 	// evidence tells whether it is proven that the attempt has not run.
 	evidence *evidence.Attempt
-	// earlierSends is the number of the call's earlier attempts that were sent to the same address.
+	// earlierSends is the number of the call's earlier attempts that were sent to what may be the same endpoint.
 	earlierSends int
 	// isRefusalUnproven is set once the endpoint has sent a refusal that may be that of another attempt.
 	isRefusalUnproven bool
@@ -163,7 +163,7 @@
 		Int("attempt", int64(x.attempts)).Text("outcome", fmt.Sprintf("%T", outcome)[len("scheduling."):]).
 		Int("status", int64(status)).Bool("notRun", t.responseInfo.NotRun).Bool("reusedConnection", t.usesKeptConn).
 		Int("passedOverConnections", int64(t.passedOverConns)).Text("throughHost", t.throughHost).
-		Int("namedRequests", int64(t.responseInfo.RequestIDs)).Int("earlierSendsToAddress", int64(t.earlierSends)).
+		Int("namedRequests", int64(t.responseInfo.RequestIDs)).Int("earlierSends", int64(t.earlierSends)).
 		Int("events", int64(x.stream.attemptEvents))
 	if broken, ok := outcome.(scheduling.Broken); ok {
 		line = line.Bool("endpointDown", broken.EndpointDown).Text("requestHash", quarantine.FormatHash(x.requestHash))
@@ -184,8 +184,8 @@
 	x.stream.startAttempt()
 	x.lastFailure = nil
 	x.failureBody.release()
-	t.earlierSends = x.account.SendsTo(x.currentSend.Address)
-	if t.evidence = x.account.Begin(x.currentSend.Address); t.evidence == nil {
+	t.earlierSends = x.account.SendsTo(x.place())
+	if t.evidence = x.account.Begin(x.place()); t.evidence == nil {
 		t.err = &upstream.UnpermittedError{}
 		return scheduling.Unproven{}
 	}
@@ -240,6 +240,14 @@
 	}
 }
 
+// place returns where the attempt in progress is sent.
+func (x *exchange) place() evidence.Place {
+	return evidence.Place{
+		Address:    x.currentSend.Address,
+		EndpointID: x.currentSend.Key.ID,
+	}
+}
+
 // bindConn makes the caller's cancellation and the end of the server abort the connection until it is
 // released.
 func (t *attempt) bindConn(conn *upstream.Conn) {
@@ -403,7 +411,7 @@
 	x.server.Meter.RecordExcess(upstream.PartUnprovenRefusal)
 	x.server.Trail.Failure("refusalUnproven").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
 		Int("status", int64(status)).Int("namedRequests", int64(info.RequestIDs)).Bool("idShared", refusal.IsIDShared).
-		Bool("reusedConnection", t.conn.Reused()).Int("earlierSendsToAddress", int64(t.earlierSends)).
+		Bool("reusedConnection", t.conn.Reused()).Int("earlierSends", int64(t.earlierSends)).
 		Millis("after", time.Since(t.sentAt)).Merge(x.currentSend.Key.ID)
 	return false
 }
--- a/io/upstream/conn_test.go
+++ b/io/upstream/conn_test.go
@@ -50,7 +50,9 @@
 }
 
 // newAttempt returns an attempt that permits one request.
-func newAttempt() *evidence.Attempt { return evidence.New(false).Begin("endpoint") }
+func newAttempt() *evidence.Attempt {
+	return evidence.New(false).Begin(evidence.Place{EndpointID: "endpoint"})
+}
 
 // isOwn takes each response for the one to the request.
 func isOwn(*http.Response) upstream.Relation { return upstream.Own }
