Reset no connection before the first byte of a response

A caller over HTTP/1.0 that had closed its sending side saw its connection reset before the first byte of a response, though its call had run. Callers take such a reset for "not read" and may send the call again.

Cause: a broken answer over HTTP/1.0 is marked by a reset, as it has no chunks of which the last could be missing. That was done also where no part of an answer had been sent, where the end of the connection cannot be taken for one.

Change: the connection is reset only once a response has begun.

Evidence: TestResetCallHasNotRun failed for half-closed HTTP/1.0 callers in 3 of 3 cases (host killed, stopped, stopped at once), in each run, and passes now.

--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -516,9 +516,10 @@
 
 // abortResponse ends the handler and closes the connection without ending the response, so that the
 // caller cannot take it for complete. A response over HTTP/1.0 has no chunks of which the last one
-// could be missing: its connection is reset.
+// could be missing: its connection is reset. Without a byte of a response that would look like a request
+// that was not read.
 func (x *exchange) abortResponse() {
-	if conn := clientconns.FromContext(x.request.Context()); conn != nil && !x.request.ProtoAtLeast(1, 1) {
+	if conn := clientconns.FromContext(x.request.Context()); conn != nil && x.committed && !x.request.ProtoAtLeast(1, 1) {
 		conn.ResetOnClose()
 	}
 	panic(http.ErrAbortHandler)
