Show refusals of something else that pass for a call's own in serve

A call that must run at most once counts as not started, is sent to a second endpoint or is refused as "notRun", though the endpoint has run it.

A faulty endpoint writes the begin of an earlier refusal, torn within a header value, before the answer to the call. net/http reads both as one response: the status and the mark of the first, the attempt's ID of the second. Responses with two IDs or two marks are believed, too, as http.Header.Get returns the first, and so is the mark in a redirect, which the protocol has only in errors.

--- /dev/null
+++ b/io/service/refusal_test.go
@@ -0,0 +1,131 @@
+package service_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"cactuswell/io/engine"
+	"cactuswell/io/service"
+)
+
+const (
+	callID  = "call-2"
+	otherID = "call-1"
+)
+
+// faultyEndpoint writes early when a connection is opened, and late when it has read a request.
+type faultyEndpoint struct {
+	listener net.Listener
+	early    string
+	late     string
+	requests atomic.Int64
+}
+
+func newFaultyEndpoint(t *testing.T, early, late string) *faultyEndpoint {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	e := &faultyEndpoint{
+		listener: listener,
+		early:    early,
+		late:     late,
+	}
+	go e.run()
+	return e
+}
+
+func (e *faultyEndpoint) run() {
+	for {
+		conn, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.serve(conn)
+	}
+}
+
+func (e *faultyEndpoint) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, e.early); err != nil {
+		return
+	}
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	e.requests.Add(1)
+	_, _ = io.Copy(io.Discard, request.Body)
+	_, _ = io.WriteString(conn, e.late)
+}
+
+func idLine(attempt string) string { return engine.HeaderAttemptID + ": " + attempt + "\r\n" }
+
+// refusalHead is the begin of a refusal that names no attempt.
+const refusalHead = "HTTP/1.1 503 Service Unavailable\r\n" + engine.HeaderNotStarted + ": true\r\n"
+
+// TestRefusalOfSomethingElseIsNoPromise guards against calls that count as not started though they were run.
+func TestRefusalOfSomethingElseIsNoPromise(t *testing.T) {
+	const end = "Content-Length: 0\r\n\r\n"
+	tests := []struct {
+		name        string
+		early, late string
+		isRefusal   bool
+	}{
+		{name: "own", late: refusalOf(callID), isRefusal: true},
+		{name: "of another attempt", late: refusalOf(otherID) + answerOf(callID)},
+		{name: "of another attempt, before the request", early: refusalOf(otherID), late: answerOf(callID)},
+		{name: "names no attempt", late: refusalHead + end + answerOf(callID)},
+		{name: "names no attempt, before the request", early: refusalHead + end, late: answerOf(callID)},
+		{name: "torn in its status line", late: "HTTP/1.1 503 Service" + answerOf(callID)},
+		{name: "torn in its mark", late: "HTTP/1.1 503 Full\r\n" + engine.HeaderNotStarted + ": true" + answerOf(callID)},
+		{name: "torn in a value", late: refusalHead + "Server: engine" + answerOf(callID)},
+		{name: "torn before a value", late: refusalHead + engine.HeaderIncarnation + ": " + answerOf(callID)},
+		{name: "torn before a value, before the request", early: refusalHead + "Retry-After: ", late: answerOf(callID)},
+		{name: "torn in a name", late: refusalHead + "Retry-" + answerOf(callID)},
+		{name: "torn between two lines", late: refusalHead + answerOf(callID)},
+		{name: "torn after its ID", late: refusalHead + idLine(otherID) + "Server: " + answerOf(callID)},
+		{name: "names two attempts", late: refusalHead + idLine(callID) + idLine(otherID) + end},
+		{name: "two marks", late: refusalHead + engine.HeaderNotStarted + ": false\r\n" + idLine(callID) + end},
+		{name: "with a status of no error", late: "HTTP/1.1 200 OK\r\n" + engine.HeaderNotStarted + ": true\r\n" + idLine(callID) + end},
+		{name: "with a status of a redirect", late: "HTTP/1.1 307 Temporary Redirect\r\nLocation: /\r\n" + engine.HeaderNotStarted + ": true\r\n" + idLine(callID) + end},
+		{name: "in an informational response", late: "HTTP/1.1 103 Early Hints\r\n" + engine.HeaderNotStarted + ": true\r\n" + idLine(callID) + "\r\n"},
+		{name: "in an informational response, then another's", late: "HTTP/1.1 103 Early Hints\r\n" + idLine(callID) + "\r\n" + refusalHead + end},
+		{name: "ends in its header", late: refusalHead + idLine(callID)},
+		{name: "no response"},
+	}
+	for _, test := range tests {
+		for name, body := range map[string][]byte{"body": []byte("{}"), "no body": nil} {
+			t.Run(test.name+", "+name, func(t *testing.T) {
+				e := newFaultyEndpoint(t, test.early, test.late)
+				single := &http.Client{
+					Transport:     &http.Transport{DisableKeepAlives: true},
+					CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+				}
+				_, err := service.New(&http.Client{}, single).Call(context.Background(), service.Call{
+					AttemptID:      callID,
+					BaseURL:        "http://" + e.listener.Addr().String(),
+					Operation:      "hold",
+					IdempotencyKey: "key",
+					Body:           body,
+					NewConnection:  true,
+				})
+				var notStarted *engine.NotStartedError
+				if isRefusal := errors.As(err, &notStarted); isRefusal != test.isRefusal {
+					t.Errorf("not started: %v, want %v (error %v)", isRefusal, test.isRefusal, err)
+				}
+				if n := e.requests.Load(); n > 1 {
+					t.Errorf("the endpoint got %d requests", n)
+				}
+			})
+		}
+	}
+}
