--- a/io/service/refusal_test.go
+++ b/io/service/refusal_test.go
@@ -90,6 +90,7 @@
 		{name: "torn in a value", late: refusalHead + "Server: engine" + answerOf(callID)},
 		{name: "torn before a value", late: refusalHead + engine.HeaderIncarnation + ": " + answerOf(callID)},
 		{name: "torn before a value, before the request", early: refusalHead + "Retry-After: ", late: answerOf(callID)},
+		{name: "torn before a trailer", late: refusalHead + "Trailer: HTTP/1.1 200 OK\r\n" + idLine(callID) + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
 		{name: "torn in a name", late: refusalHead + "Retry-" + answerOf(callID)},
 		{name: "torn between two lines", late: refusalHead + answerOf(callID)},
 		{name: "torn after its ID", late: refusalHead + idLine(otherID) + "Server: " + answerOf(callID)},
