Promise in serve that a request was not run only if that is given

No caller has seen it; found by the search for promises made by default.

Cause: caller.Refusal answered 503 with the advice to retry for each execution but MayHaveRun, so also for an empty one, and 429 for a full team whatever the execution.

Change: a refusal says 502 and "unknown" unless the execution is NotRun.

Evidence: TestRefusalPromisesNothingByDefault failed before (25 of 36 pairs of reason and execution) and passes now.

--- a/io/caller/problem.go
+++ b/io/caller/problem.go
@@ -66,26 +66,28 @@
 	actionRetryWithKey = "retry with the same idempotency key"
 )
 
-// Refusal returns the problem for a refused request.
+// Refusal returns the problem for a refused request. It promises that the request was not run only
+// if ran is dispatch.NotRun.
 func Refusal(reason dispatch.RefuseReason, ran dispatch.Execution, retryAfter time.Duration) Problem {
 	problem := Problem{
-		Status:       http.StatusServiceUnavailable,
+		Status:       http.StatusBadGateway,
 		Code:         Code(reason),
 		Message:      refusalTexts[reason],
-		Action:       actionRetry,
-		Ran:          ran,
+		Action:       actionCheckOutcome,
+		Ran:          dispatch.MayHaveRun,
 		RetryAfterMs: retryAfter.Milliseconds(),
 	}
-	if ran == dispatch.MayHaveRun {
-		problem.Status = http.StatusBadGateway
-		problem.Action = actionCheckOutcome
+	if ran == dispatch.NotRun {
+		problem.Status = http.StatusServiceUnavailable
+		problem.Action = actionRetry
+		problem.Ran = dispatch.NotRun
 	}
-	switch reason {
-	case dispatch.RefuseTeamQueueFull:
+	switch {
+	case reason == dispatch.RefuseTeamQueueFull && ran == dispatch.NotRun:
 		problem.Status = http.StatusTooManyRequests
-	case dispatch.RefuseTimedOut:
+	case reason == dispatch.RefuseTimedOut:
 		problem.Status = http.StatusGatewayTimeout
-	case dispatch.RefuseEndpointError:
+	case reason == dispatch.RefuseEndpointError:
 		problem.Status = http.StatusBadGateway
 	}
 	return problem
