Count each attempt in serve as run until it has ended as one that was not

Cause: a request's flag that it may have run was set in four places and false by default, so that a further end of an attempt would promise that it had not run.

Change: the dispatcher counts the attempts that ended as not started; all others may have run.

TestGuaranteesHoldUnderRandomEvents compares each refusal with its own account of the attempts; core/dispatch and experiment pass.

--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -120,7 +120,6 @@
 // refuseTruncated refuses a request whose finished answer is shorter than what
 // was already delivered to the caller from another attempt.
 func (p *Pool) refuseTruncated(r *request, a *attempt) {
-	r.mayHaveRun = true
 	p.endAttempt(a, routing.OutcomeFailed)
 	p.refuse(r, RefuseStreamTruncated)
 }
@@ -147,7 +146,7 @@
 func (p *Pool) refuse(r *request, reason RefuseReason) {
 	p.cancelAll(r, CancelTimedOut)
 	execution := NotRun
-	if r.mayHaveRun {
+	if r.mayHaveRun() {
 		execution = MayHaveRun
 	}
 	p.commands = append(p.commands, RefuseRequest{
--- a/core/dispatch/cancel.go
+++ b/core/dispatch/cancel.go
@@ -17,7 +17,6 @@
 		Reason:   string(reason),
 		Tokens:   a.tokens,
 	})
-	r.mayHaveRun = true
 	p.endAttempt(a, outcome)
 }
 
--- a/core/dispatch/failure.go
+++ b/core/dispatch/failure.go
@@ -36,7 +36,6 @@
 		p.handleMayHaveRun(r, a, RefuseStreamTruncated)
 	case Errored:
 		if failure.Permanent {
-			r.mayHaveRun = true
 			p.endAttempt(a, routing.OutcomeCanceled)
 			p.refuseFailed(r, RefuseEndpointError)
 			return
@@ -54,6 +53,7 @@
 		p.handleMayHaveRun(r, a, RefuseStreamTruncated)
 		return
 	}
+	r.attemptsNotRun++
 	outcome := routing.OutcomeFailed
 	if failure.RetryAfter > 0 {
 		outcome = routing.OutcomeRejected
@@ -65,7 +65,6 @@
 
 // handleMayHaveRun handles a failed attempt that may have run.
 func (p *Pool) handleMayHaveRun(r *request, a *attempt, reason RefuseReason) {
-	r.mayHaveRun = true
 	r.avoidEndpoint(a.work.Key)
 	p.endAttempt(a, routing.OutcomeFailed)
 	p.scheduleRetry(r, reason, 0)
@@ -78,7 +77,7 @@
 		p.armRunning(r)
 		return
 	}
-	if r.atMostOnce && r.mayHaveRun {
+	if r.atMostOnce && r.mayHaveRun() {
 		p.refuse(r, RefuseOutcomeUnknown)
 		return
 	}
@@ -97,7 +96,7 @@
 // refuseFailed refuses a request whose attempts failed.
 func (p *Pool) refuseFailed(r *request, reason RefuseReason) {
 	switch {
-	case r.atMostOnce && r.mayHaveRun:
+	case r.atMostOnce && r.mayHaveRun():
 		reason = RefuseOutcomeUnknown
 	case r.delivered > 0:
 		reason = RefuseStreamTruncated
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -44,9 +44,9 @@
 	attempts        [maxRunningAttempts]*attempt
 	running         int
 	attemptsStarted uint32
-	retries         int
-	// mayHaveRun is set once an attempt that ended may have run.
-	mayHaveRun bool
+	// attemptsNotRun is the number of attempts that ended and certainly did not run.
+	attemptsNotRun uint32
+	retries        int
 	// budgetReserved is set while the request holds an attempt of the retry
 	// budget that was not started yet.
 	budgetReserved bool
@@ -72,6 +72,10 @@
 	}
 }
 
+// mayHaveRun reports whether an attempt of the request may have run. That is so until it has ended as
+// one that did not.
+func (r *request) mayHaveRun() bool { return r.attemptsNotRun < r.attemptsStarted }
+
 // runningAttempt returns the running attempt with that number, or nil.
 func (r *request) runningAttempt(number uint32) *attempt {
 	for _, a := range r.attempts[:r.running] {
