Close the connection of a caller of serve that has half-closed

A caller that closed its sending side before the answer got an empty 200, also for a call that must run at most once, and took it for the answer.

Cause: net/http ends the request's context when the caller closes its sending side, and completes a response to which the handler has written nothing with status 200. The gateway aborts such responses already (exchange.abortResponse).

Change: the handlers of calls and chats abort the response.

--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -29,7 +29,7 @@
 	for {
 		part, err := answer.Next(r.Context())
 		if err != nil {
-			return
+			abortResponse()
 		}
 		switch part := part.(type) {
 		case BodyPart:
--- a/io/caller/chat.go
+++ b/io/caller/chat.go
@@ -84,7 +84,7 @@
 	for {
 		part, err := answer.Next(r.Context())
 		if err != nil {
-			return
+			abortResponse()
 		}
 		switch part := part.(type) {
 		case TextPart:
@@ -153,7 +153,7 @@
 	for {
 		part, err := answer.Next(r.Context())
 		if err != nil {
-			return
+			abortResponse()
 		}
 		if problem, ok := part.(ProblemPart); ok && !events.started {
 			s.writeProblem(w, submission, problem.Problem)
--- a/io/caller/problem.go
+++ b/io/caller/problem.go
@@ -180,3 +180,7 @@
 		Error: p,
 	})
 }
+
+// abortResponse ends the handler of a call whose caller has left. The connection is closed: a caller that
+// has closed only its sending side would take the end of the handler for an empty answer.
+func abortResponse() { panic(http.ErrAbortHandler) }
