Count late attempts in the pairs of endpoint faults, under the lock

The test of the pairs read its counts while handlers of the endpoints still ran: a data race of the test, seen in 2 of 2 runs of ./host with -race. It now closes the endpoints first, so that a run after the refusal counts, too.

--- a/host/atmostonce_test.go
+++ b/host/atmostonce_test.go
@@ -114,6 +114,13 @@
 	return fault, response
 }
 
+// counts returns how many attempts the endpoints got, and how many they ran.
+func (e *faultyEndpoints) counts() (attempts, runs int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.attempts, e.runs
+}
+
 // ServeHTTP implements http.Handler.
 func (e *faultyEndpoints) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodPost {
@@ -146,16 +153,17 @@
 						faults: []endpointFault{first, next},
 					}
 					problem := callFaultyEndpoints(t, e)
-					if e.runs > 1 {
-						t.Errorf("the call ran %d times", e.runs)
+					attempts, runs := e.counts()
+					if runs > 1 {
+						t.Errorf("the call ran %d times", runs)
 					}
 					if problem != nil && problem.Ran == dispatch.NotRun {
 						refused.Add(1)
-						if e.runs > 0 {
+						if runs > 0 {
 							t.Errorf("the call ran and was refused: %+v", *problem)
 						}
 					}
-					if e.attempts > 1 {
+					if attempts > 1 {
 						second.Add(1)
 					}
 				})
@@ -174,7 +182,8 @@
 	p := newServicePool(t)
 	for i := range 2 {
 		server := httptest.NewServer(e)
-		t.Cleanup(server.Close)
+		// Attempts that still arrive count, too.
+		defer server.Close()
 		p.post(dispatch.EndpointAdded{
 			Descriptor: endpoint.Descriptor{
 				Key: endpoint.Key{
