Recognize torn headers in one place, also those torn in the field Trailer

The gateway and serve each looked for the status line of another response in a header.

Package io/splice serves both. TestSplicedHeadIsNoResponse tears a refusal after each byte before three forms of answers; without the check of the trailer it fails where the header is torn after "Trailer: ". A response with a status below 400 proves no refusal, either.

--- a/io/engine/errors.go
+++ b/io/engine/errors.go
@@ -61,15 +61,6 @@
 	return fmt.Sprintf("response is for attempt %q, not %q", e.Got, e.Want)
 }
 
-// SplicedResponseError means that a response consists of the begin of one response and the whole of
-// another.
-type SplicedResponseError struct{}
-
-// Error implements error.
-func (*SplicedResponseError) Error() string {
-	return "response header contains the status line of another response"
-}
-
 // UnknownAttemptError means that the endpoint does not know the attempt to resume.
 type UnknownAttemptError struct {
 	AttemptID string
--- a/io/engine/exchange.go
+++ b/io/engine/exchange.go
@@ -7,14 +7,13 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"regexp"
-	"slices"
 	"strings"
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
 
 	"cactuswell/io/httpjson"
+	"cactuswell/io/splice"
 )
 
 const (
@@ -24,9 +23,6 @@
 	maxControlResponseBytes = 4 << 20
 )
 
-// statusLine matches the begin of a status line.
-var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}`)
-
 // Exchange sends an attempt's request and checks the status of the response, and
 // that it belongs to the attempt. The errors are *NotStartedError, *StatusError,
 // *IncompleteResponseError and *AttemptMismatchError.
@@ -58,8 +54,8 @@
 }
 
 func checkResponseHeader(response *http.Response, attemptID string) error {
-	if isSpliced(response) {
-		return &IncompleteResponseError{Cause: &SplicedResponseError{}}
+	if err := splice.Check(response); err != nil {
+		return &IncompleteResponseError{Cause: err}
 	}
 	if ids := response.Header.Values(HeaderAttemptID); len(ids) != 1 || ids[0] != attemptID {
 		return &AttemptMismatchError{
@@ -91,27 +87,6 @@
 	return response.StatusCode >= http.StatusBadRequest && len(marks) == 1 && marks[0] == "true"
 }
 
-// isSpliced reports whether the header of a response contains the status line of another one. A
-// response that was torn within its header runs into the next one on its connection, and both are
-// read as one response with the status of the first and the attempt's id of the second.
-func isSpliced(response *http.Response) bool {
-	if statusLine.MatchString(response.Status) {
-		return true
-	}
-	for _, values := range response.Header {
-		if slices.ContainsFunc(values, statusLine.MatchString) {
-			return true
-		}
-	}
-	// http.Response has the values of the Trailer header as the keys of Trailer.
-	for name := range response.Trailer {
-		if statusLine.MatchString(strings.ToUpper(name)) {
-			return true
-		}
-	}
-	return false
-}
-
 // CancelAttempt cancels an attempt at the endpoint with the given base URL.
 func CancelAttempt(ctx context.Context, client *http.Client, baseURL, attemptID string) (CancelResponse, error) {
 	var response CancelResponse
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -401,7 +401,7 @@
 func (t *attempt) isProvenRefusal(info ResponseInfo, status int) bool {
 	x := t.exchange
 	refusal := evidence.Refusal{
-		NamesCall:  info.RequestID == x.requestInfo.RequestID && info.RequestIDs == 1,
+		NamesCall:  info.RequestID == x.requestInfo.RequestID && info.RequestIDs == 1 && status >= http.StatusBadRequest,
 		IsIDShared: x.server.isIDShared(x.requestInfo.RequestID, x.currentSend.Address),
 	}
 	if t.evidence.Refused(refusal) {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cactuswell/core/evidence"
+	"cactuswell/io/splice"
 	"cactuswell/io/tcp"
 )
 
@@ -170,7 +171,7 @@
 // ReadResponse returns the response to the request with the given method once its
 // header was read. The function relate tells how a response relates to the request: those that are
 // doubtful, and late ones to earlier requests, are skipped. The error is an *ExcessError if the
-// endpoint sends more than a header may hold, and a *SplicedResponseError if a header runs into another.
+// endpoint sends more than a header may hold, and a *splice.Error if a header runs into another.
 func (c *Conn) ReadResponse(method string, relate func(*http.Response) Relation) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	c.head.begin()
@@ -182,7 +183,7 @@
 			c.unusable = true
 			return nil, c.head.cause(err)
 		}
-		if err := checkSplice(response); err != nil {
+		if err := splice.Check(response); err != nil {
 			c.unusable = true
 			return nil, err
 		}
