Check the bytes of a header for a torn one, and write only through an attempt

Callers saw calls run twice, or run though they got 503, where a refusal is torn in its field Connection and runs into an answer that bears Connection: close.

Cause: the check looked at the parsed response. net/http deletes the whole field Connection if one of its values is close, and with it the trace of the tear. The pattern was also narrower than what the parser takes for a status line (two spaces, a tab or other bytes in the reason, codes from 600).

Change: the connection waits for the whole header and checks its bytes before the parser sees them (splice.CheckHead). A refusal whose header does not fit into the buffer of 4 KB proves nothing. Besides, the account alone now concludes that nothing was sent: a request is written within Attempt.Send, which also repeats the check that the call may go to the place.

--- a/core/evidence/evidence.go
+++ b/core/evidence/evidence.go
@@ -21,9 +21,7 @@
 //	if attempt == nil {
 //		// the call must not be sent there
 //	}
-//	if attempt.Send() {
-//		... write the request, and call NotSent if nothing of it was written ...
-//	}
+//	n, err := attempt.Send(func() (int, error) { return conn.Write(request) })
 //	if !attempt.Refused(refusal) {
 //		// the refusal proves nothing
 //	}
@@ -59,6 +57,9 @@
 type Refusal struct {
 	// NamesCall is set if the response names the call and no other.
 	NamesCall bool
+	// IsContradictory is set if a part of the response says that the request was run, or if it is not
+	// known to be of one piece.
+	IsContradictory bool
 	// IsIDShared is set if the place has received the call's ID with another call.
 	IsIDShared bool
 }
@@ -90,7 +91,7 @@
 // Begin begins an attempt at a place. It returns nil if the call must not be sent there, as an earlier
 // attempt may have run it or has reached the same endpoint.
 func (a *Account) Begin(place Place) *Attempt {
-	if !a.mayRepeat && (a.NotRun() == nil || a.SendsTo(place) > 0) {
+	if !a.permits(place) {
 		return nil
 	}
 	attempt := &Attempt{
@@ -101,6 +102,11 @@
 	return attempt
 }
 
+// permits reports whether the call may be sent to a place.
+func (a *Account) permits(place Place) bool {
+	return a.mayRepeat || a.NotRun() != nil && a.SendsTo(place) == 0
+}
+
 // SendsTo returns how often the call was sent to what may be the endpoint at a place.
 func (a *Account) SendsTo(place Place) int {
 	sends := 0
@@ -120,6 +126,12 @@
 	return allRefused{}
 }
 
+// UnpermittedError reports a request that must not be sent, as its attempt does not permit it.
+type UnpermittedError struct{}
+
+// Error returns a message.
+func (*UnpermittedError) Error() string { return "the request must not be sent again" }
+
 // Attempt is one attempt of a call. It permits that the request is written once.
 type Attempt struct {
 	account *Account
@@ -128,24 +140,26 @@
 	isUsed  bool
 }
 
-// Send must be called before the first byte of the request is written. It reports false if the request
-// must not be written, as the attempt has been used already or is nil.
-func (t *Attempt) Send() bool {
-	if t == nil || t.isUsed {
-		return false
+// Send writes the beginning of the request with the given function, which returns how many bytes it has
+// written. If it fails without a byte, nothing was sent. The error is an *UnpermittedError if the
+// attempt is nil or has been used, or the call may not be sent to the place any more.
+func (t *Attempt) Send(write func() (int, error)) (int, error) {
+	if t == nil || t.isUsed || !t.account.permits(t.place) {
+		return 0, &UnpermittedError{}
 	}
 	t.isUsed = true
 	t.state = mayHaveRun
-	return true
+	n, err := write()
+	if n == 0 && err != nil {
+		t.state = notSent
+	}
+	return n, err
 }
 
-// NotSent records that nothing of the request was written.
-func (t *Attempt) NotSent() { t.state = notSent }
-
 // Refused records that the endpoint says that it has not run the request and never will. It reports
 // whether that is proven.
 func (t *Attempt) Refused(refusal Refusal) bool {
-	isProven := refusal.NamesCall && !refusal.IsIDShared && t.account.SendsTo(t.place) == 1
+	isProven := refusal.NamesCall && !refusal.IsContradictory && !refusal.IsIDShared && t.account.SendsTo(t.place) == 1
 	if t.state != mayHaveRun || !isProven && !t.account.mayRepeat {
 		return false
 	}
--- a/core/evidence/evidence_test.go
+++ b/core/evidence/evidence_test.go
@@ -1,11 +1,18 @@
 package evidence_test
 
 import (
+	"net"
 	"testing"
 
 	"cactuswell/core/evidence"
 )
 
+func writes() (int, error) { return 1, nil }
+
+func fails() (int, error) { return 0, net.ErrClosed }
+
+func failsPartly() (int, error) { return 1, net.ErrClosed }
+
 var (
 	atA = evidence.Place{
 		Address:    "10.0.0.1:80",
@@ -28,19 +35,24 @@
 		// the same endpoint and another.
 		wantProof, wantSame, wantOther bool
 	}{
-		"not written":            {end: func(*evidence.Attempt) {}, wantProof: true, wantSame: true, wantOther: true},
-		"nothing left":           {end: func(a *evidence.Attempt) { a.Send(); a.NotSent() }, wantProof: true, wantSame: true, wantOther: true},
-		"no answer":              {end: func(a *evidence.Attempt) { a.Send() }},
-		"refused":                {end: func(a *evidence.Attempt) { a.Send(); a.Refused(named) }, wantProof: true, wantOther: true},
-		"refused without a name": {end: func(a *evidence.Attempt) { a.Send(); a.Refused(evidence.Refusal{}) }},
+		"not written":    {end: func(*evidence.Attempt) {}, wantProof: true, wantSame: true, wantOther: true},
+		"nothing left":   {end: func(a *evidence.Attempt) { _, _ = a.Send(fails) }, wantProof: true, wantSame: true, wantOther: true},
+		"something left": {end: func(a *evidence.Attempt) { _, _ = a.Send(failsPartly) }},
+		"refused, and run": {end: func(a *evidence.Attempt) {
+			_, _ = a.Send(writes)
+			a.Refused(evidence.Refusal{NamesCall: true, IsContradictory: true})
+		}},
+		"no answer":              {end: func(a *evidence.Attempt) { _, _ = a.Send(writes) }},
+		"refused":                {end: func(a *evidence.Attempt) { _, _ = a.Send(writes); a.Refused(named) }, wantProof: true, wantOther: true},
+		"refused without a name": {end: func(a *evidence.Attempt) { _, _ = a.Send(writes); a.Refused(evidence.Refusal{}) }},
 		"refused with a shared ID": {end: func(a *evidence.Attempt) {
-			a.Send()
+			_, _ = a.Send(writes)
 			a.Refused(evidence.Refusal{NamesCall: true, IsIDShared: true})
 		}},
-		"refused before it was sent":  {end: func(a *evidence.Attempt) { a.Refused(named); a.Send() }},
-		"no answer, may repeat":       {end: func(a *evidence.Attempt) { a.Send() }, mayRepeat: true, wantSame: true, wantOther: true},
-		"refused, may repeat":         {end: func(a *evidence.Attempt) { a.Send(); a.Refused(evidence.Refusal{}) }, mayRepeat: true, wantProof: true, wantSame: true, wantOther: true},
-		"refused by a second attempt": {end: func(a *evidence.Attempt) { a.Send(); a.Refused(named); a.Refused(named) }, wantProof: true, wantOther: true},
+		"refused before it was sent":  {end: func(a *evidence.Attempt) { a.Refused(named); _, _ = a.Send(writes) }},
+		"no answer, may repeat":       {end: func(a *evidence.Attempt) { _, _ = a.Send(writes) }, mayRepeat: true, wantSame: true, wantOther: true},
+		"refused, may repeat":         {end: func(a *evidence.Attempt) { _, _ = a.Send(writes); a.Refused(evidence.Refusal{}) }, mayRepeat: true, wantProof: true, wantSame: true, wantOther: true},
+		"refused by a second attempt": {end: func(a *evidence.Attempt) { _, _ = a.Send(writes); a.Refused(named); a.Refused(named) }, wantProof: true, wantOther: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			account := evidence.New(test.mayRepeat)
@@ -63,7 +75,7 @@
 	for _, other := range []evidence.Place{{Address: atA.Address, EndpointID: "b"}, {Address: "10.0.0.2:80", EndpointID: atA.EndpointID}} {
 		account := evidence.New(false)
 		attempt := account.Begin(atA)
-		attempt.Send()
+		_, _ = attempt.Send(writes)
 		if !attempt.Refused(evidence.Refusal{NamesCall: true}) || account.Begin(other) != nil || account.Begin(atB) == nil {
 			t.Errorf("a call that was refused at %v may be sent to %v, or not to %v", atA, other, atB)
 		}
@@ -73,11 +85,25 @@
 // TestAttemptIsSentOnce guards against a request that is written twice in one attempt, or without one.
 func TestAttemptIsSentOnce(t *testing.T) {
 	attempt := evidence.New(true).Begin(atA)
-	if !attempt.Send() || attempt.Send() {
-		t.Error("the request may not be sent once")
+	if _, err := attempt.Send(writes); err != nil {
+		t.Errorf("the request may not be sent: %v", err)
 	}
 	var none *evidence.Attempt
-	if none.Send() {
-		t.Error("a request may be sent without an attempt")
+	for name, attempt := range map[string]*evidence.Attempt{"used": attempt, "missing": none} {
+		if _, err := attempt.Send(writes); err == nil {
+			t.Errorf("a request may be sent with an attempt that is %s", name)
+		}
+	}
+}
+
+// TestAttemptsBegunTogetherAreSentOnce guards against two attempts that were begun before either was sent.
+func TestAttemptsBegunTogetherAreSentOnce(t *testing.T) {
+	account := evidence.New(false)
+	first, second := account.Begin(atA), account.Begin(atB)
+	if _, err := first.Send(writes); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := second.Send(writes); err == nil {
+		t.Error("both attempts may be sent")
 	}
 }
--- a/core/evidence/ids.go
+++ b/core/evidence/ids.go
@@ -8,9 +8,9 @@
 
 const (
 	// rememberedFor is the shortest time for which an ID is remembered, if there is room. Calls take
-	// no longer.
+	// no longer, but beyond 1,000 requests a second the ID of one that is open may be forgotten.
 	rememberedFor = time.Minute
-	// maxRemembered bounds the IDs of a rememberedFor, for 1,000 requests a second.
+	// maxRemembered bounds the IDs of a rememberedFor.
 	maxRemembered = 1 << 16
 )
 
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -119,6 +119,31 @@
 	} {
 		t.Run(name, func(t *testing.T) { checkPromises(t, 1, precededBy(by)) })
 	}
+	for name, by := range map[string]string{
+		"in Connection":           tornAfter(refusalOf(), ": 1\r\n") + "Connection: clo",
+		"in Connection, with 421": "HTTP/1.1 421 Misdirected Request\r\nConnection: ",
+	} {
+		t.Run(name, func(t *testing.T) {
+			checkPromises(t, 1, func() func(*http.Request) standin.Behaviour {
+				return func(*http.Request) standin.Behaviour {
+					return standin.PrecededAnswer{
+						By:     by,
+						Closes: true,
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestContradictoryRefusalIsNoPromise guards against a call that runs twice, or runs though it was refused: the response
+// has the status of a refusal and the mark of an endpoint that has run the call.
+func TestContradictoryRefusalIsNoPromise(t *testing.T) {
+	checkPromises(t, 1, func() func(*http.Request) standin.Behaviour {
+		return func(*http.Request) standin.Behaviour {
+			return standin.FalseNotRun{Status: http.StatusMisdirectedRequest}
+		}
+	})
 }
 
 // TestRefusalOfCallWithSameIDIsNoPromise guards against a call that runs twice, or runs though it was refused: its caller
--- a/gateway/repeat_test.go
+++ b/gateway/repeat_test.go
@@ -49,7 +49,8 @@
 var promises = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
 // TestRepeatedAnswerOfEarlierAttemptIsNotBelieved guards against an answer to an earlier attempt of
-// a call that passes for the answer to the next one. A call that must run at most once needs a second endpoint.
+// a call that passes for the answer to the next one. A call that must run at most once needs a second endpoint, and
+// what is repeated there is the answer to an earlier call.
 func TestRepeatedAnswerOfEarlierAttemptIsNotBelieved(t *testing.T) {
 	repeat := standin.RepeatedAnswer{}
 	slowRepeat := standin.RepeatedAnswer{IsSlow: true}
@@ -201,6 +202,19 @@
 	}
 }
 
+// TestLateResponseToOnceOnlyCallIsLogged is TestLateResponseIsLogged for calls that must run at most once, which a
+// second endpoint serves.
+func TestLateResponseToOnceOnlyCallIsLogged(t *testing.T) {
+	f := newFixture(t, 2)
+	f.setBehaviour(byAttempt(standin.Decline{}, standin.RepeatedAnswer{}))
+	for range 6 {
+		if got := f.post("/hold/x", "body"); got.status != http.StatusOK {
+			t.Fatalf("status %d", got.status)
+		}
+	}
+	f.awaitLine(`"event":"lateResponse"`, `"request":"request--hold-x-`, `"respondsTo":"request--hold-x`, `"status":503`, `"notRun":true`)
+}
+
 // sequence returns the given behaviours in order, and the last one for all further calls.
 func sequence(behaviours ...standin.Behaviour) func(*http.Request) standin.Behaviour {
 	var mu sync.Mutex
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -89,8 +89,11 @@
 	evidence *evidence.Attempt
 	// earlierSends is the number of the call's earlier attempts that were sent to what may be the same endpoint.
 	earlierSends int
-	// isRefusalUnproven is set once the endpoint has sent a refusal that may be that of another attempt.
+	// isRefusalUnproven is set once the endpoint has sent a refusal that may be that of another attempt, and
+	// isIDShared if that is so as the caller has given another call the same ID. Then no further response
+	// is waited for, as the refusal is most likely the attempt's own.
 	isRefusalUnproven bool
+	isIDShared        bool
 	err               error
 }
 
@@ -186,7 +189,7 @@
 	x.failureBody.release()
 	t.earlierSends = x.account.SendsTo(x.place())
 	if t.evidence = x.account.Begin(x.place()); t.evidence == nil {
-		t.err = &upstream.UnpermittedError{}
+		t.err = &evidence.UnpermittedError{}
 		return scheduling.Unproven{}
 	}
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
@@ -388,7 +391,8 @@
 		t.awaitFurtherResponse()
 		return upstream.Doubtful
 	}
-	if (info.NotRun || info.Misdirected) && !t.isProvenRefusal(info, response.StatusCode) {
+	isRefusal := info.NotRun || info.Misdirected
+	if isRefusal && !t.isProvenRefusal(info, response.StatusCode) && !t.isIDShared {
 		t.awaitFurtherResponse()
 		return upstream.Doubtful
 	}
@@ -401,16 +405,18 @@
 func (t *attempt) isProvenRefusal(info ResponseInfo, status int) bool {
 	x := t.exchange
 	refusal := evidence.Refusal{
-		NamesCall:  info.RequestID == x.requestInfo.RequestID && info.RequestIDs == 1 && status >= http.StatusBadRequest,
-		IsIDShared: x.server.isIDShared(x.requestInfo.RequestID, x.currentSend.Address),
+		NamesCall:       info.RequestID == x.requestInfo.RequestID && info.RequestIDs == 1,
+		IsContradictory: !isRefusalStatus(status) || info.HasMark || !t.conn.IsHeadChecked(),
+		IsIDShared:      x.server.isIDShared(x.requestInfo.RequestID, x.currentSend.Address),
 	}
 	if t.evidence.Refused(refusal) {
 		return true
 	}
 	t.isRefusalUnproven = true
+	t.isIDShared = refusal.IsIDShared
 	x.server.Meter.RecordExcess(upstream.PartUnprovenRefusal)
 	x.server.Trail.Failure("refusalUnproven").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
-		Int("status", int64(status)).Int("namedRequests", int64(info.RequestIDs)).Bool("idShared", refusal.IsIDShared).
+		Int("status", int64(status)).Int("namedRequests", int64(info.RequestIDs)).Bool("contradictory", refusal.IsContradictory).Bool("idShared", refusal.IsIDShared).
 		Bool("reusedConnection", t.conn.Reused()).Int("earlierSends", int64(t.earlierSends)).
 		Millis("after", time.Since(t.sentAt)).Merge(x.currentSend.Key.ID)
 	return false
@@ -503,6 +509,8 @@
 	t.postNotices()
 	status := t.response.StatusCode
 	switch {
+	case t.isIDShared:
+		return t.drainBody(scheduling.Unproven{})
 	case status == http.StatusMisdirectedRequest:
 		return t.drainBody(scheduling.Misdirected{})
 	case t.responseInfo.NotRun:
@@ -651,6 +659,11 @@
 	}
 }
 
+// isRefusalStatus reports whether an endpoint that has not run a request may answer with a status.
+func isRefusalStatus(status int) bool {
+	return status == http.StatusBadRequest || impliesNotRun(status)
+}
+
 // impliesNotRun reports whether callers take a status to mean that the call was not
 // run.
 func impliesNotRun(status int) bool {
--- a/io/opaque/headers.go
+++ b/io/opaque/headers.go
@@ -224,8 +224,13 @@
 	}
 }
 
-// isSet reports whether a header that is a flag has a value other than zero.
-func isSet(value string) bool { return value != "" && value != "0" }
+// countDistinct returns the number of different values. Proxies may repeat a field.
+func countDistinct(values []string) int {
+	return len(slices.Compact(slices.Sorted(slices.Values(values))))
+}
+
+// isSet reports whether a header that is a flag has a value other than zero and false.
+func isSet(value string) bool { return value != "" && value != "0" && value != "false" }
 
 // parseRetryAfter parses a delay in seconds, which may have a fraction. It returns the
 // text as malformed if it is not a positive number, and also if the number is larger than
@@ -278,9 +283,9 @@
 	header := response.Header
 	info := ResponseInfo{
 		RequestID:   header.Get(h.names.RequestID),
-		RequestIDs:  len(header.Values(h.names.RequestID)),
+		RequestIDs:  countDistinct(header.Values(h.names.RequestID)),
 		HasMark:     header.Get(h.names.Mark) != "",
-		NotRun:      header.Get(h.names.NotRun) != "",
+		NotRun:      isSet(header.Get(h.names.NotRun)),
 		Misdirected: response.StatusCode == http.StatusMisdirectedRequest,
 		Leaving:     isSet(header.Get(h.names.Leaving)),
 	}
--- a/io/splice/splice.go
+++ b/io/splice/splice.go
@@ -4,25 +4,31 @@
 //
 // # Usage
 //
-//	response, err := http.ReadResponse(reader, request)
-//	...
-//	if err := splice.Check(response); err != nil {
+//	head, _ := reader.Peek(size)
+//	if err := splice.CheckHead(head); err != nil {
 //		// the response is malformed
 //	}
+//	response, err := http.ReadResponse(reader, request)
 //
-// A header that is torn between two lines or within a name cannot be parsed at all.
+// Where only the parsed response is at hand, Check finds most of them: the parser removes some fields,
+// such as Connection if one of its values is close. A header that is torn between two lines or within a
+// name cannot be parsed at all.
 package splice
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"regexp"
 	"strings"
 )
 
-// statusLine matches a value that ends with a status line, in any case, as names of fields are
-// converted to their usual form.
-var statusLine = regexp.MustCompile(`(?i)HTTP/1\.[01] [1-5][0-9]{2}( [ -~]*)?$`)
+// statusLine matches a line or a value that ends with a status line as the parser takes it, in any case, as
+// names of fields are converted to their usual form.
+var statusLine = regexp.MustCompile(`(?i)HTTP/[0-9]\.[0-9][ \t]+[0-9]{3}([ \t].*)?$`)
+
+// versionBytes is the size of the version with which a status line begins.
+const versionBytes = len("HTTP/1.1")
 
 // Error reports a response that consists of the beginning of one response and the whole of another.
 type Error struct {
@@ -38,6 +44,30 @@
 	return fmt.Sprintf("the field %s of the response runs into the status line of another one", e.Field)
 }
 
+// CheckHead returns an *Error if the bytes of a header, with or without those that follow it, hold the
+// status line of another response.
+func CheckHead(head []byte) error {
+	isFirst := true
+	for line := range bytes.Lines(head) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 && !isFirst {
+			return nil
+		}
+		if isFirst {
+			line = line[min(versionBytes, len(line)):]
+		}
+		if endsWithStatusLine(string(line)) {
+			name, _, _ := bytes.Cut(line, []byte(":"))
+			if isFirst {
+				name = nil
+			}
+			return &Error{Field: string(name)}
+		}
+		isFirst = false
+	}
+	return nil
+}
+
 // Check returns an *Error if the header of a response holds the status line of another one.
 func Check(response *http.Response) error {
 	if endsWithStatusLine(response.Status) {
@@ -60,6 +90,6 @@
 }
 
 func endsWithStatusLine(text string) bool {
-	// Most values do not hold the slash, and the expression costs more.
-	return strings.Contains(text, "/1.") && statusLine.MatchString(text)
+	// Most lines do not hold the slash, and the expression costs more.
+	return strings.Contains(text, "/") && statusLine.MatchString(text)
 }
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -86,6 +86,8 @@
 	// concurrently.
 	bodyWritten chan error
 	unusable    bool
+	// isHeadChecked is set if the header of the last response has been checked as a whole.
+	isHeadChecked bool
 }
 
 // Reused reports whether the connection carried a request before.
@@ -137,19 +139,13 @@
 		return &SendError{Err: err}
 	}
 	head.WriteString("\r\n")
-	if !request.Attempt.Send() {
-		return &SendError{Err: &UnpermittedError{}}
-	}
 	concurrently := len(request.Body) > maxInlineBody
 	if !concurrently {
 		head.Write(request.Body)
 	}
-	n, err := c.conn.Write(head.Bytes())
+	n, err := request.Attempt.Send(func() (int, error) { return c.conn.Write(head.Bytes()) })
 	if err != nil {
 		c.unusable = true
-		if n == 0 {
-			request.Attempt.NotSent()
-		}
 		return &SendError{
 			Partial: n > 0,
 			Err:     err,
@@ -178,15 +174,15 @@
 	defer c.head.end()
 	unsolicited := 0
 	for {
+		if err := c.checkHead(); err != nil {
+			c.unusable = true
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			c.unusable = true
 			return nil, c.head.cause(err)
 		}
-		if err := splice.Check(response); err != nil {
-			c.unusable = true
-			return nil, err
-		}
 		if len(response.TransferEncoding) > 0 {
 			response.Body = &framedBody{
 				ReadCloser: response.Body,
@@ -216,6 +212,33 @@
 	return nil, &UnsolicitedResponseError{Address: c.address}
 }
 
+// checkHead waits for the header of the next response and returns a *splice.Error if it runs into
+// another one. A header that is longer than the buffer, or does not come, is left to the parser.
+func (c *Conn) checkHead() error {
+	c.isHeadChecked = false
+	for size := 1; size <= c.reader.Size(); size = c.reader.Buffered() + 1 {
+		if _, err := c.reader.Peek(size); err != nil {
+			// The parser meets the same error.
+			return nil
+		}
+		head, _ := c.reader.Peek(c.reader.Buffered())
+		if hasHeadEnd(head[max(0, size-len("\n\r\n")):]) {
+			c.isHeadChecked = true
+			return splice.CheckHead(head)
+		}
+	}
+	return nil
+}
+
+// hasHeadEnd reports whether a text holds an empty line after another one.
+func hasHeadEnd(text []byte) bool {
+	return bytes.Contains(text, []byte("\n\r\n")) || bytes.Contains(text, []byte("\n\n"))
+}
+
+// IsHeadChecked reports whether it is known that the header of the last response does not run into
+// another one.
+func (c *Conn) IsHeadChecked() bool { return c.isHeadChecked }
+
 // Drain reads a short body to its end, so that the connection can carry another
 // request, and reports whether it can. A body that is long or slow makes the connection
 // unusable.
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -93,12 +93,6 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
-// UnpermittedError reports a request that must not be sent, as its attempt does not permit it.
-type UnpermittedError struct{}
-
-// Error returns a message.
-func (*UnpermittedError) Error() string { return "the request must not be sent again" }
-
 // UnsolicitedResponseError reports that a connection received only responses to
 // other requests.
 type UnsolicitedResponseError struct {
--- a/standin/opaque/endpoint.go
+++ b/standin/opaque/endpoint.go
@@ -71,8 +71,12 @@
 	WithoutID bool
 }
 
-// PrecededAnswer runs the call, and sends the given bytes before the complete answer.
-type PrecededAnswer struct{ By string }
+// PrecededAnswer runs the call, and sends the given bytes before the complete answer, which says that it closes
+// the connection if Closes is set.
+type PrecededAnswer struct {
+	By     string
+	Closes bool
+}
 
 // LeavingAnswer is a complete answer with the header that says that the endpoint is
 // leaving.
@@ -462,7 +466,11 @@
 	case RepeatedAnswer:
 		return e.writeAfterRepeat(conn, e.completeAnswer(request, body, true), b)
 	case PrecededAnswer:
-		return e.write(conn, append([]byte(b.By), e.completeAnswer(request, body, true)...))
+		answer := e.completeAnswer(request, body, true)
+		if b.Closes {
+			answer = bytes.Replace(answer, []byte("\r\n\r\n"), []byte("\r\nConnection: close\r\n\r\n"), 1)
+		}
+		return e.write(conn, append([]byte(b.By), answer...))
 	case SlowStream:
 		return e.writeSlowly(conn, e.completeAnswer(request, body, true), b.Pause)
 	case PaddedStream:
