Play refusals that belong to another attempt with real processes

The worker sends an earlier refusal, a nameless one, a foreign one, or one that ends within its header before the answer to a request that runs: at once, with the answer, or in two parts. It also refuses with 429, 408 and 400, and ends runs in odd ways. Callers pipeline, close one direction, expect 100, send slowly and stop, and some come back at once after a promise. Hosts are left a fifth of their time. The existing soaks draw as before.

TestSoakWithNamelessRefusals and TestSoakWithSplicedRefusals fail until refusals without an ID and torn ones are not believed.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -42,7 +42,7 @@
 	weight       int
 }
 
-// plainOperations and streamOperations are carried out with these weights.
+// plainOperations, variedOperations and streamOperations are carried out with these weights.
 var (
 	plainOperations = []operationKind{
 		{path: "/hold/", timeLeft: 2500 * time.Millisecond, weight: 5},
@@ -50,6 +50,10 @@
 		{path: "/lookup/", isRepeatable: true, timeLeft: 2500 * time.Millisecond, weight: 2},
 		{path: "/draft/", isStream: true, timeLeft: 2500 * time.Millisecond, weight: 2},
 	}
+	variedOperations = append([]operationKind{
+		{path: "/order/", timeLeft: 2500 * time.Millisecond, weight: 3},
+		{path: "/note/", isStream: true, timeLeft: 2500 * time.Millisecond, weight: 1},
+	}, plainOperations...)
 	streamOperations = []operationKind{
 		{path: "/summary/", isStream: true, isRepeatable: true, timeLeft: 5 * time.Second, weight: 3},
 		{path: "/hold/", timeLeft: 2500 * time.Millisecond, weight: 1},
@@ -100,6 +104,7 @@
 	// pick returns the address of a host that takes new connections.
 	pick       func(random *rand.Rand) address
 	operations []operationKind
+	isVaried   bool
 	names      product.HeaderNames
 	random     *rand.Rand
 	served     *atomic.Int64
@@ -113,6 +118,10 @@
 	reader *bufio.Reader
 	to     address
 	count  *countingReader
+	// leavesAt is when the caller closes it.
+	leavesAt time.Time
+	// isPipelined is set if two requests were sent at a time, so that unread bytes may be the second.
+	isPipelined bool
 }
 
 // countingReader counts the bytes that were read.
@@ -182,7 +191,8 @@
 			return
 		}
 		c.drop()
-		if a, ok := end.(answered); ok {
+		// Some callers do not wait as they are told.
+		if a, ok := end.(answered); ok && (!c.isVaried || c.random.IntN(2) == 0) {
 			c.wait(ctx, min(a.retryAfter, time.Until(deadline)/3))
 		}
 	}
@@ -222,7 +232,7 @@
 		Host:         conn.to.host,
 	}
 	c.journal.Record(event)
-	end, isKept, detail := c.exchange(conn, kind, event.Request, deadline, s)
+	end, isKept, detail := c.exchange(conn, kind, event, deadline, s)
 	if isKept {
 		c.kept = conn
 	} else {
@@ -267,14 +277,26 @@
 
 // exchange sends a request and reads the response. It also returns whether the connection can be
 // used again, and a text for the journal.
-func (c *caller) exchange(conn *callerConn, kind operationKind, request string, deadline time.Time, s *stream) (end result, isKept bool, detail string) {
+func (c *caller) exchange(conn *callerConn, kind operationKind, sent Event, deadline time.Time, s *stream) (end result, isKept bool, detail string) {
+	request := sent.Request
 	leavesAt := deadline
 	if c.random.IntN(20) == 0 {
 		leavesAt = time.Now().Add(time.Duration(c.random.Int64N(int64(time.Until(deadline)) + 1)))
 	}
 	_ = conn.SetDeadline(leavesAt)
 	conn.count.n = 0
-	if err := c.send(conn, kind, request, deadline, s); err != nil {
+	conn.leavesAt = leavesAt
+	m := c.drawManner(kind)
+	message := c.compose(kind, request, deadline, s)
+	if m == pipelined {
+		conn.isPipelined = true
+		next := sent
+		next.Request += "-next"
+		c.journal.Record(next)
+		message += c.compose(kind, next.Request, deadline, s)
+		defer func() { isKept = c.finishNext(conn, next, isKept) }()
+	}
+	if err := c.send(conn, message, m); err != nil {
 		return conn.endOf(err), false, err.Error()
 	}
 	response, err := http.ReadResponse(conn.reader, &http.Request{Method: http.MethodPost})
@@ -297,7 +319,7 @@
 	return answered{
 		status:     response.StatusCode,
 		retryAfter: time.Duration(seconds * float64(time.Second)),
-	}, !response.Close, detail
+	}, !response.Close && m.keepsConnection(), detail
 }
 
 // endOf returns how an attempt ended that has failed with an error. A caller cannot know
@@ -309,14 +331,14 @@
 	switch {
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return abandoned{}
-	case conn.to.isDirect && conn.count.n == 0 && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)):
+	case conn.to.isDirect && !conn.isPipelined && conn.count.n == 0 && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)):
 		return unread{}
 	}
 	return broken{}
 }
 
-// send sends a request, with a length or in chunks, in one part or two.
-func (c *caller) send(conn *callerConn, kind operationKind, request string, deadline time.Time, s *stream) error {
+// compose returns a request, with a length or in chunks.
+func (c *caller) compose(kind operationKind, request string, deadline time.Time, s *stream) string {
 	path := kind.path + request
 	if kind.isStream {
 		path += "/stream"
@@ -337,18 +359,5 @@
 	if c.random.IntN(3) == 0 && body != "" {
 		message = fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
 	}
-	first := len(message)
-	if c.random.IntN(8) == 0 {
-		first = c.random.IntN(len(message))
-	}
-	if _, err := io.WriteString(conn, message[:first]); err != nil || first == len(message) {
-		return err
-	}
-	pause := splitPause
-	if c.random.IntN(4) == 0 {
-		pause = time.Duration(c.random.Int64N(int64(longestSplitPause)))
-	}
-	c.wait(context.Background(), pause)
-	_, err := io.WriteString(conn, message[first:])
-	return err
+	return message
 }
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -141,6 +141,8 @@
 	switch d := disturbance.(type) {
 	case PausedHost:
 		return []int{d.Host}
+	case StarvedHost:
+		return []int{d.Host}
 	case KilledHosts:
 		return d.Hosts
 	case RestartedHost:
--- a/soak/disturbance.go
+++ b/soak/disturbance.go
@@ -24,6 +24,12 @@
 	For  time.Duration
 }
 
+// StarvedHost leaves a host's process a fifth of its time (SIGSTOP and SIGCONT in turn).
+type StarvedHost struct {
+	Host int
+	For  time.Duration
+}
+
 // KilledHosts kills hosts (SIGKILL) at the same moment and starts them again.
 type KilledHosts struct {
 	Hosts []int
@@ -97,6 +103,7 @@
 type ChangedConfiguration struct{}
 
 func (PausedHost) isDisturbance()       {}
+func (StarvedHost) isDisturbance()      {}
 func (KilledHosts) isDisturbance()      {}
 func (RestartedHost) isDisturbance()    {}
 func (ReloadedHost) isDisturbance()     {}
@@ -131,6 +138,9 @@
 		settings: settings,
 	}
 	var schedule []Scheduled
+	if settings.IsUndisturbed {
+		return nil
+	}
 	for at := gap; at < settings.Duration; {
 		schedule = append(schedule, Scheduled{
 			At:          at,
@@ -161,6 +171,12 @@
 	if s.settings.OnlyPlannedWork {
 		return s.drawPlannedWork()
 	}
+	if s.settings.IsVaried && s.random.IntN(10) == 0 {
+		return StarvedHost{
+			Host: s.host(),
+			For:  s.duration(),
+		}
+	}
 	switch drawn := s.random.IntN(20); {
 	case drawn < 4:
 		return PausedHost{
@@ -225,6 +241,14 @@
 	if s.settings.RepeatsRefusals {
 		faults.RepeatedRefusals = 0.5
 	}
+	if s.settings.IsVaried {
+		faults.OddAnswers = 0.2
+		faults.ForeignRefusals = 0.1
+		faults.RefusalsWithOtherStatus = 0.3
+	}
+	faults.MisplacedRefusals = s.settings.Faults.MisplacedRefusals
+	faults.NamelessRefusals = s.settings.Faults.NamelessRefusals
+	faults.SplicedRefusals = s.settings.Faults.SplicedRefusals
 	return FaultyEndpoint{
 		Endpoint: s.endpoint(),
 		For:      s.duration(),
@@ -295,6 +319,8 @@
 		f.hosts[d.Host].signal(syscall.SIGSTOP)
 		f.wait(ctx, d.For)
 		f.hosts[d.Host].signal(syscall.SIGCONT)
+	case StarvedHost:
+		f.starve(ctx, d)
 	case KilledHosts:
 		f.kill(ctx, d)
 	case RestartedHost:
@@ -310,7 +336,7 @@
 	case FaultyEndpoint:
 		f.endpoints[d.Endpoint].SetFaults(d.Faults)
 		f.wait(ctx, d.For)
-		f.endpoints[d.Endpoint].SetFaults(worker.Faults{})
+		f.endpoints[d.Endpoint].SetFaults(f.settings.Faults)
 	case ChangedConfiguration:
 		f.operator.change()
 	case StoreDown:
@@ -348,6 +374,17 @@
 	}
 }
 
+// starve lets a host run for a short time again and again.
+func (f *fleet) starve(ctx context.Context, d StarvedHost) {
+	const stopped, running = 20 * time.Millisecond, 5 * time.Millisecond
+	for range d.For / (stopped + running) {
+		f.hosts[d.Host].signal(syscall.SIGSTOP)
+		f.wait(ctx, stopped)
+		f.hosts[d.Host].signal(syscall.SIGCONT)
+		f.wait(ctx, running)
+	}
+}
+
 // kill kills hosts and starts them again. A host that is being restarted is left alone.
 func (f *fleet) kill(ctx context.Context, d KilledHosts) {
 	var killed []*host
--- a/soak/journal.go
+++ b/soak/journal.go
@@ -102,6 +102,11 @@
 	Declines     int
 	StreamFaults int
 	Disturbances int
+	// Served, Refused and Failed are the numbers of operations by the end of their last request: with
+	// 200, with a promise, or with another status or none.
+	Served  int
+	Refused int
+	Failed  int
 
 	ConfigurationFaults int
 }
@@ -175,11 +180,13 @@
 // Count returns the numbers of what happened.
 func (j *Journal) Count() Counts {
 	counts := Counts{Statuses: make(map[int]int)}
-	operations := make(map[string]bool)
+	operations := make(map[string]Event)
 	for _, event := range j.Events() {
+		if event.Operation != "" {
+			operations[event.Operation] = event
+		}
 		switch event.Kind {
 		case AttemptSent:
-			operations[event.Operation] = true
 			counts.Requests++
 		case AttemptAnswered:
 			counts.Statuses[event.Status]++
@@ -203,6 +210,16 @@
 		}
 	}
 	counts.Operations = len(operations)
+	for _, last := range operations {
+		switch {
+		case last.Kind == AttemptAnswered && last.Status == http.StatusOK:
+			counts.Served++
+		case last.Kind == AttemptAnswered && isPromise(last.Status):
+			counts.Refused++
+		default:
+			counts.Failed++
+		}
+	}
 	return counts
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -58,7 +58,7 @@
 	serviceName = "booking"
 	zone        = "zone-1"
 
-	slots        = 4
+	defaultSlots = 4
 	queueLength  = 3
 	workTime     = 20 * time.Millisecond
 	streamEvents = 10
@@ -91,10 +91,18 @@
 	Hosts     int
 	Endpoints int
 	Callers   int
+	// Slots is the number of slots of an endpoint, 4 if it is zero.
+	Slots int
 	// Duration is the time in which disturbances begin.
 	Duration time.Duration
 	// RepeatsRefusals makes faulty endpoints send refusals once more.
 	RepeatsRefusals bool
+	// Faults are the faults that endpoints have all the time. Those that concern refusals, they also
+	// have while a disturbance gives them others.
+	Faults worker.Faults
+	// IsVaried adds callers that send requests in unusual ways, routes with one attempt, odd answers, and
+	// hosts that are short of processor time.
+	IsVaried bool
 	// Streams makes callers ask for streams, which they resume, while endpoints change between
 	// two software versions.
 	Streams bool
@@ -107,6 +115,8 @@
 	// OnlyPlannedWork leaves nothing of the disturbances but hosts that are restarted in order
 	// and reloaded.
 	OnlyPlannedWork bool
+	// IsUndisturbed leaves out all disturbances, and clients that complete no request.
+	IsUndisturbed bool
 	// Directory takes the lines of the hosts, one file each.
 	Directory string
 }
@@ -158,6 +168,9 @@
 		crashing:   make([]sync.Mutex, settings.Endpoints),
 		isReady:    make([]atomic.Bool, settings.Hosts),
 	}
+	if f.settings.Slots == 0 {
+		f.settings.Slots = defaultSlots
+	}
 	f.operator = newOperator(f)
 	defer f.close()
 	if err := f.start(ctx); err != nil {
@@ -165,7 +178,7 @@
 	}
 	servedWhenCalm := f.play(ctx)
 	return &Report{
-		Violations:     f.journal.Judge(f.settings.OnlyPlannedWork),
+		Violations:     f.journal.Judge(f.settings.OnlyPlannedWork || f.settings.IsUndisturbed),
 		Counts:         f.journal.Count(),
 		Journal:        f.journal,
 		ServedWhenCalm: servedWhenCalm,
@@ -198,7 +211,11 @@
 func callerRoutes() []platformtest.Route {
 	var routes []platformtest.Route
 	for name, kind := range map[string]route.Kind{"hold": route.AtMostOnce, "trial": route.AtMostOnce, "lookup": route.Safe,
-		"draft": route.Stream, "summary": route.Stream} {
+		"draft": route.Stream, "summary": route.Stream, "order": route.AtMostOnce, "note": route.Stream} {
+		maxAttempts := 2
+		if name == "order" || name == "note" {
+			maxAttempts = 1
+		}
 		routes = append(routes, platformtest.Route{
 			Name:           name,
 			Host:           callerHost,
@@ -206,7 +223,7 @@
 			Kind:           kind,
 			Resumable:      name == "summary",
 			Service:        serviceName,
-			MaxAttempts:    2,
+			MaxAttempts:    maxAttempts,
 			Timeout:        5 * time.Second,
 			TargetLatency:  150 * time.Millisecond,
 			TargetEventGap: 100 * time.Millisecond,
@@ -223,7 +240,7 @@
 		ID:       id,
 		Version:  versions[0],
 		Names:    platform.HeaderNames(),
-		Slots:    slots,
+		Slots:    f.settings.Slots,
 		Queue:    queueLength,
 		WorkTime: workTime,
 		Events:   streamEvents,
@@ -233,6 +250,7 @@
 	if err != nil {
 		return err
 	}
+	w.SetFaults(f.settings.Faults)
 	f.endpoints = append(f.endpoints, w)
 	if err := f.addLink(HostsToEndpoint, w.Address()); err != nil {
 		return err
@@ -257,7 +275,7 @@
 		Address:   f.links[HostsToEndpoint][i].Address(),
 		Zone:      zone,
 		Version:   f.endpoints[i].Version(),
-		Slots:     slots,
+		Slots:     f.settings.Slots,
 		StartedAt: time.Now(),
 	}.Encode())
 }
@@ -369,7 +387,9 @@
 		c := f.newCaller(i)
 		callers.Go(func() { c.loop(calling) })
 	}
-	defer f.startCrowds()()
+	if !f.settings.IsUndisturbed {
+		defer f.startCrowds()()
+	}
 	for _, scheduled := range NewSchedule(f.settings) {
 		f.disturbances.Add(1)
 		a := &applied{
@@ -379,6 +399,9 @@
 		go a.run(ctx)
 	}
 	f.disturbances.Wait()
+	if f.settings.IsUndisturbed {
+		f.wait(ctx, f.settings.Duration)
+	}
 	f.fail(f.awaitReady(ctx))
 	if f.settings.Configurations {
 		f.fail(f.awaitNewestVersion(ctx))
@@ -425,11 +448,15 @@
 	if f.settings.Streams {
 		operations = streamOperations
 	}
+	if f.settings.IsVaried {
+		operations = variedOperations
+	}
 	return &caller{
 		name:       fmt.Sprintf("c%d", i),
 		journal:    f.journal,
 		pick:       f.pickHost,
 		operations: operations,
+		isVaried:   f.settings.IsVaried,
 		names:      platform.HeaderNames(),
 		random:     rand.New(rand.NewPCG(f.settings.Seed, uint64(2+i))),
 		served:     &f.served,
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,6 +10,7 @@
 
 	"cactuswell/cmd"
 	"cactuswell/soak"
+	"cactuswell/standin/worker"
 )
 
 // TestMain makes the test's program serve as the hosts' program as well.
@@ -28,6 +29,11 @@
 	// stands for the code under test.
 	programsVariable = "CACTUSWELL_SOAK_PROGRAMS"
 	hostsVariable    = "CACTUSWELL_SOAK_HOSTS"
+	// endpointsVariable, slotsVariable and callersVariable hold the numbers of endpoints, of slots of
+	// each, and of callers.
+	endpointsVariable = "CACTUSWELL_SOAK_ENDPOINTS"
+	slotsVariable     = "CACTUSWELL_SOAK_SLOTS"
+	callersVariable   = "CACTUSWELL_SOAK_CALLERS"
 	// boundVariable holds the seconds in which a configuration must be in force.
 	boundVariable = "CACTUSWELL_SOAK_CONFIGURATION_BOUND"
 )
@@ -41,6 +47,44 @@
 	checkSeeds(t, 1, soak.Settings{RepeatsRefusals: true})
 }
 
+// TestSoakWithMisplacedRefusals guards against promises that are broken by refusals which an endpoint sends once
+// more, to another connection than their own.
+func TestSoakWithMisplacedRefusals(t *testing.T) {
+	checkSeeds(t, 1, soak.Settings{
+		Faults: worker.Faults{
+			Declines:          0.125,
+			MisplacedRefusals: 0.5,
+		},
+		IsVaried: true,
+	})
+}
+
+// TestSoakWithNamelessRefusals guards against promises that are broken by refusals which name no request.
+func TestSoakWithNamelessRefusals(t *testing.T) {
+	checkSeeds(t, 1, soak.Settings{
+		Faults: worker.Faults{
+			Declines:         0.125,
+			NamelessRefusals: 0.2,
+		},
+		IsVaried: true,
+	})
+}
+
+// TestSoakWithSplicedRefusals guards against promises that are broken by the beginnings of refusals, which read like
+// one response with the answer that follows.
+func TestSoakWithSplicedRefusals(t *testing.T) {
+	checkSeeds(t, 1, soak.Settings{
+		Faults: worker.Faults{
+			Declines:        0.125,
+			SplicedRefusals: 0.2,
+		},
+		IsVaried: true,
+	})
+}
+
+// TestSoakUndisturbed guards against answers that are lost while nothing is at fault.
+func TestSoakUndisturbed(t *testing.T) { checkSeeds(t, 1, soak.Settings{IsUndisturbed: true}) }
+
 // TestSoakOfStreams guards against streams with events of two software versions, or with events
 // that are missing or come twice, when they are resumed while processes and connections fail.
 func TestSoakOfStreams(t *testing.T) { checkSeeds(t, 1, soak.Settings{Streams: true}) }
@@ -87,7 +131,10 @@
 	readVariable(t, hostsVariable, "%d", &settings.Hosts)
 	settings.Programs = programs(t)
 	settings.Endpoints = 3
+	readVariable(t, endpointsVariable, "%d", &settings.Endpoints)
+	readVariable(t, slotsVariable, "%d", &settings.Slots)
 	settings.Callers = 8 * settings.Hosts
+	readVariable(t, callersVariable, "%d", &settings.Callers)
 	settings.Duration = 6 * time.Second
 	settings.Directory = t.TempDir()
 	report, err := soak.Run(t.Context(), settings)
--- a/standin/worker/answer.go
+++ b/standin/worker/answer.go
@@ -14,14 +14,13 @@
 func (s *session) refuse(request *http.Request, id string, status int) bool {
 	w := s.worker
 	w.settings.Observer.ObserveDecline(s.incarnation.id, id, status)
-	header := ""
-	if status != http.StatusMisdirectedRequest {
-		header = w.settings.Names.NotRun + ": 1\r\n"
-	}
-	refusal := w.encode(status, id, header, "busy\n")
+	refusal := w.encodeRefusal(status, id)
 	if !s.write(refusal) {
 		return false
 	}
+	w.mu.Lock()
+	s.incarnation.keep(id, refusal)
+	w.mu.Unlock()
 	if w.happens(func(f Faults) float64 { return f.RepeatedRefusals }) {
 		s.pending = refusal
 	}
@@ -43,6 +42,9 @@
 		return s.stream(request, id, header) && s.finish(request)
 	}
 	whole := w.encode(http.StatusOK, id, header, "answer to "+id+"\n")
+	if w.happens(func(f Faults) float64 { return f.OddAnswers }) {
+		return s.answerOddly(request, id, whole)
+	}
 	if w.happens(func(f Faults) float64 { return f.CutAnswers }) {
 		s.write(whole[:len(whole)-4])
 		return false
--- a/standin/worker/faults.go
+++ b/standin/worker/faults.go
@@ -10,6 +10,20 @@
 	// RepeatedRefusals is the share of refusals that are sent once more, before the answer
 	// to the next request on the connection.
 	RepeatedRefusals float64
+	// RefusalsWithOtherStatus is the share of refusals whose status is 429, 408 or 400 in place of 503.
+	RefusalsWithOtherStatus float64
+	// MisplacedRefusals is the share of the requests that run before whose answer the endpoint sends
+	// an earlier refusal, whichever connection that was sent to: of the same request if there is one.
+	MisplacedRefusals float64
+	// NamelessRefusals is the share of the requests that run before whose answer a refusal without a
+	// request ID is sent.
+	NamelessRefusals float64
+	// SplicedRefusals is the share of the requests that run before whose answer the beginning of the
+	// header of a refusal is sent.
+	SplicedRefusals float64
+	// ForeignRefusals is the share of the requests that run before whose answer a refusal of another
+	// request is sent.
+	ForeignRefusals float64
 	// ExtraAnswers is the share of answers that are followed by another one to the same
 	// request, after ExtraAnswerDelay.
 	ExtraAnswers     float64
@@ -21,6 +35,9 @@
 	ResetAnswers float64
 	// CutAnswers is the share of answers that end in the middle.
 	CutAnswers float64
+	// OddAnswers is the share of plain requests that are run and then get bytes that are no answer, an
+	// interim response alone, a failure, silence, an answer with a refusal behind it, or nothing.
+	OddAnswers float64
 	// Closes is the share of answers after which the connection is closed without notice.
 	Closes float64
 	// EarlyAnswers is the share of requests that are answered before their body was read.
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -91,6 +91,9 @@
 	slots   chan struct{}
 	waiting int
 	crashed chan struct{}
+	// refusals are those that were sent, by request ID.
+	refusals    map[string][]byte
+	lastRefusal []byte
 }
 
 // New starts a worker on a loopback address.
@@ -125,6 +128,7 @@
 		conns:    make(map[net.Conn]bool),
 		slots:    make(chan struct{}, w.settings.Slots),
 		crashed:  make(chan struct{}),
+		refusals: make(map[string][]byte),
 	}
 	w.goroutines.Add(1)
 	go w.loop(w.current)
@@ -303,7 +307,7 @@
 	incarnation *incarnation
 	conn        net.Conn
 	reader      *bufio.Reader
-	// pending is an earlier refusal that is sent once more before the next answer.
+	// pending is what is sent before the next answer without belonging to it.
 	pending []byte
 	// early is set if the request's body is read after the answer.
 	early bool
@@ -339,16 +343,19 @@
 		return s.refuse(request, id, http.StatusMisdirectedRequest)
 	}
 	if w.happens(func(f Faults) float64 { return f.Declines }) {
-		return s.refuse(request, id, http.StatusServiceUnavailable)
+		return s.refuse(request, id, w.refusalStatus())
 	}
 	if !w.takeSlot(s.incarnation, arrivedAt.Add(s.timeLeft(request))) {
-		return s.refuse(request, id, http.StatusServiceUnavailable)
+		return s.refuse(request, id, w.refusalStatus())
 	}
 	defer func() { <-s.incarnation.slots }()
 	w.awaitThaw()
 	if !w.begin(s.incarnation, id) {
 		return false
 	}
+	if stray := s.strayRefusal(id); stray != nil && !s.sendStray(stray) {
+		return false
+	}
 	s.await(w.settings.WorkTime)
 	w.awaitThaw()
 	return s.answer(request, id)
