--- a/soak/caller.go
+++ b/soak/caller.go
@@ -281,7 +281,7 @@
 	request := sent.Request
 	leavesAt := deadline
 	if c.random.IntN(20) == 0 {
-		leavesAt = time.Now().Add(time.Duration(c.random.Int64N(int64(time.Until(deadline)) + 1)))
+		leavesAt = time.Now().Add(time.Duration(c.random.Int64N(max(1, int64(time.Until(deadline))))))
 	}
 	_ = conn.SetDeadline(leavesAt)
 	conn.count.n = 0
@@ -299,7 +299,7 @@
 	if err := c.send(conn, message, m); err != nil {
 		return conn.endOf(err), false, err.Error()
 	}
-	response, err := http.ReadResponse(conn.reader, &http.Request{Method: http.MethodPost})
+	response, err := conn.readResponse()
 	if err != nil {
 		return conn.endOf(err), false, err.Error()
 	}
@@ -322,6 +322,16 @@
 	}, !response.Close && m.keepsConnection(), detail
 }
 
+// readResponse reads a response and passes over interim ones.
+func (conn *callerConn) readResponse() (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(conn.reader, &http.Request{Method: http.MethodPost})
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+}
+
 // endOf returns how an attempt ended that has failed with an error. A caller cannot know
 // whether a host has read what it sent. But if the host's process ends, or closes the
 // connection, the operating system resets a connection with unread bytes, and ends others in
--- a/soak/manner.go
+++ b/soak/manner.go
@@ -146,7 +146,7 @@
 	if !isOpen {
 		return false
 	}
-	response, err := http.ReadResponse(conn.reader, nil)
+	response, err := conn.readResponse()
 	if err != nil {
 		next.Detail = err.Error()
 		return false
