--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,6 +34,8 @@
 	endpointsVariable = "CACTUSWELL_SOAK_ENDPOINTS"
 	slotsVariable     = "CACTUSWELL_SOAK_SLOTS"
 	callersVariable   = "CACTUSWELL_SOAK_CALLERS"
+	// keepVariable keeps the lines of the hosts if it is set.
+	keepVariable = "CACTUSWELL_SOAK_KEEP"
 	// boundVariable holds the seconds in which a configuration must be in force.
 	boundVariable = "CACTUSWELL_SOAK_CONFIGURATION_BOUND"
 )
@@ -137,7 +139,7 @@
 	settings.Callers = 8 * settings.Hosts
 	readVariable(t, callersVariable, "%d", &settings.Callers)
 	settings.Duration = 6 * time.Second
-	settings.Directory = t.TempDir()
+	settings.Directory = linesDirectory(t)
 	report, err := soak.Run(t.Context(), settings)
 	if err != nil {
 		t.Fatal(err)
@@ -161,6 +163,23 @@
 	}
 }
 
+// linesDirectory returns a directory for the lines of the hosts, which stays if the test fails.
+func linesDirectory(t *testing.T) string {
+	t.Helper()
+	directory, err := os.MkdirTemp("", "soak-lines-*")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() || os.Getenv(keepVariable) != "" {
+			t.Log("lines of the hosts: " + directory)
+			return
+		}
+		_ = os.RemoveAll(directory)
+	})
+	return directory
+}
+
 func programs(t *testing.T) []string {
 	program, err := os.Executable()
 	if err != nil {
