Keep soaks in different processes from taking each other's ports

A soak chose free ports and released them, so that another could take the port of a host that was down.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -35,7 +35,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -141,6 +140,7 @@
 	store     *httptest.Server
 	hosts     []*host
 	endpoints []*worker.Worker
+	ports     *portBlock
 	links     map[Network][]*proxy.Proxy
 	// restarting and crashing are held while a host or an endpoint is down.
 	restarting []sync.Mutex
@@ -172,6 +172,11 @@
 		f.settings.Slots = defaultSlots
 	}
 	f.operator = newOperator(f)
+	var err error
+	if f.ports, err = reservePorts(); err != nil {
+		return nil, err
+	}
+	defer f.ports.close()
 	defer f.close()
 	if err := f.start(ctx); err != nil {
 		return nil, err
@@ -286,7 +291,7 @@
 // prepareHosts chooses the hosts' addresses and their links.
 func (f *fleet) prepareHosts() error {
 	for i := range f.settings.Hosts {
-		addresses, err := freeAddresses(3)
+		addresses, err := f.ports.addresses(3)
 		if err != nil {
 			return err
 		}
@@ -316,26 +321,6 @@
 	return nil
 }
 
-// freeAddresses returns loopback addresses that are free. Their ports are none that the operating
-// system gives to outgoing connections, which could take them while a host is down.
-func freeAddresses(n int) ([]string, error) {
-	const firstPort, lastPort, maxTries = 12_000, 32_000, 100
-	var addresses []string
-	var failure error
-	for range maxTries {
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
-		if err != nil {
-			failure = err
-			continue
-		}
-		defer func() { _ = listener.Close() }()
-		if addresses = append(addresses, listener.Addr().String()); len(addresses) == n {
-			return addresses, nil
-		}
-	}
-	return nil, failure
-}
-
 func (f *fleet) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
