--- a/soak/soak.go
+++ b/soak/soak.go
@@ -35,7 +35,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -58,7 +57,7 @@
 	serviceName = "booking"
 	zone        = "zone-1"
 
-	slots        = 4
+	defaultSlots = 4
 	queueLength  = 3
 	workTime     = 20 * time.Millisecond
 	streamEvents = 10
@@ -91,10 +90,18 @@
 	Hosts     int
 	Endpoints int
 	Callers   int
+	// Slots is the number of slots of an endpoint, 4 if it is zero.
+	Slots int
 	// Duration is the time in which disturbances begin.
 	Duration time.Duration
 	// RepeatsRefusals makes faulty endpoints send refusals once more.
 	RepeatsRefusals bool
+	// Faults are the faults that endpoints have all the time. Those that concern refusals, they also
+	// have while a disturbance gives them others.
+	Faults worker.Faults
+	// IsVaried adds callers that send requests in unusual ways, routes with one attempt, odd answers, and
+	// hosts that are short of processor time.
+	IsVaried bool
 	// Streams makes callers ask for streams, which they resume, while endpoints change between
 	// two software versions.
 	Streams bool
@@ -107,6 +114,8 @@
 	// OnlyPlannedWork leaves nothing of the disturbances but hosts that are restarted in order
 	// and reloaded.
 	OnlyPlannedWork bool
+	// IsUndisturbed leaves out all disturbances, and clients that complete no request.
+	IsUndisturbed bool
 	// Directory takes the lines of the hosts, one file each.
 	Directory string
 }
@@ -131,6 +140,7 @@
 	store     *httptest.Server
 	hosts     []*host
 	endpoints []*worker.Worker
+	ports     *portBlock
 	links     map[Network][]*proxy.Proxy
 	// restarting and crashing are held while a host or an endpoint is down.
 	restarting []sync.Mutex
@@ -158,7 +168,15 @@
 		crashing:   make([]sync.Mutex, settings.Endpoints),
 		isReady:    make([]atomic.Bool, settings.Hosts),
 	}
+	if f.settings.Slots == 0 {
+		f.settings.Slots = defaultSlots
+	}
 	f.operator = newOperator(f)
+	var err error
+	if f.ports, err = reservePorts(); err != nil {
+		return nil, err
+	}
+	defer f.ports.close()
 	defer f.close()
 	if err := f.start(ctx); err != nil {
 		return nil, err
@@ -198,7 +216,11 @@
 func callerRoutes() []platformtest.Route {
 	var routes []platformtest.Route
 	for name, kind := range map[string]route.Kind{"hold": route.AtMostOnce, "trial": route.AtMostOnce, "lookup": route.Safe,
-		"draft": route.Stream, "summary": route.Stream} {
+		"draft": route.Stream, "summary": route.Stream, "order": route.AtMostOnce, "note": route.Stream} {
+		maxAttempts := 2
+		if name == "order" || name == "note" {
+			maxAttempts = 1
+		}
 		routes = append(routes, platformtest.Route{
 			Name:           name,
 			Host:           callerHost,
@@ -206,7 +228,7 @@
 			Kind:           kind,
 			Resumable:      name == "summary",
 			Service:        serviceName,
-			MaxAttempts:    2,
+			MaxAttempts:    maxAttempts,
 			Timeout:        5 * time.Second,
 			TargetLatency:  150 * time.Millisecond,
 			TargetEventGap: 100 * time.Millisecond,
@@ -223,7 +245,7 @@
 		ID:       id,
 		Version:  versions[0],
 		Names:    platform.HeaderNames(),
-		Slots:    slots,
+		Slots:    f.settings.Slots,
 		Queue:    queueLength,
 		WorkTime: workTime,
 		Events:   streamEvents,
@@ -233,6 +255,7 @@
 	if err != nil {
 		return err
 	}
+	w.SetFaults(f.settings.Faults)
 	f.endpoints = append(f.endpoints, w)
 	if err := f.addLink(HostsToEndpoint, w.Address()); err != nil {
 		return err
@@ -257,7 +280,7 @@
 		Address:   f.links[HostsToEndpoint][i].Address(),
 		Zone:      zone,
 		Version:   f.endpoints[i].Version(),
-		Slots:     slots,
+		Slots:     f.settings.Slots,
 		StartedAt: time.Now(),
 	}.Encode())
 }
@@ -268,7 +291,7 @@
 // prepareHosts chooses the hosts' addresses and their links.
 func (f *fleet) prepareHosts() error {
 	for i := range f.settings.Hosts {
-		addresses, err := freeAddresses(3)
+		addresses, err := f.ports.addresses(3)
 		if err != nil {
 			return err
 		}
@@ -298,26 +321,6 @@
 	return nil
 }
 
-// freeAddresses returns loopback addresses that are free. Their ports are none that the operating
-// system gives to outgoing connections, which could take them while a host is down.
-func freeAddresses(n int) ([]string, error) {
-	const firstPort, lastPort, maxTries = 12_000, 32_000, 100
-	var addresses []string
-	var failure error
-	for range maxTries {
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
-		if err != nil {
-			failure = err
-			continue
-		}
-		defer func() { _ = listener.Close() }()
-		if addresses = append(addresses, listener.Addr().String()); len(addresses) == n {
-			return addresses, nil
-		}
-	}
-	return nil, failure
-}
-
 func (f *fleet) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
@@ -369,7 +372,9 @@
 		c := f.newCaller(i)
 		callers.Go(func() { c.loop(calling) })
 	}
-	defer f.startCrowds()()
+	if !f.settings.IsUndisturbed {
+		defer f.startCrowds()()
+	}
 	for _, scheduled := range NewSchedule(f.settings) {
 		f.disturbances.Add(1)
 		a := &applied{
@@ -379,6 +384,9 @@
 		go a.run(ctx)
 	}
 	f.disturbances.Wait()
+	if f.settings.IsUndisturbed {
+		f.wait(ctx, f.settings.Duration)
+	}
 	f.fail(f.awaitReady(ctx))
 	if f.settings.Configurations {
 		f.fail(f.awaitNewestVersion(ctx))
@@ -425,11 +433,15 @@
 	if f.settings.Streams {
 		operations = streamOperations
 	}
+	if f.settings.IsVaried {
+		operations = variedOperations
+	}
 	return &caller{
 		name:       fmt.Sprintf("c%d", i),
 		journal:    f.journal,
 		pick:       f.pickHost,
 		operations: operations,
+		isVaried:   f.settings.IsVaried,
 		names:      platform.HeaderNames(),
 		random:     rand.New(rand.NewPCG(f.settings.Seed, uint64(2+i))),
 		served:     &f.served,
