--- a/standin/opaque/endpoint.go
+++ b/standin/opaque/endpoint.go
@@ -466,11 +466,7 @@
 	case RepeatedAnswer:
 		return e.writeAfterRepeat(conn, e.completeAnswer(request, body, true), b)
 	case PrecededAnswer:
-		answer := e.completeAnswer(request, body, true)
-		if b.Closes {
-			answer = bytes.Replace(answer, []byte("\r\n\r\n"), []byte("\r\nConnection: close\r\n\r\n"), 1)
-		}
-		return e.write(conn, append([]byte(b.By), answer...))
+		return e.writePreceded(conn, e.completeAnswer(request, body, true), b)
 	case SlowStream:
 		return e.writeSlowly(conn, e.completeAnswer(request, body, true), b.Pause)
 	case PaddedStream:
@@ -514,6 +510,14 @@
 	return e.write(conn, e.completeAnswer(request, body, true))
 }
 
+// writePreceded sends an answer after the bytes that precede it.
+func (e *Endpoint) writePreceded(conn net.Conn, answer []byte, b PrecededAnswer) error {
+	if b.Closes {
+		answer = bytes.Replace(answer, []byte("\r\n\r\n"), []byte("\r\nConnection: close\r\n\r\n"), 1)
+	}
+	return e.write(conn, append([]byte(b.By), answer...))
+}
+
 // writeAfterRepeat sends an answer after the first one of the connection.
 func (e *Endpoint) writeAfterRepeat(conn net.Conn, answer []byte, b RepeatedAnswer) error {
 	first := conn.(*recorder).first
