Check the raw header of responses on single-use connections of serve

Cause: io/splice.Check sees the parsed header, and http.ReadResponse deletes fields before: Connection if it holds the token close, Transfer-Encoding of an HTTP/1.0 response. A refusal torn in one of them that runs into the answer to the attempt read as status 503 with the mark and the attempt's ID, so that a call that must run at most once was sent again, or refused as not run, though it ran.

Change: single-use connections, which carry all calls that must run at most once, are dialled with splice.CheckFirst. It scans the bytes up to the end of the first header that is not interim, keeps at most 64 bytes of a line, and fails the read with *splice.Error at a status line that does not begin a header.

--- a/host/atmostonce_test.go
+++ b/host/atmostonce_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -62,6 +63,9 @@
 	{name: "repeats a torn refusal, answers", runs: true, response: func(attempt, _ string) string {
 		return refusalMark + "Retry-After: " + answerTo(attempt)
 	}},
+	{name: "repeats a refusal torn in its field Connection, answers", runs: true, response: func(attempt, _ string) string {
+		return refusalMark + "Connection: clo" + strings.Replace(answerTo(attempt), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)
+	}},
 	{name: "refuses no attempt, answers", runs: true, response: func(attempt, _ string) string {
 		return refusalMark + "Content-Length: 0\r\n\r\n" + answerTo(attempt)
 	}},
--- a/host/transport.go
+++ b/host/transport.go
@@ -10,6 +10,7 @@
 	"cactuswell/certificate"
 	"cactuswell/io/engine"
 	"cactuswell/io/service"
+	"cactuswell/io/splice"
 )
 
 const (
@@ -55,8 +56,8 @@
 }
 
 // newTransport returns a transport that ignores the proxy settings of the
-// environment. With singleUse it dials a new connection for each request. The
-// certificates may be nil.
+// environment. With singleUse it dials a new connection for each request, and
+// responses that run into another one are errors. The certificates may be nil.
 func newTransport(singleUse bool, certificates *certificate.Store) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout:   dialTimeout,
@@ -73,6 +74,12 @@
 	if certificates != nil {
 		transport.DialTLSContext = certificates.DialTLS
 	}
+	if singleUse {
+		transport.DialContext = splice.CheckFirst(transport.DialContext)
+		if certificates != nil {
+			transport.DialTLSContext = splice.CheckFirst(transport.DialTLSContext)
+		}
+	}
 	return transport
 }
 
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -53,7 +53,8 @@
 }
 
 // New returns a client. keepAlive reuses connections. singleUse dials a new one for
-// each request: its transport must have keep-alives disabled.
+// each request: its transport must have keep-alives disabled and dial with
+// splice.CheckFirst, or a torn refusal may pass for one of the attempt.
 func New(keepAlive, singleUse *http.Client) *Client {
 	return &Client{
 		keepAlive: keepAlive,
--- a/io/service/refusal_test.go
+++ b/io/service/refusal_test.go
@@ -7,11 +7,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"cactuswell/io/engine"
 	"cactuswell/io/service"
+	"cactuswell/io/splice"
 )
 
 const (
@@ -69,12 +71,25 @@
 
 func idLine(attempt string) string { return engine.HeaderAttemptID + ": " + attempt + "\r\n" }
 
+// closingAnswerOf is an answer that ends the connection.
+func closingAnswerOf(attempt string) string {
+	return strings.Replace(answerOf(attempt), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)
+}
+
+// chunkedAnswerOf is an answer without a length.
+func chunkedAnswerOf(attempt string) string {
+	return "HTTP/1.1 200 OK\r\n" + idLine(attempt) + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+}
+
 // refusalHead is the begin of a refusal that names no attempt.
 const refusalHead = "HTTP/1.1 503 Service Unavailable\r\n" + engine.HeaderNotStarted + ": true\r\n"
 
 // TestRefusalOfSomethingElseIsNoPromise guards against calls that count as not started though they were run.
 func TestRefusalOfSomethingElseIsNoPromise(t *testing.T) {
-	const end = "Content-Length: 0\r\n\r\n"
+	const (
+		end     = "Content-Length: 0\r\n\r\n"
+		interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	)
 	tests := []struct {
 		name        string
 		early, late string
@@ -91,6 +106,14 @@
 		{name: "torn before a value", late: refusalHead + engine.HeaderIncarnation + ": " + answerOf(callID)},
 		{name: "torn before a value, before the request", early: refusalHead + "Retry-After: ", late: answerOf(callID)},
 		{name: "torn before a trailer", late: refusalHead + "Trailer: HTTP/1.1 200 OK\r\n" + idLine(callID) + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+		{name: "torn in its field Connection", late: refusalHead + "Connection: clo" + closingAnswerOf(callID)},
+		{name: "torn before the value of its field Connection", late: refusalHead + "Connection: " + closingAnswerOf(callID)},
+		{name: "torn in its field Connection, before the request", early: refusalHead + "Connection: clo", late: closingAnswerOf(callID)},
+		{name: "torn in its field Connection, after an interim response", late: interim + refusalHead + "Connection: clo" + closingAnswerOf(callID)},
+		{name: "torn in its field Content-Length", late: refusalHead + "Content-Length: " + chunkedAnswerOf(callID)},
+		{name: "torn in its field Transfer-Encoding", late: strings.Replace(refusalHead, "/1.1", "/1.0", 1) + "Transfer-Encoding: " + answerOf(callID)},
+		{name: "own, closing", late: refusalHead + idLine(callID) + "Connection: close\r\n" + end, isRefusal: true},
+		{name: "own, closing, after an interim response", late: interim + refusalHead + idLine(callID) + "Connection: close\r\n" + end, isRefusal: true},
 		{name: "torn in a name", late: refusalHead + "Retry-" + answerOf(callID)},
 		{name: "torn between two lines", late: refusalHead + answerOf(callID)},
 		{name: "torn after its ID", late: refusalHead + idLine(otherID) + "Server: " + answerOf(callID)},
@@ -108,7 +131,10 @@
 			t.Run(test.name+", "+name, func(t *testing.T) {
 				e := newFaultyEndpoint(t, test.early, test.late)
 				single := &http.Client{
-					Transport:     &http.Transport{DisableKeepAlives: true},
+					Transport: &http.Transport{
+						DisableKeepAlives: true,
+						DialContext:       splice.CheckFirst((&net.Dialer{}).DialContext),
+					},
 					CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 				}
 				_, err := service.New(&http.Client{}, single).Call(context.Background(), service.Call{
