--- a/io/splice/splice.go
+++ b/io/splice/splice.go
@@ -11,7 +11,8 @@
 //	response, err := http.ReadResponse(reader, request)
 //
 // Where only the parsed response is at hand, Check finds most of them: the parser removes some fields,
-// such as Connection if one of its values is close. A header that is torn between two lines or within a
+// such as Connection if one of its values is close. An http.Transport whose connections carry one request
+// each dials with CheckFirst. A header that is torn between two lines or within a
 // name cannot be parsed at all.
 package splice
 
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -217,7 +217,7 @@
 func (c *Conn) checkHead() error {
 	c.isHeadChecked = false
 	for size := 1; size <= c.reader.Size(); size = c.reader.Buffered() + 1 {
-		if _, err := c.reader.Peek(size); err != nil {
+		if !c.awaitBytes(size) {
 			// The parser meets the same error.
 			return nil
 		}
@@ -230,6 +230,12 @@
 	return nil
 }
 
+// awaitBytes waits until so many bytes are buffered, and reports whether they are.
+func (c *Conn) awaitBytes(size int) bool {
+	_, err := c.reader.Peek(size)
+	return err == nil
+}
+
 // hasHeadEnd reports whether a text holds an empty line after another one.
 func hasHeadEnd(text []byte) bool {
 	return bytes.Contains(text, []byte("\n\r\n")) || bytes.Contains(text, []byte("\n\n"))
--- a/standin/opaque/endpoint.go
+++ b/standin/opaque/endpoint.go
@@ -404,6 +404,9 @@
 		return e.writeNotRun(conn, request.Header.Get(e.settings.Names.RequestID), behaviour)
 	}
 	e.recordRun(request, body)
+	if b, ok := behaviour.(PrecededAnswer); ok {
+		return e.writePreceded(conn, e.completeAnswer(request, body, true), b)
+	}
 	return e.writeRun(conn, request, body, behaviour)
 }
 
@@ -465,8 +468,6 @@
 		return e.write(conn, e.plainAnswer(http.StatusOK, id, e.markHeader()+header, string(AnswerBody(body))))
 	case RepeatedAnswer:
 		return e.writeAfterRepeat(conn, e.completeAnswer(request, body, true), b)
-	case PrecededAnswer:
-		return e.writePreceded(conn, e.completeAnswer(request, body, true), b)
 	case SlowStream:
 		return e.writeSlowly(conn, e.completeAnswer(request, body, true), b.Pause)
 	case PaddedStream:
