Check a header for a torn one once it was parsed, without waiting for its end

The reader of headers now keeps their bytes, and they are checked after the parser has taken the response, whatever their length. It also repeats an error that it has reported: the parser reads again after some, and a connection reports a reset only once.

--- a/core/evidence/evidence.go
+++ b/core/evidence/evidence.go
@@ -57,8 +57,7 @@
 type Refusal struct {
 	// NamesCall is set if the response names the call and no other.
 	NamesCall bool
-	// IsContradictory is set if a part of the response says that the request was run, or if it is not
-	// known to be of one piece.
+	// IsContradictory is set if a part of the response says that the request was run.
 	IsContradictory bool
 	// IsIDShared is set if the place has received the call's ID with another call.
 	IsIDShared bool
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -89,12 +89,12 @@
 	evidence *evidence.Attempt
 	// earlierSends is the number of the call's earlier attempts that were sent to what may be the same endpoint.
 	earlierSends int
-	// isRefusalUnproven is set once the endpoint has sent a refusal that may be that of another attempt, and
-	// isIDShared if that is so as the caller has given another call the same ID. Then no further response
-	// is waited for, as the refusal is most likely the attempt's own.
+	// isRefusalUnproven is set once the endpoint has sent a refusal that may be that of another attempt.
 	isRefusalUnproven bool
-	isIDShared        bool
-	err               error
+	// isIDShared is set if that is so as the caller has given another call the same ID. Then the refusal is
+	// most likely the attempt's own, and no further response is waited for.
+	isIDShared bool
+	err        error
 }
 
 // runAttempt sends the call to an endpoint and reports whether the call is
@@ -391,13 +391,17 @@
 		t.awaitFurtherResponse()
 		return upstream.Doubtful
 	}
-	isRefusal := info.NotRun || info.Misdirected
-	if isRefusal && !t.isProvenRefusal(info, response.StatusCode) && !t.isIDShared {
-		t.awaitFurtherResponse()
-		return upstream.Doubtful
-	}
 	t.responseInfo = info
-	return upstream.Own
+	if !info.NotRun && !info.Misdirected || t.isProvenRefusal(info, response.StatusCode) {
+		return upstream.Own
+	}
+	if t.isIDShared {
+		// The attempt ends as Unproven.
+		return upstream.Own
+	}
+	t.responseInfo = ResponseInfo{}
+	t.awaitFurtherResponse()
+	return upstream.Doubtful
 }
 
 // isProvenRefusal reports whether a refusal proves that the attempt has not run, and records one that
@@ -406,7 +410,7 @@
 	x := t.exchange
 	refusal := evidence.Refusal{
 		NamesCall:       info.RequestID == x.requestInfo.RequestID && info.RequestIDs == 1,
-		IsContradictory: !isRefusalStatus(status) || info.HasMark || !t.conn.IsHeadChecked(),
+		IsContradictory: !isRefusalStatus(status) || info.HasMark,
 		IsIDShared:      x.server.isIDShared(x.requestInfo.RequestID, x.currentSend.Address),
 	}
 	if t.evidence.Refused(refusal) {
--- a/io/splice/splice.go
+++ b/io/splice/splice.go
@@ -4,16 +4,18 @@
 //
 // # Usage
 //
-//	head, _ := reader.Peek(size)
-//	if err := splice.CheckHead(head); err != nil {
+//	response, err := http.ReadResponse(reader, request)
+//	...
+//	if err := splice.CheckHead(raw); err != nil {
 //		// the response is malformed
 //	}
-//	response, err := http.ReadResponse(reader, request)
 //
-// Where only the parsed response is at hand, Check finds most of them: the parser removes some fields,
+// The raw bytes are those that the reader has got for the header. They are checked once the header was
+// parsed, so that bytes that are no response are recognized as soon as before. Where only the parsed response is at hand, Check finds most of them: the parser removes some fields,
 // such as Connection if one of its values is close. An http.Transport whose connections carry one request
 // each dials with CheckFirst. A header that is torn between two lines or within a
-// name cannot be parsed at all.
+// name cannot be parsed at all. A sound response with a field that ends with a status line, as a quotation,
+// counts as torn.
 package splice
 
 import (
@@ -33,14 +35,15 @@
 
 // Error reports a response that consists of the beginning of one response and the whole of another.
 type Error struct {
-	// Field is the field in which the second one begins, or empty for the status line.
+	// Field is the field in which the second one begins, or empty for the status line and for a line that
+	// continues a field.
 	Field string
 }
 
 // Error returns a message with the field.
 func (e *Error) Error() string {
 	if e.Field == "" {
-		return "the status line of the response runs into that of another one"
+		return "the header of the response runs into the status line of another one"
 	}
 	return fmt.Sprintf("the field %s of the response runs into the status line of another one", e.Field)
 }
@@ -57,9 +60,9 @@
 		if isFirst {
 			line = line[min(versionBytes, len(line)):]
 		}
-		if endsWithStatusLine(string(line)) {
-			name, _, _ := bytes.Cut(line, []byte(":"))
-			if isFirst {
+		if bytes.Contains(line, []byte("HTTP/")) && endsWithStatusLine(string(line)) {
+			name, _, isField := bytes.Cut(line, []byte(":"))
+			if isFirst || !isField {
 				name = nil
 			}
 			return &Error{Field: string(name)}
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -86,8 +86,6 @@
 	// concurrently.
 	bodyWritten chan error
 	unusable    bool
-	// isHeadChecked is set if the header of the last response has been checked as a whole.
-	isHeadChecked bool
 }
 
 // Reused reports whether the connection carried a request before.
@@ -174,15 +172,17 @@
 	defer c.head.end()
 	unsolicited := 0
 	for {
-		if err := c.checkHead(); err != nil {
-			c.unusable = true
-			return nil, err
-		}
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		c.head.keep(buffered)
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			c.unusable = true
 			return nil, c.head.cause(err)
 		}
+		if err := splice.CheckHead(c.head.raw); err != nil {
+			c.unusable = true
+			return nil, err
+		}
 		if len(response.TransferEncoding) > 0 {
 			response.Body = &framedBody{
 				ReadCloser: response.Body,
@@ -212,39 +212,6 @@
 	return nil, &UnsolicitedResponseError{Address: c.address}
 }
 
-// checkHead waits for the header of the next response and returns a *splice.Error if it runs into
-// another one. A header that is longer than the buffer, or does not come, is left to the parser.
-func (c *Conn) checkHead() error {
-	c.isHeadChecked = false
-	for size := 1; size <= c.reader.Size(); size = c.reader.Buffered() + 1 {
-		if !c.awaitBytes(size) {
-			// The parser meets the same error.
-			return nil
-		}
-		head, _ := c.reader.Peek(c.reader.Buffered())
-		if hasHeadEnd(head[max(0, size-len("\n\r\n")):]) {
-			c.isHeadChecked = true
-			return splice.CheckHead(head)
-		}
-	}
-	return nil
-}
-
-// awaitBytes waits until so many bytes are buffered, and reports whether they are.
-func (c *Conn) awaitBytes(size int) bool {
-	_, err := c.reader.Peek(size)
-	return err == nil
-}
-
-// hasHeadEnd reports whether a text holds an empty line after another one.
-func hasHeadEnd(text []byte) bool {
-	return bytes.Contains(text, []byte("\n\r\n")) || bytes.Contains(text, []byte("\n\n"))
-}
-
-// IsHeadChecked reports whether it is known that the header of the last response does not run into
-// another one.
-func (c *Conn) IsHeadChecked() bool { return c.isHeadChecked }
-
 // Drain reads a short body to its end, so that the connection can carry another
 // request, and reports whether it can. A body that is long or slow makes the connection
 // unusable.
--- a/io/upstream/excess.go
+++ b/io/upstream/excess.go
@@ -75,6 +75,8 @@
 	part   Part
 	bytes  int
 	lines  int
+	// raw holds the bytes since keep: the header, and what has arrived with it.
+	raw []byte
 	// err is the error of the last read. Parsers may hide it behind an error about the
 	// incomplete line.
 	err error
@@ -86,14 +88,25 @@
 	l.part = PartHead
 	l.bytes = 0
 	l.lines = 0
+	l.err = nil
 }
 
+// keep begins to keep the bytes of a header, of which some have been read already.
+func (l *headLimiter) keep(read []byte) { l.raw = bytes.Clone(read) }
+
 // end ends the header.
-func (l *headLimiter) end() { l.inHead = false }
+func (l *headLimiter) end() {
+	l.inHead = false
+	l.raw = nil
+}
 
 // Read implements io.Reader. All bytes before a further read belong to the header, since
 // it would be complete otherwise.
 func (l *headLimiter) Read(p []byte) (int, error) {
+	if l.inHead && l.err != nil {
+		// Parsers may read again after an error, and a connection reports a reset only once.
+		return 0, l.err
+	}
 	if l.inHead && (l.bytes >= maxHeadBytes || l.lines > maxHeadLines) {
 		l.err = &ExcessError{
 			Part:  l.part,
@@ -104,6 +117,7 @@
 	n, err := l.reader.Read(p)
 	if l.inHead {
 		l.bytes += n
+		l.raw = append(l.raw, p[:n]...)
 		l.lines += bytes.Count(p[:n], []byte{'\n'})
 	}
 	l.err = err
