--- a/core/evidence/evidence.go
+++ b/core/evidence/evidence.go
@@ -1,6 +1,6 @@
-// Package evidence keeps account of the attempts of a call, and tells what proves that the call has not
-// run. A call that must run at most once may be sent again, and its caller may be told that it has not
-// run, only if that is proven for each of its attempts.
+// Package evidence keeps account of the attempts of a call, and decides what proves that the call has not
+// run. A call that must run at most once may be sent again, or refused with a status that promises that it
+// has not run, only if that is proven for each of its attempts.
 //
 // An attempt is taken to have run unless it is proven that it has not. There are two proofs:
 //
@@ -26,7 +26,7 @@
 //		// the refusal proves nothing
 //	}
 //	if proof := account.NotRun(); proof != nil {
-//		... tell the caller that the call has not run ...
+//		... answer with a status that promises that the call has not run ...
 //	}
 //
 // An Account and its attempts are not safe for concurrent use.
@@ -34,7 +34,8 @@
 
 import "slices"
 
-// NotRun proves that a call has not run and never will. Only an Account makes one.
+// NotRun proves that a call has not run and never will. Only an Account makes one, for the call whose
+// attempts it holds.
 type NotRun interface{ isNotRun() }
 
 // allRefused is the proof of a call of which each attempt was not sent or was refused.
@@ -53,7 +54,7 @@
 	return p.Address == other.Address || p.EndpointID == other.EndpointID
 }
 
-// Refusal is what an endpoint's response tells of a request that it says it has not run.
+// Refusal describes a response which says that the endpoint has not run the request.
 type Refusal struct {
 	// NamesCall is set if the response names the call and no other.
 	NamesCall bool
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -283,8 +283,8 @@
 	}
 }
 
-// maySendTo reports whether a call may be sent to an endpoint. If a call that must run at most once went there
-// a second time, a refusal could not be told from the earlier one.
+// maySendTo reports whether a call may be sent to an endpoint. A call that must run at most once goes there only
+// once, as a second refusal could be the first one, sent again.
 func (c *call) maySendTo(e *endpoint) bool {
 	return c.spec.Route.Retryable() || !slices.ContainsFunc(c.sentTo, e.place().MayBe)
 }
--- a/gateway/oncepaths_test.go
+++ b/gateway/oncepaths_test.go
@@ -149,7 +149,7 @@
 type earlyRefuser struct {
 	t        *testing.T
 	listener net.Listener
-	// isRefusing tells what to do with a request.
+	// isRefusing decides what to do with a request.
 	isRefusing func(id string) bool
 	// afterRefusal is what follows the refusal. It reports whether the connection goes on.
 	afterRefusal func(conn net.Conn, request *http.Request) bool
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -85,7 +85,7 @@
 	hasExcess bool
 	// isSent is set once the whole request has been sent.
 	isSent bool
-	// evidence tells whether it is proven that the attempt has not run.
+	// evidence records what proves that the attempt has not run.
 	evidence *evidence.Attempt
 	// earlierSends is the number of the call's earlier attempts that were sent to what may be the same endpoint.
 	earlierSends int
@@ -376,7 +376,7 @@
 	}
 }
 
-// relate tells how a response relates to the attempt. The connection has carried no other attempt
+// relate decides how a response relates to the attempt. The connection has carried no other attempt
 // with the call's ID, so a response that names the call is the attempt's own, unless it is a refusal that is
 // not proven to be. One that names no request may be late if the connection carried an earlier one.
 func (t *attempt) relate(response *http.Response) upstream.Relation {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -163,7 +163,7 @@
 }
 
 // ReadResponse returns the response to the request with the given method once its
-// header was read. The function relate tells how a response relates to the request: those that are
+// header was read. The function relate decides how a response relates to the request: those that are
 // doubtful, and late ones to earlier requests, are skipped. The error is an *ExcessError if the
 // endpoint sends more than a header may hold, and a *splice.Error if a header runs into another.
 func (c *Conn) ReadResponse(method string, relate func(*http.Response) Relation) (*http.Response, error) {
