Show sound streams that a host cuts during its stop

Cause: a resumable stream whose server pauses for 1.2 s is given up before another endpoint has room for it. If none has within the latency target, the answer that had begun is broken off.

--- /dev/null
+++ b/review/_standin-2/main.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+)
+
+// cases holds the cases by name. Each returns the exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+var cases = map[string]func(r *rig, trouble bool) (int, error){
+	"crowd":   runCrowd,
+	"silence": runSilence,
+}
+
+func main() {
+	name := flag.String("case", "", "case to run")
+	program := flag.String("program", "target/cactuswell", "program of the deploy file")
+	record := flag.String("record", "record.txt", "file for the record")
+	flag.Parse()
+	run, ok := cases[*name]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "unknown case")
+		os.Exit(2)
+	}
+	r, err := newRig(*program, *record)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	code, err := run(r, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		r.note("%v", err)
+		fmt.Fprintln(os.Stderr, err)
+	}
+	r.note("exit code %d", code)
+	r.close()
+	os.Exit(code)
+}
