Show a resumed stream with an event of two answers

Cause: an event is delivered before the chunk that holds its end is complete, and the stream is resumed after it where the chunk was cut off.

--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -10,6 +10,7 @@
 var cases = map[string]func(r *rig, trouble bool) (int, error){
 	"asterisk": runAsterisk,
 	"crowd":    runCrowd,
+	"joined":   runJoined,
 	"silence":  runSilence,
 }
 
