Show streams of a leaving server that end as complete

Cause: whether an endpoint is still there is not checked at the end of an answer without a length if the endpoint has said that it is leaving.

--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -11,6 +11,7 @@
 	"asterisk": runAsterisk,
 	"crowd":    runCrowd,
 	"joined":   runJoined,
+	"leaving":  runLeaving,
 	"silence":  runSilence,
 }
 
@@ -18,7 +19,11 @@
 	name := flag.String("case", "", "case to run")
 	program := flag.String("program", "target/cactuswell", "program of the deploy file")
 	record := flag.String("record", "record.txt", "file for the record")
+	serve := flag.String("serve", "", "ID of a server to run alone, in place of a case")
 	flag.Parse()
+	if *serve != "" {
+		serveAlone(*serve)
+	}
 	run, ok := cases[*name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case")
--- a/review/_standin-2/silence.go
+++ b/review/_standin-2/silence.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"maps"
@@ -227,39 +226,3 @@
 	_, err := io.WriteString(conn, "0\r\n\r\n")
 	return err == nil
 }
-
-// result is what a client got.
-type result struct {
-	status          int
-	events          int
-	body            string
-	sentAt, endedAt time.Time
-	err             error
-}
-
-// request sends a request on a new connection and reads the answer to its end.
-func request(address, id, path string, tokens, timeoutMs int) result {
-	got := result{sentAt: time.Now()}
-	defer func() { got.endedAt = time.Now() }()
-	conn, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		got.err = err
-		return got
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(time.Duration(timeoutMs) * time.Millisecond))
-	body := strings.Repeat("p", 1500)
-	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Model: m\r\nX-Token-Counts: %d,80\r\nX-Prompt-Prefix: 5c1e07a2:%d,%08x:100\r\nX-Timeout-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
-		path, callerHost, id, tokens, tokens-100, len(id), timeoutMs, apiKey, len(body), body)
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		got.err = err
-		return got
-	}
-	got.status = response.StatusCode
-	text, err := io.ReadAll(response.Body)
-	got.body, got.err = string(text), err
-	got.events = strings.Count(got.body, "\n\n")
-	got.endedAt = time.Now()
-	return got
-}
