--- a/review/_standin-2/asterisk.go
+++ b/review/_standin-2/asterisk.go
@@ -1,11 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"time"
 )
 
@@ -69,10 +66,7 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
 	fmt.Fprintf(conn, "%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Timeout-Ms: 600\r\nAuthorization: Bearer %s\r\n\r\n", line, callerHost, id, apiKey)
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return 0, "", err
-	}
-	_, err = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, response.Header.Get("X-Response-Signature"), err
+	var got result
+	newMessages(conn).readAnswer(&got)
+	return got.status, got.signature, got.err
 }
--- a/review/_standin-2/client.go
+++ b/review/_standin-2/client.go
@@ -1,11 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"strings"
 	"time"
 )
@@ -13,6 +10,7 @@
 // result is what a client got.
 type result struct {
 	status          int
+	signature       string
 	events          int
 	body            string
 	sentAt, endedAt time.Time
@@ -27,7 +25,6 @@
 // requestWith is like request, with the parts of the prompt.
 func requestWith(address, id, path, parts string, tokens, timeoutMs int) result {
 	got := result{sentAt: time.Now()}
-	defer func() { got.endedAt = time.Now() }()
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		got.err = err
@@ -38,15 +35,7 @@
 	body := strings.Repeat("p", 1500)
 	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Model: m\r\nX-Token-Counts: %d,80\r\nX-Prompt-Prefix: %s\r\nX-Timeout-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
 		path, callerHost, id, tokens, parts, timeoutMs, apiKey, len(body), body)
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		got.err = err
-		return got
-	}
-	got.status = response.StatusCode
-	text, err := io.ReadAll(response.Body)
-	got.body, got.err = string(text), err
-	got.events = strings.Count(got.body, "\n\n")
+	newMessages(conn).readAnswer(&got)
 	got.endedAt = time.Now()
 	return got
 }
--- a/review/_standin-2/crowd.go
+++ b/review/_standin-2/crowd.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -279,12 +278,6 @@
 		got.err = err
 		return got
 	}
-	response, err := http.ReadResponse(bufio.NewReaderSize(conn, 512), nil)
-	if err != nil {
-		got.err = err
-		return got
-	}
-	got.status = response.StatusCode
-	_, got.err = io.Copy(io.Discard, response.Body)
+	newMessages(conn).readAnswer(&got)
 	return got
 }
--- a/review/_standin-2/leaving.go
+++ b/review/_standin-2/leaving.go
@@ -1,14 +1,12 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -65,7 +63,7 @@
 		os.Exit(2)
 	}
 	fmt.Println(s.listener.Addr())
-	_, _ = io.Copy(io.Discard, os.Stdin)
+	_, _ = os.Stdin.Read(make([]byte, 1))
 	isLeaving.Store(true)
 	select {}
 }
@@ -93,12 +91,13 @@
 	if err := command.Start(); err != nil {
 		return nil, err
 	}
-	address, err := bufio.NewReader(output).ReadString('\n')
+	var address string
+	_, err = fmt.Fscanln(output, &address)
 	r.note("%s started as process %d", id, command.Process.Pid)
 	return &alone{
 		Cmd:     command,
 		input:   input,
-		address: strings.TrimSpace(address),
+		address: address,
 	}, err
 }
 
--- a/review/_standin-2/rig.go
+++ b/review/_standin-2/rig.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -112,13 +113,20 @@
 	_ = os.RemoveAll(r.directory)
 }
 
+// The ports of the hosts are below those of outgoing connections, one of which could take the port of a host that starts again.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// freePort returns an address of which the port is free for TCP and UDP.
 func freePort() string {
 	for {
-		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		tcp, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
-		address := tcp.Addr().String()
 		udp, err := net.ListenPacket("udp", address)
 		_ = tcp.Close()
 		if err != nil {
--- a/review/_standin-2/server.go
+++ b/review/_standin-2/server.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -56,13 +55,9 @@
 
 func (s *server) serve(conn net.Conn) {
 	defer conn.Close()
-	reader := bufio.NewReader(conn)
+	reader := newMessages(conn)
 	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(request.Body)
+		request, body, err := reader.readRequest()
 		if err != nil {
 			return
 		}
