--- a/review/_standin-2/leaving.go
+++ b/review/_standin-2/leaving.go
@@ -116,8 +116,14 @@
 	defer end()
 	write := func(state string, sequence int) {
 		r.writeEntry(leavingID, entry{
-			Service: "brudrad", Address: process.address, Zone: "svea-a", Version: "v1", Slots: 64, State: state,
-			Sequence: sequence, Born: r.started.UnixMilli(),
+			Service:  "brudrad",
+			Address:  process.address,
+			Zone:     "svea-a",
+			Version:  "v1",
+			Slots:    64,
+			State:    state,
+			Sequence: sequence,
+			Born:     r.started.UnixMilli(),
 		})
 	}
 	write("ready", 1)
--- a/review/_standin-2/server.go
+++ b/review/_standin-2/server.go
@@ -31,15 +31,30 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{rig: r, id: id, service: service, zone: zone, slots: slots, listener: listener, answer: answer, runs: make(map[string]int)}
+	s := &server{
+		rig:      r,
+		id:       id,
+		service:  service,
+		zone:     zone,
+		slots:    slots,
+		listener: listener,
+		answer:   answer,
+		runs:     make(map[string]int),
+	}
 	go s.loop()
 	return s, nil
 }
 
 func (s *server) register(state string, sequence int) {
 	s.rig.writeEntry(s.id, entry{
-		Service: s.service, Address: s.listener.Addr().String(), Zone: s.zone, Version: "v1", Slots: s.slots,
-		State: state, Sequence: sequence, Born: s.rig.started.UnixMilli(),
+		Service:  s.service,
+		Address:  s.listener.Addr().String(),
+		Zone:     s.zone,
+		Version:  "v1",
+		Slots:    s.slots,
+		State:    state,
+		Sequence: sequence,
+		Born:     s.rig.started.UnixMilli(),
 	})
 }
 
