Resume a stream only if its last event is shown to be of the answer

Cause: the resumption took the last event of an attempt that had broken off for a part of the answer, without evidence.

Change: the next endpoint is asked for the last two events once more (core/resumption). Such an attempt ends as Unmatched, and counts against no endpoint. Blank events and lines without data wait for the next event. The line streamResumed and its counter tell after which event and by what evidence.

Why it works: another run is the only witness of an event that nothing follows.

Two tests change. TestDoubtfulEndOfData took an event for sound whose chunk ends in other bytes than a line break, which is how a foreign piece ends that fills the chunk: it is doubtful now, and three cases are added. TestResumedStreamMayHaveNoMoreEvents let an endpoint answer the resumption with an empty stream; its endpoint now sends the event that it is asked for, and the empty stream must not end the caller's.

--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -135,8 +135,6 @@
 	latencySensitive bool
 	// isPartlyDelivered is set once the caller has got a part of an answer.
 	isPartlyDelivered bool
-	// hasDoubtfulPart is set once that part may not be an endpoint's answer.
-	hasDoubtfulPart bool
 	// isUnmet is set once the call has found no room.
 	isUnmet bool
 }
--- a/core/scheduling/command.go
+++ b/core/scheduling/command.go
@@ -169,6 +169,7 @@
 	ReasonMisdirected          Reason = "misdirected"
 	ReasonAnswerBegun          Reason = "answerBegun"
 	ReasonUnprovenRefusal      Reason = "unprovenRefusal"
+	ReasonUnmatchedRun         Reason = "unmatchedRun"
 	ReasonErrors               Reason = "errors"
 	ReasonSilent               Reason = "silent"
 	ReasonMalformedAnswer      Reason = "spoiledAnswers"
--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -267,9 +267,6 @@
 	PartlyDelivered bool
 	// Malformed reports whether bytes arrived that are not a valid answer.
 	Malformed bool
-	// HasDoubtfulPart reports whether the caller may have got bytes that are not the endpoint's answer, so that
-	// no attempt can continue the answer.
-	HasDoubtfulPart bool
 	// EndpointDown reports whether the endpoint accepted no new connection afterwards. It
 	// is determined only for answers that broke at their beginning.
 	EndpointDown bool
@@ -281,6 +278,10 @@
 // at which the stream begins could not be recorded.
 type Unrecorded struct{}
 
+// Unmatched means that the attempt was to go on with a stream and does not show that the caller's last event is a part of
+// the answer. Its endpoint or an earlier one is at fault.
+type Unmatched struct{}
+
 // Silent means that the attempt was abandoned because the endpoint made no
 // progress.
 type Silent struct {
@@ -302,6 +303,7 @@
 func (Failed) isOutcome()      {}
 func (Broken) isOutcome()      {}
 func (Unrecorded) isOutcome()  {}
+func (Unmatched) isOutcome()   {}
 func (Silent) isOutcome()      {}
 func (TimedOut) isOutcome()    {}
 func (Abandoned) isOutcome()   {}
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -151,12 +151,15 @@
 		}
 		s.recordBreak(e, reason)
 		c.recordPart(outcome.PartlyDelivered)
-		c.hasDoubtfulPart = c.hasDoubtfulPart || outcome.HasDoubtfulPart
 		s.retryMayHaveRun(c, e, reason, false)
 	case Unrecorded:
 		c.possibleRuns++
 		e.health.probing = false
 		s.refuse(c, ReasonVersionNotRecorded)
+	case Unmatched:
+		c.possibleRuns++
+		e.health.probing = false
+		s.retryMayHaveRun(c, e, ReasonUnmatchedRun, false)
 	case Silent:
 		c.possibleRuns++
 		s.recordBreak(e, ReasonSilent)
@@ -367,7 +370,7 @@
 		return ReasonQuarantined
 	case !c.spec.Route.Retryable():
 		return ReasonOutcomeUnknown
-	case c.hasDoubtfulPart, c.isPartlyDelivered && c.spec.Route.Kind != route.Stream:
+	case c.isPartlyDelivered && c.spec.Route.Kind != route.Stream:
 		return ReasonAnswerBegun
 	case c.possibleRuns >= c.spec.Route.MaxAttempts:
 		return ReasonAttemptsExhausted
--- a/core/wholeness/body.go
+++ b/core/wholeness/body.go
@@ -206,11 +206,12 @@
 	return nil
 }
 
-// IsDoubtful reports whether the data up to an offset, without the framing, may end with bytes of another response, as the
-// framing is damaged in or after the chunk that holds the last of them.
+// IsDoubtful reports whether the data up to an offset, without the framing, may end with bytes of another response, as the chunk
+// that holds the last of them has no sound end: it is cut off, or the framing is damaged in or after it.
 func (b *Body) IsDoubtful(end int64) bool {
+	lacksEnd := b.framing.lacksEnd || b.framing.phase == inData || b.framing.phase == afterData
 	switch {
-	case b.framing.phase != chunksMalformed || end <= b.lastChunk:
+	case !lacksEnd && b.framing.phase != chunksMalformed || end <= b.lastChunk:
 		return false
 	case b.firstWithin > b.lastChunk:
 		return end > b.firstWithin
@@ -218,7 +219,7 @@
 	if n, ok := b.statusLines.endsInStatusLine(nil); ok {
 		return end > b.dataBefore(b.offset-int64(n))
 	}
-	return end < b.decoded
+	return lacksEnd || end < b.decoded
 }
 
 // dataBefore returns the number of bytes of data before an offset within the last chunk or after it.
--- a/core/wholeness/chunks.go
+++ b/core/wholeness/chunks.go
@@ -25,8 +25,9 @@
 	phase chunkPhase
 	// remaining is the number of bytes that the data of the current chunk lacks.
 	remaining int64
-	// hasData is set if a chunk had data.
-	hasData bool
+	// hasData is set if a chunk had data, and lacksEnd if other bytes follow the data of the last one.
+	hasData  bool
+	lacksEnd bool
 
 	// size and digits are what the current size line has brought.
 	size        int64
@@ -122,6 +123,7 @@
 		c.begin(inSize)
 	default:
 		c.phase = chunksMalformed
+		c.lacksEnd = true
 	}
 }
 
--- a/core/wholeness/event_test.go
+++ b/core/wholeness/event_test.go
@@ -50,7 +50,10 @@
 	}{
 		"in order":                            {raw: "9\r\n" + event + "\r\n9\r\n" + event, end: 9},
 		"damaged size after a chunk":          {raw: "9\r\n" + event + "\r\nHT", end: 9},
-		"bytes where the chunk should end":    {raw: "12\r\n" + event + "data: \r\n\r\nContent", end: 18},
+		"bytes where the chunk should end":    {raw: "12\r\n" + event + event + "Content", end: 18, want: true},
+		"chunk without its line break":        {raw: "12\r\n" + event + event, end: 18, want: true},
+		"chunk that is cut off":               {raw: "14\r\n" + event + event, end: 18, want: true},
+		"chunk that is cut off later":         {raw: "9\r\n" + event + "\r\n9\r\ndata", end: 9},
 		"event in the chunk before":           {raw: "9\r\n" + event + "\r\n9\r\ndata: \r\n\rmore", end: 9},
 		"event within the damaged chunk":      {raw: "14\r\ndata: x\r\n\r\ndata: 45more", end: 11, want: true},
 		"event before a status line":          {raw: "20\r\n" + event + "data: aHTTP/1.1 200 OK\r\nmore", end: 9},
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"cactuswell/core/resumption"
 	"cactuswell/core/route"
 	"cactuswell/core/wholeness"
 	"cactuswell/io/opaque"
@@ -108,6 +109,11 @@
 	m.addToCounter(fmt.Sprintf("cactuswell_answers_continued_total{kind=%q}", r.Kind), 1)
 }
 
+// RecordResumption implements opaque.Meter.
+func (m *meter) RecordResumption(finding resumption.Finding, doubt resumption.Doubt, goesOn bool) {
+	m.addToCounter(fmt.Sprintf("cactuswell_streams_resumed_total{finding=%q,doubt=%q,goesOn=\"%t\"}", finding, doubt, goesOn), 1)
+}
+
 // RecordSplice implements opaque.Meter.
 func (m *meter) RecordSplice(reason wholeness.Reason) {
 	m.addToCounter(fmt.Sprintf("cactuswell_answers_spliced_total{reason=%q}", reason), 1)
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -12,6 +12,7 @@
 	"cactuswell/core/detour"
 	"cactuswell/core/evidence"
 	"cactuswell/core/quarantine"
+	"cactuswell/core/resumption"
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 	"cactuswell/core/wholeness"
@@ -77,8 +78,8 @@
 	// silenceDeadline is when the endpoint is considered unresponsive, or zero if
 	// only the call's deadline applies.
 	silenceDeadline time.Time
-	// padding holds the comments and blank events before the first event that the
-	// caller gets, and paddingBytes counts those since the last event.
+	// padding holds the comments and blank events that the caller gets with the next event, and
+	// paddingBytes counts those since the last event.
 	padding      []byte
 	paddingBytes int
 	// bodyBytes is the number of bytes of the response body that were received.
@@ -98,6 +99,11 @@
 	events *answerEvents
 	// hasWritten is set once the caller got an event or padding of the attempt.
 	hasWritten bool
+	// check compares the events that the attempt repeats with those that the caller has. It is nil if the attempt does
+	// not go on with a stream.
+	check *resumption.Check
+	// endsWithinEvent is set if the body has ended by its framing within an event.
+	endsWithinEvent bool
 	// forwardedBytes is the number of bytes of the events before the current one.
 	forwardedBytes int64
 	// earlierSends is the number of the call's earlier attempts that were sent to what may be the same endpoint.
@@ -139,8 +145,8 @@
 		Excess:    t.hasExcess,
 	}
 	x.server.Scheduler.Post(event)
-	if broken, ok := outcome.(scheduling.Broken); ok && broken.HasDoubtfulPart {
-		x.hasDoubtfulPart = true
+	if t.hasWritten {
+		x.stream.tail.Question(t.doubt())
 	}
 	switch outcome.(type) {
 	case scheduling.Completed:
@@ -209,6 +215,7 @@
 		t.err = &AnswerBegunError{}
 		return scheduling.Broken{PartlyDelivered: true}
 	}
+	t.beginCheck()
 	t.earlierSends = x.account.SendsTo(x.place())
 	if t.evidence = x.account.Begin(x.place()); t.evidence == nil {
 		t.err = &evidence.UnpermittedError{}
@@ -384,6 +391,7 @@
 func (t *attempt) newRequest() *upstream.Request {
 	x := t.exchange
 	header := x.forwardedHeader.Clone()
+	after := t.requestedPosition()
 	x.server.Dialect.SetAttempt(header, AttemptInfo{
 		EndpointID:     x.currentSend.Key.ID,
 		TimeLeft:       time.Until(x.deadline),
@@ -391,8 +399,8 @@
 		Priority:       x.currentSend.Priority,
 		IsGeneration:   x.requestInfo.PromptTokens > 0,
 		FetchAddress:   x.currentSend.FetchAddress,
-		LastEventID:    x.stream.lastID,
-		HasLastEventID: x.stream.hasLastID,
+		LastEventID:    after.ID,
+		HasLastEventID: after.HasID,
 	})
 	return &upstream.Request{
 		Method:  x.request.Method,
@@ -523,19 +531,9 @@
 	return scheduling.Broken{
 		PartlyDelivered: x.answer.isBegun(),
 		Malformed:       true,
-		HasDoubtfulPart: t.hasDoubtfulPart(err),
 	}
 }
 
-// hasDoubtfulPart reports whether the attempt's last event or padding that the caller has may be that of several responses, as
-// what follows it is not in order: a part of another response may have ended the event. An event that is left out is no sign
-// of that.
-func (t *attempt) hasDoubtfulPart(err error) bool {
-	var order *EventOrderError
-	isRepeated := errors.As(err, &order) && order.Got <= order.Last
-	return t.hasWritten && (isRepeated || t.conn.IsDoubtful(t.forwardedBytes))
-}
-
 // recordSplice records that the response's body holds a part of another response.
 func (t *attempt) recordSplice(spliced *wholeness.SplicedError) {
 	x := t.exchange
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -96,8 +96,6 @@
 	// hasBegun is set once the request was recorded as one that began to run.
 	hasBegun bool
 	stream   stream
-	// hasDoubtfulPart is set once the caller may have got an event of two responses.
-	hasDoubtfulPart bool
 	// record is the record of the version at which the stream begins, or nil if it needs none.
 	record StreamRecord
 	// replacesRecord is set if the record takes the place of one of another version.
@@ -256,8 +254,8 @@
 			x.cancelStopping()
 			return true
 		}
-		if x.answer.isBegun() && (!x.stream.isNumbered || x.hasDoubtfulPart) {
-			// The last event does not say where the stream continues, or may be of two responses.
+		if x.answer.isBegun() && !x.stream.tail.IsResumable() {
+			// The last event does not say where the stream continues.
 			x.withdraw()
 			x.refuse(scheduling.Refuse{
 				Reason:     scheduling.ReasonErrors,
--- a/io/opaque/historiesrig_test.go
+++ b/io/opaque/historiesrig_test.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,6 +44,7 @@
 	mu       sync.Mutex
 	bytes    []byte
 	ended    bool
+	isReset  bool
 	closed   bool
 	deadline time.Time
 	changed  chan struct{}
@@ -72,6 +74,8 @@
 		n = copy(p, q.bytes)
 		q.bytes = q.bytes[n:]
 		return n, nil, time.Time{}, nil
+	case q.isReset:
+		return 0, nil, time.Time{}, syscall.ECONNRESET
 	case q.ended:
 		return 0, nil, time.Time{}, io.EOF
 	}
@@ -127,6 +131,9 @@
 	return nil
 }
 
+// reset makes the other end's reads fail once they have got what was written.
+func (c *memoryConn) reset() { c.out.update(func() { c.out.isReset = true }) }
+
 func (c *memoryConn) SetReadDeadline(deadline time.Time) error {
 	c.in.update(func() { c.in.deadline = deadline })
 	return nil
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"cactuswell/core/evidence"
+	"cactuswell/core/resumption"
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 	"cactuswell/core/shutdown"
@@ -60,6 +61,9 @@
 	// RecordContinuation records that an attempt writes to an answer of which the caller has got a part of
 	// another attempt.
 	RecordContinuation(r *route.Route)
+	// RecordResumption records what an attempt shows of the last event of a stream, what speaks against the event, and
+	// whether the stream goes on.
+	RecordResumption(finding resumption.Finding, doubt resumption.Doubt, goesOn bool)
 	// RecordSplice records a body that holds a part of another response.
 	RecordSplice(reason wholeness.Reason)
 }
--- a/io/opaque/stream.go
+++ b/io/opaque/stream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cactuswell/core/pace"
+	"cactuswell/core/resumption"
 	"cactuswell/core/scheduling"
 	"cactuswell/core/wholeness"
 	"cactuswell/io/upstream"
@@ -34,16 +35,17 @@
 	// lastID is the ID of the last event that the caller has, if hasLastID is set.
 	lastID    int64
 	hasLastID bool
-	// isNumbered is set if the last event that was sent has an ID.
-	isNumbered  bool
+	// tail holds the last events that the caller has, if the stream may be resumed.
+	tail        resumption.Tail
 	events      int
 	lastEventAt time.Time
 	longestGap  time.Duration
 	// status and mediaType are those of the response that the caller gets.
 	status    int
 	mediaType string
-	// attemptEvents and pace are those of the attempt in progress.
+	// attemptEvents, lastArrivalAt and pace are those of the attempt in progress, with the events that it repeats.
 	attemptEvents int
+	lastArrivalAt time.Time
 	pace          pace.EventGaps
 }
 
@@ -59,9 +61,25 @@
 	return usual
 }
 
+// position returns where the stream goes on.
+func (s *stream) position() resumption.Position {
+	return resumption.Position{
+		ID:    s.lastID,
+		HasID: s.hasLastID,
+	}
+}
+
+// recordArrival records that an event of the attempt has arrived.
+func (s *stream) recordArrival(now time.Time) {
+	if s.attemptEvents > 0 {
+		s.pace.Record(now.Sub(s.lastArrivalAt))
+	}
+	s.lastArrivalAt = now
+	s.attemptEvents++
+}
+
 // recordEvent records an event that was sent to the caller.
 func (s *stream) recordEvent(now time.Time, id int64, hasID bool) {
-	s.isNumbered = hasID
 	if hasID {
 		s.lastID = id
 		s.hasLastID = true
@@ -69,12 +87,8 @@
 	if s.events > 0 {
 		s.longestGap = max(s.longestGap, now.Sub(s.lastEventAt))
 	}
-	if s.attemptEvents > 0 {
-		s.pace.Record(now.Sub(s.lastEventAt))
-	}
 	s.lastEventAt = now
 	s.events++
-	s.attemptEvents++
 }
 
 // EventOrderError reports an event whose ID does not follow that of the event before
@@ -145,6 +159,7 @@
 		}
 		if err != nil {
 			if errors.Is(err, io.EOF) {
+				t.endsWithinEvent = upstream.IsFramed(t.response)
 				err = io.ErrUnexpectedEOF
 			}
 			return t.readErrorOutcome(err)
@@ -167,16 +182,19 @@
 	}
 }
 
-// forwardPadding forwards a comment or a blank event. It is no progress: it does not
+// forwardPadding forwards a comment. It is no progress: it does not
 // extend the time in which the next event is due. Before the first event it is kept, so
-// that the call can be sent to another endpoint.
+// that the call can be sent to another endpoint. Blank events and other lines without data are kept until the next event, as
+// they may be the end of another answer's event.
 func (t *attempt) forwardPadding(padding []byte) scheduling.Outcome {
-	x := t.exchange
 	t.paddingBytes += len(padding)
 	if t.paddingBytes > maxPaddingBytes {
 		return t.excess(upstream.PartPadding, maxPaddingBytes)
 	}
-	if !x.answer.isBegun() {
+	switch {
+	case t.check != nil && t.check.IsOpen():
+		return nil
+	case !t.exchange.answer.isBegun(), len(t.padding) > 0, !isComment(padding):
 		t.padding = append(t.padding, padding...)
 		return nil
 	}
@@ -188,19 +206,13 @@
 	x := t.exchange
 	x.recordExecution()
 	id, hasID := parseEventID(event)
+	if t.check != nil && t.check.IsOpen() {
+		return t.compareEvent(event, id, hasID)
+	}
 	if err := x.stream.checkOrder(id, hasID); err != nil {
 		return t.readErrorOutcome(err)
 	}
-	switch {
-	case x.stream.attemptEvents == 0:
-		x.server.Scheduler.Post(scheduling.AnswerStarted{
-			Call:  x.id,
-			Load:  t.responseInfo.Load,
-			Limit: t.responseInfo.Limit,
-		})
-	case x.stream.attemptEvents == 1 && len(x.requestInfo.PromptParts) > 1:
-		x.server.Scheduler.Post(scheduling.AnswerContinued{Call: x.id})
-	}
+	t.postProgress()
 	if !x.answer.isBegun() {
 		if !x.awaitRecord() {
 			return scheduling.Unrecorded{}
@@ -212,27 +224,55 @@
 		// Not before: if no event comes in time, the caller gets a response of this host's own after
 		// the deadline.
 		t.events.setWriteDeadline(x.deadline)
-		event = append(t.padding, event...)
+	}
+	if x.route.Resumable {
+		x.stream.tail.Add(event, id, hasID, x.stream.position())
 	}
 	t.recordWriter()
-	if outcome := t.writeEvent(event); outcome != nil {
+	if outcome := t.writeEvent(append(t.padding, event...)); outcome != nil {
 		return outcome
 	}
+	t.padding = nil
 	t.paddingBytes = 0
-	x.stream.recordEvent(time.Now(), id, hasID)
-	if !t.silenceDeadline.IsZero() || x.currentSend.EventGapTimeout > 0 {
-		t.setReadDeadline(x.currentSend.EventGapTimeout)
-	}
+	now := time.Now()
+	x.stream.recordArrival(now)
+	x.stream.recordEvent(now, id, hasID)
+	t.awaitNextEvent()
 	return nil
 }
 
+// postProgress tells the scheduler of the first event of the attempt and of the second one.
+func (t *attempt) postProgress() {
+	x := t.exchange
+	switch {
+	case x.stream.attemptEvents == 0:
+		x.server.Scheduler.Post(scheduling.AnswerStarted{
+			Call:  x.id,
+			Load:  t.responseInfo.Load,
+			Limit: t.responseInfo.Limit,
+		})
+	case x.stream.attemptEvents == 1 && len(x.requestInfo.PromptParts) > 1:
+		x.server.Scheduler.Post(scheduling.AnswerContinued{Call: x.id})
+	}
+}
+
+// awaitNextEvent bounds the wait for the next event.
+func (t *attempt) awaitNextEvent() {
+	if limit := t.exchange.currentSend.EventGapTimeout; limit > 0 || !t.silenceDeadline.IsZero() {
+		t.setReadDeadline(limit)
+	}
+}
+
 // finishStream handles the regular end of the endpoint's stream. A stream without framing that
 // ends before its first event has been broken off: its end does not differ from that of a
 // complete one.
 func (t *attempt) finishStream() scheduling.Outcome {
 	x := t.exchange
-	if x.stream.attemptEvents == 0 && !upstream.IsFramed(t.response) {
+	switch {
+	case x.stream.attemptEvents == 0 && !upstream.IsFramed(t.response):
 		return t.readErrorOutcome(io.ErrUnexpectedEOF)
+	case t.check != nil && t.check.IsOpen():
+		return t.endUnmatched()
 	}
 	t.isForwardedInParts = true
 	proof, err := t.endBody()
@@ -244,6 +284,8 @@
 		if outcome := t.beginEvents(); outcome != nil {
 			return outcome
 		}
+	}
+	if len(t.padding) > 0 {
 		if outcome := t.writeEvent(t.padding); outcome != nil {
 			return outcome
 		}
@@ -321,6 +363,16 @@
 	return true
 }
 
+// isComment reports whether an event without an ID and data consists of comments.
+func isComment(padding []byte) bool {
+	for line := range bytes.Lines(padding) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return false
+		}
+	}
+	return padding[0] == ':'
+}
+
 // parseEventID returns the ID of an event. It reports false if the event has none
 // or if it is not an integer.
 func parseEventID(event []byte) (int64, bool) {
--- a/io/opaque/tornanswer_test.go
+++ b/io/opaque/tornanswer_test.go
@@ -464,18 +464,21 @@
 }
 
 // TestResumedStreamMayHaveNoMoreEvents checks that a stream that broke off after its last event ends as
-// complete once another endpoint says so.
+// complete once another endpoint says so: its run ends after that event. One that has not even the event says nothing.
 func TestResumedStreamMayHaveNoMoreEvents(t *testing.T) {
 	const event = "id: 0\ndata: a\n\n"
 	const field = "Content-Type: text/event-stream\r\n"
+	const whole = "f\r\n" + event + "\r\n"
 	first := newScriptedEndpoint(t, func(request *http.Request) scriptedAnswer {
-		return scriptedAnswer{bytes: answerHead(request, "200 OK", field+"Transfer-Encoding: chunked\r\n") + fmt.Sprintf("%x\r\n%s\r\n", len(event), event)}
+		return scriptedAnswer{bytes: answerHead(request, "200 OK", field+"Transfer-Encoding: chunked\r\n") + whole}
 	})
-	second := newScriptedEndpoint(t, func(request *http.Request) scriptedAnswer {
-		return scriptedAnswer{bytes: answerHead(request, "200 OK", field+"Transfer-Encoding: chunked\r\n") + "0\r\n\r\n", stays: true}
-	})
-	caller := dialCaller(t, startScripted(t, false, first.address, second.address), "1.1")
-	if got := caller.get("resumed", "/stream/x"); got.body != event || !got.isWhole {
-		t.Errorf("the caller got %+v", got)
+	for rest, isWhole := range map[string]bool{whole + "0\r\n\r\n": true, "0\r\n\r\n": false} {
+		second := newScriptedEndpoint(t, func(request *http.Request) scriptedAnswer {
+			return scriptedAnswer{bytes: answerHead(request, "200 OK", field+"Transfer-Encoding: chunked\r\n") + rest, stays: true}
+		})
+		caller := dialCaller(t, startScripted(t, false, first.address, second.address), "1.1")
+		if got := caller.get("resumed", "/stream/x"); got.body != event || got.isWhole != isWhole {
+			t.Errorf("after %q the caller got %+v", rest, got)
+		}
 	}
 }
--- a/io/opaque/withdraw_test.go
+++ b/io/opaque/withdraw_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"cactuswell/core/resumption"
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 	"cactuswell/core/shutdown"
@@ -62,6 +63,8 @@
 
 func (silentMeter) RecordContinuation(*route.Route) {}
 
+func (silentMeter) RecordResumption(resumption.Finding, resumption.Doubt, bool) {}
+
 func (silentMeter) RecordSplice(wholeness.Reason) {}
 
 // TestCallThatIsGivenUpIsWithdrawn guards against a place at an endpoint that stays taken for good: the scheduler, which was
