Give up a silent attempt only for a place that is kept for it

Cause: the limit on silence ended the attempt whether or not there was a place elsewhere. The attempt ended by itself; the scheduler, which knows the places, heard of it when the place was gone. The stream then waited for its latency target behind more urgent calls, and was refused.

Change: the attempt reports its silence and goes on (AttemptSilent, AttemptProgressed). The scheduler answers with GiveUp once another endpoint has room and, on engines, is expected to bring the first event before the caller leaves. The place is kept for the call from then on, in the turn of the calls that wait. The same holds for the limit until the first event and for calls that are no streams. A stream that has begun and lost its endpoint waits for room until its deadline. The line attemptSilent, a counter and a gauge tell what became of a silence.

Why it works: a run is given up only when its caller gets another one for it. The old connection is closed before the next run is sent, so that no two run side by side.

--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -130,6 +130,12 @@
 	// waitsForOther is set if the call waits for an endpoint that has not failed it, even
 	// while one that has failed it has room.
 	waitsForOther bool
+	// otherUntil is until when it does.
+	otherUntil time.Time
+	// silence is that of the attempt in flight, or nil while it is not silent. IsSilenceRecorded is set once one of the
+	// attempt counts against its endpoint.
+	silence           *silence
+	isSilenceRecorded bool
 	// lastFailure is why the last attempt failed.
 	lastFailure      Reason
 	latencySensitive bool
--- a/core/scheduling/command.go
+++ b/core/scheduling/command.go
@@ -26,7 +26,7 @@
 	// IsRetry reports whether an earlier attempt may have run.
 	IsRetry bool
 	// FirstEventTimeout is how long to wait for the first event or the response
-	// header before the attempt ends as Silent; zero means no limit.
+	// header before AttemptSilent is reported; zero means no limit.
 	FirstEventTimeout time.Duration
 	// EventGapTimeout is the same limit for the time between two events.
 	EventGapTimeout time.Duration
@@ -70,6 +70,15 @@
 	QueueTime time.Duration
 }
 
+// GiveUp ends a silent attempt, as another endpoint has room. The attempt must end as Silent, unless it has gone on.
+type GiveUp struct {
+	Call CallID
+	// Silence is that of the AttemptSilent that the command answers.
+	Silence int
+	// For is the endpoint whose place is kept for the call.
+	For Key
+}
+
 // Refuse ends a call without an answer from an endpoint.
 type Refuse struct {
 	Call   CallID
@@ -143,6 +152,7 @@
 func (EndpointLimitChanged) isCommand()  {}
 func (QuarantineChanged) isCommand()     {}
 func (Send) isCommand()                  {}
+func (GiveUp) isCommand()                {}
 func (Refuse) isCommand()                {}
 func (DeliverFailure) isCommand()        {}
 func (EndpointHealthChanged) isCommand() {}
--- a/core/scheduling/event.go
+++ b/core/scheduling/event.go
@@ -39,6 +39,21 @@
 	Call CallID
 }
 
+// AttemptSilent reports that the endpoint of the attempt in flight has been silent for the time that its Send allows. The attempt
+// goes on until a GiveUp.
+type AttemptSilent struct {
+	Call CallID
+	// Silence numbers the silences of the call.
+	Silence int
+	// For is how long the caller has got nothing.
+	For time.Duration
+}
+
+// AttemptProgressed reports that the attempt that was silent has gone on.
+type AttemptProgressed struct {
+	Call CallID
+}
+
 // AttemptEnded reports the outcome of the attempt in flight.
 type AttemptEnded struct {
 	Call    CallID
@@ -138,6 +153,8 @@
 func (CallCanceled) isEvent()         {}
 func (AnswerStarted) isEvent()        {}
 func (AnswerContinued) isEvent()      {}
+func (AttemptSilent) isEvent()        {}
+func (AttemptProgressed) isEvent()    {}
 func (AttemptEnded) isEvent()         {}
 func (LeavingAnswered) isEvent()      {}
 func (EndpointChanged) isEvent()      {}
@@ -283,7 +300,7 @@
 type Unmatched struct{}
 
 // Silent means that the attempt was abandoned because the endpoint made no
-// progress.
+// progress, after a GiveUp or at a limit of the caller of the state machine.
 type Silent struct {
 	PartlyDelivered bool
 }
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -9,14 +9,6 @@
 )
 
 const (
-	// firstAnswerShare is the share of the latency target after which, at the
-	// earliest, a silent endpoint of a plain service is abandoned, so that another
-	// one can still answer in time.
-	firstAnswerShare = 0.6
-	// silenceGaps is the number of target event gaps after which a stream counts as
-	// silent, and minSilence is the minimum of that time.
-	silenceGaps = 4
-	minSilence  = time.Second
 	// maxFailedEndpoints bounds the failed attempts of a call: once so many have failed
 	// and the last one did not run, the call is refused.
 	maxFailedEndpoints = 6
@@ -29,25 +21,6 @@
 	maxRetryAfter = 5 * time.Second
 )
 
-// setTimeouts limits how long an endpoint may be silent if the call can be retried
-// elsewhere.
-func (s *Scheduler) setTimeouts(c *call, command *Send) {
-	r := c.spec.Route
-	if !r.Retryable() || c.possibleRuns+1 >= r.MaxAttempts || c.pool.budget.Remaining(s.now) < 1 || s.countUsableFor(c) < 2 {
-		return
-	}
-	if r.Kind == route.Stream {
-		command.FirstEventTimeout = max(r.TargetLatency, 3*command.Choice.TimeToFirstEvent)
-		if s.countVersion(c.pool, command.Version) < 2 {
-			return
-		}
-		command.EventGapTimeout = max(silenceGaps*r.TargetEventGap, minSilence)
-		return
-	}
-	usualAnswer := time.Duration(3 * c.pool.answerTime * float64(time.Second))
-	command.FirstEventTimeout = max(time.Duration(firstAnswerShare*float64(r.TargetLatency)), usualAnswer)
-}
-
 func (s *Scheduler) handleAnswerStarted(event AnswerStarted) {
 	c := s.calls[event.Call]
 	if c == nil || c.endpoint == nil {
@@ -77,6 +50,7 @@
 	if e == nil {
 		return nil
 	}
+	s.endSilence(c)
 	e.running--
 	e.promptTokens -= c.spec.PromptTokens
 	if c.latencySensitive {
@@ -162,7 +136,9 @@
 		s.retryMayHaveRun(c, e, ReasonUnmatchedRun, false)
 	case Silent:
 		c.possibleRuns++
-		s.recordBreak(e, ReasonSilent)
+		if !c.isSilenceRecorded {
+			s.recordBreak(e, ReasonSilent)
+		}
 		c.recordPart(outcome.PartlyDelivered)
 		s.retryMayHaveRun(c, e, ReasonSilent, false)
 	case TimedOut:
@@ -333,7 +309,8 @@
 }
 
 // queueRetry queues a call that may have run until an endpoint has room, for as long as a
-// new call. It reports false if the call cannot wait. Refusing it at once would leave its
+// new call, or until its deadline if its stream has begun: the caller waits, and would lose what it has.
+// It reports false if the call cannot wait. Refusing it at once would leave its
 // caller with an unknown outcome.
 //
 // It serves bursts that fill all endpoints while one of them fails.
@@ -341,8 +318,9 @@
 	if s.countUsableFor(c) == 0 || s.staysClosed(c) {
 		return false
 	}
-	c.queueUntil = s.now.Add(c.spec.Route.TargetLatency)
-	if c.queueUntil.After(c.spec.Deadline) {
+	c.otherUntil = s.now.Add(c.spec.Route.TargetLatency)
+	c.queueUntil = c.otherUntil
+	if c.isPartlyDelivered || c.queueUntil.After(c.spec.Deadline) {
 		c.queueUntil = c.spec.Deadline
 	}
 	if !s.now.Before(c.queueUntil) {
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -105,12 +105,15 @@
 	c.queued = true
 	p := c.pool
 	p.unmet.recordUnmet(s.now, c)
-	index := sort.Search(len(p.queue), func(i int) bool {
-		return isMoreUrgent(c, p.queue[i])
+	p.queue = insertByUrgency(p.queue, c)
+}
+
+// insertByUrgency adds a call to calls that are in the order of their urgency.
+func insertByUrgency(calls []*call, c *call) []*call {
+	index := sort.Search(len(calls), func(i int) bool {
+		return isMoreUrgent(c, calls[i])
 	})
-	p.queue = append(p.queue, nil)
-	copy(p.queue[index+1:], p.queue[index:])
-	p.queue[index] = c
+	return slices.Insert(calls, index, c)
 }
 
 func isMoreUrgent(a, b *call) bool {
@@ -161,37 +164,52 @@
 }
 
 // dispatchWaiting sends queued calls while endpoints have capacity, and refuses
-// those that have waited too long.
+// those that have waited too long. Silent attempts are given up in their turn.
 func (s *Scheduler) dispatchWaiting(p *pool) {
+	silent := 0
 	for i := 0; i < len(p.queue); {
 		c := p.queue[i]
-		if !s.now.Before(c.spec.Deadline) {
-			p.queue = slices.Delete(p.queue, i, i+1)
-			c.queued = false
-			s.refuse(c, ReasonTimedOut)
-			continue
+		for ; silent < len(p.silent) && isMoreUrgent(p.silent[silent], c); silent++ {
+			s.giveUpSilent(p.silent[silent])
 		}
-		e, choice := s.pickEndpoint(c)
-		if e == nil && s.now.Before(c.queueUntil) && !s.staysClosed(c) && s.hasVersion(c) && !s.hasTriedAll(c) {
-			i++
+		if s.dispatch(c) {
+			p.queue = slices.Delete(p.queue, i, i+1)
 			continue
 		}
-		if e == nil && c.waitsForOther {
-			c.waitsForOther = false
-			e, choice = s.pickEndpoint(c)
-		}
-		p.queue = append(p.queue[:i], p.queue[i+1:]...)
+		i++
+	}
+	for ; silent < len(p.silent); silent++ {
+		s.giveUpSilent(p.silent[silent])
+	}
+}
+
+// dispatch sends or refuses a queued call, and reports false if it has to wait.
+func (s *Scheduler) dispatch(c *call) bool {
+	if !s.now.Before(c.spec.Deadline) {
 		c.queued = false
-		if reason := s.queuedRetryDenialReason(c); reason != "" {
-			s.refuse(c, reason)
-			continue
-		}
-		if e == nil {
-			s.refuse(c, s.noRoomReason(c))
-			continue
-		}
-		s.send(c, e, choice)
+		s.refuse(c, ReasonTimedOut)
+		return true
+	}
+	e, choice := s.pickEndpoint(c)
+	canWait := s.now.Before(c.queueUntil) && !s.staysClosed(c) && s.hasVersion(c) && !s.hasTriedAll(c)
+	if e == nil && c.waitsForOther && (!canWait || !s.now.Before(c.otherUntil)) {
+		c.waitsForOther = false
+		e, choice = s.pickEndpoint(c)
+	}
+	if e == nil && canWait {
+		return false
+	}
+	c.queued = false
+	reason := s.queuedRetryDenialReason(c)
+	if reason == "" && e == nil {
+		reason = s.noRoomReason(c)
 	}
+	if reason != "" {
+		s.refuse(c, reason)
+		return true
+	}
+	s.send(c, e, choice)
+	return true
 }
 
 // candidate is an endpoint with its score for a call.
@@ -210,6 +228,19 @@
 // pickEndpoint returns the endpoint with the lowest cost for a call, or nil if none
 // has capacity.
 func (s *Scheduler) pickEndpoint(c *call) (*endpoint, Choice) {
+	best := s.bestCandidate(c)
+	if best.endpoint == nil {
+		return nil, Choice{}
+	}
+	c.prefillTime = best.prefillTime
+	c.nominalPrefill = best.nominalPrefill
+	c.demandTime = best.demandTime
+	c.utilization = float64(best.choice.Running) / float64(max(best.endpoint.entry.Slots, 1))
+	return best.endpoint, best.choice
+}
+
+// bestCandidate returns the endpoint with the lowest cost for a call, which is nil if none has capacity.
+func (s *Scheduler) bestCandidate(c *call) candidate {
 	var best candidate
 	compared := 0
 	s.restrictVersions(c)
@@ -231,7 +262,7 @@
 		}
 	}
 	if best.endpoint == nil {
-		return nil, Choice{}
+		return best
 	}
 	best.choice.ComparedEndpoints = compared
 	best.choice.QueueTime = s.now.Sub(c.arrived)
@@ -241,11 +272,7 @@
 	if best.endpoint.reported.Known {
 		best.choice.LoadAge = s.now.Sub(best.endpoint.reportedAt)
 	}
-	c.prefillTime = best.prefillTime
-	c.nominalPrefill = best.nominalPrefill
-	c.demandTime = best.demandTime
-	c.utilization = float64(best.choice.Running) / float64(max(best.endpoint.entry.Slots, 1))
-	return best.endpoint, best.choice
+	return best
 }
 
 // isLatencySensitive reports whether a call's stream requires short event gaps and leaves
@@ -261,13 +288,16 @@
 // the call, recently declined one, are slow and have their share, or have just appeared, are accepted in the second
 // pass only, and those that failed it not while it waits for another one.
 func (s *Scheduler) canAccept(c *call, e *endpoint, secondPass bool) bool {
-	if e.leaving || !c.isCompatible(e) || !c.maySendTo(e) || e.inFlight(s.now) >= s.concurrencyLimit(c.pool, e) {
+	if e == c.endpoint || e.leaving || !c.isCompatible(e) || !c.maySendTo(e) || e.inFlight(s.now) >= s.concurrencyLimit(c.pool, e) {
 		return false
 	}
 	if e.health.isEjected(s.now) || e.isQuiet(s.now) || !s.allowsLimit(e) || !s.allowsBrittle(e) {
 		return false
 	}
 	hasFailed := slices.Contains(c.avoid, e.key)
+	if secondPass && c.silence != nil {
+		return !hasFailed && !s.now.Before(e.fullUntil)
+	}
 	if secondPass {
 		return !hasFailed || !c.waitsForOther
 	}
@@ -507,6 +537,7 @@
 	c.sentTo = append(c.sentTo, e.place())
 	c.sentAt = s.now
 	c.started = false
+	c.isSilenceRecorded = false
 	c.predictedTimeToFirstEvent = choice.TimeToFirstEvent
 	e.running++
 	e.promptTokens += c.spec.PromptTokens
--- a/core/scheduling/scheduler.go
+++ b/core/scheduling/scheduler.go
@@ -121,7 +121,9 @@
 	endpoints []*endpoint
 	// queue holds the calls queued at this host, the most urgent first, and the
 	// oldest first among equals.
-	queue  []*call
+	queue []*call
+	// silent holds the calls whose attempt is silent, in the same order.
+	silent []*call
 	budget *retry.WindowBudget
 	// answerTime is the smoothed answer time of a plain service, in seconds.
 	answerTime float64
@@ -192,6 +194,10 @@
 		s.handleAnswerStarted(event)
 	case AnswerContinued:
 		s.handleAnswerContinued(event.Call)
+	case AttemptSilent:
+		s.handleAttemptSilent(event)
+	case AttemptProgressed:
+		s.handleAttemptProgressed(event.Call)
 	case AttemptEnded:
 		s.handleAttemptEnded(event)
 	case LeavingAnswered:
@@ -226,8 +232,8 @@
 				wakeAt = c.queueUntil
 			}
 		}
-		if len(p.queue) > 0 {
-			if retryAt := s.now.Add(dispatchRetryInterval); retryAt.Before(wakeAt) {
+		if len(p.queue)+len(p.silent) > 0 {
+			if retryAt := s.now.Add(dispatchRetryInterval); wakeAt.IsZero() || retryAt.Before(wakeAt) {
 				wakeAt = retryAt
 			}
 		}
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -49,6 +49,8 @@
 	endpointCount atomic.Int64
 	withheldCount atomic.Int64
 	waitingCount  atomic.Int64
+	// silentCount is the number of calls whose attempt is silent and goes on.
+	silentCount atomic.Int64
 	// rampingCount is the number of endpoints that have just appeared or recovered, and
 	// unevenCount that of services whose endpoints differ in speed.
 	rampingCount atomic.Int64
@@ -228,6 +230,7 @@
 		d.endpointCount.Store(int64(d.directory.Len()))
 		d.withheldCount.Store(int64(d.directory.WithheldCount()))
 		d.waitingCount.Store(int64(d.scheduler.QueuedCalls()))
+		d.silentCount.Store(int64(d.scheduler.SilentCalls()))
 		d.rampingCount.Store(int64(d.scheduler.RampingEndpoints()))
 		d.prefixCount.Store(int64(d.scheduler.CachedPrefixes()))
 		d.unsettledCount.Store(int64(d.scheduler.UnsettledVersions(d.timers.Now())))
@@ -461,6 +464,8 @@
 		switch command := command.(type) {
 		case scheduling.Send:
 			d.sendReply(command.Call, command, false)
+		case scheduling.GiveUp:
+			d.sendReply(command.Call, command, false)
 		case scheduling.Refuse:
 			d.sendReply(command.Call, command, true)
 		case scheduling.DeliverFailure:
@@ -479,7 +484,7 @@
 
 // sendReply delivers a command to its call, and removes the call if the command is
 // its last one. The channel always has room, as a call receives each command
-// before the next one can follow. Commands for a removed call are dropped.
+// before the next one can follow, but for those to give up attempts that have gone on, which are few. Commands for a removed call are dropped.
 func (d *decisionLoop) sendReply(id scheduling.CallID, command scheduling.Command, last bool) {
 	replies, ok := d.replies[id]
 	if !ok {
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -16,6 +16,7 @@
 	g.meter.addGauge("cactuswell_body_bytes", func() float64 { return float64(g.callHandler.BodyBytes()) })
 	g.meter.addGauge("cactuswell_response_bytes", func() float64 { return float64(g.callHandler.ResponseBytes()) })
 	g.meter.addGauge("cactuswell_waiting_calls", func() float64 { return float64(g.decisions.waitingCount.Load()) })
+	g.meter.addGauge("cactuswell_silent_calls", func() float64 { return float64(g.decisions.silentCount.Load()) })
 	g.meter.addGauge("cactuswell_endpoints", func() float64 { return float64(g.decisions.endpointCount.Load()) })
 	g.meter.addGauge("cactuswell_cached_prefixes", func() float64 { return float64(g.decisions.prefixCount.Load()) })
 	g.meter.addGauge("cactuswell_in_step", func() float64 {
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -114,6 +114,11 @@
 	m.addToCounter(fmt.Sprintf("cactuswell_streams_resumed_total{finding=%q,doubt=%q,goesOn=\"%t\"}", finding, doubt, goesOn), 1)
 }
 
+// RecordSilence implements opaque.Meter.
+func (m *meter) RecordSilence(end string) {
+	m.addToCounter(fmt.Sprintf("cactuswell_silences_total{end=%q}", end), 1)
+}
+
 // RecordSplice implements opaque.Meter.
 func (m *meter) RecordSplice(reason wholeness.Reason) {
 	m.addToCounter(fmt.Sprintf("cactuswell_answers_spliced_total{reason=%q}", reason), 1)
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -78,6 +78,10 @@
 	// silenceDeadline is when the endpoint is considered unresponsive, or zero if
 	// only the call's deadline applies.
 	silenceDeadline time.Time
+	// silence is the number of the silence that the scheduler knows of, or zero. SilentSince is when the attempt was last known not
+	// to be silent.
+	silence     int
+	silentSince time.Time
 	// padding holds the comments and blank events that the caller gets with the next event, and
 	// paddingBytes counts those since the last event.
 	padding      []byte
@@ -134,6 +138,7 @@
 	}
 	outcome := t.run()
 	x.logOutcome(t, outcome)
+	t.recordEnd(outcome)
 	event := scheduling.AttemptEnded{
 		Call:      x.id,
 		Outcome:   outcome,
@@ -366,7 +371,7 @@
 		return scheduling.Broken{PartlyDelivered: x.answer.isBegun()}
 	}
 	t.isSent = true
-	t.setReadDeadline(x.currentSend.FirstEventTimeout)
+	t.awaitProgress(t.silenceDeadlineAfter(x.currentSend.FirstEventTimeout))
 	firstEventBy := t.silenceDeadline
 	response, err := conn.ReadResponse(x.request.Method, t.relate)
 	if err != nil {
@@ -374,7 +379,7 @@
 	}
 	if t.silenceDeadline != firstEventBy {
 		// The wait after a late response is over.
-		t.applyReadDeadline(firstEventBy)
+		t.awaitProgress(firstEventBy)
 	}
 	t.response = response
 	t.respondedAt = time.Now()
@@ -487,22 +492,24 @@
 }
 
 // setReadDeadline bounds the wait for the endpoint's next bytes by the call's
-// deadline and, unless it is zero, by silenceLimit.
+// deadline and, unless it is zero, by silenceLimit, after which the attempt ends.
 func (t *attempt) setReadDeadline(silenceLimit time.Duration) {
-	var silenceDeadline time.Time
-	if limit := time.Now().Add(silenceLimit); silenceLimit > 0 && limit.Before(t.exchange.deadline) {
-		silenceDeadline = limit
+	t.endSilence()
+	t.silenceDeadline = t.silenceDeadlineAfter(silenceLimit)
+	if t.silenceDeadline.IsZero() {
+		t.conn.SetReadDeadline(t.exchange.deadline)
+		return
 	}
-	t.applyReadDeadline(silenceDeadline)
+	t.conn.SetReadDeadline(t.silenceDeadline)
 }
 
-// applyReadDeadline bounds the wait by silenceDeadline or, if it is zero, by the call's deadline.
-func (t *attempt) applyReadDeadline(silenceDeadline time.Time) {
-	t.silenceDeadline = silenceDeadline
-	if silenceDeadline.IsZero() {
-		silenceDeadline = t.exchange.deadline
+// silenceDeadlineAfter returns when a limit ends, or zero if only the call's deadline applies.
+func (t *attempt) silenceDeadlineAfter(limit time.Duration) time.Time {
+	deadline := time.Now().Add(limit)
+	if limit <= 0 || !deadline.Before(t.exchange.deadline) {
+		return time.Time{}
 	}
-	t.conn.SetReadDeadline(silenceDeadline)
+	return deadline
 }
 
 // readErrorOutcome returns the outcome for an error while reading the response.
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -18,6 +18,9 @@
 )
 
 const (
+	// commandCapacity is the number of a call's commands that may wait: its next one, and those to give up attempts that
+	// have gone on.
+	commandCapacity = 4
 	// MaxCallTime is the maximum duration of a call; the caller and the route may
 	// set a shorter one.
 	MaxCallTime = 60 * time.Second
@@ -81,8 +84,13 @@
 	// currentSend is the command of the attempt in progress.
 	currentSend scheduling.Send
 	// account holds what proves that the attempts of the call have not run.
-	account      *evidence.Account
-	attempts     int
+	account  *evidence.Account
+	attempts int
+	// commands brings the scheduler's commands, and nextCommand is one that came during an attempt.
+	commands    <-chan scheduling.Command
+	nextCommand scheduling.Command
+	// silences counts the silences of the attempts.
+	silences     int
 	sentAt       time.Time
 	firstEventAt time.Time
 	queueTime    time.Duration
@@ -114,7 +122,8 @@
 	if !x.bindVersion(&call) {
 		return
 	}
-	commands := make(chan scheduling.Command, 1)
+	commands := make(chan scheduling.Command, commandCapacity)
+	x.commands = commands
 	if !x.server.Scheduler.Submit(call, commands) {
 		x.refuse(scheduling.Refuse{
 			Reason:     ReasonHostFull,
@@ -128,7 +137,7 @@
 		Text("requestHash", quarantine.FormatHash(x.requestHash)).Text("resumes", x.requestInfo.Resumes).End()
 	x.isScheduled = true
 	defer x.withdraw()
-	x.executeCommands(commands)
+	x.executeCommands()
 }
 
 // withdraw tells the scheduler that the call has ended, unless one of them has told the other. The
@@ -209,11 +218,18 @@
 )
 
 // executeCommands executes the commands for the call until it is finished.
-func (x *exchange) executeCommands(commands <-chan scheduling.Command) {
+func (x *exchange) executeCommands() {
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline.Add(decisionGracePeriod))
 	defer cancel()
 	draining := x.server.draining
 	for {
+		if command := x.nextCommand; command != nil {
+			x.nextCommand = nil
+			if x.execute(command) {
+				return
+			}
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			x.withdraw()
@@ -232,7 +248,7 @@
 				x.cancelStopping()
 				return
 			}
-		case command := <-commands:
+		case command := <-x.commands:
 			if x.execute(command) {
 				return
 			}
@@ -273,6 +289,7 @@
 		x.refuse(command)
 		return true
 	}
+	// A GiveUp comes too late once the attempt has ended.
 	return false
 }
 
--- a/io/opaque/historiesrig_test.go
+++ b/io/opaque/historiesrig_test.go
@@ -207,6 +207,8 @@
 		switch command := command.(type) {
 		case scheduling.Send:
 			s.replies[command.Call] <- command
+		case scheduling.GiveUp:
+			s.replies[command.Call] <- command
 		case scheduling.Refuse:
 			s.replies[command.Call] <- command
 		case scheduling.DeliverFailure:
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -41,7 +41,7 @@
 // Scheduler decides what is done with calls.
 type Scheduler interface {
 	// Submit accepts a call. The commands for the call are sent to the given channel,
-	// which must have a capacity of one. It reports false if there is no room for the
+	// which must have room for them. It reports false if there is no room for the
 	// call.
 	Submit(call scheduling.Call, commands chan<- scheduling.Command) bool
 	// Post reports an event of a call.
@@ -64,6 +64,8 @@
 	// RecordResumption records what an attempt shows of the last event of a stream, what speaks against the event, and
 	// whether the stream goes on.
 	RecordResumption(finding resumption.Finding, doubt resumption.Doubt, goesOn bool)
+	// RecordSilence records how the silence of an attempt has ended: "progress", "givenUp", or "ended" with the attempt.
+	RecordSilence(end string)
 	// RecordSplice records a body that holds a part of another response.
 	RecordSplice(reason wholeness.Reason)
 }
--- a/io/opaque/stream.go
+++ b/io/opaque/stream.go
@@ -259,7 +259,7 @@
 // awaitNextEvent bounds the wait for the next event.
 func (t *attempt) awaitNextEvent() {
 	if limit := t.exchange.currentSend.EventGapTimeout; limit > 0 || !t.silenceDeadline.IsZero() {
-		t.setReadDeadline(limit)
+		t.awaitProgress(t.silenceDeadlineAfter(limit))
 	}
 }
 
--- a/io/opaque/withdraw_test.go
+++ b/io/opaque/withdraw_test.go
@@ -65,6 +65,8 @@
 
 func (silentMeter) RecordResumption(resumption.Finding, resumption.Doubt, bool) {}
 
+func (silentMeter) RecordSilence(string) {}
+
 func (silentMeter) RecordSplice(wholeness.Reason) {}
 
 // TestCallThatIsGivenUpIsWithdrawn guards against a place at an endpoint that stays taken for good: the scheduler, which was
--- a/io/upstream/body.go
+++ b/io/upstream/body.go
@@ -122,12 +122,7 @@
 
 // awaitFollowing waits for bytes that follow a body.
 func (c *Conn) awaitFollowing(timeout time.Duration) {
-	deadline := c.input.deadline
-	limit := time.Now().Add(timeout)
-	if deadline.IsZero() || limit.Before(deadline) {
-		c.SetReadDeadline(limit)
-		defer c.SetReadDeadline(deadline)
-	}
+	defer c.input.shorten(timeout)()
 	// Without a byte the decision is made without it.
 	_, _ = c.reader.Peek(1)
 }
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -115,7 +115,16 @@
 
 // SetReadDeadline sets the deadline of all later reads.
 func (c *Conn) SetReadDeadline(deadline time.Time) {
-	c.input.setDeadline(deadline)
+	c.input.setLimit(readLimit{deadline: deadline})
+}
+
+// SetExtensibleDeadline sets a deadline of all later reads at which extend is asked for a later one. It is called by the
+// goroutine that reads.
+func (c *Conn) SetExtensibleDeadline(deadline time.Time, extend Extend) {
+	c.input.setLimit(readLimit{
+		deadline: deadline,
+		extend:   extend,
+	})
 }
 
 // SendRequest sends a request. The error is a *SendError. A large body may still be
@@ -223,12 +232,7 @@
 // request, and reports whether it can. A body that is long or slow makes the connection
 // unusable.
 func (c *Conn) Drain(response *http.Response) bool {
-	deadline := c.input.deadline
-	limit := time.Now().Add(drainTimeout)
-	if deadline.IsZero() || limit.Before(deadline) {
-		c.SetReadDeadline(limit)
-		defer c.SetReadDeadline(deadline)
-	}
+	defer c.input.shorten(drainTimeout)()
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainedBody))
 	if err != nil || n == maxDrainedBody || response.Close {
 		c.unusable = true
--- a/io/upstream/deadline.go
+++ b/io/upstream/deadline.go
@@ -16,31 +16,65 @@
 	pauseGrace = 100 * time.Millisecond
 )
 
+// Extend is asked at a deadline for a later one. It reports false if reading ends.
+type Extend func() (time.Time, bool)
+
+// readLimit is until when a connection is read.
+type readLimit struct {
+	deadline time.Time
+	// extend is asked for a later deadline, unless it is nil.
+	extend Extend
+}
+
 // deadlineReader reads from a connection until a deadline. If the process was paused when
 // the deadline passed, it reads on for pauseGrace: bytes that arrived in time must not be
 // taken for silence of the peer.
 type deadlineReader struct {
-	conn     net.Conn
-	deadline time.Time
-	// hasGrace is set once the deadline was extended.
+	conn  net.Conn
+	limit readLimit
+	// hasGrace is set once the deadline was extended because of a pause.
 	hasGrace bool
 }
 
-// setDeadline sets the deadline of all later reads, or none if it is zero.
-func (r *deadlineReader) setDeadline(deadline time.Time) {
-	r.deadline = deadline
+// setLimit sets the limit of all later reads. A zero deadline is none.
+func (r *deadlineReader) setLimit(limit readLimit) {
+	r.limit = limit
 	r.hasGrace = false
-	_ = r.conn.SetReadDeadline(deadline)
+	_ = r.conn.SetReadDeadline(limit.deadline)
+}
+
+// shorten ends reads after a time, unless they end before, until the returned function is called.
+func (r *deadlineReader) shorten(timeout time.Duration) (restore func()) {
+	before := r.limit
+	deadline := time.Now().Add(timeout)
+	if !before.deadline.IsZero() && !deadline.Before(before.deadline) {
+		return func() {}
+	}
+	r.setLimit(readLimit{deadline: deadline})
+	return func() { r.setLimit(before) }
 }
 
 // Read implements io.Reader.
 func (r *deadlineReader) Read(p []byte) (int, error) {
-	n, err := r.conn.Read(p)
-	now := time.Now()
-	if n > 0 || r.hasGrace || !tcp.IsTimeout(err) || now.Sub(r.deadline) < pauseThreshold {
-		return n, err
+	for {
+		n, err := r.conn.Read(p)
+		if n > 0 || !tcp.IsTimeout(err) {
+			return n, err
+		}
+		if now := time.Now(); !r.hasGrace && now.Sub(r.limit.deadline) >= pauseThreshold {
+			r.hasGrace = true
+			_ = r.conn.SetReadDeadline(now.Add(pauseGrace))
+			continue
+		}
+		if r.limit.extend == nil {
+			return n, err
+		}
+		deadline, ok := r.limit.extend()
+		if !ok {
+			return n, err
+		}
+		r.limit.deadline = deadline
+		r.hasGrace = false
+		_ = r.conn.SetReadDeadline(deadline)
 	}
-	r.hasGrace = true
-	_ = r.conn.SetReadDeadline(now.Add(pauseGrace))
-	return r.conn.Read(p)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -111,6 +111,11 @@
 	// Streams makes callers ask for streams, which they resume, while endpoints change between
 	// two software versions.
 	Streams bool
+	// IsDeterministic makes all endpoints send the same events to a request.
+	IsDeterministic bool
+	// AsksStreams makes callers ask for streams of one software version, which may be resumed, and for calls that must run at
+	// most once.
+	AsksStreams bool
 	// Configurations changes a large configuration again and again, and probes by which version the
 	// hosts handle requests.
 	Configurations bool
@@ -257,6 +262,8 @@
 		Events:   streamEvents,
 		Observer: f.journal,
 		Seed:     f.settings.Seed + uint64(i),
+
+		IsDeterministic: f.settings.IsDeterministic,
 	})
 	if err != nil {
 		return err
@@ -439,7 +446,7 @@
 
 func (f *fleet) newCaller(i int) *caller {
 	operations := plainOperations
-	if f.settings.Streams {
+	if f.settings.Streams || f.settings.AsksStreams {
 		operations = streamOperations
 	}
 	if f.settings.IsVaried {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -108,6 +108,35 @@
 	})
 }
 
+// TestSoakWithForeignPieces guards against streams that are resumed after a piece of another answer and end as complete, where the
+// events of two endpoints are the same and where they differ.
+func TestSoakWithForeignPieces(t *testing.T) {
+	for _, isDeterministic := range []bool{false, true} {
+		t.Run(fmt.Sprintf("deterministic %v", isDeterministic), func(t *testing.T) {
+			checkSeeds(t, 1, soak.Settings{
+				Faults: worker.Faults{
+					ForeignPieces: 0.2,
+					CutBodies:     0.1,
+				},
+				AsksStreams:     true,
+				IsDeterministic: isDeterministic,
+				Duration:        3 * time.Second,
+			})
+		})
+	}
+}
+
+// TestSoakOfPreemptedStreams guards against sound streams that are cut while their endpoints pause them and no other one has
+// room, beside hosts that are restarted in order or reloaded.
+func TestSoakOfPreemptedStreams(t *testing.T) {
+	checkSeeds(t, 1, soak.Settings{
+		Faults:          worker.Faults{Preemptions: 0.3},
+		Slots:           2,
+		AsksStreams:     true,
+		OnlyPlannedWork: true,
+	})
+}
+
 // selectFaults leaves those of the faults whose names the variable holds.
 func selectFaults(faults *worker.Faults) {
 	names := os.Getenv(faultsVariable)
--- a/soak/stream.go
+++ b/soak/stream.go
@@ -68,7 +68,7 @@
 	var id int
 	var version, endpoint string
 	_, _ = fmt.Sscanf(event, "id: %d\ndata: %s %s", &id, &version, &endpoint)
-	if event == worker.Event(id, version, endpoint, request) && (endpoint == mark || s.kind.isResumable) || s.doubt != nil {
+	if event == worker.Event(id, version, endpoint, request) && (endpoint == mark || endpoint == worker.AnyEndpoint || s.kind.isResumable) || s.doubt != nil {
 		return
 	}
 	s.doubt = &doubt{
--- a/standin/worker/faults.go
+++ b/standin/worker/faults.go
@@ -54,4 +54,9 @@
 	CutBodies     float64
 	// EndlessEvents is the share of streams that have an event without an end.
 	EndlessEvents float64
+	// ForeignPieces is the share of streams that stop within an event, go on with the end of another answer's event, and end with
+	// their connection, in order or with a reset.
+	ForeignPieces float64
+	// Preemptions is the share of streams that pause before an event for up to the time that callers wait.
+	Preemptions float64
 }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -63,9 +63,11 @@
 	WorkTime time.Duration
 	// Events is the number of events of a stream, which a request gets whose path ends with
 	// "stream".
-	Events   int
-	Observer Observer
-	Seed     uint64
+	Events int
+	// IsDeterministic is set if all endpoints send the same events to a request, which name AnyEndpoint.
+	IsDeterministic bool
+	Observer        Observer
+	Seed            uint64
 }
 
 // Worker is a running stand-in. It is safe for concurrent use.
