Judge the last event only of attempts that did not complete

Cause: the doubt about an attempt's last event was determined after the attempt had ended, also for one that was whole, whose connection may carry another call by then: a data race. Events were copied each time although nothing was to be sent before them.

Change: the doubt is determined only for attempts that ended without the whole answer, whose connection is closed; events are copied only behind comments that were kept.

--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -150,9 +150,6 @@
 		Excess:    t.hasExcess,
 	}
 	x.server.Scheduler.Post(event)
-	if t.hasWritten {
-		x.stream.tail.Question(t.doubt())
-	}
 	switch outcome.(type) {
 	case scheduling.Completed:
 		x.isScheduled = false
@@ -164,6 +161,9 @@
 		x.finish(ResultCanceled, "", 0)
 		return true
 	}
+	if t.hasWritten {
+		x.stream.tail.Question(t.doubt())
+	}
 	return false
 }
 
--- a/io/opaque/stream.go
+++ b/io/opaque/stream.go
@@ -228,11 +228,14 @@
 	if x.route.Resumable {
 		x.stream.tail.Add(event, id, hasID, x.stream.position())
 	}
+	if len(t.padding) > 0 {
+		event = append(t.padding, event...)
+		t.padding = nil
+	}
 	t.recordWriter()
-	if outcome := t.writeEvent(append(t.padding, event...)); outcome != nil {
+	if outcome := t.writeEvent(event); outcome != nil {
 		return outcome
 	}
-	t.padding = nil
 	t.paddingBytes = 0
 	now := time.Now()
 	x.stream.recordArrival(now)
