End the wait for a further response whether or not there is room

Cause: after a response that may have been the attempt's own, the attempt waits for a further one for the latency target at most. Since a silence no longer ends an attempt by itself, one that was due earlier took the place of that wait, and a lookup before a single endpoint waited until its deadline: TestAnswerThatNamesNoCall failed (504 and one run, 200 and two wanted).

Change: the wait for a further response ends the attempt by itself, at the earlier of the two limits, as before.

--- a/core/scheduling/command.go
+++ b/core/scheduling/command.go
@@ -75,8 +75,8 @@
 	Call CallID
 	// Silence is that of the AttemptSilent that the command answers.
 	Silence int
-	// For is the endpoint whose place is kept for the call.
-	For Key
+	// PlaceAt is the endpoint whose place is kept for the call.
+	PlaceAt Key
 }
 
 // Refuse ends a call without an answer from an endpoint.
--- a/core/scheduling/silence.go
+++ b/core/scheduling/silence.go
@@ -92,7 +92,7 @@
 	s.commands = append(s.commands, GiveUp{
 		Call:    c.spec.ID,
 		Silence: c.silence.number,
-		For:     best.endpoint.key,
+		PlaceAt: best.endpoint.key,
 	})
 }
 
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -82,6 +82,8 @@
 	// to be silent.
 	silence     int
 	silentSince time.Time
+	// awaitsFurther is set once the attempt waits for a further response.
+	awaitsFurther bool
 	// padding holds the comments and blank events that the caller gets with the next event, and
 	// paddingBytes counts those since the last event.
 	padding      []byte
@@ -377,7 +379,7 @@
 	if err != nil {
 		return t.readErrorOutcome(err)
 	}
-	if t.silenceDeadline != firstEventBy {
+	if t.awaitsFurther {
 		// The wait after a late response is over.
 		t.awaitProgress(firstEventBy)
 	}
@@ -469,12 +471,18 @@
 }
 
 // awaitFurtherResponse bounds the wait for a further response after one that may have been the
-// attempt's own: then no other follows, and the call would wait until its deadline.
+// attempt's own: then no other follows, and the call would wait until its deadline. The attempt ends then, whether or not another
+// endpoint has room.
 func (t *attempt) awaitFurtherResponse() {
 	limit := t.exchange.route.TargetLatency
-	if limit > 0 && (t.silenceDeadline.IsZero() || time.Now().Add(limit).Before(t.silenceDeadline)) {
-		t.setReadDeadline(limit)
+	if limit <= 0 {
+		return
+	}
+	if left := time.Until(t.silenceDeadline); !t.silenceDeadline.IsZero() && left > 0 {
+		limit = min(limit, left)
 	}
+	t.awaitsFurther = true
+	t.setReadDeadline(limit)
 }
 
 // recordLateResponse records a response that belongs to an earlier request on the connection, or may
--- a/io/opaque/silence.go
+++ b/io/opaque/silence.go
@@ -91,7 +91,7 @@
 				return false
 			}
 			if t.silence != 0 && giveUp.Silence == t.silence {
-				t.logSilence("givenUp", giveUp.For.ID)
+				t.logSilence("givenUp", giveUp.PlaceAt.ID)
 				return true
 			}
 		default:
@@ -108,10 +108,10 @@
 }
 
 // logSilence records how a silence has ended.
-func (t *attempt) logSilence(end, forEndpoint string) {
+func (t *attempt) logSilence(end, placeAt string) {
 	x := t.exchange
 	x.server.Meter.RecordSilence(end)
 	x.server.Trail.Failure("attemptSilent").Text("request", x.requestInfo.RequestID).Text("endpoint", t.endpointID).
-		Int("events", int64(x.stream.attemptEvents)).Text("end", end).Text("placeAt", forEndpoint).
+		Int("events", int64(x.stream.attemptEvents)).Text("end", end).Text("placeAt", placeAt).
 		Millis("silent", time.Since(t.silentSince)).Millis("timeLeft", time.Until(x.deadline)).Text("throughHost", t.throughHost).End()
 }
