Test extended deadlines, and measure the simulated callers' wait from their arrival

Cause: the simulation reported a silence with the time since the request was sent, the product with the time since the caller has got nothing; and no test covered the extension of a deadline by itself.

Change: the simulation counts from the caller's arrival. TestDeadlineIsExtended checks that an answer within the extended time is taken, that reading ends when the extension does, and that a short wait for other bytes does not extend itself.

--- a/io/upstream/deadline_test.go
+++ b/io/upstream/deadline_test.go
@@ -48,3 +48,37 @@
 		})
 	}
 }
+
+// TestDeadlineIsExtended guards against an answer that is lost although the wait for it was extended, against one that is awaited
+// after the wait has ended, and against a short wait for other bytes that extends itself.
+func TestDeadlineIsExtended(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"
+	for name, mostExtensions := range map[string]int{"extended": 3, "not extended": 1} {
+		t.Run(name, func(t *testing.T) {
+			_, conn, server := openConn(t)
+			extensions := 0
+			conn.SetExtensibleDeadline(time.Now().Add(-time.Millisecond), func() (time.Time, bool) {
+				extensions++
+				if extensions == 2 {
+					if _, err := io.WriteString(server, response+"more"); err != nil {
+						t.Error(err)
+					}
+				}
+				return time.Now().Add(10 * time.Millisecond), extensions < mostExtensions
+			})
+			answer, err := conn.ReadResponse(http.MethodGet, isOwn)
+			if mostExtensions == 1 {
+				if !tcp.IsTimeout(err) || extensions != 1 {
+					t.Errorf("error %v after %d extensions, want a timeout after 1", err, extensions)
+				}
+				return
+			}
+			if err != nil || extensions != 2 {
+				t.Fatalf("error %v after %d extensions, want none after 2", err, extensions)
+			}
+			if conn.Drain(answer); extensions != 2 {
+				t.Errorf("%d extensions while the rest was read", extensions)
+			}
+		})
+	}
+}
--- a/simulation/host.go
+++ b/simulation/host.go
@@ -492,12 +492,12 @@
 		}
 	})
 	if command.FirstEventTimeout > 0 {
-		f.scheduleAfter(command.FirstEventTimeout, func() { a.reportSilence(command.FirstEventTimeout) })
+		f.scheduleAfter(command.FirstEventTimeout, a.reportSilence)
 	}
 }
 
 // reportSilence tells the host that nothing of the answer has come.
-func (a *attempt) reportSilence(limit time.Duration) {
+func (a *attempt) reportSilence() {
 	if a.finished || a.eventsSent > 0 || !a.isFromCurrentIncarnation() {
 		return
 	}
@@ -505,7 +505,7 @@
 	a.host.handleEvent(scheduling.AttemptSilent{
 		Call:    a.caller.id,
 		Silence: 1,
-		For:     limit,
+		For:     a.caller.fleet.now.Sub(a.caller.arrived),
 	})
 }
 
