Keep a stream that has begun waiting, and its retry with its place

Two were given up for the last retry of the budget. Others were declined by the endpoint whose queue had counted as room, and refused at once, as their latency target was over or the budget spent.

Change: a GiveUp charges the retry budget. The place must be a free slot. A stream that has begun waits until its deadline after a decline, too, and while the budget is spent; an endpoint that has declined it is asked again when its time is over. The soak's endpoints pause a stream once; its callers do not count an end at their deadline as a loss, which the rule excepts; its hosts serve streams for as long as these last when they stop.

TestRetryBudgetIsKeptForSilentStream gives up both streams without the charge.

--- a/core/scheduling/call.go
+++ b/core/scheduling/call.go
@@ -136,6 +136,8 @@
 	// attempt counts against its endpoint.
 	silence           *silence
 	isSilenceRecorded bool
+	// hasPaidRetry is set once the retry budget was charged for the next attempt.
+	hasPaidRetry bool
 	// lastFailure is why the last attempt failed.
 	lastFailure      Reason
 	latencySensitive bool
@@ -146,7 +148,10 @@
 }
 
 // recordPart records whether the caller has got a part of the answer of an attempt. Only the events of a stream can be
-// continued by another attempt.
+// continued by another attempt. It may wait for an endpoint until its deadline: its caller waits, and would lose what it has.
 func (c *call) recordPart(isDelivered bool) {
-	c.isPartlyDelivered = c.isPartlyDelivered || isDelivered
+	if isDelivered {
+		c.isPartlyDelivered = true
+		c.queueUntil = c.spec.Deadline
+	}
 }
--- a/core/scheduling/outcome.go
+++ b/core/scheduling/outcome.go
@@ -259,7 +259,7 @@
 		s.refuse(c, ReasonTimedOut)
 		return
 	}
-	if len(c.avoid) >= maxFailedEndpoints || reason != ReasonUnreachable && c.pool.budget.Remaining(s.now) < 1 {
+	if !c.isPartlyDelivered && (len(c.avoid) >= maxFailedEndpoints || reason != ReasonUnreachable && c.pool.budget.Remaining(s.now) < 1) {
 		s.refuse(c, reason)
 		return
 	}
@@ -269,6 +269,11 @@
 		c.sends--
 		c.sentTo = c.sentTo[:len(c.sentTo)-1]
 	}
+	if c.isPartlyDelivered {
+		// The queue is dispatched once the event has been handled.
+		s.enqueue(c)
+		return
+	}
 	s.placeOrQueue(c)
 }
 
@@ -289,6 +294,8 @@
 			return
 		}
 		reason = s.noRoomReason(c)
+	} else if !answered && c.outwaits(reason) && s.queueRetry(c) {
+		return
 	}
 	if answered {
 		s.removeCall(c)
@@ -308,9 +315,14 @@
 	})
 }
 
+// outwaits reports whether a call waits until a reason not to retry it has gone: a stream that has begun waits for the
+// retry budget.
+func (c *call) outwaits(reason Reason) bool {
+	return c.isPartlyDelivered && reason == ReasonRetryBudgetExhausted
+}
+
 // queueRetry queues a call that may have run until an endpoint has room, for as long as a
-// new call, or until its deadline if its stream has begun: the caller waits, and would lose what it has.
-// It reports false if the call cannot wait. Refusing it at once would leave its
+// new call, or until its deadline if its stream has begun. It reports false if the call cannot wait. Refusing it at once would leave its
 // caller with an unknown outcome.
 //
 // It serves bursts that fill all endpoints while one of them fails.
@@ -319,8 +331,10 @@
 		return false
 	}
 	c.otherUntil = s.now.Add(c.spec.Route.TargetLatency)
-	c.queueUntil = c.otherUntil
-	if c.isPartlyDelivered || c.queueUntil.After(c.spec.Deadline) {
+	if !c.isPartlyDelivered {
+		c.queueUntil = c.otherUntil
+	}
+	if c.queueUntil.After(c.spec.Deadline) {
 		c.queueUntil = c.spec.Deadline
 	}
 	if !s.now.Before(c.queueUntil) {
@@ -352,7 +366,7 @@
 		return ReasonAnswerBegun
 	case c.possibleRuns >= c.spec.Route.MaxAttempts:
 		return ReasonAttemptsExhausted
-	case c.pool.budget.Remaining(s.now) < 1:
+	case c.pool.budget.Remaining(s.now) < 1 && !c.hasPaidRetry:
 		return ReasonRetryBudgetExhausted
 	case !s.now.Before(c.spec.Deadline):
 		return ReasonTimedOut
--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -199,8 +199,11 @@
 	if e == nil && canWait {
 		return false
 	}
-	c.queued = false
 	reason := s.queuedRetryDenialReason(c)
+	if canWait && c.outwaits(reason) {
+		return false
+	}
+	c.queued = false
 	if reason == "" && e == nil {
 		reason = s.noRoomReason(c)
 	}
@@ -288,18 +291,17 @@
 // the call, recently declined one, are slow and have their share, or have just appeared, are accepted in the second
 // pass only, and those that failed it not while it waits for another one.
 func (s *Scheduler) canAccept(c *call, e *endpoint, secondPass bool) bool {
-	if e == c.endpoint || e.leaving || !c.isCompatible(e) || !c.maySendTo(e) || e.inFlight(s.now) >= s.concurrencyLimit(c.pool, e) {
+	if e == c.endpoint || e.leaving || !c.isCompatible(e) || !c.maySendTo(e) || e.inFlight(s.now) >= s.limitFor(c, e) {
 		return false
 	}
 	if e.health.isEjected(s.now) || e.isQuiet(s.now) || !s.allowsLimit(e) || !s.allowsBrittle(e) {
 		return false
 	}
 	hasFailed := slices.Contains(c.avoid, e.key)
-	if secondPass && c.silence != nil {
-		return !hasFailed && !s.now.Before(e.fullUntil)
-	}
 	if secondPass {
-		return !hasFailed || !c.waitsForOther
+		mayGoBack := !c.waitsForOther && c.silence == nil
+		mayTry := !c.isPartlyDelivered && c.silence == nil || !s.now.Before(e.fullUntil)
+		return mayTry && (!hasFailed || mayGoBack)
 	}
 	return !hasFailed && !s.now.Before(e.fullUntil) && e.inFlight(s.now) < s.speedShare(c.pool, e, s.concurrencyLimit(c.pool, e)) &&
 		s.allowsRamp(c.pool, e)
@@ -319,6 +321,15 @@
 	return c.spec.Route.Retryable() || !slices.ContainsFunc(c.sentTo, e.place().MayBe)
 }
 
+// limitFor returns the number of calls that an endpoint may have in flight before it accepts a call. One that runs at a silent
+// endpoint needs a slot: where it would wait, it waits at its own.
+func (s *Scheduler) limitFor(c *call, e *endpoint) int {
+	if c.silence != nil {
+		return max(e.entry.Slots, 1)
+	}
+	return s.concurrencyLimit(c.pool, e)
+}
+
 // concurrencyLimit returns the number of calls that an endpoint may have in flight.
 func (s *Scheduler) concurrencyLimit(p *pool, e *endpoint) int {
 	limit := e.entry.Slots
@@ -529,9 +540,10 @@
 func (s *Scheduler) send(c *call, e *endpoint, choice Choice) {
 	isRetry := c.possibleRuns > 0
 	c.pool.unmet.recordPlaced(s.now, c)
-	if c.sends > 0 {
+	if c.sends > 0 && !c.hasPaidRetry {
 		c.pool.budget.RecordRetry(s.now)
 	}
+	c.hasPaidRetry = false
 	c.sends++
 	c.endpoint = e
 	c.sentTo = append(c.sentTo, e.place())
--- a/core/scheduling/silence.go
+++ b/core/scheduling/silence.go
@@ -86,6 +86,10 @@
 	if best.endpoint == nil || s.now.Add(timeToFirstEvent(c, best)).After(c.silence.patienceUntil) {
 		return
 	}
+	if !c.hasPaidRetry {
+		c.hasPaidRetry = true
+		c.pool.budget.RecordRetry(s.now)
+	}
 	c.silence.reserved = best.endpoint
 	best.endpoint.running++
 	s.markDirty(best.endpoint)
--- a/core/scheduling/silence_test.go
+++ b/core/scheduling/silence_test.go
@@ -210,3 +210,84 @@
 		t.Errorf("sent %+v", send)
 	}
 }
+
+// TestRetryBudgetIsKeptForSilentStream guards against several streams that are given up for the last retry of the budget: all but one
+// would be refused.
+func TestRetryBudgetIsKeptForSilentStream(t *testing.T) {
+	f := newFullFleet(t)
+	f.step(scheduling.BudgetChanged{
+		Window: 10 * time.Second,
+		Slack:  5.5,
+	})
+	first, second := f.streams["models-1"][0], f.streams["models-1"][1]
+	f.silence(first)
+	f.silence(second)
+	var given []scheduling.CallID
+	for _, id := range f.others["models-0"] {
+		given = append(given, giveUps(f.endAttempt(id, scheduling.Completed{}))...)
+	}
+	for _, id := range f.streams["models-0"] {
+		given = append(given, giveUps(f.endAttempt(id, scheduling.Completed{}))...)
+	}
+	if len(given) != 1 {
+		t.Fatalf("gives up %v with one retry left", given)
+	}
+	f.requireSend(f.endAttempt(given[0], scheduling.Silent{PartlyDelivered: true}))
+}
+
+// TestDeclinedStreamWaitsForRoom guards against a stream that is cut when the endpoint for which its run was given up has no room
+// after all, and against one that is sent to it again and again.
+func TestDeclinedStreamWaitsForRoom(t *testing.T) {
+	h := newHarness(t, 2)
+	id, commands := h.startCallWithPrompt("summary", 100, 100)
+	first := h.requireSend(commands)
+	h.step(scheduling.AnswerStarted{Call: id})
+	f := &fullFleet{harness: h}
+	if given := giveUps(f.silence(id)); len(given) != 1 {
+		t.Fatalf("gives up %v", given)
+	}
+	other := h.requireSend(h.endAttempt(id, scheduling.Silent{PartlyDelivered: true}))
+	h.step(scheduling.EndpointChanged{Change: directory.Leaving{Entry: entry(models, int(first.Key.ID[len(first.Key.ID)-1]-'0'))}})
+	sends := 0
+	commands = h.endAttempt(id, scheduling.Declined{RetryAfter: time.Second})
+	for range 60 {
+		for len(commands) > 0 {
+			command := commands[0]
+			commands = commands[1:]
+			switch command := command.(type) {
+			case scheduling.Refuse:
+				t.Fatalf("refused: %+v", command)
+			case scheduling.Send:
+				sends++
+				if command.Key != other.Key {
+					t.Fatalf("sent to %s", command.Key.ID)
+				}
+				commands = append(commands, h.endAttempt(id, scheduling.Declined{RetryAfter: time.Second})...)
+			}
+		}
+		h.now = h.now.Add(50 * time.Millisecond)
+		commands = h.step(scheduling.Tick{})
+	}
+	if sends < 2 || sends > 3 {
+		t.Errorf("sent %d times in 3 s to an endpoint that asks for 1 s", sends)
+	}
+}
+
+// TestSilentCallIsNotGivenUpToWait guards against a call whose run is given up for a place in the queue of another endpoint, which may
+// decline it.
+func TestSilentCallIsNotGivenUpToWait(t *testing.T) {
+	h := newHarness(t, 2)
+	first, commands := h.startCall("lookup")
+	key := h.requireSend(commands).Key
+	elsewhere := 0
+	for elsewhere < 4 {
+		_, commands := h.startCall("hold")
+		if h.requireSend(commands).Key != key {
+			elsewhere++
+		}
+	}
+	f := &fullFleet{harness: h}
+	if given := giveUps(f.silence(first)); len(given) != 0 {
+		t.Errorf("gives up %v", given)
+	}
+}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -21,6 +21,8 @@
 
 const (
 	connectTimeout = time.Second
+	// deadlineSlack is how long before a caller's deadline a host may have ended a stream because of it.
+	deadlineSlack = 20 * time.Millisecond
 	// maxTries is the number of requests that a caller sends for an operation.
 	maxTries = 4
 	// maxResponseBody is the maximum size of a response's body in bytes.
@@ -322,6 +324,10 @@
 	if kind.isStream && response.StatusCode == http.StatusOK {
 		s.read(body.String(), mark, request, err == nil)
 	}
+	if err != nil && time.Until(deadline) < deadlineSlack {
+		// The host ends a stream at the caller's deadline, which it counts from the request's arrival.
+		return abandoned{}, false, err.Error()
+	}
 	if err != nil {
 		return conn.endOf(err), false, err.Error()
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -324,7 +324,7 @@
 	for i, h := range f.hosts {
 		h.args = []string{"gateway", "--name", h.name, "--zone", zone, "--caller-listen", h.caller, "--ready-listen", h.ready,
 			"--peer-listen", h.peer, "--store-address", f.links[HostToStore][i].Address(), "--header-names", "platform",
-			"--balancer-lag", "500ms", "--stop-timeout", "4s"}
+			"--balancer-lag", "500ms", "--stop-timeout", f.stopTimeout().String()}
 		if f.settings.MemoryMB > 0 {
 			h.args = append(h.args, "--memory-mb", strconv.Itoa(f.settings.MemoryMB))
 		}
@@ -469,6 +469,14 @@
 	}
 }
 
+// stopTimeout returns how long a host serves its calls when it stops: for as long as the streams last, if callers ask for them.
+func (f *fleet) stopTimeout() time.Duration {
+	if f.settings.AsksStreams {
+		return 6 * time.Second
+	}
+	return 4 * time.Second
+}
+
 // loopReadiness asks a host again and again whether it takes new connections. Two misses take it out.
 func (f *fleet) loopReadiness(ctx context.Context, i int) {
 	defer f.duties.Done()
