Say which calls go to no endpoint that has just declined one

Cause: the comment of canAccept did not tell why the second pass differs for streams that have begun and for silent calls.

Change: a sentence says so.

Measured: a comment only; go build passes.

--- a/core/scheduling/placement.go
+++ b/core/scheduling/placement.go
@@ -289,7 +289,8 @@
 
 // canAccept reports whether an endpoint may receive a call. Endpoints that failed
 // the call, recently declined one, are slow and have their share, or have just appeared, are accepted in the second
-// pass only, and those that failed it not while it waits for another one.
+// pass only, and those that failed it not while it waits for another one. A call that would lose what it has, as its stream has
+// begun or its endpoint is silent, is sent to none that has just declined one.
 func (s *Scheduler) canAccept(c *call, e *endpoint, secondPass bool) bool {
 	if e == c.endpoint || e.leaving || !c.isCompatible(e) || !c.maySendTo(e) || e.inFlight(s.now) >= s.limitFor(c, e) {
 		return false
