Show that a cut stream ends as complete beside a frozen host

Cause: endBody takes the end of an answer without a length for its regular one unless a new connection is refused within 100 ms. The check asks other hosts after the refusal, and a frozen one uses up that time.

--- /dev/null
+++ b/review/_standin-3/unframed.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"syscall"
+	"time"
+)
+
+const (
+	streamService = "huvo11a"
+	// streamEventCount is the number of events of a server's whole stream.
+	streamEventCount = 40
+)
+
+// judgeStreams counts the streams that ended as complete before their last event.
+func judgeStreams(r *rig, results []streamResult) (violations int) {
+	whole := 0
+	for _, result := range results {
+		if result.status != 200 || !result.isComplete {
+			continue
+		}
+		if result.events == streamEventCount {
+			whole++
+			continue
+		}
+		violations++
+		r.say("BROKEN: client %s at %s got a complete answer with status 200 and %d of %d events", result.id, result.host, result.events, streamEventCount)
+	}
+	r.say("%d streams, %d of them whole, %d complete before their last event", len(results), whole, violations)
+	if whole == 0 {
+		check(&noStreamError{})
+	}
+	return violations
+}
+
+// noStreamError reports that no client got a whole stream.
+type noStreamError struct{}
+
+func (*noStreamError) Error() string { return "no client got a whole stream" }
+
+// runUnframedCrash kills a quarter of the servers while one host is stopped.
+func runUnframedCrash(r *rig) int {
+	r.configure(streamService)
+	r.startServers(streamService, 12)
+	r.startHosts(6)
+	time.Sleep(2 * time.Second)
+	l := r.startLoad(8)
+	time.Sleep(2 * time.Second)
+	if r.trouble {
+		frozen := r.hosts[len(r.hosts)-1]
+		r.say("host %s is stopped", frozen.name)
+		frozen.signal(syscall.SIGSTOP)
+		time.Sleep(500 * time.Millisecond)
+		for _, s := range r.servers[:3] {
+			r.say("server %s is killed", s.name)
+			s.kill()
+		}
+		time.Sleep(3500 * time.Millisecond)
+		frozen.signal(syscall.SIGCONT)
+		r.say("host %s goes on", frozen.name)
+	}
+	time.Sleep(6 * time.Second)
+	return judgeStreams(r, l.end())
+}
