Show that streams of crashed servers end as complete

Cause: the operating system ends the connections of a killed process before it closes its listening socket, so that the check of endBody may still connect.

Added: review/11 now kills servers alone, under more streams. The crash beside a frozen host, which keeps the check from its answer in another way, is review/13.

--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(*rig) (violations int){
 	"11": runUnframedCrash,
 	"12": runUnframedLeaving,
+	"13": runUnframedCrashBesideFreeze,
 }
 
 func main() {
--- a/review/_standin-3/unframed.go
+++ b/review/_standin-3/unframed.go
@@ -37,26 +37,48 @@
 
 func (*noStreamError) Error() string { return "no client got a whole stream" }
 
-// runUnframedCrash kills a quarter of the servers while one host is stopped.
+// crashed is the number of servers that crash, of streamServers.
+const (
+	streamServers = 12
+	crashed       = 3
+)
+
+// runUnframedCrash kills a quarter of the servers under the usual load.
 func runUnframedCrash(r *rig) int {
+	return playCrash(r, 28, func() func() { return func() {} })
+}
+
+// runUnframedCrashBesideFreeze kills a quarter of the servers while one host is stopped.
+func runUnframedCrashBesideFreeze(r *rig) int {
+	return playCrash(r, 8, func() func() {
+		frozen := r.hosts[len(r.hosts)-1]
+		r.say("host %s is stopped", frozen.name)
+		frozen.signal(syscall.SIGSTOP)
+		time.Sleep(500 * time.Millisecond)
+		return func() {
+			time.Sleep(3500 * time.Millisecond)
+			frozen.signal(syscall.SIGCONT)
+			r.say("host %s goes on", frozen.name)
+		}
+	})
+}
+
+// playCrash kills servers while clients at each host ask for streams. Before that it begins a
+// further disruption, which the returned function ends.
+func playCrash(r *rig, clientsPerHost int, begin func() (end func())) int {
 	r.configure(streamService)
-	r.startServers(streamService, 12)
+	r.startServers(streamService, streamServers)
 	r.startHosts(6)
 	time.Sleep(2 * time.Second)
-	l := r.startLoad(8)
+	l := r.startLoad(clientsPerHost)
 	time.Sleep(2 * time.Second)
 	if r.trouble {
-		frozen := r.hosts[len(r.hosts)-1]
-		r.say("host %s is stopped", frozen.name)
-		frozen.signal(syscall.SIGSTOP)
-		time.Sleep(500 * time.Millisecond)
-		for _, s := range r.servers[:3] {
+		end := begin()
+		for _, s := range r.servers[:crashed] {
 			r.say("server %s is killed", s.name)
 			s.kill()
 		}
-		time.Sleep(3500 * time.Millisecond)
-		frozen.signal(syscall.SIGCONT)
-		r.say("host %s goes on", frozen.name)
+		end()
 	}
 	time.Sleep(6 * time.Second)
 	return judgeStreams(r, l.end())
@@ -65,7 +87,7 @@
 // runUnframedLeaving makes two servers leave, which exit somewhat later than the drain time.
 func runUnframedLeaving(r *rig) int {
 	r.configure(streamService)
-	r.startServers(streamService, 12, "--delay", "1500ms", "--leave", "2300ms")
+	r.startServers(streamService, streamServers, "--delay", "1500ms", "--leave", "2300ms")
 	r.startHosts(6)
 	time.Sleep(2 * time.Second)
 	l := r.startLoad(16)
