Do not complete answers that a reset cuts while their request is on its way

What callers saw: status 200 and a part of the body as a complete answer. The endpoint had answered a long upload at once, without a length, and reset the connection while the upload was being written.

Cause: such an answer ends with its connection. A connection reports a reset once; the goroutine that writes the request gets the report, and the one that reads the answer sees an end in order. Nobody asked for the result of the write. And an endpoint that closes its connection with nothing unread ends it in order first and resets it when more of the request arrives.

The line answerCut, fields of callEnded and a metric name the end.

Evidence: TestEarlyAnswerEndsWithItsConnection, whose endpoint answers before it has read.

Why it works: the state of the connection and the unacknowledged bytes do not depend on which goroutine has got the report, and a closed connection acknowledges nothing.

Measured: the test passes.

--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"cactuswell/core/detour"
@@ -94,6 +95,8 @@
 	isForwardedInParts bool
 	// followed is what had arrived on the connection after the body.
 	followed string
+	// connectionEnd describes how the body has ended with the connection.
+	connectionEnd upstream.ConnectionEnd
 	// hasExcess is set if the endpoint sent bytes after a complete response: after that of the
 	// attempt, or after that of an earlier request on the connection.
 	hasExcess bool
@@ -526,6 +529,10 @@
 	x := t.exchange
 	var noMemory *BufferMemoryError
 	var unproven *UnprovenEndError
+	var cut *upstream.CutError
+	if t.response != nil && !upstream.IsFramed(t.response) {
+		t.recordCut(err)
+	}
 	switch {
 	case tcp.IsTimeout(err) && !time.Now().Before(x.deadline):
 		return scheduling.TimedOut{}
@@ -533,7 +540,7 @@
 		return scheduling.Unproven{}
 	case tcp.IsTimeout(err) && !t.silenceDeadline.IsZero():
 		return scheduling.Silent{PartlyDelivered: x.answer.isBegun()}
-	case tcp.IsTimeout(err), tcp.IsClosedByPeer(err), errors.As(err, &noMemory), errors.As(err, &unproven):
+	case tcp.IsTimeout(err), tcp.IsClosedByPeer(err), errors.As(err, &noMemory), errors.As(err, &unproven), errors.As(err, &cut):
 		return scheduling.Broken{PartlyDelivered: x.answer.isBegun()}
 	}
 	if part := upstream.ExcessPart(err); part != "" {
@@ -559,6 +566,41 @@
 		Bool("delivered", x.answer.isBegun()).Millis("after", time.Since(t.sentAt)).Merge(x.currentSend.Key.ID)
 }
 
+// The ends of answers that end with their connection, besides those of upload.Verdict.
+const (
+	endResetSeenByRead = "readReset"
+	// endIncomplete is an end in order that no complete answer has, as within an event.
+	endIncomplete = "incomplete"
+	// endEndpointDown is an end in order of which the endpoint's process may be the cause.
+	endEndpointDown = "endpointDown"
+)
+
+// recordCut records what was found wrong with the end of an answer that ends with its connection, if it has ended.
+func (t *attempt) recordCut(err error) {
+	x := t.exchange
+	var cut *upstream.CutError
+	var unproven *UnprovenEndError
+	var end string
+	switch {
+	case errors.As(err, &cut):
+		end = string(cut.End.Verdict)
+	case errors.As(err, &unproven):
+		end = endEndpointDown
+	case errors.Is(err, syscall.ECONNRESET):
+		end = endResetSeenByRead
+	case tcp.IsClosedByPeer(err):
+		end = endIncomplete
+	default:
+		return
+	}
+	x.server.Meter.RecordConnectionEnd(end)
+	last := t.conn.ConnectionEnd()
+	x.server.Trail.Failure("answerCut").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
+		Text("end", end).Int("requestBytes", int64(len(x.body.bytes))).Int("unacked", last.Unacked).Millis("waited", last.Waited).
+		Int("bodyBytes", t.bodyBytes).Text("throughHost", t.throughHost).Bool("delivered", x.answer.isBegun()).
+		Millis("after", time.Since(t.sentAt)).Merge(x.currentSend.Key.ID)
+}
+
 // framing names how the endpoint marks the end of the response's body.
 func (t *attempt) framing() string {
 	switch {
@@ -746,7 +788,11 @@
 			return nil, &UnprovenEndError{Err: err}
 		}
 	}
-	return t.conn.EndBody()
+	proof, err := t.conn.EndBody()
+	if t.connectionEnd = t.conn.ConnectionEnd(); err == nil && t.connectionEnd.Verdict != "" {
+		x.server.Meter.RecordConnectionEnd(string(t.connectionEnd.Verdict))
+	}
+	return proof, err
 }
 
 // endAnswer ends the caller's answer, which is whole.
@@ -784,14 +830,15 @@
 		connection += "Tunnel"
 	}
 	return AnswerSummary{
-		EndpointID:  t.endpointID,
-		Framing:     t.framing(),
-		BodyBytes:   t.bodyBytes,
-		InParts:     t.isForwardedInParts,
-		Connection:  connection,
-		ThroughHost: t.throughHost,
-		Writers:     t.exchange.writers,
-		Followed:    t.followed,
+		EndpointID:    t.endpointID,
+		Framing:       t.framing(),
+		BodyBytes:     t.bodyBytes,
+		InParts:       t.isForwardedInParts,
+		Connection:    connection,
+		ThroughHost:   t.throughHost,
+		Writers:       t.exchange.writers,
+		Followed:      t.followed,
+		ConnectionEnd: t.connectionEnd,
 	}
 }
 
--- a/io/opaque/exchange.go
+++ b/io/opaque/exchange.go
@@ -623,11 +623,15 @@
 	if result == ResultDenied {
 		return
 	}
-	x.logLine("callEnded").Int("version", x.configurationVersion()).Text("result", result).Int("status", int64(status)).Int("attempts", int64(x.attempts)).
+	line := x.logLine("callEnded").Int("version", x.configurationVersion()).Text("result", result).Int("status", int64(status)).Int("attempts", int64(x.attempts)).
 		Millis("total", summary.TotalTime).Millis("first", summary.TimeToFirstEvent).Millis("gap", summary.LongestGap).
 		Int("events", int64(x.stream.events)).Text("endpoint", x.summary.EndpointID).Text("framing", x.summary.Framing).Int("bodyBytes", x.summary.BodyBytes).
 		Bool("inParts", x.summary.InParts).Text("connection", x.summary.Connection).Text("throughHost", x.summary.ThroughHost).
-		Int("writers", int64(x.writers)).Text("followed", x.summary.Followed).End()
+		Int("writers", int64(x.writers)).Text("followed", x.summary.Followed)
+	if end := x.summary.ConnectionEnd; end.Verdict != "" {
+		line = line.Text("end", string(end.Verdict)).Millis("endWaited", end.Waited)
+	}
+	line.End()
 }
 
 // logLine starts an ordinary log line about the call. Calls that arrived while the
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -66,6 +66,8 @@
 	RecordResumption(finding resumption.Finding, doubt resumption.Doubt, goesOn bool)
 	// RecordSilence records how the silence of an attempt has ended: "progress", "givenUp", or "ended" with the attempt.
 	RecordSilence(end string)
+	// RecordConnectionEnd records how an answer without a length has ended with its connection.
+	RecordConnectionEnd(end string)
 	// RecordSplice records a body that holds a part of another response.
 	RecordSplice(reason wholeness.Reason)
 }
@@ -114,6 +116,8 @@
 	Writers int
 	// Followed is what had arrived on the connection after the body: "nothing", "answer" or "other".
 	Followed string
+	// ConnectionEnd describes how the body has ended with the connection.
+	ConnectionEnd upstream.ConnectionEnd
 }
 
 // Results of calls.
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cactuswell/core/upload"
 )
 
 // keepAliveProbes is the number of unanswered keep-alive probes after which a
@@ -174,6 +176,48 @@
 	return info.Bytes_acked, true
 }
 
+// stateClosed is the state of a connection that was reset or has timed out (TCP_CLOSE).
+const stateClosed = 7
+
+// TransferInspector is implemented by connections of which the socket does not lead to the endpoint.
+type TransferInspector interface {
+	// Transfer returns the state of what was written, as InspectTransfer does. It does not block.
+	Transfer() (upload.Transfer, error)
+}
+
+// InspectTransfer returns the state of what was written to a connection. Whether all of it has been written is for
+// the caller to add. The error is ErrNotInspectable, or that of a closed connection. It does not block.
+func InspectTransfer(conn net.Conn) (upload.Transfer, error) {
+	if inspector, ok := conn.(TransferInspector); ok {
+		return inspector.Transfer()
+	}
+	syscallConn, ok := conn.(syscall.Conn)
+	if !ok {
+		return upload.Transfer{}, ErrNotInspectable
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return upload.Transfer{}, err
+	}
+	var info *unix.TCPInfo
+	var unacked int
+	var infoErr, unackedErr error
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		unacked, unackedErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	if err := errors.Join(err, infoErr, unackedErr); err != nil {
+		return upload.Transfer{}, err
+	}
+	return upload.Transfer{
+		IsReset:    info.State == stateClosed,
+		IsKnown:    true,
+		Unacked:    int64(unacked),
+		Acked:      info.Bytes_acked,
+		IsHeldBack: info.Notsent_bytes > 0 && info.Unacked == 0,
+	}, nil
+}
+
 // IsTimeout reports whether an error was caused by a timeout.
 func IsTimeout(err error) bool {
 	var netErr net.Error
--- a/io/upstream/body.go
+++ b/io/upstream/body.go
@@ -31,6 +31,8 @@
 	// pending holds the bytes that have arrived and may not belong to the body.
 	pending  []byte
 	hasEnded bool
+	// endsWithConn is set if the body ends with the connection.
+	endsWithConn bool
 }
 
 // arrive takes bytes that the reader gets. Those of a read that is larger than the reader's buffer are all of the body.
@@ -78,10 +80,12 @@
 	settings.IsSent = c.wasTakenFor
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
 	c.head.watch = &bodyWatch{
-		body:    wholeness.NewBody(settings),
-		reader:  c.reader,
-		pending: append(c.head.takePending(), buffered...),
+		body:         wholeness.NewBody(settings),
+		reader:       c.reader,
+		pending:      append(c.head.takePending(), buffered...),
+		endsWithConn: settings.Framing == wholeness.ToEnd,
 	}
+	c.connectionEnd = ConnectionEnd{}
 	response.Body = &watchedBody{
 		ReadCloser: response.Body,
 		watch:      c.head.watch,
@@ -103,12 +107,17 @@
 }
 
 // EndBody returns the proof that the watched body, which has been read to its end, is whole and of one response. The
-// error is a *wholeness.SplicedError or an *UnfinishedBodyError.
+// error is a *wholeness.SplicedError, an *UnfinishedBodyError or a *CutError.
 func (c *Conn) EndBody() (wholeness.Whole, error) {
 	watch := c.head.watch
 	if watch == nil || !watch.hasEnded {
 		return nil, &UnfinishedBodyError{}
 	}
+	if watch.endsWithConn && errors.Is(c.head.err, io.EOF) {
+		if err := c.endConnection(); err != nil {
+			return nil, err
+		}
+	}
 	if c.reader.Buffered() == 0 && watch.body.NeedsFollowing() {
 		limit := lookTimeout
 		if watch.body.AwaitsFollowing() {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -84,10 +84,11 @@
 	// hasLongBody is set while the connection carries a request whose body may exceed what the
 	// endpoint has room for.
 	hasLongBody bool
-	// bodyWritten receives the result of writing the body if it is written
-	// concurrently.
-	bodyWritten chan error
-	unusable    bool
+	// bodyWrite is the writing of the request's body if it is written concurrently, or nil.
+	bodyWrite *bodyWrite
+	// connectionEnd describes how the response that was read last has ended with the connection.
+	connectionEnd ConnectionEnd
+	unusable      bool
 }
 
 // Reused reports whether the connection carried a request before.
@@ -166,18 +167,12 @@
 		}
 	}
 	if concurrently {
-		c.bodyWritten = make(chan error, 1)
-		go c.writeBody(request.Body)
+		c.bodyWrite = &bodyWrite{done: make(chan struct{})}
+		go c.bodyWrite.run(c.conn, request.Body)
 	}
 	return nil
 }
 
-// writeBody writes the body while the response is awaited.
-func (c *Conn) writeBody(body []byte) {
-	_, err := c.conn.Write(body)
-	c.bodyWritten <- err
-}
-
 // ReadResponse returns the response to the request with the given method once its
 // header was read. The function relate decides how a response relates to the request: those that are
 // doubtful, and late ones to earlier requests, are skipped. The error is an *ExcessError if the
@@ -294,17 +289,10 @@
 	if c.unusable || response.Close || !IsFramed(response) || c.reader.Buffered() > 0 || len(c.requestIDs) >= maxRequestsPerConn {
 		return false
 	}
-	if c.bodyWritten == nil {
-		return true
-	}
 	// If the endpoint responded early, the body may not be written completely.
-	select {
-	case err := <-c.bodyWritten:
-		c.bodyWritten = nil
-		return err == nil
-	default:
-		return false
-	}
+	isWritten, isFailed := c.bodyWrite.state()
+	c.bodyWrite = nil
+	return isWritten && !isFailed
 }
 
 // Discard closes the connection.
