Tell the host that asks for a tunnel what of its request has arrived

Cause: each direction of a tunnel is copied by a goroutine of its own. The error of the write to the endpoint was dropped, so that a reset of which the write got the report ended the tunnel in order, and the host that had sent the request saw no write fail.

Change: the end of the endpoint's bytes is followed by receipts: how many bytes the endpoint has acknowledged, and whether some wait for it. The host between resets the tunnel at a reset or a failed write.

Why it works: the host that decides compares the bytes that it has written with those that have reached the endpoint, whatever lies between.

--- a/io/opaque/earlyend_test.go
+++ b/io/opaque/earlyend_test.go
@@ -188,39 +188,70 @@
 	}
 }
 
+// checkEarlyAnswers sends a request of each kind for answers with all fields, and checks what the caller gets.
+func checkEarlyAnswers(t *testing.T, address string, endpoint *earlyEndpoint, end earlyEnd, size int) {
+	t.Helper()
+	for fields := range earlyFields {
+		for _, kind := range []string{"safe", "once", "stream"} {
+			id := strings.ReplaceAll(t.Name()+fields+kind, " ", "-")
+			caller := dialCaller(t, address, "1.1")
+			got := caller.post(id, fmt.Sprintf("/%s/x?fields=%s", kind, fields), size)
+			_ = caller.conn.Close()
+			passed := got.status == http.StatusOK && got.isWhole
+			isArrived := end.isWholeOnceRead && size <= 1<<10
+			switch {
+			case passed && got.body != earlyBody:
+				t.Errorf("%s, %s: whole with the body %q", fields, kind, got.body)
+			case passed && !end.isWhole && !end.mayBeWhole && !isArrived:
+				t.Errorf("%s, %s: a part ends as complete", fields, kind)
+			case !passed && end.isWhole:
+				t.Errorf("%s, %s: a whole answer was not delivered: %+v", fields, kind, got)
+			}
+			if runs := endpoint.runsOf(id); kind == "once" && runs != 1 {
+				t.Errorf("%s: a call that may run once was sent %d times", fields, runs)
+			}
+		}
+	}
+}
+
 // TestEarlyAnswerEndsWithItsConnection guards against an answer without a length that is cut by a reset while its request is
 // still on its way and ends as complete: the goroutine that writes the request gets the connection's only report of the reset,
 // and the one that reads sees an end in order. Answers that the endpoint has ended itself must arrive.
 func TestEarlyAnswerEndsWithItsConnection(t *testing.T) {
-	for _, isTunnelled := range []bool{false} {
+	for _, isTunnelled := range []bool{false, true} {
 		for name, end := range earlyEnds {
 			for _, size := range []int{60, 200 << 10, 3 << 20} {
 				t.Run(fmt.Sprintf("tunnelled %v/%s/%d bytes", isTunnelled, name, size), func(t *testing.T) {
 					t.Parallel()
 					endpoint := newEarlyEndpoint(t, end)
 					address := startScripted(t, isTunnelled, endpoint.address, endpoint.address)
-					for fields := range earlyFields {
-						for _, kind := range []string{"safe", "once", "stream"} {
-							id := strings.ReplaceAll(t.Name()+fields+kind, " ", "-")
-							caller := dialCaller(t, address, "1.1")
-							got := caller.post(id, fmt.Sprintf("/%s/x?fields=%s", kind, fields), size)
-							_ = caller.conn.Close()
-							passed := got.status == http.StatusOK && got.isWhole
-							switch {
-							case passed && got.body != earlyBody:
-								t.Errorf("%s, %s: whole with the body %q", fields, kind, got.body)
-							case passed && !end.isWhole && !end.mayBeWhole && !(end.isWholeOnceRead && size <= 1<<10):
-								t.Errorf("%s, %s: a part ends as complete", fields, kind)
-							case !passed && end.isWhole:
-								t.Errorf("%s, %s: a whole answer was not delivered: %+v", fields, kind, got)
-							}
-							if runs := endpoint.runsOf(id); kind == "once" && runs != 1 {
-								t.Errorf("%s: a call that may run once was sent %d times", fields, runs)
-							}
-						}
-					}
+					checkEarlyAnswers(t, address, endpoint, end, size)
 				})
 			}
 		}
 	}
 }
+
+// TestEarlyAnswerThroughHostOfEarlierVersion guards against the same where the host between says nothing of the request:
+// nothing proves then that an answer to a long one is whole.
+func TestEarlyAnswerThroughHostOfEarlierVersion(t *testing.T) {
+	for name, end := range earlyEnds {
+		for _, size := range []int{60, 200 << 10, 3 << 20} {
+			t.Run(fmt.Sprintf("%s/%d bytes", name, size), func(t *testing.T) {
+				t.Parallel()
+				endpoint := newEarlyEndpoint(t, end)
+				host := newTunnelHostBehind(t, func(helper http.Handler) http.Handler {
+					return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+						r.Header.Del("Cactuswell-Receipts")
+						helper.ServeHTTP(w, r)
+					})
+				})
+				expected := end
+				if size > 60 {
+					expected.isWhole, expected.mayBeWhole = false, false
+				}
+				checkEarlyAnswers(t, startScriptedThrough(t, host, endpoint.address, endpoint.address), endpoint, expected, size)
+			})
+		}
+	}
+}
--- a/io/opaque/tornanswer_test.go
+++ b/io/opaque/tornanswer_test.go
@@ -154,6 +154,16 @@
 // startScripted starts a server of callers, whose calls go to the endpoints in turn, and returns its
 // address. If it is tunnelled, another host connects it to them.
 func startScripted(t testing.TB, isTunnelled bool, addresses ...string) string {
+	t.Helper()
+	host := ""
+	if isTunnelled {
+		host = newTunnelHost(t)
+	}
+	return startScriptedThrough(t, host, addresses...)
+}
+
+// startScriptedThrough does the same with the address of the other host, or an empty one if there is none.
+func startScriptedThrough(t testing.TB, host string, addresses ...string) string {
 	t.Helper()
 	target := []route.Target{{Service: "s", Weight: 1}}
 	table, err := route.New(route.Spec{
@@ -169,8 +179,8 @@
 		t.Fatal(err)
 	}
 	var dependencies upstream.Dependencies
-	if isTunnelled {
-		client := tunnel.NewClient(oneHost(newTunnelHost(t)))
+	if host != "" {
+		client := tunnel.NewClient(oneHost(host))
 		dependencies.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			conn, _, err := client.Connect(ctx, address)
 			return conn, err
@@ -208,7 +218,14 @@
 	return string(h)
 }
 
+// newTunnelHost starts a host that serves tunnels, and returns its address.
 func newTunnelHost(t testing.TB) string {
+	t.Helper()
+	return newTunnelHostBehind(t, func(helper http.Handler) http.Handler { return helper })
+}
+
+// newTunnelHostBehind does the same with a handler before that of the host.
+func newTunnelHostBehind(t testing.TB, before func(http.Handler) http.Handler) string {
 	t.Helper()
 	helper := tunnel.NewServer(tunnel.ServerDependencies{
 		Find: func(address string) (detour.Endpoint, tunnel.Reason) {
@@ -220,7 +237,7 @@
 		},
 		IsPathProven: func(detour.Endpoint) bool { return true },
 	})
-	server := httptest.NewServer(helper)
+	server := httptest.NewServer(before(helper))
 	t.Cleanup(func() {
 		helper.Abort()
 		server.Close()
--- a/io/tunnel/client.go
+++ b/io/tunnel/client.go
@@ -264,7 +264,8 @@
 
 // requestTunnel sends a CONNECT request, and returns the tunnel or why it was not granted.
 func requestTunnel(conn net.Conn, address string) (*clientConn, Reason, error) {
-	request := "CONNECT " + address + " HTTP/1.1\r\nHost: " + address + "\r\n" + framingHeader + ": " + framingLength + "\r\n\r\n"
+	request := "CONNECT " + address + " HTTP/1.1\r\nHost: " + address + "\r\n" + framingHeader + ": " + framingLength + "\r\n" +
+		receiptsHeader + ": " + receiptsCount + "\r\n\r\n"
 	if _, err := io.WriteString(conn, request); err != nil {
 		return nil, HostUnreachable, err
 	}
@@ -281,8 +282,9 @@
 		return nil, Reason(response.Header.Get(reasonHeader)), &StatusError{Status: response.StatusCode}
 	}
 	tunnel := &clientConn{
-		Conn:     conn,
-		isFramed: acceptsFrames(response.Header),
+		Conn:        conn,
+		isFramed:    acceptsFrames(response.Header),
+		hasReceipts: acceptsFrames(response.Header) && acceptsReceipts(response.Header),
 	}
 	if err := tunnel.takeBuffered(reader); err != nil {
 		return nil, HostUnreachable, err
--- a/io/tunnel/conn.go
+++ b/io/tunnel/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 
 	"cactuswell/io/tcp"
@@ -31,18 +32,25 @@
 	// isFramed is set if the other host marks the end of the endpoint's connection. Hosts of
 	// earlier versions do not.
 	isFramed bool
-	header   [frameHeaderBytes]byte
+	// hasReceipts is set if receipts follow that mark. Hosts of earlier versions send none.
+	hasReceipts bool
+	// header holds the header of the next frame, and the receipt that follows if its length is zero.
+	header [frameHeaderBytes + receiptBytes]byte
 	// headerBytes is the number of bytes of the header that have arrived, and left the number of
 	// bytes of the frame that have not been read.
 	headerBytes int
 	left        int
 	hasEnded    bool
+	// written is the number of bytes that were handed to the operating system, and receipt the last one of the other host.
+	written atomic.Uint64
+	receipt receipt
 }
 
 var (
-	_ net.Conn            = (*clientConn)(nil)
-	_ syscall.Conn        = (*clientConn)(nil)
-	_ tcp.UnreadInspector = (*clientConn)(nil)
+	_ net.Conn              = (*clientConn)(nil)
+	_ syscall.Conn          = (*clientConn)(nil)
+	_ tcp.UnreadInspector   = (*clientConn)(nil)
+	_ tcp.TransferInspector = (*clientConn)(nil)
 )
 
 // Read implements net.Conn. It returns io.EOF if the endpoint has closed its connection, and
@@ -62,37 +70,59 @@
 	return n, unexpected(err)
 }
 
-// readHeader reads the length of the next frame. It goes on where an earlier call has timed out.
+// readHeader reads the length of the next frame, with the receipt after it. It goes on where an earlier call has timed out.
 func (c *clientConn) readHeader() error {
-	for !c.hasEnded && c.headerBytes < frameHeaderBytes {
-		n, err := c.Conn.Read(c.header[c.headerBytes:])
-		c.headerBytes += n
-		if err != nil {
-			return unexpected(err)
+	if c.hasEnded {
+		return io.EOF
+	}
+	if err := c.fillHeader(frameHeaderBytes); err != nil {
+		return err
+	}
+	length := int(binary.BigEndian.Uint16(c.header[:]))
+	if length == 0 && c.hasReceipts {
+		if err := c.fillHeader(len(c.header)); err != nil {
+			return err
 		}
+		c.receipt = parseReceipt(c.header[frameHeaderBytes:])
 	}
 	c.headerBytes = 0
-	c.left = int(binary.BigEndian.Uint16(c.header[:]))
-	c.hasEnded = c.left == 0
+	c.left = length
+	c.hasEnded = length == 0
 	if c.hasEnded {
 		return io.EOF
 	}
 	return nil
 }
 
+// fillHeader reads until the given number of bytes of the header have arrived.
+func (c *clientConn) fillHeader(until int) error {
+	for c.headerBytes < until {
+		n, err := c.Conn.Read(c.header[c.headerBytes:until])
+		c.headerBytes += n
+		if err != nil {
+			return unexpected(err)
+		}
+	}
+	return nil
+}
+
 // takeBuffered takes the bytes that have arrived together with the response of the host: at most
-// the frame that says that the endpoint has closed its connection at once.
+// the frame that says that the endpoint has closed its connection at once, with its receipt.
 func (c *clientConn) takeBuffered(reader *bufio.Reader) error {
 	buffered := reader.Buffered()
 	if buffered == 0 {
 		return nil
 	}
-	if !c.isFramed || buffered > frameHeaderBytes {
+	limit := frameHeaderBytes
+	if c.hasReceipts {
+		limit = len(c.header)
+	}
+	if !c.isFramed || buffered > limit {
 		return errEarlyBytes
 	}
 	n, err := io.ReadFull(reader, c.header[:buffered])
 	c.headerBytes = n
-	if err == nil && n == frameHeaderBytes && binary.BigEndian.Uint16(c.header[:]) > 0 {
+	if err == nil && n >= frameHeaderBytes && binary.BigEndian.Uint16(c.header[:]) > 0 {
 		err = errEarlyBytes
 	}
 	return err
@@ -123,7 +153,10 @@
 	if c.hasEnded || c.left > 0 {
 		return c.left > 0
 	}
-	next := c.header
+	next := [frameHeaderBytes]byte(c.header[:frameHeaderBytes])
+	if c.headerBytes >= frameHeaderBytes {
+		return false
+	}
 	n, err := tcp.Peek(c.Conn, next[c.headerBytes:])
 	return err == nil && n > 0 && binary.BigEndian.Uint16(next[:]) > 0
 }
@@ -150,6 +183,12 @@
 // end says that the endpoint has closed its connection.
 func (w *frameWriter) end() error { return w.writeFrame(0) }
 
+// endWithReceipt does the same, and says how much of the request has reached the endpoint.
+func (w *frameWriter) endWithReceipt(r receipt) error {
+	_, err := w.conn.Write(r.append(make([]byte, frameHeaderBytes, frameHeaderBytes+receiptBytes)))
+	return err
+}
+
 // writeFrame writes a frame with the first bytes of the buffer after the header.
 func (w *frameWriter) writeFrame(length int) error {
 	binary.BigEndian.PutUint16(w.buffer[:], uint16(length))
--- /dev/null
+++ b/io/tunnel/receipt.go
@@ -0,0 +1,216 @@
+package tunnel
+
+import (
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"cactuswell/core/upload"
+	"cactuswell/io/tcp"
+)
+
+const (
+	// receiptsHeader names the form in which the end of the endpoint's connection is followed by receipts, in the request
+	// for a tunnel and in the response of a host that sends them. Hosts of earlier versions do not know it.
+	receiptsHeader = "Cactuswell-Receipts"
+	// receiptsCount is the only form: each frame of length zero is followed by a receipt. The first one ends the
+	// endpoint's bytes, and further ones follow when the receipt has changed.
+	receiptsCount = "count"
+	// receiptBytes is the size of a receipt: a big-endian integer and a byte with flags.
+	receiptBytes = 9
+	// heldBackFlag says that bytes wait for the endpoint to make room.
+	heldBackFlag = 1
+	// receiptTime is how long receipts follow the end of the endpoint's connection. The other host has decided by then.
+	receiptTime = 2 * upload.SettleTime
+	// receiptInterval is the time between two looks at what the endpoint has acknowledged.
+	receiptInterval = 2 * time.Millisecond
+	// quietTime is how long a host that gets no receipts must have sent nothing to count as done with its request.
+	quietTime = 20 * time.Millisecond
+)
+
+// receipt says how much of what the other host has sent has reached the endpoint.
+type receipt struct {
+	// acked is the number of bytes since the tunnel was opened that the endpoint has acknowledged.
+	acked uint64
+	// isHeldBack is set if bytes wait for the endpoint to make room.
+	isHeldBack bool
+}
+
+// append appends the encoded receipt.
+func (r receipt) append(p []byte) []byte {
+	p = binary.BigEndian.AppendUint64(p, r.acked)
+	if r.isHeldBack {
+		return append(p, heldBackFlag)
+	}
+	return append(p, 0)
+}
+
+// parseReceipt decodes a receipt of receiptBytes.
+func parseReceipt(p []byte) receipt {
+	return receipt{
+		acked:      binary.BigEndian.Uint64(p),
+		isHeldBack: p[receiptBytes-1]&heldBackFlag != 0,
+	}
+}
+
+// acceptsReceipts reports whether the header of a request or response names receiptsCount.
+func acceptsReceipts(header http.Header) bool { return header.Get(receiptsHeader) == receiptsCount }
+
+// requestWriter writes what the other host has sent to the endpoint, and counts it.
+type requestWriter struct {
+	endpoint net.Conn
+	// received is the number of bytes that were to be written, written that of those that were handed to the operating
+	// system.
+	received atomic.Uint64
+	written  atomic.Uint64
+	// hasFailed is set if a write has failed.
+	hasFailed atomic.Bool
+}
+
+// Write implements io.Writer.
+func (w *requestWriter) Write(p []byte) (int, error) {
+	w.received.Add(uint64(len(p)))
+	n, err := w.endpoint.Write(p)
+	w.written.Add(uint64(n))
+	if err != nil {
+		w.hasFailed.Store(true)
+	}
+	return n, err
+}
+
+// transfer returns the state of what the other host has sent so far. IsWritten is set if nothing else of it has arrived.
+func (w *requestWriter) transfer(host net.Conn) upload.Transfer {
+	written := w.written.Load()
+	transfer, err := tcp.InspectTransfer(w.endpoint)
+	if err != nil && !errors.Is(err, tcp.ErrNotInspectable) {
+		// The connection has been closed after a failed write, or as the other host has left.
+		transfer.IsReset = true
+	}
+	// Bytes that are being written may be unacknowledged and not count as written yet.
+	transfer.Acked = written - min(written, uint64(transfer.Unacked))
+	transfer.IsWritten = written == w.received.Load() && !tcp.HasUnreadBytes(host)
+	transfer.IsWriteFailed = w.hasFailed.Load()
+	return transfer
+}
+
+// endResponses tells the other host that the endpoint has ended its connection, and reports whether the tunnel may end in
+// order. The endpoint may have been reset: the write of the request has got the report then.
+func (t *tunnel) endResponses(frames *frameWriter, requestsDone <-chan struct{}) bool {
+	endedAt := time.Now()
+	ticker := time.NewTicker(receiptInterval)
+	defer ticker.Stop()
+	transfer := t.requests.transfer(t.host)
+	follow := t.newFollower(frames, transfer)
+	for {
+		hasEnded, isInOrder := follow(transfer, time.Since(endedAt))
+		if hasEnded {
+			return isInOrder
+		}
+		select {
+		case <-requestsDone:
+			if !t.requests.hasFailed.Load() {
+				// The other host has left.
+				return true
+			}
+		case <-ticker.C:
+		}
+		transfer = t.requests.transfer(t.host)
+	}
+}
+
+// follower takes the state of the request at a time since the end of the endpoint's connection. It reports whether the tunnel
+// ends, and whether it does so in order.
+type follower func(transfer upload.Transfer, waited time.Duration) (hasEnded, isInOrder bool)
+
+func (t *tunnel) newFollower(frames *frameWriter, atEnd upload.Transfer) follower {
+	if t.sendsReceipts {
+		return newReporter(frames)
+	}
+	return newJudge(frames, atEnd)
+}
+
+// newReporter returns the follower for a host that gets receipts, and that decides.
+func newReporter(frames *frameWriter) follower {
+	var last *receipt
+	return func(transfer upload.Transfer, waited time.Duration) (hasEnded, isInOrder bool) {
+		if transfer.IsWriteFailed || transfer.IsReset && (transfer.Unacked > 0 || !transfer.IsKnown) {
+			return true, false
+		}
+		next := receipt{
+			acked:      transfer.Acked,
+			isHeldBack: transfer.IsHeldBack,
+		}
+		if last == nil || *last != next {
+			if frames.endWithReceipt(next) != nil {
+				return true, false
+			}
+			last = &next
+		}
+		return waited >= receiptTime, true
+	}
+}
+
+// newJudge returns the follower for a host of an earlier version, which takes the end of the tunnel for that of the response.
+// It is not known whether the other host has sent its whole request, so that it must have been quiet.
+func newJudge(frames *frameWriter, atEnd upload.Transfer) follower {
+	watch := upload.New(atEnd)
+	acked, changedAt := atEnd.Acked, time.Duration(0)
+	return func(transfer upload.Transfer, waited time.Duration) (hasEnded, isInOrder bool) {
+		if transfer.Acked != acked {
+			acked, changedAt = transfer.Acked, waited
+		}
+		verdict := watch.Judge(transfer, waited)
+		switch {
+		case verdict == upload.Pending, verdict == upload.Arrived && waited-changedAt < quietTime:
+			return false, false
+		case !verdict.IsComplete():
+			return true, false
+		}
+		return true, frames == nil || frames.end() == nil
+	}
+}
+
+// Transfer implements tcp.TransferInspector. It is called after the end of the endpoint's connection, by the goroutine that
+// reads. The error is tcp.ErrNotInspectable if the other host sends no receipts.
+func (c *clientConn) Transfer() (upload.Transfer, error) {
+	if !c.hasReceipts {
+		return upload.Transfer{}, tcp.ErrNotInspectable
+	}
+	hasEnded := !c.readReceipts()
+	written := c.written.Load()
+	return upload.Transfer{
+		IsReset:    hasEnded,
+		IsKnown:    true,
+		Unacked:    int64(written - min(written, c.receipt.acked)),
+		Acked:      c.receipt.acked,
+		IsHeldBack: c.receipt.isHeldBack,
+	}, nil
+}
+
+// readReceipts reads the receipts that have arrived, and reports whether the tunnel is open.
+func (c *clientConn) readReceipts() bool {
+	for {
+		var next [frameHeaderBytes + receiptBytes]byte
+		n, err := tcp.Peek(c.Conn, next[:])
+		if n < len(next) {
+			return n > 0 || errors.Is(err, unix.EAGAIN)
+		}
+		// All of it has arrived.
+		if _, err := c.Conn.Read(next[:]); err != nil || binary.BigEndian.Uint16(next[:]) != 0 {
+			return false
+		}
+		c.receipt = parseReceipt(next[frameHeaderBytes:])
+	}
+}
+
+// Write implements net.Conn.
+func (c *clientConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(uint64(n))
+	return n, err
+}
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -100,6 +100,9 @@
 		host:     host,
 		endpoint: endpoint,
 		isFramed: acceptsFrames(r.Header),
+		// Receipts follow frames.
+		sendsReceipts: acceptsFrames(r.Header) && acceptsReceipts(r.Header),
+		requests:      &requestWriter{endpoint: endpoint},
 	})
 }
 
@@ -148,6 +151,9 @@
 	endpoint net.Conn
 	// isFramed is set if the other host expects frames.
 	isFramed bool
+	// sendsReceipts is set if it expects receipts.
+	sendsReceipts bool
+	requests      *requestWriter
 }
 
 // run copies bytes in both directions until either side has ended.
@@ -161,14 +167,18 @@
 	}
 	response := "HTTP/1.1 200 OK\r\n\r\n"
 	if t.isFramed {
-		response = "HTTP/1.1 200 OK\r\n" + framingHeader + ": " + framingLength + "\r\n\r\n"
+		response = "HTTP/1.1 200 OK\r\n" + framingHeader + ": " + framingLength + "\r\n"
+		if t.sendsReceipts {
+			response += receiptsHeader + ": " + receiptsCount + "\r\n"
+		}
+		response += "\r\n"
 	}
 	if _, err := io.WriteString(t.host, response); err != nil {
 		return
 	}
 	done := make(chan struct{})
 	go t.loopRequests(done)
-	t.loopResponses()
+	t.loopResponses(done)
 	t.abort()
 	<-done
 }
@@ -177,21 +187,20 @@
 // waits for a response.
 func (t *tunnel) loopRequests(done chan<- struct{}) {
 	defer close(done)
-	_ = copyBytes(t.endpoint, t.host)
+	_ = copyBytes(t.requests, t.host)
 	_ = t.endpoint.Close()
 }
 
 // loopResponses copies what the endpoint sends, and ends the tunnel as the endpoint has
 // ended the connection.
-func (t *tunnel) loopResponses() {
-	if !t.isFramed {
-		if copyBytes(t.host, t.endpoint) == nil {
-			_ = t.host.Close()
-		}
-		return
+func (t *tunnel) loopResponses(requestsDone <-chan struct{}) {
+	var frames *frameWriter
+	to := io.Writer(t.host)
+	if t.isFramed {
+		frames = &frameWriter{conn: t.host}
+		to = frames
 	}
-	frames := &frameWriter{conn: t.host}
-	if copyBytes(frames, t.endpoint) == nil && frames.end() == nil {
+	if copyBytes(to, t.endpoint) == nil && t.endResponses(frames, requestsDone) {
 		_ = t.host.Close()
 	}
 }
