Refuse heads with a status below 100 or an unrequested 101

What callers saw: an answer whose head before it had the status 000 (also 099, -00, +99, or 101 without a request for it), as a plain 200.

Cause: net/http accepts any three characters that read as a number, and ReadResponse skipped each status below 200 as that of an interim response. An endpoint in trouble sends no such thing before its answer: what follows may be another's.

Change: io/httphead checks each head that net/http has read; one that is none is malformed. Nothing in it or behind it holds: no refusal, no notice. The line headRefused and a metric say which head was refused and why.

Why it works: an interim response has a status from 100 to 199, and only 101 ends HTTP on the connection.

--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -119,6 +119,11 @@
 	m.addToCounter(fmt.Sprintf("cactuswell_silences_total{end=%q}", end), 1)
 }
 
+// RecordHeadRefusal implements opaque.Meter.
+func (m *meter) RecordHeadRefusal(reason string) {
+	m.addToCounter(fmt.Sprintf("cactuswell_heads_refused_total{reason=%q}", reason), 1)
+}
+
 // RecordConnectionEnd implements opaque.Meter.
 func (m *meter) RecordConnectionEnd(end string) {
 	m.addToCounter(fmt.Sprintf("cactuswell_connection_ends_total{end=%q}", end), 1)
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -17,6 +18,8 @@
 	"cactuswell/core/route"
 	"cactuswell/core/scheduling"
 	"cactuswell/core/wholeness"
+	"cactuswell/io/httphead"
+	"cactuswell/io/splice"
 	"cactuswell/io/tcp"
 	"cactuswell/io/upstream"
 )
@@ -550,12 +553,40 @@
 	if errors.As(err, &spliced) {
 		t.recordSplice(spliced)
 	}
+	t.recordHeadRefusal(err)
 	return scheduling.Broken{
 		PartlyDelivered: x.answer.isBegun(),
 		Malformed:       true,
 	}
 }
 
+// Reasons for which heads are refused, besides those of httphead.
+const (
+	reasonSplicedHead  = "spliced"
+	reasonUnparsedHead = "unparsed"
+)
+
+// recordHeadRefusal records that the head or the trailer of the response is none, if that is the error.
+func (t *attempt) recordHeadRefusal(err error) {
+	var none *httphead.Error
+	var spliced *splice.Error
+	var unsolicited *upstream.UnsolicitedResponseError
+	reason, field, status := reasonUnparsedHead, "", 0
+	switch {
+	case errors.As(err, &none):
+		reason, status = string(none.Reason), none.Status
+	case errors.As(err, &spliced):
+		reason, field = reasonSplicedHead, spliced.Field
+	case t.response != nil, upstream.ExcessPart(err) != "", errors.As(err, &unsolicited), errors.Is(err, net.ErrClosed):
+		return
+	}
+	x := t.exchange
+	x.server.Meter.RecordHeadRefusal(reason)
+	x.server.Trail.Failure("headRefused").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
+		Text("reason", reason).Int("status", int64(status)).Text("field", field[:min(len(field), maxLoggedValue)]).Bool("trailer", t.response != nil).
+		Bool("reusedConnection", t.usesKeptConn).Text("throughHost", t.throughHost).Millis("after", time.Since(t.sentAt)).Err(err).Merge(x.currentSend.Key.ID)
+}
+
 // recordSplice records that the response's body holds a part of another response.
 func (t *attempt) recordSplice(spliced *wholeness.SplicedError) {
 	x := t.exchange
--- a/io/opaque/tornanswer_test.go
+++ b/io/opaque/tornanswer_test.go
@@ -115,6 +115,7 @@
 	call.attempts++
 	call.commands <- scheduling.Send{
 		Call:    id,
+		Key:     scheduling.Key{ID: s.addresses[call.attempts-1]},
 		Address: s.addresses[call.attempts-1],
 		IsRetry: call.attempts > 1,
 	}
--- a/io/opaque/withdraw_test.go
+++ b/io/opaque/withdraw_test.go
@@ -71,6 +71,8 @@
 
 func (silentMeter) RecordConnectionEnd(string) {}
 
+func (silentMeter) RecordHeadRefusal(string) {}
+
 // TestCallThatIsGivenUpIsWithdrawn guards against a place at an endpoint that stays taken for good: the scheduler, which was
 // late, placed a call that had been refused at its deadline, and nobody told it that the call had ended.
 func TestCallThatIsGivenUpIsWithdrawn(t *testing.T) {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"time"
 
 	"cactuswell/core/evidence"
+	"cactuswell/io/httphead"
 	"cactuswell/io/splice"
 	"cactuswell/io/tcp"
 )
@@ -176,7 +178,8 @@
 // ReadResponse returns the response to the request with the given method once its
 // header was read. The function relate decides how a response relates to the request: those that are
 // doubtful, and late ones to earlier requests, are skipped. The error is an *ExcessError if the
-// endpoint sends more than a header may hold, and a *splice.Error if a header runs into another.
+// endpoint sends more than a header may hold, a *splice.Error if a header runs into another, and a *httphead.Error if it is
+// none. Nothing in such a header holds.
 func (c *Conn) ReadResponse(method string, relate func(*http.Response) Relation) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	c.head.begin()
@@ -190,7 +193,7 @@
 			c.unusable = true
 			return nil, c.head.cause(err)
 		}
-		if err := splice.CheckHead(c.head.raw); err != nil {
+		if err := errors.Join(splice.CheckHead(c.head.raw), httphead.Check(response)); err != nil {
 			c.unusable = true
 			return nil, err
 		}
