Refuse heads with names of fields that are none

What callers saw: an answer in whose head a name held a blank, with that line passed on; with "Content-Length : 5" 13 bytes for 5, and with "Transfer-Encoding : chunked" the sizes of the chunks as body.

Cause: net/http keeps names with blanks in or after them as they are, so that they are fields of other names, which do not mark the end of the body.

Why it works: each name that net/http has read is a token, or the head is none. What it drops or moves has a sound name.

Held before and still: a tab, NUL and other control bytes, DEL and bytes above 127 in a name, no name, a name on two lines, a first line that continues, control bytes in a value. Names with all marks that a token may hold, and folded values, arrive.

--- a/io/httphead/httphead.go
+++ b/io/httphead/httphead.go
@@ -1,7 +1,8 @@
 // Package httphead checks heads of responses that net/http has read. It reads some that are none: a status below
-// 100 and a switch to a protocol that was not requested.
+// 100, a switch to a protocol that was not requested, and names of fields with blanks in or after them, as in
+// "Content-Length : 5", which it keeps as fields of another name, so that the length does not count.
 //
-// Such a head is no response (RFC 9110, section 15). Nothing in it holds: not its status, nor a refusal,
+// Such a head is no response (RFC 9110, sections 5.1 and 15). Nothing in it holds: not its status, nor a refusal,
 // nor a notice.
 //
 // # Usage
@@ -12,12 +13,18 @@
 //		// the response is malformed
 //	}
 //
-// Interim responses are checked in the same way.
+// Interim responses are checked in the same way. An http.Transport reads them itself; its requests get the trace of
+// WithTrace. Trailers are checked by CheckFields. Responses over HTTP/2 need no check, as their reader makes it.
 package httphead
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Reason is why a head is none.
@@ -29,16 +36,24 @@
 	StatusBelow100 Reason = "statusBelow100"
 	// UnrequestedSwitch means that the response switches to another protocol.
 	UnrequestedSwitch Reason = "unrequestedSwitch"
+	// FieldName means that the name of a field is none.
+	FieldName Reason = "fieldName"
 )
 
 // Error reports a head that is none.
 type Error struct {
 	Reason Reason
+	// Status is the status of the head, or zero for fields alone.
 	Status int
+	// Field is the name that is none.
+	Field string
 }
 
 // Error returns a message with what is wrong.
 func (e *Error) Error() string {
+	if e.Reason == FieldName {
+		return fmt.Sprintf("the response has a field with the name %q, which is none", e.Field)
+	}
 	return fmt.Sprintf("the response has the status %03d (%s)", e.Status, e.Reason)
 }
 
@@ -57,5 +72,29 @@
 			Status: response.StatusCode,
 		}
 	}
+	return checkNames(response.StatusCode, response.Header)
+}
+
+// CheckFields returns an *Error if the name of one of the fields is none. Fields without a value have been announced only.
+func CheckFields(fields http.Header) error { return checkNames(0, fields) }
+
+func checkNames(status int, fields map[string][]string) error {
+	for name, values := range fields {
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return &Error{
+				Reason: FieldName,
+				Status: status,
+				Field:  name,
+			}
+		}
+	}
 	return nil
 }
+
+// WithTrace returns a context for a request of an http.Transport, which fails with an *Error if the head of an interim response
+// is none.
+func WithTrace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		Got1xxResponse: func(status int, fields textproto.MIMEHeader) error { return checkNames(status, fields) },
+	})
+}
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -574,7 +574,7 @@
 	reason, field, status := reasonUnparsedHead, "", 0
 	switch {
 	case errors.As(err, &none):
-		reason, status = string(none.Reason), none.Status
+		reason, field, status = string(none.Reason), none.Field, none.Status
 	case errors.As(err, &spliced):
 		reason, field = reasonSplicedHead, spliced.Field
 	case t.response != nil, upstream.ExcessPart(err) != "", errors.As(err, &unsolicited), errors.Is(err, net.ErrClosed):
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -200,6 +200,7 @@
 		if len(response.TransferEncoding) > 0 {
 			response.Body = &framedBody{
 				ReadCloser: response.Body,
+				response:   response,
 				head:       c.head,
 			}
 		}
--- a/io/upstream/excess.go
+++ b/io/upstream/excess.go
@@ -5,6 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
+
+	"cactuswell/io/httphead"
 )
 
 const (
@@ -151,15 +154,25 @@
 }
 
 // framedBody is the body of a response in chunks. Its errors tell damaged or excessive
-// framing from errors of the connection.
+// framing, with the trailer, from errors of the connection.
 type framedBody struct {
 	io.ReadCloser
-	head *headLimiter
+	response *http.Response
+	head     *headLimiter
 }
 
 // Read implements io.Reader.
 func (b *framedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		// The trailer has been read with the end.
+		if fieldsErr := httphead.CheckFields(b.response.Trailer); fieldsErr != nil {
+			return n, &ExcessError{
+				Part: PartFraming,
+				Err:  fieldsErr,
+			}
+		}
+	}
 	switch {
 	case err == nil || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
 		return n, err
