Check the heads of responses at each place that reads them

With a head that is none a refusal of a service, of the log or of the store counted as the promise that nothing was run or written, and a tunnel was opened or denied by such a head.

Cause: the heads that an http.Transport reads, and that of a CONNECT response, were not checked; fields with a blank in the name were ignored.

Change: httpjson.Do (the store, the control API, other hosts, load and state of engines, the host list), engine.Exchange, the log's client and the tunnel's client check them by io/httphead, interim responses by a trace.

Why it works: the check is the same as for endpoints' answers. HTTP/2 between hosts has it in its reader.

--- a/io/engine/exchange.go
+++ b/io/engine/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 
+	"cactuswell/io/httphead"
 	"cactuswell/io/httpjson"
 	"cactuswell/io/splice"
 )
@@ -34,7 +35,7 @@
 	trc := &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	}
-	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trc))
+	request = request.WithContext(httptrace.WithClientTrace(httphead.WithTrace(request.Context()), trc))
 	// http.Transport retries a POST by itself if it can rewind the body and the
 	// request has an Idempotency-Key header. Without GetBody it cannot rewind it.
 	request.GetBody = nil
@@ -54,7 +55,7 @@
 }
 
 func checkResponseHeader(response *http.Response, attemptID string) error {
-	if err := splice.Check(response); err != nil {
+	if err := errors.Join(splice.Check(response), httphead.Check(response)); err != nil {
 		return &IncompleteResponseError{Cause: err}
 	}
 	if ids := response.Header.Values(HeaderAttemptID); len(ids) != 1 || ids[0] != attemptID {
--- a/io/httphead/httphead.go
+++ b/io/httphead/httphead.go
@@ -23,6 +23,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync/atomic"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -38,8 +39,13 @@
 	UnrequestedSwitch Reason = "unrequestedSwitch"
 	// FieldName means that the name of a field is none.
 	FieldName Reason = "fieldName"
+	// ManyInterim means that more than maxInterim interim responses came before the response.
+	ManyInterim Reason = "manyInterim"
 )
 
+// maxInterim bounds the interim responses that an http.Transport reads for one request.
+const maxInterim = 5
+
 // Error reports a head that is none.
 type Error struct {
 	Reason Reason
@@ -92,9 +98,18 @@
 }
 
 // WithTrace returns a context for a request of an http.Transport, which fails with an *Error if the head of an interim response
-// is none.
+// is none, or if there are too many. Without a trace of them the transport has the same bound.
 func WithTrace(ctx context.Context) context.Context {
+	var count atomic.Int32
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		Got1xxResponse: func(status int, fields textproto.MIMEHeader) error { return checkNames(status, fields) },
+		Got1xxResponse: func(status int, fields textproto.MIMEHeader) error {
+			if count.Add(1) > maxInterim {
+				return &Error{
+					Reason: ManyInterim,
+					Status: status,
+				}
+			}
+			return checkNames(status, fields)
+		},
 	})
 }
--- a/io/httpjson/httpjson.go
+++ b/io/httpjson/httpjson.go
@@ -8,7 +8,8 @@
 //
 //	body, err := httpjson.Fetch(ctx, client, http.MethodGet, base+"/v1/state", nil, maxAnswerBytes)
 //
-// A response with a status other than 200 is returned as a *StatusError.
+// A response with a status other than 200 is returned as a *StatusError, and one of which the head is none as a
+// *httphead.Error: it says nothing of the call.
 package httpjson
 
 import (
@@ -24,6 +25,7 @@
 
 	"github.com/gravitational/trace"
 
+	"cactuswell/io/httphead"
 	"cactuswell/io/progress"
 )
 
@@ -101,7 +103,7 @@
 // FetchWithHeader. It marks the progress of the request's context (see package progress).
 func Do(client *http.Client, request *http.Request, limit int64) ([]byte, http.Header, error) {
 	ctx := request.Context()
-	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	request = request.WithContext(httptrace.WithClientTrace(httphead.WithTrace(ctx), &httptrace.ClientTrace{
 		GotConn:              func(httptrace.GotConnInfo) { progress.Mark(ctx) },
 		GotFirstResponseByte: func() { progress.Mark(ctx) },
 	}))
@@ -110,6 +112,9 @@
 		return nil, nil, trace.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := httphead.Check(response); err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
 	if response.StatusCode != http.StatusOK {
 		errorBody, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 		return nil, response.Header, trace.Wrap(&StatusError{
--- a/io/logservice/client.go
+++ b/io/logservice/client.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"cactuswell/core/record"
+	"cactuswell/io/httphead"
 	"cactuswell/io/httpjson"
 )
 
@@ -92,11 +93,14 @@
 }
 
 func (c *Client) do(request *http.Request, into any) error {
-	response, err := c.http.Do(request)
+	response, err := c.http.Do(request.WithContext(httphead.WithTrace(request.Context())))
 	if err != nil {
 		return trace.Wrap(&UnavailableError{Cause: err})
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := httphead.Check(response); err != nil {
+		return trace.Wrap(&UnavailableError{Cause: err})
+	}
 	switch {
 	case response.StatusCode == http.StatusTooManyRequests:
 		return trace.Wrap(&RefusedError{
--- a/io/service/refusal_test.go
+++ b/io/service/refusal_test.go
@@ -123,6 +123,11 @@
 		{name: "with a status of a redirect", late: "HTTP/1.1 307 Temporary Redirect\r\nLocation: /\r\n" + engine.HeaderNotStarted + ": true\r\n" + idLine(callID) + end},
 		{name: "in an informational response", late: "HTTP/1.1 103 Early Hints\r\n" + engine.HeaderNotStarted + ": true\r\n" + idLine(callID) + "\r\n"},
 		{name: "in an informational response, then another's", late: "HTTP/1.1 103 Early Hints\r\n" + idLine(callID) + "\r\n" + refusalHead + end},
+		{name: "own, with a blank in a name", late: refusalHead + idLine(callID) + "X Odd: 1\r\n" + end},
+		{name: "own, with a blank after a name", late: refusalHead + idLine(callID) + "Content-Length : 3\r\n" + end},
+		{name: "own, after an interim response that is none", late: "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + refusalHead + idLine(callID) + end},
+		{name: "own, after a status that is none", late: "HTTP/1.1 000 Odd\r\n\r\n" + refusalHead + idLine(callID) + end},
+		{name: "own, after a switch of protocols", late: "HTTP/1.1 101 Switching Protocols\r\n\r\n" + refusalHead + idLine(callID) + end},
 		{name: "ends in its header", late: refusalHead + idLine(callID)},
 		{name: "no response"},
 	}
--- a/io/tunnel/client.go
+++ b/io/tunnel/client.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"cactuswell/io/httphead"
 	"cactuswell/io/tcp"
 )
 
@@ -278,6 +279,9 @@
 		return nil, HostUnreachable, err
 	}
 	_ = response.Body.Close()
+	if err := httphead.Check(response); err != nil {
+		return nil, HostUnreachable, err
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, Reason(response.Header.Get(reasonHeader)), &StatusError{Status: response.StatusCode}
 	}
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -216,6 +216,25 @@
 	}
 }
 
+// TestHeadThatIsNoneOpensNoTunnel guards against a tunnel, or a reason why there is none, by the word of a head that is none.
+func TestHeadThatIsNoneOpensNoTunnel(t *testing.T) {
+	for name, answer := range map[string]string{
+		"a blank in a name":               "HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n",
+		"a blank after a name":            "HTTP/1.1 200 OK\r\nCactuswell-Framing : length\r\n\r\n",
+		"a status that is none":           "HTTP/1.1 000 Odd\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"a denial with a blank":           "HTTP/1.1 502 Bad Gateway\r\nCactuswell-Reason: refused\r\nX Odd: 1\r\n\r\n",
+		"a denial, a status that is none": "HTTP/1.1 -02 Bad Gateway\r\nCactuswell-Reason: refused\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := connect(t, hostList{answerTunnel(t, answer)}, "127.0.0.1:1")
+			var failure *tunnel.ConnectError
+			if !errors.As(err, &failure) || failure.Reason != tunnel.HostUnreachable {
+				t.Errorf("the error is %v", err)
+			}
+		})
+	}
+}
+
 // TestEndpointThatClosesAtOnceEndsTunnel guards against a host that counts as unreachable because
 // the end of the endpoint's connection has arrived together with its response.
 func TestEndpointThatClosesAtOnceEndsTunnel(t *testing.T) {
