Let the soak's endpoints answer long requests early and send bad heads

Cause: the stand-ins were kinder than real endpoints. They read a request before they answered, reset connections on which nothing was being written, and sent heads that are heads.

Change: TestSoakOfLongRequests. Callers send requests of up to 3 MB, which endpoints answer before they have read them, without a length; some reset the connection within the answer or close it with the request unread. Other heads have a status below 100, an unrequested 101 or a bad name.

--- a/io/opaque/badhead_test.go
+++ b/io/opaque/badhead_test.go
@@ -121,7 +121,7 @@
 					if isServed != test.isSound || isServed && got.body != oneEvent {
 						t.Errorf("%s: the caller got %+v", kind, got)
 					}
-					if !isServed && !(got.status == http.StatusBadGateway || got.status == http.StatusOK && !got.isWhole) {
+					if !isServed && got.status != http.StatusBadGateway && (got.status != http.StatusOK || got.isWhole) {
 						t.Errorf("%s: the caller got the status %d", kind, got.status)
 					}
 				}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -17,6 +17,7 @@
 	"time"
 
 	product "cactuswell/io/opaque"
+	"cactuswell/standin/worker"
 )
 
 const (
@@ -35,6 +36,12 @@
 	shortParts = 900
 )
 
+// longBodies are the sizes in bytes of requests that are answered early.
+var longBodies = []int{60, 200 << 10, 3 << 20}
+
+// bodyLimit is the maximum size in bytes of a request's body in the configuration.
+const bodyLimit = 4 << 20
+
 // operationKind is something that callers want done.
 type operationKind struct {
 	path         string
@@ -116,11 +123,13 @@
 	isVaried   bool
 	// variesAnswers is set if it asks for answers of all sizes and framings.
 	variesAnswers bool
-	names         product.HeaderNames
-	random        *rand.Rand
-	served        *atomic.Int64
-	kept          *callerConn
-	sent          int
+	// sendsLong is set if it sends long requests, some of which are answered early.
+	sendsLong bool
+	names     product.HeaderNames
+	random    *rand.Rand
+	served    *atomic.Int64
+	kept      *callerConn
+	sent      int
 }
 
 // callerConn is a connection of a caller to a host.
@@ -334,6 +343,9 @@
 	if !kind.isStream && response.StatusCode == http.StatusOK {
 		s.doubt = doubtOf(body.Bytes(), mark, request, path)
 	}
+	if found := doubtOfHead(response.Header); found != nil {
+		s.doubt = found
+	}
 	if got := response.Header.Get(c.names.RequestID); got != "" && got != request {
 		detail = "the response is for " + got
 	}
@@ -375,6 +387,9 @@
 	if c.random.IntN(16) == 0 {
 		body = strings.Repeat("b", 20_000)
 	}
+	if strings.HasSuffix(path, worker.EarlySuffix) {
+		body = strings.Repeat("b", longBodies[c.random.IntN(len(longBodies))])
+	}
 	method := http.MethodPost
 	if kind.isGet {
 		method, body = http.MethodGet, ""
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -94,7 +94,7 @@
 	if o.fleet.settings.Configurations {
 		routes = append(routes, versionedRoutes(o.version)...)
 	}
-	o.fleet.log.Append(platform.ConfigurationTopic, platform.ConfigurationKey, platformtest.EncodeConfiguration(o.version, routes))
+	o.fleet.log.Append(platform.ConfigurationTopic, platform.ConfigurationKey, platformtest.EncodeConfigurationWithLimit(o.version, routes, bodyLimit))
 	o.acceptedAt = time.Now()
 }
 
--- a/soak/doubt.go
+++ b/soak/doubt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 	"strings"
 
 	"cactuswell/standin/worker"
@@ -13,6 +14,8 @@
 	// with its connection.
 	largeShare    = 0.15
 	unframedShare = 0.1
+	// earlyShare is the share of the plain requests that endpoints answer early, of callers that send long ones.
+	earlyShare = 0.3
 	// excerptBytes is how much of a body the journal holds around the byte at which it differs.
 	excerptBytes = 200
 )
@@ -33,6 +36,9 @@
 	if kind.isStream {
 		return path + "/stream"
 	}
+	if c.sendsLong && c.random.Float64() < earlyShare {
+		return path + worker.EarlySuffix
+	}
 	if !c.variesAnswers {
 		return path
 	}
@@ -63,6 +69,15 @@
 	}
 }
 
+// doubtOfHead returns what a caller finds if an answer has a head that is none, or comes after one, and nil otherwise.
+func doubtOfHead(header http.Header) *doubt {
+	form := header.Get(worker.BadHeadField)
+	if form == "" {
+		return nil
+	}
+	return &doubt{detail: "the head is none, or comes after one: form " + form}
+}
+
 // recordDoubt records that a whole answer is not one endpoint's, if that is so.
 func (c *caller) recordDoubt(event Event, s *stream) {
 	if s.doubt == nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -108,6 +108,8 @@
 	// VariesAnswers makes callers ask for answers of all sizes and framings, and for streams of all kinds, beside
 	// hosts that are short of processor time.
 	VariesAnswers bool
+	// SendsLong makes callers send long requests, some of which endpoints answer before they have read them.
+	SendsLong bool
 	// Streams makes callers ask for streams, which they resume, while endpoints change between
 	// two software versions.
 	Streams bool
@@ -466,6 +468,7 @@
 		served:     &f.served,
 
 		variesAnswers: f.settings.VariesAnswers,
+		sendsLong:     f.settings.SendsLong,
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -137,6 +137,19 @@
 	})
 }
 
+// TestSoakOfLongRequests guards against parts of answers that look whole, as a reset has cut them while their requests were on their
+// way, and against answers whose heads are none.
+func TestSoakOfLongRequests(t *testing.T) {
+	checkSeeds(t, 1, soak.Settings{
+		Faults: worker.Faults{
+			EarlyCuts: 0.3,
+			BadHeads:  0.05,
+		},
+		SendsLong: true,
+		Duration:  3 * time.Second,
+	})
+}
+
 // selectFaults leaves those of the faults whose names the variable holds.
 func selectFaults(faults *worker.Faults) {
 	names := os.Getenv(faultsVariable)
--- a/standin/worker/answer.go
+++ b/standin/worker/answer.go
@@ -40,8 +40,15 @@
 	if strings.HasSuffix(request.URL.Path, "stream") {
 		return s.stream(request, id) && s.finish(request)
 	}
+	if isAnsweredEarly(request) {
+		s.answerEarly(request, id)
+		return false
+	}
 	m := s.compose(request, id)
 	whole := m.text
+	if w.happens(func(f Faults) float64 { return f.BadHeads }) {
+		return s.write(s.spoilHead(m)) && m.framing != toEnd && s.finish(request)
+	}
 	if w.happens(func(f Faults) float64 { return f.OddAnswers }) {
 		return s.answerOddly(request, id, whole)
 	}
--- a/standin/worker/faults.go
+++ b/standin/worker/faults.go
@@ -60,4 +60,9 @@
 	// Preemptions is the share of streams that pause before an event for up to the time that callers wait, once: not
 	// after they were resumed.
 	Preemptions float64
+	// EarlyCuts is the share of the early answers to long requests that are cut by a reset, or by a close that leaves the
+	// request unread.
+	EarlyCuts float64
+	// BadHeads is the share of plain answers whose head is none, or comes after one that is none.
+	BadHeads float64
 }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -342,7 +342,7 @@
 func (s *session) serve(request *http.Request) bool {
 	w := s.worker
 	arrivedAt := time.Now()
-	s.early = w.happens(func(f Faults) float64 { return f.EarlyAnswers })
+	s.early = isAnsweredEarly(request) || w.happens(func(f Faults) float64 { return f.EarlyAnswers })
 	if !s.early && !discardBody(request) {
 		return false
 	}
@@ -364,7 +364,9 @@
 	if stray := s.strayRefusal(id); stray != nil && !s.sendStray(stray) {
 		return false
 	}
-	s.await(w.settings.WorkTime)
+	if !isAnsweredEarly(request) {
+		s.await(w.settings.WorkTime)
+	}
 	w.awaitThaw()
 	return s.answer(request, id)
 }
