Count in receipts what the kernel has seen acknowledged

Cause: a receipt was the bytes whose write had returned less those that were unacknowledged. It could rise as a write returned, without an acknowledgment after the end, which counts as the sign of an open connection.

Change: receipts count by the connection's own counter of acknowledged bytes. What follows the end is chosen by two types, one for hosts that get receipts and one for those of the version before. Found by reading; no run showed it.

--- a/io/tunnel/receipt.go
+++ b/io/tunnel/receipt.go
@@ -61,11 +61,13 @@
 // acceptsReceipts reports whether the header of a request or response names receiptsCount.
 func acceptsReceipts(header http.Header) bool { return header.Get(receiptsHeader) == receiptsCount }
 
-// requestWriter writes what the other host has sent to the endpoint, and counts it.
+// requestWriter writes what the other host has sent to the endpoint.
 type requestWriter struct {
 	endpoint net.Conn
-	// received is the number of bytes that were to be written, written that of those that were handed to the operating
-	// system.
+	// ackedBefore is what the endpoint's connection counted as acknowledged when the tunnel was opened.
+	ackedBefore uint64
+	// received is the number of bytes that were to be written, and written that of those that were handed to the
+	// operating system.
 	received atomic.Uint64
 	written  atomic.Uint64
 	// hasFailed is set if a write has failed.
@@ -75,9 +77,12 @@
 }
 
 func newRequestWriter(endpoint net.Conn) *requestWriter {
+	// Without a state the bytes that were written count.
+	before, _ := tcp.InspectTransfer(endpoint)
 	return &requestWriter{
-		endpoint: endpoint,
-		activity: make(chan struct{}, 1),
+		endpoint:    endpoint,
+		ackedBefore: before.Acked,
+		activity:    make(chan struct{}, 1),
 	}
 }
 
@@ -100,12 +105,15 @@
 func (w *requestWriter) transfer(host net.Conn) upload.Transfer {
 	written := w.written.Load()
 	transfer, err := tcp.InspectTransfer(w.endpoint)
-	if err != nil && !errors.Is(err, tcp.ErrNotInspectable) {
+	switch {
+	case errors.Is(err, tcp.ErrNotInspectable):
+		transfer.Acked = written
+	case err != nil:
 		// The connection has been closed after a failed write, or as the other host has left.
 		transfer.IsReset = true
+	default:
+		transfer.Acked -= w.ackedBefore
 	}
-	// Bytes that are being written may be unacknowledged and not count as written yet.
-	transfer.Acked = written - min(written, uint64(transfer.Unacked))
 	transfer.IsWritten = written == w.received.Load() && !tcp.HasUnreadBytes(host)
 	transfer.IsWriteFailed = w.hasFailed.Load()
 	return transfer
@@ -120,11 +128,10 @@
 	ticker := time.NewTicker(receiptInterval)
 	defer ticker.Stop()
 	transfer := t.requests.transfer(t.host)
-	follow := t.newFollower(frames, transfer)
+	follower := t.newFollower(frames, transfer)
 	for {
-		hasEnded, isInOrder := follow(transfer, time.Since(endedAt))
-		if hasEnded {
-			return isInOrder
+		if next := follower.follow(transfer, time.Since(endedAt)); next != goOn {
+			return next == endInOrder
 		}
 		var ticks <-chan time.Time
 		if !t.sendsReceipts || !transfer.IsWritten || transfer.Unacked > 0 {
@@ -145,56 +152,83 @@
 	}
 }
 
-// follower takes the state of the request at a time since the end of the endpoint's connection. It reports whether the tunnel
-// ends, and whether it does so in order.
-type follower func(transfer upload.Transfer, waited time.Duration) (hasEnded, isInOrder bool)
+// step is what becomes of a tunnel after the end of the endpoint's connection.
+type step int
+
+const (
+	goOn step = iota
+	endInOrder
+	breakOff
+)
+
+// follower takes the state of the request at a time since the end of the endpoint's connection. It is implemented only by
+// reporter and judge.
+type follower interface {
+	follow(transfer upload.Transfer, waited time.Duration) step
+}
 
 func (t *tunnel) newFollower(frames *frameWriter, atEnd upload.Transfer) follower {
 	if t.sendsReceipts {
-		return newReporter(frames)
+		return &reporter{frames: frames}
+	}
+	return &judge{
+		frames: frames,
+		watch:  upload.New(atEnd),
+		acked:  atEnd.Acked,
 	}
-	return newJudge(frames, atEnd)
 }
 
-// newReporter returns the follower for a host that gets receipts, and that decides.
-func newReporter(frames *frameWriter) follower {
-	var last *receipt
-	return func(transfer upload.Transfer, waited time.Duration) (hasEnded, isInOrder bool) {
-		if transfer.IsWriteFailed || transfer.IsReset && (transfer.Unacked > 0 || !transfer.IsKnown) {
-			return true, false
-		}
-		next := receipt{
-			acked:      transfer.Acked,
-			isHeldBack: transfer.IsHeldBack,
-		}
-		if last == nil || *last != next {
-			if frames.endWithReceipt(next) != nil {
-				return true, false
-			}
-			last = &next
+// reporter sends receipts to a host that decides by them.
+type reporter struct {
+	frames *frameWriter
+	// last is the last receipt, if hasSent is set.
+	last    receipt
+	hasSent bool
+}
+
+func (r *reporter) follow(transfer upload.Transfer, waited time.Duration) step {
+	if transfer.IsWriteFailed || transfer.IsReset && (transfer.Unacked > 0 || !transfer.IsKnown) {
+		return breakOff
+	}
+	next := receipt{
+		acked:      transfer.Acked,
+		isHeldBack: transfer.IsHeldBack,
+	}
+	if !r.hasSent || r.last != next {
+		if r.frames.endWithReceipt(next) != nil {
+			return breakOff
 		}
-		return waited >= receiptTime, true
+		r.last, r.hasSent = next, true
+	}
+	if waited >= receiptTime {
+		return endInOrder
 	}
+	return goOn
 }
 
-// newJudge returns the follower for a host of an earlier version, which takes the end of the tunnel for that of the response.
-// It is not known whether the other host has sent its whole request, so that it must have been quiet.
-func newJudge(frames *frameWriter, atEnd upload.Transfer) follower {
-	watch := upload.New(atEnd)
-	acked, changedAt := atEnd.Acked, time.Duration(0)
-	return func(transfer upload.Transfer, waited time.Duration) (hasEnded, isInOrder bool) {
-		if transfer.Acked != acked {
-			acked, changedAt = transfer.Acked, waited
-		}
-		verdict := watch.Judge(transfer, waited)
-		switch {
-		case verdict == upload.Pending, verdict == upload.Arrived && waited-changedAt < quietTime:
-			return false, false
-		case !verdict.IsComplete():
-			return true, false
-		}
-		return true, frames == nil || frames.end() == nil
+// judge decides for a host of an earlier version, which takes the end of the tunnel for that of the response. It is not known
+// whether that host has sent its whole request, so that it must have been quiet.
+type judge struct {
+	// frames is nil if the other host expects none.
+	frames *frameWriter
+	watch  *upload.Watch
+	// acked is what the endpoint has acknowledged, and changedAt the time since which that is so.
+	acked     uint64
+	changedAt time.Duration
+}
+
+func (j *judge) follow(transfer upload.Transfer, waited time.Duration) step {
+	if transfer.Acked != j.acked {
+		j.acked, j.changedAt = transfer.Acked, waited
+	}
+	verdict := j.watch.Judge(transfer, waited)
+	switch {
+	case verdict == upload.Pending, verdict == upload.Arrived && waited-j.changedAt < quietTime:
+		return goOn
+	case !verdict.IsComplete(), j.frames != nil && j.frames.end() != nil:
+		return breakOff
 	}
+	return endInOrder
 }
 
 // Transfer implements tcp.TransferInspector. It is called after the end of the endpoint's connection, by the goroutine that
