--- a/io/httphead/httphead.go
+++ b/io/httphead/httphead.go
@@ -1,9 +1,9 @@
-// Package httphead checks heads of responses that net/http has read. It reads some that are none: a status below
-// 100, a switch to a protocol that was not requested, and names of fields with blanks in or after them, as in
-// "Content-Length : 5", which it keeps as fields of another name, so that the length does not count.
+// Package httphead checks heads of responses that net/http has read. net/http accepts invalid ones: with a status below
+// 100, with a switch to a protocol that was not requested, and with blanks in names of fields or after them, as in
+// "Content-Length : 5", which it keeps as a field of another name, so that the length does not count.
 //
-// Such a head is no response (RFC 9110, sections 5.1 and 15). Nothing in it holds: not its status, nor a refusal,
-// nor a notice.
+// A response with an invalid head is malformed (RFC 9110, sections 5.1 and 15). Nothing in it holds: not its status, nor a
+// refusal, nor a notice.
 //
 // # Usage
 //
@@ -28,16 +28,16 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// Reason is why a head is none.
+// Reason is why a head is invalid.
 type Reason string
 
 // Reasons.
 const (
-	// StatusBelow100 means that the status is no status.
+	// StatusBelow100 means that the status is out of range.
 	StatusBelow100 Reason = "statusBelow100"
 	// UnrequestedSwitch means that the response switches to another protocol.
 	UnrequestedSwitch Reason = "unrequestedSwitch"
-	// FieldName means that the name of a field is none.
+	// FieldName means that the name of a field is invalid.
 	FieldName Reason = "fieldName"
 	// ManyInterim means that more than maxInterim interim responses came before the response.
 	ManyInterim Reason = "manyInterim"
@@ -46,24 +46,24 @@
 // maxInterim bounds the interim responses that an http.Transport reads for one request.
 const maxInterim = 5
 
-// Error reports a head that is none.
+// Error reports an invalid head.
 type Error struct {
 	Reason Reason
 	// Status is the status of the head, or zero for fields alone.
 	Status int
-	// Field is the name that is none.
+	// Field is the invalid name.
 	Field string
 }
 
 // Error returns a message with what is wrong.
 func (e *Error) Error() string {
 	if e.Reason == FieldName {
-		return fmt.Sprintf("the response has a field with the name %q, which is none", e.Field)
+		return fmt.Sprintf("the response has a field with the invalid name %q", e.Field)
 	}
 	return fmt.Sprintf("the response has the status %03d (%s)", e.Status, e.Reason)
 }
 
-// Check returns an *Error if the head of a final or interim response is none. The request must not have asked for another
+// Check returns an *Error if the head of a final or interim response is invalid. The request must not have asked for another
 // protocol.
 func Check(response *http.Response) error {
 	switch {
@@ -81,7 +81,7 @@
 	return checkNames(response.StatusCode, response.Header)
 }
 
-// CheckFields returns an *Error if the name of one of the fields is none. Fields without a value have been announced only.
+// CheckFields returns an *Error if the name of one of the fields is invalid. Fields without a value have been announced only.
 func CheckFields(fields http.Header) error { return checkNames(0, fields) }
 
 func checkNames(status int, fields map[string][]string) error {
@@ -98,7 +98,7 @@
 }
 
 // WithTrace returns a context for a request of an http.Transport, which fails with an *Error if the head of an interim response
-// is none, or if there are too many. Without a trace of them the transport has the same bound.
+// is invalid, or if there are too many. Without a trace of them the transport has the same bound.
 func WithTrace(ctx context.Context) context.Context {
 	var count atomic.Int32
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
--- a/io/httpjson/head_test.go
+++ b/io/httpjson/head_test.go
@@ -63,9 +63,9 @@
 	}
 }
 
-// TestHeadThatIsNoneIsAnError guards against a response of which the head is none and that is taken for one: its status may say
+// TestInvalidHeadIsAnError guards against a response with an invalid head that is taken for a valid one: its status may say
 // that a call was executed, or that nothing was written.
-func TestHeadThatIsNoneIsAnError(t *testing.T) {
+func TestInvalidHeadIsAnError(t *testing.T) {
 	const body = "Content-Length: 2\r\n\r\n{}"
 	for name, test := range map[string]struct {
 		answer string
--- a/io/httpjson/httpjson.go
+++ b/io/httpjson/httpjson.go
@@ -8,7 +8,7 @@
 //
 //	body, err := httpjson.Fetch(ctx, client, http.MethodGet, base+"/v1/state", nil, maxAnswerBytes)
 //
-// A response with a status other than 200 is returned as a *StatusError, and one of which the head is none as a
+// A response with a status other than 200 is returned as a *StatusError, and one with an invalid head as a
 // *httphead.Error: it says nothing of the call.
 package httpjson
 
--- a/io/logservice/client_test.go
+++ b/io/logservice/client_test.go
@@ -11,8 +11,8 @@
 	"cactuswell/io/logservice"
 )
 
-// TestRefusalWithHeadThatIsNoneProvesNothing guards against records that count as not appended by the word of a head that is none.
-func TestRefusalWithHeadThatIsNoneProvesNothing(t *testing.T) {
+// TestRefusalWithInvalidHeadProvesNothing guards against records that count as not appended by the word of an invalid head.
+func TestRefusalWithInvalidHeadProvesNothing(t *testing.T) {
 	for fields, isRefusal := range map[string]bool{"": true, "X Odd: 1\r\n": false, "X-Odd : 1\r\n": false} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
--- a/io/opaque/attempt.go
+++ b/io/opaque/attempt.go
@@ -103,6 +103,8 @@
 	// hasExcess is set if the endpoint sent bytes after a complete response: after that of the
 	// attempt, or after that of an earlier request on the connection.
 	hasExcess bool
+	// requestBytes is the size of the request's body.
+	requestBytes int
 	// isSent is set once the whole request has been sent.
 	isSent bool
 	// evidence records what proves that the attempt has not run.
@@ -370,7 +372,9 @@
 		t.err = &CallerLeftError{}
 		return scheduling.Abandoned{}
 	}
-	if err := conn.SendRequest(t.newRequest(), x.deadline); err != nil {
+	request := t.newRequest()
+	t.requestBytes = len(request.Body)
+	if err := conn.SendRequest(request, x.deadline); err != nil {
 		t.err = err
 		var sendError *upstream.SendError
 		if errors.As(err, &sendError) && !sendError.Partial {
@@ -566,15 +570,15 @@
 	reasonUnparsedHead = "unparsed"
 )
 
-// recordHeadRefusal records that the head or the trailer of the response is none, if that is the error.
+// recordHeadRefusal records that the head or the trailer of the response is invalid, if that is the error.
 func (t *attempt) recordHeadRefusal(err error) {
-	var none *httphead.Error
+	var invalid *httphead.Error
 	var spliced *splice.Error
 	var unsolicited *upstream.UnsolicitedResponseError
 	reason, field, status := reasonUnparsedHead, "", 0
 	switch {
-	case errors.As(err, &none):
-		reason, field, status = string(none.Reason), none.Field, none.Status
+	case errors.As(err, &invalid):
+		reason, field, status = string(invalid.Reason), invalid.Field, invalid.Status
 	case errors.As(err, &spliced):
 		reason, field = reasonSplicedHead, spliced.Field
 	case t.response != nil, upstream.ExcessPart(err) != "", errors.As(err, &unsolicited), errors.Is(err, net.ErrClosed):
@@ -627,7 +631,7 @@
 	x.server.Meter.RecordConnectionEnd(end)
 	last := t.conn.ConnectionEnd()
 	x.server.Trail.Failure("answerCut").Text("request", x.requestInfo.RequestID).Text("endpoint", x.currentSend.Key.ID).
-		Text("end", end).Int("requestBytes", int64(len(x.body.bytes))).Int("unacked", last.Unacked).Millis("waited", last.Waited).
+		Text("end", end).Int("requestBytes", int64(t.requestBytes)).Int("unacked", last.Unacked).Millis("waited", last.Waited).
 		Int("bodyBytes", t.bodyBytes).Text("throughHost", t.throughHost).Bool("delivered", x.answer.isBegun()).
 		Millis("after", time.Since(t.sentAt)).Merge(x.currentSend.Key.ID)
 }
@@ -808,7 +812,7 @@
 
 // endBody returns the proof that the response's body, which was read to its end, is whole. A body that ends with its
 // connection may have been broken off: the operating system also closes the connections of a process that was killed, and
-// then refuses new ones.
+// then refuses new ones. The request may still be on its way then.
 func (t *attempt) endBody() (wholeness.Whole, error) {
 	x := t.exchange
 	hasBody := x.request.Method != http.MethodHead && allowsBody(t.response.StatusCode)
--- a/io/opaque/badhead_test.go
+++ b/io/opaque/badhead_test.go
@@ -81,9 +81,9 @@
 	"a blank after trailer name": {answer: inChunks("X-Odd : 1\r\n")},
 	"a blank after Content-Type": {fields: "Content-Type : text/plain\r\n"},
 	"a second length":            {fields: "Content Length: 3\r\n"},
-	"a length that is none":      {answer: withHead("200 OK", "Content-Length : 5\r\n")},
+	"a length with a blank":      {answer: withHead("200 OK", "Content-Length : 5\r\n")},
 	"a length after a tab":       {answer: withHead("200 OK", "Content-Length\t: 5\r\n")},
-	"chunks that are none":       {answer: withHead("200 OK", "Transfer-Encoding : chunked\r\n")},
+	"chunks with a blank":        {answer: withHead("200 OK", "Transfer-Encoding : chunked\r\n")},
 	"a name on two lines":        {fields: "X-Odd\r\n : 1\r\n"},
 	"a first line that continues": {answer: func(r *http.Request) string {
 		return strings.Replace(oneEventAnswer(r, ""), "\r\n", "\r\n X-Odd: 1\r\n", 1)
@@ -102,10 +102,10 @@
 	}
 }
 
-// TestHeadThatIsNoneIsNoAnswer guards against callers who get an answer whose head is none: with a status below 100 or a protocol
-// that nobody asked for, both skipped as interim, or with a name of a field that is none, passed on with that line or with a
+// TestInvalidHeadIsNoAnswer guards against callers who get an answer with an invalid head: with a status below 100 or a protocol
+// that nobody asked for, both skipped as interim, or with an invalid name of a field, passed on with that line or with a
 // body of another length.
-func TestHeadThatIsNoneIsNoAnswer(t *testing.T) {
+func TestInvalidHeadIsNoAnswer(t *testing.T) {
 	addControlCases(headCases)
 	for _, isTunnelled := range []bool{false, true} {
 		for name, test := range headCases {
@@ -130,9 +130,9 @@
 	}
 }
 
-// TestRefusalWithHeadThatIsNoneProvesNothing guards against a call that may have run and that is refused as not run, or sent once
-// more, by the word of a head that is none.
-func TestRefusalWithHeadThatIsNoneProvesNothing(t *testing.T) {
+// TestRefusalWithInvalidHeadProvesNothing guards against a call that may have run and that is refused as not run, or sent once
+// more, by the word of an invalid head.
+func TestRefusalWithInvalidHeadProvesNothing(t *testing.T) {
 	names := opaque.DefaultHeaderNames()
 	for name, refusal := range map[string]struct {
 		status, fields string
--- a/io/opaque/server.go
+++ b/io/opaque/server.go
@@ -66,7 +66,7 @@
 	RecordResumption(finding resumption.Finding, doubt resumption.Doubt, goesOn bool)
 	// RecordSilence records how the silence of an attempt has ended: "progress", "givenUp", or "ended" with the attempt.
 	RecordSilence(end string)
-	// RecordHeadRefusal records a response of which the head or the trailer is none.
+	// RecordHeadRefusal records a response with an invalid head or trailer.
 	RecordHeadRefusal(reason string)
 	// RecordConnectionEnd records how an answer without a length has ended with its connection.
 	RecordConnectionEnd(end string)
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -216,14 +216,14 @@
 	}
 }
 
-// TestHeadThatIsNoneOpensNoTunnel guards against a tunnel, or a reason why there is none, by the word of a head that is none.
-func TestHeadThatIsNoneOpensNoTunnel(t *testing.T) {
+// TestInvalidHeadOpensNoTunnel guards against a tunnel, or a reason why there is none, by the word of an invalid head.
+func TestInvalidHeadOpensNoTunnel(t *testing.T) {
 	for name, answer := range map[string]string{
-		"a blank in a name":               "HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n",
-		"a blank after a name":            "HTTP/1.1 200 OK\r\nCactuswell-Framing : length\r\n\r\n",
-		"a status that is none":           "HTTP/1.1 000 Odd\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
-		"a denial with a blank":           "HTTP/1.1 502 Bad Gateway\r\nCactuswell-Reason: refused\r\nX Odd: 1\r\n\r\n",
-		"a denial, a status that is none": "HTTP/1.1 -02 Bad Gateway\r\nCactuswell-Reason: refused\r\n\r\n",
+		"a blank in a name":           "HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n",
+		"a blank after a name":        "HTTP/1.1 200 OK\r\nCactuswell-Framing : length\r\n\r\n",
+		"an invalid status":           "HTTP/1.1 000 Odd\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"a denial with a blank":       "HTTP/1.1 502 Bad Gateway\r\nCactuswell-Reason: refused\r\nX Odd: 1\r\n\r\n",
+		"a denial, an invalid status": "HTTP/1.1 -02 Bad Gateway\r\nCactuswell-Reason: refused\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := connect(t, hostList{answerTunnel(t, answer)}, "127.0.0.1:1")
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -179,7 +179,7 @@
 // header was read. The function relate decides how a response relates to the request: those that are
 // doubtful, and late ones to earlier requests, are skipped. The error is an *ExcessError if the
 // endpoint sends more than a header may hold, a *splice.Error if a header runs into another, and a *httphead.Error if it is
-// none. Nothing in such a header holds.
+// invalid. Nothing in such a header holds.
 func (c *Conn) ReadResponse(method string, relate func(*http.Response) Relation) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	c.head.begin()
--- a/soak/doubt.go
+++ b/soak/doubt.go
@@ -69,13 +69,13 @@
 	}
 }
 
-// doubtOfHead returns what a caller finds if an answer has a head that is none, or comes after one, and nil otherwise.
+// doubtOfHead returns what a caller finds if an answer has an invalid head, or comes after one, and nil otherwise.
 func doubtOfHead(header http.Header) *doubt {
 	form := header.Get(worker.BadHeadField)
 	if form == "" {
 		return nil
 	}
-	return &doubt{detail: "the head is none, or comes after one: form " + form}
+	return &doubt{detail: "the head is invalid, or comes after an invalid one: form " + form}
 }
 
 // recordDoubt records that a whole answer is not one endpoint's, if that is so.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -138,7 +138,7 @@
 }
 
 // TestSoakOfLongRequests guards against parts of answers that look whole, as a reset has cut them while their requests were on their
-// way, and against answers whose heads are none.
+// way, and against answers with invalid heads.
 func TestSoakOfLongRequests(t *testing.T) {
 	checkSeeds(t, 1, soak.Settings{
 		Faults: worker.Faults{
--- a/standin/worker/early.go
+++ b/standin/worker/early.go
@@ -12,7 +12,7 @@
 	// EarlySuffix ends the paths of requests that are answered before their body was read, by an answer that ends with
 	// the connection.
 	EarlySuffix = "/early"
-	// BadHeadField is in all answers that follow or are themselves a head that is none.
+	// BadHeadField is in all answers that follow or are themselves an invalid head.
 	BadHeadField = "X-Bad-Head"
 
 	// partRead is the number of bytes of a request that some endpoints read before they answer.
@@ -58,13 +58,13 @@
 // so that nothing tells that the answer is not whole.
 const minEarlyCut = 100 << 10
 
-// spoilHead returns an answer with a head that is none, or after one.
+// spoilHead returns an answer with an invalid head, or after one.
 func (s *session) spoilHead(m *message) []byte {
 	before := []string{"HTTP/1.1 000 Odd\r\n\r\n", "HTTP/1.1 099 Odd\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 101 Switching Protocols\r\n\r\n",
 		"HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n"}
 	within := []string{"X Odd: 1\r\n", "X-Odd : 1\r\n", "Content-Type : text/plain\r\n"}
 	form := s.worker.intN(len(before) + len(within))
-	s.tell(fmt.Sprintf("head %d that is none,", form), m, 0)
+	s.tell(fmt.Sprintf("invalid head %d,", form), m, 0)
 	head, data := string(m.text[:m.headBytes-len("\r\n")]), string(m.text[m.headBytes:])
 	head += BadHeadField + ": " + fmt.Sprint(form) + "\r\n"
 	if form < len(before) {
--- a/standin/worker/faults.go
+++ b/standin/worker/faults.go
@@ -63,6 +63,6 @@
 	// EarlyCuts is the share of the early answers to long requests that are cut by a reset, or by a close that leaves the
 	// request unread.
 	EarlyCuts float64
-	// BadHeads is the share of plain answers whose head is none, or comes after one that is none.
+	// BadHeads is the share of plain answers with an invalid head, or after one.
 	BadHeads float64
 }
