Pass resets on through the stand-in of a network while requests are under way

Trace: the hosts' lines say that the requests had arrived (arrived). They had, at the proxy between: the write of the proxy got the report of the reset, and the copier of the other direction passed on an end in order. It also acknowledges what its target never gets. No network does either.

Change: before the proxy passes on the end of its target, the target must have acknowledged what the client has sent, or the connection is reset.

--- a/io/httphead/httphead.go
+++ b/io/httphead/httphead.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	response, err := http.ReadResponse(reader, request)
+//	response, err := client.Do(request.WithContext(httphead.WithTrace(ctx)))
 //	...
 //	if err := httphead.Check(response); err != nil {
 //		// the response is malformed
--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -19,13 +19,21 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"cactuswell/core/upload"
+	"cactuswell/io/tcp"
 )
 
 const (
 	// bufferBytes is the size of the buffer for each direction of a connection.
 	bufferBytes = 16 << 10
 	dialTimeout = time.Second
+	// settleInterval is the time between two looks at what the target has acknowledged, and quietTime how long a client must
+	// have sent nothing to count as done with its request.
+	settleInterval = 2 * time.Millisecond
+	quietTime      = 20 * time.Millisecond
 )
 
 // Direction is a direction in which bytes are passed on.
@@ -175,6 +183,8 @@
 	conns [directions]net.Conn
 	once  sync.Once
 	ended chan struct{}
+	// isPassing is set while bytes for the target have been read and not written.
+	isPassing atomic.Bool
 }
 
 // run passes bytes on in both directions until both have ended.
@@ -212,6 +222,9 @@
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
+		if direction == ToTarget {
+			c.isPassing.Store(true)
+		}
 		if !c.proxy.awaitPassage(c, direction) {
 			return
 		}
@@ -221,7 +234,14 @@
 				return
 			}
 		}
+		if direction == ToTarget {
+			c.isPassing.Store(false)
+		}
 		if errors.Is(err, io.EOF) {
+			if direction == ToClient && !c.awaitRequests() {
+				c.end(true)
+				return
+			}
 			if half, ok := to.(interface{ CloseWrite() error }); ok {
 				_ = half.CloseWrite()
 			}
@@ -234,6 +254,42 @@
 	}
 }
 
+// awaitRequests waits until the target has acknowledged what the client has sent, after the target has ended its side. It reports
+// false if the target was reset instead: an end in order would hide that, as the client sees the proxy's acknowledgments and not
+// those of the target.
+func (c *pair) awaitRequests() bool {
+	endedAt := time.Now()
+	quietSince := endedAt
+	transfer := c.transfer()
+	watch := upload.New(transfer)
+	for {
+		acked := transfer.Acked
+		select {
+		case <-c.ended:
+			return false
+		case <-time.After(settleInterval):
+		}
+		transfer = c.transfer()
+		if transfer.Acked != acked {
+			quietSince = time.Now()
+		}
+		verdict := watch.Judge(transfer, time.Since(endedAt))
+		if verdict == upload.Pending || verdict == upload.Arrived && time.Since(quietSince) < quietTime {
+			continue
+		}
+		return verdict.IsComplete()
+	}
+}
+
+// transfer returns the state of what the client has sent so far.
+func (c *pair) transfer() upload.Transfer {
+	isPassing := c.isPassing.Load()
+	// A connection that was closed is not known.
+	transfer, _ := tcp.InspectTransfer(c.conns[ToTarget])
+	transfer.IsWritten = !isPassing && !c.isPassing.Load() && !tcp.HasUnreadBytes(c.conns[ToClient])
+	return transfer
+}
+
 func (c *pair) awaitDelay(delay time.Duration) bool {
 	if delay <= 0 {
 		return true
