Test early failures and long early answers that a reset cuts

Cause: TestEarlyAnswerEndsWithItsConnection has answers that fit into the host's buffer and have the status 200 only.

Change: TestEarlyFailureEndsWithItsConnection, for failures of the endpoint and for an answer of 400 KB, which is forwarded as it arrives.

--- a/io/opaque/earlyend_test.go
+++ b/io/opaque/earlyend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -144,11 +145,12 @@
 	e.runs[request.Header.Get(opaque.DefaultHeaderNames().RequestID)]++
 	e.mu.Unlock()
 	_, _ = io.CopyN(io.Discard, request.Body, int64(end.reads))
-	head := answerHead(request, "200 OK", earlyFields[request.URL.Query().Get("fields")])
-	if request.URL.Query().Get("fields") == "1.0" {
+	query := request.URL.Query()
+	head := answerHead(request, cmp.Or(query.Get("status"), "200 OK"), earlyFields[query.Get("fields")])
+	if query.Get("fields") == "1.0" {
 		head = strings.Replace(head, "HTTP/1.1", "HTTP/1.0", 1)
 	}
-	_, _ = io.WriteString(conn, head+earlyBody)
+	_, _ = io.WriteString(conn, head+earlyBody+strings.Repeat("m", len(query["more"])*moreBytes))
 	end.end(conn, request.Body)
 }
 
@@ -158,6 +160,9 @@
 	return e.runs[id]
 }
 
+// moreBytes is the size of what follows earlyBody in answers that do not fit into the host's buffer.
+const moreBytes = 400 << 10
+
 const earlyBody = "id: 0\ndata: a\n\n"
 
 // earlyFields are the fields of answers that end with their connection.
@@ -176,16 +181,7 @@
 	if err != nil {
 		return callerReply{}
 	}
-	response, err := http.ReadResponse(c.reader, nil)
-	if err != nil {
-		return callerReply{}
-	}
-	body, err := io.ReadAll(response.Body)
-	return callerReply{
-		status:  response.StatusCode,
-		body:    string(body),
-		isWhole: err == nil,
-	}
+	return c.readReply()
 }
 
 // checkEarlyAnswers sends a request of each kind for answers with all fields, and checks what the caller gets.
@@ -232,6 +228,35 @@
 	}
 }
 
+// TestEarlyFailureEndsWithItsConnection guards against a part of a failure, and of an answer that is forwarded as it arrives, that
+// ends as complete in the same way.
+func TestEarlyFailureEndsWithItsConnection(t *testing.T) {
+	for _, isTunnelled := range []bool{false, true} {
+		for _, name := range []string{"resets at once", "reads some, closes", "ends its side, reads on"} {
+			t.Run(fmt.Sprintf("tunnelled %v/%s", isTunnelled, name), func(t *testing.T) {
+				t.Parallel()
+				end := earlyEnds[name]
+				endpoint := newEarlyEndpoint(t, end)
+				address := startScripted(t, isTunnelled, endpoint.address)
+				for query, want := range map[string]callerReply{
+					"status=500+Odd": {status: http.StatusInternalServerError, body: earlyBody, isWhole: true},
+					"status=413+Odd": {status: http.StatusRequestEntityTooLarge, body: earlyBody, isWhole: true},
+					"more":           {status: http.StatusOK, body: earlyBody + strings.Repeat("m", moreBytes), isWhole: true},
+				} {
+					for _, kind := range []string{"safe", "once"} {
+						caller := dialCaller(t, address, "1.1")
+						got := caller.post(t.Name()+query+kind, "/"+kind+"/x?"+query, 3<<20)
+						_ = caller.conn.Close()
+						if (got == want) != end.isWhole {
+							t.Errorf("%s, %s: status %d, %d bytes, whole %v", query, kind, got.status, len(got.body), got.isWhole)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestEarlyAnswerThroughHostOfEarlierVersion guards against the same where the host between says nothing of the request:
 // nothing proves then that an answer to a long one is whole.
 func TestEarlyAnswerThroughHostOfEarlierVersion(t *testing.T) {
--- a/io/opaque/tornanswer_test.go
+++ b/io/opaque/tornanswer_test.go
@@ -283,6 +283,10 @@
 	if err != nil {
 		return callerReply{}
 	}
+	return c.readReply()
+}
+
+func (c *caller) readReply() callerReply {
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		return callerReply{}
