Read what is unacknowledged before what is acknowledged

The number of acknowledged bytes was read before that of the unacknowledged ones. An acknowledgment in between left no byte unacknowledged beside an old number, which went out as the last receipt: the host between looks again only while something is outstanding.

Change: the two are read in the other order.

Ruled out: a stall between the hosts.

--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -203,8 +203,10 @@
 	var unacked int
 	var infoErr, unackedErr error
 	err = raw.Control(func(fd uintptr) {
-		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		// In this order, an acknowledgment in between leaves bytes that count as unacknowledged and as acknowledged. In the other
+		// one, all bytes could be acknowledged while the number of those that are is an earlier one.
 		unacked, unackedErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
 	if err := errors.Join(err, infoErr, unackedErr); err != nil {
 		return upload.Transfer{}, err
